--- /dev/null
+++ b/Makefile
@@ -0,0 +1,52 @@
+# tarragonfield: "make" builds, "make check" tests, "make demo" shows it run.
+ROOT = .
+BUILD ?= build
+Q ?= @
+export Q BUILD SAN OPT
+LIBDIRS = $(dir $(wildcard lib/*/Makefile))
+PROGDIRS = $(dir $(wildcard cmd/*/Makefile tests/standin/*/Makefile \
+	tests/load/Makefile tests/unit/*/Makefile tests/bench/*/Makefile))
+
+all: $(LIBDIRS) $(PROGDIRS)
+
+$(LIBDIRS):
+	@$(MAKE) --no-print-directory -C $@
+
+$(PROGDIRS): $(LIBDIRS)
+	@$(MAKE) --no-print-directory -C $@
+
+deps:
+	@sh mk/deps.sh
+
+check: deps
+	@$(MAKE) --no-print-directory all
+	@sh tests/run.sh
+
+demo demo-up demo-down: deps
+	@$(MAKE) --no-print-directory all
+	@sh tests/demo/$@.sh
+
+bench bench-decisions bench-capacity: deps
+	@$(MAKE) --no-print-directory all
+	@sh tests/bench/$@.sh
+
+model:
+	@sh spec/run.sh
+
+format:
+	@git ls-files -co --exclude-standard '*.c' '*.h' | \
+		grep -v '^lib/rpc/tgrpc' | xargs clang-format -i
+
+format-check:
+	@git ls-files -co --exclude-standard '*.c' '*.h' | \
+		grep -v '^lib/rpc/tgrpc' | xargs clang-format --dry-run -Werror
+
+lint:
+	@sh mk/lint.sh
+
+clean:
+	rm -rf $(BUILD)
+
+.PHONY: all deps check demo demo-up demo-down bench bench-decisions \
+	bench-capacity model format format-check lint clean \
+	$(LIBDIRS) $(PROGDIRS)
--- /dev/null
+++ b/lib/base/clock.c
@@ -0,0 +1,54 @@
+#include <time.h>
+
+#include "base/base.h"
+
+static int64_t read_clock_us(clockid_t id)
+{
+	struct timespec ts;
+
+	clock_gettime(id, &ts);
+	return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
+}
+
+int64_t tg_now_us(void)
+{
+	return read_clock_us(CLOCK_MONOTONIC);
+}
+
+int64_t tg_now_ms(void)
+{
+	return tg_now_us() / 1000;
+}
+
+int64_t tg_wall_ms(void)
+{
+	return read_clock_us(CLOCK_REALTIME) / 1000;
+}
+
+int tg_parse_utc(const char *s, int64_t *wall_ms)
+{
+	struct tm tm = { 0 };
+	struct tm check;
+	time_t t;
+	const char *end = strptime(s, "%Y-%m-%dT%H:%M:%SZ", &tm);
+
+	if (!end || *end)
+		return -1;
+	check = tm;
+	t = timegm(&check);
+	/* timegm() normalizes, so "31 February" comes back as another day. */
+	if (check.tm_mday != tm.tm_mday || check.tm_mon != tm.tm_mon)
+		return -1;
+	*wall_ms = (int64_t)t * 1000;
+	return 0;
+}
+
+void tg_format_utc(int64_t wall_ms, char *out, size_t size)
+{
+	time_t t = (time_t)(wall_ms / 1000);
+	struct tm tm;
+
+	gmtime_r(&t, &tm);
+	if (!strftime(out, size, "%Y-%m-%dT%H:%M:%SZ", &tm) && size)
+		out[0] = '\0';
+}
--- /dev/null
+++ b/lib/base/log.c
@@ -0,0 +1,112 @@
+#include <log4c.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/base.h"
+
+#define TABLES_MAX 16
+#define MESSAGE_MAX 1024
+
+static const struct tg_event_info base_events[] = {
+#define TG_EVENT TG_EVENT_INFO
+#include "base/events.def"
+#undef TG_EVENT
+	{ 0, TG_INFO, NULL },
+};
+
+static const struct tg_event_info *tables[TABLES_MAX] = { base_events };
+static int n_tables = 1;
+static const char *program = "tg";
+static log4c_category_t *category;
+
+static const int priorities[] = {
+	[TG_DEBUG] = LOG4C_PRIORITY_DEBUG,
+	[TG_INFO] = LOG4C_PRIORITY_INFO,
+	[TG_WARN] = LOG4C_PRIORITY_WARN,
+	[TG_ERROR] = LOG4C_PRIORITY_ERROR,
+};
+
+static const char *format_line(const log4c_layout_t *layout,
+			       const log4c_logging_event_t *e)
+{
+	static char line[MESSAGE_MAX + 128];
+	char stamp[32] = "";
+	struct tm tm;
+	time_t t = e->evt_timestamp.tv_sec;
+
+	(void)layout;
+	gmtime_r(&t, &tm);
+	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &tm);
+	snprintf(line, sizeof(line), "%s.%03dZ %s %s %s\n", stamp,
+		 (int)(e->evt_timestamp.tv_usec / 1000),
+		 log4c_priority_to_string(e->evt_priority), program,
+		 e->evt_msg);
+	return line;
+}
+
+static const log4c_layout_type_t layout_type = { "tg", format_line };
+
+static int parse_level(const char *level)
+{
+	if (!strcmp(level, "debug"))
+		return LOG4C_PRIORITY_DEBUG;
+	if (!strcmp(level, "warn"))
+		return LOG4C_PRIORITY_WARN;
+	if (!strcmp(level, "error"))
+		return LOG4C_PRIORITY_ERROR;
+	return LOG4C_PRIORITY_INFO;
+}
+
+void tg_log_open(const char *prog, const char *level)
+{
+	log4c_appender_t *appender = log4c_appender_get("stderr");
+	log4c_layout_t *layout = log4c_layout_get("tg");
+
+	program = prog;
+	category = log4c_category_get("tg");
+	log4c_layout_set_type(layout, &layout_type);
+	log4c_appender_set_layout(appender, layout);
+	log4c_category_set_appender(category, appender);
+	log4c_category_set_additivity(category, 0);
+	log4c_category_set_priority(category, parse_level(level));
+}
+
+void tg_log_register(const struct tg_event_info *table)
+{
+	if (n_tables < TABLES_MAX)
+		tables[n_tables++] = table;
+}
+
+static const struct tg_event_info *find_event(int number)
+{
+	static const struct tg_event_info unknown = { 0, TG_ERROR,
+						      "unregistered event" };
+	const struct tg_event_info *e;
+	int i;
+
+	for (i = 0; i < n_tables; i++)
+		for (e = tables[i]; e->number; e++)
+			if (e->number == number)
+				return e;
+	return &unknown;
+}
+
+void tg_log(int number, const char *fmt, ...)
+{
+	const struct tg_event_info *e = find_event(number);
+	char text[MESSAGE_MAX];
+	va_list ap;
+	char *p;
+
+	if (!category ||
+	    !log4c_category_is_priority_enabled(category, priorities[e->level]))
+		return;
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	for (p = text; *p; p++)
+		if ((unsigned char)*p < ' ' || *p == 127)
+			*p = '?';
+	log4c_category_log(category, priorities[e->level], "EV%04d %s%s%s",
+			   number, e->text, *text ? " " : "", text);
+}
--- /dev/null
+++ b/lib/base/metrics.c
@@ -0,0 +1,161 @@
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#include "base/base.h"
+
+#define KEY_MAX 320
+#define OVERFLOW_LABELS "overflow=\"true\""
+
+enum kind { COUNTER, GAUGE, HISTOGRAM };
+
+/* "name{labels}"; series of one name follow one another when sorted. */
+struct series {
+	char key[KEY_MAX];
+	const char *name, *help;
+	char *labels;
+	enum kind kind;
+	union {
+		struct tg_counter counter;
+		struct tg_gauge gauge;
+		struct tg_hist *hist;
+	} u;
+	UT_hash_handle hh;
+};
+
+static struct series *all;
+
+static struct series *find(const char *name, const char *labels)
+{
+	char key[KEY_MAX];
+	struct series *s;
+
+	snprintf(key, sizeof(key), "%s{%s}", name, labels);
+	HASH_FIND_STR(all, key, s);
+	return s;
+}
+
+static struct series *add(const char *name, const char *help,
+			  const char *labels, enum kind kind)
+{
+	struct series *s = tg_xcalloc(1, sizeof(*s));
+
+	snprintf(s->key, sizeof(s->key), "%s{%s}", name, labels);
+	s->name = name;
+	s->help = help;
+	s->labels = tg_xstrdup(labels);
+	s->kind = kind;
+	if (kind == HISTOGRAM)
+		s->u.hist = tg_xcalloc(1, sizeof(*s->u.hist));
+	HASH_ADD_STR(all, key, s);
+	return s;
+}
+
+static struct series *get(const char *name, const char *help,
+			  const char *labels, enum kind kind)
+{
+	struct series *s;
+
+	if (!labels)
+		labels = "";
+	s = find(name, labels);
+	if (s)
+		return s;
+	if (HASH_COUNT(all) < TG_SERIES_MAX)
+		return add(name, help, labels, kind);
+	s = find(name, OVERFLOW_LABELS);
+	if (s)
+		return s;
+	tg_log(EV_SERIES_LIMIT, "name=%s", name);
+	return add(name, help, OVERFLOW_LABELS, kind);
+}
+
+struct tg_counter *tg_counter(const char *name, const char *help,
+			      const char *labels)
+{
+	return &get(name, help, labels, COUNTER)->u.counter;
+}
+
+struct tg_gauge *tg_gauge(const char *name, const char *help,
+			  const char *labels)
+{
+	return &get(name, help, labels, GAUGE)->u.gauge;
+}
+
+struct tg_hist *tg_histogram(const char *name, const char *help,
+			     const char *labels)
+{
+	return get(name, help, labels, HISTOGRAM)->u.hist;
+}
+
+static int by_key(const struct series *a, const struct series *b)
+{
+	int c = strcmp(a->name, b->name);
+
+	return c ? c : strcmp(a->key, b->key);
+}
+
+static void write_histogram(struct evbuffer *out, const struct series *s)
+{
+	const char *sep = *s->labels ? "," : "";
+	const struct tg_hist *h = s->u.hist;
+	uint64_t seen = 0;
+	size_t b;
+
+	for (b = 0; b < TG_HIST_BUCKETS; b++) {
+		seen += h->counts[b];
+		/* One line per power of two keeps the page short. */
+		if ((b + 1) % (1U << TG_HIST_SUB_BITS) || !seen)
+			continue;
+		evbuffer_add_printf(
+			out, "%s_bucket{%s%sle=\"%llu\"} %llu\n", s->name,
+			s->labels, sep,
+			(1ULL << (TG_HIST_SUB_BITS +
+				  (b >> TG_HIST_SUB_BITS))) -
+				1,
+			(unsigned long long)seen);
+		if (seen == h->n)
+			break;
+	}
+	evbuffer_add_printf(out,
+			    "%s_bucket{%s%sle=\"+Inf\"} %llu\n"
+			    "%s_sum{%s} %llu\n%s_count{%s} %llu\n",
+			    s->name, s->labels, sep, (unsigned long long)h->n,
+			    s->name, s->labels, (unsigned long long)h->sum,
+			    s->name, s->labels, (unsigned long long)h->n);
+}
+
+static void write_series(struct evbuffer *out, const struct series *s)
+{
+	bool bare = !*s->labels;
+
+	if (s->kind == HISTOGRAM) {
+		write_histogram(out, s);
+		return;
+	}
+	evbuffer_add_printf(out, "%s%s%s%s ", s->name, bare ? "" : "{",
+			    s->labels, bare ? "" : "}");
+	if (s->kind == COUNTER)
+		evbuffer_add_printf(out, "%llu\n",
+				    (unsigned long long)s->u.counter.value);
+	else
+		evbuffer_add_printf(out, "%lld\n",
+				    (long long)s->u.gauge.value);
+}
+
+void tg_metrics_write(struct evbuffer *out)
+{
+	static const char *const kinds[] = { "counter", "gauge", "histogram" };
+	const char *last = "";
+	struct series *s;
+
+	HASH_SORT(all, by_key);
+	for (s = all; s; s = s->hh.next) {
+		if (strcmp(last, s->name) != 0)
+			evbuffer_add_printf(out, "# HELP %s %s\n# TYPE %s %s\n",
+					    s->name, s->help, s->name,
+					    kinds[s->kind]);
+		last = s->name;
+		write_series(out, s);
+	}
+}
--- /dev/null
+++ b/lib/base/name.c
@@ -0,0 +1,79 @@
+#include <arpa/inet.h>
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/base.h"
+
+bool tg_name_valid(const char *s)
+{
+	size_t n;
+
+	if (!s || !*s || *s == '-')
+		return false;
+	n = strspn(s, "abcdefghijklmnopqrstuvwxyz0123456789-");
+	return !s[n] && n <= TG_NAME_MAX;
+}
+
+bool tg_strlcpy(char *dst, const char *src, size_t size)
+{
+	size_t n = strnlen(src, size);
+
+	if (!size)
+		return false;
+	if (n == size) {
+		memcpy(dst, src, size - 1);
+		dst[size - 1] = '\0';
+		return false;
+	}
+	memcpy(dst, src, n + 1);
+	return true;
+}
+
+static int parse_port(const char *s, uint16_t *port)
+{
+	char *end;
+	long v;
+
+	if (!isdigit((unsigned char)*s))
+		return -1;
+	v = strtol(s, &end, 10);
+	if (*end || v > UINT16_MAX)
+		return -1;
+	*port = (uint16_t)v;
+	return 0;
+}
+
+int tg_addr_split(const char *s, char *host, size_t size, uint16_t *port)
+{
+	const char *colon = strrchr(s, ':');
+	unsigned char bin[sizeof(struct in6_addr)];
+	size_t n;
+	int family = AF_INET;
+
+	if (!colon || colon == s)
+		return -1;
+	n = (size_t)(colon - s);
+	if (*s == '[') {
+		if (s[n - 1] != ']' || n < 3)
+			return -1;
+		family = AF_INET6;
+		s++;
+		n -= 2;
+	}
+	if (n >= size)
+		return -1;
+	memcpy(host, s, n);
+	host[n] = '\0';
+	if (inet_pton(family, host, bin) != 1)
+		return -1;
+	return parse_port(colon + 1, port);
+}
+
+bool tg_addr_valid(const char *s)
+{
+	char host[TG_ADDR_MAX + 1];
+	uint16_t port;
+
+	return s && !tg_addr_split(s, host, sizeof(host), &port);
+}
