--- /dev/null
+++ b/tests/standin/platformd/instances.c
@@ -0,0 +1,120 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "platformd.h"
+
+#define PREFIX "/standin/instances/"
+
+/* The list shows a change only list_lag_ms after it was made. */
+static void make_due(struct board *b)
+{
+	int64_t now_ms = tg_now_ms();
+
+	while (b->changes && b->changes->due_ms <= now_ms) {
+		struct change *c = b->changes;
+
+		b->changes = c->next;
+		if (!b->changes)
+			b->changes_tail = &b->changes;
+		if (c->entry)
+			json_object_set_new(b->list, c->name, c->entry);
+		else
+			json_object_del(b->list, c->name);
+		free(c->name);
+		free(c);
+	}
+}
+
+static void add_change(struct board *b, const char *name, json_t *entry)
+{
+	struct change *c = tg_xcalloc(1, sizeof(*c));
+
+	c->due_ms = tg_now_ms() + b->opts.list_lag_ms;
+	c->name = tg_xstrdup(name);
+	c->entry = json_incref(entry);
+	*b->changes_tail = c;
+	b->changes_tail = &c->next;
+}
+
+static void run_list(struct call *c)
+{
+	char *az = tg_http_query(c->req, "az");
+	json_t *list = json_array(), *v;
+	const char *name;
+
+	make_due(c->board);
+	json_object_foreach(c->board->list, name, v)
+	{
+		const char *in = json_string_value(json_object_get(v, "az"));
+
+		if (!az || !strcmp(az, in))
+			json_array_append(list, v);
+	}
+	free(az);
+	call_reply(c, 200,
+		   json_pack("{s:I, s:o}", "as_of_ms",
+			     (json_int_t)(tg_wall_ms() -
+					  c->board->opts.list_lag_ms),
+			     "instances", list));
+}
+
+void instances_list(struct evhttp_request *req, void *arg)
+{
+	call_start(arg, req, SERVICE_INSTANCES, false, run_list);
+}
+
+static bool is_one_of(const char *s, const char *const *names)
+{
+	for (; s && *names; names++)
+		if (!strcmp(s, *names))
+			return true;
+	return false;
+}
+
+static const char *find_fault(const json_t *v)
+{
+	static const char *const kinds[] = { "worker", "entry", "sched",
+					     "console", NULL };
+	static const char *const states[] = { "live", "leaving", NULL };
+
+	if (!tg_name_valid(json_string_value(json_object_get(v, "name"))))
+		return "/name";
+	if (!is_one_of(json_string_value(json_object_get(v, "kind")), kinds))
+		return "/kind";
+	if (!tg_name_valid(json_string_value(json_object_get(v, "az"))))
+		return "/az";
+	if (!tg_addr_valid(json_string_value(json_object_get(v, "addr"))))
+		return "/addr";
+	if (!is_one_of(json_string_value(json_object_get(v, "state")), states))
+		return "/state";
+	return NULL;
+}
+
+void instances_put(struct evhttp_request *req, void *arg)
+{
+	json_t *v = tg_http_json_body(req);
+	const char *place;
+
+	if (!v)
+		return;
+	if (!json_object_get(v, "state"))
+		json_object_set_new(v, "state", json_string("live"));
+	place = find_fault(v);
+	if (place) {
+		tg_http_reply_error(req, 400, place, "missing or invalid");
+	} else {
+		add_change(arg, json_string_value(json_object_get(v, "name")),
+			   v);
+		tg_http_reply_json(req, 200, json_pack("{s:b}", "ok", 1));
+	}
+	json_decref(v);
+}
+
+void instances_delete(struct evhttp_request *req, void *arg)
+{
+	char *path = tg_http_path(req);
+
+	add_change(arg, path + strlen(PREFIX), NULL);
+	free(path);
+	tg_http_reply_json(req, 200, json_pack("{s:b}", "ok", 1));
+}
