Count the open connections of an HTTP server

The stand-in of a worker enforces a limit of connections, idle ones included, but the server only knew connections with a request in progress. An entry now lives as long as its connection.

--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -73,6 +73,10 @@
  * tg_http_server_in_progress() - requests whose reply is not yet fully written
  */
 size_t tg_http_server_in_progress(const struct tg_http_server *s);
+/**
+ * tg_http_server_connections() - open connections that have sent a request
+ */
+size_t tg_http_server_connections(const struct tg_http_server *s);
 /**
  * tg_http_on_abort() - call @fn if the client closes before the whole reply
  *
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -18,10 +18,11 @@
 	{ 0, TG_INFO, NULL },
 };
 
-/* A request between its dispatch and the end of its reply. */
+/* A connection that has sent a request; @busy until its reply is written. */
 struct pending {
 	struct evhttp_connection *con;
 	struct tg_http_server *server;
+	bool busy;
 	void (*abort_fn)(void *arg);
 	void *abort_arg;
 	UT_hash_handle hh;
@@ -36,7 +37,8 @@
 	char addr[TG_ADDR_MAX + 1];
 };
 
-/* All servers of the process; a connection has at most one request. */
+/* All servers of the process; a connection has at most one request at a time.
+ */
 static struct pending *pendings;
 
 static void drop_pending(struct pending *p)
@@ -58,8 +60,10 @@
 	struct pending *p = find_pending(evhttp_request_get_connection(req));
 
 	(void)arg;
-	if (p)
-		drop_pending(p);
+	if (!p)
+		return;
+	p->busy = false;
+	p->abort_fn = NULL;
 }
 
 static void on_connection_closed(struct evhttp_connection *con, void *arg)
@@ -89,6 +93,7 @@
 		HASH_ADD_PTR(pendings, con, p);
 	}
 	p->server = s;
+	p->busy = true;
 	p->abort_fn = NULL;
 	evhttp_connection_set_closecb(con, on_connection_closed, NULL);
 	evhttp_request_set_on_complete_cb(req, on_reply_written, NULL);
@@ -100,7 +105,7 @@
 	struct evhttp_connection *con = evhttp_request_get_connection(req);
 	struct pending *p = con ? find_pending(con) : NULL;
 
-	if (!p)
+	if (!p || !p->busy)
 		return;
 	p->abort_fn = fn;
 	p->abort_arg = arg;
@@ -111,6 +116,16 @@
 	struct pending *p, *tmp;
 	size_t n = 0;
 
+	HASH_ITER(hh, pendings, p, tmp)
+	n += p->server == s && p->busy;
+	return n;
+}
+
+size_t tg_http_server_connections(const struct tg_http_server *s)
+{
+	struct pending *p, *tmp;
+	size_t n = 0;
+
 	HASH_ITER(hh, pendings, p, tmp)
 	n += p->server == s;
 	return n;
