--- a/lib/http/message.c
+++ b/lib/http/message.c
@@ -79,8 +79,9 @@
 	struct evbuffer *in = evhttp_request_get_input_buffer(req);
 	size_t n = evbuffer_get_length(in);
 	json_error_t e;
-	json_t *v = json_loadb((char *)evbuffer_pullup(in, -1), n,
-			       JSON_REJECT_DUPLICATES, &e);
+	/* Of an empty buffer evbuffer_pullup() is NULL. */
+	const char *text = n ? (char *)evbuffer_pullup(in, -1) : "";
+	json_t *v = json_loadb(text, n, JSON_REJECT_DUPLICATES, &e);
 
 	if (v)
 		return v;
