--- a/tests/standin/platformd/platformd.h
+++ b/tests/standin/platformd/platformd.h
@@ -3,7 +3,7 @@
 
 #include <uthash.h>
 
-#include "hold.h"
+#include "../common/hold.h"
 #include "http/http.h"
 
 /**
--- a/tests/standin/platformd/table.c
+++ b/tests/standin/platformd/table.c
@@ -12,9 +12,10 @@
 
 bool key_valid(const char *s)
 {
-	size_t n = s ? strspn(s, "abcdefghijklmnopqrstuvwxyz"
-				 "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
-				 "0123456789._/-") :
+	size_t n = s ? strspn(s,
+			      "abcdefghijklmnopqrstuvwxyz"
+			      "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+			      "0123456789._/-") :
 		       0;
 
 	return n && !s[n] && n <= KEY_MAX;
@@ -279,18 +280,22 @@
 	free(key);
 }
 
+struct match {
+	const struct row *row;
+};
+
 static int by_key(const void *a, const void *b)
 {
-	const struct row *const *x = a, *const *y = b;
+	const struct match *x = a, *y = b;
 
-	return strcmp((*x)->key, (*y)->key);
+	return strcmp(x->row->key, y->row->key);
 }
 
 /* Rows of @prefix after @after in order; the caller frees the array. */
-static struct row **select_rows(const struct board *b, const char *prefix,
-				const char *after, size_t *n)
+static struct match *select_rows(const struct board *b, const char *prefix,
+				 const char *after, size_t *n)
 {
-	struct row **list = tg_xcalloc(HASH_COUNT(b->rows), sizeof(*list));
+	struct match *list = tg_xcalloc(HASH_COUNT(b->rows), sizeof(*list));
 	struct row *r, *tmp;
 
 	*n = 0;
@@ -298,9 +303,9 @@
 	{
 		if (!strncmp(r->key, prefix, strlen(prefix)) &&
 		    strcmp(r->key, after) > 0)
-			list[(*n)++] = r;
+			list[(*n)++].row = r;
 	}
-	qsort(list, *n, sizeof(struct row *), by_key);
+	qsort(list, *n, sizeof(*list), by_key);
 	return list;
 }
 
@@ -325,7 +330,7 @@
 	char *after = tg_http_query(c->req, "after");
 	int limit = get_limit(c->req);
 	json_t *rows;
-	struct row **list;
+	struct match *list;
 	size_t i, n;
 
 	if (limit < 0) {
@@ -336,7 +341,8 @@
 			   &n);
 	rows = json_array();
 	for (i = 0; i < n && i < (size_t)limit; i++)
-		json_array_append_new(rows, row_json(list[i]->key, list[i]));
+		json_array_append_new(rows,
+				      row_json(list[i].row->key, list[i].row));
 	free(list);
 	call_reply(c, 200,
 		   json_pack("{s:o, s:b}", "rows", rows, "more",
--- a/tests/standin/workerd/workerd.h
+++ b/tests/standin/workerd/workerd.h
@@ -1,7 +1,7 @@
 #ifndef WORKERD_H
 #define WORKERD_H
 
-#include "hold.h"
+#include "../common/hold.h"
 #include "http/http.h"
 
 /**
