Tell the truth about writes with a lost answer and invalid members

Seen with lib/plat against platformd: - A write without condition was sent again after a lost answer and then overwrote what another process had written in between. It now ends as unknown and is never grouped with others. - A delete that took effect and lost its answer was reported as a conflict, which says that nothing was done. It is unknown. - A settled transaction listed the rows that it deleted as put. - One invalid member made its whole group invalid; the members are now sent one by one, as after a conflict.

--- a/lib/plat/plat.h
+++ b/lib/plat/plat.h
@@ -92,8 +92,9 @@
  * tg_txn_commit() - send; frees the transaction.  @done is called exactly once
  * and never from inside.
  *
- * A transaction without a condition on each row that it puts can't be settled
- * after a lost answer and then ends as TG_PLAT_UNKNOWN.
+ * A transaction without a condition on a row that it changes can't be sent
+ * again after a lost answer and then ends as TG_PLAT_UNKNOWN.  So does one that
+ * only deletes, unless its first answer arrives.
  */
 void tg_txn_commit(struct tg_txn *t, tg_txn_done done, void *arg);
 
--- a/lib/plat/txn.c
+++ b/lib/plat/txn.c
@@ -130,12 +130,39 @@
 	return false;
 }
 
+static bool changes(const struct tg_txn *t, const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < t->n_changes; i++)
+		if (!strcmp(t->changes[i].key, key))
+			return true;
+	return false;
+}
+
+/*
+ * Sent again after it committed, a transaction conflicts only if one of its
+ * conditions is on a row that it changes.  Without one it would be carried out
+ * twice and could overwrite what others wrote in between.
+ */
+static bool can_repeat(const struct tg_txn *t)
+{
+	size_t i;
+
+	for (i = 0; i < t->n_ifs; i++)
+		if (changes(t, t->ifs[i].key))
+			return true;
+	return !t->n_changes;
+}
+
 static bool fits(const struct group *g, const struct tg_txn *t)
 {
 	const struct tg_txn *other;
 
 	if (!g->n_txns)
 		return true;
+	if (!can_repeat(t) || !can_repeat(g->txns))
+		return false;
 	if (g->n_ifs + t->n_ifs > ITEMS_MAX ||
 	    g->n_changes + t->n_changes > ITEMS_MAX)
 		return false;
@@ -209,13 +236,16 @@
 	send_group(arg);
 }
 
-/* The answer was lost: the same transaction goes out again, same token. */
+/*
+ * The answer was lost: the same transaction goes out again, same token.  One
+ * that can't be repeated is alone in its group, see fits().
+ */
 static void send_again(struct group *g)
 {
 	struct timeval tv = { .tv_usec = RESEND_MS * 1000 };
 
 	g->doubtful = true;
-	if (tg_now_ms() < g->give_up_ms) {
+	if (tg_now_ms() < g->give_up_ms && can_repeat(g->txns)) {
 		event_add(g->resend, &tv);
 		return;
 	}
@@ -232,7 +262,7 @@
 	for (i = 0; i < t->n_changes; i++) {
 		json_t *v = json_object_get(versions, t->changes[i].key);
 
-		if (!json_is_integer(v))
+		if (!t->changes[i].value || !json_is_integer(v))
 			continue;
 		rows[n++] = (struct tg_row){
 			.key = t->changes[i].key,
@@ -270,17 +300,16 @@
 	return NULL;
 }
 
-static bool group_puts(const struct group *g, const char *key)
+static const struct change *find_change(const struct group *g, const char *key)
 {
 	const struct tg_txn *t;
 	size_t i;
 
 	for (t = g->txns; t; t = t->next)
 		for (i = 0; i < t->n_changes; i++)
-			if (t->changes[i].value &&
-			    !strcmp(t->changes[i].key, key))
-				return true;
-	return false;
+			if (!strcmp(t->changes[i].key, key))
+				return &t->changes[i];
+	return NULL;
 }
 
 enum earlier { NOT_COMMITTED, COMMITTED, CANNOT_TELL };
@@ -290,7 +319,8 @@
  * A row that was put carries our token and the next version, unless somebody
  * wrote it since; a row at the version of its condition was not written, and
  * neither were the others.  The first attempt can no longer take effect, since
- * one of its conditions no longer holds and versions never return.
+ * one of its conditions no longer holds and versions never return.  A row that
+ * was to be deleted and has changed tells nothing: it carries no token.
  */
 static enum earlier settle(const struct group *g, const json_t *conflicts)
 {
@@ -301,16 +331,18 @@
 	json_array_foreach(conflicts, i, v)
 	{
 		const struct condition *c;
+		const struct change *change;
 		struct tg_row row;
 
 		if (!plat_parse_row(v, &row))
 			return CANNOT_TELL;
 		c = find_condition(g, row.key);
-		if (!c || !group_puts(g, row.key))
+		change = find_change(g, row.key);
+		if (!c || !change)
 			continue;
 		if (row.token && !strcmp(row.token, g->token))
 			return COMMITTED;
-		if (row.version != c->version + 1)
+		if (!change->value || row.version != c->version + 1)
 			r = CANNOT_TELL;
 	}
 	return r;
@@ -402,6 +434,15 @@
 	}
 }
 
+/* One member is invalid, or all together are too big. */
+static void end_invalid(struct group *g)
+{
+	if (g->n_txns > 1)
+		split_group(g);
+	else
+		end_group(g, TG_PLAT_INVALID);
+}
+
 static void on_json(struct group *g, int status, const json_t *answer)
 {
 	if (status == 200 && json_is_true(json_object_get(answer, "committed")))
@@ -409,7 +450,7 @@
 	else if (status == 409)
 		on_conflict(g, answer);
 	else if (status >= 400 && status < 500 && !g->doubtful)
-		end_group(g, TG_PLAT_INVALID);
+		end_invalid(g);
 	else
 		send_again(g);
 }
