--- a/lib/plat/plat.h
+++ b/lib/plat/plat.h
@@ -94,7 +94,7 @@
  *
  * A transaction without a condition on a row that it changes can't be sent
  * again after a lost answer and then ends as TG_PLAT_UNKNOWN.  So does one that
- * only deletes, unless its first answer arrives.
+ * only deletes, if it conflicts when it is sent again.
  */
 void tg_txn_commit(struct tg_txn *t, tg_txn_done done, void *arg);
 
--- a/tests/unit/plat/plat-driver.c
+++ b/tests/unit/plat/plat-driver.c
@@ -141,7 +141,7 @@
 
 static void on_row(enum tg_plat_end end, const struct tg_row *row, void *arg)
 {
-	end_slot(arg, end, describe_rows(row, row ? 1 : 0));
+	end_slot(arg, end, row ? describe_rows(row, 1) : tg_xstrdup(""));
 }
 
 static void cmd_get(struct driver *d, char **words, int n)
