--- a/tests/contract/worker.sh
+++ b/tests/contract/worker.sh
@@ -246,7 +246,7 @@
 call "closes after reading" . "$service/svc/s/closed"
 fault '{"hang_service":true}'
 call "hangs" . -m 1 "$service/svc/s/hung"
-# libevent counts a delay from the start of the round of its loop, so it may
+# libevent counts a delay from the start of the round of its loop, so a delay may
 # be some milliseconds short.
 fault '{"service_delay_ms":1500}'
 call "delays" '.path' "$service/svc/s/delayed"
--- a/tests/load/main.c
+++ b/tests/load/main.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../standin/common/loop.h"
 #include "load.h"
 
 #define PROG "tgload"
@@ -182,7 +183,7 @@
 	if (read_choices(&l))
 		return TG_EXIT_USAGE;
 	signal(SIGPIPE, SIG_IGN);
-	http.base = l.base = event_base_new();
+	http.base = l.base = new_precise_loop();
 	http.idle_per_addr = (int)l.opts.concurrency;
 	l.http = tg_http_client_new(&http);
 	l.timer = event_new(l.base, -1, 0, on_timer, &l);
--- a/tests/standin/platformd/main.c
+++ b/tests/standin/platformd/main.c
@@ -1,3 +1,4 @@
+#include "../common/loop.h"
 #include "platformd.h"
 
 #define PROG "platformd"
@@ -124,7 +125,7 @@
 	tg_log_open(PROG, b.opts.log_level);
 	tg_log_register(tg_http_events);
 	tg_log_register(events);
-	b.base = event_base_new();
+	b.base = new_precise_loop();
 	b.history = json_array();
 	b.list = json_object();
 	b.changes_tail = &b.changes;
--- a/tests/standin/workerd/main.c
+++ b/tests/standin/workerd/main.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "../common/loop.h"
 #include "workerd.h"
 
 #define PROG "workerd"
@@ -198,7 +199,7 @@
 	tg_log_register(tg_http_events);
 	tg_log_register(events);
 	tg_token(b.boot);
-	b.base = event_base_new();
+	b.base = new_precise_loop();
 	daemon.base = b.base;
 	daemon.drain_max_ms = b.opts.drain_max_ms;
 	return tg_daemon_run(&daemon);
