Add the decision library: plan, placement, queue, reclaim, failures

An explicit plan gives each slot of a guarantee a worker; firm work stays off the plan, lent work uses any idle room and is reclaimed. Heuristic planning is followed by a bounded exhaustive search.

Reservation, backfill and the policies are first versions and not measured. While a guarantee is at risk in an AZ, other firm work does not start there.

--- /dev/null
+++ b/lib/decide/guarantee.c
@@ -0,0 +1,391 @@
+#include <limits.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "decide/internal.h"
+
+#define TASKS_MAX 100000
+
+void guarantee_free(struct guarantee *g)
+{
+	free(g->slots);
+	g->slots = NULL;
+}
+
+int32_t guarantee_unused(const struct tg_fleet *f, const struct guarantee *g)
+{
+	int32_t i, n = 0;
+
+	for (i = 0; i < g->tasks; i++) {
+		const struct slot *s = &g->slots[i];
+
+		if (!s->job && s->worker != NONE &&
+		    f->workers[s->worker].health == TG_WORKER_UP)
+			n++;
+	}
+	return n;
+}
+
+bool guarantee_at_risk(const struct guarantee *g)
+{
+	int32_t i;
+
+	if (g->lapsed)
+		return false;
+	for (i = 0; i < g->tasks; i++)
+		if (g->slots[i].worker == NONE)
+			return true;
+	return false;
+}
+
+struct guarantee *guarantee_for(const struct tg_fleet *f, const struct job *j,
+				bool unused)
+{
+	size_t i;
+
+	if (j->class != TG_CLASS_GUARANTEED)
+		return NULL;
+	for (i = 0; i < f->n_guarantees; i++) {
+		struct guarantee *g = &f->guarantees[i];
+
+		if (g->ws != j->ws || g->lapsed || j->tasks > g->tasks ||
+		    (j->az != NONE && j->az != g->az) ||
+		    (j->within_rack && !g->within_rack) ||
+		    !res_fits(j->need, g->need))
+			continue;
+		if (!unused || guarantee_unused(f, g) >= j->tasks)
+			return g;
+	}
+	return NULL;
+}
+
+void slot_set(struct tg_fleet *f, struct guarantee *g, struct slot *s,
+	      int32_t worker)
+{
+	if (s->worker != NONE)
+		room_plan(f, s->worker, g->need, -1);
+	s->worker = worker;
+	if (worker != NONE)
+		room_plan(f, worker, g->need, 1);
+}
+
+void guarantee_unbind(struct tg_fleet *f, struct job *j)
+{
+	struct guarantee *g = j->g;
+	int32_t i;
+
+	if (!g)
+		return;
+	for (i = 0; i < j->tasks; i++) {
+		struct worker *w = &f->workers[j->workers[i]];
+
+		w->inside = res_sub(w->inside, j->need);
+		w->firm = res_add(w->firm, j->need);
+	}
+	for (i = 0; i < g->tasks; i++)
+		if (g->slots[i].job == j)
+			g->slots[i].job = NULL;
+	j->g = NULL;
+}
+
+/*
+ * A guarantee is stated in accelerators.  Its tasks may use the cores and the
+ * memory that belong to so many accelerators on the worker of the AZ that has
+ * least of them, so that each of its slots fits on each such worker.
+ */
+static struct res slot_need(const struct tg_fleet *f, int32_t az, int32_t acc)
+{
+	struct res need = { acc, INT32_MAX, INT32_MAX };
+	int32_t i;
+
+	for (i = 0; i < f->n_workers; i++) {
+		const struct worker *w = &f->workers[i];
+		int64_t a = w->cap.acc;
+
+		if (w->az != az || a < acc)
+			continue;
+		need.cores = min32(need.cores,
+				   (int32_t)((int64_t)w->cap.cores * acc / a));
+		need.mem = min32(need.mem,
+				 (int32_t)((int64_t)w->cap.mem * acc / a));
+	}
+	if (need.cores == INT32_MAX)
+		need.cores = need.mem = 0;
+	return need;
+}
+
+static bool check_one(const struct tg_fleet *f, const struct tg_guarantee *g,
+		      const char *place, struct tg_findings *findings)
+{
+	const char *fault = NULL;
+
+	if (!tg_name_valid(g->workspace))
+		fault = "workspace is not a name";
+	else if (g->tasks < 1 || g->tasks > TASKS_MAX)
+		fault = "tasks is out of range";
+	else if (g->accelerators_per_task < 1 ||
+		 g->accelerators_per_task > TASKS_MAX)
+		fault = "accelerators_per_task is out of range";
+	else if (name_find(f->az_ids, g->az) == NONE)
+		fault = "no worker in this az";
+	if (fault && findings)
+		tg_findings_add(findings, place, "%s", fault);
+	return !fault;
+}
+
+static struct guarantee make_one(struct tg_fleet *f,
+				 const struct tg_guarantee *g, int64_t now_ms)
+{
+	struct guarantee out = {
+		.ws = workspace_get(f, g->workspace),
+		.az = name_find(f->az_ids, g->az),
+		.tasks = g->tasks,
+		.within_rack = g->within_rack,
+		.lapses_ms = g->lapses_ms,
+		.lapsed = now_ms >= g->lapses_ms,
+	};
+	int32_t i;
+
+	out.need = slot_need(f, out.az, g->accelerators_per_task);
+	out.slots = tg_xcalloc((size_t)g->tasks, sizeof(*out.slots));
+	for (i = 0; i < g->tasks; i++)
+		out.slots[i].worker = NONE;
+	return out;
+}
+
+/* Takes the guarantees in force away and leaves their array as it is. */
+static void withdraw(struct tg_fleet *f)
+{
+	size_t i;
+	int32_t k;
+
+	for (i = 0; i < f->n_guarantees; i++) {
+		struct guarantee *g = &f->guarantees[i];
+
+		for (k = 0; k < g->tasks; k++) {
+			struct slot *s = &g->slots[k];
+			struct job *j = s->job;
+
+			if (s->worker != NONE)
+				room_plan(f, s->worker, g->need, -1);
+			if (j && j->g) {
+				guarantee_unbind(f, j);
+				s->job = j; /* for reinstate() */
+			}
+		}
+	}
+}
+
+/* guarantee_unbind() cleared all slots of a job but the first. */
+static void reinstate(struct tg_fleet *f, struct guarantee *saved, size_t n,
+		      struct slot **slots)
+{
+	size_t i;
+	int32_t k;
+
+	f->guarantees = saved;
+	f->n_guarantees = n;
+	for (i = 0; i < n; i++) {
+		struct guarantee *g = &saved[i];
+
+		memcpy(g->slots, slots[i],
+		       (size_t)g->tasks * sizeof(*g->slots));
+		for (k = 0; k < g->tasks; k++) {
+			struct slot *s = &g->slots[k];
+			struct worker *w;
+
+			if (s->worker == NONE)
+				continue;
+			room_plan(f, s->worker, g->need, 1);
+			if (!s->job)
+				continue;
+			w = &f->workers[s->worker];
+			w->firm = res_sub(w->firm, s->job->need);
+			w->inside = res_add(w->inside, s->job->need);
+			s->job->g = g;
+		}
+	}
+}
+
+static void bind_running(struct tg_fleet *f)
+{
+	struct job *j, *next;
+	struct guarantee *g;
+	size_t i;
+
+	HASH_ITER(hh, f->jobs, j, next)
+	{
+		if (!j->workers || j->class != TG_CLASS_GUARANTEED)
+			continue;
+		for (i = 0; i < f->n_guarantees && !j->g; i++) {
+			g = &f->guarantees[i];
+			plan_bind(f, g, j);
+		}
+	}
+}
+
+static void largest_shape(struct tg_fleet *f)
+{
+	int64_t best = 0;
+	size_t i;
+	int32_t w;
+
+	f->shape = (struct res){ 0 };
+	f->shape_tasks = 1;
+	f->shape_within_rack = false;
+	for (i = 0; i < f->n_guarantees; i++) {
+		const struct guarantee *g = &f->guarantees[i];
+		int64_t size = (int64_t)g->tasks * g->need.acc;
+
+		if (size <= best)
+			continue;
+		best = size;
+		f->shape = g->need;
+		f->shape_tasks = g->tasks;
+		f->shape_within_rack = g->within_rack;
+	}
+	for (w = 0; !best && w < f->n_workers; w++)
+		if (f->workers[w].cap.acc > f->shape.acc)
+			f->shape = f->workers[w].cap;
+}
+
+static struct slot **copy_slots(const struct tg_fleet *f)
+{
+	struct slot **out = tg_xcalloc(f->n_guarantees, sizeof(struct slot *));
+	size_t i;
+
+	for (i = 0; i < f->n_guarantees; i++) {
+		const struct guarantee *g = &f->guarantees[i];
+		size_t size = (size_t)g->tasks * sizeof(*g->slots);
+
+		out[i] = tg_xcalloc(1, size);
+		memcpy(out[i], g->slots, size);
+	}
+	return out;
+}
+
+static size_t report_missing(const struct tg_fleet *f, const size_t *numbers,
+			     struct tg_findings *findings)
+{
+	size_t i, missing = 0;
+	char place[TG_NAME_MAX + 24];
+
+	for (i = 0; i < f->n_guarantees; i++) {
+		const struct guarantee *g = &f->guarantees[i];
+
+		if (!guarantee_at_risk(g))
+			continue;
+		missing++;
+		snprintf(place, sizeof(place), "%s/%zu", g->ws->name,
+			 numbers[i]);
+		if (findings)
+			tg_findings_add(findings, place,
+					"%d tasks of %d accelerators%s do not "
+					"fit in %s together with the other "
+					"guarantees",
+					g->tasks, g->need.acc,
+					g->within_rack ? " in a rack" : "",
+					f->azs[g->az].name);
+	}
+	return missing;
+}
+
+int tg_fleet_set_guarantees(struct tg_fleet *f, const struct tg_guarantee *g,
+			    size_t n, int64_t now_ms, bool force,
+			    struct tg_findings *findings)
+{
+	struct guarantee *old = f->guarantees, *new;
+	size_t i, bad = 0, n_new = 0, n_old = f->n_guarantees;
+	size_t *numbers;
+	struct slot **slots;
+	char place[TG_NAME_MAX + 24];
+	int result = 0;
+
+	plan_lapse(f, now_ms);
+	new = tg_xcalloc(n, sizeof(*new));
+	numbers = tg_xcalloc(n, sizeof(*numbers));
+	for (i = 0; i < n; i++) {
+		snprintf(place, sizeof(place), "%.63s/%zu", g[i].workspace, i);
+		if (!check_one(f, &g[i], place, findings)) {
+			bad++;
+			continue;
+		}
+		numbers[n_new] = i;
+		new[n_new++] = make_one(f, &g[i], now_ms);
+	}
+	slots = copy_slots(f);
+	if (bad && !force) {
+		result = -1;
+	} else {
+		withdraw(f);
+		f->guarantees = new;
+		f->n_guarantees = n_new;
+		bind_running(f);
+		for (i = 0; i < (size_t)f->n_azs; i++)
+			plan_az(f, (int32_t)i);
+		if (report_missing(f, numbers, findings))
+			result = -1;
+		if (result && !force) {
+			withdraw(f);
+			reinstate(f, old, n_old, slots);
+			for (i = 0; i < (size_t)f->n_azs; i++)
+				plan_az(f, (int32_t)i);
+		}
+	}
+	for (i = 0; i < n_old; i++)
+		free(slots[i]);
+	free(slots);
+	free(numbers);
+	if (f->guarantees == new) {
+		for (i = 0; i < n_old; i++)
+			guarantee_free(&old[i]);
+		free(old);
+		if (force && !bad)
+			result = 0;
+	} else {
+		for (i = 0; i < n_new; i++)
+			guarantee_free(&new[i]);
+		free(new);
+	}
+	largest_shape(f);
+	return result;
+}
+
+size_t tg_fleet_n_guarantees(const struct tg_fleet *f)
+{
+	return f->n_guarantees;
+}
+
+void tg_fleet_guarantee(const struct tg_fleet *f, size_t i, int64_t now_ms,
+			struct tg_guarantee_status *out)
+{
+	const struct guarantee *g = &f->guarantees[i];
+	int32_t k;
+
+	*out = (struct tg_guarantee_status){
+		.g = { .workspace = g->ws->name,
+		       .az = f->azs[g->az].name,
+		       .tasks = g->tasks,
+		       .accelerators_per_task = g->need.acc,
+		       .within_rack = g->within_rack,
+		       .lapses_ms = g->lapses_ms },
+		.lapsed = g->lapsed || now_ms >= g->lapses_ms,
+	};
+	if (out->lapsed)
+		return;
+	out->at_risk = guarantee_at_risk(g);
+	for (k = 0; k < g->tasks; k++) {
+		const struct slot *s = &g->slots[k];
+		const struct worker *w;
+		struct res room;
+
+		out->used_tasks += s->job != NULL;
+		if (s->worker == NONE || s->job)
+			continue;
+		/* What the lent jobs use beyond the room outside the plan. */
+		w = &f->workers[s->worker];
+		room = room_firm(w);
+		out->lent_accelerators +=
+			min32(g->need.acc, max32(0, w->lent.acc - room.acc));
+	}
+}
--- /dev/null
+++ b/lib/decide/job.c
@@ -0,0 +1,387 @@
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "decide/internal.h"
+
+#define TASKS_MAX 100000
+#define SIZE_MAX_PER_TASK 1000000
+
+int64_t job_acc(const struct job *j)
+{
+	return (int64_t)j->tasks * j->need.acc;
+}
+
+static struct job *job_find(const struct tg_fleet *f, const char *name)
+{
+	struct job *j;
+
+	HASH_FIND_STR(f->jobs, name, j);
+	return j;
+}
+
+int64_t job_remaining_ms(const struct tg_fleet *f, const struct job *j,
+			 int64_t now_ms)
+{
+	int64_t done = j->done_ms, expect = f->policy->run_ms(j);
+
+	if (j->state == JOB_RUNNING)
+		done += now_ms - j->started_ms;
+	/* A job past its expected time is expected to run as long again. */
+	while (expect <= done)
+		expect = expect * 2 + 1;
+	return expect - done;
+}
+
+int64_t job_end_ms(const struct tg_fleet *f, const struct job *j,
+		   int64_t now_ms)
+{
+	return now_ms + job_remaining_ms(f, j, now_ms);
+}
+
+/* --- submission --- */
+
+struct check {
+	const struct tg_fleet *f;
+	const struct tg_job_spec *s;
+	struct tg_findings *findings;
+	int n;
+};
+
+static void fault(struct check *c, const char *field, const char *text)
+{
+	c->n++;
+	if (c->findings)
+		tg_findings_add(c->findings, field, "%s", text);
+}
+
+static void check_range(struct check *c, const char *field, int64_t v,
+			int64_t min, int64_t max)
+{
+	char text[80];
+
+	if (v >= min && v <= max)
+		return;
+	snprintf(text, sizeof(text), "%lld is not in %lld..%lld", (long long)v,
+		 (long long)min, (long long)max);
+	fault(c, field, text);
+}
+
+static void check_fields(struct check *c)
+{
+	const struct tg_job_spec *s = c->s;
+
+	if (!tg_name_valid(s->name))
+		fault(c, "job", "not a valid name");
+	else if (job_find(c->f, s->name))
+		fault(c, "job", "name is taken");
+	if (!tg_name_valid(s->workspace))
+		fault(c, "workspace", "not a valid name");
+	if (strcmp(s->az, "any") != 0 && name_find(c->f->az_ids, s->az) == NONE)
+		fault(c, "az", "no worker in this az");
+	if (s->class < TG_CLASS_URGENT || s->class > TG_CLASS_LENT)
+		fault(c, "class", "not a class");
+	check_range(c, "tasks", s->tasks, 1, TASKS_MAX);
+	check_range(c, "accelerators_per_task", s->accelerators_per_task, 0,
+		    SIZE_MAX_PER_TASK);
+	check_range(c, "cores_per_task", s->cores_per_task, 0,
+		    SIZE_MAX_PER_TASK);
+	check_range(c, "memory_gb_per_task", s->memory_gb_per_task, 0,
+		    SIZE_MAX_PER_TASK);
+	check_range(c, "declared_ms", s->declared_ms, 0, INT64_MAX / 4);
+	if (!s->accelerators_per_task && !s->cores_per_task &&
+	    !s->memory_gb_per_task)
+		fault(c, "cores_per_task", "the tasks use nothing");
+}
+
+static int32_t rack_capacity(const struct tg_fleet *f, const struct rack *r,
+			     struct res need, int32_t max)
+{
+	int32_t i, n = 0;
+
+	for (i = 0; i < r->n_workers && n < max; i++)
+		n += res_count(need, f->workers[r->workers[i]].cap, max - n);
+	return n;
+}
+
+/* Tasks that an empty AZ can hold at once, in a rack if that is required. */
+static int32_t az_capacity(const struct tg_fleet *f, const struct az *az,
+			   struct res need, bool within_rack, int32_t max)
+{
+	int32_t i, k, n = 0;
+
+	for (i = 0; i < az->n_racks && n < max; i++) {
+		k = rack_capacity(f, &f->racks[az->racks[i]], need, max);
+		n = within_rack ? max32(n, k) : min32(max, n + k);
+	}
+	return n;
+}
+
+static void check_size(struct check *c)
+{
+	const struct tg_job_spec *s = c->s;
+	struct res need = { s->accelerators_per_task, s->cores_per_task,
+			    s->memory_gb_per_task };
+	int32_t az = name_find(c->f->az_ids, s->az), i, most = 0;
+	char text[120];
+
+	for (i = 0; i < c->f->n_azs && most < s->tasks; i++)
+		if (az == NONE || az == i)
+			most = max32(most,
+				     az_capacity(c->f, &c->f->azs[i], need,
+						 s->within_rack, s->tasks));
+	if (most >= s->tasks)
+		return;
+	if (most)
+		snprintf(text, sizeof(text),
+			 "can never run: %s %s holds at most %d such tasks",
+			 s->within_rack ? "a rack of" : "az", s->az, most);
+	else
+		snprintf(text, sizeof(text),
+			 "can never run: no worker of az %s holds such a task",
+			 s->az);
+	fault(c, "tasks", text);
+}
+
+static void check_quota(struct check *c, const struct job *j)
+{
+	char text[120];
+
+	if (!j->ws->quota || job_acc(j) <= j->ws->quota ||
+	    guarantee_for(c->f, j, false))
+		return;
+	snprintf(text, sizeof(text),
+		 "can never run: %lld accelerators, the quota is %d",
+		 (long long)job_acc(j), j->ws->quota);
+	fault(c, "tasks", text);
+}
+
+static struct job *job_new(struct tg_fleet *f, const struct tg_job_spec *s)
+{
+	struct job *j = tg_xcalloc(1, sizeof(*j));
+
+	j->name = tg_xstrdup(s->name);
+	j->ws = workspace_get(f, s->workspace);
+	j->az = name_find(f->az_ids, s->az);
+	j->class = s->class;
+	j->tasks = s->tasks;
+	j->need = (struct res){ s->accelerators_per_task, s->cores_per_task,
+				s->memory_gb_per_task };
+	j->within_rack = s->within_rack;
+	j->declared_ms = s->declared_ms;
+	j->submitted_ms = s->submitted_ms;
+	return j;
+}
+
+static void job_add(struct tg_fleet *f, struct job *j)
+{
+	j->seq = f->next_seq++;
+	HASH_ADD_KEYPTR(hh, f->jobs, j->name, strlen(j->name), j);
+}
+
+static void job_discard(struct job *j)
+{
+	free(j->name);
+	free(j->workers);
+	free(j);
+}
+
+int tg_fleet_submit(struct tg_fleet *f, const struct tg_job_spec *spec,
+		    int64_t now_ms, struct tg_findings *findings)
+{
+	struct check c = { .f = f, .s = spec, .findings = findings };
+	struct job *j;
+
+	plan_lapse(f, now_ms);
+	check_fields(&c);
+	if (!c.n)
+		check_size(&c);
+	if (c.n)
+		return -1;
+	j = job_new(f, spec);
+	check_quota(&c, j);
+	if (c.n) {
+		job_discard(j);
+		return -1;
+	}
+	job_add(f, j);
+	queue_insert(f, j);
+	return 0;
+}
+
+int tg_fleet_adopt(struct tg_fleet *f, const struct tg_job_spec *spec,
+		   const int32_t *workers, int64_t started_ms)
+{
+	struct check c = { .f = f, .s = spec };
+	struct job *j;
+	int32_t i;
+	size_t k;
+
+	check_fields(&c);
+	for (i = 0; !c.n && i < spec->tasks; i++)
+		if (workers[i] < 0 || workers[i] >= f->n_workers ||
+		    f->workers[workers[i]].az != f->workers[workers[0]].az)
+			c.n++;
+	if (c.n)
+		return -1;
+	j = job_new(f, spec);
+	j->workers = tg_xcalloc((size_t)j->tasks, sizeof(*j->workers));
+	memcpy(j->workers, workers, (size_t)j->tasks * sizeof(*workers));
+	j->state = JOB_RUNNING;
+	j->started_ms = started_ms;
+	job_add(f, j);
+	f->n_running++;
+	room_take(f, j);
+	if (j->class == TG_CLASS_LENT)
+		return 0;
+	/* What runs is a fact; the plan makes room for it. */
+	plan_clear(f, f->workers[workers[0]].az);
+	for (k = 0; k < f->n_guarantees && !j->g; k++)
+		if (j->class == TG_CLASS_GUARANTEED)
+			plan_bind(f, &f->guarantees[k], j);
+	return 0;
+}
+
+/* --- places --- */
+
+static void take_slots(struct guarantee *g, struct job *j)
+{
+	int32_t i, k;
+
+	for (i = 0; i < j->tasks; i++)
+		for (k = 0; k < g->tasks; k++) {
+			struct slot *s = &g->slots[k];
+
+			if (s->job || s->worker != j->workers[i])
+				continue;
+			s->job = j;
+			break;
+		}
+	j->g = g;
+}
+
+void job_assign(struct tg_fleet *f, struct job *j, const int32_t *workers,
+		struct guarantee *g)
+{
+	size_t size = (size_t)j->tasks * sizeof(*j->workers);
+
+	j->workers = tg_xrealloc(j->workers, size);
+	memcpy(j->workers, workers, size);
+	if (g)
+		take_slots(g, j);
+	room_take(f, j);
+	j->state = JOB_HELD;
+	list_add(&f->held, j);
+	reserve_forget(f, j);
+}
+
+void job_release(struct tg_fleet *f, struct job *j)
+{
+	struct az *az = &f->azs[f->workers[j->workers[0]].az];
+	bool firm = j->class != TG_CLASS_LENT;
+	int32_t k;
+
+	room_give(f, j);
+	for (k = 0; j->g && k < j->g->tasks; k++) {
+		struct slot *s = &j->g->slots[k];
+
+		if (s->job != j)
+			continue;
+		s->job = NULL;
+		if (f->workers[s->worker].health != TG_WORKER_UP)
+			az->replan = true;
+	}
+	j->g = NULL;
+	free(j->workers);
+	j->workers = NULL;
+	j->backfilled = false;
+	if (j->state == JOB_HELD)
+		list_remove(&f->held, j);
+	else
+		f->n_running--;
+	j->state = JOB_QUEUED;
+	/* Firm room that is freed may let a guarantee have its place again. */
+	if (az->replan || (firm && az->at_risk))
+		plan_az(f, (int32_t)(az - f->azs));
+}
+
+static void job_forget(struct tg_fleet *f, struct job *j)
+{
+	switch (j->state) {
+	case JOB_HELD:
+	case JOB_RUNNING:
+		job_release(f, j);
+		break;
+	case JOB_PARKED:
+		f->n_parked--;
+		break;
+	case JOB_QUEUED:
+		queue_remove(f, j);
+		break;
+	}
+	reserve_forget(f, j);
+	list_remove(&f->parking, j);
+	HASH_DEL(f->jobs, j);
+	job_discard(j);
+}
+
+void tg_fleet_cancel(struct tg_fleet *f, const char *job, int64_t now_ms)
+{
+	struct job *j = job_find(f, job);
+
+	plan_lapse(f, now_ms);
+	if (j)
+		job_forget(f, j);
+}
+
+/*
+ * The correction is the mean of the ratio's logarithm, so that one job that
+ * ran a hundred times too long counts like one that ran a hundredth.  It
+ * follows changes with a window of about 50 jobs.
+ */
+static void learn(struct workspace *ws, int64_t declared_ms, int64_t ran_ms)
+{
+	double r = log((double)(ran_ms + 1) / (double)(declared_ms + 1));
+	double n = (double)(ws->finished < 50 ? ws->finished + 1 : 50);
+
+	ws->finished++;
+	ws->log_ratio += (r - ws->log_ratio) / n;
+}
+
+void tg_fleet_job_done(struct tg_fleet *f, const char *job, int64_t now_ms,
+		       int64_t ran_ms)
+{
+	struct job *j = job_find(f, job);
+	int32_t i;
+
+	plan_lapse(f, now_ms);
+	if (!j)
+		return;
+	learn(j->ws, j->declared_ms, ran_ms);
+	for (i = 0; j->state == JOB_RUNNING && i < j->tasks; i++)
+		failure_reset(&f->workers[j->workers[i]]);
+	job_forget(f, j);
+}
+
+/* A reservation that was refused is not asked for again at once. */
+#define START_REFUSED_WAIT_MS 1000
+
+void tg_fleet_job_stopped(struct tg_fleet *f, const char *job,
+			  enum tg_stop_cause cause, int32_t worker,
+			  int64_t now_ms, int64_t done_ms)
+{
+	struct job *j = job_find(f, job);
+
+	plan_lapse(f, now_ms);
+	if (!j || (j->state != JOB_RUNNING && j->state != JOB_HELD))
+		return;
+	job_release(f, j);
+	j->done_ms = done_ms > 0 ? done_ms : 0;
+	if (cause == TG_STOP_START_REFUSED)
+		j->not_before_ms = now_ms + START_REFUSED_WAIT_MS;
+	if (cause == TG_STOP_TASK_FAILED && worker >= 0 &&
+	    worker < f->n_workers)
+		failure_of_task(f, j, worker, now_ms);
+	if (j->state == JOB_QUEUED)
+		queue_insert(f, j);
+}
--- /dev/null
+++ b/lib/decide/place.c
@@ -0,0 +1,258 @@
+#include <float.h>
+#include <stdlib.h>
+
+#include "decide/internal.h"
+
+/* One attempt to place a gang. */
+struct attempt {
+	struct tg_fleet *f;
+	const struct job *j;
+	enum view v;
+	bool kept; /* may use workers reserved for another job, or for itself */
+	bool avoid; /* workers where the job failed lately */
+};
+
+static bool is_avoided(const struct attempt *a, int32_t id)
+{
+	int32_t i;
+
+	for (i = 0; a->avoid && i < a->j->n_failed; i++)
+		if (a->j->failed[i] == id)
+			return true;
+	return false;
+}
+
+static int32_t count_on(const struct attempt *a, int32_t id, int32_t max)
+{
+	const struct worker *w = &a->f->workers[id];
+
+	if ((w->reserved && !a->kept) || is_avoided(a, id) ||
+	    w->health != TG_WORKER_UP)
+		return 0;
+	return res_count(a->j->need, room_of(w, a->v), max);
+}
+
+static int32_t count_in_rack(const struct attempt *a, int32_t rack)
+{
+	const struct rack *r = rack_sums(a->f, rack);
+	struct res most = a->v == VIEW_OVER_LENT ? r->max_firm : r->max_idle;
+	int32_t i, n = 0;
+
+	if (a->v == VIEW_FIRM)
+		most = res_min(most, r->max_firm);
+	if (!res_fits(a->j->need, most))
+		return 0;
+	for (i = 0; i < r->n_workers && n < a->j->tasks; i++)
+		n += count_on(a, r->workers[i], a->j->tasks - n);
+	return n;
+}
+
+struct choice {
+	double cost;
+	int32_t worker, n;
+};
+
+static int by_cost(const void *a, const void *b)
+{
+	const struct choice *x = a, *y = b;
+
+	if (x->cost != y->cost)
+		return x->cost < y->cost ? -1 : 1;
+	return x->worker < y->worker ? -1 : 1;
+}
+
+/* Puts @n tasks on workers of a rack that has room for them. */
+static void fill_rack(const struct attempt *a, int32_t rack, int32_t n,
+		      int32_t *out)
+{
+	const struct tg_policy *p = a->f->policy;
+	const struct rack *r = &a->f->racks[rack];
+	struct choice *list = tg_xcalloc((size_t)r->n_workers, sizeof(*list));
+	size_t k = 0, c;
+	int32_t i;
+
+	for (i = 0; i < r->n_workers; i++) {
+		int32_t id = r->workers[i];
+		int32_t fit = count_on(a, id, n);
+
+		if (!fit)
+			continue;
+		list[k].cost = p->worker_cost ?
+			p->worker_cost(a->f, a->j, &a->f->workers[id]) :
+			0;
+		list[k].worker = id;
+		list[k++].n = fit;
+	}
+	qsort(list, k, sizeof(*list), by_cost);
+	for (c = 0; c < k && n; c++)
+		for (i = 0; i < list[c].n && n; i++, n--)
+			*out++ = list[c].worker;
+	free(list);
+}
+
+/* Counts the tasks that fit, by rack and in all, up to the job's tasks. */
+static int32_t count_in_az(const struct attempt *a, int32_t az,
+			   int32_t *best_rack)
+{
+	const struct tg_policy *p = a->f->policy;
+	const struct az *z = &a->f->azs[az];
+	double best = DBL_MAX;
+	int32_t i, total = 0;
+
+	*best_rack = NONE;
+	for (i = 0; i < z->n_racks; i++) {
+		int32_t rack = z->racks[i], n = count_in_rack(a, rack);
+		double cost = 0;
+
+		a->f->fit[rack] = n;
+		total += n;
+		if (n < a->j->tasks)
+			continue;
+		if (p->rack_cost)
+			cost = p->rack_cost(a->f, a->j, &a->f->racks[rack],
+					    a->j->tasks);
+		if (cost >= best)
+			continue;
+		best = cost;
+		*best_rack = rack;
+		if (!p->rack_cost)
+			break;
+	}
+	return total;
+}
+
+static int by_fit(const void *a, const void *b, void *arg)
+{
+	const struct tg_fleet *f = arg;
+	int32_t x = *(const int32_t *)a, y = *(const int32_t *)b;
+
+	if (f->fit[x] != f->fit[y])
+		return f->fit[y] - f->fit[x];
+	return x - y;
+}
+
+/* As few racks as possible: those with most room first. */
+static void fill_racks(const struct attempt *a, int32_t az, int32_t *out)
+{
+	struct tg_fleet *f = a->f;
+	const struct az *z = &f->azs[az];
+	int32_t i, left = a->j->tasks, *order = f->order;
+
+	for (i = 0; i < z->n_racks; i++)
+		order[i] = z->racks[i];
+	if (f->policy->rack_cost)
+		qsort_r(order, (size_t)z->n_racks, sizeof(*order), by_fit, f);
+	for (i = 0; i < z->n_racks && left; i++) {
+		int32_t n = min32(left, f->fit[order[i]]);
+
+		if (!n)
+			continue;
+		fill_rack(a, order[i], n, out);
+		out += n;
+		left -= n;
+	}
+}
+
+static bool is_misfit(struct attempt *a, struct az *z)
+{
+	const struct job *j = a->j;
+	int32_t i;
+
+	if (z->misfits_at != z->freed) {
+		z->misfits_at = z->freed;
+		z->n_misfits = 0;
+	}
+	for (i = 0; i < z->n_misfits; i++) {
+		const struct misfit *m = &z->misfits[i];
+
+		if (m->view == a->v && res_fits(m->need, j->need) &&
+		    m->tasks <= j->tasks &&
+		    (!m->within_rack || j->within_rack) &&
+		    (m->kept || !a->kept))
+			return true;
+	}
+	return false;
+}
+
+static void add_misfit(const struct attempt *a, struct az *z)
+{
+	struct misfit *m;
+
+	if (a->avoid)
+		return;
+	m = &z->misfits[z->n_misfits < MISFITS_MAX ? z->n_misfits++ :
+						     MISFITS_MAX - 1];
+	*m = (struct misfit){ a->j->need, a->j->tasks, a->v, a->j->within_rack,
+			      a->kept };
+}
+
+static bool place_in_az(struct attempt *a, int32_t az, int32_t *out)
+{
+	struct az *z = &a->f->azs[az];
+	int32_t rack, total;
+
+	/*
+	 * While a guarantee has no place, other firm work would only take what
+	 * the guarantee may need.
+	 */
+	if ((a->v != VIEW_IDLE && z->at_risk) || is_misfit(a, z))
+		return false;
+	total = count_in_az(a, az, &rack);
+	if (rack != NONE) {
+		fill_rack(a, rack, a->j->tasks, out);
+		return true;
+	}
+	if (a->j->within_rack || total < a->j->tasks) {
+		add_misfit(a, z);
+		return false;
+	}
+	fill_racks(a, az, out);
+	return true;
+}
+
+bool place_gang(struct tg_fleet *f, const struct job *j, int32_t az,
+		enum view v, bool kept, int64_t now_ms, int32_t *out)
+{
+	struct attempt a = {
+		.f = f,
+		.j = j,
+		.v = v,
+		.kept = kept,
+		.avoid = j->n_failed && now_ms < j->avoid_until_ms,
+	};
+
+	return place_in_az(&a, az, out);
+}
+
+bool place_in_slots(struct tg_fleet *f, const struct job *j,
+		    struct guarantee *g, bool reclaim, int32_t *out)
+{
+	bool *taken = tg_xcalloc((size_t)g->tasks, sizeof(*taken));
+	int32_t i, n = 0;
+
+	for (i = 0; i < g->tasks; i++)
+		if (g->slots[i].worker != NONE)
+			f->room[g->slots[i].worker] =
+				room_idle(&f->workers[g->slots[i].worker]);
+	for (i = 0; i < g->tasks && n < j->tasks; i++) {
+		int32_t id = g->slots[i].worker;
+
+		if (g->slots[i].job || id == NONE ||
+		    f->workers[id].health != TG_WORKER_UP ||
+		    !res_fits(j->need, f->room[id]))
+			continue;
+		f->room[id] = res_sub(f->room[id], j->need);
+		taken[i] = true;
+		out[n++] = id;
+	}
+	for (i = 0; reclaim && i < g->tasks && n < j->tasks; i++) {
+		int32_t id = g->slots[i].worker;
+
+		if (taken[i] || g->slots[i].job || id == NONE ||
+		    f->workers[id].health != TG_WORKER_UP)
+			continue;
+		out[n++] = id;
+	}
+	free(taken);
+	return n == j->tasks;
+}
--- /dev/null
+++ b/lib/decide/plan.c
@@ -0,0 +1,526 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "decide/internal.h"
+
+/*
+ * Bound of the exhaustive search in workers looked at: it is complete for
+ * fleets of tens of workers and takes a millisecond or two on large ones.
+ */
+#define SEARCH_STEPS 300000
+
+static bool is_live_in(const struct guarantee *g, int32_t az)
+{
+	return g->az == az && !g->lapsed;
+}
+
+/* Rack of a guarantee's used slots, which can't move, or NONE. */
+static int32_t fixed_rack(const struct tg_fleet *f, const struct guarantee *g)
+{
+	int32_t i;
+
+	for (i = 0; g->within_rack && i < g->tasks; i++)
+		if (g->slots[i].job)
+			return f->workers[g->slots[i].worker].rack;
+	return NONE;
+}
+
+static struct res plan_room(const struct worker *w)
+{
+	return w->health == TG_WORKER_UP ? room_firm(w) : (struct res){ 0 };
+}
+
+static int32_t rack_slots(struct tg_fleet *f, int32_t rack, struct res need,
+			  int32_t max)
+{
+	struct rack *r = rack_sums(f, rack);
+	int32_t i, n = 0;
+
+	if (!res_fits(need, r->max_firm))
+		return 0;
+	for (i = 0; i < r->n_workers && n < max; i++)
+		n += res_count(need, plan_room(&f->workers[r->workers[i]]),
+			       max - n);
+	return n;
+}
+
+/* Least room first, then least lent use: leaves whole workers for others. */
+static int32_t best_worker(const struct tg_fleet *f, const struct rack *r,
+			   struct res need)
+{
+	int32_t i, best = NONE;
+	int64_t best_cost = INT64_MAX;
+
+	for (i = 0; i < r->n_workers; i++) {
+		int32_t id = r->workers[i];
+		struct res room = plan_room(&f->workers[id]);
+		int64_t cost = room.acc * 1000LL + f->workers[id].lent.acc;
+
+		if (!res_fits(need, room) || cost >= best_cost)
+			continue;
+		best_cost = cost;
+		best = id;
+	}
+	return best;
+}
+
+static void fill_from_rack(struct tg_fleet *f, struct guarantee *g,
+			   int32_t rack)
+{
+	int32_t i, id;
+
+	for (i = 0; i < g->tasks; i++) {
+		if (g->slots[i].worker != NONE)
+			continue;
+		id = best_worker(f, &f->racks[rack], g->need);
+		if (id == NONE)
+			return;
+		slot_set(f, g, &g->slots[i], id);
+	}
+}
+
+static int32_t count_missing(const struct guarantee *g)
+{
+	int32_t i, n = 0;
+
+	for (i = 0; i < g->tasks; i++)
+		n += g->slots[i].worker == NONE;
+	return n;
+}
+
+/* The rack with the least room that holds @n slots, or else the most. */
+static int32_t best_rack(struct tg_fleet *f, const struct guarantee *g,
+			 int32_t n, int32_t *fit)
+{
+	const struct az *az = &f->azs[g->az];
+	int32_t i, best = NONE;
+	int64_t best_cost = INT64_MAX;
+
+	*fit = 0;
+	for (i = 0; i < az->n_racks; i++) {
+		const struct rack *r = rack_sums(f, az->racks[i]);
+		int32_t k = rack_slots(f, az->racks[i], g->need, n);
+		int64_t cost = 0;
+		int32_t m;
+
+		if (!k || k < *fit)
+			continue;
+		for (m = 0; m < r->n_workers; m++) {
+			const struct worker *w = &f->workers[r->workers[m]];
+
+			cost += plan_room(w).acc * 1000LL + w->lent.acc;
+		}
+		if (k == *fit && cost >= best_cost)
+			continue;
+		*fit = k;
+		best = az->racks[i];
+		best_cost = cost;
+	}
+	return best;
+}
+
+static bool place_missing(struct tg_fleet *f, struct guarantee *g)
+{
+	int32_t n = count_missing(g), rack = fixed_rack(f, g), fit;
+
+	if (rack != NONE) {
+		fill_from_rack(f, g, rack);
+		return !count_missing(g);
+	}
+	while (n) {
+		rack = best_rack(f, g, n, &fit);
+		if (rack == NONE || (g->within_rack && fit < n))
+			return false;
+		fill_from_rack(f, g, rack);
+		n = count_missing(g);
+	}
+	return true;
+}
+
+static void unplace(struct tg_fleet *f, struct guarantee *g)
+{
+	int32_t i;
+
+	for (i = 0; i < g->tasks; i++)
+		if (!g->slots[i].job)
+			slot_set(f, g, &g->slots[i], NONE);
+}
+
+/* Drops places that are no longer any, and whole racks where one slot is. */
+static void drop_lost(struct tg_fleet *f, struct guarantee *g)
+{
+	int32_t i, lost = 0;
+
+	for (i = 0; i < g->tasks; i++) {
+		struct slot *s = &g->slots[i];
+
+		if (s->job)
+			continue;
+		if (s->worker != NONE &&
+		    f->workers[s->worker].health != TG_WORKER_UP)
+			slot_set(f, g, s, NONE);
+		lost += s->worker == NONE;
+	}
+	if (lost && g->within_rack && fixed_rack(f, g) == NONE)
+		unplace(f, g);
+}
+
+/* --- exhaustive search --- */
+
+struct item {
+	struct guarantee *g;
+	int32_t slot;
+};
+
+struct search {
+	struct tg_fleet *f;
+	int32_t az;
+	struct item *items;
+	int32_t n;
+	int64_t steps;
+};
+
+static bool seen_before(const struct search *s, const struct rack *r,
+			int32_t first, int32_t i)
+{
+	struct res a = s->f->room[r->workers[i]];
+	int32_t k;
+
+	for (k = first; k < i; k++) {
+		struct res b = s->f->room[r->workers[k]];
+
+		if (a.acc == b.acc && a.cores == b.cores && a.mem == b.mem)
+			return true;
+	}
+	return false;
+}
+
+static bool search_item(struct search *s, int32_t n);
+
+static bool search_rack(struct search *s, int32_t n, int32_t rack,
+			int32_t first)
+{
+	const struct rack *r = &s->f->racks[rack];
+	struct guarantee *g = s->items[n].g;
+	struct slot *slot = &g->slots[s->items[n].slot];
+	int32_t i;
+
+	for (i = first; i < r->n_workers && s->steps-- > 0; i++) {
+		struct res *room = &s->f->room[r->workers[i]];
+
+		/* Workers with equal room lead to equal results. */
+		if (!res_fits(g->need, *room) || seen_before(s, r, first, i))
+			continue;
+		*room = res_sub(*room, g->need);
+		slot->worker = r->workers[i];
+		if (search_item(s, n + 1))
+			return true;
+		*room = res_add(*room, g->need);
+		slot->worker = NONE;
+	}
+	return false;
+}
+
+static int32_t index_in(const int32_t *a, int32_t n, int32_t v)
+{
+	int32_t i;
+
+	for (i = 0; i < n; i++)
+		if (a[i] == v)
+			return i;
+	return 0;
+}
+
+/* Slots of one guarantee are alike, so only ascending workers are tried. */
+static bool search_item(struct search *s, int32_t n)
+{
+	const struct az *az = &s->f->azs[s->az];
+	int32_t i = 0, last = az->n_racks - 1, first = 0, fixed;
+	struct guarantee *g;
+
+	if (n == s->n)
+		return true;
+	g = s->items[n].g;
+	if (n && s->items[n - 1].g == g) {
+		int32_t w = g->slots[s->items[n - 1].slot].worker;
+		const struct rack *r = &s->f->racks[s->f->workers[w].rack];
+
+		i = index_in(az->racks, az->n_racks, s->f->workers[w].rack);
+		first = index_in(r->workers, r->n_workers, w);
+		if (g->within_rack)
+			last = i;
+	} else {
+		fixed = fixed_rack(s->f, g);
+		if (fixed != NONE)
+			i = last = index_in(az->racks, az->n_racks, fixed);
+	}
+	for (; i <= last; i++, first = 0) {
+		if (search_rack(s, n, az->racks[i], first))
+			return true;
+		if (s->steps <= 0)
+			return false;
+	}
+	return false;
+}
+
+static int by_size(const void *a, const void *b)
+{
+	const struct item *x = a, *y = b;
+	int64_t n;
+
+	if (x->g != y->g) {
+		n = (int64_t)y->g->within_rack - x->g->within_rack;
+		if (!n)
+			n = y->g->need.acc - x->g->need.acc;
+		if (!n)
+			n = y->g->tasks - x->g->tasks;
+		if (n)
+			return n < 0 ? -1 : 1;
+		return x->g < y->g ? -1 : 1;
+	}
+	return x->slot - y->slot;
+}
+
+static bool search_az(struct tg_fleet *f, int32_t az)
+{
+	struct search s = { .f = f, .az = az, .steps = SEARCH_STEPS };
+	size_t i;
+	int32_t k, worker;
+	bool found;
+
+	for (i = 0; i < f->n_guarantees; i++)
+		if (is_live_in(&f->guarantees[i], az))
+			s.n += count_missing(&f->guarantees[i]);
+	s.items = tg_xcalloc((size_t)s.n, sizeof(*s.items));
+	s.n = 0;
+	for (i = 0; i < f->n_guarantees; i++) {
+		struct guarantee *g = &f->guarantees[i];
+
+		for (k = 0; is_live_in(g, az) && k < g->tasks; k++)
+			if (g->slots[k].worker == NONE)
+				s.items[s.n++] = (struct item){ g, k };
+	}
+	qsort(s.items, (size_t)s.n, sizeof(*s.items), by_size);
+	for (k = 0; k < f->n_workers; k++)
+		f->room[k] = plan_room(&f->workers[k]);
+	found = search_item(&s, 0);
+	/* The search wrote the slots only; count them now. */
+	for (k = 0; k < s.n; k++) {
+		struct slot *slot = &s.items[k].g->slots[s.items[k].slot];
+
+		worker = slot->worker;
+		slot->worker = NONE;
+		if (found)
+			slot_set(f, s.items[k].g, slot, worker);
+	}
+	free(s.items);
+	return found;
+}
+
+/* --- plan of an AZ --- */
+
+static int by_demand(const void *a, const void *b)
+{
+	const struct guarantee *x = *(struct guarantee *const *)a;
+	const struct guarantee *y = *(struct guarantee *const *)b;
+	int64_t n = (int64_t)y->within_rack - x->within_rack;
+
+	if (!n)
+		n = (int64_t)y->tasks * y->need.acc -
+			(int64_t)x->tasks * x->need.acc;
+	if (n)
+		return n < 0 ? -1 : 1;
+	return x < y ? -1 : 1;
+}
+
+static bool place_all(struct tg_fleet *f, struct guarantee **list, size_t n)
+{
+	bool all = true;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (!place_missing(f, list[i]))
+			all = false;
+	return all;
+}
+
+static int32_t *save_places(struct guarantee **list, size_t n)
+{
+	size_t i, total = 0;
+	int32_t *out, k;
+
+	for (i = 0; i < n; i++)
+		total += (size_t)list[i]->tasks;
+	out = tg_xcalloc(total, sizeof(*out));
+	for (total = 0, i = 0; i < n; i++)
+		for (k = 0; k < list[i]->tasks; k++)
+			out[total++] = list[i]->slots[k].worker;
+	return out;
+}
+
+static void restore_places(struct tg_fleet *f, struct guarantee **list,
+			   size_t n, const int32_t *places)
+{
+	size_t i, at = 0;
+	int32_t k;
+
+	for (i = 0; i < n; i++)
+		unplace(f, list[i]);
+	for (i = 0; i < n; i++)
+		for (k = 0; k < list[i]->tasks; k++, at++)
+			if (!list[i]->slots[k].job)
+				slot_set(f, list[i], &list[i]->slots[k],
+					 places[at]);
+}
+
+/* Part of a gang in a rack is no place for it. */
+static void drop_partial(struct tg_fleet *f, struct guarantee *g)
+{
+	if (count_missing(g) && g->within_rack && fixed_rack(f, g) == NONE)
+		unplace(f, g);
+}
+
+static bool plan_anew(struct tg_fleet *f, int32_t az, struct guarantee **list,
+		      size_t n)
+{
+	int32_t *places = save_places(list, n);
+	bool all;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		unplace(f, list[i]);
+	all = place_all(f, list, n);
+	if (!all) {
+		for (i = 0; i < n; i++)
+			unplace(f, list[i]);
+		all = search_az(f, az);
+	}
+	if (!all)
+		restore_places(f, list, n, places);
+	free(places);
+	return all;
+}
+
+void plan_az(struct tg_fleet *f, int32_t az)
+{
+	struct guarantee **list =
+		tg_xcalloc(f->n_guarantees, sizeof(struct guarantee *));
+	size_t i, n = 0;
+	bool all;
+
+	f->azs[az].replan = false;
+	for (i = 0; i < f->n_guarantees; i++)
+		if (is_live_in(&f->guarantees[i], az))
+			list[n++] = &f->guarantees[i];
+	qsort(list, n, sizeof(*list), by_demand);
+	for (i = 0; i < n; i++)
+		drop_lost(f, list[i]);
+	all = place_all(f, list, n);
+	if (!all)
+		all = plan_anew(f, az, list, n);
+	for (i = 0; i < n; i++)
+		drop_partial(f, list[i]);
+	f->azs[az].at_risk = !all;
+	free(list);
+}
+
+void plan_check(struct tg_fleet *f)
+{
+	int32_t i;
+
+	for (i = 0; i < f->n_azs; i++)
+		if (f->azs[i].replan)
+			plan_az(f, i);
+}
+
+void plan_clear(struct tg_fleet *f, int32_t az)
+{
+	size_t i;
+
+	for (i = 0; i < f->n_guarantees; i++)
+		if (is_live_in(&f->guarantees[i], az))
+			unplace(f, &f->guarantees[i]);
+	f->azs[az].replan = true;
+}
+
+void plan_lapse(struct tg_fleet *f, int64_t now_ms)
+{
+	size_t i;
+	int32_t k;
+
+	for (i = 0; i < f->n_guarantees; i++) {
+		struct guarantee *g = &f->guarantees[i];
+
+		if (g->lapsed || now_ms < g->lapses_ms)
+			continue;
+		for (k = 0; k < g->tasks; k++) {
+			struct slot *s = &g->slots[k];
+
+			if (s->job)
+				guarantee_unbind(f, s->job);
+			slot_set(f, g, s, NONE);
+		}
+		g->lapsed = true;
+		f->azs[g->az].replan = true;
+	}
+}
+
+static bool can_bind(const struct tg_fleet *f, const struct guarantee *g,
+		     const struct job *j)
+{
+	int32_t i, unused = 0, rack = fixed_rack(f, g);
+
+	if (g->ws != j->ws || g->lapsed || !res_fits(j->need, g->need) ||
+	    f->workers[j->workers[0]].az != g->az)
+		return false;
+	for (i = 0; i < g->tasks; i++)
+		unused += !g->slots[i].job;
+	if (unused < j->tasks)
+		return false;
+	if (!g->within_rack)
+		return true;
+	if (rack == NONE)
+		rack = f->workers[j->workers[0]].rack;
+	for (i = 0; i < j->tasks; i++)
+		if (f->workers[j->workers[i]].rack != rack)
+			return false;
+	return true;
+}
+
+bool plan_bind(struct tg_fleet *f, struct guarantee *g, struct job *j)
+{
+	int32_t i, k = 0;
+
+	if (!can_bind(f, g, j))
+		return false;
+	unplace(f, g);
+	for (i = 0; i < j->tasks; i++, k++) {
+		struct worker *w = &f->workers[j->workers[i]];
+		struct res room = res_add(room_firm(w), j->need);
+
+		while (g->slots[k].job)
+			k++;
+		if (!res_fits(g->need, room))
+			break;
+		w->firm = res_sub(w->firm, j->need);
+		w->inside = res_add(w->inside, j->need);
+		g->slots[k].job = j;
+		slot_set(f, g, &g->slots[k], j->workers[i]);
+	}
+	if (i == j->tasks) {
+		j->g = g;
+		return true;
+	}
+	while (i-- > 0) {
+		struct worker *w = &f->workers[j->workers[i]];
+
+		w->firm = res_add(w->firm, j->need);
+		w->inside = res_sub(w->inside, j->need);
+	}
+	for (k = 0; k < g->tasks; k++)
+		if (g->slots[k].job == j) {
+			g->slots[k].job = NULL;
+			slot_set(f, g, &g->slots[k], NONE);
+		}
+	return false;
+}
--- /dev/null
+++ b/lib/decide/room.c
@@ -0,0 +1,162 @@
+#include <stdlib.h>
+
+#include "decide/internal.h"
+
+int32_t res_count(struct res need, struct res room, int32_t max)
+{
+	int32_t n = max;
+
+	if (room.acc < 0 || room.cores < 0 || room.mem < 0)
+		return 0;
+	if (need.acc)
+		n = min32(n, room.acc / need.acc);
+	if (need.cores)
+		n = min32(n, room.cores / need.cores);
+	if (need.mem)
+		n = min32(n, room.mem / need.mem);
+	return n;
+}
+
+struct res room_idle(const struct worker *w)
+{
+	return res_sub(w->cap, res_add(w->firm, res_add(w->inside, w->lent)));
+}
+
+struct res room_firm(const struct worker *w)
+{
+	return res_sub(w->cap, res_add(w->firm, w->plan));
+}
+
+struct res room_of(const struct worker *w, enum view v)
+{
+	if (w->health != TG_WORKER_UP)
+		return (struct res){ 0 };
+	switch (v) {
+	case VIEW_IDLE:
+		return room_idle(w);
+	case VIEW_FIRM:
+		return res_min(room_idle(w), room_firm(w));
+	case VIEW_OVER_LENT:
+		break;
+	}
+	return room_firm(w);
+}
+
+struct rack *rack_sums(struct tg_fleet *f, int32_t rack)
+{
+	struct rack *r = &f->racks[rack];
+	int32_t i;
+
+	if (!r->dirty)
+		return r;
+	r->max_idle = r->max_firm = (struct res){ 0 };
+	r->idle_acc = 0;
+	for (i = 0; i < r->n_workers; i++) {
+		const struct worker *w = &f->workers[r->workers[i]];
+
+		if (w->health != TG_WORKER_UP)
+			continue;
+		r->max_idle = res_max(r->max_idle, room_idle(w));
+		r->max_firm = res_max(r->max_firm, room_firm(w));
+		r->idle_acc += max32(0, room_idle(w).acc);
+	}
+	r->dirty = false;
+	return r;
+}
+
+static struct res *sum_of(struct worker *w, const struct job *j)
+{
+	if (j->g)
+		return &w->inside;
+	return j->class == TG_CLASS_LENT ? &w->lent : &w->firm;
+}
+
+static void add_resident(struct worker *w, struct job *j)
+{
+	int32_t i;
+
+	for (i = 0; i < w->n_jobs; i++)
+		if (w->jobs[i].job == j)
+			break;
+	if (i == w->n_jobs) {
+		/* Grown by doubling, like the counts 1, 2, 4, 8. */
+		if (!(w->n_jobs & (w->n_jobs - 1)))
+			w->jobs = tg_xrealloc(w->jobs,
+					      (size_t)max32(1, 2 * w->n_jobs) *
+						      sizeof(*w->jobs));
+		w->jobs[w->n_jobs++] = (struct resident){ j, 0 };
+	}
+	w->jobs[i].n++;
+}
+
+static void remove_resident(struct worker *w, const struct job *j)
+{
+	int32_t i;
+
+	for (i = 0; i < w->n_jobs; i++)
+		if (w->jobs[i].job == j)
+			break;
+	if (i == w->n_jobs || --w->jobs[i].n)
+		return;
+	/* Keeps the order, so that decisions depend on facts only. */
+	w->n_jobs--;
+	for (; i < w->n_jobs; i++)
+		w->jobs[i] = w->jobs[i + 1];
+}
+
+void room_take(struct tg_fleet *f, struct job *j)
+{
+	int32_t i;
+
+	for (i = 0; i < j->tasks; i++) {
+		struct worker *w = &f->workers[j->workers[i]];
+		struct res *sum = sum_of(w, j);
+
+		*sum = res_add(*sum, j->need);
+		add_resident(w, j);
+		f->racks[w->rack].dirty = true;
+	}
+	j->ws->used_acc += job_acc(j);
+}
+
+void room_give(struct tg_fleet *f, struct job *j)
+{
+	int32_t i;
+
+	for (i = 0; i < j->tasks; i++) {
+		struct worker *w = &f->workers[j->workers[i]];
+		struct res *sum = sum_of(w, j);
+
+		*sum = res_sub(*sum, j->need);
+		if (j->reclaiming)
+			w->leaving = res_sub(w->leaving, j->need);
+		remove_resident(w, j);
+		f->racks[w->rack].dirty = true;
+		f->azs[w->az].freed++;
+	}
+	j->ws->used_acc -= job_acc(j);
+	j->reclaiming = false;
+}
+
+void room_leaving(struct tg_fleet *f, struct job *j)
+{
+	int32_t i;
+
+	if (j->reclaiming)
+		return;
+	j->reclaiming = true;
+	for (i = 0; i < j->tasks; i++) {
+		struct worker *w = &f->workers[j->workers[i]];
+
+		w->leaving = res_add(w->leaving, j->need);
+	}
+}
+
+void room_plan(struct tg_fleet *f, int32_t worker, struct res need, int sign)
+{
+	struct worker *w = &f->workers[worker];
+
+	w->plan = sign > 0 ? res_add(w->plan, need) : res_sub(w->plan, need);
+	f->racks[w->rack].dirty = true;
+	f->azs[w->az].freed++;
+}
