--- a/lib/decide/decide.c
+++ b/lib/decide/decide.c
@@ -72,7 +72,7 @@
 	f->parking.n -= i;
 	if (f->parking.n)
 		memmove(f->parking.jobs, f->parking.jobs + i,
-			f->parking.n * sizeof(*f->parking.jobs));
+			f->parking.n * sizeof(struct job *));
 }
 
 /* --- held jobs --- */
--- a/lib/decide/queue.c
+++ b/lib/decide/queue.c
@@ -10,7 +10,7 @@
 {
 	if (q->n == q->cap) {
 		q->cap = q->cap ? 2 * q->cap : 64;
-		q->jobs = tg_xrealloc(q->jobs, q->cap * sizeof(*q->jobs));
+		q->jobs = tg_xrealloc(q->jobs, q->cap * sizeof(struct job *));
 	}
 	q->jobs[q->n++] = j;
 }
@@ -25,7 +25,8 @@
 	if (i == q->n)
 		return;
 	q->n--;
-	memmove(&q->jobs[i], &q->jobs[i + 1], (q->n - i) * sizeof(*q->jobs));
+	memmove(&q->jobs[i], &q->jobs[i + 1],
+		(q->n - i) * sizeof(struct job *));
 }
 
 static int compare(const struct job *a, const struct job *b)
@@ -60,7 +61,7 @@
 	at = position(q, j);
 	list_add(q, j);
 	memmove(&q->jobs[at + 1], &q->jobs[at],
-		(q->n - 1 - at) * sizeof(*q->jobs));
+		(q->n - 1 - at) * sizeof(struct job *));
 	q->jobs[at] = j;
 }
 
@@ -72,7 +73,8 @@
 	if (at == q->n || q->jobs[at] != j)
 		return;
 	q->n--;
-	memmove(&q->jobs[at], &q->jobs[at + 1], (q->n - at) * sizeof(*q->jobs));
+	memmove(&q->jobs[at], &q->jobs[at + 1],
+		(q->n - at) * sizeof(struct job *));
 }
 
 static int compare_entries(const void *a, const void *b)
