Place by the largest guaranteed shape, move lent jobs, spare a place

At high load the free accelerators of every policy were almost all in pieces too small for the largest guaranteed shape. Racks are chosen by what a placement takes from that shape; single lent jobs move when that makes room for it; the fragmentation policy lets a job use the last place for it only after the job has waited.

--- a/lib/decide/decide.c
+++ b/lib/decide/decide.c
@@ -150,9 +150,17 @@
 	return !j->ws->quota || j->ws->used_acc + job_acc(j) <= j->ws->quota;
 }
 
+/* Whether the job may not use what its AZs spare for the largest shape. */
+static bool must_spare(const struct round *r, const struct job *j)
+{
+	return j->class != TG_CLASS_URGENT && j->need.acc &&
+		r->now_ms < j->submitted_ms + r->f->policy->spare_ms;
+}
+
 static bool place_somewhere(struct round *r, struct job *j, enum view v)
 {
 	struct tg_fleet *f = r->f;
+	bool spare = must_spare(r, j);
 	int32_t az;
 
 	for (az = 0; az < f->n_azs; az++) {
@@ -162,6 +170,8 @@
 		if ((j->az != NONE && j->az != az) || r->blocked[az])
 			continue;
 		use_kept = j->class == TG_CLASS_URGENT || kept->job == j;
+		if (spare)
+			defrag_spare(f, az);
 		/*
 		 * Lent work may run on reserved workers until the reservation
 		 * is due; it is reclaimed then, if its declared time was false.
@@ -169,7 +179,7 @@
 		if (!use_kept && kept->job && j->class == TG_CLASS_LENT &&
 		    job_end_ms(f, j, r->now_ms) <= kept->at_ms)
 			use_kept = j->backfilled = true;
-		if (place_gang(f, j, az, v, use_kept, r->now_ms,
+		if (place_gang(f, j, az, v, use_kept, spare, r->now_ms,
 			       place_for(r, j)))
 			return true;
 		j->backfilled = false;
@@ -319,6 +329,36 @@
 	}
 }
 
+/* --- moves --- */
+
+/* Moves happen when nothing else is left to do. */
+static void move_lent(struct round *r)
+{
+	struct tg_fleet *f = r->f;
+	int32_t i;
+
+	if (r->n || !f->policy->move_period_ms)
+		return;
+	for (i = 0; i < f->n_azs && r->n < r->max; i++) {
+		struct az *az = &f->azs[i];
+		struct tg_action *a;
+		struct job *j;
+
+		if (r->now_ms < az->defrag_ms)
+			continue;
+		az->defrag_ms = r->now_ms + f->policy->move_period_ms;
+		j = defrag_pick(f, i, r->now_ms);
+		if (!j)
+			continue;
+		room_leaving(f, j);
+		a = act(r, TG_ACT_RECLAIM, j);
+		snprintf(a->reason, sizeof(a->reason),
+			 "moves, so that more workers have room for the "
+			 "largest guaranteed shape");
+		note(r, a);
+	}
+}
+
 size_t tg_decide(struct tg_fleet *f, int64_t now_ms, struct tg_action *out,
 		 size_t max)
 {
@@ -337,6 +377,7 @@
 	start_guaranteed(&r);
 	start_kept(&r);
 	start_rest(&r);
+	move_lent(&r);
 	free(r.place);
 	free(r.blocked);
 	free(r.victims);
@@ -357,8 +398,12 @@
 	}
 	for (c = 0; c < ARRAY_SIZE(f->queues); c++)
 		for (i = 0; i < f->queues[c].n; i++) {
-			int64_t at = f->queues[c].jobs[i]->not_before_ms;
+			const struct job *j = f->queues[c].jobs[i];
+			int64_t at = j->not_before_ms;
 
+			if (at > now_ms && at < next)
+				next = at;
+			at = j->submitted_ms + f->policy->spare_ms;
 			if (at > now_ms && at < next)
 				next = at;
 		}
--- /dev/null
+++ b/lib/decide/defrag.c
@@ -0,0 +1,172 @@
+#include <stdlib.h>
+
+#include "decide/internal.h"
+
+/*
+ * Moves of lent jobs that leave more room for the largest guaranteed shape.  A
+ * move is a checkpoint, a stop and a start elsewhere.
+ *
+ * The bounds keep the cost of moves below a few percent of the run time when a
+ * checkpoint and a start take half a minute: a job moves once in
+ * MOVE_PERIOD_MS and not shortly before its expected end.
+ */
+#define MOVE_PERIOD_MS 1200000
+#define MOVE_LEFT_MS 600000
+/* Bounds the time of one search; at the target an AZ runs some 400 jobs. */
+#define CANDIDATES_MAX 24
+
+bool is_whole(const struct tg_fleet *f, const struct worker *w)
+{
+	return f->shape.acc && w->health == TG_WORKER_UP &&
+		res_fits(f->shape, room_idle(w));
+}
+
+/*
+ * Workers below the number that the shape takes can't serve it yet.  Their
+ * worth grows with the square, so that they gather in few racks.
+ */
+double rack_worth(const struct tg_fleet *f, int32_t whole)
+{
+	double wanted = f->shape_within_rack ? f->shape_tasks : 1;
+
+	if (whole >= wanted)
+		return (double)whole * f->shape.acc;
+	return 0.5 * whole * whole / wanted * f->shape.acc;
+}
+
+static int32_t whole_in_rack(const struct tg_fleet *f, const struct rack *r)
+{
+	int32_t i, n = 0;
+
+	for (i = 0; i < r->n_workers; i++)
+		n += is_whole(f, &f->workers[r->workers[i]]);
+	return n;
+}
+
+static double az_worth(const struct tg_fleet *f, const struct az *z)
+{
+	double sum = 0;
+	int32_t i;
+
+	for (i = 0; i < z->n_racks; i++)
+		sum += rack_worth(f, whole_in_rack(f, &f->racks[z->racks[i]]));
+	return sum;
+}
+
+/* The rack that is closest to a place for the shape, with a place or not. */
+static int32_t best_rack(const struct tg_fleet *f, const struct az *z)
+{
+	int32_t i, n, most = 0, best = NONE;
+
+	for (i = 0; i < z->n_racks; i++) {
+		n = whole_in_rack(f, &f->racks[z->racks[i]]);
+		if (n <= most)
+			continue;
+		most = n;
+		best = z->racks[i];
+	}
+	return best;
+}
+
+void defrag_spare(struct tg_fleet *f, int32_t az)
+{
+	const struct az *z = &f->azs[az];
+	int32_t rack = best_rack(f, z), i, k, left = f->shape_tasks;
+
+	for (i = 0; i < z->n_racks; i++) {
+		const struct rack *r = &f->racks[z->racks[i]];
+
+		for (k = 0; k < r->n_workers; k++) {
+			struct worker *w = &f->workers[r->workers[k]];
+
+			w->spared = z->racks[i] == rack && left > 0 &&
+				is_whole(f, w);
+			left -= w->spared;
+		}
+	}
+}
+
+static bool can_move(const struct tg_fleet *f, const struct job *j,
+		     int64_t now_ms)
+{
+	return j->class == TG_CLASS_LENT && j->state == JOB_RUNNING &&
+		j->need.acc && !j->reclaiming &&
+		now_ms - j->started_ms >= MOVE_PERIOD_MS &&
+		job_remaining_ms(f, j, now_ms) >= MOVE_LEFT_MS;
+}
+
+/* What the AZ's worth gains if the job moves to where it is placed best. */
+static double gain_of(struct tg_fleet *f, struct job *j, int32_t az,
+		      int64_t now_ms, int32_t *place)
+{
+	double before = az_worth(f, &f->azs[az]), gain = 0;
+	int32_t *old = j->workers;
+
+	room_give(f, j);
+	j->workers = place;
+	if (place_gang(f, j, az, VIEW_IDLE, false, false, now_ms, place)) {
+		room_take(f, j);
+		gain = az_worth(f, &f->azs[az]) - before;
+		room_give(f, j);
+	}
+	j->workers = old;
+	room_take(f, j);
+	return gain;
+}
+
+static size_t collect(const struct tg_fleet *f, const struct az *z,
+		      int64_t now_ms, struct job **list)
+{
+	int32_t i, k, m;
+	size_t n = 0, c;
+
+	for (i = 0; i < z->n_racks; i++) {
+		const struct rack *r = &f->racks[z->racks[i]];
+
+		for (k = 0; k < r->n_workers; k++) {
+			const struct worker *w = &f->workers[r->workers[k]];
+
+			for (m = 0; m < w->n_jobs; m++) {
+				struct job *j = w->jobs[m].job;
+
+				if (!can_move(f, j, now_ms))
+					continue;
+				for (c = 0; c < n && list[c] != j; c++)
+					;
+				if (c == n)
+					list[n++] = j;
+				if (n == CANDIDATES_MAX)
+					return n;
+			}
+		}
+	}
+	return n;
+}
+
+struct job *defrag_pick(struct tg_fleet *f, int32_t az, int64_t now_ms)
+{
+	struct job *list[CANDIDATES_MAX], *best = NULL;
+	size_t n = collect(f, &f->azs[az], now_ms, list), i;
+	double best_score = 0;
+
+	for (i = 0; i < n; i++) {
+		struct job *j = list[i];
+		int32_t *place = tg_xcalloc((size_t)j->tasks, sizeof(*place));
+		double gain = gain_of(f, j, az, now_ms, place);
+		double score = gain / (double)job_acc(j);
+
+		/* A move of large jobs for a small gain is not worth it. */
+		if (gain < f->shape.acc / 2.0 || score <= best_score) {
+			free(place);
+			continue;
+		}
+		if (best) {
+			free(best->target);
+			best->target = NULL;
+		}
+		best = j;
+		best_score = score;
+		j->target = place;
+	}
+	return best;
+}
--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -92,6 +92,7 @@
 		HASH_DEL(f->jobs, j);
 		free(j->name);
 		free(j->workers);
+		free(j->target);
 		free(j);
 	}
 	for (i = 0; i < f->n_guarantees; i++)
--- a/lib/decide/internal.h
+++ b/lib/decide/internal.h
@@ -68,6 +68,7 @@
 	struct guarantee *g; /* whose slots it uses, or NULL */
 	int64_t started_ms, done_ms, not_before_ms;
 	bool reclaiming; /* TG_ACT_RECLAIM was returned */
+	int32_t *target; /* place to move to once it has stopped, or NULL */
 	bool backfilled; /* runs on workers reserved for another job */
 	double key;
 	int32_t failed[FAILED_MAX], n_failed;
@@ -87,6 +88,7 @@
 	struct res cap, firm, inside, lent, plan;
 	struct res leaving; /* part of @lent that is being reclaimed */
 	enum tg_worker_health health;
+	bool spared; /* one of its AZ's place for the largest shape */
 	bool reserved; /* for the job of its AZ's reservation */
 	struct resident *jobs;
 	int32_t n_jobs;
@@ -119,7 +121,7 @@
 	struct res need;
 	int32_t tasks;
 	enum view view;
-	bool within_rack, kept;
+	bool within_rack, kept, spare;
 };
 #define MISFITS_MAX 32
 
@@ -132,6 +134,7 @@
 	bool at_risk; /* a slot of a live guarantee has no place */
 	uint64_t freed; /* grows with each release of room */
 	struct reservation kept;
+	int64_t defrag_ms; /* when moves may be looked for again */
 	struct misfit misfits[MISFITS_MAX];
 	int32_t n_misfits;
 	uint64_t misfits_at; /* value of @freed they were found at */
@@ -206,6 +209,9 @@
  * @strict: no job passes a waiting one of its AZ
  * @patience: how long a job waits, in multiples of its expected run time,
  *	until a place is kept for it; 0: at once, if it is the first
+ * @spare_ms: how long a job waits before it may use what each AZ spares for
+ *	the largest guaranteed shape
+ * @move_period_ms: how often an AZ moves the lent jobs of one worker; 0: never
  */
 struct tg_policy {
 	const char *name;
@@ -220,6 +226,8 @@
 			      int64_t now_ms);
 	bool strict;
 	double patience;
+	int64_t move_period_ms;
+	int64_t spare_ms;
 };
 
 /* --- res --- */
@@ -311,11 +319,13 @@
  * place_gang() - choose workers of an AZ for all tasks of a job
  * @out: one worker for each task
  * @kept: may use workers that are reserved in its AZ
+ * @spare: may not use workers that the AZ spares
  *
  * Return: whether the whole gang has a place.
  */
 bool place_gang(struct tg_fleet *f, const struct job *j, int32_t az,
-		enum view v, bool kept, int64_t now_ms, int32_t *out);
+		enum view v, bool kept, bool spare, int64_t now_ms,
+		int32_t *out);
 /** place_in_slots() - choose workers of unused slots of @g */
 bool place_in_slots(struct tg_fleet *f, const struct job *j,
 		    struct guarantee *g, bool reclaim, int32_t *out);
@@ -362,6 +372,21 @@
 bool reserve_make(struct tg_fleet *f, struct job *j, int32_t az,
 		  int64_t now_ms);
 
+/* --- defrag.c --- */
+
+/** is_whole() - idle room for a task of the largest guaranteed shape */
+bool is_whole(const struct tg_fleet *f, const struct worker *w);
+/** rack_worth() - of @whole whole workers in one rack, in accelerators */
+double rack_worth(const struct tg_fleet *f, int32_t whole);
+/** defrag_spare() - choose the workers that the AZ spares */
+void defrag_spare(struct tg_fleet *f, int32_t az);
+/**
+ * defrag_pick() - lent job that should move, or NULL
+ *
+ * Its new place is noted in the job and taken when it has stopped.
+ */
+struct job *defrag_pick(struct tg_fleet *f, int32_t az, int64_t now_ms);
+
 /* --- failure.c --- */
 
 void failure_of_task(struct tg_fleet *f, struct job *j, int32_t worker,
--- a/lib/decide/job.c
+++ b/lib/decide/job.c
@@ -183,6 +183,7 @@
 {
 	free(j->name);
 	free(j->workers);
+	free(j->target);
 	free(j);
 }
 
@@ -363,6 +364,30 @@
 	job_forget(f, j);
 }
 
+/* Whether a job that stopped in order to move has its new place. */
+static bool move_to_target(struct tg_fleet *f, struct job *j,
+			   enum tg_stop_cause cause)
+{
+	int32_t *target = j->target, i;
+	bool fits = target && cause == TG_STOP_RECLAIMED;
+
+	j->target = NULL;
+	if (fits) {
+		job_assign(f, j, target, NULL);
+		for (i = 0; i < j->tasks; i++)
+			if (f->workers[target[i]].health != TG_WORKER_UP)
+				fits = false;
+		if (!fits || !reclaim_room(f, j)) {
+			job_release(f, j);
+			fits = false;
+		}
+	}
+	if (fits)
+		tg_strlcpy(j->why, "moved", sizeof(j->why));
+	free(target);
+	return fits;
+}
+
 /* A reservation that was refused is not asked for again at once. */
 #define START_REFUSED_WAIT_MS 1000
 
@@ -382,6 +407,6 @@
 	if (cause == TG_STOP_TASK_FAILED && worker >= 0 &&
 	    worker < f->n_workers)
 		failure_of_task(f, j, worker, now_ms);
-	if (j->state == JOB_QUEUED)
+	if (j->state == JOB_QUEUED && !move_to_target(f, j, cause))
 		queue_insert(f, j);
 }
--- a/lib/decide/place.c
+++ b/lib/decide/place.c
@@ -9,6 +9,7 @@
 	const struct job *j;
 	enum view v;
 	bool kept; /* may use workers reserved for another job, or for itself */
+	bool spare; /* may not use workers that the AZ spares */
 	bool avoid; /* workers where the job failed lately */
 };
 
@@ -26,8 +27,8 @@
 {
 	const struct worker *w = &a->f->workers[id];
 
-	if ((w->reserved && !a->kept) || is_avoided(a, id) ||
-	    w->health != TG_WORKER_UP)
+	if ((w->reserved && !a->kept) || (w->spared && a->spare) ||
+	    is_avoided(a, id) || w->health != TG_WORKER_UP)
 		return 0;
 	return res_count(a->j->need, room_of(w, a->v), max);
 }
@@ -168,7 +169,7 @@
 		if (m->view == a->v && res_fits(m->need, j->need) &&
 		    m->tasks <= j->tasks &&
 		    (!m->within_rack || j->within_rack) &&
-		    (m->kept || !a->kept))
+		    (m->kept || !a->kept) && (!m->spare || a->spare))
 			return true;
 	}
 	return false;
@@ -182,8 +183,12 @@
 		return;
 	m = &z->misfits[z->n_misfits < MISFITS_MAX ? z->n_misfits++ :
 						     MISFITS_MAX - 1];
-	*m = (struct misfit){ a->j->need, a->j->tasks, a->v, a->j->within_rack,
-			      a->kept };
+	*m = (struct misfit){ .need = a->j->need,
+			      .tasks = a->j->tasks,
+			      .view = a->v,
+			      .within_rack = a->j->within_rack,
+			      .kept = a->kept,
+			      .spare = a->spare };
 }
 
 static bool place_in_az(struct attempt *a, int32_t az, int32_t *out)
@@ -211,13 +216,15 @@
 }
 
 bool place_gang(struct tg_fleet *f, const struct job *j, int32_t az,
-		enum view v, bool kept, int64_t now_ms, int32_t *out)
+		enum view v, bool kept, bool spare, int64_t now_ms,
+		int32_t *out)
 {
 	struct attempt a = {
 		.f = f,
 		.j = j,
 		.v = v,
 		.kept = kept,
+		.spare = spare,
 		.avoid = j->n_failed && now_ms < j->avoid_until_ms,
 	};
 
--- a/lib/decide/policy.c
+++ b/lib/decide/policy.c
@@ -64,6 +64,46 @@
 	return (double)(now_ms - j->started_ms + 1) * (double)(job_acc(j) + 1);
 }
 
+/*
+ * What the placement takes from the rack's worth for the largest guaranteed
+ * shape.  Room that can't hold a task of that shape is used first; among equals
+ * the rack with least idle room.
+ */
+static double rack_least_broken(const struct tg_fleet *f, const struct job *j,
+				const struct rack *r, int32_t tasks)
+{
+	int32_t i, n, whole = 0, partial = 0, per_whole, broken = 0;
+
+	if (!j->need.acc)
+		return r->idle_acc;
+	for (i = 0; i < r->n_workers; i++) {
+		const struct worker *w = &f->workers[r->workers[i]];
+		struct res room = room_of(w, VIEW_IDLE);
+
+		if (is_whole(f, w))
+			whole++;
+		else
+			partial += res_count(j->need, room, tasks);
+	}
+	per_whole = max32(1, f->shape.acc / j->need.acc);
+	n = max32(0, tasks - partial);
+	broken = min32(whole, (n + per_whole - 1) / per_whole);
+	return (rack_worth(f, whole) - rack_worth(f, whole - broken)) * 1e6 +
+		r->idle_acc;
+}
+
+/* Workers without room for a task of the shape first, the fullest of them. */
+static double worker_least_broken(const struct tg_fleet *f, const struct job *j,
+				  const struct worker *w)
+{
+	struct res room = room_idle(w);
+	bool whole = f->shape.acc && res_fits(f->shape, room);
+
+	/* Lent work goes where only lent work can go. */
+	return (whole ? 1e6 : 0) + room.acc * 1e3 +
+		(j->class == TG_CLASS_LENT ? room_firm(w).acc : 0);
+}
+
 static const struct tg_policy policies[] = {
 	{
 		.name = "fifo-firstfit",
@@ -93,10 +133,11 @@
 		.weight_fragmentation = 20,
 		.key = key_short_first,
 		.run_ms = run_corrected,
-		.rack_cost = rack_tightest,
-		.worker_cost = worker_tightest,
+		.rack_cost = rack_least_broken,
+		.worker_cost = worker_least_broken,
 		.victim_cost = victim_youngest,
 		.patience = 10,
+		.move_period_ms = 60000,
 	},
 	{
 		.name = "fragmentation",
@@ -104,10 +145,12 @@
 		.weight_fragmentation = 80,
 		.key = key_short_first,
 		.run_ms = run_corrected,
-		.rack_cost = rack_tightest,
-		.worker_cost = worker_tightest,
+		.rack_cost = rack_least_broken,
+		.worker_cost = worker_least_broken,
 		.victim_cost = victim_youngest,
 		.patience = 10,
+		.move_period_ms = 60000,
+		.spare_ms = 3600000,
 	},
 };
 
