--- a/lib/decide/decide.c
+++ b/lib/decide/decide.c
@@ -150,26 +150,54 @@
 	return !j->ws->quota || j->ws->used_acc + job_acc(j) <= j->ws->quota;
 }
 
-/* Whether the job may not use what its AZs spare for the largest shape. */
-static bool must_spare(const struct round *r, const struct job *j)
+/*
+ * Whether the job may not use what the AZ spares for the largest shape.  A job
+ * that never fits beside the spared place gains nothing by waiting.
+ */
+static bool must_spare(const struct round *r, const struct job *j, int32_t az)
 {
+	const struct tg_fleet *f = r->f;
+	int64_t shape = (int64_t)f->shape_tasks * f->shape.acc;
+
 	return j->class != TG_CLASS_URGENT && j->need.acc &&
-		r->now_ms < j->submitted_ms + r->f->policy->spare_ms;
+		r->now_ms < j->submitted_ms + f->spare_ms &&
+		job_acc(j) <= f->azs[az].acc - shape;
+}
+
+/*
+ * Guaranteed work outside of guarantees can't be reclaimed, so it leaves some
+ * room that urgent work can have at once.  Lent work may use that room.
+ */
+static bool leaves_urgent(const struct round *r, const struct job *j,
+			  int32_t az)
+{
+	struct tg_fleet *f = r->f;
+	const struct az *z = &f->azs[az];
+	int64_t room = 0, keep = z->acc * f->policy->urgent_percent / 100;
+	int32_t i;
+
+	if (j->class != TG_CLASS_GUARANTEED || !keep || !j->need.acc)
+		return true;
+	for (i = 0; i < z->n_racks; i++)
+		room += rack_sums(f, z->racks[i])->firm_acc;
+	return room - job_acc(j) >= (keep > z->most_acc ? keep : z->most_acc);
 }
 
 static bool place_somewhere(struct round *r, struct job *j, enum view v)
 {
 	struct tg_fleet *f = r->f;
-	bool spare = must_spare(r, j);
 	int32_t az;
 
 	for (az = 0; az < f->n_azs; az++) {
 		struct reservation *kept = &f->azs[az].kept;
-		bool use_kept;
+		bool use_kept, spare;
 
 		if ((j->az != NONE && j->az != az) || r->blocked[az])
 			continue;
 		use_kept = j->class == TG_CLASS_URGENT || kept->job == j;
+		if (kept->job != j && !leaves_urgent(r, j, az))
+			continue;
+		spare = must_spare(r, j, az);
 		if (spare)
 			defrag_spare(f, az);
 		/*
@@ -403,7 +431,7 @@
 
 			if (at > now_ms && at < next)
 				next = at;
-			at = j->submitted_ms + f->policy->spare_ms;
+			at = j->submitted_ms + f->spare_ms;
 			if (at > now_ms && at < next)
 				next = at;
 		}
--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -42,6 +42,9 @@
 		f->opts.weight_completion = f->policy->weight_completion;
 		f->opts.weight_fragmentation = f->policy->weight_fragmentation;
 	}
+	/* Fragmentation has to weigh more for jobs to wait on its account. */
+	f->spare_ms = f->policy->spare_ms *
+		max32(0, f->opts.weight_fragmentation - 50) / 50;
 	if (!opts->quarantine_percent)
 		f->opts.quarantine_percent = 10;
 	if (!opts->worker_failures)
@@ -201,6 +204,8 @@
 	r->workers[r->n_workers++] = id;
 	r->dirty = true;
 	f->azs[w->az].n_workers++;
+	f->azs[w->az].acc += w->cap.acc;
+	f->azs[w->az].most_acc = max32(f->azs[w->az].most_acc, w->cap.acc);
 	f->azs[w->az].freed++;
 	f->azs[w->az].replan = true;
 	if (!f->n_guarantees && w->cap.acc > f->shape.acc) {
--- a/lib/decide/internal.h
+++ b/lib/decide/internal.h
@@ -103,7 +103,7 @@
 	int32_t n_workers;
 	bool dirty; /* the sums below are out of date */
 	struct res max_idle, max_firm;
-	int32_t idle_acc;
+	int32_t idle_acc, firm_acc;
 };
 
 /* The place kept for a job that waited too long, one for each AZ. */
@@ -128,6 +128,8 @@
 struct az {
 	char *name;
 	int32_t n_workers, n_quarantined;
+	int64_t acc; /* of all its workers */
+	int32_t most_acc; /* of one worker */
 	int32_t *racks;
 	int32_t n_racks;
 	bool replan;
@@ -168,6 +170,7 @@
 
 struct tg_fleet {
 	struct tg_fleet_opts opts;
+	int64_t spare_ms; /* of the policy, by its weight */
 	const struct tg_policy *policy;
 	struct az *azs;
 	int32_t n_azs;
@@ -210,7 +213,9 @@
  * @patience: how long a job waits, in multiples of its expected run time,
  *	until a place is kept for it; 0: at once, if it is the first
  * @spare_ms: how long a job waits before it may use what each AZ spares for
- *	the largest guaranteed shape
+ *	the largest guaranteed shape, at a weight of fragmentation of 100
+ * @urgent_percent: accelerators of an AZ that guaranteed work outside of
+ *	guarantees leaves to urgent work, percent
  * @move_period_ms: how often an AZ moves the lent jobs of one worker; 0: never
  */
 struct tg_policy {
@@ -228,6 +233,7 @@
 	double patience;
 	int64_t move_period_ms;
 	int64_t spare_ms;
+	int32_t urgent_percent;
 };
 
 /* --- res --- */
--- a/lib/decide/job.c
+++ b/lib/decide/job.c
@@ -156,6 +156,44 @@
 	fault(c, "tasks", text);
 }
 
+/* Accelerators of an AZ that guarantees without a lapse leave to others. */
+static int64_t acc_beside_guarantees(const struct tg_fleet *f, int32_t az)
+{
+	int64_t acc = f->azs[az].acc;
+	size_t i;
+
+	for (i = 0; i < f->n_guarantees; i++) {
+		const struct guarantee *g = &f->guarantees[i];
+
+		if (g->az == az && g->lapses_ms == INT64_MAX)
+			acc -= (int64_t)g->tasks * g->need.acc;
+	}
+	return acc;
+}
+
+/* Firm work outside of guarantees never gets what is guaranteed for good. */
+static void check_beside(struct check *c, const struct job *j)
+{
+	int64_t most = 0, n;
+	char text[120];
+	int32_t i;
+
+	if (j->class == TG_CLASS_LENT || guarantee_for(c->f, j, false))
+		return;
+	for (i = 0; i < c->f->n_azs; i++) {
+		n = acc_beside_guarantees(c->f, i);
+		if ((j->az == NONE || j->az == i) && n > most)
+			most = n;
+	}
+	if (job_acc(j) <= most)
+		return;
+	snprintf(text, sizeof(text),
+		 "can never run: %lld accelerators, guarantees without a lapse "
+		 "leave %lld",
+		 (long long)job_acc(j), (long long)most);
+	fault(c, "tasks", text);
+}
+
 static struct job *job_new(struct tg_fleet *f, const struct tg_job_spec *s)
 {
 	struct job *j = tg_xcalloc(1, sizeof(*j));
@@ -201,6 +239,7 @@
 		return -1;
 	j = job_new(f, spec);
 	check_quota(&c, j);
+	check_beside(&c, j);
 	if (c.n) {
 		job_discard(j);
 		return -1;
--- a/lib/decide/policy.c
+++ b/lib/decide/policy.c
@@ -64,6 +64,21 @@
 	return (double)(now_ms - j->started_ms + 1) * (double)(job_acc(j) + 1);
 }
 
+/*
+ * Work since the start bounds what the stop loses.  The added time lets size
+ * count among jobs that have just started: stopping a large one leaves more
+ * room in pieces.
+ */
+#define VICTIM_SIZE_MS 600000.0
+
+static double victim_least_lost(const struct tg_fleet *f, const struct job *j,
+				int64_t now_ms)
+{
+	(void)f;
+	return ((double)(now_ms - j->started_ms) + VICTIM_SIZE_MS) *
+		(double)(job_acc(j) + 1);
+}
+
 /*
  * What the placement takes from the rack's worth for the largest guaranteed
  * shape.  Room that can't hold a task of that shape is used first; among equals
@@ -135,9 +150,11 @@
 		.run_ms = run_corrected,
 		.rack_cost = rack_least_broken,
 		.worker_cost = worker_least_broken,
-		.victim_cost = victim_youngest,
+		.victim_cost = victim_least_lost,
 		.patience = 10,
 		.move_period_ms = 60000,
+		.spare_ms = 7200000,
+		.urgent_percent = 6,
 	},
 	{
 		.name = "fragmentation",
@@ -147,10 +164,11 @@
 		.run_ms = run_corrected,
 		.rack_cost = rack_least_broken,
 		.worker_cost = worker_least_broken,
-		.victim_cost = victim_youngest,
+		.victim_cost = victim_least_lost,
 		.patience = 10,
 		.move_period_ms = 60000,
-		.spare_ms = 3600000,
+		.spare_ms = 7200000,
+		.urgent_percent = 6,
 	},
 };
 
--- a/lib/decide/room.c
+++ b/lib/decide/room.c
@@ -50,7 +50,7 @@
 	if (!r->dirty)
 		return r;
 	r->max_idle = r->max_firm = (struct res){ 0 };
-	r->idle_acc = 0;
+	r->idle_acc = r->firm_acc = 0;
 	for (i = 0; i < r->n_workers; i++) {
 		const struct worker *w = &f->workers[r->workers[i]];
 
@@ -59,6 +59,7 @@
 		r->max_idle = res_max(r->max_idle, room_idle(w));
 		r->max_firm = res_max(r->max_firm, room_firm(w));
 		r->idle_acc += max32(0, room_idle(w).acc);
+		r->firm_acc += max32(0, room_firm(w).acc);
 	}
 	r->dirty = false;
 	return r;
--- a/tests/bench/tracegen/tracegen.c
+++ b/tests/bench/tracegen/tracegen.c
@@ -283,16 +283,16 @@
 		area += (double)jobs[i].tasks * jobs[i].acc *
 			(double)jobs[i].actual_s;
 	t->span_s = area * 100 / (double)t->o.load_percent /
-		    (double)t->accelerators;
+		(double)t->accelerators;
 	if (t->target)
 		t->span_s = 86400.0 * (double)n / 26000 * 100 /
-			    (double)t->o.percent;
+			(double)t->o.percent;
 	for (i = 0; i < n; i++) {
 		if (bursts && i % 50 == 0)
 			burst_s = uniform(t) * t->span_s;
 		jobs[i].submit_s = bursts && i % 50 < 40 ?
-					   burst_s + 60 * uniform(t) :
-					   uniform(t) * t->span_s;
+			burst_s + 60 * uniform(t) :
+			uniform(t) * t->span_s;
 		if (t->target && jobs[i].warm)
 			jobs[i].submit_s = 10 * uniform(t);
 	}
@@ -308,7 +308,7 @@
 		if (jobs[i].ws == ws && jobs[i].submit_s < at_s &&
 		    jobs[i].submit_s > at_s - 7200 && chance(t, 0.8))
 			jobs[i].cancel_s = (int64_t)at_s + 1 +
-					   (int64_t)tg_rng_below(&t->rng, 20);
+				(int64_t)tg_rng_below(&t->rng, 20);
 }
 
 static void write_jobs(struct trace *t, const struct job *jobs, size_t n)
--- a/tests/unit/decide/test-decide.c
+++ b/tests/unit/decide/test-decide.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "decide/decide.h"
+#include "property.h"
 
 #define ACTIONS 64
 
@@ -130,6 +131,558 @@
 }
 END_TEST
 
+static bool at_risk(const struct tg_fleet *f, size_t i)
+{
+	struct tg_guarantee_status st;
+
+	tg_fleet_guarantee(f, i, 0, &st);
+	return st.at_risk;
+}
+
+static void set_guarantees(struct tg_fleet *f, const struct tg_guarantee *g,
+			   size_t n, bool force, int result,
+			   struct tg_findings *findings)
+{
+	ck_assert_int_eq(tg_fleet_set_guarantees(f, g, n, 0, force, findings),
+			 result);
+}
+
+/* A document without a plan would promise what the fleet can't hold. */
+START_TEST(guarantees_need_a_plan)
+{
+	static const struct {
+		int32_t tasks, acc;
+		bool within_rack;
+		int result;
+	} cases[] = {
+		{ 4, 8, false, 0 },  { 4, 8, true, -1 },  { 2, 8, true, 0 },
+		{ 5, 8, false, -1 }, { 1, 9, false, -1 }, { 8, 4, false, 0 },
+		{ 4, 5, false, 0 },  { 5, 5, false, -1 }, { 0, 8, false, -1 },
+		{ 1, 0, false, -1 },
+	};
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(cases); i++) {
+		struct tg_fleet *f = new_fleet("completion", 2, 2);
+		struct tg_findings found = { 0 };
+		struct tg_guarantee g = {
+			.workspace = "courts",
+			.az = "a",
+			.tasks = cases[i].tasks,
+			.accelerators_per_task = cases[i].acc,
+			.within_rack = cases[i].within_rack,
+			.lapses_ms = INT64_MAX,
+		};
+
+		set_guarantees(f, &g, 1, false, cases[i].result, &found);
+		ck_assert_uint_eq(found.n, cases[i].result ? 1 : 0);
+		if (found.n)
+			ck_assert_str_eq(found.items[0].place, "courts/0");
+		ck_assert_uint_eq(tg_fleet_n_guarantees(f),
+				  cases[i].result ? 0 : 1);
+		tg_findings_free(&found);
+		tg_fleet_free(f);
+	}
+}
+END_TEST
+
+/* Best fit puts 4 and 3 together here and then has no place for a 2. */
+START_TEST(plan_needs_search)
+{
+	static const int32_t sizes[] = { 4, 3, 3, 2, 2, 2, 1 };
+	struct tg_fleet *f = new_fleet("completion", 1, 2);
+	struct tg_guarantee g[ARRAY_SIZE(sizes)];
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(sizes); i++)
+		g[i] = (struct tg_guarantee){ .workspace = "ws",
+					      .az = "a",
+					      .tasks = 1,
+					      .accelerators_per_task = sizes[i],
+					      .lapses_ms = INT64_MAX };
+	set_guarantees(f, g, 6, false, 0, NULL);
+	ck_assert_uint_eq(tg_fleet_n_guarantees(f), 6);
+	set_guarantees(f, g, 7, false, -1, NULL);
+	/* A refused set leaves the old one in force. */
+	ck_assert_uint_eq(tg_fleet_n_guarantees(f), 6);
+	for (i = 0; i < 6; i++)
+		ck_assert(!at_risk(f, i));
+	set_guarantees(f, g, 7, true, 0, NULL);
+	ck_assert_uint_eq(tg_fleet_n_guarantees(f), 7);
+	tg_fleet_free(f);
+}
+END_TEST
+
+/* Jobs beyond the guarantee must not get what urgent work may reclaim. */
+START_TEST(who_may_reclaim)
+{
+	static const struct {
+		enum tg_job_class class;
+		const char *expected;
+	} cases[] = {
+		{ TG_CLASS_URGENT, "-l-1 +x-1" },
+		{ TG_CLASS_GUARANTEED, "" },
+		{ TG_CLASS_LENT, "" },
+	};
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(cases); i++) {
+		struct tg_fleet *f = new_fleet("completion", 1, 2);
+
+		submit(f, "l-1", "other", TG_CLASS_LENT, 2, 8);
+		ck_assert_str_eq(run(f, 0), "+l-1");
+		submit(f, "x-1", "courts", cases[i].class, 1, 4);
+		ck_assert_str_eq(run(f, 1000), cases[i].expected);
+		tg_fleet_free(f);
+	}
+}
+END_TEST
+
+/* Reclaiming more, or older work than needed, wastes accelerator time. */
+START_TEST(victims_lose_least)
+{
+	struct tg_fleet *f = new_fleet("completion", 1, 2);
+
+	submit(f, "l-old", "other", TG_CLASS_LENT, 1, 4);
+	ck_assert_str_eq(run(f, 0), "+l-old");
+	submit(f, "l-new", "other", TG_CLASS_LENT, 1, 4);
+	ck_assert_str_eq(run(f, 3000000), "+l-new");
+	submit(f, "l-big", "other", TG_CLASS_LENT, 1, 8);
+	ck_assert_str_eq(run(f, 3000000), "+l-big");
+	submit(f, "u-1", "courts", TG_CLASS_URGENT, 1, 4);
+	ck_assert_str_eq(run(f, 3600000), "-l-new +u-1");
+	tg_fleet_free(f);
+}
+END_TEST
+
+/* A workspace over its quota would take what others are entitled to. */
+START_TEST(quota)
+{
+	struct tg_fleet *f = new_fleet("completion", 1, 2);
+	struct tg_job_spec big = gang("j-9", "courts", TG_CLASS_LENT, 1, 8);
+	struct tg_findings found = { 0 };
+
+	tg_fleet_set_quota(f, "courts", 4);
+	submit(f, "j-1", "courts", TG_CLASS_LENT, 1, 4);
+	submit(f, "j-2", "courts", TG_CLASS_LENT, 1, 2);
+	submit(f, "j-3", "other", TG_CLASS_LENT, 1, 2);
+	/* j-2 is shorter in work, j-1 exceeds what is left after it. */
+	ck_assert_str_eq(run(f, 0), "+j-2 +j-3");
+	tg_fleet_job_done(f, "j-2", 1000, 1000);
+	ck_assert_str_eq(run(f, 1000), "+j-1");
+	ck_assert_int_eq(tg_fleet_submit(f, &big, 1000, &found), -1);
+	ck_assert_ptr_nonnull(strstr(found.items[0].text, "quota"));
+	tg_findings_free(&found);
+	tg_fleet_free(f);
+}
+END_TEST
+
+/* A gang spread over racks communicates slowly. */
+START_TEST(adjacency)
+{
+	struct tg_fleet *f = new_fleet("completion", 3, 2);
+	struct tg_job_spec within = gang("w-1", "ws", TG_CLASS_LENT, 2, 8);
+	struct tg_action out[ACTIONS];
+	size_t n;
+
+	/* One worker of two racks is taken; the third rack is idle. */
+	submit(f, "f-1", "ws", TG_CLASS_LENT, 1, 8);
+	ck_assert_str_eq(run(f, 0), "+f-1");
+	submit(f, "g-1", "ws", TG_CLASS_LENT, 2, 8);
+	n = tg_decide(f, 0, out, ACTIONS);
+	ck_assert_uint_eq(n, 1);
+	ck_assert_int_eq(out[0].workers[0] / 2, out[0].workers[1] / 2);
+	/* Left: a rack and a worker.  Take the rack's first worker. */
+	submit(f, "f-2", "ws", TG_CLASS_LENT, 1, 8);
+	submit(f, "f-3", "ws", TG_CLASS_LENT, 1, 8);
+	run(f, 0);
+	within.within_rack = true;
+	ck_assert_int_eq(tg_fleet_submit(f, &within, 0, NULL), 0);
+	ck_assert_str_eq(run(f, 0), "");
+	tg_fleet_job_done(f, "g-1", 1000, 1000);
+	ck_assert_str_eq(run(f, 1000), "+w-1");
+	tg_fleet_free(f);
+}
+END_TEST
+
+/* A gang of which a part ran would hold accelerators without progress. */
+START_TEST(gangs_start_whole)
+{
+	const char *const *names = tg_policy_names();
+
+	for (; *names; names++) {
+		struct tg_fleet *f = new_fleet(*names, 2, 2);
+
+		submit(f, "f-1", "ws", TG_CLASS_LENT, 1, 8);
+		ck_assert_str_eq(run(f, 0), "+f-1");
+		submit(f, "g-1", "ws", TG_CLASS_LENT, 4, 8);
+		ck_assert_str_eq(run(f, 0), "");
+		tg_fleet_job_done(f, "f-1", 60000, 60000);
+		ck_assert_str_eq(run(f, 60000), "+g-1");
+		tg_fleet_free(f);
+	}
+}
+END_TEST
+
+/* Declared times that are always wrong must not decide the order for ever. */
+START_TEST(declared_times_are_corrected)
+{
+	struct tg_fleet *f = new_fleet("completion", 1, 1);
+	struct tg_job_spec s;
+	char name[16];
+	int i;
+
+	for (i = 0; i < 20; i++) {
+		snprintf(name, sizeof(name), "j-%d", i);
+		s = gang(name, "liar", TG_CLASS_LENT, 1, 8);
+		s.declared_ms = 1000;
+		ck_assert_int_eq(tg_fleet_submit(f, &s, 0, NULL), 0);
+		run(f, 0);
+		tg_fleet_job_done(f, name, 0, 3600000);
+	}
+	submit(f, "f-1", "ws", TG_CLASS_LENT, 1, 8);
+	run(f, 0);
+	s = gang("a-liar", "liar", TG_CLASS_LENT, 1, 8);
+	s.declared_ms = 30000;
+	ck_assert_int_eq(tg_fleet_submit(f, &s, 0, NULL), 0);
+	submit(f, "b-honest", "ws", TG_CLASS_LENT, 1, 8);
+	tg_fleet_job_done(f, "f-1", 60000, 60000);
+	ck_assert_str_eq(run(f, 60000), "+b-honest");
+	tg_fleet_free(f);
+}
+END_TEST
+
+/*
+ * Small jobs with false declared times keep arriving; without a kept place
+ * the large gang never finds all workers idle at once.
+ */
+START_TEST(large_gang_does_not_starve)
+{
+	static const char *const names[] = { "completion", "fragmentation",
+					     "backfill-declared" };
+	size_t p;
+
+	for (p = 0; p < ARRAY_SIZE(names); p++) {
+		struct tg_fleet *f = new_fleet(names[p], 1, 4);
+		int64_t now = 0;
+		bool started = false;
+		char name[16];
+		int i;
+
+		for (i = 0; i < 8; i++) {
+			snprintf(name, sizeof(name), "s-%d", i);
+			submit(f, name, "ws", TG_CLASS_LENT, 1, 4);
+		}
+		run(f, 0);
+		submit(f, "g-big", "ws", TG_CLASS_LENT, 4, 8);
+		for (; i < 2000 && !started; i++) {
+			now += 300000;
+			snprintf(name, sizeof(name), "s-%d", i);
+			submit(f, name, "ws", TG_CLASS_LENT, 1, 4);
+			/* Each runs 40 minutes and declares one. */
+			snprintf(name, sizeof(name), "s-%d", i - 8);
+			tg_fleet_job_done(f, name, now, 2400000);
+			started = strstr(run(f, now), "+g-big");
+		}
+		ck_assert_msg(started, "%s", names[p]);
+		tg_fleet_free(f);
+	}
+}
+END_TEST
+
+#define SPEC(j, ws, z, c, n, acc, cpu, mem, within)            \
+	((struct tg_job_spec){ .name = (j),                    \
+			       .workspace = (ws),              \
+			       .az = (z),                      \
+			       .class = (c),                   \
+			       .tasks = (n),                   \
+			       .accelerators_per_task = (acc), \
+			       .cores_per_task = (cpu),        \
+			       .memory_gb_per_task = (mem),    \
+			       .within_rack = (within) })
+
+/* What can never run would wait for ever without a word. */
+START_TEST(refusals)
+{
+	static const struct {
+		const char *field;
+		struct tg_job_spec s;
+	} cases[] = {
+		{ "tasks",
+		  SPEC("j", "ws", "a", TG_CLASS_LENT, 5, 8, 1, 1, false) },
+		{ "tasks",
+		  SPEC("j", "ws", "a", TG_CLASS_LENT, 1, 9, 1, 1, false) },
+		{ "tasks",
+		  SPEC("j", "ws", "a", TG_CLASS_LENT, 1, 1, 65, 1, false) },
+		{ "tasks",
+		  SPEC("j", "ws", "a", TG_CLASS_LENT, 1, 1, 1, 257, false) },
+		{ "tasks",
+		  SPEC("j", "ws", "a", TG_CLASS_LENT, 3, 8, 1, 1, true) },
+		/* The guarantee leaves two workers to other firm work. */
+		{ "tasks",
+		  SPEC("j", "ws", "a", TG_CLASS_URGENT, 3, 8, 1, 1, false) },
+		{ "tasks",
+		  SPEC("j", "ws", "a", TG_CLASS_LENT, 0, 8, 1, 1, false) },
+		{ "tasks",
+		  SPEC("j", "ws", "a", TG_CLASS_LENT, -1, 8, 1, 1, false) },
+		{ "accelerators_per_task",
+		  SPEC("j", "ws", "a", TG_CLASS_LENT, 1, -8, 1, 1, false) },
+		{ "cores_per_task",
+		  SPEC("j", "ws", "a", TG_CLASS_LENT, 1, 1, INT32_MAX, 1,
+		       false) },
+		{ "cores_per_task",
+		  SPEC("j", "ws", "a", TG_CLASS_LENT, 1, 0, 0, 0, false) },
+		{ "az",
+		  SPEC("j", "ws", "b", TG_CLASS_LENT, 1, 1, 1, 1, false) },
+		{ "job",
+		  SPEC("J", "ws", "a", TG_CLASS_LENT, 1, 1, 1, 1, false) },
+		{ "workspace",
+		  SPEC("j", "", "a", TG_CLASS_LENT, 1, 1, 1, 1, false) },
+	};
+	struct tg_fleet *f = new_fleet("completion", 2, 2);
+	size_t i;
+
+	guarantee(f, "courts", 2, 8, true, INT64_MAX);
+	for (i = 0; i < ARRAY_SIZE(cases); i++) {
+		struct tg_findings found = { 0 };
+
+		ck_assert_int_eq(tg_fleet_submit(f, &cases[i].s, 0, &found),
+				 -1);
+		ck_assert_uint_eq(found.n, 1);
+		ck_assert_msg(!strcmp(found.items[0].place, cases[i].field),
+			      "case %zu: %s: %s", i, found.items[0].place,
+			      found.items[0].text);
+		tg_findings_free(&found);
+	}
+	submit(f, "j", "ws", TG_CLASS_LENT, 1, 1);
+	ck_assert_int_eq(tg_fleet_submit(f,
+					 &SPEC("j", "ws", "a", TG_CLASS_LENT, 1,
+					       1, 1, 1, false),
+					 0, NULL),
+			 -1);
+	tg_fleet_free(f);
+}
+END_TEST
+
+static int32_t worker_of(struct tg_fleet *f, const char *job, int64_t now_ms)
+{
+	struct tg_action out[ACTIONS];
+	size_t n = tg_decide(f, now_ms, out, ACTIONS), i;
+
+	for (i = 0; i < n; i++)
+		if (out[i].kind == TG_ACT_START && !strcmp(out[i].job, job))
+			return out[i].workers[0];
+	return -1;
+}
+
+/* A job that fails everywhere would otherwise use workers for ever. */
+START_TEST(parking)
+{
+	struct tg_fleet *f = new_fleet("completion", 1, 4);
+	struct tg_action out[ACTIONS];
+	int32_t seen[3], i, k;
+	char text[1000];
+
+	submit(f, "j-1", "ws", TG_CLASS_LENT, 1, 8);
+	for (i = 0; i < 3; i++) {
+		seen[i] = worker_of(f, "j-1", i);
+		ck_assert_int_ge(seen[i], 0);
+		for (k = 0; k < i; k++)
+			ck_assert_int_ne(seen[i], seen[k]);
+		tg_fleet_job_stopped(f, "j-1", TG_STOP_TASK_FAILED, seen[i], i,
+				     0);
+	}
+	ck_assert_uint_eq(tg_decide(f, 3, out, ACTIONS), 1);
+	ck_assert_int_eq(out[0].kind, TG_ACT_PARK);
+	ck_assert_str_eq(out[0].job, "j-1");
+	ck_assert_str_eq(run(f, 10000000), "");
+	ck_assert_int_eq(tg_fleet_explain(f, "j-1", 4, text, sizeof(text)), 0);
+	ck_assert_ptr_nonnull(strstr(text, "parked"));
+	tg_fleet_cancel(f, "j-1", 5);
+	ck_assert_int_eq(tg_fleet_explain(f, "j-1", 5, text, sizeof(text)), -1);
+	tg_fleet_free(f);
+}
+END_TEST
+
+/* Fails jobs of different names on worker @id until it is quarantined. */
+static size_t fail_on(struct tg_fleet *f, int32_t id, int first, int n,
+		      int64_t now_ms)
+{
+	struct tg_action out[ACTIONS];
+	size_t quarantines = 0, i, k;
+	int m;
+
+	for (m = first; m < first + n; m++) {
+		char name[16];
+		struct tg_job_spec s;
+
+		snprintf(name, sizeof(name), "f-%d", m);
+		s = gang(name, "ws", TG_CLASS_LENT, 1, 1);
+		ck_assert_int_eq(tg_fleet_adopt(f, &s, &id, now_ms), 0);
+		tg_fleet_job_stopped(f, name, TG_STOP_TASK_FAILED, id, now_ms,
+				     0);
+		tg_fleet_cancel(f, name, now_ms);
+		k = tg_decide(f, now_ms, out, ACTIONS);
+		for (i = 0; i < k; i++) {
+			if (out[i].kind != TG_ACT_QUARANTINE)
+				continue;
+			ck_assert_int_eq(out[i].workers[0], id);
+			quarantines++;
+		}
+	}
+	return quarantines;
+}
+
+/* One bad worker attracts jobs; but a bad image must not empty the fleet. */
+START_TEST(quarantine_and_its_bound)
+{
+	struct tg_fleet *f = new_fleet("completion", 3, 7);
+
+	ck_assert_uint_eq(fail_on(f, 0, 0, 2, 0), 0);
+	ck_assert_uint_eq(fail_on(f, 0, 2, 1, 0), 1);
+	ck_assert_int_eq(tg_fleet_health(f, 0), TG_WORKER_QUARANTINED);
+	/* 10% of 21 workers are two. */
+	ck_assert_uint_eq(fail_on(f, 1, 10, 3, 0), 1);
+	ck_assert_uint_eq(fail_on(f, 2, 20, 5, 0), 0);
+	ck_assert_int_eq(tg_fleet_health(f, 2), TG_WORKER_UP);
+	tg_fleet_set_health(f, 0, TG_WORKER_UP, 0);
+	ck_assert_uint_eq(fail_on(f, 2, 30, 1, 0), 1);
+	tg_fleet_free(f);
+}
+END_TEST
+
+/* A job that completes between failures shows that the worker is sound. */
+START_TEST(success_ends_a_row_of_failures)
+{
+	struct tg_fleet *f = new_fleet("completion", 1, 4);
+	struct tg_job_spec s = gang("ok", "ws", TG_CLASS_LENT, 1, 1);
+	int32_t id = 0;
+
+	ck_assert_uint_eq(fail_on(f, 0, 0, 2, 0), 0);
+	ck_assert_int_eq(tg_fleet_adopt(f, &s, &id, 0), 0);
+	tg_fleet_job_done(f, "ok", 1, 1);
+	ck_assert_uint_eq(fail_on(f, 0, 10, 2, 0), 0);
+	ck_assert_uint_eq(fail_on(f, 0, 20, 1, 0), 1);
+	tg_fleet_free(f);
+}
+END_TEST
+
+/* A lost worker must not leave a guarantee without a place unnoticed. */
+START_TEST(replanning_on_loss)
+{
+	struct tg_fleet *f = new_fleet("completion", 2, 3);
+	struct tg_fleet_stats st;
+
+	guarantee(f, "courts", 3, 8, true, INT64_MAX);
+	submit(f, "u-1", "other", TG_CLASS_URGENT, 1, 1);
+	run(f, 0);
+	ck_assert(!at_risk(f, 0));
+	/* The urgent job's rack has no three whole workers; lose the other. */
+	tg_fleet_set_health(f, 0, TG_WORKER_DOWN, 0);
+	tg_fleet_set_health(f, 3, TG_WORKER_DOWN, 0);
+	ck_assert(at_risk(f, 0));
+	tg_fleet_stats(f, 0, &st);
+	ck_assert_uint_eq(st.guarantees_at_risk, 1);
+	tg_fleet_set_health(f, 0, TG_WORKER_UP, 0);
+	tg_fleet_set_health(f, 3, TG_WORKER_UP, 0);
+	ck_assert(!at_risk(f, 0));
+	tg_fleet_free(f);
+}
+END_TEST
+
+/* After a takeover what runs is a fact and the plan has to respect it. */
+START_TEST(adoption)
+{
+	struct tg_fleet *f = new_fleet("completion", 2, 2);
+	struct tg_job_spec inside =
+		gang("g-1", "courts", TG_CLASS_GUARANTEED, 2, 8);
+	struct tg_guarantee_status st;
+	int32_t workers[] = { 2, 3 }, bad[] = { 2, 4 };
+
+	guarantee(f, "courts", 2, 8, true, INT64_MAX);
+	ck_assert_int_eq(tg_fleet_adopt(f, &inside, bad, 0), -1);
+	ck_assert_int_eq(tg_fleet_adopt(f, &inside, workers, 0), 0);
+	run(f, 0);
+	tg_fleet_guarantee(f, 0, 0, &st);
+	ck_assert_int_eq(st.used_tasks, 2);
+	ck_assert(!st.at_risk);
+	/* The other rack is not part of the plan any more. */
+	submit(f, "u-1", "other", TG_CLASS_URGENT, 2, 8);
+	ck_assert_str_eq(run(f, 0), "+u-1");
+	tg_fleet_free(f);
+}
+END_TEST
+
+/* A refused start that is tried again at once would be a busy loop. */
+START_TEST(refused_start_waits)
+{
+	struct tg_fleet *f = new_fleet("completion", 1, 1);
+
+	submit(f, "j-1", "ws", TG_CLASS_URGENT, 1, 1);
+	ck_assert_str_eq(run(f, 0), "+j-1");
+	tg_fleet_job_stopped(f, "j-1", TG_STOP_START_REFUSED, 0, 0, 0);
+	ck_assert_str_eq(run(f, 0), "");
+	ck_assert_int_eq(tg_fleet_next_ms(f, 0), 1000);
+	ck_assert_str_eq(run(f, 1000), "+j-1");
+	tg_fleet_free(f);
+}
+END_TEST
+
+/* Operators ask why a job waits; the answer names what is missing. */
+START_TEST(explanations)
+{
+	struct tg_fleet *f = new_fleet("completion", 1, 2);
+	char text[2000];
+
+	guarantee(f, "courts", 1, 8, false, INT64_MAX);
+	submit(f, "l-1", "ws", TG_CLASS_LENT, 2, 8);
+	run(f, 0);
+	submit(f, "j-2", "ws", TG_CLASS_GUARANTEED, 1, 8);
+	run(f, 1000);
+	ck_assert_int_eq(tg_fleet_explain(f, "l-1", 1000, text, sizeof(text)),
+			 0);
+	ck_assert_ptr_nonnull(strstr(text, "running for 1000 ms"));
+	ck_assert_int_eq(tg_fleet_explain(f, "j-2", 1000, text, sizeof(text)),
+			 0);
+	ck_assert_ptr_nonnull(strstr(text, "outside of the workspace"));
+	ck_assert_ptr_nonnull(strstr(text, "0 accelerators idle"));
+	/* A short buffer is filled and ended. */
+	ck_assert_int_eq(tg_fleet_explain(f, "j-2", 1000, text, 10), 0);
+	ck_assert_uint_eq(strlen(text), 9);
+	tg_fleet_free(f);
+}
+END_TEST
+
+/* The limit of a round must not lose actions. */
+START_TEST(limit_of_a_round)
+{
+	struct tg_fleet *f = new_fleet("completion", 1, 2);
+	struct tg_action out[1];
+	char job[TG_NAME_MAX + 1];
+	int i;
+
+	for (i = 0; i < 4; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "l-%d", i);
+		submit(f, name, "ws", TG_CLASS_LENT, 1, 4);
+		ck_assert_uint_eq(tg_decide(f, 0, out, 1), 1);
+	}
+	submit(f, "u-1", "ws", TG_CLASS_URGENT, 2, 8);
+	for (i = 0; i < 4; i++) {
+		ck_assert_uint_eq(tg_decide(f, 0, out, 1), 1);
+		ck_assert_int_eq(out[0].kind, TG_ACT_RECLAIM);
+		ck_assert_str_eq(out[0].beneficiary, "u-1");
+		tg_strlcpy(job, out[0].job, sizeof(job));
+		tg_fleet_job_stopped(f, job, TG_STOP_RECLAIMED, -1, 0, 0);
+	}
+	ck_assert_uint_eq(tg_decide(f, 0, out, 1), 1);
+	ck_assert_int_eq(out[0].kind, TG_ACT_START);
+	ck_assert_str_eq(out[0].job, "u-1");
+	tg_fleet_free(f);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("decide");
@@ -139,7 +692,26 @@
 
 	tcase_add_test(t, lent_room_is_reclaimed);
 	tcase_add_test(t, firm_work_stays_off_the_plan);
+	tcase_add_test(t, guarantees_need_a_plan);
+	tcase_add_test(t, plan_needs_search);
+	tcase_add_test(t, who_may_reclaim);
+	tcase_add_test(t, victims_lose_least);
+	tcase_add_test(t, quota);
+	tcase_add_test(t, adjacency);
+	tcase_add_test(t, gangs_start_whole);
+	tcase_add_test(t, declared_times_are_corrected);
+	tcase_add_test(t, large_gang_does_not_starve);
+	tcase_add_test(t, refusals);
+	tcase_add_test(t, parking);
+	tcase_add_test(t, quarantine_and_its_bound);
+	tcase_add_test(t, success_ends_a_row_of_failures);
+	tcase_add_test(t, replanning_on_loss);
+	tcase_add_test(t, adoption);
+	tcase_add_test(t, refused_start_waits);
+	tcase_add_test(t, explanations);
+	tcase_add_test(t, limit_of_a_round);
 	suite_add_tcase(s, t);
+	suite_add_tcase(s, property_tcase());
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
