Keep sums of each rack, look for moves in one AZ at a time

At the target's size (4,000 jobs) the 99th percentile of a decision was 23.6 ms for the completion policy, as each search for moves counted all workers of all AZs.

--- a/lib/decide/decide.c
+++ b/lib/decide/decide.c
@@ -359,32 +359,33 @@
 
 /* --- moves --- */
 
-/* Moves happen when nothing else is left to do. */
+/*
+ * Moves happen when nothing else is left to do, in one AZ at a time, which
+ * bounds the time of a round.
+ */
 static void move_lent(struct round *r)
 {
 	struct tg_fleet *f = r->f;
-	int32_t i;
+	struct tg_action *a;
+	struct job *j;
+	struct az *az;
 
-	if (r->n || !f->policy->move_period_ms)
+	if (r->n || !f->policy->move_period_ms || !f->n_azs)
 		return;
-	for (i = 0; i < f->n_azs && r->n < r->max; i++) {
-		struct az *az = &f->azs[i];
-		struct tg_action *a;
-		struct job *j;
-
-		if (r->now_ms < az->defrag_ms)
-			continue;
-		az->defrag_ms = r->now_ms + f->policy->move_period_ms;
-		j = defrag_pick(f, i, r->now_ms);
-		if (!j)
-			continue;
-		room_leaving(f, j);
-		a = act(r, TG_ACT_RECLAIM, j);
-		snprintf(a->reason, sizeof(a->reason),
-			 "moves, so that more workers have room for the "
-			 "largest guaranteed shape");
-		note(r, a);
-	}
+	f->defrag_az = (f->defrag_az + 1) % f->n_azs;
+	az = &f->azs[f->defrag_az];
+	if (r->now_ms < az->defrag_ms)
+		return;
+	az->defrag_ms = r->now_ms + f->policy->move_period_ms;
+	j = defrag_pick(f, f->defrag_az, r->now_ms);
+	if (!j)
+		return;
+	room_leaving(f, j);
+	a = act(r, TG_ACT_RECLAIM, j);
+	snprintf(a->reason, sizeof(a->reason),
+		 "moves, so that more workers have room for the largest "
+		 "guaranteed shape");
+	note(r, a);
 }
 
 size_t tg_decide(struct tg_fleet *f, int64_t now_ms, struct tg_action *out,
--- a/lib/decide/defrag.c
+++ b/lib/decide/defrag.c
@@ -34,22 +34,13 @@
 	return 0.5 * whole * whole / wanted * f->shape.acc;
 }
 
-static int32_t whole_in_rack(const struct tg_fleet *f, const struct rack *r)
-{
-	int32_t i, n = 0;
-
-	for (i = 0; i < r->n_workers; i++)
-		n += is_whole(f, &f->workers[r->workers[i]]);
-	return n;
-}
-
 static double az_worth(const struct tg_fleet *f, const struct az *z)
 {
 	double sum = 0;
 	int32_t i;
 
 	for (i = 0; i < z->n_racks; i++)
-		sum += rack_worth(f, whole_in_rack(f, &f->racks[z->racks[i]]));
+		sum += rack_worth(f, rack_sums(f, z->racks[i])->whole);
 	return sum;
 }
 
@@ -59,7 +50,7 @@
 	int32_t i, n, most = 0, best = NONE;
 
 	for (i = 0; i < z->n_racks; i++) {
-		n = whole_in_rack(f, &f->racks[z->racks[i]]);
+		n = rack_sums(f, z->racks[i])->whole;
 		if (n <= most)
 			continue;
 		most = n;
@@ -70,19 +61,24 @@
 
 void defrag_spare(struct tg_fleet *f, int32_t az)
 {
-	const struct az *z = &f->azs[az];
-	int32_t rack = best_rack(f, z), i, k, left = f->shape_tasks;
-
-	for (i = 0; i < z->n_racks; i++) {
-		const struct rack *r = &f->racks[z->racks[i]];
-
-		for (k = 0; k < r->n_workers; k++) {
-			struct worker *w = &f->workers[r->workers[k]];
-
-			w->spared = z->racks[i] == rack && left > 0 &&
-				is_whole(f, w);
-			left -= w->spared;
-		}
+	struct az *z = &f->azs[az];
+	int32_t rack = best_rack(f, z), k, left = f->shape_tasks;
+	const struct rack *r;
+
+	if (z->spared_rack) {
+		r = &f->racks[z->spared_rack - 1];
+		for (k = 0; k < r->n_workers; k++)
+			f->workers[r->workers[k]].spared = false;
+	}
+	z->spared_rack = rack + 1;
+	if (rack == NONE)
+		return;
+	r = &f->racks[rack];
+	for (k = 0; k < r->n_workers && left; k++) {
+		struct worker *w = &f->workers[r->workers[k]];
+
+		w->spared = is_whole(f, w);
+		left -= w->spared;
 	}
 }
 
@@ -114,35 +110,44 @@
 	return gain;
 }
 
-static size_t collect(const struct tg_fleet *f, const struct az *z,
-		      int64_t now_ms, struct job **list)
+static size_t collect_in_rack(const struct tg_fleet *f, const struct rack *r,
+			      int64_t now_ms, struct job **list, size_t n)
 {
-	int32_t i, k, m;
-	size_t n = 0, c;
+	int32_t k, m;
+	size_t c;
 
-	for (i = 0; i < z->n_racks; i++) {
-		const struct rack *r = &f->racks[z->racks[i]];
-
-		for (k = 0; k < r->n_workers; k++) {
-			const struct worker *w = &f->workers[r->workers[k]];
-
-			for (m = 0; m < w->n_jobs; m++) {
-				struct job *j = w->jobs[m].job;
-
-				if (!can_move(f, j, now_ms))
-					continue;
-				for (c = 0; c < n && list[c] != j; c++)
-					;
-				if (c == n)
-					list[n++] = j;
-				if (n == CANDIDATES_MAX)
-					return n;
-			}
+	for (k = 0; k < r->n_workers; k++) {
+		const struct worker *w = &f->workers[r->workers[k]];
+
+		for (m = 0; m < w->n_jobs && n < CANDIDATES_MAX; m++) {
+			struct job *j = w->jobs[m].job;
+
+			if (!can_move(f, j, now_ms))
+				continue;
+			for (c = 0; c < n && list[c] != j; c++)
+				;
+			if (c == n)
+				list[n++] = j;
 		}
 	}
 	return n;
 }
 
+/* Each search goes on where the one before had enough candidates. */
+static size_t collect(const struct tg_fleet *f, struct az *z, int64_t now_ms,
+		      struct job **list)
+{
+	int32_t i;
+	size_t n = 0;
+
+	for (i = 0; i < z->n_racks && n < CANDIDATES_MAX; i++) {
+		z->defrag_rack = (z->defrag_rack + 1) % z->n_racks;
+		n = collect_in_rack(f, &f->racks[z->racks[z->defrag_rack]],
+				    now_ms, list, n);
+	}
+	return n;
+}
+
 struct job *defrag_pick(struct tg_fleet *f, int32_t az, int64_t now_ms)
 {
 	struct job *list[CANDIDATES_MAX], *best = NULL;
--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -179,6 +179,7 @@
 	int32_t id = name_find(f->worker_ids, spec->name);
 	struct rack *r;
 	struct worker *w;
+	int32_t i;
 
 	if (id != NONE)
 		return id;
@@ -209,8 +210,10 @@
 	f->azs[w->az].freed++;
 	f->azs[w->az].replan = true;
 	if (!f->n_guarantees && w->cap.acc > f->shape.acc) {
-		f->shape = w->cap;
+		f->shape = (struct res){ .acc = w->cap.acc };
 		f->shape_tasks = 1;
+		for (i = 0; i < f->n_racks; i++)
+			f->racks[i].dirty = true;
 	}
 	return id;
 }
--- a/lib/decide/guarantee.c
+++ b/lib/decide/guarantee.c
@@ -246,7 +246,9 @@
 	}
 	for (w = 0; !best && w < f->n_workers; w++)
 		if (f->workers[w].cap.acc > f->shape.acc)
-			f->shape = f->workers[w].cap;
+			f->shape = (struct res){ .acc = f->workers[w].cap.acc };
+	for (w = 0; w < f->n_racks; w++)
+		f->racks[w].dirty = true;
 }
 
 static struct slot **copy_slots(const struct tg_fleet *f)
--- a/lib/decide/internal.h
+++ b/lib/decide/internal.h
@@ -103,7 +103,10 @@
 	int32_t n_workers;
 	bool dirty; /* the sums below are out of date */
 	struct res max_idle, max_firm;
-	int32_t idle_acc, firm_acc;
+	int32_t idle_acc, firm_acc; /* sums over workers that are up */
+	int32_t acc, acc_alive, acc_up; /* all, not down, up */
+	int32_t whole; /* workers with idle room for a task of the shape */
+	int32_t shapes; /* tasks of the shape that the idle room holds */
 };
 
 /* The place kept for a job that waited too long, one for each AZ. */
@@ -137,6 +140,8 @@
 	uint64_t freed; /* grows with each release of room */
 	struct reservation kept;
 	int64_t defrag_ms; /* when moves may be looked for again */
+	int32_t defrag_rack; /* where the last search for moves ended */
+	int32_t spared_rack; /* index + 1 of the rack with spared workers */
 	struct misfit misfits[MISFITS_MAX];
 	int32_t n_misfits;
 	uint64_t misfits_at; /* value of @freed they were found at */
@@ -193,6 +198,7 @@
 	int32_t *reported; /* workers of the last round's quarantines */
 	size_t n_running, n_parked;
 	uint64_t next_seq;
+	int32_t defrag_az; /* next to look for moves in */
 	int64_t keys_ms; /* when the keys were last computed */
 	struct note ring[RING_SIZE];
 	uint64_t n_notes;
@@ -285,7 +291,7 @@
 struct res room_firm(const struct worker *w);
 struct res room_of(const struct worker *w, enum view v);
 /** rack_sums() - the rack with its sums up to date */
-struct rack *rack_sums(struct tg_fleet *f, int32_t rack);
+const struct rack *rack_sums(const struct tg_fleet *f, int32_t rack);
 /** room_take() - count a job's tasks as using their workers */
 void room_take(struct tg_fleet *f, struct job *j);
 void room_give(struct tg_fleet *f, struct job *j);
--- a/lib/decide/plan.c
+++ b/lib/decide/plan.c
@@ -33,7 +33,7 @@
 static int32_t rack_slots(struct tg_fleet *f, int32_t rack, struct res need,
 			  int32_t max)
 {
-	struct rack *r = rack_sums(f, rack);
+	const struct rack *r = rack_sums(f, rack);
 	int32_t i, n = 0;
 
 	if (!res_fits(need, r->max_firm))
--- a/lib/decide/room.c
+++ b/lib/decide/room.c
@@ -42,7 +42,29 @@
 	return room_firm(w);
 }
 
-struct rack *rack_sums(struct tg_fleet *f, int32_t rack)
+static void add_sums(const struct tg_fleet *f, struct rack *r,
+		     const struct worker *w)
+{
+	struct res idle = room_idle(w), firm = room_firm(w);
+
+	r->acc += w->cap.acc;
+	if (w->health != TG_WORKER_DOWN)
+		r->acc_alive += w->cap.acc;
+	if (w->health != TG_WORKER_UP)
+		return;
+	r->acc_up += w->cap.acc;
+	r->max_idle = res_max(r->max_idle, idle);
+	r->max_firm = res_max(r->max_firm, firm);
+	r->idle_acc += max32(0, idle.acc);
+	r->firm_acc += max32(0, firm.acc);
+	if (!is_whole(f, w))
+		return;
+	r->whole++;
+	r->shapes += res_count(f->shape, idle, INT32_MAX);
+}
+
+/* The sums are a cache, so that a fleet that is read only may fill it. */
+const struct rack *rack_sums(const struct tg_fleet *f, int32_t rack)
 {
 	struct rack *r = &f->racks[rack];
 	int32_t i;
@@ -50,17 +72,10 @@
 	if (!r->dirty)
 		return r;
 	r->max_idle = r->max_firm = (struct res){ 0 };
-	r->idle_acc = r->firm_acc = 0;
-	for (i = 0; i < r->n_workers; i++) {
-		const struct worker *w = &f->workers[r->workers[i]];
-
-		if (w->health != TG_WORKER_UP)
-			continue;
-		r->max_idle = res_max(r->max_idle, room_idle(w));
-		r->max_firm = res_max(r->max_firm, room_firm(w));
-		r->idle_acc += max32(0, room_idle(w).acc);
-		r->firm_acc += max32(0, room_firm(w).acc);
-	}
+	r->idle_acc = r->firm_acc = r->whole = r->shapes = 0;
+	r->acc = r->acc_alive = r->acc_up = 0;
+	for (i = 0; i < r->n_workers; i++)
+		add_sums(f, r, &f->workers[r->workers[i]]);
 	r->dirty = false;
 	return r;
 }
--- a/lib/decide/stats.c
+++ b/lib/decide/stats.c
@@ -1,30 +1,13 @@
 #include "decide/internal.h"
 
-/*
- * Accelerators of a rack's idle room that can hold tasks of the largest
- * guaranteed shape.
- */
-static int64_t usable_in_rack(const struct tg_fleet *f, const struct rack *r)
-{
-	int64_t n = 0;
-	int32_t i;
-
-	for (i = 0; i < r->n_workers; i++) {
-		const struct worker *w = &f->workers[r->workers[i]];
-
-		if (w->health == TG_WORKER_UP)
-			n += res_count(f->shape, room_idle(w), INT32_MAX);
-	}
-	return n;
-}
-
+/* Accelerators that can hold tasks of the largest guaranteed shape. */
 static int64_t usable_in_az(const struct tg_fleet *f, const struct az *az)
 {
 	int64_t sum = 0;
 	int32_t i;
 
 	for (i = 0; i < az->n_racks; i++) {
-		int64_t n = usable_in_rack(f, &f->racks[az->racks[i]]);
+		int64_t n = rack_sums(f, az->racks[i])->shapes;
 
 		if (!f->shape_within_rack || n >= f->shape_tasks)
 			sum += n;
@@ -41,14 +24,12 @@
 
 	*out = (struct tg_fleet_stats){ .jobs_running = f->n_running,
 					.jobs_parked = f->n_parked };
-	for (k = 0; k < f->n_workers; k++) {
-		const struct worker *w = &f->workers[k];
+	for (k = 0; k < f->n_racks; k++) {
+		const struct rack *r = rack_sums(f, k);
 
-		out->accelerators += w->cap.acc;
-		if (w->health != TG_WORKER_DOWN)
-			out->accelerators_up += w->cap.acc;
-		if (w->health == TG_WORKER_UP)
-			out->accelerators_free += max32(0, room_idle(w).acc);
+		out->accelerators += r->acc;
+		out->accelerators_up += r->acc_alive;
+		out->accelerators_free += r->idle_acc;
 	}
 	for (k = 0; f->shape.acc && k < f->n_azs; k++)
 		usable += usable_in_az(f, &f->azs[k]);
