--- /dev/null
+++ b/lib/member/member.h
@@ -0,0 +1,152 @@
+#ifndef TG_MEMBER_H
+#define TG_MEMBER_H
+
+#include "base/base.h"
+#include "doc/doc.h"
+#include "oncrpc/oncrpc.h"
+#include "plat/plat.h"
+
+/**
+ * DOC: peers and document of a process
+ *
+ * One process's view of its peers (entry daemons, schedulers, consoles) and of
+ * the configuration document.  Peers come from the platform's instance list
+ * and from the static addresses of the settings; those of the own AZ are
+ * pinged every second, those of other AZs every ten seconds.  The document
+ * comes from the table, from DOC_PUSH and from DOC_PULL; only a higher
+ * generation is applied.
+ */
+
+enum {
+#define TG_EVENT TG_EVENT_ENUM
+#include "member/events.def"
+#undef TG_EVENT
+};
+/** tg_member_events - register with tg_log_register() */
+extern const struct tg_event_info tg_member_events[];
+
+struct tg_member;
+
+/**
+ * struct tg_member_opts - options of a view
+ * @base: event loop
+ * @plat: platform client, or NULL without a platform
+ * @rpc: used for PING, DOC_PUSH and DOC_PULL
+ * @instance: own name
+ * @role: "entry", "sched" or "console"
+ * @az: own AZ
+ * @peers: IP:PORT,IP:PORT... of static peers, or NULL
+ * @on_doc: a new document is in force; the previous one stays valid until this
+ *	returns.  May be NULL.
+ * @on_instances: a new instance list of all AZs was read.  May be NULL.
+ * @arg: passed to the callbacks
+ */
+struct tg_member_opts {
+	struct event_base *base;
+	struct tg_plat *plat;
+	struct tg_rpc_client *rpc;
+	const char *instance;
+	const char *role;
+	const char *az;
+	const char *peers;
+	void (*on_doc)(const struct tg_doc *doc, void *arg);
+	void (*on_instances)(const struct tg_instance *list, size_t n,
+			     void *arg);
+	void *arg;
+};
+
+/**
+ * struct tg_member_peer - another process
+ * @instance: name; empty until a static peer has answered
+ * @role: "entry", "sched" or "console"; empty until known
+ * @az: empty until known
+ * @boot: new at each start of the peer; empty until it has answered
+ * @rpc_addr: where it is called; identifies the peer
+ * @http_addr: from the instance list, else empty
+ * @live: it answered a ping lately (3 s in the own AZ, 30 s in others)
+ * @listed: it is in the instance list
+ * @leaving: the instance list says so
+ * @draining: its last answer said so
+ * @active: its last answer said that it is its AZ's active scheduler
+ * @generation: of its document, 0 for none
+ * @epoch: of a scheduler
+ */
+struct tg_member_peer {
+	char instance[TG_NAME_MAX + 1];
+	char role[TG_NAME_MAX + 1];
+	char az[TG_NAME_MAX + 1];
+	char boot[TG_NAME_MAX + 1];
+	char rpc_addr[TG_ADDR_MAX + 1];
+	char http_addr[TG_ADDR_MAX + 1];
+	bool live, listed, leaving, draining, active;
+	uint64_t generation, epoch;
+};
+
+/** tg_member_new() - nothing is sent before tg_member_start() */
+struct tg_member *tg_member_new(const struct tg_member_opts *opts);
+/**
+ * tg_member_start() - begin to poll and to ping
+ * @rpc_addr: own address, left out of the peers
+ */
+void tg_member_start(struct tg_member *m, const char *rpc_addr);
+/** tg_member_free() - free before the RPC and platform clients are used on */
+void tg_member_free(struct tg_member *m);
+
+/** tg_member_boot() - own boot, new at each start */
+const char *tg_member_boot(const struct tg_member *m);
+/** tg_member_set_scheduler() - what a scheduler says of itself in pings */
+void tg_member_set_scheduler(struct tg_member *m, uint64_t epoch, bool active);
+
+/** tg_member_doc() - document in force, or NULL; valid until on_doc */
+const struct tg_doc *tg_member_doc(const struct tg_member *m);
+/** tg_member_ready() - whether a document is in force; sets *why otherwise */
+bool tg_member_ready(const struct tg_member *m, const char **why);
+/**
+ * tg_member_offer() - apply a document and push it to the AZ's peers
+ * @generation: its generation
+ * @text: document
+ * @n: its length in bytes
+ *
+ * Used by the console after a save.
+ *
+ * Return: TG_RPC_OK if it is in force now; TG_RPC_STALE if its generation is
+ * not higher than that in force; TG_RPC_REFUSED if it does not validate.
+ */
+enum tg_rpc_status tg_member_offer(struct tg_member *m, uint64_t generation,
+				   const char *text, size_t n);
+
+/** tg_member_peers() - all peers, itself not among them; valid in this turn */
+const struct tg_member_peer *tg_member_peers(const struct tg_member *m,
+					     size_t *n);
+/** tg_member_find() - peer by name and role, live or not, or NULL */
+const struct tg_member_peer *tg_member_find(const struct tg_member *m,
+					    const char *instance,
+					    const char *role);
+/**
+ * tg_member_scheduler() - live active scheduler of @az, or NULL
+ *
+ * Of several that say so, the one with the highest epoch.
+ */
+const struct tg_member_peer *tg_member_scheduler(const struct tg_member *m,
+						 const char *az);
+/**
+ * tg_member_live_count() - live processes of @role in the own AZ, itself
+ * included if it has that role
+ */
+size_t tg_member_live_count(const struct tg_member *m, const char *role);
+/** tg_member_instances() - last instance list of all AZs; NULL before one */
+const struct tg_instance *tg_member_instances(const struct tg_member *m,
+					      size_t *n);
+
+/*
+ * Handlers of PING, DOC_PUSH and DOC_PULL.  A handler table gets the argument
+ * of its server, so each daemon wraps these.
+ */
+void tg_member_serve_ping(struct tg_member *m, struct tg_rpc_req *req,
+			  const struct tg_rpc_peer *args);
+void tg_member_serve_doc_push(struct tg_member *m, struct tg_rpc_req *req,
+			      const struct tg_rpc_doc *args);
+void tg_member_serve_doc_pull(struct tg_member *m, struct tg_rpc_req *req,
+			      const struct tg_rpc_generation *args);
+
+#endif
--- a/mk/common.mk
+++ b/mk/common.mk
@@ -15,6 +15,6 @@
 	-DTG_VERSION='"$(VERSION)"' -I$(ROOT)/lib -I$(O)/gen $(PKG_CFLAGS) \
 	$(SAN) $(EXTRA_CFLAGS)
 LDFLAGS = $(SAN)
-LIBS = doc plat oncrpc http decide base
+LIBS = member doc plat oncrpc http decide base
 LIBFILES = $(foreach l,$(LIBS),$(O)/lib/libtg$(l).a)
 LDLIBS = $(LIBFILES) $(PKG_LIBS) -lm
