Add the member library

Peers come from the instance list and from static addresses and are pinged; documents are polled, pushed and pulled, and a ping that shows a higher generation leads to a pull, so a push that was lost is made up for. Builds with the stubbed document library; not yet run.

--- /dev/null
+++ b/lib/member/member.c
@@ -0,0 +1,101 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "member/member_internal.h"
+
+#define TICK_MS 100
+
+const struct tg_event_info tg_member_events[] = {
+#define TG_EVENT TG_EVENT_INFO
+#include "member/events.def"
+#undef TG_EVENT
+	{ 0, TG_INFO, NULL },
+};
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct tg_member *m = arg;
+	int64_t now_ms = tg_now_ms();
+
+	(void)fd;
+	(void)what;
+	member_peers_tick(m, now_ms);
+	member_doc_tick(m, now_ms);
+}
+
+static void make_boot(char out[17])
+{
+	char token[TG_TOKEN_LEN + 1];
+
+	tg_token(token);
+	tg_strlcpy(out, token, 17);
+}
+
+static void make_counters(struct tg_member *m)
+{
+	m->docs_applied = tg_counter("tg_documents_applied_total",
+				     "Documents put in force.", NULL);
+	m->docs_refused = tg_counter("tg_documents_refused_total",
+				     "Documents that did not validate.", NULL);
+	m->pings = tg_counter("tg_pings_total", "Pings sent to peers.", NULL);
+	m->pushes = tg_counter("tg_document_pushes_total",
+			       "Documents pushed to peers.", NULL);
+	m->generation = tg_gauge("tg_document_generation",
+				 "Generation of the document in force.", NULL);
+}
+
+struct tg_member *tg_member_new(const struct tg_member_opts *opts)
+{
+	struct tg_member *m = tg_xcalloc(1, sizeof(*m));
+
+	m->opts = *opts;
+	m->opts.instance = tg_xstrdup(opts->instance);
+	m->opts.role = tg_xstrdup(opts->role);
+	m->opts.az = tg_xstrdup(opts->az);
+	m->opts.peers = opts->peers ? tg_xstrdup(opts->peers) : NULL;
+	make_boot(m->boot);
+	make_counters(m);
+	return m;
+}
+
+void tg_member_start(struct tg_member *m, const char *rpc_addr)
+{
+	struct timeval tv = { .tv_usec = TICK_MS * 1000 };
+
+	tg_strlcpy(m->self_addr, rpc_addr, sizeof(m->self_addr));
+	member_add_static(m);
+	m->timer = event_new(m->opts.base, -1, EV_PERSIST, on_tick, m);
+	event_add(m->timer, &tv);
+	on_tick(-1, 0, m);
+}
+
+void tg_member_free(struct tg_member *m)
+{
+	if (!m)
+		return;
+	while (m->calls)
+		member_call_free(m->calls);
+	if (m->timer)
+		event_free(m->timer);
+	if (m->doc)
+		tg_doc_free(m->doc);
+	free(m->peers);
+	free(m->view);
+	free(m->instances);
+	free((char *)m->opts.instance);
+	free((char *)m->opts.role);
+	free((char *)m->opts.az);
+	free((char *)m->opts.peers);
+	free(m);
+}
+
+const char *tg_member_boot(const struct tg_member *m)
+{
+	return m->boot;
+}
+
+void tg_member_set_scheduler(struct tg_member *m, uint64_t epoch, bool active)
+{
+	m->epoch = epoch;
+	m->active = active;
+}
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -12,9 +12,9 @@
  * One process's view of its peers (entry daemons, schedulers, consoles) and of
  * the configuration document.  Peers come from the platform's instance list
  * and from the static addresses of the settings; those of the own AZ are
- * pinged every second, those of other AZs every ten seconds.  The document
- * comes from the table, from DOC_PUSH and from DOC_PULL; only a higher
- * generation is applied.
+ * pinged every second, schedulers of other AZs every ten seconds.  The
+ * document comes from the table, from DOC_PUSH and from DOC_PULL; only a
+ * higher generation is applied.
  */
 
 enum {
@@ -89,7 +89,10 @@
  * @rpc_addr: own address, left out of the peers
  */
 void tg_member_start(struct tg_member *m, const char *rpc_addr);
-/** tg_member_free() - free before the RPC and platform clients are used on */
+/**
+ * tg_member_free() - free after the RPC and platform clients, whose calls
+ * refer to it
+ */
 void tg_member_free(struct tg_member *m);
 
 /** tg_member_boot() - own boot, new at each start */
