--- a/cmd/tgentryd/ask.c
+++ b/cmd/tgentryd/ask.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "tgentryd/board.h"
+#include "board.h"
 
 #define PREFIX "/v1/requests/"
 #define ASK_DEADLINE_MS 2000
@@ -99,8 +99,7 @@
 	char *key;
 
 	if (!a->board->plat) {
-		reply_text(a, 503, TG_RPC_OUTCOME_UNKNOWN,
-			   "there is no table");
+		reply_text(a, 503, TG_RPC_OUTCOME_UNKNOWN, "there is no table");
 		return;
 	}
 	key = claim_row_key(a->workspace, a->key);
--- a/cmd/tgentryd/board.h
+++ b/cmd/tgentryd/board.h
@@ -11,10 +11,10 @@
 #include "member/member.h"
 #include "oncrpc/oncrpc.h"
 #include "plat/plat.h"
-#include "tgentryd/budget.h"
-#include "tgentryd/key.h"
-#include "tgentryd/limits.h"
-#include "tgentryd/queue.h"
+#include "budget.h"
+#include "key.h"
+#include "limits.h"
+#include "queue.h"
 
 /**
  * DOC: blackboard of the entry daemon
@@ -25,7 +25,7 @@
 
 enum {
 #define TG_EVENT TG_EVENT_ENUM
-#include "tgentryd/events.def"
+#include "events.def"
 #undef TG_EVENT
 };
 
@@ -275,8 +275,7 @@
 void service_pump(struct board *b, struct service *s);
 void service_pump_all(struct board *b);
 /** service_expected_wait_ms() - of a request that would be queued now */
-int64_t service_expected_wait_ms(const struct board *b,
-				 const struct service *s,
+int64_t service_expected_wait_ms(const struct board *b, const struct service *s,
 				 const struct tg_service *spec);
 
 /* --- request.c --- */
--- a/cmd/tgentryd/budget.c
+++ b/cmd/tgentryd/budget.c
@@ -1,4 +1,4 @@
-#include "tgentryd/budget.h"
+#include "budget.h"
 
 void budget_init(struct budget *b)
 {
--- a/cmd/tgentryd/claims.c
+++ b/cmd/tgentryd/claims.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "tgentryd/board.h"
+#include "board.h"
 
 #define RETRY_MS 500
 #define CLAIMS_MAX 4096
--- a/cmd/tgentryd/dispatch.c
+++ b/cmd/tgentryd/dispatch.c
@@ -1,8 +1,9 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/queue.h>
 
-#include "tgentryd/board.h"
+#include "board.h"
 
 #define MEAN_WEIGHT 8 /* weight of the past in the mean time of an attempt */
 #define HEADERS_OWN 4
@@ -26,12 +27,11 @@
 
 	for (i = 0; i < r->n_headers; i++)
 		if (!is_own_header(r->headers[i].name))
-			out[n++] =
-				(struct tg_http_kv){ r->headers[i].name,
-						     r->headers[i].value };
+			out[n++] = (struct tg_http_kv){ r->headers[i].name,
+							r->headers[i].value };
 	if (!r->n_headers && r->content_type && *r->content_type)
-		out[n++] = (struct tg_http_kv){ "Content-Type",
-						r->content_type };
+		out[n++] =
+			(struct tg_http_kv){ "Content-Type", r->content_type };
 	out[n++] = (struct tg_http_kv){ "Tg-Workspace", r->workspace_name };
 	out[n++] = (struct tg_http_kv){ "Tg-Request-Id", r->id };
 	if (r->body_bytes && !has_length_by_evhttp(r->method))
--- a/cmd/tgentryd/front.c
+++ b/cmd/tgentryd/front.c
@@ -2,8 +2,9 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/queue.h>
 
-#include "tgentryd/board.h"
+#include "board.h"
 
 #define SERVICE_PREFIX "/v1/svc/"
 /*
@@ -16,10 +17,9 @@
 /* Time after the grace in which releases and outcomes are still written. */
 #define WRITES_AT_END_MS 5000
 
-#define ANY_METHOD                                                          \
-	(EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |               \
-	 EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |          \
-	 EVHTTP_REQ_PATCH)
+#define ANY_METHOD                                                             \
+	(EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | \
+	 EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH)
 
 /* struct fault - why a request can't be understood */
 struct fault {
@@ -82,8 +82,7 @@
 
 static int take_path(struct request *r)
 {
-	const struct evhttp_uri *uri =
-		evhttp_request_get_evhttp_uri(r->http);
+	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(r->http);
 	const char *path = evhttp_uri_get_path(uri);
 	const char *query = evhttp_uri_get_query(uri);
 	const char *name, *rest;
@@ -102,8 +101,7 @@
 	if (!tg_name_valid(r->service_name))
 		return BAD_SERVICE;
 	rest = name[n] ? name + n : "/";
-	r->path = query ? tg_xasprintf("%s?%s", rest, query) :
-			  tg_xstrdup(rest);
+	r->path = query ? tg_xasprintf("%s?%s", rest, query) : tg_xstrdup(rest);
 	return dots || strlen(r->path) >= TG_RPC_PATH_MAX ? BAD_PATH : GOOD;
 }
 
@@ -164,7 +162,7 @@
 
 static void on_service(struct evhttp_request *req, void *board)
 {
-	static int (*const steps[])(struct request *r) = {
+	static int (*const steps[])(struct request * r) = {
 		take_path, take_fields, take_headers, take_body
 	};
 	struct request *r = request_new(board);
--- a/cmd/tgentryd/issued.c
+++ b/cmd/tgentryd/issued.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "tgentryd/board.h"
+#include "board.h"
 
 /* How long a key may wait for its use, and its outcome is remembered. */
 #define REMEMBER_MS 600000
--- a/cmd/tgentryd/jobs.c
+++ b/cmd/tgentryd/jobs.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "tgentryd/board.h"
+#include "board.h"
 
 /* Job calls are passed to the active scheduler of the job's AZ. */
 
@@ -51,6 +51,7 @@
 	size_t n_addrs, addr;
 
 	json_t *joined; /* lists */
+	bool more; /* an AZ has further entries */
 	json_t *unreachable; /* AZs without answer */
 };
 
@@ -100,8 +101,9 @@
 	json_t *v;
 
 	if (c->kind->array && (all || json_array_size(c->joined))) {
-		v = json_pack("{s:O, s:O}", c->kind->array, c->joined,
-			      "unreachable", c->unreachable);
+		v = json_pack("{s:O, s:O, s:b}", c->kind->array, c->joined,
+			      "unreachable", c->unreachable, "more",
+			      (int)c->more);
 		reply_json(c, 200, TG_RPC_ANSWERED, v);
 	} else if (all && c->n_azs) {
 		reply_text(c, 404, TG_RPC_NOT_RUN, "no such job");
@@ -121,6 +123,7 @@
 static void join(struct job_call *c, const json_t *answer)
 {
 	json_array_extend(c->joined, json_object_get(answer, c->kind->array));
+	c->more |= json_is_true(json_object_get(answer, "more"));
 	next_az(c);
 }
 
--- a/cmd/tgentryd/key.c
+++ b/cmd/tgentryd/key.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "tgentryd/key.h"
+#include "key.h"
 
 static bool has_valid_characters(const char *s)
 {
--- a/cmd/tgentryd/limits.c
+++ b/cmd/tgentryd/limits.c
@@ -1,4 +1,4 @@
-#include "tgentryd/limits.h"
+#include "limits.h"
 
 bool bucket_take(struct bucket *b, double rate_per_s, int64_t now_ms)
 {
--- a/cmd/tgentryd/link.c
+++ b/cmd/tgentryd/link.c
@@ -1,6 +1,6 @@
 #include <stdlib.h>
 
-#include "tgentryd/board.h"
+#include "board.h"
 
 /* Answers to probes are short; a longer one is not from a worker. */
 #define PROBE_BODY_BYTES 65536
--- a/cmd/tgentryd/main.c
+++ b/cmd/tgentryd/main.c
@@ -1,12 +1,14 @@
 #include <stddef.h>
 
-#include "tgentryd/board.h"
+#include "board.h"
 
-#define OPT(flag, type, def, min, max, required, help, field)               \
-	{ flag, type, def, min, max, required, help,                        \
-	  offsetof(struct settings, field) }
-#define UNSAFE(name, help, field)                                           \
-	OPT("unsafe-" name, TG_SET_BOOL, NULL, 0, 0, false,                 \
+#define OPT(flag, type, def, min, max, required, help, field) \
+	{                                                     \
+		flag, type, def, min, max, required, help,    \
+			offsetof(struct settings, field)      \
+	}
+#define UNSAFE(name, help, field)                           \
+	OPT("unsafe-" name, TG_SET_BOOL, NULL, 0, 0, false, \
 	    "fault tests only: " help, field)
 
 static const struct tg_setting settings[] = {
@@ -24,8 +26,7 @@
 	OPT("probe-ms", TG_SET_INT, "2000", 10, 60000, false,
 	    "time between two probes of a worker, in ms", probe_ms),
 	OPT("drain-grace-ms", TG_SET_INT, "5000", 0, 600000, false,
-	    "listening goes on this long after SIGTERM, in ms",
-	    drain_grace_ms),
+	    "listening goes on this long after SIGTERM, in ms", drain_grace_ms),
 	OPT("drain-max-ms", TG_SET_INT, "90000", 0, 3600000, false,
 	    "the process ends at the latest this long after SIGTERM, in ms",
 	    drain_max_ms),
@@ -64,16 +65,17 @@
 
 static const struct tg_event_info events[] = {
 #define TG_EVENT TG_EVENT_INFO
-#include "tgentryd/events.def"
+#include "events.def"
 #undef TG_EVENT
 	{ 0, TG_INFO, NULL },
 };
 
 static const struct tg_controller *const controllers[] = {
-	&link_controller,    &workers_controller, &probe_controller,
-	&notes_controller,   &records_controller, &claims_controller,
-	&issued_controller,  &queue_controller,	  &front_controller,
-	NULL,
+	&link_controller,    &workers_controller,
+	&probe_controller,   &notes_controller,
+	&records_controller, &claims_controller,
+	&issued_controller,  &queue_controller,
+	&front_controller,   NULL,
 };
 
 static void open_log(const struct settings *s)
--- a/cmd/tgentryd/notes.c
+++ b/cmd/tgentryd/notes.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "tgentryd/board.h"
+#include "board.h"
 
 #define FULL_NOTES_MS 10000
 /* A datagram of this many notes stays below 16 KiB. */
--- a/cmd/tgentryd/probe.c
+++ b/cmd/tgentryd/probe.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "tgentryd/board.h"
+#include "board.h"
 
 #define PROBE_DEADLINE_MS 1000
 /* A single probe may be lost to a busy worker. */
--- a/cmd/tgentryd/queue.c
+++ b/cmd/tgentryd/queue.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "tgentryd/queue.h"
+#include "queue.h"
 
 static void link_flow(struct queue *q, struct queue_flow *f)
 {
--- a/cmd/tgentryd/record.c
+++ b/cmd/tgentryd/record.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "tgentryd/board.h"
+#include "board.h"
 
 #define RETRY_MS 1000
 /* Bodies up to this size are in the row, docs/design.md section 6. */
@@ -60,9 +60,9 @@
 			   size_t n, void *arg)
 {
 	struct record *r = arg;
-	const char *state = n ? json_string_value(json_object_get(
-					rows[0].value, "state")) :
-				NULL;
+	const char *state = n ?
+		json_string_value(json_object_get(rows[0].value, "state")) :
+		NULL;
 
 	r->in_flight = false;
 	if (end == TG_PLAT_UNAVAILABLE || end == TG_PLAT_UNKNOWN) {
--- a/cmd/tgentryd/reply.c
+++ b/cmd/tgentryd/reply.c
@@ -3,7 +3,7 @@
 #include <string.h>
 #include <strings.h>
 
-#include "tgentryd/board.h"
+#include "board.h"
 
 void outcome_free(struct outcome *o)
 {
@@ -60,12 +60,18 @@
 bool reply_is_hop_header(const char *name)
 {
 	static const char *const names[] = {
-		"Connection",	     "Keep-Alive",
-		"Proxy-Connection",  "Proxy-Authenticate",
-		"Proxy-Authorization", "TE",
-		"Trailer",	     "Transfer-Encoding",
-		"Upgrade",	     "Host",
-		"Content-Length",    "Expect",
+		"Connection",
+		"Keep-Alive",
+		"Proxy-Connection",
+		"Proxy-Authenticate",
+		"Proxy-Authorization",
+		"TE",
+		"Trailer",
+		"Transfer-Encoding",
+		"Upgrade",
+		"Host",
+		"Content-Length",
+		"Expect",
 	};
 	size_t i;
 
--- a/cmd/tgentryd/request.c
+++ b/cmd/tgentryd/request.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "tgentryd/board.h"
+#include "board.h"
 
 struct request *request_new(struct board *b)
 {
@@ -215,10 +215,9 @@
 
 static void make_digest(struct request *r)
 {
-	char *head = tg_xasprintf("%s %s\n%016llx",
-				  tg_http_method_name(r->method), r->path,
-				  (unsigned long long)tg_hash64(r->body,
-								r->body_bytes));
+	char *head = tg_xasprintf(
+		"%s %s\n%016llx", tg_http_method_name(r->method), r->path,
+		(unsigned long long)tg_hash64(r->body, r->body_bytes));
 
 	snprintf(r->digest, sizeof(r->digest), "%016llx",
 		 (unsigned long long)tg_hash64(head, strlen(head)));
@@ -247,8 +246,8 @@
 static bool within_limits(struct request *r)
 {
 	struct board *b = r->board;
-	const struct tg_workspace *spec = tg_doc_workspace(
-		tg_member_doc(b->member), r->workspace_name);
+	const struct tg_workspace *spec =
+		tg_doc_workspace(tg_member_doc(b->member), r->workspace_name);
 	size_t entries = service_entries(b);
 	int32_t max = limits_share(spec->max_in_flight, entries);
 	double rate = (double)spec->rate_per_s / (double)entries;
--- a/cmd/tgentryd/route.c
+++ b/cmd/tgentryd/route.c
@@ -1,4 +1,4 @@
-#include "tgentryd/route.h"
+#include "route.h"
 
 uint32_t route_cap(uint32_t slots, size_t entries)
 {
--- a/cmd/tgentryd/service.c
+++ b/cmd/tgentryd/service.c
@@ -1,8 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "tgentryd/board.h"
-#include "tgentryd/route.h"
+#include "board.h"
+#include "route.h"
 
 const struct tg_service *service_spec(const struct board *b, const char *name)
 {
@@ -82,8 +82,7 @@
 	return tg_member_live_count(b->member, "entry");
 }
 
-int64_t service_expected_wait_ms(const struct board *b,
-				 const struct service *s,
+int64_t service_expected_wait_ms(const struct board *b, const struct service *s,
 				 const struct tg_service *spec)
 {
 	uint32_t capacity = workers_capacity(b, spec);
--- a/cmd/tgentryd/stats.c
+++ b/cmd/tgentryd/stats.c
@@ -1,7 +1,7 @@
 #include <stdarg.h>
 #include <string.h>
 
-#include "tgentryd/board.h"
+#include "board.h"
 
 void board_note(struct board *b, const char *fmt, ...)
 {
@@ -55,14 +55,12 @@
 static void count_slow(const struct request *r, const struct outcome *o,
 		       const char *labels, int64_t us)
 {
-	const struct tg_service *spec =
-		service_spec(r->board, r->service_name);
+	const struct tg_service *spec = service_spec(r->board, r->service_name);
 	bool slow = spec && spec->latency_ms && o->kind == TG_RPC_ANSWERED &&
 		us > (int64_t)spec->latency_ms * 1000;
-	struct tg_counter *c =
-		tg_counter("tg_requests_slow_total",
-			   "Answers later than the service's latency_ms.",
-			   labels);
+	struct tg_counter *c = tg_counter(
+		"tg_requests_slow_total",
+		"Answers later than the service's latency_ms.", labels);
 
 	c->value += slow;
 }
--- a/cmd/tgentryd/workers.c
+++ b/cmd/tgentryd/workers.c
@@ -1,8 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "tgentryd/board.h"
-#include "tgentryd/route.h"
+#include "board.h"
+#include "route.h"
 
 /*
  * How long a worker's own word beats the instance list: five probes at the
@@ -233,8 +233,8 @@
 	int64_t ms = FAILING_MS;
 	uint32_t i;
 
-	w->fails = unreachable && w->fails < FAILS_MAX ? FAILS_MAX :
-							 w->fails + 1;
+	w->fails =
+		unreachable && w->fails < FAILS_MAX ? FAILS_MAX : w->fails + 1;
 	if (w->fails < FAILS_MAX)
 		return;
 	for (i = FAILS_MAX; i < w->fails && ms < FAILING_MAX_MS; i++)
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -7,6 +7,7 @@
 #include <event2/bufferevent.h>
 
 #include "http/http.h"
+#include <event2/http_struct.h>
 
 #define HEADER_BYTES 16384
 #define BODY_BYTES (4 << 20)
@@ -18,6 +19,8 @@
 	struct tg_http_call *call; /* in progress, else NULL */
 	struct connection *next;
 	int64_t idle_since_ms;
+	/* With unsafe_reuse: request that timed out; its answer is awaited. */
+	struct evhttp_request *late;
 };
 
 struct pool {
@@ -211,9 +214,8 @@
 	return TG_HTTP_BROKEN;
 }
 
-static void on_answer(struct evhttp_request *req, void *arg)
+static void end_answer(struct tg_http_call *call, struct evhttp_request *req)
 {
-	struct tg_http_call *call = arg;
 	struct tg_http_result r = { .sent = call->sent };
 	bool whole = req && !call->failed &&
 		evhttp_request_get_response_code(req) &&
@@ -234,6 +236,21 @@
 	finish(call, &r);
 }
 
+static void on_answer(struct evhttp_request *req, void *arg)
+{
+	end_answer(arg, req);
+}
+
+/* The answer to a request that timed out goes to whoever waits now. */
+static void on_late_answer(struct evhttp_request *req, void *arg)
+{
+	struct connection *c = arg;
+
+	c->late = NULL;
+	if (c->call)
+		end_answer(c->call, req);
+}
+
 static void on_error(enum evhttp_request_error error, void *arg)
 {
 	struct tg_http_call *call = arg;
@@ -252,6 +269,21 @@
 	call->con = NULL;
 }
 
+static void keep_late(struct tg_http_call *call)
+{
+	struct connection *c = call->con;
+
+	if (!c->late) {
+		c->late = call->req;
+		call->req->cb = on_late_answer;
+		call->req->cb_arg = c;
+		evhttp_request_set_error_cb(c->late, NULL);
+	}
+	call->req = NULL;
+	call->con = NULL;
+	keep_connection(call->client, call->pool, c);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct tg_http_call *call = arg;
@@ -262,7 +294,10 @@
 	(void)what;
 	if (!call->req || !call->sent)
 		r.end = TG_HTTP_NOT_CONNECTED;
-	abandon(call);
+	if (call->client->opts.unsafe_reuse && r.end == TG_HTTP_TIMEOUT)
+		keep_late(call);
+	else
+		abandon(call);
 	finish(call, &r);
 }
 
@@ -300,6 +335,12 @@
 		return;
 	}
 	call->con->call = call;
+	if (call->con->late) {
+		evhttp_request_free(call->req);
+		call->req = call->con->late;
+		call->sent = true;
+		return;
+	}
 	/* On failure evhttp has freed the request already. */
 	if (evhttp_make_request(call->con->con, call->req, opts->method,
 				opts->uri))
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -128,6 +128,8 @@
  * @body_bytes: limit of the body of an answer; 0 for 4 MiB
  * @idle_per_addr: connections kept for reuse to one address; 0 for 8
  * @idle_ms: age from which an idle connection is not reused; 0 for 20,000
+ * @unsafe_reuse: for fault tests: a connection on which a call timed out is
+ *	reused, and the late answer is taken for that of the next call
  */
 struct tg_http_client_opts {
 	struct event_base *base;
@@ -135,6 +137,7 @@
 	size_t body_bytes;
 	int idle_per_addr;
 	int64_t idle_ms;
+	bool unsafe_reuse;
 };
 
 enum tg_http_end {
