--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -12,6 +12,16 @@
 	{ 0, TG_INFO, NULL },
 };
 
+static int64_t count_live(const struct tg_member *m)
+{
+	int64_t n = 0;
+	size_t i;
+
+	for (i = 0; i < m->n_peers; i++)
+		n += m->peers[i].pub.live;
+	return n;
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct tg_member *m = arg;
@@ -21,6 +31,7 @@
 	(void)what;
 	member_peers_tick(m, now_ms);
 	member_doc_tick(m, now_ms);
+	m->live->value = count_live(m);
 }
 
 static void make_boot(char out[17])
@@ -40,6 +51,7 @@
 	m->pings = tg_counter("tg_pings_total", "Pings sent to peers.", NULL);
 	m->pushes = tg_counter("tg_document_pushes_total",
 			       "Documents pushed to peers.", NULL);
+	m->live = tg_gauge("tg_peers_live", "Peers that answer pings.", NULL);
 	m->generation = tg_gauge("tg_document_generation",
 				 "Generation of the document in force.", NULL);
 }
--- a/lib/member/member_internal.h
+++ b/lib/member/member_internal.h
@@ -50,7 +50,7 @@
 
 	struct event *timer;
 	struct tg_counter *docs_applied, *docs_refused, *pings, *pushes;
-	struct tg_gauge *generation;
+	struct tg_gauge *generation, *live;
 };
 
 struct peer_call *member_call_new(struct tg_member *m, const char *addr);
