Send no body with replies to HEAD, and reuse no connection after HEAD

The server leaves the body out; the client discards the connection in any case, since other servers may err likewise. A connection that fails inside evhttp_make_request() is now reported from the timer; before, the call was freed and then used.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -48,6 +48,7 @@
 	enum evhttp_request_error error;
 	bool failed; /* @error was reported */
 	bool sent;
+	bool starting; /* evhttp_make_request() is running */
 	struct tg_http_call *prev, *next;
 };
 
@@ -119,7 +120,7 @@
 	evutil_socket_t fd = bufferevent_getfd(bev);
 	char byte;
 
-	if (fd < 0)
+	if (fd < 0 || evbuffer_get_length(bufferevent_get_input(bev)))
 		return true;
 	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
 		(errno != EAGAIN && errno != EWOULDBLOCK);
@@ -217,8 +218,16 @@
 static void end_answer(struct tg_http_call *call, struct evhttp_request *req)
 {
 	struct tg_http_result r = { .sent = call->sent };
-	bool whole = req && !call->failed &&
-		evhttp_request_get_response_code(req) &&
+	bool whole;
+
+	/* A connection that fails at once; the timer tells the caller. */
+	if (call->starting) {
+		discard(call->client, call->con);
+		call->con = NULL;
+		call->req = NULL;
+		return;
+	}
+	whole = req && !call->failed && evhttp_request_get_response_code(req) &&
 		is_delimited(call, req);
 
 	if (!whole) {
@@ -232,7 +241,14 @@
 	r.status = evhttp_request_get_response_code(req);
 	r.headers = evhttp_request_get_input_headers(req);
 	r.body = evhttp_request_get_input_buffer(req);
-	keep_connection(call->client, call->pool, call->con);
+	/*
+	 * Some servers send a body after the headers of an answer to HEAD.  It
+	 * would be taken for the beginning of the next answer.
+	 */
+	if (call->method == EVHTTP_REQ_HEAD)
+		discard(call->client, call->con);
+	else
+		keep_connection(call->client, call->pool, call->con);
 	finish(call, &r);
 }
 
@@ -341,10 +357,12 @@
 		call->sent = true;
 		return;
 	}
+	call->starting = true;
 	/* On failure evhttp has freed the request already. */
 	if (evhttp_make_request(call->con->con, call->req, opts->method,
 				opts->uri))
 		call->req = NULL;
+	call->starting = false;
 }
 
 struct tg_http_call *tg_http_call_start(struct tg_http_client *client,
--- a/lib/http/message.c
+++ b/lib/http/message.c
@@ -38,10 +38,17 @@
 {
 	struct evkeyvalq *out = evhttp_request_get_output_headers(req);
 	struct evbuffer *body = evbuffer_new();
+	char length[24];
 
 	if (!evhttp_find_header(out, "Content-Type"))
 		evhttp_add_header(out, "Content-Type", type);
-	evbuffer_add(body, text, n);
+	/* evhttp sends the body of a reply to HEAD, and without its length. */
+	if (evhttp_request_get_command(req) == EVHTTP_REQ_HEAD) {
+		snprintf(length, sizeof(length), "%zu", n);
+		evhttp_add_header(out, "Content-Length", length);
+	} else {
+		evbuffer_add(body, text, n);
+	}
 	evhttp_send_reply(req, status, NULL, body);
 	evbuffer_free(body);
 }
