--- a/cmd/tgentryd/service.c
+++ b/cmd/tgentryd/service.c
@@ -159,12 +159,33 @@
 	service_pump(b, s);
 }
 
+static void set_gauges(const struct board *b)
+{
+	struct service *s, *next;
+	char labels[96];
+
+	HASH_ITER(hh, b->services, s, next)
+	{
+		snprintf(labels, sizeof(labels), "service=\"%s\"", s->name);
+		tg_gauge("tg_queue_length", "Requests that wait.", labels)
+			->value = (int64_t)s->queue.n;
+	}
+	tg_gauge("tg_requests_in_progress", "Requests not yet replied to.",
+		 NULL)
+		->value = (int64_t)b->n_requests;
+	tg_gauge("tg_keys_remembered", "Issued keys.", NULL)->value =
+		(int64_t)b->n_issued;
+	tg_gauge("tg_records_waiting", "Outcomes not recorded yet.", NULL)
+		->value = (int64_t)b->n_records;
+}
+
 static void tick(void *board, int64_t now_ms)
 {
 	struct board *b = board;
 
 	(void)now_ms;
 	service_pump_all(b);
+	set_gauges(b);
 	service_sweep(b);
 }
 
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -139,12 +139,17 @@
 		--platform="$platform_http" "$@"
 }
 
+# Defaults of start_entry; flags beat variables.
+TG_PROBE_MS=100
+TG_DRAIN_GRACE_MS=0
+export TG_PROBE_MS TG_DRAIN_GRACE_MS
+
 # start_entry NAME FLAG...: an entry daemon of AZ a, listed and ready
 start_entry() {
 	ename=$1
 	shift
-	start "$ename" tgentryd --instance="$ename" --az=a --probe-ms=100 \
-		--drain-grace-ms=0 --platform="$platform_http" "$@"
+	start "$ename" tgentryd --instance="$ename" --az=a \
+		--platform="$platform_http" "$@"
 	register_entry "$ename" a
 	await "readiness of $ename" \
 		curl -sf "http://$(http_of "$ename")/readyz"
@@ -169,3 +174,35 @@
  "timeout_ms":5000,"queue":256,"idempotent_methods":["GET","HEAD"]},
  {"name":"brisk","workspaces":["courts"],"azs":["a"],
  "timeout_ms":500,"queue":256,"idempotent_methods":["GET","HEAD"]}]}'
+
+# later LABEL FILTER CURL-ARGUMENT...: call in the background
+later() {
+	call "$@" >"$tmp/$1.line" &
+	eval "later_$(echo "$1" | tr - _)=$!"
+}
+
+# join LABEL...: waits for background calls and prints their lines
+join() {
+	for l in "$@"; do
+		eval "wait \$later_$(echo "$l" | tr - _)"
+		cat "$tmp/$l.line"
+	done
+}
+
+# running WORKER COUNT: requests that run there now
+running() {
+	curl -s "http://$(http_of "$1")/standin/stats" |
+		jq -e --argjson n "$2" '.in_use == $n'
+}
+
+# has_outcome ENTRY WORKSPACE KEY OUTCOME
+has_outcome() {
+	curl -s "http://$(http_of "$1")/v1/requests/$2/$3" |
+		jq -e --arg o "$4" '.outcome == $o'
+}
+
+# row_state KEY-OF-ROW STATE
+row_state() {
+	curl -s "http://$platform_http/v1/table/row?key=$1" |
+		jq -e --arg s "$2" '.value.state == $s'
+}
