--- /dev/null
+++ b/tests/unit/entry/test-entry.c
@@ -0,0 +1,383 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../../cmd/tgentryd/budget.h"
+#include "../../../cmd/tgentryd/key.h"
+#include "../../../cmd/tgentryd/limits.h"
+#include "../../../cmd/tgentryd/queue.h"
+#include "../../../cmd/tgentryd/route.h"
+
+struct entry {
+	struct queue_item item; /* first */
+	char name;
+};
+
+static void push(struct queue *q, struct entry *e, char name,
+		 const char *workspace, uint32_t cost)
+{
+	memset(e, 0, sizeof(*e));
+	e->name = name;
+	e->item.cost = cost;
+	queue_push(q, &e->item, workspace);
+}
+
+static void pop_all(struct queue *q, char *out)
+{
+	struct queue_item *item;
+
+	while ((item = queue_pop(q)))
+		*out++ = ((struct entry *)item)->name;
+	*out = '\0';
+}
+
+/* One workspace with many or large requests would delay the others. */
+START_TEST(queue_shares_by_cost)
+{
+	static const struct {
+		const char *arrivals; /* workspace a, b or c */
+		uint32_t cost_a, cost_b, cost_c;
+		const char *order;
+	} cases[] = {
+		{ "", 1, 1, 1, "" },
+		{ "aaa", 1, 1, 1, "012" },
+		/* a's quantum of 8 is one request of 8. */
+		{ "aaab", 8, 8, 1, "0312" },
+		{ "aaaabbbb", 4, 4, 1, "01452367" },
+		/* b has twice the requests for half the cost each. */
+		{ "aaabbbb", 8, 4, 1, "0341562" },
+		/* c is beyond one quantum and waits for two. */
+		{ "caabb", 8, 8, 16, "13024" },
+	};
+	struct entry e[16];
+	char got[17];
+	size_t i, k;
+
+	for (i = 0; i < ARRAY_SIZE(cases); i++) {
+		struct queue q = { 0 };
+
+		for (k = 0; cases[i].arrivals[k]; k++) {
+			char ws[2] = { cases[i].arrivals[k], '\0' };
+			uint32_t cost = *ws == 'a' ? cases[i].cost_a :
+				*ws == 'b'	   ? cases[i].cost_b :
+						     cases[i].cost_c;
+
+			push(&q, &e[k], (char)('0' + k), ws, cost);
+		}
+		ck_assert_uint_eq(q.n, k);
+		pop_all(&q, got);
+		ck_assert_msg(!strcmp(got, cases[i].order), "case %zu: %s", i,
+			      got);
+		ck_assert_uint_eq(q.n, 0);
+		ck_assert_ptr_null(q.flows);
+	}
+}
+END_TEST
+
+/* A request that finds no room would lose its place, or its turn be paid
+ * twice. */
+START_TEST(queue_unpop_keeps_place_and_deficit)
+{
+	struct queue q = { 0 };
+	struct entry e[4];
+	char got[8];
+	int i;
+
+	push(&q, &e[0], '0', "a", 8);
+	push(&q, &e[1], '1', "a", 8);
+	push(&q, &e[2], '2', "b", 8);
+	for (i = 0; i < 5; i++) {
+		struct queue_item *item = queue_pop(&q);
+
+		ck_assert_ptr_eq(item, &e[0].item);
+		queue_unpop(&q, item, "a");
+		ck_assert_uint_eq(q.n, 3);
+	}
+	pop_all(&q, got);
+	ck_assert_str_eq(got, "021");
+}
+END_TEST
+
+START_TEST(queue_unpop_of_the_last_item)
+{
+	struct queue q = { 0 };
+	struct entry e[2];
+	char got[8];
+
+	push(&q, &e[0], '0', "a", 3);
+	queue_unpop(&q, queue_pop(&q), "a");
+	push(&q, &e[1], '1', "b", 1);
+	ck_assert_uint_eq(q.n, 2);
+	pop_all(&q, got);
+	ck_assert_str_eq(got, "01");
+}
+END_TEST
+
+/* A request that ends while it waits would stay in the queue freed. */
+START_TEST(queue_remove_anywhere)
+{
+	struct entry e[5];
+	char got[8];
+	int gone;
+
+	for (gone = 0; gone < 5; gone++) {
+		struct queue q = { 0 };
+		char want[8] = "", *p = want;
+		int i;
+
+		for (i = 0; i < 5; i++) {
+			push(&q, &e[i], (char)('0' + i), i < 3 ? "a" : "b", 1);
+			if (i != gone)
+				*p++ = (char)('0' + i);
+		}
+		queue_remove(&q, &e[gone].item);
+		pop_all(&q, got);
+		ck_assert_str_eq(got, want);
+	}
+}
+END_TEST
+
+START_TEST(queue_costs)
+{
+	ck_assert_uint_eq(queue_cost(0), 1);
+	ck_assert_uint_eq(queue_cost(QUEUE_COST_BYTES - 1), 1);
+	ck_assert_uint_eq(queue_cost(QUEUE_COST_BYTES), 2);
+	ck_assert_uint_eq(queue_cost(48 * QUEUE_COST_BYTES), 49);
+}
+END_TEST
+
+/* A rate below one would never admit anything, a pause admit a flood. */
+START_TEST(rate_limits)
+{
+	static const struct {
+		double rate;
+		int64_t gap_ms;
+		int asked, admitted;
+	} cases[] = {
+		{ 0, 0, 100, 100 },  { 10, 0, 100, 10 }, { 10, 100, 50, 50 },
+		{ 10, 50, 41, 30 },  { 0.5, 0, 10, 1 },	 { 0.5, 1000, 10, 5 },
+		{ 2, 100000, 5, 5 },
+	};
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(cases); i++) {
+		struct bucket b = { 0 };
+		int64_t now_ms = 1000;
+		int k, n = 0;
+
+		for (k = 0; k < cases[i].asked; k++) {
+			n += bucket_take(&b, cases[i].rate, now_ms);
+			now_ms += cases[i].gap_ms;
+		}
+		ck_assert_msg(n == cases[i].admitted, "case %zu: %d", i, n);
+	}
+}
+END_TEST
+
+/* A long pause must not save up more than one second's worth. */
+START_TEST(rate_does_not_save_up)
+{
+	struct bucket b = { 0 };
+	int i, n = 0;
+
+	ck_assert(bucket_take(&b, 5, 1));
+	for (i = 0; i < 100; i++)
+		n += bucket_take(&b, 5, 3600000);
+	ck_assert_int_eq(n, 5);
+}
+END_TEST
+
+START_TEST(limit_shares)
+{
+	static const struct {
+		int32_t limit;
+		size_t entries;
+		int32_t share;
+	} cases[] = {
+		{ 0, 3, 0 }, { 64, 1, 64 }, { 64, 3, 22 },
+		{ 2, 9, 1 }, { 64, 0, 64 }, { INT32_MAX, 2, 1073741824 },
+	};
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(cases); i++)
+		ck_assert_int_eq(limits_share(cases[i].limit, cases[i].entries),
+				 cases[i].share);
+}
+END_TEST
+
+/* Unbounded retries multiply the load on backend servers that fail. */
+START_TEST(retry_budget)
+{
+	struct budget b;
+	int i, n = 0;
+
+	budget_init(&b);
+	for (i = 0; i < 100; i++)
+		n += budget_spend(&b);
+	ck_assert_int_eq(n, BUDGET_BURST);
+	for (i = 0; i < 9; i++)
+		budget_earn(&b);
+	ck_assert(!budget_spend(&b));
+	budget_earn(&b);
+	ck_assert(budget_spend(&b));
+	ck_assert(!budget_spend(&b));
+	for (i = 0, n = 0; i < 100000; i++)
+		budget_earn(&b);
+	for (i = 0; i < 100; i++)
+		n += budget_spend(&b);
+	ck_assert_int_eq(n, BUDGET_BURST);
+}
+END_TEST
+
+/* Too small a cap leaves slots unused, too large a one overruns the worker. */
+START_TEST(caps)
+{
+	static const struct {
+		uint32_t slots;
+		size_t entries;
+		uint32_t cap;
+	} cases[] = {
+		{ 8, 1, 8 }, { 8, 2, 5 }, { 8, 3, 4 }, { 8, 8, 2 },
+		{ 8, 9, 2 }, { 1, 9, 1 }, { 0, 3, 0 }, { 8, 0, 8 },
+	};
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(cases); i++)
+		ck_assert_uint_eq(route_cap(cases[i].slots, cases[i].entries),
+				  cases[i].cap);
+}
+END_TEST
+
+/* How often each of up to four candidates is chosen. */
+static void choose_often(const struct route_candidate *c, size_t n, int *times)
+{
+	struct tg_rng rng = { 42 };
+	int i;
+
+	memset(times, 0, 5 * sizeof(*times));
+	for (i = 0; i < 4000; i++)
+		times[1 + route_choose(c, n, &rng)]++;
+}
+
+START_TEST(choice)
+{
+	struct route_candidate c[4] = { 0 };
+	int times[5], *of = times + 1;
+	size_t i;
+
+	choose_often(c, 0, times);
+	ck_assert_int_eq(times[0], 4000);
+	for (i = 0; i < 4; i++)
+		c[i] = (struct route_candidate){ 3, 8, 0, 5 };
+	/* Equal load: all get about the same. */
+	choose_often(c, 4, times);
+	for (i = 0; i < 4; i++)
+		ck_assert_msg(of[i] > 800 && of[i] < 1200, "%d", of[i]);
+	/* The most loaded of four is never the less loaded of two. */
+	c[2].load = 7;
+	choose_often(c, 4, times);
+	ck_assert_int_eq(of[2], 0);
+	/* The least loaded wins every pair that it is in, half of them. */
+	c[1].load = 0;
+	choose_often(c, 4, times);
+	ck_assert_msg(of[1] > 1800 && of[1] < 2200, "%d", of[1]);
+	/* At its cap it is out, as are all of them at the end. */
+	c[1].in_flight = 5;
+	choose_often(c, 4, times);
+	ck_assert_int_eq(of[1], 0);
+	ck_assert_int_eq(times[0], 0);
+	for (i = 0; i < 4; i++)
+		c[i].in_flight = c[i].cap;
+	choose_often(c, 4, times);
+	ck_assert_int_eq(times[0], 4000);
+}
+END_TEST
+
+/* A worker with more slots takes more for the same share. */
+START_TEST(choice_by_share)
+{
+	struct route_candidate c[2] = { { 4, 8, 0, 8 }, { 5, 16, 0, 16 } };
+	int times[5];
+
+	choose_often(c, 2, times);
+	ck_assert_int_eq(times[1 + 1], 4000);
+}
+END_TEST
+
+#define LONG_64 \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+
+/* A key with two spellings would run twice. */
+START_TEST(keys)
+{
+	static const struct {
+		const char *text;
+		enum key_kind kind;
+	} cases[] = {
+		{ NULL, KEY_NONE },
+		{ "", KEY_INVALID },
+		{ "a", KEY_CALLER },
+		{ "A.b_c-9", KEY_CALLER },
+		{ "a/b", KEY_INVALID },
+		{ "a b", KEY_INVALID },
+		{ "a\n", KEY_INVALID },
+		{ "\xc3\xa4", KEY_INVALID },
+		{ LONG_64 LONG_64, KEY_CALLER },
+		{ LONG_64 LONG_64 "a", KEY_INVALID },
+		{ "tgk1", KEY_CALLER },
+		{ "tgk1.", KEY_INVALID },
+		{ "tgk1.a.e-1.b0.1", KEY_ISSUED },
+		{ "tgk1.a.e-1.b0.18446744073709551615", KEY_ISSUED },
+		{ "tgk1.a.e-1.b0.18446744073709551616", KEY_INVALID },
+		{ "tgk1.a.e-1.b0.01", KEY_INVALID },
+		{ "tgk1.a.e-1.b0.-1", KEY_INVALID },
+		{ "tgk1.a.e-1.b0.1.2", KEY_INVALID },
+		{ "tgk1.a.e-1.b0.", KEY_INVALID },
+		{ "tgk1.a.e-1.1", KEY_INVALID },
+		{ "tgk1..e-1.b0.1", KEY_INVALID },
+		{ "tgk1.A.e-1.b0.1", KEY_INVALID },
+		{ "tgk1." LONG_64 ".e-1.b0.1", KEY_INVALID },
+	};
+	struct issued_key k;
+	char text[KEY_MAX + 1];
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(cases); i++) {
+		ck_assert_msg(key_parse(cases[i].text, &k) == cases[i].kind,
+			      "%s", cases[i].text);
+		if (cases[i].kind != KEY_ISSUED)
+			continue;
+		ck_assert(key_format(&k, text, sizeof(text)));
+		ck_assert_str_eq(text, cases[i].text);
+	}
+	ck_assert(!key_format(&k, text, 8));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("entry");
+	TCase *t = tcase_create("entry");
+	SRunner *r;
+	int failed;
+
+	tcase_add_test(t, queue_shares_by_cost);
+	tcase_add_test(t, queue_unpop_keeps_place_and_deficit);
+	tcase_add_test(t, queue_unpop_of_the_last_item);
+	tcase_add_test(t, queue_remove_anywhere);
+	tcase_add_test(t, queue_costs);
+	tcase_add_test(t, rate_limits);
+	tcase_add_test(t, rate_does_not_save_up);
+	tcase_add_test(t, limit_shares);
+	tcase_add_test(t, retry_budget);
+	tcase_add_test(t, caps);
+	tcase_add_test(t, choice);
+	tcase_add_test(t, choice_by_share);
+	tcase_add_test(t, keys);
+	suite_add_tcase(s, t);
+	r = srunner_create(s);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
