--- /dev/null
+++ b/cmd/tgschedd/admission.c
@@ -0,0 +1,282 @@
+#include <string.h>
+
+#include "controllers.h"
+#include "facts.h"
+#include "jobrow.h"
+#include "rowwrite.h"
+
+#define TICK_MS 20
+#define RETRY_MS 500
+/* Writes begun in one turn; they leave as one group where they can. */
+#define WRITES_MAX 64
+
+static const char outage[] = "the table does not answer; nothing was done";
+static const char unknown[] = "the result of the write is unknown; ask again";
+
+/* --- submission --- */
+
+static void admitted(struct board *b, struct job *j, uint64_t version)
+{
+	json_t *v;
+
+	j->version = version;
+	j->version_known = true;
+	j->state = JOB_QUEUED;
+	facts_submit(b, j, NULL);
+	board_note(b, j->spec.job, "admitted");
+	v = jobrow_public(b, j);
+	board_answer(b, &j->waiters, TG_RPC_OK, v, "");
+	json_decref(v);
+}
+
+static void refuse(struct board *b, struct job *j, enum tg_rpc_status status,
+		   const char *text)
+{
+	board_answer(b, &j->waiters, status, NULL, text);
+	board_answer(b, &j->cancel_waiters, TG_RPC_NOT_FOUND, NULL,
+		     "no such job");
+	board_remove_job(b, j);
+}
+
+/* The name is in the table already: the same job, or another one. */
+static void on_taken(struct board *b, struct job *j, const struct tg_row *row)
+{
+	json_t *spec = json_object_get(row->value, "spec");
+	struct waiter *waiters = j->waiters, *cancel = j->cancel_waiters;
+	struct job *known;
+
+	if (!json_equal(spec, j->json)) {
+		refuse(b, j, TG_RPC_REFUSED,
+		       "the name is taken by a job with other content");
+		return;
+	}
+	j->waiters = j->cancel_waiters = NULL;
+	board_remove_job(b, j);
+	known = jobrow_decode(b, row);
+	if (!known)
+		return;
+	known->waiters = waiters;
+	known->cancel_waiters = cancel;
+	known->cancel_asked = cancel != NULL;
+	if (known->state == JOB_QUEUED) {
+		admitted(b, known, row->version);
+	} else {
+		json_t *v = jobrow_public(b, known);
+
+		board_answer(b, &known->waiters, TG_RPC_OK, v, "");
+		json_decref(v);
+	}
+}
+
+static void on_inserted(struct board *b, const char *job, enum tg_plat_end end,
+			uint64_t version, const struct tg_row *found)
+{
+	struct job *j = board_job(b, job);
+
+	if (!j)
+		return;
+	j->writing = false;
+	switch (end) {
+	case TG_PLAT_OK:
+		admitted(b, j, version);
+		break;
+	case TG_PLAT_CONFLICT:
+		on_taken(b, j, found);
+		break;
+	case TG_PLAT_UNKNOWN:
+		board_answer(b, &j->waiters, TG_RPC_UNKNOWN, NULL, unknown);
+		j->state = JOB_UNSETTLED;
+		j->retry_ms = tg_now_ms() + RETRY_MS;
+		break;
+	case TG_PLAT_INVALID:
+		refuse(b, j, TG_RPC_REFUSED, "the table refused the row");
+		break;
+	default:
+		if (j->state == JOB_UNSETTLED)
+			j->retry_ms = tg_now_ms() + RETRY_MS;
+		else
+			refuse(b, j, TG_RPC_UNAVAILABLE, outage);
+		break;
+	}
+}
+
+static void insert(struct board *b, struct job *j)
+{
+	j->writing = true;
+	row_write(b, j->spec.job, 0, jobrow_encode(j, JOB_QUEUED),
+		  on_inserted);
+}
+
+/* --- cancellation and parking --- */
+
+static void answer_cancel(struct board *b, struct job *j)
+{
+	json_t *v = jobrow_public(b, j);
+
+	j->cancel_asked = false;
+	board_answer(b, &j->cancel_waiters, TG_RPC_OK, v, "");
+	json_decref(v);
+}
+
+static void on_cancelled(struct board *b, const char *job,
+			 enum tg_plat_end end, uint64_t version,
+			 const struct tg_row *found)
+{
+	struct job *j = board_job(b, job);
+
+	(void)found;
+	if (!j)
+		return;
+	j->writing = false;
+	if (end != TG_PLAT_OK) {
+		j->cancel_asked = j->cancel = false;
+		j->version_known = end == TG_PLAT_UNAVAILABLE;
+		board_answer(b, &j->cancel_waiters,
+			     end == TG_PLAT_UNAVAILABLE ? TG_RPC_UNAVAILABLE :
+							  TG_RPC_UNKNOWN,
+			     NULL,
+			     end == TG_PLAT_UNAVAILABLE ? outage : unknown);
+		return;
+	}
+	j->version = version;
+	j->cancel = true;
+	if (j->gang == GANG_NONE) {
+		j->state = JOB_CANCELLED;
+		j->ended_wall_ms = tg_wall_ms();
+		facts_cancel(b, j, tg_now_ms());
+	}
+	board_note(b, job, "cancelled by the caller");
+	answer_cancel(b, j);
+}
+
+/*
+ * A running job's row stays "running" with the mark until its leases are gone;
+ * the mark makes a scheduler that takes over stop it too.
+ */
+static void cancel(struct board *b, struct job *j)
+{
+	bool queued = j->gang == GANG_NONE;
+	json_t *v;
+
+	if (j->state > JOB_RUNNING || j->cancel) {
+		answer_cancel(b, j);
+		return;
+	}
+	if (!queued && j->gang != GANG_RUNNING && j->gang != GANG_STARTING)
+		return;
+	if (queued)
+		snprintf(j->reason, sizeof(j->reason), "cancelled");
+	v = jobrow_encode(j, queued ? JOB_CANCELLED : JOB_RUNNING);
+	json_object_set_new(v, "cancel", json_true());
+	j->writing = true;
+	row_write(b, j->spec.job, j->version, v, on_cancelled);
+}
+
+static void on_parked(struct board *b, const char *job, enum tg_plat_end end,
+		      uint64_t version, const struct tg_row *found)
+{
+	struct job *j = board_job(b, job);
+
+	if (!j)
+		return;
+	j->writing = false;
+	j->retry_ms = tg_now_ms() + RETRY_MS;
+	if (end == TG_PLAT_CONFLICT)
+		j->version = found->version;
+	if (end != TG_PLAT_OK)
+		return;
+	j->version = version;
+	j->park = false;
+	j->state = JOB_PARKED;
+	j->ended_wall_ms = tg_wall_ms();
+	facts_cancel(b, j, tg_now_ms());
+}
+
+static void park(struct board *b, struct job *j)
+{
+	j->writing = true;
+	row_write(b, j->spec.job, j->version, jobrow_encode(j, JOB_PARKED),
+		  on_parked);
+}
+
+/* --- checkpoints of running gangs --- */
+
+static void on_saved(struct board *b, const char *job, enum tg_plat_end end,
+		     uint64_t version, const struct tg_row *found)
+{
+	struct job *j = board_job(b, job);
+
+	(void)found;
+	if (!j)
+		return;
+	j->writing = false;
+	if (end == TG_PLAT_OK) {
+		j->version = version;
+		return;
+	}
+	j->version_known = end == TG_PLAT_UNAVAILABLE;
+	j->ckpt_unsaved = true;
+	j->retry_ms = tg_now_ms() + RETRY_MS;
+}
+
+static void save_checkpoint(struct board *b, struct job *j)
+{
+	j->ckpt_unsaved = false;
+	j->writing = true;
+	row_write(b, j->spec.job, j->version, jobrow_encode(j, JOB_RUNNING),
+		  on_saved);
+}
+
+/* Whether a write was begun. */
+static bool serve_job(struct board *b, struct job *j, int64_t now_ms)
+{
+	if (j->writing || now_ms < j->retry_ms)
+		return false;
+	if (j->state == JOB_WRITING || j->state == JOB_UNSETTLED)
+		insert(b, j);
+	else if (!j->version_known)
+		job_read_version(b, j);
+	else if (j->cancel_asked)
+		cancel(b, j);
+	else if (j->park && j->gang == GANG_NONE)
+		park(b, j);
+	else if (j->ckpt_unsaved && j->gang == GANG_RUNNING)
+		save_checkpoint(b, j);
+	return j->writing;
+}
+
+static void refuse_in_outage(struct board *b, struct job *j)
+{
+	if (j->writing)
+		return;
+	if (j->state == JOB_WRITING) {
+		refuse(b, j, TG_RPC_UNAVAILABLE, outage);
+	} else if (j->cancel_asked) {
+		j->cancel_asked = false;
+		board_answer(b, &j->cancel_waiters, TG_RPC_UNAVAILABLE, NULL,
+			     outage);
+	}
+}
+
+static void tick_admission(void *board, int64_t now_ms)
+{
+	struct board *b = board;
+	struct job *j, *tmp;
+	int n = 0;
+
+	if (b->role != ROLE_ACTIVE)
+		return;
+	HASH_ITER(hh, b->jobs, j, tmp)
+	{
+		if (b->table_down)
+			refuse_in_outage(b, j);
+		else if (n < WRITES_MAX)
+			n += serve_job(b, j, now_ms);
+	}
+}
+
+const struct tg_controller admission = {
+	.name = "admission",
+	.period_ms = TICK_MS,
+	.tick = tick_admission,
+};
--- /dev/null
+++ b/cmd/tgschedd/decisions.c
@@ -0,0 +1,146 @@
+#include <string.h>
+
+#include "controllers.h"
+#include "facts.h"
+
+#define TICK_MS 20
+/* Actions of one round; the rest follows in the next round. */
+#define ACTIONS_MAX 64
+/* Changes without a fact of their own, such as a lapse, are seen this soon. */
+#define IDLE_MS 1000
+
+static void start(struct board *b, const struct tg_action *a, int64_t now_ms)
+{
+	struct job *j = board_job(b, a->job);
+	int32_t i;
+
+	if (!j || j->state != JOB_QUEUED || j->gang != GANG_NONE ||
+	    j->writing || j->cancel_asked || a->n_workers != j->spec.tasks) {
+		tg_fleet_job_stopped(b->fleet, a->job, TG_STOP_WORKER_LOST, -1,
+				     now_ms, j ? j->done_ms : 0);
+		return;
+	}
+	board_make_members(j);
+	for (i = 0; i < j->n_members; i++)
+		board_place_member(
+			&j->members[i],
+			board_worker(b, tg_fleet_worker_name(b->fleet,
+							     a->workers[i])));
+	j->attempt++;
+	j->gang = GANG_RESERVING;
+	j->commit = COMMIT_NONE;
+	j->round_ms = now_ms;
+	j->round = j->ckpt_round = j->ckpt_done_round = 0;
+	j->base_ms = j->done_ms;
+	j->after = JOB_QUEUED;
+	board_gang_due(j);
+	board_note(b, a->job, "start attempt %lld: %s", (long long)j->attempt,
+		   a->reason);
+}
+
+static void reclaim(struct board *b, const struct tg_action *a)
+{
+	struct job *j = board_job(b, a->job);
+
+	if (!j || j->gang == GANG_NONE)
+		return;
+	j->checkpoint = true;
+	snprintf(j->reason, sizeof(j->reason), "reclaimed for %s: %s",
+		 a->beneficiary, a->reason);
+	board_note(b, a->job, "%s", j->reason);
+}
+
+static void park(struct board *b, const struct tg_action *a)
+{
+	struct job *j = board_job(b, a->job);
+
+	if (!j || j->state != JOB_QUEUED || j->gang != GANG_NONE)
+		return;
+	tg_log(EV_SCHED_JOB_PARKED, "job=%s reason=\"%s\"", a->job, a->reason);
+	board_note(b, a->job, "park: %s", a->reason);
+	snprintf(j->reason, sizeof(j->reason), "%s", a->reason);
+	j->park = true;
+}
+
+static void quarantine(struct board *b, const struct tg_action *a)
+{
+	struct worker *w =
+		board_worker(b, tg_fleet_worker_name(b->fleet, a->workers[0]));
+
+	if (!w)
+		return;
+	w->quarantined = true;
+	tg_log(EV_SCHED_QUARANTINED, "worker=%s reason=\"%s\"", w->name,
+	       a->reason);
+}
+
+static void act(struct board *b, const struct tg_action *a, int64_t now_ms)
+{
+	switch (a->kind) {
+	case TG_ACT_START:
+		start(b, a, now_ms);
+		break;
+	case TG_ACT_RECLAIM:
+		reclaim(b, a);
+		break;
+	case TG_ACT_PARK:
+		park(b, a);
+		break;
+	case TG_ACT_QUARANTINE:
+		quarantine(b, a);
+		break;
+	}
+}
+
+/* Pointers of an action end with the next mutator, so one at a time. */
+static void decide(struct board *b, int64_t now_ms)
+{
+	struct tg_action a;
+	int i;
+
+	for (i = 0; i < ACTIONS_MAX; i++) {
+		if (!tg_decide(b->fleet, now_ms, &a, 1))
+			return;
+		act(b, &a, now_ms);
+	}
+	b->decide = true;
+}
+
+/* A job that did not fit when it was read may fit a fleet that has grown. */
+static void submit_missing(struct board *b)
+{
+	struct job *j, *tmp;
+
+	HASH_ITER(hh, b->jobs, j, tmp)
+	if (j->state == JOB_QUEUED && j->gang == GANG_NONE && !j->in_fleet &&
+	    !j->park)
+		facts_submit(b, j, NULL);
+}
+
+static void tick_decisions(void *board, int64_t now_ms)
+{
+	struct board *b = board;
+	int64_t next_ms;
+
+	if (b->role != ROLE_ACTIVE || b->table_down || tg_daemon_draining())
+		return;
+	if (b->doc_changed)
+		facts_set_doc(b);
+	if (!b->decide && now_ms < b->next_decide_ms)
+		return;
+	b->decide = false;
+	facts_set_health(b, now_ms);
+	submit_missing(b);
+	b->decide = false;
+	decide(b, now_ms);
+	next_ms = tg_fleet_next_ms(b->fleet, now_ms);
+	if (next_ms > now_ms + IDLE_MS)
+		next_ms = now_ms + IDLE_MS;
+	b->next_decide_ms = next_ms;
+}
+
+const struct tg_controller decisions = {
+	.name = "decisions",
+	.period_ms = TICK_MS,
+	.tick = tick_decisions,
+};
--- /dev/null
+++ b/cmd/tgschedd/election.c
@@ -0,0 +1,290 @@
+#include <string.h>
+
+#include "controllers.h"
+#include "jobrow.h"
+#include "rowwrite.h"
+
+/* The drain of a gang's start; then its reservations expire by themselves. */
+#define TICK_MS 50
+
+static json_t *row_value(const struct board *b, uint64_t epoch,
+			 const char *holder)
+{
+	return json_pack("{s:I, s:s, s:s, s:s}", "epoch", (json_int_t)epoch,
+			 "holder", holder, "rpc_addr",
+			 tg_rpc_server_addr(b->rpc_server), "boot",
+			 tg_member_boot(b->member));
+}
+
+static uint64_t row_epoch(const json_t *v)
+{
+	json_int_t n = json_integer_value(json_object_get(v, "epoch"));
+
+	return n < 0 ? 0 : (uint64_t)n;
+}
+
+static void copy_text(const json_t *v, const char *key, char *out, size_t size)
+{
+	const char *s = json_string_value(json_object_get(v, key));
+
+	if (!s || !tg_strlcpy(out, s, size))
+		*out = '\0';
+}
+
+static void note_row(struct board *b, const struct tg_row *row, int64_t now_ms)
+{
+	if (b->row_version != row->version || !b->row_changed_ms)
+		b->row_changed_ms = now_ms;
+	b->row_version = row->version;
+	b->row_epoch = row_epoch(row->value);
+	copy_text(row->value, "holder", b->row_holder, sizeof(b->row_holder));
+	copy_text(row->value, "boot", b->row_boot, sizeof(b->row_boot));
+	copy_text(row->value, "rpc_addr", b->row_rpc, sizeof(b->row_rpc));
+}
+
+static void become_claimant(struct board *b, uint64_t epoch)
+{
+	int64_t now_ms = tg_now_ms();
+
+	board_forget(b);
+	b->role = ROLE_INSTALLING;
+	b->epoch = b->row_epoch = epoch;
+	b->claimed_ms = b->row_changed_ms = now_ms;
+	tg_log(EV_SCHED_CLAIMED, "az=%s epoch=%llu", b->opts->az,
+	       (unsigned long long)epoch);
+	tg_member_set_scheduler(b->member, epoch, false);
+}
+
+static void on_claimed(enum tg_plat_end end, const struct tg_row *rows,
+		       size_t n, void *arg)
+{
+	struct board *b = arg;
+
+	b->row_writing = false;
+	if (b->role != ROLE_CLAIMING)
+		return;
+	if (end == TG_PLAT_OK && n) {
+		b->row_version = rows[0].version;
+		board_set_table(b, true);
+		become_claimant(b, b->row_epoch + 1);
+		return;
+	}
+	/* After an unknown result the next read shows who holds the row. */
+	b->role = ROLE_STANDBY;
+	b->row_changed_ms = 0;
+	if (end == TG_PLAT_UNAVAILABLE || end == TG_PLAT_UNKNOWN)
+		board_set_table(b, false);
+}
+
+static void claim(struct board *b)
+{
+	struct tg_txn *t = tg_txn_new(b->plat);
+	char key[TG_KEY_MAX];
+
+	sched_row_key(b, key);
+	tg_txn_if(t, key, b->row_version);
+	tg_txn_put(t, key, row_value(b, b->row_epoch + 1, b->opts->instance));
+	b->role = ROLE_CLAIMING;
+	b->row_writing = true;
+	tg_txn_commit(t, on_claimed, b);
+}
+
+static void maybe_claim(struct board *b, int64_t now_ms)
+{
+	bool free_row = !b->row_version || !*b->row_holder;
+
+	if (tg_daemon_draining() || b->row_writing)
+		return;
+	if (free_row || now_ms - b->row_changed_ms >= b->opts->sched_lease_ms)
+		claim(b);
+}
+
+static void on_standby_row(struct board *b, enum tg_plat_end end,
+			   const struct tg_row *row, int64_t now_ms)
+{
+	static const struct tg_row none;
+
+	if (end == TG_PLAT_UNAVAILABLE) {
+		/* The holder can't renew either; its lease counts anew. */
+		b->row_changed_ms = 0;
+		board_set_table(b, false);
+		return;
+	}
+	board_set_table(b, true);
+	note_row(b, end == TG_PLAT_OK ? row : &none, now_ms);
+	maybe_claim(b, now_ms);
+}
+
+static void on_holder_row(struct board *b, enum tg_plat_end end,
+			  const struct tg_row *row)
+{
+	if (end == TG_PLAT_UNAVAILABLE) {
+		board_set_table(b, false);
+		return;
+	}
+	if (end != TG_PLAT_OK || !sched_row_ours(b, row)) {
+		board_step_down(b, "row",
+				end == TG_PLAT_OK ? row_epoch(row->value) : 0);
+		return;
+	}
+	b->row_unsure = false;
+	b->row_version = row->version;
+}
+
+static void on_row(enum tg_plat_end end, const struct tg_row *row, void *arg)
+{
+	struct board *b = arg;
+
+	b->row_reading = false;
+	if (b->role == ROLE_STANDBY)
+		on_standby_row(b, end, row, tg_now_ms());
+	else if (b->role != ROLE_CLAIMING && b->row_unsure && !b->row_writing)
+		on_holder_row(b, end, row);
+}
+
+static void read_row(struct board *b)
+{
+	char key[TG_KEY_MAX];
+
+	if (b->row_reading)
+		return;
+	b->row_reading = true;
+	sched_row_key(b, key);
+	tg_row_get(b->plat, key, on_row, b);
+}
+
+static void on_renewed(enum tg_plat_end end, const struct tg_row *rows,
+		       size_t n, void *arg)
+{
+	struct board *b = arg;
+	bool given_up = b->row_released;
+
+	b->row_writing = false;
+	if (!b->epoch)
+		return;
+	switch (end) {
+	case TG_PLAT_OK:
+		if (n)
+			b->row_version = rows[0].version;
+		b->row_changed_ms = tg_now_ms();
+		board_set_table(b, true);
+		if (given_up) {
+			tg_log(EV_SCHED_HANDED_OVER, "epoch=%llu",
+			       (unsigned long long)b->epoch);
+			tg_member_set_scheduler(b->member, 0, false);
+		}
+		break;
+	case TG_PLAT_CONFLICT:
+		if (n && sched_row_ours(b, &rows[0]))
+			b->row_version = rows[0].version;
+		else
+			board_step_down(b, "row",
+					n ? row_epoch(rows[0].value) : 0);
+		break;
+	case TG_PLAT_UNKNOWN:
+		b->row_unsure = true;
+		board_set_table(b, false);
+		break;
+	default:
+		b->row_version--;
+		board_set_table(b, false);
+		break;
+	}
+}
+
+static void write_row(struct board *b, const char *holder)
+{
+	struct tg_txn *t = tg_txn_new(b->plat);
+	char key[TG_KEY_MAX];
+
+	sched_row_key(b, key);
+	tg_txn_if(t, key, b->row_version);
+	tg_txn_put(t, key, row_value(b, b->epoch, holder));
+	b->row_writing = true;
+	/* Writes queued from now on follow this one. */
+	b->row_version++;
+	tg_txn_commit(t, on_renewed, b);
+}
+
+static void tick_election(void *board, int64_t now_ms)
+{
+	struct board *b = board;
+
+	(void)now_ms;
+	switch (b->role) {
+	case ROLE_STANDBY:
+		if (!b->row_writing)
+			read_row(b);
+		break;
+	case ROLE_CLAIMING:
+	case ROLE_LEAVING:
+		break;
+	default:
+		if (b->row_unsure)
+			read_row(b);
+		else if (!b->row_writing)
+			write_row(b, b->opts->instance);
+		break;
+	}
+}
+
+static int start_election(void *board)
+{
+	read_row(board);
+	return 0;
+}
+
+/* Gangs between reservation and start are completed or undone first. */
+static bool starts_in_progress(struct board *b)
+{
+	struct job *j, *tmp;
+
+	HASH_ITER(hh, b->jobs, j, tmp)
+	{
+		if (j->writing || j->waiters)
+			return true;
+		if (j->gang == GANG_RESERVING || j->gang == GANG_COMMITTING ||
+		    j->gang == GANG_STARTING)
+			return true;
+	}
+	return false;
+}
+
+static bool drain_election(void *board, int64_t now_ms)
+{
+	struct board *b = board;
+
+	(void)now_ms;
+	switch (b->role) {
+	case ROLE_STANDBY:
+		return !b->row_writing;
+	case ROLE_CLAIMING:
+		return false;
+	case ROLE_INSTALLING:
+	case ROLE_LOADING:
+		break;
+	case ROLE_ACTIVE:
+		if (!b->table_down && starts_in_progress(b))
+			return false;
+		break;
+	case ROLE_LEAVING:
+		return !b->row_writing;
+	}
+	if (b->row_writing)
+		return false;
+	b->role = ROLE_LEAVING;
+	if (b->table_down || b->row_unsure)
+		return true;
+	b->row_released = true;
+	write_row(b, "");
+	return false;
+}
+
+/* The period of this controller comes from the settings. */
+struct tg_controller election = {
+	.name = "election",
+	.period_ms = 2000,
+	.start = start_election,
+	.tick = tick_election,
+	.drain = drain_election,
+};
--- /dev/null
+++ b/cmd/tgschedd/gang.c
@@ -0,0 +1,72 @@
+#include "gang.h"
+
+static enum gang_state from_reserving(const struct gang_facts *f)
+{
+	if (f->troubled || f->stop || f->reservation_ends)
+		return GANG_STOPPING;
+	return f->reserved == f->members ? GANG_COMMITTING : GANG_RESERVING;
+}
+
+static enum gang_state from_committing(const struct gang_facts *f)
+{
+	switch (f->commit) {
+	case COMMIT_OK:
+		break;
+	case COMMIT_FAILED:
+	case COMMIT_UNKNOWN:
+		return GANG_STOPPING;
+	default:
+		return GANG_COMMITTING;
+	}
+	return f->troubled || f->stop ? GANG_STOPPING : GANG_STARTING;
+}
+
+static enum gang_state from_starting(const struct gang_facts *f)
+{
+	if (f->troubled || f->stop || f->reservation_ends)
+		return GANG_STOPPING;
+	return f->running + f->done == f->members ? GANG_RUNNING :
+						    GANG_STARTING;
+}
+
+static enum gang_state from_running(const struct gang_facts *f)
+{
+	if (f->done == f->members)
+		return GANG_RECORDING;
+	return f->troubled || f->stop ? GANG_STOPPING : GANG_RUNNING;
+}
+
+enum gang_state gang_next(enum gang_state s, const struct gang_facts *f)
+{
+	switch (s) {
+	case GANG_NONE:
+		return s;
+	case GANG_RESERVING:
+		return from_reserving(f);
+	case GANG_COMMITTING:
+		return from_committing(f);
+	case GANG_STARTING:
+		return from_starting(f);
+	case GANG_RUNNING:
+		return from_running(f);
+	case GANG_STOPPING:
+		return f->gone == f->members ? GANG_RECORDING : s;
+	case GANG_RECORDING:
+		if (!f->recorded)
+			return s;
+		return f->gone == f->members ? GANG_NONE : GANG_RELEASING;
+	case GANG_RELEASING:
+		return f->gone == f->members ? GANG_NONE : s;
+	}
+	return s;
+}
+
+const char *gang_state_name(enum gang_state s)
+{
+	static const char *const names[] = {
+		"none",	   "reserving", "committing", "starting",
+		"running", "stopping",	"recording",  "releasing",
+	};
+
+	return names[s];
+}
--- /dev/null
+++ b/cmd/tgschedd/gangs.c
@@ -0,0 +1,360 @@
+#include <string.h>
+
+#include "controllers.h"
+#include "facts.h"
+#include "fault.h"
+#include "jobrow.h"
+#include "rowwrite.h"
+
+#define TICK_MS 20
+/* A write that was refused is tried again after this time. */
+#define RETRY_MS 500
+
+/* A reservation that was not started by then leaves no time for renewal. */
+static int64_t start_limit_ms(const struct board *b)
+{
+	return b->opts->lease_ms / 2;
+}
+
+static void collect(const struct board *b, const struct job *j,
+		    struct gang_facts *f)
+{
+	int64_t now_ms = tg_now_ms();
+	int32_t i;
+
+	memset(f, 0, sizeof(*f));
+	f->members = j->n_members;
+	for (i = 0; i < j->n_members; i++) {
+		const struct member *m = &j->members[i];
+
+		f->reserved += m->state == M_RESERVED || m->state == M_RUNNING;
+		f->running += m->state == M_RUNNING;
+		f->done += m->state == M_DONE;
+		f->gone += m->state == M_GONE;
+		f->troubled += m->refused || m->failed || m->lost;
+	}
+	f->commit = j->commit;
+	f->stop = j->cancel || j->checkpoint;
+	f->recorded = j->recorded;
+	f->reservation_ends = now_ms - j->round_ms > start_limit_ms(b);
+}
+
+/* --- commit --- */
+
+static void on_committed(struct board *b, const char *job,
+			 enum tg_plat_end end, uint64_t version,
+			 const struct tg_row *found)
+{
+	struct job *j = board_job(b, job);
+
+	(void)found;
+	if (!j)
+		return;
+	j->writing = false;
+	switch (end) {
+	case TG_PLAT_OK:
+		j->version = version;
+		j->commit = COMMIT_OK;
+		j->committed = true;
+		j->state = JOB_RUNNING;
+		break;
+	case TG_PLAT_UNKNOWN:
+		j->commit = COMMIT_UNKNOWN;
+		j->committed = true;
+		j->version_known = false;
+		break;
+	case TG_PLAT_CONFLICT:
+		j->commit = COMMIT_FAILED;
+		j->committed = true;
+		j->version_known = false;
+		break;
+	default:
+		j->commit = COMMIT_FAILED;
+		break;
+	}
+}
+
+static void commit(struct board *b, struct job *j)
+{
+	j->commit = COMMIT_PENDING;
+	j->writing = true;
+	j->epoch = b->epoch;
+	row_write(b, j->spec.job, j->version, jobrow_encode(j, JOB_RUNNING),
+		  on_committed);
+}
+
+/* --- the row after the gang --- */
+
+static void on_recorded(struct board *b, const char *job, enum tg_plat_end end,
+			uint64_t version, const struct tg_row *found)
+{
+	struct job *j = board_job(b, job);
+
+	if (!j)
+		return;
+	j->writing = false;
+	j->retry_ms = tg_now_ms() + RETRY_MS;
+	if (end == TG_PLAT_OK) {
+		j->version = version;
+		j->recorded = true;
+	} else if (end == TG_PLAT_CONFLICT && found->version) {
+		/* Only our own write of unknown result can have moved it. */
+		j->version = found->version;
+	} else if (end == TG_PLAT_UNKNOWN) {
+		j->version_known = false;
+	}
+}
+
+static void record(struct board *b, struct job *j, int64_t now_ms)
+{
+	/* Nothing was committed, so the row says what it should. */
+	if (!j->committed && j->version_known && !j->cancel &&
+	    j->after == JOB_QUEUED) {
+		j->recorded = true;
+		return;
+	}
+	if (j->writing || b->table_down || now_ms < j->retry_ms)
+		return;
+	if (!j->version_known) {
+		job_read_version(b, j);
+		return;
+	}
+	j->writing = true;
+	row_write(b, j->spec.job, j->version, jobrow_encode(j, j->after),
+		  on_recorded);
+}
+
+/* --- entering states --- */
+
+static void keep_checkpoints(struct job *j)
+{
+	int64_t done_ms = INT64_MAX;
+	json_t *all = json_array();
+	int32_t i;
+
+	for (i = 0; i < j->n_members; i++) {
+		struct member *m = &j->members[i];
+
+		json_array_append_new(all, json_string(m->ckpt));
+		if (m->progress_ms < done_ms)
+			done_ms = m->progress_ms;
+	}
+	json_decref(j->ckpts);
+	j->ckpts = all;
+	j->done_ms = done_ms;
+}
+
+/* Whether every member has taken the checkpoint of a round. */
+static bool checkpoint_whole(const struct job *j, uint64_t round)
+{
+	int32_t i;
+
+	for (i = 0; i < j->n_members; i++)
+		if (j->members[i].ckpt_round < round || !*j->members[i].ckpt)
+			return false;
+	return j->n_members > 0;
+}
+
+static const struct member *find_trouble(const struct job *j)
+{
+	int32_t i;
+
+	for (i = 0; i < j->n_members; i++)
+		if (j->members[i].failed || j->members[i].refused)
+			return &j->members[i];
+	for (i = 0; i < j->n_members; i++)
+		if (j->members[i].lost)
+			return &j->members[i];
+	return NULL;
+}
+
+static void set_cause(struct board *b, struct job *j)
+{
+	const struct member *m = find_trouble(j);
+
+	j->culprit = -1;
+	j->after = j->cancel ? JOB_CANCELLED : JOB_QUEUED;
+	if (j->cancel) {
+		snprintf(j->reason, sizeof(j->reason), "cancelled");
+	} else if (m && m->failed) {
+		j->cause = TG_STOP_TASK_FAILED;
+		j->culprit = m->worker->id;
+	} else if (m && m->refused) {
+		j->cause = TG_STOP_START_REFUSED;
+		j->culprit = m->worker->id;
+	} else if (m) {
+		j->cause = TG_STOP_WORKER_LOST;
+		snprintf(j->reason, sizeof(j->reason),
+			 "task %d lost on worker %s", m->index,
+			 m->worker->name);
+	} else if (j->checkpoint) {
+		j->cause = TG_STOP_RECLAIMED;
+	} else {
+		/* Not the fault of one worker. */
+		j->cause = TG_STOP_WORKER_LOST;
+		snprintf(j->reason, sizeof(j->reason),
+			 j->commit == COMMIT_OK ? "start took too long" :
+						  "start was not committed");
+	}
+	tg_log(EV_SCHED_GANG_STOPPED, "job=%s attempt=%lld reason=\"%s\"",
+	       j->spec.job, (long long)j->attempt, j->reason);
+	board_note(b, j->spec.job, "stop attempt %lld: %s",
+		   (long long)j->attempt, j->reason);
+}
+
+static void enter_stopping(struct board *b, struct job *j)
+{
+	int32_t i;
+
+	set_cause(b, j);
+	for (i = 0; i < j->n_members; i++)
+		if (j->members[i].state == M_NONE)
+			j->members[i].state = M_GONE;
+	board_gang_due(j);
+}
+
+static void enter_running(struct board *b, struct job *j, int64_t now_ms)
+{
+	int32_t i;
+
+	for (i = 0; i < j->n_members; i++)
+		j->members[i].confirmed = j->round;
+	j->running_since_ms = j->ckpt_ms = now_ms;
+	tg_log(EV_SCHED_GANG_STARTED, "job=%s attempt=%lld tasks=%d",
+	       j->spec.job, (long long)j->attempt, j->n_members);
+	board_note(b, j->spec.job, "attempt %lld runs on %d workers' places",
+		   (long long)j->attempt, j->n_members);
+}
+
+static void enter_recording(struct job *j, enum gang_state from)
+{
+	j->recorded = false;
+	j->retry_ms = 0;
+	if (from == GANG_RUNNING) {
+		j->after = JOB_DONE;
+		j->reason[0] = '\0';
+	} else if (j->checkpoint && checkpoint_whole(j, UINT64_MAX)) {
+		keep_checkpoints(j);
+	}
+}
+
+static void finish(struct board *b, struct job *j, int64_t now_ms)
+{
+	enum job_state after = j->after;
+
+	board_free_members(j);
+	j->commit = COMMIT_NONE;
+	j->committed = j->checkpoint = j->ckpt_unsaved = false;
+	j->state = after;
+	if (after == JOB_QUEUED) {
+		facts_stopped(b, j, now_ms);
+		return;
+	}
+	if (after == JOB_DONE)
+		facts_done(b, j, now_ms);
+	else
+		facts_cancel(b, j, now_ms);
+	j->ended_wall_ms = tg_wall_ms();
+	tg_log(EV_SCHED_JOB_ENDED, "job=%s state=%s attempt=%lld", j->spec.job,
+	       job_state_name(after), (long long)j->attempt);
+	board_note(b, j->spec.job, "%s", job_state_name(after));
+}
+
+static void enter(struct board *b, struct job *j, enum gang_state from,
+		  int64_t now_ms)
+{
+	switch (j->gang) {
+	case GANG_COMMITTING:
+		fault_pause(b, "reserve", j->spec.job);
+		commit(b, j);
+		break;
+	case GANG_STARTING:
+		fault_pause(b, "commit", j->spec.job);
+		j->round_ms = now_ms;
+		board_gang_due(j);
+		break;
+	case GANG_RUNNING:
+		enter_running(b, j, now_ms);
+		break;
+	case GANG_STOPPING:
+		enter_stopping(b, j);
+		break;
+	case GANG_RECORDING:
+		enter_recording(j, from);
+		break;
+	case GANG_RELEASING:
+		board_gang_due(j);
+		break;
+	case GANG_NONE:
+		finish(b, j, now_ms);
+		break;
+	default:
+		break;
+	}
+}
+
+static bool needs_message(const struct member *m)
+{
+	switch (m->job->gang) {
+	case GANG_STARTING:
+		return m->state == M_RESERVED || m->state == M_UNKNOWN;
+	case GANG_STOPPING:
+		return m->state != M_NONE && m->state != M_GONE;
+	case GANG_RELEASING:
+		return m->state == M_DONE || m->state == M_STOPPED;
+	default:
+		return false;
+	}
+}
+
+static void mark_due(struct job *j)
+{
+	int32_t i;
+
+	for (i = 0; i < j->n_members; i++)
+		if (needs_message(&j->members[i]))
+			j->members[i].worker->due = true;
+}
+
+static void step(struct board *b, struct job *j, int64_t now_ms)
+{
+	struct gang_facts f;
+	enum gang_state from = j->gang, to;
+
+	if (from == GANG_RECORDING && !j->recorded)
+		record(b, j, now_ms);
+	if (from == GANG_RUNNING && j->ckpt_round > j->ckpt_done_round &&
+	    checkpoint_whole(j, j->ckpt_round)) {
+		j->ckpt_done_round = j->ckpt_round;
+		keep_checkpoints(j);
+		j->ckpt_unsaved = true;
+	}
+	collect(b, j, &f);
+	to = gang_next(from, &f);
+	if (to == GANG_COMMITTING && from == GANG_RESERVING && j->writing)
+		return;
+	if (to == from) {
+		mark_due(j);
+		return;
+	}
+	j->gang = to;
+	enter(b, j, from, now_ms);
+}
+
+static void tick_gangs(void *board, int64_t now_ms)
+{
+	struct board *b = board;
+	struct job *j, *tmp;
+
+	if (b->role != ROLE_ACTIVE)
+		return;
+	HASH_ITER(hh, b->jobs, j, tmp)
+	if (j->gang != GANG_NONE)
+		step(b, j, now_ms);
+}
+
+const struct tg_controller gangs = {
+	.name = "gangs",
+	.period_ms = TICK_MS,
+	.tick = tick_gangs,
+};
--- /dev/null
+++ b/cmd/tgschedd/jobrow.h
@@ -0,0 +1,23 @@
+#ifndef TG_SCHEDD_JOBROW_H
+#define TG_SCHEDD_JOBROW_H
+
+#include "board.h"
+
+/**
+ * jobrow_encode() - value of the job's row in the table
+ * @state: state to record
+ *
+ * A row in state "running" names the workers of the attempt.  It stays
+ * "running" until every lease of the attempt is released or has definitely
+ * expired, so that a row in another state has nothing running.
+ */
+json_t *jobrow_encode(const struct job *j, enum job_state state);
+/** jobrow_decode() - add the job of a row to the board; NULL if invalid */
+struct job *jobrow_decode(struct board *b, const struct tg_row *row);
+/** jobrow_public() - what a caller sees of a job, new reference */
+json_t *jobrow_public(const struct board *b, const struct job *j);
+/** jobrow_key() - key of a job's row; @out holds TG_KEY_MAX bytes */
+#define TG_KEY_MAX 200
+void jobrow_key(const struct board *b, const char *job, char *out);
+
+#endif
--- /dev/null
+++ b/cmd/tgschedd/lease.c
@@ -0,0 +1,15 @@
+#include "lease.h"
+
+int64_t lease_expires_ms(int64_t worker_now_ms, int64_t ttl_ms)
+{
+	return worker_now_ms + ttl_ms;
+}
+
+int64_t lease_expired_ms(int64_t reply_ms, int64_t left_ms)
+{
+	if (left_ms < 0)
+		left_ms = 0;
+	/* Rounded up, so that short leases keep the whole margin. */
+	return reply_ms + left_ms +
+		(left_ms * LEASE_DRIFT_PERCENT + 99) / 100 + LEASE_SLACK_MS;
+}
--- /dev/null
+++ b/cmd/tgschedd/main.c
@@ -0,0 +1,232 @@
+#include <stddef.h>
+#include <string.h>
+
+#include "controllers.h"
+#include "facts.h"
+#include "fault.h"
+
+#define PROG "tgschedd"
+
+static const struct tg_event_info events[] = {
+#define TG_EVENT TG_EVENT_INFO
+#include "events.def"
+#undef TG_EVENT
+	{ 0, TG_INFO, NULL },
+};
+
+#define SETTING(flag, type, def, min, max, required, help, field) \
+	{ flag, type, def,  min, \
+	  max,	required, help, offsetof(struct options, field) }
+
+static const struct tg_setting settings[] = {
+	SETTING("http-addr", TG_SET_ADDR, "127.0.0.1:0", 0, 0, false,
+		"address of /metrics, /healthz and /readyz", http_addr),
+	SETTING("rpc-addr", TG_SET_ADDR, "127.0.0.1:0", 0, 0, false,
+		"address for RPC, TCP and UDP", rpc_addr),
+	SETTING("instance", TG_SET_NAME, NULL, 0, 0, true,
+		"name of this instance", instance),
+	SETTING("az", TG_SET_NAME, NULL, 0, 0, true, "availability zone", az),
+	SETTING("platform", TG_SET_ADDR, NULL, 0, 0, true,
+		"address of the platform", platform),
+	SETTING("peers", TG_SET_ADDRS, NULL, 0, 0, false,
+		"RPC addresses of peers, beside the instance list", peers),
+	SETTING("sched-renew-ms", TG_SET_INT, "2000", 50, 600000, false,
+		"period of the scheduler's row", sched_renew_ms),
+	SETTING("sched-lease-ms", TG_SET_INT, "6000", 150, 1800000, false,
+		"time without a change after which a standby takes the row",
+		sched_lease_ms),
+	SETTING("lease-ms", TG_SET_INT, "30000", 500, 3600000, false,
+		"length of a task lease", lease_ms),
+	SETTING("renew-ms", TG_SET_INT, "5000", 50, 600000, false,
+		"period of lease renewal", renew_ms),
+	SETTING("checkpoint-ms", TG_SET_INT, "600000", 0, 86400000, false,
+		"period of checkpoints of a gang; 0 for none", checkpoint_ms),
+	SETTING("call-ms", TG_SET_INT, "1000", 50, 60000, false,
+		"limit of a call to a worker, and wait after a failed one",
+		call_ms),
+	SETTING("worker-lost-ms", TG_SET_INT, "15000", 100, 3600000, false,
+		"silence after which a worker's tasks count as lost",
+		worker_lost_ms),
+	SETTING("drain-grace-ms", TG_SET_INT, "500", 0, 600000, false,
+		"time that the listeners stay open after SIGTERM",
+		drain_grace_ms),
+	SETTING("drain-max-ms", TG_SET_INT, "30000", 0, 3600000, false,
+		"longest time from SIGTERM to the end", drain_max_ms),
+	SETTING("log-level", TG_SET_STRING, "info", 0, 0, false,
+		"debug, info, warn or error", log_level),
+	SETTING("pause-at", TG_SET_STRING, NULL, 0, 0, false,
+		"fault test: stop once at reserve, commit or start", pause_at),
+	SETTING("unsafe-ignore-epoch", TG_SET_BOOL, NULL, 0, 0, false,
+		"fault test: command under the worker's epoch, not the own",
+		unsafe_ignore_epoch),
+	SETTING("unsafe-start-before-reserved", TG_SET_BOOL, NULL, 0, 0, false,
+		"fault test: start members before all are reserved",
+		unsafe_start_before_reserved),
+	SETTING("unsafe-renew-partial-gangs", TG_SET_BOOL, NULL, 0, 0, false,
+		"fault test: renew gangs that lost a member",
+		unsafe_renew_partial_gangs),
+	SETTING("unsafe-no-outage-renewal", TG_SET_BOOL, NULL, 0, 0, false,
+		"fault test: standbys do not renew", unsafe_no_outage_renewal),
+	SETTING("unsafe-restart-before-expiry", TG_SET_BOOL, NULL, 0, 0, false,
+		"fault test: count lost leases as expired at once",
+		unsafe_restart_before_expiry),
+	{ 0 },
+};
+
+static void check_periods(const struct options *o, struct tg_findings *f)
+{
+	if (o->sched_lease_ms < 2 * o->sched_renew_ms)
+		tg_findings_add(f, "--sched-lease-ms",
+				"less than twice --sched-renew-ms");
+	if (o->lease_ms < 3 * o->renew_ms)
+		tg_findings_add(f, "--lease-ms",
+				"less than three times --renew-ms");
+}
+
+static void set_worker(struct board *b, const struct tg_instance *in)
+{
+	struct worker *w = board_add_worker(b, in->name);
+
+	w->listed = true;
+	w->leaving = in->leaving;
+	w->cores = in->cores;
+	w->memory_gb = in->memory_gb;
+	w->accelerators = in->accelerators;
+	memcpy(w->rack, in->rack, sizeof(w->rack));
+	if (strcmp(w->addr, in->addr) != 0) {
+		memcpy(w->addr, in->addr, sizeof(w->addr));
+		w->installed = false;
+		w->next_ms = 0;
+	}
+	facts_add_worker(b, w);
+}
+
+static void on_instances(const struct tg_instance *list, size_t n, void *arg)
+{
+	struct board *b = arg;
+	struct worker *w, *tmp;
+	size_t i;
+
+	HASH_ITER(hh, b->workers, w, tmp)
+	w->listed = false;
+	for (i = 0; i < n; i++)
+		if (list[i].kind == TG_KIND_WORKER &&
+		    !strcmp(list[i].az, b->opts->az))
+			set_worker(b, &list[i]);
+	b->decide = true;
+}
+
+static void on_doc(const struct tg_doc *doc, void *arg)
+{
+	struct board *b = arg;
+
+	(void)doc;
+	b->doc_changed = true;
+	b->decide = true;
+}
+
+static int start_daemon(struct board *b)
+{
+	static const struct tg_controller *const controllers[] = {
+		&serving, &election,  &rebuild, &workers, &gangs,
+		&renewal, &admission, &outage,	&decisions, NULL
+	};
+	const struct options *o = b->opts;
+	struct tg_daemon_opts daemon = {
+		.base = b->base,
+		.controllers = controllers,
+		.board = b,
+		.drain_grace_ms = o->drain_grace_ms,
+		.drain_max_ms = o->drain_max_ms,
+	};
+
+	election.period_ms = (int32_t)o->sched_renew_ms;
+	renewal.period_ms = outage.period_ms = (int32_t)o->renew_ms;
+	return tg_daemon_run(&daemon);
+}
+
+static void make_clients(struct board *b)
+{
+	const struct options *o = b->opts;
+	struct tg_http_client_opts http = { .base = b->base };
+	struct tg_plat_opts plat = { .base = b->base, .addr = o->platform };
+	struct tg_member_opts member = {
+		.base = b->base,
+		.instance = o->instance,
+		.role = "sched",
+		.az = o->az,
+		.peers = o->peers,
+		.on_doc = on_doc,
+		.on_instances = on_instances,
+		.arg = b,
+	};
+
+	b->http = tg_http_client_new(&http);
+	/* One message at a time goes to a worker. */
+	http.idle_per_addr = 1;
+	b->worker_http = tg_http_client_new(&http);
+	plat.http = b->http;
+	b->plat = tg_plat_new(&plat);
+	b->rpc = tg_rpc_client_new(b->base);
+	member.plat = b->plat;
+	member.rpc = b->rpc;
+	b->member = tg_member_new(&member);
+}
+
+static void free_clients(struct board *b)
+{
+	tg_member_free(b->member);
+	tg_rpc_client_free(b->rpc);
+	tg_plat_free(b->plat);
+	tg_http_client_free(b->worker_http);
+	tg_http_client_free(b->http);
+}
+
+static void open_log(const struct options *o)
+{
+	tg_log_open(PROG, o->log_level);
+	tg_log_register(tg_http_events);
+	tg_log_register(tg_rpc_events);
+	tg_log_register(tg_plat_events);
+	tg_log_register(tg_doc_events);
+	tg_log_register(tg_member_events);
+	tg_log_register(events);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct tg_settings_spec spec = {
+		.prog = PROG,
+		.summary = "Scheduler daemon of an availability zone.",
+		.items = settings,
+	};
+	static struct options opts;
+	static struct board b;
+	struct tg_findings f = { 0 };
+	int status;
+
+	switch (tg_settings_load(&spec, argc, argv, &opts, NULL)) {
+	case TG_SETTINGS_DONE:
+		return 0;
+	case TG_SETTINGS_BAD:
+		return TG_EXIT_USAGE;
+	case TG_SETTINGS_OK:
+		break;
+	}
+	fault_check(&opts, &f);
+	check_periods(&opts, &f);
+	if (f.n) {
+		tg_findings_print(&f, stderr, PROG);
+		tg_findings_free(&f);
+		return TG_EXIT_USAGE;
+	}
+	open_log(&opts);
+	fault_warn(&opts);
+	b.opts = &opts;
+	b.base = event_base_new();
+	make_clients(&b);
+	status = start_daemon(&b);
+	free_clients(&b);
+	event_base_free(b.base);
+	return status;
+}
--- /dev/null
+++ b/cmd/tgschedd/options.h
@@ -0,0 +1,19 @@
+#ifndef TG_SCHEDD_OPTIONS_H
+#define TG_SCHEDD_OPTIONS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** struct options - settings of the process, see the table in main.c */
+struct options {
+	const char *http_addr, *rpc_addr, *instance, *az, *platform, *peers;
+	const char *log_level, *pause_at;
+	int64_t sched_renew_ms, sched_lease_ms, lease_ms, renew_ms;
+	int64_t checkpoint_ms, call_ms, worker_lost_ms;
+	int64_t drain_grace_ms, drain_max_ms;
+	bool unsafe_ignore_epoch, unsafe_start_before_reserved;
+	bool unsafe_renew_partial_gangs, unsafe_no_outage_renewal;
+	bool unsafe_restart_before_expiry;
+};
+
+#endif
--- /dev/null
+++ b/cmd/tgschedd/rebuild.c
@@ -0,0 +1,111 @@
+#include <string.h>
+
+#include "controllers.h"
+#include "facts.h"
+#include "jobrow.h"
+#include "lease.h"
+#include "message.h"
+#include "spec.h"
+
+#define TICK_MS 50
+
+static bool all_tried(struct board *b)
+{
+	struct worker *w, *tmp;
+
+	HASH_ITER(hh, b->workers, w, tmp)
+	if (w->listed && !w->installed && !w->tried)
+		return false;
+	return true;
+}
+
+static void adopt(struct board *b, struct job *j, int64_t now_ms)
+{
+	int64_t expired_ms = lease_expired_ms(
+		b->claimed_ms + b->opts->sched_renew_ms + b->opts->call_ms,
+		b->opts->lease_ms);
+	int32_t i;
+
+	for (i = 0; i < j->n_members; i++) {
+		j->members[i].state = M_UNKNOWN;
+		j->members[i].expired_ms = expired_ms;
+	}
+	j->gang = GANG_STARTING;
+	j->commit = COMMIT_OK;
+	j->committed = true;
+	j->round_ms = now_ms;
+	j->base_ms = j->done_ms;
+	j->after = JOB_QUEUED;
+	facts_adopt(b, j, now_ms);
+}
+
+static void rebuild_jobs(struct board *b, const struct tg_row *rows, size_t n)
+{
+	int64_t now_ms = tg_now_ms();
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		struct job *j = jobrow_decode(b, &rows[i]);
+
+		if (j && j->state == JOB_RUNNING)
+			adopt(b, j, now_ms);
+		else if (j && j->state == JOB_QUEUED)
+			facts_submit(b, j, NULL);
+	}
+}
+
+static void on_rows(enum tg_plat_end end, const struct tg_row *rows, size_t n,
+		    void *arg)
+{
+	struct board *b = arg;
+	struct worker *w, *tmp;
+
+	b->loading = false;
+	if (b->role != ROLE_LOADING)
+		return;
+	if (end != TG_PLAT_OK) {
+		board_set_table(b, false);
+		return;
+	}
+	facts_new_fleet(b);
+	rebuild_jobs(b, rows, n);
+	b->role = ROLE_ACTIVE;
+	HASH_ITER(hh, b->workers, w, tmp)
+	if (w->installed)
+		worker_reconcile(b, w);
+	b->decide = true;
+	tg_member_set_scheduler(b->member, b->epoch, true);
+	tg_log(EV_SCHED_ACTIVE, "az=%s epoch=%llu workers=%u jobs=%u",
+	       b->opts->az, (unsigned long long)b->epoch,
+	       HASH_COUNT(b->workers), HASH_COUNT(b->jobs));
+}
+
+static void load(struct board *b)
+{
+	char prefix[TG_KEY_MAX];
+
+	jobrow_key(b, "", prefix);
+	b->loading = true;
+	tg_rows_list(b->plat, prefix, on_rows, b);
+}
+
+static void tick_rebuild(void *board, int64_t now_ms)
+{
+	struct board *b = board;
+	size_t n;
+
+	(void)now_ms;
+	if (b->role == ROLE_STANDBY && (b->jobs || b->fleet))
+		board_forget(b);
+	if (b->role == ROLE_INSTALLING &&
+	    tg_member_instances(b->member, &n) && all_tried(b))
+		b->role = ROLE_LOADING;
+	if (b->role == ROLE_LOADING && !b->loading)
+		load(b);
+}
+
+const struct tg_controller rebuild = {
+	.name = "rebuild",
+	.period_ms = TICK_MS,
+	.tick = tick_rebuild,
+};
--- /dev/null
+++ b/cmd/tgschedd/rowwrite.c
@@ -0,0 +1,172 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "jobrow.h"
+#include "rowwrite.h"
+
+/* Our renewals move the row every sched_renew_ms; two misses are unlikely. */
+#define ATTEMPTS_MAX 5
+#define READ_RETRY_MS 500
+
+struct write {
+	struct board *board;
+	char job[TG_NAME_MAX + 1];
+	uint64_t version, epoch;
+	json_t *value;
+	row_written done;
+	int attempts;
+};
+
+void sched_row_key(const struct board *b, char *out)
+{
+	snprintf(out, TG_KEY_MAX, "sched/%s", b->opts->az);
+}
+
+bool sched_row_ours(const struct board *b, const struct tg_row *row)
+{
+	const char *boot =
+		json_string_value(json_object_get(row->value, "boot"));
+
+	return boot && !strcmp(boot, tg_member_boot(b->member)) &&
+		(uint64_t)json_integer_value(json_object_get(
+			row->value, "epoch")) == b->epoch;
+}
+
+static void free_write(struct write *w)
+{
+	json_decref(w->value);
+	free(w);
+}
+
+static void finish(struct write *w, enum tg_plat_end end, uint64_t version,
+		   const struct tg_row *found)
+{
+	struct board *b = w->board;
+
+	if (end == TG_PLAT_UNAVAILABLE || end == TG_PLAT_UNKNOWN)
+		board_set_table(b, false);
+	if (b->epoch == w->epoch)
+		w->done(b, w->job, end, version, found);
+	free_write(w);
+}
+
+static void send(struct write *w);
+
+static const struct tg_row *find_row(const struct tg_row *rows, size_t n,
+				     const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (!strcmp(rows[i].key, key))
+			return &rows[i];
+	return NULL;
+}
+
+static void on_conflict(struct write *w, const struct tg_row *rows, size_t n)
+{
+	struct board *b = w->board;
+	char key[TG_KEY_MAX];
+	const struct tg_row *ours, *job;
+
+	sched_row_key(b, key);
+	ours = find_row(rows, n, key);
+	jobrow_key(b, w->job, key);
+	job = find_row(rows, n, key);
+	if (ours && !sched_row_ours(b, ours)) {
+		board_step_down(b, "row",
+				(uint64_t)json_integer_value(json_object_get(
+					ours->value, "epoch")));
+		free_write(w);
+		return;
+	}
+	if (ours && !job && ++w->attempts < ATTEMPTS_MAX) {
+		if (!b->row_writing)
+			b->row_version = ours->version;
+		send(w);
+		return;
+	}
+	if (job)
+		finish(w, TG_PLAT_CONFLICT, 0, job);
+	else
+		finish(w, TG_PLAT_UNAVAILABLE, 0, NULL);
+}
+
+static void on_done(enum tg_plat_end end, const struct tg_row *rows, size_t n,
+		    void *arg)
+{
+	struct write *w = arg;
+
+	if (w->board->epoch != w->epoch)
+		free_write(w);
+	else if (end == TG_PLAT_CONFLICT)
+		on_conflict(w, rows, n);
+	else
+		finish(w, end, end == TG_PLAT_OK && n ? rows[0].version : 0,
+		       NULL);
+}
+
+static void send(struct write *w)
+{
+	struct board *b = w->board;
+	struct tg_txn *t = tg_txn_new(b->plat);
+	char key[TG_KEY_MAX];
+
+	sched_row_key(b, key);
+	tg_txn_if(t, key, b->row_version);
+	jobrow_key(b, w->job, key);
+	tg_txn_if(t, key, w->version);
+	tg_txn_put(t, key, json_incref(w->value));
+	tg_txn_commit(t, on_done, w);
+}
+
+void row_write(struct board *b, const char *job, uint64_t version,
+	       json_t *value, row_written done)
+{
+	struct write *w = tg_xcalloc(1, sizeof(*w));
+
+	w->board = b;
+	tg_strlcpy(w->job, job, sizeof(w->job));
+	w->version = version;
+	w->epoch = b->epoch;
+	w->value = value;
+	w->done = done;
+	send(w);
+}
+
+struct row_read {
+	struct board *board;
+	char job[TG_NAME_MAX + 1];
+	uint64_t epoch;
+};
+
+static void on_job_row(enum tg_plat_end end, const struct tg_row *row, void *arg)
+{
+	struct row_read *r = arg;
+	struct board *b = r->board;
+	struct job *j = b->epoch == r->epoch ? board_job(b, r->job) : NULL;
+
+	if (j) {
+		j->writing = false;
+		j->retry_ms = tg_now_ms() + READ_RETRY_MS;
+		if (end == TG_PLAT_OK) {
+			j->version = row->version;
+			j->version_known = true;
+			j->retry_ms = 0;
+		}
+	}
+	free(r);
+}
+
+void job_read_version(struct board *b, struct job *j)
+{
+	struct row_read *r = tg_xcalloc(1, sizeof(*r));
+	char key[TG_KEY_MAX];
+
+	r->board = b;
+	r->epoch = b->epoch;
+	tg_strlcpy(r->job, j->spec.job, sizeof(r->job));
+	j->writing = true;
+	jobrow_key(b, j->spec.job, key);
+	tg_row_get(b->plat, key, on_job_row, r);
+}
--- /dev/null
+++ b/cmd/tgschedd/workers.c
@@ -0,0 +1,203 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "controllers.h"
+#include "lease.h"
+#include "message.h"
+
+#define TICK_MS 20
+/* An idle worker is asked this seldom, in renewal rounds. */
+#define IDLE_ROUNDS 6
+
+struct install {
+	struct board *board;
+	struct worker *worker;
+	uint64_t epoch;
+};
+
+/* --- epoch --- */
+
+static void on_inventory(struct board *b, struct worker *w, json_t *answer)
+{
+	char boot[TG_NAME_MAX + 1];
+
+	memcpy(boot, w->boot, sizeof(boot));
+	if (!worker_note_clock(w, answer))
+		return;
+	w->installed = true;
+	if (strcmp(boot, w->boot))
+		w->quarantined = false;
+	json_decref(w->inventory);
+	w->inventory = json_incref(json_object_get(answer, "leases"));
+	if (b->role == ROLE_ACTIVE)
+		worker_reconcile(b, w);
+}
+
+static void on_refused(struct board *b, struct worker *w, const json_t *answer)
+{
+	uint64_t epoch = (uint64_t)json_integer_value(
+		json_object_get(answer, "epoch"));
+
+	w->epoch_seen = epoch;
+	w->next_ms = tg_now_ms() + b->opts->call_ms;
+	if (epoch <= b->epoch)
+		return;
+	tg_log(EV_SCHED_FENCED, "worker=%s epoch=%llu higher=%llu", w->name,
+	       (unsigned long long)b->epoch, (unsigned long long)epoch);
+	if (!b->opts->unsafe_ignore_epoch)
+		board_step_down(b, "worker", epoch);
+}
+
+static void on_installed(const struct tg_http_result *r, void *arg)
+{
+	struct install *in = arg;
+	struct board *b = in->board;
+	struct worker *w = in->worker;
+	json_t *answer = tg_http_result_json(r);
+
+	w->call = NULL;
+	w->in_flight = false;
+	if (r->end != TG_HTTP_WHOLE || !answer) {
+		w->up = false;
+		w->tried = true;
+		w->next_ms = tg_now_ms() + b->opts->call_ms;
+	} else if (b->epoch != in->epoch) {
+		/* Stepped down since. */
+	} else if (r->status == 200) {
+		on_inventory(b, w, answer);
+	} else {
+		on_refused(b, w, answer);
+	}
+	json_decref(answer);
+	free(in);
+}
+
+static void install(struct board *b, struct worker *w)
+{
+	struct install *in = tg_xcalloc(1, sizeof(*in));
+	struct tg_http_call_opts call = {
+		.method = EVHTTP_REQ_POST,
+		.addr = w->addr,
+		.uri = "/v1/epoch",
+		.timeout_ms = b->opts->call_ms,
+		.done = on_installed,
+		.arg = in,
+	};
+	uint64_t epoch = b->epoch;
+	json_t *v;
+	char *text;
+
+	if (b->opts->unsafe_ignore_epoch && w->epoch_seen > epoch)
+		epoch = w->epoch_seen;
+	v = json_pack("{s:s, s:I, s:s}", "az", b->opts->az, "epoch",
+		      (json_int_t)epoch, "holder", b->opts->instance);
+	text = json_dumps(v, JSON_COMPACT);
+	json_decref(v);
+	in->board = b;
+	in->worker = w;
+	in->epoch = b->epoch;
+	call.body = text;
+	call.body_bytes = strlen(text);
+	w->in_flight = true;
+	w->call = tg_http_call_start(b->worker_http, &call);
+	free(text);
+}
+
+/* --- reachability --- */
+
+static void lose_members(struct board *b, struct worker *w)
+{
+	struct member *m;
+
+	tg_log(EV_SCHED_WORKER_LOST, "worker=%s silent_ms=%lld", w->name,
+	       (long long)(tg_now_ms() - w->reply_ms));
+	w->lost = true;
+	b->decide = true;
+	DL_FOREACH(w->members, m)
+	if (m->state != M_NONE && m->state < M_DONE)
+		m->lost = true;
+}
+
+/* A worker that never answered counts from the claim. */
+static int64_t heard_ms(const struct board *b, const struct worker *w)
+{
+	return w->reply_ms > b->claimed_ms ? w->reply_ms : b->claimed_ms;
+}
+
+/*
+ * Standbys may have renewed leases during a table outage, so nothing expires
+ * for us before the outage has ended and one more lease has passed.
+ */
+static int64_t gone_ms(const struct board *b, const struct member *m)
+{
+	int64_t after_ms;
+
+	if (b->opts->unsafe_restart_before_expiry)
+		return 0;
+	if (b->table_down)
+		return INT64_MAX;
+	if (!b->table_up_ms)
+		return m->expired_ms;
+	after_ms = lease_expired_ms(b->table_up_ms + b->opts->call_ms,
+				    b->opts->lease_ms);
+	return m->expired_ms > after_ms ? m->expired_ms : after_ms;
+}
+
+static bool may_expire(const struct member *m)
+{
+	return m->state != M_NONE && m->state != M_GONE &&
+		(m->lost || m->job->gang == GANG_STOPPING ||
+		 m->job->gang == GANG_RELEASING);
+}
+
+static void check_reach(struct board *b, struct worker *w, int64_t now_ms)
+{
+	struct member *m;
+
+	if (!w->lost && !w->up && w->tried &&
+	    now_ms - heard_ms(b, w) > b->opts->worker_lost_ms)
+		lose_members(b, w);
+	DL_FOREACH(w->members, m)
+	if (may_expire(m) && now_ms > gone_ms(b, m))
+		m->state = M_GONE;
+}
+
+static int64_t poll_ms(const struct board *b, const struct worker *w)
+{
+	return w->members ? b->opts->renew_ms :
+			    b->opts->renew_ms * IDLE_ROUNDS;
+}
+
+static void serve_worker(struct board *b, struct worker *w, int64_t now_ms)
+{
+	if (w->in_flight || !*w->addr || now_ms < w->next_ms)
+		return;
+	if (!w->installed) {
+		install(b, w);
+	} else if (b->role == ROLE_ACTIVE &&
+		   (w->due || now_ms - w->reply_ms >= poll_ms(b, w))) {
+		w->due = false;
+		message_send(b, w, now_ms);
+	}
+}
+
+static void tick_workers(void *board, int64_t now_ms)
+{
+	struct board *b = board;
+	struct worker *w, *tmp;
+
+	if (b->role != ROLE_INSTALLING && b->role != ROLE_ACTIVE)
+		return;
+	HASH_ITER(hh, b->workers, w, tmp)
+	{
+		serve_worker(b, w, now_ms);
+		if (b->role == ROLE_ACTIVE)
+			check_reach(b, w, now_ms);
+	}
+}
+
+const struct tg_controller workers = {
+	.name = "workers",
+	.period_ms = TICK_MS,
+	.tick = tick_workers,
+};
