--- a/cmd/tgschedd/admission.c
+++ b/cmd/tgschedd/admission.c
@@ -10,7 +10,7 @@
 /* Writes begun in one turn; they leave as one group where they can. */
 #define WRITES_MAX 64
 
-static const char outage[] = "the table does not answer; nothing was done";
+static const char no_table[] = "the table does not answer; nothing was done";
 static const char unknown[] = "the result of the write is unknown; ask again";
 
 /* --- submission --- */
@@ -95,7 +95,7 @@
 		if (j->state == JOB_UNSETTLED)
 			j->retry_ms = tg_now_ms() + RETRY_MS;
 		else
-			refuse(b, j, TG_RPC_UNAVAILABLE, outage);
+			refuse(b, j, TG_RPC_UNAVAILABLE, no_table);
 		break;
 	}
 }
@@ -135,7 +135,7 @@
 			     end == TG_PLAT_UNAVAILABLE ? TG_RPC_UNAVAILABLE :
 							  TG_RPC_UNKNOWN,
 			     NULL,
-			     end == TG_PLAT_UNAVAILABLE ? outage : unknown);
+			     end == TG_PLAT_UNAVAILABLE ? no_table : unknown);
 		return;
 	}
 	j->version = version;
@@ -250,11 +250,11 @@
 	if (j->writing)
 		return;
 	if (j->state == JOB_WRITING) {
-		refuse(b, j, TG_RPC_UNAVAILABLE, outage);
+		refuse(b, j, TG_RPC_UNAVAILABLE, no_table);
 	} else if (j->cancel_asked) {
 		j->cancel_asked = false;
 		board_answer(b, &j->cancel_waiters, TG_RPC_UNAVAILABLE, NULL,
-			     outage);
+			     no_table);
 	}
 }
 
--- a/cmd/tgschedd/decisions.c
+++ b/cmd/tgschedd/decisions.c
@@ -45,7 +45,7 @@
 	if (!j || j->gang == GANG_NONE)
 		return;
 	j->checkpoint = true;
-	snprintf(j->reason, sizeof(j->reason), "reclaimed for %s: %s",
+	snprintf(j->reason, sizeof(j->reason), "reclaimed for %s: %.100s",
 		 a->beneficiary, a->reason);
 	board_note(b, a->job, "%s", j->reason);
 }
--- a/cmd/tgschedd/rowwrite.c
+++ b/cmd/tgschedd/rowwrite.c
@@ -50,7 +50,7 @@
 	free_write(w);
 }
 
-static void send(struct write *w);
+static void send_write(struct write *w);
 
 static const struct tg_row *find_row(const struct tg_row *rows, size_t n,
 				     const char *key)
@@ -83,7 +83,7 @@
 	if (ours && !job && ++w->attempts < ATTEMPTS_MAX) {
 		if (!b->row_writing)
 			b->row_version = ours->version;
-		send(w);
+		send_write(w);
 		return;
 	}
 	if (job)
@@ -106,7 +106,7 @@
 		       NULL);
 }
 
-static void send(struct write *w)
+static void send_write(struct write *w)
 {
 	struct board *b = w->board;
 	struct tg_txn *t = tg_txn_new(b->plat);
@@ -131,7 +131,7 @@
 	w->epoch = b->epoch;
 	w->value = value;
 	w->done = done;
-	send(w);
+	send_write(w);
 }
 
 struct row_read {
