--- a/lib/oncrpc/server.c
+++ b/lib/oncrpc/server.c
@@ -1,4 +1,5 @@
 #include <errno.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -351,6 +352,22 @@
 	return event_add(s->udp, NULL);
 }
 
+/* evutil_parse_sockaddr_port() refuses port 0. */
+static int parse_listen_addr(const char *addr, struct sockaddr *sa, int *len)
+{
+	char host[TG_ADDR_MAX + 1];
+	uint16_t port;
+
+	if (tg_addr_split(addr, host, sizeof(host), &port) ||
+	    evutil_parse_sockaddr_port(host, sa, len))
+		return -1;
+	if (sa->sa_family == AF_INET6)
+		((struct sockaddr_in6 *)sa)->sin6_port = htons(port);
+	else
+		((struct sockaddr_in *)sa)->sin_port = htons(port);
+	return 0;
+}
+
 static int listen_on(struct tg_rpc_server *s, const char *addr)
 {
 	struct sockaddr_storage ss = { 0 };
@@ -359,7 +376,7 @@
 	socklen_t bound_len = sizeof(ss);
 	evutil_socket_t fd;
 
-	if (evutil_parse_sockaddr_port(addr, sa, &len))
+	if (parse_listen_addr(addr, sa, &len))
 		return -1;
 	s->listener = evconnlistener_new_bind(s->opts.base, on_accept, s,
 					      LEV_OPT_CLOSE_ON_FREE |
