--- a/cmd/tgschedd/admission.c
+++ b/cmd/tgschedd/admission.c
@@ -103,8 +103,7 @@
 static void insert(struct board *b, struct job *j)
 {
 	j->writing = true;
-	row_write(b, j->spec.job, 0, jobrow_encode(j, JOB_QUEUED),
-		  on_inserted);
+	row_write(b, j->spec.job, 0, jobrow_encode(j, JOB_QUEUED), on_inserted);
 }
 
 /* --- cancellation and parking --- */
@@ -118,9 +117,8 @@
 	json_decref(v);
 }
 
-static void on_cancelled(struct board *b, const char *job,
-			 enum tg_plat_end end, uint64_t version,
-			 const struct tg_row *found)
+static void on_cancelled(struct board *b, const char *job, enum tg_plat_end end,
+			 uint64_t version, const struct tg_row *found)
 {
 	struct job *j = board_job(b, job);
 
--- a/cmd/tgschedd/board.c
+++ b/cmd/tgschedd/board.c
@@ -48,8 +48,7 @@
 
 	board_free_members(j);
 	j->n_members = j->spec.tasks;
-	j->members =
-		tg_xcalloc((size_t)j->n_members, sizeof(*j->members));
+	j->members = tg_xcalloc((size_t)j->n_members, sizeof(*j->members));
 	for (i = 0; i < j->n_members; i++) {
 		j->members[i].job = j;
 		j->members[i].index = i;
@@ -235,7 +234,7 @@
 const char *job_state_name(enum job_state s)
 {
 	static const char *const names[] = {
-		"queued", "queued", "queued", "running",
+		"queued", "queued",    "queued", "running",
 		"done",	  "cancelled", "parked",
 	};
 
--- a/cmd/tgschedd/controllers.h
+++ b/cmd/tgschedd/controllers.h
@@ -5,8 +5,7 @@
 
 /* Started in this order; the periods of some come from the settings. */
 extern struct tg_controller election, renewal, outage;
-extern const struct tg_controller serving, workers, rebuild, gangs,
-	admission,
+extern const struct tg_controller serving, workers, rebuild, gangs, admission,
 	decisions;
 
 #endif
--- a/cmd/tgschedd/decisions.c
+++ b/cmd/tgschedd/decisions.c
@@ -24,8 +24,9 @@
 	for (i = 0; i < j->n_members; i++)
 		board_place_member(
 			&j->members[i],
-			board_worker(b, tg_fleet_worker_name(b->fleet,
-							     a->workers[i])));
+			board_worker(
+				b,
+				tg_fleet_worker_name(b->fleet, a->workers[i])));
 	j->attempt++;
 	j->gang = GANG_RESERVING;
 	j->commit = COMMIT_NONE;
--- a/cmd/tgschedd/gangs.c
+++ b/cmd/tgschedd/gangs.c
@@ -41,9 +41,8 @@
 
 /* --- commit --- */
 
-static void on_committed(struct board *b, const char *job,
-			 enum tg_plat_end end, uint64_t version,
-			 const struct tg_row *found)
+static void on_committed(struct board *b, const char *job, enum tg_plat_end end,
+			 uint64_t version, const struct tg_row *found)
 {
 	struct job *j = board_job(b, job);
 
@@ -222,7 +221,7 @@
 	j->running_since_ms = j->ckpt_ms = now_ms;
 	tg_log(EV_SCHED_GANG_STARTED, "job=%s attempt=%lld tasks=%d",
 	       j->spec.job, (long long)j->attempt, j->n_members);
-	board_note(b, j->spec.job, "attempt %lld runs on %d workers' places",
+	board_note(b, j->spec.job, "attempt %lld runs, %d tasks",
 		   (long long)j->attempt, j->n_members);
 }
 
--- a/cmd/tgschedd/jobrow.c
+++ b/cmd/tgschedd/jobrow.c
@@ -21,12 +21,12 @@
 
 json_t *jobrow_encode(const struct job *j, enum job_state state)
 {
-	json_t *v = json_pack(
-		"{s:O, s:s, s:I, s:I, s:s, s:I, s:I}", "spec", j->json, "state",
-		job_state_name(state), "attempt", (json_int_t)j->attempt,
-		"epoch", (json_int_t)j->epoch, "reason", j->reason,
-		"submitted_ms", (json_int_t)j->submitted_wall_ms, "done_ms",
-		(json_int_t)j->done_ms);
+	json_t *v = json_pack("{s:O, s:s, s:I, s:I, s:s, s:I, s:I}", "spec",
+			      j->json, "state", job_state_name(state),
+			      "attempt", (json_int_t)j->attempt, "epoch",
+			      (json_int_t)j->epoch, "reason", j->reason,
+			      "submitted_ms", (json_int_t)j->submitted_wall_ms,
+			      "done_ms", (json_int_t)j->done_ms);
 
 	if (state == JOB_RUNNING && j->n_members)
 		json_object_set_new(v, "workers", member_workers(j));
@@ -35,8 +35,7 @@
 	if (j->cancel)
 		json_object_set_new(v, "cancel", json_true());
 	if (state > JOB_RUNNING)
-		json_object_set_new(v, "ended_ms",
-				    json_integer(tg_wall_ms()));
+		json_object_set_new(v, "ended_ms", json_integer(tg_wall_ms()));
 	return v;
 }
 
@@ -75,8 +74,9 @@
 	for (i = 0; i < j->spec.tasks; i++)
 		board_place_member(
 			&j->members[i],
-			board_add_worker(b, json_string_value(json_array_get(
-						    names, (size_t)i))));
+			board_add_worker(b,
+					 json_string_value(json_array_get(
+						 names, (size_t)i))));
 	return true;
 }
 
--- a/cmd/tgschedd/lease.c
+++ b/cmd/tgschedd/lease.c
@@ -10,6 +10,6 @@
 	if (left_ms < 0)
 		left_ms = 0;
 	/* Rounded up, so that short leases keep the whole margin. */
-	return reply_ms + left_ms +
-		(left_ms * LEASE_DRIFT_PERCENT + 99) / 100 + LEASE_SLACK_MS;
+	return reply_ms + left_ms + (left_ms * LEASE_DRIFT_PERCENT + 99) / 100 +
+		LEASE_SLACK_MS;
 }
--- a/cmd/tgschedd/main.c
+++ b/cmd/tgschedd/main.c
@@ -15,8 +15,10 @@
 };
 
 #define SETTING(flag, type, def, min, max, required, help, field) \
-	{ flag, type, def,  min, \
-	  max,	required, help, offsetof(struct options, field) }
+	{                                                         \
+		flag, type, def, min, max, required, help,        \
+			offsetof(struct options, field)           \
+	}
 
 static const struct tg_setting settings[] = {
 	SETTING("http-addr", TG_SET_ADDR, "127.0.0.1:0", 0, 0, false,
@@ -128,7 +130,7 @@
 static int start_daemon(struct board *b)
 {
 	static const struct tg_controller *const controllers[] = {
-		&serving, &election,  &rebuild, &workers, &gangs,
+		&serving, &election,  &rebuild, &workers,   &gangs,
 		&renewal, &admission, &outage,	&decisions, NULL
 	};
 	const struct options *o = b->opts;
--- a/cmd/tgschedd/message.c
+++ b/cmd/tgschedd/message.c
@@ -214,8 +214,8 @@
 {
 	struct job *j = board_job(b, job);
 
-	if (!j || j->attempt != attempt || index < 0 ||
-	    index >= j->n_members || j->members[index].worker != w)
+	if (!j || j->attempt != attempt || index < 0 || index >= j->n_members ||
+	    j->members[index].worker != w)
 		return NULL;
 	return &j->members[index];
 }
@@ -407,8 +407,8 @@
 static void on_stale(struct message *msg, const json_t *answer)
 {
 	struct board *b = msg->board;
-	uint64_t epoch = (uint64_t)json_integer_value(
-		json_object_get(answer, "epoch"));
+	uint64_t epoch =
+		(uint64_t)json_integer_value(json_object_get(answer, "epoch"));
 
 	tg_log(EV_SCHED_FENCED, "worker=%s epoch=%llu higher=%llu",
 	       msg->worker->name, (unsigned long long)b->epoch,
@@ -538,8 +538,7 @@
 		return;
 	}
 	note_checkpoint(m, v);
-	m->expired_ms =
-		lease_expired_ms(w->reply_ms, expires_ms - w->now_ms);
+	m->expired_ms = lease_expired_ms(w->reply_ms, expires_ms - w->now_ms);
 	if (m->state >= M_DONE)
 		return;
 	if (!strcmp(state, "running"))
@@ -575,8 +574,7 @@
 	json_t *v;
 	size_t i;
 
-	json_array_foreach(w->inventory, i, v)
-		adopt_lease(b, w, v);
+	json_array_foreach(w->inventory, i, v) adopt_lease(b, w, v);
 	DL_FOREACH(w->members, m)
 	if (m->state != M_NONE && m->state != M_GONE && !in_inventory(w, m)) {
 		m->lost = m->state != M_STOPPED;
--- a/cmd/tgschedd/outage.c
+++ b/cmd/tgschedd/outage.c
@@ -81,9 +81,9 @@
 {
 	struct ask *a = tg_xcalloc(1, sizeof(*a));
 	/* Our own epoch is 0; that of the worker is the installed one. */
-	json_t *v = json_pack("{s:I, s:s, s:o}", "epoch",
-			      (json_int_t)w->epoch_seen, "boot", w->boot,
-			      "ops", ops);
+	json_t *v =
+		json_pack("{s:I, s:s, s:o}", "epoch", (json_int_t)w->epoch_seen,
+			  "boot", w->boot, "ops", ops);
 	char *text = json_dumps(v, JSON_COMPACT);
 	struct tg_http_call_opts call = {
 		.method = EVHTTP_REQ_POST,
--- a/cmd/tgschedd/rebuild.c
+++ b/cmd/tgschedd/rebuild.c
@@ -97,8 +97,8 @@
 	(void)now_ms;
 	if (b->role == ROLE_STANDBY && (b->jobs || b->fleet))
 		board_forget(b);
-	if (b->role == ROLE_INSTALLING &&
-	    tg_member_instances(b->member, &n) && all_tried(b))
+	if (b->role == ROLE_INSTALLING && tg_member_instances(b->member, &n) &&
+	    all_tried(b))
 		b->role = ROLE_LOADING;
 	if (b->role == ROLE_LOADING && !b->loading)
 		load(b);
--- a/cmd/tgschedd/rowwrite.c
+++ b/cmd/tgschedd/rowwrite.c
@@ -28,8 +28,8 @@
 		json_string_value(json_object_get(row->value, "boot"));
 
 	return boot && !strcmp(boot, tg_member_boot(b->member)) &&
-		(uint64_t)json_integer_value(json_object_get(
-			row->value, "epoch")) == b->epoch;
+		(uint64_t)json_integer_value(
+			json_object_get(row->value, "epoch")) == b->epoch;
 }
 
 static void free_write(struct write *w)
@@ -75,8 +75,8 @@
 	job = find_row(rows, n, key);
 	if (ours && !sched_row_ours(b, ours)) {
 		board_step_down(b, "row",
-				(uint64_t)json_integer_value(json_object_get(
-					ours->value, "epoch")));
+				(uint64_t)json_integer_value(
+					json_object_get(ours->value, "epoch")));
 		free_write(w);
 		return;
 	}
@@ -140,7 +140,8 @@
 	uint64_t epoch;
 };
 
-static void on_job_row(enum tg_plat_end end, const struct tg_row *row, void *arg)
+static void on_job_row(enum tg_plat_end end, const struct tg_row *row,
+		       void *arg)
 {
 	struct row_read *r = arg;
 	struct board *b = r->board;
--- a/cmd/tgschedd/rpc.c
+++ b/cmd/tgschedd/rpc.c
@@ -123,12 +123,12 @@
 	if (json_is_object(in) && !json_object_get(in, "job"))
 		json_object_set_new(in, "job", json_string(a->job));
 	if (json_is_object(in) && !json_object_get(in, "workspace"))
-		json_object_set_new(in, "workspace",
-				    json_string(a->workspace));
+		json_object_set_new(in, "workspace", json_string(a->workspace));
 	json = spec_parse(in, b->opts->az, spec, f);
 	json_decref(in);
-	if (json && (strcmp(spec->job, a->job) != 0 ||
-		     strcmp(spec->workspace, a->workspace) != 0)) {
+	if (json &&
+	    (strcmp(spec->job, a->job) != 0 ||
+	     strcmp(spec->workspace, a->workspace) != 0)) {
 		tg_findings_add(f, "/job", "not the job of the call");
 		json_decref(json);
 		json = NULL;
--- a/cmd/tgschedd/spec.c
+++ b/cmd/tgschedd/spec.c
@@ -14,10 +14,12 @@
 static const char *const class_names[] = { "urgent", "guaranteed", "lent" };
 
 static const char *const fields[] = {
-	"workspace",	  "job",		"class",
-	"az",		  "tasks",		"accelerators_per_task",
-	"cores_per_task", "memory_gb_per_task", "within_rack",
-	"declared_ms",	  "task",
+	"workspace",	  "job",
+	"class",	  "az",
+	"tasks",	  "accelerators_per_task",
+	"cores_per_task", "memory_gb_per_task",
+	"within_rack",	  "declared_ms",
+	"task",
 };
 
 static bool known_field(const char *key)
--- a/cmd/tgschedd/views.c
+++ b/cmd/tgschedd/views.c
@@ -14,8 +14,7 @@
 					    "quarantined" };
 static const char *const class_names[] = { "urgent", "guaranteed", "lent" };
 
-static void add_actions(const struct board *b, const struct job *j,
-			json_t *out)
+static void add_actions(const struct board *b, const struct job *j, json_t *out)
 {
 	size_t i, first = 0;
 
@@ -30,9 +29,9 @@
 		if (json_array_size(out) >= EXPLAIN_ACTIONS)
 			return;
 		tg_format_utc(r->wall_ms, at, sizeof(at));
-		json_array_insert_new(out, 0,
-				      json_pack("{s:s, s:s}", "at", at,
-						"action", r->text));
+		json_array_insert_new(
+			out, 0,
+			json_pack("{s:s, s:s}", "at", at, "action", r->text));
 	}
 }
 
--- a/cmd/tgschedd/workers.c
+++ b/cmd/tgschedd/workers.c
@@ -35,8 +35,8 @@
 
 static void on_refused(struct board *b, struct worker *w, const json_t *answer)
 {
-	uint64_t epoch = (uint64_t)json_integer_value(
-		json_object_get(answer, "epoch"));
+	uint64_t epoch =
+		(uint64_t)json_integer_value(json_object_get(answer, "epoch"));
 
 	w->epoch_seen = epoch;
 	w->next_ms = tg_now_ms() + b->opts->call_ms;
@@ -164,8 +164,7 @@
 
 static int64_t poll_ms(const struct board *b, const struct worker *w)
 {
-	return w->members ? b->opts->renew_ms :
-			    b->opts->renew_ms * IDLE_ROUNDS;
+	return w->members ? b->opts->renew_ms : b->opts->renew_ms * IDLE_ROUNDS;
 }
 
 static void serve_worker(struct board *b, struct worker *w, int64_t now_ms)
--- /dev/null
+++ b/tests/sched-lib.sh
@@ -0,0 +1,169 @@
+# Shell helpers of the scheduler's scripted runs; sourced, not run.
+# Processes are ended by their pid when the script ends.
+set -u
+W=$(mktemp -d)
+PIDS=
+trap finish EXIT INT TERM
+
+finish() {
+	for p in $PIDS; do
+		kill -CONT "$p" 2>/dev/null
+		kill -KILL "$p" 2>/dev/null
+	done
+	wait 2>/dev/null
+	if [ -n "${TG_KEEP_LOGS:-}" ]; then
+		mkdir -p "$TG_KEEP_LOGS" && cp "$W"/* "$TG_KEEP_LOGS"/
+	fi
+	for f in "$W"/*.err; do
+		[ -f "$f" ] && echo "== $(basename "$f")" >&2 && tail -n 15 "$f" >&2
+	done
+	rm -rf "$W"
+}
+
+listens() { # NAME PID
+	grep -q ready "$W/$1.out" && return 0
+	kill -0 "$2" 2>/dev/null && return 1
+	echo "$1 ended at start"
+	exit 1
+}
+
+# start NAME PROGRAM ARGS...: sets NAME_pid, NAME_http, NAME_rpc
+start() {
+	_n=$1
+	shift
+	"$TG_BIN/$@" >"$W/$_n.out" 2>"$W/$_n.err" &
+	_p=$!
+	PIDS="$PIDS $_p"
+	await "$_n listens" listens "$_n" "$_p"
+	_l=$(head -n 1 "$W/$_n.out")
+	_h=${_l#*http=}
+	eval "${_n}_pid=$_p ${_n}_http=${_h%% *} ${_n}_rpc=${_l#*rpc=}"
+}
+
+# await TEXT COMMAND...: until the command succeeds
+await() {
+	_t=$1
+	shift
+	_i=0
+	while ! "$@" >/dev/null 2>&1; do
+		_i=$((_i + 1))
+		if [ "$_i" -gt 1200 ]; then
+			echo "not reached: $_t"
+			exit 1
+		fi
+		sleep 0.05
+	done
+}
+
+# stop_hard NAME: SIGKILL
+stop_hard() {
+	eval "_p=\$${1}_pid"
+	kill -KILL "$_p"
+	wait "$_p" 2>/dev/null
+}
+
+post() { # ADDR PATH BODY
+	curl -s -m 5 -d "$3" "http://$1$2"
+}
+
+get() { # ADDR PATH
+	curl -s -m 5 "http://$1$2"
+}
+
+platform() {
+	start platform platformd "$@"
+}
+
+faults() { # BODY
+	post "$platform_http" /standin/faults "$1" >/dev/null
+}
+
+# worker NAME [ARGS...]: with 8 accelerators in rack r1 of AZ a
+worker() {
+	_w=$1
+	shift
+	start "$_w" workerd --name "$(echo "$_w" | tr _ -)" --az a --rack r1 \
+		--platform "$platform_http" "$@"
+}
+
+document() { # GENERATION BODY
+	curl -s -m 5 -X PUT --data-binary "$2" \
+		"http://$platform_http/v1/objects/config/$1-t" >/dev/null
+	post "$platform_http" /v1/table/txn "{\"token\":\"doc$1\",\"if\":[],\"put\":[{\"key\":
+\"config/current\",\"value\":{\"generation\":$1,\"object\":\"config/$1-t\",\"author\":\"t\"}}]}" >/dev/null
+}
+
+plain_document() {
+	document 1 '{"version":1,"weights":{"completion":70,"fragmentation":30},"workspaces":[
+{"name":"courts"},{"name":"rota"}],"services":[],"drains":[]}'
+}
+
+# sched NAME [ARGS...]: with short periods, listed in the instance list
+sched() {
+	_s=$1
+	shift
+	start "$_s" tgschedd --instance "$_s" --az a --platform "$platform_http" \
+		--sched-renew-ms 200 --sched-lease-ms 1000 --renew-ms 300 \
+		--lease-ms 4000 --call-ms 300 --worker-lost-ms 2000 \
+		--drain-grace-ms 0 "$@"
+	eval "_rpc=\$${_s}_rpc _http=\$${_s}_http"
+	post "$platform_http" /standin/instances "{\"name\":\"$_s\",\"kind\":\"sched\",\"az\":\"a\",
+\"addr\":\"$_http\",\"rpc_addr\":\"$_rpc\"}" >/dev/null
+}
+
+# call NAME CALL ARGS...: an RPC to a scheduler
+call() {
+	eval "_rpc=\$${1}_rpc"
+	shift
+	"$TG_BIN/rpcjob" "$_rpc" "$@"
+}
+
+active() { # NAME
+	call "$1" list | grep -q '^ok'
+}
+
+ready() { # NAME: active with a document and all workers $2 up
+	active "$1" && [ "$(call "$1" workers | grep -o '"state":"up"' |
+		wc -l)" = "$2" ] &&
+		eval "get \$${1}_http /readyz" | grep -q . &&
+		[ "$(eval "curl -s -o /dev/null -w %{http_code} http://\$${1}_http/readyz")" = 200 ]
+}
+
+field() { # JSON-TEXT NAME: first value of a field
+	printf '%s\n' "$1" | grep -o "\"$2\":[^,}]*" | head -n 1 | cut -d: -f2- | tr -d '" '
+}
+
+job_field() { # SCHED JOB FIELD
+	field "$(call "$1" status courts "$2")" "$3"
+}
+
+job_is() { # SCHED JOB STATE
+	[ "$(job_field "$1" "$2" state)" = "$3" ]
+}
+
+gang_is() { # SCHED JOB GANG-STATE
+	[ "$(job_field "$1" "$2" gang)" = "$3" ]
+}
+
+# spec JOB TASKS ACCELERATORS [MORE]
+spec() {
+	printf '{"workspace":"courts","job":"%s","class":"%s","az":"a","tasks":%s,"accelerators_per_task":%s,
+"cores_per_task":1,"memory_gb_per_task":1,"declared_ms":60000,"task":{%s}}' \
+		"$1" "${5:-guaranteed}" "$2" "$3" "${4:-}"
+}
+
+submit() { # SCHED JOB TASKS ACCELERATORS [TASK [CLASS]]
+	_sc=$1
+	shift
+	call "$_sc" submit courts "$1" "$(spec "$@")"
+}
+
+running_on() { # WORKER JOB: leases in state running
+	eval "get \$${1}_http /v1/state" | jq "[.leases[]|select(.job==\"$2\" and .state==\"running\")]|length"
+}
+
+# history WORKER JOB: "attempt index state [reason]" of each change
+history() {
+	eval "get \$${1}_http /standin/log" |
+		jq -r ".tasks[]|select(.job==\"$2\")|\"\(.attempt) \(.index) \(.state) \(.reason // \"\")\""
+}
