--- a/cmd/tgschedd/facts.c
+++ b/cmd/tgschedd/facts.c
@@ -54,7 +54,7 @@
 		for (k = 0; k < ws->n_guarantees; k++) {
 			const struct tg_guarantee_spec *g = &ws->guarantees[k];
 
-			if (strcmp(g->az, b->opts->az))
+			if (strcmp(g->az, b->opts->az) != 0)
 				continue;
 			if (out)
 				out[n] = (struct tg_guarantee){
--- a/cmd/tgschedd/fault.c
+++ b/cmd/tgschedd/fault.c
@@ -8,7 +8,7 @@
 void fault_pause(struct board *b, const char *point, const char *job)
 {
 	if (b->paused_once || !b->opts->pause_at ||
-	    strcmp(b->opts->pause_at, point))
+	    strcmp(b->opts->pause_at, point) != 0)
 		return;
 	b->paused_once = true;
 	tg_log(EV_SCHED_PAUSE, "at=%s job=%s", point, job);
--- a/cmd/tgschedd/jobrow.c
+++ b/cmd/tgschedd/jobrow.c
@@ -115,7 +115,7 @@
 	tg_findings_free(&f);
 	if (json)
 		jobrow_key(b, spec.job, key);
-	if (!json || state < 0 || strcmp(key, row->key) ||
+	if (!json || state < 0 || strcmp(key, row->key) != 0 ||
 	    board_job(b, spec.job)) {
 		tg_log(EV_SCHED_BAD_ROW, "key=%s", row->key);
 		json_decref(json);
--- a/cmd/tgschedd/message.c
+++ b/cmd/tgschedd/message.c
@@ -446,10 +446,11 @@
 
 	if (!worker_note_clock(w, answer))
 		return;
-	for (i = 0; i < msg->n; i++)
-		on_result(msg, &msg->ops[i], json_array_get(results, i));
+	/* First, since an ended task also refuses its renewal. */
 	json_array_foreach(json_object_get(answer, "ended"), i, v)
 		on_ended(msg->board, w, v);
+	for (i = 0; i < msg->n; i++)
+		on_result(msg, &msg->ops[i], json_array_get(results, i));
 }
 
 static void on_answer(const struct tg_http_result *r, void *arg)
--- a/cmd/tgschedd/spec.c
+++ b/cmd/tgschedd/spec.c
@@ -106,7 +106,7 @@
 
 	if (!s)
 		tg_findings_add(f, "/az", "not a text");
-	else if (strcmp(s, "any") && strcmp(s, az))
+	else if (strcmp(s, "any") != 0 && strcmp(s, az) != 0)
 		tg_findings_add(f, "/az", "this scheduler serves %s", az);
 }
 
--- a/cmd/tgschedd/views.c
+++ b/cmd/tgschedd/views.c
@@ -24,7 +24,7 @@
 		const struct recent *r = &b->recent[i % RECENT_MAX];
 		char at[32];
 
-		if (strcmp(r->job, j->spec.job))
+		if (strcmp(r->job, j->spec.job) != 0)
 			continue;
 		if (json_array_size(out) >= EXPLAIN_ACTIONS)
 			return;
@@ -73,7 +73,7 @@
 		if (strcmp(j->spec.job, args->after) > 0)
 			out[n++] = j;
 	}
-	qsort(out, n, sizeof(struct job *), by_name);
+	qsort(out, n, sizeof(out[0]), by_name);
 	return n;
 }
 
--- a/cmd/tgschedd/whole.c
+++ b/cmd/tgschedd/whole.c
@@ -18,7 +18,7 @@
 
 		if (l->attempt != one->attempt ||
 		    l->gang_size != one->gang_size || l->index < 0 ||
-		    l->index >= l->gang_size || strcmp(l->job, one->job))
+		    l->index >= l->gang_size || strcmp(l->job, one->job) != 0)
 			continue;
 		if (!l->running && !l->ended)
 			goto out;
--- a/cmd/tgschedd/workers.c
+++ b/cmd/tgschedd/workers.c
@@ -25,7 +25,7 @@
 	if (!worker_note_clock(w, answer))
 		return;
 	w->installed = true;
-	if (strcmp(boot, w->boot))
+	if (strcmp(boot, w->boot) != 0)
 		w->quarantined = false;
 	json_decref(w->inventory);
 	w->inventory = json_incref(json_object_get(answer, "leases"));
--- a/tests/sched-lib.sh
+++ b/tests/sched-lib.sh
@@ -165,5 +165,44 @@
 # history WORKER JOB: "attempt index state [reason]" of each change
 history() {
 	eval "get \$${1}_http /standin/log" |
-		jq -r ".tasks[]|select(.job==\"$2\")|\"\(.attempt) \(.index) \(.state) \(.reason // \"\")\""
+		jq -r ".tasks[]|select(.job==\"$2\")|\"\(.attempt) \(.index) \(.state) \(.reason // \"\")\"" |
+		sed 's/ *$//'
+}
+
+# lives WORKERS... : from the workers' logs, one line per lease that ran:
+# "job attempt index begin_ms end_ms" on the machine's clock
+lives() {
+	for _x in "$@"; do
+		eval "get \$${_x}_http /standin/log" | jq -c '.tasks[]'
+	done | jq -rs 'group_by([.job,.attempt,.index])[]|
+		(map(select(.state=="running"))|.[0]) as $r|
+		(map(select(.state=="ended"))|.[0]) as $e|
+		select($r)|"\($r.job) \($r.attempt) \($r.index) \($r.at_ms) \($e.at_ms // 9e15)"'
+}
+
+# overlaps WORKERS...: pairs of attempts of one job that ran at one time
+overlaps() {
+	lives "$@" | awk '{ for (i = 1; i <= n; i++) if (job[i] == $1 &&
+		att[i] != $2 && $4 < end[i] && beg[i] < $5) bad++
+		n++; job[n] = $1; att[n] = $2; beg[n] = $4; end[n] = $5 }
+		END { print bad + 0 }'
+}
+
+# parts SIZE WORKERS...: attempts of which a part ran, but never the whole gang
+parts() {
+	_size=$1
+	shift
+	lives "$@" | awk -v size="$_size" '{ seen[$1 " " $2]++ }
+		END { for (k in seen) if (seen[k] != size) bad++
+		print bad + 0 }'
+}
+
+# frozen NAME: whether a process is stopped
+frozen() {
+	eval "_p=\$${1}_pid"
+	grep -q '^State:.T' "/proc/$_p/status"
+}
+
+continue_it() { # NAME
+	eval "kill -CONT \$${1}_pid"
 }
--- /dev/null
+++ b/tests/script/sched-outage.sh
@@ -0,0 +1,56 @@
+# The table is down and then the active scheduler dies.  A standby renews whole
+# gangs and grants nothing; submissions are refused as not run.  Guards against
+# gangs that end because nobody may be elected.
+. "$TG_TESTS/sched-lib.sh"
+
+round() { # TEXT ARGS...
+	text=$1
+	shift
+	platform
+	plain_document
+	worker w1
+	worker w2
+	sched s1 "$@"
+	await "s1 is ready" ready s1 2
+	sched s2 "$@"
+	sched s3 "$@"
+	submit s1 g 2 8 >/dev/null
+	submit s1 waits 1 8 >/dev/null
+	await "the gang runs" gang_is s1 g running
+	# The standbys must know each other before the list is gone.
+	await "s2 sees s3" sees s2
+	await "s3 sees s2" sees s3
+	faults '{"outage":"refuse"}'
+	await "s1 sees the outage" grep -q EV3004 "$W/s1.err"
+	echo "$text: submission in the outage: $(submit s1 late 1 1 | cut -d' ' -f1)"
+	# Two leases pass under the active scheduler.
+	sleep 8
+	echo "$text: active alone: $(running_on w1 g) $(running_on w2 g)"
+	stop_hard s1
+	# Three leases pass without it.
+	sleep 12
+	echo "$text: without it: $(running_on w1 g) $(running_on w2 g)"
+	echo "$text: renewers: $(grep -l EV3030 "$W"/s2.err "$W"/s3.err 2>/dev/null | wc -l)"
+	faults '{}'
+	await "a standby takes over" one_active
+	await "the gang runs" gang_is "$now" g running
+	echo "$text: attempt $(job_field "$now" g attempt), at one time" \
+		"$(overlaps w1 w2), waiting $(job_field "$now" waits state)"
+	for n in s2 s3 w1 w2 platform; do
+		stop_hard $n
+	done
+}
+
+sees() { # NAME: another live scheduler besides the active one
+	eval "get \$${1}_http /metrics" | grep -q '^tg_peers_live [2-9]'
+}
+
+one_active() {
+	for now in s2 s3; do
+		ready "$now" 2 && return 0
+	done
+	return 1
+}
+
+round "no outage renewal" --unsafe-no-outage-renewal
+round "outage renewal" --checkpoint-ms 0
--- a/tests/standin/platformd/faults.c
+++ b/tests/standin/platformd/faults.c
@@ -153,9 +153,10 @@
 
 	if (!v)
 		return;
-	if (json_unpack_ex(v, &e, JSON_STRICT, "{s?:s, s?:I, s?:I, s?:s, s?:s}",
-			   "outage", &outage, "slow_ms", &slow_ms, "lose_next",
-			   &lose_next, "only", &only, "paths", &paths)) {
+	if (json_unpack_ex(v, &e, JSON_STRICT,
+			   "{s?:s, s?:I, s?:I, s?:s, s?:s}", "outage", &outage,
+			   "slow_ms", &slow_ms, "lose_next", &lose_next, "only",
+			   &only, "paths", &paths)) {
 		tg_http_reply_error(req, 400, "body", "%s", e.text);
 		goto out;
 	}
--- a/tests/standin/platformd/table.c
+++ b/tests/standin/platformd/table.c
@@ -12,10 +12,9 @@
 
 bool key_valid(const char *s)
 {
-	size_t n = s ? strspn(s,
-			      "abcdefghijklmnopqrstuvwxyz"
-			      "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
-			      "0123456789._/-") :
+	size_t n = s ? strspn(s, "abcdefghijklmnopqrstuvwxyz"
+				 "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+				 "0123456789._/-") :
 		       0;
 
 	return n && !s[n] && n <= KEY_MAX;
--- a/tests/standin/workerd/agent.c
+++ b/tests/standin/workerd/agent.c
@@ -12,7 +12,8 @@
 	json_object_set_new(body, "worker", json_string(b->opts.name));
 	json_object_set_new(body, "boot", json_string(b->boot));
 	json_object_set_new(body, "epoch", json_integer(b->epoch));
-	json_object_set_new(body, "draining", json_boolean(worker_draining(b)));
+	json_object_set_new(body, "draining",
+			    json_boolean(worker_draining(b)));
 	json_object_set_new(body, "now_ms", json_integer(worker_now_ms(b)));
 	tg_http_reply_json(req, status, body);
 }
--- a/tests/standin/workerd/lease.c
+++ b/tests/standin/workerd/lease.c
@@ -172,8 +172,8 @@
 					  (json_int_t)l->attempt, "index",
 					  (json_int_t)l->index, "accelerators",
 					  (json_int_t)l->accelerators,
-					  "memory_gb", (json_int_t)l->memory_gb,
-					  "cores",
+					  "memory_gb",
+					  (json_int_t)l->memory_gb, "cores",
 					  (double)(l->cores * l->percent) /
 						  100.0));
 	return list;
--- a/tests/standin/workerd/register.c
+++ b/tests/standin/workerd/register.c
@@ -28,16 +28,17 @@
 static char *entry_text(const struct board *b)
 {
 	const struct opts *o = &b->opts;
-	json_t *v = json_pack(
-		"{s:s, s:s, s:s, s:s, s:s, s:s, s:s,"
-		" s:I, s:I, s:I, s:I, s:I}",
-		"name", o->name, "kind", "worker", "az", o->az, "rack", o->rack,
-		"state", b->wanted, "addr", tg_http_server_addr(b->agent),
-		"service_addr", tg_http_server_addr(b->service), "cores",
-		(json_int_t)o->cores, "memory_gb", (json_int_t)o->memory_gb,
-		"accelerators", (json_int_t)o->accelerators, "slots",
-		(json_int_t)o->slots, "connections",
-		(json_int_t)o->connections);
+	json_t *v = json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s,"
+			      " s:I, s:I, s:I, s:I, s:I}",
+			      "name", o->name, "kind", "worker", "az", o->az,
+			      "rack", o->rack, "state", b->wanted, "addr",
+			      tg_http_server_addr(b->agent), "service_addr",
+			      tg_http_server_addr(b->service), "cores",
+			      (json_int_t)o->cores, "memory_gb",
+			      (json_int_t)o->memory_gb, "accelerators",
+			      (json_int_t)o->accelerators, "slots",
+			      (json_int_t)o->slots, "connections",
+			      (json_int_t)o->connections);
 	char *text = json_dumps(v, JSON_COMPACT);
 
 	json_decref(v);
--- a/tests/standin/workerd/service.c
+++ b/tests/standin/workerd/service.c
@@ -145,8 +145,9 @@
 			      (json_int_t)n, "body_hash", hash, "worker",
 			      b->opts.name, "run", (json_int_t)b->last_run);
 	r->entry = json_copy(r->answer);
-	json_object_set_new(r->entry, "request_id",
-			    json_string(header_or_empty(req, "Tg-Request-Id")));
+	json_object_set_new(
+		r->entry, "request_id",
+		json_string(header_or_empty(req, "Tg-Request-Id")));
 	json_object_set_new(
 		r->entry, "key",
 		json_string(header_or_empty(req, "Idempotency-Key")));
