--- a/cmd/tgschedd/election.c
+++ b/cmd/tgschedd/election.c
@@ -175,11 +175,13 @@
 		}
 		break;
 	case TG_PLAT_CONFLICT:
-		if (n && sched_row_ours(b, &rows[0]))
+		if (n && sched_row_ours(b, &rows[0])) {
 			b->row_version = rows[0].version;
-		else
-			board_step_down(b, "row",
-					n ? row_epoch(rows[0].value) : 0);
+			break;
+		}
+		board_step_down(b, "row", n ? row_epoch(rows[0].value) : 0);
+		/* A fault test that goes on must not renew another's row. */
+		b->row_version = 0;
 		break;
 	case TG_PLAT_UNKNOWN:
 		b->row_unsure = true;
--- a/cmd/tgschedd/jobrow.c
+++ b/cmd/tgschedd/jobrow.c
@@ -141,7 +141,7 @@
 		"state", job_state_name(j->state), "attempt",
 		(json_int_t)j->attempt, "reason", j->reason, "spec", j->json);
 
-	if (j->state == JOB_RUNNING) {
+	if (j->gang != GANG_NONE) {
 		json_object_set_new(v, "workers", member_workers(j));
 		json_object_set_new(v, "gang",
 				    json_string(gang_state_name(j->gang)));
