--- a/lib/decide/decide.c
+++ b/lib/decide/decide.c
@@ -72,7 +72,7 @@
 	f->parking.n -= i;
 	if (f->parking.n)
 		memmove(f->parking.jobs, f->parking.jobs + i,
-			f->parking.n * sizeof(*f->parking.jobs));
+			f->parking.n * sizeof(struct job *));
 }
 
 /* --- held jobs --- */
@@ -150,6 +150,39 @@
 	return !j->ws->quota || j->ws->used_acc + job_acc(j) <= j->ws->quota;
 }
 
+/*
+ * Whether the job may not use what the AZ spares for the largest shape.  A job
+ * that never fits beside the spared place gains nothing by waiting.
+ */
+static bool must_spare(const struct round *r, const struct job *j, int32_t az)
+{
+	const struct tg_fleet *f = r->f;
+	int64_t shape = (int64_t)f->shape_tasks * f->shape.acc;
+
+	return j->class != TG_CLASS_URGENT && j->need.acc &&
+		r->now_ms < j->submitted_ms + f->spare_ms &&
+		job_acc(j) <= f->azs[az].acc - shape;
+}
+
+/*
+ * Guaranteed work outside of guarantees can't be reclaimed, so it leaves some
+ * room that urgent work can have at once.  Lent work may use that room.
+ */
+static bool leaves_urgent(const struct round *r, const struct job *j,
+			  int32_t az)
+{
+	struct tg_fleet *f = r->f;
+	const struct az *z = &f->azs[az];
+	int64_t room = 0, keep = z->acc * f->policy->urgent_percent / 100;
+	int32_t i;
+
+	if (j->class != TG_CLASS_GUARANTEED || !keep || !j->need.acc)
+		return true;
+	for (i = 0; i < z->n_racks; i++)
+		room += rack_sums(f, z->racks[i])->firm_acc;
+	return room - job_acc(j) >= (keep > z->most_acc ? keep : z->most_acc);
+}
+
 static bool place_somewhere(struct round *r, struct job *j, enum view v)
 {
 	struct tg_fleet *f = r->f;
@@ -157,11 +190,16 @@
 
 	for (az = 0; az < f->n_azs; az++) {
 		struct reservation *kept = &f->azs[az].kept;
-		bool use_kept;
+		bool use_kept, spare;
 
 		if ((j->az != NONE && j->az != az) || r->blocked[az])
 			continue;
 		use_kept = j->class == TG_CLASS_URGENT || kept->job == j;
+		if (kept->job != j && !leaves_urgent(r, j, az))
+			continue;
+		spare = must_spare(r, j, az);
+		if (spare)
+			defrag_spare(f, az);
 		/*
 		 * Lent work may run on reserved workers until the reservation
 		 * is due; it is reclaimed then, if its declared time was false.
@@ -169,7 +207,7 @@
 		if (!use_kept && kept->job && j->class == TG_CLASS_LENT &&
 		    job_end_ms(f, j, r->now_ms) <= kept->at_ms)
 			use_kept = j->backfilled = true;
-		if (place_gang(f, j, az, v, use_kept, r->now_ms,
+		if (place_gang(f, j, az, v, use_kept, spare, r->now_ms,
 			       place_for(r, j)))
 			return true;
 		j->backfilled = false;
@@ -319,6 +357,37 @@
 	}
 }
 
+/* --- moves --- */
+
+/*
+ * Moves happen when nothing else is left to do, in one AZ at a time, which
+ * bounds the time of a round.
+ */
+static void move_lent(struct round *r)
+{
+	struct tg_fleet *f = r->f;
+	struct tg_action *a;
+	struct job *j;
+	struct az *az;
+
+	if (r->n || !f->policy->move_period_ms || !f->n_azs)
+		return;
+	f->defrag_az = (f->defrag_az + 1) % f->n_azs;
+	az = &f->azs[f->defrag_az];
+	if (r->now_ms < az->defrag_ms)
+		return;
+	az->defrag_ms = r->now_ms + f->policy->move_period_ms;
+	j = defrag_pick(f, f->defrag_az, r->now_ms);
+	if (!j)
+		return;
+	room_leaving(f, j);
+	a = act(r, TG_ACT_RECLAIM, j);
+	snprintf(a->reason, sizeof(a->reason),
+		 "moves, so that more workers have room for the largest "
+		 "guaranteed shape");
+	note(r, a);
+}
+
 size_t tg_decide(struct tg_fleet *f, int64_t now_ms, struct tg_action *out,
 		 size_t max)
 {
@@ -337,6 +406,7 @@
 	start_guaranteed(&r);
 	start_kept(&r);
 	start_rest(&r);
+	move_lent(&r);
 	free(r.place);
 	free(r.blocked);
 	free(r.victims);
@@ -357,8 +427,12 @@
 	}
 	for (c = 0; c < ARRAY_SIZE(f->queues); c++)
 		for (i = 0; i < f->queues[c].n; i++) {
-			int64_t at = f->queues[c].jobs[i]->not_before_ms;
+			const struct job *j = f->queues[c].jobs[i];
+			int64_t at = j->not_before_ms;
 
+			if (at > now_ms && at < next)
+				next = at;
+			at = j->submitted_ms + f->spare_ms;
 			if (at > now_ms && at < next)
 				next = at;
 		}
