Add the console: document API and forms

Operators change the document through one form or the JSON API. A save puts the object, compares and sets config/current and pushes the result; a race shows the differences and keeps what was typed. The last 32 changes are kept in the row itself, which bounds the history without further writes.

--- /dev/null
+++ b/cmd/tgconsoled/auth.c
@@ -0,0 +1,150 @@
+#include <ctype.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include "board.h"
+
+#define KEY_BYTES_MIN 16
+#define SESSION_MS (12 * 3600 * 1000)
+#define COOKIE "tgconsole="
+
+int auth_read_key(struct board *b, struct tg_findings *f)
+{
+	FILE *in = fopen(b->opts.operator_key_file, "r");
+	size_t n;
+
+	if (!in) {
+		tg_findings_add(f, "--operator-key-file", "%s: %s",
+				b->opts.operator_key_file, strerror(errno));
+		return -1;
+	}
+	n = fread(b->key, 1, sizeof(b->key) - 1, in);
+	fclose(in);
+	b->key[n] = '\0';
+	while (n && isspace((unsigned char)b->key[n - 1]))
+		b->key[--n] = '\0';
+	if (n >= KEY_BYTES_MIN && strlen(b->key) == n)
+		return 0;
+	tg_findings_add(f, "--operator-key-file",
+			"needs a key of %d to %d characters", KEY_BYTES_MIN,
+			KEY_BYTES_MAX - 1);
+	return -1;
+}
+
+bool auth_equal(const char *a, const char *b)
+{
+	size_t n = strlen(a), m = strlen(b), i;
+	volatile unsigned char differs = n != m;
+
+	for (i = 0; i < m; i++)
+		differs |= (unsigned char)(a[n ? i % n : 0] ^ b[i]);
+	return !differs;
+}
+
+void auth_refused(struct evhttp_request *req, const char *why)
+{
+	struct evhttp_connection *con = evhttp_request_get_connection(req);
+	char *addr = NULL;
+	ev_uint16_t port = 0;
+
+	if (con)
+		evhttp_connection_get_peer(con, &addr, &port);
+	tg_counter("tg_console_keys_refused_total",
+		   "Calls and logins without the operator key.", NULL)
+		->value++;
+	tg_log(EV_CONSOLE_KEY_REFUSED, "why=%s from=%s", why,
+	       addr ? addr : "-");
+}
+
+bool auth_bearer(struct board *b, struct evhttp_request *req)
+{
+	static const char prefix[] = "Bearer ";
+	const char *v = tg_http_header(req, "Authorization");
+
+	if (v && !strncasecmp(v, prefix, strlen(prefix)) &&
+	    auth_equal(v + strlen(prefix), b->key))
+		return true;
+	auth_refused(req, v ? "wrong" : "none");
+	evhttp_add_header(evhttp_request_get_output_headers(req),
+			  "WWW-Authenticate", "Bearer");
+	tg_http_reply_error(req, 401, "Authorization",
+			    "needs the operator key: Bearer KEY");
+	return false;
+}
+
+const char *auth_author(const char *name)
+{
+	const char *c;
+
+	if (!name || !*name || strlen(name) > TG_NAME_MAX)
+		return "unnamed";
+	for (c = name; *c; c++)
+		if (*c < ' ' || *c > '~')
+			return "unnamed";
+	return name;
+}
+
+/* tg_token() falls back to the clock, which a session must not. */
+static bool random_token(char out[TG_TOKEN_LEN + 1])
+{
+	unsigned char bytes[TG_TOKEN_LEN / 2];
+	size_t i;
+
+	if (getrandom(bytes, sizeof(bytes), 0) != (ssize_t)sizeof(bytes))
+		return false;
+	for (i = 0; i < sizeof(bytes); i++)
+		snprintf(out + 2 * i, 3, "%02x", bytes[i]);
+	return true;
+}
+
+struct session *auth_open_session(struct board *b, const char *author)
+{
+	struct session *s = &b->sessions[0];
+	size_t i;
+
+	for (i = 1; i < SESSIONS_MAX; i++)
+		if (b->sessions[i].expires_ms < s->expires_ms)
+			s = &b->sessions[i];
+	if (!random_token(s->token) || !random_token(s->form_token)) {
+		memset(s, 0, sizeof(*s));
+		return NULL;
+	}
+	tg_strlcpy(s->author, auth_author(author), sizeof(s->author));
+	s->expires_ms = tg_now_ms() + SESSION_MS;
+	return s;
+}
+
+static struct session *find_session(struct board *b, const char *token)
+{
+	int64_t now_ms = tg_now_ms();
+	size_t i;
+
+	for (i = 0; i < SESSIONS_MAX; i++) {
+		struct session *s = &b->sessions[i];
+
+		if (s->expires_ms > now_ms && auth_equal(token, s->token))
+			return s;
+	}
+	return NULL;
+}
+
+struct session *auth_session(struct board *b, struct evhttp_request *req)
+{
+	const char *c = tg_http_header(req, "Cookie");
+	char token[TG_TOKEN_LEN + 1];
+
+	while (c && *c) {
+		c += strspn(c, "; ");
+		if (!strncmp(c, COOKIE, strlen(COOKIE))) {
+			tg_strlcpy(token, c + strlen(COOKIE), sizeof(token));
+			token[strcspn(token, "; ")] = '\0';
+			return strlen(token) == TG_TOKEN_LEN ?
+				find_session(b, token) :
+				NULL;
+		}
+		c = strchr(c, ';');
+	}
+	return NULL;
+}
--- /dev/null
+++ b/cmd/tgconsoled/form.c
@@ -0,0 +1,311 @@
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+
+/*
+ * The name of a field is the JSON pointer of its value.  A text that does not
+ * have the type of its field stays a string, so that validation reports it and
+ * the form shows it again as typed.
+ */
+
+#define TOKENS_MAX 8
+#define ARRAY_MAX TG_DOC_DRAINS_MAX
+
+struct pointer {
+	char text[256];
+	char *tokens[TOKENS_MAX];
+	size_t n;
+};
+
+static int split_pointer(const char *s, struct pointer *p)
+{
+	char *save = NULL, *t;
+
+	p->n = 0;
+	if (*s != '/' || !tg_strlcpy(p->text, s, sizeof(p->text)))
+		return -1;
+	for (t = strtok_r(p->text, "/", &save); t;
+	     t = strtok_r(NULL, "/", &save)) {
+		if (p->n == TOKENS_MAX)
+			return -1;
+		p->tokens[p->n++] = t;
+	}
+	return p->n ? 0 : -1;
+}
+
+static bool is_index(const char *s)
+{
+	return *s >= '0' && *s <= '9';
+}
+
+static size_t index_of(const char *s)
+{
+	return strtoul(s, NULL, 10);
+}
+
+/* Value of @token in @parent, made if it is not there yet; NULL if it can't. */
+static json_t *step(json_t *parent, const char *token, bool make_array)
+{
+	json_t *v = NULL;
+	size_t i;
+
+	if (json_is_object(parent)) {
+		v = json_object_get(parent, token);
+		if (!v) {
+			v = make_array ? json_array() : json_object();
+			json_object_set_new(parent, token, v);
+		}
+	} else if (json_is_array(parent) && is_index(token)) {
+		i = index_of(token);
+		if (i == json_array_size(parent) && i < ARRAY_MAX + 1)
+			json_array_append_new(parent, json_object());
+		v = json_array_get(parent, i);
+	}
+	return v;
+}
+
+static json_t *parent_of(json_t *doc, const struct pointer *p)
+{
+	json_t *v = doc;
+	size_t i;
+
+	for (i = 0; v && i + 1 < p->n; i++)
+		v = step(v, p->tokens[i], is_index(p->tokens[i + 1]));
+	return v;
+}
+
+static json_t *find(json_t *doc, const struct pointer *p)
+{
+	json_t *v = doc;
+	size_t i;
+
+	for (i = 0; v && i < p->n; i++)
+		v = json_is_array(v) ?
+			json_array_get(v, index_of(p->tokens[i])) :
+			json_object_get(v, p->tokens[i]);
+	return v;
+}
+
+/* A value that was posted in another encoding is kept as far as possible. */
+static json_t *make_string(const char *s)
+{
+	json_t *v = json_string(s);
+	char *copy, *c;
+
+	if (v)
+		return v;
+	copy = tg_xstrdup(s);
+	for (c = copy; *c; c++)
+		if ((unsigned char)*c >= 0x80)
+			*c = '?';
+	v = json_string(copy);
+	free(copy);
+	return v;
+}
+
+static bool in(const char *const *keys, const char *key)
+{
+	for (; *keys; keys++)
+		if (!strcmp(*keys, key))
+			return true;
+	return false;
+}
+
+static json_t *make_number(const char *s)
+{
+	json_t *v = json_loads(s, JSON_DECODE_ANY, NULL);
+
+	if (json_is_number(v))
+		return v;
+	json_decref(v);
+	return make_string(s);
+}
+
+/* "none" is the empty list, which differs from no list. */
+static json_t *make_list(const char *s)
+{
+	char *copy = tg_xstrdup(s), *save = NULL, *t;
+	json_t *list = json_array();
+
+	if (!strcmp(s, "none"))
+		goto out;
+	for (t = strtok_r(copy, " ,;\t\r\n", &save); t;
+	     t = strtok_r(NULL, " ,;\t\r\n", &save))
+		json_array_append_new(list, make_string(t));
+out:
+	free(copy);
+	return list;
+}
+
+static json_t *make_value(const char *key, const char *s)
+{
+	static const char *const numbers[] = { "completion",
+					       "fragmentation",
+					       "max_in_flight",
+					       "rate_per_s",
+					       "quota_accelerators",
+					       "tasks",
+					       "accelerators_per_task",
+					       "timeout_ms",
+					       "queue",
+					       "availability",
+					       "latency_ms",
+					       "latency_share",
+					       NULL };
+	static const char *const lists[] = { "workspaces", "azs",
+					     "idempotent_methods", NULL };
+
+	if (in(numbers, key))
+		return make_number(s);
+	if (in(lists, key))
+		return make_list(s);
+	if (!strcmp(key, "within_rack") &&
+	    (!strcmp(s, "true") || !strcmp(s, "false")))
+		return json_boolean(*s == 't');
+	return make_string(s);
+}
+
+static char *trim(const char *s)
+{
+	char *copy;
+	size_t n;
+
+	s += strspn(s, " \t\r\n");
+	copy = tg_xstrdup(s);
+	n = strlen(copy);
+	while (n && strchr(" \t\r\n", copy[n - 1]))
+		copy[--n] = '\0';
+	return copy;
+}
+
+static void set_field(json_t *doc, const char *name, const char *value)
+{
+	struct pointer p;
+	json_t *parent;
+	char *text;
+
+	if (split_pointer(name, &p))
+		return;
+	parent = parent_of(doc, &p);
+	if (!json_is_object(parent))
+		return;
+	text = trim(value);
+	/* An empty field is an absent one, which has its default. */
+	if (*text)
+		json_object_set_new(parent, p.tokens[p.n - 1],
+				    make_value(p.tokens[p.n - 1], text));
+	free(text);
+}
+
+/* Takes the other operator's value for one difference that was shown. */
+static void take_theirs(json_t *doc, const char *text)
+{
+	json_t *d = json_loads(text, 0, NULL);
+	const char *place = json_string_value(json_object_get(d, "place"));
+	json_t *theirs = json_object_get(d, "theirs");
+	struct pointer p;
+	json_t *parent;
+	const char *last;
+
+	if (!place || split_pointer(place, &p))
+		goto out;
+	parent = parent_of(doc, &p);
+	last = p.tokens[p.n - 1];
+	if (json_is_object(parent) && theirs)
+		json_object_set(parent, last, theirs);
+	else if (json_is_object(parent))
+		json_object_del(parent, last);
+	else if (json_is_array(parent) && !theirs)
+		json_array_remove(parent, index_of(last));
+	else if (json_is_array(parent) && !json_object_get(d, "ours"))
+		json_array_append(parent, theirs);
+	else if (json_is_array(parent))
+		json_array_set(parent, index_of(last), theirs);
+out:
+	json_decref(d);
+}
+
+/* The last ones come first, so that a removal leaves the others' places. */
+static void take_all(json_t *doc, const json_t *taken)
+{
+	size_t i = json_array_size(taken);
+
+	while (i--)
+		take_theirs(doc, json_string_value(json_array_get(taken, i)));
+}
+
+static void read_field(struct form *f, const char *key, const char *value,
+		       json_t *taken)
+{
+	if (*key == '/')
+		set_field(f->doc, key, value);
+	else if (!strcmp(key, "generation"))
+		f->generation = strtoull(value, NULL, 10);
+	else if (!strcmp(key, "token") && !f->token)
+		f->token = tg_xstrdup(value);
+	else if (!strcmp(key, "do") && !f->action)
+		f->action = tg_xstrdup(value);
+	else if (!strcmp(key, "take"))
+		json_array_append_new(taken, make_string(value));
+}
+
+int form_parse(const char *body, struct form *f)
+{
+	struct evkeyvalq form;
+	struct evkeyval *kv;
+	json_t *taken;
+
+	memset(f, 0, sizeof(*f));
+	if (evhttp_parse_query_str(body, &form))
+		return -1;
+	taken = json_array();
+	f->doc = json_pack("{s:i}", "version", 1);
+	for (kv = form.tqh_first; kv; kv = kv->next.tqe_next)
+		read_field(f, kv->key, kv->value, taken);
+	evhttp_clear_headers(&form);
+	take_all(f->doc, taken);
+	json_decref(taken);
+	if (!f->action)
+		f->action = tg_xstrdup("check");
+	if (!f->token)
+		f->token = tg_xstrdup("");
+	return 0;
+}
+
+void form_free(struct form *f)
+{
+	free(f->action);
+	free(f->token);
+	json_decref(f->doc);
+}
+
+bool form_edit(struct form *f)
+{
+	static const char add[] = "add ", del[] = "remove ";
+	struct pointer p;
+	json_t *parent, *list;
+
+	if (!strncmp(f->action, add, strlen(add))) {
+		if (split_pointer(f->action + strlen(add), &p))
+			return true;
+		parent = parent_of(f->doc, &p);
+		list = json_is_object(parent) || json_is_array(parent) ?
+			step(parent, p.tokens[p.n - 1], true) :
+			NULL;
+		if (json_is_array(list) && json_array_size(list) <= ARRAY_MAX)
+			json_array_append_new(list, json_object());
+		return true;
+	}
+	if (!strncmp(f->action, del, strlen(del))) {
+		if (split_pointer(f->action + strlen(del), &p))
+			return true;
+		p.n--;
+		list = find(f->doc, &p);
+		if (json_is_array(list))
+			json_array_remove(list, index_of(p.tokens[p.n]));
+		return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/cmd/tgconsoled/login.c
@@ -0,0 +1,132 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+
+#define COOKIE_SECONDS (12 * 3600)
+
+void login_page(struct evhttp_request *req, int status, const char *message,
+		const char *typed)
+{
+	struct evbuffer *out = evbuffer_new();
+
+	html_head(out, "Log in");
+	evbuffer_add_printf(out, "<h1>Log in</h1>\n");
+	if (message) {
+		evbuffer_add_printf(out, "<p class=\"fault\" role=\"alert\">");
+		html_text(out, message);
+		evbuffer_add_printf(out, "</p>\n");
+	}
+	evbuffer_add_printf(
+		out,
+		"<form method=\"post\" action=\"/login\">\n"
+		"<p><label for=\"name\">Your name, shown in the history"
+		"</label>\n<input id=\"name\" name=\"name\" "
+		"maxlength=\"63\" autocomplete=\"username\" required></p>"
+		"\n<p><label for=\"key\">Operator key</label>\n"
+		"<input id=\"key\" name=\"key\" type=\"password\" "
+		"autocomplete=\"current-password\" required></p>\n");
+	if (typed) {
+		evbuffer_add_printf(out,
+				    "<input type=\"hidden\" name=\"typed\" "
+				    "value=\"");
+		html_text(out, typed);
+		evbuffer_add_printf(out, "\">\n");
+	}
+	evbuffer_add_printf(out, "<p><button>Log in</button></p>\n</form>\n");
+	html_foot(out);
+	html_reply(req, status, out);
+}
+
+static void redirect(struct evhttp_request *req, const char *cookie,
+		     int64_t seconds)
+{
+	struct evkeyvalq *out = evhttp_request_get_output_headers(req);
+	char value[160];
+
+	snprintf(value, sizeof(value),
+		 "tgconsole=%s; HttpOnly; SameSite=Strict; Path=/; "
+		 "Max-Age=%lld",
+		 cookie, (long long)seconds);
+	evhttp_add_header(out, "Set-Cookie", value);
+	evhttp_add_header(out, "Location", "/");
+	tg_http_reply_text(req, 303, "text/plain", "", 0);
+}
+
+static char *body_text(struct evhttp_request *req)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t n = evbuffer_get_length(in);
+	char *s = tg_xcalloc(n + 1, 1);
+
+	evbuffer_copyout(in, s, n);
+	return s;
+}
+
+static void set_cookie(struct evhttp_request *req, const char *token)
+{
+	char value[160];
+
+	snprintf(value, sizeof(value),
+		 "tgconsole=%s; HttpOnly; SameSite=Strict; Path=/; "
+		 "Max-Age=%d",
+		 token, COOKIE_SECONDS);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Set-Cookie",
+			  value);
+}
+
+static void log_in(struct board *b, struct evhttp_request *req,
+		   struct evkeyvalq *form)
+{
+	const char *name = evhttp_find_header(form, "name");
+	const char *key = evhttp_find_header(form, "key");
+	const char *typed = evhttp_find_header(form, "typed");
+	struct session *s;
+
+	if (!key || !auth_equal(key, b->key)) {
+		auth_refused(req, "login");
+		login_page(req, 403, "The operator key is wrong.", typed);
+		return;
+	}
+	s = auth_open_session(b, name);
+	if (!s) {
+		login_page(req, 503, "No random numbers; try again.", typed);
+		return;
+	}
+	tg_log(EV_CONSOLE_LOGIN, "author=%s", s->author);
+	if (!typed) {
+		redirect(req, s->token, COOKIE_SECONDS);
+		return;
+	}
+	set_cookie(req, s->token);
+	pages_show_typed(b, req, s, typed);
+}
+
+void login_any(struct evhttp_request *req, void *arg)
+{
+	struct evkeyvalq form;
+	char *body;
+
+	if (evhttp_request_get_command(req) == EVHTTP_REQ_GET) {
+		login_page(req, 200, NULL, NULL);
+		return;
+	}
+	body = body_text(req);
+	if (evhttp_parse_query_str(body, &form)) {
+		login_page(req, 400, "The form was not complete.", NULL);
+	} else {
+		log_in(arg, req, &form);
+		evhttp_clear_headers(&form);
+	}
+	free(body);
+}
+
+void logout(struct evhttp_request *req, void *arg)
+{
+	struct session *s = auth_session(arg, req);
+
+	/* The cookie is not sent from other sites, and no harm is done. */
+	if (s)
+		memset(s, 0, sizeof(*s));
+	redirect(req, "", 0);
+}
--- /dev/null
+++ b/cmd/tgconsoled/main.c
@@ -0,0 +1,193 @@
+#include "board.h"
+
+#define PROG "tgconsoled"
+/* The form of the longest document has escapes and the names of its fields. */
+#define BODY_BYTES (4 << 20)
+
+static const struct tg_event_info events[] = {
+#define TG_EVENT TG_EVENT_INFO
+#include "events.def"
+#undef TG_EVENT
+	{ 0, TG_INFO, NULL },
+};
+
+#define SETTING(flag, type, def, min, max, required, help, field) \
+	{                                                         \
+		flag, type, def, min, max, required, help,        \
+			offsetof(struct opts, field)              \
+	}
+
+static const struct tg_setting settings[] = {
+	SETTING("http-addr", TG_SET_ADDR, "127.0.0.1:0", 0, 0, false,
+		"address to listen on for HTTP", http_addr),
+	SETTING("rpc-addr", TG_SET_ADDR, "127.0.0.1:0", 0, 0, false,
+		"address to listen on for RPC", rpc_addr),
+	SETTING("instance", TG_SET_NAME, NULL, 0, 0, true,
+		"name of this instance", instance),
+	SETTING("az", TG_SET_NAME, NULL, 0, 0, true, "availability zone", az),
+	SETTING("platform", TG_SET_ADDR, NULL, 0, 0, true,
+		"address of the platform", platform),
+	SETTING("peers", TG_SET_ADDRS, NULL, 0, 0, false,
+		"RPC addresses of further peers", peers),
+	SETTING("operator-key-file", TG_SET_STRING, NULL, 0, 0, true,
+		"file with the key of the operators", operator_key_file),
+	SETTING("drain-grace-ms", TG_SET_INT, "500", 0, 600000, false,
+		"least time from SIGTERM to the end", drain_grace_ms),
+	SETTING("drain-max-ms", TG_SET_INT, "30000", 0, 3600000, false,
+		"limit of a drain", drain_max_ms),
+	SETTING("log-level", TG_SET_STRING, "info", 0, 0, false,
+		"debug, info, warn or error", log_level),
+	{ 0 },
+};
+
+static const struct tg_http_route routes[] = {
+	{ "/v1/document", false, EVHTTP_REQ_GET | EVHTTP_REQ_PUT,
+	  api_document },
+	{ "/v1/document/check", false, EVHTTP_REQ_POST, api_check },
+	{ "/v1/document/history", false, EVHTTP_REQ_GET, api_history },
+	{ "/", false, EVHTTP_REQ_GET | EVHTTP_REQ_POST, pages_form },
+	{ "/history", false, EVHTTP_REQ_GET, pages_history },
+	{ "/login", false, EVHTTP_REQ_GET | EVHTTP_REQ_POST, login_any },
+	{ "/logout", false, EVHTTP_REQ_POST, logout },
+	{ "/style.css", false, EVHTTP_REQ_GET, pages_style },
+	{ 0 },
+};
+
+static bool is_ready(void *arg, const char **why)
+{
+	const struct board *b = arg;
+
+	/* Without a document the console serves: it makes the first one. */
+	if (tg_plat_reachable(b->plat) || tg_member_doc(b->member))
+		return true;
+	*why = "neither the platform nor a peer has answered";
+	return false;
+}
+
+static int start_http(void *board)
+{
+	struct board *b = board;
+	struct tg_http_server_opts opts = {
+		.base = b->base,
+		.addr = b->opts.http_addr,
+		.body_bytes = BODY_BYTES,
+		.routes = routes,
+		.ready = is_ready,
+		.arg = b,
+	};
+
+	b->http = tg_http_server_new(&opts);
+	if (!b->http)
+		return -1;
+	tg_ready_line(PROG, tg_http_server_addr(b->http),
+		      tg_rpc_server_addr(b->rpc_server));
+	return 0;
+}
+
+static bool drain_http(void *board, int64_t now_ms)
+{
+	struct board *b = board;
+
+	(void)now_ms;
+	return !b->in_progress && !tg_http_server_in_progress(b->http);
+}
+
+static void stop_http(void *board)
+{
+	struct board *b = board;
+
+	tg_http_server_free(b->http);
+}
+
+static const struct tg_controller http_controller = {
+	.name = "http",
+	.start = start_http,
+	.drain = drain_http,
+	.stop = stop_http,
+};
+
+static void make_clients(struct board *b)
+{
+	struct tg_http_client_opts client = { .base = b->base };
+	struct tg_plat_opts plat = { .base = b->base,
+				     .addr = b->opts.platform };
+	struct tg_member_opts member = {
+		.base = b->base,
+		.instance = b->opts.instance,
+		.role = "console",
+		.az = b->opts.az,
+		.peers = b->opts.peers,
+	};
+
+	b->client = tg_http_client_new(&client);
+	plat.http = b->client;
+	b->plat = tg_plat_new(&plat);
+	b->rpc = tg_rpc_client_new(b->base);
+	member.plat = b->plat;
+	member.rpc = b->rpc;
+	b->member = tg_member_new(&member);
+}
+
+static void free_clients(struct board *b)
+{
+	tg_rpc_client_free(b->rpc);
+	tg_plat_free(b->plat);
+	tg_http_client_free(b->client);
+	tg_member_free(b->member);
+	event_base_free(b->base);
+}
+
+static int run(struct board *b)
+{
+	static const struct tg_controller *const controllers[] = {
+		&rpc_controller, &http_controller, NULL
+	};
+	struct tg_daemon_opts daemon = {
+		.controllers = controllers,
+		.board = b,
+		.drain_grace_ms = b->opts.drain_grace_ms,
+		.drain_max_ms = b->opts.drain_max_ms,
+	};
+	int status;
+
+	tg_log_open(PROG, b->opts.log_level);
+	tg_log_register(tg_http_events);
+	tg_log_register(tg_rpc_events);
+	tg_log_register(tg_plat_events);
+	tg_log_register(tg_doc_events);
+	tg_log_register(tg_member_events);
+	tg_log_register(events);
+	b->base = event_base_new();
+	daemon.base = b->base;
+	make_clients(b);
+	status = tg_daemon_run(&daemon);
+	free_clients(b);
+	return status;
+}
+
+int main(int argc, char **argv)
+{
+	static const struct tg_settings_spec spec = {
+		.prog = PROG,
+		.summary = "Console of the operators: forms and API of the "
+			   "configuration document.",
+		.items = settings,
+	};
+	struct tg_findings f = { 0 };
+	struct board b = { 0 };
+
+	switch (tg_settings_load(&spec, argc, argv, &b.opts, NULL)) {
+	case TG_SETTINGS_DONE:
+		return 0;
+	case TG_SETTINGS_BAD:
+		return TG_EXIT_USAGE;
+	case TG_SETTINGS_OK:
+		break;
+	}
+	if (auth_read_key(&b, &f)) {
+		tg_findings_print(&f, stderr, PROG);
+		tg_findings_free(&f);
+		return TG_EXIT_USAGE;
+	}
+	return run(&b);
+}
--- /dev/null
+++ b/cmd/tgconsoled/pages.c
@@ -0,0 +1,343 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+
+/* A form that waits for the end of a load or a save. */
+struct post {
+	struct board *board;
+	struct evhttp_request *req;
+	struct session session; /* a copy: it may expire meanwhile */
+	struct form form;
+	char *text; /* of the form's document */
+};
+
+static void free_post(struct post *p)
+{
+	form_free(&p->form);
+	free(p->text);
+	free(p);
+}
+
+static void reply_page(struct evhttp_request *req, int status,
+		       const struct page *page)
+{
+	struct evbuffer *out = evbuffer_new();
+
+	html_page(out, page);
+	html_reply(req, status, out);
+}
+
+static void reply_typed(struct post *p, int status, const char *message,
+			bool is_fault, const struct tg_findings *f)
+{
+	struct page page = {
+		.session = &p->session,
+		.generation = p->form.generation,
+		.message = message,
+		.is_fault = is_fault,
+		.doc = p->form.doc,
+		.findings = f,
+	};
+
+	reply_page(p->req, status, &page);
+}
+
+/* --- load --- */
+
+static void on_loaded(const struct stored *s, void *arg)
+{
+	struct page page = { 0 };
+	struct post *p = arg;
+	char *saved = tg_http_query(p->req, "saved");
+	char message[64];
+
+	page.session = &p->session;
+	if (!s) {
+		page.message = "The document can't be read now: the platform "
+			       "does not answer. Load this page again.";
+		page.is_fault = true;
+		reply_page(p->req, 503, &page);
+		goto out;
+	}
+	page.doc = json_loadb(s->text, s->text_bytes, 0, NULL);
+	page.generation = s->generation;
+	page.saved_by = s->author;
+	page.saved_at = s->at;
+	if (saved) {
+		snprintf(message, sizeof(message), "Saved as generation %llu.",
+			 strtoull(saved, NULL, 10));
+		page.message = message;
+	}
+	if (s->held) {
+		page.message =
+			"The table does not answer. This is the document "
+			"in force here; it can't be saved now.";
+		page.is_fault = true;
+	}
+	reply_page(p->req, 200, &page);
+	json_decref((json_t *)page.doc);
+out:
+	free(saved);
+	free_post(p);
+}
+
+/* --- save --- */
+
+static void redirect_saved(struct post *p, uint64_t generation)
+{
+	char where[48];
+
+	snprintf(where, sizeof(where), "/?saved=%llu",
+		 (unsigned long long)generation);
+	evhttp_add_header(evhttp_request_get_output_headers(p->req), "Location",
+			  where);
+	tg_http_reply_text(p->req, 303, "text/plain", "", 0);
+}
+
+static void reply_race(struct post *p, const struct save_result *r)
+{
+	json_t *theirs = r->theirs->text ?
+		json_loadb(r->theirs->text, r->theirs->text_bytes, 0, NULL) :
+		NULL;
+	json_t *none = json_object();
+	struct page page = {
+		.session = &p->session,
+		.generation = r->generation,
+		.message = "Not saved: the document was changed since you "
+			   "loaded it.",
+		.is_fault = true,
+		.doc = p->form.doc,
+		.their_generation = r->generation,
+		.their_author = r->theirs->author,
+	};
+
+	if (theirs || !r->generation) {
+		page.differences =
+			tg_doc_diff(p->form.doc, theirs ? theirs : none);
+	} else {
+		/* Unseen changes must not be replaced by the next save. */
+		page.generation = p->form.generation;
+		page.message = "Not saved: the document was changed since you "
+			       "loaded it. The other document can't be read "
+			       "now; save again to see it.";
+	}
+	reply_page(p->req, 409, &page);
+	json_decref((json_t *)page.differences);
+	json_decref(theirs);
+	json_decref(none);
+}
+
+static void on_saved(const struct save_result *r, void *arg)
+{
+	struct post *p = arg;
+	char message[160];
+
+	switch (r->end) {
+	case SAVE_DONE:
+		redirect_saved(p, r->generation);
+		break;
+	case SAVE_INVALID:
+		reply_typed(p, 422, "Not saved.", true, r->findings);
+		break;
+	case SAVE_CONFLICT:
+		reply_race(p, r);
+		break;
+	case SAVE_UNAVAILABLE:
+		snprintf(message, sizeof(message),
+			 "Not saved: no answer from %s. What you typed is "
+			 "below.",
+			 r->text);
+		reply_typed(p, 503, message, true, NULL);
+		break;
+	default:
+		snprintf(message, sizeof(message),
+			 "It is unknown whether generation %llu was saved: the "
+			 "table's answer was lost. Look at the history before "
+			 "you save again.",
+			 (unsigned long long)r->generation);
+		reply_typed(p, 504, message, true, NULL);
+		break;
+	}
+	free_post(p);
+}
+
+static void check(struct post *p)
+{
+	struct tg_findings f = { 0 };
+
+	switch (store_check(p->board, p->text, strlen(p->text), &f)) {
+	case SAVE_DONE:
+		reply_typed(p, 200, "No findings. Not saved yet.", false, NULL);
+		break;
+	case SAVE_INVALID:
+		reply_typed(p, 200, "Checked, not saved.", true, &f);
+		break;
+	default:
+		reply_typed(p, 503,
+			    "Not checked: there is no instance list "
+			    "yet.",
+			    true, NULL);
+		break;
+	}
+	tg_findings_free(&f);
+	free_post(p);
+}
+
+static void act(struct post *p)
+{
+	if (form_edit(&p->form)) {
+		reply_typed(p, 200, "Not saved yet.", false, NULL);
+		free_post(p);
+		return;
+	}
+	p->text =
+		json_dumps(p->form.doc, JSON_COMPACT | JSON_REAL_PRECISION(15));
+	if (!strcmp(p->form.action, "save"))
+		store_save(p->board, p->form.generation, p->text,
+			   strlen(p->text), p->session.author, on_saved, p);
+	else
+		check(p);
+}
+
+static struct post *make_post(struct board *b, struct evhttp_request *req,
+			      const struct session *s)
+{
+	struct post *p = tg_xcalloc(1, sizeof(*p));
+
+	p->board = b;
+	p->req = req;
+	p->session = *s;
+	return p;
+}
+
+static void post_form(struct board *b, struct evhttp_request *req,
+		      const struct session *s, const char *body)
+{
+	const char *site = tg_http_header(req, "Sec-Fetch-Site");
+	struct post *p = make_post(b, req, s);
+
+	if (form_parse(body, &p->form)) {
+		tg_http_reply_error(req, 400, "body", "not a form");
+		free_post(p);
+		return;
+	}
+	if (!auth_equal(p->form.token, s->form_token) ||
+	    (site && !strcmp(site, "cross-site"))) {
+		tg_log(EV_CONSOLE_CROSS_SITE, "author=%s site=%s", s->author,
+		       site ? site : "-");
+		reply_typed(p, 403,
+			    "Nothing was done: the form has no valid token. "
+			    "Check it and send it again.",
+			    true, NULL);
+		free_post(p);
+		return;
+	}
+	act(p);
+}
+
+void pages_show_typed(struct board *b, struct evhttp_request *req,
+		      struct session *s, const char *body)
+{
+	struct post *p = make_post(b, req, s);
+
+	if (form_parse(body, &p->form))
+		tg_http_reply_error(req, 400, "typed", "not a form");
+	else
+		reply_typed(p, 200,
+			    "You are logged in again. Nothing was saved yet.",
+			    false, NULL);
+	free_post(p);
+}
+
+void pages_form(struct evhttp_request *req, void *arg)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t n = evbuffer_get_length(in);
+	struct board *b = arg;
+	struct session *s = auth_session(b, req);
+	char *body;
+
+	if (evhttp_request_get_command(req) == EVHTTP_REQ_GET) {
+		if (s)
+			store_load(b, on_loaded, make_post(b, req, s));
+		else
+			login_page(req, 200, NULL, NULL);
+		return;
+	}
+	body = tg_xcalloc(n + 1, 1);
+	evbuffer_copyout(in, body, n);
+	if (s)
+		post_form(b, req, s, body);
+	else
+		login_page(req, 403,
+			   "Your session has ended. Log in again; what you "
+			   "typed is kept.",
+			   body);
+	free(body);
+}
+
+/* --- history --- */
+
+static void add_cell(struct evbuffer *out, const json_t *v, const char *key)
+{
+	const char *s = json_string_value(json_object_get(v, key));
+
+	evbuffer_add_printf(out, "<td>");
+	html_text(out, s ? s : "");
+	evbuffer_add_printf(out, "</td>");
+}
+
+static void on_history(const struct stored *s, void *arg)
+{
+	struct evbuffer *out = evbuffer_new();
+	struct evhttp_request *req = arg;
+	size_t i;
+
+	html_head(out, "History");
+	evbuffer_add_printf(out,
+			    "<h1>History</h1>\n<p><a href=\"/\">"
+			    "Configuration</a></p>\n");
+	if (!s || s->held) {
+		evbuffer_add_printf(out,
+				    "<p class=\"fault\" role=\"alert\">The "
+				    "history can't be read now.</p>\n");
+		html_foot(out);
+		html_reply(req, 503, out);
+		return;
+	}
+	evbuffer_add_printf(out,
+			    "<table>\n<tr><th>Generation</th><th>Author"
+			    "</th><th>At</th><th>Digest</th></tr>\n");
+	for (i = 0; i < json_array_size(s->history); i++) {
+		const json_t *v = json_array_get(s->history, i);
+
+		evbuffer_add_printf(out, "<tr><td>%lld</td>",
+				    (long long)json_integer_value(
+					    json_object_get(v, "generation")));
+		add_cell(out, v, "author");
+		add_cell(out, v, "at");
+		add_cell(out, v, "digest");
+		evbuffer_add_printf(out, "</tr>\n");
+	}
+	evbuffer_add_printf(out, "</table>\n");
+	html_foot(out);
+	html_reply(req, 200, out);
+}
+
+void pages_history(struct evhttp_request *req, void *arg)
+{
+	struct board *b = arg;
+
+	if (auth_session(b, req))
+		store_load(b, on_history, req);
+	else
+		login_page(req, 200, NULL, NULL);
+}
+
+void pages_style(struct evhttp_request *req, void *arg)
+{
+	(void)arg;
+	tg_http_reply_text(req, 200, "text/css", console_style,
+			   strlen(console_style));
+}
--- /dev/null
+++ b/cmd/tgconsoled/store.c
@@ -0,0 +1,402 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+
+#define ROW "config/current"
+/* Changes that the row names; the objects of older ones are not listed. */
+#define HISTORY_MAX 32
+
+/* --- load --- */
+
+struct load {
+	struct board *board;
+	struct stored stored;
+	char object[200];
+	char digest[17];
+	load_done done;
+	void *arg;
+};
+
+static void free_load(struct load *l)
+{
+	free(l->stored.text);
+	json_decref(l->stored.history);
+	l->board->in_progress--;
+	free(l);
+}
+
+static void end_load(struct load *l, bool ok)
+{
+	l->done(ok ? &l->stored : NULL, l->arg);
+	free_load(l);
+}
+
+/* Copies a text of the row, which another program may have damaged. */
+static void copy_member(const json_t *v, const char *key, char *out,
+			size_t size)
+{
+	const char *s = json_string_value(json_object_get(v, key));
+
+	tg_strlcpy(out, s ? s : "", size);
+}
+
+static bool read_row(const struct tg_row *row, struct load *l)
+{
+	json_int_t generation =
+		json_integer_value(json_object_get(row->value, "generation"));
+	json_t *history = json_object_get(row->value, "history");
+
+	l->stored.row_version = row->version;
+	copy_member(row->value, "author", l->stored.author,
+		    sizeof(l->stored.author));
+	copy_member(row->value, "at", l->stored.at, sizeof(l->stored.at));
+	copy_member(row->value, "object", l->object, sizeof(l->object));
+	copy_member(row->value, "digest", l->digest, sizeof(l->digest));
+	l->stored.history =
+		json_is_array(history) ? json_incref(history) : json_array();
+	if (generation <= 0 || !*l->object) {
+		tg_log(EV_CONSOLE_BAD_ROW, "generation=%lld object=%s",
+		       (long long)generation, l->object);
+		return false;
+	}
+	l->stored.generation = (uint64_t)generation;
+	return true;
+}
+
+static bool keep_text(struct load *l, const void *body, size_t n)
+{
+	char digest[17];
+
+	tg_doc_digest(body, n, digest);
+	if (*l->digest && strcmp(digest, l->digest) != 0) {
+		tg_log(EV_CONSOLE_BAD_ROW, "object=%s digest=%s", l->object,
+		       digest);
+		return false;
+	}
+	l->stored.text = tg_xcalloc(n + 1, 1);
+	memcpy(l->stored.text, body, n);
+	l->stored.text_bytes = n;
+	return true;
+}
+
+static void on_load_object(enum tg_plat_end end, const void *body, size_t n,
+			   void *arg)
+{
+	struct load *l = arg;
+
+	end_load(l, end == TG_PLAT_OK && keep_text(l, body, n));
+}
+
+/* In an outage of the table, the document in force is still of use. */
+static void load_held(struct load *l)
+{
+	const struct tg_doc *d = tg_member_doc(l->board->member);
+
+	if (!d) {
+		end_load(l, false);
+		return;
+	}
+	l->stored.held = true;
+	l->stored.generation = d->generation;
+	l->stored.history = json_array();
+	l->stored.text = tg_xstrdup(d->text);
+	l->stored.text_bytes = d->text_bytes;
+	end_load(l, true);
+}
+
+static void on_load_row(enum tg_plat_end end, const struct tg_row *row,
+			void *arg)
+{
+	static const char empty[] = "{\"version\":1}";
+	struct load *l = arg;
+
+	if (end == TG_PLAT_NOT_FOUND) {
+		l->stored.history = json_array();
+		l->stored.text = tg_xstrdup(empty);
+		l->stored.text_bytes = strlen(empty);
+		end_load(l, true);
+	} else if (end != TG_PLAT_OK) {
+		load_held(l);
+	} else if (read_row(row, l)) {
+		tg_object_get(l->board->plat, l->object, on_load_object, l);
+	} else {
+		end_load(l, false);
+	}
+}
+
+void store_load(struct board *b, load_done done, void *arg)
+{
+	struct load *l = tg_xcalloc(1, sizeof(*l));
+
+	l->board = b;
+	l->done = done;
+	l->arg = arg;
+	if (b->in_progress++ < IN_PROGRESS_MAX)
+		tg_row_get(b->plat, ROW, on_load_row, l);
+	else
+		end_load(l, false);
+}
+
+/* --- save --- */
+
+struct save {
+	struct board *board;
+	uint64_t generation; /* that was loaded by the operator */
+	char *text;
+	size_t text_bytes;
+	char author[TG_NAME_MAX + 1];
+	char object[96];
+	struct load current; /* row, and object on a conflict */
+	save_done done;
+	void *arg;
+};
+
+static void count_save(enum save_end end)
+{
+	static const char *const names[N_SAVE_ENDS] = {
+		[SAVE_DONE] = "done",
+		[SAVE_INVALID] = "invalid",
+		[SAVE_CONFLICT] = "conflict",
+		[SAVE_UNAVAILABLE] = "unavailable",
+		[SAVE_UNKNOWN] = "unknown",
+	};
+	char labels[64];
+
+	snprintf(labels, sizeof(labels), "outcome=\"%s\"", names[end]);
+	tg_counter("tg_console_saves_total", "Saves of the document.", labels)
+		->value++;
+}
+
+static void log_save(const struct save *s, const struct save_result *r)
+{
+	char digest[17];
+
+	tg_doc_digest(s->text, s->text_bytes, digest);
+	switch (r->end) {
+	case SAVE_DONE:
+		tg_log(EV_CONSOLE_SAVED, "generation=%llu author=%s digest=%s",
+		       (unsigned long long)r->generation, s->author, digest);
+		break;
+	case SAVE_INVALID:
+		tg_log(EV_CONSOLE_REFUSED, "author=%s findings=%zu place=%s",
+		       s->author, r->findings->total,
+		       r->findings->items[0].place);
+		break;
+	case SAVE_CONFLICT:
+		tg_log(EV_CONSOLE_REFUSED,
+		       "author=%s loaded=%llu current=%llu by=%s", s->author,
+		       (unsigned long long)s->generation,
+		       (unsigned long long)r->generation, r->theirs->author);
+		break;
+	case SAVE_UNAVAILABLE:
+		tg_log(EV_CONSOLE_UNAVAILABLE, "author=%s what=%s", s->author,
+		       r->text);
+		break;
+	default:
+		tg_log(EV_CONSOLE_UNKNOWN,
+		       "author=%s generation=%llu digest=%s", s->author,
+		       (unsigned long long)r->generation, digest);
+		break;
+	}
+}
+
+static void end_save(struct save *s, const struct save_result *r)
+{
+	count_save(r->end);
+	log_save(s, r);
+	s->done(r, s->arg);
+	s->board->in_progress--;
+	free(s->current.stored.text);
+	json_decref(s->current.stored.history);
+	free(s->text);
+	free(s);
+}
+
+static void fail_save(struct save *s, const char *what)
+{
+	struct save_result r = { .end = SAVE_UNAVAILABLE, .text = what };
+
+	end_save(s, &r);
+}
+
+static void end_conflict(struct save *s)
+{
+	struct save_result r = {
+		.end = SAVE_CONFLICT,
+		.generation = s->current.stored.generation,
+		.theirs = &s->current.stored,
+	};
+
+	end_save(s, &r);
+}
+
+static void on_theirs(enum tg_plat_end end, const void *body, size_t n,
+		      void *arg)
+{
+	struct save *s = arg;
+
+	if (end == TG_PLAT_OK)
+		keep_text(&s->current, body, n);
+	end_conflict(s);
+}
+
+/* Reads the row into s->current, which may hold an earlier reading. */
+static bool read_current(struct save *s, const struct tg_row *row)
+{
+	json_decref(s->current.stored.history);
+	s->current.stored.history = NULL;
+	if (row->version)
+		return read_row(row, &s->current);
+	memset(&s->current, 0, sizeof(s->current));
+	s->current.stored.history = json_array();
+	return true;
+}
+
+static void show_conflict(struct save *s)
+{
+	if (s->current.stored.generation)
+		tg_object_get(s->board->plat, s->current.object, on_theirs, s);
+	else
+		end_conflict(s);
+}
+
+static void on_committed(enum tg_plat_end end, const struct tg_row *rows,
+			 size_t n, void *arg)
+{
+	struct save *s = arg;
+	struct save_result r = { .end = SAVE_DONE,
+				 .generation = s->generation + 1 };
+
+	if (end == TG_PLAT_CONFLICT) {
+		if (n && read_current(s, &rows[0]))
+			show_conflict(s);
+		else
+			fail_save(s, "the row config/current");
+		return;
+	}
+	if (end == TG_PLAT_UNAVAILABLE || end == TG_PLAT_INVALID) {
+		fail_save(s, "the table");
+		return;
+	}
+	if (end == TG_PLAT_OK)
+		tg_member_offer(s->board->member, r.generation, s->text,
+				s->text_bytes);
+	else
+		r.end = SAVE_UNKNOWN;
+	end_save(s, &r);
+}
+
+static json_t *make_entry(const struct save *s)
+{
+	char digest[17], at[24];
+
+	tg_doc_digest(s->text, s->text_bytes, digest);
+	tg_format_utc(tg_wall_ms(), at, sizeof(at));
+	return json_pack("{s:I, s:s, s:s, s:s, s:s}", "generation",
+			 (json_int_t)s->generation + 1, "object", s->object,
+			 "digest", digest, "author", s->author, "at", at);
+}
+
+static json_t *make_row(const struct save *s)
+{
+	json_t *row = make_entry(s);
+	json_t *history = json_copy(s->current.stored.history);
+
+	json_array_insert_new(history, 0, make_entry(s));
+	while (json_array_size(history) > HISTORY_MAX)
+		json_array_remove(history, HISTORY_MAX);
+	json_object_set_new(row, "history", history);
+	return row;
+}
+
+static void on_object_put(enum tg_plat_end end, const void *body, size_t n,
+			  void *arg)
+{
+	struct save *s = arg;
+	struct tg_txn *t;
+
+	(void)body;
+	(void)n;
+	/* An object that no row names is not in force, however it ended. */
+	if (end != TG_PLAT_OK) {
+		fail_save(s, "the object store");
+		return;
+	}
+	t = tg_txn_new(s->board->plat);
+	tg_txn_if(t, ROW, s->current.stored.row_version);
+	tg_txn_put(t, ROW, make_row(s));
+	tg_txn_commit(t, on_committed, s);
+}
+
+static void on_save_row(enum tg_plat_end end, const struct tg_row *row,
+			void *arg)
+{
+	static const struct tg_row absent = { .key = ROW };
+	char token[TG_TOKEN_LEN + 1];
+	struct save *s = arg;
+
+	if (end != TG_PLAT_OK && end != TG_PLAT_NOT_FOUND) {
+		fail_save(s, "the table");
+		return;
+	}
+	if (!read_current(s, end == TG_PLAT_OK ? row : &absent)) {
+		fail_save(s, "the row config/current");
+		return;
+	}
+	if (s->current.stored.generation != s->generation) {
+		show_conflict(s);
+		return;
+	}
+	tg_token(token);
+	snprintf(s->object, sizeof(s->object), "config/%llu-%s",
+		 (unsigned long long)s->generation + 1, token);
+	tg_object_put(s->board->plat, s->object, s->text, s->text_bytes,
+		      on_object_put, s);
+}
+
+enum save_end store_check(const struct board *b, const char *text, size_t n,
+			  struct tg_findings *f)
+{
+	struct tg_doc *d = tg_doc_parse(text, n, f);
+	enum plan_end plan;
+
+	if (!d)
+		return SAVE_INVALID;
+	plan = console_plan_check(b, d, f);
+	tg_doc_free(d);
+	if (plan == PLAN_NO_INSTANCES)
+		return SAVE_UNAVAILABLE;
+	return plan == PLAN_OK ? SAVE_DONE : SAVE_INVALID;
+}
+
+void store_save(struct board *b, uint64_t generation, const char *text,
+		size_t n, const char *author, save_done done, void *arg)
+{
+	struct save *s = tg_xcalloc(1, sizeof(*s));
+	struct save_result r = { .end = SAVE_INVALID };
+	struct tg_findings f = { 0 };
+	enum save_end checked;
+
+	s->board = b;
+	s->generation = generation;
+	s->text = tg_xcalloc(n + 1, 1);
+	memcpy(s->text, text, n);
+	s->text_bytes = n;
+	tg_strlcpy(s->author, author, sizeof(s->author));
+	s->done = done;
+	s->arg = arg;
+	if (b->in_progress++ >= IN_PROGRESS_MAX) {
+		fail_save(s, "this console (too many saves)");
+		return;
+	}
+	checked = store_check(b, text, n, &f);
+	r.findings = &f;
+	if (checked == SAVE_INVALID)
+		end_save(s, &r);
+	else if (checked == SAVE_UNAVAILABLE)
+		fail_save(s, "the instance list");
+	else
+		tg_row_get(b->plat, ROW, on_save_row, s);
+	tg_findings_free(&f);
+}
