--- a/cmd/tgconsoled/board.h
+++ b/cmd/tgconsoled/board.h
@@ -172,8 +172,8 @@
 	json_t *doc;
 };
 
-/** form_parse() - 0, or -1 if the body is not a form */
-int form_parse(const char *body, struct form *f);
+/** form_parse() - read an urlencoded body; what is not a field is ignored */
+void form_parse(const char *body, struct form *f);
 void form_free(struct form *f);
 /** form_edit() - apply an add or remove action */
 bool form_edit(struct form *f);
--- a/cmd/tgconsoled/form.c
+++ b/cmd/tgconsoled/form.c
@@ -251,27 +251,46 @@
 		json_array_append_new(taken, make_string(value));
 }
 
-int form_parse(const char *body, struct form *f)
+/* evhttp_parse_query_str() leaves names encoded, and browsers encode '/'. */
+static char *decode(const char *s)
 {
-	struct evkeyvalq form;
-	struct evkeyval *kv;
-	json_t *taken;
+	char *out = evhttp_uridecode(s, 1, NULL);
+
+	return out ? out : tg_xstrdup("");
+}
+
+static void read_pair(struct form *f, char *pair, json_t *taken)
+{
+	char *value = strchr(pair, '=');
+	char *key;
+
+	if (!value)
+		return;
+	*value++ = '\0';
+	key = decode(pair);
+	value = decode(value);
+	read_field(f, key, value, taken);
+	free(key);
+	free(value);
+}
+
+void form_parse(const char *body, struct form *f)
+{
+	char *copy = tg_xstrdup(body), *save = NULL, *pair;
+	json_t *taken = json_array();
 
 	memset(f, 0, sizeof(*f));
-	if (evhttp_parse_query_str(body, &form))
-		return -1;
-	taken = json_array();
 	f->doc = json_pack("{s:i}", "version", 1);
-	for (kv = form.tqh_first; kv; kv = kv->next.tqe_next)
-		read_field(f, kv->key, kv->value, taken);
-	evhttp_clear_headers(&form);
+	for (pair = strtok_r(copy, "&", &save); pair;
+	     pair = strtok_r(NULL, "&", &save))
+		read_pair(f, pair, taken);
+	free(copy);
 	take_all(f->doc, taken);
 	json_decref(taken);
 	if (!f->action)
 		f->action = tg_xstrdup("check");
 	if (!f->token)
 		f->token = tg_xstrdup("");
-	return 0;
 }
 
 void form_free(struct form *f)
--- a/cmd/tgconsoled/pages.c
+++ b/cmd/tgconsoled/pages.c
@@ -217,11 +217,7 @@
 	const char *site = tg_http_header(req, "Sec-Fetch-Site");
 	struct post *p = make_post(b, req, s);
 
-	if (form_parse(body, &p->form)) {
-		tg_http_reply_error(req, 400, "body", "not a form");
-		free_post(p);
-		return;
-	}
+	form_parse(body, &p->form);
 	if (!auth_equal(p->form.token, s->form_token) ||
 	    (site && !strcmp(site, "cross-site"))) {
 		tg_log(EV_CONSOLE_CROSS_SITE, "author=%s site=%s", s->author,
@@ -241,12 +237,9 @@
 {
 	struct post *p = make_post(b, req, s);
 
-	if (form_parse(body, &p->form))
-		tg_http_reply_error(req, 400, "typed", "not a form");
-	else
-		reply_typed(p, 200,
-			    "You are logged in again. Nothing was saved yet.",
-			    false, NULL);
+	form_parse(body, &p->form);
+	reply_typed(p, 200, "You are logged in again. Nothing was saved yet.",
+		    false, NULL);
 	free_post(p);
 }
 
