--- /dev/null
+++ b/cmd/tgctl/document.c
@@ -0,0 +1,254 @@
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl.h"
+
+#define FILE_BYTES_MAX (4 << 20)
+
+char *ctl_read_file(const char *path, size_t *n)
+{
+	FILE *in = strcmp(path, "-") ? fopen(path, "r") : stdin;
+	char *text;
+
+	if (!in) {
+		ctl_error("%s: %s", path, strerror(errno));
+		return NULL;
+	}
+	text = tg_xcalloc(FILE_BYTES_MAX + 1, 1);
+	*n = fread(text, 1, FILE_BYTES_MAX, in);
+	if (ferror(in)) {
+		ctl_error("%s: %s", path, strerror(errno));
+		free(text);
+		text = NULL;
+	}
+	if (in != stdin)
+		fclose(in);
+	return text;
+}
+
+void ctl_put_document(struct ctl *c, uint64_t generation, const char *text,
+		      struct ctl_reply *r)
+{
+	char uri[64];
+
+	snprintf(uri, sizeof(uri), "/v1/document?generation=%llu",
+		 (unsigned long long)generation);
+	ctl_call(c, EVHTTP_REQ_PUT, c->opts.console, uri, text, r);
+}
+
+static void print_differences(const json_t *list, const char *ours,
+			      const char *theirs)
+{
+	size_t i;
+
+	for (i = 0; i < json_array_size(list); i++) {
+		const json_t *d = json_array_get(list, i);
+		const char *name =
+			json_string_value(json_object_get(d, "name"));
+		char *place = ctl_text(json_object_get(d, "place"));
+		char *a = ctl_text(json_object_get(d, "ours"));
+		char *b = ctl_text(json_object_get(d, "theirs"));
+
+		printf("%s%s%s%s\n  %s: %s\n  %s: %s\n", place,
+		       name ? " (" : "", name ? name : "", name ? ")" : "",
+		       ours, a, theirs, b);
+		free(place);
+		free(a);
+		free(b);
+	}
+}
+
+/* Without a console, the document in force at an entry daemon is shown. */
+static enum ctl_exit show(struct ctl *c)
+{
+	const char *addr = c->opts.console ? c->opts.console : c->opts.entry;
+	enum ctl_exit status;
+	struct ctl_reply r;
+
+	if (!ctl_need(addr, "console"))
+		return CTL_USAGE;
+	ctl_call(c, EVHTTP_REQ_GET, addr, "/v1/document", NULL, &r);
+	status = ctl_reply_exit(&r, false);
+	if (status != CTL_DONE) {
+		ctl_report(&r, false);
+	} else if (c->opts.json) {
+		ctl_print_json(r.json);
+	} else {
+		fprintf(stderr, "tgctl: generation %lld\n",
+			(long long)json_integer_value(
+				json_object_get(r.json, "generation")));
+		json_dumpf(json_object_get(r.json, "document"), stdout,
+			   JSON_INDENT(2) | JSON_REAL_PRECISION(15));
+		printf("\n");
+	}
+	ctl_reply_free(&r);
+	return status;
+}
+
+static enum ctl_exit check_here(const char *text, size_t n)
+{
+	struct tg_findings f = { 0 };
+	struct tg_doc *d = tg_doc_parse(text, n, &f);
+	enum ctl_exit status = d ? CTL_DONE : CTL_REFUSED;
+	size_t i;
+
+	for (i = 0; i < f.n; i++)
+		ctl_error("%s: %s",
+			  *f.items[i].place ? f.items[i].place : "document",
+			  f.items[i].text);
+	if (d)
+		printf("no findings; guarantees were not checked, which needs "
+		       "--console\n");
+	tg_doc_free(d);
+	tg_findings_free(&f);
+	return status;
+}
+
+static enum ctl_exit check(struct ctl *c)
+{
+	enum ctl_exit status;
+	struct ctl_reply r;
+	size_t n;
+	char *text = ctl_read_file(c->args[1], &n);
+
+	if (!text)
+		return CTL_USAGE;
+	if (!c->opts.console) {
+		status = check_here(text, n);
+		free(text);
+		return status;
+	}
+	ctl_call(c, EVHTTP_REQ_POST, c->opts.console, "/v1/document/check",
+		 text, &r);
+	status = ctl_reply_exit(&r, false);
+	if (c->opts.json && r.json)
+		ctl_print_json(r.json);
+	else if (status == CTL_DONE)
+		printf("no findings\n");
+	else
+		ctl_report(&r, false);
+	ctl_reply_free(&r);
+	free(text);
+	return status;
+}
+
+static enum ctl_exit put(struct ctl *c)
+{
+	enum ctl_exit status;
+	struct ctl_reply r;
+	size_t n;
+	char *text;
+
+	if (!ctl_need(c->opts.console, "console"))
+		return CTL_USAGE;
+	if (c->opts.generation < 0) {
+		ctl_error("--generation: needed: the generation that was "
+			  "edited, see document show");
+		return CTL_USAGE;
+	}
+	text = ctl_read_file(c->args[1], &n);
+	if (!text)
+		return CTL_USAGE;
+	ctl_put_document(c, (uint64_t)c->opts.generation, text, &r);
+	status = ctl_reply_exit(&r, true);
+	if (c->opts.json && r.json) {
+		ctl_print_json(r.json);
+	} else if (status == CTL_DONE) {
+		ctl_print_members(r.json);
+	} else {
+		ctl_report(&r, true);
+		print_differences(json_object_get(r.json, "differences"),
+				  "yours", "theirs");
+	}
+	ctl_reply_free(&r);
+	free(text);
+	return status;
+}
+
+static enum ctl_exit diff(struct ctl *c)
+{
+	enum ctl_exit status = CTL_USAGE;
+	struct ctl_reply r = { 0 };
+	json_t *ours = NULL, *list = NULL;
+	json_error_t e;
+	size_t n;
+	char *text;
+
+	if (!ctl_need(c->opts.console, "console"))
+		return CTL_USAGE;
+	text = ctl_read_file(c->args[1], &n);
+	if (!text)
+		return CTL_USAGE;
+	ours = json_loadb(text, n, 0, &e);
+	if (!ours) {
+		ctl_error("%s: line %d, column %d: %s", c->args[1], e.line,
+			  e.column, e.text);
+		status = CTL_REFUSED;
+		goto out;
+	}
+	ctl_call(c, EVHTTP_REQ_GET, c->opts.console, "/v1/document", NULL, &r);
+	status = ctl_reply_exit(&r, false);
+	if (status != CTL_DONE) {
+		ctl_report(&r, false);
+		goto out;
+	}
+	list = tg_doc_diff(ours, json_object_get(r.json, "document"));
+	if (c->opts.json)
+		ctl_print_json(list);
+	else
+		print_differences(list, "file", "console");
+out:
+	json_decref(list);
+	json_decref(ours);
+	ctl_reply_free(&r);
+	free(text);
+	return status;
+}
+
+static enum ctl_exit history(struct ctl *c)
+{
+	static const char *const columns[] = { "generation", "author", "at",
+					       "digest", NULL };
+	enum ctl_exit status;
+	struct ctl_reply r;
+
+	if (!ctl_need(c->opts.console, "console"))
+		return CTL_USAGE;
+	ctl_call(c, EVHTTP_REQ_GET, c->opts.console, "/v1/document/history",
+		 NULL, &r);
+	status = ctl_reply_exit(&r, false);
+	if (status != CTL_DONE)
+		ctl_report(&r, false);
+	else if (c->opts.json)
+		ctl_print_json(r.json);
+	else
+		ctl_print_table(json_object_get(r.json, "entries"), columns);
+	ctl_reply_free(&r);
+	return status;
+}
+
+enum ctl_exit ctl_document(struct ctl *c)
+{
+	static const struct {
+		const char *name;
+		int args;
+		enum ctl_exit (*run)(struct ctl *c);
+	} commands[] = {
+		{ "show", 0, show },	   { "check", 1, check },
+		{ "put", 1, put },	   { "diff", 1, diff },
+		{ "history", 0, history },
+	};
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(commands); i++) {
+		if (strcmp(c->args[0], commands[i].name) != 0)
+			continue;
+		if (c->n - 1 != commands[i].args)
+			break;
+		return commands[i].run(c);
+	}
+	ctl_error("document: needs check FILE, show, put FILE, diff FILE or "
+		  "history");
+	return CTL_USAGE;
+}
--- /dev/null
+++ b/cmd/tgctl/drain.c
@@ -0,0 +1,132 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl.h"
+
+/*
+ * The edit is small and means the same on any document, so it is made again
+ * on the newer one after a race, and after an answer that was lost.
+ */
+#define ATTEMPTS 10
+#define RETRY_MS 300
+
+static size_t find_drain(const json_t *drains, const char *worker)
+{
+	size_t i;
+
+	for (i = 0; i < json_array_size(drains); i++) {
+		const char *s = json_string_value(
+			json_object_get(json_array_get(drains, i), "worker"));
+
+		if (s && !strcmp(s, worker))
+			break;
+	}
+	return i;
+}
+
+/* Whether the document was changed. */
+static bool edit(json_t *doc, const char *worker, bool drain)
+{
+	json_t *drains = json_object_get(doc, "drains");
+	size_t at = find_drain(drains, worker);
+	bool is_drained = at < json_array_size(drains);
+
+	if (is_drained == drain)
+		return false;
+	if (!drains) {
+		drains = json_array();
+		json_object_set_new(doc, "drains", drains);
+	}
+	if (drain)
+		json_array_append_new(drains,
+				      json_pack("{s:s}", "worker", worker));
+	else
+		json_array_remove(drains, at);
+	return true;
+}
+
+static void print_result(struct ctl *c, bool drain, json_int_t generation,
+			 bool changed)
+{
+	if (c->opts.json)
+		printf("{\"changed\":%s,\"drained\":%s,\"generation\":%lld,"
+		       "\"worker\":\"%s\"}\n",
+		       changed ? "true" : "false", drain ? "true" : "false",
+		       (long long)generation, c->args[0]);
+	else
+		printf("%s: %s%s in generation %lld\n", c->args[0],
+		       changed ? "" : "already ",
+		       drain ? "drained" : "not drained",
+		       (long long)generation);
+}
+
+/*
+ * One attempt.  *again is set if it may be made again; otherwise the result
+ * has been printed.
+ */
+static enum ctl_exit attempt(struct ctl *c, bool drain, bool *again)
+{
+	enum ctl_exit status;
+	json_int_t generation;
+	struct ctl_reply r;
+	char *text = NULL;
+	json_t *doc;
+
+	*again = false;
+	ctl_call(c, EVHTTP_REQ_GET, c->opts.console, "/v1/document", NULL, &r);
+	status = ctl_reply_exit(&r, false);
+	if (status != CTL_DONE) {
+		ctl_report(&r, false);
+		goto out;
+	}
+	generation = json_integer_value(json_object_get(r.json, "generation"));
+	doc = json_object_get(r.json, "document");
+	if (!edit(doc, c->args[0], drain)) {
+		print_result(c, drain, generation, false);
+		goto out;
+	}
+	text = json_dumps(doc, JSON_COMPACT | JSON_REAL_PRECISION(15));
+	ctl_reply_free(&r);
+	ctl_put_document(c, (uint64_t)generation, text, &r);
+	status = ctl_reply_exit(&r, true);
+	*again = r.status == 409 || status == CTL_UNKNOWN;
+	if (status == CTL_DONE)
+		print_result(c, drain, generation + 1, true);
+	else
+		ctl_report(&r, true);
+out:
+	ctl_reply_free(&r);
+	free(text);
+	return status;
+}
+
+static enum ctl_exit change(struct ctl *c, bool drain)
+{
+	enum ctl_exit status;
+	bool again;
+	int i;
+
+	if (!ctl_need(c->opts.console, "console"))
+		return CTL_USAGE;
+	if (!tg_name_valid(c->args[0])) {
+		ctl_error("WORKER: not a name of a-z, 0-9 and -");
+		return CTL_USAGE;
+	}
+	for (i = 0; i < ATTEMPTS; i++) {
+		status = attempt(c, drain, &again);
+		if (!again)
+			break;
+		ctl_sleep(c, RETRY_MS);
+	}
+	return status;
+}
+
+enum ctl_exit ctl_drain(struct ctl *c)
+{
+	return change(c, true);
+}
+
+enum ctl_exit ctl_undrain(struct ctl *c)
+{
+	return change(c, false);
+}
--- /dev/null
+++ b/cmd/tgctl/jobs.c
@@ -0,0 +1,346 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl.h"
+
+/* A submission or cancellation may be repeated: the job is named. */
+#define ATTEMPTS 3
+#define RETRY_MS 500
+#define POLL_MS 500
+
+static void add_int(json_t *v, const char *key, int64_t value)
+{
+	if (value)
+		json_object_set_new(v, key, json_integer(value));
+}
+
+static void add_text(json_t *v, const char *key, const char *text)
+{
+	if (text)
+		json_object_set_new(v, key, json_string(text));
+}
+
+static json_t *spec_from_file(const char *path)
+{
+	json_error_t e;
+	json_t *v = NULL;
+	size_t n;
+	char *text = ctl_read_file(path, &n);
+
+	if (!text)
+		return NULL;
+	v = json_loadb(text, n, JSON_REJECT_DUPLICATES, &e);
+	free(text);
+	if (json_is_object(v))
+		return v;
+	ctl_error("%s: line %d, column %d: %s", path, e.line, e.column,
+		  v ? "not an object" : e.text);
+	json_decref(v);
+	return NULL;
+}
+
+/* Fields from the file, replaced by those of the flags. */
+static json_t *make_spec(struct ctl *c)
+{
+	const struct ctl_opts *o = &c->opts;
+	json_t *v = c->n ? spec_from_file(c->args[0]) : json_object();
+	json_t *task;
+
+	if (!v)
+		return NULL;
+	add_text(v, "workspace", o->workspace);
+	add_text(v, "job", o->job);
+	add_text(v, "class", o->class);
+	add_text(v, "az", o->az);
+	add_int(v, "tasks", o->tasks);
+	add_int(v, "accelerators_per_task", o->accelerators);
+	add_int(v, "cores_per_task", o->cores);
+	add_int(v, "memory_gb_per_task", o->memory_gb);
+	add_int(v, "declared_ms", o->declared_ms);
+	if (o->within_rack)
+		json_object_set_new(v, "within_rack", json_true());
+	if (o->task) {
+		task = json_loads(o->task, 0, NULL);
+		if (!task) {
+			ctl_error("--task: not a JSON object");
+			json_decref(v);
+			return NULL;
+		}
+		json_object_set_new(v, "task", task);
+	}
+	return v;
+}
+
+/* A name that is chosen here lets a lost answer be settled. */
+static void name_job(json_t *spec)
+{
+	char token[TG_TOKEN_LEN + 1], name[TG_NAME_MAX + 1];
+
+	if (json_object_get(spec, "job"))
+		return;
+	tg_token(token);
+	snprintf(name, sizeof(name), "ctl-%.20s", token);
+	json_object_set_new(spec, "job", json_string(name));
+}
+
+static void call_repeated(struct ctl *c, enum evhttp_cmd_type method,
+			  const char *uri, const char *body,
+			  struct ctl_reply *r)
+{
+	int i;
+
+	for (i = 0;; i++) {
+		ctl_call(c, method, c->opts.entry, uri, body, r);
+		if (ctl_reply_exit(r, true) != CTL_UNKNOWN || i + 1 == ATTEMPTS)
+			return;
+		ctl_error("no answer, asking again");
+		ctl_reply_free(r);
+		ctl_sleep(c, RETRY_MS);
+	}
+}
+
+static const char *state_of(const json_t *v)
+{
+	const char *s = json_string_value(json_object_get(v, "state"));
+
+	return s ? s : "?";
+}
+
+static bool has_ended(const char *state)
+{
+	return !strcmp(state, "done") || !strcmp(state, "cancelled") ||
+		!strcmp(state, "parked");
+}
+
+static void print_job(struct ctl *c, const json_t *v)
+{
+	if (c->opts.json)
+		ctl_print_json(v);
+	else
+		ctl_print_members(v);
+}
+
+/* One line on stderr for each state that is seen. */
+static enum ctl_exit wait_for_job(struct ctl *c, const char *uri)
+{
+	int64_t end_ms = tg_now_ms() + c->opts.wait_ms;
+	enum ctl_exit status = CTL_UNKNOWN;
+	char last[64] = "";
+	struct ctl_reply r;
+	bool ended = false;
+
+	while (!ended) {
+		const char *now;
+
+		ctl_call(c, EVHTTP_REQ_GET, c->opts.entry, uri, NULL, &r);
+		status = ctl_reply_exit(&r, false);
+		now = status == CTL_DONE      ? state_of(r.json) :
+			status == CTL_REFUSED ? "not found" :
+						"not reachable, asking again";
+		if (strcmp(now, last) != 0)
+			fprintf(stderr, "tgctl: %s\n", now);
+		tg_strlcpy(last, now, sizeof(last));
+		ended = status == CTL_REFUSED ||
+			(status == CTL_DONE && has_ended(now));
+		if (ended && status == CTL_DONE) {
+			print_job(c, r.json);
+			status = strcmp(now, "done") ? CTL_REFUSED : CTL_DONE;
+		}
+		ctl_reply_free(&r);
+		if (ended)
+			break;
+		if (c->opts.wait_ms && tg_now_ms() >= end_ms) {
+			ctl_error("still waiting after %lld ms",
+				  (long long)c->opts.wait_ms);
+			return CTL_UNKNOWN;
+		}
+		ctl_sleep(c, POLL_MS);
+	}
+	return status;
+}
+
+static char *job_uri(const char *workspace, const char *job, const char *suffix)
+{
+	if (!tg_name_valid(workspace) || !tg_name_valid(job)) {
+		ctl_error("WORKSPACE JOB: not names of a-z, 0-9 and -");
+		return NULL;
+	}
+	return tg_xasprintf("/v1/jobs/%s/%s%s", workspace, job, suffix);
+}
+
+enum ctl_exit ctl_submit(struct ctl *c)
+{
+	enum ctl_exit status = CTL_USAGE;
+	struct ctl_reply r = { 0 };
+	char *body = NULL, *uri = NULL;
+	json_t *spec;
+
+	if (!ctl_need(c->opts.entry, "entry"))
+		return CTL_USAGE;
+	spec = make_spec(c);
+	if (!spec)
+		return CTL_USAGE;
+	name_job(spec);
+	body = json_dumps(spec, JSON_COMPACT);
+	call_repeated(c, EVHTTP_REQ_POST, "/v1/jobs", body, &r);
+	status = ctl_reply_exit(&r, true);
+	if (status != CTL_DONE) {
+		ctl_report(&r, true);
+		if (status == CTL_UNKNOWN)
+			ctl_error("job %s",
+				  json_string_value(
+					  json_object_get(spec, "job")));
+	} else if (!c->opts.wait) {
+		print_job(c, r.json);
+	} else {
+		uri = job_uri(
+			json_string_value(json_object_get(spec, "workspace")),
+			json_string_value(json_object_get(spec, "job")), "");
+		status = uri ? wait_for_job(c, uri) : CTL_USAGE;
+	}
+	ctl_reply_free(&r);
+	json_decref(spec);
+	free(body);
+	free(uri);
+	return status;
+}
+
+enum ctl_exit ctl_cancel(struct ctl *c)
+{
+	enum ctl_exit status;
+	struct ctl_reply r;
+	char *uri;
+
+	if (!ctl_need(c->opts.entry, "entry"))
+		return CTL_USAGE;
+	uri = job_uri(c->args[0], c->args[1], "");
+	if (!uri)
+		return CTL_USAGE;
+	call_repeated(c, EVHTTP_REQ_DELETE, uri, NULL, &r);
+	status = ctl_reply_exit(&r, true);
+	if (status == CTL_DONE)
+		print_job(c, r.json);
+	else
+		ctl_report(&r, true);
+	ctl_reply_free(&r);
+	free(uri);
+	return status;
+}
+
+static enum ctl_exit show_job(struct ctl *c, const char *suffix)
+{
+	enum ctl_exit status;
+	struct ctl_reply r;
+	char *uri;
+
+	if (!ctl_need(c->opts.entry, "entry"))
+		return CTL_USAGE;
+	uri = job_uri(c->args[0], c->args[1], suffix);
+	if (!uri)
+		return CTL_USAGE;
+	if (c->opts.wait && !*suffix) {
+		status = wait_for_job(c, uri);
+		goto out;
+	}
+	ctl_call(c, EVHTTP_REQ_GET, c->opts.entry, uri, NULL, &r);
+	status = ctl_reply_exit(&r, false);
+	if (status == CTL_DONE)
+		print_job(c, r.json);
+	else
+		ctl_report(&r, false);
+	ctl_reply_free(&r);
+out:
+	free(uri);
+	return status;
+}
+
+enum ctl_exit ctl_status(struct ctl *c)
+{
+	return show_job(c, "");
+}
+
+enum ctl_exit ctl_explain(struct ctl *c)
+{
+	return show_job(c, "/explain");
+}
+
+static enum ctl_exit show_list(struct ctl *c, const char *path, const char *key,
+			       const char *const *columns)
+{
+	char *uri = c->opts.workspace ?
+		tg_xasprintf("%s?workspace=%s", path, c->opts.workspace) :
+		tg_xstrdup(path);
+	const json_t *unreachable;
+	enum ctl_exit status;
+	struct ctl_reply r;
+
+	ctl_call(c, EVHTTP_REQ_GET, c->opts.entry, uri, NULL, &r);
+	free(uri);
+	status = ctl_reply_exit(&r, false);
+	if (status != CTL_DONE) {
+		ctl_report(&r, false);
+		goto out;
+	}
+	if (c->opts.json)
+		ctl_print_json(r.json);
+	else
+		ctl_print_table(json_object_get(r.json, key), columns);
+	unreachable = json_object_get(r.json, "unreachable");
+	if (json_array_size(unreachable)) {
+		ctl_error("%zu AZs did not answer, the list is not complete",
+			  json_array_size(unreachable));
+		status = CTL_UNREACHABLE;
+	}
+	if (json_is_true(json_object_get(r.json, "more")))
+		ctl_error("there are more than these");
+out:
+	ctl_reply_free(&r);
+	return status;
+}
+
+enum ctl_exit ctl_jobs(struct ctl *c)
+{
+	static const char *const columns[] = { "workspace", "job",   "az",
+					       "class",	    "state", "attempt",
+					       "reason",    NULL };
+
+	if (!ctl_need(c->opts.entry, "entry"))
+		return CTL_USAGE;
+	if (c->n)
+		c->opts.workspace = c->args[0];
+	if (c->opts.workspace && !tg_name_valid(c->opts.workspace)) {
+		ctl_error("WORKSPACE: not a name of a-z, 0-9 and -");
+		return CTL_USAGE;
+	}
+	return show_list(c, "/v1/jobs", "jobs", columns);
+}
+
+enum ctl_exit ctl_workers(struct ctl *c)
+{
+	static const char *const columns[] = {
+		"worker", "az",		  "rack",	  "state",
+		"slots",  "slots_in_use", "accelerators", "accelerators_in_use",
+		NULL
+	};
+
+	if (!ctl_need(c->opts.entry, "entry"))
+		return CTL_USAGE;
+	c->opts.workspace = NULL;
+	return show_list(c, "/v1/workers", "workers", columns);
+}
+
+enum ctl_exit ctl_guarantees(struct ctl *c)
+{
+	static const char *const columns[] = {
+		"workspace",   "az",
+		"tasks",       "accelerators_per_task",
+		"within_rack", "lapses",
+		"lapsed",      "at_risk",
+		"used_tasks",  "lent_accelerators",
+		NULL
+	};
+
+	if (!ctl_need(c->opts.entry, "entry"))
+		return CTL_USAGE;
+	return show_list(c, "/v1/guarantees", "guarantees", columns);
+}
--- /dev/null
+++ b/cmd/tgctl/request.c
@@ -0,0 +1,45 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl.h"
+
+/* The answer's Tg-Outcome is that of the request that is asked for. */
+static enum ctl_exit outcome_exit(const json_t *v)
+{
+	const char *s = json_string_value(json_object_get(v, "outcome"));
+
+	if (s && !strcmp(s, "answered"))
+		return CTL_DONE;
+	return s && !strcmp(s, "not-run") ? CTL_REFUSED : CTL_UNKNOWN;
+}
+
+enum ctl_exit ctl_request(struct ctl *c)
+{
+	enum ctl_exit status;
+	struct ctl_reply r;
+	char *key, *uri;
+
+	if (!ctl_need(c->opts.entry, "entry"))
+		return CTL_USAGE;
+	if (!tg_name_valid(c->args[0])) {
+		ctl_error("WORKSPACE: not a name of a-z, 0-9 and -");
+		return CTL_USAGE;
+	}
+	key = evhttp_uriencode(c->args[1], -1, 0);
+	uri = tg_xasprintf("/v1/requests/%s/%s", c->args[0], key);
+	ctl_call(c, EVHTTP_REQ_GET, c->opts.entry, uri, NULL, &r);
+	status = ctl_reply_exit(&r, false);
+	if (status == CTL_DONE) {
+		status = outcome_exit(r.json);
+		if (c->opts.json)
+			ctl_print_json(r.json);
+		else
+			ctl_print_members(r.json);
+	} else {
+		ctl_report(&r, false);
+	}
+	ctl_reply_free(&r);
+	free(key);
+	free(uri);
+	return status;
+}
