--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -56,6 +56,19 @@
 				 "Generation of the document in force.", NULL);
 }
 
+/* The report tool tells a restart of an instance by its boot. */
+static void make_info(const struct tg_member *m)
+{
+	char labels[320];
+
+	snprintf(labels, sizeof(labels),
+		 "instance=\"%s\",role=\"%s\",boot=\"%s\"", m->opts.instance,
+		 m->opts.role, m->boot);
+	tg_gauge("tg_process_info", "Name, role and boot of the process.",
+		 labels)
+		->value = 1;
+}
+
 struct tg_member *tg_member_new(const struct tg_member_opts *opts)
 {
 	struct tg_member *m = tg_xcalloc(1, sizeof(*m));
@@ -67,6 +80,7 @@
 	m->opts.peers = opts->peers ? tg_xstrdup(opts->peers) : NULL;
 	make_boot(m->boot);
 	make_counters(m);
+	make_info(m);
 	return m;
 }
 
