--- /dev/null
+++ b/cmd/tgburn/fetch.c
@@ -0,0 +1,110 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "burn.h"
+
+struct burn_fetch {
+	struct event_base *base;
+	struct tg_http_client *http;
+	int64_t timeout_ms;
+	size_t pending;
+};
+
+struct page {
+	struct burn_fetch *fetch;
+	char **text;
+};
+
+struct burn_fetch *burn_fetch_new(const struct burn_opts *opts)
+{
+	struct burn_fetch *f = tg_xcalloc(1, sizeof(*f));
+	struct tg_http_client_opts http = { 0 };
+
+	f->base = event_base_new();
+	http.base = f->base;
+	f->http = tg_http_client_new(&http);
+	f->timeout_ms = opts->timeout_ms;
+	return f;
+}
+
+void burn_fetch_free(struct burn_fetch *f)
+{
+	tg_http_client_free(f->http);
+	event_base_free(f->base);
+	free(f);
+}
+
+static void on_page(const struct tg_http_result *r, void *arg)
+{
+	struct page *p = arg;
+	size_t n;
+
+	if (r->end == TG_HTTP_WHOLE && r->status == 200) {
+		n = evbuffer_get_length(r->body);
+		*p->text = tg_xcalloc(n + 1, 1);
+		evbuffer_copyout(r->body, *p->text, n);
+	}
+	if (!--p->fetch->pending)
+		event_base_loopbreak(p->fetch->base);
+	free(p);
+}
+
+static void start(struct burn_fetch *f, const char *addr, const char *uri,
+		  char **text)
+{
+	struct page *p = tg_xcalloc(1, sizeof(*p));
+	struct tg_http_call_opts call = {
+		.method = EVHTTP_REQ_GET,
+		.addr = addr,
+		.uri = uri,
+		.timeout_ms = f->timeout_ms,
+		.done = on_page,
+		.arg = p,
+	};
+
+	p->fetch = f;
+	p->text = text;
+	*text = NULL;
+	f->pending++;
+	tg_http_call_start(f->http, &call);
+}
+
+static void finish(struct burn_fetch *f)
+{
+	while (f->pending)
+		event_base_dispatch(f->base);
+}
+
+char *burn_fetch_get(struct burn_fetch *f, const char *addr, const char *uri)
+{
+	char *text;
+
+	start(f, addr, uri, &text);
+	finish(f);
+	return text;
+}
+
+void burn_fetch_all(struct burn_fetch *f, struct burn_target *t, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		start(f, t[i].addr, "/metrics", &t[i].text);
+	finish(f);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	event_base_loopbreak(arg);
+}
+
+void burn_fetch_sleep(struct burn_fetch *f, int64_t ms)
+{
+	struct timeval tv = { .tv_sec = ms / 1000,
+			      .tv_usec = (ms % 1000) * 1000 };
+
+	event_base_once(f->base, -1, EV_TIMEOUT, on_timer, f->base, &tv);
+	event_base_dispatch(f->base);
+}
--- /dev/null
+++ b/cmd/tgburn/main.c
@@ -0,0 +1,6 @@
+#include "burn.h"
+
+int main(int argc, char **argv)
+{
+	return burn_main(argc, argv, "tgburn");
+}
--- /dev/null
+++ b/cmd/tgburn/report.c
@@ -0,0 +1,302 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "burn.h"
+
+const struct burn_window burn_windows[BURN_N_WINDOWS] = {
+	{ "5m", 300000 },
+	{ "1h", 3600000 },
+	{ "6h", 21600000 },
+	{ "3d", 259200000 },
+};
+
+static int by_name(const void *a, const void *b)
+{
+	const struct burn_pair *x = a, *y = b;
+	int c = strcmp(x->service, y->service);
+
+	return c ? c : strcmp(x->workspace, y->workspace);
+}
+
+struct burn_pair *burn_pairs(const struct burn_data *d, size_t *n)
+{
+	struct burn_pair *list =
+		tg_xcalloc(HASH_COUNT(d->series) + 1, sizeof(*list));
+	struct burn_series *s, *tmp;
+	size_t i, kept = 0;
+
+	*n = 0;
+	HASH_ITER(hh, d->series, s, tmp)
+	{
+		tg_strlcpy(list[*n].service, s->service,
+			   sizeof(list[*n].service));
+		tg_strlcpy(list[(*n)++].workspace, s->workspace,
+			   sizeof(list[0].workspace));
+	}
+	qsort(list, *n, sizeof(*list), by_name);
+	for (i = 0; i < *n; i++)
+		if (!kept || by_name(&list[kept - 1], &list[i]) != 0)
+			list[kept++] = list[i];
+	*n = kept;
+	return list;
+}
+
+double burn_count(const struct burn_data *d, const struct burn_pair *p,
+		  enum burn_metric m, int64_t from_ms, int64_t to_ms)
+{
+	struct burn_series *s, *tmp;
+	double sum = 0;
+
+	HASH_ITER(hh, d->series, s, tmp)
+	if (s->metric == m && !strcmp(s->service, p->service) &&
+	    !strcmp(s->workspace, p->workspace))
+		sum += burn_sum(s, from_ms, to_ms);
+	return sum;
+}
+
+/* An objective and the counters that it is about. */
+struct objective {
+	const char *name;
+	double target; /* 0: none */
+	enum burn_metric all, bad;
+};
+
+static size_t objectives_of(const struct tg_doc *doc, const struct burn_pair *p,
+			    struct objective out[2])
+{
+	const struct tg_service *s =
+		doc ? tg_doc_service(doc, p->service) : NULL;
+
+	out[0] = (struct objective){ "availability", s ? s->availability : 0,
+				     BURN_TOTAL, BURN_FAILED };
+	out[1] = (struct objective){ "latency", s ? s->latency_share : 0,
+				     BURN_ANSWERED, BURN_SLOW };
+	return 2;
+}
+
+/* What one objective of one pair shows in one window. */
+struct reading {
+	double covered, all, bad, share, burn, budget_left;
+};
+
+static struct reading read_window(const struct burn_data *d,
+				  const struct burn_pair *p,
+				  const struct objective *o,
+				  const struct burn_window *w)
+{
+	int64_t from_ms = d->last_ms - w->ms;
+	struct reading r = { 0 };
+
+	r.covered = burn_covered(d, from_ms, d->last_ms);
+	r.all = burn_count(d, p, o->all, from_ms, d->last_ms);
+	r.bad = burn_count(d, p, o->bad, from_ms, d->last_ms);
+	r.share = r.all > 0 ? r.bad / r.all : 0;
+	if (o->target > 0) {
+		r.burn = r.share / (1 - o->target);
+		r.budget_left = 1 - r.burn;
+	}
+	return r;
+}
+
+static void print_reading(const struct objective *o,
+			  const struct burn_window *w, const struct reading *r,
+			  FILE *out)
+{
+	if (r->all <= 0) {
+		fprintf(out, "    %-3s %6.2f%%  no requests\n", w->name,
+			100 * r->covered);
+		return;
+	}
+	fprintf(out, "    %-3s %6.2f%% %12.1f %10.1f %9.4f%%", w->name,
+		100 * r->covered, r->all, r->bad, 100 * r->share);
+	if (o->target > 0)
+		fprintf(out, " %9.2f %10.1f%%\n", r->burn,
+			100 * r->budget_left);
+	else
+		fprintf(out, "         -           -\n");
+}
+
+static void print_objective(const struct burn_data *d,
+			    const struct burn_pair *p,
+			    const struct objective *o, FILE *out)
+{
+	size_t i;
+
+	if (o->target > 0)
+		fprintf(out, "  %s, objective %.6g\n", o->name, o->target);
+	else
+		fprintf(out, "  %s, no objective\n", o->name);
+	fprintf(out,
+		"    window data     requests        bad      share"
+		"      burn budget left\n");
+	for (i = 0; i < BURN_N_WINDOWS; i++) {
+		struct reading r = read_window(d, p, o, &burn_windows[i]);
+
+		print_reading(o, &burn_windows[i], &r, out);
+	}
+}
+
+struct cause {
+	struct burn_pair pair;
+	const char *instance, *what;
+	double n;
+};
+
+static int by_count(const void *a, const void *b)
+{
+	const struct cause *x = a, *y = b;
+	int c = by_name(&x->pair, &y->pair);
+
+	if (x->n != y->n)
+		return x->n < y->n ? 1 : -1;
+	if (!c)
+		c = strcmp(x->instance, y->instance);
+	return c ? c : strcmp(x->what, y->what);
+}
+
+/* Failed requests of one instance that neither outcome explains. */
+static double error_statuses(const struct burn_data *d,
+			     const struct burn_series *failed, int64_t from_ms)
+{
+	double n = burn_sum(failed, from_ms, d->last_ms);
+	struct burn_series *s, *tmp;
+
+	HASH_ITER(hh, d->series, s, tmp)
+	if ((s->metric == BURN_NOT_RUN || s->metric == BURN_UNKNOWN) &&
+	    !strcmp(s->instance, failed->instance) &&
+	    !strcmp(s->service, failed->service) &&
+	    !strcmp(s->workspace, failed->workspace))
+		n -= burn_sum(s, from_ms, d->last_ms);
+	return n;
+}
+
+static size_t collect_causes(const struct burn_data *d, int64_t from_ms,
+			     struct cause *out)
+{
+	static const char *const names[BURN_N_METRICS] = {
+		[BURN_NOT_RUN] = "not run",
+		[BURN_UNKNOWN] = "unknown outcome",
+		[BURN_FAILED] = "status of 500 and above",
+		[BURN_SLOW] = "slow",
+	};
+	struct burn_series *s, *tmp;
+	size_t n = 0;
+
+	HASH_ITER(hh, d->series, s, tmp)
+	{
+		double count = s->metric == BURN_FAILED ?
+			error_statuses(d, s, from_ms) :
+			burn_sum(s, from_ms, d->last_ms);
+
+		if (!names[s->metric] || count < 0.05)
+			continue;
+		out[n] = (struct cause){ .instance = s->instance,
+					 .what = names[s->metric],
+					 .n = count };
+		tg_strlcpy(out[n].pair.service, s->service, TG_NAME_MAX + 1);
+		tg_strlcpy(out[n++].pair.workspace, s->workspace,
+			   TG_NAME_MAX + 1);
+	}
+	return n;
+}
+
+static void print_causes(const struct burn_data *d, size_t top, FILE *out)
+{
+	struct cause *list =
+		tg_xcalloc(HASH_COUNT(d->series) + 1, sizeof(*list));
+	const struct burn_window *w = &burn_windows[BURN_N_WINDOWS - 1];
+	size_t n = collect_causes(d, d->last_ms - w->ms, list), i;
+
+	qsort(list, n, sizeof(*list), by_count);
+	fprintf(out, "top causes, %s\n", w->name);
+	for (i = 0; i < n && i < top; i++)
+		fprintf(out, "  %10.1f  %s of %s at %s: %s\n", list[i].n,
+			list[i].pair.service, list[i].pair.workspace,
+			list[i].instance, list[i].what);
+	if (!n)
+		fprintf(out, "  none\n");
+	free(list);
+}
+
+static void print_summary(const struct burn_data *d, FILE *out)
+{
+	char from[32], to[32];
+
+	tg_format_utc(d->first_ms, from, sizeof(from));
+	tg_format_utc(d->last_ms, to, sizeof(to));
+	fprintf(out, "%zu samples of %u instances, %s to %s\n", d->n_samples,
+		HASH_COUNT(d->instances), from, to);
+	fprintf(out, "%zu restarts, %zu gaps, %zu missed, %zu lines ignored\n",
+		d->n_restarts, d->n_gaps, d->n_missed, d->n_ignored);
+}
+
+static void print_gaps(const struct burn_data *d, FILE *out)
+{
+	char from[32], to[32];
+	size_t i;
+
+	for (i = 0; i < d->n_intervals; i++) {
+		if (!d->intervals[i].gap)
+			continue;
+		tg_format_utc(d->intervals[i].from_ms, from, sizeof(from));
+		tg_format_utc(d->intervals[i].to_ms, to, sizeof(to));
+		fprintf(out, "  gap %s to %s\n", from, to);
+	}
+}
+
+void burn_report_text(const struct burn_data *d, const struct tg_doc *doc,
+		      size_t top, FILE *out)
+{
+	struct objective o[2];
+	size_t n, i, k, n_objectives;
+	struct burn_pair *pairs = burn_pairs(d, &n);
+
+	print_summary(d, out);
+	print_gaps(d, out);
+	if (!doc)
+		fprintf(out, "no document: burn rates need objectives\n");
+	for (i = 0; i < n; i++) {
+		fprintf(out, "\nservice %s, workspace %s\n", pairs[i].service,
+			pairs[i].workspace);
+		n_objectives = objectives_of(doc, &pairs[i], o);
+		for (k = 0; k < n_objectives; k++)
+			print_objective(d, &pairs[i], &o[k], out);
+	}
+	fprintf(out, "\n");
+	print_causes(d, top, out);
+	free(pairs);
+}
+
+void burn_report_csv(const struct burn_data *d, const struct tg_doc *doc,
+		     FILE *out)
+{
+	struct objective o[2];
+	size_t n, i, k, w, n_objectives;
+	struct burn_pair *pairs = burn_pairs(d, &n);
+
+	fprintf(out,
+		"service,workspace,objective,target,window,data_share,"
+		"requests,bad,bad_share,burn,budget_left\n");
+	for (i = 0; i < n; i++) {
+		n_objectives = objectives_of(doc, &pairs[i], o);
+		for (k = 0; k < n_objectives; k++)
+			for (w = 0; w < BURN_N_WINDOWS; w++) {
+				struct reading r = read_window(
+					d, &pairs[i], &o[k], &burn_windows[w]);
+
+				fprintf(out, "%s,%s,%s,", pairs[i].service,
+					pairs[i].workspace, o[k].name);
+				if (o[k].target > 0)
+					fprintf(out, "%.6g", o[k].target);
+				fprintf(out, ",%s,%.4f,%.1f,%.1f,%.6f,",
+					burn_windows[w].name, r.covered, r.all,
+					r.bad, r.share);
+				if (o[k].target > 0 && r.all > 0)
+					fprintf(out, "%.4f,%.4f\n", r.burn,
+						r.budget_left);
+				else
+					fprintf(out, ",\n");
+			}
+	}
+	free(pairs);
+}
--- /dev/null
+++ b/cmd/tgburn/series.c
@@ -0,0 +1,261 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "burn.h"
+
+#define LABELS_MAX 256
+
+static struct burn_instance *get_instance(struct burn_data *d, const char *name)
+{
+	struct burn_instance *i;
+
+	HASH_FIND_STR(d->instances, name, i);
+	if (i)
+		return i;
+	i = tg_xcalloc(1, sizeof(*i));
+	tg_strlcpy(i->name, name, sizeof(i->name));
+	HASH_ADD_STR(d->instances, name, i);
+	return i;
+}
+
+int burn_begin(struct burn_data *d, int64_t at_ms, const char *instance,
+	       const char *boot)
+{
+	struct burn_instance *i = get_instance(d, instance);
+	struct burn_series *s, *tmp;
+
+	if (i->at_ms && at_ms <= i->at_ms)
+		return -1;
+	d->current = i;
+	d->at_ms = at_ms;
+	d->is_first = !i->at_ms;
+	d->restarted = !d->is_first && strcmp(i->boot, boot) != 0;
+	tg_strlcpy(i->boot, boot, sizeof(i->boot));
+	HASH_ITER(hh, d->series, s, tmp)
+	s->now = 0;
+	return 0;
+}
+
+static enum burn_metric metric_of(const char *name, size_t n,
+				  const char *outcome)
+{
+	static const struct {
+		const char *name;
+		enum burn_metric metric;
+	} outcomes[] = { { "answered", BURN_ANSWERED },
+			 { "not-run", BURN_NOT_RUN },
+			 { "unknown", BURN_UNKNOWN } };
+	static const char total[] = "tg_requests_total";
+	static const char failed[] = "tg_requests_failed_total";
+	static const char slow[] = "tg_requests_slow_total";
+	size_t i;
+
+	if (n == strlen(failed) && !strncmp(name, failed, n))
+		return BURN_FAILED;
+	if (n == strlen(slow) && !strncmp(name, slow, n))
+		return BURN_SLOW;
+	if (n == strlen(total) && !strncmp(name, total, n))
+		for (i = 0; i < ARRAY_SIZE(outcomes); i++)
+			if (!strcmp(outcomes[i].name, outcome))
+				return outcomes[i].metric;
+	return BURN_N_METRICS;
+}
+
+/* Value of a label; names and outcomes need no escapes. */
+static bool label(const char *labels, const char *name, char *out)
+{
+	char pattern[32];
+	const char *s;
+	size_t n;
+
+	*out = '\0';
+	snprintf(pattern, sizeof(pattern), "%s=\"", name);
+	s = strstr(labels, pattern);
+	if (!s)
+		return false;
+	s += strlen(pattern);
+	n = strcspn(s, "\"");
+	if (n > TG_NAME_MAX || !s[n])
+		return false;
+	memcpy(out, s, n);
+	out[n] = '\0';
+	return true;
+}
+
+static struct burn_series *get_series(struct burn_data *d, const char *service,
+				      const char *workspace,
+				      enum burn_metric metric)
+{
+	struct burn_series *s;
+	char key[sizeof(s->key)];
+
+	snprintf(key, sizeof(key), "%s/%s/%s/%d", service, workspace,
+		 d->current->name, (int)metric);
+	HASH_FIND_STR(d->series, key, s);
+	if (s)
+		return s;
+	s = tg_xcalloc(1, sizeof(*s));
+	tg_strlcpy(s->key, key, sizeof(s->key));
+	tg_strlcpy(s->service, service, sizeof(s->service));
+	tg_strlcpy(s->workspace, workspace, sizeof(s->workspace));
+	tg_strlcpy(s->instance, d->current->name, sizeof(s->instance));
+	s->metric = metric;
+	HASH_ADD_STR(d->series, key, s);
+	return s;
+}
+
+void burn_add(struct burn_data *d, const char *line)
+{
+	char service[TG_NAME_MAX + 1], workspace[TG_NAME_MAX + 1];
+	char outcome[TG_NAME_MAX + 1], labels[LABELS_MAX];
+	const char *open = strchr(line, '{');
+	const char *close = open ? strchr(open, '}') : NULL;
+	enum burn_metric metric;
+	double value;
+	char *end;
+
+	if (!close || (size_t)(close - open) >= sizeof(labels)) {
+		d->n_ignored++;
+		return;
+	}
+	memcpy(labels, open + 1, (size_t)(close - open) - 1);
+	labels[close - open - 1] = '\0';
+	label(labels, "outcome", outcome);
+	metric = metric_of(line, (size_t)(open - line), outcome);
+	if (metric == BURN_N_METRICS || !label(labels, "service", service) ||
+	    !label(labels, "workspace", workspace))
+		return;
+	value = strtod(close + 1, &end);
+	if (end == close + 1 || !(value >= 0 && value < 1e18)) {
+		d->n_ignored++;
+		return;
+	}
+	get_series(d, service, workspace, metric)->now = value;
+	if (metric <= BURN_UNKNOWN)
+		get_series(d, service, workspace, BURN_TOTAL)->now += value;
+}
+
+static bool is_current(const struct burn_data *d, const struct burn_series *s)
+{
+	return !strcmp(s->instance, d->current->name);
+}
+
+static void add_step(struct burn_data *d, struct burn_series *s, bool gap)
+{
+	double n = d->restarted ? s->now : s->now - s->last;
+
+	s->last = s->now;
+	if (d->is_first || n <= 0)
+		return;
+	s->steps = tg_xrealloc(s->steps, (s->n_steps + 1) * sizeof(*s->steps));
+	s->steps[s->n_steps++] = (struct burn_step){
+		.from_ms = d->current->at_ms,
+		.to_ms = d->at_ms,
+		.n = n,
+		.gap = gap,
+	};
+}
+
+static void add_interval(struct burn_data *d, bool gap)
+{
+	d->intervals = tg_xrealloc(
+		d->intervals, (d->n_intervals + 1) * sizeof(*d->intervals));
+	d->intervals[d->n_intervals++] = (struct burn_interval){
+		.from_ms = d->current->at_ms,
+		.to_ms = d->at_ms,
+		.gap = gap,
+	};
+	d->n_gaps += gap;
+	d->n_restarts += d->restarted;
+}
+
+void burn_end(struct burn_data *d)
+{
+	bool gap = d->at_ms - d->current->at_ms > d->max_gap_ms;
+	struct burn_series *s, *tmp;
+
+	HASH_ITER(hh, d->series, s, tmp)
+	if (is_current(d, s) && s->now < s->last)
+		d->restarted = true;
+	HASH_ITER(hh, d->series, s, tmp)
+	if (is_current(d, s))
+		add_step(d, s, gap);
+	if (!d->is_first)
+		add_interval(d, gap);
+	d->current->at_ms = d->at_ms;
+	if (!d->n_samples++ || d->at_ms < d->first_ms)
+		d->first_ms = d->at_ms;
+	if (d->at_ms > d->last_ms)
+		d->last_ms = d->at_ms;
+	d->current = NULL;
+}
+
+void burn_free(struct burn_data *d)
+{
+	struct burn_instance *i, *next_i;
+	struct burn_series *s, *next_s;
+
+	HASH_ITER(hh, d->series, s, next_s)
+	{
+		HASH_DEL(d->series, s);
+		free(s->steps);
+		free(s);
+	}
+	HASH_ITER(hh, d->instances, i, next_i)
+	{
+		HASH_DEL(d->instances, i);
+		free(i);
+	}
+	free(d->intervals);
+}
+
+static int64_t overlap(int64_t from_a, int64_t to_a, int64_t from_b,
+		       int64_t to_b)
+{
+	int64_t from = from_a > from_b ? from_a : from_b;
+	int64_t to = to_a < to_b ? to_a : to_b;
+
+	return to > from ? to - from : 0;
+}
+
+/* A gap counts where it lies in the window as a whole. */
+double burn_sum(const struct burn_series *s, int64_t from_ms, int64_t to_ms)
+{
+	double sum = 0;
+	size_t i;
+
+	for (i = 0; i < s->n_steps; i++) {
+		const struct burn_step *t = &s->steps[i];
+		int64_t whole = t->to_ms - t->from_ms;
+		int64_t part = overlap(t->from_ms, t->to_ms, from_ms, to_ms);
+
+		if (!t->gap || part == whole)
+			sum += t->n * (double)part / (double)whole;
+	}
+	return sum;
+}
+
+static int by_start(const void *a, const void *b)
+{
+	const struct burn_interval *x = a, *y = b;
+
+	return (x->from_ms > y->from_ms) - (x->from_ms < y->from_ms);
+}
+
+double burn_covered(const struct burn_data *d, int64_t from_ms, int64_t to_ms)
+{
+	int64_t covered = 0, seen_ms = from_ms;
+	size_t i;
+
+	qsort(d->intervals, d->n_intervals, sizeof(*d->intervals), by_start);
+	for (i = 0; i < d->n_intervals; i++) {
+		const struct burn_interval *v = &d->intervals[i];
+
+		if (v->gap)
+			continue;
+		covered += overlap(v->from_ms, v->to_ms, seen_ms, to_ms);
+		if (v->to_ms > seen_ms)
+			seen_ms = v->to_ms;
+	}
+	return (double)covered / (double)(to_ms - from_ms);
+}
--- a/cmd/tgctl/main.c
+++ b/cmd/tgctl/main.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "burn.h"
 #include "ctl.h"
 
 #define PROG "tgctl"
@@ -107,6 +108,7 @@
 	for (i = 0; i < ARRAY_SIZE(commands); i++)
 		fprintf(stderr, "  %s %s\n", commands[i].name,
 			commands[i].args);
+	fprintf(stderr, "  burn [ARGUMENT...]\n");
 	return NULL;
 }
 
@@ -153,6 +155,9 @@
 	struct ctl c = { 0 };
 	int status;
 
+	/* The report has its own flags. */
+	if (argc > 1 && !strcmp(argv[1], "burn"))
+		return burn_main(argc - 1, argv + 1, PROG " burn");
 	switch (tg_settings_load(&spec, argc, argv, &c.opts, &rest)) {
 	case TG_SETTINGS_DONE:
 		return CTL_DONE;
