--- a/cmd/tgburn/burn.c
+++ b/cmd/tgburn/burn.c
@@ -203,7 +203,8 @@
 				r->prog, r->rest.v[i]);
 			ok = false;
 		}
-	if (strcmp(r->opts.format, "text") && strcmp(r->opts.format, "csv")) {
+	if (strcmp(r->opts.format, "text") != 0 &&
+	    strcmp(r->opts.format, "csv") != 0) {
 		fprintf(stderr, "%s: --format: neither text nor csv\n",
 			r->prog);
 		ok = false;
--- a/cmd/tgctl/main.c
+++ b/cmd/tgctl/main.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "burn.h"
+#include "../tgburn/burn.h"
 #include "ctl.h"
 
 #define PROG "tgctl"
@@ -133,6 +133,8 @@
 	c->http = tg_http_client_new(&http);
 	status = cmd->run(c);
 	tg_http_client_free(c->http);
+	/* Connections that ended are freed in the next turn of the loop. */
+	event_base_loop(c->base, EVLOOP_NONBLOCK);
 	event_base_free(c->base);
 	free(c->authorization);
 	return status;
@@ -162,12 +164,13 @@
 	case TG_SETTINGS_DONE:
 		return CTL_DONE;
 	case TG_SETTINGS_BAD:
-		return CTL_USAGE;
-	case TG_SETTINGS_OK:
+		status = CTL_USAGE;
+		break;
+	default:
+		tg_log_open(PROG, "error");
+		status = run(&c, &rest);
 		break;
 	}
-	tg_log_open(PROG, "error");
-	status = run(&c, &rest);
 	free(rest.v);
 	return status;
 }
--- /dev/null
+++ b/tests/script/console-push.sh
@@ -0,0 +1,43 @@
+#!/bin/sh
+# A saved document is in force at the AZ's daemons at once, and a console that
+# is stopped ends the save in progress.  Guards against changes that wait for
+# the next poll, and against a stop that leaves an operator without an answer.
+. "$(dirname "$0")/../lib.sh"
+key=operator-key-0123456789
+echo "$key" >"$tmp/key"
+start platform platformd --log-level=warn
+put_document 1 "$document"
+start_entry e-1
+start console tgconsoled --instance=c-1 --az=a --drain-grace-ms=0 \
+	--platform="$platform_http" --operator-key-file="$tmp/key"
+url=http://$console_http/v1/document
+auth="Authorization: Bearer $key"
+await "readiness" curl -sf "http://$console_http/readyz"
+await "the entry daemon as a peer" sees_peers console 1
+
+call put .generation -X PUT -H "$auth" -d '{"version":1}' "$url?generation=1"
+in_force() { # GENERATION
+	curl -s "http://$e_1_http/v1/document" |
+		jq -e --argjson g "$1" '.generation == $g'
+}
+await "generation 2" in_force 2
+echo "pushed $(metric console tg_document_pushes_total)"
+
+echo "# a save in progress when the console is stopped"
+fault platform '{"slow_ms":500}'
+curl -s -X PUT -H "$auth" -d '{"version":1,"weights":{"completion":1}}' \
+	-o "$tmp/slow" "$url?generation=2" &
+slow=$!
+is_saving() {
+	[ "$(curl -s "http://$console_http/metrics" |
+		awk '/^tg_table_reads_total/ { print $2 }')" -gt "$reads" ]
+}
+reads=$(metric console tg_table_reads_total)
+await "the save to begin" is_saving
+kill -TERM "$console_pid"
+wait $slow
+jq .generation "$tmp/slow"
+wait "$console_pid"
+echo "ended with $?"
+fault platform '{}'
+await "generation 3" in_force 3
