--- a/lib/decide/internal.h
+++ b/lib/decide/internal.h
@@ -68,6 +68,7 @@
 	struct guarantee *g; /* whose slots it uses, or NULL */
 	int64_t started_ms, done_ms, not_before_ms;
 	bool reclaiming; /* TG_ACT_RECLAIM was returned */
+	int32_t *target; /* place to move to once it has stopped, or NULL */
 	bool backfilled; /* runs on workers reserved for another job */
 	double key;
 	int32_t failed[FAILED_MAX], n_failed;
@@ -87,6 +88,7 @@
 	struct res cap, firm, inside, lent, plan;
 	struct res leaving; /* part of @lent that is being reclaimed */
 	enum tg_worker_health health;
+	bool spared; /* one of its AZ's place for the largest shape */
 	bool reserved; /* for the job of its AZ's reservation */
 	struct resident *jobs;
 	int32_t n_jobs;
@@ -101,7 +103,10 @@
 	int32_t n_workers;
 	bool dirty; /* the sums below are out of date */
 	struct res max_idle, max_firm;
-	int32_t idle_acc;
+	int32_t idle_acc, firm_acc; /* sums over workers that are up */
+	int32_t acc, acc_alive, acc_up; /* all, not down, up */
+	int32_t whole; /* workers with idle room for a task of the shape */
+	int32_t shapes; /* tasks of the shape that the idle room holds */
 };
 
 /* The place kept for a job that waited too long, one for each AZ. */
@@ -119,19 +124,24 @@
 	struct res need;
 	int32_t tasks;
 	enum view view;
-	bool within_rack, kept;
+	bool within_rack, kept, spare;
 };
 #define MISFITS_MAX 32
 
 struct az {
 	char *name;
 	int32_t n_workers, n_quarantined;
+	int64_t acc; /* of all its workers */
+	int32_t most_acc; /* of one worker */
 	int32_t *racks;
 	int32_t n_racks;
 	bool replan;
 	bool at_risk; /* a slot of a live guarantee has no place */
 	uint64_t freed; /* grows with each release of room */
 	struct reservation kept;
+	int64_t defrag_ms; /* when moves may be looked for again */
+	int32_t defrag_rack; /* where the last search for moves ended */
+	int32_t spared_rack; /* index + 1 of the rack with spared workers */
 	struct misfit misfits[MISFITS_MAX];
 	int32_t n_misfits;
 	uint64_t misfits_at; /* value of @freed they were found at */
@@ -165,6 +175,7 @@
 
 struct tg_fleet {
 	struct tg_fleet_opts opts;
+	int64_t spare_ms; /* of the policy, by its weight */
 	const struct tg_policy *policy;
 	struct az *azs;
 	int32_t n_azs;
@@ -187,6 +198,7 @@
 	int32_t *reported; /* workers of the last round's quarantines */
 	size_t n_running, n_parked;
 	uint64_t next_seq;
+	int32_t defrag_az; /* next to look for moves in */
 	int64_t keys_ms; /* when the keys were last computed */
 	struct note ring[RING_SIZE];
 	uint64_t n_notes;
@@ -206,6 +218,11 @@
  * @strict: no job passes a waiting one of its AZ
  * @patience: how long a job waits, in multiples of its expected run time,
  *	until a place is kept for it; 0: at once, if it is the first
+ * @spare_ms: how long a job waits before it may use what each AZ spares for
+ *	the largest guaranteed shape, at a weight of fragmentation of 100
+ * @urgent_percent: accelerators of an AZ that guaranteed work outside of
+ *	guarantees leaves to urgent work, percent
+ * @move_period_ms: how often an AZ moves the lent jobs of one worker; 0: never
  */
 struct tg_policy {
 	const char *name;
@@ -220,6 +237,9 @@
 			      int64_t now_ms);
 	bool strict;
 	double patience;
+	int64_t move_period_ms;
+	int64_t spare_ms;
+	int32_t urgent_percent;
 };
 
 /* --- res --- */
@@ -271,7 +291,7 @@
 struct res room_firm(const struct worker *w);
 struct res room_of(const struct worker *w, enum view v);
 /** rack_sums() - the rack with its sums up to date */
-struct rack *rack_sums(struct tg_fleet *f, int32_t rack);
+const struct rack *rack_sums(const struct tg_fleet *f, int32_t rack);
 /** room_take() - count a job's tasks as using their workers */
 void room_take(struct tg_fleet *f, struct job *j);
 void room_give(struct tg_fleet *f, struct job *j);
@@ -311,11 +331,13 @@
  * place_gang() - choose workers of an AZ for all tasks of a job
  * @out: one worker for each task
  * @kept: may use workers that are reserved in its AZ
+ * @spare: may not use workers that the AZ spares
  *
  * Return: whether the whole gang has a place.
  */
 bool place_gang(struct tg_fleet *f, const struct job *j, int32_t az,
-		enum view v, bool kept, int64_t now_ms, int32_t *out);
+		enum view v, bool kept, bool spare, int64_t now_ms,
+		int32_t *out);
 /** place_in_slots() - choose workers of unused slots of @g */
 bool place_in_slots(struct tg_fleet *f, const struct job *j,
 		    struct guarantee *g, bool reclaim, int32_t *out);
@@ -362,6 +384,21 @@
 bool reserve_make(struct tg_fleet *f, struct job *j, int32_t az,
 		  int64_t now_ms);
 
+/* --- defrag.c --- */
+
+/** is_whole() - idle room for a task of the largest guaranteed shape */
+bool is_whole(const struct tg_fleet *f, const struct worker *w);
+/** rack_worth() - of @whole whole workers in one rack, in accelerators */
+double rack_worth(const struct tg_fleet *f, int32_t whole);
+/** defrag_spare() - choose the workers that the AZ spares */
+void defrag_spare(struct tg_fleet *f, int32_t az);
+/**
+ * defrag_pick() - lent job that should move, or NULL
+ *
+ * Its new place is noted in the job and taken when it has stopped.
+ */
+struct job *defrag_pick(struct tg_fleet *f, int32_t az, int64_t now_ms);
+
 /* --- failure.c --- */
 
 void failure_of_task(struct tg_fleet *f, struct job *j, int32_t worker,
--- a/lib/decide/job.c
+++ b/lib/decide/job.c
@@ -156,6 +156,44 @@
 	fault(c, "tasks", text);
 }
 
+/* Accelerators of an AZ that guarantees without a lapse leave to others. */
+static int64_t acc_beside_guarantees(const struct tg_fleet *f, int32_t az)
+{
+	int64_t acc = f->azs[az].acc;
+	size_t i;
+
+	for (i = 0; i < f->n_guarantees; i++) {
+		const struct guarantee *g = &f->guarantees[i];
+
+		if (g->az == az && g->lapses_ms == INT64_MAX)
+			acc -= (int64_t)g->tasks * g->need.acc;
+	}
+	return acc;
+}
+
+/* Firm work outside of guarantees never gets what is guaranteed for good. */
+static void check_beside(struct check *c, const struct job *j)
+{
+	int64_t most = 0, n;
+	char text[120];
+	int32_t i;
+
+	if (j->class == TG_CLASS_LENT || guarantee_for(c->f, j, false))
+		return;
+	for (i = 0; i < c->f->n_azs; i++) {
+		n = acc_beside_guarantees(c->f, i);
+		if ((j->az == NONE || j->az == i) && n > most)
+			most = n;
+	}
+	if (job_acc(j) <= most)
+		return;
+	snprintf(text, sizeof(text),
+		 "can never run: %lld accelerators, guarantees without a lapse "
+		 "leave %lld",
+		 (long long)job_acc(j), (long long)most);
+	fault(c, "tasks", text);
+}
+
 static struct job *job_new(struct tg_fleet *f, const struct tg_job_spec *s)
 {
 	struct job *j = tg_xcalloc(1, sizeof(*j));
@@ -183,6 +221,7 @@
 {
 	free(j->name);
 	free(j->workers);
+	free(j->target);
 	free(j);
 }
 
@@ -200,6 +239,7 @@
 		return -1;
 	j = job_new(f, spec);
 	check_quota(&c, j);
+	check_beside(&c, j);
 	if (c.n) {
 		job_discard(j);
 		return -1;
@@ -363,6 +403,30 @@
 	job_forget(f, j);
 }
 
+/* Whether a job that stopped in order to move has its new place. */
+static bool move_to_target(struct tg_fleet *f, struct job *j,
+			   enum tg_stop_cause cause)
+{
+	int32_t *target = j->target, i;
+	bool fits = target && cause == TG_STOP_RECLAIMED;
+
+	j->target = NULL;
+	if (fits) {
+		job_assign(f, j, target, NULL);
+		for (i = 0; i < j->tasks; i++)
+			if (f->workers[target[i]].health != TG_WORKER_UP)
+				fits = false;
+		if (!fits || !reclaim_room(f, j)) {
+			job_release(f, j);
+			fits = false;
+		}
+	}
+	if (fits)
+		tg_strlcpy(j->why, "moved", sizeof(j->why));
+	free(target);
+	return fits;
+}
+
 /* A reservation that was refused is not asked for again at once. */
 #define START_REFUSED_WAIT_MS 1000
 
@@ -382,6 +446,6 @@
 	if (cause == TG_STOP_TASK_FAILED && worker >= 0 &&
 	    worker < f->n_workers)
 		failure_of_task(f, j, worker, now_ms);
-	if (j->state == JOB_QUEUED)
+	if (j->state == JOB_QUEUED && !move_to_target(f, j, cause))
 		queue_insert(f, j);
 }
