--- a/cmd/tgburn/samples.c
+++ b/cmd/tgburn/samples.c
@@ -13,7 +13,15 @@
 
 static bool is_used(const char *line)
 {
-	return !strncmp(line, "tg_requests_", 12);
+	static const char *const names[] = { "tg_requests_total{",
+					     "tg_requests_failed_total{",
+					     "tg_requests_slow_total{" };
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(names); i++)
+		if (!strncmp(line, names[i], strlen(names[i])))
+			return true;
+	return false;
 }
 
 static void find_boot(const char *text, char *boot)
@@ -96,7 +104,7 @@
 			burn_add(d, line);
 		else
 			d->n_ignored++;
-	} else if (*line && *line != '#') {
+	} else if (*line && *line != '#' && strncmp(line, "tg_", 3) != 0) {
 		if (*in_sample)
 			burn_end(d);
 		*in_sample = begin_line(d, line);
