Leave the object store out of whether the platform is reachable

tg_plat_reachable() is about table and instance list, but each answer of the object store also set it, so an outage of one of them made it change with every call.

--- a/lib/plat/object.c
+++ b/lib/plat/object.c
@@ -49,6 +49,7 @@
 	call->uri = tg_xasprintf("/v1/objects/%s", name);
 	call->arg = c;
 	call->drop = free;
+	call->object = true;
 	plat_call(p, call);
 }
 
--- a/lib/plat/plat.c
+++ b/lib/plat/plat.c
@@ -21,6 +21,7 @@
 		     void *arg);
 	void (*drop)(void *arg);
 	void *arg;
+	bool object;
 	struct call *prev, *next;
 };
 
@@ -39,7 +40,8 @@
 	struct call *c = arg;
 
 	unlink_call(c);
-	plat_note_answer(c->plat, r);
+	if (!c->object)
+		plat_note_answer(c->plat, r);
 	c->done(c->plat, r, c->arg);
 	free(c);
 }
@@ -60,6 +62,7 @@
 	c->plat = p;
 	c->done = opts->done;
 	c->drop = opts->drop;
+	c->object = opts->object;
 	c->arg = opts->arg;
 	c->next = p->calls;
 	if (c->next)
--- a/lib/plat/plat_internal.h
+++ b/lib/plat/plat_internal.h
@@ -48,6 +48,7 @@
 		     void *arg);
 	void *arg;
 	void (*drop)(void *arg); /* frees @arg when the client is freed */
+	bool object; /* of the object store, see tg_plat_reachable() */
 };
 void plat_call(struct tg_plat *p, const struct call_opts *opts);
 void plat_note_answer(struct tg_plat *p, const struct tg_http_result *r);
