--- a/tests/script/plat.sh
+++ b/tests/script/plat.sh
@@ -83,6 +83,12 @@
 history b
 END
 
+drive "a group beyond the size of a transaction" <<'END'
+many 60 k/ 20000
+wait-count
+counters
+END
+
 # A write must not be reported as failed after it took effect, nor be repeated.
 drive "lost answer of a group" <<'END'
 fault {"lose_next":1}
@@ -189,6 +195,17 @@
 wait
 reachable
 END
+drive "outage of the object store alone" <<END
+fault {"outage":"refuse","only":"objects"}
+txn write if=z:0 put=z:1
+get z
+wait
+reachable
+object-put o/1 text
+object-get o/1
+wait
+reachable
+END
 drive "slow platform" <<END
 fault {"slow_ms":200}
 $all
--- a/tests/unit/plat/plat-driver.c
+++ b/tests/unit/plat/plat-driver.c
@@ -123,20 +123,22 @@
 	end_slot(arg, end, tg_xstrdup(""));
 }
 
-/* many COUNT PREFIX: inserts, each a transaction of its own */
+/* many COUNT PREFIX [BYTES]: inserts, each a transaction of its own */
 static void cmd_many(struct driver *d, char **words, int n)
 {
-	int i, count = n > 2 ? atoi(words[1]) : 0;
-	char key[64];
+	int i, count = atoi(words[1]), bytes = n > 3 ? atoi(words[3]) : 0;
+	char key[64], *text = tg_xcalloc(1, (size_t)bytes + 1);
 
+	memset(text, 'x', (size_t)bytes);
 	for (i = 0; i < count; i++) {
 		struct tg_txn *t = tg_txn_new(d->plat);
 
 		snprintf(key, sizeof(key), "%s%04d", words[2], i);
 		tg_txn_if(t, key, 0);
-		tg_txn_put(t, key, json_object());
+		tg_txn_put(t, key, json_pack("{s:s}", "v", text));
 		tg_txn_commit(t, on_one_of_many, new_slot(d, "many"));
 	}
+	free(text);
 }
 
 static void on_row(enum tg_plat_end end, const struct tg_row *row, void *arg)
