--- a/tests/load/job.c
+++ b/tests/load/job.c
@@ -75,6 +75,7 @@
 	const char *s;
 	enum outcome o = OUTCOME_ERROR;
 
+	call_status(arg, r);
 	if (r->end == TG_HTTP_WHOLE) {
 		s = evhttp_find_header(r->headers, "Tg-Outcome");
 		if (r->status / 100 == 2)
--- a/tests/load/load.h
+++ b/tests/load/load.h
@@ -48,6 +48,7 @@
 	struct event *timer;
 	int64_t start_us, end_us, sent, in_flight;
 	uint64_t outcomes[N_OUTCOMES];
+	uint64_t statuses[600]; /* of whole answers */
 	uint64_t wrong; /* answers that belong to another request */
 	int64_t *latencies_us; /* of answered calls */
 	size_t n_latencies;
@@ -57,6 +58,8 @@
 void request_start(struct call *c);
 /** job_start() - submit a job; ends with call_done() */
 void job_start(struct call *c);
+/** call_status() - count the status of a whole answer */
+void call_status(struct call *c, const struct tg_http_result *r);
 /** call_done() - count the outcome, free the call, go on */
 void call_done(struct call *c, enum outcome outcome);
 /** call_rng() - generator of a call: same seed and number, same values */
--- a/tests/load/main.c
+++ b/tests/load/main.c
@@ -108,6 +108,13 @@
 	start_due(arg);
 }
 
+void call_status(struct call *c, const struct tg_http_result *r)
+{
+	if (r->end == TG_HTTP_WHOLE && r->status > 0 &&
+	    r->status < (int)ARRAY_SIZE(c->load->statuses))
+		c->load->statuses[r->status]++;
+}
+
 void call_done(struct call *c, enum outcome outcome)
 {
 	struct load *l = c->load;
--- a/tests/load/report.c
+++ b/tests/load/report.c
@@ -32,6 +32,10 @@
 	for (i = 0; i < N_OUTCOMES; i++)
 		printf("%s %llu calls\n", names[i],
 		       (unsigned long long)l->outcomes[i]);
+	for (i = 0; i < (int)ARRAY_SIZE(l->statuses); i++)
+		if (l->statuses[i])
+			printf("status_%d %llu answers\n", i,
+			       (unsigned long long)l->statuses[i]);
 	printf("wrong %llu answers\n", (unsigned long long)l->wrong);
 	printf("elapsed %.3f s\n", s);
 	printf("rps %.1f calls/s\n", s > 0 ? (double)l->n_latencies / s : 0.0);
--- a/tests/load/request.c
+++ b/tests/load/request.c
@@ -59,6 +59,7 @@
 	enum outcome o = c->load->mode == MODE_DIRECT ? outcome_of_server(r) :
 							outcome_of_entry(r);
 
+	call_status(c, r);
 	if (o == OUTCOME_ANSWERED && !is_own_answer(c, r))
 		c->load->wrong++;
 	call_done(c, o);
