Gather free room: AZs, partly used workers, longer sparing; fix a deadlock

Jobs that may run in any AZ try the fullest first; moves also empty workers that several small jobs share; jobs of the fragmentation policy wait up to 10 hours for the sake of a spared place, 2 hours while the backlog is more than two fleets. Guaranteed work outside of guarantees leaves 12% to urgent work, and the job with a kept place does so, too.

A lent job that had moved and found its place taken stayed held: the job that took the place waited for it and it for the job. It is queued again.

Traces of today's sizes now have 6,000 jobs, since the time after the last submission weighed on the utilization of short ones.

--- a/cmd/tgplace/place.h
+++ b/cmd/tgplace/place.h
@@ -161,8 +161,11 @@
 
 /* --- promise.c --- */
 
-/** promise_for() - guarantee with enough tasks left for the job, or -1 */
-int32_t promise_for(const struct sim *s, const struct job *j);
+/**
+ * promise_for() - guarantee with enough tasks left for the job, or -1
+ * @az: where the job runs, or -1 for a request
+ */
+int32_t promise_for(const struct sim *s, const struct job *j, int32_t az);
 /** promise_check() - count requests of guarantees that have no place now */
 void promise_check(struct sim *s);
 
--- a/cmd/tgplace/promise.c
+++ b/cmd/tgplace/promise.c
@@ -15,7 +15,7 @@
 		(!strcmp(j->az, "any") || !strcmp(j->az, in->azs[p->az]));
 }
 
-int32_t promise_for(const struct sim *s, const struct job *j)
+int32_t promise_for(const struct sim *s, const struct job *j, int32_t az)
 {
 	int32_t i;
 
@@ -24,7 +24,7 @@
 	for (i = 0; i < s->in->n_promises; i++) {
 		const struct promise *p = &s->in->promises[i];
 
-		if (s->now_ms < p->lapses_ms &&
+		if (s->now_ms < p->lapses_ms && (az < 0 || p->az == az) &&
 		    j->tasks <= p->tasks - p->used && is_inside(p, j, s->in))
 			return i;
 	}
@@ -194,7 +194,7 @@
 		s->waiting[n++] = s->waiting[i];
 		if (j->counted)
 			continue;
-		p = promise_for(s, j);
+		p = promise_for(s, j, -1);
 		if (p < 0 || !is_violation(s, s->in->promises[p].az))
 			continue;
 		j->counted = true;
--- a/cmd/tgplace/sim.c
+++ b/cmd/tgplace/sim.c
@@ -254,7 +254,7 @@
 	size_t size = (size_t)a->n_workers * sizeof(*j->workers);
 	int32_t i;
 
-	j->promise = promise_for(s, j);
+	j->promise = promise_for(s, j, s->in->workers[a->workers[0]].az);
 	if (j->promise >= 0)
 		s->in->promises[j->promise].used += j->tasks;
 	j->workers = tg_xcalloc(1, size);
--- a/lib/decide/decide.c
+++ b/lib/decide/decide.c
@@ -3,6 +3,11 @@
 
 #include "decide/internal.h"
 
+struct az_idle {
+	int64_t idle;
+	int32_t az;
+};
+
 struct round {
 	struct tg_fleet *f;
 	int64_t now_ms;
@@ -10,6 +15,7 @@
 	size_t n, max;
 	int32_t *place; /* scratch, for the tasks of one job */
 	int32_t place_cap;
+	struct az_idle *azs; /* scratch, all AZs */
 	bool *blocked; /* by AZ: a strict policy's first job waits there */
 	struct job **victims; /* scratch, @max */
 };
@@ -107,17 +113,27 @@
 	}
 }
 
-/* Starts a held job or reclaims what is in its way. */
+/*
+ * Starts a held job or reclaims what is in its way.  A lent job that moves and
+ * finds its new place taken waits in the queue again.
+ *
+ * Return: whether the job is no longer held.
+ */
 static bool carry_on(struct round *r, struct job *j)
 {
 	if (r->n == r->max)
 		return false;
-	if (!reclaim_room(r->f, j)) {
-		reclaim(r, j);
-		return false;
+	if (reclaim_room(r->f, j)) {
+		start(r, j);
+		return true;
+	}
+	if (j->class == TG_CLASS_LENT) {
+		job_release(r->f, j);
+		queue_insert(r->f, j);
+		return true;
 	}
-	start(r, j);
-	return true;
+	reclaim(r, j);
+	return false;
 }
 
 static void carry_on_held(struct round *r)
@@ -150,6 +166,11 @@
 	return !j->ws->quota || j->ws->used_acc + job_acc(j) <= j->ws->quota;
 }
 
+/* With so much work waiting, in fleets' worth of accelerators, ... */
+#define BACKLOG 2
+/* ... jobs wait for a shorter time on account of the spared places. */
+#define BACKLOG_SPARE_PART 5
+
 /*
  * Whether the job may not use what the AZ spares for the largest shape.  A job
  * that never fits beside the spared place gains nothing by waiting.
@@ -158,9 +179,12 @@
 {
 	const struct tg_fleet *f = r->f;
 	int64_t shape = (int64_t)f->shape_tasks * f->shape.acc;
+	int64_t wait_ms = f->spare_ms;
 
+	if (f->queued_acc > BACKLOG * f->acc)
+		wait_ms /= BACKLOG_SPARE_PART;
 	return j->class != TG_CLASS_URGENT && j->need.acc &&
-		r->now_ms < j->submitted_ms + f->spare_ms &&
+		r->now_ms < j->submitted_ms + wait_ms &&
 		job_acc(j) <= f->azs[az].acc - shape;
 }
 
@@ -180,41 +204,82 @@
 		return true;
 	for (i = 0; i < z->n_racks; i++)
 		room += rack_sums(f, z->racks[i])->firm_acc;
-	return room - job_acc(j) >= (keep > z->most_acc ? keep : z->most_acc);
+	if (keep < z->most_acc)
+		keep = z->most_acc;
+	/* Room for a job that never fits beside it can't be kept free. */
+	/* Room for a job that never fits beside it can't be kept free. */
+	return room - job_acc(j) >= keep ||
+		job_acc(j) > acc_beside_guarantees(f, az) - keep;
 }
 
-static bool place_somewhere(struct round *r, struct job *j, enum view v)
+static bool place_in(struct round *r, struct job *j, enum view v, int32_t az)
 {
 	struct tg_fleet *f = r->f;
-	int32_t az;
+	struct reservation *kept = &f->azs[az].kept;
+	bool use_kept = j->class == TG_CLASS_URGENT || kept->job == j;
+	bool spare = must_spare(r, j, az);
 
-	for (az = 0; az < f->n_azs; az++) {
-		struct reservation *kept = &f->azs[az].kept;
-		bool use_kept, spare;
+	if (r->blocked[az] || !leaves_urgent(r, j, az))
+		return false;
+	if (spare)
+		defrag_spare(f, az);
+	/*
+	 * Lent work may run on reserved workers until the reservation is due;
+	 * it is reclaimed then, if its declared time was false.
+	 */
+	if (!use_kept && kept->job && j->class == TG_CLASS_LENT &&
+	    job_end_ms(f, j, r->now_ms) <= kept->at_ms)
+		use_kept = j->backfilled = true;
+	if (place_gang(f, j, az, v, use_kept, spare, r->now_ms,
+		       place_for(r, j)))
+		return true;
+	j->backfilled = false;
+	return false;
+}
 
-		if ((j->az != NONE && j->az != az) || r->blocked[az])
-			continue;
-		use_kept = j->class == TG_CLASS_URGENT || kept->job == j;
-		if (kept->job != j && !leaves_urgent(r, j, az))
-			continue;
-		spare = must_spare(r, j, az);
-		if (spare)
-			defrag_spare(f, az);
-		/*
-		 * Lent work may run on reserved workers until the reservation
-		 * is due; it is reclaimed then, if its declared time was false.
-		 */
-		if (!use_kept && kept->job && j->class == TG_CLASS_LENT &&
-		    job_end_ms(f, j, r->now_ms) <= kept->at_ms)
-			use_kept = j->backfilled = true;
-		if (place_gang(f, j, az, v, use_kept, spare, r->now_ms,
-			       place_for(r, j)))
-			return true;
-		j->backfilled = false;
+static int64_t idle_in_az(const struct tg_fleet *f, int32_t az)
+{
+	const struct az *z = &f->azs[az];
+	int64_t sum = 0;
+	int32_t i;
+
+	for (i = 0; i < z->n_racks; i++)
+		sum += rack_sums(f, z->racks[i])->idle_acc;
+	return sum;
+}
+
+static int by_idle(const void *a, const void *b)
+{
+	const struct az_idle *x = a, *y = b;
+
+	if (x->idle != y->idle)
+		return x->idle < y->idle ? -1 : 1;
+	return x->az - y->az;
+}
+
+/* Any AZ: the fullest first, so that free room gathers in few. */
+static bool place_anywhere(struct round *r, struct job *j, enum view v)
+{
+	struct tg_fleet *f = r->f;
+	int32_t i;
+
+	for (i = 0; i < f->n_azs; i++) {
+		r->azs[i].az = i;
+		r->azs[i].idle = f->policy->any_fullest ? idle_in_az(f, i) : 0;
 	}
+	qsort(r->azs, (size_t)f->n_azs, sizeof(*r->azs), by_idle);
+	for (i = 0; i < f->n_azs; i++)
+		if (place_in(r, j, v, r->azs[i].az))
+			return true;
 	return false;
 }
 
+static bool place_somewhere(struct round *r, struct job *j, enum view v)
+{
+	return j->az == NONE ? place_anywhere(r, j, v) :
+			       place_in(r, j, v, j->az);
+}
+
 static void start_urgent(struct round *r)
 {
 	struct queue *q = &r->f->queues[TG_CLASS_URGENT];
@@ -396,6 +461,7 @@
 	if (!max)
 		return 0;
 	r.blocked = tg_xcalloc((size_t)f->n_azs, sizeof(*r.blocked));
+	r.azs = tg_xcalloc((size_t)f->n_azs, sizeof(*r.azs));
 	r.victims = tg_xcalloc(max, sizeof(struct job *));
 	plan_lapse(f, now_ms);
 	plan_check(f);
@@ -409,6 +475,7 @@
 	move_lent(&r);
 	free(r.place);
 	free(r.blocked);
+	free(r.azs);
 	free(r.victims);
 	return r.n;
 }
@@ -435,6 +502,9 @@
 			at = j->submitted_ms + f->spare_ms;
 			if (at > now_ms && at < next)
 				next = at;
+			at = j->submitted_ms + f->spare_ms / BACKLOG_SPARE_PART;
+			if (at > now_ms && at < next)
+				next = at;
 		}
 	for (k = 0; k < f->n_azs; k++) {
 		const struct reservation *kept = &f->azs[k].kept;
--- a/lib/decide/defrag.c
+++ b/lib/decide/defrag.c
@@ -12,6 +12,8 @@
  */
 #define MOVE_PERIOD_MS 1200000
 #define MOVE_LEFT_MS 600000
+/* Least gain of a move for each accelerator of the job. */
+#define MOVE_GAIN 0.25
 /* Bounds the time of one search; at the target an AZ runs some 400 jobs. */
 #define CANDIDATES_MAX 24
 
@@ -34,13 +36,22 @@
 	return 0.5 * whole * whole / wanted * f->shape.acc;
 }
 
+/*
+ * Idle room on partly used workers counts by its square, so that workers with
+ * several small jobs are emptied move by move.
+ */
+#define PARTS_WORTH 0.25
+
 static double az_worth(const struct tg_fleet *f, const struct az *z)
 {
 	double sum = 0;
 	int32_t i;
 
-	for (i = 0; i < z->n_racks; i++)
-		sum += rack_worth(f, rack_sums(f, z->racks[i])->whole);
+	for (i = 0; i < z->n_racks; i++) {
+		const struct rack *r = rack_sums(f, z->racks[i]);
+
+		sum += rack_worth(f, r->whole) + PARTS_WORTH * r->parts;
+	}
 	return sum;
 }
 
@@ -161,7 +172,7 @@
 		double score = gain / (double)job_acc(j);
 
 		/* A move of large jobs for a small gain is not worth it. */
-		if (gain < f->shape.acc / 2.0 || score <= best_score) {
+		if (score < MOVE_GAIN || score <= best_score) {
 			free(place);
 			continue;
 		}
--- a/lib/decide/internal.h
+++ b/lib/decide/internal.h
@@ -106,6 +106,8 @@
 	int32_t idle_acc, firm_acc; /* sums over workers that are up */
 	int32_t acc, acc_alive, acc_up; /* all, not down, up */
 	int32_t whole; /* workers with idle room for a task of the shape */
+	double parts; /* sum of idle accelerators squared over those of the
+			 shape, of workers that are not whole */
 	int32_t shapes; /* tasks of the shape that the idle room holds */
 };
 
@@ -198,6 +200,7 @@
 	int32_t *reported; /* workers of the last round's quarantines */
 	size_t n_running, n_parked;
 	uint64_t next_seq;
+	int64_t acc, queued_acc; /* of all workers; asked for by waiting jobs */
 	int32_t defrag_az; /* next to look for moves in */
 	int64_t keys_ms; /* when the keys were last computed */
 	struct note ring[RING_SIZE];
@@ -220,6 +223,7 @@
  *	until a place is kept for it; 0: at once, if it is the first
  * @spare_ms: how long a job waits before it may use what each AZ spares for
  *	the largest guaranteed shape, at a weight of fragmentation of 100
+ * @any_fullest: a job that may run in any AZ tries the fullest first
  * @urgent_percent: accelerators of an AZ that guaranteed work outside of
  *	guarantees leaves to urgent work, percent
  * @move_period_ms: how often an AZ moves the lent jobs of one worker; 0: never
@@ -240,6 +244,7 @@
 	int64_t move_period_ms;
 	int64_t spare_ms;
 	int32_t urgent_percent;
+	bool any_fullest;
 };
 
 /* --- res --- */
@@ -346,6 +351,8 @@
 
 void job_free(struct tg_fleet *f, struct job *j);
 int64_t job_acc(const struct job *j);
+/** acc_beside_guarantees() - what guarantees without a lapse leave of an AZ */
+int64_t acc_beside_guarantees(const struct tg_fleet *f, int32_t az);
 /** job_remaining_ms() - expected run time that is left */
 int64_t job_remaining_ms(const struct tg_fleet *f, const struct job *j,
 			 int64_t now_ms);
--- a/lib/decide/job.c
+++ b/lib/decide/job.c
@@ -156,8 +156,7 @@
 	fault(c, "tasks", text);
 }
 
-/* Accelerators of an AZ that guarantees without a lapse leave to others. */
-static int64_t acc_beside_guarantees(const struct tg_fleet *f, int32_t az)
+int64_t acc_beside_guarantees(const struct tg_fleet *f, int32_t az)
 {
 	int64_t acc = f->azs[az].acc;
 	size_t i;
--- a/lib/decide/policy.c
+++ b/lib/decide/policy.c
@@ -153,8 +153,9 @@
 		.victim_cost = victim_least_lost,
 		.patience = 10,
 		.move_period_ms = 60000,
-		.spare_ms = 7200000,
-		.urgent_percent = 6,
+		.spare_ms = 60000000,
+		.urgent_percent = 12,
+		.any_fullest = true,
 	},
 	{
 		.name = "fragmentation",
@@ -167,8 +168,9 @@
 		.victim_cost = victim_least_lost,
 		.patience = 10,
 		.move_period_ms = 60000,
-		.spare_ms = 7200000,
-		.urgent_percent = 6,
+		.spare_ms = 60000000,
+		.urgent_percent = 12,
+		.any_fullest = true,
 	},
 };
 
--- a/lib/decide/queue.c
+++ b/lib/decide/queue.c
@@ -56,6 +56,7 @@
 	struct queue *q = &f->queues[j->class];
 	size_t at;
 
+	f->queued_acc += job_acc(j);
 	j->state = JOB_QUEUED;
 	j->key = f->policy->key(f, j);
 	at = position(q, j);
@@ -72,6 +73,7 @@
 
 	if (at == q->n || q->jobs[at] != j)
 		return;
+	f->queued_acc -= job_acc(j);
 	q->n--;
 	memmove(&q->jobs[at], &q->jobs[at + 1],
 		(q->n - at) * sizeof(struct job *));
--- a/lib/decide/reclaim.c
+++ b/lib/decide/reclaim.c
@@ -49,7 +49,8 @@
 	for (i = 0; i < w->n_jobs; i++) {
 		struct job *j = w->jobs[i].job;
 
-		if (j->class != TG_CLASS_LENT || j->reclaiming)
+		if (j->class != TG_CLASS_LENT || j->reclaiming ||
+		    j->state != JOB_RUNNING)
 			continue;
 		gain = useful(&w->jobs[i], room);
 		if (gain <= 0)
--- a/lib/decide/room.c
+++ b/lib/decide/room.c
@@ -57,8 +57,11 @@
 	r->max_firm = res_max(r->max_firm, firm);
 	r->idle_acc += max32(0, idle.acc);
 	r->firm_acc += max32(0, firm.acc);
-	if (!is_whole(f, w))
+	if (!is_whole(f, w)) {
+		if (f->shape.acc && idle.acc > 0)
+			r->parts += (double)idle.acc * idle.acc / f->shape.acc;
 		return;
+	}
 	r->whole++;
 	r->shapes += res_count(f->shape, idle, INT32_MAX);
 }
@@ -73,6 +76,7 @@
 		return r;
 	r->max_idle = r->max_firm = (struct res){ 0 };
 	r->idle_acc = r->firm_acc = r->whole = r->shapes = 0;
+	r->parts = 0;
 	r->acc = r->acc_alive = r->acc_up = 0;
 	for (i = 0; i < r->n_workers; i++)
 		add_sums(f, r, &f->workers[r->workers[i]]);
--- a/tests/bench/tracegen/tracegen.c
+++ b/tests/bench/tracegen/tracegen.c
@@ -36,7 +36,7 @@
 	  "share of the target's size, percent",
 	  offsetof(struct options, percent) },
 	{ "jobs", TG_SET_INT, "0", 0, 1000000, false,
-	  "number of jobs; 0: 2000, or a day's at the target's size",
+	  "number of jobs; 0: 6000, or a day's at the target's size",
 	  offsetof(struct options, jobs) },
 	{ "load-percent", TG_SET_INT, "90", 1, 1000, false,
 	  "accelerator time asked for, percent of the fleet's",
@@ -377,7 +377,7 @@
 		t->racks_per_az = 5;
 	t->workspaces = t->target ? 170 : 4;
 	if (!t->o.jobs)
-		t->o.jobs = t->target ? 26000 * t->o.percent / 100 : 2000;
+		t->o.jobs = t->target ? 26000 * t->o.percent / 100 : 6000;
 }
 
 int main(int argc, char **argv)
