--- a/cmd/tgplace/place.h
+++ b/cmd/tgplace/place.h
@@ -69,7 +69,8 @@
 	enum job_state state;
 	uint32_t attempt;
 	int32_t *workers;
-	int32_t promise; /* guarantee it runs inside of, or -1 */
+	int32_t promise; /* guarantee it uses, or -1 */
+	int32_t promised; /* tasks of it */
 	bool counted; /* as a violation since it last ran */
 	int64_t started_ms, first_start_ms, end_ms, done_ms;
 	UT_hash_handle hh;
@@ -161,11 +162,12 @@
 
 /* --- promise.c --- */
 
-/**
- * promise_for() - guarantee with enough tasks left for the job, or -1
- * @az: where the job runs, or -1 for a request
- */
-int32_t promise_for(const struct sim *s, const struct job *j, int32_t az);
+/** promise_for() - guarantee with enough tasks left for the request, or -1 */
+int32_t promise_for(const struct sim *s, const struct job *j);
+/** promise_enter() - the job has started */
+void promise_enter(struct sim *s, struct job *j);
+/** promise_leave() - the job ends or stops */
+void promise_leave(struct sim *s, struct job *j);
 /** promise_check() - count requests of guarantees that have no place now */
 void promise_check(struct sim *s);
 
--- a/cmd/tgplace/promise.c
+++ b/cmd/tgplace/promise.c
@@ -15,7 +15,7 @@
 		(!strcmp(j->az, "any") || !strcmp(j->az, in->azs[p->az]));
 }
 
-int32_t promise_for(const struct sim *s, const struct job *j, int32_t az)
+int32_t promise_for(const struct sim *s, const struct job *j)
 {
 	int32_t i;
 
@@ -24,13 +24,61 @@
 	for (i = 0; i < s->in->n_promises; i++) {
 		const struct promise *p = &s->in->promises[i];
 
-		if (s->now_ms < p->lapses_ms && (az < 0 || p->az == az) &&
+		if (s->now_ms < p->lapses_ms &&
 		    j->tasks <= p->tasks - p->used && is_inside(p, j, s->in))
 			return i;
 	}
 	return -1;
 }
 
+/*
+ * Counts a running job's tasks as use of a guarantee where it runs.  Which of
+ * a workspace's jobs are inside is a matter of order, so that a job that is
+ * larger than what is left uses that.
+ */
+void promise_enter(struct sim *s, struct job *j)
+{
+	int32_t az = s->in->workers[j->workers[0]].az, i;
+
+	if (j->class != TG_CLASS_GUARANTEED || j->promise >= 0)
+		return;
+	for (i = 0; i < s->in->n_promises; i++) {
+		struct promise *p = &s->in->promises[i];
+		int32_t left = p->tasks - p->used;
+
+		if (s->now_ms >= p->lapses_ms || p->az != az || !left ||
+		    j->tasks > p->tasks || !is_inside(p, j, s->in))
+			continue;
+		j->promise = i;
+		j->promised = j->tasks < left ? j->tasks : left;
+		p->used += j->promised;
+		return;
+	}
+}
+
+void promise_leave(struct sim *s, struct job *j)
+{
+	size_t i;
+
+	if (j->promise < 0)
+		return;
+	s->in->promises[j->promise].used -= j->promised;
+	j->promise = -1;
+	/* What still runs in the AZ takes the place in the books. */
+	for (i = 0; i < s->in->n_jobs; i++) {
+		struct job *o = &s->in->jobs[i];
+
+		if (o == j || o->state != J_RUNNING ||
+		    o->class != TG_CLASS_GUARANTEED)
+			continue;
+		if (o->promise >= 0 && o->promised < o->tasks) {
+			s->in->promises[o->promise].used -= o->promised;
+			o->promise = -1;
+		}
+		promise_enter(s, o);
+	}
+}
+
 /* --- packing of what is promised, on the driver's own books --- */
 
 struct demand {
@@ -194,7 +242,7 @@
 		s->waiting[n++] = s->waiting[i];
 		if (j->counted)
 			continue;
-		p = promise_for(s, j, -1);
+		p = promise_for(s, j);
 		if (p < 0 || !is_violation(s, s->in->promises[p].az))
 			continue;
 		j->counted = true;
--- a/cmd/tgplace/sim.c
+++ b/cmd/tgplace/sim.c
@@ -82,9 +82,7 @@
 
 	s->work_lost += (double)lost_ms / 1000 * (double)size;
 	book(s, j, -1);
-	if (j->promise >= 0)
-		s->in->promises[j->promise].used -= j->tasks;
-	j->promise = -1;
+	promise_leave(s, j);
 	free(j->workers);
 	j->workers = NULL;
 	j->attempt++;
@@ -254,11 +252,9 @@
 	size_t size = (size_t)a->n_workers * sizeof(*j->workers);
 	int32_t i;
 
-	j->promise = promise_for(s, j, s->in->workers[a->workers[0]].az);
-	if (j->promise >= 0)
-		s->in->promises[j->promise].used += j->tasks;
 	j->workers = tg_xcalloc(1, size);
 	memcpy(j->workers, a->workers, size);
+	promise_enter(s, j);
 	j->state = J_RUNNING;
 	j->started_ms = s->now_ms;
 	if (j->first_start_ms < 0)
