--- a/cmd/tgplace/sim.c
+++ b/cmd/tgplace/sim.c
@@ -281,8 +281,17 @@
 
 static void carry_out(struct sim *s, const struct tg_action *a)
 {
-	struct job *j = a->job ? job_of(s, a->job) : NULL;
+	struct job *j;
 
+	if (a->kind == TG_ACT_QUARANTINE) {
+		s->in->workers[a->workers[0]].quarantined = true;
+		return;
+	}
+	j = job_of(s, a->job);
+	if (!j) {
+		fprintf(stderr, "tgplace: action for unknown job %s\n", a->job);
+		exit(EXIT_FAILURE);
+	}
 	switch (a->kind) {
 	case TG_ACT_START:
 		start(s, j, a);
@@ -295,7 +304,6 @@
 		s->n_queued--;
 		break;
 	case TG_ACT_QUARANTINE:
-		s->in->workers[a->workers[0]].quarantined = true;
 		break;
 	}
 }
--- a/lib/decide/plan.c
+++ b/lib/decide/plan.c
@@ -412,7 +412,7 @@
 	for (i = 0; i < f->n_guarantees; i++)
 		if (is_live_in(&f->guarantees[i], az))
 			list[n++] = &f->guarantees[i];
-	qsort(list, n, sizeof(*list), by_demand);
+	qsort(list, n, sizeof(struct guarantee *), by_demand);
 	for (i = 0; i < n; i++)
 		drop_lost(f, list[i]);
 	all = place_all(f, list, n);
