--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -61,6 +61,14 @@
 	int32_t cores, memory_gb, accelerators;
 };
 
+/**
+ * struct tg_guarantee - a promise of places that can always be reclaimed
+ *
+ * A task of it may use the cores and the memory that belong to its accelerators
+ * on the worker of the AZ that has least of them.  A job is within a guarantee
+ * if its class is TG_CLASS_GUARANTEED, workspace and AZ match, each task fits
+ * and enough tasks of the guarantee are unused.
+ */
 struct tg_guarantee {
 	const char *workspace, *az;
 	int32_t tasks, accelerators_per_task;
@@ -92,7 +100,8 @@
  * @workers: for TG_ACT_START one worker id for each task, in order of the
  *	task's index
  * @reason: one line for operators
- * @beneficiary: for TG_ACT_RECLAIM, job or guarantee that needs the place
+ * @beneficiary: for TG_ACT_RECLAIM, job that needs the place; empty for a move:
+ *	the job itself starts elsewhere once tg_fleet_job_stopped() was called
  *
  * Pointers are valid until the next call of a mutator or of tg_decide().
  */
@@ -170,6 +179,10 @@
 		    int64_t now_ms, struct tg_findings *findings);
 /**
  * tg_fleet_adopt() - record a job that runs already, after a takeover
+ *
+ * The plan makes room for it in the next tg_decide(); the status of guarantees
+ * is up to date after that.
+ *
  * @workers: one id for each task
  * @started_ms: when it started
  */
--- a/tests/unit/decide/test-decide.c
+++ b/tests/unit/decide/test-decide.c
@@ -683,6 +683,123 @@
 }
 END_TEST
 
+/*
+ * Four small lent jobs, one on each worker, leave no place for the shape; the
+ * policies move them together, the baselines don't.
+ */
+START_TEST(lent_jobs_move_together)
+{
+	static const struct {
+		const char *policy;
+		bool moves;
+	} cases[] = { { "completion", true },
+		      { "fragmentation", true },
+		      { "fifo-bestfit", false } };
+	size_t c;
+	int i;
+
+	for (c = 0; c < ARRAY_SIZE(cases); c++) {
+		struct tg_fleet *f = new_fleet(cases[c].policy, 1, 4);
+		struct tg_fleet_stats before, after;
+
+		for (i = 0; i < 4; i++) {
+			char name[16];
+			int32_t id = i;
+			struct tg_job_spec s;
+
+			snprintf(name, sizeof(name), "l-%d", i);
+			s = gang(name, "ws", TG_CLASS_LENT, 1, 2);
+			s.declared_ms = 100 * 3600000;
+			ck_assert_int_eq(tg_fleet_adopt(f, &s, &id, 0), 0);
+		}
+		tg_fleet_stats(f, 0, &before);
+		ck_assert_int_eq(before.accelerators_stranded, 24);
+		for (i = 1; i <= 10; i++)
+			run(f, i * 3600000);
+		tg_fleet_stats(f, i * 3600000, &after);
+		ck_assert_uint_eq(after.jobs_running, 4);
+		ck_assert_int_eq(after.accelerators_free, 24);
+		ck_assert_int_eq(after.accelerators_stranded,
+				 cases[c].moves ? 0 : 24);
+		tg_fleet_free(f);
+	}
+}
+END_TEST
+
+/* Without an end to the waiting, a spared place would starve jobs. */
+START_TEST(spared_place_is_given_up_in_time)
+{
+	struct tg_fleet *f = new_fleet("fragmentation", 1, 4);
+	int64_t next;
+
+	submit(f, "l-1", "ws", TG_CLASS_LENT, 3, 8);
+	ck_assert_str_eq(run(f, 0), "+l-1");
+	/* One whole worker is left, which is the largest shape here. */
+	submit(f, "l-2", "ws", TG_CLASS_LENT, 1, 2);
+	submit(f, "u-1", "ws", TG_CLASS_URGENT, 1, 2);
+	ck_assert_str_eq(run(f, 0), "+u-1 +l-2");
+	tg_fleet_cancel(f, "u-1", 1);
+	tg_fleet_cancel(f, "l-2", 1);
+	submit(f, "l-3", "ws", TG_CLASS_LENT, 1, 2);
+	ck_assert_str_eq(run(f, 1), "");
+	for (next = 1; next < 40000000; next = tg_fleet_next_ms(f, next))
+		if (strstr(run(f, next), "+l-3"))
+			break;
+	ck_assert_int_le(next, 36000000);
+	tg_fleet_free(f);
+}
+END_TEST
+
+/* Firm work that fills an AZ would make urgent work wait for its end. */
+START_TEST(room_is_left_to_urgent_work)
+{
+	struct tg_fleet *f = new_fleet("completion", 1, 4);
+
+	submit(f, "g-1", "ws", TG_CLASS_GUARANTEED, 3, 8);
+	submit(f, "g-2", "ws", TG_CLASS_GUARANTEED, 1, 8);
+	submit(f, "l-1", "ws", TG_CLASS_LENT, 1, 8);
+	ck_assert_str_eq(run(f, 0), "+g-2 +l-1");
+	tg_fleet_cancel(f, "g-2", 0);
+	ck_assert_str_eq(run(f, 0), "+g-1");
+	submit(f, "g-3", "ws", TG_CLASS_GUARANTEED, 1, 1);
+	submit(f, "u-1", "ws", TG_CLASS_URGENT, 1, 8);
+	ck_assert_str_eq(run(f, 1000), "-l-1 +u-1");
+	tg_fleet_free(f);
+}
+END_TEST
+
+/* Kept and moved places must not be lost or doubled by other events. */
+START_TEST(lost_target_of_a_move)
+{
+	struct tg_fleet *f = new_fleet("completion", 1, 2);
+	struct tg_job_spec s = gang("l-0", "ws", TG_CLASS_LENT, 1, 2);
+	struct tg_action out[ACTIONS];
+	int32_t id = 0;
+	size_t n;
+
+	s.declared_ms = 100 * 3600000;
+	ck_assert_int_eq(tg_fleet_adopt(f, &s, &id, 0), 0);
+	s.name = "l-1";
+	id = 1;
+	ck_assert_int_eq(tg_fleet_adopt(f, &s, &id, 0), 0);
+	n = tg_decide(f, 3600000, out, ACTIONS);
+	ck_assert_uint_eq(n, 1);
+	ck_assert_int_eq(out[0].kind, TG_ACT_RECLAIM);
+	/* Its target goes down while it stops. */
+	id = strcmp(out[0].job, "l-0") ? 0 : 1;
+	s.name = strcmp(out[0].job, "l-0") ? "l-1" : "l-0";
+	tg_fleet_set_health(f, id, TG_WORKER_DOWN, 3600000);
+	tg_fleet_job_stopped(f, id ? "l-1" : "l-0", TG_STOP_WORKER_LOST, -1,
+			     3600000, 0);
+	tg_fleet_job_stopped(f, s.name, TG_STOP_RECLAIMED, -1, 3600000, 0);
+	n = tg_decide(f, 3600000, out, ACTIONS);
+	ck_assert_uint_eq(n, 2);
+	ck_assert_int_eq(out[0].workers[0], 1 - id);
+	ck_assert_int_eq(out[1].workers[0], 1 - id);
+	tg_fleet_free(f);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("decide");
@@ -710,6 +827,10 @@
 	tcase_add_test(t, refused_start_waits);
 	tcase_add_test(t, explanations);
 	tcase_add_test(t, limit_of_a_round);
+	tcase_add_test(t, lent_jobs_move_together);
+	tcase_add_test(t, spared_place_is_given_up_in_time);
+	tcase_add_test(t, room_is_left_to_urgent_work);
+	tcase_add_test(t, lost_target_of_a_move);
 	suite_add_tcase(s, t);
 	suite_add_tcase(s, property_tcase());
 	srunner_run_all(r, CK_NORMAL);
