Bound the depth of the plan's search and the sums of adopted jobs

A guarantee of 100,000 tasks on a worker of a million accelerators would have taken as many stack frames, and an adopted job could overflow a worker's sums.

--- a/lib/decide/job.c
+++ b/lib/decide/job.c
@@ -248,6 +248,16 @@
 	return 0;
 }
 
+/* All tasks on one worker must not overflow its sums, whatever was recorded. */
+static bool fits_sums(const struct tg_job_spec *s)
+{
+	int64_t max = INT32_MAX / 16;
+
+	return (int64_t)s->tasks * s->accelerators_per_task <= max &&
+		(int64_t)s->tasks * s->cores_per_task <= max &&
+		(int64_t)s->tasks * s->memory_gb_per_task <= max;
+}
+
 int tg_fleet_adopt(struct tg_fleet *f, const struct tg_job_spec *spec,
 		   const int32_t *workers, int64_t started_ms)
 {
@@ -257,6 +267,8 @@
 	size_t k;
 
 	check_fields(&c);
+	if (!c.n && !fits_sums(spec))
+		c.n++;
 	for (i = 0; !c.n && i < spec->tasks; i++)
 		if (workers[i] < 0 || workers[i] >= f->n_workers ||
 		    f->workers[workers[i]].az != f->workers[workers[0]].az)
@@ -283,12 +295,13 @@
 
 /* --- places --- */
 
+/* The places were chosen in the order of slots, so the search goes on there. */
 static void take_slots(struct guarantee *g, struct job *j)
 {
-	int32_t i, k;
+	int32_t i, n, k = 0;
 
 	for (i = 0; i < j->tasks; i++)
-		for (k = 0; k < g->tasks; k++) {
+		for (n = 0; n < g->tasks; n++, k = (k + 1) % g->tasks) {
 			struct slot *s = &g->slots[k];
 
 			if (s->job || s->worker != j->workers[i])
--- a/lib/decide/plan.c
+++ b/lib/decide/plan.c
@@ -8,6 +8,8 @@
  * fleets of tens of workers and takes a millisecond or two on large ones.
  */
 #define SEARCH_STEPS 300000
+/* Bound of its depth, and so of its stack: slots of an AZ. */
+#define SEARCH_SLOTS_MAX 4096
 
 static bool is_live_in(const struct guarantee *g, int32_t az)
 {
@@ -291,6 +293,8 @@
 	for (i = 0; i < f->n_guarantees; i++)
 		if (is_live_in(&f->guarantees[i], az))
 			s.n += count_missing(&f->guarantees[i]);
+	if (s.n > SEARCH_SLOTS_MAX)
+		return false;
 	s.items = tg_xcalloc((size_t)s.n, sizeof(*s.items));
 	s.n = 0;
 	for (i = 0; i < f->n_guarantees; i++) {
