Bind jobs that were inside of guarantees first, then the largest

When guarantees were replaced or jobs adopted, a small job beyond a guarantee could take the slots of a large one inside of it. Saving an unchanged document was then refused, and a takeover reported a guarantee at risk without a lost worker. Both tests fail without the change.

--- a/lib/decide/guarantee.c
+++ b/lib/decide/guarantee.c
@@ -170,6 +170,7 @@
 				room_plan(f, s->worker, g->need, -1);
 			if (j && j->g) {
 				guarantee_unbind(f, j);
+				j->was_inside = true;
 				s->job = j; /* for reinstate() */
 			}
 		}
@@ -203,25 +204,71 @@
 			w->firm = res_sub(w->firm, s->job->need);
 			w->inside = res_add(w->inside, s->job->need);
 			s->job->g = g;
+			s->job->was_inside = false;
 		}
 	}
 }
 
+static int by_size(const void *a, const void *b)
+{
+	const struct job *x = *(struct job *const *)a;
+	const struct job *y = *(struct job *const *)b;
+
+	if (job_acc(x) != job_acc(y))
+		return job_acc(x) > job_acc(y) ? -1 : 1;
+	return x->seq < y->seq ? -1 : 1;
+}
+
+static void bind_list(struct tg_fleet *f, struct queue *list)
+{
+	size_t i, k;
+
+	if (list->n)
+		qsort(list->jobs, list->n, sizeof(struct job *), by_size);
+	for (k = 0; k < list->n; k++) {
+		struct job *j = list->jobs[k];
+
+		for (i = 0; i < f->n_guarantees && !j->g; i++)
+			plan_bind(f, &f->guarantees[i], j);
+	}
+	free(list->jobs);
+}
+
+/*
+ * Jobs that were inside come first, and among equals the largest: a small job
+ * beyond the guarantee that took their slots would reserve more room.
+ */
 static void bind_running(struct tg_fleet *f)
 {
+	struct queue inside = { 0 }, others = { 0 };
 	struct job *j, *next;
-	struct guarantee *g;
-	size_t i;
 
 	HASH_ITER(hh, f->jobs, j, next)
 	{
-		if (!j->workers || j->class != TG_CLASS_GUARANTEED)
-			continue;
-		for (i = 0; i < f->n_guarantees && !j->g; i++) {
-			g = &f->guarantees[i];
-			plan_bind(f, g, j);
-		}
+		if (j->workers && j->class == TG_CLASS_GUARANTEED)
+			list_add(j->was_inside ? &inside : &others, j);
+		j->was_inside = j->adopted = false;
+	}
+	bind_list(f, &inside);
+	bind_list(f, &others);
+	f->adopted = false;
+}
+
+void guarantee_bind_adopted(struct tg_fleet *f)
+{
+	struct queue list = { 0 };
+	struct job *j, *next;
+
+	if (!f->adopted)
+		return;
+	HASH_ITER(hh, f->jobs, j, next)
+	{
+		if (j->adopted && j->workers && !j->g)
+			list_add(&list, j);
+		j->adopted = false;
 	}
+	bind_list(f, &list);
+	f->adopted = false;
 }
 
 static void largest_shape(struct tg_fleet *f)
--- a/lib/decide/internal.h
+++ b/lib/decide/internal.h
@@ -66,6 +66,8 @@
 	enum job_state state;
 	int32_t *workers; /* one for each task while held or running */
 	struct guarantee *g; /* whose slots it uses, or NULL */
+	bool adopted; /* may use slots; not decided yet */
+	bool was_inside; /* used slots when the guarantees were replaced */
 	int64_t started_ms, done_ms, not_before_ms;
 	bool reclaiming; /* TG_ACT_RECLAIM was returned */
 	int32_t *target; /* place to move to once it has stopped, or NULL */
@@ -194,6 +196,7 @@
 	struct res shape; /* one task of the largest guaranteed shape */
 	int32_t shape_tasks;
 	bool shape_within_rack;
+	bool adopted; /* a job was adopted since the last decision */
 	struct job *jobs;
 	struct queue queues[3]; /* by class */
 	struct queue held, parking;
@@ -326,6 +329,8 @@
 int32_t guarantee_unused(const struct tg_fleet *f, const struct guarantee *g);
 /** guarantee_unbind() - let a job in slots use room outside of them */
 void guarantee_unbind(struct tg_fleet *f, struct job *j);
+/** guarantee_bind_adopted() - let adopted jobs use the slots they may use */
+void guarantee_bind_adopted(struct tg_fleet *f);
 /** slot_set() - give a slot a place, or take it away with NONE */
 void slot_set(struct tg_fleet *f, struct guarantee *g, struct slot *s,
 	      int32_t worker);
--- a/lib/decide/job.c
+++ b/lib/decide/job.c
@@ -264,7 +264,6 @@
 	struct check c = { .f = f, .s = spec };
 	struct job *j;
 	int32_t i;
-	size_t k;
 
 	check_fields(&c);
 	if (!c.n && !fits_sums(spec))
@@ -287,9 +286,8 @@
 		return 0;
 	/* What runs is a fact; the plan makes room for it. */
 	plan_clear(f, f->workers[workers[0]].az);
-	for (k = 0; k < f->n_guarantees && !j->g; k++)
-		if (j->class == TG_CLASS_GUARANTEED)
-			plan_bind(f, &f->guarantees[k], j);
+	if (j->class == TG_CLASS_GUARANTEED)
+		j->adopted = f->adopted = true;
 	return 0;
 }
 
--- a/lib/decide/plan.c
+++ b/lib/decide/plan.c
@@ -432,6 +432,7 @@
 {
 	int32_t i;
 
+	guarantee_bind_adopted(f);
 	for (i = 0; i < f->n_azs; i++)
 		if (f->azs[i].replan)
 			plan_az(f, i);
--- a/tests/unit/decide/test-decide.c
+++ b/tests/unit/decide/test-decide.c
@@ -800,6 +800,67 @@
 }
 END_TEST
 
+/*
+ * Saving an unchanged document must change nothing: were the small job bound
+ * to the slots first, the guarantee would no longer fit beside the large one.
+ */
+START_TEST(same_guarantees_again)
+{
+	struct tg_fleet *f = new_fleet("completion", 1, 3);
+	struct tg_guarantee g = { "courts", "a", 2, 8, true, INT64_MAX };
+	struct tg_guarantee_status st;
+	int i;
+
+	set_guarantees(f, &g, 1, false, 0, NULL);
+	submit(f, "g-first", "courts", TG_CLASS_GUARANTEED, 2, 8);
+	ck_assert_str_eq(run(f, 0), "+g-first");
+	/* The small one runs beyond the guarantee and outlives the first. */
+	submit(f, "g-small", "courts", TG_CLASS_GUARANTEED, 1, 1);
+	ck_assert_str_eq(run(f, 0), "+g-small");
+	tg_fleet_job_done(f, "g-first", 1000, 1000);
+	submit(f, "g-large", "courts", TG_CLASS_GUARANTEED, 2, 8);
+	ck_assert_str_eq(run(f, 1000), "+g-large");
+	for (i = 0; i < 3; i++) {
+		set_guarantees(f, &g, 1, false, 0, NULL);
+		tg_fleet_guarantee(f, 0, 0, &st);
+		ck_assert_int_eq(st.used_tasks, 2);
+		ck_assert(!st.at_risk);
+	}
+	tg_fleet_free(f);
+}
+END_TEST
+
+/*
+ * A takeover reads jobs in any order; a guarantee must not be at risk because
+ * a job beyond it was read first.
+ */
+START_TEST(order_of_adoption)
+{
+	struct tg_job_spec large =
+		gang("g-large", "courts", TG_CLASS_GUARANTEED, 2, 8);
+	struct tg_job_spec small =
+		gang("g-small", "courts", TG_CLASS_GUARANTEED, 1, 1);
+	int32_t large_at[] = { 0, 1 }, small_at = 2, i;
+
+	for (i = 0; i < 2; i++) {
+		struct tg_fleet *f = new_fleet("completion", 1, 3);
+		struct tg_guarantee_status st;
+
+		guarantee(f, "courts", 2, 8, true, INT64_MAX);
+		if (i)
+			tg_fleet_adopt(f, &large, large_at, 0);
+		tg_fleet_adopt(f, &small, &small_at, 0);
+		if (!i)
+			tg_fleet_adopt(f, &large, large_at, 0);
+		run(f, 0);
+		tg_fleet_guarantee(f, 0, 0, &st);
+		ck_assert_int_eq(st.used_tasks, 2);
+		ck_assert(!st.at_risk);
+		tg_fleet_free(f);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("decide");
@@ -831,6 +892,8 @@
 	tcase_add_test(t, spared_place_is_given_up_in_time);
 	tcase_add_test(t, room_is_left_to_urgent_work);
 	tcase_add_test(t, lost_target_of_a_move);
+	tcase_add_test(t, same_guarantees_again);
+	tcase_add_test(t, order_of_adoption);
 	suite_add_tcase(s, t);
 	suite_add_tcase(s, property_tcase());
 	srunner_run_all(r, CK_NORMAL);
