Keep one caller's requests from taking backend servers from others

A timeout counts against a backend server only if it had the service's whole timeout, and servers that are all failing are tried rather than refusing everybody; four requests with deadlines of 100 ms took the only server out before. A worker that the list loses stays while it answers its probes. The hook for a closing caller is removed before the reply: it would have been called with a freed request when the caller closed during a long reply. The content of a key now includes the service.

--- a/cmd/tgentryd/board.h
+++ b/cmd/tgentryd/board.h
@@ -167,7 +167,7 @@
 	char *body;
 	size_t body_bytes;
 	char id[17]; /* Tg-Request-Id */
-	char digest[17]; /* of method, path and body */
+	char digest[17]; /* of method, service, path and body */
 	char key[KEY_MAX + 1];
 	enum key_kind key_kind;
 	struct issued_key issued_key;
@@ -192,6 +192,7 @@
 	struct worker *worker;
 	uint64_t report_seq; /* of @worker at dispatch */
 	int64_t attempt_us;
+	bool whole_timeout; /* the attempt has all of the service's timeout */
 	struct tg_http_call *call;
 
 	struct request *prev, *next;
@@ -326,8 +327,7 @@
 /** workers_note_doc() - take over the drains of the document */
 void workers_note_doc(struct board *b);
 bool worker_draining(const struct worker *w, int64_t now_ms);
-bool worker_usable(const struct board *b, const struct worker *w,
-		   int64_t now_ms);
+bool worker_present(const struct worker *w, int64_t now_ms);
 /** workers_choose() - for the next attempt; sets *any if some are usable */
 struct worker *workers_choose(struct board *b, const struct request *r,
 			      const struct tg_service *spec, bool *any);
--- a/cmd/tgentryd/claims.c
+++ b/cmd/tgentryd/claims.c
@@ -298,11 +298,6 @@
 		free_claim(c);
 }
 
-void claim_release(struct request *r)
-{
-	release_later(r->claim, CLAIM_RELEASING, 0);
-}
-
 void claim_done(struct request *r, const struct outcome *o)
 {
 	struct claim *c = r->claim;
@@ -380,6 +375,14 @@
 	}
 }
 
+void claim_release(struct request *r)
+{
+	struct claim *c = r->claim;
+
+	release_later(c, CLAIM_RELEASING, 0);
+	try_release(c, tg_now_ms());
+}
+
 static void tick(void *board, int64_t now_ms)
 {
 	struct board *b = board;
--- a/cmd/tgentryd/dispatch.c
+++ b/cmd/tgentryd/dispatch.c
@@ -219,6 +219,7 @@
 	event_del(r->timer);
 	r->state = REQUEST_RUNNING;
 	r->attempt_us = tg_now_us();
+	r->whole_timeout = left_ms >= spec->timeout_ms;
 	if (!r->earned)
 		budget_earn(&r->service->retries);
 	r->earned = true;
--- a/cmd/tgentryd/probe.c
+++ b/cmd/tgentryd/probe.c
@@ -123,7 +123,7 @@
 	HASH_ITER(hh, b->workers, w, next)
 	{
 		if (w->probe_in_flight || now_ms < w->next_probe_ms ||
-		    !w->listed || !is_own(b, w))
+		    !worker_present(w, now_ms) || !is_own(b, w))
 			continue;
 		w->next_probe_ms = now_ms + b->set.probe_ms;
 		probe(b, w);
--- a/cmd/tgentryd/reply.c
+++ b/cmd/tgentryd/reply.c
@@ -173,8 +173,11 @@
 {
 	struct tg_rpc_response res;
 
-	if (r->http)
+	if (r->http) {
+		/* The request is gone when the reply is written. */
+		tg_http_on_abort(r->http, NULL, NULL);
 		reply_http(r, o);
+	}
 	r->http = NULL;
 	if (!r->rpc)
 		return;
--- a/cmd/tgentryd/request.c
+++ b/cmd/tgentryd/request.c
@@ -216,7 +216,8 @@
 static void make_digest(struct request *r)
 {
 	char *head = tg_xasprintf(
-		"%s %s\n%016llx", tg_http_method_name(r->method), r->path,
+		"%s %s %s\n%016llx", tg_http_method_name(r->method),
+		r->service_name, r->path,
 		(unsigned long long)tg_hash64(r->body, r->body_bytes));
 
 	snprintf(r->digest, sizeof(r->digest), "%016llx",
--- a/cmd/tgentryd/workers.c
+++ b/cmd/tgentryd/workers.c
@@ -12,6 +12,8 @@
 /* Time after which a full worker is tried again without a report. */
 #define FULL_MS 100
 #define FAILS_MAX 3
+/* A timer of the deadline may run this much early. */
+#define TIMER_SLACK_MS 10
 #define FAILING_MS 1000
 #define FAILING_MAX_MS 30000
 #define CANDIDATES_MAX 2048
@@ -54,12 +56,21 @@
 	w->listed = true;
 }
 
+/* A worker that answers its probes is there, although the list lacks it. */
+bool worker_present(const struct worker *w, int64_t now_ms)
+{
+	return w->listed ||
+		(!w->down && w->self_ms && now_ms - w->self_ms < SELF_VALID_MS);
+}
+
 static void drop_unlisted(struct board *b)
 {
+	int64_t now_ms = tg_now_ms();
 	struct worker *w, *next;
 
 	HASH_ITER(hh, b->workers, w, next)
-	if (!w->listed && !w->in_flight && !w->probe_in_flight) {
+	if (!worker_present(w, now_ms) && !w->in_flight &&
+	    !w->probe_in_flight) {
 		HASH_DEL(b->workers, w);
 		free(w);
 	}
@@ -99,10 +110,10 @@
 	return w->list_leaving || w->self_draining;
 }
 
-bool worker_usable(const struct board *b, const struct worker *w,
-		   int64_t now_ms)
+static bool is_usable(const struct board *b, const struct worker *w,
+		      int64_t now_ms)
 {
-	if (!w->listed || w->down || now_ms < w->failing_until_ms)
+	if (w->down || !worker_present(w, now_ms))
 		return false;
 	return b->set.unsafe_ignore_draining || !worker_draining(w, now_ms);
 }
@@ -128,7 +139,7 @@
 
 /* Usable workers of the own AZ, or of the service's other AZs. */
 static size_t collect(struct board *b, const struct request *r,
-		      const struct tg_service *spec, bool own_az,
+		      const struct tg_service *spec, bool own_az, bool failing,
 		      struct worker **out)
 {
 	int64_t now_ms = tg_now_ms();
@@ -142,7 +153,9 @@
 		bool in_own_az = !strcmp(w->az, b->set.az);
 
 		if (n == CANDIDATES_MAX || in_own_az != own_az ||
-		    !worker_usable(b, w, now_ms))
+		    !is_usable(b, w, now_ms))
+			continue;
+		if ((now_ms < w->failing_until_ms) != failing)
 			continue;
 		if (!own_az && !tg_service_in_az(spec, w->az))
 			continue;
@@ -156,9 +169,17 @@
 static size_t collect_near(struct board *b, const struct request *r,
 			   const struct tg_service *spec, struct worker **out)
 {
-	size_t n = collect(b, r, spec, true, out);
-
-	return n ? n : collect(b, r, spec, false, out);
+	size_t n = collect(b, r, spec, true, false, out);
+
+	if (!n)
+		n = collect(b, r, spec, false, false, out);
+	/*
+	 * All of them failing may be the work of one caller's requests; they
+	 * are tried rather than refusing everybody.
+	 */
+	if (!n)
+		n = collect(b, r, spec, true, true, out);
+	return n ? n : collect(b, r, spec, false, true, out);
 }
 
 struct worker *workers_choose(struct board *b, const struct request *r,
@@ -256,6 +277,25 @@
 	       (long long)ms);
 }
 
+/*
+ * A caller with a short deadline, or one that asks for a very long answer,
+ * must not take a backend server from all others.
+ */
+static bool is_fault_of_worker(const struct request *r,
+			       const struct tg_http_result *res)
+{
+	switch (res->end) {
+	case TG_HTTP_BROKEN:
+		return true;
+	case TG_HTTP_TIMEOUT:
+		return r->whole_timeout;
+	case TG_HTTP_NOT_CONNECTED:
+		return r->whole_timeout || request_left_ms(r) > TIMER_SLACK_MS;
+	default:
+		return false;
+	}
+}
+
 void worker_ended(struct board *b, struct worker *w, struct request *r,
 		  const struct tg_http_result *res)
 {
@@ -268,7 +308,8 @@
 	if (!res)
 		return;
 	if (res->end != TG_HTTP_WHOLE) {
-		note_failure(b, w, res->end == TG_HTTP_NOT_CONNECTED);
+		if (is_fault_of_worker(r, res))
+			note_failure(b, w, res->end == TG_HTTP_NOT_CONNECTED);
 		return;
 	}
 	w->fails = 0;
@@ -290,10 +331,10 @@
 	{
 		const char *state = "up";
 
-		if (!w->listed)
-			state = "gone";
-		else if (w->down)
+		if (w->down)
 			state = "down";
+		else if (!worker_present(w, now_ms))
+			state = "gone";
 		else if (worker_draining(w, now_ms))
 			state = "draining";
 		else if (now_ms < w->failing_until_ms)
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -121,8 +121,8 @@
 	fi
 	outcome=$(tr -d '\r' <"$tmp/$label.head" |
 		sed -n 's/^Tg-Outcome: //p')
-	echo "$label: $status ${outcome:--} $(jq -cS "$filter" \
-		"$tmp/$label.body" 2>/dev/null)"
+	printf '%s: %s %s %s\n' "$label" "$status" "${outcome:--}" \
+		"$(jq -cS "$filter" "$tmp/$label.body" 2>/dev/null)"
 }
 
 # runs NAME KEY-OR-PATH: how often a worker ran requests with this in the path
--- a/tests/script/entry-leaving.sh
+++ b/tests/script/entry-leaving.sh
@@ -65,5 +65,15 @@
 done
 send_many e-1
 send_many e-2
+
+echo "# the list loses a worker that answers its probes"
+put_document 3 "$document"
+for e in e-1 e-2; do
+	await "end of the drain" knows_worker $e w-1 up
+done
+curl -sf -o /dev/null -X DELETE "http://$platform_http/standin/instances/w-1"
+start_worker w-3
+await "the next list" knows_worker e-1 w-3 up
+knows_worker e-1 w-1 up >/dev/null && echo "up"
 stop e-1
 stop e-2
--- a/tests/script/entry-limits.sh
+++ b/tests/script/entry-limits.sh
@@ -57,4 +57,17 @@
 call counted .place -H 'Tg-Workspace: small' "$url/responder/counted"
 await "the server to be idle" running w-1 0
 call freed .path -H 'Tg-Workspace: small' "$url/responder/freed"
+
+echo "# short deadlines of one caller do not make the server failing"
+for i in 1 2 3 4; do
+	call "short-$i" . -H 'Tg-Workspace: small' -H 'Tg-Deadline-Ms: 100' \
+		-d x "$url/responder/short?work_ms=400" | cut -d' ' -f2-3
+	await "the server to be idle" running w-1 0
+done
+knows_worker e-1 w-1 up >/dev/null && echo "up"
+
+echo "# a caller that goes away in the middle of its reply"
+curl -s -H 'Tg-Workspace: courts' "$url/responder/half?size=4000000" |
+	head -c 10 | wc -c
+call after .path -H 'Tg-Workspace: courts' "$url/responder/after"
 stop e-1
