Break RPC connections with unacknowledged data after 10 s

Retransmissions back off to minutes, so that a peer would stay out of reach long after a partition has healed. Not measured: the machine has no means to cut a path between processes.

--- a/lib/oncrpc/client.c
+++ b/lib/oncrpc/client.c
@@ -1,3 +1,5 @@
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -9,6 +11,12 @@
 #include "oncrpc/codec.h"
 
 #define CONNECT_TIMEOUT_MS 2000
+/*
+ * Unacknowledged data breaks a connection after this time.  Without it the
+ * kernel's retransmissions back off to minutes, and a peer stays out of reach
+ * that long after a partition has healed.
+ */
+#define UNACKED_MS 10000
 
 struct call {
 	uint32_t xid, proc;
@@ -144,6 +152,13 @@
 		drop_peer(p, TG_RPC_END_BROKEN);
 }
 
+static void limit_unacked(evutil_socket_t fd)
+{
+	unsigned int ms = UNACKED_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
 static void on_event(struct bufferevent *bev, short what, void *arg)
 {
 	struct peer *p = arg;
@@ -151,6 +166,7 @@
 	(void)bev;
 	if (what & BEV_EVENT_CONNECTED) {
 		bufferevent_set_timeouts(bev, NULL, NULL);
+		limit_unacked(bufferevent_getfd(bev));
 		p->connected = true;
 	} else if (what &
 		   (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) {
