--- a/cmd/tgentryd/workers.c
+++ b/cmd/tgentryd/workers.c
@@ -296,17 +296,31 @@
 	}
 }
 
-void worker_ended(struct board *b, struct worker *w, struct request *r,
-		  const struct tg_http_result *res)
+/*
+ * A request that timed out or broke may still be running: its slot counts
+ * until the next report, if there are reports.
+ */
+static bool frees_slot(const struct worker *w, const struct tg_http_result *res)
+{
+	return res->end == TG_HTTP_WHOLE || !res->sent ||
+		tg_now_ms() - w->self_ms >= SELF_VALID_MS;
+}
+
+static void free_slot(struct worker *w, const struct request *r)
 {
-	w->in_flight--;
 	if (r->report_seq == w->report_seq && w->since)
 		w->since--;
 	else if (r->report_seq != w->report_seq && w->reported)
 		w->reported--;
+}
+
+void worker_ended(struct board *b, struct worker *w, struct request *r,
+		  const struct tg_http_result *res)
+{
+	w->in_flight--;
 	r->worker = NULL;
-	if (!res)
-		return;
+	if (frees_slot(w, res))
+		free_slot(w, r);
 	if (res->end != TG_HTTP_WHOLE) {
 		if (is_fault_of_worker(r, res))
 			note_failure(b, w, res->end == TG_HTTP_NOT_CONNECTED);
--- a/tests/script/entry-serve.sh
+++ b/tests/script/entry-serve.sh
@@ -4,7 +4,8 @@
 # against answers of one service or caller that leak into another.
 . "$(dirname "$0")/../lib.sh"
 start platform platformd
-put_document 1 "$document"
+put_document 1 "$(echo "$document" | jq '.services[1].objective =
+	{"availability":0.999,"latency_ms":200,"latency_share":0.99}')"
 start_worker w-1
 start_entry e-1 --header-bytes=4096 --body-bytes=10000
 await "backend server" knows_worker e-1 w-1 up
@@ -63,5 +64,8 @@
 metric e-1 'tg_requests_failed_total{service="responder",workspace="courts"}'
 metric e-1 'tg_invalid_total{why="Tg-Deadline-Ms"}'
 metric e-1 'tg_invalid_total{why="workspace"}'
+call slow .path -H 'Tg-Workspace: courts' "$url/v1/svc/brisk/a?work_ms=300"
+metric e-1 'tg_requests_slow_total{service="brisk",workspace="courts"}'
+metric e-1 'tg_request_us_count{service="brisk"}'
 call document .generation "$url/v1/document"
 stop e-1
