Signal only children in the scripted tests of the entry daemon

A run of entry-truth failed because a shell of its load got SIGKILL: the cleanup of a test killed the ids of processes that had ended long before, and ids repeat after 32768. Ids are now forgotten when a process was waited for, and a process is signalled only while it is a child of the test. Which test sent that signal is not known; tests/contract/common.inc and tests/sched-lib.sh still kill by old ids.

--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -6,8 +6,16 @@
 tmp=$(mktemp -d)
 pids=
 
+# is_own PID: whether it is still a child of this shell.  The id of an ended
+# process may belong to another one by now.
+is_own() {
+	[ "$(sed -n 's/.*) [A-Z] \([0-9]*\) .*/\1/p' "/proc/$1/stat" \
+		2>/dev/null)" = $$ ]
+}
+
 cleanup() {
 	for p in $pids; do
+		is_own "$p" || continue
 		kill -CONT "$p" 2>/dev/null
 		kill -KILL "$p" 2>/dev/null
 	done
@@ -26,7 +34,7 @@
 	p=$!
 	pids="$pids $p"
 	i=0
-	until grep -q ' ready ' "$tmp/$name.out"; do
+	until grep -qs ' ready ' "$tmp/$name.out"; do
 		i=$((i + 1))
 		if [ $i -gt 300 ] || ! kill -0 "$p" 2>/dev/null; then
 			echo "$name did not start"
@@ -45,17 +53,28 @@
 http_of() { eval "echo \$$(echo "$1" | tr - _)_http"; }
 rpc_of() { eval "echo \$$(echo "$1" | tr - _)_rpc"; }
 
+# forget PID: it has ended
+forget() {
+	left=
+	for p in $pids; do
+		[ "$p" = "$1" ] || left="$left $p"
+	done
+	pids=$left
+}
+
 # stop NAME: SIGTERM, then prints the exit status
 stop() {
-	kill -TERM "$(pid_of "$1")"
+	is_own "$(pid_of "$1")" && kill -TERM "$(pid_of "$1")"
 	wait "$(pid_of "$1")"
 	echo "$1 ended with $?"
+	forget "$(pid_of "$1")"
 }
 
 # crash NAME: SIGKILL
 crash() {
-	kill -KILL "$(pid_of "$1")"
+	is_own "$(pid_of "$1")" && kill -KILL "$(pid_of "$1")"
 	wait "$(pid_of "$1")" 2>/dev/null
+	forget "$(pid_of "$1")"
 }
 
 # await WHAT COMMAND...: until the command succeeds, at most 30 s
