--- a/cmd/tgschedd/admission.c
+++ b/cmd/tgschedd/admission.c
@@ -225,6 +225,36 @@
 		  on_saved);
 }
 
+/* --- finished jobs --- */
+
+static bool is_old(const struct board *b, const struct job *j)
+{
+	return j->state > JOB_RUNNING && j->gang == GANG_NONE &&
+		tg_wall_ms() - j->ended_wall_ms > b->opts->job_keep_ms;
+}
+
+static void on_removed(struct board *b, const char *job, enum tg_plat_end end,
+		       uint64_t version, const struct tg_row *found)
+{
+	struct job *j = board_job(b, job);
+
+	(void)version;
+	(void)found;
+	if (!j)
+		return;
+	j->writing = false;
+	j->retry_ms = tg_now_ms() + RETRY_MS;
+	if (end == TG_PLAT_OK || end == TG_PLAT_CONFLICT)
+		board_remove_job(b, j);
+}
+
+/* At 26,000 jobs a day the rows would fill the table and every takeover. */
+static void remove_old(struct board *b, struct job *j)
+{
+	j->writing = true;
+	row_write(b, j->spec.job, j->version, NULL, on_removed);
+}
+
 /* Whether a write was begun. */
 static bool serve_job(struct board *b, struct job *j, int64_t now_ms)
 {
@@ -240,6 +270,8 @@
 		park(b, j);
 	else if (j->ckpt_unsaved && j->gang == GANG_RUNNING)
 		save_checkpoint(b, j);
+	else if (is_old(b, j))
+		remove_old(b, j);
 	return j->writing;
 }
 
--- a/cmd/tgschedd/board.h
+++ b/cmd/tgschedd/board.h
@@ -238,7 +238,6 @@
 	/* outage renewal of a standby */
 	bool outage_renewing;
 	struct round *outage_round;
-	int64_t active_seen_ms;
 
 	struct recent recent[RECENT_MAX];
 	size_t n_recent; /* ever added */
--- a/cmd/tgschedd/main.c
+++ b/cmd/tgschedd/main.c
@@ -49,6 +49,8 @@
 	SETTING("worker-lost-ms", TG_SET_INT, "15000", 100, 3600000, false,
 		"silence after which a worker's tasks count as lost",
 		worker_lost_ms),
+	SETTING("job-keep-ms", TG_SET_INT, "86400000", 0, 31536000000, false,
+		"time that the row of a finished job is kept", job_keep_ms),
 	SETTING("drain-grace-ms", TG_SET_INT, "500", 0, 600000, false,
 		"time that the listeners stay open after SIGTERM",
 		drain_grace_ms),
--- a/cmd/tgschedd/outage.c
+++ b/cmd/tgschedd/outage.c
@@ -30,16 +30,6 @@
 	struct worker *worker;
 };
 
-static bool active_answers(struct board *b, int64_t now_ms)
-{
-	const struct tg_member_peer *p =
-		tg_member_scheduler(b->member, b->opts->az);
-
-	if (p)
-		b->active_seen_ms = now_ms;
-	return now_ms - b->active_seen_ms < b->opts->sched_lease_ms;
-}
-
 /* The lowest name among those that answer is the renewer. */
 static bool is_renewer(const struct board *b)
 {
@@ -246,7 +236,9 @@
 	bool on = b->role == ROLE_STANDBY && b->table_down &&
 		!b->opts->unsafe_no_outage_renewal && !tg_daemon_draining();
 
-	if (!on || active_answers(b, now_ms) || !is_renewer(b)) {
+	(void)now_ms;
+	if (!on || tg_member_scheduler(b->member, b->opts->az) ||
+	    !is_renewer(b)) {
 		set_renewing(b, false);
 		return;
 	}
--- a/cmd/tgschedd/rowwrite.c
+++ b/cmd/tgschedd/rowwrite.c
@@ -117,7 +117,10 @@
 	tg_txn_if(t, key, b->row_version);
 	jobrow_key(b, w->job, key);
 	tg_txn_if(t, key, w->version);
-	tg_txn_put(t, key, json_incref(w->value));
+	if (w->value)
+		tg_txn_put(t, key, json_incref(w->value));
+	else
+		tg_txn_delete(t, key);
 	tg_txn_commit(t, on_done, w);
 }
 
--- a/cmd/tgschedd/rowwrite.h
+++ b/cmd/tgschedd/rowwrite.h
@@ -18,7 +18,7 @@
 /**
  * row_write() - write a job's row
  * @version: of the row now; 0: absent
- * @value: taken
+ * @value: taken; NULL deletes the row
  *
  * The version of the scheduler's row is a condition too, so that a scheduler
  * that was replaced writes nothing.  It moves with our own renewals of that
--- a/cmd/tgschedd/views.c
+++ b/cmd/tgschedd/views.c
@@ -73,7 +73,7 @@
 		if (strcmp(j->spec.job, args->after) > 0)
 			out[n++] = j;
 	}
-	qsort(out, n, sizeof(out[0]), by_name);
+	qsort(out, n, sizeof(void *), by_name);
 	return n;
 }
 
@@ -94,7 +94,7 @@
 
 json_t *view_jobs(struct board *b, const struct tg_rpc_list *args)
 {
-	struct job **all = tg_xcalloc(HASH_COUNT(b->jobs) + 1, sizeof(*all));
+	struct job **all = tg_xcalloc(HASH_COUNT(b->jobs) + 1, sizeof(void *));
 	size_t i, n = sorted_jobs(b, args, all), max = limit_of(args);
 	json_t *list = json_array();
 
--- a/tests/unit/sched/test-sched.c
+++ b/tests/unit/sched/test-sched.c
@@ -2,10 +2,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "gang.h"
-#include "lease.h"
-#include "outage.h"
-#include "spec.h"
+#include "../../../cmd/tgschedd/gang.h"
+#include "../../../cmd/tgschedd/lease.h"
+#include "../../../cmd/tgschedd/outage.h"
+#include "../../../cmd/tgschedd/spec.h"
 
 /* A lease counted as expired too early lets two attempts run at one time. */
 START_TEST(lease_arithmetic)
