Answer waiting calls at a hand-over, bound answers and messages, add counters

A cancellation that waited for a gang would have held the drain until its limit, the list of workers of a gang of 1024 could exceed the longest answer, and ops beyond 256 of one message waited for the next round. Calls cancelled at a takeover no longer leak their arguments.

--- a/cmd/tgschedd/admission.c
+++ b/cmd/tgschedd/admission.c
@@ -281,6 +281,8 @@
 		return;
 	if (j->state == JOB_WRITING) {
 		refuse(b, j, TG_RPC_UNAVAILABLE, no_table);
+	} else if (j->state == JOB_UNSETTLED) {
+		board_answer(b, &j->waiters, TG_RPC_UNKNOWN, NULL, unknown);
 	} else if (j->cancel_asked) {
 		j->cancel_asked = false;
 		board_answer(b, &j->cancel_waiters, TG_RPC_UNAVAILABLE, NULL,
--- a/cmd/tgschedd/board.c
+++ b/cmd/tgschedd/board.c
@@ -166,7 +166,9 @@
 		forget_worker(w);
 		if (w->call)
 			tg_http_call_cancel(w->call);
+		free(w->call_arg);
 		w->call = NULL;
+		w->call_arg = NULL;
 		w->in_flight = false;
 	}
 	tg_fleet_free(b->fleet);
--- a/cmd/tgschedd/board.h
+++ b/cmd/tgschedd/board.h
@@ -119,6 +119,7 @@
 	struct member *members;
 	struct orphan *orphans;
 	struct tg_http_call *call;
+	void *call_arg; /* freed if the call is cancelled */
 	UT_hash_handle hh;
 };
 
--- a/cmd/tgschedd/decisions.c
+++ b/cmd/tgschedd/decisions.c
@@ -118,6 +118,21 @@
 		facts_submit(b, j, NULL);
 }
 
+static void measure(const struct board *b, int64_t now_ms)
+{
+	struct tg_fleet_stats s;
+
+	tg_fleet_stats(b->fleet, now_ms, &s);
+	tg_gauge("tg_jobs", "Jobs by state.", "state=\"queued\"")->value =
+		(int64_t)s.jobs_queued;
+	tg_gauge("tg_jobs", "Jobs by state.", "state=\"running\"")->value =
+		(int64_t)s.jobs_running;
+	tg_gauge("tg_accelerators_free", "Accelerators free.", NULL)->value =
+		s.accelerators_free;
+	tg_gauge("tg_guarantees_at_risk", "Guarantees without a place.", NULL)
+		->value = (int64_t)s.guarantees_at_risk;
+}
+
 static void tick_decisions(void *board, int64_t now_ms)
 {
 	struct board *b = board;
@@ -134,6 +149,7 @@
 	submit_missing(b);
 	b->decide = false;
 	decide(b, now_ms);
+	measure(b, now_ms);
 	next_ms = tg_fleet_next_ms(b->fleet, now_ms);
 	if (next_ms > now_ms + IDLE_MS)
 		next_ms = now_ms + IDLE_MS;
--- a/cmd/tgschedd/election.c
+++ b/cmd/tgschedd/election.c
@@ -252,6 +252,19 @@
 	return false;
 }
 
+/* Calls that are still waiting are served by the next scheduler. */
+static void answer_waiting(struct board *b)
+{
+	static const char text[] = "the scheduler is stopping; ask again";
+	struct job *j, *tmp;
+
+	HASH_ITER(hh, b->jobs, j, tmp)
+	{
+		board_answer(b, &j->waiters, TG_RPC_UNKNOWN, NULL, text);
+		board_answer(b, &j->cancel_waiters, TG_RPC_UNKNOWN, NULL, text);
+	}
+}
+
 static bool drain_election(void *board, int64_t now_ms)
 {
 	struct board *b = board;
@@ -275,6 +288,7 @@
 	if (b->row_writing)
 		return false;
 	b->role = ROLE_LEAVING;
+	answer_waiting(b);
 	if (b->table_down || b->row_unsure)
 		return true;
 	b->row_released = true;
--- a/cmd/tgschedd/gangs.c
+++ b/cmd/tgschedd/gangs.c
@@ -195,6 +195,9 @@
 			 j->commit == COMMIT_OK ? "start took too long" :
 						  "start was not committed");
 	}
+	tg_counter("tg_gang_stops_total", "Gangs stopped before their end.",
+		   NULL)
+		->value++;
 	tg_log(EV_SCHED_GANG_STOPPED, "job=%s attempt=%lld reason=\"%s\"",
 	       j->spec.job, (long long)j->attempt, j->reason);
 	board_note(b, j->spec.job, "stop attempt %lld: %s",
@@ -219,6 +222,7 @@
 	for (i = 0; i < j->n_members; i++)
 		j->members[i].confirmed = j->round;
 	j->running_since_ms = j->ckpt_ms = now_ms;
+	tg_counter("tg_gang_starts_total", "Gangs that run.", NULL)->value++;
 	tg_log(EV_SCHED_GANG_STARTED, "job=%s attempt=%lld tasks=%d",
 	       j->spec.job, (long long)j->attempt, j->n_members);
 	board_note(b, j->spec.job, "attempt %lld runs, %d tasks",
--- a/cmd/tgschedd/jobrow.c
+++ b/cmd/tgschedd/jobrow.c
@@ -3,17 +3,20 @@
 #include "jobrow.h"
 #include "spec.h"
 
+/* An answer is at most TG_RPC_LIST_MAX, a name TG_NAME_MAX bytes. */
+#define SHOWN_WORKERS 256
+
 void jobrow_key(const struct board *b, const char *job, char *out)
 {
 	snprintf(out, TG_KEY_MAX, "jobs/%s/%s", b->opts->az, job);
 }
 
-static json_t *member_workers(const struct job *j)
+static json_t *member_workers(const struct job *j, int32_t max)
 {
 	json_t *a = json_array();
 	int32_t i;
 
-	for (i = 0; i < j->n_members; i++)
+	for (i = 0; i < j->n_members && i < max; i++)
 		json_array_append_new(a,
 				      json_string(j->members[i].worker->name));
 	return a;
@@ -29,7 +32,7 @@
 			      "done_ms", (json_int_t)j->done_ms);
 
 	if (state == JOB_RUNNING && j->n_members)
-		json_object_set_new(v, "workers", member_workers(j));
+		json_object_set_new(v, "workers", member_workers(j, INT32_MAX));
 	if (json_array_size(j->ckpts) && state <= JOB_RUNNING)
 		json_object_set(v, "checkpoints", j->ckpts);
 	if (j->cancel)
@@ -142,7 +145,8 @@
 		(json_int_t)j->attempt, "reason", j->reason, "spec", j->json);
 
 	if (j->gang != GANG_NONE) {
-		json_object_set_new(v, "workers", member_workers(j));
+		json_object_set_new(v, "workers",
+				    member_workers(j, SHOWN_WORKERS));
 		json_object_set_new(v, "gang",
 				    json_string(gang_state_name(j->gang)));
 	}
--- a/cmd/tgschedd/message.c
+++ b/cmd/tgschedd/message.c
@@ -184,7 +184,15 @@
 	}
 }
 
-/* A member adds two ops at most. */
+/* A member adds two ops at most; the rest goes into the next message. */
+static bool is_full(struct message *msg)
+{
+	if (msg->n + 2 <= OPS_MAX)
+		return false;
+	msg->worker->due = true;
+	return true;
+}
+
 static void add_ops(struct message *msg)
 {
 	struct worker *w = msg->worker;
@@ -193,7 +201,7 @@
 
 	DL_FOREACH(w->orphans, o)
 	{
-		if (msg->n + 2 > OPS_MAX)
+		if (is_full(msg))
 			return;
 		add_op(msg, OP_STOP_ORPHAN, "stop", o->job, o->attempt,
 		       o->index);
@@ -202,7 +210,7 @@
 	}
 	DL_FOREACH(w->members, m)
 	{
-		if (msg->n + 2 > OPS_MAX)
+		if (is_full(msg))
 			return;
 		add_member(msg, m);
 	}
@@ -410,6 +418,8 @@
 	uint64_t epoch =
 		(uint64_t)json_integer_value(json_object_get(answer, "epoch"));
 
+	tg_counter("tg_sched_fenced_total", "Commands refused by epoch.", NULL)
+		->value++;
 	tg_log(EV_SCHED_FENCED, "worker=%s epoch=%llu higher=%llu",
 	       msg->worker->name, (unsigned long long)b->epoch,
 	       (unsigned long long)epoch);
@@ -459,6 +469,7 @@
 	json_t *answer = tg_http_result_json(r);
 
 	w->call = NULL;
+	w->call_arg = NULL;
 	w->in_flight = false;
 	if (r->end != TG_HTTP_WHOLE || !answer) {
 		w->up = false;
@@ -511,6 +522,7 @@
 	call.body = text;
 	call.body_bytes = strlen(text);
 	w->in_flight = true;
+	w->call_arg = msg;
 	w->call = tg_http_call_start(b->worker_http, &call);
 	free(text);
 }
--- a/cmd/tgschedd/outage.c
+++ b/cmd/tgschedd/outage.c
@@ -60,6 +60,7 @@
 	json_t *v = tg_http_result_json(r);
 
 	a->worker->call = NULL;
+	a->worker->call_arg = NULL;
 	a->worker->in_flight = false;
 	if (v && r->status == 200)
 		worker_note_clock(a->worker, v);
@@ -88,6 +89,7 @@
 
 	a->worker = w;
 	w->in_flight = true;
+	w->call_arg = a;
 	w->call = tg_http_call_start(b->worker_http, &call);
 	json_decref(v);
 	free(text);
@@ -177,6 +179,7 @@
 	size_t i;
 
 	a->worker->call = NULL;
+	a->worker->call_arg = NULL;
 	a->worker->in_flight = false;
 	if (v && res->status == 200 && worker_note_clock(a->worker, v))
 		json_array_foreach(json_object_get(v, "leases"), i, lease)
@@ -203,6 +206,7 @@
 	a->worker = w;
 	r->asked++;
 	w->in_flight = true;
+	w->call_arg = a;
 	w->call = tg_http_call_start(r->board->worker_http, &call);
 }
 
@@ -233,10 +237,13 @@
 static void tick_outage(void *board, int64_t now_ms)
 {
 	struct board *b = board;
-	bool on = b->role == ROLE_STANDBY && b->table_down &&
+	bool on = b->role == ROLE_STANDBY && b->table_down && !b->jobs &&
 		!b->opts->unsafe_no_outage_renewal && !tg_daemon_draining();
 
 	(void)now_ms;
+	/* The calls of the round were cancelled when the row was claimed. */
+	if (b->role != ROLE_STANDBY && b->outage_round)
+		free_round(b->outage_round);
 	if (!on || tg_member_scheduler(b->member, b->opts->az) ||
 	    !is_renewer(b)) {
 		set_renewing(b, false);
--- a/cmd/tgschedd/renewal.c
+++ b/cmd/tgschedd/renewal.c
@@ -31,6 +31,11 @@
 
 	if (partial || round_confirmed(j))
 		j->round++;
+	else
+		tg_counter("tg_renewals_late_total",
+			   "Renewal rounds not confirmed by every member.",
+			   NULL)
+			->value++;
 	if (b->opts->checkpoint_ms && !any_done(j) &&
 	    now_ms - j->ckpt_ms >= b->opts->checkpoint_ms) {
 		j->ckpt_ms = now_ms;
--- a/cmd/tgschedd/workers.c
+++ b/cmd/tgschedd/workers.c
@@ -55,6 +55,7 @@
 	json_t *answer = tg_http_result_json(r);
 
 	w->call = NULL;
+	w->call_arg = NULL;
 	w->in_flight = false;
 	if (r->end != TG_HTTP_WHOLE || !answer) {
 		w->up = false;
@@ -98,6 +99,7 @@
 	call.body = text;
 	call.body_bytes = strlen(text);
 	w->in_flight = true;
+	w->call_arg = in;
 	w->call = tg_http_call_start(b->worker_http, &call);
 	free(text);
 }
@@ -170,6 +172,8 @@
 {
 	if (w->in_flight || !*w->addr || now_ms < w->next_ms)
 		return;
+	if (!w->listed && !w->members && !w->orphans)
+		return;
 	if (!w->installed) {
 		install(b, w);
 	} else if (b->role == ROLE_ACTIVE &&
