--- a/tests/sched-lib.sh
+++ b/tests/sched-lib.sh
@@ -23,21 +23,28 @@
 	rm -rf "$W"
 }
 
-listens() { # NAME PID
+listens() { # NAME PID: also if it has ended, which sets dead
 	grep -q ready "$W/$1.out" && return 0
 	kill -0 "$2" 2>/dev/null && return 1
-	echo "$1 ended at start"
-	exit 1
+	dead=$1
 }
 
 # start NAME PROGRAM ARGS...: sets NAME_pid, NAME_http, NAME_rpc
 start() {
 	_n=$1
 	shift
-	"$TG_BIN/$@" >"$W/$_n.out" 2>"$W/$_n.err" &
+	dead=
+	# The line of an earlier process of that name must not be read.
+	rm -f "$W/$_n.out"
+	: >"$W/$_n.out"
+	"$TG_BIN/$@" >>"$W/$_n.out" 2>"$W/$_n.err" &
 	_p=$!
 	PIDS="$PIDS $_p"
 	await "$_n listens" listens "$_n" "$_p"
+	if [ -n "$dead" ]; then
+		echo "$dead ended at start"
+		exit 1
+	fi
 	_l=$(head -n 1 "$W/$_n.out")
 	_h=${_l#*http=}
 	eval "${_n}_pid=$_p ${_n}_http=${_h%% *} ${_n}_rpc=${_l#*rpc=}"
