--- a/cmd/tgschedd/board.h
+++ b/cmd/tgschedd/board.h
@@ -119,6 +119,7 @@
 	struct member *members;
 	struct orphan *orphans;
 	struct tg_http_call *call;
+	void *call_arg; /* freed if the call is cancelled */
 	UT_hash_handle hh;
 };
 
@@ -238,7 +239,6 @@
 	/* outage renewal of a standby */
 	bool outage_renewing;
 	struct round *outage_round;
-	int64_t active_seen_ms;
 
 	struct recent recent[RECENT_MAX];
 	size_t n_recent; /* ever added */
