--- a/cmd/tgconsoled/html.c
+++ b/cmd/tgconsoled/html.c
@@ -363,6 +363,23 @@
 	evbuffer_add_printf(out, "</p>\n");
 }
 
+/* Items of the lists of a service share the field of their list. */
+static void add_anchor(struct evbuffer *out, const char *place)
+{
+	const char *last = strrchr(place, '/');
+	char field[200];
+
+	if (!strncmp(place, "/services/", 10) && last > place + 10 &&
+	    last[1] >= '0' && last[1] <= '9' &&
+	    (size_t)(last - place) < sizeof(field)) {
+		tg_strlcpy(field, place, (size_t)(last - place) + 1);
+		place = field;
+	}
+	evbuffer_add_printf(out, "<li><a href=\"#");
+	html_text(out, place);
+	evbuffer_add_printf(out, "\">");
+}
+
 static void add_summary(struct evbuffer *out, const struct page *p)
 {
 	const struct tg_findings *f = p->findings;
@@ -374,9 +391,7 @@
 			    "<section class=\"fault\">\n<h2>Findings"
 			    "</h2>\n<ul>\n");
 	for (i = 0; i < f->n; i++) {
-		evbuffer_add_printf(out, "<li><a href=\"#");
-		html_text(out, f->items[i].place);
-		evbuffer_add_printf(out, "\">");
+		add_anchor(out, f->items[i].place);
 		html_text(out,
 			  *f->items[i].place ? f->items[i].place : "document");
 		evbuffer_add_printf(out, "</a>: ");
--- a/tests/script/console-push.sh
+++ b/tests/script/console-push.sh
@@ -23,10 +23,28 @@
 await "generation 2" in_force 2
 echo "pushed $(metric console tg_document_pushes_total)"
 
+echo "# clients that go away while the platform is slow"
+curl -s -c "$tmp/jar" -o /dev/null -d "name=Ada&key=$key" \
+	"http://$console_http/login"
+fault platform '{"slow_ms":400}'
+saves_before=$(metric console 'tg_console_saves_total{outcome="done"}')
+curl -s -m 0.1 -H "$auth" "$url"
+curl -s -m 0.1 -H "$auth" "$url/history"
+curl -s -m 0.1 -b "$tmp/jar" "http://$console_http/"
+curl -s -m 0.1 -b "$tmp/jar" "http://$console_http/history"
+curl -s -m 0.1 -X PUT -H "$auth" -d '{"version":1}' "$url?generation=2"
+has_saved() {
+	[ "$(metric console 'tg_console_saves_total{outcome="done"}')" -gt \
+		"$saves_before" ]
+}
+await "the save without its client" has_saved
+fault platform '{}'
+call after .generation -H "$auth" "$url"
+
 echo "# a save in progress when the console is stopped"
 fault platform '{"slow_ms":500}'
 curl -s -X PUT -H "$auth" -d '{"version":1,"weights":{"completion":1}}' \
-	-o "$tmp/slow" "$url?generation=2" &
+	-o "$tmp/slow" "$url?generation=3" &
 slow=$!
 is_saving() {
 	[ "$(curl -s "http://$console_http/metrics" |
@@ -40,4 +58,4 @@
 wait "$console_pid"
 echo "ended with $?"
 fault platform '{}'
-await "generation 3" in_force 3
+await "generation 4" in_force 4
