Free ended connections with their HTTP client

A connection that ended was freed by a one-shot event; when the client and the loop were freed before that event ran, it leaked. The address sanitizer showed it at the exit of the console and of the tools. The client now keeps the list and frees what is left.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -34,6 +34,8 @@
 	struct tg_http_client_opts opts;
 	struct pool *pools;
 	struct tg_http_call *calls;
+	struct connection *discarded;
+	struct event *reap;
 };
 
 struct tg_http_call {
@@ -96,21 +98,27 @@
 	free(c);
 }
 
-static void free_connection_later(evutil_socket_t fd, short what, void *arg)
+static void free_discarded(evutil_socket_t fd, short what, void *arg)
 {
+	struct tg_http_client *client = arg;
+
 	(void)fd;
 	(void)what;
-	free_connection(arg);
+	while (client->discarded) {
+		struct connection *c = client->discarded;
+
+		client->discarded = c->next;
+		free_connection(c);
+	}
 }
 
 /* evhttp still uses the connection while it calls back. */
 static void discard(struct tg_http_client *client, struct connection *c)
 {
-	struct timeval now = { 0 };
-
 	c->call = NULL;
-	event_base_once(client->opts.base, -1, EV_TIMEOUT,
-			free_connection_later, c, &now);
+	c->next = client->discarded;
+	client->discarded = c;
+	event_active(client->reap, EV_TIMEOUT, 0);
 }
 
 /* Whether the server has closed an idle connection, or sent on it unasked. */
@@ -413,6 +421,7 @@
 		c->opts.idle_per_addr = IDLE_PER_ADDR;
 	if (!c->opts.idle_ms)
 		c->opts.idle_ms = IDLE_MS;
+	c->reap = event_new(c->opts.base, -1, 0, free_discarded, c);
 	return c;
 }
 
@@ -435,5 +444,7 @@
 		HASH_DEL(c->pools, p);
 		free(p);
 	}
+	free_discarded(-1, 0, c);
+	event_free(c->reap);
 	free(c);
 }
