--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -46,6 +46,17 @@
 
 static const log4c_layout_type_t layout_type = { "tg", format_line };
 
+/* The appender of log4c puts its name before each line. */
+static int append_line(log4c_appender_t *appender,
+		       const log4c_logging_event_t *e)
+{
+	(void)appender;
+	return fputs(e->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+}
+
+static const log4c_appender_type_t appender_type = { "tg", NULL, append_line,
+						     NULL };
+
 static int parse_level(const char *level)
 {
 	if (!strcmp(level, "debug"))
@@ -59,12 +70,13 @@
 
 void tg_log_open(const char *prog, const char *level)
 {
-	log4c_appender_t *appender = log4c_appender_get("stderr");
+	log4c_appender_t *appender = log4c_appender_get("tg");
 	log4c_layout_t *layout = log4c_layout_get("tg");
 
 	program = prog;
 	category = log4c_category_get("tg");
 	log4c_layout_set_type(layout, &layout_type);
+	log4c_appender_set_type(appender, &appender_type);
 	log4c_appender_set_layout(appender, layout);
 	log4c_category_set_appender(category, appender);
 	log4c_category_set_additivity(category, 0);
--- a/tests/demo/lib.sh
+++ b/tests/demo/lib.sh
@@ -57,9 +57,9 @@
 	curl -sf "http://$(address "$1")/readyz"
 }
 
+# The row of an AZ's scheduler is written before it has its workers.
 sched_active() { # NAME
-	curl -s "http://$(address "$1")/metrics" |
-		grep -q '^tg_sched_active 1'
+	grep -q EV3001 "$dir/$1.err"
 }
 
 ctl() {
