--- a/tests/unit/decide/property.c
+++ b/tests/unit/decide/property.c
@@ -519,6 +519,82 @@
 		w->n_promises = 0;
 }
 
+/* --- takeover --- */
+
+static void adopt_all(struct world *w, struct tg_fleet *f)
+{
+	int i, n = w->n_jobs, first = n ? below(w, n) : 0;
+
+	/* The order in which rows are read is arbitrary. */
+	for (i = 0; i < n; i++) {
+		const struct job *j = &w->jobs[(first + i) % n];
+		char ws[16];
+		struct tg_job_spec s = {
+			.name = j->name,
+			.workspace = ws,
+			.az = "a",
+			.class = j->class,
+			.tasks = j->tasks,
+			.accelerators_per_task = j->need.v[0],
+			.cores_per_task = j->need.v[1],
+			.memory_gb_per_task = j->need.v[2],
+		};
+
+		snprintf(ws, sizeof(ws), "ws-%d", j->ws);
+		if (j->running)
+			ck_assert_int_eq(tg_fleet_adopt(f, &s, j->workers, 0),
+					 0);
+	}
+}
+
+/* A takeover must not report a guarantee at risk that was sound before. */
+static void check_takeover(struct world *w, const struct tg_fleet_opts *opts)
+{
+	bool all[PROMISES_MAX] = { 0 };
+	struct tg_fleet *f = tg_fleet_new(opts);
+	struct tg_guarantee list[PROMISES_MAX];
+	struct tg_guarantee_status st;
+	struct tg_action out[ACTIONS];
+	int i;
+
+	for (i = 0; i < w->n_workers; i++) {
+		char rack[32];
+		struct tg_worker_spec s = {
+			.name = tg_fleet_worker_name(w->f, i),
+			.az = "a",
+			.rack = rack,
+			.accelerators = w->workers[i].cap.v[0],
+			.cores = w->workers[i].cap.v[1],
+			.memory_gb = w->workers[i].cap.v[2],
+		};
+
+		snprintf(rack, sizeof(rack), "r-%d", w->workers[i].rack);
+		tg_fleet_add_worker(f, &s);
+		tg_fleet_set_health(f, i, w->workers[i].health, w->now_ms);
+	}
+	for (i = 0; i < w->n_promises; i++) {
+		tg_fleet_guarantee(w->f, (size_t)i, w->now_ms, &st);
+		list[i] = st.g;
+		all[i] = is_live(w, i);
+	}
+	if (below(w, 2)) {
+		adopt_all(w, f);
+		tg_fleet_set_guarantees(f, list, (size_t)w->n_promises,
+					w->now_ms, true, NULL);
+	} else {
+		tg_fleet_set_guarantees(f, list, (size_t)w->n_promises,
+					w->now_ms, true, NULL);
+		adopt_all(w, f);
+	}
+	tg_decide(f, w->now_ms, out, ACTIONS);
+	for (i = 0; i < w->n_promises && fit(w, all); i++) {
+		tg_fleet_guarantee(f, (size_t)i, w->now_ms, &st);
+		ck_assert_msg(!st.at_risk, "seed %d: promise %d after takeover",
+			      (int)w->seed, i);
+	}
+	tg_fleet_free(f);
+}
+
 static void run_world(const char *policy, uint64_t seed)
 {
 	struct tg_fleet_opts opts = { .policy = tg_policy_find(policy) };
@@ -533,6 +609,8 @@
 		check_promises(&w);
 		check_rooms(&w);
 	}
+	if (w.n_promises)
+		check_takeover(&w, &opts);
 	tg_fleet_free(w.f);
 }
 
