Say not-run in replies to requests that can't be parsed

evhttp replies to long headers, huge bodies and unknown methods without calling a handler, so these replies lacked Tg-Outcome.

--- a/cmd/tgentryd/front.c
+++ b/cmd/tgentryd/front.c
@@ -257,6 +257,7 @@
 		.idle_ms = IDLE_MS,
 		.routes = routes,
 		.ready = is_ready,
+		.refusal_line = "Tg-Outcome: not-run\r\n",
 		.arg = b,
 	};
 
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -50,6 +50,8 @@
  * @routes: ended by an entry without path; the first match counts.  /metrics,
  *	/healthz and /readyz are answered by the library.
  * @ready: whether /readyz answers 200; sets *why otherwise
+ * @refusal_line: header line with its CR LF for the replies that the library
+ *	makes to requests which it can't parse; NULL for none
  * @arg: passed to handlers and @ready
  */
 struct tg_http_server_opts {
@@ -60,6 +62,7 @@
 	int64_t idle_ms;
 	const struct tg_http_route *routes;
 	bool (*ready)(void *arg, const char **why);
+	const char *refusal_line;
 	void *arg;
 };
 
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -21,14 +21,16 @@
 /* A connection that has sent a request; @busy until its reply is written. */
 struct pending {
 	struct evhttp_connection *con;
+	struct evbuffer *out; /* of the connection */
 	struct tg_http_server *server;
 	bool busy;
 	void (*abort_fn)(void *arg);
 	void *abort_arg;
-	UT_hash_handle hh;
+	UT_hash_handle hh, hh_out;
 };
 
 struct tg_http_server {
+	const char *refusal_line;
 	struct evhttp *http;
 	struct event_base *base;
 	const struct tg_http_route *routes;
@@ -40,10 +42,12 @@
 /* All servers of the process; a connection has at most one request at a time.
  */
 static struct pending *pendings;
+static struct pending *pendings_by_out;
 
 static void drop_pending(struct pending *p)
 {
 	HASH_DEL(pendings, p);
+	HASH_DELETE(hh_out, pendings_by_out, p);
 	free(p);
 }
 
@@ -90,7 +94,10 @@
 	if (!p) {
 		p = tg_xcalloc(1, sizeof(*p));
 		p->con = con;
+		p->out = bufferevent_get_output(
+			evhttp_connection_get_bufferevent(con));
 		HASH_ADD_PTR(pendings, con, p);
+		HASH_ADD(hh_out, pendings_by_out, out, sizeof(p->out), p);
 	}
 	p->server = s;
 	p->busy = true;
@@ -131,14 +138,27 @@
 	return n;
 }
 
-/* evhttp replies to invalid requests by itself; this counts those as well. */
+/* Whether evhttp refuses a request by itself, without a handler. */
+static bool is_own_refusal(struct evbuffer *out, const char *status)
+{
+	struct pending *p;
+
+	HASH_FIND(hh_out, pendings_by_out, &out, sizeof(out), p);
+	return (*status == '4' || *status == '5') && !(p && p->busy);
+}
+
+/*
+ * evhttp replies to invalid requests by itself; this counts those as well, and
+ * adds the line that they lack.  It is called after the line of the status and
+ * before the headers.
+ */
 static void on_output(struct evbuffer *buf, const struct evbuffer_cb_info *info,
 		      void *arg)
 {
+	const struct tg_http_server *s = arg;
 	char head[STATUS_PREFIX + 1] = "";
 	char labels[32];
 
-	(void)arg;
 	if (info->orig_size || info->n_added < STATUS_PREFIX)
 		return;
 	evbuffer_copyout(buf, head, STATUS_PREFIX);
@@ -147,6 +167,8 @@
 	snprintf(labels, sizeof(labels), "status=\"%s\"", head + 9);
 	tg_counter("tg_http_replies_total", "HTTP replies by status.", labels)
 		->value++;
+	if (s->refusal_line && is_own_refusal(buf, head + 9))
+		evbuffer_add(buf, s->refusal_line, strlen(s->refusal_line));
 }
 
 static struct bufferevent *make_bufferevent(struct event_base *base, void *arg)
@@ -154,9 +176,8 @@
 	struct bufferevent *bev =
 		bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
 
-	(void)arg;
 	if (bev)
-		evbuffer_add_cb(bufferevent_get_output(bev), on_output, NULL);
+		evbuffer_add_cb(bufferevent_get_output(bev), on_output, arg);
 	return bev;
 }
 
@@ -267,6 +288,7 @@
 	s->routes = opts->routes;
 	s->ready = opts->ready;
 	s->arg = opts->arg;
+	s->refusal_line = opts->refusal_line;
 	s->http = evhttp_new(opts->base);
 	if (!s->http)
 		goto fail;
--- a/tests/script/entry-serve.sh
+++ b/tests/script/entry-serve.sh
@@ -54,6 +54,9 @@
 	--data-binary "@$tmp/big" "$svc/a"
 call long-header . -H 'Tg-Workspace: courts' \
 	-H "X: $(printf '%05000d' 0)" "$svc/a"
+head -c 2000000 /dev/zero >"$tmp/huge"
+call huge-body . -H 'Tg-Workspace: courts' -H 'Expect:' \
+	--data-binary "@$tmp/huge" "$svc/a" | cut -d' ' -f1-3
 call unknown-method . -X BREW -H 'Tg-Workspace: courts' "$svc/a"
 call no-page .place "$url/v1/none"
 call wrong-method .place -X DELETE "$url/v1/keys"
