--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -26,7 +26,7 @@
 	bool busy;
 	void (*abort_fn)(void *arg);
 	void *abort_arg;
-	UT_hash_handle hh, hh_out;
+	UT_hash_handle hh;
 };
 
 struct tg_http_server {
@@ -42,12 +42,10 @@
 /* All servers of the process; a connection has at most one request at a time.
  */
 static struct pending *pendings;
-static struct pending *pendings_by_out;
 
 static void drop_pending(struct pending *p)
 {
 	HASH_DEL(pendings, p);
-	HASH_DELETE(hh_out, pendings_by_out, p);
 	free(p);
 }
 
@@ -97,7 +95,6 @@
 		p->out = bufferevent_get_output(
 			evhttp_connection_get_bufferevent(con));
 		HASH_ADD_PTR(pendings, con, p);
-		HASH_ADD(hh_out, pendings_by_out, out, sizeof(p->out), p);
 	}
 	p->server = s;
 	p->busy = true;
@@ -141,10 +138,14 @@
 /* Whether evhttp refuses a request by itself, without a handler. */
 static bool is_own_refusal(struct evbuffer *out, const char *status)
 {
-	struct pending *p;
+	struct pending *p, *tmp;
 
-	HASH_FIND(hh_out, pendings_by_out, &out, sizeof(out), p);
-	return (*status == '4' || *status == '5') && !(p && p->busy);
+	if (*status != '4' && *status != '5')
+		return false;
+	HASH_ITER(hh, pendings, p, tmp)
+	if (p->out == out && p->busy)
+		return false;
+	return true;
 }
 
 /*
