--- a/cmd/tgschedd/admission.c
+++ b/cmd/tgschedd/admission.c
@@ -44,6 +44,7 @@
 	json_t *spec = json_object_get(row->value, "spec");
 	struct waiter *waiters = j->waiters, *cancel = j->cancel_waiters;
 	struct job *known;
+	json_t *v;
 
 	if (!json_equal(spec, j->json)) {
 		refuse(b, j, TG_RPC_REFUSED,
@@ -53,19 +54,23 @@
 	j->waiters = j->cancel_waiters = NULL;
 	board_remove_job(b, j);
 	known = jobrow_decode(b, row);
-	if (!known)
+	/* All rows that run were read at the takeover, but for invalid ones. */
+	if (!known || known->state == JOB_RUNNING) {
+		if (known)
+			board_remove_job(b, known);
+		board_answer(b, &waiters, TG_RPC_REFUSED, NULL,
+			     "the name is taken by a row that is not valid");
+		board_answer(b, &cancel, TG_RPC_NOT_FOUND, NULL, "no such job");
 		return;
+	}
 	known->waiters = waiters;
 	known->cancel_waiters = cancel;
 	known->cancel_asked = cancel != NULL;
-	if (known->state == JOB_QUEUED) {
-		admitted(b, known, row->version);
-	} else {
-		json_t *v = jobrow_public(b, known);
-
-		board_answer(b, &known->waiters, TG_RPC_OK, v, "");
-		json_decref(v);
-	}
+	if (known->state == JOB_QUEUED)
+		facts_submit(b, known, NULL);
+	v = jobrow_repeated(b, known);
+	board_answer(b, &known->waiters, TG_RPC_OK, v, "");
+	json_decref(v);
 }
 
 static void on_inserted(struct board *b, const char *job, enum tg_plat_end end,
--- a/cmd/tgschedd/jobrow.c
+++ b/cmd/tgschedd/jobrow.c
@@ -154,3 +154,11 @@
 		json_object_set_new(v, "kept_ms", json_integer(j->done_ms));
 	return v;
 }
+
+json_t *jobrow_repeated(const struct board *b, const struct job *j)
+{
+	json_t *v = jobrow_public(b, j);
+
+	json_object_set_new(v, "repeated", json_true());
+	return v;
+}
--- a/cmd/tgschedd/jobrow.h
+++ b/cmd/tgschedd/jobrow.h
@@ -16,6 +16,8 @@
 struct job *jobrow_decode(struct board *b, const struct tg_row *row);
 /** jobrow_public() - what a caller sees of a job, new reference */
 json_t *jobrow_public(const struct board *b, const struct job *j);
+/** jobrow_repeated() - the same, as the answer to a repeated submission */
+json_t *jobrow_repeated(const struct board *b, const struct job *j);
 /** jobrow_key() - key of a job's row; @out holds TG_KEY_MAX bytes */
 #define TG_KEY_MAX 200
 void jobrow_key(const struct board *b, const char *job, char *out);
--- a/cmd/tgschedd/rpc.c
+++ b/cmd/tgschedd/rpc.c
@@ -68,7 +68,7 @@
 	else if (j->state == JOB_WRITING || j->state == JOB_UNSETTLED)
 		add_waiter(&j->waiters, req);
 	else
-		reply(b, req, TG_RPC_OK, jobrow_public(b, j), "");
+		reply(b, req, TG_RPC_OK, jobrow_repeated(b, j), "");
 }
 
 /* Whether the job could run on this fleet; recorded only once durable. */
--- a/tests/script/sched-submit.sh
+++ b/tests/script/sched-submit.sh
@@ -15,7 +15,8 @@
 
 echo "first: $(field "$(submit s1 one 1 8)" job)"
 await "it runs" job_is s1 one running
-echo "again: $(field "$(submit s1 one 1 8)" state)"
+again=$(submit s1 one 1 8)
+echo "again: $(field "$again" state), repeated $(field "$again" repeated)"
 answer "other content: $(submit s1 one 1 4)"
 answer "other workspace: $(call s1 submit rota one "$(spec one 1 8 | sed s/courts/rota/)")"
 answer "unknown workspace: $(call s1 submit nobody x "$(spec x 1 1 | sed s/courts/nobody/)")"
