--- a/cmd/tgentryd/board.h
+++ b/cmd/tgentryd/board.h
@@ -51,6 +51,7 @@
 	bool unsafe_ignore_draining;
 	bool unsafe_dispatch_unclaimed;
 	bool unsafe_run_anywhere;
+	bool unsafe_refuse_unchecked;
 };
 
 /**
@@ -138,7 +139,7 @@
 	REQUEST_RUNNING, /* a byte may have been handed to a backend server */
 	REQUEST_WAITING, /* for another request with the same issued key */
 	REQUEST_FORWARDED, /* to the home of its key */
-	REQUEST_LOADING, /* a recorded outcome */
+	REQUEST_LOADING, /* a recorded outcome, or the row of the key */
 };
 
 struct claim;
@@ -240,6 +241,7 @@
 	struct workspace *workspaces;
 	struct request *requests;
 	size_t n_requests;
+	size_t n_checks; /* reads for requests that are refused */
 	size_t job_calls;
 	struct issued *issued;
 	size_t n_issued, issued_bytes;
@@ -355,6 +357,15 @@
 void claim_start(struct request *r);
 /** claim_release() - nothing ran under it */
 void claim_release(struct request *r);
+/**
+ * claim_check() - refuse a request whose key was not claimed
+ *
+ * The request ends as not run if the table shows that no earlier attempt ran,
+ * with the outcome of an earlier attempt if there was one, and as unknown if
+ * the table can't be read.
+ */
+void claim_check(struct request *r, int status, const char *place,
+		 const char *text);
 /** claim_detach() - the request ends before its claim is written */
 void claim_detach(struct request *r);
 /** claim_done() - record the outcome under the claim */
@@ -392,6 +403,8 @@
 void issued_serve_new(struct evhttp_request *req, void *board);
 /** issued_start() - run here, wait, forward, or answer from memory */
 void issued_start(struct request *r);
+/** issued_unused() - this is the key's home and nothing runs or ran with it */
+bool issued_unused(const struct request *r);
 void issued_settle(struct request *r, const struct outcome *o);
 void issued_serve_forward(struct tg_rpc_req *rpc, void *args, void *board);
 /** issued_leave() - a waiting request ends */
--- a/cmd/tgentryd/claims.c
+++ b/cmd/tgentryd/claims.c
@@ -5,6 +5,8 @@
 
 #define RETRY_MS 500
 #define CLAIMS_MAX 4096
+/* Bounds the reads that a flood of refused requests causes. */
+#define CHECKS_MAX 256
 /* A released row may be taken by another instance between read and write. */
 #define WRITES_MAX 3
 
@@ -150,10 +152,77 @@
 	}
 	outcome_free(&o);
 	r->state = REQUEST_LOADING;
-	event_del(r->timer);
+	if (r->timer)
+		event_del(r->timer);
 	record_load(r->board, row, on_loaded, r);
 }
 
+/* A request that is refused once the table tells of earlier attempts. */
+struct check {
+	struct request *request;
+	int status;
+	char *place, *text;
+};
+
+static void end_check(struct check *k, enum tg_plat_end end,
+		      const struct tg_row *row)
+{
+	struct request *r = k->request;
+	const char *state = row ? row_string(row->value, "state") : "";
+
+	r->board->n_checks--;
+	if (end == TG_PLAT_NOT_FOUND || !strcmp(state, "released") ||
+	    (row && !strcmp(row_string(row->value, "claim"), r->id)))
+		request_not_run(r, k->status, k->place, "%s", k->text);
+	else if (end == TG_PLAT_OK)
+		answer_earlier(r, row->value);
+	else
+		request_unknown(r, k->status,
+				"%s; nothing ran for this attempt, but the "
+				"table can't tell of earlier ones",
+				k->text);
+	free(k->place);
+	free(k->text);
+	free(k);
+}
+
+static void on_checked(enum tg_plat_end end, const struct tg_row *row,
+		       void *arg)
+{
+	end_check(arg, end, row);
+}
+
+void claim_check(struct request *r, int status, const char *place,
+		 const char *text)
+{
+	struct board *b = r->board;
+	struct check *k = tg_xcalloc(1, sizeof(*k));
+	char *key;
+
+	k->request = r;
+	k->status = status;
+	k->place = place ? tg_xstrdup(place) : NULL;
+	k->text = tg_xstrdup(text);
+	r->state = REQUEST_LOADING;
+	if (r->timer)
+		event_del(r->timer);
+	if (b->n_checks++ >= CHECKS_MAX || !b->plat) {
+		end_check(k, TG_PLAT_UNAVAILABLE, NULL);
+		return;
+	}
+	key = claim_row_key(r->workspace_name, r->key);
+	tg_row_get(b->plat, key, on_checked, k);
+	free(key);
+}
+
+static void refuse_unclaimed(struct request *r, const char *text)
+{
+	if (r->board->set.unsafe_refuse_unchecked)
+		request_not_run(r, 503, "Idempotency-Key", "%s", text);
+	else
+		claim_check(r, 503, "Idempotency-Key", text);
+}
+
 static const struct claim *find_released(const struct board *b, const char *id)
 {
 	const struct claim *c;
@@ -210,8 +279,8 @@
 	if (r->board->set.unsafe_dispatch_unclaimed)
 		request_enqueue(r);
 	else
-		request_not_run(r, 503, "Idempotency-Key",
-				"the claim of the key could not be recorded");
+		refuse_unclaimed(r, "the claim of the key could not be "
+				    "recorded");
 }
 
 static void on_unavailable(struct claim *c)
@@ -224,8 +293,7 @@
 	if (r->board->set.unsafe_dispatch_unclaimed)
 		request_enqueue(r);
 	else
-		request_not_run(r, 503, "Idempotency-Key",
-				"the table is not available");
+		refuse_unclaimed(r, "the table is not available");
 }
 
 static void on_claimed(struct claim *c, uint64_t version)
@@ -279,8 +347,7 @@
 void claim_start(struct request *r)
 {
 	if (!r->board->plat || count_claims(r->board) >= CLAIMS_MAX) {
-		request_not_run(r, 503, "Idempotency-Key",
-				"claims can't be recorded now");
+		refuse_unclaimed(r, "claims can't be recorded now");
 		return;
 	}
 	write_claim(new_claim(r));
--- a/cmd/tgentryd/issued.c
+++ b/cmd/tgentryd/issued.c
@@ -37,6 +37,13 @@
 	return e;
 }
 
+bool issued_unused(const struct request *r)
+{
+	const struct issued *e = find_issued(r->board, r->key);
+
+	return e && e->state == ISSUED_FREE;
+}
+
 static void forget(struct board *b, struct issued *e)
 {
 	b->n_issued--;
--- a/cmd/tgentryd/main.c
+++ b/cmd/tgentryd/main.c
@@ -54,6 +54,9 @@
 	       unsafe_dispatch_unclaimed),
 	UNSAFE("run-anywhere", "run requests with another instance's key",
 	       unsafe_run_anywhere),
+	UNSAFE("refuse-unchecked",
+	       "refuse as not run without a look at the key's row",
+	       unsafe_refuse_unchecked),
 	{ .flag = NULL },
 };
 
--- a/cmd/tgentryd/request.c
+++ b/cmd/tgentryd/request.c
@@ -133,6 +133,39 @@
 	va_end(ap);
 }
 
+/*
+ * Refuses a request of which nothing was dispatched.  If it has a key, an
+ * earlier attempt may have run, and "not run" would be read as a statement on
+ * both: spec/request.pml, OUTAGE_SAYS_NOT_RUN.
+ */
+static void refuse(struct request *r, int status, const char *place,
+		   const char *fmt, ...) __attribute__((format(printf, 4, 5)));
+
+static void refuse(struct request *r, int status, const char *place,
+		   const char *fmt, ...)
+{
+	const struct settings *set = &r->board->set;
+	char text[256];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	if (r->idempotent || r->key_kind == KEY_NONE || r->issued ||
+	    set->unsafe_refuse_unchecked ||
+	    (r->key_kind == KEY_ISSUED && issued_unused(r)))
+		request_not_run(r, status, place, "%s", text);
+	else if (r->key_kind == KEY_ISSUED)
+		request_unknown(r, status,
+				"%s; only the key's home knows whether an "
+				"earlier attempt ran",
+				text);
+	else if (set->unsafe_no_claims)
+		request_not_run(r, status, place, "%s", text);
+	else
+		claim_check(r, status, place, text);
+}
+
 static void on_deadline(evutil_socket_t fd, short what, void *arg)
 {
 	struct request *r = arg;
@@ -141,9 +174,15 @@
 	(void)what;
 	switch (r->state) {
 	case REQUEST_CLAIMING:
-		request_not_run(r, 503, "Idempotency-Key",
-				"the deadline passed before the claim was "
-				"recorded");
+		if (r->board->set.unsafe_refuse_unchecked)
+			request_not_run(r, 503, "Idempotency-Key",
+					"the deadline passed before the claim "
+					"was recorded");
+		else
+			request_unknown(r, 503,
+					"the deadline passed before the claim "
+					"was recorded; nothing ran for this "
+					"attempt");
 		break;
 	case REQUEST_QUEUED:
 		if (r->was_sent)
@@ -193,19 +232,19 @@
 	const struct tg_service *spec;
 
 	if (!doc) {
-		request_not_run(r, 503, NULL, "no document is in force");
+		refuse(r, 503, NULL, "no document is in force");
 		return false;
 	}
 	spec = tg_doc_service(doc, r->service_name);
 	if (!spec) {
 		stats_invalid("service");
-		request_not_run(r, 404, "service", "no such service");
+		refuse(r, 404, "service", "no such service");
 		return false;
 	}
 	if (!tg_doc_workspace(doc, r->workspace_name) ||
 	    !tg_service_allows(spec, r->workspace_name)) {
 		stats_invalid("workspace");
-		request_not_run(r, 404, "Tg-Workspace",
+		refuse(r, 404, "Tg-Workspace",
 				"no such workspace of this service");
 		return false;
 	}
@@ -229,14 +268,14 @@
 {
 	struct board *b = r->board;
 
+	make_digest(r);
 	if (!resolve(r))
 		return;
 	service_refs(r);
 	if (b->refuse_from_ms && tg_now_ms() >= b->refuse_from_ms) {
-		request_not_run(r, 503, NULL, "this instance is stopping");
+		refuse(r, 503, NULL, "this instance is stopping");
 		return;
 	}
-	make_digest(r);
 	/* Repeating an idempotent request needs no key. */
 	if (r->key_kind == KEY_ISSUED && !r->idempotent)
 		issued_start(r);
@@ -254,12 +293,12 @@
 	double rate = (double)spec->rate_per_s / (double)entries;
 
 	if (max && r->workspace->in_flight >= max) {
-		request_not_run(r, 429, "Tg-Workspace",
+		refuse(r, 429, "Tg-Workspace",
 				"the workspace has %d requests in flight", max);
 		return false;
 	}
 	if (!bucket_take(&r->workspace->rate, rate, tg_now_ms())) {
-		request_not_run(r, 429, "Tg-Workspace",
+		refuse(r, 429, "Tg-Workspace",
 				"the workspace sends more than %d requests/s",
 				spec->rate_per_s);
 		return false;
@@ -275,16 +314,16 @@
 
 	workers_choose(r->board, r, spec, &any);
 	if (!any) {
-		request_not_run(r, 503, "service",
+		refuse(r, 503, "service",
 				"no backend server is available");
 		return false;
 	}
 	if (s->queue.n >= (size_t)spec->queue) {
-		request_not_run(r, 503, "service", "the queue is full");
+		refuse(r, 503, "service", "the queue is full");
 		return false;
 	}
 	if (wait_ms > request_left_ms(r)) {
-		request_not_run(r, 503, "Tg-Deadline-Ms",
+		refuse(r, 503, "Tg-Deadline-Ms",
 				"the expected wait of %lld ms is longer",
 				(long long)wait_ms);
 		return false;
--- a/cmd/tgschedd/board.h
+++ b/cmd/tgschedd/board.h
@@ -155,6 +155,8 @@
  * @version_known: false after a write of unknown result
  * @writing: a write of its row is in flight
  * @attempt: last committed or being reserved
+ * @attempt_floor: highest attempt of which a lease was found; the next attempt
+ *	has a higher number
  * @epoch: under which that attempt was committed
  * @gang: state of the attempt
  * @round: last renewal round sent
@@ -170,7 +172,7 @@
 	uint64_t version;
 	bool version_known, writing, in_fleet, committed, cancel, checkpoint;
 	enum job_state state;
-	int64_t attempt;
+	int64_t attempt, attempt_floor;
 	uint64_t epoch;
 	char reason[REASON_MAX + 1];
 	int64_t submitted_wall_ms, ended_wall_ms, running_since_ms;
--- a/cmd/tgschedd/decisions.c
+++ b/cmd/tgschedd/decisions.c
@@ -27,6 +27,8 @@
 			board_worker(
 				b,
 				tg_fleet_worker_name(b->fleet, a->workers[i])));
+	if (j->attempt < j->attempt_floor)
+		j->attempt = j->attempt_floor;
 	j->attempt++;
 	j->gang = GANG_RESERVING;
 	j->commit = COMMIT_NONE;
--- a/cmd/tgschedd/message.c
+++ b/cmd/tgschedd/message.c
@@ -216,6 +216,20 @@
 	}
 }
 
+/*
+ * A late copy of the stop of this attempt must not end another reservation, so
+ * its number is not used again (spec/gang.pml, REUSE_ATTEMPT).
+ */
+static void add_orphan(struct board *b, struct worker *w, const char *job,
+		       int64_t attempt, int64_t index)
+{
+	struct job *j = board_job(b, job);
+
+	if (j && attempt > j->attempt_floor)
+		j->attempt_floor = attempt;
+	board_add_orphan(w, job, attempt, (int32_t)index);
+}
+
 static struct member *find_member(struct board *b, const struct worker *w,
 				  const char *job, int64_t attempt,
 				  int64_t index)
@@ -372,7 +386,7 @@
 	}
 	m = find_member(b, w, job, attempt, index);
 	if (!m) {
-		board_add_orphan(w, job, attempt, (int32_t)index);
+		add_orphan(b, w, job, attempt, index);
 		return;
 	}
 	if (m->state >= M_DONE)
@@ -545,7 +559,7 @@
 	}
 	m = find_member(b, w, job, attempt, index);
 	if (!m || m->state == M_GONE) {
-		board_add_orphan(w, job, attempt, (int32_t)index);
+		add_orphan(b, w, job, attempt, index);
 		return;
 	}
 	note_checkpoint(m, v);
