Read the lists of a document's AZs for each plan

The member library reads only AZs that the document in force or a peer names, so a guarantee in a new AZ was refused as if the AZ had no workers. A check now reads the list of each AZ that the new document's guarantees name, one at a time, and without them it says that it was not made.

--- a/cmd/tgconsoled/api.c
+++ b/cmd/tgconsoled/api.c
@@ -175,27 +175,27 @@
 		store_load(b, on_history, req);
 }
 
+static void on_checked(enum save_end end, const struct tg_findings *f,
+		       void *arg)
+{
+	struct evhttp_request *req = arg;
+
+	if (end == SAVE_UNAVAILABLE)
+		tg_http_reply_error(req, 503, NULL,
+				    "not checked: no instance list");
+	else
+		tg_http_reply_json(req, end == SAVE_DONE ? 200 : 422,
+				   tg_http_findings(f));
+}
+
 void api_check(struct evhttp_request *req, void *arg)
 {
-	struct tg_findings f = { 0 };
 	struct board *b = arg;
 	struct api_call *c;
 
 	if (!auth_bearer(b, req))
 		return;
 	c = make_call(req);
-	switch (store_check(b, c->text, c->text_bytes, &f)) {
-	case SAVE_DONE:
-		tg_http_reply_json(req, 200, tg_http_findings(&f));
-		break;
-	case SAVE_INVALID:
-		tg_http_reply_json(req, 422, tg_http_findings(&f));
-		break;
-	default:
-		tg_http_reply_error(req, 503, NULL,
-				    "not checked: no instance list yet");
-		break;
-	}
-	tg_findings_free(&f);
+	store_check(b, c->text, c->text_bytes, on_checked, req);
 	free_call(c);
 }
--- a/cmd/tgconsoled/board.h
+++ b/cmd/tgconsoled/board.h
@@ -71,14 +71,16 @@
 /* --- plan.c --- */
 
 enum plan_end { PLAN_OK, PLAN_MISSING, PLAN_NO_INSTANCES };
+typedef void (*plan_done)(enum plan_end end, void *arg);
 /**
- * console_plan_check() - whether all guarantees have a place together on the
- *workers that are neither leaving nor drained
- * @f: a finding for each guarantee that has none
+ * console_plan() - whether all guarantees have a place together on the workers
+ *	that are neither leaving nor drained
+ * @doc: taken over
+ * @findings: a finding for each guarantee that has none; must stay until @done
+ * @done: may be called from inside
  */
-enum plan_end console_plan_check(const struct board *b,
-				 const struct tg_doc *doc,
-				 struct tg_findings *f);
+void console_plan(const struct board *b, struct tg_doc *doc,
+		  struct tg_findings *findings, plan_done done, void *arg);
 
 /* --- store.c --- */
 
@@ -125,12 +127,15 @@
 typedef void (*save_done)(const struct save_result *r, void *arg);
 
 /**
- * store_check() - validate a document as a save does
- *
- * Return: SAVE_DONE, SAVE_INVALID or SAVE_UNAVAILABLE.
+ * typedef check_done - end of a check
+ * @end: SAVE_DONE, SAVE_INVALID or SAVE_UNAVAILABLE
+ * @f: valid during the call
  */
-enum save_end store_check(const struct board *b, const char *text, size_t n,
-			  struct tg_findings *f);
+typedef void (*check_done)(enum save_end end, const struct tg_findings *f,
+			   void *arg);
+/** store_check() - validate as a save does; @done may be called from inside */
+void store_check(struct board *b, const char *text, size_t n, check_done done,
+		 void *arg);
 /** store_save() - @done may be called from inside */
 void store_save(struct board *b, uint64_t generation, const char *text,
 		size_t n, const char *author, save_done done, void *arg);
--- a/cmd/tgconsoled/pages.c
+++ b/cmd/tgconsoled/pages.c
@@ -162,25 +162,18 @@
 	free_post(p);
 }
 
-static void check(struct post *p)
+static void on_checked(enum save_end end, const struct tg_findings *f,
+		       void *arg)
 {
-	struct tg_findings f = { 0 };
+	struct post *p = arg;
 
-	switch (store_check(p->board, p->text, strlen(p->text), &f)) {
-	case SAVE_DONE:
+	if (end == SAVE_DONE)
 		reply_typed(p, 200, "No findings. Not saved yet.", false, NULL);
-		break;
-	case SAVE_INVALID:
-		reply_typed(p, 200, "Checked, not saved.", true, &f);
-		break;
-	default:
-		reply_typed(p, 503,
-			    "Not checked: there is no instance list "
-			    "yet.",
+	else if (end == SAVE_INVALID)
+		reply_typed(p, 200, "Checked, not saved.", true, f);
+	else
+		reply_typed(p, 503, "Not checked: there is no instance list.",
 			    true, NULL);
-		break;
-	}
-	tg_findings_free(&f);
 	free_post(p);
 }
 
@@ -197,7 +190,7 @@
 		store_save(p->board, p->form.generation, p->text,
 			   strlen(p->text), p->session.author, on_saved, p);
 	else
-		check(p);
+		store_check(p->board, p->text, strlen(p->text), on_checked, p);
 }
 
 static struct post *make_post(struct board *b, struct evhttp_request *req,
--- a/cmd/tgconsoled/plan.c
+++ b/cmd/tgconsoled/plan.c
@@ -11,30 +11,6 @@
 		!tg_doc_drains_worker(doc, w->name);
 }
 
-static struct tg_fleet *make_fleet(const struct tg_doc *doc,
-				   const struct tg_instance *list, size_t n)
-{
-	struct tg_fleet_opts opts = { 0 };
-	struct tg_fleet *f = tg_fleet_new(&opts);
-	size_t i;
-
-	for (i = 0; i < n; i++) {
-		const struct tg_instance *w = &list[i];
-		struct tg_worker_spec spec = {
-			.name = w->name,
-			.az = w->az,
-			.rack = w->rack,
-			.cores = w->cores,
-			.memory_gb = w->memory_gb,
-			.accelerators = w->accelerators,
-		};
-
-		if (is_usable(doc, w))
-			tg_fleet_add_worker(f, &spec);
-	}
-	return f;
-}
-
 struct place {
 	size_t workspace, guarantee;
 };
@@ -74,6 +50,24 @@
 	UT_hash_handle hh;
 };
 
+/*
+ * struct plan - check of one document
+ * @reading: AZ whose list is being read; one AZ at a time, since the list of
+ *	all workers takes tens of megabytes
+ */
+struct plan {
+	struct tg_plat *plat;
+	struct tg_doc *doc;
+	struct tg_findings *findings;
+	struct tg_fleet *fleet;
+	struct tg_guarantee *guarantees;
+	struct place *places;
+	size_t n;
+	struct zone *zones, *reading;
+	plan_done done;
+	void *arg;
+};
+
 static struct zone *get_zone(struct zone **zones, const char *name)
 {
 	struct zone *z;
@@ -98,6 +92,26 @@
 	}
 }
 
+static void add_worker(struct plan *p, const struct tg_instance *w)
+{
+	struct tg_worker_spec spec = {
+		.name = w->name,
+		.az = w->az,
+		.rack = w->rack,
+		.cores = w->cores,
+		.memory_gb = w->memory_gb,
+		.accelerators = w->accelerators,
+	};
+	struct zone *z;
+
+	HASH_FIND_STR(p->zones, w->az, z);
+	if (!z)
+		return;
+	tg_fleet_add_worker(p->fleet, &spec);
+	z->accelerators += w->accelerators;
+	z->left += w->accelerators;
+}
+
 static void place_text(const struct place *p, char *out, size_t size)
 {
 	snprintf(out, size, "/workspaces/%zu/guarantees/%zu", p->workspace,
@@ -108,41 +122,29 @@
  * Guarantees that exceed the accelerators of their AZ have no plan.  They are
  * refused before planning, the cost of which grows with all their tasks.
  */
-static bool check_sizes(const struct tg_doc *doc,
-			const struct tg_instance *list, size_t n_list,
-			const struct tg_guarantee *g,
-			const struct place *places, size_t n,
-			struct tg_findings *f)
+static bool check_sizes(struct plan *p)
 {
-	struct zone *zones = NULL, *z;
-	size_t before = f->total, i;
+	size_t before = p->findings->total, i;
 	char place[96];
 
-	for (i = 0; i < n_list; i++) {
-		if (!is_usable(doc, &list[i]))
-			continue;
-		z = get_zone(&zones, list[i].az);
-		z->accelerators += list[i].accelerators;
-		z->left += list[i].accelerators;
-	}
-	for (i = 0; i < n; i++) {
-		int64_t need = (int64_t)g[i].tasks * g[i].accelerators_per_task;
+	for (i = 0; i < p->n; i++) {
+		const struct tg_guarantee *g = &p->guarantees[i];
+		struct zone *z = get_zone(&p->zones, g->az);
+		int64_t need = (int64_t)g->tasks * g->accelerators_per_task;
 
-		z = get_zone(&zones, g[i].az);
-		place_text(&places[i], place, sizeof(place));
+		place_text(&p->places[i], place, sizeof(place));
 		if (need > z->left)
-			tg_findings_add(
-				f, place,
-				"needs %lld accelerators, %s has %lld "
-				"of which %lld go to guarantees before it",
-				(long long)need, g[i].az,
-				(long long)z->accelerators,
-				(long long)(z->accelerators - z->left));
+			tg_findings_add(p->findings, place,
+					"needs %lld accelerators, %s has %lld "
+					"of which %lld go to guarantees before "
+					"it",
+					(long long)need, g->az,
+					(long long)z->accelerators,
+					(long long)(z->accelerators - z->left));
 		else
 			z->left -= need;
 	}
-	free_zones(zones);
-	return f->total == before;
+	return p->findings->total == before;
 }
 
 /* The library names a guarantee by workspace and number: "courts/3". */
@@ -163,40 +165,80 @@
 	}
 }
 
-enum plan_end console_plan_check(const struct board *b,
-				 const struct tg_doc *doc,
-				 struct tg_findings *f)
+static void end_plan(struct plan *p, enum plan_end end)
+{
+	p->done(end, p->arg);
+	tg_fleet_free(p->fleet);
+	free_zones(p->zones);
+	tg_doc_free(p->doc);
+	free(p->guarantees);
+	free(p->places);
+	free(p);
+}
+
+static void decide(struct plan *p)
 {
 	struct tg_findings found = { 0 };
-	const struct tg_instance *list;
-	struct tg_guarantee *guarantees;
-	struct tg_fleet *fleet;
-	struct place *places;
 	enum plan_end end = PLAN_OK;
-	size_t total = 0, n, n_list, i;
-	int64_t wall_ms = tg_wall_ms();
 
-	for (i = 0; i < doc->n_workspaces; i++)
-		total += doc->workspaces[i].n_guarantees;
-	guarantees = tg_xcalloc(total + 1, sizeof(*guarantees));
-	places = tg_xcalloc(total + 1, sizeof(*places));
-	n = collect(doc, wall_ms, guarantees, places);
-	list = tg_member_instances(b->member, &n_list);
-	if (n && !list) {
-		end = PLAN_NO_INSTANCES;
-	} else if (!check_sizes(doc, list, n_list, guarantees, places, n, f)) {
+	if (!check_sizes(p)) {
+		end = PLAN_MISSING;
+	} else if (tg_fleet_set_guarantees(p->fleet, p->guarantees, p->n,
+					   tg_wall_ms(), false, &found)) {
+		add_findings(&found, p->places, p->n, p->findings);
 		end = PLAN_MISSING;
-	} else if (n) {
-		fleet = make_fleet(doc, list, n_list);
-		if (tg_fleet_set_guarantees(fleet, guarantees, n, wall_ms,
-					    false, &found)) {
-			add_findings(&found, places, n, f);
-			end = PLAN_MISSING;
-		}
-		tg_fleet_free(fleet);
 	}
 	tg_findings_free(&found);
-	free(guarantees);
-	free(places);
-	return end;
+	end_plan(p, end);
+}
+
+static void read_next(struct plan *p);
+
+static void on_list(enum tg_plat_end end, const struct tg_instance *list,
+		    size_t n, void *arg)
+{
+	struct plan *p = arg;
+	size_t i;
+
+	if (end != TG_PLAT_OK) {
+		end_plan(p, PLAN_NO_INSTANCES);
+		return;
+	}
+	for (i = 0; i < n; i++)
+		if (is_usable(p->doc, &list[i]))
+			add_worker(p, &list[i]);
+	p->reading = p->reading->hh.next;
+	read_next(p);
+}
+
+static void read_next(struct plan *p)
+{
+	if (p->reading)
+		tg_instances_list(p->plat, p->reading->name, on_list, p);
+	else
+		decide(p);
+}
+
+void console_plan(const struct board *b, struct tg_doc *doc,
+		  struct tg_findings *findings, plan_done done, void *arg)
+{
+	struct tg_fleet_opts opts = { 0 };
+	struct plan *p = tg_xcalloc(1, sizeof(*p));
+	size_t total = 0, i;
+
+	p->plat = b->plat;
+	p->doc = doc;
+	p->findings = findings;
+	p->done = done;
+	p->arg = arg;
+	p->fleet = tg_fleet_new(&opts);
+	for (i = 0; i < doc->n_workspaces; i++)
+		total += doc->workspaces[i].n_guarantees;
+	p->guarantees = tg_xcalloc(total + 1, sizeof(*p->guarantees));
+	p->places = tg_xcalloc(total + 1, sizeof(*p->places));
+	p->n = collect(doc, tg_wall_ms(), p->guarantees, p->places);
+	for (i = 0; i < p->n; i++)
+		get_zone(&p->zones, p->guarantees[i].az);
+	p->reading = p->zones;
+	read_next(p);
 }
--- a/cmd/tgconsoled/store.c
+++ b/cmd/tgconsoled/store.c
@@ -355,28 +355,71 @@
 		      on_object_put, s);
 }
 
-enum save_end store_check(const struct board *b, const char *text, size_t n,
-			  struct tg_findings *f)
+/* --- check --- */
+
+struct check {
+	struct board *board;
+	struct tg_findings findings;
+	check_done done;
+	void *arg;
+};
+
+static void end_check(struct check *c, enum save_end end)
+{
+	c->done(end, &c->findings, c->arg);
+	c->board->in_progress--;
+	tg_findings_free(&c->findings);
+	free(c);
+}
+
+static void on_planned(enum plan_end end, void *arg)
+{
+	static const enum save_end ends[] = {
+		[PLAN_OK] = SAVE_DONE,
+		[PLAN_MISSING] = SAVE_INVALID,
+		[PLAN_NO_INSTANCES] = SAVE_UNAVAILABLE,
+	};
+
+	end_check(arg, ends[end]);
+}
+
+void store_check(struct board *b, const char *text, size_t n, check_done done,
+		 void *arg)
+{
+	struct check *c = tg_xcalloc(1, sizeof(*c));
+	struct tg_doc *d;
+
+	c->board = b;
+	c->done = done;
+	c->arg = arg;
+	b->in_progress++;
+	d = tg_doc_parse(text, n, &c->findings);
+	if (d)
+		console_plan(b, d, &c->findings, on_planned, c);
+	else
+		end_check(c, SAVE_INVALID);
+}
+
+/* --- save, its beginning --- */
+
+static void on_checked(enum save_end end, const struct tg_findings *f,
+		       void *arg)
 {
-	struct tg_doc *d = tg_doc_parse(text, n, f);
-	enum plan_end plan;
-
-	if (!d)
-		return SAVE_INVALID;
-	plan = console_plan_check(b, d, f);
-	tg_doc_free(d);
-	if (plan == PLAN_NO_INSTANCES)
-		return SAVE_UNAVAILABLE;
-	return plan == PLAN_OK ? SAVE_DONE : SAVE_INVALID;
+	struct save_result r = { .end = SAVE_INVALID, .findings = f };
+	struct save *s = arg;
+
+	if (end == SAVE_INVALID)
+		end_save(s, &r);
+	else if (end == SAVE_UNAVAILABLE)
+		fail_save(s, "the instance list");
+	else
+		tg_row_get(s->board->plat, ROW, on_save_row, s);
 }
 
 void store_save(struct board *b, uint64_t generation, const char *text,
 		size_t n, const char *author, save_done done, void *arg)
 {
 	struct save *s = tg_xcalloc(1, sizeof(*s));
-	struct save_result r = { .end = SAVE_INVALID };
-	struct tg_findings f = { 0 };
-	enum save_end checked;
 
 	s->board = b;
 	s->generation = generation;
@@ -386,17 +429,8 @@
 	tg_strlcpy(s->author, author, sizeof(s->author));
 	s->done = done;
 	s->arg = arg;
-	if (b->in_progress++ >= IN_PROGRESS_MAX) {
-		fail_save(s, "this console (too many saves)");
-		return;
-	}
-	checked = store_check(b, text, n, &f);
-	r.findings = &f;
-	if (checked == SAVE_INVALID)
-		end_save(s, &r);
-	else if (checked == SAVE_UNAVAILABLE)
-		fail_save(s, "the instance list");
+	if (b->in_progress++ < IN_PROGRESS_MAX)
+		store_check(b, s->text, n, on_checked, s);
 	else
-		tg_row_get(b->plat, ROW, on_save_row, s);
-	tg_findings_free(&f);
+		fail_save(s, "this console (too many saves)");
 }
--- a/tests/script/console-api.sh
+++ b/tests/script/console-api.sh
@@ -68,6 +68,13 @@
 has_rack() { curl -s -H "$auth" -d "$shape" "$url/check" | grep -q '"total":0'; }
 await "third worker" has_rack
 put fits 2 "$shape"
+# No peer and no document names this AZ yet.
+start far workerd --name=w-far --az=far --log-level=warn \
+	--platform="$platform_http"
+far='{"version":1,"workspaces":[{"name":"courts","guarantees":[
+	{"az":"far","tasks":1,"accelerators_per_task":8}]}]}'
+has_far() { curl -s -H "$auth" -d "$far" "$url/check" | grep -q '"total":0'; }
+await "plan in another AZ" has_far
 put drained 3 "$(echo "$shape" | sed 's/}]}]}/}]}],"drains":[{"worker":"w-3"}]}/')"
 
 echo "# faults of the platform"
@@ -77,6 +84,9 @@
 put table-down 4 '{"version":1,"workspaces":[{"name":"courts"}]}'
 call load-held . -H "$auth" "$url"
 call history-down . -H "$auth" "$url/history"
+fault platform '{"outage":"refuse","only":"instances"}'
+put list-down 4 "$shape"
+call check-list-down . -H "$auth" -d "$shape" "$url/check"
 fault platform '{"outage":"refuse","only":"objects"}'
 put objects-down 4 '{"version":1,"workspaces":[{"name":"courts"}]}'
 fault platform '{"outage":"lose_answer","paths":"/v1/table/txn"}'
