--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -21,6 +21,7 @@
 /* A connection that has sent a request; @busy until its reply is written. */
 struct pending {
 	struct evhttp_connection *con;
+	struct evbuffer *out; /* of the connection */
 	struct tg_http_server *server;
 	bool busy;
 	void (*abort_fn)(void *arg);
@@ -29,6 +30,7 @@
 };
 
 struct tg_http_server {
+	const char *refusal_line;
 	struct evhttp *http;
 	struct event_base *base;
 	const struct tg_http_route *routes;
@@ -90,6 +92,8 @@
 	if (!p) {
 		p = tg_xcalloc(1, sizeof(*p));
 		p->con = con;
+		p->out = bufferevent_get_output(
+			evhttp_connection_get_bufferevent(con));
 		HASH_ADD_PTR(pendings, con, p);
 	}
 	p->server = s;
@@ -131,14 +135,31 @@
 	return n;
 }
 
-/* evhttp replies to invalid requests by itself; this counts those as well. */
+/* Whether evhttp refuses a request by itself, without a handler. */
+static bool is_own_refusal(struct evbuffer *out, const char *status)
+{
+	struct pending *p, *tmp;
+
+	if (*status != '4' && *status != '5')
+		return false;
+	HASH_ITER(hh, pendings, p, tmp)
+	if (p->out == out && p->busy)
+		return false;
+	return true;
+}
+
+/*
+ * evhttp replies to invalid requests by itself; this counts those as well, and
+ * adds the line that they lack.  It is called after the line of the status and
+ * before the headers.
+ */
 static void on_output(struct evbuffer *buf, const struct evbuffer_cb_info *info,
 		      void *arg)
 {
+	const struct tg_http_server *s = arg;
 	char head[STATUS_PREFIX + 1] = "";
 	char labels[32];
 
-	(void)arg;
 	if (info->orig_size || info->n_added < STATUS_PREFIX)
 		return;
 	evbuffer_copyout(buf, head, STATUS_PREFIX);
@@ -147,6 +168,8 @@
 	snprintf(labels, sizeof(labels), "status=\"%s\"", head + 9);
 	tg_counter("tg_http_replies_total", "HTTP replies by status.", labels)
 		->value++;
+	if (s->refusal_line && is_own_refusal(buf, head + 9))
+		evbuffer_add(buf, s->refusal_line, strlen(s->refusal_line));
 }
 
 static struct bufferevent *make_bufferevent(struct event_base *base, void *arg)
@@ -154,9 +177,8 @@
 	struct bufferevent *bev =
 		bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
 
-	(void)arg;
 	if (bev)
-		evbuffer_add_cb(bufferevent_get_output(bev), on_output, NULL);
+		evbuffer_add_cb(bufferevent_get_output(bev), on_output, arg);
 	return bev;
 }
 
@@ -267,6 +289,7 @@
 	s->routes = opts->routes;
 	s->ready = opts->ready;
 	s->arg = opts->arg;
+	s->refusal_line = opts->refusal_line;
 	s->http = evhttp_new(opts->base);
 	if (!s->http)
 		goto fail;
