--- a/tests/script/plat.sh
+++ b/tests/script/plat.sh
@@ -163,6 +163,7 @@
 get a
 list a
 object-put o/1 text
+wait
 object-get o/1
 instances
 wait
