--- a/cmd/tgentryd/claims.c
+++ b/cmd/tgentryd/claims.c
@@ -279,8 +279,9 @@
 	if (r->board->set.unsafe_dispatch_unclaimed)
 		request_enqueue(r);
 	else
-		refuse_unclaimed(r, "the claim of the key could not be "
-				    "recorded");
+		refuse_unclaimed(r,
+				 "the claim of the key could not be "
+				 "recorded");
 }
 
 static void on_unavailable(struct claim *c)
--- a/cmd/tgentryd/request.c
+++ b/cmd/tgentryd/request.c
@@ -245,7 +245,7 @@
 	    !tg_service_allows(spec, r->workspace_name)) {
 		stats_invalid("workspace");
 		refuse(r, 404, "Tg-Workspace",
-				"no such workspace of this service");
+		       "no such workspace of this service");
 		return false;
 	}
 	r->idempotent = (spec->idempotent_methods & r->method) != 0;
@@ -294,13 +294,13 @@
 
 	if (max && r->workspace->in_flight >= max) {
 		refuse(r, 429, "Tg-Workspace",
-				"the workspace has %d requests in flight", max);
+		       "the workspace has %d requests in flight", max);
 		return false;
 	}
 	if (!bucket_take(&r->workspace->rate, rate, tg_now_ms())) {
 		refuse(r, 429, "Tg-Workspace",
-				"the workspace sends more than %d requests/s",
-				spec->rate_per_s);
+		       "the workspace sends more than %d requests/s",
+		       spec->rate_per_s);
 		return false;
 	}
 	return true;
@@ -314,8 +314,7 @@
 
 	workers_choose(r->board, r, spec, &any);
 	if (!any) {
-		refuse(r, 503, "service",
-				"no backend server is available");
+		refuse(r, 503, "service", "no backend server is available");
 		return false;
 	}
 	if (s->queue.n >= (size_t)spec->queue) {
@@ -324,8 +323,8 @@
 	}
 	if (wait_ms > request_left_ms(r)) {
 		refuse(r, 503, "Tg-Deadline-Ms",
-				"the expected wait of %lld ms is longer",
-				(long long)wait_ms);
+		       "the expected wait of %lld ms is longer",
+		       (long long)wait_ms);
 		return false;
 	}
 	return true;
--- a/cmd/tgschedd/fault.c
+++ b/cmd/tgschedd/fault.c
@@ -28,6 +28,7 @@
 		{ o->unsafe_no_outage_renewal, "unsafe-no-outage-renewal" },
 		{ o->unsafe_restart_before_expiry,
 		  "unsafe-restart-before-expiry" },
+		{ o->unsafe_reuse_attempts, "unsafe-reuse-attempts" },
 	};
 	size_t i;
 
--- a/cmd/tgschedd/main.c
+++ b/cmd/tgschedd/main.c
@@ -74,6 +74,10 @@
 	SETTING("unsafe-restart-before-expiry", TG_SET_BOOL, NULL, 0, 0, false,
 		"fault test: count lost leases as expired at once",
 		unsafe_restart_before_expiry),
+	SETTING("unsafe-reuse-attempts", TG_SET_BOOL, NULL, 0, 0, false,
+		"fault test: use numbers of attempts again that were not "
+		"committed",
+		unsafe_reuse_attempts),
 	{ 0 },
 };
 
--- a/cmd/tgschedd/message.c
+++ b/cmd/tgschedd/message.c
@@ -225,7 +225,7 @@
 {
 	struct job *j = board_job(b, job);
 
-	if (j && attempt > j->attempt_floor)
+	if (j && attempt > j->attempt_floor && !b->opts->unsafe_reuse_attempts)
 		j->attempt_floor = attempt;
 	board_add_orphan(w, job, attempt, (int32_t)index);
 }
--- a/cmd/tgschedd/options.h
+++ b/cmd/tgschedd/options.h
@@ -13,7 +13,7 @@
 	int64_t drain_grace_ms, drain_max_ms;
 	bool unsafe_ignore_epoch, unsafe_start_before_reserved;
 	bool unsafe_renew_partial_gangs, unsafe_no_outage_renewal;
-	bool unsafe_restart_before_expiry;
+	bool unsafe_restart_before_expiry, unsafe_reuse_attempts;
 };
 
 #endif
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -6,19 +6,11 @@
 tmp=$(mktemp -d)
 pids=
 
-# is_own PID: whether it is still a child of this shell.  The id of an ended
-# process may belong to another one by now.
-is_own() {
-	[ "$(sed -n 's/.*) [A-Z] \([0-9]*\) .*/\1/p' "/proc/$1/stat" \
-		2>/dev/null)" = $$ ]
-}
+. "$TG_TESTS/process.inc"
 
 cleanup() {
-	for p in $pids; do
-		is_own "$p" || continue
-		kill -CONT "$p" 2>/dev/null
-		kill -KILL "$p" 2>/dev/null
-	done
+	# shellcheck disable=SC2086
+	kill_own $pids
 	rm -rf "$tmp"
 }
 trap cleanup EXIT
--- a/tests/sched-lib.sh
+++ b/tests/sched-lib.sh
@@ -1,6 +1,7 @@
 # Shell helpers of the scheduler's scripted runs; sourced, not run.
 # Processes are ended by their pid when the script ends.
 set -u
+. "$TG_TESTS/process.inc"
 # Defaults of the schedulers; a flag beats them.
 export TG_SCHED_RENEW_MS=200 TG_SCHED_LEASE_MS=1000 TG_RENEW_MS=300
 export TG_LEASE_MS=4000 TG_CALL_MS=300 TG_WORKER_LOST_MS=2000
@@ -9,10 +10,8 @@
 trap finish EXIT INT TERM
 
 finish() {
-	for p in $PIDS; do
-		kill -CONT "$p" 2>/dev/null
-		kill -KILL "$p" 2>/dev/null
-	done
+	# shellcheck disable=SC2086
+	kill_own $PIDS
 	wait 2>/dev/null
 	if [ -n "${TG_KEEP_LOGS:-}" ]; then
 		mkdir -p "$TG_KEEP_LOGS" && cp "$W"/* "$TG_KEEP_LOGS"/
--- a/tests/script/sched-frozen.sh
+++ b/tests/script/sched-frozen.sh
@@ -1,6 +1,7 @@
 # A scheduler is frozen between the steps of a gang's start while another one
 # takes over, then continues.  Guards against a late scheduler that stops or
-# starts parts of the gang; without the epoch it does.
+# starts parts of the gang.  Without the epoch, and with attempt numbers that are
+# used again, it does.
 . "$TG_TESTS/sched-lib.sh"
 
 # Whether a running member was stopped.  The reservations of s1 that were not
@@ -17,7 +18,7 @@
 	call "$1" list | grep -q '^not-active'
 }
 
-round() { # POINT [FLAG]
+round() { # POINT [FLAGS FLAG-OF-S2]
 	platform
 	plain_document
 	worker w1
@@ -25,7 +26,8 @@
 	# shellcheck disable=SC2086
 	sched s1 --pause-at "$1" ${2:-}
 	await "s1 is ready" ready s1 2
-	sched s2
+	# shellcheck disable=SC2086
+	sched s2 ${3:-}
 	submit s1 g 2 8 >/dev/null
 	await "s1 is frozen" frozen s1
 	await "s2 is ready" ready s2 2
@@ -48,7 +50,8 @@
 	done
 }
 
-round reserve --unsafe-ignore-epoch
+round reserve "--unsafe-ignore-epoch --unsafe-reuse-attempts" \
+	--unsafe-reuse-attempts
 round reserve
 round commit
 round start
