--- a/cmd/tgctl/ctl.h
+++ b/cmd/tgctl/ctl.h
@@ -61,6 +61,8 @@
 void ctl_print_json(const json_t *v);
 /** ctl_print_members() - "key: value" lines */
 void ctl_print_members(const json_t *v);
+/** ctl_show_job() - state and explanation of a job, for people */
+void ctl_show_job(const json_t *job);
 /**
  * ctl_print_table() - aligned columns
  * @columns: keys, ended by NULL; one that no row has is left out
--- a/cmd/tgctl/jobs.c
+++ b/cmd/tgctl/jobs.c
@@ -117,7 +117,7 @@
 	if (c->opts.json)
 		ctl_print_json(v);
 	else
-		ctl_print_members(v);
+		ctl_show_job(v);
 }
 
 /* One line on stderr for each state that is seen. */
--- a/tests/demo/demo.sh
+++ b/tests/demo/demo.sh
@@ -19,16 +19,16 @@
 echo "== a gang of 16 accelerators over two workers"
 ctl --workspace=courts --job=train-1 --class=guaranteed --az=north --tasks=2 \
 	--accelerators=8 --cores=16 --memory-gb=64 --within-rack \
-	--declared-ms=60000 --task='{"run_ms":3000}' submit
+	--declared-ms=60000 --task='{"run_ms":3000}' submit | grep '^state'
 i=0
-until ctl status courts train-1 | grep -q running || [ $i -gt 100 ]; do
+until ctl status courts train-1 | grep -q '^state: running' || [ $i -gt 100 ]; do
 	i=$((i + 1))
 	sleep 0.1
 done
 ctl workers
 echo "== tgctl explain courts train-1"
-ctl explain courts train-1 | head -8
-ctl --wait status courts train-1 2>/dev/null | tail -1
+ctl explain courts train-1 | head -12
+ctl --wait status courts train-1 2>/dev/null | grep '^state'
 echo "== drain"
 down && echo "all processes drained and ended"
 trap - EXIT
