--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 export Q BUILD SAN OPT
 LIBDIRS = $(dir $(wildcard lib/*/Makefile))
 PROGDIRS = $(dir $(wildcard cmd/*/Makefile tests/standin/*/Makefile \
-	tests/load/Makefile tests/unit/*/Makefile tests/bench/*/Makefile))
+	tests/load/Makefile tests/unit/*/Makefile tests/bench/*/Makefile \
+	tests/fault/*/Makefile))
 
 all: $(LIBDIRS) $(PROGDIRS)
 
--- /dev/null
+++ b/tests/fault/run/steps.sh
@@ -0,0 +1,229 @@
+# The steps of a random fault run.  Sourced by random-run.sh.
+# shellcheck shell=sh
+background=
+keys=
+jobs=
+
+# in_background COMMAND...
+in_background() {
+	"$@" &
+	background="$background $!"
+}
+
+step_get() { in_background attempt "$number" "$1" none "" GET "r$number?$2"; }
+step_post() { in_background attempt "$number" "$1" none "" POST "r$number?$2"; }
+
+# at_two KIND KEY ENTRY ENTRY PATH: the same key at both, or at the first
+at_two() {
+	keys="$1,$2,$5 $keys"
+	in_background attempt "$number" "$3" "$1" "$2" POST "$5"
+	[ "$4" = - ] || in_background attempt "$number.2" "$4" "$1" "$2" POST "$5"
+}
+
+step_caller() { at_two caller "key-$number" "$1" "$2" "r$number?$3"; }
+
+step_issued() {
+	is_up "$1" || return 0
+	issued=$(curl -s -m 1 -X POST "http://$(http_of "$1")/v1/keys" |
+		jq -r '.key // empty' 2>/dev/null)
+	[ -z "$issued" ] || at_two issued "$issued" "$2" "$3" "r$number?$4"
+}
+
+# step_again ENTRY N: the Nth last key once more
+step_again() {
+	k=$(echo "$keys" | cut -d' ' -f"$2")
+	[ -z "$k" ] && return 0
+	kind=${k%%,*}
+	k=${k#*,}
+	in_background attempt "$number" "$1" "$kind" "${k%%,*}" POST "${k#*,}"
+}
+
+submit() { # NUMBER ENTRY AZ TASKS ACCELERATORS RUN-MS CLASS
+	call_line "$tmp/job-$1" -d "{\"workspace\":\"courts\",\"job\":\"j-$1\",
+		\"class\":\"$7\",\"az\":\"$3\",\"tasks\":$4,
+		\"accelerators_per_task\":$5,\"cores_per_task\":1,
+		\"memory_gb_per_task\":1,\"within_rack\":false,
+		\"declared_ms\":1000,\"task\":{\"run_ms\":$6}}" \
+		"http://$(http_of "$2")/v1/jobs"
+	jq -nc --arg j "j-$1" --argjson s "$status" --arg o "$outcome" \
+		--arg e "$2" '{kind: "submit", job: $j, status: $s, outcome: $o,
+		entry: $e}' >"$tmp/job-$1.json"
+}
+
+step_job() {
+	jobs="$number $jobs"
+	in_background submit "$number" "$@"
+}
+
+cancel() { # NUMBER JOB ENTRY
+	call_line "$tmp/cancel-$1" -X DELETE \
+		"http://$(http_of "$3")/v1/jobs/courts/j-$2"
+	jq -nc --arg j "j-$2" --argjson s "$status" --arg o "$outcome" \
+		'{kind: "cancel", job: $j, status: $s, outcome: $o}' \
+		>"$tmp/cancel-$1.json"
+}
+
+step_cancel() { # ENTRY N: the Nth last job
+	j=$(echo "$jobs" | cut -d' ' -f"$2")
+	[ -z "$j" ] || in_background cancel "$number" "$j" "$1"
+}
+
+# save_document GENERATION MARKER NUMBER: the marker is the last workspace
+save_document() {
+	jq -nc --arg m "$2" '{version: 1, weights: {completion: 70,
+		fragmentation: 30}, workspaces: [{name: "courts",
+		max_in_flight: 64, rate_per_s: 1000}, {name: $m}],
+		services: [{name: "responder", workspaces: ["courts"],
+		azs: ["a", "b"], timeout_ms: 700, queue: 256,
+		idempotent_methods: ["GET", "HEAD"]}]}' >"$tmp/save-$3.document"
+	call_line "$tmp/save-$3" -X PUT -T "$tmp/save-$3.document" \
+		-H "Authorization: Bearer $(cat "$tmp/key")" \
+		-H 'X-Tg-Operator: ada' \
+		"http://$console_http/v1/document?generation=$1"
+	jq -nc --arg m "$2" --argjson from "$1" --argjson s "$status" \
+		--rawfile body "$tmp/save-$3.body" '{kind: "save", marker: $m,
+		from: $from, status: $s, generation:
+		(try ($body | fromjson | .generation) catch null)}' \
+		>"$tmp/save-$3.json"
+	[ "$status" = 200 ]
+}
+
+loaded_generation() {
+	curl -s -m 2 -H "Authorization: Bearer $(cat "$tmp/key")" \
+		"http://$console_http/v1/document" |
+		jq -r '.generation // empty' 2>/dev/null
+}
+
+step_save() {
+	g=$(loaded_generation)
+	[ -z "$g" ] || in_background save_document "$g" "save-$number" "$number"
+}
+
+step_save_twice() {
+	g=$(loaded_generation)
+	[ -z "$g" ] && return 0
+	in_background save_document "$g" "save-$number" "$number"
+	in_background save_document "$g" "save-$number-2" "$number-2"
+}
+
+# step_fault TARGET KIND
+step_fault() {
+	record --arg n "$1" --arg f "$2" --argjson t "$(now_ms)" \
+		'{kind: "fault", name: $n, fault: $f, at_ms: $t}'
+	case $2 in
+	kill) kill_process "$1" ;;
+	stop)
+		is_own "$(pid_of "$1")" && kill -STOP "$(pid_of "$1")"
+		set_down "$1" 1
+		;;
+	outage-refuse) fault "$1" '{"outage":"refuse"}' ;;
+	outage-hang) fault "$1" '{"outage":"hang"}' ;;
+	outage-lose) fault "$1" '{"outage":"lose_answer","only":"table"}' ;;
+	slow)
+		if [ "$1" = platform ]; then
+			fault "$1" '{"slow_ms":250}'
+		else
+			fault "$1" '{"service_delay_ms":600}'
+		fi
+		;;
+	lose-next) fault "$1" '{"lose_next":3}' ;;
+	cut) fault "$1" '{"cut":true}' ;;
+	hang) fault "$1" '{"hang_service":true}' ;;
+	late) fault "$1" '{"answer_late_ms":900}' ;;
+	closes) fault "$1" '{"close_after_read":true}' ;;
+	draining) fault "$1" '{"draining":true}' ;;
+	esac
+	record --arg n "$1" --arg f "$2" --argjson t "$(now_ms)" \
+		'{kind: "fault-set", name: $n, fault: $f, at_ms: $t}'
+	faulty="${faulty:-} $1,$2"
+}
+
+# step_heal TARGET KIND
+step_heal() {
+	record --arg n "$1" --arg f "$2" --argjson t "$(now_ms)" \
+		'{kind: "heal", name: $n, fault: $f, at_ms: $t}'
+	case $2 in
+	kill) launch "$1" ;;
+	stop)
+		is_own "$(pid_of "$1")" && kill -CONT "$(pid_of "$1")"
+		set_down "$1" 0
+		;;
+	*) fault "$1" '{}' ;;
+	esac
+	left=
+	for x in $faulty; do
+		[ "$x" = "$1,$2" ] || left="$left $x"
+	done
+	faulty=$left
+}
+
+heal_all() {
+	for x in ${faulty:-}; do
+		step_heal "${x%,*}" "${x#*,}"
+	done
+}
+
+# reach WHAT COMMAND...: like await, but the run goes on without it
+reach() {
+	what=$1
+	shift
+	i=0
+	until "$@" >/dev/null 2>&1; do
+		i=$((i + 1))
+		if [ $i -gt 300 ]; then
+			record --arg w "$what" '{kind: "not-reached", what: $w}'
+			return 0
+		fi
+		sleep 0.2
+	done
+}
+
+job_state() { # NUMBER: its state, or the status if there is none
+	call_line "$tmp/state" "http://$e_1_http/v1/jobs/courts/j-$1"
+	jq -r '.state // empty' "$tmp/state.body" 2>/dev/null
+}
+
+# A job may wait in the queue if its reason is told.
+job_at_rest() { # NUMBER
+	s=$(job_state "$1")
+	case $s in
+	done | cancelled | parked) return 0 ;;
+	"") [ "$status" = 404 ] ;;
+	*) return 1 ;;
+	esac
+}
+
+answered_by() { # ENTRY
+	call_line "$tmp/last" -H 'Tg-Workspace: courts' \
+		"http://$(http_of "$1")/v1/svc/responder/last"
+	[ "$outcome" = answered ] && [ "$status" = 200 ]
+}
+
+in_force() { # GENERATION: at every daemon, as e-1 and e-3 see it
+	for p in e-1 e-3; do
+		curl -s -m 2 "http://$(http_of "$p")/v1/document" |
+			jq -e --argjson g "$1" '.generation == $g' || return 1
+	done
+	curl -s -m 2 "http://$e_1_http/v1/peers" | jq -e --argjson g "$1" \
+		'[.peers[] | select(.live and .generation == $g)] | length >= 3'
+}
+
+come_to_rest() {
+	for p in $background; do
+		wait "$p"
+	done
+	for p in $entries; do
+		reach "answer of $p" answered_by "$p"
+	done
+	reach "a last save" last_save
+	reach "the last document everywhere" in_force "$(loaded_generation)"
+	for j in $jobs; do
+		reach "end of j-$j" job_at_rest "$j"
+		record --arg j "j-$j" --arg s "$(job_state "$j")" \
+			'{kind: "final-job", job: $j, state: $s}'
+	done
+}
+
+last_save() {
+	save_document "$(loaded_generation)" save-last last
+}
--- /dev/null
+++ b/tests/fault/steps/main.c
@@ -0,0 +1,258 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/base.h"
+
+/**
+ * DOC: draws the steps of a random fault run
+ *
+ * One step per line: number, pause before it in ms, what to do.  The same seed
+ * and number give the same steps.  --now prints the monotonic clock instead,
+ * for a shell script that records when it did something.
+ */
+
+#define PROG "faultsteps"
+#define FAULTS_MAX 2
+#define PAUSE_MAX_MS 300
+/* Longer than the 4 s in which a leaving worker may get requests, and than the
+ * short leases of the run. */
+#define FAULT_MIN_MS 600
+#define FAULT_MAX_MS 7000
+
+struct opts {
+	int64_t seed, steps;
+	bool now;
+};
+
+static const struct tg_setting settings[] = {
+	{ "seed", TG_SET_INT, "1", 0, INT64_MAX / 2, false, "seed",
+	  offsetof(struct opts, seed) },
+	{ "steps", TG_SET_INT, "40", 1, 100000, false, "number of steps",
+	  offsetof(struct opts, steps) },
+	{ "now", TG_SET_BOOL, NULL, 0, 0, false,
+	  "print the monotonic clock in ms", offsetof(struct opts, now) },
+	{ 0 },
+};
+
+struct fault {
+	const char *target; /* NULL: none */
+	const char *kind;
+	int64_t end_ms;
+};
+
+struct draw {
+	struct tg_rng rng;
+	int64_t step, at_ms, last_key, last_job;
+	struct fault faults[FAULTS_MAX];
+};
+
+static const char *const entries[] = { "e-1", "e-2", "e-3" };
+static const char *const scheds[] = { "s-1", "s-2", "s-3" };
+static const char *const workers[] = { "w-1", "w-2", "w-3", "w-4" };
+
+static const char *const platform_faults[] = {
+	"outage-refuse", "outage-hang", "outage-lose", "slow", "lose-next",
+};
+static const char *const worker_faults[] = {
+	"kill", "stop", "cut",	  "hang",     "late",
+	"late", "slow", "closes", "draining", "draining",
+};
+static const char *const process_faults[] = { "kill", "stop" };
+
+#define PICK(d, list) (list)[tg_rng_below(&(d)->rng, ARRAY_SIZE(list))]
+
+static unsigned int below(struct draw *d, unsigned int n)
+{
+	return (unsigned int)tg_rng_below(&d->rng, n);
+}
+
+static void begin_line(struct draw *d)
+{
+	unsigned int pause_ms = below(d, PAUSE_MAX_MS);
+
+	d->at_ms += pause_ms;
+	printf("%lld %u ", (long long)d->step, pause_ms);
+}
+
+static bool has_fault(const struct draw *d, const char *target)
+{
+	int i;
+
+	for (i = 0; i < FAULTS_MAX; i++)
+		if (d->faults[i].target && !strcmp(d->faults[i].target, target))
+			return true;
+	return false;
+}
+
+static struct fault *free_fault(struct draw *d)
+{
+	int i;
+
+	for (i = 0; i < FAULTS_MAX; i++)
+		if (!d->faults[i].target)
+			return &d->faults[i];
+	return NULL;
+}
+
+static struct fault draw_fault(struct draw *d)
+{
+	struct fault f = { 0 };
+
+	switch (below(d, 8)) {
+	case 0:
+	case 1:
+		f.target = "platform";
+		f.kind = PICK(d, platform_faults);
+		break;
+	case 2:
+	case 3:
+		f.target = PICK(d, entries);
+		f.kind = PICK(d, process_faults);
+		break;
+	case 4:
+	case 5:
+		f.target = PICK(d, scheds);
+		f.kind = PICK(d, process_faults);
+		break;
+	default:
+		f.target = PICK(d, workers);
+		f.kind = PICK(d, worker_faults);
+		break;
+	}
+	f.end_ms =
+		d->at_ms + FAULT_MIN_MS + below(d, FAULT_MAX_MS - FAULT_MIN_MS);
+	return f;
+}
+
+static bool step_fault(struct draw *d)
+{
+	struct fault *slot = free_fault(d);
+	struct fault f = draw_fault(d);
+
+	if (!slot || has_fault(d, f.target))
+		return false;
+	*slot = f;
+	begin_line(d);
+	printf("fault %s %s\n", f.target, f.kind);
+	return true;
+}
+
+static void end_faults(struct draw *d)
+{
+	int i;
+
+	for (i = 0; i < FAULTS_MAX; i++) {
+		struct fault *f = &d->faults[i];
+
+		if (!f->target || d->at_ms < f->end_ms)
+			continue;
+		printf("%lld 0 heal %s %s\n", (long long)d->step, f->target,
+		       f->kind);
+		*f = (struct fault){ 0 };
+	}
+}
+
+static void step_request(struct draw *d)
+{
+	static const unsigned int sizes[] = { 0, 0, 1, 5000, 100000 };
+	const char *e = PICK(d, entries);
+	unsigned int work_ms = below(d, 4) ? below(d, 60) : below(d, 900);
+
+	begin_line(d);
+	switch (below(d, 8)) {
+	case 0:
+	case 1:
+		printf("get %s work_ms=%u", e, work_ms);
+		break;
+	case 2:
+	case 3:
+		printf("post %s work_ms=%u", e, work_ms);
+		break;
+	case 4:
+	case 5:
+		d->last_key = d->step;
+		printf("caller %s %s work_ms=%u", e,
+		       below(d, 2) ? PICK(d, entries) : "-", work_ms);
+		break;
+	default:
+		d->last_key = d->step;
+		printf("issued %s %s %s work_ms=%u", PICK(d, entries), e,
+		       below(d, 2) ? PICK(d, entries) : "-", work_ms);
+		break;
+	}
+	if (below(d, 4) == 0)
+		printf("&size=%u", PICK(d, sizes));
+	printf("\n");
+}
+
+static void step_again(struct draw *d)
+{
+	begin_line(d);
+	/* Of the last keys, so that the first attempt may be in progress. */
+	printf("again %s %u\n", PICK(d, entries), 1 + below(d, 6));
+}
+
+static void step_job(struct draw *d)
+{
+	static const char *const classes[] = { "lent", "lent", "guaranteed",
+					       "urgent" };
+	static const unsigned int sizes[] = { 1, 2, 2, 3 };
+	unsigned int tasks = PICK(d, sizes);
+	const char *az = tasks == 1 && !below(d, 3) ? "b" : "a";
+
+	d->last_job = d->step;
+	begin_line(d);
+	printf("job %s %s %u %u %u %s\n", PICK(d, entries), az, tasks,
+	       1 + below(d, 4), 100 + below(d, 6000), PICK(d, classes));
+}
+
+static void step(struct draw *d)
+{
+	unsigned int what = below(d, 100);
+
+	if (what < 12 && step_fault(d))
+		return;
+	if (what < 30) {
+		step_job(d);
+	} else if (what < 34) {
+		begin_line(d);
+		printf("cancel %s %u\n", PICK(d, entries), 1 + below(d, 3));
+	} else if (what < 42) {
+		begin_line(d);
+		printf("%s\n", below(d, 3) ? "save" : "save-twice");
+	} else if (what < 54) {
+		step_again(d);
+	} else {
+		step_request(d);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	static const struct tg_settings_spec spec = {
+		.prog = PROG,
+		.summary = "Draws the steps of a random fault run.",
+		.items = settings,
+	};
+	struct opts o;
+	struct draw d = { 0 };
+
+	switch (tg_settings_load(&spec, argc, argv, &o, NULL)) {
+	case TG_SETTINGS_OK:
+		break;
+	case TG_SETTINGS_DONE:
+		return 0;
+	case TG_SETTINGS_BAD:
+		return TG_EXIT_USAGE;
+	}
+	if (o.now) {
+		printf("%lld\n", (long long)tg_now_ms());
+		return 0;
+	}
+	d.rng.state = (uint64_t)o.seed;
+	for (d.step = 1; d.step <= o.steps; d.step++) {
+		end_faults(&d);
+		step(&d);
+	}
+	return 0;
+}
--- a/tests/standin/workerd/lease.c
+++ b/tests/standin/workerd/lease.c
@@ -14,15 +14,16 @@
 static void log_change(struct board *b, const struct lease *l,
 		       const char *state, int64_t at_ms)
 {
-	lines_add(&b->tasks,
-		  json_pack("{s:s, s:I, s:I, s:I, s:I, s:s, s:s*, s:I, s:I}",
-			    "job", l->job, "attempt", (json_int_t)l->attempt,
-			    "index", (json_int_t)l->index, "gang_size",
-			    (json_int_t)l->gang_size, "epoch",
-			    (json_int_t)l->epoch, "state", state, "reason",
-			    l->reason, "progress_ms",
-			    (json_int_t)l->progress_ms, "at_ms",
-			    (json_int_t)(at_ms - b->opts.clock_offset_ms)));
+	json_t *v = json_pack(
+		"{s:s, s:I, s:I, s:I, s:I, s:s, s:s*, s:I, s:I}", "job", l->job,
+		"attempt", (json_int_t)l->attempt, "index",
+		(json_int_t)l->index, "gang_size", (json_int_t)l->gang_size,
+		"epoch", (json_int_t)l->epoch, "state", state, "reason",
+		l->reason, "progress_ms", (json_int_t)l->progress_ms, "at_ms",
+		(json_int_t)(at_ms - b->opts.clock_offset_ms));
+
+	log_file_add(b, "task", v);
+	lines_add(&b->tasks, v);
 	tg_log(EV_WORKERD_LEASE, "job=%s attempt=%lld index=%lld state=%s",
 	       l->job, (long long)l->attempt, (long long)l->index, state);
 }
--- a/tests/standin/workerd/main.c
+++ b/tests/standin/workerd/main.c
@@ -50,6 +50,8 @@
 		"least time from SIGTERM to the end", drain_grace_ms),
 	SETTING("drain-max-ms", TG_SET_INT, "60000", 0, 3600000,
 		"limit of a drain", drain_max_ms),
+	SETTING("log-file", TG_SET_STRING, NULL, 0, 0,
+		"file that the log of what ran is appended to", log_file),
 	SETTING("log-level", TG_SET_STRING, "info", 0, 0,
 		"debug, info, warn or error", log_level),
 	{ 0 },
@@ -200,6 +202,10 @@
 	tg_log_register(tg_http_events);
 	tg_log_register(events);
 	tg_token(b.boot);
+	if (log_file_open(&b)) {
+		perror(PROG ": --log-file");
+		return TG_EXIT_USAGE;
+	}
 	b.base = new_precise_loop();
 	daemon.base = b.base;
 	daemon.drain_max_ms = b.opts.drain_max_ms;
--- a/tests/standin/workerd/service.c
+++ b/tests/standin/workerd/service.c
@@ -43,6 +43,13 @@
 {
 	struct evkeyvalq *out = evhttp_request_get_output_headers(req);
 
+	json_t *v = json_pack("{s:s, s:s, s:I, s:b}", "path",
+			      evhttp_request_get_uri(req), "why", why, "at_ms",
+			      (json_int_t)tg_now_ms(), "draining",
+			      (int)worker_draining(b));
+
+	log_file_add(b, "refused", v);
+	json_decref(v);
 	b->refused_requests++;
 	evhttp_add_header(out, "Tg-Not-Run", "1");
 	add_draining(b, req);
@@ -151,6 +158,7 @@
 		r->entry, "key",
 		json_string(header_or_empty(req, "Idempotency-Key")));
 	json_object_set_new(r->entry, "start_ms", json_integer(tg_now_ms()));
+	log_file_add(b, "run", r->entry);
 }
 
 static void start_run(struct board *b, struct evhttp_request *req,
--- a/tests/standin/workerd/workerd.h
+++ b/tests/standin/workerd/workerd.h
@@ -22,7 +22,7 @@
 
 struct opts {
 	const char *http_addr, *service_addr, *platform, *name, *az, *rack;
-	const char *log_level;
+	const char *log_level, *log_file;
 	int64_t cores, memory_gb, accelerators, slots, connections;
 	int64_t clock_offset_ms, linger_ms, drain_grace_ms, drain_max_ms;
 };
@@ -69,6 +69,7 @@
 	struct event_base *base;
 	struct tg_http_server *agent, *service;
 	struct tg_http_client *client;
+	FILE *log_file; /* entries that survive a kill; may be NULL */
 	struct faults faults;
 	char boot[TG_TOKEN_LEN + 1];
 	int64_t epoch;
@@ -88,6 +89,15 @@
 bool worker_draining(const struct board *b);
 
 void lines_add(struct lines *l, json_t *v);
+/**
+ * log_file_open() - append to --log-file, if given; 0 or -1
+ *
+ * Every line is written at once, so that a worker that is killed leaves a
+ * whole record.
+ */
+int log_file_open(struct board *b);
+/** log_file_add() - one JSON line of @kind with the worker's name and boot */
+void log_file_add(struct board *b, const char *kind, const json_t *v);
 void faults_set(struct evhttp_request *req, void *arg);
 void reply_log(struct evhttp_request *req, void *arg);
 void reply_stats(struct evhttp_request *req, void *arg);
