--- a/tests/fault/run/steps.sh
+++ b/tests/fault/run/steps.sh
@@ -178,15 +178,19 @@
 	done
 }
 
-job_state() { # NUMBER: its state, or the status if there is none
+# read_job NUMBER: sets status, and state and reason, which are empty if there
+# is no such job
+read_job() {
 	call_line "$tmp/state" "http://$e_1_http/v1/jobs/courts/j-$1"
-	jq -r '.state // empty' "$tmp/state.body" 2>/dev/null
+	state=$(jq -r '.state // empty' "$tmp/state.body" 2>/dev/null)
+	reason=$(jq -r '.reason // empty' "$tmp/state.body" 2>/dev/null)
 }
 
-# A job may wait in the queue if its reason is told.
+# Every job of a run fits the fleet and takes at most 6.1 s, so that none may
+# stay queued when all faults have ended.
 job_at_rest() { # NUMBER
-	s=$(job_state "$1")
-	case $s in
+	read_job "$1"
+	case $state in
 	done | cancelled | parked) return 0 ;;
 	"") [ "$status" = 404 ] ;;
 	*) return 1 ;;
@@ -219,8 +223,8 @@
 	reach "the last document everywhere" in_force "$(loaded_generation)"
 	for j in $jobs; do
 		reach "end of j-$j" job_at_rest "$j"
-		record --arg j "j-$j" --arg s "$(job_state "$j")" \
-			'{kind: "final-job", job: $j, state: $s}'
+		record --arg j "j-$j" --arg s "$state" --arg r "$reason" \
+			'{kind: "final-job", job: $j, state: $s, reason: $r}'
 	done
 }
 
