--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,8 @@
 endif
 LIBDIRS = $(dir $(wildcard lib/*/Makefile))
 PROGDIRS = $(dir $(wildcard cmd/*/Makefile tests/standin/*/Makefile \
-	tests/load/Makefile tests/unit/*/Makefile tests/bench/*/Makefile))
+	tests/load/Makefile tests/unit/*/Makefile tests/bench/*/Makefile \
+	tests/fault/*/Makefile))
 
 all: $(LIBDIRS) $(PROGDIRS)
 
