Count the bytes of HTTP and RPC that a daemon receives and sends

The budget for control is stated in bytes per second, and no counter told what a daemon sends. tg_http_bytes_total and tg_rpc_bytes_total add the sizes that evbuffer callbacks report; a connection looks its counters up once. Headers of TCP, UDP and IP are not counted.

--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -256,6 +256,8 @@
 			  const char *labels);
 struct tg_hist *tg_histogram(const char *name, const char *help,
 			     const char *labels);
+/** tg_count_bytes() - add all bytes that enter @buf to @c */
+void tg_count_bytes(struct evbuffer *buf, struct tg_counter *c);
 /** tg_metrics_write() - all series in the text exposition format */
 void tg_metrics_write(struct evbuffer *out);
 
--- a/lib/base/metrics.c
+++ b/lib/base/metrics.c
@@ -88,6 +88,20 @@
 	return get(name, help, labels, HISTOGRAM)->u.hist;
 }
 
+static void on_bytes(struct evbuffer *buf, const struct evbuffer_cb_info *info,
+		     void *arg)
+{
+	struct tg_counter *c = arg;
+
+	(void)buf;
+	c->value += info->n_added;
+}
+
+void tg_count_bytes(struct evbuffer *buf, struct tg_counter *c)
+{
+	evbuffer_add_cb(buf, on_bytes, c);
+}
+
 static int by_key(const struct series *a, const struct series *b)
 {
 	int c = strcmp(a->name, b->name);
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -81,6 +81,7 @@
 		goto fail;
 	bev = evhttp_connection_get_bufferevent(c->con);
 	evbuffer_add_cb(bufferevent_get_output(bev), on_request_bytes, c);
+	tg_http_count_bytes(bev);
 	evhttp_connection_set_retries(c->con, 0);
 	evhttp_connection_set_max_headers_size(
 		c->con, (ev_ssize_t)client->opts.header_bytes);
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -22,6 +22,16 @@
 /** tg_http_events - register with tg_log_register() */
 extern const struct tg_event_info tg_http_events[];
 
+struct bufferevent;
+
+/**
+ * tg_http_count_bytes() - count a connection in tg_http_bytes_total
+ *
+ * Servers and clients of this library call it; bytes are those of HTTP,
+ * without the headers of TCP and IP.
+ */
+void tg_http_count_bytes(struct bufferevent *bev);
+
 /* --- server --- */
 
 struct tg_http_server;
--- a/lib/http/message.c
+++ b/lib/http/message.c
@@ -1,6 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <event2/bufferevent.h>
+
 #include "http/http.h"
 
 static const struct {
@@ -163,3 +165,14 @@
 	n = evbuffer_get_length(r->body);
 	return json_loadb((char *)evbuffer_pullup(r->body, -1), n, 0, NULL);
 }
+
+void tg_http_count_bytes(struct bufferevent *bev)
+{
+	static const char name[] = "tg_http_bytes_total";
+	static const char help[] = "Bytes of HTTP received and sent.";
+
+	tg_count_bytes(bufferevent_get_input(bev),
+		       tg_counter(name, help, "direction=\"in\""));
+	tg_count_bytes(bufferevent_get_output(bev),
+		       tg_counter(name, help, "direction=\"out\""));
+}
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -155,8 +155,10 @@
 		bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
 
 	(void)arg;
-	if (bev)
-		evbuffer_add_cb(bufferevent_get_output(bev), on_output, NULL);
+	if (!bev)
+		return NULL;
+	evbuffer_add_cb(bufferevent_get_output(bev), on_output, NULL);
+	tg_http_count_bytes(bev);
 	return bev;
 }
 
--- a/lib/oncrpc/client.c
+++ b/lib/oncrpc/client.c
@@ -190,6 +190,7 @@
 	tg_strlcpy(p->addr, addr, sizeof(p->addr));
 	p->bev = bufferevent_socket_new(
 		c->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	rpc_count_bytes(p->bev);
 	bufferevent_setcb(p->bev, on_read, NULL, on_event, p);
 	bufferevent_set_timeouts(p->bev, &limit, &limit);
 	bufferevent_setwatermark(p->bev, EV_READ, 0, 2 * TG_RPC_RECORD_MAX);
@@ -273,9 +274,10 @@
 	if (evutil_parse_sockaddr_port(addr, (struct sockaddr *)&ss, &len))
 		return;
 	p = rpc_encode_call(++c->next_xid, proc, args, &n);
-	if (p && n <= TG_RPC_DATAGRAM_MAX)
-		(void)!sendto(udp_socket(c, ss.ss_family), p, n, MSG_DONTWAIT,
-			      (struct sockaddr *)&ss, (socklen_t)len);
+	if (p && n <= TG_RPC_DATAGRAM_MAX &&
+	    sendto(udp_socket(c, ss.ss_family), p, n, MSG_DONTWAIT,
+		   (struct sockaddr *)&ss, (socklen_t)len) > 0)
+		rpc_bytes_out()->value += n;
 	free(p);
 }
 
--- a/lib/oncrpc/codec.c
+++ b/lib/oncrpc/codec.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <event2/bufferevent.h>
+
 #include "oncrpc/codec.h"
 
 #define LAST_FRAGMENT 0x80000000U
@@ -230,3 +232,33 @@
 	evbuffer_add(out, &mark, sizeof(mark));
 	evbuffer_add(out, p, n);
 }
+
+static struct tg_counter *bytes_counter(const char *labels)
+{
+	return tg_counter("tg_rpc_bytes_total",
+			  "Bytes of RPC received and sent.", labels);
+}
+
+struct tg_counter *rpc_bytes_in(void)
+{
+	static struct tg_counter *c;
+
+	if (!c)
+		c = bytes_counter("direction=\"in\"");
+	return c;
+}
+
+struct tg_counter *rpc_bytes_out(void)
+{
+	static struct tg_counter *c;
+
+	if (!c)
+		c = bytes_counter("direction=\"out\"");
+	return c;
+}
+
+void rpc_count_bytes(struct bufferevent *bev)
+{
+	tg_count_bytes(bufferevent_get_input(bev), rpc_bytes_in());
+	tg_count_bytes(bufferevent_get_output(bev), rpc_bytes_out());
+}
--- a/lib/oncrpc/codec.h
+++ b/lib/oncrpc/codec.h
@@ -61,4 +61,13 @@
 /* rpc_write_record() - add @p with its record mark */
 void rpc_write_record(struct evbuffer *out, const void *p, size_t n);
 
+/*
+ * Bytes of RPC in tg_rpc_bytes_total, record marks included, without the
+ * headers of TCP, UDP and IP.
+ */
+struct tg_counter *rpc_bytes_in(void);
+struct tg_counter *rpc_bytes_out(void);
+struct bufferevent;
+void rpc_count_bytes(struct bufferevent *bev);
+
 #endif
--- a/lib/oncrpc/server.c
+++ b/lib/oncrpc/server.c
@@ -246,6 +246,7 @@
 		c->next->prev = c;
 	s->connections = c;
 	s->n_connections++;
+	rpc_count_bytes(c->bev);
 	bufferevent_setcb(c->bev, on_read, NULL, on_event, c);
 	bufferevent_set_timeouts(c->bev, &idle, &idle);
 	bufferevent_setwatermark(c->bev, EV_READ, 0, 2 * TG_RPC_RECORD_MAX);
@@ -264,6 +265,7 @@
 
 	if (n < 0)
 		return false;
+	rpc_bytes_in()->value += (uint64_t)n;
 	if (decode(s, buf, (size_t)n, &m) != RPC_DECODED)
 		return true;
 	req = make_req(s, &m);
@@ -288,12 +290,14 @@
 {
 	struct connection *c = req->con;
 
-	if (req->by_udp)
-		return sendto(req->server->udp_fd, p, n, MSG_DONTWAIT,
-			      (struct sockaddr *)&req->from,
-			      req->from_len) == (ssize_t)n ?
-			0 :
-			-1;
+	if (req->by_udp) {
+		if (sendto(req->server->udp_fd, p, n, MSG_DONTWAIT,
+			   (struct sockaddr *)&req->from,
+			   req->from_len) != (ssize_t)n)
+			return -1;
+		rpc_bytes_out()->value += n;
+		return 0;
+	}
 	if (!c)
 		return -1;
 	rpc_write_record(bufferevent_get_output(c->bev), p, n);
