Measure how the daemons' use grows with the sizes of the fleet

The targets of docs/design.md, section 1, were not tied to any measurement. AZs of different sizes run side by side on one platform stand-in, so that one window measures a whole series. The window is a multiple of the renewal and note periods: with 12 s a daemon had two or three renewal rounds in it.

--- a/tests/bench/bench.sh
+++ b/tests/bench/bench.sh
@@ -79,10 +79,10 @@
 	paste -d' ' "$tmp/before" "$tmp/after" |
 		awk -v p="$kind $round $way" -v w=$(($(stat writes) - w0)) \
 			-v r=$(($(stat reads) - r0)) '{
-			print p, "cpu_us", $13 - $2
-			print p, "table_reads", $19 - $8
-			print p, "table_writes", $20 - $9
-			print p, "table_txns", $21 - $10
+			print p, "cpu_us", $14 - $2
+			print p, "table_reads", $20 - $8
+			print p, "table_writes", $21 - $9
+			print p, "table_txns", $22 - $10
 			print p, "platform_writes", w
 			print p, "platform_reads", r
 		}' >>"$tmp/loops"
@@ -224,17 +224,17 @@
 	w1=$(stat writes)
 	paste -d' ' "$tmp/s0" "$tmp/s1" "$tmp/s2" |
 		awk -v n=$n -v w=$((w1 - w0)) '{
-		at_rest = ($20 - $9) / ($12 - $1)
-		reads_at_rest = ($19 - $8) / ($12 - $1)
-		s = $23 - $12
+		at_rest = ($21 - $9) / ($13 - $1)
+		reads_at_rest = ($20 - $8) / ($13 - $1)
+		s = $25 - $13
 		printf "sched_table_writes_at_rest %.3g writes/s\n", at_rest
 		printf "sched_table_reads_at_rest %.3g reads/s\n", reads_at_rest
 		printf "table_writes_per_job %.3g writes\n",
-			($31 - $20 - s * at_rest) / n
+			($33 - $21 - s * at_rest) / n
 		printf "table_writes_ungrouped_per_job %.3g writes\n",
-			($32 - $21 - s * at_rest) / n
+			($34 - $22 - s * at_rest) / n
 		printf "table_reads_per_job %.3g reads\n",
-			($30 - $19 - s * reads_at_rest) / n
+			($32 - $20 - s * reads_at_rest) / n
 		printf "platform_writes_per_job %.3g writes\n",
 			(w - s * at_rest) / n
 	}'
@@ -244,7 +244,6 @@
 about
 case $parts in *memory*) measure_memory ;; esac
 start_backend
-case $parts in *requests*) measure_requests; report_requests ;; esac
-
+case $parts in *requests*) measure_requests && report_requests ;; esac
 case $parts in *jobs*) measure_jobs ;; esac
 line elapsed $(($(date +%s) - begin_s)) s
--- a/tests/bench/lib.sh
+++ b/tests/bench/lib.sh
@@ -32,11 +32,11 @@
 }
 
 # sample NAME: one line "seconds cpu_us rss_kb http_in http_out rpc_in rpc_out
-# table_reads table_writes table_txns probes"
+# table_reads table_writes table_txns probes page-bytes"
 sample() {
 	curl -s "http://$(http_of "$1")/metrics" |
 		awk -v t="$(date +%s.%N)" '
-		{ v[$1] = $2 }
+		{ v[$1] = $2; size += length($0) + 1 }
 		function n(k) { return v[k] + 0 }
 		END {
 			print t, n("tg_process_cpu_us_total"),
@@ -48,7 +48,7 @@
 				n("tg_table_reads_total"),
 				n("tg_table_writes_total"),
 				n("tg_table_txns_total"),
-				n("tg_probes_total")
+				n("tg_probes_total"), size
 		}'
 }
 
@@ -64,6 +64,50 @@
 		"http://$platform_http/standin/instances"
 }
 
+# launch NAME PROGRAM FLAG...: like start, without waiting; see settled
+launched=
+launch() {
+	name=$1 prog=$2
+	shift 2
+	"$TG_BIN/$prog" "$@" >"$tmp/$name.out" 2>>"$tmp/$name.err" &
+	pids="$pids $!"
+	eval "$(echo "$name" | tr - _)_pid=$!"
+	launched="$launched $name"
+}
+
+# settled: waits for the ready lines of what was launched
+settled() {
+	for name in $launched; do
+		await "ready line of $name" grep -q ' ready ' "$tmp/$name.out"
+		ready=$(cat "$tmp/$name.out")
+		ready=${ready#*http=}
+		var=$(echo "$name" | tr - _)
+		eval "${var}_http=${ready%% *} ${var}_rpc=${ready#*rpc=}"
+	done
+	launched=
+}
+
+# list_daemon NAME KIND AZ
+list_daemon() {
+	curl -sf -o /dev/null -d "{\"name\":\"$1\",\"kind\":\"$2\",
+		\"az\":\"$3\",\"addr\":\"$(http_of "$1")\",
+		\"rpc_addr\":\"$(rpc_of "$1")\"}" \
+		"http://$platform_http/standin/instances"
+}
+
+# usage BEFORE AFTER: "cpu_percent rss_kb http_in http_out rpc_in rpc_out reads
+# writes probes" per second between two samples.  The page of the first sample
+# was sent within the window and is taken off.
+usage() {
+	paste -d' ' "$1" "$2" | awk '{
+		s = $13 - $1
+		printf "%.4f %d %.1f %.1f %.1f %.1f %.3f %.3f %.2f\n",
+			($14 - $2) / s / 1e4, $15, ($16 - $4) / s,
+			($17 - $5 - $12) / s, ($18 - $6) / s, ($19 - $7) / s,
+			($20 - $8) / s, ($21 - $9) / s, ($23 - $11) / s
+	}'
+}
+
 # start_console NAME AZ
 start_console() {
 	echo bench-operator-key-0123456789 >"$tmp/key"
