Let the entry daemons settle before their bytes are measured

A daemon that starts probes all workers until it knows its peers, and full notes on these workers went out within the window: with 12 daemons and 100 workers 6.7 KB/s of RPC were received, of which pings are 2.4 KB/s and the full notes of the workers that are divided 0.8 KB/s by their size. That the rate depends on reads of the list was ruled out: it was the same before and after the change of their period (6,660 and 6,730 B/s).

--- a/tests/bench/bench-capacity.sh
+++ b/tests/bench/bench-capacity.sh
@@ -100,7 +100,9 @@
 		esac
 		list_daemon "$d" entry "$az"
 	done
-	sleep 8
+	# A daemon that starts probes all workers until it knows its peers, and
+	# sends full notes on them for 10 s more.
+	sleep 25
 	# shellcheck disable=SC2086
 	window_of $daemons
 	for n in 50 100 200 400 800; do
