--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -177,8 +177,10 @@
 	struct bufferevent *bev =
 		bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
 
-	if (bev)
-		evbuffer_add_cb(bufferevent_get_output(bev), on_output, arg);
+	if (!bev)
+		return NULL;
+	evbuffer_add_cb(bufferevent_get_output(bev), on_output, arg);
+	tg_http_count_bytes(bev);
 	return bev;
 }
 
