--- a/tests/fault/measures.sh
+++ b/tests/fault/measures.sh
@@ -27,8 +27,8 @@
 
 seed=1
 outage() { # NAME FAULT
-	for pair in none:e-1:after caller:u-1:before caller:e-1:after \
-		issued:e-1:after; do
+	for pair in none:e-1:after caller:u-1:no_claims \
+		caller:v-1:unchecked caller:e-1:after issued:e-1:after; do
 		kind=${pair%%:*}
 		rest=${pair#*:}
 		entry=${rest%%:*}
@@ -58,16 +58,18 @@
 start_entry e-2
 start_entry u-1 --unsafe-no-claims
 start_entry u-2 --unsafe-no-claims
-for e in e-1 e-2 u-1 u-2; do
+start_entry v-1 --unsafe-refuse-unchecked
+start_entry v-2 --unsafe-refuse-unchecked
+for e in e-1 e-2 u-1 u-2 v-1 v-2; do
 	await "w-1 at $e" knows_worker $e w-1 up
-	await "peers of $e" sees_peers $e 3
+	await "peers of $e" sees_peers $e 5
 done
 outage none '{}'
 outage refuse '{"outage":"refuse"}'
 outage hang '{"outage":"hang"}'
 outage slow_500ms '{"slow_ms":500}'
 outage lose_answer '{"outage":"lose_answer"}'
-for e in e-1 e-2 u-1 u-2; do
+for e in e-1 e-2 u-1 u-2 v-1 v-2; do
 	crash $e
 	curl -sf -o /dev/null -X DELETE "http://$platform_http/standin/instances/$e"
 done
