--- a/tests/fault/measures.sh
+++ b/tests/fault/measures.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Figures of failures, as "key value unit" lines; not a test.
-# Usage: TG_BIN=$PWD/build/bin sh tests/fault/measures.sh
+# Usage: TG_BIN=$PWD/build/bin TG_TESTS=$PWD/tests sh tests/fault/measures.sh
 . "$(dirname "$0")/../lib.sh"
 CALLS=200
 DEADLINE_MS=2000
--- a/tests/fault/two-faults.sh
+++ b/tests/fault/two-faults.sh
@@ -146,7 +146,8 @@
 	done
 	await "peers" sees_peers "$n" 1
 	await "peers" sees_peers "$n-2" 1
-	# The names make either daemon the one that probes some of the three.
+	# Rendezvous hashing of these names gives e-1 two of the four workers, so
+	# that at least one of the three loses its prober.
 	crash "$n"
 	for w in w-1 w-2 w-3; do
 		fault $w '{"draining":true}'
