Draw bursts, larger gangs and more faults in random runs

Answers that are late by 900 ms with a timeout of 700 ms left 200 ms in which a reused connection could show another's answer; 1,300 ms leave 600 ms.

--- a/tests/fault/run/steps.sh
+++ b/tests/fault/run/steps.sh
@@ -13,6 +13,16 @@
 step_get() { in_background attempt "$number" "$1" none "" GET "r$number?$2"; }
 step_post() { in_background attempt "$number" "$1" none "" POST "r$number?$2"; }
 
+step_burst() { # ENTRY COUNT QUERY
+	n=0
+	while [ $n -lt "$2" ]; do
+		n=$((n + 1))
+		in_background attempt "$number.$n" "$1" none "" \
+			"$([ $((n % 2)) -eq 0 ] && echo GET || echo POST)" \
+			"r$number-$n?$3"
+	done
+}
+
 # at_two KIND KEY ENTRY ENTRY PATH: the same key at both, or at the first
 at_two() {
 	keys="$1,$2,$5 $keys"
@@ -129,7 +139,7 @@
 	lose-next) fault "$1" '{"lose_next":3}' ;;
 	cut) fault "$1" '{"cut":true}' ;;
 	hang) fault "$1" '{"hang_service":true}' ;;
-	late) fault "$1" '{"answer_late_ms":900}' ;;
+	late) fault "$1" '{"answer_late_ms":1300}' ;;
 	closes) fault "$1" '{"close_after_read":true}' ;;
 	draining) fault "$1" '{"draining":true}' ;;
 	esac
--- a/tests/fault/steps/main.c
+++ b/tests/fault/steps/main.c
@@ -185,6 +185,14 @@
 	printf("\n");
 }
 
+/* Requests at once share the kept connections to the workers. */
+static void step_burst(struct draw *d)
+{
+	begin_line(d);
+	printf("burst %s %u work_ms=%u\n", PICK(d, entries), 4 + below(d, 5),
+	       below(d, 2) ? 0 : below(d, 200));
+}
+
 static void step_again(struct draw *d)
 {
 	begin_line(d);
@@ -197,20 +205,22 @@
 	static const char *const classes[] = { "lent", "lent", "guaranteed",
 					       "urgent" };
 	static const unsigned int sizes[] = { 1, 2, 2, 3 };
+	/* Some gangs need a worker for each member. */
+	static const unsigned int accelerators[] = { 1, 2, 4, 6 };
 	unsigned int tasks = PICK(d, sizes);
 	const char *az = tasks == 1 && !below(d, 3) ? "b" : "a";
 
 	d->last_job = d->step;
 	begin_line(d);
 	printf("job %s %s %u %u %u %s\n", PICK(d, entries), az, tasks,
-	       1 + below(d, 4), 100 + below(d, 6000), PICK(d, classes));
+	       PICK(d, accelerators), 100 + below(d, 6000), PICK(d, classes));
 }
 
 static void step(struct draw *d)
 {
 	unsigned int what = below(d, 100);
 
-	if (what < 12 && step_fault(d))
+	if (what < 16 && step_fault(d))
 		return;
 	if (what < 30) {
 		step_job(d);
@@ -220,8 +230,10 @@
 	} else if (what < 42) {
 		begin_line(d);
 		printf("%s\n", below(d, 3) ? "save" : "save-twice");
-	} else if (what < 54) {
+	} else if (what < 52) {
 		step_again(d);
+	} else if (what < 60) {
+		step_burst(d);
 	} else {
 		step_request(d);
 	}
