Remove the ready line of an earlier process before a restart in tests

Cause: start() could read the output file of the earlier process of that name before the new one truncated it, and then used the old addresses; seen as "no readiness" once in fault/restart-in-outage. Ruled out: the entry daemon, which had the document in force in the run that failed.

--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -22,6 +22,8 @@
 	name=$1 prog=$2
 	shift 2
 	var=$(echo "$name" | tr - _)
+	# The line of an earlier process of that name must not be read.
+	rm -f "$tmp/$name.out"
 	"$TG_BIN/$prog" "$@" >"$tmp/$name.out" 2>>"$tmp/$name.err" &
 	p=$!
 	pids="$pids $p"
