Use a worker again that was lost and came back without a restart

Cause: a worker without an answer for worker_lost_ms is marked lost, and the mark was cleared only when its inventory was read, which happened only after a new boot or a takeover. A worker that was cut off for a while stayed down for that scheduler, and jobs stayed queued without a reason. A lost worker's inventory is read again now, before anything else is sent to it.

--- a/cmd/tgschedd/workers.c
+++ b/cmd/tgschedd/workers.c
@@ -113,6 +113,8 @@
 	tg_log(EV_SCHED_WORKER_LOST, "worker=%s silent_ms=%lld", w->name,
 	       (long long)(tg_now_ms() - w->reply_ms));
 	w->lost = true;
+	/* Its inventory is read again before anything is granted there. */
+	w->installed = false;
 	b->decide = true;
 	DL_FOREACH(w->members, m)
 	if (m->state != M_NONE && m->state < M_DONE)
