--- a/tests/fault/check/requests.c
+++ b/tests/fault/check/requests.c
@@ -224,7 +224,7 @@
 				  "%s got %s %lld ms after it"
 				  " began to leave",
 				  worker, path,
-				  (long long)(at_ms - from_ms + LEAVING_MS));
+				  (long long)at_ms - from_ms + LEAVING_MS);
 	}
 }
 
