--- a/cmd/tgburn/report.c
+++ b/cmd/tgburn/report.c
@@ -26,8 +26,7 @@
 	size_t i, kept = 0;
 
 	*n = 0;
-	HASH_ITER(hh, d->series, s, tmp)
-	{
+	HASH_ITER(hh, d->series, s, tmp) {
 		tg_strlcpy(list[*n].service, s->service,
 			   sizeof(list[*n].service));
 		tg_strlcpy(list[(*n)++].workspace, s->workspace,
@@ -48,9 +47,9 @@
 	double sum = 0;
 
 	HASH_ITER(hh, d->series, s, tmp)
-	if (s->metric == m && !strcmp(s->service, p->service) &&
-	    !strcmp(s->workspace, p->workspace))
-		sum += burn_sum(s, from_ms, to_ms);
+		if (s->metric == m && !strcmp(s->service, p->service) &&
+		    !strcmp(s->workspace, p->workspace))
+			sum += burn_sum(s, from_ms, to_ms);
 	return sum;
 }
 
@@ -162,11 +161,11 @@
 	struct burn_series *s, *tmp;
 
 	HASH_ITER(hh, d->series, s, tmp)
-	if ((s->metric == BURN_NOT_RUN || s->metric == BURN_UNKNOWN) &&
-	    !strcmp(s->instance, failed->instance) &&
-	    !strcmp(s->service, failed->service) &&
-	    !strcmp(s->workspace, failed->workspace))
-		n -= burn_sum(s, from_ms, d->last_ms);
+		if ((s->metric == BURN_NOT_RUN || s->metric == BURN_UNKNOWN) &&
+		    !strcmp(s->instance, failed->instance) &&
+		    !strcmp(s->service, failed->service) &&
+		    !strcmp(s->workspace, failed->workspace))
+			n -= burn_sum(s, from_ms, d->last_ms);
 	return n;
 }
 
@@ -182,8 +181,7 @@
 	struct burn_series *s, *tmp;
 	size_t n = 0;
 
-	HASH_ITER(hh, d->series, s, tmp)
-	{
+	HASH_ITER(hh, d->series, s, tmp) {
 		double count = s->metric == BURN_FAILED ?
 			error_statuses(d, s, from_ms) :
 			burn_sum(s, from_ms, d->last_ms);
--- a/cmd/tgburn/series.c
+++ b/cmd/tgburn/series.c
@@ -32,7 +32,7 @@
 	d->restarted = !d->is_first && strcmp(i->boot, boot) != 0;
 	tg_strlcpy(i->boot, boot, sizeof(i->boot));
 	HASH_ITER(hh, d->series, s, tmp)
-	s->now = 0;
+		s->now = 0;
 	return 0;
 }
 
@@ -175,11 +175,11 @@
 	struct burn_series *s, *tmp;
 
 	HASH_ITER(hh, d->series, s, tmp)
-	if (is_current(d, s) && s->now < s->last)
-		d->restarted = true;
+		if (is_current(d, s) && s->now < s->last)
+			d->restarted = true;
 	HASH_ITER(hh, d->series, s, tmp)
-	if (is_current(d, s))
-		add_step(d, s, gap);
+		if (is_current(d, s))
+			add_step(d, s, gap);
 	if (!d->is_first)
 		add_interval(d, gap);
 	d->current->at_ms = d->at_ms;
@@ -195,14 +195,12 @@
 	struct burn_instance *i, *next_i;
 	struct burn_series *s, *next_s;
 
-	HASH_ITER(hh, d->series, s, next_s)
-	{
+	HASH_ITER(hh, d->series, s, next_s) {
 		HASH_DEL(d->series, s);
 		free(s->steps);
 		free(s);
 	}
-	HASH_ITER(hh, d->instances, i, next_i)
-	{
+	HASH_ITER(hh, d->instances, i, next_i) {
 		HASH_DEL(d->instances, i);
 		free(i);
 	}
--- a/cmd/tgconsoled/plan.c
+++ b/cmd/tgconsoled/plan.c
@@ -85,8 +85,7 @@
 {
 	struct zone *z, *next;
 
-	HASH_ITER(hh, zones, z, next)
-	{
+	HASH_ITER(hh, zones, z, next) {
 		HASH_DEL(zones, z);
 		free(z);
 	}
--- a/cmd/tgctl/show.c
+++ b/cmd/tgctl/show.c
@@ -38,8 +38,9 @@
 	if (!json_array_size(workers))
 		return;
 	printf("workers:");
-	json_array_foreach(workers, i, w) printf(
-		" %s", json_string_value(w) ? json_string_value(w) : "-");
+	json_array_foreach(workers, i, w)
+		printf(" %s",
+		       json_string_value(w) ? json_string_value(w) : "-");
 	putchar('\n');
 }
 
--- a/cmd/tgctl/table.c
+++ b/cmd/tgctl/table.c
@@ -62,7 +62,8 @@
 	const char *key;
 	json_t *member;
 
-	json_object_foreach((json_t *)v, key, member) print_member(key, member);
+	json_object_foreach((json_t *)v, key, member)
+		print_member(key, member);
 }
 
 static size_t column_width(const json_t *rows, const char *key)
--- a/cmd/tgentryd/dispatch.c
+++ b/cmd/tgentryd/dispatch.c
@@ -47,10 +47,9 @@
 	size_t n = 0;
 
 	TAILQ_FOREACH(h, from, next)
-	n++;
+		n++;
 	o->headers = tg_xcalloc(n + 1, sizeof(*o->headers));
-	TAILQ_FOREACH(h, from, next)
-	{
+	TAILQ_FOREACH(h, from, next) {
 		bool length = !strcasecmp(h->key, "Content-Length");
 
 		/* The length of an answer to HEAD is that of another body. */
--- a/cmd/tgentryd/front.c
+++ b/cmd/tgentryd/front.c
@@ -111,8 +111,7 @@
 	const struct evkeyval *h;
 
 	r->headers = tg_xcalloc(REQUEST_HEADERS_MAX, sizeof(*r->headers));
-	TAILQ_FOREACH(h, in, next)
-	{
+	TAILQ_FOREACH(h, in, next) {
 		if (reply_is_hop_header(h->key))
 			continue;
 		if (r->n_headers == REQUEST_HEADERS_MAX)
--- a/cmd/tgentryd/issued.c
+++ b/cmd/tgentryd/issued.c
@@ -390,8 +390,8 @@
 	struct issued *e, *next;
 
 	HASH_ITER(hh, b->issued, e, next)
-	if (e->state != ISSUED_RUNNING && now_ms >= e->forget_ms)
-		forget(b, e);
+		if (e->state != ISSUED_RUNNING && now_ms >= e->forget_ms)
+			forget(b, e);
 }
 
 static void stop(void *board)
@@ -400,7 +400,7 @@
 	struct issued *e, *next;
 
 	HASH_ITER(hh, b->issued, e, next)
-	forget(b, e);
+		forget(b, e);
 }
 
 const struct tg_controller issued_controller = {
--- a/cmd/tgentryd/notes.c
+++ b/cmd/tgentryd/notes.c
@@ -80,8 +80,8 @@
 	if (!full && !b->notes_due)
 		return;
 	HASH_ITER(hh, b->workers, w, next)
-	if (w->note_due || (full && was_probed_here(w, now_ms)))
-		add_note(&batch, w);
+		if (w->note_due || (full && was_probed_here(w, now_ms)))
+			add_note(&batch, w);
 	send_batch(&batch);
 	b->notes_due = false;
 	if (full)
--- a/cmd/tgentryd/probe.c
+++ b/cmd/tgentryd/probe.c
@@ -120,8 +120,7 @@
 	struct board *b = board;
 	struct worker *w, *next;
 
-	HASH_ITER(hh, b->workers, w, next)
-	{
+	HASH_ITER(hh, b->workers, w, next) {
 		if (w->probe_in_flight || now_ms < w->next_probe_ms ||
 		    !worker_present(w, now_ms) || !is_own(b, w))
 			continue;
--- a/cmd/tgentryd/service.c
+++ b/cmd/tgentryd/service.c
@@ -66,15 +66,15 @@
 	struct service *s, *next_s;
 
 	HASH_ITER(hh, b->services, s, next_s)
-	if (!s->refs && (!doc || !tg_doc_service(doc, s->name))) {
-		HASH_DEL(b->services, s);
-		free(s);
-	}
+		if (!s->refs && (!doc || !tg_doc_service(doc, s->name))) {
+			HASH_DEL(b->services, s);
+			free(s);
+		}
 	HASH_ITER(hh, b->workspaces, w, next_w)
-	if (!w->refs && (!doc || !tg_doc_workspace(doc, w->name))) {
-		HASH_DEL(b->workspaces, w);
-		free(w);
-	}
+		if (!w->refs && (!doc || !tg_doc_workspace(doc, w->name))) {
+			HASH_DEL(b->workspaces, w);
+			free(w);
+		}
 }
 
 size_t service_entries(const struct board *b)
@@ -156,7 +156,7 @@
 	struct service *s, *next;
 
 	HASH_ITER(hh, b->services, s, next)
-	service_pump(b, s);
+		service_pump(b, s);
 }
 
 static void set_gauges(const struct board *b)
@@ -164,8 +164,7 @@
 	struct service *s, *next;
 	char labels[96];
 
-	HASH_ITER(hh, b->services, s, next)
-	{
+	HASH_ITER(hh, b->services, s, next) {
 		snprintf(labels, sizeof(labels), "service=\"%s\"", s->name);
 		tg_gauge("tg_queue_length", "Requests that wait.", labels)
 			->value = (int64_t)s->queue.n;
@@ -196,13 +195,11 @@
 	struct service *s, *next_s;
 
 	request_free_all(b);
-	HASH_ITER(hh, b->services, s, next_s)
-	{
+	HASH_ITER(hh, b->services, s, next_s) {
 		HASH_DEL(b->services, s);
 		free(s);
 	}
-	HASH_ITER(hh, b->workspaces, w, next_w)
-	{
+	HASH_ITER(hh, b->workspaces, w, next_w) {
 		HASH_DEL(b->workspaces, w);
 		free(w);
 	}
--- a/cmd/tgentryd/workers.c
+++ b/cmd/tgentryd/workers.c
@@ -69,11 +69,11 @@
 	struct worker *w, *next;
 
 	HASH_ITER(hh, b->workers, w, next)
-	if (!worker_present(w, now_ms) && !w->in_flight &&
-	    !w->probe_in_flight) {
-		HASH_DEL(b->workers, w);
-		free(w);
-	}
+		if (!worker_present(w, now_ms) && !w->in_flight &&
+		    !w->probe_in_flight) {
+			HASH_DEL(b->workers, w);
+			free(w);
+		}
 }
 
 void workers_note_doc(struct board *b)
@@ -82,7 +82,7 @@
 	struct worker *w, *next;
 
 	HASH_ITER(hh, b->workers, w, next)
-	w->doc_drains = doc && tg_doc_drains_worker(doc, w->name);
+		w->doc_drains = doc && tg_doc_drains_worker(doc, w->name);
 }
 
 void workers_note_list(struct board *b, const struct tg_instance *list,
@@ -92,7 +92,7 @@
 	size_t i;
 
 	HASH_ITER(hh, b->workers, w, next)
-	w->listed = false;
+		w->listed = false;
 	for (i = 0; i < n; i++)
 		note_listed(b, &list[i]);
 	drop_unlisted(b);
@@ -148,8 +148,7 @@
 
 	if (own_az && !tg_service_in_az(spec, b->set.az))
 		return 0;
-	HASH_ITER(hh, b->workers, w, next)
-	{
+	HASH_ITER(hh, b->workers, w, next) {
 		bool in_own_az = !strcmp(w->az, b->set.az);
 
 		if (n == CANDIDATES_MAX || in_own_az != own_az ||
@@ -341,8 +340,7 @@
 	json_t *list = json_array();
 	struct worker *w, *next;
 
-	HASH_ITER(hh, b->workers, w, next)
-	{
+	HASH_ITER(hh, b->workers, w, next) {
 		const char *state = "up";
 
 		if (w->down)
@@ -369,8 +367,7 @@
 {
 	struct worker *w, *next;
 
-	HASH_ITER(hh, b->workers, w, next)
-	{
+	HASH_ITER(hh, b->workers, w, next) {
 		HASH_DEL(b->workers, w);
 		free(w);
 	}
--- a/cmd/tgplace/input.c
+++ b/cmd/tgplace/input.c
@@ -51,8 +51,7 @@
 {
 	struct seen *e, *next;
 
-	HASH_ITER(hh, *table, e, next)
-	{
+	HASH_ITER(hh, *table, e, next) {
 		HASH_DEL(*table, e);
 		free(e->name);
 		free(e);
--- a/cmd/tgschedd/admission.c
+++ b/cmd/tgschedd/admission.c
@@ -303,8 +303,7 @@
 
 	if (b->role != ROLE_ACTIVE)
 		return;
-	HASH_ITER(hh, b->jobs, j, tmp)
-	{
+	HASH_ITER(hh, b->jobs, j, tmp) {
 		if (b->table_down)
 			refuse_in_outage(b, j);
 		else if (n < WRITES_MAX)
--- a/cmd/tgschedd/answer.c
+++ b/cmd/tgschedd/answer.c
@@ -102,9 +102,9 @@
 	struct orphan *o, *tmp;
 
 	DL_FOREACH_SAFE(w->orphans, o, tmp)
-	if (o->attempt == op->attempt && o->index == op->index &&
-	    !strcmp(o->job, op->job))
-		board_remove_orphan(w, o);
+		if (o->attempt == op->attempt && o->index == op->index &&
+		    !strcmp(o->job, op->job))
+			board_remove_orphan(w, o);
 }
 
 static void on_result(struct message *msg, const struct op *op,
--- a/cmd/tgschedd/board.c
+++ b/cmd/tgschedd/board.c
@@ -125,8 +125,9 @@
 	struct orphan *o;
 
 	DL_FOREACH(w->orphans, o)
-	if (o->attempt == attempt && o->index == index && !strcmp(o->job, job))
-		return;
+		if (o->attempt == attempt && o->index == index &&
+		    !strcmp(o->job, job))
+			return;
 	o = tg_xcalloc(1, sizeof(*o));
 	tg_strlcpy(o->job, job, sizeof(o->job));
 	o->attempt = attempt;
@@ -160,9 +161,8 @@
 	struct job *j, *tmp_j;
 
 	HASH_ITER(hh, b->jobs, j, tmp_j)
-	board_remove_job(b, j);
-	HASH_ITER(hh, b->workers, w, tmp_w)
-	{
+		board_remove_job(b, j);
+	HASH_ITER(hh, b->workers, w, tmp_w) {
 		forget_worker(w);
 		if (w->call)
 			tg_http_call_cancel(w->call);
@@ -181,8 +181,7 @@
 	struct worker *w, *tmp;
 
 	board_forget(b);
-	HASH_ITER(hh, b->workers, w, tmp)
-	{
+	HASH_ITER(hh, b->workers, w, tmp) {
 		HASH_DEL(b->workers, w);
 		free(w);
 	}
--- a/cmd/tgschedd/decisions.c
+++ b/cmd/tgschedd/decisions.c
@@ -115,9 +115,9 @@
 	struct job *j, *tmp;
 
 	HASH_ITER(hh, b->jobs, j, tmp)
-	if (j->state == JOB_QUEUED && j->gang == GANG_NONE && !j->in_fleet &&
-	    !j->park)
-		facts_submit(b, j, NULL);
+		if (j->state == JOB_QUEUED && j->gang == GANG_NONE &&
+		    !j->in_fleet && !j->park)
+			facts_submit(b, j, NULL);
 }
 
 static void measure(const struct board *b, int64_t now_ms)
--- a/cmd/tgschedd/election.c
+++ b/cmd/tgschedd/election.c
@@ -241,8 +241,7 @@
 {
 	struct job *j, *tmp;
 
-	HASH_ITER(hh, b->jobs, j, tmp)
-	{
+	HASH_ITER(hh, b->jobs, j, tmp) {
 		if (j->writing || j->waiters)
 			return true;
 		if (j->gang == GANG_RESERVING || j->gang == GANG_COMMITTING ||
@@ -258,8 +257,7 @@
 	static const char text[] = "the scheduler is stopping; ask again";
 	struct job *j, *tmp;
 
-	HASH_ITER(hh, b->jobs, j, tmp)
-	{
+	HASH_ITER(hh, b->jobs, j, tmp) {
 		board_answer(b, &j->waiters, TG_RPC_UNKNOWN, NULL, text);
 		board_answer(b, &j->cancel_waiters, TG_RPC_UNKNOWN, NULL, text);
 	}
--- a/cmd/tgschedd/facts.c
+++ b/cmd/tgschedd/facts.c
@@ -16,8 +16,7 @@
 	}
 	tg_fleet_free(b->fleet);
 	b->fleet = tg_fleet_new(&opts);
-	HASH_ITER(hh, b->workers, w, tmp)
-	{
+	HASH_ITER(hh, b->workers, w, tmp) {
 		w->id = -1;
 		if (w->listed)
 			facts_add_worker(b, w);
@@ -125,8 +124,7 @@
 {
 	struct worker *w, *tmp;
 
-	HASH_ITER(hh, b->workers, w, tmp)
-	{
+	HASH_ITER(hh, b->workers, w, tmp) {
 		enum tg_worker_health h = health_of(b, w);
 
 		if (w->id < 0 || w->health == h)
--- a/cmd/tgschedd/gangs.c
+++ b/cmd/tgschedd/gangs.c
@@ -352,8 +352,8 @@
 	if (b->role != ROLE_ACTIVE)
 		return;
 	HASH_ITER(hh, b->jobs, j, tmp)
-	if (j->gang != GANG_NONE)
-		step(b, j, now_ms);
+		if (j->gang != GANG_NONE)
+			step(b, j, now_ms);
 }
 
 const struct tg_controller gangs = {
--- a/cmd/tgschedd/inventory.c
+++ b/cmd/tgschedd/inventory.c
@@ -40,8 +40,7 @@
 	json_t *v;
 	size_t i;
 
-	json_array_foreach(w->inventory, i, v)
-	{
+	json_array_foreach(w->inventory, i, v) {
 		const char *job = json_string_value(json_object_get(v, "job"));
 
 		if (job && !strcmp(job, m->job->spec.job) &&
@@ -59,12 +58,14 @@
 	json_t *v;
 	size_t i;
 
-	json_array_foreach(w->inventory, i, v) adopt_lease(b, w, v);
+	json_array_foreach(w->inventory, i, v)
+		adopt_lease(b, w, v);
 	DL_FOREACH(w->members, m)
-	if (m->state != M_NONE && m->state != M_GONE && !in_inventory(w, m)) {
-		m->lost = m->state != M_STOPPED;
-		m->state = M_GONE;
-	}
+		if (m->state != M_NONE && m->state != M_GONE &&
+		    !in_inventory(w, m)) {
+			m->lost = m->state != M_STOPPED;
+			m->state = M_GONE;
+		}
 	json_decref(w->inventory);
 	w->inventory = NULL;
 	w->lost = false;
--- a/cmd/tgschedd/main.c
+++ b/cmd/tgschedd/main.c
@@ -116,7 +116,7 @@
 	size_t i;
 
 	HASH_ITER(hh, b->workers, w, tmp)
-	w->listed = false;
+		w->listed = false;
 	for (i = 0; i < n; i++)
 		if (list[i].kind == TG_KIND_WORKER &&
 		    !strcmp(list[i].az, b->opts->az))
--- a/cmd/tgschedd/ops.c
+++ b/cmd/tgschedd/ops.c
@@ -166,8 +166,7 @@
 	struct orphan *o;
 	struct member *m;
 
-	DL_FOREACH(w->orphans, o)
-	{
+	DL_FOREACH(w->orphans, o) {
 		if (is_full(msg))
 			return;
 		add_op(msg, OP_STOP_ORPHAN, "stop", o->job, o->attempt,
@@ -175,8 +174,7 @@
 		add_op(msg, OP_RELEASE_ORPHAN, "release", o->job, o->attempt,
 		       o->index);
 	}
-	DL_FOREACH(w->members, m)
-	{
+	DL_FOREACH(w->members, m) {
 		if (is_full(msg))
 			return;
 		add_member(msg, m);
--- a/cmd/tgschedd/outage.c
+++ b/cmd/tgschedd/outage.c
@@ -143,7 +143,7 @@
 	if (b->role == ROLE_STANDBY && b->outage_round == r) {
 		all = seen_leases(r);
 		HASH_ITER(hh, b->workers, w, tmp)
-		renew_worker(r, all, w);
+			renew_worker(r, all, w);
 		free(all);
 	}
 	free_round(r);
@@ -218,8 +218,8 @@
 	r->board = b;
 	b->outage_round = r;
 	HASH_ITER(hh, b->workers, w, tmp)
-	if (*w->addr && !w->in_flight)
-		ask(r, w);
+		if (*w->addr && !w->in_flight)
+			ask(r, w);
 	r->sent = true;
 	if (!r->asked)
 		free_round(r);
--- a/cmd/tgschedd/rebuild.c
+++ b/cmd/tgschedd/rebuild.c
@@ -14,8 +14,8 @@
 	struct worker *w, *tmp;
 
 	HASH_ITER(hh, b->workers, w, tmp)
-	if (w->listed && !w->installed && !w->tried)
-		return false;
+		if (w->listed && !w->installed && !w->tried)
+			return false;
 	return true;
 }
 
@@ -71,8 +71,8 @@
 	rebuild_jobs(b, rows, n);
 	b->role = ROLE_ACTIVE;
 	HASH_ITER(hh, b->workers, w, tmp)
-	if (w->installed)
-		worker_reconcile(b, w);
+		if (w->installed)
+			worker_reconcile(b, w);
 	b->decide = true;
 	tg_member_set_scheduler(b->member, b->epoch, true);
 	tg_log(EV_SCHED_ACTIVE, "az=%s epoch=%llu workers=%u jobs=%u",
--- a/cmd/tgschedd/renewal.c
+++ b/cmd/tgschedd/renewal.c
@@ -52,8 +52,8 @@
 	if (!board_commands(b))
 		return;
 	HASH_ITER(hh, b->jobs, j, tmp)
-	if (j->gang == GANG_RUNNING)
-		renew(b, j, now_ms);
+		if (j->gang == GANG_RUNNING)
+			renew(b, j, now_ms);
 }
 
 /* The period comes from the settings. */
--- a/cmd/tgschedd/spec.c
+++ b/cmd/tgschedd/spec.c
@@ -37,8 +37,7 @@
 	const char *key;
 	json_t *v;
 
-	json_object_foreach((json_t *)in, key, v)
-	{
+	json_object_foreach((json_t *)in, key, v) {
 		char place[80];
 
 		if (known_field(key))
--- a/cmd/tgschedd/views.c
+++ b/cmd/tgschedd/views.c
@@ -65,8 +65,7 @@
 	struct job *j, *tmp;
 	size_t n = 0;
 
-	HASH_ITER(hh, b->jobs, j, tmp)
-	{
+	HASH_ITER(hh, b->jobs, j, tmp) {
 		if (*args->workspace &&
 		    strcmp(args->workspace, j->spec.workspace) != 0)
 			continue;
@@ -111,8 +110,8 @@
 	int32_t used = 0;
 
 	DL_FOREACH(w->members, m)
-	if (m->state != M_NONE && m->state < M_DONE)
-		used += m->job->spec.accelerators;
+		if (m->state != M_NONE && m->state < M_DONE)
+			used += m->job->spec.accelerators;
 	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i}", "worker",
 			 w->name, "rack", w->rack, "addr", w->addr, "state",
 			 health_names[w->health], "accelerators",
@@ -132,8 +131,7 @@
 	struct worker *w, *tmp;
 
 	HASH_SORT(b->workers, worker_by_name);
-	HASH_ITER(hh, b->workers, w, tmp)
-	{
+	HASH_ITER(hh, b->workers, w, tmp) {
 		if (strcmp(w->name, args->after) <= 0)
 			continue;
 		if (n++ < max)
--- a/cmd/tgschedd/workers.c
+++ b/cmd/tgschedd/workers.c
@@ -117,8 +117,8 @@
 	w->installed = false;
 	b->decide = true;
 	DL_FOREACH(w->members, m)
-	if (m->state != M_NONE && m->state < M_DONE)
-		m->lost = true;
+		if (m->state != M_NONE && m->state < M_DONE)
+			m->lost = true;
 }
 
 /* A worker that never answered counts from the claim. */
@@ -161,8 +161,8 @@
 	    now_ms - heard_ms(b, w) > b->opts->worker_lost_ms)
 		lose_members(b, w);
 	DL_FOREACH(w->members, m)
-	if (may_expire(m) && now_ms > gone_ms(b, m))
-		m->state = M_GONE;
+		if (may_expire(m) && now_ms > gone_ms(b, m))
+			m->state = M_GONE;
 }
 
 static int64_t poll_ms(const struct board *b, const struct worker *w)
@@ -192,8 +192,7 @@
 
 	if (b->role != ROLE_INSTALLING && b->role != ROLE_ACTIVE)
 		return;
-	HASH_ITER(hh, b->workers, w, tmp)
-	{
+	HASH_ITER(hh, b->workers, w, tmp) {
 		serve_worker(b, w, now_ms);
 		if (b->role == ROLE_ACTIVE)
 			check_reach(b, w, now_ms);
--- a/lib/decide/fleet.c
+++ b/lib/decide/fleet.c
@@ -24,8 +24,7 @@
 {
 	struct name_id *e, *next;
 
-	HASH_ITER(hh, *table, e, next)
-	{
+	HASH_ITER(hh, *table, e, next) {
 		HASH_DEL(*table, e);
 		free(e->name);
 		free(e);
@@ -90,8 +89,7 @@
 
 	if (!f)
 		return;
-	HASH_ITER(hh, f->jobs, j, next)
-	{
+	HASH_ITER(hh, f->jobs, j, next) {
 		HASH_DEL(f->jobs, j);
 		free(j->name);
 		free(j->workers);
@@ -100,8 +98,7 @@
 	}
 	for (i = 0; i < f->n_guarantees; i++)
 		guarantee_free(&f->guarantees[i]);
-	HASH_ITER(hh, f->workspaces, ws, next_ws)
-	{
+	HASH_ITER(hh, f->workspaces, ws, next_ws) {
 		HASH_DEL(f->workspaces, ws);
 		free(ws->name);
 		free(ws);
--- a/lib/decide/guarantee.c
+++ b/lib/decide/guarantee.c
@@ -243,8 +243,7 @@
 	struct queue inside = { 0 }, others = { 0 };
 	struct job *j, *next;
 
-	HASH_ITER(hh, f->jobs, j, next)
-	{
+	HASH_ITER(hh, f->jobs, j, next) {
 		if (j->workers && j->class == TG_CLASS_GUARANTEED)
 			list_add(j->was_inside ? &inside : &others, j);
 		j->was_inside = j->adopted = false;
@@ -261,8 +260,7 @@
 
 	if (!f->adopted)
 		return;
-	HASH_ITER(hh, f->jobs, j, next)
-	{
+	HASH_ITER(hh, f->jobs, j, next) {
 		if (j->adopted && j->workers && !j->g)
 			list_add(&list, j);
 		j->adopted = false;
--- a/lib/doc/diff.c
+++ b/lib/doc/diff.c
@@ -116,14 +116,12 @@
 	json_t *v;
 	size_t mark;
 
-	json_object_foreach((json_t *)ours, key, v)
-	{
+	json_object_foreach((json_t *)ours, key, v) {
 		mark = reader_push(&d->at, key);
 		diff_values(d, v, json_object_get(theirs, key));
 		reader_pop(&d->at, mark);
 	}
-	json_object_foreach((json_t *)theirs, key, v)
-	{
+	json_object_foreach((json_t *)theirs, key, v) {
 		if (json_object_get(ours, key))
 			continue;
 		mark = reader_push(&d->at, key);
--- a/lib/doc/reader.c
+++ b/lib/doc/reader.c
@@ -88,8 +88,7 @@
 		reader_fault(r, "must be an object");
 		return false;
 	}
-	json_object_foreach((json_t *)v, key, member)
-	{
+	json_object_foreach((json_t *)v, key, member) {
 		if (contains(keys, key))
 			continue;
 		mark = reader_push(r, key);
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -434,8 +434,7 @@
 		return;
 	while (c->calls)
 		tg_http_call_cancel(c->calls);
-	HASH_ITER(hh, c->pools, p, tmp)
-	{
+	HASH_ITER(hh, c->pools, p, tmp) {
 		while (p->idle) {
 			struct connection *con = p->idle;
 
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -121,7 +121,7 @@
 	size_t n = 0;
 
 	HASH_ITER(hh, pendings, p, tmp)
-	n += p->server == s && p->busy;
+		n += p->server == s && p->busy;
 	return n;
 }
 
@@ -131,7 +131,7 @@
 	size_t n = 0;
 
 	HASH_ITER(hh, pendings, p, tmp)
-	n += p->server == s;
+		n += p->server == s;
 	return n;
 }
 
@@ -143,8 +143,8 @@
 	if (*status != '4' && *status != '5')
 		return false;
 	HASH_ITER(hh, pendings, p, tmp)
-	if (p->out == out && p->busy)
-		return false;
+		if (p->out == out && p->busy)
+			return false;
 	return true;
 }
 
@@ -326,10 +326,10 @@
 	if (!s)
 		return;
 	HASH_ITER(hh, pendings, p, tmp)
-	if (p->server == s) {
-		evhttp_connection_set_closecb(p->con, NULL, NULL);
-		drop_pending(p);
-	}
+		if (p->server == s) {
+			evhttp_connection_set_closecb(p->con, NULL, NULL);
+			drop_pending(p);
+		}
 	if (s->http)
 		evhttp_free(s->http);
 	free(s);
--- a/lib/oncrpc/client.c
+++ b/lib/oncrpc/client.c
@@ -79,7 +79,7 @@
 	struct call *call, *tmp;
 
 	HASH_ITER(hh, p->calls, call, tmp)
-	end_call_later(call, end);
+		end_call_later(call, end);
 	HASH_DEL(p->client->peers, p);
 	rpc_stream_reset(&p->stream);
 	bufferevent_free(p->bev);
@@ -301,9 +301,8 @@
 	if (!c)
 		return;
 	HASH_ITER(hh, c->peers, p, tmp)
-	drop_peer(p, TG_RPC_END_BROKEN);
-	HASH_ITER(hh, c->ending, call, tmp_call)
-	{
+		drop_peer(p, TG_RPC_END_BROKEN);
+	HASH_ITER(hh, c->ending, call, tmp_call) {
 		HASH_DEL(c->ending, call);
 		event_free(call->timer);
 		free(call);
--- a/lib/plat/instances.c
+++ b/lib/plat/instances.c
@@ -79,8 +79,7 @@
 		goto out;
 	}
 	list = tg_xcalloc(json_array_size(all), sizeof(*list));
-	json_array_foreach(all, i, item)
-	{
+	json_array_foreach(all, i, item) {
 		if (parse_instance(item, &list[n]))
 			n++;
 		else
--- a/lib/plat/read.c
+++ b/lib/plat/read.c
@@ -71,8 +71,9 @@
 	struct tg_row *rows = tg_xcalloc(total, sizeof(*rows));
 	json_t *v;
 
-	json_array_foreach(l->rows, i, v) if (plat_parse_row(v, &rows[n]) &&
-					      rows[n].value) n++;
+	json_array_foreach(l->rows, i, v)
+		if (plat_parse_row(v, &rows[n]) && rows[n].value)
+			n++;
 	if (end == TG_PLAT_OK && n != total) {
 		plat_bad_answer("table/rows");
 		end = TG_PLAT_UNAVAILABLE;
--- a/lib/plat/txn.c
+++ b/lib/plat/txn.c
@@ -192,8 +192,7 @@
 	size_t i;
 	json_t *v;
 
-	json_array_foreach(ifs, i, v)
-	{
+	json_array_foreach(ifs, i, v) {
 		if (!strcmp(json_string_value(json_object_get(v, "key")), key))
 			return true;
 	}
@@ -363,8 +362,7 @@
 	size_t i;
 	json_t *v;
 
-	json_array_foreach(conflicts, i, v)
-	{
+	json_array_foreach(conflicts, i, v) {
 		const struct condition *c;
 		const struct change *change;
 		struct tg_row row;
@@ -434,9 +432,9 @@
 		split_group(g);
 		return;
 	}
-	json_array_foreach(conflicts, i,
-			   v) if (n < ITEMS_MAX && plat_parse_row(v, &rows[n]))
-		n++;
+	json_array_foreach(conflicts, i, v)
+		if (n < ITEMS_MAX && plat_parse_row(v, &rows[n]))
+			n++;
 	p->conflicts->value++;
 	p->in_flight = NULL;
 	end_txn(t, TG_PLAT_CONFLICT, rows, n);
--- a/tests/bench/lib.sh
+++ b/tests/bench/lib.sh
@@ -3,6 +3,7 @@
 # shellcheck shell=sh
 cd "$(dirname "$0")/../.." || exit 1
 TG_BIN=$PWD/${BUILD:-build}/bin
+TG_TESTS=$PWD/tests
 . tests/lib.sh
 # The daemons run with their own defaults, not with those of the tests.
 unset TG_PROBE_MS
--- a/tests/fault/check/documents.c
+++ b/tests/fault/check/documents.c
@@ -9,8 +9,7 @@
 	const json_t *l;
 	size_t i;
 
-	json_array_foreach(c->lines, i, l)
-	{
+	json_array_foreach(c->lines, i, l) {
 		char key[200];
 		int64_t g = line_int(l, "generation"), before;
 
@@ -35,8 +34,7 @@
 	size_t i;
 	char key[32];
 
-	json_array_foreach(c->lines, i, l)
-	{
+	json_array_foreach(c->lines, i, l) {
 		if (!line_is(l, "version"))
 			continue;
 		snprintf(key, sizeof(key), "%lld",
@@ -54,10 +52,10 @@
 	const char *key;
 	json_t *v;
 
-	json_object_foreach(
-		versions, key,
-		v) if (!strcmp(json_string_value(v) ? json_string_value(v) : "",
-			       marker)) return true;
+	json_object_foreach(versions, key, v)
+		if (!strcmp(json_string_value(v) ? json_string_value(v) : "",
+			    marker))
+			return true;
 	return false;
 }
 
@@ -85,8 +83,9 @@
 	const json_t *l;
 	size_t i;
 
-	json_array_foreach(c->lines, i, l) if (line_is(l, "save"))
-		check_save(c, versions, l);
+	json_array_foreach(c->lines, i, l)
+		if (line_is(l, "save"))
+			check_save(c, versions, l);
 	check_reverts(c);
 	json_decref(versions);
 }
--- a/tests/fault/check/gangs.c
+++ b/tests/fault/check/gangs.c
@@ -67,12 +67,12 @@
 	const json_t *l;
 	size_t i;
 
-	json_array_foreach(c->lines, i,
-			   l) if (line_is(l, "killed") &&
-				  !strcmp(line_text(l, "name"), x->worker) &&
-				  line_int(l, "at_ms") >= since_ms &&
-				  line_int(l, "at_ms") < at_ms) at_ms =
-		line_int(l, "at_ms");
+	json_array_foreach(c->lines, i, l)
+		if (line_is(l, "killed") &&
+		    !strcmp(line_text(l, "name"), x->worker) &&
+		    line_int(l, "at_ms") >= since_ms &&
+		    line_int(l, "at_ms") < at_ms)
+			at_ms = line_int(l, "at_ms");
 	return at_ms;
 }
 
@@ -82,8 +82,7 @@
 	const json_t *l;
 	size_t i;
 
-	json_array_foreach(c->lines, i, l)
-	{
+	json_array_foreach(c->lines, i, l) {
 		if (line_int(l, "at_ms") > m->history_end_ms)
 			m->history_end_ms = line_int(l, "at_ms");
 		if (line_is(l, "task"))
@@ -224,9 +223,9 @@
 	const json_t *l;
 	size_t i;
 
-	json_array_foreach(c->lines, i,
-			   l) if (line_is(l, "task") &&
-				  is_job(line_text(l, "job"), job)) return true;
+	json_array_foreach(c->lines, i, l)
+		if (line_is(l, "task") && is_job(line_text(l, "job"), job))
+			return true;
 	return false;
 }
 
@@ -235,10 +234,10 @@
 	const json_t *l;
 	size_t i;
 
-	json_array_foreach(c->lines, i,
-			   l) if (line_is(l, "final-job") &&
-				  !strcmp(line_text(l, "job"),
-					  job)) return line_text(l, "state");
+	json_array_foreach(c->lines, i, l)
+		if (line_is(l, "final-job") &&
+		    !strcmp(line_text(l, "job"), job))
+			return line_text(l, "state");
 	return "";
 }
 
@@ -247,9 +246,9 @@
 	const json_t *l;
 	size_t i;
 
-	json_array_foreach(c->lines, i, l) if (line_is(l, "cancel") &&
-					       !strcmp(line_text(l, "job"),
-						       job)) return true;
+	json_array_foreach(c->lines, i, l)
+		if (line_is(l, "cancel") && !strcmp(line_text(l, "job"), job))
+			return true;
 	return false;
 }
 
@@ -258,8 +257,7 @@
 	const json_t *l;
 	size_t i;
 
-	json_array_foreach(c->lines, i, l)
-	{
+	json_array_foreach(c->lines, i, l) {
 		const char *job = line_text(l, "job");
 		int64_t status = line_int(l, "status");
 		const char *state = final_state(c, job);
--- a/tests/fault/check/main.c
+++ b/tests/fault/check/main.c
@@ -35,8 +35,9 @@
 	const json_t *l;
 	size_t i;
 
-	json_array_foreach(c->lines, i, l) if (line_is(l, "not-reached"))
-		violation(c, "no-rest", "%s", line_text(l, "what"));
+	json_array_foreach(c->lines, i, l)
+		if (line_is(l, "not-reached"))
+			violation(c, "no-rest", "%s", line_text(l, "what"));
 }
 
 int main(int argc, char **argv)
--- a/tests/fault/check/requests.c
+++ b/tests/fault/check/requests.c
@@ -24,8 +24,10 @@
 	json_t *by_path = json_object(), *l;
 	size_t i;
 
-	json_array_foreach(c->lines, i, l) if (line_is(l, kind))
-		json_array_append(runs_of(by_path, line_text(l, "path")), l);
+	json_array_foreach(c->lines, i, l)
+		if (line_is(l, kind))
+			json_array_append(
+				runs_of(by_path, line_text(l, "path")), l);
 	return by_path;
 }
 
@@ -39,11 +41,11 @@
 	const json_t *r;
 	size_t i;
 
-	json_array_foreach(
-		runs, i,
-		r) if (line_int(r, "run") == line_int(answer, "run") &&
-		       !strcmp(line_text(r, "worker"),
-			       line_text(answer, "worker"))) return true;
+	json_array_foreach(runs, i, r)
+		if (line_int(r, "run") == line_int(answer, "run") &&
+		    !strcmp(line_text(r, "worker"),
+			    line_text(answer, "worker")))
+			return true;
 	return false;
 }
 
@@ -111,10 +113,10 @@
 	const json_t *a;
 	size_t i;
 
-	json_array_foreach(attempts, i,
-			   a) if (line_int(a, "curl") != 0 ||
-				  strcmp(line_text(a, "outcome"), "not-run") !=
-					  0) return false;
+	json_array_foreach(attempts, i, a)
+		if (line_int(a, "curl") != 0 ||
+		    strcmp(line_text(a, "outcome"), "not-run") != 0)
+			return false;
 	return true;
 }
 
@@ -124,8 +126,7 @@
 	const char *path;
 	json_t *list;
 
-	json_object_foreach(attempts, path, list)
-	{
+	json_object_foreach(attempts, path, list) {
 		const json_t *ran = runs_of(runs, path), *a;
 		const json_t *first = json_array_get(list, 0);
 		size_t i, n = json_array_size(ran);
@@ -135,7 +136,8 @@
 				  path, line_text(first, "key_kind"), n);
 		if (n && all_not_run(list))
 			violation(c, "not-run-ran", "%s: %zu runs", path, n);
-		json_array_foreach(list, i, a) check_attempt(c, a, ran);
+		json_array_foreach(list, i, a)
+			check_attempt(c, a, ran);
 	}
 	json_decref(runs);
 	json_decref(attempts);
@@ -152,8 +154,7 @@
 	const json_t *a;
 	size_t i;
 
-	json_array_foreach(attempts, i, a)
-	{
+	json_array_foreach(attempts, i, a) {
 		const char *key = line_text(a, "key");
 
 		if (!strncmp(key, "tgk1.", 5)) {
@@ -172,12 +173,12 @@
 	const json_t *l;
 	size_t i;
 
-	json_array_foreach(
-		c->lines, i,
-		l) if (line_is(l, "heal") && *line_text(l, "name") == 'e' &&
-		       !strcmp(line_text(l, "fault"), "stop") &&
-		       at_ms >= line_int(l, "at_ms") &&
-		       at_ms - line_int(l, "at_ms") <= LEAVING_MS) return true;
+	json_array_foreach(c->lines, i, l)
+		if (line_is(l, "heal") && *line_text(l, "name") == 'e' &&
+		    !strcmp(line_text(l, "fault"), "stop") &&
+		    at_ms >= line_int(l, "at_ms") &&
+		    at_ms - line_int(l, "at_ms") <= LEAVING_MS)
+			return true;
 	return false;
 }
 
@@ -186,14 +187,11 @@
 	const json_t *l;
 	size_t i;
 
-	json_array_foreach(
-		c->lines, i,
-		l) if (line_is(l, "heal") &&
-		       !strcmp(line_text(l, "name"),
-			       line_text(begin, "name")) &&
-		       line_int(l, "at_ms") >=
-			       line_int(begin,
-					"at_ms")) return line_int(l, "at_ms");
+	json_array_foreach(c->lines, i, l)
+		if (line_is(l, "heal") &&
+		    !strcmp(line_text(l, "name"), line_text(begin, "name")) &&
+		    line_int(l, "at_ms") >= line_int(begin, "at_ms"))
+			return line_int(l, "at_ms");
 	return INT64_MAX;
 }
 
@@ -205,8 +203,7 @@
 	const json_t *l;
 	size_t i;
 
-	json_array_foreach(c->lines, i, l)
-	{
+	json_array_foreach(c->lines, i, l) {
 		int64_t at_ms = line_is(l, "run") ? line_int(l, "start_ms") :
 						    line_int(l, "at_ms");
 		const char *path = strstr(line_text(l, "path"), "/r");
@@ -234,9 +231,9 @@
 	const json_t *l;
 	size_t i;
 
-	json_array_foreach(c->lines, i,
-			   l) if (line_is(l, "fault-set") &&
-				  !strcmp(line_text(l, "fault"), "draining"))
-		check_drain(c, l, attempts);
+	json_array_foreach(c->lines, i, l)
+		if (line_is(l, "fault-set") &&
+		    !strcmp(line_text(l, "fault"), "draining"))
+			check_drain(c, l, attempts);
 	json_decref(attempts);
 }
--- a/tests/standin/platformd/instances.c
+++ b/tests/standin/platformd/instances.c
@@ -43,8 +43,7 @@
 	const char *name;
 
 	make_due(c->board);
-	json_object_foreach(c->board->list, name, v)
-	{
+	json_object_foreach(c->board->list, name, v) {
 		const char *in = json_string_value(json_object_get(v, "az"));
 
 		if (!az || !strcmp(az, in))
--- a/tests/standin/platformd/table.c
+++ b/tests/standin/platformd/table.c
@@ -144,8 +144,7 @@
 	f->text = "more than 128 entries";
 	if (json_array_size(list) > ITEMS_MAX)
 		return false;
-	json_array_foreach(list, i, v)
-	{
+	json_array_foreach(list, i, v) {
 		if (!check(v, i, f))
 			return false;
 	}
@@ -166,16 +165,14 @@
 	bool ok = true;
 	size_t i;
 
-	json_array_foreach(puts, i, v)
-	{
+	json_array_foreach(puts, i, v) {
 		const char *key = json_string_value(json_object_get(v, "key"));
 
 		if (ok && has_name(seen, key))
 			ok = set_fault(f, "put", i, "key", "changed twice");
 		json_object_set_new(seen, key, json_true());
 	}
-	json_array_foreach(deletes, i, v)
-	{
+	json_array_foreach(deletes, i, v) {
 		if (ok && has_name(seen, json_string_value(v)))
 			ok = set_fault(f, "delete", i, "", "changed twice");
 		json_object_set_new(seen, json_string_value(v), json_true());
@@ -208,8 +205,7 @@
 	json_t *conflicts = json_array(), *v;
 	size_t i;
 
-	json_array_foreach(json_object_get(txn, "if"), i, v)
-	{
+	json_array_foreach(json_object_get(txn, "if"), i, v) {
 		const char *key = json_string_value(json_object_get(v, "key"));
 		const struct row *r = find_row(b, key);
 
@@ -226,8 +222,7 @@
 	json_t *versions = json_object(), *v;
 	size_t i;
 
-	json_array_foreach(json_object_get(txn, "put"), i, v)
-	{
+	json_array_foreach(json_object_get(txn, "put"), i, v) {
 		const char *key = json_string_value(json_object_get(v, "key"));
 		uint64_t version =
 			put_row(b, key, token, json_object_get(v, "value"));
@@ -299,8 +294,7 @@
 	struct row *r, *tmp;
 
 	*n = 0;
-	HASH_ITER(hh, b->rows, r, tmp)
-	{
+	HASH_ITER(hh, b->rows, r, tmp) {
 		if (!strncmp(r->key, prefix, strlen(prefix)) &&
 		    strcmp(r->key, after) > 0)
 			list[(*n)++].row = r;
@@ -374,8 +368,7 @@
 	size_t n = prefix ? strlen(prefix) : 0, i;
 	json_t *list = json_array(), *v;
 
-	json_array_foreach(b->history, i, v)
-	{
+	json_array_foreach(b->history, i, v) {
 		const char *key = json_string_value(json_object_get(v, "key"));
 
 		if (!n || !strncmp(key, prefix, n))
--- a/tests/standin/workerd/agent.c
+++ b/tests/standin/workerd/agent.c
@@ -197,8 +197,7 @@
 	snprintf(place, size, "/ops");
 	if (!json_is_array(ops) || json_array_size(ops) > OPS_MAX)
 		return false;
-	json_array_foreach(ops, i, op)
-	{
+	json_array_foreach(ops, i, op) {
 		field = find_op_fault(op);
 		if (!field)
 			continue;
@@ -214,8 +213,7 @@
 	json_t *results = json_array(), *op;
 	size_t i;
 
-	json_array_foreach(json_object_get(v, "ops"), i, op)
-	{
+	json_array_foreach(json_object_get(v, "ops"), i, op) {
 		json_array_append_new(results, lease_op(b, op));
 	}
 	/* A task without any run time is done at once. */
--- a/tests/unit/doc/test-doc.c
+++ b/tests/unit/doc/test-doc.c
@@ -572,8 +572,7 @@
 			json_array_append(v, member);
 		return;
 	}
-	json_object_foreach(v, key, member)
-	{
+	json_object_foreach(v, key, member) {
 		if (i++ == pick)
 			break;
 	}
--- a/tests/unit/plat/plat-driver.c
+++ b/tests/unit/plat/plat-driver.c
@@ -328,8 +328,7 @@
 	call_raw(d, EVHTTP_REQ_GET, uri, "");
 	free(uri);
 	printf("history:");
-	json_array_foreach(json_object_get(d->raw, "history"), i, v)
-	{
+	json_array_foreach(json_object_get(d->raw, "history"), i, v) {
 		const char *token =
 			json_string_value(json_object_get(v, "token"));
 
