--- /dev/null
+++ b/cmd/tgschedd/call.c
@@ -0,0 +1,49 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "message.h"
+
+uint64_t worker_fence(const struct board *b, const struct worker *w)
+{
+	if (b->opts->unsafe_ignore_epoch && w->epoch_seen > b->epoch)
+		return w->epoch_seen;
+	return b->epoch;
+}
+
+void worker_call(struct board *b, struct worker *w, const char *uri,
+		 json_t *body,
+		 void (*done)(const struct tg_http_result *r, void *arg),
+		 void *arg)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+	struct tg_http_call_opts call = {
+		.method = EVHTTP_REQ_POST,
+		.addr = w->addr,
+		.uri = uri,
+		.body = text,
+		.body_bytes = strlen(text),
+		.timeout_ms = b->opts->call_ms,
+		.done = done,
+		.arg = arg,
+	};
+
+	json_decref(body);
+	w->in_flight = true;
+	w->call_arg = arg;
+	w->call = tg_http_call_start(b->worker_http, &call);
+	free(text);
+}
+
+bool worker_call_ended(struct board *b, struct worker *w,
+		       const struct tg_http_result *r, const json_t *answer)
+{
+	w->call = NULL;
+	w->call_arg = NULL;
+	w->in_flight = false;
+	if (r->end == TG_HTTP_WHOLE && answer)
+		return true;
+	w->up = false;
+	w->tried = true;
+	w->next_ms = tg_now_ms() + b->opts->call_ms;
+	return false;
+}
--- a/cmd/tgschedd/message.h
+++ b/cmd/tgschedd/message.h
@@ -17,4 +17,21 @@
 /** worker_note_clock() - keep boot, clock and epoch of an answer */
 bool worker_note_clock(struct worker *w, const json_t *answer);
 
+/* --- call.c --- */
+
+/** worker_fence() - epoch that commands to the worker carry */
+uint64_t worker_fence(const struct board *b, const struct worker *w);
+/** worker_call() - post to the worker's agent; takes the reference to @body */
+void worker_call(struct board *b, struct worker *w, const char *uri,
+		 json_t *body,
+		 void (*done)(const struct tg_http_result *r, void *arg),
+		 void *arg);
+/**
+ * worker_call_ended() - record the end of the call in flight
+ *
+ * Return: whether the worker answered; if not, it is tried again after call_ms.
+ */
+bool worker_call_ended(struct board *b, struct worker *w,
+		       const struct tg_http_result *r, const json_t *answer);
+
 #endif
--- a/cmd/tgschedd/workers.c
+++ b/cmd/tgschedd/workers.c
@@ -54,13 +54,8 @@
 	struct worker *w = in->worker;
 	json_t *answer = tg_http_result_json(r);
 
-	w->call = NULL;
-	w->call_arg = NULL;
-	w->in_flight = false;
-	if (r->end != TG_HTTP_WHOLE || !answer) {
-		w->up = false;
-		w->tried = true;
-		w->next_ms = tg_now_ms() + b->opts->call_ms;
+	if (!worker_call_ended(b, w, r, answer)) {
+		/* The next tick installs again. */
 	} else if (b->epoch != in->epoch) {
 		/* Stepped down since. */
 	} else if (r->status == 200) {
@@ -75,33 +70,14 @@
 static void install(struct board *b, struct worker *w)
 {
 	struct install *in = tg_xcalloc(1, sizeof(*in));
-	struct tg_http_call_opts call = {
-		.method = EVHTTP_REQ_POST,
-		.addr = w->addr,
-		.uri = "/v1/epoch",
-		.timeout_ms = b->opts->call_ms,
-		.done = on_installed,
-		.arg = in,
-	};
-	uint64_t epoch = b->epoch;
-	json_t *v;
-	char *text;
-
-	if (b->opts->unsafe_ignore_epoch && w->epoch_seen > epoch)
-		epoch = w->epoch_seen;
-	v = json_pack("{s:s, s:I, s:s}", "az", b->opts->az, "epoch",
-		      (json_int_t)epoch, "holder", b->opts->instance);
-	text = json_dumps(v, JSON_COMPACT);
-	json_decref(v);
+	json_t *body = json_pack("{s:s, s:I, s:s}", "az", b->opts->az, "epoch",
+				 (json_int_t)worker_fence(b, w), "holder",
+				 b->opts->instance);
+
 	in->board = b;
 	in->worker = w;
 	in->epoch = b->epoch;
-	call.body = text;
-	call.body_bytes = strlen(text);
-	w->in_flight = true;
-	w->call_arg = in;
-	w->call = tg_http_call_start(b->worker_http, &call);
-	free(text);
+	worker_call(b, w, "/v1/epoch", body, on_installed, in);
 }
 
 /* --- reachability --- */
