Share the settings and the log set-up of the daemons

The three daemons repeated nine settings and the registration of the libraries' events. TG_MEMBER_SETTINGS and tg_member_log_open() hold them once; flags, variables, defaults and ranges are unchanged (--help of each daemon compared before and after: order and help texts differ only).

--- a/cmd/tgconsoled/main.c
+++ b/cmd/tgconsoled/main.c
@@ -11,32 +11,10 @@
 	{ 0, TG_INFO, NULL },
 };
 
-#define SETTING(flag, type, def, min, max, required, help, field) \
-	{                                                         \
-		flag, type, def, min, max, required, help,        \
-			offsetof(struct opts, field)              \
-	}
-
 static const struct tg_setting settings[] = {
-	SETTING("http-addr", TG_SET_ADDR, "127.0.0.1:0", 0, 0, false,
-		"address to listen on for HTTP", http_addr),
-	SETTING("rpc-addr", TG_SET_ADDR, "127.0.0.1:0", 0, 0, false,
-		"address to listen on for RPC", rpc_addr),
-	SETTING("instance", TG_SET_NAME, NULL, 0, 0, true,
-		"name of this instance", instance),
-	SETTING("az", TG_SET_NAME, NULL, 0, 0, true, "availability zone", az),
-	SETTING("platform", TG_SET_ADDR, NULL, 0, 0, true,
-		"address of the platform", platform),
-	SETTING("peers", TG_SET_ADDRS, NULL, 0, 0, false,
-		"RPC addresses of further peers", peers),
-	SETTING("operator-key-file", TG_SET_STRING, NULL, 0, 0, true,
-		"file with the key of the operators", operator_key_file),
-	SETTING("drain-grace-ms", TG_SET_INT, "500", 0, 600000, false,
-		"least time from SIGTERM to the end", drain_grace_ms),
-	SETTING("drain-max-ms", TG_SET_INT, "30000", 0, 3600000, false,
-		"limit of a drain", drain_max_ms),
-	SETTING("log-level", TG_SET_STRING, "info", 0, 0, false,
-		"debug, info, warn or error", log_level),
+	TG_MEMBER_SETTINGS(opts, true, "500", "30000"),
+	TG_SETTING(opts, "operator-key-file", TG_SET_STRING, NULL, 0, 0, true,
+		   "file with the key of the operators", operator_key_file),
 	{ 0 },
 };
 
@@ -150,13 +128,7 @@
 	};
 	int status;
 
-	tg_log_open(PROG, b->opts.log_level);
-	tg_log_register(tg_http_events);
-	tg_log_register(tg_rpc_events);
-	tg_log_register(tg_plat_events);
-	tg_log_register(tg_doc_events);
-	tg_log_register(tg_member_events);
-	tg_log_register(events);
+	tg_member_log_open(PROG, b->opts.log_level, events);
 	b->base = event_base_new();
 	daemon.base = b->base;
 	make_clients(b);
--- a/cmd/tgentryd/main.c
+++ b/cmd/tgentryd/main.c
@@ -1,45 +1,24 @@
-#include <stddef.h>
-
 #include "board.h"
 
-#define OPT(flag, type, def, min, max, required, help, field) \
-	{                                                     \
-		flag, type, def, min, max, required, help,    \
-			offsetof(struct settings, field)      \
-	}
-#define UNSAFE(name, help, field)                           \
-	OPT("unsafe-" name, TG_SET_BOOL, NULL, 0, 0, false, \
-	    "fault tests only: " help, field)
+#define UNSAFE(name, help, field)                                            \
+	TG_SETTING(settings, "unsafe-" name, TG_SET_BOOL, NULL, 0, 0, false, \
+		   "fault tests only: " help, field)
 
 static const struct tg_setting settings[] = {
-	OPT("http-addr", TG_SET_ADDR, "127.0.0.1:0", 0, 0, false,
-	    "IP:PORT for callers, port 0 for any", http_addr),
-	OPT("rpc-addr", TG_SET_ADDR, "127.0.0.1:0", 0, 0, false,
-	    "IP:PORT for other processes, port 0 for any", rpc_addr),
-	OPT("instance", TG_SET_NAME, NULL, 0, 0, true, "name of this instance",
-	    instance),
-	OPT("az", TG_SET_NAME, NULL, 0, 0, true, "availability zone", az),
-	OPT("platform", TG_SET_ADDR, NULL, 0, 0, false,
-	    "IP:PORT of the platform's service", platform),
-	OPT("peers", TG_SET_ADDRS, NULL, 0, 0, false,
-	    "RPC addresses of peers, beside the instance list", peers),
-	OPT("probe-ms", TG_SET_INT, "2000", 10, 60000, false,
-	    "time between two probes of a worker, in ms", probe_ms),
-	OPT("drain-grace-ms", TG_SET_INT, "5000", 0, 600000, false,
-	    "listening goes on this long after SIGTERM, in ms", drain_grace_ms),
-	OPT("drain-max-ms", TG_SET_INT, "90000", 0, 3600000, false,
-	    "the process ends at the latest this long after SIGTERM, in ms",
-	    drain_max_ms),
-	OPT("default-deadline-ms", TG_SET_INT, "10000", 1, DEADLINE_MAX_MS,
-	    false, "deadline of a request without Tg-Deadline-Ms, in ms",
-	    default_deadline_ms),
-	OPT("header-bytes", TG_SET_INT, "16384", 256, 1048576, false,
-	    "limit of all headers of a request, in bytes", header_bytes),
+	TG_MEMBER_SETTINGS(settings, false, "5000", "90000"),
+	TG_SETTING(settings, "probe-ms", TG_SET_INT, "2000", 10, 60000, false,
+		   "time between two probes of a worker, in ms", probe_ms),
+	TG_SETTING(settings, "default-deadline-ms", TG_SET_INT, "10000", 1,
+		   DEADLINE_MAX_MS, false,
+		   "deadline of a request without Tg-Deadline-Ms, in ms",
+		   default_deadline_ms),
+	TG_SETTING(settings, "header-bytes", TG_SET_INT, "16384", 256, 1048576,
+		   false, "limit of all headers of a request, in bytes",
+		   header_bytes),
 	/* A request must fit into REQUEST_FORWARD. */
-	OPT("body-bytes", TG_SET_INT, "786432", 0, TG_RPC_BODY_MAX, false,
-	    "limit of the body of a request, in bytes", body_bytes),
-	OPT("log-level", TG_SET_STRING, "info", 0, 0, false,
-	    "debug, info, warn or error", log_level),
+	TG_SETTING(settings, "body-bytes", TG_SET_INT, "786432", 0,
+		   TG_RPC_BODY_MAX, false,
+		   "limit of the body of a request, in bytes", body_bytes),
 	UNSAFE("no-claims", "run requests with a caller's key unclaimed",
 	       unsafe_no_claims),
 	UNSAFE("reuse-after-timeout",
@@ -81,17 +60,6 @@
 	&front_controller,   NULL,
 };
 
-static void open_log(const struct settings *s)
-{
-	tg_log_open("tgentryd", s->log_level);
-	tg_log_register(events);
-	tg_log_register(tg_http_events);
-	tg_log_register(tg_rpc_events);
-	tg_log_register(tg_plat_events);
-	tg_log_register(tg_doc_events);
-	tg_log_register(tg_member_events);
-}
-
 static void warn_unsafe(const struct settings *s)
 {
 	const struct tg_setting *i;
@@ -117,7 +85,7 @@
 	default:
 		break;
 	}
-	open_log(&b.set);
+	tg_member_log_open("tgentryd", b.set.log_level, events);
 	warn_unsafe(&b.set);
 	tg_rng_seed(&b.rng);
 	b.base = event_base_new();
--- a/cmd/tgschedd/main.c
+++ b/cmd/tgschedd/main.c
@@ -1,4 +1,3 @@
-#include <stddef.h>
 #include <string.h>
 
 #include "controllers.h"
@@ -14,70 +13,55 @@
 	{ 0, TG_INFO, NULL },
 };
 
-#define SETTING(flag, type, def, min, max, required, help, field) \
-	{                                                         \
-		flag, type, def, min, max, required, help,        \
-			offsetof(struct options, field)           \
-	}
-
 static const struct tg_setting settings[] = {
-	SETTING("http-addr", TG_SET_ADDR, "127.0.0.1:0", 0, 0, false,
-		"address of /metrics, /healthz and /readyz", http_addr),
-	SETTING("rpc-addr", TG_SET_ADDR, "127.0.0.1:0", 0, 0, false,
-		"address for RPC, TCP and UDP", rpc_addr),
-	SETTING("instance", TG_SET_NAME, NULL, 0, 0, true,
-		"name of this instance", instance),
-	SETTING("az", TG_SET_NAME, NULL, 0, 0, true, "availability zone", az),
-	SETTING("platform", TG_SET_ADDR, NULL, 0, 0, true,
-		"address of the platform", platform),
-	SETTING("peers", TG_SET_ADDRS, NULL, 0, 0, false,
-		"RPC addresses of peers, beside the instance list", peers),
-	SETTING("sched-renew-ms", TG_SET_INT, "2000", 50, 600000, false,
-		"period of the scheduler's row", sched_renew_ms),
-	SETTING("sched-lease-ms", TG_SET_INT, "6000", 150, 1800000, false,
-		"time without a change after which a standby takes the row",
-		sched_lease_ms),
-	SETTING("lease-ms", TG_SET_INT, "30000", 500, 3600000, false,
-		"length of a task lease", lease_ms),
-	SETTING("renew-ms", TG_SET_INT, "5000", 50, 600000, false,
-		"period of lease renewal", renew_ms),
-	SETTING("checkpoint-ms", TG_SET_INT, "600000", 0, 86400000, false,
-		"period of checkpoints of a gang; 0 for none", checkpoint_ms),
-	SETTING("call-ms", TG_SET_INT, "1000", 50, 60000, false,
-		"limit of a call to a worker, and wait after a failed one",
-		call_ms),
-	SETTING("worker-lost-ms", TG_SET_INT, "15000", 100, 3600000, false,
-		"silence after which a worker's tasks count as lost",
-		worker_lost_ms),
-	SETTING("job-keep-ms", TG_SET_INT, "86400000", 0, 31536000000, false,
-		"time that the row of a finished job is kept", job_keep_ms),
-	SETTING("drain-grace-ms", TG_SET_INT, "500", 0, 600000, false,
-		"time that the listeners stay open after SIGTERM",
-		drain_grace_ms),
-	SETTING("drain-max-ms", TG_SET_INT, "30000", 0, 3600000, false,
-		"longest time from SIGTERM to the end", drain_max_ms),
-	SETTING("log-level", TG_SET_STRING, "info", 0, 0, false,
-		"debug, info, warn or error", log_level),
-	SETTING("pause-at", TG_SET_STRING, NULL, 0, 0, false,
-		"fault test: stop once at reserve, commit or start", pause_at),
-	SETTING("unsafe-ignore-epoch", TG_SET_BOOL, NULL, 0, 0, false,
-		"fault test: send no fence, never step down",
-		unsafe_ignore_epoch),
-	SETTING("unsafe-start-before-reserved", TG_SET_BOOL, NULL, 0, 0, false,
-		"fault test: start members before all are reserved",
-		unsafe_start_before_reserved),
-	SETTING("unsafe-renew-partial-gangs", TG_SET_BOOL, NULL, 0, 0, false,
-		"fault test: renew gangs that lost a member",
-		unsafe_renew_partial_gangs),
-	SETTING("unsafe-no-outage-renewal", TG_SET_BOOL, NULL, 0, 0, false,
-		"fault test: standbys do not renew", unsafe_no_outage_renewal),
-	SETTING("unsafe-restart-before-expiry", TG_SET_BOOL, NULL, 0, 0, false,
-		"fault test: count lost leases as expired at once",
-		unsafe_restart_before_expiry),
-	SETTING("unsafe-reuse-attempts", TG_SET_BOOL, NULL, 0, 0, false,
-		"fault test: use numbers of attempts again that were not "
-		"committed",
-		unsafe_reuse_attempts),
+	TG_MEMBER_SETTINGS(options, true, "500", "30000"),
+	TG_SETTING(options, "sched-renew-ms", TG_SET_INT, "2000", 50, 600000,
+		   false, "period of the scheduler's row", sched_renew_ms),
+	TG_SETTING(options, "sched-lease-ms", TG_SET_INT, "6000", 150, 1800000,
+		   false,
+		   "time without a change after which a standby takes the row",
+		   sched_lease_ms),
+	TG_SETTING(options, "lease-ms", TG_SET_INT, "30000", 500, 3600000,
+		   false, "length of a task lease", lease_ms),
+	TG_SETTING(options, "renew-ms", TG_SET_INT, "5000", 50, 600000, false,
+		   "period of lease renewal", renew_ms),
+	TG_SETTING(options, "checkpoint-ms", TG_SET_INT, "600000", 0, 86400000,
+		   false, "period of checkpoints of a gang; 0 for none",
+		   checkpoint_ms),
+	TG_SETTING(options, "call-ms", TG_SET_INT, "1000", 50, 60000, false,
+		   "limit of a call to a worker, and wait after a failed one",
+		   call_ms),
+	TG_SETTING(options, "worker-lost-ms", TG_SET_INT, "15000", 100, 3600000,
+		   false, "silence after which a worker's tasks count as lost",
+		   worker_lost_ms),
+	TG_SETTING(options, "job-keep-ms", TG_SET_INT, "86400000", 0,
+		   31536000000, false,
+		   "time that the row of a finished job is kept", job_keep_ms),
+	TG_SETTING(options, "pause-at", TG_SET_STRING, NULL, 0, 0, false,
+		   "fault test: stop once at reserve, commit or start",
+		   pause_at),
+	TG_SETTING(options, "unsafe-ignore-epoch", TG_SET_BOOL, NULL, 0, 0,
+		   false, "fault test: send no fence, never step down",
+		   unsafe_ignore_epoch),
+	TG_SETTING(options, "unsafe-start-before-reserved", TG_SET_BOOL, NULL,
+		   0, 0, false,
+		   "fault test: start members before all are reserved",
+		   unsafe_start_before_reserved),
+	TG_SETTING(options, "unsafe-renew-partial-gangs", TG_SET_BOOL, NULL, 0,
+		   0, false, "fault test: renew gangs that lost a member",
+		   unsafe_renew_partial_gangs),
+	TG_SETTING(options, "unsafe-no-outage-renewal", TG_SET_BOOL, NULL, 0, 0,
+		   false, "fault test: standbys do not renew",
+		   unsafe_no_outage_renewal),
+	TG_SETTING(options, "unsafe-restart-before-expiry", TG_SET_BOOL, NULL,
+		   0, 0, false,
+		   "fault test: count lost leases as expired at once",
+		   unsafe_restart_before_expiry),
+	TG_SETTING(options, "unsafe-reuse-attempts", TG_SET_BOOL, NULL, 0, 0,
+		   false,
+		   "fault test: use numbers of attempts again that were not "
+		   "committed",
+		   unsafe_reuse_attempts),
 	{ 0 },
 };
 
@@ -190,17 +174,6 @@
 	tg_http_client_free(b->http);
 }
 
-static void open_log(const struct options *o)
-{
-	tg_log_open(PROG, o->log_level);
-	tg_log_register(tg_http_events);
-	tg_log_register(tg_rpc_events);
-	tg_log_register(tg_plat_events);
-	tg_log_register(tg_doc_events);
-	tg_log_register(tg_member_events);
-	tg_log_register(events);
-}
-
 int main(int argc, char **argv)
 {
 	static const struct tg_settings_spec spec = {
@@ -228,7 +201,7 @@
 		tg_findings_free(&f);
 		return TG_EXIT_USAGE;
 	}
-	open_log(&opts);
+	tg_member_log_open(PROG, opts.log_level, events);
 	fault_warn(&opts);
 	b.opts = &opts;
 	b.base = event_base_new();
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -133,6 +133,13 @@
 	size_t offset;
 };
 
+/** TG_SETTING() - a setting whose value is @field of struct @of */
+#define TG_SETTING(of, flag, type, def, min, max, required, help, field) \
+	{                                                                \
+		flag, type, def, min, max, required, help,               \
+			offsetof(struct of, field)                       \
+	}
+
 /**
  * struct tg_settings_spec - settings of a program
  * @prog: name of the program
