Sleep milliseconds and not seconds before the end of a guarantee

Cause: fault/lapse failed once in a whole run ("submitted too late", 20 s of nothing in the scheduler's log). The rest of the wait was turned into seconds by putting a dot before its last three digits; a rest of 1 to 99 ms has no three digits and became a wait of up to 99 s.

Ruled out: the scheduler (its log shows the document in force and no submission in between) and load (the other tests of the run took their usual time).

--- a/tests/fault/lapse.sh
+++ b/tests/fault/lapse.sh
@@ -71,7 +71,8 @@
 	# The rest of the time but 2 s, which the submission and the reclaim
 	# have.
 	left=$((at * 1000 - $(now_ms) - 2000))
-	[ "$left" -gt 0 ] && sleep "$(echo "$left" | sed 's/...$/.&/')"
+	[ "$left" -gt 0 ] &&
+		sleep "$(printf '%d.%03d' $((left / 1000)) $((left % 1000)))"
 	submit $s own 2 8 '"run_ms":4000' guaranteed >/dev/null
 	[ "$(now_ms)" -lt $((at * 1000)) ] || echo "$1: submitted too late"
 	watch_list $s $((at * 1000))
