Limit wrong operator keys and delete objects that no row names

Ruled out: a limit for all addresses together, with which one guesser would keep every operator out, and a delay of wrong answers, which parallel connections get around. An object is deleted when its entry leaves the history of 32, after a lost race (only if the other's history does not name it, since a lost answer can hide a commit), and if the row was surely not written. After an unknown result it stays.

--- a/cmd/tgconsoled/auth.c
+++ b/cmd/tgconsoled/auth.c
@@ -43,7 +43,7 @@
 	return !differs;
 }
 
-void auth_refused(struct evhttp_request *req, const char *why)
+static const char *peer_of(struct evhttp_request *req)
 {
 	struct evhttp_connection *con = evhttp_request_get_connection(req);
 	char *addr = NULL;
@@ -51,22 +51,90 @@
 
 	if (con)
 		evhttp_connection_get_peer(con, &addr, &port);
+	return addr ? addr : "-";
+}
+
+void auth_refused(struct evhttp_request *req, const char *why)
+{
 	tg_counter("tg_console_keys_refused_total",
 		   "Calls and logins without the operator key.", NULL)
 		->value++;
-	tg_log(EV_CONSOLE_KEY_REFUSED, "why=%s from=%s", why,
-	       addr ? addr : "-");
+	tg_log(EV_CONSOLE_KEY_REFUSED, "why=%s from=%s", why, peer_of(req));
+}
+
+static void forgive(const struct board *b, struct guesser *g, int64_t now_ms)
+{
+	g->wrong -= (double)(now_ms - g->at_ms) *
+		(double)b->opts.wrong_keys_per_min / 60000;
+	if (g->wrong < 0)
+		g->wrong = 0;
+	g->at_ms = now_ms;
+}
+
+static struct guesser *find_guesser(struct board *b, const char *addr)
+{
+	struct guesser *least = &b->guessers[0];
+	int64_t now_ms = tg_now_ms();
+	size_t i;
+
+	for (i = 0; i < GUESSERS_MAX; i++) {
+		struct guesser *g = &b->guessers[i];
+
+		forgive(b, g, now_ms);
+		if (!strcmp(g->addr, addr))
+			return g;
+		if (g->wrong < least->wrong)
+			least = g;
+	}
+	tg_strlcpy(least->addr, addr, sizeof(least->addr));
+	least->wrong = 0;
+	return least;
+}
+
+enum key_end auth_key(struct board *b, struct evhttp_request *req,
+		      const char *key)
+{
+	struct guesser *g = find_guesser(b, peer_of(req));
+
+	if (g->wrong > (double)b->opts.wrong_keys_per_min - 1) {
+		auth_refused(req, "limit");
+		return KEY_LIMITED;
+	}
+	if (key && auth_equal(key, b->key))
+		return KEY_RIGHT;
+	if (key)
+		g->wrong++;
+	auth_refused(req, key ? "wrong" : "none");
+	return KEY_WRONG;
+}
+
+void auth_limited(struct board *b, struct evhttp_request *req)
+{
+	char seconds[24];
+
+	snprintf(seconds, sizeof(seconds), "%lld",
+		 60 / (long long)b->opts.wrong_keys_per_min + 1);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Retry-After",
+			  seconds);
+	tg_http_reply_error(req, 429, "Authorization",
+			    "too many wrong operator keys from this address");
 }
 
 bool auth_bearer(struct board *b, struct evhttp_request *req)
 {
 	static const char prefix[] = "Bearer ";
 	const char *v = tg_http_header(req, "Authorization");
+	bool given = v && !strncasecmp(v, prefix, strlen(prefix));
 
-	if (v && !strncasecmp(v, prefix, strlen(prefix)) &&
-	    auth_equal(v + strlen(prefix), b->key))
+	switch (auth_key(b, req, given ? v + strlen(prefix) : v)) {
+	case KEY_RIGHT:
 		return true;
-	auth_refused(req, v ? "wrong" : "none");
+	case KEY_LIMITED:
+		auth_limited(b, req);
+		return false;
+	default:
+		break;
+	}
 	evhttp_add_header(evhttp_request_get_output_headers(req),
 			  "WWW-Authenticate", "Bearer");
 	tg_http_reply_error(req, 401, "Authorization",
--- a/cmd/tgconsoled/board.h
+++ b/cmd/tgconsoled/board.h
@@ -21,8 +21,23 @@
 	const char *http_addr, *rpc_addr, *platform, *instance, *az, *peers;
 	const char *operator_key_file, *log_level;
 	int64_t drain_grace_ms, drain_max_ms;
+	int64_t wrong_keys_per_min;
+	bool secure_cookie;
 };
 
+/**
+ * struct guesser - an address that sent wrong keys
+ * @wrong: number of wrong keys, less those that time has made up for
+ * @at_ms: when @wrong was last brought up to date
+ */
+struct guesser {
+	char addr[64];
+	double wrong;
+	int64_t at_ms;
+};
+/* A newer address takes the place of the one with the fewest wrong keys. */
+#define GUESSERS_MAX 256
+
 /**
  * struct session - an operator who logged in with the forms
  * @token: value of the cookie
@@ -48,6 +63,7 @@
 	struct tg_http_server *http;
 	struct tg_member *member;
 	struct session sessions[SESSIONS_MAX];
+	struct guesser guessers[GUESSERS_MAX];
 	size_t in_progress; /* loads and saves */
 };
 
@@ -66,7 +82,19 @@
 const char *auth_author(const char *name);
 struct session *auth_session(struct board *b, struct evhttp_request *req);
 struct session *auth_open_session(struct board *b, const char *author);
+/** auth_refused() - count and log a call without the key */
 void auth_refused(struct evhttp_request *req, const char *why);
+/**
+ * auth_key() - whether @key is the operators' key
+ *
+ * After --wrong-keys-per-min wrong ones from an address, no key from it is
+ * looked at until time has made up for them, so that guesses are bounded.
+ */
+enum key_end { KEY_RIGHT, KEY_WRONG, KEY_LIMITED };
+enum key_end auth_key(struct board *b, struct evhttp_request *req,
+		      const char *key);
+/** auth_limited() - reply with 429 to a call with KEY_LIMITED */
+void auth_limited(struct board *b, struct evhttp_request *req);
 
 /* --- plan.c --- */
 
--- a/cmd/tgconsoled/login.c
+++ b/cmd/tgconsoled/login.c
@@ -38,18 +38,26 @@
 	html_reply(req, status, out);
 }
 
-static void redirect(struct evhttp_request *req, const char *cookie,
-		     int64_t seconds)
+static void set_cookie(struct board *b, struct evhttp_request *req,
+		       const char *token, int64_t seconds)
 {
-	struct evkeyvalq *out = evhttp_request_get_output_headers(req);
 	char value[160];
 
 	snprintf(value, sizeof(value),
 		 "tgconsole=%s; HttpOnly; SameSite=Strict; Path=/; "
-		 "Max-Age=%lld",
-		 cookie, (long long)seconds);
-	evhttp_add_header(out, "Set-Cookie", value);
-	evhttp_add_header(out, "Location", "/");
+		 "Max-Age=%lld%s",
+		 token, (long long)seconds,
+		 b->opts.secure_cookie ? "; Secure" : "");
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Set-Cookie",
+			  value);
+}
+
+static void redirect(struct board *b, struct evhttp_request *req,
+		     const char *token, int64_t seconds)
+{
+	set_cookie(b, req, token, seconds);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Location",
+			  "/");
 	tg_http_reply_text(req, 303, "text/plain", "", 0);
 }
 
@@ -63,18 +71,6 @@
 	return s;
 }
 
-static void set_cookie(struct evhttp_request *req, const char *token)
-{
-	char value[160];
-
-	snprintf(value, sizeof(value),
-		 "tgconsole=%s; HttpOnly; SameSite=Strict; Path=/; "
-		 "Max-Age=%d",
-		 token, COOKIE_SECONDS);
-	evhttp_add_header(evhttp_request_get_output_headers(req), "Set-Cookie",
-			  value);
-}
-
 static void log_in(struct board *b, struct evhttp_request *req,
 		   struct evkeyvalq *form)
 {
@@ -83,8 +79,16 @@
 	const char *typed = evhttp_find_header(form, "typed");
 	struct session *s;
 
-	if (!key || !auth_equal(key, b->key)) {
-		auth_refused(req, "login");
+	switch (auth_key(b, req, key)) {
+	case KEY_RIGHT:
+		break;
+	case KEY_LIMITED:
+		login_page(req, 429,
+			   "Too many wrong operator keys from this address; "
+			   "try again in a minute.",
+			   typed);
+		return;
+	default:
 		login_page(req, 403, "The operator key is wrong.", typed);
 		return;
 	}
@@ -95,10 +99,10 @@
 	}
 	tg_log(EV_CONSOLE_LOGIN, "author=%s", s->author);
 	if (!typed) {
-		redirect(req, s->token, COOKIE_SECONDS);
+		redirect(b, req, s->token, COOKIE_SECONDS);
 		return;
 	}
-	set_cookie(req, s->token);
+	set_cookie(b, req, s->token, COOKIE_SECONDS);
 	pages_show_typed(b, req, s, typed);
 }
 
@@ -128,5 +132,5 @@
 	/* The cookie is not sent from other sites, and no harm is done. */
 	if (s)
 		memset(s, 0, sizeof(*s));
-	redirect(req, "", 0);
+	redirect(arg, req, "", 0);
 }
--- a/cmd/tgconsoled/main.c
+++ b/cmd/tgconsoled/main.c
@@ -15,6 +15,13 @@
 	TG_MEMBER_SETTINGS(opts, true, "500", "30000"),
 	TG_SETTING(opts, "operator-key-file", TG_SET_STRING, NULL, 0, 0, true,
 		   "file with the key of the operators", operator_key_file),
+	TG_SETTING(opts, "wrong-keys-per-min", TG_SET_INT, "10", 1, 1000, false,
+		   "wrong operator keys from an address per minute, beyond "
+		   "which none is looked at",
+		   wrong_keys_per_min),
+	TG_SETTING(opts, "secure-cookie", TG_SET_BOOL, NULL, 0, 0, false,
+		   "browsers send the cookie of a login over TLS only",
+		   secure_cookie),
 	{ 0 },
 };
 
--- a/cmd/tgconsoled/store.c
+++ b/cmd/tgconsoled/store.c
@@ -4,7 +4,7 @@
 #include "board.h"
 
 #define ROW "config/current"
-/* Changes that the row names; the objects of older ones are not listed. */
+/* Changes that the row names; the objects of older ones are deleted. */
 #define HISTORY_MAX 32
 
 /* --- load --- */
@@ -261,6 +261,49 @@
 		end_conflict(s);
 }
 
+static bool is_named(const json_t *history, const char *object)
+{
+	const json_t *entry;
+	size_t i;
+
+	json_array_foreach(history, i, entry) {
+		const char *s =
+			json_string_value(json_object_get(entry, "object"));
+
+		if (s && !strcmp(s, object))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * The object store has no list, so an object that is not deleted when the last
+ * name of it goes stays for ever.  At the target's 11,000 changes a day of 48
+ * KB that would be 0.5 GB a day.
+ */
+static void delete_object(struct save *s, const char *object)
+{
+	tg_counter("tg_console_objects_deleted_total",
+		   "Objects of documents that no row names.", NULL)
+		->value++;
+	tg_object_delete(s->board->plat, object, NULL, NULL);
+}
+
+/* The row was written by this save: its oldest entry is named no more. */
+static void delete_oldest(struct save *s)
+{
+	const json_t *history = s->current.stored.history;
+	size_t i;
+
+	for (i = HISTORY_MAX - 1; i < json_array_size(history); i++) {
+		const char *object = json_string_value(
+			json_object_get(json_array_get(history, i), "object"));
+
+		if (object && *object)
+			delete_object(s, object);
+	}
+}
+
 static void on_committed(enum tg_plat_end end, const struct tg_row *rows,
 			 size_t n, void *arg)
 {
@@ -269,21 +312,27 @@
 				 .generation = s->generation + 1 };
 
 	if (end == TG_PLAT_CONFLICT) {
-		if (n && read_current(s, &rows[0]))
-			show_conflict(s);
-		else
+		if (!n || !read_current(s, &rows[0])) {
 			fail_save(s, "the row config/current");
+			return;
+		}
+		if (!is_named(s->current.stored.history, s->object))
+			delete_object(s, s->object);
+		show_conflict(s);
 		return;
 	}
 	if (end == TG_PLAT_UNAVAILABLE || end == TG_PLAT_INVALID) {
+		delete_object(s, s->object);
 		fail_save(s, "the table");
 		return;
 	}
-	if (end == TG_PLAT_OK)
+	if (end == TG_PLAT_OK) {
+		delete_oldest(s);
 		tg_member_offer(s->board->member, r.generation, s->text,
 				s->text_bytes);
-	else
+	} else {
 		r.end = SAVE_UNKNOWN;
+	}
 	end_save(s, &r);
 }
 
--- a/lib/plat/object.c
+++ b/lib/plat/object.c
@@ -23,7 +23,8 @@
 	free(c);
 }
 
-static void on_put(struct tg_plat *p, const struct tg_http_result *r, void *arg)
+static void on_written(struct tg_plat *p, const struct tg_http_result *r,
+		       void *arg)
 {
 	enum tg_plat_end end = TG_PLAT_UNKNOWN;
 	struct object_call *c = arg;
@@ -35,7 +36,8 @@
 		end = TG_PLAT_UNAVAILABLE;
 	else if (r->end == TG_HTTP_WHOLE && r->status / 100 == 4)
 		end = TG_PLAT_INVALID;
-	c->done(end, NULL, 0, c->arg);
+	if (c->done)
+		c->done(end, NULL, 0, c->arg);
 	free(c);
 }
 
@@ -69,7 +71,18 @@
 		.method = EVHTTP_REQ_PUT,
 		.body = body,
 		.body_bytes = n,
-		.done = on_put,
+		.done = on_written,
+	};
+
+	call_object(p, &call, name, done, arg);
+}
+
+void tg_object_delete(struct tg_plat *p, const char *name, tg_object_done done,
+		      void *arg)
+{
+	struct call_opts call = {
+		.method = EVHTTP_REQ_DELETE,
+		.done = on_written,
 	};
 
 	call_object(p, &call, name, done, arg);
--- a/lib/plat/plat.h
+++ b/lib/plat/plat.h
@@ -122,6 +122,9 @@
 		   void *arg);
 void tg_object_put(struct tg_plat *p, const char *name, const void *body,
 		   size_t n, tg_object_done done, void *arg);
+/** tg_object_delete() - also OK if it is absent; @done as for a put, or NULL */
+void tg_object_delete(struct tg_plat *p, const char *name, tg_object_done done,
+		      void *arg);
 
 /* --- instances --- */
 
