Offer a generation to peers before its body is sent

Cause: two entry daemons of an AZ poll the row and both pushed the whole document to all peers, and a ping could start a pull beside that, so that a daemon received a document up to three times.

A push now begins with an offer, a DOC_PUSH without a body.

Not tried: sending the difference, or a compressed body.

--- a/lib/member/document.c
+++ b/lib/member/document.c
@@ -10,6 +10,8 @@
 #define FAST_POLLERS 2
 #define PULL_DEADLINE_MS 2000
 #define PUSH_DEADLINE_MS 2000
+/* The body is expected this long after an offer was taken. */
+#define OFFER_MS 500
 
 static uint64_t held_generation(const struct tg_member *m)
 {
@@ -63,24 +65,46 @@
 	member_call_free(arg);
 }
 
-void member_doc_push(struct tg_member *m)
+static void send_body(struct tg_member *m, const char *addr)
 {
 	struct tg_rpc_doc args = {
 		.generation = m->doc->generation,
 		.body = { .body_len = (u_int)m->doc->text_bytes,
 			  .body_val = m->doc->text },
 	};
+
+	m->pushes->value++;
+	tg_rpc_call(m->opts.rpc, addr, TG_RPC_DOC_PUSH, &args, PUSH_DEADLINE_MS,
+		    on_pushed, member_call_new(m, addr));
+}
+
+static void on_offered(enum tg_rpc_end end, const void *res, void *arg)
+{
+	const struct tg_rpc_doc_result *r = res;
+	struct peer_call *c = arg;
+
+	if (end == TG_RPC_END_OK && r->status == TG_RPC_OK)
+		send_body(c->m, c->addr);
+	member_call_free(c);
+}
+
+/*
+ * Several daemons of an AZ may see a new generation at the same time.  An
+ * offer costs a peer some hundred bytes, each body up to 256 KiB.
+ */
+void member_doc_push(struct tg_member *m)
+{
+	struct tg_rpc_doc offer = { .generation = m->doc->generation };
 	size_t i;
 
 	for (i = 0; i < m->n_peers; i++) {
 		const struct tg_member_peer *p = &m->peers[i].pub;
 
 		if (!p->live || strcmp(p->az, m->opts.az) != 0 ||
-		    p->generation >= args.generation)
+		    p->generation >= offer.generation)
 			continue;
-		m->pushes->value++;
-		tg_rpc_call(m->opts.rpc, p->rpc_addr, TG_RPC_DOC_PUSH, &args,
-			    PUSH_DEADLINE_MS, on_pushed,
+		tg_rpc_call(m->opts.rpc, p->rpc_addr, TG_RPC_DOC_PUSH, &offer,
+			    PUSH_DEADLINE_MS, on_offered,
 			    member_call_new(m, p->rpc_addr));
 	}
 }
@@ -196,12 +220,18 @@
 				 r->body.body_len);
 }
 
+static bool is_expected(const struct tg_member *m, uint64_t generation)
+{
+	return generation <= m->offered_generation &&
+		tg_now_ms() < m->offered_until_ms;
+}
+
 void member_doc_seen(struct tg_member *m, const char *addr, uint64_t generation)
 {
 	struct tg_rpc_generation args = { .generation = held_generation(m) };
 
 	if (m->pull_in_flight || generation <= args.generation ||
-	    generation <= m->refused_generation)
+	    generation <= m->refused_generation || is_expected(m, generation))
 		return;
 	m->pull_in_flight = true;
 	tg_rpc_call(m->opts.rpc, addr, TG_RPC_DOC_PULL, &args, PULL_DEADLINE_MS,
@@ -231,12 +261,25 @@
 	return s;
 }
 
+static enum tg_rpc_status take_offer(struct tg_member *m, uint64_t generation)
+{
+	if (generation <= held_generation(m) || is_expected(m, generation))
+		return TG_RPC_STALE;
+	m->offered_generation = generation;
+	m->offered_until_ms = tg_now_ms() + OFFER_MS;
+	return TG_RPC_OK;
+}
+
 void tg_member_serve_doc_push(struct tg_member *m, struct tg_rpc_req *req,
 			      const struct tg_rpc_doc *args)
 {
-	struct tg_rpc_doc_result res = { .status = TG_RPC_STALE };
+	struct tg_rpc_doc_result res = { 0 };
 
-	if (args->generation > m->refused_generation)
+	if (args->generation <= m->refused_generation)
+		res.status = TG_RPC_STALE;
+	else if (!args->body.body_len)
+		res.status = take_offer(m, args->generation);
+	else
 		res.status = member_doc_apply(m, args->generation,
 					      args->body.body_val,
 					      args->body.body_len);
--- a/lib/member/member_internal.h
+++ b/lib/member/member_internal.h
@@ -50,6 +50,8 @@
 
 	struct tg_doc *doc;
 	uint64_t refused_generation; /* highest that did not validate */
+	uint64_t offered_generation; /* a peer was asked for its body */
+	int64_t offered_until_ms;
 	struct loading loading;
 	bool poll_in_flight, pull_in_flight;
 	int64_t next_poll_ms;
--- a/lib/oncrpc/tgrpc.x
+++ b/lib/oncrpc/tgrpc.x
@@ -39,9 +39,14 @@
 	bool draining;
 };
 
+/*
+ * Without a body, DOC_PUSH only offers the generation: TG_RPC_OK asks for the
+ * body, TG_RPC_STALE does not.  DOC_PULL is answered without a body if there
+ * is nothing newer.
+ */
 struct tg_rpc_doc {
 	unsigned hyper generation;
-	opaque body<TG_RPC_DOC_MAX>;	/* empty: nothing newer */
+	opaque body<TG_RPC_DOC_MAX>;
 };
 
 struct tg_rpc_generation {
--- a/tests/standin/rpcjob/main.c
+++ b/tests/standin/rpcjob/main.c
@@ -8,6 +8,7 @@
  * Calls a daemon and prints the status and the body of the answer:
  * rpcjob ADDR submit|cancel|status|explain WORKSPACE JOB [SPEC]
  * rpcjob ADDR list|workers|guarantees [WORKSPACE]
+ * rpcjob ADDR offer GENERATION [BODY]
  * rpcjob ADDR note SENDER WORKER BOOT OBSERVED_MS up|down|draining
  */
 
@@ -73,6 +74,33 @@
 	return event_base_dispatch(r->base);
 }
 
+static void on_offered(enum tg_rpc_end end, const void *res, void *arg)
+{
+	const struct tg_rpc_doc_result *d = res;
+	struct run *r = arg;
+
+	r->status = end == TG_RPC_END_OK ? 0 : 3;
+	if (end == TG_RPC_END_OK)
+		printf("%s, in force %llu\n", statuses[d->status],
+		       (unsigned long long)d->generation);
+	else
+		printf("%s\n", ends[end]);
+	event_base_loopbreak(r->base);
+}
+
+static int offer(struct tg_rpc_client *c, struct run *r, int argc, char **argv)
+{
+	char *body = argc > 4 ? argv[4] : "";
+	struct tg_rpc_doc args = {
+		.generation = strtoull(argv[3], NULL, 10),
+		.body = { .body_len = (u_int)strlen(body), .body_val = body },
+	};
+
+	tg_rpc_call(c, argv[1], TG_RPC_DOC_PUSH, &args, TIMEOUT_MS, on_offered,
+		    r);
+	return event_base_dispatch(r->base);
+}
+
 static const struct {
 	const char *name;
 	uint32_t proc;
@@ -99,6 +127,8 @@
 
 	if (argc == 8 && !strcmp(argv[2], "note"))
 		return send_note(c, r, argv);
+	if (argc >= 4 && !strcmp(argv[2], "offer"))
+		return offer(c, r, argc, argv);
 	for (i = 0; i < ARRAY_SIZE(calls); i++) {
 		if (strcmp(calls[i].name, argv[2]) != 0)
 			continue;
