--- a/tests/bench/bench-capacity.sh
+++ b/tests/bench/bench-capacity.sh
@@ -180,15 +180,23 @@
 	done
 	# The console pushes to its own AZ, that of 32 daemons; others poll.
 	start_console con d32
+	for n in 4 8 16; do
+		start_console "con-$n" "d$n"
+	done
 	await "generation 1" all_have 1
 	sleep 5
 	generation=1
 	# shellcheck disable=SC2086
-	window_of $daemons
+	window_of $daemons con con-4 con-8 con-16
 	for n in 4 8 16 32; do
 		# shellcheck disable=SC2046
 		echo "$n $(mean_use $(seq -f "ed-$n-%.0f" $n))"
 	done | series entry_at_rest_by_peers
+	for n in 4 8 16; do
+		echo "$n $(mean_use con-$n)"
+	done >"$tmp/consoles"
+	echo "32 $(mean_use con)" >>"$tmp/consoles"
+	series console_at_rest_by_peers <"$tmp/consoles"
 	table_at_rest=$(for d in $daemons; do
 		cut -d' ' -f7 "$tmp/use-$d"
 	done | awk '{ s += $1 } END { print s / 4 }')
@@ -198,9 +206,20 @@
 		for d in $daemons; do
 			sample "$d" >"$tmp/before-$d"
 		done
+		sample con >"$tmp/before-con"
 		for _ in $(seq $rounds); do
 			save $size
 		done
+		sample con >"$tmp/after-con"
+		paste -d' ' "$tmp/before-con" "$tmp/after-con" "$tmp/use-con" |
+			awk -v size=$size -v k=$rounds '{
+				t = $13 - $1
+				cpu = $14 - $2 - $25 * 1e4 * t
+				http = $16 + $17 - $4 - $5 - $12
+				http -= ($27 + $28) * t
+				rpc = $18 + $19 - $6 - $7 - ($29 + $30) * t
+				print size, cpu / k, http / k, rpc / k, $15
+			}' >>"$tmp/console-saves"
 		for n in 4 8 16 32; do
 			for i in $(seq $n); do
 				d=ed-$n-$i
@@ -226,6 +245,17 @@
 	awk '{ print $2, $3 }' "$tmp/saves" |
 		fit document_in_force_by_workspaces ms
 	awk '{ print $4 }' "$tmp/saves" | summary document_save ms
+	awk '{ print "console_save_cpu_at_" $1, $2, "us"
+		print "console_save_http_bytes_at_" $1, $3, "B"
+		print "console_save_rpc_bytes_at_" $1, $4, "B"
+		print "console_save_rss_at_" $1, $5, "KiB" }' \
+		"$tmp/console-saves"
+	awk '{ print $1, $2 }' "$tmp/console-saves" |
+		fit console_save_cpu_by_workspaces us
+	awk '{ print $1, $3 }' "$tmp/console-saves" |
+		fit console_save_http_bytes_by_workspaces B
+	awk '{ print $1, $4 }' "$tmp/console-saves" |
+		fit console_save_rpc_bytes_by_workspaces B
 	awk '{ print $2, $3 }' "$tmp/costs" | fit document_cpu_by_workspaces us
 	awk '{ print $2, $4 }' "$tmp/costs" | fit document_bytes_by_workspaces B
 	awk '{ print $1, $4 }' "$tmp/costs" | fit document_bytes_by_daemons B
@@ -234,7 +264,7 @@
 	awk '$2 == 170 { print "document_cpu_at_170_at_" $1, $3, "us"
 		print "document_bytes_at_170_at_" $1, $4, "B"
 		print "document_seconds_at_170_at_" $1, $6, "s" }' "$tmp/costs"
-	for d in $daemons con platform; do
+	for d in $daemons con con-4 con-8 con-16 platform; do
 		crash "$d"
 	done
 }
