Show that documents revert without the check of the generation

tests/script/entry-document.sh wrote a lower generation into the row and the next higher one at once, so that no daemon read the lower one: the test passed whether or not the generation was checked.

--unsafe-apply-any-generation of the entry daemon turns the check off. rpcjob can push a document, so that the test offers a lower generation by DOC_PUSH and by the row, and counts reads of the row instead of waiting for a time.

Without the check generation 3 replaces 6, by a push and by a poll. With it five daemons answer 'stale' and keep 6, also after two polls of a row with 3. Ruled out: a test by the row alone, since two of four daemons poll every 10 s.

--- a/cmd/tgentryd/board.h
+++ b/cmd/tgentryd/board.h
@@ -52,6 +52,7 @@
 	bool unsafe_dispatch_unclaimed;
 	bool unsafe_run_anywhere;
 	bool unsafe_refuse_unchecked;
+	bool unsafe_apply_any_generation;
 };
 
 /**
--- a/cmd/tgentryd/link.c
+++ b/cmd/tgentryd/link.c
@@ -92,6 +92,7 @@
 		.on_doc = on_doc,
 		.on_instances = on_instances,
 		.arg = b,
+		.unsafe_apply_any = b->set.unsafe_apply_any_generation,
 	};
 	struct tg_rpc_server_opts rpc = {
 		.base = b->base,
--- a/cmd/tgentryd/main.c
+++ b/cmd/tgentryd/main.c
@@ -36,6 +36,8 @@
 	UNSAFE("refuse-unchecked",
 	       "refuse as not run without a look at the key's row",
 	       unsafe_refuse_unchecked),
+	UNSAFE("apply-any-generation", "apply documents of lower generations",
+	       unsafe_apply_any_generation),
 	{ .flag = NULL },
 };
 
--- a/lib/member/document.c
+++ b/lib/member/document.c
@@ -16,6 +16,13 @@
 	return m->doc ? m->doc->generation : 0;
 }
 
+static bool is_applicable(const struct tg_member *m, uint64_t generation)
+{
+	if (m->opts.unsafe_apply_any)
+		return generation != held_generation(m);
+	return generation > held_generation(m);
+}
+
 static void refuse(struct tg_member *m, uint64_t generation,
 		   const struct tg_findings *f)
 {
@@ -35,7 +42,7 @@
 	struct tg_findings f = { 0 };
 	struct tg_doc *old = m->doc, *doc;
 
-	if (generation <= held_generation(m))
+	if (!is_applicable(m, generation))
 		return TG_RPC_STALE;
 	doc = tg_doc_parse(text, n, &f);
 	if (!doc)
@@ -136,7 +143,7 @@
 	object = json_string_value(json_object_get(row->value, "object"));
 	digest = json_string_value(json_object_get(row->value, "digest"));
 	if (generation <= 0 || !object ||
-	    (uint64_t)generation <= held_generation(m) ||
+	    !is_applicable(m, (uint64_t)generation) ||
 	    (uint64_t)generation <= m->refused_generation) {
 		end_poll(m);
 		return;
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -87,6 +87,8 @@
  * @on_instances: a new instance list was read; gets those of all AZs.  May be
  *	NULL.
  * @arg: passed to the callbacks
+ * @unsafe_apply_any: for fault tests: any other generation is applied, also a
+ *	lower one
  */
 struct tg_member_opts {
 	struct event_base *base;
@@ -100,6 +102,7 @@
 	void (*on_instances)(const struct tg_instance *list, size_t n,
 			     void *arg);
 	void *arg;
+	bool unsafe_apply_any;
 };
 
 /**
--- a/tests/script/entry-document.sh
+++ b/tests/script/entry-document.sh
@@ -37,8 +37,45 @@
 await "a refusal" refused e-1
 generation_is e-1 6 && echo "6 in force"
 
-echo "# a lower generation is not applied"
+# push ENTRY GENERATION: as a peer with a late or repeated document does
+push() {
+	"$TG_BIN/rpcjob" "$(rpc_of "$1")" push "$2" "$document"
+}
+reads_reach() {
+	[ "$(metric "$1" tg_table_reads_total)" -ge "$2" ]
+}
+# polls ENTRY: two reads of the row by it begin and end.  The third begins only
+# when the second is evaluated.
+polls() {
+	await "two polls of $1" reads_reach "$1" \
+		"$(($(metric "$1" tg_table_reads_total) + 3))"
+}
+
+echo "# protection off: a lower generation is applied, pushed or polled"
+six=$(echo "$document" | jq '.workspaces[0].max_in_flight = 7')
+put_document 6 "$six"
+# Alone in its AZ, so that it polls every second.
+start u-1 tgentryd --instance=u-1 --az=off --platform="$platform_http" \
+	--unsafe-apply-any-generation
+await "generation 6 at u-1" generation_is u-1 6
+push u-1 3
+await "generation 6 again, from the row" generation_is u-1 6
 put_document 3 "$document"
+await "generation 3, from the row" generation_is u-1 3
+echo "3 in force"
+stop u-1
+
+echo "# a lower generation is not applied, pushed or polled"
+put_document 6 "$six"
+start p-1 tgentryd --instance=p-1 --az=off --platform="$platform_http"
+await "generation 6 at p-1" generation_is p-1 6
+put_document 3 "$document"
+polls p-1
+for e in p-1 e-1 e-2 e-3 e-4; do
+	push $e 3
+	generation_is $e 6 && echo "6 in force at $e"
+done
+stop p-1
 put_document 8 "$document"
 await "generation 8" generation_is e-2 8
 put_document 4 "$document"
--- a/tests/standin/rpcjob/main.c
+++ b/tests/standin/rpcjob/main.c
@@ -8,6 +8,7 @@
  * Calls a daemon and prints the status and the body of the answer:
  * rpcjob ADDR submit|cancel|status|explain WORKSPACE JOB [SPEC]
  * rpcjob ADDR list|workers|guarantees [WORKSPACE]
+ * rpcjob ADDR push GENERATION DOCUMENT
  * rpcjob ADDR note SENDER WORKER BOOT OBSERVED_MS up|down|draining
  */
 
@@ -40,6 +41,35 @@
 	event_base_loopbreak(r->base);
 }
 
+static void on_pushed(enum tg_rpc_end end, const void *res, void *arg)
+{
+	const struct tg_rpc_doc_result *d = res;
+	struct run *r = arg;
+
+	if (end == TG_RPC_END_OK) {
+		r->status = d->status == TG_RPC_OK ? 0 : 1;
+		printf("%s %llu\n", statuses[d->status],
+		       (unsigned long long)d->generation);
+	} else {
+		r->status = 3;
+		printf("%s\n", ends[end]);
+	}
+	event_base_loopbreak(r->base);
+}
+
+static int push(struct tg_rpc_client *c, struct run *r, char **argv)
+{
+	struct tg_rpc_doc args = {
+		.generation = strtoull(argv[3], NULL, 10),
+		.body = { .body_len = (u_int)strlen(argv[4]),
+			  .body_val = argv[4] },
+	};
+
+	tg_rpc_call(c, argv[1], TG_RPC_DOC_PUSH, &args, TIMEOUT_MS, on_pushed,
+		    r);
+	return event_base_dispatch(r->base);
+}
+
 static void on_noted(enum tg_rpc_end end, const void *res, void *arg)
 {
 	struct run *r = arg;
@@ -99,6 +129,8 @@
 
 	if (argc == 8 && !strcmp(argv[2], "note"))
 		return send_note(c, r, argv);
+	if (argc == 5 && !strcmp(argv[2], "push"))
+		return push(c, r, argv);
 	for (i = 0; i < ARRAY_SIZE(calls); i++) {
 		if (strcmp(calls[i].name, argv[2]) != 0)
 			continue;
