Show what operators lose without compare-and-set and settlement

The tests of concurrent saves and of lost answers passed, and nothing showed that they depend on the two mechanisms.

Both are logged at start as EV4008.

Without the check two saves from generation 1 are both answered as generation 2, the table has 1, 2, 2, and an entry daemon that applied the first never gets the second. Without settlement a save is answered 503 'not saved' and is in force. With both, as before: 409 with the differences, and generation 2. Ruled out: dropping only one of comparison and condition, since either refuses the second save of this test. docs/EVENTS.md is not regenerated here.

--- a/cmd/tgconsoled/board.h
+++ b/cmd/tgconsoled/board.h
@@ -21,6 +21,7 @@
 	const char *http_addr, *rpc_addr, *platform, *instance, *az, *peers;
 	const char *operator_key_file, *log_level;
 	int64_t drain_grace_ms, drain_max_ms;
+	bool unsafe_save_unchecked, unsafe_assume_not_written;
 };
 
 /**
--- a/cmd/tgconsoled/main.c
+++ b/cmd/tgconsoled/main.c
@@ -15,6 +15,15 @@
 	TG_MEMBER_SETTINGS(opts, true, "500", "30000"),
 	TG_SETTING(opts, "operator-key-file", TG_SET_STRING, NULL, 0, 0, true,
 		   "file with the key of the operators", operator_key_file),
+	TG_SETTING(opts, "unsafe-save-unchecked", TG_SET_BOOL, NULL, 0, 0,
+		   false,
+		   "fault tests only: save whatever was saved in between",
+		   unsafe_save_unchecked),
+	TG_SETTING(
+		opts, "unsafe-assume-not-written", TG_SET_BOOL, NULL, 0, 0,
+		false,
+		"fault tests only: report a write without answer as not done",
+		unsafe_assume_not_written),
 	{ 0 },
 };
 
@@ -87,8 +96,11 @@
 static void make_clients(struct board *b)
 {
 	struct tg_http_client_opts client = { .base = b->base };
-	struct tg_plat_opts plat = { .base = b->base,
-				     .addr = b->opts.platform };
+	struct tg_plat_opts plat = {
+		.base = b->base,
+		.addr = b->opts.platform,
+		.unsafe_assume_not_written = b->opts.unsafe_assume_not_written
+	};
 	struct tg_member_opts member = {
 		.base = b->base,
 		.instance = b->opts.instance,
@@ -115,6 +127,16 @@
 	event_base_free(b->base);
 }
 
+static void warn_unsafe(const struct opts *o)
+{
+	const struct tg_setting *i;
+
+	for (i = settings; i->flag; i++)
+		if (i->type == TG_SET_BOOL &&
+		    *(const bool *)((const char *)o + i->offset))
+			tg_log(EV_CONSOLE_UNSAFE, "flag=--%s", i->flag);
+}
+
 static int run(struct board *b)
 {
 	static const struct tg_controller *const controllers[] = {
@@ -129,6 +151,7 @@
 	int status;
 
 	tg_member_log_open(PROG, b->opts.log_level, events);
+	warn_unsafe(&b->opts);
 	b->base = event_base_new();
 	daemon.base = b->base;
 	make_clients(b);
--- a/cmd/tgconsoled/store.c
+++ b/cmd/tgconsoled/store.c
@@ -324,7 +324,8 @@
 		return;
 	}
 	t = tg_txn_new(s->board->plat);
-	tg_txn_if(t, ROW, s->current.stored.row_version);
+	if (!s->board->opts.unsafe_save_unchecked)
+		tg_txn_if(t, ROW, s->current.stored.row_version);
 	tg_txn_put(t, ROW, make_row(s));
 	tg_txn_commit(t, on_committed, s);
 }
@@ -344,7 +345,8 @@
 		fail_save(s, "the row config/current");
 		return;
 	}
-	if (s->current.stored.generation != s->generation) {
+	if (s->current.stored.generation != s->generation &&
+	    !s->board->opts.unsafe_save_unchecked) {
 		show_conflict(s);
 		return;
 	}
--- a/lib/plat/plat.h
+++ b/lib/plat/plat.h
@@ -33,6 +33,8 @@
  * @group_ms: how long the first transaction of a group waits for more;
  *	0 sends at once when none is in flight
  * @group_max: most transactions in a group; 0 for 64.  1 turns grouping off.
+ * @unsafe_assume_not_written: for fault tests: a write whose answer is lost
+ *	ends as TG_PLAT_UNAVAILABLE
  */
 struct tg_plat_opts {
 	struct event_base *base;
@@ -42,6 +44,7 @@
 	int64_t settle_ms;
 	int64_t group_ms;
 	size_t group_max;
+	bool unsafe_assume_not_written;
 };
 
 struct tg_plat *tg_plat_new(const struct tg_plat_opts *opts);
--- a/lib/plat/txn.c
+++ b/lib/plat/txn.c
@@ -494,7 +494,6 @@
 	struct group *g = arg;
 	json_t *answer;
 
-	(void)p;
 	if (r->end == TG_HTTP_WHOLE && r->status == 503 && !g->doubtful) {
 		end_group(g, TG_PLAT_UNAVAILABLE);
 		return;
@@ -503,6 +502,10 @@
 		end_group(g, TG_PLAT_UNAVAILABLE);
 		return;
 	}
+	if (r->end != TG_HTTP_WHOLE && p->opts.unsafe_assume_not_written) {
+		end_group(g, TG_PLAT_UNAVAILABLE);
+		return;
+	}
 	if (r->end != TG_HTTP_WHOLE || r->status == 503) {
 		send_again(g);
 		return;
--- a/tests/fault/operators.sh
+++ b/tests/fault/operators.sh
@@ -6,11 +6,12 @@
 key=operator-key-0123456789
 echo "$key" >"$tmp/key"
 auth="Authorization: Bearer $key"
-start platform platformd
-start_console() {
-	start "$1" tgconsoled --instance="$1" --az=a --drain-grace-ms=0 \
-		--platform="$platform_http" --operator-key-file="$tmp/key"
-	await "readiness of $1" curl -sf -H "$auth" "http://$(http_of "$1")/v1/document"
+start_console() { # NAME FLAG...
+	c=$1
+	shift
+	start "$c" tgconsoled --instance="$c" --az=a --drain-grace-ms=0 \
+		--platform="$platform_http" --operator-key-file="$tmp/key" "$@"
+	await "readiness of $c" curl -sf -H "$auth" "http://$(http_of "$c")/v1/document"
 }
 rate() { # RATE of courts, IN-FLIGHT of small
 	echo "$document" | jq -c --argjson r "$1" --argjson f "$2" \
@@ -41,6 +42,46 @@
 }
 daemons="e-1 e-2 e-3"
 
+written() {
+	curl -s "http://$platform_http/standin/history?prefix=config/current" |
+		jq -c '[.. | objects | select(has("version")) | .value.generation]'
+}
+end_all() { # NAME...
+	for x in "$@"; do
+		crash "$x"
+	done
+}
+
+echo "# protection off: both are told that they saved generation 2"
+start platform platformd
+put_document 1 "$document"
+start_entry u-e
+start_console u-1 --unsafe-save-unchecked
+start_console u-2 --unsafe-save-unchecked
+save_later first u-1 ada 1 "$(rate 500 2)"
+join first
+await "generation 2 at u-e" generation_is u-e 2
+save_later second u-2 ben 1 "$(rate 700 3)"
+join second
+in_force=$(curl -s "http://$u_e_http/v1/document" | jq -cS .document)
+[ "$in_force" = "$(curl -s -H "$auth" "http://$u_1_http/v1/document" |
+	jq -cS .document)" ] || echo "u-e: not as the console shows"
+written
+end_all u-1 u-2 u-e platform
+
+echo "# protection off: the answer is lost, and the save is reported as not done"
+start platform platformd
+put_document 1 "$document"
+start_entry u-e
+start_console u-1 --unsafe-assume-not-written
+fault platform '{"lose_next":1,"paths":"/v1/table/txn"}'
+save_later unsaved u-1 ada 1 "$(rate 500 2)"
+join unsaved
+await "generation 2 at u-e" generation_is u-e 2
+written
+end_all u-1 u-e platform
+
+start platform platformd
 put_document 1 "$document"
 for e in $daemons; do
 	start_entry $e
@@ -85,8 +126,7 @@
 done
 
 echo "# what was written and what came into force"
-curl -s "http://$platform_http/standin/history?prefix=config/current" |
-	jq -c '[.. | objects | select(has("version")) | .value.generation]'
+written
 for e in $daemons; do
 	[ "$(generations $e)" = "$(rising $e)" ] && echo "$e: never back"
 	[ "$(curl -s "http://$(http_of $e)/v1/document" | jq -cS .document)" = \
