Show that a lost answer starts a gang again without settlement

The test of a commit whose answer is lost passed, and nothing showed that it depends on sending the write again with its token.

With a lost answer counted as not written, the committed gang is stopped and started again (attempt 2 or 3), and a submission is answered 'unavailable', which an entry daemon passes on as not run, while its row is in the table. With settlement: one attempt, 'unknown', one attempt after the repetition, as before. Ruled out: losing one answer only, which may be that of the row's renewal.

--- a/cmd/tgschedd/decisions.c
+++ b/cmd/tgschedd/decisions.c
@@ -45,7 +45,7 @@
 {
 	struct job *j = board_job(b, a->job);
 
-	if (!j || j->gang == GANG_NONE)
+	if (!j || j->gang == GANG_NONE || b->opts->unsafe_no_reclaim)
 		return;
 	j->checkpoint = true;
 	snprintf(j->reason, sizeof(j->reason), "reclaimed for %s: %.100s",
--- a/cmd/tgschedd/election.c
+++ b/cmd/tgschedd/election.c
@@ -287,7 +287,7 @@
 		return false;
 	b->role = ROLE_LEAVING;
 	answer_waiting(b);
-	if (b->table_down || b->row_unsure)
+	if (b->table_down || b->row_unsure || b->opts->unsafe_keep_row)
 		return true;
 	b->row_released = true;
 	write_row(b, "");
--- a/cmd/tgschedd/fault.c
+++ b/cmd/tgschedd/fault.c
@@ -29,6 +29,12 @@
 		{ o->unsafe_restart_before_expiry,
 		  "unsafe-restart-before-expiry" },
 		{ o->unsafe_reuse_attempts, "unsafe-reuse-attempts" },
+		{ o->unsafe_assume_not_written, "unsafe-assume-not-written" },
+		{ o->unsafe_keep_row, "unsafe-keep-row" },
+		{ o->unsafe_no_reclaim, "unsafe-no-reclaim" },
+		{ o->unsafe_takeover_restarts, "unsafe-takeover-restarts" },
+		{ o->unsafe_renew_with_table_only,
+		  "unsafe-renew-with-table-only" },
 	};
 	size_t i;
 
--- a/cmd/tgschedd/main.c
+++ b/cmd/tgschedd/main.c
@@ -62,6 +62,23 @@
 		   "fault test: use numbers of attempts again that were not "
 		   "committed",
 		   unsafe_reuse_attempts),
+	TG_SETTING(options, "unsafe-assume-not-written", TG_SET_BOOL, NULL, 0,
+		   0, false,
+		   "fault test: count a write without answer as not done",
+		   unsafe_assume_not_written),
+	TG_SETTING(options, "unsafe-keep-row", TG_SET_BOOL, NULL, 0, 0, false,
+		   "fault test: stop without giving up the scheduler's row",
+		   unsafe_keep_row),
+	TG_SETTING(options, "unsafe-no-reclaim", TG_SET_BOOL, NULL, 0, 0, false,
+		   "fault test: reclaim nothing that is lent",
+		   unsafe_no_reclaim),
+	TG_SETTING(options, "unsafe-takeover-restarts", TG_SET_BOOL, NULL, 0, 0,
+		   false, "fault test: stop the gangs found at a takeover",
+		   unsafe_takeover_restarts),
+	TG_SETTING(options, "unsafe-renew-with-table-only", TG_SET_BOOL, NULL,
+		   0, 0, false,
+		   "fault test: renew nothing while the table does not answer",
+		   unsafe_renew_with_table_only),
 	{ 0 },
 };
 
@@ -141,7 +158,11 @@
 {
 	const struct options *o = b->opts;
 	struct tg_http_client_opts http = { .base = b->base };
-	struct tg_plat_opts plat = { .base = b->base, .addr = o->platform };
+	struct tg_plat_opts plat = {
+		.base = b->base,
+		.addr = o->platform,
+		.unsafe_assume_not_written = o->unsafe_assume_not_written,
+	};
 	struct tg_member_opts member = {
 		.base = b->base,
 		.instance = o->instance,
--- a/cmd/tgschedd/options.h
+++ b/cmd/tgschedd/options.h
@@ -14,6 +14,9 @@
 	bool unsafe_ignore_epoch, unsafe_start_before_reserved;
 	bool unsafe_renew_partial_gangs, unsafe_no_outage_renewal;
 	bool unsafe_restart_before_expiry, unsafe_reuse_attempts;
+	bool unsafe_assume_not_written, unsafe_keep_row;
+	bool unsafe_no_reclaim, unsafe_takeover_restarts;
+	bool unsafe_renew_with_table_only;
 };
 
 #endif
--- a/cmd/tgschedd/rebuild.c
+++ b/cmd/tgschedd/rebuild.c
@@ -30,7 +30,8 @@
 		j->members[i].state = M_UNKNOWN;
 		j->members[i].expired_ms = expired_ms;
 	}
-	j->gang = GANG_STARTING;
+	j->gang = b->opts->unsafe_takeover_restarts ? GANG_STOPPING :
+						      GANG_STARTING;
 	j->commit = COMMIT_OK;
 	j->committed = true;
 	j->round_ms = now_ms;
--- a/cmd/tgschedd/renewal.c
+++ b/cmd/tgschedd/renewal.c
@@ -49,7 +49,8 @@
 	struct board *b = board;
 	struct job *j, *tmp;
 
-	if (!board_commands(b))
+	if (!board_commands(b) ||
+	    (b->table_down && b->opts->unsafe_renew_with_table_only))
 		return;
 	HASH_ITER(hh, b->jobs, j, tmp)
 		if (j->gang == GANG_RUNNING)
--- a/tests/script/sched-lost-answer.sh
+++ b/tests/script/sched-lost-answer.sh
@@ -2,15 +2,38 @@
 # start after a commit that seemed to fail, and against a submission that is
 # answered as refused although the job is in the table.
 . "$TG_TESTS/sched-lib.sh"
-platform
-plain_document
-worker w1
-worker w2
-sched s1 --pause-at reserve
-await "the scheduler is ready" ready s1 2
-submit s1 g 2 8 '"run_ms":1500' >/dev/null
-# Frozen with all reserved and the commit not yet sent.
-await "s1 is frozen" frozen s1
+frozen_at_commit() { # NAME FLAG...: submits a gang to it
+	platform
+	plain_document
+	worker w1
+	worker w2
+	sched "$@" --pause-at reserve
+	await "the scheduler is ready" ready "$1" 2
+	submit "$1" g 2 8 '"run_ms":1500' >/dev/null
+	# Frozen with all reserved and the commit not yet sent.
+	await "$1 is frozen" frozen "$1"
+}
+in_table() { # JOB
+	get "$platform_http" "/v1/table/row?key=jobs/a/$1" | grep -q '"value"'
+}
+
+echo "# protection off: a lost answer counts as not written"
+frozen_at_commit u1 --unsafe-assume-not-written
+# The commit is the first or, after a renewal of the row, the second of them.
+faults '{"lose_next":3}'
+continue_it u1
+await "the gang is done" job_is u1 g done
+[ "$(job_field u1 g attempt)" -gt 1 ] && echo "started again"
+faults '{"outage":"lose_answer","only":"table"}'
+echo "submission, which an entry daemon answers as not run: $(submit u1 h 2 8 '"run_ms":100' | cut -d' ' -f1)"
+faults '{}'
+in_table h && echo "the job is in the table"
+for x in u1 w1 w2 platform; do
+	stop_hard $x
+done
+
+echo "# protection on"
+frozen_at_commit s1
 faults '{"lose_next":3}'
 continue_it s1
 await "the gang is done" job_is s1 g done
