Show that half an answer is passed on without the check of its end

entry-broken.sh had no backend server whose answer ends with its connection, so that the rule 'only whole answers are passed on' was not exercised there at all.

With the switch a GET and a POST are answered 200 'answered' with half a body. Without it the POST is 502 'unknown' and runs once, the GET runs on both servers and is 502 'unknown'; no byte of the body is passed on. Ruled out: close_after_read, which breaks before the headers of the answer.

--- a/cmd/tgentryd/board.h
+++ b/cmd/tgentryd/board.h
@@ -53,6 +53,7 @@
 	bool unsafe_run_anywhere;
 	bool unsafe_refuse_unchecked;
 	bool unsafe_apply_any_generation;
+	bool unsafe_pass_undelimited;
 };
 
 /**
--- a/cmd/tgentryd/link.c
+++ b/cmd/tgentryd/link.c
@@ -55,6 +55,7 @@
 		.base = b->base,
 		.idle_per_addr = IDLE_PER_WORKER,
 		.unsafe_reuse = b->set.unsafe_reuse_after_timeout,
+		.unsafe_undelimited = b->set.unsafe_pass_undelimited,
 	};
 	struct tg_http_client_opts prober = { .base = b->base,
 					      .body_bytes = PROBE_BODY_BYTES,
--- a/cmd/tgentryd/main.c
+++ b/cmd/tgentryd/main.c
@@ -38,6 +38,9 @@
 	       unsafe_refuse_unchecked),
 	UNSAFE("apply-any-generation", "apply documents of lower generations",
 	       unsafe_apply_any_generation),
+	UNSAFE("pass-undelimited",
+	       "pass on answers that end with their connection",
+	       unsafe_pass_undelimited),
 	{ .flag = NULL },
 };
 
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -208,7 +208,8 @@
 	struct evkeyvalq *h = evhttp_request_get_input_headers(req);
 	int status = evhttp_request_get_response_code(req);
 
-	return call->method == EVHTTP_REQ_HEAD || status == 204 ||
+	return call->client->opts.unsafe_undelimited ||
+		call->method == EVHTTP_REQ_HEAD || status == 204 ||
 		status == 304 || evhttp_find_header(h, "Content-Length") ||
 		evhttp_find_header(h, "Transfer-Encoding");
 }
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -143,6 +143,8 @@
  * @idle_ms: age from which an idle connection is not reused; 0 for 20,000
  * @unsafe_reuse: for fault tests: a connection on which a call timed out is
  *	reused, and the late answer is taken for that of the next call
+ * @unsafe_undelimited: for fault tests: an answer that ends with its connection
+ *	counts as whole
  */
 struct tg_http_client_opts {
 	struct event_base *base;
@@ -151,6 +153,7 @@
 	int idle_per_addr;
 	int64_t idle_ms;
 	bool unsafe_reuse;
+	bool unsafe_undelimited;
 };
 
 enum tg_http_end {
--- a/tests/script/entry-broken.sh
+++ b/tests/script/entry-broken.sh
@@ -2,6 +2,8 @@
 # Backend servers that break or vanish.  Guards against a second run of a
 # request that is not idempotent, and against an answer "not-run" when a byte
 # was handed over.
+#
+# Also guards against an answer that is cut short and passed on as whole.
 . "$(dirname "$0")/../lib.sh"
 start platform platformd
 put_document 1 "$document"
@@ -37,6 +39,29 @@
 fault w-1 '{}'
 fault w-2 '{}'
 
+cut_short() { # LABEL ENTRY CURL-ARGUMENT...
+	l=$1 e=$2
+	shift 2
+	call "$l" .error -H 'Tg-Workspace: courts' "$@" \
+		"http://$(http_of "$e")/v1/svc/responder/$l"
+	echo "body: $(head -c 20 "$tmp/$l.body" | grep -o 'half of')"
+	total_runs "$l"
+}
+echo "# an answer without length is cut short; protection off: it is passed on"
+start_entry u-2 --unsafe-pass-undelimited
+both_up u-2
+fault w-1 '{"undelimited":true}'
+fault w-2 '{"undelimited":true}'
+cut_short off-get u-2
+cut_short off-post u-2 -d x
+stop u-2
+
+echo "# it is not: the outcome of a POST is unknown, a GET is tried on both"
+cut_short on-get e-1
+cut_short on-post e-1 -d x
+fault w-1 '{}'
+fault w-2 '{}'
+
 echo "# one closes: GETs are answered by the other"
 fault w-1 '{"close_after_read":true}'
 for i in 1 2 3 4 5 6; do
--- a/tests/standin/workerd/faults.c
+++ b/tests/standin/workerd/faults.c
@@ -82,19 +82,21 @@
 	int fail_tasks = 0, refuse_starts = 0, hang = 0, close_after_read = 0;
 	json_int_t delay_ms = 0, late_ms = 0;
 	json_t *v = tg_http_json_body(req);
-	int cut = 0, draining = 0;
+	int cut = 0, draining = 0, undelimited = 0;
 	struct board *b = arg;
 	json_error_t e;
 
 	if (!v)
 		return;
 	if (json_unpack_ex(v, &e, JSON_STRICT,
-			   "{s?:b, s?:b, s?:b, s?:b, s?:b, s?:b, s?:I, s?:I}",
+			   "{s?:b, s?:b, s?:b, s?:b, s?:b, s?:b, s?:b, s?:I, "
+			   "s?:I}",
 			   "fail_tasks", &fail_tasks, "refuse_starts",
 			   &refuse_starts, "hang_service", &hang,
 			   "close_after_read", &close_after_read, "cut", &cut,
-			   "draining", &draining, "service_delay_ms", &delay_ms,
-			   "answer_late_ms", &late_ms) ||
+			   "undelimited", &undelimited, "draining", &draining,
+			   "service_delay_ms", &delay_ms, "answer_late_ms",
+			   &late_ms) ||
 	    delay_ms < 0 || late_ms < 0) {
 		tg_http_reply_error(req, 400, "body", "no such fault");
 		goto out;
@@ -105,6 +107,7 @@
 		.refuse_starts = refuse_starts,
 		.hang_service = hang,
 		.close_after_read = close_after_read,
+		.undelimited = undelimited,
 		.cut = cut,
 		.draining = draining,
 		.service_delay_ms = delay_ms,
--- a/tests/standin/workerd/service.c
+++ b/tests/standin/workerd/service.c
@@ -1,5 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+
+#include <event2/bufferevent.h>
 
 #include "workerd.h"
 
@@ -79,6 +82,21 @@
 	free(r);
 }
 
+/* Only the end of the connection ends this answer, which lacks its end. */
+static void send_half(struct run *r)
+{
+	static const char text[] = "HTTP/1.1 200 OK\r\n"
+				   "Content-Type: text/plain\r\n"
+				   "Connection: close\r\n\r\nhalf of";
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(
+		evhttp_request_get_connection(r->req));
+
+	/* At once, since the close drops what is still buffered. */
+	if (send(bufferevent_getfd(bev), text, sizeof(text) - 1, MSG_NOSIGNAL) <
+	    0)
+		tg_log(EV_WORKERD_FAULTS, "undelimited=failed");
+}
+
 /* Frees the slot and completes the log entry. */
 static void end_run(struct run *r, const char *how)
 {
@@ -117,6 +135,13 @@
 		hold_request(b->base, r->req, 0, NULL, NULL);
 		json_decref(r->answer);
 		free(r);
+	} else if (b->faults.undelimited &&
+		   evhttp_request_get_connection(r->req)) {
+		end_run(r, "half");
+		send_half(r);
+		hold_request(b->base, r->req, 0, NULL, NULL);
+		json_decref(r->answer);
+		free(r);
 	} else if (b->faults.answer_late_ms) {
 		end_run(r, "late");
 		delay_call(b->base, b->faults.answer_late_ms, answer, r);
--- a/tests/standin/workerd/workerd.h
+++ b/tests/standin/workerd/workerd.h
@@ -32,6 +32,7 @@
 	bool refuse_starts; /* start_failed, the reservation stays */
 	bool hang_service; /* requests run and keep their slot, no answer */
 	bool close_after_read; /* requests run, then the connection closes */
+	bool undelimited; /* half of the answer, no length, then a close */
 	bool cut; /* calls are accepted and have no effect and no answer */
 	bool draining;
 	int64_t service_delay_ms; /* added to the time in a slot */
