Show that a standby waits for the lease if the row is not given up

sched-handover.sh relied on a lease of 30 min to fail without the hand-over; no run showed it.

With the hand-over the standby has the row with epoch 2, as before. The test counts reads instead of waiting for a time. Ruled out: SIGKILL as the unprotected stop, which is the takeover's test.

--- a/tests/script/sched-handover.sh
+++ b/tests/script/sched-handover.sh
@@ -4,15 +4,40 @@
 . "$TG_TESTS/sched-lib.sh"
 # A standby that has to wait for this lease does not finish in the test.
 export TG_SCHED_LEASE_MS=1800000
-platform
-plain_document
-worker w1
-worker w2
-sched s1
-await "s1 is ready" ready s1 2
-sched s2
-submit s1 g 2 8 >/dev/null
-await "the gang runs" gang_is s1 g running
+start_gang() { # ACTIVE STANDBY [FLAG...]: with a gang that runs
+	_a=$1 _b=$2
+	shift 2
+	platform
+	plain_document
+	worker w1
+	worker w2
+	sched "$_a" "$@"
+	await "$_a is ready" ready "$_a" 2
+	sched "$_b"
+	submit "$_a" g 2 8 >/dev/null
+	await "the gang runs" gang_is "$_a" g running
+}
+table_reads() { # NAME
+	eval "get \$${1}_http /metrics" | sed -n 's/^tg_table_reads_total //p'
+}
+reads_reach() {
+	[ "$(table_reads "$1")" -ge "$2" ]
+}
+
+echo "# protection off: the row keeps its holder, and the standby waits"
+start_gang u1 u2 --unsafe-keep-row
+kill -TERM "$u1_pid"
+wait "$u1_pid"
+echo "exit status: $?"
+await "ten polls of the row" reads_reach u2 $(($(table_reads u2) + 10))
+get "$platform_http" "/v1/table/row?key=sched/a" | jq -r '"row: \(.value.epoch) \(.value.holder)"'
+echo "standby: $(call u2 list | cut -d' ' -f1)"
+for x in u2 w1 w2 platform; do
+	stop_hard $x
+done
+
+echo "# protection on"
+start_gang s1 s2
 kill -TERM "$s1_pid"
 wait "$s1_pid"
 echo "exit status: $?"
