--- a/cmd/tgconsoled/board.h
+++ b/cmd/tgconsoled/board.h
@@ -23,6 +23,7 @@
 	int64_t drain_grace_ms, drain_max_ms;
 	int64_t wrong_keys_per_min;
 	bool secure_cookie;
+	bool unsafe_save_unchecked, unsafe_assume_not_written;
 };
 
 /**
--- a/cmd/tgconsoled/main.c
+++ b/cmd/tgconsoled/main.c
@@ -22,6 +22,15 @@
 	TG_SETTING(opts, "secure-cookie", TG_SET_BOOL, NULL, 0, 0, false,
 		   "browsers send the cookie of a login over TLS only",
 		   secure_cookie),
+	TG_SETTING(opts, "unsafe-save-unchecked", TG_SET_BOOL, NULL, 0, 0,
+		   false,
+		   "fault tests only: save whatever was saved in between",
+		   unsafe_save_unchecked),
+	TG_SETTING(
+		opts, "unsafe-assume-not-written", TG_SET_BOOL, NULL, 0, 0,
+		false,
+		"fault tests only: report a write without answer as not done",
+		unsafe_assume_not_written),
 	{ 0 },
 };
 
@@ -94,8 +103,11 @@
 static void make_clients(struct board *b)
 {
 	struct tg_http_client_opts client = { .base = b->base };
-	struct tg_plat_opts plat = { .base = b->base,
-				     .addr = b->opts.platform };
+	struct tg_plat_opts plat = {
+		.base = b->base,
+		.addr = b->opts.platform,
+		.unsafe_assume_not_written = b->opts.unsafe_assume_not_written
+	};
 	struct tg_member_opts member = {
 		.base = b->base,
 		.instance = b->opts.instance,
@@ -122,6 +134,16 @@
 	event_base_free(b->base);
 }
 
+static void warn_unsafe(const struct opts *o)
+{
+	const struct tg_setting *i;
+
+	for (i = settings; i->flag; i++)
+		if (!strncmp(i->flag, "unsafe-", strlen("unsafe-")) &&
+		    *(const bool *)((const char *)o + i->offset))
+			tg_log(EV_CONSOLE_UNSAFE, "flag=--%s", i->flag);
+}
+
 static int run(struct board *b)
 {
 	static const struct tg_controller *const controllers[] = {
@@ -136,6 +158,7 @@
 	int status;
 
 	tg_member_log_open(PROG, b->opts.log_level, events);
+	warn_unsafe(&b->opts);
 	b->base = event_base_new();
 	daemon.base = b->base;
 	make_clients(b);
--- a/cmd/tgentryd/board.h
+++ b/cmd/tgentryd/board.h
@@ -52,6 +52,8 @@
 	bool unsafe_dispatch_unclaimed;
 	bool unsafe_run_anywhere;
 	bool unsafe_refuse_unchecked;
+	bool unsafe_apply_any_generation;
+	bool unsafe_pass_undelimited;
 };
 
 /**
--- a/tests/script/entry-offer.sh
+++ b/tests/script/entry-offer.sh
@@ -8,7 +8,7 @@
 start_entry e-1
 
 offer() {
-	"$TG_BIN/rpcjob" "$e_1_rpc" offer "$@"
+	"$TG_BIN/rpcjob" "$e_1_rpc" push "$1" "${2-}"
 }
 echo "first: $(offer 7)"
 echo "second, while the body of the first is expected: $(offer 7)"
