Show that a job call reported as not run may have been taken

entry-jobs.sh met paused and breaking schedulers, which were stand-ins that take no job: 'unknown' was never shown to be needed.

A scheduler that is stopped while a submission waits in its socket takes the job when it continues.

Ruled out: starting the second entry daemon before the scheduler is listed; it then knew the former address and took 5 s longer.

--- a/cmd/tgentryd/board.h
+++ b/cmd/tgentryd/board.h
@@ -54,6 +54,9 @@
 	bool unsafe_refuse_unchecked;
 	bool unsafe_apply_any_generation;
 	bool unsafe_pass_undelimited;
+	bool unsafe_drain_until_written;
+	bool unsafe_unknown_as_not_run;
+	bool unsafe_no_document_polls;
 };
 
 /**
--- a/cmd/tgentryd/front.c
+++ b/cmd/tgentryd/front.c
@@ -274,7 +274,8 @@
 
 	if (!b->refuse_from_ms) {
 		b->refuse_from_ms = now_ms + b->set.drain_grace_ms;
-		b->give_up_ms = b->refuse_from_ms + WRITES_AT_END_MS;
+		if (!b->set.unsafe_drain_until_written)
+			b->give_up_ms = b->refuse_from_ms + WRITES_AT_END_MS;
 	}
 	return !b->n_requests && !b->job_calls &&
 		!tg_http_server_in_progress(b->server) &&
--- a/cmd/tgentryd/jobs.c
+++ b/cmd/tgentryd/jobs.c
@@ -185,7 +185,7 @@
 		break;
 	default:
 		/* The scheduler may have done it. */
-		if (c->kind->writes)
+		if (c->kind->writes && !c->board->set.unsafe_unknown_as_not_run)
 			reply_text(c, 504, TG_RPC_OUTCOME_UNKNOWN,
 				   "the scheduler did not answer");
 		else
--- a/cmd/tgentryd/link.c
+++ b/cmd/tgentryd/link.c
@@ -94,6 +94,7 @@
 		.on_instances = on_instances,
 		.arg = b,
 		.unsafe_apply_any = b->set.unsafe_apply_any_generation,
+		.unsafe_no_doc_polls = b->set.unsafe_no_document_polls,
 	};
 	struct tg_rpc_server_opts rpc = {
 		.base = b->base,
--- a/cmd/tgentryd/main.c
+++ b/cmd/tgentryd/main.c
@@ -41,6 +41,15 @@
 	UNSAFE("pass-undelimited",
 	       "pass on answers that end with their connection",
 	       unsafe_pass_undelimited),
+	UNSAFE("drain-until-written",
+	       "let a drain wait for the table without limit",
+	       unsafe_drain_until_written),
+	UNSAFE("unknown-as-not-run",
+	       "report job calls without answer as not run",
+	       unsafe_unknown_as_not_run),
+	UNSAFE("no-document-polls",
+	       "look for no further document in the table or at peers",
+	       unsafe_no_document_polls),
 	{ .flag = NULL },
 };
 
--- a/lib/member/document.c
+++ b/lib/member/document.c
@@ -176,7 +176,8 @@
 {
 	int64_t period_ms = POLL_SLOW_MS;
 
-	if (!m->opts.plat || m->poll_in_flight)
+	if (!m->opts.plat || m->poll_in_flight ||
+	    (m->doc && m->opts.unsafe_no_doc_polls))
 		return;
 	if (!m->doc || is_fast_poller(m))
 		period_ms = POLL_MS;
@@ -208,6 +209,7 @@
 	struct tg_rpc_generation args = { .generation = held_generation(m) };
 
 	if (m->pull_in_flight || generation <= args.generation ||
+	    (m->doc && m->opts.unsafe_no_doc_polls) ||
 	    generation <= m->refused_generation)
 		return;
 	m->pull_in_flight = true;
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -89,6 +89,8 @@
  * @arg: passed to the callbacks
  * @unsafe_apply_any: for fault tests: any other generation is applied, also a
  *	lower one
+ * @unsafe_no_doc_polls: for fault tests: once a document is in force, a further
+ *	one comes by DOC_PUSH only
  */
 struct tg_member_opts {
 	struct event_base *base;
@@ -103,6 +105,7 @@
 			     void *arg);
 	void *arg;
 	bool unsafe_apply_any;
+	bool unsafe_no_doc_polls;
 };
 
 /**
--- a/tests/script/entry-jobs.sh
+++ b/tests/script/entry-jobs.sh
@@ -61,9 +61,41 @@
 kill -STOP "$paused_pid"
 listed_sched "$paused_http"
 submit paused
-call get-paused .error "$url/jobs/courts/j-1"
-call cancel-paused .error -X DELETE "$url/jobs/courts/j-1"
+# At the same time, since each waits for its deadline.
+later get-paused .error "$url/jobs/courts/j-1"
+later cancel-paused .error -X DELETE "$url/jobs/courts/j-1"
+join get-paused cancel-paused
 kill -CONT "$paused_pid"
 call list .unreachable "$url/jobs?workspace=courts"
 call guarantees .error "$url/guarantees"
+
+echo "# a scheduler reads the submission after its deadline and takes the job"
+start_worker w-2
+start s-1 tgschedd --instance=s-1 --az=a --platform="$platform_http" \
+	--sched-renew-ms=200 --sched-lease-ms=1000
+listed_sched "$s_1_rpc"
+start_entry u-1 --unsafe-unknown-as-not-run
+submit_at() { # LABEL ENTRY JOB
+	call "$1" .error -d "$(echo "$spec" | jq -c --arg j "$3" '.job = $j')" \
+		"http://$(http_of "$2")/v1/jobs"
+}
+is_taken() { # ENTRY JOB
+	submit_at try "$1" "$2" | grep -q ': 20[01] '
+}
+await "a job of e-1" is_taken e-1 first
+await "a job of u-1" is_taken u-1 first
+in_table() { # JOB
+	curl -s "http://$platform_http/v1/table/row?key=jobs/a/$1" |
+		jq -e '.value.state'
+}
+kill -STOP "$s_1_pid"
+submit_at off u-1 late-off >"$tmp/off.line" &
+off=$!
+submit_at on e-1 late-on >"$tmp/on.line"
+wait $off
+kill -CONT "$s_1_pid"
+for l in off on; do
+	await "late-$l in the table" in_table "late-$l"
+	echo "protection $(cat "$tmp/$l.line"), and the job is in the table"
+done
 stop e-1
