Show that a drain without a limit for writes is cut off

two-faults.sh drained an entry daemon while the platform hangs; nothing showed that its end depends on the limit of 5 s for writes to the table.

The daemon with the limit ends with 0, as before. Ruled out: a run of its own, which would take the whole limit again.

--- a/tests/fault/two-faults.sh
+++ b/tests/fault/two-faults.sh
@@ -104,20 +104,27 @@
 start_worker w-1
 start_entry e-1 --drain-grace-ms=1000 --drain-max-ms=8000
 start_entry e-2
-knows_both e-1 e-2
-await "peers" sees_peers e-1 1
-await "peers" sees_peers e-2 1
+# Protection off: its drain waits for the table and is cut off at the limit.
+start_entry u-1 --drain-grace-ms=1000 --drain-max-ms=8000 \
+	--unsafe-drain-until-written
+knows_both e-1 e-2 u-1
+await "peers" sees_peers e-1 2
+await "peers" sees_peers e-2 2
 key=$(new_key e-1)
 unused=$(new_key e-1)
 post_later callers e-1 k2 'drain-callers?work_ms=2000'
-await "the first request" running w-1 1
+post_later unsafe u-1 k3 'drain-unsafe?work_ms=2000'
+await "the first requests" running w-1 2
 fault platform '{"outage":"hang"}'
 post_later issued e-1 "$key" 'drain-issued?work_ms=2000'
 later none .path -H 'Tg-Workspace: courts' -d x \
 	"http://$e_1_http/v1/svc/responder/drain-none?work_ms=2000"
-await "requests in progress" running w-1 3
+await "requests in progress" running w-1 4
+kill -TERM "$u_1_pid"
 stop e-1
-join callers issued none
+stop u-1
+grep -c EV1003 "$tmp/u-1.err"
+join unsafe callers issued none
 post unused e-2 "$unused" drain-unused
 call other .path -H 'Tg-Workspace: courts' -d x \
 	"http://$e_2_http/v1/svc/responder/drain-other"
