--- a/cmd/tgschedd/fault.c
+++ b/cmd/tgschedd/fault.c
@@ -35,6 +35,7 @@
 		{ o->unsafe_takeover_restarts, "unsafe-takeover-restarts" },
 		{ o->unsafe_renew_with_table_only,
 		  "unsafe-renew-with-table-only" },
+		{ o->unsafe_ignore_holder, "unsafe-ignore-holder" },
 	};
 	size_t i;
 
--- a/cmd/tgschedd/options.h
+++ b/cmd/tgschedd/options.h
@@ -17,6 +17,7 @@
 	bool unsafe_assume_not_written, unsafe_keep_row;
 	bool unsafe_no_reclaim, unsafe_takeover_restarts;
 	bool unsafe_renew_with_table_only;
+	bool unsafe_ignore_holder;
 };
 
 #endif
