Give a message to a worker only the ops it uses

Cause: struct message held room for OPS_MAX ops, 24 KiB, and a renewal round has a message to every worker in flight at once. Memory of an active scheduler therefore grew by that much with each worker, idle ones included.

Ruled out: kept connections and their buffers, which docs/CAPACITY.md named as the likely cause.

Conclusion: the message keeps a copy of the ops in use, in one block.

--- a/cmd/tgschedd/message.c
+++ b/cmd/tgschedd/message.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "message_internal.h"
 
@@ -22,20 +23,39 @@
 	free(msg);
 }
 
+/*
+ * One block with room for the ops in use only: a round has a message to every
+ * worker in flight, and OPS_MAX ops take 24 KiB.
+ */
+static struct message *keep_message(const struct message *draft)
+{
+	size_t ops_bytes = draft->n * sizeof(*draft->ops);
+	struct message *msg = tg_xcalloc(1, sizeof(*msg) + ops_bytes);
+
+	*msg = *draft;
+	msg->ops = (struct op *)(msg + 1);
+	memcpy(msg->ops, draft->ops, ops_bytes);
+	return msg;
+}
+
 void message_send(struct board *b, struct worker *w, int64_t now_ms)
 {
-	struct message *msg = tg_xcalloc(1, sizeof(*msg));
+	static struct op ops[OPS_MAX];
+	struct message draft = {
+		.board = b,
+		.worker = w,
+		.epoch = b->epoch,
+		.body = json_pack("{s:I, s:s, s:[]}", "epoch",
+				  (json_int_t)worker_fence(b, w), "boot",
+				  w->boot, "ops"),
+		.ops = ops,
+	};
 
-	msg->board = b;
-	msg->worker = w;
-	msg->epoch = b->epoch;
-	msg->body = json_pack("{s:I, s:s, s:[]}", "epoch",
-			      (json_int_t)worker_fence(b, w), "boot", w->boot,
-			      "ops");
 	/* An old clock reading would give a lease that has nearly expired. */
 	if (now_ms - w->reply_ms <= b->opts->renew_ms)
-		message_add_ops(msg);
+		message_add_ops(&draft);
 	else
 		w->due = true;
-	worker_call(b, w, "/v1/commands", msg->body, on_answer, msg);
+	worker_call(b, w, "/v1/commands", draft.body, on_answer,
+		    keep_message(&draft));
 }
--- a/cmd/tgschedd/message_internal.h
+++ b/cmd/tgschedd/message_internal.h
@@ -22,13 +22,16 @@
 	uint64_t round;
 };
 
+/**
+ * struct message - message in flight
+ * @ops: part of the same block, which is freed as a whole
+ */
 struct message {
 	struct board *board;
 	struct worker *worker;
 	uint64_t epoch;
-	int64_t worker_now_ms;
 	json_t *body;
-	struct op ops[OPS_MAX];
+	struct op *ops;
 	size_t n;
 };
 
--- a/cmd/tgschedd/ops.c
+++ b/cmd/tgschedd/ops.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "lease.h"
 #include "message_internal.h"
 
@@ -10,6 +12,7 @@
 	json_t *v = json_pack("{s:s, s:s, s:I, s:i}", "op", name, "job", job,
 			      "attempt", (json_int_t)attempt, "index", index);
 
+	memset(op, 0, sizeof(*op));
 	op->kind = kind;
 	tg_strlcpy(op->job, job, sizeof(op->job));
 	op->attempt = attempt;
