Define renewal of all leases of a worker in the contract

Cause: a renewal names each lease, and each answer lists the usage of every task, which is most of what the active scheduler sends, receives and computes (46 B/s per task, docs/CAPACITY.md).

renew_all names the number of running leases, their digest and one expiry, so that its size does not depend on their number. A mismatch changes no expiry and is answered with the leases. The digest is a sum of XXH64 of each lease's identity: a sum has no order, so neither side sorts; XOR would do as well, and a hash over a sorted list would cost the sort. Running leases alone count, so that a task that has ended since, or one of a gang that the caller leaves out, is a mismatch.

usage_after lists only changes of usage after a numbered one. "Changed since the last report" was ruled out, since a lost answer would lose a change, and there is more than one caller.

The stand-in has the faults lose_answers and no_renew_all, and counts renewals. The contract test covers wrong count, wrong digest, lost answer, late copies, an ended lease, a reservation, and a gang that the caller does not renew.

--- a/tests/contract/worker.sh
+++ b/tests/contract/worker.sh
@@ -165,6 +165,115 @@
 ops "both expired" '{@renew x 1,"expires_ms":@later},{@start y 1}'
 call "their room is free" '.free' "$agent/v1/state"
 ops "release them" '{@release x 1},{@release y 1}'
+echo "# renewal of all leases"
+# The digests are those of the example in docs/platform-contract.md, or sums of
+# its parts; a worker that computes them otherwise renews nothing.
+train0=fcf9008ffc9ee085 both=568b25f0c2c1c9d9 three=08e170b292788b70
+none=0000000000000000
+all() { # NAME COUNT DIGEST [EXPIRY [FILTER]]
+	printf '{"epoch":5,"boot":"%s","ops":[{"op":"renew_all","count":%s,
+		"digest":"%s","expires_ms":%s}]}' "$boot" "$2" "$3" \
+		"${4:-$later}" >"$tmp/ops"
+	call "$1" "${5:-$brief}" -d "@$tmp/ops" "$agent/v1/commands"
+}
+brief='if .results then .results[0] | if .leases then .leases |= map([.job,
+	.attempt, .index, .state]) else . end else [.error, .place] end'
+expiries() { # NAME: which running leases have the expiry $later
+	call "$1" "[.leases[] | select(.state == \"running\") |
+		[.job, .attempt, .index, .expires_ms == $later]] | sort" \
+		"$agent/v1/state"
+}
+member() { # JOB ATTEMPT INDEX GANG-SIZE
+	printf '{"op":"reserve","job":"%s","attempt":%s,"index":%s,
+		"gang_size":%s,"accelerators":1,"cores":1,"memory_gb":1,
+		"expires_ms":@later},{"op":"start","job":"%s","attempt":%s,
+		"index":%s}' "$1" "$2" "$3" "$4" "$1" "$2" "$3"
+}
+later=$(($(now) + 900000))
+all "no lease" 0 $none
+ops "gang of two" "$(member train 1 0 2),$(member train 1 1 2)"
+all "both" 2 $both
+expiries "both have the new expiry"
+later=$((later + 1000))
+all "wrong count" 1 $both
+all "wrong digest" 2 $train0
+all "digest of no lease" 0 $none
+expiries "a mismatch renews nothing"
+ops "one of a gang of four" "$(member dyzury-7 12 3 4)"
+# A scheduler that leaves out the gang that is not whole must not renew it.
+all "the whole gang only" 2 $both
+expiries "neither gang is renewed"
+ops "the whole gang one by one" '{"op":"renew","job":"train","attempt":1,
+	"index":0,"expires_ms":'$later'},{"op":"renew","job":"train",
+	"attempt":1,"index":1,"expires_ms":'$later'}'
+expiries "the gang that is not whole keeps its expiry"
+all "all three" 3 $three
+later=$((later + 1000))
+curl -s -o /dev/null -d '{"lose_answers":true}' "$agent/standin/faults"
+all "lost answer" 3 $three
+curl -s -o /dev/null -d '{}' "$agent/standin/faults"
+expiries "it took effect"
+all "sent again" 3 $three
+expiries "which changes nothing"
+cp "$tmp/ops" "$tmp/copy"
+later=$((later + 1000))
+all "a later renewal" 3 $three
+call "late copy of the former" "$brief" -d "@$tmp/copy" "$agent/v1/commands"
+expiries "it moves no expiry back"
+ops "an ended lease" '{"op":"stop","job":"dyzury-7","attempt":12,"index":3}'
+call "late copy after the end" "$brief" -d "@$tmp/copy" "$agent/v1/commands"
+later=$((later + 1000))
+all "with the ended lease" 3 $three
+expiries "nothing is renewed for it"
+all "without the ended lease" 2 $both
+ops "release it" '{"op":"release","job":"dyzury-7","attempt":12,"index":3}'
+ops "a reservation" '{@reserve r 1,"gang_size":1,"accelerators":1,"cores":1,
+	"memory_gb":1,"expires_ms":@later}'
+later=$((later + 1000))
+all "a reservation does not count" 2 $both
+call "and is not renewed" "[.leases[] | select(.state == \"reserved\") |
+	.expires_ms < $later]" "$agent/v1/state"
+ops "release it" '{@release r 1}'
+all "digest too short" 2 568b25f0
+all "digest in capitals" 2 568B25F0C2C1C9D9
+all "negative count" -1 $both
+all "no expiry" 2 $both null
+curl -s -o /dev/null -d '{"no_renew_all":true}' "$agent/standin/faults"
+all "older worker" 2 $both
+curl -s -o /dev/null -d '{}' "$agent/standin/faults"
+later=$((later + 1000))
+t=$(now)
+printf '{"epoch":5,"boot":"%s","ops":[{"op":"stop","job":"train","attempt":1,
+	"index":1},{"op":"renew_all","count":1,"digest":"%s","expires_ms":%s},
+	{@reserve s 1,"gang_size":1,"accelerators":1,"cores":1,"memory_gb":1,
+	"expires_ms":@later},{@start s 1}]}' "$boot" $train0 $later |
+	expand >"$tmp/ops"
+call "operations before it count" '.results[1]' -d "@$tmp/ops" \
+	"$agent/v1/commands"
+expiries "a lease that starts after it is not renewed"
+
+echo "# changed usage"
+usage() { # NAME AFTER OPS
+	printf '{"epoch":5,"boot":"%s",%s"ops":[%s]}' "$boot" "$2" "${3:-}" |
+		expand >"$tmp/ops"
+	call "$1" 'if .usage then [(.usage | map([.job, .index, .cores]) |
+		sort), .usage_seq - '"$seq"'] else [.error, .place] end' \
+		-d "@$tmp/ops" "$agent/v1/commands"
+}
+seq=0
+seq=$(curl -s -d '{"epoch":5,"boot":"'"$boot"'","ops":[]}' \
+	"$agent/v1/commands" | jq .usage_seq)
+usage "all without a number" ''
+usage "all after 0" '"usage_after":0,'
+usage "none after the latest" '"usage_after":'"$seq",
+usage "one changes" '"usage_after":'"$seq", '{@throttle s 1,"percent":50}'
+usage "again, as if the answer was lost" '"usage_after":'"$seq",
+usage "none after that" '"usage_after":'$((seq + 1)),
+usage "negative number" '"usage_after":-1,'
+usage "text" '"usage_after":"1",'
+ops "end them" '{@stop s 1},{@release s 1},{@stop train 1},{@release train 1},
+	{"op":"release","job":"train","attempt":1,"index":1}'
+
 # A stopped process runs no timers: expiry must be checked on each command.
 soon=$(($(now) + 3000))
 ops "task before the stop" \
--- a/tests/standin/workerd/agent.c
+++ b/tests/standin/workerd/agent.c
@@ -152,11 +152,25 @@
 	return NULL;
 }
 
+static const char *find_renew_all_fault(const json_t *op)
+{
+	const char *digest = json_string_value(json_object_get(op, "digest"));
+
+	if (!is_within(op, "count", 0, AMOUNT_MAX))
+		return "count";
+	if (!digest || strlen(digest) != 16 ||
+	    strspn(digest, "0123456789abcdef") != 16)
+		return "digest";
+	if (!is_within(op, "expires_ms", 0, INT64_MAX / 2))
+		return "expires_ms";
+	return NULL;
+}
+
 /* The field of an operation that is invalid, or NULL. */
-static const char *find_op_fault(const json_t *op)
+static const char *find_op_fault(const struct board *b, const json_t *op)
 {
 	static const char names[] =
-		" reserve start renew checkpoint throttle stop release ";
+		" reserve start renew renew_all checkpoint throttle stop release ";
 	char name[16];
 
 	if (!is_text(op, "op", 1, sizeof(name) - 3))
@@ -165,6 +179,8 @@
 		 json_string_value(json_object_get(op, "op")));
 	if (!strstr(names, name))
 		return "op";
+	if (!strcmp(name, " renew_all "))
+		return b->faults.no_renew_all ? "op" : find_renew_all_fault(op);
 	if (!is_text(op, "job", 1, JOB_MAX))
 		return "job";
 	if (!is_within(op, "attempt", 1, AMOUNT_MAX))
@@ -182,7 +198,8 @@
 }
 
 /* All operations are checked before the first one is carried out. */
-static bool check_commands(const json_t *v, char *place, size_t size)
+static bool check_commands(const struct board *b, const json_t *v, char *place,
+			   size_t size)
 {
 	const json_t *ops = json_object_get(v, "ops"), *op;
 	const char *field;
@@ -194,11 +211,15 @@
 	snprintf(place, size, "/boot");
 	if (!is_text(v, "boot", 1, 64))
 		return false;
+	snprintf(place, size, "/usage_after");
+	if (json_object_get(v, "usage_after") &&
+	    !is_within(v, "usage_after", 0, AMOUNT_MAX))
+		return false;
 	snprintf(place, size, "/ops");
 	if (!json_is_array(ops) || json_array_size(ops) > OPS_MAX)
 		return false;
 	json_array_foreach(ops, i, op) {
-		field = find_op_fault(op);
+		field = find_op_fault(b, op);
 		if (!field)
 			continue;
 		snprintf(place, size, "/ops/%zu/%s", i, field);
@@ -210,6 +231,7 @@
 static void run_commands(struct board *b, struct evhttp_request *req,
 			 const json_t *v)
 {
+	int64_t after = json_integer_value(json_object_get(v, "usage_after"));
 	json_t *results = json_array(), *op;
 	size_t i;
 
@@ -218,9 +240,16 @@
 	}
 	/* A task without any run time is done at once. */
 	leases_advance(b);
+	if (b->faults.lose_answers) {
+		json_decref(results);
+		hold_request(b->base, req, 0, NULL, NULL);
+		return;
+	}
 	reply(b, req, 200,
-	      json_pack("{s:o, s:o, s:o}", "results", results, "ended",
-			leases_ended_json(b), "usage", leases_usage_json(b)));
+	      json_pack("{s:o, s:o, s:o, s:I}", "results", results, "ended",
+			leases_ended_json(b), "usage",
+			leases_usage_json(b, after), "usage_seq",
+			(json_int_t)b->usage_seq));
 }
 
 void agent_commands(struct evhttp_request *req, void *arg)
@@ -236,7 +265,7 @@
 	if (!v)
 		return;
 	epoch = json_integer_value(json_object_get(v, "epoch"));
-	if (!check_commands(v, place, sizeof(place)))
+	if (!check_commands(b, v, place, sizeof(place)))
 		refuse_invalid(b, req, place, "missing or invalid");
 	else if (epoch < b->epoch)
 		refuse_batch(b, req, "stale_epoch", epoch);
--- a/tests/standin/workerd/faults.c
+++ b/tests/standin/workerd/faults.c
@@ -66,20 +66,24 @@
 	leases_advance(b);
 	tg_http_reply_json(
 		req, 200,
-		json_pack("{s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
+		json_pack("{s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I,"
+			  " s:I, s:I}",
 			  "worker", b->opts.name, "boot", b->boot, "epoch",
 			  (json_int_t)b->epoch, "runs", (json_int_t)b->last_run,
 			  "in_use", (json_int_t)b->in_use, "connections_in_use",
 			  (json_int_t)tg_http_server_connections(b->service),
 			  "not_run", (json_int_t)b->refused_requests,
 			  "active_leases", (json_int_t)leases_active(b),
-			  "refused_ops", (json_int_t)b->refused.n));
+			  "refused_ops", (json_int_t)b->refused.n, "renew",
+			  (json_int_t)b->renewals, "renew_all",
+			  (json_int_t)b->renewals_all));
 }
 
 /* Fields that are not given take their default, so {} ends all faults. */
 void faults_set(struct evhttp_request *req, void *arg)
 {
 	int fail_tasks = 0, refuse_starts = 0, hang = 0, close_after_read = 0;
+	int lose_answers = 0, no_renew_all = 0;
 	json_int_t delay_ms = 0, late_ms = 0;
 	json_t *v = tg_http_json_body(req);
 	int cut = 0, draining = 0;
@@ -89,12 +93,14 @@
 	if (!v)
 		return;
 	if (json_unpack_ex(v, &e, JSON_STRICT,
-			   "{s?:b, s?:b, s?:b, s?:b, s?:b, s?:b, s?:I, s?:I}",
+			   "{s?:b, s?:b, s?:b, s?:b, s?:b, s?:b, s?:b, s?:b,"
+			   " s?:I, s?:I}",
 			   "fail_tasks", &fail_tasks, "refuse_starts",
 			   &refuse_starts, "hang_service", &hang,
 			   "close_after_read", &close_after_read, "cut", &cut,
-			   "draining", &draining, "service_delay_ms", &delay_ms,
-			   "answer_late_ms", &late_ms) ||
+			   "draining", &draining, "lose_answers", &lose_answers,
+			   "no_renew_all", &no_renew_all, "service_delay_ms",
+			   &delay_ms, "answer_late_ms", &late_ms) ||
 	    delay_ms < 0 || late_ms < 0) {
 		tg_http_reply_error(req, 400, "body", "no such fault");
 		goto out;
@@ -107,6 +113,8 @@
 		.close_after_read = close_after_read,
 		.cut = cut,
 		.draining = draining,
+		.lose_answers = lose_answers,
+		.no_renew_all = no_renew_all,
 		.service_delay_ms = delay_ms,
 		.answer_late_ms = late_ms,
 	};
--- a/tests/standin/workerd/lease.c
+++ b/tests/standin/workerd/lease.c
@@ -159,13 +159,13 @@
 	return list;
 }
 
-json_t *leases_usage_json(const struct board *b)
+json_t *leases_usage_json(const struct board *b, int64_t after)
 {
 	json_t *list = json_array();
 	const struct lease *l;
 
 	for (l = b->leases; l; l = l->next)
-		if (l->state == LEASE_RUNNING)
+		if (l->state == LEASE_RUNNING && l->usage_seq > after)
 			json_array_append_new(
 				list,
 				json_pack("{s:s, s:I, s:I, s:I, s:I, s:f}",
@@ -197,7 +197,8 @@
 	const char *job = json_string_value(json_object_get(op, "job"));
 	struct lease *l;
 
-	for (l = b->leases; l; l = l->next)
+	/* renew_all names none. */
+	for (l = job ? b->leases : NULL; l; l = l->next)
 		if (!strcmp(l->job, job) && l->index == get_int(op, "index") &&
 		    l->attempt == get_int(op, "attempt"))
 			return l;
@@ -310,6 +311,7 @@
 		return fail(b, op, "start_failed");
 	}
 	l->state = LEASE_RUNNING;
+	l->usage_seq = ++b->usage_seq;
 	log_change(b, l, "running", l->last_ms);
 	return succeed(l);
 }
@@ -320,11 +322,55 @@
 
 	if (!l || l->state == LEASE_ENDED)
 		return fail(b, op, "no_lease");
+	b->renewals++;
 	if (expires_ms > l->expires_ms)
 		l->expires_ms = expires_ms;
 	return succeed(l);
 }
 
+/* The sum does not depend on the order in which leases are kept. */
+static uint64_t running_digest(const struct board *b, int64_t *count)
+{
+	char text[JOB_MAX + 48];
+	const struct lease *l;
+	uint64_t sum = 0;
+	int n;
+
+	*count = 0;
+	for (l = b->leases; l; l = l->next) {
+		if (l->state != LEASE_RUNNING)
+			continue;
+		n = snprintf(text, sizeof(text), "%s %lld %lld", l->job,
+			     (long long)l->attempt, (long long)l->index);
+		sum += tg_hash64(text, (size_t)n);
+		++*count;
+	}
+	return sum;
+}
+
+static json_t *renew_all(struct board *b, const json_t *op, struct lease *l)
+{
+	int64_t expires_ms = get_int(op, "expires_ms"), count;
+	char digest[17];
+
+	snprintf(digest, sizeof(digest), "%016llx",
+		 (unsigned long long)running_digest(b, &count));
+	if (count != get_int(op, "count") ||
+	    strcmp(digest, json_string_value(json_object_get(op, "digest")))) {
+		lines_add(&b->refused,
+			  json_pack("{s:s, s:s, s:I}", "op", "renew_all",
+				    "error", "mismatch", "at_ms",
+				    (json_int_t)tg_now_ms()));
+		return json_pack("{s:b, s:s, s:o}", "ok", 0, "error",
+				 "mismatch", "leases", leases_json(b));
+	}
+	for (l = b->leases; l; l = l->next)
+		if (l->state == LEASE_RUNNING && expires_ms > l->expires_ms)
+			l->expires_ms = expires_ms;
+	b->renewals_all++;
+	return json_pack("{s:b, s:I}", "ok", 1, "renewed", (json_int_t)count);
+}
+
 static json_t *checkpoint(struct board *b, const json_t *op, struct lease *l)
 {
 	if (!l || l->state != LEASE_RUNNING)
@@ -340,6 +386,7 @@
 	if (!l || l->state == LEASE_ENDED)
 		return fail(b, op, "no_lease");
 	l->percent = get_int(op, "percent");
+	l->usage_seq = ++b->usage_seq;
 	return succeed(l);
 }
 
@@ -376,9 +423,13 @@
 		json_t *(*run)(struct board *b, const json_t *op,
 			       struct lease *l);
 	} ops[] = {
-		{ "reserve", reserve },	  { "start", start },
-		{ "renew", renew },	  { "checkpoint", checkpoint },
-		{ "throttle", throttle }, { "stop", stop },
+		{ "reserve", reserve },
+		{ "start", start },
+		{ "renew", renew },
+		{ "renew_all", renew_all },
+		{ "checkpoint", checkpoint },
+		{ "throttle", throttle },
+		{ "stop", stop },
 		{ "release", release },
 	};
 	const char *name = json_string_value(json_object_get(op, "op"));
--- a/tests/standin/workerd/workerd.h
+++ b/tests/standin/workerd/workerd.h
@@ -34,6 +34,9 @@
 	bool close_after_read; /* requests run, then the connection closes */
 	bool cut; /* calls are accepted and have no effect and no answer */
 	bool draining;
+	bool lose_answers; /* commands take effect, then the connection closes
+			    */
+	bool no_renew_all; /* renew_all is unknown, as in older workers */
 	int64_t service_delay_ms; /* added to the time in a slot */
 	int64_t answer_late_ms; /* from the end of the run to the answer */
 };
@@ -53,6 +56,7 @@
 	int64_t percent;
 	double progress_ms;
 	int64_t last_ms; /* instant that progress_ms holds for */
+	int64_t usage_seq; /* number of the last change of its usage */
 	struct lease *next;
 };
 
@@ -77,8 +81,10 @@
 	struct run *runs; /* service requests in progress */
 	int64_t in_use, last_run;
 	int64_t ended_at_ms; /* when the last lease ended */
+	int64_t usage_seq; /* changes of usage since the start */
 	struct lines requests, tasks, refused;
 	int64_t refused_requests;
+	int64_t renewals, renewals_all; /* that succeeded */
 	/* registration with the platform */
 	const char *registered, *wanted, *sending;
 	int64_t registered_ms, draining_since_ms, removing_since_ms;
@@ -109,7 +115,8 @@
 json_t *leases_json(const struct board *b);
 json_t *leases_free_json(const struct board *b);
 json_t *leases_ended_json(const struct board *b);
-json_t *leases_usage_json(const struct board *b);
+/** leases_usage_json() - usage that changed after change number @after */
+json_t *leases_usage_json(const struct board *b, int64_t after);
 /** lease_op() - carry out a valid operation; its result */
 json_t *lease_op(struct board *b, const json_t *op);
 
