Renew all leases of a worker in one operation

Cause: the active scheduler named each lease in each round and got the usage of each task in each answer.

A message has one renew_all if every running lease that the scheduler knows of on the worker is due in this round. If one is not (its gang is not whole, is stopping, or has confirmed the round), the others are renewed one by one as before, so that nothing but what is due is renewed. Expiry and its record are those of single renewals: in the worker's clock from its last reply, and recorded for each lease when the message is sent. After a mismatch the leases that the scheduler doesn't know become orphans, and the round goes on with single renewals. A worker that refuses the operation with 400 gets single renewals until its next boot.

spec/renewal.pml holds with the digest, and fails if the worker renews whatever it runs (RENEW_ANY) or compares only the count (COUNT_ONLY). Ruled out: a list of the leases to leave out, since a gang that is not whole lasts 15 s.

--- a/cmd/tgschedd/answer.c
+++ b/cmd/tgschedd/answer.c
@@ -107,6 +107,26 @@
 			board_remove_orphan(w, o);
 }
 
+static void on_renew_all(struct message *msg, bool ok, const json_t *result)
+{
+	struct worker *w = msg->worker;
+	struct member *m;
+
+	if (ok) {
+		DL_FOREACH(w->members, m)
+			if (m->confirmed < m->asked)
+				m->confirmed = m->asked;
+		return;
+	}
+	tg_counter("tg_renewals_mismatched_total",
+		   "Renewals of all leases of a worker that it refused.", NULL)
+		->value++;
+	tg_log(EV_SCHED_RENEWAL_MISMATCH, "worker=%s", w->name);
+	message_note_leases(msg->board, w, json_object_get(result, "leases"));
+	w->renew_singly = true;
+	w->due = true;
+}
+
 static void on_result(struct message *msg, const struct op *op,
 		      const json_t *result)
 {
@@ -115,6 +135,10 @@
 	const char *error = json_string_value(json_object_get(result, "error"));
 	struct member *m;
 
+	if (op->kind == OP_RENEW_ALL) {
+		on_renew_all(msg, ok, result);
+		return;
+	}
 	if (op->kind == OP_RELEASE_ORPHAN && ok) {
 		on_orphan_released(msg->worker, op);
 		b->decide = true;
@@ -197,11 +221,19 @@
 	const json_t *now = json_object_get(answer, "now_ms");
 	const json_t *epoch = json_object_get(answer, "epoch");
 
-	if (!boot || !json_is_integer(now) ||
-	    !tg_strlcpy(w->boot, boot, sizeof(w->boot))) {
+	if (!boot || !json_is_integer(now)) {
 		tg_log(EV_SCHED_BAD_ANSWER, "worker=%s", w->name);
 		return false;
 	}
+	if (strcmp(boot, w->boot) != 0) {
+		/* It may have been replaced by another version. */
+		w->no_renew_all = w->renew_singly = false;
+		w->usage_seq = 0;
+	}
+	if (!tg_strlcpy(w->boot, boot, sizeof(w->boot))) {
+		tg_log(EV_SCHED_BAD_ANSWER, "worker=%s place=/boot", w->name);
+		return false;
+	}
 	w->now_ms = json_integer_value(now);
 	w->reply_ms = tg_now_ms();
 	w->epoch_seen = json_is_integer(epoch) ?
@@ -230,6 +262,27 @@
 	msg->worker->due = true;
 }
 
+/* Whether a batch was refused for its renewal of all leases. */
+static bool is_renewal_refused(const struct message *msg, const json_t *answer)
+{
+	const char *place = json_string_value(json_object_get(answer, "place"));
+	char begin[32];
+	int n = snprintf(begin, sizeof(begin), "/ops/%zu/", msg->renew_all_at);
+
+	return msg->renews_all && place && !strncmp(place, begin, (size_t)n);
+}
+
+/* The leases must not expire for this, whatever the worker found wrong. */
+static void on_unknown_renewal(struct worker *w, const json_t *answer)
+{
+	const char *place = json_string_value(json_object_get(answer, "place"));
+
+	tg_log(EV_SCHED_RENEWAL_SINGLE, "worker=%s place=%s", w->name, place);
+	w->no_renew_all = true;
+	w->due = true;
+	worker_note_clock(w, answer);
+}
+
 void message_refused(struct message *msg, int status, const json_t *answer)
 {
 	const char *error = json_string_value(json_object_get(answer, "error"));
@@ -241,6 +294,8 @@
 		/* The inventory of the new boot shows that all is gone. */
 		w->installed = false;
 		w->next_ms = 0;
+	} else if (status == 400 && is_renewal_refused(msg, answer)) {
+		on_unknown_renewal(w, answer);
 	} else {
 		tg_log(EV_SCHED_BAD_ANSWER, "worker=%s status=%d error=%s",
 		       w->name, status, error ? error : "-");
@@ -251,11 +306,16 @@
 void message_results(struct message *msg, const json_t *answer)
 {
 	json_t *results = json_object_get(answer, "results"), *v;
+	json_t *usage_seq = json_object_get(answer, "usage_seq");
 	struct worker *w = msg->worker;
 	size_t i;
 
 	if (!worker_note_clock(w, answer))
 		return;
+	w->usage_seq = json_integer_value(usage_seq);
+	/* Set again below if they still differ. */
+	if (msg->n && !msg->renews_all)
+		w->renew_singly = false;
 	/* First, since an ended task also refuses its renewal. */
 	json_array_foreach(json_object_get(answer, "ended"), i, v)
 		on_ended(msg->board, w, v);
--- a/cmd/tgschedd/board.h
+++ b/cmd/tgschedd/board.h
@@ -61,6 +61,8 @@
  * struct member - one task of a gang's current attempt
  * @expired_ms: own clock; a lease asked for has definitely expired then
  * @confirmed: last round that the worker confirmed
+ * @asked: round that the message in flight renews with all leases of the
+ *	worker; 0: none
  * @failed: the task failed by itself
  * @lost: the lease ended other than by our command
  * @refused: the reservation was refused
@@ -73,7 +75,7 @@
 	int32_t index;
 	enum member_state state;
 	int64_t expired_ms;
-	uint64_t confirmed;
+	uint64_t confirmed, asked;
 	bool failed, lost, refused;
 	char ckpt[CKPT_MAX + 1];
 	int64_t progress_ms;
@@ -102,6 +104,10 @@
  * @next_ms: own clock, not called before
  * @due: there is something to send
  * @lost: unreachable for so long that its members count as lost
+ * @no_renew_all: does not know renew_all; until its next boot
+ * @renew_singly: its leases were not those expected; the next renewals name
+ *	each lease
+ * @usage_seq: last change of usage that it reported
  */
 struct worker {
 	char name[TG_NAME_MAX + 1];
@@ -115,6 +121,8 @@
 	char boot[TG_NAME_MAX + 1];
 	int64_t now_ms, reply_ms, next_ms;
 	uint64_t epoch_seen;
+	bool no_renew_all, renew_singly;
+	int64_t usage_seq;
 	json_t *inventory; /* leases, until the board is rebuilt */
 	struct member *members;
 	struct orphan *orphans;
--- a/cmd/tgschedd/inventory.c
+++ b/cmd/tgschedd/inventory.c
@@ -52,6 +52,30 @@
 	return false;
 }
 
+void message_note_leases(struct board *b, struct worker *w,
+			 const json_t *leases)
+{
+	const struct member *m;
+	json_t *v;
+	size_t i;
+
+	json_array_foreach(leases, i, v) {
+		const char *job = json_string_value(json_object_get(v, "job"));
+		int64_t attempt =
+			json_integer_value(json_object_get(v, "attempt"));
+		int64_t index = json_integer_value(json_object_get(v, "index"));
+
+		if (!job || !tg_name_valid(job)) {
+			tg_log(EV_SCHED_BAD_ANSWER,
+			       "worker=%s place=/results/leases", w->name);
+			continue;
+		}
+		m = message_find_member(b, w, job, attempt, index);
+		if (!m || m->state == M_GONE)
+			message_add_orphan(b, w, job, attempt, index);
+	}
+}
+
 void worker_reconcile(struct board *b, struct worker *w)
 {
 	struct member *m;
--- a/cmd/tgschedd/message.c
+++ b/cmd/tgschedd/message.c
@@ -45,9 +45,10 @@
 		.board = b,
 		.worker = w,
 		.epoch = b->epoch,
-		.body = json_pack("{s:I, s:s, s:[]}", "epoch",
+		.body = json_pack("{s:I, s:s, s:I, s:[]}", "epoch",
 				  (json_int_t)worker_fence(b, w), "boot",
-				  w->boot, "ops"),
+				  w->boot, "usage_after",
+				  (json_int_t)w->usage_seq, "ops"),
 		.ops = ops,
 	};
 
--- a/cmd/tgschedd/message_internal.h
+++ b/cmd/tgschedd/message_internal.h
@@ -7,6 +7,7 @@
 	OP_RESERVE,
 	OP_START,
 	OP_RENEW,
+	OP_RENEW_ALL,
 	OP_CHECKPOINT,
 	OP_STOP,
 	OP_RELEASE,
@@ -24,12 +25,16 @@
 
 /**
  * struct message - message in flight
+ * @renews_all: has a renew_all
+ * @renew_all_at: its place in the ops
  * @ops: part of the same block, which is freed as a whole
  */
 struct message {
 	struct board *board;
 	struct worker *worker;
 	uint64_t epoch;
+	bool renews_all;
+	size_t renew_all_at;
 	json_t *body;
 	struct op *ops;
 	size_t n;
@@ -37,6 +42,14 @@
 
 /* ops.c: adds what the states of the worker's members ask for */
 void message_add_ops(struct message *msg);
+struct op *message_add_op(struct message *msg, enum op_kind kind, json_t *v);
+/*
+ * Sets the expiry of a lease in an operation, and when it has definitely
+ * expired.  It counts from the moment of the answer that the expiry is from.
+ */
+void message_add_expiry(struct message *msg, json_t *op, struct member *m);
+/* renewal.c: adds a renew_all if it can replace the single renewals */
+void message_add_renewal(struct message *msg);
 /* answer.c */
 void message_results(struct message *msg, const json_t *answer);
 void message_refused(struct message *msg, int status, const json_t *answer);
@@ -45,6 +58,9 @@
 struct member *message_find_member(struct board *b, const struct worker *w,
 				   const char *job, int64_t attempt,
 				   int64_t index);
+/* inventory.c: adds leases that belong to no attempt in force */
+void message_note_leases(struct board *b, struct worker *w,
+			 const json_t *leases);
 void message_note_checkpoint(struct member *m, const json_t *v);
 
 #endif
--- a/cmd/tgschedd/ops.c
+++ b/cmd/tgschedd/ops.c
@@ -5,19 +5,26 @@
 
 static const char *const class_names[] = { "urgent", "guaranteed", "lent" };
 
+struct op *message_add_op(struct message *msg, enum op_kind kind, json_t *v)
+{
+	struct op *op = &msg->ops[msg->n++];
+
+	memset(op, 0, sizeof(*op));
+	op->kind = kind;
+	json_array_append_new(json_object_get(msg->body, "ops"), v);
+	return op;
+}
+
 static json_t *add_op(struct message *msg, enum op_kind kind, const char *name,
 		      const char *job, int64_t attempt, int32_t index)
 {
-	struct op *op = &msg->ops[msg->n++];
 	json_t *v = json_pack("{s:s, s:s, s:I, s:i}", "op", name, "job", job,
 			      "attempt", (json_int_t)attempt, "index", index);
+	struct op *op = message_add_op(msg, kind, v);
 
-	memset(op, 0, sizeof(*op));
-	op->kind = kind;
 	tg_strlcpy(op->job, job, sizeof(op->job));
 	op->attempt = attempt;
 	op->index = index;
-	json_array_append_new(json_object_get(msg->body, "ops"), v);
 	return v;
 }
 
@@ -33,8 +40,7 @@
 	json_object_set_new(v, key, json_integer(n));
 }
 
-/* The lease counts from the moment of the answer that its expiry is from. */
-static void add_expiry(struct message *msg, json_t *op, struct member *m)
+void message_add_expiry(struct message *msg, json_t *op, struct member *m)
 {
 	struct worker *w = msg->worker;
 	int64_t ttl_ms = msg->board->opts->lease_ms;
@@ -52,7 +58,7 @@
 	json_t *ckpt = json_array_get(j->ckpts, (size_t)m->index);
 	json_t *task = json_object_get(j->json, "task");
 
-	add_expiry(msg, op, m);
+	message_add_expiry(msg, op, m);
 	set_int(op, "gang_size", j->n_members);
 	set_int(op, "accelerators", j->spec.accelerators);
 	set_int(op, "cores", j->spec.cores);
@@ -93,10 +99,10 @@
 
 	if (m->state != M_RUNNING)
 		return;
-	if (m->confirmed < j->round) {
+	if (m->confirmed < j->round && m->asked < j->round) {
 		op = add_member_op(msg, OP_RENEW, "renew", m);
 		msg->ops[msg->n - 1].round = j->round;
-		add_expiry(msg, op, m);
+		message_add_expiry(msg, op, m);
 	}
 	if (m->ckpt_round < j->ckpt_round && msg->n < OPS_MAX) {
 		add_member_op(msg, OP_CHECKPOINT, "checkpoint", m);
@@ -177,6 +183,10 @@
 		add_op(msg, OP_RELEASE_ORPHAN, "release", o->job, o->attempt,
 		       o->index);
 	}
+	/* After the orphans' stops, since a renewal of all counts them. */
+	if (is_full(msg))
+		return;
+	message_add_renewal(msg);
 	DL_FOREACH(w->members, m) {
 		if (is_full(msg))
 			return;
--- a/cmd/tgschedd/renewal.c
+++ b/cmd/tgschedd/renewal.c
@@ -1,4 +1,6 @@
 #include "controllers.h"
+#include "digest.h"
+#include "message_internal.h"
 
 static bool round_confirmed(const struct job *j)
 {
@@ -44,6 +46,60 @@
 	board_gang_due(j);
 }
 
+/*
+ * Whether a renewal of all running leases renews those that are due and no
+ * others.  A running member of a gang that is not whole, that is stopping or
+ * that has confirmed the round must not be renewed.
+ */
+static bool all_due(const struct worker *w)
+{
+	const struct member *m;
+	bool any = false;
+
+	if (w->no_renew_all || w->renew_singly)
+		return false;
+	DL_FOREACH(w->members, m) {
+		if (m->state != M_RUNNING)
+			continue;
+		if (m->job->gang != GANG_RUNNING ||
+		    m->confirmed >= m->job->round)
+			return false;
+		any = true;
+	}
+	return any;
+}
+
+void message_add_renewal(struct message *msg)
+{
+	struct worker *w = msg->worker;
+	char digest[DIGEST_SIZE];
+	json_int_t count = 0;
+	struct member *m;
+	uint64_t sum = 0;
+	json_t *op;
+
+	DL_FOREACH(w->members, m)
+		m->asked = 0;
+	if (!all_due(w))
+		return;
+	op = json_pack("{s:s}", "op", "renew_all");
+	DL_FOREACH(w->members, m) {
+		if (m->state != M_RUNNING)
+			continue;
+		m->asked = m->job->round;
+		sum += digest_lease(m->job->spec.job, m->job->attempt,
+				    m->index);
+		count++;
+		message_add_expiry(msg, op, m);
+	}
+	digest_text(sum, digest);
+	json_object_set_new(op, "count", json_integer(count));
+	json_object_set_new(op, "digest", json_string(digest));
+	msg->renews_all = true;
+	msg->renew_all_at = msg->n;
+	message_add_op(msg, OP_RENEW_ALL, op);
+}
+
 static void tick_renewal(void *board, int64_t now_ms)
 {
 	struct board *b = board;
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -36,6 +36,9 @@
 gang REUSE_ATTEMPT
 lease -
 lease TTL_FROM_RECEIPT
+renewal -
+renewal RENEW_ANY
+renewal COUNT_ONLY
 request -
 request NO_CLAIM
 request OUTAGE_SAYS_NOT_RUN
--- a/tests/bench/bench-capacity.sh
+++ b/tests/bench/bench-capacity.sh
@@ -3,11 +3,11 @@
 # with the sizes it depends on: "key value unit" lines, each series with a
 # least-squares line and its standard errors.  AZs of different sizes run side
 # by side on one platform stand-in, so that one window measures a series.
-# PARTS (default "entry document sched") and WINDOW limit it.  The default window
+# PARTS (default "entry document busy sched") and WINDOW limit it.  The default window
 # is a multiple of the periods of the daemons (2, 5 and 10 s).
 . "$(dirname "$0")/lib.sh"
 window=${WINDOW:-20}
-parts=${PARTS:-entry document sched}
+parts=${PARTS:-entry document busy sched}
 rounds=3
 
 plain='{"version":1,"weights":{"completion":70,"fragmentation":30},
@@ -425,6 +425,36 @@
 		fit takeover_by_workers ms
 }
 
+# --- active schedulers: workers that all hold 8 tasks ---
+
+# The workers of the w-series above are idle but for two, and those of the
+# t-series are as many in each AZ; the target's workers hold 8.4 tasks each.
+measure_busy() {
+	sched_azs='f10 10 80 8
+f20 20 160 8
+f40 40 320 8
+f80 80 640 8'
+	sched_workers=
+	start platform platformd --log-level=warn
+	put_document 1 "$plain"
+	each_az launch_az
+	settled
+	each_az launch_scheds a
+	settled
+	each_az list_scheds a
+	each_az await_active a
+	each_az fill_az
+	each_az await_full
+	sleep 5
+	window_of sa-f10 sa-f20 sa-f40 sa-f80
+	for n in 10 20 40 80; do
+		echo "$n $(mean_use sa-f$n)"
+	done | series active_by_workers_of_8_tasks
+	for d in $sched_workers sa-f10 sa-f20 sa-f40 sa-f80 platform; do
+		crash "$d"
+	done
+}
+
 about
 for part in $parts; do
 	measure_$part
--- a/tests/unit/sched/test-sched.c
+++ b/tests/unit/sched/test-sched.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../../../cmd/tgschedd/digest.h"
 #include "../../../cmd/tgschedd/gang.h"
 #include "../../../cmd/tgschedd/lease.h"
 #include "../../../cmd/tgschedd/outage.h"
@@ -296,6 +297,27 @@
 }
 END_TEST
 
+/*
+ * The example of docs/platform-contract.md.  A digest that differs from the
+ * worker's makes every renewal a mismatch.
+ */
+START_TEST(digest_of_leases)
+{
+	uint64_t a = digest_lease("train", 1, 0);
+	uint64_t b = digest_lease("train", 1, 1);
+	uint64_t c = digest_lease("dyzury-7", 12, 3);
+	char text[DIGEST_SIZE];
+
+	ck_assert_uint_eq(a, 0xfcf9008ffc9ee085);
+	ck_assert_uint_eq(b, 0x59922560c622e954);
+	ck_assert_uint_eq(c, 0xb2564ac1cfb6c197);
+	digest_text(a + b + c, text);
+	ck_assert_str_eq(text, "08e170b292788b70");
+	digest_text(0, text);
+	ck_assert_str_eq(text, "0000000000000000");
+}
+END_TEST
+
 static int count_faults(const char *text, const char *place)
 {
 	struct tg_findings f = { 0 };
@@ -400,6 +422,7 @@
 	tcase_add_test(t, gang_transitions);
 	tcase_add_test(t, gang_starts_only_committed);
 	tcase_add_test(t, whole_gangs);
+	tcase_add_test(t, digest_of_leases);
 	tcase_add_test(t, spec_faults);
 	tcase_add_test(t, spec_defaults);
 	suite_add_tcase(s, t);
