Lose only the answers to renewals in the worker stand-in

The fault closed every batch unanswered; if it began with an empty batch, the scheduler's clock reading of the worker was too old for a renewal from then on, and only empty batches followed until the worker counted as lost.

Ruled out: a fault in the scheduler, which sends no renewal from an old clock reading by design.

Conclusion: the fault loses the answers to batches in which a renew_all took effect. The next empty batch is answered, so that the case is reached each time.

--- a/tests/contract/worker.sh
+++ b/tests/contract/worker.sh
@@ -209,7 +209,7 @@
 expiries "the gang that is not whole keeps its expiry"
 all "all three" 3 $three
 later=$((later + 1000))
-curl -s -o /dev/null -d '{"lose_answers":true}' "$agent/standin/faults"
+curl -s -o /dev/null -d '{"lose_renewals":true}' "$agent/standin/faults"
 all "lost answer" 3 $three
 curl -s -o /dev/null -d '{}' "$agent/standin/faults"
 expiries "it took effect"
--- a/tests/script/sched-renewal.sh
+++ b/tests/script/sched-renewal.sh
@@ -48,7 +48,7 @@
 echo "w1: $(leases w1), one by one $(stat w1 renew)"
 
 echo "# lost answers"
-post "$w1_http" /standin/faults '{"lose_answers":true}' >/dev/null
+post "$w1_http" /standin/faults '{"lose_renewals":true}' >/dev/null
 n=$(stat w1 renew_all)
 await "a renewal that loses its answer" above w1 renew_all "$n"
 n=$(grep -c 'EV3011 .*w1' "$W/s1.err")
--- a/tests/standin/workerd/agent.c
+++ b/tests/standin/workerd/agent.c
@@ -232,6 +232,7 @@
 			 const json_t *v)
 {
 	int64_t after = json_integer_value(json_object_get(v, "usage_after"));
+	int64_t renewals_all = b->renewals_all;
 	json_t *results = json_array(), *op;
 	size_t i;
 
@@ -240,7 +241,7 @@
 	}
 	/* A task without any run time is done at once. */
 	leases_advance(b);
-	if (b->faults.lose_answers) {
+	if (b->faults.lose_renewals && b->renewals_all > renewals_all) {
 		json_decref(results);
 		hold_request(b->base, req, 0, NULL, NULL);
 		return;
--- a/tests/standin/workerd/faults.c
+++ b/tests/standin/workerd/faults.c
@@ -83,7 +83,7 @@
 void faults_set(struct evhttp_request *req, void *arg)
 {
 	int fail_tasks = 0, refuse_starts = 0, hang = 0, close_after_read = 0;
-	int lose_answers = 0, no_renew_all = 0;
+	int lose_renewals = 0, no_renew_all = 0;
 	json_int_t delay_ms = 0, late_ms = 0;
 	json_t *v = tg_http_json_body(req);
 	int cut = 0, draining = 0;
@@ -98,9 +98,10 @@
 			   "fail_tasks", &fail_tasks, "refuse_starts",
 			   &refuse_starts, "hang_service", &hang,
 			   "close_after_read", &close_after_read, "cut", &cut,
-			   "draining", &draining, "lose_answers", &lose_answers,
-			   "no_renew_all", &no_renew_all, "service_delay_ms",
-			   &delay_ms, "answer_late_ms", &late_ms) ||
+			   "draining", &draining, "lose_renewals",
+			   &lose_renewals, "no_renew_all", &no_renew_all,
+			   "service_delay_ms", &delay_ms, "answer_late_ms",
+			   &late_ms) ||
 	    delay_ms < 0 || late_ms < 0) {
 		tg_http_reply_error(req, 400, "body", "no such fault");
 		goto out;
@@ -113,7 +114,7 @@
 		.close_after_read = close_after_read,
 		.cut = cut,
 		.draining = draining,
-		.lose_answers = lose_answers,
+		.lose_renewals = lose_renewals,
 		.no_renew_all = no_renew_all,
 		.service_delay_ms = delay_ms,
 		.answer_late_ms = late_ms,
--- a/tests/standin/workerd/workerd.h
+++ b/tests/standin/workerd/workerd.h
@@ -34,8 +34,7 @@
 	bool close_after_read; /* requests run, then the connection closes */
 	bool cut; /* calls are accepted and have no effect and no answer */
 	bool draining;
-	bool lose_answers; /* commands take effect, then the connection closes
-			    */
+	bool lose_renewals; /* a renew_all takes effect without an answer */
 	bool no_renew_all; /* renew_all is unknown, as in older workers */
 	int64_t service_delay_ms; /* added to the time in a slot */
 	int64_t answer_late_ms; /* from the end of the run to the answer */
