Show what a cut AZ loses without renewal and without polls

az-cut.sh passed and nothing showed that its gang and its document depend on renewal without the table and on polls.

Two AZs join the test with one mechanism off each, so that they see the same cut.

Ruled out: a second pass through the cut, which would double the time; waiting for two polls at once instead of over the rest of the test, 3 s longer.

--- a/tests/fault/az-cut.sh
+++ b/tests/fault/az-cut.sh
@@ -6,6 +6,9 @@
 # The cut is shown from one side at a time.  First AZ a: platform calls hang and
 # the daemons of AZ b are stopped.  Then AZ b: the daemons of AZ a are stopped,
 # for less than a lease, and the platform answers.
+#
+# Two AZs have a mechanism turned off.  In c the active scheduler does not renew
+# without the table; in d an entry daemon looks for no further document.
 . "$(dirname "$0")/../lib.sh"
 export TG_SCHED_RENEW_MS=200 TG_SCHED_LEASE_MS=1000 TG_RENEW_MS=300
 export TG_LEASE_MS=8000 TG_CALL_MS=300 TG_WORKER_LOST_MS=2000
@@ -52,13 +55,13 @@
 }
 # starts JOB: how often tasks of it began
 starts() {
-	for x in w-a1 w-a2 w-b1 w-b2; do
+	for x in w-a1 w-a2 w-b1 w-b2 w-c1 w-c2; do
 		curl -s "http://$(http_of $x)/standin/log"
 	done | jq -s --arg j "$1" '[.[].tasks[] |
 		select(.job == $j and .state == "running")] | length'
 }
 running_of() { # JOB
-	for x in w-a1 w-a2; do
+	for x in w-a1 w-a2 w-c1 w-c2; do
 		curl -s "http://$(http_of $x)/v1/state"
 	done | jq -s --arg j "$1" '[.[].leases[] |
 		select(.job == $j and .state == "running")] | length'
@@ -78,13 +81,20 @@
 has_ended() { # JOB
 	[ "$(running_of "$1")" = 0 ]
 }
+has_begun() { # JOB TASKS
+	[ "$(starts "$1")" = "$2" ]
+}
+reads_reach() {
+	[ "$(metric "$1" tg_table_reads_total)" -ge "$2" ]
+}
 
 start platform platformd
 put_document 1 "$two_azs"
 start_worker w-a1
 start_worker w-a2
-for w in w-b1 w-b2; do
-	start $w workerd --name=$w --az=b --log-level=warn \
+for w in w-b1 w-b2 w-c1 w-c2; do
+	az=${w#w-}
+	start $w workerd --name=$w --az="${az%?}" --log-level=warn \
 		--platform="$platform_http"
 done
 member s-a sched tgschedd a
@@ -92,10 +102,13 @@
 member e-a entry tgentryd a
 member e-b entry tgentryd b
 member c-b console tgconsoled b --operator-key-file="$tmp/key"
-for x in s-a s-b e-a e-b c-b; do
+member s-c sched tgschedd c --unsafe-renew-with-table-only
+member e-c entry tgentryd c
+member e-d entry tgentryd d --unsafe-no-document-polls
+for x in s-a s-b s-c e-a e-b e-c e-d c-b; do
 	await "readiness of $x" ready $x
 done
-for w in a1 a2 b1 b2; do
+for w in a1 a2 b1 b2 c1 c2; do
 	await "w-$w at e-${w%?}" knows_worker "e-${w%?}" "w-$w" up
 done
 submits() { # ENTRY AZ
@@ -103,11 +116,15 @@
 }
 await "jobs in a" submits e-a a
 await "jobs in b" submits e-b b
+await "jobs in c" submits e-c c
+await "the first job of c" job_is e-c first-c done
 await "the first job of a" job_is e-a first-a done
 submit gang e-a gang a 600000
 submit short e-a short a 6000
 submit waits e-a waits a 100
+submit unrenewed e-c unrenewed c 600000
 await "the gang" job_is e-a gang running
+await "the gang of c" job_is e-c unrenewed running
 await "the short gang" job_is e-a short running
 issued=$(curl -s -X POST "http://$e_a_http/v1/keys" | jq -r .key)
 
@@ -128,6 +145,9 @@
 }
 await "more than a lease" past_lease
 await "the end of the short gang" has_ended short
+await "the outage at s-c" outage_seen s-c
+await "the end of the gang of c" has_ended unrenewed
+echo "protection off, tasks of the gang of c: $(running_of unrenewed)"
 echo "tasks of the gang: $(running_of gang), of the waiting one: $(running_of waits)"
 generation_is e-a 1 >/dev/null && echo "generation 1 in force"
 ready e-a >/dev/null && echo "e-a is ready"
@@ -147,20 +167,25 @@
 echo "# the cut ends"
 signal_az CONT a
 await "generation 2 at e-a" generation_is e-a 2
+polls=$(metric e-a tg_table_reads_total)
 await "the waiting job" job_is e-a waits done
 await "the short one" job_is e-a short done
 job_is e-a gang running >/dev/null && echo "the gang runs"
+await "another attempt of the gang of c" has_begun unrenewed 4
 generation_is e-b 2 >/dev/null && echo "generation 2 in force in both"
 # Refused means not run: the same name and key are free afterwards.
 submit late-again e-a late a 100
 await "the late one" job_is e-a late done
 post callers-again e-a callers-1 cut-callers
-for j in gang short waits late; do
+# An entry daemon alone in its AZ reads the row every second.
+await "two more polls of e-a" reads_reach e-a $((polls + 3))
+generation_is e-d 1 >/dev/null && echo "protection off: generation 1 at e-d"
+for j in gang short waits late unrenewed; do
 	echo "$j: $(starts $j) tasks began"
 done
 for p in none issued callers; do
 	echo "cut-$p ran $(requests_of "cut-$p") times"
 done
-for x in e-a e-b s-a s-b c-b; do
+for x in e-a e-b e-c e-d s-a s-b s-c c-b; do
 	stop $x
 done
