Aim random faults at what they can harm, and check planned stops

Faults are now aimed: the run looks up the worker of a gang, the active scheduler or the claimer when it gets to the step, and something for the fault to hit is begun before it. Most gangs need a worker per member. Steps count with the 330 ms that they take beside the pause; without that, faults lasted three times as long as drawn and few fitted into a run. Aimed gangs are urgent: a guaranteed gang leaves room for urgent work, so it did not restart on the two workers that were left.

Entry, scheduler and console daemons are also stopped with SIGTERM. Checks: their exit status is 0 and no call that was in progress or began in the first half of the grace period was cut. At rest the generations of all daemons are compared. A refusal as not run is a violation also if a run of its key began before that attempt; until now only requests of which every attempt was refused were checked. A whole gang that expires with its workers and a scheduler up is a violation if leases are long enough for a takeover.

The outcome check refused "unknown" with 503, which docs/design.md section 6 prescribes for a caller's key in a table outage. It accepts 429 and 503 for requests with a key and remains as it was for those without.

--- a/tests/fault/check/check.h
+++ b/tests/fault/check/check.h
@@ -15,7 +15,7 @@
 
 struct check {
 	const char *history;
-	int64_t lease_ms, gang_margin_ms;
+	int64_t lease_ms, gang_margin_ms, drain_grace_ms;
 	json_t *lines;
 	long violations;
 };
@@ -40,6 +40,10 @@
 void check_gangs(struct check *c);
 /** check_jobs() - what callers were told of jobs against what ran */
 void check_jobs(struct check *c);
+/** check_stops() - planned stops of daemons against the calls in progress */
+void check_stops(struct check *c);
+/** check_outage() - gangs that ended although they could have been renewed */
+void check_outage(struct check *c);
 /** check_documents() - generations and saves */
 void check_documents(struct check *c);
 
--- a/tests/fault/check/documents.c
+++ b/tests/fault/check/documents.c
@@ -77,6 +77,35 @@
 			  marker, (long long)status);
 }
 
+static int64_t last_version(const struct check *c)
+{
+	const json_t *l;
+	int64_t last = 0;
+	size_t i;
+
+	json_array_foreach(c->lines, i, l)
+		if (line_is(l, "version") && line_int(l, "generation") > last)
+			last = line_int(l, "generation");
+	return last;
+}
+
+/* Once at rest, every daemon has the last document in force. */
+static void check_final(struct check *c)
+{
+	int64_t last = last_version(c);
+	const json_t *l;
+	size_t i;
+
+	json_array_foreach(c->lines, i, l)
+		if (line_is(l, "final-generation") &&
+		    line_int(l, "generation") != last)
+			violation(c, "not-in-force",
+				  "%s has generation %lld at rest, not %lld",
+				  line_text(l, "name"),
+				  (long long)line_int(l, "generation"),
+				  (long long)last);
+}
+
 void check_documents(struct check *c)
 {
 	json_t *versions = read_versions(c);
@@ -87,5 +116,6 @@
 		if (line_is(l, "save"))
 			check_save(c, versions, l);
 	check_reverts(c);
+	check_final(c);
 	json_decref(versions);
 }
--- a/tests/fault/check/gangs.c
+++ b/tests/fault/check/gangs.c
@@ -1,22 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "check.h"
-
-#define NEVER_MS INT64_MAX
-
-/* One lease: a member of an attempt on one start of a worker. */
-struct member {
-	const char *job, *worker, *boot, *reason;
-	int64_t attempt, index, gang_size;
-	int64_t reserved_ms, run_ms, end_ms;
-};
-
-struct members {
-	struct member *items;
-	size_t n;
-	int64_t history_end_ms;
-};
+#include "gangs.h"
 
 static struct member *find(struct members *m, const json_t *l)
 {
@@ -76,7 +61,7 @@
 	return at_ms;
 }
 
-static void read_members(const struct check *c, struct members *m)
+void members_read(const struct check *c, struct members *m)
 {
 	struct member *x;
 	const json_t *l;
@@ -96,12 +81,12 @@
 	}
 }
 
-static bool ran(const struct member *x)
+bool member_ran(const struct member *x)
 {
 	return x->run_ms != NEVER_MS;
 }
 
-static bool same_attempt(const struct member *x, const struct member *y)
+bool member_same_attempt(const struct member *x, const struct member *y)
 {
 	return !strcmp(x->job, y->job) && x->attempt == y->attempt;
 }
@@ -109,7 +94,7 @@
 static void check_pair(struct check *c, const struct member *x,
 		       const struct member *y)
 {
-	if (strcmp(x->job, y->job) != 0 || !ran(x) || !ran(y) ||
+	if (strcmp(x->job, y->job) != 0 || !member_ran(x) || !member_ran(y) ||
 	    (x->attempt == y->attempt && x->index != y->index))
 		return;
 	if (x->run_ms < y->end_ms && y->run_ms < x->end_ms)
@@ -132,7 +117,7 @@
 
 	for (i = 0; i < x->gang_size; i++) {
 		for (y = m->items; y < m->items + m->n; y++)
-			if (same_attempt(x, y) && y->index == i &&
+			if (member_same_attempt(x, y) && y->index == i &&
 			    y->reserved_ms <= x->run_ms)
 				break;
 		missing += y == m->items + m->n;
@@ -159,7 +144,8 @@
 		const struct member *last = NULL;
 
 		for (y = m->items; y < m->items + m->n; y++)
-			if (same_attempt(x, y) && y->index == i && ran(y) &&
+			if (member_same_attempt(x, y) && y->index == i &&
+			    member_ran(y) &&
 			    (!last || y->run_ms > last->run_ms))
 				last = y;
 		if (!last) {
@@ -198,11 +184,11 @@
 	struct members m = { 0 };
 	size_t i, k;
 
-	read_members(c, &m);
+	members_read(c, &m);
 	for (i = 0; i < m.n; i++) {
 		for (k = i + 1; k < m.n; k++)
 			check_pair(c, &m.items[i], &m.items[k]);
-		if (!ran(&m.items[i]))
+		if (!member_ran(&m.items[i]))
 			continue;
 		check_reserved(c, &m, &m.items[i]);
 		check_alone(c, &m, &m.items[i]);
--- a/tests/fault/check/main.c
+++ b/tests/fault/check/main.c
@@ -12,14 +12,18 @@
 	{ "gang-margin-ms", TG_SET_INT, "2100", 0, 1000000, false,
 	  "what a part of a gang may run beyond a lease",
 	  offsetof(struct check, gang_margin_ms) },
+	{ "drain-grace-ms", TG_SET_INT, "600", 0, 1000000, false,
+	  "how long daemons listen after SIGTERM",
+	  offsetof(struct check, drain_grace_ms) },
 	{ 0 },
 };
 
 /* A run in which nothing was recorded would have no violation either. */
 static void check_recorded(struct check *c)
 {
-	static const char *const kinds[] = { "attempt", "run", "generation",
-					     "version", "save" };
+	static const char *const kinds[] = { "attempt",	   "run",
+					     "generation", "version",
+					     "save",	   "final-generation" };
 	size_t i, k, n;
 
 	for (k = 0; k < ARRAY_SIZE(kinds); k++) {
@@ -63,6 +67,8 @@
 	check_requests(&c);
 	check_leaving(&c);
 	check_gangs(&c);
+	check_outage(&c);
+	check_stops(&c);
 	check_jobs(&c);
 	check_documents(&c);
 	check_reached(&c);
--- a/tests/fault/check/requests.c
+++ b/tests/fault/check/requests.c
@@ -74,10 +74,15 @@
 	return own;
 }
 
-static bool is_status_of(const char *outcome, int64_t status)
+/*
+ * A request with a key that was refused may have run in an earlier attempt; if
+ * that can't be told, it is unknown under the status of the refusal.
+ */
+static bool is_status_of(const char *outcome, int64_t status, bool has_key)
 {
 	if (!strcmp(outcome, "unknown"))
-		return status == 502 || status == 504;
+		return status == 502 || status == 504 ||
+			(has_key && (status == 429 || status == 503));
 	if (!strcmp(outcome, "not-run"))
 		return status == 400 || status == 404 || status == 413 ||
 			status == 422 || status == 429 || status == 503;
@@ -93,7 +98,7 @@
 	/* The caller saw no whole answer. */
 	if (line_int(a, "curl") != 0)
 		return;
-	if (!is_status_of(outcome, line_int(a, "status")))
+	if (!is_status_of(outcome, line_int(a, "status"), *line_text(a, "key")))
 		violation(c, "outcome", "attempt %s of %s: '%s' with %lld",
 			  name, path, outcome,
 			  (long long)line_int(a, "status"));
@@ -120,6 +125,29 @@
 	return true;
 }
 
+/*
+ * A refusal may race with another attempt of the key, but not say that nothing
+ * ran when the key's request had started before the attempt was made.
+ */
+static void check_refusal(struct check *c, const json_t *a, const json_t *runs)
+{
+	const json_t *r;
+	size_t i;
+
+	if (line_int(a, "curl") != 0 ||
+	    strcmp(line_text(a, "outcome"), "not-run") != 0)
+		return;
+	json_array_foreach(runs, i, r)
+		if (line_int(r, "start_ms") < line_int(a, "begin_ms")) {
+			violation(c, "not-run-before",
+				  "attempt %s of %s began %lld ms after a run",
+				  line_text(a, "attempt"), line_text(a, "path"),
+				  (long long)(line_int(a, "begin_ms") -
+					      line_int(r, "start_ms")));
+			return;
+		}
+}
+
 void check_requests(struct check *c)
 {
 	json_t *runs = group(c, "run"), *attempts = group(c, "attempt");
@@ -136,8 +164,10 @@
 				  path, line_text(first, "key_kind"), n);
 		if (n && all_not_run(list))
 			violation(c, "not-run-ran", "%s: %zu runs", path, n);
-		json_array_foreach(list, i, a)
+		json_array_foreach(list, i, a) {
 			check_attempt(c, a, ran);
+			check_refusal(c, a, ran);
+		}
 	}
 	json_decref(runs);
 	json_decref(attempts);
--- a/tests/fault/run/processes.sh
+++ b/tests/fault/run/processes.sh
@@ -3,16 +3,16 @@
 entries="e-1 e-2 e-3"
 scheds="s-1 s-2 s-3"
 workers="w-1 w-2 w-3 w-4"
-lease_ms=4000
+az_a_workers="w-1 w-2 w-3"
 # What a part of a gang may run beyond a lease after the whole gang ran: one
 # renewal (800 ms) that was sent before the loss could be known, one call to a
 # worker (300 ms), and 1,000 ms for processes that wait for a busy machine.
 gang_margin_ms=2100
 TG_SCHED_RENEW_MS=400 TG_SCHED_LEASE_MS=1500 TG_RENEW_MS=800
 TG_LEASE_MS=$lease_ms TG_CALL_MS=300 TG_WORKER_LOST_MS=2000
-TG_PROBE_MS=500 TG_CHECKPOINT_MS=1000
+TG_PROBE_MS=500 TG_CHECKPOINT_MS=1000 TG_DRAIN_GRACE_MS=600
 export TG_SCHED_RENEW_MS TG_SCHED_LEASE_MS TG_RENEW_MS TG_LEASE_MS \
-	TG_CALL_MS TG_WORKER_LOST_MS TG_PROBE_MS TG_CHECKPOINT_MS
+	TG_CALL_MS TG_WORKER_LOST_MS TG_PROBE_MS TG_CHECKPOINT_MS TG_DRAIN_GRACE_MS
 
 az_of() {
 	case $1 in
@@ -26,9 +26,17 @@
 is_up() { eval "[ \"\${$(echo "$1" | tr - _)_down:-}\" != 1 ]"; }
 set_down() { eval "$(echo "$1" | tr - _)_down=$2"; }
 
-list_instance() { # NAME KIND
-	curl -sf -o /dev/null -m 5 -d "{\"name\":\"$1\",\"kind\":\"$2\",
-		\"az\":\"$(az_of "$1")\",\"addr\":\"$(http_of "$1")\",
+kind_of() {
+	case $1 in
+	e-*) echo entry ;;
+	s-*) echo sched ;;
+	*) echo console ;;
+	esac
+}
+
+list_instance() { # NAME [STATE]
+	curl -sf -o /dev/null -m 5 -d "{\"name\":\"$1\",
+		\"kind\":\"$(kind_of "$1")\",\"state\":\"${2:-live}\",\"az\":\"$(az_of "$1")\",\"addr\":\"$(http_of "$1")\",
 		\"rpc_addr\":\"$(rpc_of "$1")\"}" \
 		"http://$platform_http/standin/instances"
 }
@@ -45,15 +53,18 @@
 		--platform="$platform_http" --log-level=warn \
 		--log-file="$tmp/$l.log" ;;
 	e-*) start "$l" tgentryd --instance="$l" --az="$(az_of "$l")" \
-		--platform="$platform_http" ${ENTRY_FLAGS:-} ;;
+		--platform="$platform_http" $entry_flags ;;
 	s-*) start "$l" tgschedd --instance="$l" --az="$(az_of "$l")" \
-		--platform="$platform_http" ${SCHED_FLAGS:-} ;;
+		--platform="$platform_http" $sched_flags ;;
+	console) start console tgconsoled --instance=console --az=a \
+		--platform="$platform_http" \
+		--operator-key-file="$tmp/key" $console_flags ;;
 	esac
 	# The log of this process; the file has those of earlier runs, too.
 	ln -f "$tmp/$l.err" "$tmp/$r.err"
 	case $l in
-	e-*) list_instance "$l" entry ;;
-	s-*) list_instance "$l" sched ;;
+	w-*) ;;
+	*) list_instance "$l" ;;
 	esac
 	set_down "$l" 0
 }
@@ -67,6 +78,24 @@
 	rm -f "$tmp/$1.out" "$tmp/$1.err"
 }
 
+# terminate NAME: SIGTERM, as in a planned stop, of which the platform's list
+# shows that the instance leaves
+terminate() {
+	set_down "$1" 1
+	record --arg n "$1" --argjson t "$(now_ms)" \
+		'{kind: "terminated", name: $n, at_ms: $t}'
+	is_own "$(pid_of "$1")" && kill -TERM "$(pid_of "$1")"
+	list_instance "$1" leaving
+}
+
+# end_of NAME: waits until a process that was terminated has ended
+end_of() {
+	wait "$(pid_of "$1")"
+	record --arg n "$1" --argjson s $? '{kind: "ended", name: $n, status: $s}'
+	forget "$(pid_of "$1")"
+	rm -f "$tmp/$1.out" "$tmp/$1.err"
+}
+
 ready() { curl -sf -m 2 "http://$(http_of "$1")/readyz"; }
 
 sched_serves() { # AZ COUNT: the AZ's scheduler knows that many workers
@@ -86,13 +115,7 @@
 	for p in $workers $entries $scheds; do
 		launch "$p"
 	done
-	start console tgconsoled --instance=c-1 --az=a --drain-grace-ms=0 \
-		--platform="$platform_http" --operator-key-file="$tmp/key"
-	ln -f "$tmp/console.err" "$tmp/c-1.run-1.err"
-	curl -sf -o /dev/null -d "{\"name\":\"c-1\",\"kind\":\"console\",
-		\"az\":\"a\",\"addr\":\"$console_http\",
-		\"rpc_addr\":\"$console_rpc\"}" \
-		"http://$platform_http/standin/instances"
+	launch console
 	await "the first document" save_document 0 save-0 0
 	for p in $entries $scheds; do
 		await "readiness of $p" ready "$p"
--- a/tests/fault/run/record.sh
+++ b/tests/fault/run/record.sh
@@ -41,14 +41,18 @@
 		begin_ms: $from, end_ms: $to, body: $body}' >"$f.json"
 }
 
-# call_line KIND CURL-ARGUMENT...: sets status, outcome and body of a call
+# call_line FILE CURL-ARGUMENT...: sets status, outcome, body and ends of a
+# call, and times, the fields of these in a record
 call_line() {
 	f=$1
 	shift
 	: >"$f.head"
 	: >"$f.body"
+	begin=$(now_ms)
 	status=$(curl -s -m 10 -D "$f.head" -o "$f.body" -w '%{http_code}' "$@")
+	rc=$?
 	status=${status:-0}
+	times="{\"curl\":$rc,\"begin_ms\":$begin,\"end_ms\":$(now_ms)}"
 	outcome=$(tr -d '\r' <"$f.head" | sed -n 's/^Tg-Outcome: //p')
 }
 
--- a/tests/fault/run/steps.sh
+++ b/tests/fault/run/steps.sh
@@ -56,8 +56,8 @@
 		\"declared_ms\":1000,\"task\":{\"run_ms\":$6}}" \
 		"http://$(http_of "$2")/v1/jobs"
 	jq -nc --arg j "j-$1" --argjson s "$status" --arg o "$outcome" \
-		--arg e "$2" '{kind: "submit", job: $j, status: $s, outcome: $o,
-		entry: $e}' >"$tmp/job-$1.json"
+		--arg e "$2" --argjson t "$times" '{kind: "submit", job: $j,
+		status: $s, outcome: $o, entry: $e} + $t' >"$tmp/job-$1.json"
 }
 
 step_job() {
@@ -69,7 +69,8 @@
 	call_line "$tmp/cancel-$1" -X DELETE \
 		"http://$(http_of "$3")/v1/jobs/courts/j-$2"
 	jq -nc --arg j "j-$2" --argjson s "$status" --arg o "$outcome" \
-		'{kind: "cancel", job: $j, status: $s, outcome: $o}' \
+		--arg e "$3" --argjson t "$times" '{kind: "cancel", job: $j,
+		status: $s, outcome: $o, entry: $e} + $t' \
 		>"$tmp/cancel-$1.json"
 }
 
@@ -78,11 +79,12 @@
 	[ -z "$j" ] || in_background cancel "$number" "$j" "$1"
 }
 
-# save_document GENERATION MARKER NUMBER: the marker is the last workspace
+# save_document GENERATION MARKER NUMBER: the marker is the last workspace.
+# Bursts are of up to 8 requests, so that they reach the limit in flight.
 save_document() {
 	jq -nc --arg m "$2" '{version: 1, weights: {completion: 70,
 		fragmentation: 30}, workspaces: [{name: "courts",
-		max_in_flight: 64, rate_per_s: 1000}, {name: $m}],
+		max_in_flight: 6, rate_per_s: 1000}, {name: $m}],
 		services: [{name: "responder", workspaces: ["courts"],
 		azs: ["a", "b"], timeout_ms: 700, queue: 256,
 		idempotent_methods: ["GET", "HEAD"]}]}' >"$tmp/save-$3.document"
@@ -91,9 +93,10 @@
 		-H 'X-Tg-Operator: ada' \
 		"http://$console_http/v1/document?generation=$1"
 	jq -nc --arg m "$2" --argjson from "$1" --argjson s "$status" \
-		--rawfile body "$tmp/save-$3.body" '{kind: "save", marker: $m,
-		from: $from, status: $s, generation:
-		(try ($body | fromjson | .generation) catch null)}' \
+		--rawfile body "$tmp/save-$3.body" --argjson t "$times" \
+		'{kind: "save", marker: $m, from: $from, status: $s,
+		entry: "console", generation:
+		(try ($body | fromjson | .generation) catch null)} + $t' \
 		>"$tmp/save-$3.json"
 	[ "$status" = 200 ]
 }
@@ -116,12 +119,90 @@
 	in_background save_document "$g" "save-$number-2" "$number-2"
 }
 
+# gang_workers: those that now hold a part of a gang that is on several
+gang_workers() {
+	for gw in $az_a_workers; do
+		is_up "$gw" || continue
+		curl -s -m 0.5 "http://$(http_of "$gw")/v1/state" |
+			jq -e '[.leases[] | select(.state == "running")] |
+			group_by([.job, .attempt]) |
+			any(length < .[0].gang_size)' >/dev/null 2>&1 &&
+			echo "$gw"
+	done
+}
+
+# A gang starts in less than 1 s if there is room for it.
+find_gang_worker() {
+	i=0
+	while [ $i -lt 10 ]; do
+		i=$((i + 1))
+		# shellcheck disable=SC2046
+		set -- $(gang_workers)
+		if [ $# -gt 0 ]; then
+			shift $((number % $#))
+			echo "$1"
+			return
+		fi
+		sleep 0.1
+	done
+	echo w-1
+}
+
+find_active() {
+	for e in e-1 e-2; do
+		is_up "$e" || continue
+		curl -s -m 0.5 "http://$(http_of "$e")/v1/peers" |
+			jq -r '[.peers[] | select(.active and .az == "a")] |
+			.[0].instance // empty' 2>/dev/null
+	done | sed -n '$p'
+}
+
+# The instance in the claim of the last key, or the home of an issued one
+find_claimer() {
+	k=${keys%% *}
+	k=${k#*,}
+	k=${k%%,*}
+	case $k in
+	tgk1.*) echo "$k" | cut -d. -f3 ;;
+	*) curl -s -m 0.5 \
+		"http://$platform_http/v1/table/row?key=claims/courts/$k" |
+		jq -r '.value.instance // empty' 2>/dev/null ;;
+	esac
+}
+
+# aim TARGET: sets target to the process that now is what TARGET names, or to
+# nothing if another fault has hit it already
+aim() {
+	case $1 in
+	gang-worker) target=$(find_gang_worker) ;;
+	active) target=$(find_active) ;;
+	claimer) target=$(find_claimer) ;;
+	*) target=$1 ;;
+	esac
+	case "$1 $target" in
+	"active ") target=s-1 ;;
+	"claimer ") target=e-1 ;;
+	esac
+	case " ${faulty:-}" in
+	*" $target,"*) target= ;;
+	esac
+	eval "aimed_$(echo "$1" | tr - _)=$target"
+	[ -n "$target" ]
+}
+
 # step_fault TARGET KIND
 step_fault() {
+	aim "$1" || return 0
+	note "step $number: target $target"
+	begin_fault "$target" "$2"
+}
+
+begin_fault() { # NAME KIND
 	record --arg n "$1" --arg f "$2" --argjson t "$(now_ms)" \
 		'{kind: "fault", name: $n, fault: $f, at_ms: $t}'
 	case $2 in
 	kill) kill_process "$1" ;;
+	term) terminate "$1" ;;
 	stop)
 		is_own "$(pid_of "$1")" && kill -STOP "$(pid_of "$1")"
 		set_down "$1" 1
@@ -150,10 +231,16 @@
 
 # step_heal TARGET KIND
 step_heal() {
+	eval "target=\${aimed_$(echo "$1" | tr - _):-}"
+	[ -z "$target" ] || end_fault "$target" "$2"
+}
+
+end_fault() { # NAME KIND
+	[ "$2" != term ] || end_of "$1"
 	record --arg n "$1" --arg f "$2" --argjson t "$(now_ms)" \
 		'{kind: "heal", name: $n, fault: $f, at_ms: $t}'
 	case $2 in
-	kill) launch "$1" ;;
+	kill | term) launch "$1" ;;
 	stop)
 		is_own "$(pid_of "$1")" && kill -CONT "$(pid_of "$1")"
 		set_down "$1" 0
@@ -169,7 +256,7 @@
 
 heal_all() {
 	for x in ${faulty:-}; do
-		step_heal "${x%,*}" "${x#*,}"
+		end_fault "${x%,*}" "${x#*,}"
 	done
 }
 
@@ -213,13 +300,24 @@
 	[ "$outcome" = answered ] && [ "$status" = 200 ]
 }
 
-in_force() { # GENERATION: at every daemon, as e-1 and e-3 see it
-	for p in e-1 e-3; do
-		curl -s -m 2 "http://$(http_of "$p")/v1/document" |
-			jq -e --argjson g "$1" '.generation == $g' || return 1
+# generation_of NAME: of the document in force there
+generation_of() {
+	curl -s -m 2 "http://$(http_of "$1")/metrics" |
+		sed -n 's/^tg_document_generation //p'
+}
+
+in_force() { # GENERATION: at every daemon
+	for p in $entries $scheds console; do
+		[ "$(generation_of "$p")" = "$1" ] || return 1
+	done
+}
+
+record_generations() {
+	for p in $entries $scheds console; do
+		record --arg n "$p" --arg g "$(generation_of "$p")" \
+			'{kind: "final-generation", name: $n,
+			generation: ($g | tonumber? // 0)}'
 	done
-	curl -s -m 2 "http://$e_1_http/v1/peers" | jq -e --argjson g "$1" \
-		'[.peers[] | select(.live and .generation == $g)] | length >= 3'
 }
 
 come_to_rest() {
@@ -231,6 +329,7 @@
 	done
 	reach "a last save" last_save
 	reach "the last document everywhere" in_force "$(loaded_generation)"
+	record_generations
 	for j in $jobs; do
 		reach "end of j-$j" job_at_rest "$j"
 		record --arg j "j-$j" --arg s "$state" --arg r "$reason" \
--- a/tests/fault/steps/main.c
+++ b/tests/fault/steps/main.c
@@ -6,6 +6,11 @@
 /**
  * DOC: draws the steps of a random fault run
  *
+ * Most faults hit what a fault can do harm to.  Their targets are named by
+ * what they do, and the run finds the process when it gets there: gang-worker
+ * (holds a part of a gang that is on several workers), active (scheduler of AZ
+ * a) and claimer (entry daemon that claimed the last key).
+ *
  * One step per line: number, pause before it in ms, what to do.  The same seed
  * and number give the same steps.  --now prints the monotonic clock instead,
  * for a shell script that records when it did something.
@@ -14,13 +19,18 @@
 #define PROG "faultsteps"
 #define FAULTS_MAX 2
 #define PAUSE_MAX_MS 300
+/* What a step takes beside its pause, as measured on an idle machine: without
+ * it faults last three times as long as drawn, and few fit into a run. */
+#define STEP_MS 330
 /* Longer than the 4 s in which a leaving worker may get requests, and than the
  * short leases of the run. */
 #define FAULT_MIN_MS 600
-#define FAULT_MAX_MS 7000
+/* Longer than the silence after which a worker counts as lost (2,000 ms) and
+ * a scheduler's row as free (1,500 ms). */
+#define AIMED_MIN_MS 2500
 
 struct opts {
-	int64_t seed, steps;
+	int64_t seed, steps, fault_max_ms, run_max_ms;
 	bool now;
 };
 
@@ -29,6 +39,11 @@
 	  offsetof(struct opts, seed) },
 	{ "steps", TG_SET_INT, "40", 1, 100000, false, "number of steps",
 	  offsetof(struct opts, steps) },
+	{ "fault-max-ms", TG_SET_INT, "7000", AIMED_MIN_MS + 1, 600000, false,
+	  "longest fault, in ms", offsetof(struct opts, fault_max_ms) },
+	{ "run-max-ms", TG_SET_INT, "6000", 1, 600000, false,
+	  "longest run time of a job, in ms",
+	  offsetof(struct opts, run_max_ms) },
 	{ "now", TG_SET_BOOL, NULL, 0, 0, false,
 	  "print the monotonic clock in ms", offsetof(struct opts, now) },
 	{ 0 },
@@ -42,6 +57,7 @@
 
 struct draw {
 	struct tg_rng rng;
+	const struct opts *opts;
 	int64_t step, at_ms, last_key, last_job;
 	struct fault faults[FAULTS_MAX];
 };
@@ -57,7 +73,12 @@
 	"kill", "stop", "cut",	  "hang",     "late",
 	"late", "slow", "closes", "draining", "draining",
 };
-static const char *const process_faults[] = { "kill", "stop" };
+/* A gang depends on the agent only; the others are faults of the service. */
+static const char *const gang_faults[] = { "kill", "stop", "cut", "cut" };
+static const char *const process_faults[] = { "kill", "stop", "term" };
+/* A graceful stop of the active scheduler hands over at once. */
+static const char *const active_faults[] = { "kill", "stop", "stop", "term" };
+static const char *const console_faults[] = { "kill", "term", "term" };
 
 #define PICK(d, list) (list)[tg_rng_below(&(d)->rng, ARRAY_SIZE(list))]
 
@@ -70,7 +91,7 @@
 {
 	unsigned int pause_ms = below(d, PAUSE_MAX_MS);
 
-	d->at_ms += pause_ms;
+	d->at_ms += STEP_MS + pause_ms;
 	printf("%lld %u ", (long long)d->step, pause_ms);
 }
 
@@ -97,33 +118,85 @@
 static struct fault draw_fault(struct draw *d)
 {
 	struct fault f = { 0 };
+	unsigned int what = below(d, 16);
 
-	switch (below(d, 8)) {
-	case 0:
-	case 1:
+	if (what < 3) {
 		f.target = "platform";
 		f.kind = PICK(d, platform_faults);
-		break;
-	case 2:
-	case 3:
+	} else if (what < 4) {
 		f.target = PICK(d, entries);
 		f.kind = PICK(d, process_faults);
-		break;
-	case 4:
-	case 5:
+	} else if (what < 6) {
+		f.target = "claimer";
+		f.kind = PICK(d, process_faults);
+	} else if (what < 7) {
 		f.target = PICK(d, scheds);
 		f.kind = PICK(d, process_faults);
-		break;
-	default:
+	} else if (what < 9) {
+		f.target = "active";
+		f.kind = PICK(d, active_faults);
+	} else if (what < 11) {
 		f.target = PICK(d, workers);
 		f.kind = PICK(d, worker_faults);
-		break;
+	} else if (what < 15) {
+		f.target = "gang-worker";
+		f.kind = PICK(d, gang_faults);
+	} else {
+		f.target = "console";
+		f.kind = PICK(d, console_faults);
 	}
-	f.end_ms =
-		d->at_ms + FAULT_MIN_MS + below(d, FAULT_MAX_MS - FAULT_MIN_MS);
 	return f;
 }
 
+static void set_end(struct draw *d, struct fault *f)
+{
+	bool aimed = !strcmp(f->target, "gang-worker") ||
+		!strcmp(f->target, "active");
+	unsigned int min_ms = aimed ? AIMED_MIN_MS : FAULT_MIN_MS;
+
+	f->end_ms = d->at_ms + min_ms +
+		below(d, (unsigned int)d->opts->fault_max_ms - min_ms);
+}
+
+static void print_gang(struct draw *d)
+{
+	/*
+	 * Long, so that the fault hits the gang while it runs.  Urgent, so that
+	 * it restarts at once on the two workers that are left: other classes
+	 * leave room for urgent work or for the largest shape, and wait.
+	 */
+	unsigned int max_ms = (unsigned int)d->opts->run_max_ms;
+
+	d->last_job = d->step;
+	printf("job %s a 2 8 %u urgent\n", PICK(d, entries),
+	       max_ms - below(d, max_ms / 3 + 1));
+}
+
+/* What the fault is to hit, in progress when it does. */
+static void print_aim(struct draw *d, const struct fault *f)
+{
+	if (!strcmp(f->target, "gang-worker") ||
+	    (!strcmp(f->target, "active") && below(d, 2))) {
+		begin_line(d);
+		print_gang(d);
+	} else if (!strcmp(f->target, "claimer")) {
+		d->last_key = d->step;
+		begin_line(d);
+		printf("caller %s %s work_ms=%u\n", PICK(d, entries),
+		       below(d, 2) ? PICK(d, entries) : "-",
+		       300 + below(d, 300));
+	} else if (!strcmp(f->target, "console")) {
+		begin_line(d);
+		printf("save\n");
+	}
+}
+
+static void print_fault(struct draw *d, const struct fault *f)
+{
+	begin_line(d);
+	printf("fault %s %s\n", f->target, f->kind);
+}
+
 static bool step_fault(struct draw *d)
 {
 	struct fault *slot = free_fault(d);
@@ -131,9 +204,20 @@
 
 	if (!slot || has_fault(d, f.target))
 		return false;
+	print_aim(d, &f);
+	set_end(d, &f);
 	*slot = f;
-	begin_line(d);
-	printf("fault %s %s\n", f.target, f.kind);
+	print_fault(d, &f);
+	/* Standbys renew only if the table and the active scheduler fail. */
+	slot = free_fault(d);
+	if (slot && !strncmp(f.kind, "outage", 6) && !has_fault(d, "active") &&
+	    below(d, 2)) {
+		f.target = "active";
+		f.kind = PICK(d, active_faults);
+		set_end(d, &f);
+		*slot = f;
+		print_fault(d, &f);
+	}
 	return true;
 }
 
@@ -205,26 +289,28 @@
 	static const char *const classes[] = { "lent", "lent", "guaranteed",
 					       "urgent" };
 	static const unsigned int sizes[] = { 1, 2, 2, 3 };
-	/* Some gangs need a worker for each member. */
-	static const unsigned int accelerators[] = { 1, 2, 4, 6 };
+	/* Most gangs need a worker of 8 for each member. */
+	static const unsigned int accelerators[] = { 1, 2, 6, 8, 8 };
 	unsigned int tasks = PICK(d, sizes);
 	const char *az = tasks == 1 && !below(d, 3) ? "b" : "a";
 
 	d->last_job = d->step;
 	begin_line(d);
 	printf("job %s %s %u %u %u %s\n", PICK(d, entries), az, tasks,
-	       PICK(d, accelerators), 100 + below(d, 6000), PICK(d, classes));
+	       PICK(d, accelerators),
+	       100 + below(d, (unsigned int)d->opts->run_max_ms),
+	       PICK(d, classes));
 }
 
 static void step(struct draw *d)
 {
 	unsigned int what = below(d, 100);
 
-	if (what < 16 && step_fault(d))
+	if (what < 20 && step_fault(d))
 		return;
-	if (what < 30) {
+	if (what < 31) {
 		step_job(d);
-	} else if (what < 34) {
+	} else if (what < 35) {
 		begin_line(d);
 		printf("cancel %s %u\n", PICK(d, entries), 1 + below(d, 3));
 	} else if (what < 42) {
@@ -261,6 +347,7 @@
 		printf("%lld\n", (long long)tg_now_ms());
 		return 0;
 	}
+	d.opts = &o;
 	d.rng.state = (uint64_t)o.seed;
 	for (d.step = 1; d.step <= o.steps; d.step++) {
 		end_faults(&d);
