--- a/tests/fault/check/check.h
+++ b/tests/fault/check/check.h
@@ -40,6 +40,8 @@
 void check_gangs(struct check *c);
 /** check_jobs() - what callers were told of jobs against what ran */
 void check_jobs(struct check *c);
+/** check_again() - jobs that ran again after they were done */
+void check_again(struct check *c);
 /** check_stops() - planned stops of daemons against the calls in progress */
 void check_stops(struct check *c);
 /** check_outage() - gangs that ended although they could have been renewed */
--- a/tests/fault/check/main.c
+++ b/tests/fault/check/main.c
@@ -67,6 +67,7 @@
 	check_requests(&c);
 	check_leaving(&c);
 	check_gangs(&c);
+	check_again(&c);
 	check_outage(&c);
 	check_stops(&c);
 	check_jobs(&c);
--- a/tests/fault/check/outage.c
+++ b/tests/fault/check/outage.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "faults.h"
 #include "gangs.h"
 
 /*
@@ -13,51 +14,13 @@
 static const char *const workers_of_a[] = { "w-1", "w-2", "w-3" };
 static const char *const scheds_of_a[] = { "s-1", "s-2" };
 
-static int64_t end_of_fault(const struct check *c, const json_t *fault)
-{
-	const json_t *l;
-	size_t i;
-
-	json_array_foreach(c->lines, i, l)
-		if (line_is(l, "heal") &&
-		    !strcmp(line_text(l, "name"), line_text(fault, "name")) &&
-		    line_int(l, "at_ms") >= line_int(fault, "at_ms"))
-			return line_int(l, "at_ms");
-	return NEVER_MS;
-}
-
-/* Faults of the service of a worker do not touch its tasks. */
-static bool hits_tasks(const char *fault)
-{
-	return !strcmp(fault, "kill") || !strcmp(fault, "stop") ||
-		!strcmp(fault, "cut") || !strcmp(fault, "term") ||
-		!strncmp(fault, "outage", 6);
-}
-
-/* Begin of the first fault of @name that overlaps the time, or NEVER_MS. */
-static int64_t disturbed_ms(const struct check *c, const char *name,
-			    int64_t from_ms, int64_t to_ms)
-{
-	const json_t *l;
-	size_t i;
-
-	json_array_foreach(c->lines, i, l)
-		if (line_is(l, "fault") &&
-		    !strcmp(line_text(l, "name"), name) &&
-		    hits_tasks(line_text(l, "fault")) &&
-		    line_int(l, "at_ms") <= to_ms &&
-		    end_of_fault(c, l) >= from_ms)
-			return line_int(l, "at_ms");
-	return NEVER_MS;
-}
-
 static bool workers_were_up(const struct check *c, int64_t from_ms,
 			    int64_t to_ms)
 {
 	size_t i;
 
 	for (i = 0; i < ARRAY_SIZE(workers_of_a); i++)
-		if (disturbed_ms(c, workers_of_a[i], from_ms, to_ms) !=
+		if (fault_begin_ms(c, workers_of_a[i], from_ms, to_ms) !=
 		    NEVER_MS)
 			return false;
 	return true;
@@ -67,13 +30,14 @@
 static const char *sched_up(const struct check *c, int64_t from_ms,
 			    int64_t to_ms)
 {
-	int64_t outage_ms = disturbed_ms(c, "platform", from_ms, to_ms);
+	int64_t outage_ms = fault_begin_ms(c, "platform", from_ms, to_ms);
 	size_t i;
 
 	if (outage_ms != NEVER_MS && outage_ms - c->lease_ms < from_ms)
 		from_ms = outage_ms - c->lease_ms;
 	for (i = 0; i < ARRAY_SIZE(scheds_of_a); i++)
-		if (disturbed_ms(c, scheds_of_a[i], from_ms, to_ms) == NEVER_MS)
+		if (fault_begin_ms(c, scheds_of_a[i], from_ms, to_ms) ==
+		    NEVER_MS)
 			return scheds_of_a[i];
 	return NULL;
 }
--- a/tests/fault/check/stops.c
+++ b/tests/fault/check/stops.c
@@ -27,7 +27,7 @@
 		    line_int(l, "end_ms") < at_ms)
 			continue;
 		violation(c, "cut-request",
-			  "%s ended a %s %s with curl status %lld, %lld ms"
+			  "%s cut %s %s off with curl status %lld, %lld ms"
 			  " after SIGTERM",
 			  line_text(stop, "name"), line_text(l, "kind"),
 			  line_text(l, "path"), (long long)line_int(l, "curl"),
--- a/tests/fault/steps/main.c
+++ b/tests/fault/steps/main.c
@@ -87,14 +87,17 @@
 	return (unsigned int)tg_rng_below(&d->rng, n);
 }
 
-static void begin_line(struct draw *d)
+static void begin_line_after(struct draw *d, unsigned int pause_ms)
 {
-	unsigned int pause_ms = below(d, PAUSE_MAX_MS);
-
 	d->at_ms += STEP_MS + pause_ms;
 	printf("%lld %u ", (long long)d->step, pause_ms);
 }
 
+static void begin_line(struct draw *d)
+{
+	begin_line_after(d, below(d, PAUSE_MAX_MS));
+}
+
 static bool has_fault(const struct draw *d, const char *target)
 {
 	int i;
@@ -115,6 +118,16 @@
 	return NULL;
 }
 
+static bool is_calm(const struct draw *d)
+{
+	int i;
+
+	for (i = 0; i < FAULTS_MAX; i++)
+		if (d->faults[i].target)
+			return false;
+	return true;
+}
+
 static struct fault draw_fault(struct draw *d)
 {
 	struct fault f = { 0 };
@@ -184,7 +197,7 @@
 		begin_line(d);
 		printf("caller %s %s work_ms=%u\n", PICK(d, entries),
 		       below(d, 2) ? PICK(d, entries) : "-",
-		       300 + below(d, 300));
+		       500 + below(d, 200));
 	} else if (!strcmp(f->target, "console")) {
 		begin_line(d);
 		printf("save\n");
@@ -193,31 +206,51 @@
 
 static void print_fault(struct draw *d, const struct fault *f)
 {
-	begin_line(d);
+	/* At once, since the request that it is to hit takes 700 ms at most. */
+	if (!strcmp(f->target, "claimer"))
+		begin_line_after(d, 0);
+	else
+		begin_line(d);
 	printf("fault %s %s\n", f->target, f->kind);
 }
 
+static void add_fault(struct draw *d, const struct fault *f)
+{
+	*free_fault(d) = *f;
+	print_fault(d, f);
+}
+
+/*
+ * Standbys renew gangs only if the table and the active scheduler fail.  Both
+ * fail for most of the longest time and end at once, since the end of either
+ * ends the renewal by standbys.
+ */
+static void step_outage(struct draw *d, struct fault *f)
+{
+	unsigned int max_ms = (unsigned int)d->opts->fault_max_ms;
+
+	begin_line(d);
+	print_gang(d);
+	f->end_ms = d->at_ms + max_ms - below(d, max_ms / 4);
+	add_fault(d, f);
+	f->target = "active";
+	f->kind = PICK(d, active_faults);
+	add_fault(d, f);
+}
+
 static bool step_fault(struct draw *d)
 {
-	struct fault *slot = free_fault(d);
 	struct fault f = draw_fault(d);
 
-	if (!slot || has_fault(d, f.target))
+	if (!free_fault(d) || has_fault(d, f.target))
 		return false;
+	if (!strncmp(f.kind, "outage", 6) && is_calm(d) && below(d, 2)) {
+		step_outage(d, &f);
+		return true;
+	}
 	print_aim(d, &f);
 	set_end(d, &f);
-	*slot = f;
-	print_fault(d, &f);
-	/* Standbys renew only if the table and the active scheduler fail. */
-	slot = free_fault(d);
-	if (slot && !strncmp(f.kind, "outage", 6) && !has_fault(d, "active") &&
-	    below(d, 2)) {
-		f.target = "active";
-		f.kind = PICK(d, active_faults);
-		set_end(d, &f);
-		*slot = f;
-		print_fault(d, &f);
-	}
+	add_fault(d, &f);
 	return true;
 }
 
