--- a/cmd/tgconsoled/main.c
+++ b/cmd/tgconsoled/main.c
@@ -134,16 +134,6 @@
 	event_base_free(b->base);
 }
 
-static void warn_unsafe(const struct opts *o)
-{
-	const struct tg_setting *i;
-
-	for (i = settings; i->flag; i++)
-		if (!strncmp(i->flag, "unsafe-", strlen("unsafe-")) &&
-		    *(const bool *)((const char *)o + i->offset))
-			tg_log(EV_CONSOLE_UNSAFE, "flag=--%s", i->flag);
-}
-
 static int run(struct board *b)
 {
 	static const struct tg_controller *const controllers[] = {
@@ -158,7 +148,7 @@
 	int status;
 
 	tg_member_log_open(PROG, b->opts.log_level, events);
-	warn_unsafe(&b->opts);
+	tg_member_warn_unsafe(EV_CONSOLE_UNSAFE, settings, &b->opts);
 	b->base = event_base_new();
 	daemon.base = b->base;
 	make_clients(b);
--- a/cmd/tgentryd/main.c
+++ b/cmd/tgentryd/main.c
@@ -74,16 +74,6 @@
 	&front_controller,   NULL,
 };
 
-static void warn_unsafe(const struct settings *s)
-{
-	const struct tg_setting *i;
-
-	for (i = settings; i->flag; i++)
-		if (i->type == TG_SET_BOOL &&
-		    *(const bool *)((const char *)s + i->offset))
-			tg_log(EV_ENTRY_UNSAFE, "flag=--%s", i->flag);
-}
-
 int main(int argc, char **argv)
 {
 	static struct board b;
@@ -100,7 +90,7 @@
 		break;
 	}
 	tg_member_log_open("tgentryd", b.set.log_level, events);
-	warn_unsafe(&b.set);
+	tg_member_warn_unsafe(EV_ENTRY_UNSAFE, settings, &b.set);
 	tg_rng_seed(&b.rng);
 	b.base = event_base_new();
 	daemon.base = b.base;
--- a/cmd/tgschedd/fault.c
+++ b/cmd/tgschedd/fault.c
@@ -15,35 +15,6 @@
 	raise(SIGSTOP);
 }
 
-void fault_warn(const struct options *o)
-{
-	const struct {
-		bool on;
-		const char *flag;
-	} all[] = {
-		{ o->unsafe_ignore_epoch, "unsafe-ignore-epoch" },
-		{ o->unsafe_start_before_reserved,
-		  "unsafe-start-before-reserved" },
-		{ o->unsafe_renew_partial_gangs, "unsafe-renew-partial-gangs" },
-		{ o->unsafe_no_outage_renewal, "unsafe-no-outage-renewal" },
-		{ o->unsafe_restart_before_expiry,
-		  "unsafe-restart-before-expiry" },
-		{ o->unsafe_reuse_attempts, "unsafe-reuse-attempts" },
-		{ o->unsafe_assume_not_written, "unsafe-assume-not-written" },
-		{ o->unsafe_keep_row, "unsafe-keep-row" },
-		{ o->unsafe_no_reclaim, "unsafe-no-reclaim" },
-		{ o->unsafe_takeover_restarts, "unsafe-takeover-restarts" },
-		{ o->unsafe_renew_with_table_only,
-		  "unsafe-renew-with-table-only" },
-		{ o->unsafe_ignore_holder, "unsafe-ignore-holder" },
-	};
-	size_t i;
-
-	for (i = 0; i < ARRAY_SIZE(all); i++)
-		if (all[i].on)
-			tg_log(EV_SCHED_UNSAFE, "flag=--%s", all[i].flag);
-}
-
 void fault_check(const struct options *o, struct tg_findings *f)
 {
 	size_t i;
--- a/cmd/tgschedd/fault.h
+++ b/cmd/tgschedd/fault.h
@@ -5,8 +5,6 @@
 
 /** fault_pause() - stop this process once if --pause-at names @point */
 void fault_pause(struct board *b, const char *point, const char *job);
-/** fault_warn() - log each protecting mechanism that is turned off */
-void fault_warn(const struct options *o);
 /** fault_check() - findings in the fault switches */
 void fault_check(const struct options *o, struct tg_findings *f);
 
--- a/cmd/tgschedd/main.c
+++ b/cmd/tgschedd/main.c
@@ -228,7 +228,7 @@
 		return TG_EXIT_USAGE;
 	}
 	tg_member_log_open(PROG, opts.log_level, events);
-	fault_warn(&opts);
+	tg_member_warn_unsafe(EV_SCHED_UNSAFE, settings, &opts);
 	b.opts = &opts;
 	b.base = event_base_new();
 	make_clients(&b);
--- a/lib/member/log.c
+++ b/lib/member/log.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "http/http.h"
 #include "member/member.h"
 
@@ -12,3 +14,14 @@
 	tg_log_register(tg_member_events);
 	tg_log_register(events);
 }
+
+void tg_member_warn_unsafe(int event, const struct tg_setting *settings,
+			   const void *opts)
+{
+	const struct tg_setting *i;
+
+	for (i = settings; i->flag; i++)
+		if (!strncmp(i->flag, "unsafe-", strlen("unsafe-")) &&
+		    *(const bool *)((const char *)opts + i->offset))
+			tg_log(event, "flag=--%s", i->flag);
+}
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -70,6 +70,13 @@
  */
 void tg_member_log_open(const char *prog, const char *level,
 			const struct tg_event_info *events);
+/**
+ * tg_member_warn_unsafe() - log each flag --unsafe-... that is set
+ * @event: number of the warning
+ * @opts: option struct that @settings describe
+ */
+void tg_member_warn_unsafe(int event, const struct tg_setting *settings,
+			   const void *opts);
 
 struct tg_member;
 
