Show the outcome of a request also while the table is down

tgctl request was tested with an unknown key only. With the table down the entry daemon answers 503 with the outcome "unknown" and its reason; tgctl reported "refused (status 503)" and status 4, which reads as if nothing had run. It now prints any outcome and exits with 3 for an unknown one.

script/tgctl asks for an answered key, an unknown one and one in an outage; the last failed before.

--- a/cmd/tgctl/request.c
+++ b/cmd/tgctl/request.c
@@ -29,7 +29,9 @@
 	uri = tg_xasprintf("/v1/requests/%s/%s", c->args[0], key);
 	ctl_call(c, EVHTTP_REQ_GET, c->opts.entry, uri, NULL, &r);
 	status = ctl_reply_exit(&r, false);
-	if (status == CTL_DONE) {
+	/* While the table is down the answer is 503 with an outcome. */
+	if (status == CTL_DONE ||
+	    json_is_string(json_object_get(r.json, "outcome"))) {
 		status = outcome_exit(r.json);
 		if (c->opts.json)
 			ctl_print_json(r.json);
--- a/tests/script/tgctl.sh
+++ b/tests/script/tgctl.sh
@@ -125,6 +125,40 @@
 ctl bad-job status courts J/9
 ctl no-request request courts none | head -n 1
 
+echo "# requests"
+generation=$("$TG_BIN/tgctl" --json document show | jq .generation)
+echo '{"version":1,"workspaces":[{"name":"courts"}],"services":[
+	{"name":"responder","workspaces":["courts"],"azs":["a"]}]}' >"$tmp/doc"
+"$TG_BIN/tgctl" --generation="$generation" document put "$tmp/doc" >"$tmp/out"
+# post KEY PATH: status and outcome
+post() {
+	curl -s -o "$tmp/body" -D "$tmp/head" -w '%{http_code} ' -d x \
+		-H 'Tg-Workspace: courts' -H "Idempotency-Key: $1" \
+		"http://$e_1_http/v1/svc/responder/$2"
+	tr -d '\r' <"$tmp/head" | sed -n 's/^Tg-Outcome: //p'
+}
+served() {
+	[ "$(post "probe-$(date +%N)" probe)" = "200 answered" ]
+}
+await "the service" served
+echo "post: $(post k-1 postpone)"
+recorded() {
+	"$TG_BIN/tgctl" --json request courts k-1 | grep -q '"answered"'
+}
+await "the outcome" recorded
+without_run() {
+	sed 's/run\(\\*"\):[0-9]*/run\1:N/'
+}
+ctl answered request courts k-1 | without_run
+ctl answered-json --json request courts k-1 | without_run
+fault w-1 '{"close_after_read":true}'
+echo "post: $(post k-2 lost)"
+fault w-1 '{}'
+ctl unknown request courts k-2
+fault platform '{"outage":"refuse","only":"table"}'
+ctl table-down-request request courts k-1
+fault platform '{}'
+
 echo "# completion"
 # shellcheck disable=SC1091
 bash -c '. "$1"; COMP_WORDS=(tgctl dr); COMP_CWORD=1; _tgctl
