Share the table of the project's own policies

Cause: the policies completion and fragmentation repeated all fields of their tables, although they differ only in two weights.

Conclusion: a change of the mechanism now applies to both.

--- a/lib/decide/policy.c
+++ b/lib/decide/policy.c
@@ -119,6 +119,15 @@
 		(j->class == TG_CLASS_LENT ? room_firm(w).acc : 0);
 }
 
+/* What the policies of our own share; they differ in their weights. */
+#define OWN(policy, completion, fragmentation)                                \
+	.name = (policy), .weight_completion = (completion),                  \
+	.weight_fragmentation = (fragmentation), .key = key_short_first,      \
+	.run_ms = run_corrected, .rack_cost = rack_least_broken,              \
+	.worker_cost = worker_least_broken, .victim_cost = victim_least_lost, \
+	.patience = 10, .move_period_ms = 60000, .spare_ms = 60000000,        \
+	.urgent_percent = 12, .any_fullest = true
+
 static const struct tg_policy policies[] = {
 	{
 		.name = "fifo-firstfit",
@@ -142,36 +151,8 @@
 		.run_ms = run_declared,
 		.victim_cost = victim_youngest,
 	},
-	{
-		.name = "completion",
-		.weight_completion = 80,
-		.weight_fragmentation = 20,
-		.key = key_short_first,
-		.run_ms = run_corrected,
-		.rack_cost = rack_least_broken,
-		.worker_cost = worker_least_broken,
-		.victim_cost = victim_least_lost,
-		.patience = 10,
-		.move_period_ms = 60000,
-		.spare_ms = 60000000,
-		.urgent_percent = 12,
-		.any_fullest = true,
-	},
-	{
-		.name = "fragmentation",
-		.weight_completion = 20,
-		.weight_fragmentation = 80,
-		.key = key_short_first,
-		.run_ms = run_corrected,
-		.rack_cost = rack_least_broken,
-		.worker_cost = worker_least_broken,
-		.victim_cost = victim_least_lost,
-		.patience = 10,
-		.move_period_ms = 60000,
-		.spare_ms = 60000000,
-		.urgent_percent = 12,
-		.any_fullest = true,
-	},
+	{ OWN("completion", 80, 20) },
+	{ OWN("fragmentation", 20, 80) },
 };
 
 static const char *const names[] = {
