Print bounds of fragmentation and late urgent jobs in tgplace

Cause: an AZ with fewer free accelerators than the largest guaranteed shape counts as fragmented however it is packed, and the greatest wait of urgent work does not tell how many jobs waited.

--details adds the fragmentation that perfect packing of the same free accelerators would have (within each AZ, and all in one AZ), the urgent jobs that waited longer than 4.6 s, moves, and reclaims by kind. The lines without the flag are the same as before.

Ruled out: printing them always; the lines of the output are fixed by the design.

--- a/cmd/tgplace/main.c
+++ b/cmd/tgplace/main.c
@@ -16,6 +16,9 @@
 	  offsetof(struct options, faults) },
 	{ "seed", TG_SET_INT, "1", 0, INT64_MAX, false,
 	  "seed of the failures of tasks", offsetof(struct options, seed) },
+	{ "details", TG_SET_BOOL, "false", 0, 0, false,
+	  "also print bounds of fragmentation and waits of urgent jobs",
+	  offsetof(struct options, details) },
 	{ 0 },
 };
 
@@ -66,7 +69,7 @@
 		status = TG_EXIT_USAGE;
 	} else {
 		sim_run(&s, &in, &o);
-		report_print(&s, stdout);
+		report_print(&s, o.details, stdout);
 		sim_free(&s);
 	}
 	tg_findings_free(&findings);
--- a/cmd/tgplace/place.h
+++ b/cmd/tgplace/place.h
@@ -105,6 +105,7 @@
 struct options {
 	const char *fleet, *jobs, *policy, *guarantees, *faults;
 	int64_t seed;
+	bool details;
 };
 
 /** input_load() - read all files; findings make the input unusable */
@@ -152,7 +153,10 @@
 	size_t violations, partial_gangs;
 	double work_lost;
 	double fragmentation_sum, utilization_sum, time_sum;
+	size_t moves, stops_lent, stops_beyond; /* by reclaim */
+	double packed_sum, gathered_sum;
 	double stranded_share, used_share; /* at the last instant */
+	double packed_share, gathered_share; /* with --details */
 	struct tg_hist decisions;
 	int64_t decide_us;
 };
@@ -173,6 +177,6 @@
 
 /* --- report.c --- */
 
-void report_print(const struct sim *s, FILE *out);
+void report_print(const struct sim *s, bool details, FILE *out);
 
 #endif
--- a/cmd/tgplace/report.c
+++ b/cmd/tgplace/report.c
@@ -6,6 +6,8 @@
 /* Slowdown of jobs shorter than this counts as if they took so long. */
 #define SLOWDOWN_MIN_MS 10000
 #define GANG_TASKS 4
+/* The bound of urgent waits in docs/design.md, section 5. */
+#define URGENT_WAIT_S 4.6
 
 struct sample {
 	double *v;
@@ -43,6 +45,7 @@
 struct figures {
 	struct sample completion, slowdown, gang_wait;
 	double urgent_wait_max;
+	size_t urgent, urgent_late;
 	size_t stranded;
 };
 
@@ -71,8 +74,12 @@
 		f->stranded++;
 	if (j->tasks >= GANG_TASKS)
 		f->gang_wait.v[f->gang_wait.n++] = wait_of(s, j);
-	if (j->class == TG_CLASS_URGENT && wait_of(s, j) > f->urgent_wait_max)
-		f->urgent_wait_max = wait_of(s, j);
+	if (j->class == TG_CLASS_URGENT) {
+		f->urgent++;
+		f->urgent_late += wait_of(s, j) > URGENT_WAIT_S;
+		if (wait_of(s, j) > f->urgent_wait_max)
+			f->urgent_wait_max = wait_of(s, j);
+	}
 	if (j->state != J_DONE)
 		return;
 	f->completion.v[f->completion.n++] = seconds(j->end_ms - j->submit_ms);
@@ -93,7 +100,21 @@
 	return getrusage(RUSAGE_SELF, &u) ? 0 : u.ru_maxrss;
 }
 
-void report_print(const struct sim *s, FILE *out)
+static void print_details(const struct sim *s, const struct figures *f,
+			  FILE *out)
+{
+	fprintf(out, "fragmentation_packed_mean %.4f\n",
+		over(s->packed_sum, s->time_sum));
+	fprintf(out, "fragmentation_gathered_mean %.4f\n",
+		over(s->gathered_sum, s->time_sum));
+	fprintf(out, "urgent_jobs %zu\n", f->urgent);
+	fprintf(out, "urgent_late %zu\n", f->urgent_late);
+	fprintf(out, "moves %zu\n", s->moves);
+	fprintf(out, "reclaims_lent %zu\n", s->stops_lent);
+	fprintf(out, "reclaims_beyond %zu\n", s->stops_beyond);
+}
+
+void report_print(const struct sim *s, bool details, FILE *out)
 {
 	const struct input *in = s->in;
 	struct figures f = { 0 };
@@ -126,6 +147,8 @@
 	fprintf(out, "decisions_per_s %.0f\n",
 		over((double)s->decisions.n * 1e6, (double)s->decide_us));
 	fprintf(out, "peak_rss_kb %lld\n", (long long)peak_rss_kb());
+	if (details)
+		print_details(s, &f, out);
 	free(f.completion.v);
 	free(f.slowdown.v);
 	free(f.gang_wait.v);
--- a/cmd/tgplace/sim.c
+++ b/cmd/tgplace/sim.c
@@ -297,6 +297,12 @@
 		start(s, j, a);
 		break;
 	case TG_ACT_RECLAIM:
+		if (!*a->beneficiary)
+			s->moves++;
+		else if (j->class == TG_CLASS_LENT)
+			s->stops_lent++;
+		else
+			s->stops_beyond++;
 		stop(s, j, TG_STOP_RECLAIMED, -1, run_ms(s, j));
 		break;
 	case TG_ACT_PARK:
@@ -352,15 +358,21 @@
 
 /* --- time --- */
 
+static double share(int64_t acc, const struct tg_fleet_stats *st)
+{
+	return st->accelerators_free ?
+		(double)acc / (double)st->accelerators_free :
+		0;
+}
+
 static void sample(struct sim *s)
 {
 	struct tg_fleet_stats st;
 
 	tg_fleet_stats(s->fleet, s->now_ms, &st);
-	s->stranded_share = st.accelerators_free ?
-		(double)st.accelerators_stranded /
-			(double)st.accelerators_free :
-		0;
+	s->stranded_share = share(st.accelerators_stranded, &st);
+	s->packed_share = share(st.accelerators_stranded_packed, &st);
+	s->gathered_share = share(st.accelerators_stranded_gathered, &st);
 	s->used_share = s->up_acc ? (double)s->used_acc / (double)s->up_acc : 0;
 }
 
@@ -372,6 +384,8 @@
 	if (!s->n_running && !s->n_queued)
 		return;
 	s->fragmentation_sum += dt * s->stranded_share;
+	s->packed_sum += dt * s->packed_share;
+	s->gathered_sum += dt * s->gathered_share;
 	s->utilization_sum += dt * s->used_share;
 	s->time_sum += dt;
 }
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -247,6 +247,9 @@
 	int64_t accelerators, accelerators_free, accelerators_up;
 	int64_t accelerators_stranded; /* free, but can't serve the largest
 					  guaranteed shape */
+	/* Lower bounds of it: the same free accelerators packed perfectly
+	   within their AZs, and all of them in one AZ. */
+	int64_t accelerators_stranded_packed, accelerators_stranded_gathered;
 	size_t jobs_queued, jobs_running, jobs_parked;
 	size_t guarantees_at_risk;
 };
--- a/lib/decide/stats.c
+++ b/lib/decide/stats.c
@@ -15,10 +15,18 @@
 	return sum >= f->shape_tasks ? sum * f->shape.acc : 0;
 }
 
+/* The same if @acc free accelerators were packed perfectly, across racks. */
+static int64_t usable_if_packed(const struct tg_fleet *f, int64_t acc)
+{
+	int64_t n = f->shape.acc ? acc / f->shape.acc : 0;
+
+	return n >= f->shape_tasks ? n * f->shape.acc : 0;
+}
+
 void tg_fleet_stats(const struct tg_fleet *f, int64_t now_ms,
 		    struct tg_fleet_stats *out)
 {
-	int64_t usable = 0;
+	int64_t usable = 0, packed = 0, free_acc;
 	size_t i;
 	int32_t k;
 
@@ -31,8 +39,18 @@
 		out->accelerators_up += r->acc_alive;
 		out->accelerators_free += r->idle_acc;
 	}
-	for (k = 0; f->shape.acc && k < f->n_azs; k++)
-		usable += usable_in_az(f, &f->azs[k]);
+	for (k = 0; f->shape.acc && k < f->n_azs; k++) {
+		const struct az *z = &f->azs[k];
+		int32_t r;
+
+		usable += usable_in_az(f, z);
+		for (free_acc = 0, r = 0; r < z->n_racks; r++)
+			free_acc += rack_sums(f, z->racks[r])->idle_acc;
+		packed += usable_if_packed(f, free_acc);
+	}
+	out->accelerators_stranded_packed = out->accelerators_free - packed;
+	out->accelerators_stranded_gathered = out->accelerators_free -
+		usable_if_packed(f, out->accelerators_free);
 	out->accelerators_stranded = out->accelerators_free - usable;
 	for (i = 0; i < ARRAY_SIZE(f->queues); i++)
 		out->jobs_queued += f->queues[i].n;
