Gather free accelerators in as few AZs as they can fill

Cause: each AZ spared a place for the largest guaranteed shape, also when the fleet's free accelerators fill only one such place, and jobs of any AZ stayed in the AZ they started in.

Change: as many AZs spare a place as the free accelerators could fill, those closest to one; moves of jobs of any AZ look at three AZs. Sums per AZ are kept, which also saves the sum over racks for each placement.

--- a/lib/decide/decide.c
+++ b/lib/decide/decide.c
@@ -200,7 +200,7 @@
 		wait_ms /= BACKLOG_SPARE_PART;
 	return j->class != TG_CLASS_URGENT && j->need.acc &&
 		r->now_ms < j->submitted_ms + wait_ms &&
-		job_acc(j) <= f->azs[az].acc - shape;
+		job_acc(j) <= f->azs[az].acc - shape && defrag_spares(f, az);
 }
 
 static bool place_in(struct round *r, struct job *j, enum view v, int32_t az)
@@ -228,17 +228,6 @@
 	return false;
 }
 
-static int64_t idle_in_az(const struct tg_fleet *f, int32_t az)
-{
-	const struct az *z = &f->azs[az];
-	int64_t sum = 0;
-	int32_t i;
-
-	for (i = 0; i < z->n_racks; i++)
-		sum += rack_sums(f, z->racks[i])->idle_acc;
-	return sum;
-}
-
 static int by_idle(const void *a, const void *b)
 {
 	const struct az_idle *x = a, *y = b;
@@ -256,7 +245,9 @@
 
 	for (i = 0; i < f->n_azs; i++) {
 		r->azs[i].az = i;
-		r->azs[i].idle = f->policy->any_fullest ? idle_in_az(f, i) : 0;
+		r->azs[i].idle = f->policy->any_fullest ?
+			az_sums(f, i)->idle_acc :
+			0;
 	}
 	qsort(r->azs, (size_t)f->n_azs, sizeof(*r->azs), by_idle);
 	for (i = 0; i < f->n_azs; i++)
--- a/lib/decide/defrag.c
+++ b/lib/decide/defrag.c
@@ -14,6 +14,8 @@
 #define MOVE_LEFT_MS 600000
 /* Least gain of a move for each accelerator of the job. */
 #define MOVE_GAIN 0.25
+/* AZs in which a place is looked for, the job's own first. */
+#define MOVE_AZS 3
 /* Bounds the time of one search; at the target an AZ runs some 400 jobs. */
 #define CANDIDATES_MAX 24
 
@@ -70,6 +72,34 @@
 	return best;
 }
 
+/* Whether AZ @a is closer to a place for the shape than @b. */
+static bool is_closer(const struct tg_fleet *f, int32_t a, int32_t b)
+{
+	const struct az *x = az_sums(f, a), *y = az_sums(f, b);
+	int32_t wanted = f->shape_tasks;
+	int32_t m = min32(x->most_whole, wanted);
+	int32_t n = min32(y->most_whole, wanted);
+
+	if (m != n)
+		return m > n;
+	if (x->idle_acc != y->idle_acc)
+		return x->idle_acc > y->idle_acc;
+	return a < b;
+}
+
+bool defrag_spares(const struct tg_fleet *f, int32_t az)
+{
+	int64_t shape = (int64_t)f->shape_tasks * f->shape.acc, idle = 0, most;
+	int32_t i, closer = 0;
+
+	for (i = 0; i < f->n_azs; i++) {
+		idle += az_sums(f, i)->idle_acc;
+		closer += i != az && is_closer(f, i, az);
+	}
+	most = shape ? idle / shape : 0;
+	return closer < (most > 1 ? most : 1);
+}
+
 void defrag_spare(struct tg_fleet *f, int32_t az)
 {
 	struct az *z = &f->azs[az];
@@ -106,18 +136,25 @@
 		job_remaining_ms(f, j, now_ms) >= MOVE_LEFT_MS;
 }
 
-/* What the AZ's worth gains if the job moves to where it is placed best. */
-static double gain_of(struct tg_fleet *f, struct job *j, int32_t az,
-		      int64_t now_ms, int32_t *place)
+static double worth_of_both(const struct tg_fleet *f, int32_t a, int32_t b)
 {
-	double before = az_worth(f, &f->azs[az]), gain = 0;
+	return az_worth(f, &f->azs[a]) +
+		(a == b ? 0 : az_worth(f, &f->azs[b]));
+}
+
+/* What AZs gain if the job moves to where it is placed best in @to. */
+static double gain_of(struct tg_fleet *f, struct job *j, int32_t from,
+		      int32_t to, int64_t now_ms, int32_t *place)
+{
+	enum view v = j->class == TG_CLASS_LENT ? VIEW_IDLE : VIEW_FIRM;
+	double before = worth_of_both(f, from, to), gain = 0;
 	int32_t *old = j->workers;
 
 	room_give(f, j);
 	j->workers = place;
-	if (place_gang(f, j, az, VIEW_IDLE, false, false, now_ms, place)) {
+	if (place_gang(f, j, to, v, false, false, now_ms, place)) {
 		room_take(f, j);
-		gain = az_worth(f, &f->azs[az]) - before;
+		gain = worth_of_both(f, from, to) - before;
 		room_give(f, j);
 	}
 	j->workers = old;
@@ -171,22 +208,29 @@
 
 	for (i = 0; i < n; i++) {
 		struct job *j = list[i];
-		int32_t *place = tg_xcalloc((size_t)j->tasks, sizeof(*place));
-		double gain = gain_of(f, j, az, now_ms, place);
-		double score = gain / (double)job_acc(j);
-
-		/* A move of large jobs for a small gain is not worth it. */
-		if (score < MOVE_GAIN || score <= best_score) {
-			free(place);
-			continue;
-		}
-		if (best) {
-			free(best->target);
-			best->target = NULL;
+		int32_t k, azs = j->az == NONE ? min32(f->n_azs, MOVE_AZS) : 1;
+
+		for (k = 0; k < azs; k++) {
+			int32_t to = (az + k) % f->n_azs;
+			int32_t *place = tg_xcalloc((size_t)j->tasks,
+						    sizeof(*place));
+			double gain = gain_of(f, j, az, to, now_ms, place);
+			double score = gain / (double)job_acc(j);
+
+			/* A move of large jobs for a small gain is not worth
+			   it. */
+			if (score < MOVE_GAIN || score <= best_score) {
+				free(place);
+				continue;
+			}
+			if (best) {
+				free(best->target);
+				best->target = NULL;
+			}
+			best = j;
+			best_score = score;
+			j->target = place;
 		}
-		best = j;
-		best_score = score;
-		j->target = place;
 	}
 	return best;
 }
--- a/lib/decide/internal.h
+++ b/lib/decide/internal.h
@@ -149,6 +149,9 @@
 	bool at_risk; /* a slot of a live guarantee has no place */
 	uint64_t freed; /* grows with each release of room */
 	uint64_t changed; /* grows with each change of room */
+	uint64_t sums_at; /* @changed + 1 when the sums below were made */
+	int64_t idle_acc;
+	int32_t most_whole; /* whole workers of the rack that has most */
 	uint64_t spared_at; /* @changed when workers were last spared */
 	struct reservation kept;
 	int64_t defrag_ms; /* when moves may be looked for again */
@@ -314,6 +317,8 @@
 struct res room_of(const struct worker *w, enum view v);
 /** rack_sums() - the rack with its sums up to date */
 const struct rack *rack_sums(const struct tg_fleet *f, int32_t rack);
+/** az_sums() - the AZ with its sums up to date */
+const struct az *az_sums(const struct tg_fleet *f, int32_t az);
 /** room_take() - count a job's tasks as using their workers */
 void room_take(struct tg_fleet *f, struct job *j);
 void room_give(struct tg_fleet *f, struct job *j);
@@ -432,6 +437,13 @@
 bool is_whole(const struct tg_fleet *f, const struct worker *w);
 /** rack_worth() - of @whole whole workers in one rack, in accelerators */
 double rack_worth(const struct tg_fleet *f, int32_t whole);
+/**
+ * defrag_spares() - whether the AZ is one of those that gather free room
+ *
+ * As many AZs spare a place as the fleet's free accelerators could fill, those
+ * that are closest to one.
+ */
+bool defrag_spares(const struct tg_fleet *f, int32_t az);
 /** defrag_spare() - choose the workers that the AZ spares */
 void defrag_spare(struct tg_fleet *f, int32_t az);
 /**
--- a/lib/decide/room.c
+++ b/lib/decide/room.c
@@ -101,6 +101,24 @@
 	return r;
 }
 
+const struct az *az_sums(const struct tg_fleet *f, int32_t az)
+{
+	struct az *z = &f->azs[az];
+	int32_t i;
+
+	if (z->sums_at == z->changed + 1)
+		return z;
+	z->sums_at = z->changed + 1;
+	z->idle_acc = z->most_whole = 0;
+	for (i = 0; i < z->n_racks; i++) {
+		const struct rack *r = rack_sums(f, z->racks[i]);
+
+		z->idle_acc += r->idle_acc;
+		z->most_whole = max32(z->most_whole, r->whole);
+	}
+	return z;
+}
+
 static struct res *sum_of(struct worker *w, const struct job *j)
 {
 	if (j->g)
