Move guaranteed work beyond guarantees as well

Cause: only lent jobs moved, so that a job beyond guarantees kept a partly used worker as long as it ran.

Change: such jobs move within room outside of the plan, with the same bounds, and not in an AZ with a guarantee at risk.

--- a/lib/decide/defrag.c
+++ b/lib/decide/defrag.c
@@ -130,7 +130,10 @@
 static bool can_move(const struct tg_fleet *f, const struct job *j,
 		     int64_t now_ms)
 {
-	return j->class == TG_CLASS_LENT && j->state == JOB_RUNNING &&
+	if (job_is_beyond(j) && f->azs[f->workers[j->workers[0]].az].at_risk)
+		return false;
+	return (j->class == TG_CLASS_LENT || job_is_beyond(j)) &&
+		j->state == JOB_RUNNING &&
 		j->need.acc && !j->reclaiming &&
 		now_ms - j->started_ms >= MOVE_PERIOD_MS &&
 		job_remaining_ms(f, j, now_ms) >= MOVE_LEFT_MS;
--- a/lib/decide/job.c
+++ b/lib/decide/job.c
@@ -422,6 +422,8 @@
 
 	j->target = NULL;
 	if (fits) {
+		fits = !job_is_beyond(j) ||
+			!f->azs[f->workers[target[0]].az].at_risk;
 		job_assign(f, j, target, NULL);
 		for (i = 0; i < j->tasks; i++)
 			if (f->workers[target[i]].health != TG_WORKER_UP)
