--- a/lib/decide/place.c
+++ b/lib/decide/place.c
@@ -11,7 +11,7 @@
 	bool kept; /* may use workers reserved for another job, or for itself */
 	bool spare; /* may not use workers that the AZ spares */
 	bool avoid; /* workers where the job failed lately */
-	int64_t now_ms;
+	int64_t now_ms; /* for the work that victims would lose */
 };
 
 static bool is_avoided(const struct attempt *a, int32_t id)
--- a/tests/bench/bench-decisions.sh
+++ b/tests/bench/bench-decisions.sh
@@ -123,7 +123,7 @@
 		print "today." t, total[t] | "sort"
 	close("sort")
 	for (p in urgent)
-		print "today." p ".urgent_wait_max_s", urgent[p] | "sort"
+		print "today." p ".urgent_wait_max_s", urgent[p] + 0 | "sort"
 	close("sort")
 	for (p in p99)
 		print "today." p ".decision_p99_us", p99[p] | "sort"
--- a/tests/unit/decide/test-decide.c
+++ b/tests/unit/decide/test-decide.c
@@ -758,8 +758,12 @@
 /* Moves are looked for in one AZ at each decision. */
 static bool moves(struct tg_fleet *f, const char *expected, int64_t now_ms)
 {
-	return !strcmp(run(f, now_ms), expected) ||
-		!strcmp(run(f, now_ms), expected);
+	int i;
+
+	for (i = 0; i < 2; i++)
+		if (!strcmp(run(f, now_ms), expected))
+			return true;
+	return false;
 }
 
 /* An AZ of fragments stays so if jobs of any AZ never leave theirs. */
