Let the guaranteed gang of sched-reclaim.sh outlive the test's questions

In a run of the whole suite beside lint the gang of 1.5 s was done before the test asked for the states ('lent: running, own: done' instead of 'lent: queued, own: running'); the times on the workers were right. It runs 4 s now, and the lent gang of the unprotected run 2 s instead of 3 s. Ruled out: a fault of the scheduler, whose log shows the reclaim and attempt 2.

--- a/tests/script/sched-reclaim.sh
+++ b/tests/script/sched-reclaim.sh
@@ -25,7 +25,7 @@
 }
 
 echo "# protection off: the guaranteed gang waits for the lent one"
-start_lent u1 3000 --unsafe-no-reclaim
+start_lent u1 2000 --unsafe-no-reclaim
 submit u1 own 2 8 '"run_ms":100' guaranteed >/dev/null
 await "the guaranteed gang is done" job_is u1 own done
 echo "lent: $(job_field u1 lent state), attempts $(job_field u1 lent attempt)"
@@ -36,7 +36,7 @@
 
 echo "# protection on"
 start_lent s1 4000
-submit s1 own 2 8 '"run_ms":1500' guaranteed >/dev/null
+submit s1 own 2 8 '"run_ms":4000' guaranteed >/dev/null
 await "the guaranteed gang runs" gang_is s1 own running
 echo "lent: $(job_field s1 lent state), own: $(job_field s1 own state)"
 call s1 explain courts lent | grep -o 'reclaimed for own' | head -n 1
