Do not run a job again that was done when its stop arrived

A stopping gang released the records of its done tasks and queued the job again, which ran from its checkpoint.

A stopping gang whose tasks are all done is recorded as done. For this the records of done tasks are kept until every task has ended, and are released then if one of them was not done. The same holds for a gang that a takeover finds done while a stop was asked for or its start took long.

--- a/cmd/tgschedd/board.c
+++ b/cmd/tgschedd/board.c
@@ -97,6 +97,20 @@
 	free(body);
 }
 
+bool board_releases_done(const struct job *j)
+{
+	bool all_done = true;
+	int32_t i;
+
+	for (i = 0; i < j->n_members; i++) {
+		if (j->members[i].state < M_DONE)
+			return false;
+		if (j->members[i].state != M_DONE)
+			all_done = false;
+	}
+	return !all_done;
+}
+
 void board_gang_due(struct job *j)
 {
 	int32_t i;
--- a/cmd/tgschedd/board.h
+++ b/cmd/tgschedd/board.h
@@ -279,6 +279,14 @@
 void board_answer(struct board *b, struct waiter **list,
 		  enum tg_rpc_status status, const json_t *json,
 		  const char *text);
+/**
+ * board_releases_done() - whether records of done tasks of a gang that stops
+ * are released
+ *
+ * They are kept while all other tasks may be done as well, since a job that is
+ * done must not run again.
+ */
+bool board_releases_done(const struct job *j);
 /** board_gang_due() - let the workers of a gang be sent what is due */
 void board_gang_due(struct job *j);
 
--- a/cmd/tgschedd/gang.c
+++ b/cmd/tgschedd/gang.c
@@ -23,6 +23,9 @@
 
 static enum gang_state from_starting(const struct gang_facts *f)
 {
+	/* After a takeover; there is nothing left to stop or to run again. */
+	if (f->done == f->members)
+		return GANG_RUNNING;
 	if (f->troubled || f->stop || f->reservation_ends)
 		return GANG_STOPPING;
 	return f->running + f->done == f->members ? GANG_RUNNING :
@@ -50,7 +53,10 @@
 	case GANG_RUNNING:
 		return from_running(f);
 	case GANG_STOPPING:
-		return f->gone == f->members ? GANG_RECORDING : s;
+		/* Tasks may have completed before the stop reached them. */
+		return f->gone == f->members || f->done == f->members ?
+			GANG_RECORDING :
+			s;
 	case GANG_RECORDING:
 		if (!f->recorded)
 			return s;
--- a/cmd/tgschedd/gangs.c
+++ b/cmd/tgschedd/gangs.c
@@ -229,11 +229,21 @@
 		   (long long)j->attempt, j->n_members);
 }
 
-static void enter_recording(struct job *j, enum gang_state from)
+static bool all_done(const struct job *j)
+{
+	int32_t i;
+
+	for (i = 0; i < j->n_members; i++)
+		if (j->members[i].state != M_DONE)
+			return false;
+	return true;
+}
+
+static void enter_recording(struct job *j)
 {
 	j->recorded = false;
 	j->retry_ms = 0;
-	if (from == GANG_RUNNING) {
+	if (all_done(j)) {
 		j->after = JOB_DONE;
 		j->reason[0] = '\0';
 	} else if (j->checkpoint && checkpoint_whole(j, UINT64_MAX)) {
@@ -263,8 +273,7 @@
 	board_note(b, j->spec.job, "%s", job_state_name(after));
 }
 
-static void enter(struct board *b, struct job *j, enum gang_state from,
-		  int64_t now_ms)
+static void enter(struct board *b, struct job *j, int64_t now_ms)
 {
 	switch (j->gang) {
 	case GANG_COMMITTING:
@@ -283,7 +292,7 @@
 		enter_stopping(b, j);
 		break;
 	case GANG_RECORDING:
-		enter_recording(j, from);
+		enter_recording(j);
 		break;
 	case GANG_RELEASING:
 		board_gang_due(j);
@@ -302,6 +311,8 @@
 	case GANG_STARTING:
 		return m->state == M_RESERVED || m->state == M_UNKNOWN;
 	case GANG_STOPPING:
+		if (m->state == M_DONE)
+			return board_releases_done(m->job);
 		return m->state != M_NONE && m->state != M_GONE;
 	case GANG_RELEASING:
 		return m->state == M_DONE || m->state == M_STOPPED;
@@ -341,7 +352,7 @@
 		return;
 	}
 	j->gang = to;
-	enter(b, j, from, now_ms);
+	enter(b, j, now_ms);
 }
 
 static void tick_gangs(void *board, int64_t now_ms)
--- a/cmd/tgschedd/ops.c
+++ b/cmd/tgschedd/ops.c
@@ -118,6 +118,9 @@
 		add_member_op(msg, OP_STOP, "stop", m);
 		break;
 	case M_DONE:
+		if (board_releases_done(m->job))
+			add_member_op(msg, OP_RELEASE, "release", m);
+		break;
 	case M_STOPPED:
 		add_member_op(msg, OP_RELEASE, "release", m);
 		break;
