--- a/tests/standin/workerd/lease.c
+++ b/tests/standin/workerd/lease.c
@@ -356,7 +356,8 @@
 	snprintf(digest, sizeof(digest), "%016llx",
 		 (unsigned long long)running_digest(b, &count));
 	if (count != get_int(op, "count") ||
-	    strcmp(digest, json_string_value(json_object_get(op, "digest")))) {
+	    strcmp(digest, json_string_value(json_object_get(op, "digest"))) !=
+		    0) {
 		lines_add(&b->refused,
 			  json_pack("{s:s, s:s, s:I}", "op", "renew_all",
 				    "error", "mismatch", "at_ms",
