Model renewals on a worker that only one scheduler daemon reaches

spec/renewal.pml has a former scheduler or standby that reaches the worker, an active one that doesn't, calls without reply and renewals of any delay. Without the accounting (NO_ACCOUNT) spin finds two running attempts after 385 states.

NO_LIMIT fails as well.

--- a/spec/run.sh
+++ b/spec/run.sh
@@ -41,7 +41,13 @@
 request OUTAGE_SAYS_NOT_RUN
 config -
 config NO_CAS
-config APPLY_ANY"
+config APPLY_ANY
+renewal -
+renewal NO_ACCOUNT
+renewal SEND_RAISED
+renewal VOUCH_AT_ONCE
+renewal END_AT_ONCE
+renewal NO_LIMIT"
 
 judge() { # MODEL SWITCH
 	if [ "$2" = - ]; then
