Account for other renewers before a lost worker's lease counts as expired

Cause: nothing bounded how long a former active scheduler or a standby in an outage renewed leases on a worker that the active scheduler can't reach, and the active one counted them as expired by its own renewals.

Without the table a process renews only on workers with the highest epoch that it knows, after it found itself in the list and read the row since, and within that time.

Ruled out: a new field in pings (a new RPC version); a wait of a lease after each raise (delays the common case).

Tests changed: two-faults-sched sets a limit of 1 s, since the frozen scheduler is not accounted for; sched-outage, sched-outage-done and az-cut wait until the schedulers may renew (tg_sched_may_renew_in_outage) before their outage.

--- a/cmd/tgschedd/answer.c
+++ b/cmd/tgschedd/answer.c
@@ -208,6 +208,7 @@
 		(uint64_t)json_integer_value(epoch) :
 		0;
 	w->draining = json_is_true(json_object_get(answer, "draining"));
+	w->raised_epoch = 0;
 	if (!w->up)
 		tg_log(EV_SCHED_WORKER_BACK, "worker=%s", w->name);
 	w->up = w->tried = true;
@@ -222,12 +223,16 @@
 
 	tg_counter("tg_sched_fenced_total", "Commands refused by epoch.", NULL)
 		->value++;
+	msg->worker->epoch_seen = epoch;
+	msg->worker->raised_epoch = 0;
+	msg->worker->due = true;
+	/* The message was sent before the epoch was raised. */
+	if (epoch <= b->epoch)
+		return;
 	tg_log(EV_SCHED_FENCED, "worker=%s epoch=%llu higher=%llu",
 	       msg->worker->name, (unsigned long long)b->epoch,
 	       (unsigned long long)epoch);
-	msg->worker->epoch_seen = epoch;
 	board_step_down(b, "worker", epoch);
-	msg->worker->due = true;
 }
 
 void message_refused(struct message *msg, int status, const json_t *answer)
--- a/cmd/tgschedd/board.c
+++ b/cmd/tgschedd/board.c
@@ -153,6 +153,7 @@
 	w->installed = w->tried = w->due = w->lost = w->quarantined = false;
 	w->id = -1;
 	w->next_ms = 0;
+	w->raised_epoch = 0;
 }
 
 void board_forget(struct board *b)
@@ -185,6 +186,7 @@
 		HASH_DEL(b->workers, w);
 		free(w);
 	}
+	free(b->scheds);
 }
 
 void board_note(struct board *b, const char *job, const char *fmt, ...)
@@ -206,11 +208,11 @@
 	tg_log(EV_SCHED_STEPPED_DOWN, "why=%s epoch=%llu higher=%llu", why,
 	       (unsigned long long)b->epoch, (unsigned long long)epoch);
 	b->role = ROLE_STANDBY;
-	b->epoch = 0;
-	b->row_unsure = false;
+	b->epoch = b->term = 0;
+	b->row_unsure = b->raise_wanted = false;
 	/* Start anew from what the next read of the row shows. */
 	b->row_changed_ms = 0;
-	tg_member_set_scheduler(b->member, 0, false);
+	tg_member_set_scheduler(b->member, b->vouched_epoch, false);
 }
 
 bool board_commands(const struct board *b)
--- a/cmd/tgschedd/board.h
+++ b/cmd/tgschedd/board.h
@@ -102,6 +102,12 @@
  * @next_ms: own clock, not called before
  * @due: there is something to send
  * @lost: unreachable for so long that its members count as lost
+ * @unaccounted: it was logged that another process may still renew there
+ * @sent_epoch: highest that was sent to it; it may have installed this one
+ *	even if no reply came
+ * @raised_epoch: a higher epoch that was taken since and is not sent before the
+ *	worker answers, or 0
+ * @raised_ms: own clock when that epoch was in the row
  */
 struct worker {
 	char name[TG_NAME_MAX + 1];
@@ -110,11 +116,13 @@
 	int32_t cores, memory_gb, accelerators;
 	int32_t id;
 	bool listed, leaving, installed, up, tried, draining, quarantined;
-	bool due, lost, in_flight;
+	bool due, lost, unaccounted, in_flight;
 	enum tg_worker_health health; /* as set in the fleet */
 	char boot[TG_NAME_MAX + 1];
 	int64_t now_ms, reply_ms, next_ms;
 	uint64_t epoch_seen;
+	uint64_t sent_epoch, raised_epoch;
+	int64_t raised_ms;
 	json_t *inventory; /* leases, until the board is rebuilt */
 	struct member *members;
 	struct orphan *orphans;
@@ -225,10 +233,24 @@
 	int64_t row_changed_ms; /* own clock; 0: nothing read yet */
 	bool row_reading, row_writing, row_unsure, row_released;
 	int64_t claimed_ms;
+	uint64_t term; /* epoch of the claim; raises keep it */
+	bool raise_wanted, raising;
+	int64_t raised_ms; /* own clock when the epoch was in the row */
+	int64_t row_sent_ms; /* write of the row in flight */
+	int64_t row_asked_ms; /* read of the row in flight */
 	bool table_down;
 	int64_t table_down_ms; /* own clock; begin of the last outage */
 	int64_t table_up_ms; /* own clock; end of the last long outage */
 
+	/* renewals by other processes, see account.h */
+	uint64_t known_epoch, vouched_epoch;
+	int64_t row_read_ms; /* last answered call for the row was sent */
+	int64_t command_ms; /* last command that may renew was sent */
+	int64_t low_command_ms; /* the last under less than known_epoch */
+	struct tg_instance *scheds; /* of the AZ in the last list */
+	size_t n_scheds;
+	int64_t sched_left_ms; /* one was found to have left the list */
+
 	/* workers and jobs */
 	struct worker *workers;
 	struct job *jobs;
--- a/cmd/tgschedd/call.c
+++ b/cmd/tgschedd/call.c
@@ -3,10 +3,14 @@
 
 #include "message.h"
 
-uint64_t worker_fence(const struct board *b, const struct worker *w)
+uint64_t worker_fence(const struct board *b, struct worker *w)
 {
 	if (b->opts->unsafe_ignore_epoch && w->epoch_seen > b->epoch)
 		return w->epoch_seen;
+	/* Its leases may be counted as expired since it lacks our epoch. */
+	if (w->raised_epoch)
+		return w->sent_epoch;
+	w->sent_epoch = b->epoch;
 	return b->epoch;
 }
 
--- a/cmd/tgschedd/election.c
+++ b/cmd/tgschedd/election.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "account.h"
 #include "controllers.h"
 #include "jobrow.h"
 #include "rowwrite.h"
@@ -53,9 +54,11 @@
 
 	board_forget(b);
 	b->role = ROLE_INSTALLING;
-	b->epoch = b->row_epoch = epoch;
+	b->epoch = b->term = b->row_epoch = epoch;
 	b->unsure_claim = 0;
-	b->claimed_ms = b->row_changed_ms = now_ms;
+	b->claimed_ms = b->row_changed_ms = b->raised_ms = now_ms;
+	b->raise_wanted = b->raising = false;
+	account_row_read(b, b->row_sent_ms);
 	tg_log(EV_SCHED_CLAIMED, "az=%s epoch=%llu", b->opts->az,
 	       (unsigned long long)epoch);
 	tg_member_set_scheduler(b->member, epoch, false);
@@ -94,6 +97,7 @@
 	tg_txn_put(t, key, row_value(b, b->row_epoch + 1, b->opts->instance));
 	b->role = ROLE_CLAIMING;
 	b->row_writing = true;
+	b->row_sent_ms = tg_now_ms();
 	tg_txn_commit(t, on_claimed, b);
 }
 
@@ -155,6 +159,19 @@
 	maybe_claim(b, now_ms);
 }
 
+/* The row shows an epoch that this process wrote, lately if it is higher. */
+static void note_own_epoch(struct board *b, uint64_t epoch)
+{
+	if (epoch <= b->epoch)
+		return;
+	b->epoch = b->row_epoch = epoch;
+	b->raised_ms = tg_now_ms();
+	b->raise_wanted = false;
+	tg_log(EV_SCHED_EPOCH_RAISED, "az=%s epoch=%llu", b->opts->az,
+	       (unsigned long long)epoch);
+	tg_member_set_scheduler(b->member, epoch, b->role == ROLE_ACTIVE);
+}
+
 static void on_holder_row(struct board *b, enum tg_plat_end end,
 			  const struct tg_row *row)
 {
@@ -169,6 +186,7 @@
 	}
 	b->row_unsure = false;
 	b->row_version = row->version;
+	note_own_epoch(b, row_epoch(row->value));
 }
 
 static void on_row(enum tg_plat_end end, const struct tg_row *row, void *arg)
@@ -176,6 +194,8 @@
 	struct board *b = arg;
 
 	b->row_reading = false;
+	if (end != TG_PLAT_UNAVAILABLE)
+		account_row_read(b, b->row_asked_ms);
 	if (b->role == ROLE_STANDBY)
 		on_standby_row(b, end, row, tg_now_ms());
 	else if (b->role != ROLE_CLAIMING && b->row_unsure && !b->row_writing)
@@ -189,6 +209,7 @@
 	if (b->row_reading)
 		return;
 	b->row_reading = true;
+	b->row_asked_ms = tg_now_ms();
 	sched_row_key(b, key);
 	tg_row_get(b->plat, key, on_row, b);
 }
@@ -207,6 +228,9 @@
 		if (n)
 			b->row_version = rows[0].version;
 		b->row_changed_ms = tg_now_ms();
+		account_row_read(b, b->row_sent_ms);
+		if (b->raising)
+			note_own_epoch(b, b->epoch + 1);
 		board_set_table(b, true);
 		if (given_up) {
 			tg_log(EV_SCHED_HANDED_OVER, "epoch=%llu",
@@ -217,6 +241,7 @@
 	case TG_PLAT_CONFLICT:
 		if (n && sched_row_ours(b, &rows[0])) {
 			b->row_version = rows[0].version;
+			note_own_epoch(b, row_epoch(rows[0].value));
 			break;
 		}
 		board_step_down(b, "row", n ? row_epoch(rows[0].value) : 0);
@@ -241,8 +266,10 @@
 
 	sched_row_key(b, key);
 	tg_txn_if(t, key, b->row_version);
-	tg_txn_put(t, key, row_value(b, b->epoch, holder));
+	b->raising = b->raise_wanted && *holder;
+	tg_txn_put(t, key, row_value(b, b->epoch + b->raising, holder));
 	b->row_writing = true;
+	b->row_sent_ms = tg_now_ms();
 	/* Writes queued from now on follow this one. */
 	b->row_version++;
 	tg_txn_commit(t, on_renewed, b);
--- a/cmd/tgschedd/fault.c
+++ b/cmd/tgschedd/fault.c
@@ -30,6 +30,7 @@
 		  "unsafe-restart-before-expiry" },
 		{ o->unsafe_reuse_attempts, "unsafe-reuse-attempts" },
 		{ o->unsafe_ignore_holder, "unsafe-ignore-holder" },
+		{ o->unsafe_ignore_renewers, "unsafe-ignore-renewers" },
 	};
 	size_t i;
 
--- a/cmd/tgschedd/main.c
+++ b/cmd/tgschedd/main.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "account.h"
 #include "controllers.h"
 #include "facts.h"
 #include "fault.h"
@@ -28,6 +29,10 @@
 	TG_SETTING(options, "checkpoint-ms", TG_SET_INT, "600000", 0, 86400000,
 		   false, "period of checkpoints of a gang; 0 for none",
 		   checkpoint_ms),
+	TG_SETTING(options, "outage-renewal-max-ms", TG_SET_INT, "21600000", 0,
+		   604800000, false,
+		   "time after its last read of the row that a process renews",
+		   outage_renewal_max_ms),
 	TG_SETTING(options, "call-ms", TG_SET_INT, "1000", 50, 60000, false,
 		   "limit of a call to a worker, and wait after a failed one",
 		   call_ms),
@@ -67,6 +72,11 @@
 		   "fault test: take the row from a holder that answers, and "
 		   "drop claims of unknown result",
 		   unsafe_ignore_holder),
+	TG_SETTING(options, "unsafe-ignore-renewers", TG_SET_BOOL, NULL, 0, 0,
+		   false,
+		   "fault test: renew without limit, and count leases as "
+		   "expired that others may renew",
+		   unsafe_ignore_renewers),
 	{ 0 },
 };
 
@@ -104,6 +114,7 @@
 	struct worker *w, *tmp;
 	size_t i;
 
+	account_note_list(b, list, n);
 	HASH_ITER(hh, b->workers, w, tmp)
 		w->listed = false;
 	for (i = 0; i < n; i++)
--- a/cmd/tgschedd/message.c
+++ b/cmd/tgschedd/message.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include "account.h"
 #include "message_internal.h"
 
 static void on_answer(const struct tg_http_result *r, void *arg)
@@ -11,7 +12,7 @@
 
 	if (!worker_call_ended(b, w, r, answer)) {
 		w->due = true;
-	} else if (!board_commands(b) || b->epoch != msg->epoch) {
+	} else if (!board_commands(b) || b->term != msg->term) {
 		/* Stepped down since; the board is not ours any more. */
 	} else if (r->status == 200) {
 		message_results(msg, answer);
@@ -28,7 +29,7 @@
 
 	msg->board = b;
 	msg->worker = w;
-	msg->epoch = b->epoch;
+	msg->term = b->term;
 	msg->body = json_pack("{s:I, s:s, s:[]}", "epoch",
 			      (json_int_t)worker_fence(b, w), "boot", w->boot,
 			      "ops");
@@ -37,5 +38,6 @@
 		message_add_ops(msg);
 	else
 		w->due = true;
+	account_command(b, now_ms);
 	worker_call(b, w, "/v1/commands", msg->body, on_answer, msg);
 }
--- a/cmd/tgschedd/message.h
+++ b/cmd/tgschedd/message.h
@@ -20,7 +20,7 @@
 /* --- call.c --- */
 
 /** worker_fence() - epoch that commands to the worker carry */
-uint64_t worker_fence(const struct board *b, const struct worker *w);
+uint64_t worker_fence(const struct board *b, struct worker *w);
 /** worker_call() - post to the worker's agent; takes the reference to @body */
 void worker_call(struct board *b, struct worker *w, const char *uri,
 		 json_t *body,
--- a/cmd/tgschedd/message_internal.h
+++ b/cmd/tgschedd/message_internal.h
@@ -25,7 +25,7 @@
 struct message {
 	struct board *board;
 	struct worker *worker;
-	uint64_t epoch;
+	uint64_t term;
 	int64_t worker_now_ms;
 	json_t *body;
 	struct op ops[OPS_MAX];
--- a/cmd/tgschedd/ops.c
+++ b/cmd/tgschedd/ops.c
@@ -1,4 +1,5 @@
 #include "lease.h"
+#include "account.h"
 #include "message_internal.h"
 
 static const char *const class_names[] = { "urgent", "guaranteed", "lent" };
@@ -90,7 +91,8 @@
 
 	if (m->state != M_RUNNING)
 		return;
-	if (m->confirmed < j->round) {
+	if (m->confirmed < j->round &&
+	    account_may_renew(msg->board, tg_now_ms())) {
 		op = add_member_op(msg, OP_RENEW, "renew", m);
 		msg->ops[msg->n - 1].round = j->round;
 		add_expiry(msg, op, m);
--- a/cmd/tgschedd/options.h
+++ b/cmd/tgschedd/options.h
@@ -10,11 +10,11 @@
 	const char *log_level, *pause_at;
 	int64_t sched_renew_ms, sched_lease_ms, lease_ms, renew_ms;
 	int64_t checkpoint_ms, call_ms, worker_lost_ms, job_keep_ms;
-	int64_t drain_grace_ms, drain_max_ms;
+	int64_t outage_renewal_max_ms, drain_grace_ms, drain_max_ms;
 	bool unsafe_ignore_epoch, unsafe_start_before_reserved;
 	bool unsafe_renew_partial_gangs, unsafe_no_outage_renewal;
 	bool unsafe_restart_before_expiry, unsafe_reuse_attempts;
-	bool unsafe_ignore_holder;
+	bool unsafe_ignore_holder, unsafe_ignore_renewers;
 };
 
 #endif
--- a/cmd/tgschedd/outage.c
+++ b/cmd/tgschedd/outage.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "account.h"
 #include "controllers.h"
 #include "lease.h"
 #include "message.h"
@@ -88,6 +89,7 @@
 	};
 
 	a->worker = w;
+	account_command(b, tg_now_ms());
 	w->in_flight = true;
 	w->call_arg = a;
 	w->call = tg_http_call_start(b->worker_http, &call);
@@ -114,6 +116,14 @@
 	return all;
 }
 
+/* Another epoch than the highest known one may be counted as expired. */
+static bool may_renew_on(const struct board *b, const struct worker *w)
+{
+	return b->opts->unsafe_ignore_renewers ||
+		(account_may_renew(b, tg_now_ms()) &&
+		 w->epoch_seen == b->known_epoch);
+}
+
 static void renew_worker(struct round *r, const struct seen_lease *all,
 			 struct worker *w)
 {
@@ -128,7 +138,7 @@
 		    gang_is_whole(all, r->n_held, &h->lease))
 			json_array_append_new(ops, renew_op(r->board, h));
 	}
-	if (json_array_size(ops) && !w->in_flight)
+	if (json_array_size(ops) && !w->in_flight && may_renew_on(r->board, w))
 		post_renewals(r->board, w, ops);
 	else
 		json_decref(ops);
@@ -238,9 +248,9 @@
 {
 	struct board *b = board;
 	bool on = b->role == ROLE_STANDBY && b->table_down && !b->jobs &&
-		!b->opts->unsafe_no_outage_renewal && !tg_daemon_draining();
+		!b->opts->unsafe_no_outage_renewal && !tg_daemon_draining() &&
+		account_may_renew(b, now_ms);
 
-	(void)now_ms;
 	/* The calls of the round were cancelled when the row was claimed. */
 	if (b->role != ROLE_STANDBY && b->outage_round)
 		free_round(b->outage_round);
--- a/cmd/tgschedd/rebuild.c
+++ b/cmd/tgschedd/rebuild.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "account.h"
 #include "controllers.h"
 #include "facts.h"
 #include "jobrow.h"
@@ -94,7 +95,7 @@
 	struct board *b = board;
 	size_t n;
 
-	(void)now_ms;
+	account_update(b, now_ms);
 	if (b->role == ROLE_STANDBY && (b->jobs || b->fleet))
 		board_forget(b);
 	if (b->role == ROLE_INSTALLING && tg_member_instances(b->member, &n) &&
--- a/cmd/tgschedd/rowwrite.c
+++ b/cmd/tgschedd/rowwrite.c
@@ -11,7 +11,7 @@
 struct write {
 	struct board *board;
 	char job[TG_NAME_MAX + 1];
-	uint64_t version, epoch;
+	uint64_t version, term;
 	json_t *value;
 	row_written done;
 	int attempts;
@@ -29,7 +29,7 @@
 
 	return boot && !strcmp(boot, tg_member_boot(b->member)) &&
 		(uint64_t)json_integer_value(
-			json_object_get(row->value, "epoch")) == b->epoch;
+			json_object_get(row->value, "epoch")) >= b->term;
 }
 
 static void free_write(struct write *w)
@@ -45,7 +45,7 @@
 
 	if (end == TG_PLAT_UNAVAILABLE || end == TG_PLAT_UNKNOWN)
 		board_set_table(b, false);
-	if (b->epoch == w->epoch)
+	if (b->term == w->term)
 		w->done(b, w->job, end, version, found);
 	free_write(w);
 }
@@ -98,7 +98,7 @@
 {
 	struct write *w = arg;
 
-	if (w->board->epoch != w->epoch)
+	if (w->board->term != w->term)
 		free_write(w);
 	else if (end == TG_PLAT_CONFLICT)
 		on_conflict(w, rows, n);
@@ -132,7 +132,7 @@
 	w->board = b;
 	tg_strlcpy(w->job, job, sizeof(w->job));
 	w->version = version;
-	w->epoch = b->epoch;
+	w->term = b->term;
 	w->value = value;
 	w->done = done;
 	send_write(w);
@@ -141,7 +141,7 @@
 struct row_read {
 	struct board *board;
 	char job[TG_NAME_MAX + 1];
-	uint64_t epoch;
+	uint64_t term;
 };
 
 static void on_job_row(enum tg_plat_end end, const struct tg_row *row,
@@ -149,7 +149,7 @@
 {
 	struct row_read *r = arg;
 	struct board *b = r->board;
-	struct job *j = b->epoch == r->epoch ? board_job(b, r->job) : NULL;
+	struct job *j = b->term == r->term ? board_job(b, r->job) : NULL;
 
 	if (j) {
 		j->writing = false;
@@ -169,7 +169,7 @@
 	char key[TG_KEY_MAX];
 
 	r->board = b;
-	r->epoch = b->epoch;
+	r->term = b->term;
 	tg_strlcpy(r->job, j->spec.job, sizeof(r->job));
 	j->writing = true;
 	jobrow_key(b, j->spec.job, key);
--- a/cmd/tgschedd/rowwrite.h
+++ b/cmd/tgschedd/rowwrite.h
@@ -28,7 +28,8 @@
 	       json_t *value, row_written done);
 /** sched_row_key() - key of the scheduler's row; TG_KEY_MAX bytes */
 void sched_row_key(const struct board *b, char *out);
-/** sched_row_ours() - whether @row was written by this process and epoch */
+/** sched_row_ours() - whether @row was written since the claim of this process
+ */
 bool sched_row_ours(const struct board *b, const struct tg_row *row);
 
 /** job_read_version() - learn the version of a row after an unknown write */
--- a/cmd/tgschedd/workers.c
+++ b/cmd/tgschedd/workers.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "account.h"
 #include "controllers.h"
 #include "lease.h"
 #include "message.h"
@@ -12,7 +13,7 @@
 struct install {
 	struct board *board;
 	struct worker *worker;
-	uint64_t epoch;
+	uint64_t term;
 };
 
 /* --- epoch --- */
@@ -39,7 +40,9 @@
 		(uint64_t)json_integer_value(json_object_get(answer, "epoch"));
 
 	w->epoch_seen = epoch;
+	w->raised_epoch = 0;
 	w->next_ms = tg_now_ms() + b->opts->call_ms;
+	/* The call was sent before the epoch was raised. */
 	if (epoch <= b->epoch)
 		return;
 	tg_log(EV_SCHED_FENCED, "worker=%s epoch=%llu higher=%llu", w->name,
@@ -56,7 +59,7 @@
 
 	if (!worker_call_ended(b, w, r, answer)) {
 		/* The next tick installs again. */
-	} else if (b->epoch != in->epoch) {
+	} else if (b->term != in->term) {
 		/* Stepped down since. */
 	} else if (r->status == 200) {
 		on_inventory(b, w, answer);
@@ -76,7 +79,7 @@
 
 	in->board = b;
 	in->worker = w;
-	in->epoch = b->epoch;
+	in->term = b->term;
 	worker_call(b, w, "/v1/epoch", body, on_installed, in);
 }
 
@@ -95,6 +98,7 @@
 	DL_FOREACH(w->members, m)
 		if (m->state != M_NONE && m->state < M_DONE)
 			m->lost = true;
+	w->unaccounted = false;
 }
 
 /* A worker that never answered counts from the claim. */
@@ -109,17 +113,58 @@
  */
 static int64_t gone_ms(const struct board *b, const struct member *m)
 {
-	int64_t after_ms;
+	int64_t gone_ms = m->expired_ms, after_ms;
 
 	if (b->opts->unsafe_restart_before_expiry)
 		return 0;
 	if (b->table_down)
 		return INT64_MAX;
-	if (!b->table_up_ms)
-		return m->expired_ms;
-	after_ms = lease_expired_ms(b->table_up_ms + b->opts->call_ms,
-				    b->opts->lease_ms);
-	return m->expired_ms > after_ms ? m->expired_ms : after_ms;
+	if (b->table_up_ms) {
+		after_ms = lease_expired_ms(b->table_up_ms + b->opts->call_ms,
+					    b->opts->lease_ms);
+		gone_ms = gone_ms > after_ms ? gone_ms : after_ms;
+	}
+	return gone_ms;
+}
+
+/*
+ * Has an epoch taken that the worker can't have installed, so that nobody who
+ * knows the epoch renews there.  An epoch taken after the last reply is not
+ * enough: a call may have installed it although its reply was lost.
+ */
+static void raise_for(struct board *b, struct worker *w)
+{
+	if (w->raised_epoch)
+		return;
+	if (b->epoch <= w->sent_epoch) {
+		b->raise_wanted = true;
+		return;
+	}
+	w->raised_epoch = b->epoch;
+	w->raised_ms = b->raised_ms;
+	tg_member_read_list(b->member);
+}
+
+static bool is_gone(struct board *b, struct worker *w, const struct member *m,
+		    int64_t now_ms)
+{
+	int64_t others_ms;
+
+	if (now_ms <= gone_ms(b, m))
+		return false;
+	if (b->opts->unsafe_restart_before_expiry)
+		return true;
+	raise_for(b, w);
+	others_ms = account_gone_ms(b, w);
+	if (now_ms > others_ms)
+		return true;
+	if (!w->unaccounted) {
+		w->unaccounted = true;
+		tg_log(EV_SCHED_UNACCOUNTED, "worker=%s epoch=%llu job=%s",
+		       w->name, (unsigned long long)w->raised_epoch,
+		       m->job->spec.job);
+	}
+	return false;
 }
 
 static bool may_expire(const struct member *m)
@@ -136,8 +181,11 @@
 	if (!w->lost && !w->up && w->tried &&
 	    now_ms - heard_ms(b, w) > b->opts->worker_lost_ms)
 		lose_members(b, w);
+	/* At once, so that the others show the epoch before leases expire. */
+	if (w->lost && w->members)
+		raise_for(b, w);
 	DL_FOREACH(w->members, m)
-		if (may_expire(m) && now_ms > gone_ms(b, m))
+		if (may_expire(m) && is_gone(b, w, m, now_ms))
 			m->state = M_GONE;
 }
 
--- a/lib/member/list.c
+++ b/lib/member/list.c
@@ -101,6 +101,21 @@
 		m->opts.on_instances(m->instances, m->n_instances, m->opts.arg);
 }
 
+/* A list of the own AZ, as opposed to one that a peer passed on. */
+static void note_own_list(struct tg_member *m, const struct tg_instance *list,
+			  size_t n)
+{
+	size_t i;
+
+	if (strcmp(m->list_az, m->opts.az) != 0)
+		return;
+	m->list_ms = m->own_list_asked_ms;
+	for (i = 0; i < n && !m->listed_ms; i++)
+		if (!strcmp(list[i].name, m->opts.instance) &&
+		    !strcmp(member_role_of(list[i].kind), m->opts.role))
+			m->listed_ms = tg_now_ms();
+}
+
 static void on_list(enum tg_plat_end end, const struct tg_instance *list,
 		    size_t n, void *arg)
 {
@@ -108,8 +123,10 @@
 
 	m->list_in_flight = false;
 	m->list_failed = end != TG_PLAT_OK;
-	if (!m->list_failed)
-		take_list(m, list, n);
+	if (m->list_failed)
+		return;
+	note_own_list(m, list, n);
+	take_list(m, list, n);
 }
 
 static void decode(const struct tg_rpc_instance *r, struct tg_instance *in)
@@ -311,13 +328,28 @@
 		return;
 	if (!m->own_list_ms ||
 	    now_ms - m->own_list_ms >= list_wait_ms(m, m->opts.az)) {
-		m->own_list_ms = now_ms;
+		m->own_list_ms = m->own_list_asked_ms = now_ms;
 		read_list(m, m->opts.az);
 	} else if (now_ms >= m->next_other_list_ms) {
 		read_other_list(m, now_ms);
 	}
 }
 
+void tg_member_read_list(struct tg_member *m)
+{
+	m->own_list_ms = 0;
+}
+
+int64_t tg_member_list_ms(const struct tg_member *m)
+{
+	return m->list_ms;
+}
+
+int64_t tg_member_listed_ms(const struct tg_member *m)
+{
+	return m->listed_ms;
+}
+
 const struct tg_instance *tg_member_instances(const struct tg_member *m,
 					      size_t *n)
 {
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -117,6 +117,7 @@
  * @active: its last answer said that it is its AZ's active scheduler
  * @generation: of its document, 0 for none
  * @epoch: of a scheduler
+ * @boot_ms: own clock at its first answer with this boot; 0: none yet
  * @answered_ms: own clock at its last answer; 0: none yet
  */
 struct tg_member_peer {
@@ -128,7 +129,7 @@
 	char http_addr[TG_ADDR_MAX + 1];
 	bool live, listed, leaving, draining, active;
 	uint64_t generation, epoch;
-	int64_t answered_ms;
+	int64_t boot_ms, answered_ms;
 };
 
 /** tg_member_new() - nothing is sent before tg_member_start() */
@@ -186,6 +187,21 @@
  * included if it has that role
  */
 size_t tg_member_live_count(const struct tg_member *m, const char *role);
+/** tg_member_peer_at() - peer by RPC address, or NULL */
+const struct tg_member_peer *tg_member_peer_at(const struct tg_member *m,
+					       const char *rpc_addr);
+/** tg_member_read_list() - read the own AZ's list at once from the platform */
+void tg_member_read_list(struct tg_member *m);
+/**
+ * tg_member_list_ms() - own clock when the last list of the own AZ that came
+ * from the platform was asked for; 0: none yet
+ */
+int64_t tg_member_list_ms(const struct tg_member *m);
+/**
+ * tg_member_listed_ms() - own clock when such a list first had this instance
+ * and role; 0: none yet
+ */
+int64_t tg_member_listed_ms(const struct tg_member *m);
 /**
  * tg_member_instances() - last instance lists of the own AZ (read every 2 s)
  * and of those that the document or a peer names (every 10 s, or 2 s times
--- a/lib/member/member_internal.h
+++ b/lib/member/member_internal.h
@@ -40,7 +40,9 @@
 	bool have_instances, list_in_flight;
 	char list_az[TG_NAME_MAX + 1]; /* AZ of the list in flight */
 	size_t next_other; /* turn of the other AZs */
-	int64_t own_list_ms, next_other_list_ms;
+	int64_t own_list_ms, own_list_asked_ms, next_other_list_ms;
+	int64_t list_ms; /* the last good own list was asked for */
+	int64_t listed_ms; /* a list had this process first */
 	bool list_failed; /* the last read of the platform's list */
 	struct tg_instance *pulled; /* pages of a peer's list so far */
 	size_t n_pulled;
@@ -62,6 +64,7 @@
 void member_call_free(struct peer_call *c);
 struct peer *member_peer_at(struct tg_member *m, const char *addr);
 void member_add_static(struct tg_member *m);
+const char *member_role_of(enum tg_instance_kind kind);
 void member_list_tick(struct tg_member *m, int64_t now_ms);
 void member_note_listed(struct tg_member *m, const struct tg_instance *in);
 void member_drop_unlisted(struct tg_member *m);
--- a/lib/member/peers.c
+++ b/lib/member/peers.c
@@ -99,7 +99,7 @@
 	member_update_view(m);
 }
 
-static const char *role_of(enum tg_instance_kind kind)
+const char *member_role_of(enum tg_instance_kind kind)
 {
 	static const char *const roles[] = {
 		[TG_KIND_ENTRY] = "entry",
@@ -126,7 +126,7 @@
 	if (p->pub.live)
 		return;
 	tg_strlcpy(p->pub.instance, in->name, sizeof(p->pub.instance));
-	tg_strlcpy(p->pub.role, role_of(in->kind), sizeof(p->pub.role));
+	tg_strlcpy(p->pub.role, member_role_of(in->kind), sizeof(p->pub.role));
 	tg_strlcpy(p->pub.az, in->az, sizeof(p->pub.az));
 }
 
@@ -148,6 +148,8 @@
 static void note_pong(struct tg_member *m, struct peer *p,
 		      const struct tg_rpc_peer *r)
 {
+	if (!p->pub.boot_ms || strcmp(p->pub.boot, r->boot) != 0)
+		p->pub.boot_ms = tg_now_ms();
 	tg_strlcpy(p->pub.instance, r->instance, sizeof(p->pub.instance));
 	tg_strlcpy(p->pub.role, r->role, sizeof(p->pub.role));
 	tg_strlcpy(p->pub.az, r->az, sizeof(p->pub.az));
@@ -256,6 +258,17 @@
 	return found;
 }
 
+const struct tg_member_peer *tg_member_peer_at(const struct tg_member *m,
+					       const char *rpc_addr)
+{
+	size_t i;
+
+	for (i = 0; i < m->n_peers; i++)
+		if (!strcmp(m->view[i].rpc_addr, rpc_addr))
+			return &m->view[i];
+	return NULL;
+}
+
 const struct tg_member_peer *tg_member_scheduler(const struct tg_member *m,
 						 const char *az)
 {
--- a/tests/fault/az-cut.sh
+++ b/tests/fault/az-cut.sh
@@ -103,6 +103,10 @@
 }
 await "jobs in a" submits e-a a
 await "jobs in b" submits e-b b
+may_renew() {
+	[ "$(metric "$1" tg_sched_may_renew_in_outage)" = 1 ]
+}
+await "that s-a may renew in an outage" may_renew s-a
 await "the first job of a" job_is e-a first-a done
 submit gang e-a gang a 600000
 submit short e-a short a 6000
--- a/tests/fault/two-faults-sched.sh
+++ b/tests/fault/two-faults-sched.sh
@@ -23,9 +23,11 @@
 	plain_document
 	worker w1
 	worker w2
+	# The frozen s1 doesn't answer s2, which would wait for it for 6 h.
+	set -- --outage-renewal-max-ms 1000 "$@"
 	sched s1 --pause-at commit "$@"
 	await "s1 is ready" ready s1 2
-	sched s2
+	sched s2 --outage-renewal-max-ms 1000
 	submit s1 g 2 8 >/dev/null
 	await "s1 is frozen" frozen s1
 	echo "$text: committed attempt $(get "$platform_http" \
@@ -36,7 +38,7 @@
 	await "s2 runs the gang" gang_is s2 g running
 	before=$(job_field s2 g attempt)
 	continue_it s1
-	if [ $# -gt 0 ]; then
+	if [ $# -gt 2 ]; then
 		# What else the late scheduler does depends on the order of messages.
 		await "s1 does harm" disturbed
 		echo "$text: attempt $before, ended by the late scheduler"
--- a/tests/sched-lib.sh
+++ b/tests/sched-lib.sh
@@ -215,6 +215,12 @@
 	eval "kill -CONT \$${1}_pid"
 }
 
+# may_renew NAME: it renews in an outage, since it read the row when listed
+may_renew() {
+	eval "get \$${1}_http /metrics" |
+		grep -q '^tg_sched_may_renew_in_outage 1'
+}
+
 # knows NAME N: whether a process has seen N live peers
 knows() {
 	[ "$(grep -c 'EV1602 ' "$W/$1.err")" -ge "$2" ]
--- a/tests/script/sched-outage-done.sh
+++ b/tests/script/sched-outage-done.sh
@@ -18,6 +18,8 @@
 		wc -l)" = 2 ]
 }
 
+await "s1 may renew in an outage" may_renew s1
+await "s2 may renew in an outage" may_renew s2
 submit s1 first 2 4 '"run_ms":2000' >/dev/null
 submit s1 second 2 4 '"run_ms":5000' >/dev/null
 await "the first runs" gang_is s1 first running
--- a/tests/script/sched-outage.sh
+++ b/tests/script/sched-outage.sh
@@ -22,6 +22,9 @@
 	# The standbys must know each other before the list is gone.
 	await "s2 sees s1 and s3" knows s2 2
 	await "s3 sees s1 and s2" knows s3 2
+	for n in s1 s2 s3; do
+		await "$n may renew in an outage" may_renew $n
+	done
 	faults '{"outage":"refuse"}'
 	await "s1 sees the outage" grep -q EV3004 "$W/s1.err"
 	echo "$text: submission in the outage: $(submit s1 late 1 1 | cut -d' ' -f1)"
--- a/tests/script/sched-settings.sh
+++ b/tests/script/sched-settings.sh
@@ -11,7 +11,7 @@
 	--unsafe-ignore-epoch --unsafe-start-before-reserved \
 	--unsafe-renew-partial-gangs --unsafe-no-outage-renewal \
 	--unsafe-restart-before-expiry --unsafe-reuse-attempts \
-	--unsafe-ignore-holder
+	--unsafe-ignore-holder --unsafe-ignore-renewers
 grep -o 'EV3040.*' "$W/s1.err"
 echo "readyz: $(curl -s -o /dev/null -w '%{http_code}' "http://$s1_http/readyz")"
 call s1 submit courts x '{}'
