--- a/cmd/tgschedd/message.c
+++ b/cmd/tgschedd/message.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "account.h"
 #include "message_internal.h"
 
 static void on_answer(const struct tg_http_result *r, void *arg)
@@ -12,7 +13,7 @@
 
 	if (!worker_call_ended(b, w, r, answer)) {
 		w->due = true;
-	} else if (!board_commands(b) || b->epoch != msg->epoch) {
+	} else if (!board_commands(b) || b->term != msg->term) {
 		/* Stepped down since; the board is not ours any more. */
 	} else if (r->status == 200) {
 		message_results(msg, answer);
@@ -44,7 +45,7 @@
 	struct message draft = {
 		.board = b,
 		.worker = w,
-		.epoch = b->epoch,
+		.term = b->term,
 		.body = json_pack("{s:I, s:s, s:I, s:[]}", "epoch",
 				  (json_int_t)worker_fence(b, w), "boot",
 				  w->boot, "usage_after",
@@ -57,6 +58,7 @@
 		message_add_ops(&draft);
 	else
 		w->due = true;
+	account_command(b, now_ms);
 	worker_call(b, w, "/v1/commands", draft.body, on_answer,
 		    keep_message(&draft));
 }
--- a/cmd/tgschedd/message_internal.h
+++ b/cmd/tgschedd/message_internal.h
@@ -32,7 +32,7 @@
 struct message {
 	struct board *board;
 	struct worker *worker;
-	uint64_t epoch;
+	uint64_t term;
 	bool renews_all;
 	size_t renew_all_at;
 	json_t *body;
--- a/cmd/tgschedd/renewal.c
+++ b/cmd/tgschedd/renewal.c
@@ -1,3 +1,4 @@
+#include "account.h"
 #include "controllers.h"
 #include "digest.h"
 #include "message_internal.h"
@@ -80,7 +81,7 @@
 
 	DL_FOREACH(w->members, m)
 		m->asked = 0;
-	if (!all_due(w))
+	if (!all_due(w) || !account_may_renew(msg->board, tg_now_ms()))
 		return;
 	op = json_pack("{s:s}", "op", "renew_all");
 	DL_FOREACH(w->members, m) {
