--- a/tests/fault/run/processes.sh
+++ b/tests/fault/run/processes.sh
@@ -111,6 +111,10 @@
 		jq -e '(.unreachable // []) == []'
 }
 
+may_renew() {
+	[ "$(metric "$1" tg_sched_may_renew_in_outage)" = 1 ]
+}
+
 bring_up() {
 	start platform platformd --log-level=warn
 	echo operator-key-0123456789 >"$tmp/key"
@@ -126,4 +130,8 @@
 		await "$p at e-1" knows_worker e-1 "$p" up
 	done
 	await "schedulers" active
+	# One that has not found itself in the instance list does not renew.
+	for p in $scheds; do
+		await "that $p may renew in an outage" may_renew "$p"
+	done
 }
