Serve the procedures of membership from one table of handlers

Each of three daemons wrapped the same four procedures only to find its view of the peers. A server now takes common handlers with an argument of their own, and lib/member has the table; twelve wrappers are gone. Behaviour is the same.

--- a/cmd/tgconsoled/rpc.c
+++ b/cmd/tgconsoled/rpc.c
@@ -1,40 +1,13 @@
 #include "board.h"
 
-static void serve_ping(struct tg_rpc_req *req, void *args, void *arg)
-{
-	tg_member_serve_ping(((struct board *)arg)->member, req, args);
-}
-
-static void serve_push(struct tg_rpc_req *req, void *args, void *arg)
-{
-	tg_member_serve_doc_push(((struct board *)arg)->member, req, args);
-}
-
-static void serve_pull(struct tg_rpc_req *req, void *args, void *arg)
-{
-	tg_member_serve_doc_pull(((struct board *)arg)->member, req, args);
-}
-
-static void serve_instances(struct tg_rpc_req *req, void *args, void *arg)
-{
-	tg_member_serve_instance_list(((struct board *)arg)->member, req, args);
-}
-
-static const tg_rpc_handler handlers[TG_RPC_N_PROCS] = {
-	[TG_RPC_PING] = serve_ping,
-	[TG_RPC_DOC_PUSH] = serve_push,
-	[TG_RPC_INSTANCE_LIST] = serve_instances,
-	[TG_RPC_DOC_PULL] = serve_pull,
-};
-
 static int start(void *board)
 {
 	struct board *b = board;
 	struct tg_rpc_server_opts opts = {
 		.base = b->base,
 		.addr = b->opts.rpc_addr,
-		.handlers = handlers,
-		.arg = b,
+		.common = tg_member_handlers,
+		.common_arg = b->member,
 	};
 
 	b->rpc_server = tg_rpc_server_new(&opts);
--- a/cmd/tgentryd/link.c
+++ b/cmd/tgentryd/link.c
@@ -19,32 +19,7 @@
 	workers_note_list(board, list, n);
 }
 
-static void serve_ping(struct tg_rpc_req *req, void *args, void *board)
-{
-	tg_member_serve_ping(((struct board *)board)->member, req, args);
-}
-
-static void serve_push(struct tg_rpc_req *req, void *args, void *board)
-{
-	tg_member_serve_doc_push(((struct board *)board)->member, req, args);
-}
-
-static void serve_pull(struct tg_rpc_req *req, void *args, void *board)
-{
-	tg_member_serve_doc_pull(((struct board *)board)->member, req, args);
-}
-
-static void serve_instances(struct tg_rpc_req *req, void *args, void *board)
-{
-	tg_member_serve_instance_list(((struct board *)board)->member, req,
-				      args);
-}
-
 static const tg_rpc_handler handlers[TG_RPC_N_PROCS] = {
-	[TG_RPC_PING] = serve_ping,
-	[TG_RPC_DOC_PUSH] = serve_push,
-	[TG_RPC_INSTANCE_LIST] = serve_instances,
-	[TG_RPC_DOC_PULL] = serve_pull,
 	[TG_RPC_REQUEST_FORWARD] = issued_serve_forward,
 	[TG_RPC_WORKER_NOTES] = notes_serve,
 };
@@ -101,6 +76,7 @@
 		.addr = b->set.rpc_addr,
 		.handlers = handlers,
 		.arg = b,
+		.common = tg_member_handlers,
 	};
 
 	make_clients(b);
@@ -108,6 +84,7 @@
 	member.rpc = b->rpc;
 	member.plat = b->plat;
 	b->member = tg_member_new(&member);
+	rpc.common_arg = b->member;
 	b->rpc_server = tg_rpc_server_new(&rpc);
 	if (!b->rpc_server)
 		return -1;
--- a/cmd/tgschedd/rpc.c
+++ b/cmd/tgschedd/rpc.c
@@ -244,39 +244,7 @@
 		reply(b, req, TG_RPC_OK, view_guarantees(b, args), "");
 }
 
-static void on_ping(struct tg_rpc_req *req, void *args, void *arg)
-{
-	struct board *b = arg;
-
-	tg_member_serve_ping(b->member, req, args);
-}
-
-static void on_push(struct tg_rpc_req *req, void *args, void *arg)
-{
-	struct board *b = arg;
-
-	tg_member_serve_doc_push(b->member, req, args);
-}
-
-static void on_pull(struct tg_rpc_req *req, void *args, void *arg)
-{
-	struct board *b = arg;
-
-	tg_member_serve_doc_pull(b->member, req, args);
-}
-
-static void on_instances(struct tg_rpc_req *req, void *args, void *arg)
-{
-	struct board *b = arg;
-
-	tg_member_serve_instance_list(b->member, req, args);
-}
-
 static const tg_rpc_handler handlers[TG_RPC_N_PROCS] = {
-	[TG_RPC_PING] = on_ping,
-	[TG_RPC_DOC_PUSH] = on_push,
-	[TG_RPC_INSTANCE_LIST] = on_instances,
-	[TG_RPC_DOC_PULL] = on_pull,
 	[TG_RPC_JOB_SUBMIT] = on_submit,
 	[TG_RPC_JOB_CANCEL] = on_cancel,
 	[TG_RPC_JOB_STATUS] = on_status,
@@ -313,6 +281,8 @@
 		.addr = b->opts->rpc_addr,
 		.handlers = handlers,
 		.arg = b,
+		.common = tg_member_handlers,
+		.common_arg = b->member,
 	};
 
 	b->http_server = tg_http_server_new(&http);
--- a/lib/member/document.c
+++ b/lib/member/document.c
@@ -279,9 +279,10 @@
 	return TG_RPC_OK;
 }
 
-void tg_member_serve_doc_push(struct tg_member *m, struct tg_rpc_req *req,
-			      const struct tg_rpc_doc *args)
+void member_serve_doc_push(struct tg_rpc_req *req, void *call, void *member)
 {
+	const struct tg_rpc_doc *args = call;
+	struct tg_member *m = member;
 	struct tg_rpc_doc_result res = { 0 };
 
 	if (args->generation <= m->refused_generation)
@@ -296,9 +297,10 @@
 	tg_rpc_reply(req, &res);
 }
 
-void tg_member_serve_doc_pull(struct tg_member *m, struct tg_rpc_req *req,
-			      const struct tg_rpc_generation *args)
+void member_serve_doc_pull(struct tg_rpc_req *req, void *call, void *member)
 {
+	const struct tg_rpc_generation *args = call;
+	struct tg_member *m = member;
 	struct tg_rpc_doc res = { .generation = held_generation(m) };
 
 	if (m->doc && m->doc->generation > args->generation) {
--- a/lib/member/list.c
+++ b/lib/member/list.c
@@ -326,9 +326,11 @@
 	};
 }
 
-void tg_member_serve_instance_list(struct tg_member *m, struct tg_rpc_req *req,
-				   const struct tg_rpc_instance_page *args)
+void member_serve_instance_list(struct tg_rpc_req *req, void *call,
+				void *member)
 {
+	const struct tg_rpc_instance_page *args = call;
+	struct tg_member *m = member;
 	struct tg_rpc_instance *page =
 		tg_xcalloc(TG_RPC_INSTANCES_MAX, sizeof(*page));
 	struct tg_rpc_instances res = { .status = TG_RPC_UNAVAILABLE };
--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -5,6 +5,13 @@
 
 #define TICK_MS 100
 
+const tg_rpc_handler tg_member_handlers[TG_RPC_N_PROCS] = {
+	[TG_RPC_PING] = member_serve_ping,
+	[TG_RPC_DOC_PUSH] = member_serve_doc_push,
+	[TG_RPC_DOC_PULL] = member_serve_doc_pull,
+	[TG_RPC_INSTANCE_LIST] = member_serve_instance_list,
+};
+
 const struct tg_event_info tg_member_events[] = {
 #define TG_EVENT TG_EVENT_INFO
 #include "member/events.def"
--- a/lib/member/member.h
+++ b/lib/member/member.h
@@ -223,17 +223,10 @@
 const struct tg_instance *tg_member_instances(const struct tg_member *m,
 					      size_t *n);
 
-/*
- * Handlers of PING, DOC_PUSH, DOC_PULL and INSTANCE_LIST.  A handler table gets
- * the argument of its server, so each daemon wraps these.
+/**
+ * tg_member_handlers - of PING, DOC_PUSH, DOC_PULL and INSTANCE_LIST, for the
+ * common handlers of a server; their argument is the view
  */
-void tg_member_serve_ping(struct tg_member *m, struct tg_rpc_req *req,
-			  const struct tg_rpc_peer *args);
-void tg_member_serve_doc_push(struct tg_member *m, struct tg_rpc_req *req,
-			      const struct tg_rpc_doc *args);
-void tg_member_serve_instance_list(struct tg_member *m, struct tg_rpc_req *req,
-				   const struct tg_rpc_instance_page *args);
-void tg_member_serve_doc_pull(struct tg_member *m, struct tg_rpc_req *req,
-			      const struct tg_rpc_generation *args);
+extern const tg_rpc_handler tg_member_handlers[TG_RPC_N_PROCS];
 
 #endif
--- a/lib/member/member_internal.h
+++ b/lib/member/member_internal.h
@@ -82,6 +82,12 @@
 void member_peers_tick(struct tg_member *m, int64_t now_ms);
 void member_fill_self(const struct tg_member *m, struct tg_rpc_peer *out);
 
+void member_serve_ping(struct tg_rpc_req *req, void *call, void *member);
+void member_serve_doc_push(struct tg_rpc_req *req, void *call, void *member);
+void member_serve_doc_pull(struct tg_rpc_req *req, void *call, void *member);
+void member_serve_instance_list(struct tg_rpc_req *req, void *call,
+				void *member);
+
 void member_doc_tick(struct tg_member *m, int64_t now_ms);
 /* member_doc_seen() - the peer at @addr holds @generation */
 void member_doc_seen(struct tg_member *m, const char *addr,
--- a/lib/member/peers.c
+++ b/lib/member/peers.c
@@ -298,12 +298,12 @@
 	return n;
 }
 
-void tg_member_serve_ping(struct tg_member *m, struct tg_rpc_req *req,
-			  const struct tg_rpc_peer *args)
+void member_serve_ping(struct tg_rpc_req *req, void *call, void *member)
 {
+	struct tg_member *m = member;
 	struct tg_rpc_peer self;
 
-	(void)args;
+	(void)call;
 	member_fill_self(m, &self);
 	tg_rpc_reply(req, &self);
 }
--- a/lib/oncrpc/oncrpc.h
+++ b/lib/oncrpc/oncrpc.h
@@ -48,17 +48,19 @@
 /**
  * struct tg_rpc_server_opts - options of a server
  * @addr: IP:PORT, port 0 for any; TCP and UDP use the same number
- * @handlers: by procedure number; NULL: PROC_UNAVAIL
+ * @handlers: by procedure number, called with @arg; may be NULL
+ * @common: of the procedures without a handler, called with @common_arg; may be
+ *	NULL.  A procedure in neither is refused with PROC_UNAVAIL.
  * @max_connections: further ones are closed at once; 0 for 256
  * @idle_ms: a connection without traffic is closed; 0 for 300,000
  */
 struct tg_rpc_server_opts {
 	struct event_base *base;
 	const char *addr;
-	const tg_rpc_handler *handlers;
+	const tg_rpc_handler *handlers, *common;
 	size_t max_connections;
 	int64_t idle_ms;
-	void *arg;
+	void *arg, *common_arg;
 };
 
 /** tg_rpc_server_new() - listen; NULL (logged) if the address can't be had */
--- a/lib/oncrpc/server.c
+++ b/lib/oncrpc/server.c
@@ -121,12 +121,25 @@
 	c->n_reqs++;
 }
 
+static tg_rpc_handler find_handler(const struct tg_rpc_server *s, uint32_t proc,
+				   void **arg)
+{
+	const struct tg_rpc_server_opts *o = &s->opts;
+
+	*arg = o->arg;
+	if (o->handlers && o->handlers[proc])
+		return o->handlers[proc];
+	*arg = o->common_arg;
+	return o->common ? o->common[proc] : NULL;
+}
+
 static enum rpc_decode decode(struct tg_rpc_server *s, const void *p, size_t n,
 			      struct rpc_call_msg *m)
 {
 	enum rpc_decode r = rpc_decode_call(p, n, m);
+	void *arg;
 
-	if (r == RPC_DECODED && m->proc && !s->opts.handlers[m->proc]) {
+	if (r == RPC_DECODED && m->proc && !find_handler(s, m->proc, &arg)) {
 		rpc_free_args(m->proc, m->args);
 		r = RPC_WRONG_PROC;
 	}
@@ -150,13 +163,16 @@
 
 static void dispatch(struct tg_rpc_req *req)
 {
-	struct tg_rpc_server *s = req->server;
+	tg_rpc_handler handler;
+	void *arg;
 
 	tg_counter("tg_rpc_calls_total", "RPC calls served.", NULL)->value++;
-	if (req->proc == TG_RPC_NULL)
+	if (req->proc == TG_RPC_NULL) {
 		tg_rpc_reply(req, NULL);
-	else
-		s->opts.handlers[req->proc](req, req->args, s->opts.arg);
+		return;
+	}
+	handler = find_handler(req->server, req->proc, &arg);
+	handler(req, req->args, arg);
 }
 
 /* Whether the connection may go on. */
