Find the operation that a worker refused in one place

The refusals of renew_all and of a task each read the place of a 400; the first kept the index of its operation in the message for that. Both ask find_refused_op() now, which requires the slash after the index as the first did.

--- a/cmd/tgschedd/answer.c
+++ b/cmd/tgschedd/answer.c
@@ -267,14 +267,18 @@
 	board_step_down(b, "worker", epoch);
 }
 
-/* Whether a batch was refused for its renewal of all leases. */
-static bool is_renewal_refused(const struct message *msg, const json_t *answer)
+/* Operation that made the worker refuse a batch, or NULL. */
+static const struct op *find_refused_op(const struct message *msg,
+					const json_t *answer)
 {
 	const char *place = json_string_value(json_object_get(answer, "place"));
-	char begin[32];
-	int n = snprintf(begin, sizeof(begin), "/ops/%zu/", msg->renew_all_at);
+	char slash;
+	size_t i;
 
-	return msg->renews_all && place && !strncmp(place, begin, (size_t)n);
+	if (!place || sscanf(place, "/ops/%zu%c", &i, &slash) != 2 ||
+	    slash != '/' || i >= msg->n)
+		return NULL;
+	return &msg->ops[i];
 }
 
 /* The leases must not expire for this, whatever the worker found wrong. */
@@ -288,48 +292,36 @@
 	worker_note_clock(w, answer);
 }
 
-/* Operation that made the worker refuse a batch, or NULL. */
-static struct op *find_refused_op(struct message *msg, const json_t *answer)
-{
-	const char *place = json_string_value(json_object_get(answer, "place"));
-	size_t i;
-
-	if (!place || sscanf(place, "/ops/%zu/", &i) != 1 || i >= msg->n)
-		return NULL;
-	return &msg->ops[i];
-}
-
 /*
  * A job's task is passed on as it was submitted, and nothing of the batch was
  * done.  Sent again as it is, it would keep all leases of the worker from being
  * renewed.
  */
-static bool refuse_task(struct message *msg, const json_t *answer)
+static void refuse_task(struct message *msg, const struct op *op,
+			const json_t *answer)
 {
 	const char *error = json_string_value(json_object_get(answer, "error"));
-	const struct op *op = find_refused_op(msg, answer);
 	struct worker *w = msg->worker;
 	struct member *m;
 
-	if (!op || op->kind != OP_RESERVE)
-		return false;
 	worker_note_clock(w, answer);
 	w->due = true;
 	m = message_find_member(msg->board, w, op->job, op->attempt, op->index);
 	if (!m || m->job->gang != GANG_RESERVING)
-		return true;
+		return;
 	m->failed = true;
 	m->state = M_GONE;
 	snprintf(m->job->reason, sizeof(m->job->reason),
 		 "worker %s refused the task as invalid: %.40s: %.40s", w->name,
 		 json_string_value(json_object_get(answer, "place")),
 		 error ? error : "-");
-	return true;
 }
 
 void message_refused(struct message *msg, int status, const json_t *answer)
 {
 	const char *error = json_string_value(json_object_get(answer, "error"));
+	const struct op *op =
+		status == 400 ? find_refused_op(msg, answer) : NULL;
 	struct worker *w = msg->worker;
 
 	if (status == 409 && error && !strcmp(error, "stale_epoch")) {
@@ -338,9 +330,11 @@
 		/* The inventory of the new boot shows that all is gone. */
 		w->installed = false;
 		w->next_ms = 0;
-	} else if (status == 400 && is_renewal_refused(msg, answer)) {
+	} else if (op && op->kind == OP_RENEW_ALL) {
 		on_unknown_renewal(w, answer);
-	} else if (status != 400 || !refuse_task(msg, answer)) {
+	} else if (op && op->kind == OP_RESERVE) {
+		refuse_task(msg, op, answer);
+	} else {
 		tg_log(EV_SCHED_BAD_ANSWER, "worker=%s status=%d error=%s",
 		       w->name, status, error ? error : "-");
 		w->next_ms = tg_now_ms() + msg->board->opts->renew_ms;
--- a/cmd/tgschedd/message_internal.h
+++ b/cmd/tgschedd/message_internal.h
@@ -26,7 +26,6 @@
 /**
  * struct message - message in flight
  * @renews_all: has a renew_all
- * @renew_all_at: its place in the ops
  * @ops: part of the same block, which is freed as a whole
  */
 struct message {
@@ -34,7 +33,6 @@
 	struct worker *worker;
 	uint64_t term;
 	bool renews_all;
-	size_t renew_all_at;
 	json_t *body;
 	struct op *ops;
 	size_t n;
--- a/cmd/tgschedd/renewal.c
+++ b/cmd/tgschedd/renewal.c
@@ -97,7 +97,6 @@
 	json_object_set_new(op, "count", json_integer(count));
 	json_object_set_new(op, "digest", json_string(digest));
 	msg->renews_all = true;
-	msg->renew_all_at = msg->n;
 	message_add_op(msg, OP_RENEW_ALL, op);
 }
 
