--- a/tests/unit/base/test-base.c
+++ b/tests/unit/base/test-base.c
@@ -1,8 +1,8 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/base.h"
+#include "../run.h"
 
 /* A wrong parse of a lapse instant would end a guarantee early or late. */
 START_TEST(utc_instants)
@@ -193,8 +193,6 @@
 {
 	Suite *s = suite_create("base");
 	TCase *t = tcase_create("base");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	tcase_add_test(t, utc_instants);
 	tcase_add_test(t, names_and_addresses);
@@ -204,8 +202,5 @@
 	tcase_add_test(t, metrics_bounded);
 	tcase_add_test(t, rendezvous_is_stable);
 	suite_add_tcase(s, t);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? 1 : 0;
+	return run_suite(s);
 }
--- a/tests/unit/console/test-console.c
+++ b/tests/unit/console/test-console.c
@@ -1,8 +1,8 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "../../../cmd/tgconsoled/board.h"
+#include "../run.h"
 
 #define ROUNDS 3000
 
@@ -314,8 +314,6 @@
 {
 	Suite *s = suite_create("console");
 	TCase *c = tcase_create("console");
-	SRunner *r;
-	int failed;
 
 	tcase_set_timeout(c, 120);
 	tcase_add_test(c, document_survives_the_form);
@@ -323,9 +321,5 @@
 	tcase_add_test(c, edits);
 	tcase_add_loop_test(c, fuzz_forms, 1, 5);
 	suite_add_tcase(s, c);
-	r = srunner_create(s);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? 1 : 0;
+	return run_suite(s);
 }
--- a/tests/unit/decide/test-decide.c
+++ b/tests/unit/decide/test-decide.c
@@ -1,9 +1,9 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "decide/decide.h"
 #include "property.h"
+#include "../run.h"
 
 #define ACTIONS 64
 
@@ -1072,8 +1072,6 @@
 {
 	Suite *s = suite_create("decide");
 	TCase *t = tcase_create("decide");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	tcase_add_test(t, lent_room_is_reclaimed);
 	tcase_add_test(t, firm_work_stays_off_the_plan);
@@ -1110,8 +1108,5 @@
 	tcase_add_test(t, order_of_adoption);
 	suite_add_tcase(s, t);
 	suite_add_tcase(s, property_tcase());
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? 1 : 0;
+	return run_suite(s);
 }
--- a/tests/unit/doc/test-doc.c
+++ b/tests/unit/doc/test-doc.c
@@ -1,9 +1,9 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "doc/doc.h"
 #include "http/http.h"
+#include "../run.h"
 
 #define WORKSPACE "{\"name\":\"courts\"}"
 #define SERVICE(members)                                           \
@@ -611,8 +611,6 @@
 {
 	Suite *s = suite_create("doc");
 	TCase *c = tcase_create("doc");
-	SRunner *r;
-	int failed;
 
 	tcase_set_timeout(c, 120);
 	tcase_add_test(c, reads_every_field);
@@ -628,9 +626,5 @@
 	tcase_add_loop_test(c, fuzz_bytes, 1, 6);
 	tcase_add_loop_test(c, fuzz_values, 1, 6);
 	suite_add_tcase(s, c);
-	r = srunner_create(s);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? 1 : 0;
+	return run_suite(s);
 }
--- a/tests/unit/entry/test-entry.c
+++ b/tests/unit/entry/test-entry.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -7,6 +6,7 @@
 #include "../../../cmd/tgentryd/limits.h"
 #include "../../../cmd/tgentryd/queue.h"
 #include "../../../cmd/tgentryd/route.h"
+#include "../run.h"
 
 struct entry {
 	struct queue_item item; /* first */
@@ -358,8 +358,6 @@
 {
 	Suite *s = suite_create("entry");
 	TCase *t = tcase_create("entry");
-	SRunner *r;
-	int failed;
 
 	tcase_add_test(t, queue_shares_by_cost);
 	tcase_add_test(t, queue_unpop_keeps_place_and_deficit);
@@ -375,9 +373,5 @@
 	tcase_add_test(t, choice_by_share);
 	tcase_add_test(t, keys);
 	suite_add_tcase(s, t);
-	r = srunner_create(s);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_suite(s);
 }
--- a/tests/unit/oncrpc/test-oncrpc.c
+++ b/tests/unit/oncrpc/test-oncrpc.c
@@ -1,9 +1,9 @@
 #include <arpa/inet.h>
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "oncrpc/codec.h"
+#include "../run.h"
 
 #define XID 0x12345678
 #define LAST_FRAGMENT 0x80000000U
@@ -449,8 +449,6 @@
 {
 	Suite *s = suite_create("oncrpc");
 	TCase *c = tcase_create("oncrpc");
-	SRunner *r;
-	int failed;
 
 	tcase_set_timeout(c, 120);
 	tcase_add_loop_test(c, calls_round_trip, 0, TG_RPC_N_PROCS);
@@ -468,9 +466,5 @@
 	tcase_add_loop_test(c, fuzz_results, 1, 6);
 	tcase_add_loop_test(c, fuzz_stream, 1, 6);
 	suite_add_tcase(s, c);
-	r = srunner_create(s);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? 1 : 0;
+	return run_suite(s);
 }
--- a/tests/unit/sched/test-sched.c
+++ b/tests/unit/sched/test-sched.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -7,6 +6,7 @@
 #include "../../../cmd/tgschedd/lease.h"
 #include "../../../cmd/tgschedd/outage.h"
 #include "../../../cmd/tgschedd/spec.h"
+#include "../run.h"
 
 /* A lease counted as expired too early lets two attempts run at one time. */
 START_TEST(lease_arithmetic)
@@ -434,8 +434,6 @@
 {
 	Suite *s = suite_create("sched");
 	TCase *t = tcase_create("all");
-	SRunner *r;
-	int failed;
 
 	tcase_add_test(t, lease_arithmetic);
 	tcase_add_test(t, lease_never_outlives_belief);
@@ -446,9 +444,5 @@
 	tcase_add_test(t, spec_faults);
 	tcase_add_test(t, spec_defaults);
 	suite_add_tcase(s, t);
-	r = srunner_create(s);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_suite(s);
 }
