--- a/tests/fault/az-cut.sh
+++ b/tests/fault/az-cut.sh
@@ -118,9 +118,6 @@
 await "jobs in b" submits e-b b
 await "jobs in c" submits e-c c
 await "the first job of c" job_is e-c first-c done
-may_renew() {
-	[ "$(metric "$1" tg_sched_may_renew_in_outage)" = 1 ]
-}
 for x in s-a s-c; do
 	await "that $x may renew in an outage" may_renew $x
 done
--- a/tests/fault/run/processes.sh
+++ b/tests/fault/run/processes.sh
@@ -111,10 +111,6 @@
 		jq -e '(.unreachable // []) == []'
 }
 
-may_renew() {
-	[ "$(metric "$1" tg_sched_may_renew_in_outage)" = 1 ]
-}
-
 bring_up() {
 	start platform platformd --log-level=warn
 	echo operator-key-0123456789 >"$tmp/key"
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -120,6 +120,11 @@
 		awk -v s="$2" '$1 == s { v = $2 } END { print v + 0 }'
 }
 
+# may_renew SCHED: it renews in an outage, since it read the row when listed
+may_renew() {
+	[ "$(metric "$1" tg_sched_may_renew_in_outage)" = 1 ]
+}
+
 # call LABEL FILTER CURL-ARGUMENT...: prints LABEL, status, Tg-Outcome and the
 # body through the jq filter; the headers are in $tmp/LABEL.head
 call() {
