--- a/cmd/tgburn/burn.c
+++ b/cmd/tgburn/burn.c
@@ -6,11 +6,8 @@
 
 #define TARGETS_MAX 1024
 
-#define SETTING(flag, type, def, min, max, help, field)   \
-	{                                                 \
-		flag, type, def, min, max, false, help,   \
-			offsetof(struct burn_opts, field) \
-	}
+#define SETTING(flag, type, def, min, max, help, field) \
+	TG_SETTING(burn_opts, flag, type, def, min, max, false, help, field)
 
 static const struct tg_setting settings[] = {
 	SETTING("platform", TG_SET_ADDR, NULL, 0, 0,
--- a/cmd/tgctl/main.c
+++ b/cmd/tgctl/main.c
@@ -8,11 +8,8 @@
 #define PROG "tgctl"
 #define KEY_BYTES_MAX 256
 
-#define SETTING(flag, type, def, min, max, help, field)  \
-	{                                                \
-		flag, type, def, min, max, false, help,  \
-			offsetof(struct ctl_opts, field) \
-	}
+#define SETTING(flag, type, def, min, max, help, field) \
+	TG_SETTING(ctl_opts, flag, type, def, min, max, false, help, field)
 
 static const struct tg_setting settings[] = {
 	SETTING("entry", TG_SET_ADDR, NULL, 0, 0,
--- a/cmd/tgplace/main.c
+++ b/cmd/tgplace/main.c
@@ -4,21 +4,22 @@
 #include "place.h"
 
 static const struct tg_setting settings[] = {
-	{ "fleet", TG_SET_STRING, NULL, 0, 0, true, "fleet CSV file",
-	  offsetof(struct options, fleet) },
-	{ "jobs", TG_SET_STRING, NULL, 0, 0, true, "jobs CSV file",
-	  offsetof(struct options, jobs) },
-	{ "policy", TG_SET_STRING, "completion", 0, 0, true,
-	  "name of the policy", offsetof(struct options, policy) },
-	{ "guarantees", TG_SET_STRING, NULL, 0, 0, false, "guarantees CSV file",
-	  offsetof(struct options, guarantees) },
-	{ "faults", TG_SET_STRING, NULL, 0, 0, false, "faults CSV file",
-	  offsetof(struct options, faults) },
-	{ "seed", TG_SET_INT, "1", 0, INT64_MAX, false,
-	  "seed of the failures of tasks", offsetof(struct options, seed) },
-	{ "details", TG_SET_BOOL, "false", 0, 0, false,
-	  "also print bounds of fragmentation and waits of urgent jobs",
-	  offsetof(struct options, details) },
+	TG_SETTING(options, "fleet", TG_SET_STRING, NULL, 0, 0, true,
+		   "fleet CSV file", fleet),
+	TG_SETTING(options, "jobs", TG_SET_STRING, NULL, 0, 0, true,
+		   "jobs CSV file", jobs),
+	TG_SETTING(options, "policy", TG_SET_STRING, "completion", 0, 0, true,
+		   "name of the policy", policy),
+	TG_SETTING(options, "guarantees", TG_SET_STRING, NULL, 0, 0, false,
+		   "guarantees CSV file", guarantees),
+	TG_SETTING(options, "faults", TG_SET_STRING, NULL, 0, 0, false,
+		   "faults CSV file", faults),
+	TG_SETTING(options, "seed", TG_SET_INT, "1", 0, INT64_MAX, false,
+		   "seed of the failures of tasks", seed),
+	TG_SETTING(
+		options, "details", TG_SET_BOOL, "false", 0, 0, false,
+		"also print bounds of fragmentation and waits of urgent jobs",
+		details),
 	{ 0 },
 };
 
--- a/tests/fault/check/main.c
+++ b/tests/fault/check/main.c
@@ -5,16 +5,16 @@
 #define PROG "faultcheck"
 
 static const struct tg_setting settings[] = {
-	{ "history", TG_SET_STRING, NULL, 0, 0, true, "file of JSON lines",
-	  offsetof(struct check, history) },
-	{ "lease-ms", TG_SET_INT, "4000", 1, 1000000, false,
-	  "length of a task lease", offsetof(struct check, lease_ms) },
-	{ "gang-margin-ms", TG_SET_INT, "2100", 0, 1000000, false,
-	  "what a part of a gang may run beyond a lease",
-	  offsetof(struct check, gang_margin_ms) },
-	{ "drain-grace-ms", TG_SET_INT, "600", 0, 1000000, false,
-	  "how long daemons listen after SIGTERM",
-	  offsetof(struct check, drain_grace_ms) },
+	TG_SETTING(check, "history", TG_SET_STRING, NULL, 0, 0, true,
+		   "file of JSON lines", history),
+	TG_SETTING(check, "lease-ms", TG_SET_INT, "4000", 1, 1000000, false,
+		   "length of a task lease", lease_ms),
+	TG_SETTING(check, "gang-margin-ms", TG_SET_INT, "2100", 0, 1000000,
+		   false, "what a part of a gang may run beyond a lease",
+		   gang_margin_ms),
+	TG_SETTING(check, "drain-grace-ms", TG_SET_INT, "600", 0, 1000000,
+		   false, "how long daemons listen after SIGTERM",
+		   drain_grace_ms),
 	{ 0 },
 };
 
--- a/tests/fault/steps/main.c
+++ b/tests/fault/steps/main.c
@@ -35,17 +35,16 @@
 };
 
 static const struct tg_setting settings[] = {
-	{ "seed", TG_SET_INT, "1", 0, INT64_MAX / 2, false, "seed",
-	  offsetof(struct opts, seed) },
-	{ "steps", TG_SET_INT, "40", 1, 100000, false, "number of steps",
-	  offsetof(struct opts, steps) },
-	{ "fault-max-ms", TG_SET_INT, "7000", AIMED_MIN_MS + 1, 600000, false,
-	  "longest fault, in ms", offsetof(struct opts, fault_max_ms) },
-	{ "run-max-ms", TG_SET_INT, "6000", 1, 600000, false,
-	  "longest run time of a job, in ms",
-	  offsetof(struct opts, run_max_ms) },
-	{ "now", TG_SET_BOOL, NULL, 0, 0, false,
-	  "print the monotonic clock in ms", offsetof(struct opts, now) },
+	TG_SETTING(opts, "seed", TG_SET_INT, "1", 0, INT64_MAX / 2, false,
+		   "seed", seed),
+	TG_SETTING(opts, "steps", TG_SET_INT, "40", 1, 100000, false,
+		   "number of steps", steps),
+	TG_SETTING(opts, "fault-max-ms", TG_SET_INT, "7000", AIMED_MIN_MS + 1,
+		   600000, false, "longest fault, in ms", fault_max_ms),
+	TG_SETTING(opts, "run-max-ms", TG_SET_INT, "6000", 1, 600000, false,
+		   "longest run time of a job, in ms", run_max_ms),
+	TG_SETTING(opts, "now", TG_SET_BOOL, NULL, 0, 0, false,
+		   "print the monotonic clock in ms", now),
 	{ 0 },
 };
 
--- a/tests/load/main.c
+++ b/tests/load/main.c
@@ -8,15 +8,12 @@
 #define PROG "tgload"
 
 #define SETTING(flag, type, def, min, max, help, field) \
-	{                                               \
-		flag, type, def, min, max, false, help, \
-			offsetof(struct opts, field)    \
-	}
+	TG_SETTING(opts, flag, type, def, min, max, false, help, field)
 
 static const struct tg_setting settings[] = {
-	{ "target", TG_SET_ADDR, NULL, 0, 0, true,
-	  "entry daemon, or backend server with --mode direct",
-	  offsetof(struct opts, target) },
+	TG_SETTING(opts, "target", TG_SET_ADDR, NULL, 0, 0, true,
+		   "entry daemon, or backend server with --mode direct",
+		   target),
 	SETTING("mode", TG_SET_STRING, "requests", 0, 0,
 		"requests, direct or jobs", mode),
 	SETTING("service", TG_SET_NAME, "responder", 0, 0, "service", service),
--- a/tests/standin/workerd/main.c
+++ b/tests/standin/workerd/main.c
@@ -17,10 +17,7 @@
 };
 
 #define SETTING(flag, type, def, min, max, help, field) \
-	{                                               \
-		flag, type, def, min, max, false, help, \
-			offsetof(struct opts, field)    \
-	}
+	TG_SETTING(opts, flag, type, def, min, max, false, help, field)
 
 static const struct tg_setting settings[] = {
 	SETTING("http-addr", TG_SET_ADDR, "127.0.0.1:0", 0, 0,
--- a/tests/unit/plat/plat-driver.c
+++ b/tests/unit/plat/plat-driver.c
@@ -407,11 +407,8 @@
 	exit(1);
 }
 
-#define SETTING(flag, type, def, max, help, field)    \
-	{                                             \
-		flag, type, def, 0, max, false, help, \
-			offsetof(struct opts, field)  \
-	}
+#define SETTING(flag, type, def, max, help, field) \
+	TG_SETTING(opts, flag, type, def, 0, max, false, help, field)
 
 static const struct tg_setting settings[] = {
 	SETTING("platform", TG_SET_ADDR, NULL, 0, "address of platformd",
