Add an engine for jobs of dependent steps

The product lacked jobs of several steps, occurrences at times, labels, checkpoints handed on, limits of attempts and priorities that preempt. lib/flow holds jobs, workers and runs, and decides starts and stops, without I/O and without a clock.

--- /dev/null
+++ b/lib/flow/flow_internal.h
@@ -0,0 +1,162 @@
+#ifndef TG_FLOW_INTERNAL_H
+#define TG_FLOW_INTERNAL_H
+
+#include <uthash.h>
+
+#include "flow/flow.h"
+
+enum run_state {
+	RUN_STARTING, /* ordered, no answer yet */
+	RUN_UNSURE, /* the start had no answer; its list tells */
+	RUN_ACTIVE,
+	RUN_STOPPING, /* a stop was ordered; room is taken until it ended */
+};
+
+/** struct run - a task on a worker; takes room there */
+struct run {
+	struct job *job;
+	struct inst *inst;
+	int32_t index, run;
+	struct worker *worker;
+	enum run_state state;
+	bool refused_later; /* a stop was answered */
+	bool resend_stop; /* the stop had no answer */
+	bool victim; /* is to be stopped for another job */
+	bool victim_kept; /* the search that chose it has succeeded */
+	int32_t percent;
+	int64_t since_ms, listed_ms, unsure_ms;
+	struct run *prev, *next; /* of the worker */
+};
+
+struct task {
+	bool done;
+	int32_t failures;
+	int32_t failed_run; /* last one counted as a failure */
+	int32_t last_run;
+	char saved[FLOW_SAVED_LEN + 1];
+	struct worker *failed_on;
+	struct run *run;
+};
+
+/** struct inst - a step of one occurrence */
+struct inst {
+	int32_t occurrence, step;
+	int32_t n_done, n_runs;
+	int32_t failed_gang_run; /* last one counted as a failure */
+	int32_t gang_failures;
+	struct task *tasks;
+};
+
+struct job {
+	char id[FLOW_JOB_LEN + 1];
+	char queue[TG_NAME_MAX + 1], workspace[TG_NAME_MAX + 1];
+	struct flow_spec *spec;
+	struct inst *insts; /* occurrence x steps + step */
+	int32_t n_insts, n_insts_done;
+	enum flow_state state;
+	bool cancelled, recovered, begun, dirty, writing, durable;
+	int64_t accepted_ms;
+	int64_t n_runs, runs_total, failures;
+	struct queue *q; /* of this round */
+	int32_t rank; /* see order.c */
+	bool hopeless; /* can't end while it is still of use */
+	int64_t due_ms;
+	UT_hash_handle hh;
+};
+
+struct worker {
+	char id[TG_NAME_MAX + 1], service[TG_NAME_MAX + 1];
+	char az[TG_NAME_MAX + 1], rack[TG_NAME_MAX + 1];
+	char labels[8][TG_NAME_MAX + 1];
+	int32_t n_labels;
+	struct flow_shape capacity, used, stopping, reserved;
+	bool present, listed, suspect, draining;
+	int64_t remaining_ms;
+	/* health */
+	int32_t failures_in_row;
+	char failed_job[FLOW_JOB_LEN + 1];
+	int64_t quarantined_until_ms;
+	int32_t quarantines;
+	struct run *runs;
+	UT_hash_handle hh;
+};
+
+struct queue {
+	char name[TG_NAME_MAX + 1], service[TG_NAME_MAX + 1];
+	int32_t priority, max_attempts;
+	double stretch;
+	int64_t target_ms;
+	UT_hash_handle hh;
+};
+
+struct quota {
+	char workspace[TG_NAME_MAX + 1];
+	int32_t guaranteed;
+	UT_hash_handle hh;
+};
+
+struct flow {
+	struct flow_opts opts;
+	struct job *jobs;
+	struct worker *workers;
+	struct queue *queues;
+	struct quota *quotas;
+	bool recovering;
+};
+
+/* jobs.c */
+struct job *flow_job(const struct flow *f, const char *id);
+struct inst *flow_inst(struct job *j, int32_t occurrence, int32_t step);
+const struct flow_step *flow_step_of(const struct job *j,
+				     const struct inst *in);
+bool flow_is_over(const struct job *j);
+void flow_touch(struct job *j);
+/** flow_task_done() - record it, and the end of the job if it was the last */
+void flow_task_done(struct job *j, struct inst *in, int32_t index);
+/** flow_is_ready() - whether the steps before have ended and its time is come
+ */
+bool flow_is_ready(const struct flow *f, struct job *j, const struct inst *in,
+		   int64_t wall_ms);
+
+/* workers.c */
+struct worker *flow_worker(const struct flow *f, const char *id);
+bool flow_worker_ready(const struct worker *w, int64_t now_ms);
+bool flow_fits(const struct flow_shape *need, const struct flow_shape *have);
+void flow_shape_add(struct flow_shape *to, const struct flow_shape *s,
+		    int32_t sign);
+/** flow_room() - what a task of @st takes on a worker */
+struct flow_shape flow_room(const struct flow_step *st);
+void flow_worker_succeeded(struct worker *w);
+void flow_worker_failed(struct flow *f, struct worker *w, const char *job,
+			int64_t now_ms);
+
+/* runs.c */
+struct run *flow_run_new(struct job *j, struct inst *in, int32_t index,
+			 struct worker *w, int32_t run, int64_t now_ms);
+void flow_run_free(struct run *r);
+void flow_run_stop(struct run *r);
+/** flow_run_over() - a run ended; counts, frees its room */
+void flow_run_over(struct flow *f, struct run *r, enum flow_how how,
+		   const char *saved, int64_t now_ms);
+
+/* order.c */
+/** flow_order() - open jobs of known queues, most urgent first, to be freed */
+size_t flow_order(struct flow *f, int64_t now_ms, struct job ***out);
+/** flow_may_preempt() - whether runs of a greater rank may be stopped for it */
+bool flow_may_preempt(const struct job *j);
+
+/* place.c */
+/**
+ * flow_place() - workers for tasks of a step
+ * @want: number of tasks
+ * @preempt: runs of a lower priority may be marked as victims
+ * @out: a worker for each task that was placed
+ * @wait: set if some of them have to wait for room to become free
+ *
+ * Return: number of tasks placed; for a gang all or none.
+ */
+int32_t flow_place(struct flow *f, struct job *j, struct inst *in, int32_t want,
+		   bool preempt, struct worker **out, bool *wait,
+		   int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/lib/flow/jobs.c
@@ -0,0 +1,300 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "flow/flow_internal.h"
+
+const char *flow_state_name(enum flow_state s)
+{
+	static const char *const names[] = {
+		[FLOW_QUEUED] = "queued",	[FLOW_RUNNING] = "running",
+		[FLOW_COMPLETED] = "completed", [FLOW_FAILED] = "failed",
+		[FLOW_CANCELLED] = "cancelled",
+	};
+
+	return names[s];
+}
+
+struct flow *flow_new(const struct flow_opts *opts)
+{
+	struct flow *f = tg_xcalloc(1, sizeof(*f));
+
+	f->opts = *opts;
+	return f;
+}
+
+struct job *flow_job(const struct flow *f, const char *id)
+{
+	struct job *j;
+
+	HASH_FIND_STR(f->jobs, id, j);
+	return j;
+}
+
+struct inst *flow_inst(struct job *j, int32_t occurrence, int32_t step)
+{
+	if (step < 0 || step >= j->spec->n_steps || occurrence < 0 ||
+	    occurrence >= flow_spec_occurrences(j->spec))
+		return NULL;
+	return &j->insts[occurrence * j->spec->n_steps + step];
+}
+
+const struct flow_step *flow_step_of(const struct job *j, const struct inst *in)
+{
+	return &j->spec->steps[in->step];
+}
+
+bool flow_is_over(const struct job *j)
+{
+	return j->state >= FLOW_COMPLETED;
+}
+
+void flow_touch(struct job *j)
+{
+	j->dirty = true;
+	j->durable = false;
+}
+
+bool flow_add_job(struct flow *f, const struct flow_job_opts *o)
+{
+	struct job *j = flow_job(f, o->id);
+	int32_t i;
+
+	if (j) {
+		flow_spec_free(o->spec);
+		return false;
+	}
+	j = tg_xcalloc(1, sizeof(*j));
+	tg_strlcpy(j->id, o->id, sizeof(j->id));
+	tg_strlcpy(j->queue, o->queue, sizeof(j->queue));
+	tg_strlcpy(j->workspace, o->workspace ? o->workspace : "",
+		   sizeof(j->workspace));
+	j->spec = o->spec;
+	j->accepted_ms = o->accepted_ms;
+	j->recovered = o->recovered;
+	j->durable = true;
+	j->n_insts = j->spec->n_steps * flow_spec_occurrences(j->spec);
+	j->insts = tg_xcalloc((size_t)j->n_insts, sizeof(*j->insts));
+	for (i = 0; i < j->n_insts; i++) {
+		struct inst *in = &j->insts[i];
+
+		in->occurrence = i / j->spec->n_steps;
+		in->step = i % j->spec->n_steps;
+		in->tasks = tg_xcalloc((size_t)flow_step_of(j, in)->tasks,
+				       sizeof(*in->tasks));
+	}
+	HASH_ADD_STR(f->jobs, id, j);
+	return true;
+}
+
+bool flow_has_job(const struct flow *f, const char *id)
+{
+	return flow_job(f, id) != NULL;
+}
+
+static void free_job(struct job *j)
+{
+	int32_t i;
+
+	for (i = 0; i < j->n_insts; i++)
+		free(j->insts[i].tasks);
+	free(j->insts);
+	flow_spec_free(j->spec);
+	free(j);
+}
+
+bool flow_remove_job(struct flow *f, const char *id)
+{
+	struct job *j = flow_job(f, id);
+
+	if (!j || !flow_is_over(j) || j->n_runs)
+		return false;
+	HASH_DEL(f->jobs, j);
+	free_job(j);
+	return true;
+}
+
+bool flow_cancel(struct flow *f, const char *id, int64_t now_ms)
+{
+	struct job *j = flow_job(f, id);
+
+	(void)now_ms;
+	if (!j)
+		return false;
+	if (flow_is_over(j))
+		return true;
+	j->cancelled = true;
+	j->state = FLOW_CANCELLED;
+	flow_touch(j);
+	return true;
+}
+
+void flow_task_done(struct job *j, struct inst *in, int32_t index)
+{
+	struct task *t = &in->tasks[index];
+	const struct flow_step *st = flow_step_of(j, in);
+
+	if (t->done)
+		return;
+	t->done = true;
+	in->n_done++;
+	if (in->n_done < st->tasks)
+		return;
+	j->n_insts_done++;
+	if (j->n_insts_done == j->n_insts && !flow_is_over(j))
+		j->state = FLOW_COMPLETED;
+}
+
+bool flow_is_ready(const struct flow *f, struct job *j, const struct inst *in,
+		   int64_t wall_ms)
+{
+	const struct flow_step *st = flow_step_of(j, in);
+	int32_t k;
+
+	if (j->spec->times > 0 &&
+	    wall_ms + f->opts.early_ms < j->spec->first_wall_ms +
+			    in->occurrence * j->spec->interval_ms)
+		return false;
+	for (k = 0; k < st->n_after; k++) {
+		const struct inst *p =
+			flow_inst(j, in->occurrence, st->after[k]);
+
+		if (!p || p->n_done < flow_step_of(j, p)->tasks)
+			return false;
+	}
+	return true;
+}
+
+void flow_recovered(struct flow *f)
+{
+	struct job *j, *tmp;
+
+	HASH_ITER(hh, f->jobs, j, tmp)
+		j->recovered = false;
+}
+
+bool flow_view(const struct flow *f, const char *id, struct flow_view *v)
+{
+	struct job *j = flow_job(f, id);
+	int32_t i;
+
+	if (!j)
+		return false;
+	memset(v, 0, sizeof(*v));
+	v->state = j->state;
+	if (j->state == FLOW_QUEUED && j->begun)
+		v->state = FLOW_RUNNING;
+	v->durable = j->durable;
+	v->begun = j->begun;
+	v->runs = j->runs_total;
+	v->failures = j->failures;
+	for (i = 0; i < j->n_insts; i++) {
+		v->tasks += flow_step_of(j, &j->insts[i])->tasks;
+		v->done += j->insts[i].n_done;
+	}
+	return true;
+}
+
+int64_t flow_waiting(const struct flow *f, const char *queue)
+{
+	struct job *j, *tmp;
+	int64_t n = 0;
+
+	HASH_ITER(hh, f->jobs, j, tmp)
+		n += !j->begun && !flow_is_over(j) && !j->spec->times &&
+			!strcmp(j->queue, queue);
+	return n;
+}
+
+void flow_set_queues(struct flow *f, const struct flow_queue *q, size_t n)
+{
+	struct queue *old, *tmp;
+	size_t i;
+
+	HASH_ITER(hh, f->queues, old, tmp) {
+		HASH_DEL(f->queues, old);
+		free(old);
+	}
+	for (i = 0; i < n; i++) {
+		struct queue *e = tg_xcalloc(1, sizeof(*e));
+
+		tg_strlcpy(e->name, q[i].name, sizeof(e->name));
+		tg_strlcpy(e->service, q[i].service, sizeof(e->service));
+		e->priority = q[i].priority;
+		e->max_attempts = q[i].max_attempts;
+		e->stretch = q[i].stretch;
+		e->target_ms = q[i].target_ms;
+		HASH_ADD_STR(f->queues, name, e);
+	}
+}
+
+void flow_set_quotas(struct flow *f, const struct flow_quota *q, size_t n)
+{
+	struct quota *old, *tmp;
+	size_t i;
+
+	HASH_ITER(hh, f->quotas, old, tmp) {
+		HASH_DEL(f->quotas, old);
+		free(old);
+	}
+	for (i = 0; i < n; i++) {
+		struct quota *e = tg_xcalloc(1, sizeof(*e));
+
+		tg_strlcpy(e->workspace, q[i].workspace, sizeof(e->workspace));
+		e->guaranteed = q[i].guaranteed;
+		HASH_ADD_STR(f->quotas, workspace, e);
+	}
+}
+
+void flow_free(struct flow *f)
+{
+	struct job *j, *jt;
+	struct worker *w, *wt;
+
+	if (!f)
+		return;
+	flow_set_queues(f, NULL, 0);
+	flow_set_quotas(f, NULL, 0);
+	HASH_ITER(hh, f->workers, w, wt) {
+		while (w->runs)
+			flow_run_free(w->runs);
+		HASH_DEL(f->workers, w);
+		free(w);
+	}
+	HASH_ITER(hh, f->jobs, j, jt) {
+		HASH_DEL(f->jobs, j);
+		free_job(j);
+	}
+	free(f);
+}
+
+void flow_stats(const struct flow *f, struct flow_stats *out)
+{
+	struct job *j, *jt;
+	struct worker *w, *wt;
+	struct run *r;
+	int32_t i;
+
+	memset(out, 0, sizeof(*out));
+	HASH_ITER(hh, f->jobs, j, jt) {
+		out->jobs++;
+		if (flow_is_over(j))
+			continue;
+		out->open_jobs++;
+		for (i = 0; i < j->n_insts; i++)
+			out->waiting_tasks +=
+				flow_step_of(j, &j->insts[i])->tasks -
+				j->insts[i].n_done - j->insts[i].n_runs;
+	}
+	HASH_ITER(hh, f->workers, w, wt) {
+		out->workers++;
+		out->ready_workers += w->present && w->listed && !w->suspect;
+		out->quarantined += w->quarantined_until_ms > 0;
+		out->free_accelerators +=
+			w->capacity.accelerators - w->used.accelerators;
+		for (r = w->runs; r; r = r->next) {
+			out->runs++;
+			out->stopping += r->state == RUN_STOPPING;
+			out->unsure += r->state == RUN_UNSURE;
+		}
+	}
+}
--- /dev/null
+++ b/lib/flow/place.c
@@ -0,0 +1,377 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "flow/flow_internal.h"
+
+/*
+ * Placement by best fit, a gang whole or not at all.  Load it answers: gangs of
+ * tasks with all accelerators of a worker beside many tasks with one.
+ */
+
+/* What counts as room, in the order in which it is tried. */
+enum room_kind {
+	ROOM_FREE, /* now */
+	ROOM_STOPPING, /* when the runs that are being stopped have ended */
+	ROOM_VICTIMS, /* after stopping runs of lower rank */
+};
+
+struct search {
+	struct flow *f;
+	struct job *job;
+	struct inst *inst;
+	const struct flow_step *step;
+	struct flow_shape need;
+	int64_t now_ms;
+	enum room_kind kind;
+	const char *rack; /* only workers of this one, if not NULL */
+};
+
+static struct flow_shape room_of(const struct worker *w, enum room_kind kind)
+{
+	struct flow_shape s = w->capacity;
+
+	flow_shape_add(&s, &w->used, -1);
+	flow_shape_add(&s, &w->reserved, -1);
+	if (kind != ROOM_FREE)
+		flow_shape_add(&s, &w->stopping, 1);
+	return s;
+}
+
+static bool has_label(const struct worker *w, const char *label)
+{
+	int32_t i;
+
+	for (i = 0; i < w->n_labels; i++)
+		if (!strcmp(w->labels[i], label))
+			return true;
+	return false;
+}
+
+static bool eligible(const struct search *s, const struct worker *w)
+{
+	if (!flow_worker_ready(w, s->now_ms) ||
+	    strcmp(w->service, s->job->q->service) != 0)
+		return false;
+	if (s->rack && strcmp(w->rack, s->rack) != 0)
+		return false;
+	return !*s->step->label || has_label(w, s->step->label);
+}
+
+static int32_t on_worker(const struct search *s, const struct worker *w,
+			 struct worker *const *out, int32_t n)
+{
+	const struct run *r;
+	int32_t i, count = 0;
+
+	for (r = w->runs; r; r = r->next)
+		count += r->inst == s->inst;
+	for (i = 0; i < n; i++)
+		count += out[i] == w;
+	return count;
+}
+
+static bool apart_enough(const struct search *s, const struct worker *w,
+			 struct worker *const *out, int32_t n)
+{
+	return !s->step->per_worker_max ||
+		on_worker(s, w, out, n) < s->step->per_worker_max;
+}
+
+/* Work that is lost if @r is stopped now, in accelerator-milliseconds. */
+static int64_t lost_work(const struct search *s, const struct run *r)
+{
+	const struct flow_step *st = flow_step_of(r->job, r->inst);
+	int64_t weight = st->shape.accelerators + 1;
+	int64_t ran_ms = s->now_ms - r->since_ms;
+
+	if (st->gang)
+		weight *= st->tasks;
+	/* A checkpoint keeps most of it; stopping has a cost of its own. */
+	return weight * (st->checkpoints ? ran_ms / 8 + 200 : ran_ms + 500);
+}
+
+static bool may_stop(const struct search *s, const struct run *r)
+{
+	if (r->state == RUN_STOPPING || r->victim || !r->job->q)
+		return false;
+	return r->job->rank > s->job->rank;
+}
+
+/* Marks the cheapest runs of @w whose end makes room; the cost, or -1. */
+static int64_t choose_victims(const struct search *s, struct worker *w,
+			      bool mark)
+{
+	struct flow_shape room = room_of(w, ROOM_STOPPING);
+	struct run *chosen[64];
+	int64_t cost = 0;
+	int32_t n = 0, i;
+
+	while (!flow_fits(&s->need, &room)) {
+		struct run *r, *best = NULL;
+		struct flow_shape freed;
+
+		for (r = w->runs; r; r = r->next)
+			if (may_stop(s, r) &&
+			    (!best || r->job->rank > best->job->rank ||
+			     (r->job->rank == best->job->rank &&
+			      lost_work(s, r) < lost_work(s, best))))
+				best = r;
+		if (!best || n == ARRAY_SIZE(chosen)) {
+			cost = -1;
+			break;
+		}
+		freed = flow_room(flow_step_of(best->job, best->inst));
+		flow_shape_add(&room, &freed, 1);
+		cost += lost_work(s, best);
+		best->victim = true;
+		chosen[n++] = best;
+	}
+	for (i = 0; i < n; i++) {
+		struct flow_shape freed = flow_room(
+			flow_step_of(chosen[i]->job, chosen[i]->inst));
+
+		chosen[i]->victim = mark && cost >= 0;
+		if (chosen[i]->victim)
+			flow_shape_add(&w->reserved, &freed, -1);
+	}
+	return cost;
+}
+
+/* Lower is better: a tight fit, near the data, on a worker of good record. */
+static int64_t misfit(const struct search *s, const struct worker *w,
+		      const struct flow_shape *room, const struct task *t)
+{
+	int64_t cost = (room->accelerators - s->need.accelerators) * 1000000;
+
+	cost += (room->cpu_millicores - s->need.cpu_millicores) / 10;
+	cost += (room->memory_mb - s->need.memory_mb) / 100;
+	if (*s->step->data_rack && strcmp(w->rack, s->step->data_rack) != 0)
+		cost += 1000000000;
+	if (t->failed_on == w)
+		cost += 500000000;
+	return cost + w->failures_in_row * 20000000LL;
+}
+
+static struct worker *best_worker(const struct search *s, const struct task *t,
+				  struct worker *const *out, int32_t n)
+{
+	struct worker *w, *best = NULL;
+	int64_t best_cost = 0;
+
+	for (w = s->f->workers; w; w = w->hh.next) {
+		struct flow_shape room;
+		int64_t cost;
+
+		if (!eligible(s, w) || !apart_enough(s, w, out, n))
+			continue;
+		if (s->kind == ROOM_VICTIMS) {
+			if (!flow_fits(&s->need, &w->capacity))
+				continue;
+			cost = choose_victims(s, w, false);
+			if (cost < 0)
+				continue;
+		} else {
+			room = room_of(w, s->kind);
+			if (!flow_fits(&s->need, &room))
+				continue;
+			cost = misfit(s, w, &room, t);
+		}
+		if (!best || cost < best_cost) {
+			best = w;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+/* Workers for up to @want tasks, their room reserved. */
+static int32_t fill(const struct search *s, int32_t want, struct worker **out)
+{
+	int32_t n = 0, index = 0;
+
+	while (n < want) {
+		struct task *t;
+		struct worker *w;
+
+		while (s->inst->tasks[index].done || s->inst->tasks[index].run)
+			index++;
+		t = &s->inst->tasks[index++];
+		w = best_worker(s, t, out, n);
+		if (!w)
+			break;
+		if (s->kind == ROOM_VICTIMS)
+			choose_victims(s, w, true);
+		flow_shape_add(&w->reserved, &s->need, 1);
+		out[n++] = w;
+	}
+	return n;
+}
+
+static void release(const struct search *s, struct worker **out, int32_t n)
+{
+	struct worker *w;
+	struct run *r;
+
+	while (n > 0)
+		flow_shape_add(&out[--n]->reserved, &s->need, -1);
+	if (s->kind != ROOM_VICTIMS)
+		return;
+	for (w = s->f->workers; w; w = w->hh.next)
+		for (r = w->runs; r; r = r->next)
+			if (r->victim && r->state != RUN_STOPPING &&
+			    !r->victim_kept) {
+				struct flow_shape freed = flow_room(
+					flow_step_of(r->job, r->inst));
+
+				r->victim = false;
+				flow_shape_add(&w->reserved, &freed, 1);
+			}
+}
+
+static void keep_victims(struct flow *f)
+{
+	struct worker *w;
+	struct run *r;
+
+	for (w = f->workers; w; w = w->hh.next)
+		for (r = w->runs; r; r = r->next)
+			r->victim_kept = r->victim;
+}
+
+/* Tasks of the step that fit on one worker. */
+static int64_t slots(const struct search *s, const struct flow_shape *room)
+{
+	int64_t n = INT32_MAX;
+
+	if (s->need.cpu_millicores > 0)
+		n = room->cpu_millicores / s->need.cpu_millicores;
+	if (s->need.memory_mb > 0 && room->memory_mb / s->need.memory_mb < n)
+		n = room->memory_mb / s->need.memory_mb;
+	if (s->need.accelerators > 0 &&
+	    room->accelerators / s->need.accelerators < n)
+		n = room->accelerators / s->need.accelerators;
+	if (s->step->per_worker_max && n > s->step->per_worker_max)
+		n = s->step->per_worker_max;
+	return n > 0 ? n : 0;
+}
+
+static int64_t rack_slots(struct search *s, const char *rack, bool empty)
+{
+	struct worker *w;
+	int64_t n = 0;
+
+	s->rack = rack;
+	for (w = s->f->workers; w; w = w->hh.next) {
+		struct flow_shape room;
+
+		if (!eligible(s, w))
+			continue;
+		room = empty ? w->capacity : room_of(w, s->kind);
+		n += slots(s, &room);
+	}
+	s->rack = NULL;
+	return n;
+}
+
+/* Whether a rack could hold all tasks if nothing else ran there. */
+static bool some_rack_suffices(struct search *s, int32_t want)
+{
+	struct worker *w;
+
+	for (w = s->f->workers; w; w = w->hh.next)
+		if (eligible(s, w) && rack_slots(s, w->rack, true) >= want)
+			return true;
+	return false;
+}
+
+/* The rack with the least room that suffices. */
+static int32_t fill_one_rack(struct search *s, int32_t want,
+			     struct worker **out)
+{
+	const char *best = NULL;
+	int64_t best_slots = 0;
+	struct worker *w;
+	int32_t n;
+
+	for (w = s->f->workers; w; w = w->hh.next) {
+		int64_t n_slots;
+
+		if (!eligible(s, w) || (best && !strcmp(best, w->rack)))
+			continue;
+		if (s->kind == ROOM_VICTIMS)
+			n_slots = rack_slots(s, w->rack, true);
+		else
+			n_slots = rack_slots(s, w->rack, false);
+		if (n_slots < want || (best && n_slots >= best_slots))
+			continue;
+		if (s->kind == ROOM_VICTIMS) {
+			s->rack = w->rack;
+			n = fill(s, want, out);
+			s->rack = NULL;
+			if (n == want)
+				return n;
+			release(s, out, n);
+			continue;
+		}
+		best = w->rack;
+		best_slots = n_slots;
+	}
+	if (!best)
+		return 0;
+	s->rack = best;
+	n = fill(s, want, out);
+	s->rack = NULL;
+	if (n == want)
+		return n;
+	release(s, out, n);
+	return 0;
+}
+
+static int32_t fill_gang(struct search *s, int32_t want, struct worker **out)
+{
+	int32_t n;
+
+	if (s->step->within_rack && some_rack_suffices(s, want))
+		return fill_one_rack(s, want, out);
+	n = fill(s, want, out);
+	if (n == want)
+		return n;
+	release(s, out, n);
+	return 0;
+}
+
+int32_t flow_place(struct flow *f, struct job *j, struct inst *in, int32_t want,
+		   bool preempt, struct worker **out, bool *wait,
+		   int64_t now_ms)
+{
+	struct search s = {
+		.f = f,
+		.job = j,
+		.inst = in,
+		.step = flow_step_of(j, in),
+		.need = flow_room(flow_step_of(j, in)),
+		.now_ms = now_ms,
+	};
+	enum room_kind last = preempt ? ROOM_VICTIMS : ROOM_FREE;
+	int32_t n = 0;
+
+	*wait = false;
+	for (s.kind = ROOM_FREE; s.kind <= last; s.kind++) {
+		n = s.step->gang ? fill_gang(&s, want, out) :
+				   fill(&s, want, out);
+		if (n == want)
+			break;
+		/* Single tasks take what is free; the rest waits. */
+		if (s.kind == ROOM_FREE && !s.step->gang && n > 0)
+			return n;
+		if (s.kind != last || s.step->gang) {
+			if (!s.step->gang)
+				release(&s, out, n);
+			n = 0;
+		}
+	}
+	if (n > 0)
+		*wait = s.kind != ROOM_FREE;
+	keep_victims(f);
+	return n;
+}
--- /dev/null
+++ b/lib/flow/progress.c
@@ -0,0 +1,181 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "flow/flow_internal.h"
+
+/*
+ * What must outlive the scheduler: the state of a job, which tasks are done,
+ * how often the others have failed, and their checkpoints.
+ */
+
+const char *flow_next_dirty(struct flow *f)
+{
+	struct job *j, *tmp;
+
+	HASH_ITER(hh, f->jobs, j, tmp)
+		if (j->dirty) {
+			j->dirty = false;
+			j->writing = true;
+			return j->id;
+		}
+	return NULL;
+}
+
+void flow_redirty(struct flow *f)
+{
+	struct job *j, *tmp;
+
+	HASH_ITER(hh, f->jobs, j, tmp)
+		if (j->writing) {
+			j->writing = false;
+			j->dirty = true;
+		}
+}
+
+void flow_written(struct flow *f)
+{
+	struct job *j, *tmp;
+
+	HASH_ITER(hh, f->jobs, j, tmp)
+		if (j->writing) {
+			j->writing = false;
+			j->durable = !j->dirty;
+		}
+}
+
+/* Done tasks as "0-4,7". */
+static char *encode_done(const struct flow_step *st, const struct inst *in)
+{
+	size_t size = (size_t)st->tasks * 12 + 1, n = 0;
+	char *s = tg_xcalloc(1, size);
+	int32_t i = 0, from;
+
+	while (i < st->tasks) {
+		if (!in->tasks[i].done) {
+			i++;
+			continue;
+		}
+		from = i;
+		while (i + 1 < st->tasks && in->tasks[i + 1].done)
+			i++;
+		n += (size_t)snprintf(s + n, size - n, n ? ",%d-%d" : "%d-%d",
+				      from, i);
+		i++;
+	}
+	return s;
+}
+
+static json_t *encode_task(const struct task *t)
+{
+	return json_pack("[iiis]", t->last_run, t->failures, t->failed_run,
+			 t->saved);
+}
+
+static json_t *encode_inst(const struct job *j, const struct inst *in)
+{
+	const struct flow_step *st = flow_step_of(j, in);
+	json_t *o = json_object(), *tasks = json_object();
+	char *done = encode_done(st, in), key[16];
+	int32_t i;
+
+	json_object_set_new(o, "done", json_string(done));
+	free(done);
+	if (in->gang_failures)
+		json_object_set_new(o, "gang",
+				    json_pack("[ii]", in->gang_failures,
+					      in->failed_gang_run));
+	for (i = 0; i < st->tasks; i++) {
+		const struct task *t = &in->tasks[i];
+
+		if (t->done || (!t->failures && !*t->saved))
+			continue;
+		snprintf(key, sizeof(key), "%d", i);
+		json_object_set_new(tasks, key, encode_task(t));
+	}
+	json_object_set_new(o, "tasks", tasks);
+	return o;
+}
+
+json_t *flow_progress_encode(const struct flow *f, const char *id)
+{
+	struct job *j = flow_job(f, id);
+	json_t *o, *insts;
+	int32_t i;
+
+	if (!j)
+		return NULL;
+	o = json_object();
+	json_object_set_new(o, "state", json_integer(j->state));
+	if (flow_is_over(j))
+		return o;
+	insts = json_array();
+	for (i = 0; i < j->n_insts; i++)
+		json_array_append_new(insts, encode_inst(j, &j->insts[i]));
+	json_object_set_new(o, "steps", insts);
+	return o;
+}
+
+static bool decode_done(struct job *j, struct inst *in, const char *s)
+{
+	const struct flow_step *st = flow_step_of(j, in);
+	int32_t from, to;
+	int len;
+
+	while (s && *s) {
+		if (sscanf(s, "%d-%d%n", &from, &to, &len) != 2 || from < 0 ||
+		    to >= st->tasks)
+			return false;
+		for (; from <= to; from++)
+			flow_task_done(j, in, from);
+		s += len;
+		s += *s == ',';
+	}
+	return true;
+}
+
+static bool decode_inst(struct job *j, struct inst *in, json_t *o)
+{
+	const struct flow_step *st = flow_step_of(j, in);
+	json_t *v, *gang = json_object_get(o, "gang");
+	const char *key, *saved;
+
+	if (gang &&
+	    json_unpack(gang, "[ii]", &in->gang_failures, &in->failed_gang_run))
+		return false;
+	json_object_foreach(json_object_get(o, "tasks"), key, v) {
+		int32_t i = (int32_t)strtol(key, NULL, 10);
+		struct task *t;
+
+		if (i < 0 || i >= st->tasks)
+			return false;
+		t = &in->tasks[i];
+		if (json_unpack(v, "[iiis]", &t->last_run, &t->failures,
+				&t->failed_run, &saved))
+			return false;
+		tg_strlcpy(t->saved, saved, sizeof(t->saved));
+		j->begun = true;
+	}
+	return decode_done(j, in,
+			   json_string_value(json_object_get(o, "done")));
+}
+
+bool flow_progress_decode(struct flow *f, const char *id, const json_t *o)
+{
+	struct job *j = flow_job(f, id);
+	json_int_t state = json_integer_value(json_object_get(o, "state"));
+	json_t *steps = json_object_get(o, "steps");
+	int32_t i;
+
+	if (!j || !json_is_object(o) || state < FLOW_QUEUED ||
+	    state > FLOW_CANCELLED)
+		return false;
+	for (i = 0; i < j->n_insts && i < (int32_t)json_array_size(steps); i++)
+		if (!decode_inst(j, &j->insts[i],
+				 json_array_get(steps, (size_t)i)))
+			return false;
+	if (state >= FLOW_COMPLETED)
+		j->state = (enum flow_state)state;
+	j->cancelled = j->state == FLOW_CANCELLED;
+	j->begun |= state != FLOW_QUEUED;
+	return true;
+}
--- /dev/null
+++ b/lib/flow/workers.c
@@ -0,0 +1,167 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "flow/flow_internal.h"
+
+/* Failures of different jobs in a row from which a worker gets no starts. */
+#define QUARANTINE_FAILURES 3
+/* First time without starts; doubled each time up to the maximum. */
+#define QUARANTINE_MS 4000
+#define QUARANTINE_MAX_MS 60000
+/* Largest share of the workers of a service that is quarantined. */
+#define QUARANTINE_PERCENT 25
+
+struct worker *flow_worker(const struct flow *f, const char *id)
+{
+	struct worker *w;
+
+	HASH_FIND_STR(f->workers, id, w);
+	return w;
+}
+
+bool flow_worker_ready(const struct worker *w, int64_t now_ms)
+{
+	return w->present && w->listed && !w->suspect && !w->draining &&
+		w->quarantined_until_ms <= now_ms;
+}
+
+bool flow_fits(const struct flow_shape *need, const struct flow_shape *have)
+{
+	return need->cpu_millicores <= have->cpu_millicores &&
+		need->memory_mb <= have->memory_mb &&
+		need->accelerators <= have->accelerators;
+}
+
+void flow_shape_add(struct flow_shape *to, const struct flow_shape *s,
+		    int32_t sign)
+{
+	to->cpu_millicores += sign * s->cpu_millicores;
+	to->memory_mb += sign * s->memory_mb;
+	to->accelerators += sign * s->accelerators;
+}
+
+struct flow_shape flow_room(const struct flow_step *st)
+{
+	struct flow_shape s = st->shape;
+
+	if (st->filler)
+		s.cpu_millicores = 0;
+	return s;
+}
+
+void flow_worker_set(struct flow *f, const struct flow_worker_spec *s)
+{
+	struct worker *w = flow_worker(f, s->id);
+	int32_t i;
+
+	if (!w) {
+		w = tg_xcalloc(1, sizeof(*w));
+		tg_strlcpy(w->id, s->id, sizeof(w->id));
+		HASH_ADD_STR(f->workers, id, w);
+	}
+	tg_strlcpy(w->service, s->service, sizeof(w->service));
+	tg_strlcpy(w->az, s->az, sizeof(w->az));
+	tg_strlcpy(w->rack, s->rack ? s->rack : "", sizeof(w->rack));
+	w->n_labels = 0;
+	for (i = 0; i < s->n_labels && i < 8; i++)
+		tg_strlcpy(w->labels[w->n_labels++], s->labels[i],
+			   sizeof(w->labels[0]));
+	w->capacity = s->capacity;
+	w->present = true;
+	w->draining = s->draining;
+	w->remaining_ms = s->remaining_ms;
+}
+
+void flow_worker_listed(struct flow *f, const char *id)
+{
+	struct worker *w = flow_worker(f, id);
+
+	if (w)
+		w->listed = true;
+}
+
+void flow_worker_suspect(struct flow *f, const char *id, bool suspect)
+{
+	struct worker *w = flow_worker(f, id);
+
+	if (w)
+		w->suspect = suspect;
+}
+
+void flow_worker_lost(struct flow *f, const char *id, int64_t now_ms)
+{
+	struct worker *w = flow_worker(f, id);
+
+	if (!w)
+		return;
+	while (w->runs)
+		flow_run_over(f, w->runs, FLOW_LAPSED, NULL, now_ms);
+	w->listed = false;
+	w->failures_in_row = 0;
+	w->quarantined_until_ms = 0;
+}
+
+void flow_worker_remove(struct flow *f, const char *id, int64_t now_ms)
+{
+	struct worker *w = flow_worker(f, id);
+	struct job *j, *tmp;
+	int32_t i, k;
+
+	if (!w)
+		return;
+	flow_worker_lost(f, id, now_ms);
+	HASH_ITER(hh, f->jobs, j, tmp)
+		for (i = 0; i < j->n_insts; i++)
+			for (k = 0; k < flow_step_of(j, &j->insts[i])->tasks;
+			     k++)
+				if (j->insts[i].tasks[k].failed_on == w)
+					j->insts[i].tasks[k].failed_on = NULL;
+	HASH_DEL(f->workers, w);
+	free(w);
+}
+
+void flow_worker_succeeded(struct worker *w)
+{
+	w->failures_in_row = 0;
+	w->quarantines = 0;
+	w->failed_job[0] = '\0';
+}
+
+static bool may_quarantine(const struct flow *f, const struct worker *which,
+			   int64_t now_ms)
+{
+	const struct worker *w;
+	int32_t n = 0, out = 0;
+
+	for (w = f->workers; w; w = w->hh.next) {
+		if (!w->present || strcmp(w->service, which->service) != 0)
+			continue;
+		n++;
+		out += w->quarantined_until_ms > now_ms;
+	}
+	return (out + 1) * 100 <= n * QUARANTINE_PERCENT;
+}
+
+/*
+ * A job that fails everywhere says nothing about its workers, so only failures
+ * of different jobs count.
+ */
+void flow_worker_failed(struct flow *f, struct worker *w, const char *job,
+			int64_t now_ms)
+{
+	int64_t ms = QUARANTINE_MS;
+	int32_t i;
+
+	if (strcmp(w->failed_job, job) != 0)
+		w->failures_in_row++;
+	tg_strlcpy(w->failed_job, job, sizeof(w->failed_job));
+	if (w->failures_in_row < QUARANTINE_FAILURES ||
+	    w->quarantined_until_ms > now_ms || !may_quarantine(f, w, now_ms))
+		return;
+	for (i = 0; i < w->quarantines && ms < QUARANTINE_MAX_MS; i++)
+		ms *= 2;
+	w->quarantines++;
+	w->quarantined_until_ms = now_ms + ms;
+	/* One failure after it begins the next quarantine. */
+	w->failures_in_row = QUARANTINE_FAILURES - 1;
+}
