Add ports to a platform, and what daemons on them share

lib/port names what the product needs from outside: a transactional store, the directory of workers, the workers, the document, callers. lib/site has the layout of rows, following a table and the document.

--- /dev/null
+++ b/lib/site/document.c
@@ -0,0 +1,74 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "site/site.h"
+
+struct tg_document {
+	struct tg_site *site;
+	struct tg_follow *follow;
+	struct tg_site_doc *doc;
+	void (*changed)(void *arg);
+	void *arg;
+};
+
+static void on_row(const struct tg_row *row, void *arg)
+{
+	struct tg_document *d = arg;
+	struct tg_findings f = { 0 };
+	struct tg_site_doc *doc;
+
+	if (strcmp(row->key, d->site->ops->document_key) != 0 || row->deleted)
+		return;
+	doc = d->site->ops->document(row, &f);
+	if (!doc) {
+		tg_log(EV_DOCUMENT_BAD, "version=%lld place=%s fault=%s",
+		       (long long)row->version, f.items[0].place,
+		       f.items[0].text);
+	} else if (d->doc && doc->generation <= d->doc->generation) {
+		/* Never back to an older document. */
+		tg_site_doc_free(doc);
+	} else {
+		tg_log(EV_DOCUMENT_IN_FORCE,
+		       "generation=%lld before=%lld queues=%zu workspaces=%zu",
+		       (long long)doc->generation,
+		       d->doc ? (long long)d->doc->generation : 0,
+		       doc->n_queues, doc->n_workspaces);
+		tg_site_doc_free(d->doc);
+		d->doc = doc;
+		if (d->changed)
+			d->changed(d->arg);
+	}
+	tg_findings_free(&f);
+}
+
+struct tg_document *tg_document_new(struct tg_site *s,
+				    void (*changed)(void *arg), void *arg)
+{
+	struct tg_document *d = tg_xcalloc(1, sizeof(*d));
+	struct tg_follow_opts o = {
+		.site = s,
+		.table = s->ops->document_table,
+		.on_row = on_row,
+		.arg = d,
+	};
+
+	d->site = s;
+	d->changed = changed;
+	d->arg = arg;
+	d->follow = tg_follow_new(&o);
+	return d;
+}
+
+void tg_document_free(struct tg_document *d)
+{
+	if (!d)
+		return;
+	tg_follow_free(d->follow);
+	tg_site_doc_free(d->doc);
+	free(d);
+}
+
+const struct tg_site_doc *tg_document_get(const struct tg_document *d)
+{
+	return d->doc;
+}
--- /dev/null
+++ b/lib/site/rows.c
@@ -0,0 +1,107 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "site/site.h"
+
+const char *tg_job_part_at(int i)
+{
+	static const char *const parts[TG_JOB_PARTS] = { "0", "1", "2", "3" };
+
+	return parts[i];
+}
+
+const char *tg_job_part(const char *job)
+{
+	return tg_job_part_at((int)(tg_hash64(job, strnlen(job, FLOW_JOB_LEN)) %
+				    TG_JOB_PARTS));
+}
+
+char *tg_job_row_encode(const struct tg_job_row *r)
+{
+	json_t *o =
+		json_pack("{s:s,s:s,s:s,s:I,s:o}", "id", r->id, "queue",
+			  r->queue, "workspace", r->workspace,
+			  "accepted_wall_ms", (json_int_t)r->accepted_wall_ms,
+			  "spec", flow_spec_encode(r->spec));
+	char *text = json_dumps(o, JSON_COMPACT | JSON_SORT_KEYS);
+
+	json_decref(o);
+	return text;
+}
+
+int tg_job_row_decode(const char *text, size_t n, struct tg_job_row *r)
+{
+	json_t *o = json_loadb(text, n, 0, NULL), *spec = NULL;
+	const char *id, *queue, *workspace;
+	json_int_t accepted = 0;
+	int err = -1;
+
+	memset(r, 0, sizeof(*r));
+	if (json_unpack(o, "{s:s,s:s,s:s,s:I,s:o}", "id", &id, "queue", &queue,
+			"workspace", &workspace, "accepted_wall_ms", &accepted,
+			"spec", &spec))
+		goto out;
+	if (!tg_strlcpy(r->id, id, sizeof(r->id)) ||
+	    !tg_strlcpy(r->queue, queue, sizeof(r->queue)) ||
+	    !tg_strlcpy(r->workspace, workspace, sizeof(r->workspace)))
+		goto out;
+	r->accepted_wall_ms = accepted;
+	r->spec = flow_spec_decode(spec);
+	err = r->spec ? 0 : -1;
+out:
+	json_decref(o);
+	return err;
+}
+
+bool tg_job_row_same(const char *a, size_t a_bytes, const char *b,
+		     size_t b_bytes)
+{
+	json_t *x = json_loadb(a, a_bytes, 0, NULL);
+	json_t *y = json_loadb(b, b_bytes, 0, NULL);
+	bool same;
+
+	json_object_del(x, "accepted_wall_ms");
+	json_object_del(y, "accepted_wall_ms");
+	same = x && y && json_equal(x, y);
+	json_decref(x);
+	json_decref(y);
+	return same;
+}
+
+char *tg_owner_row_encode(const struct tg_owner_row *r)
+{
+	json_t *o = json_pack(
+		"{s:s,s:s,s:s,s:I,s:I,s:I,s:b}", "holder", r->holder, "addr",
+		r->addr, "boot", r->boot, "fence", (json_int_t)r->fence, "seq",
+		(json_int_t)r->seq, "unsettled", (json_int_t)r->unsettled,
+		"released", r->released);
+	char *text = json_dumps(o, JSON_COMPACT);
+
+	json_decref(o);
+	return text;
+}
+
+int tg_owner_row_decode(const struct tg_row *row, struct tg_owner_row *r)
+{
+	json_t *o = json_loadb(row->value, row->value_bytes, 0, NULL);
+	const char *holder, *addr, *boot;
+	json_int_t fence, seq, unsettled;
+	int released, err = -1;
+
+	memset(r, 0, sizeof(*r));
+	if (json_unpack(o, "{s:s,s:s,s:s,s:I,s:I,s:I,s:b}", "holder", &holder,
+			"addr", &addr, "boot", &boot, "fence", &fence, "seq",
+			&seq, "unsettled", &unsettled, "released", &released))
+		goto out;
+	r->fence = (uint64_t)fence;
+	r->seq = seq;
+	r->unsettled = unsettled;
+	r->released = released;
+	if (tg_strlcpy(r->holder, holder, sizeof(r->holder)) &&
+	    tg_strlcpy(r->addr, addr, sizeof(r->addr)) &&
+	    tg_strlcpy(r->boot, boot, sizeof(r->boot)))
+		err = 0;
+out:
+	json_decref(o);
+	return err;
+}
--- /dev/null
+++ b/lib/site/site.c
@@ -0,0 +1,63 @@
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "site/site.h"
+
+const struct tg_event_info tg_site_events[] = {
+#define TG_EVENT TG_EVENT_INFO
+#include "site/events.def"
+#undef TG_EVENT
+	{ 0, TG_INFO, NULL },
+};
+
+/* Addresses are bound already; what can change is the platform's bounds. */
+static void reload(evutil_socket_t fd, short what, void *arg)
+{
+	struct tg_site *s = arg;
+	struct tg_site_settings set;
+	struct tg_findings f = { 0 };
+
+	(void)fd;
+	(void)what;
+	if (s->ops->settings(s->path, &set, &f)) {
+		tg_log(EV_SITE_RELOAD_FAILED, "place=%s fault=%s findings=%zu",
+		       f.items[0].place, f.items[0].text, f.total);
+	} else {
+		s->set = set;
+		tg_log(EV_SITE_RELOADED, "lease_max_ms=%lld stop_ms=%lld",
+		       (long long)set.lease_max_ms, (long long)set.stop_ms);
+	}
+	tg_findings_free(&f);
+}
+
+int tg_site_open(struct tg_site *s, struct event_base *base,
+		 const struct tg_port_ops *ops, const char *path)
+{
+	struct tg_findings f = { 0 };
+	int err;
+
+	memset(s, 0, sizeof(*s));
+	s->base = base;
+	s->ops = ops;
+	s->path = path;
+	err = ops->settings(path, &s->set, &f);
+	if (err)
+		tg_findings_print(&f, stderr, "settings");
+	tg_findings_free(&f);
+	if (err)
+		return -1;
+	s->port = ops->open(base, &s->set);
+	s->reload = evsignal_new(base, SIGHUP, reload, s);
+	event_add(s->reload, NULL);
+	return 0;
+}
+
+void tg_site_close(struct tg_site *s)
+{
+	if (s->reload)
+		event_free(s->reload);
+	if (s->ops)
+		s->ops->close(s->port);
+	memset(s, 0, sizeof(*s));
+}
