--- a/Makefile
+++ b/Makefile
@@ -10,13 +10,18 @@
 ifdef SAN
 export SAN
 endif
-LIBDIRS = $(dir $(wildcard lib/*/Makefile))
+LIBDIRS = $(dir $(wildcard lib/*/Makefile platform/Makefile))
 PROGDIRS = $(dir $(wildcard cmd/*/Makefile tests/standin/*/Makefile \
 	tests/load/Makefile tests/unit/*/Makefile tests/bench/*/Makefile \
 	tests/fault/*/Makefile))
 
+CMDDIRS = $(dir $(wildcard cmd/*/Makefile))
+
 all: $(LIBDIRS) $(PROGDIRS)
 
+# What a deployment needs: no tests.
+programs: $(CMDDIRS)
+
 $(LIBDIRS):
 	@$(MAKE) --no-print-directory -C $@
 
@@ -55,6 +60,6 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all deps check demo demo-up demo-down bench bench-decisions \
+.PHONY: all programs deps check demo demo-up demo-down bench bench-decisions \
 	bench-capacity model format format-check lint clean \
 	$(LIBDIRS) $(PROGDIRS)
--- a/mk/lint.sh
+++ b/mk/lint.sh
@@ -2,8 +2,8 @@
 # Runs clang-tidy and cppcheck over the C sources, generated files aside.
 set -eu
 cd "$(dirname "$0")/.."
-flags="-std=gnu11 -D_GNU_SOURCE -Ilib -DTG_VERSION=\"0\" $(pkg-config --cflags libevent \
-	jansson argtable2 log4c libtirpc libxxhash check)"
+flags="-std=gnu11 -D_GNU_SOURCE -Ilib -I. -DTG_VERSION=\"0\" $(pkg-config --cflags libevent \
+	jansson argtable2 log4c libtirpc libxxhash nettle check)"
 files=$(git ls-files -co --exclude-standard '*.c' | grep -v '^lib/oncrpc/tgrpc_')
 [ -n "${LINT_FILES:-}" ] && files=$LINT_FILES
 # shellcheck disable=SC2086
