--- /dev/null
+++ b/cmd/tgflowd/board.h
@@ -0,0 +1,152 @@
+#ifndef TGFLOWD_BOARD_H
+#define TGFLOWD_BOARD_H
+
+#include <uthash.h>
+
+#include "flow/flow.h"
+#include "http/http.h"
+#include "site/site.h"
+
+/**
+ * DOC: blackboard of the flow daemon
+ *
+ * One flow daemon of a site, the owner, schedules; the others stand by.  A term
+ * begins when a daemon becomes the owner and ends when it stops being it; what
+ * is in progress from an earlier term is ignored.
+ */
+
+enum {
+#define TG_EVENT TG_EVENT_ENUM
+#include "events.def"
+#undef TG_EVENT
+};
+
+struct settings {
+	struct tg_site_flags flags;
+	int64_t lease_ms;
+	bool unsafe_no_fence_check;
+	bool unsafe_start_unlisted;
+};
+
+enum role {
+	ROLE_STANDBY,
+	ROLE_CLAIMING, /* the claim has no answer yet */
+	ROLE_RECOVERING, /* owner, reading what there is */
+	ROLE_OWNER,
+	ROLE_LEAVING, /* stops, claims no more */
+};
+
+struct board;
+
+/** struct link - the way to one worker */
+struct link {
+	struct board *board;
+	struct tg_worker_entry entry;
+	bool present; /* in the directory */
+	bool failed; /* the last look had no answer */
+	bool listed;
+	bool holding, looking; /* a call is in progress */
+	bool look_again;
+	bool in_scan; /* the reading in progress has brought it */
+	int64_t boot_ms;
+	int64_t clock_ms, clock_at_ms; /* worker's clock, and when it came */
+	int64_t until_ms; /* highest expiry that was sent, worker's clock */
+	int64_t expires_at_ms; /* by then all leases have expired, own clock */
+	/* ends: known here; in the write in progress; durable */
+	int64_t processed_n, marked_n, noted_n;
+	int64_t next_ms; /* of the next look */
+	int32_t failures;
+	UT_hash_handle hh;
+};
+
+/** struct waiter - a caller of JOB_CANCEL or JOB_SUBMIT awaiting the write */
+struct waiter {
+	struct tg_rpc_req *req;
+	char job[FLOW_JOB_LEN + 1];
+	struct waiter *next;
+};
+
+struct board {
+	struct settings set;
+	struct event_base *base;
+	struct tg_rng rng;
+	struct tg_site site;
+	struct tg_document *document;
+	struct tg_rpc_server *rpc;
+	struct tg_rpc_client *peers;
+	struct tg_http_server *metrics;
+	char boot[TG_TOKEN_LEN + 1];
+
+	/* ownership */
+	enum role role;
+	uint64_t term;
+	uint64_t fence;
+	struct tg_owner_row owner; /* as last read or written */
+	int64_t owner_version;
+	int64_t renewed_ms; /* last write that succeeded */
+	int64_t recover_until_ms; /* unknown runs have ended by then */
+
+	/* what the owner knows */
+	struct flow *flow;
+	struct link *links;
+	struct tg_follow *jobs, *progress, *directory;
+	bool directory_read;
+	struct waiter *waiters;
+
+	bool round_wanted, write_wanted;
+};
+
+#define IS_OWNER(b) ((b)->role == ROLE_OWNER || (b)->role == ROLE_RECOVERING)
+
+/* owner.c */
+/** owner_lost() - end the term: another daemon owns the site, or will */
+void owner_lost(struct board *b, const char *why);
+/** owner_check_recovered() - whether all runs are known or over by now */
+void owner_check_recovered(struct board *b);
+/** owner_may_renew() - whether leases may be renewed and tasks started */
+bool owner_may_renew(const struct board *b);
+/** owner_is_current() - whether it has written its row lately */
+bool owner_is_current(const struct board *b);
+
+/* writer.c */
+/** writer_wake() - write what has changed, soon */
+void writer_wake(struct board *b);
+void writer_reset(struct board *b);
+/** writer_idle() - nothing is being written and nothing needs to be */
+bool writer_idle(const struct board *b);
+
+/* jobs.c */
+void jobs_open(struct board *b);
+void jobs_close(struct board *b);
+/** jobs_stored() - a job that is in the store, known already or not */
+void jobs_stored(struct board *b, const struct tg_row *row);
+void jobs_apply_document(struct board *b);
+
+/* links.c */
+void links_open(struct board *b);
+void links_close(struct board *b);
+struct link *link_find(struct board *b, const char *id);
+/** links_mark() - the write that begins covers all ends known so far */
+void links_mark(struct board *b);
+/** links_noted() - the marked ends are durable */
+void links_noted(struct board *b);
+/** link_look() - ask for its lists at once, beside the call in progress */
+void link_look(struct link *l);
+/** link_expiry() - expiry of leases renewed now, worker's clock */
+int64_t link_expiry(struct link *l);
+/** links_unsettled() - workers with runs that don't answer */
+int64_t links_unsettled(const struct board *b);
+int64_t links_unlisted(const struct board *b);
+
+/* round.c */
+/** round_wake() - decide soon */
+void round_wake(struct board *b);
+
+extern const struct tg_controller rpc_controller;
+extern const struct tg_controller owner_controller;
+extern const struct tg_controller writer_controller;
+extern const struct tg_controller links_controller;
+extern const struct tg_controller round_controller;
+extern const struct tg_controller metrics_controller;
+
+#endif
--- /dev/null
+++ b/cmd/tgflowd/jobs.c
@@ -0,0 +1,173 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+
+/* What the owner learns from the store: jobs, their progress, the document. */
+
+void jobs_stored(struct board *b, const struct tg_row *row)
+{
+	struct tg_job_row job;
+	struct flow_job_opts o = { 0 };
+	int64_t age_ms;
+
+	if (flow_has_job(b->flow, row->key))
+		return;
+	if (tg_job_row_decode(row->value, row->value_bytes, &job)) {
+		tg_log(EV_ROW_BAD, "table=%s key=%s version=%lld",
+		       TG_JOBS_TABLE, row->key, (long long)row->version);
+		flow_spec_free(job.spec);
+		return;
+	}
+	age_ms = tg_wall_ms() - job.accepted_wall_ms;
+	o.id = job.id;
+	o.queue = job.queue;
+	o.workspace = job.workspace;
+	o.spec = job.spec;
+	o.accepted_ms = tg_now_ms() - (age_ms > 0 ? age_ms : 0);
+	o.recovered = b->role == ROLE_RECOVERING && !b->progress;
+	flow_add_job(b->flow, &o);
+	tg_log(EV_FLOW_JOB_ADDED,
+	       "job=%s queue=%s workspace=%s age_ms=%lld "
+	       "recovered=%d",
+	       job.id, job.queue, job.workspace, (long long)age_ms,
+	       o.recovered);
+	round_wake(b);
+}
+
+static void cancel_job(struct board *b, const char *key)
+{
+	char id[FLOW_JOB_LEN + 1];
+
+	snprintf(id, sizeof(id), "%.*s", FLOW_JOB_LEN, key);
+	if (!flow_cancel(b->flow, id, tg_now_ms()))
+		return;
+	tg_log(EV_FLOW_JOB_CANCEL, "job=%s by=row", id);
+	writer_wake(b);
+	round_wake(b);
+}
+
+static bool is_cancel_key(const char *key)
+{
+	size_t n = strlen(key), suffix = strlen(TG_CANCEL_SUFFIX);
+
+	return n > suffix && !strcmp(key + n - suffix, TG_CANCEL_SUFFIX);
+}
+
+static void on_job_row(const struct tg_row *row, void *arg)
+{
+	struct board *b = arg;
+
+	if (row->deleted)
+		return;
+	if (is_cancel_key(row->key))
+		cancel_job(b, row->key);
+	else
+		jobs_stored(b, row);
+}
+
+static void on_progress_row(const struct tg_row *row, void *arg)
+{
+	struct board *b = arg;
+	json_t *o;
+
+	if (row->deleted || !strcmp(row->table, TG_OWNER_TABLE))
+		return;
+	o = json_loadb(row->value, row->value_bytes, 0, NULL);
+	if (!o ||
+	    (flow_has_job(b->flow, row->key) &&
+	     !flow_progress_decode(b->flow, row->key, o)))
+		tg_log(EV_ROW_BAD, "table=%s key=%s version=%lld",
+		       TG_PROGRESS_TABLE, row->key, (long long)row->version);
+	json_decref(o);
+}
+
+static void on_progress_read(void *arg)
+{
+	links_open(arg);
+}
+
+static void on_jobs_read(void *arg)
+{
+	static const char *const parts[] = { TG_OWNER_PART };
+	struct board *b = arg;
+	struct tg_follow_opts o = {
+		.site = &b->site,
+		.table = TG_PROGRESS_TABLE,
+		.parts = parts,
+		.n_parts = 1,
+		.once = true,
+		.on_row = on_progress_row,
+		.on_scanned = on_progress_read,
+		.arg = b,
+	};
+
+	/* Read again after a gap; progress is known then. */
+	if (!b->progress)
+		b->progress = tg_follow_new(&o);
+}
+
+void jobs_apply_document(struct board *b)
+{
+	const struct tg_site_doc *d = tg_document_get(b->document);
+	struct flow_queue *q;
+	struct flow_quota *k;
+	size_t i;
+
+	if (!b->flow || !d)
+		return;
+	q = tg_xcalloc(d->n_queues + 1, sizeof(*q));
+	k = tg_xcalloc(d->n_workspaces + 1, sizeof(*k));
+	for (i = 0; i < d->n_queues; i++)
+		q[i] = (struct flow_queue){
+			.name = d->queues[i].name,
+			.service = d->queues[i].service,
+			.priority = d->queues[i].priority,
+			.max_attempts = d->queues[i].max_attempts,
+			.stretch = d->queues[i].stretch,
+			.target_ms = d->queues[i].target_ms,
+		};
+	for (i = 0; i < d->n_workspaces; i++)
+		k[i] = (struct flow_quota){
+			.workspace = d->workspaces[i].name,
+			.guaranteed = d->workspaces[i].guaranteed,
+		};
+	flow_set_queues(b->flow, q, d->n_queues);
+	flow_set_quotas(b->flow, k, d->n_workspaces);
+	free(q);
+	free(k);
+	round_wake(b);
+}
+
+void jobs_open(struct board *b)
+{
+	static const char *parts[TG_JOB_PARTS];
+	struct flow_opts fo = {
+		.far_factor = b->site.set.far_factor,
+		.early_ms = b->site.set.early_ms / 2,
+	};
+	struct tg_follow_opts o = {
+		.site = &b->site,
+		.table = TG_JOBS_TABLE,
+		.parts = parts,
+		.n_parts = TG_JOB_PARTS,
+		.on_row = on_job_row,
+		.on_scanned = on_jobs_read,
+		.arg = b,
+	};
+	int i;
+
+	for (i = 0; i < TG_JOB_PARTS; i++)
+		parts[i] = tg_job_part_at(i);
+	b->flow = flow_new(&fo);
+	jobs_apply_document(b);
+	b->jobs = tg_follow_new(&o);
+	writer_wake(b);
+}
+
+void jobs_close(struct board *b)
+{
+	tg_follow_free(b->jobs);
+	tg_follow_free(b->progress);
+	b->jobs = b->progress = NULL;
+}
--- /dev/null
+++ b/cmd/tgflowd/links.c
@@ -0,0 +1,499 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+
+/*
+ * One call to each worker is always in progress: it renews the worker's leases
+ * and brings ends as soon as there are any.
+ */
+
+/* A worker answers at the latest after this, an end or not. */
+#define WAIT_MS 2000
+#define LOOK_TIMEOUT_MS 1000
+/* After a call that failed. */
+#define RETRY_MS 150
+#define RETRY_MAX_MS 1000
+/* Ends that are not durable yet would be listed again at once. */
+#define UNNOTED_PAUSE_MS 300
+/* Clocks of workers may be this much slow. */
+#define CLOCK_SLOW_PERCENT 2
+#define EXPIRY_MARGIN_MS 200
+
+struct look {
+	struct board *board;
+	uint64_t term;
+	char id[TG_NAME_MAX + 1];
+	int64_t asked_ms;
+	bool extra;
+};
+
+struct link *link_find(struct board *b, const char *id)
+{
+	struct link *l;
+
+	HASH_FIND(hh, b->links, id, strlen(id), l);
+	return l;
+}
+
+int64_t link_expiry(struct link *l)
+{
+	struct board *b = l->board;
+	int64_t now_ms = tg_now_ms();
+	int64_t lease_ms = b->set.lease_ms;
+	int64_t until_ms;
+
+	if (lease_ms > b->site.set.lease_max_ms)
+		lease_ms = b->site.set.lease_max_ms;
+	until_ms = l->clock_ms + (now_ms - l->clock_at_ms) + lease_ms;
+	if (until_ms > l->until_ms) {
+		int64_t span_ms = until_ms - l->clock_ms;
+		int64_t expires_at_ms = l->clock_at_ms + EXPIRY_MARGIN_MS +
+			span_ms * 100 / (100 - CLOCK_SLOW_PERCENT);
+
+		l->until_ms = until_ms;
+		if (expires_at_ms > l->expires_at_ms)
+			l->expires_at_ms = expires_at_ms;
+	}
+	return until_ms;
+}
+
+static bool may_renew(const struct link *l)
+{
+	return l->listed && !l->failed && owner_may_renew(l->board);
+}
+
+static void on_look(const struct tg_hold_result *r, void *arg);
+
+static void send_look(struct link *l, bool extra)
+{
+	struct board *b = l->board;
+	struct look *k = tg_xcalloc(1, sizeof(*k));
+	struct tg_worker_ref ref = { .id = l->entry.id, .addr = l->entry.addr };
+	struct tg_hold h = {
+		.fence = b->fence,
+		.seen_n = l->noted_n,
+		.timeout_ms = LOOK_TIMEOUT_MS,
+	};
+
+	k->board = b;
+	k->term = b->term;
+	k->asked_ms = tg_now_ms();
+	k->extra = extra;
+	tg_strlcpy(k->id, l->entry.id, sizeof(k->id));
+	if (may_renew(l)) {
+		h.until_ms = link_expiry(l);
+		if (!extra)
+			h.wait_ms = WAIT_MS;
+	}
+	h.timeout_ms += h.wait_ms;
+	if (extra)
+		l->looking = true;
+	else
+		l->holding = true;
+	b->site.ops->hold(b->site.port, &ref, &h, on_look, k);
+}
+
+/* Everything that ran there is over. */
+static void lose_runs(struct link *l, int event, const char *why)
+{
+	struct board *b = l->board;
+
+	tg_log(event, "worker=%s why=%s silent_ms=%lld", l->entry.id, why,
+	       (long long)(tg_now_ms() - l->clock_at_ms));
+	flow_worker_lost(b->flow, l->entry.id, tg_now_ms());
+	l->listed = false;
+	round_wake(b);
+}
+
+static void set_boot(struct link *l, int64_t boot_ms)
+{
+	if (!boot_ms || boot_ms == l->boot_ms)
+		return;
+	if (l->boot_ms) {
+		lose_runs(l, EV_FLOW_WORKER_BOOT, "other boot");
+		l->clock_ms = l->clock_at_ms = 0;
+	}
+	l->boot_ms = boot_ms;
+	l->until_ms = l->expires_at_ms = 0;
+	l->processed_n = l->noted_n = 0;
+}
+
+static struct flow_ref ref_of(const struct tg_task_id *t, int32_t run)
+{
+	return (struct flow_ref){
+		.job = t->job,
+		.occurrence = t->occurrence,
+		.step = t->step,
+		.index = t->index,
+		.run = run,
+	};
+}
+
+static void apply_ends(struct link *l, const struct tg_hold_result *r,
+		       int64_t now_ms)
+{
+	static const enum flow_how hows[] = {
+		[TG_RUN_DONE] = FLOW_DONE,	 [TG_RUN_FAILED] = FLOW_FAILURE,
+		[TG_RUN_STOPPED] = FLOW_STOPPED, [TG_RUN_LAPSED] = FLOW_LAPSED,
+		[TG_RUN_BROKEN] = FLOW_BROKEN,	 [TG_RUN_ALONE] = FLOW_ALONE,
+	};
+	static const char *const names[] = { "done",   "failed", "stopped",
+					     "lapsed", "broken", "alone" };
+	struct board *b = l->board;
+	size_t i;
+
+	for (i = 0; i < r->n_ends; i++) {
+		const struct tg_run_end *e = &r->ends[i];
+		struct flow_ref ref = ref_of(&e->task, e->run);
+
+		if (e->n <= l->processed_n)
+			continue;
+		l->processed_n = e->n;
+		tg_log(EV_FLOW_END,
+		       "job=%s task=%d.%d.%d run=%d worker=%s how=%s n=%lld",
+		       e->task.job, e->task.occurrence, e->task.step,
+		       e->task.index, e->run, l->entry.id, names[e->how],
+		       (long long)e->n);
+		flow_ended_run(b->flow, &ref, l->entry.id, hows[e->how],
+			       e->saved, now_ms);
+		writer_wake(b);
+		round_wake(b);
+	}
+}
+
+static void on_stray_stopped(enum tg_order_end end, int64_t clock_ms, void *arg)
+{
+	(void)end; /* it is listed again if this did not stop it */
+	(void)clock_ms;
+	(void)arg;
+}
+
+static void stop_stray(struct link *l, const struct tg_run *run)
+{
+	struct board *b = l->board;
+	struct tg_worker_ref ref = { .id = l->entry.id, .addr = l->entry.addr };
+	struct tg_order o = {
+		.task = run->task,
+		.run = run->run,
+		.fence = b->fence,
+		.timeout_ms = LOOK_TIMEOUT_MS,
+	};
+
+	tg_log(EV_FLOW_STOP, "job=%s task=%d.%d.%d run=%d worker=%s why=%s",
+	       run->task.job, run->task.occurrence, run->task.step,
+	       run->task.index, run->run, l->entry.id, "unknown job");
+	b->site.ops->stop(b->site.port, &ref, &o, on_stray_stopped, NULL);
+}
+
+static void apply_lists(struct link *l, const struct tg_hold_result *r,
+			int64_t asked_ms)
+{
+	struct board *b = l->board;
+	int64_t now_ms = tg_now_ms();
+	size_t i;
+
+	apply_ends(l, r, now_ms);
+	for (i = 0; i < r->n_runs; i++) {
+		struct flow_ref ref = ref_of(&r->runs[i].task, r->runs[i].run);
+
+		if (!flow_listed_run(b->flow, &ref, l->entry.id,
+				     r->runs[i].percent, r->runs[i].saved,
+				     now_ms))
+			stop_stray(l, &r->runs[i]);
+	}
+	flow_listed_all(b->flow, l->entry.id, asked_ms, now_ms);
+}
+
+static void look_succeeded(struct link *l, const struct tg_hold_result *r,
+			   int64_t asked_ms)
+{
+	struct board *b = l->board;
+
+	set_boot(l, r->boot_ms);
+	/* Answers on different connections overtake each other. */
+	if (r->clock_ms < l->clock_ms)
+		return;
+	l->clock_ms = r->clock_ms;
+	l->clock_at_ms = tg_now_ms();
+	if (l->failed)
+		tg_log(EV_FLOW_WORKER_BACK, "worker=%s failures=%d",
+		       l->entry.id, l->failures);
+	l->failed = false;
+	l->failures = 0;
+	flow_worker_suspect(b->flow, l->entry.id, !l->present);
+	apply_lists(l, r, asked_ms);
+	if (!l->listed) {
+		/* A former owner may have renewed up to the longest lease. */
+		l->expires_at_ms = l->clock_at_ms + EXPIRY_MARGIN_MS +
+			b->site.set.lease_max_ms * 100 /
+				(100 - CLOCK_SLOW_PERCENT);
+		l->listed = true;
+		flow_worker_listed(b->flow, l->entry.id);
+		owner_check_recovered(b);
+		round_wake(b);
+	}
+}
+
+static void look_failed(struct link *l, enum tg_order_end end)
+{
+	int64_t pause_ms = RETRY_MS * ++l->failures;
+
+	if (!l->failed)
+		tg_log(EV_FLOW_WORKER_SILENT,
+		       "worker=%s end=%d expires_ms=%lld", l->entry.id,
+		       (int)end, (long long)(l->expires_at_ms - tg_now_ms()));
+	l->failed = true;
+	flow_worker_suspect(l->board->flow, l->entry.id, true);
+	l->next_ms = tg_now_ms() +
+		(pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS);
+}
+
+static void next_look(struct link *l)
+{
+	int64_t now_ms = tg_now_ms();
+
+	if (l->holding || l->next_ms > now_ms)
+		return;
+	if (l->processed_n > l->noted_n) {
+		/* links_noted() goes on as soon as they are durable. */
+		l->next_ms = now_ms + UNNOTED_PAUSE_MS;
+		if (now_ms - l->clock_at_ms < UNNOTED_PAUSE_MS)
+			return;
+	}
+	send_look(l, false);
+}
+
+static void on_look(const struct tg_hold_result *r, void *arg)
+{
+	struct look *k = arg;
+	struct board *b = k->board;
+	struct link *l = k->term == b->term ? link_find(b, k->id) : NULL;
+
+	if (!l)
+		goto out;
+	if (k->extra)
+		l->looking = false;
+	else
+		l->holding = false;
+	if (r->end == TG_ORDER_FENCED) {
+		owner_lost(b, "a worker has seen a higher fence");
+		goto out;
+	}
+	if (r->end == TG_ORDER_DONE)
+		look_succeeded(l, r, k->asked_ms);
+	else if (!k->extra)
+		look_failed(l, r->end);
+	if (r->end == TG_ORDER_OTHER_BOOT && l->boot_ms)
+		set_boot(l, -1);
+	if (l->look_again && !l->looking) {
+		l->look_again = false;
+		link_look(l);
+	}
+	next_look(l);
+out:
+	free(k);
+}
+
+void link_look(struct link *l)
+{
+	if (l->looking) {
+		l->look_again = true;
+		return;
+	}
+	send_look(l, true);
+}
+
+void links_mark(struct board *b)
+{
+	struct link *l;
+
+	for (l = b->links; l; l = l->hh.next)
+		l->marked_n = l->processed_n;
+}
+
+void links_noted(struct board *b)
+{
+	struct link *l;
+
+	for (l = b->links; l; l = l->hh.next) {
+		if (l->marked_n <= l->noted_n)
+			continue;
+		l->noted_n = l->marked_n;
+		if (l->failed || l->processed_n > l->noted_n)
+			continue;
+		l->next_ms = 0;
+		next_look(l);
+	}
+}
+
+int64_t links_unsettled(const struct board *b)
+{
+	const struct link *l;
+	int64_t n = 0;
+
+	for (l = b->links; l; l = l->hh.next)
+		n += l->failed && l->listed;
+	return n;
+}
+
+int64_t links_unlisted(const struct board *b)
+{
+	const struct link *l;
+	int64_t n = 0;
+
+	for (l = b->links; l; l = l->hh.next)
+		n += l->present && !l->listed;
+	return n;
+}
+
+static void tell_flow(struct link *l)
+{
+	struct flow_worker_spec s = {
+		.id = l->entry.id,
+		.service = l->entry.service,
+		.az = l->entry.az,
+		.rack = l->entry.rack,
+		.capacity = l->entry.capacity,
+		.draining = l->entry.draining,
+		.remaining_ms = l->entry.remaining_ms,
+	};
+	int i;
+
+	for (i = 0; i < l->entry.n_labels; i++)
+		s.labels[s.n_labels++] = l->entry.labels[i];
+	flow_worker_set(l->board->flow, &s);
+	flow_worker_suspect(l->board->flow, l->entry.id,
+			    l->failed || !l->present);
+	round_wake(l->board);
+}
+
+static void worker_gone(struct board *b, const char *id)
+{
+	struct link *l = link_find(b, id);
+
+	if (!l || !l->present)
+		return;
+	tg_log(EV_FLOW_WORKER_GONE, "worker=%s failed=%d", id, l->failed);
+	l->present = false;
+	flow_worker_suspect(b->flow, id, true);
+}
+
+static void on_worker_row(const struct tg_row *row, void *arg)
+{
+	struct board *b = arg;
+	struct tg_worker_entry e;
+	struct link *l;
+
+	if (row->deleted) {
+		worker_gone(b, row->key);
+		return;
+	}
+	if (b->site.ops->worker(row, &e)) {
+		tg_log(EV_ROW_BAD, "table=%s key=%s version=%lld", row->table,
+		       row->key, (long long)row->version);
+		return;
+	}
+	l = link_find(b, e.id);
+	if (!l) {
+		l = tg_xcalloc(1, sizeof(*l));
+		l->board = b;
+		l->entry = e;
+		HASH_ADD(hh, b->links, entry.id, strlen(l->entry.id), l);
+	}
+	if (!l->present || l->entry.draining != e.draining)
+		tg_log(EV_FLOW_WORKER_SEEN,
+		       "worker=%s az=%s rack=%s draining=%d remaining_ms=%lld "
+		       "boot=%lld version=%lld",
+		       e.id, e.az, e.rack, e.draining,
+		       (long long)e.remaining_ms, (long long)e.boot_ms,
+		       (long long)row->version);
+	l->entry = e;
+	l->present = true;
+	l->in_scan = true;
+	set_boot(l, e.boot_ms);
+	tell_flow(l);
+	next_look(l);
+}
+
+static void on_directory_scan(void *arg)
+{
+	struct board *b = arg;
+	struct link *l;
+
+	for (l = b->links; l; l = l->hh.next)
+		l->in_scan = false;
+}
+
+static void on_directory_read(void *arg)
+{
+	struct board *b = arg;
+	struct link *l;
+
+	for (l = b->links; l; l = l->hh.next)
+		if (!l->in_scan)
+			worker_gone(b, l->entry.id);
+	b->directory_read = true;
+	owner_check_recovered(b);
+}
+
+void links_open(struct board *b)
+{
+	struct tg_follow_opts o = {
+		.site = &b->site,
+		.table = b->site.ops->directory_table,
+		.on_scan = on_directory_scan,
+		.on_row = on_worker_row,
+		.on_scanned = on_directory_read,
+		.arg = b,
+	};
+
+	b->directory_read = false;
+	b->directory = tg_follow_new(&o);
+}
+
+void links_close(struct board *b)
+{
+	struct link *l, *tmp;
+
+	tg_follow_free(b->directory);
+	b->directory = NULL;
+	HASH_ITER(hh, b->links, l, tmp) {
+		HASH_DEL(b->links, l);
+		free(l);
+	}
+}
+
+/* Leases that nobody can have renewed since are over. */
+static void check_expiry(struct link *l, int64_t now_ms)
+{
+	struct board *b = l->board;
+
+	if (!l->failed || !l->listed || now_ms < l->expires_at_ms)
+		return;
+	lose_runs(l, EV_FLOW_WORKER_LOST, "leases expired");
+	if (!l->present && !l->holding && !l->looking) {
+		flow_worker_remove(b->flow, l->entry.id, now_ms);
+		HASH_DEL(b->links, l);
+		free(l);
+	}
+}
+
+static void tick(void *board, int64_t now_ms)
+{
+	struct board *b = board;
+	struct link *l, *tmp;
+
+	if (!IS_OWNER(b))
+		return;
+	HASH_ITER(hh, b->links, l, tmp)
+		next_look(l);
+	HASH_ITER(hh, b->links, l, tmp)
+		check_expiry(l, now_ms);
+}
+
+const struct tg_controller links_controller = {
+	.name = "links",
+	.period_ms = 50,
+	.tick = tick,
+};
--- /dev/null
+++ b/cmd/tgflowd/main.c
@@ -0,0 +1,84 @@
+#include <stdlib.h>
+
+#include "board.h"
+#include "platform/platform.h"
+
+/* From the request to stop to the release of the site; then peers take over. */
+#define DRAIN_GRACE_MS 1500
+#define DRAIN_MAX_MS 5000
+
+static const struct tg_setting settings[] = {
+	TG_SITE_FLAGS(settings, NULL),
+	TG_SETTING(settings, "lease-ms", TG_SET_INT, "6000", 500, 60000, false,
+		   "lease of the runs on a worker, in ms", lease_ms),
+	{ .flag = NULL },
+};
+
+static const struct tg_settings_spec spec = {
+	.prog = "tgflowd",
+	.summary = "runs jobs of dependent steps on the workers of a site",
+	.items = settings,
+};
+
+static const struct tg_event_info events[] = {
+#define TG_EVENT TG_EVENT_INFO
+#include "events.def"
+#undef TG_EVENT
+	{ 0, TG_INFO, NULL },
+};
+
+static const struct tg_controller *const controllers[] = {
+	&rpc_controller,
+	&writer_controller,
+	&round_controller,
+	&owner_controller,
+	&links_controller,
+	&metrics_controller,
+	NULL,
+};
+
+static void on_document(void *arg)
+{
+	jobs_apply_document(arg);
+}
+
+int main(int argc, char **argv)
+{
+	static struct board b;
+	struct tg_daemon_opts daemon = {
+		.controllers = controllers,
+		.board = &b,
+		.drain_grace_ms = DRAIN_GRACE_MS,
+		.drain_max_ms = DRAIN_MAX_MS,
+	};
+	const char *path;
+	int status;
+
+	switch (tg_settings_load(&spec, argc, argv, &b.set, NULL)) {
+	case TG_SETTINGS_DONE:
+		return 0;
+	case TG_SETTINGS_BAD:
+		return TG_EXIT_USAGE;
+	default:
+		break;
+	}
+	path = b.set.flags.settings ? b.set.flags.settings :
+				      getenv(tg_platform_settings_env);
+	tg_log_open("tgflowd", b.set.flags.log_level);
+	tg_log_register(events);
+	tg_log_register(tg_site_events);
+	tg_log_register(tg_platform_events);
+	tg_log_register(tg_rpc_events);
+	tg_log_register(tg_http_events);
+	tg_rng_seed(&b.rng);
+	b.base = event_base_new();
+	if (tg_site_open(&b.site, b.base, &tg_platform_ops, path ? path : ""))
+		return TG_EXIT_USAGE;
+	b.document = tg_document_new(&b.site, on_document, &b);
+	daemon.base = b.base;
+	status = tg_daemon_run(&daemon);
+	tg_document_free(b.document);
+	tg_site_close(&b.site);
+	event_base_free(b.base);
+	return status;
+}
--- /dev/null
+++ b/cmd/tgflowd/metrics.c
@@ -0,0 +1,82 @@
+#include "board.h"
+
+/* Gauges of what the owner knows; counted every second. */
+
+static struct {
+	struct tg_gauge *owner, *jobs, *open_jobs, *waiting_tasks, *runs,
+		*stopping, *unsure, *workers, *ready_workers,
+		*free_accelerators, *memory;
+} g;
+
+static bool is_ready(void *arg, const char **why)
+{
+	(void)arg;
+	(void)why;
+	return !tg_daemon_draining();
+}
+
+static int start(void *board)
+{
+	struct board *b = board;
+	static const struct tg_http_route routes[] = { { .path = NULL } };
+	struct tg_http_server_opts o = {
+		.base = b->base,
+		.addr = b->set.flags.metrics_addr,
+		.routes = routes,
+		.ready = is_ready,
+		.arg = b,
+	};
+
+	g.owner = tg_gauge("tg_flow_owner", "1 on the owner", NULL);
+	g.jobs = tg_gauge("tg_flow_jobs", "jobs known", NULL);
+	g.open_jobs = tg_gauge("tg_flow_open_jobs", "jobs not ended", NULL);
+	g.waiting_tasks =
+		tg_gauge("tg_flow_waiting_tasks", "tasks without a run", NULL);
+	g.runs = tg_gauge("tg_flow_runs", "runs on workers", NULL);
+	g.stopping = tg_gauge("tg_flow_stopping", "runs being stopped", NULL);
+	g.unsure = tg_gauge("tg_flow_unsure", "starts without answer", NULL);
+	g.workers = tg_gauge("tg_flow_workers", "workers known", NULL);
+	g.ready_workers = tg_gauge("tg_flow_ready_workers",
+				   "workers that get starts", NULL);
+	g.free_accelerators = tg_gauge("tg_flow_free_accelerators",
+				       "accelerators without a run", NULL);
+	g.memory = tg_gauge("tg_resident_kb", "resident memory in KiB", NULL);
+	b->metrics = o.addr ? tg_http_server_new(&o) : NULL;
+	return o.addr && !b->metrics ? -1 : 0;
+}
+
+static void tick(void *board, int64_t now_ms)
+{
+	struct board *b = board;
+	struct flow_stats s = { 0 };
+
+	(void)now_ms;
+	if (b->flow)
+		flow_stats(b->flow, &s);
+	g.owner->value = IS_OWNER(b);
+	g.jobs->value = s.jobs;
+	g.open_jobs->value = s.open_jobs;
+	g.waiting_tasks->value = s.waiting_tasks;
+	g.runs->value = s.runs;
+	g.stopping->value = s.stopping;
+	g.unsure->value = s.unsure;
+	g.workers->value = s.workers;
+	g.ready_workers->value = s.ready_workers;
+	g.free_accelerators->value = s.free_accelerators;
+	g.memory->value = tg_rss_kb();
+}
+
+static void stop(void *board)
+{
+	struct board *b = board;
+
+	tg_http_server_free(b->metrics);
+}
+
+const struct tg_controller metrics_controller = {
+	.name = "metrics",
+	.period_ms = 1000,
+	.start = start,
+	.tick = tick,
+	.stop = stop,
+};
--- /dev/null
+++ b/cmd/tgflowd/owner.c
@@ -0,0 +1,340 @@
+#include <string.h>
+
+#include "board.h"
+
+/* Time between two looks at the owner. */
+#define PING_MS 300
+#define PING_TIMEOUT_MS 500
+/* A refused connection fails within this; a silent peer takes longer. */
+#define REFUSED_WITHIN_MS 250
+/* Silence after which the owner's row is watched. */
+#define SILENT_MS 600
+/*
+ * The owner writes its row every RENEW_MS.  A row that stays unchanged this
+ * long has no live owner: after refused pings, and after silence.
+ */
+#define UNCHANGED_DEAD_MS 300
+#define UNCHANGED_SILENT_MS 1100
+#define READ_TIMEOUT_MS 800
+#define CLAIM_TIMEOUT_MS 1000
+/* Without a successful write for this long an owner no longer reports itself
+ * as active, so that a standby that reaches the store can take over. */
+#define STALE_MS 2500
+/*
+ * Without a successful write for this long an owner renews no leases.  Long
+ * enough for the usual outages of the store, in which nobody can take over.
+ */
+#define KEEP_MS 10000
+/* Clocks of workers may be this much slow. */
+#define CLOCK_SLOW_PERCENT 2
+#define EXPIRY_MARGIN_MS 500
+
+static struct {
+	bool pinging, reading, dead, was_silent;
+	int64_t ping_ms, alive_ms;
+	int64_t read_version, unchanged_since_ms, read_ms;
+} watch;
+
+static void on_ping(enum tg_rpc_end end, const void *res, void *arg)
+{
+	struct board *b = arg;
+	const struct tg_rpc_peer *p = res;
+	int64_t now_ms = tg_now_ms();
+
+	watch.pinging = false;
+	if (end == TG_RPC_END_OK && p->active && p->epoch >= b->owner.fence) {
+		watch.alive_ms = now_ms;
+		watch.dead = false;
+		watch.was_silent = false;
+		return;
+	}
+	/* It answers and does not own, or nobody listens there. */
+	watch.dead = end == TG_RPC_END_OK ||
+		(end != TG_RPC_END_TIMEOUT &&
+		 now_ms - watch.ping_ms < REFUSED_WITHIN_MS);
+}
+
+static void ping_owner(struct board *b, int64_t now_ms)
+{
+	struct tg_rpc_peer me = {
+		.instance = b->site.set.instance,
+		.role = "flow",
+		.az = b->site.set.az,
+		.boot = b->boot,
+	};
+
+	if (watch.pinging || now_ms - watch.ping_ms < PING_MS ||
+	    !*b->owner.addr)
+		return;
+	watch.pinging = true;
+	watch.ping_ms = now_ms;
+	tg_rpc_call(b->peers, b->owner.addr, TG_RPC_PING, &me, PING_TIMEOUT_MS,
+		    on_ping, b);
+}
+
+static void take_row(struct board *b, const struct tg_row *row)
+{
+	struct tg_owner_row o;
+
+	if (tg_owner_row_decode(row, &o)) {
+		tg_log(EV_ROW_BAD, "table=%s key=%s version=%lld",
+		       TG_OWNER_TABLE, row->key, (long long)row->version);
+		return;
+	}
+	if (o.fence != b->owner.fence) {
+		watch.alive_ms = tg_now_ms();
+		watch.dead = false;
+	}
+	b->owner = o;
+	b->owner_version = row->version;
+}
+
+static void begin_term(struct board *b, const char *why)
+{
+	int64_t lease_ms = b->set.lease_ms * (100 + CLOCK_SLOW_PERCENT) / 100 +
+		EXPIRY_MARGIN_MS;
+
+	b->term++;
+	b->role = ROLE_RECOVERING;
+	b->fence = b->owner.fence;
+	b->renewed_ms = tg_now_ms();
+	/* A former owner that lives may renew leases for KEEP_MS more. */
+	b->recover_until_ms =
+		b->renewed_ms + lease_ms + (watch.dead ? 0 : KEEP_MS);
+	tg_log(EV_FLOW_CLAIMED, "fence=%llu why=%s version=%lld",
+	       (unsigned long long)b->fence, why, (long long)b->owner_version);
+	jobs_open(b);
+}
+
+static char claim_reason[64];
+static struct tg_owner_row claim;
+
+static void read_row(struct board *b);
+
+static void on_claim(const struct tg_store_result *r, void *arg)
+{
+	struct board *b = arg;
+
+	if (b->role != ROLE_CLAIMING)
+		return;
+	b->role = ROLE_STANDBY;
+	if (r->end == TG_STORE_OK) {
+		b->owner = claim;
+		b->owner_version = r->version;
+		begin_term(b, claim_reason);
+	} else if (r->end == TG_STORE_CONFLICT && r->n_rows) {
+		take_row(b, &r->rows[0]);
+		watch.read_version = 0;
+	} else {
+		/* Reading the row tells whether the claim succeeded. */
+		read_row(b);
+	}
+}
+
+static void claim_ownership(struct board *b, const char *why)
+{
+	struct tg_row check = {
+		.table = TG_OWNER_TABLE,
+		.part = TG_OWNER_PART,
+		.key = TG_OWNER_KEY,
+		.version = b->owner_version,
+	};
+	struct tg_row put = check;
+	struct tg_store_tx tx = {
+		.checks = &check,
+		.n_checks = 1,
+		.puts = &put,
+		.n_puts = 1,
+		.timeout_ms = CLAIM_TIMEOUT_MS,
+	};
+	char *text;
+
+	memset(&claim, 0, sizeof(claim));
+	tg_strlcpy(claim.holder, b->site.set.instance, sizeof(claim.holder));
+	tg_strlcpy(claim.addr, tg_rpc_server_addr(b->rpc), sizeof(claim.addr));
+	tg_strlcpy(claim.boot, b->boot, sizeof(claim.boot));
+	claim.fence = b->owner.fence + 1;
+	claim.unsettled = b->owner.unsettled;
+	tg_strlcpy(claim_reason, why, sizeof(claim_reason));
+	b->role = ROLE_CLAIMING;
+	text = tg_owner_row_encode(&claim);
+	put.value = text;
+	put.value_bytes = strlen(text);
+	b->site.ops->tx(b->site.port, &tx, on_claim, b);
+	free(text);
+}
+
+/* Whether the row says that a claim of this process without answer succeeded.
+ */
+static bool is_own_claim(const struct board *b)
+{
+	return !strcmp(b->owner.boot, b->boot) &&
+		b->owner.fence == claim.fence && !b->owner.released;
+}
+
+static const char *reason_to_claim(struct board *b, int64_t now_ms)
+{
+	int64_t unchanged_ms = now_ms - watch.unchanged_since_ms;
+
+	if (!b->owner_version)
+		return "no owner yet";
+	if (b->owner.released)
+		return "released";
+	if (watch.dead && unchanged_ms >= UNCHANGED_DEAD_MS)
+		return "owner is gone";
+	if (now_ms - watch.alive_ms >= SILENT_MS &&
+	    unchanged_ms >= UNCHANGED_SILENT_MS)
+		return "owner is silent";
+	return NULL;
+}
+
+static void on_read(const struct tg_store_result *r, void *arg)
+{
+	struct board *b = arg;
+	int64_t now_ms = tg_now_ms();
+	const char *why;
+
+	watch.reading = false;
+	if (b->role != ROLE_STANDBY)
+		return;
+	if (r->end != TG_STORE_OK) {
+		watch.read_version = 0;
+		return;
+	}
+	if (r->n_rows)
+		take_row(b, &r->rows[0]);
+	if (r->n_rows && is_own_claim(b)) {
+		begin_term(b, claim_reason);
+		return;
+	}
+	if (watch.read_version != b->owner_version) {
+		watch.read_version = b->owner_version;
+		watch.unchanged_since_ms = now_ms;
+	}
+	why = reason_to_claim(b, now_ms);
+	if (why)
+		claim_ownership(b, why);
+}
+
+static void read_row(struct board *b)
+{
+	struct tg_store_range range = {
+		.table = TG_OWNER_TABLE,
+		.part = TG_OWNER_PART,
+		.timeout_ms = READ_TIMEOUT_MS,
+	};
+
+	if (watch.reading)
+		return;
+	watch.reading = true;
+	watch.read_ms = tg_now_ms();
+	b->site.ops->get(b->site.port, &range, on_read, b);
+}
+
+static void stand_by(struct board *b, int64_t now_ms)
+{
+	bool silent = now_ms - watch.alive_ms >= SILENT_MS;
+
+	ping_owner(b, now_ms);
+	if (silent && !watch.was_silent && b->owner_version) {
+		watch.was_silent = true;
+		tg_log(EV_FLOW_OWNER_SILENT, "owner=%s silent_ms=%lld dead=%d",
+		       b->owner.holder, (long long)(now_ms - watch.alive_ms),
+		       watch.dead);
+	}
+	if (!b->owner_version || silent || watch.dead || b->owner.released)
+		read_row(b);
+	else
+		watch.read_version = 0;
+}
+
+void owner_lost(struct board *b, const char *why)
+{
+	if (!IS_OWNER(b))
+		return;
+	tg_log(EV_FLOW_LOST, "fence=%llu why=%s", (unsigned long long)b->fence,
+	       why);
+	b->term++;
+	b->role = ROLE_STANDBY;
+	writer_reset(b);
+	jobs_close(b);
+	links_close(b);
+	flow_free(b->flow);
+	b->flow = NULL;
+	watch.alive_ms = tg_now_ms();
+	watch.dead = false;
+	watch.read_version = 0;
+}
+
+void owner_check_recovered(struct board *b)
+{
+	int64_t now_ms = tg_now_ms();
+
+	if (b->role != ROLE_RECOVERING || !b->directory_read)
+		return;
+	if ((links_unlisted(b) || b->owner.unsettled) &&
+	    now_ms < b->recover_until_ms)
+		return;
+	b->role = ROLE_OWNER;
+	b->owner.unsettled = 0;
+	tg_log(EV_FLOW_RECOVERED, "fence=%llu unlisted=%lld",
+	       (unsigned long long)b->fence, (long long)links_unlisted(b));
+	flow_recovered(b->flow);
+	round_wake(b);
+}
+
+bool owner_may_renew(const struct board *b)
+{
+	return IS_OWNER(b) && tg_now_ms() - b->renewed_ms < KEEP_MS;
+}
+
+bool owner_is_current(const struct board *b)
+{
+	return IS_OWNER(b) && tg_now_ms() - b->renewed_ms < STALE_MS;
+}
+
+static int start(void *board)
+{
+	struct board *b = board;
+
+	tg_token(b->boot);
+	watch.alive_ms = tg_now_ms();
+	return 0;
+}
+
+static void tick(void *board, int64_t now_ms)
+{
+	struct board *b = board;
+
+	if (b->role == ROLE_STANDBY)
+		stand_by(b, now_ms);
+	owner_check_recovered(b);
+}
+
+static bool drain(void *board, int64_t now_ms)
+{
+	struct board *b = board;
+
+	(void)now_ms;
+	if (IS_OWNER(b) && !b->owner.released) {
+		b->owner.released = true;
+		writer_wake(b);
+	}
+	if (IS_OWNER(b) && !writer_idle(b))
+		return false;
+	if (IS_OWNER(b)) {
+		tg_log(EV_FLOW_RELEASED, "fence=%llu",
+		       (unsigned long long)b->fence);
+		owner_lost(b, "stopping");
+	}
+	b->role = ROLE_LEAVING;
+	return true;
+}
+
+const struct tg_controller owner_controller = {
+	.name = "owner",
+	.period_ms = 100,
+	.start = start,
+	.tick = tick,
+	.drain = drain,
+};
--- /dev/null
+++ b/cmd/tgflowd/round.c
@@ -0,0 +1,226 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+
+/* Decisions and the orders that carry them out. */
+
+/* What has happened is collected this long before the next decision. */
+#define COLLECT_MS 3
+/* Times of occurrences, quarantines and missed answers need no finer look. */
+#define PERIOD_MS 100
+#define ORDER_TIMEOUT_MS 900
+
+static struct event *timer;
+static struct tg_hist *round_us;
+
+struct order {
+	struct board *board;
+	uint64_t term;
+	bool start;
+	char worker[TG_NAME_MAX + 1];
+	struct tg_task_id task;
+	int32_t run;
+	int64_t sent_ms;
+};
+
+static struct order *new_order(struct board *b, bool start,
+			       const struct flow_ref *r, const char *worker)
+{
+	struct order *o = tg_xcalloc(1, sizeof(*o));
+
+	o->board = b;
+	o->term = b->term;
+	o->start = start;
+	o->run = r->run;
+	o->sent_ms = tg_now_ms();
+	tg_strlcpy(o->worker, worker, sizeof(o->worker));
+	tg_strlcpy(o->task.job, r->job, sizeof(o->task.job));
+	o->task.occurrence = r->occurrence;
+	o->task.step = r->step;
+	o->task.index = r->index;
+	return o;
+}
+
+static enum flow_order_end translate(enum tg_order_end end, bool start)
+{
+	switch (end) {
+	case TG_ORDER_DONE:
+		return FLOW_ORDER_DONE;
+	case TG_ORDER_OLD_RUN:
+		return start ? FLOW_ORDER_OLD_RUN : FLOW_ORDER_DONE;
+	case TG_ORDER_INVALID:
+		return start ? FLOW_ORDER_INVALID : FLOW_ORDER_DONE;
+	case TG_ORDER_UNKNOWN:
+		return FLOW_ORDER_UNKNOWN;
+	default:
+		return FLOW_ORDER_NOT_DONE;
+	}
+}
+
+static void log_answer(const struct order *o, enum tg_order_end end)
+{
+	static const char *const names[] = {
+		[TG_ORDER_DONE] = "done",
+		[TG_ORDER_FENCED] = "fenced",
+		[TG_ORDER_OLD_RUN] = "old-run",
+		[TG_ORDER_LATE] = "late",
+		[TG_ORDER_NO_ROOM] = "no-room",
+		[TG_ORDER_NO_TICKET] = "ticket",
+		[TG_ORDER_INVALID] = "invalid",
+		[TG_ORDER_UNHEALTHY] = "unhealthy",
+		[TG_ORDER_OTHER_BOOT] = "other-boot",
+		[TG_ORDER_NOT_SENT] = "not-sent",
+		[TG_ORDER_UNKNOWN] = "unknown",
+	};
+
+	if (end != TG_ORDER_DONE)
+		tg_log(EV_FLOW_START_ANSWER,
+		       "order=%s job=%s task=%d.%d.%d run=%d worker=%s "
+		       "outcome=%s after_ms=%lld",
+		       o->start ? "start" : "stop", o->task.job,
+		       o->task.occurrence, o->task.step, o->task.index, o->run,
+		       o->worker, names[end],
+		       (long long)(tg_now_ms() - o->sent_ms));
+}
+
+static void on_order(enum tg_order_end end, int64_t clock_ms, void *arg)
+{
+	struct order *o = arg;
+	struct board *b = o->board;
+	struct flow_ref ref = { .job = o->task.job,
+				.occurrence = o->task.occurrence,
+				.step = o->task.step,
+				.index = o->task.index,
+				.run = o->run };
+	struct link *l;
+
+	(void)clock_ms;
+	if (o->term != b->term)
+		goto out;
+	log_answer(o, end);
+	if (end == TG_ORDER_FENCED) {
+		owner_lost(b, "a worker has seen a higher fence");
+		goto out;
+	}
+	if (o->start)
+		flow_start_answered(b->flow, &ref, o->worker,
+				    translate(end, true), tg_now_ms());
+	else
+		flow_stop_answered(b->flow, &ref, o->worker,
+				   translate(end, false), tg_now_ms());
+	l = link_find(b, o->worker);
+	if (l && end == TG_ORDER_UNKNOWN && o->start)
+		link_look(l);
+	if (end != TG_ORDER_DONE)
+		round_wake(b);
+out:
+	free(o);
+}
+
+static void order_start(const struct flow_start *s, void *arg)
+{
+	struct board *b = arg;
+	struct link *l = link_find(b, s->worker);
+	struct order *o = new_order(b, true, &s->ref, s->worker);
+	struct tg_worker_ref ref = { .id = l->entry.id, .addr = l->entry.addr };
+	struct tg_order msg = {
+		.task = o->task,
+		.run = s->ref.run,
+		.fence = b->fence,
+		.spec = s->text,
+		.saved = s->saved,
+		.until_ms = link_expiry(l),
+		.timeout_ms = ORDER_TIMEOUT_MS,
+	};
+
+	tg_log(EV_FLOW_START,
+	       "job=%s task=%d.%d.%d run=%d worker=%s saved=%d why=%s "
+	       "clock_age_ms=%lld",
+	       s->ref.job, s->ref.occurrence, s->ref.step, s->ref.index,
+	       s->ref.run, s->worker, *s->saved != '\0', s->reason,
+	       (long long)(o->sent_ms - l->clock_at_ms));
+	b->site.ops->start(b->site.port, &ref, &msg, on_order, o);
+}
+
+static void order_stop(const struct flow_stop *s, void *arg)
+{
+	struct board *b = arg;
+	struct link *l = link_find(b, s->worker);
+	struct order *o = new_order(b, false, &s->ref, s->worker);
+	struct tg_worker_ref ref = { .id = l->entry.id, .addr = l->entry.addr };
+	struct tg_order msg = {
+		.task = o->task,
+		.run = s->ref.run,
+		.fence = b->fence,
+		.timeout_ms = ORDER_TIMEOUT_MS,
+	};
+
+	tg_log(EV_FLOW_STOP, "job=%s task=%d.%d.%d run=%d worker=%s why=%s",
+	       s->ref.job, s->ref.occurrence, s->ref.step, s->ref.index,
+	       s->ref.run, s->worker, s->reason);
+	b->site.ops->stop(b->site.port, &ref, &msg, on_order, o);
+}
+
+static const struct flow_ops flow_orders = {
+	.start = order_start,
+	.stop = order_stop,
+};
+
+static void decide(struct board *b)
+{
+	int64_t from_us = tg_now_us();
+
+	b->round_wanted = false;
+	if (!owner_may_renew(b) || !b->directory_read)
+		return;
+	flow_decide(b->flow, tg_now_ms(), tg_wall_ms(), &flow_orders, b);
+	tg_hist_add(round_us, (uint64_t)(tg_now_us() - from_us));
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	decide(arg);
+}
+
+void round_wake(struct board *b)
+{
+	struct timeval tv = { .tv_usec = COLLECT_MS * 1000 };
+
+	if (b->round_wanted)
+		return;
+	b->round_wanted = true;
+	event_add(timer, &tv);
+}
+
+static int start(void *board)
+{
+	struct board *b = board;
+
+	timer = event_new(b->base, -1, 0, on_timer, b);
+	round_us = tg_histogram("tg_flow_round_us",
+				"time of a round of decisions", NULL);
+	return 0;
+}
+
+static void tick(void *board, int64_t now_ms)
+{
+	(void)now_ms;
+	round_wake(board);
+}
+
+static void stop(void *board)
+{
+	(void)board;
+	event_free(timer);
+}
+
+const struct tg_controller round_controller = {
+	.name = "round",
+	.period_ms = PERIOD_MS,
+	.start = start,
+	.tick = tick,
+	.stop = stop,
+};
--- /dev/null
+++ b/cmd/tgflowd/rpc.c
@@ -0,0 +1,181 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+
+static void answer(struct board *b, struct tg_rpc_req *req,
+		   enum tg_rpc_status status, json_t *json, const char *text)
+{
+	char *s = json ? json_dumps(json, JSON_COMPACT) : NULL;
+	struct tg_rpc_answer a = {
+		.status = status,
+		.epoch = b->owner.fence,
+		.text = (char *)text,
+	};
+
+	a.json.json_val = s;
+	a.json.json_len = s ? (u_int)strlen(s) : 0;
+	tg_rpc_reply(req, &a);
+	free(s);
+	json_decref(json);
+}
+
+/* Whether calls on jobs are served here; otherwise it is answered. */
+static bool serves(struct board *b, struct tg_rpc_req *req)
+{
+	if (IS_OWNER(b) && b->directory_read)
+		return true;
+	answer(b, req, TG_RPC_NOT_ACTIVE,
+	       json_pack("{s:s}", "addr",
+			 IS_OWNER(b) || b->owner.released ? "" : b->owner.addr),
+	       "not the owner");
+	return false;
+}
+
+static void ping(struct tg_rpc_req *req, void *args, void *arg)
+{
+	struct board *b = arg;
+	struct tg_rpc_peer me = {
+		.instance = b->site.set.instance,
+		.role = "flow",
+		.az = b->site.set.az,
+		.boot = b->boot,
+		.epoch = b->owner.fence,
+		.active = owner_is_current(b) && !b->owner.released,
+		.draining = tg_daemon_draining(),
+	};
+
+	(void)args;
+	tg_rpc_reply(req, &me);
+}
+
+/* A job that an entry has stored: the owner need not wait for its feed. */
+static void submit(struct tg_rpc_req *req, void *args, void *arg)
+{
+	struct board *b = arg;
+	const struct tg_rpc_job *a = args;
+	struct tg_row row = {
+		.table = TG_JOBS_TABLE,
+		.key = a->job,
+		.value = a->spec.spec_val,
+		.value_bytes = a->spec.spec_len,
+	};
+
+	if (!serves(b, req))
+		return;
+	jobs_stored(b, &row);
+	answer(b, req, TG_RPC_OK, NULL, "");
+}
+
+static void cancel(struct tg_rpc_req *req, void *args, void *arg)
+{
+	struct board *b = arg;
+	const struct tg_rpc_job *a = args;
+	struct waiter *w;
+
+	if (!serves(b, req))
+		return;
+	if (!flow_cancel(b->flow, a->job, tg_now_ms())) {
+		answer(b, req, TG_RPC_NOT_FOUND, NULL, "no such job");
+		return;
+	}
+	tg_log(EV_FLOW_JOB_CANCEL, "job=%s by=call", a->job);
+	w = tg_xcalloc(1, sizeof(*w));
+	w->req = req;
+	tg_strlcpy(w->job, a->job, sizeof(w->job));
+	w->next = b->waiters;
+	b->waiters = w;
+	writer_wake(b);
+	round_wake(b);
+}
+
+static void status(struct tg_rpc_req *req, void *args, void *arg)
+{
+	struct board *b = arg;
+	const struct tg_rpc_job *a = args;
+	struct flow_view v;
+
+	if (!serves(b, req))
+		return;
+	if (!flow_view(b->flow, a->job, &v)) {
+		answer(b, req, TG_RPC_NOT_FOUND, NULL, "no such job");
+		return;
+	}
+	/* An end counts once it is durable. */
+	if (v.state >= FLOW_COMPLETED && !v.durable)
+		v.state = FLOW_RUNNING;
+	answer(b, req, TG_RPC_OK,
+	       json_pack("{s:s}", "state", flow_state_name(v.state)), "");
+}
+
+static void count(struct tg_rpc_req *req, void *args, void *arg)
+{
+	struct board *b = arg;
+	const struct tg_rpc_list *a = args;
+
+	if (!serves(b, req))
+		return;
+	answer(b, req, TG_RPC_OK,
+	       json_pack("{s:I}", "waiting",
+			 (json_int_t)flow_waiting(b->flow, a->workspace)),
+	       "");
+}
+
+static void explain(struct tg_rpc_req *req, void *args, void *arg)
+{
+	struct board *b = arg;
+	const struct tg_rpc_job *a = args;
+	struct flow_view v;
+
+	if (!serves(b, req))
+		return;
+	if (!flow_view(b->flow, a->job, &v)) {
+		answer(b, req, TG_RPC_NOT_FOUND, NULL, "no such job");
+		return;
+	}
+	answer(b, req, TG_RPC_OK,
+	       json_pack("{s:s,s:b,s:I,s:I,s:I,s:I}", "state",
+			 flow_state_name(v.state), "durable", v.durable,
+			 "tasks", (json_int_t)v.tasks, "done",
+			 (json_int_t)v.done, "runs", (json_int_t)v.runs,
+			 "failures", (json_int_t)v.failures),
+	       "");
+}
+
+static const tg_rpc_handler handlers[TG_RPC_N_PROCS] = {
+	[TG_RPC_PING] = ping,	      [TG_RPC_JOB_SUBMIT] = submit,
+	[TG_RPC_JOB_CANCEL] = cancel, [TG_RPC_JOB_STATUS] = status,
+	[TG_RPC_JOB_LIST] = count,    [TG_RPC_JOB_EXPLAIN] = explain,
+};
+
+static int start(void *board)
+{
+	struct board *b = board;
+	char addr[TG_ADDR_MAX + 16];
+	struct tg_rpc_server_opts o = {
+		.base = b->base,
+		.addr = addr,
+		.handlers = handlers,
+		.arg = b,
+	};
+
+	snprintf(addr, sizeof(addr), "%s:%d", b->site.set.ip,
+		 b->site.set.peers_port);
+	b->rpc = tg_rpc_server_new(&o);
+	b->peers = tg_rpc_client_new(b->base);
+	return b->rpc ? 0 : -1;
+}
+
+static void stop(void *board)
+{
+	struct board *b = board;
+
+	tg_rpc_client_free(b->peers);
+	tg_rpc_server_free(b->rpc);
+}
+
+const struct tg_controller rpc_controller = {
+	.name = "rpc",
+	.start = start,
+	.stop = stop,
+};
--- /dev/null
+++ b/cmd/tgflowd/writer.c
@@ -0,0 +1,268 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+
+/*
+ * All writes of the owner form a chain: each expects the owner's row as the
+ * write before left it, and changes it.  So a copy of an earlier write that
+ * takes effect late is refused, and so is every write of a former owner.  A
+ * write without an answer is repeated unchanged until the row tells its fate.
+ */
+
+#define RENEW_MS 500
+#define WRITE_TIMEOUT_MS 1500
+#define RETRY_MS 150
+/* Changes are collected this long, so that one write takes many ends. */
+#define COLLECT_MS 4
+/* The store takes 100 entries a call; the owner's row is one of them. */
+#define JOBS_MAX 90
+
+static struct {
+	struct event *timer;
+	bool busy; /* a write is in progress or to be repeated */
+	uint64_t term;
+	struct tg_owner_row row; /* that the write puts */
+	struct tg_row rows[JOBS_MAX + 1];
+	size_t n;
+	bool complete; /* nothing dirty was left out */
+	int64_t started_ms;
+	int failures;
+} w;
+
+static struct tg_hist *write_us;
+
+static void free_rows(void)
+{
+	size_t i;
+
+	for (i = 0; i < w.n; i++) {
+		free((char *)w.rows[i].key);
+		free((char *)w.rows[i].value);
+	}
+	w.n = 0;
+}
+
+static void add_row(const char *table, const char *key, char *text)
+{
+	struct tg_row *r = &w.rows[w.n++];
+
+	memset(r, 0, sizeof(*r));
+	r->table = table;
+	r->part = TG_OWNER_PART;
+	r->key = tg_xstrdup(key);
+	r->value = text;
+	r->value_bytes = strlen(text);
+}
+
+static void collect(struct board *b)
+{
+	const char *id;
+
+	free_rows();
+	w.row = b->owner;
+	w.row.seq = b->owner.seq + 1;
+	if (b->role == ROLE_OWNER)
+		w.row.unsettled = links_unsettled(b);
+	add_row(TG_OWNER_TABLE, TG_OWNER_KEY, tg_owner_row_encode(&w.row));
+	while (w.n <= JOBS_MAX && (id = flow_next_dirty(b->flow))) {
+		json_t *o = flow_progress_encode(b->flow, id);
+
+		add_row(TG_PROGRESS_TABLE, id, json_dumps(o, JSON_COMPACT));
+		json_decref(o);
+	}
+	w.complete = w.n <= JOBS_MAX;
+	links_mark(b);
+}
+
+static void answer_waiters(struct board *b)
+{
+	struct waiter **p = &b->waiters;
+
+	while (*p) {
+		struct waiter *x = *p;
+		struct tg_rpc_answer a = { .status = TG_RPC_OK,
+					   .epoch = b->fence,
+					   .text = "" };
+		struct flow_view v;
+
+		if (flow_view(b->flow, x->job, &v) && !v.durable) {
+			p = &x->next;
+			continue;
+		}
+		tg_rpc_reply(x->req, &a);
+		*p = x->next;
+		free(x);
+	}
+}
+
+static void log_ends(struct board *b)
+{
+	size_t i;
+
+	for (i = 0; i < w.n; i++) {
+		struct flow_view v;
+
+		if (w.rows[i].table != (const char *)TG_PROGRESS_TABLE &&
+		    strcmp(w.rows[i].table, TG_PROGRESS_TABLE) != 0)
+			continue;
+		if (flow_view(b->flow, w.rows[i].key, &v) &&
+		    v.state >= FLOW_COMPLETED && v.durable)
+			tg_log(EV_FLOW_JOB_OVER,
+			       "job=%s state=%s runs=%lld failures=%lld "
+			       "done=%lld/%lld",
+			       w.rows[i].key, flow_state_name(v.state),
+			       (long long)v.runs, (long long)v.failures,
+			       (long long)v.done, (long long)v.tasks);
+	}
+}
+
+static void schedule(struct board *b, int64_t ms)
+{
+	struct timeval tv = { .tv_sec = ms / 1000,
+			      .tv_usec = (ms % 1000) * 1000 };
+
+	(void)b;
+	event_add(w.timer, &tv);
+}
+
+static void succeed(struct board *b, int64_t version)
+{
+	tg_hist_add(write_us, (uint64_t)(tg_now_ms() - w.started_ms) * 1000);
+	b->owner.seq = w.row.seq;
+	b->owner_version = version;
+	b->renewed_ms = w.started_ms;
+	w.failures = 0;
+	w.busy = false;
+	flow_written(b->flow);
+	log_ends(b);
+	free_rows();
+	if (w.complete)
+		links_noted(b);
+	answer_waiters(b);
+	if (!w.complete || b->write_wanted ||
+	    w.row.released != b->owner.released)
+		schedule(b, w.complete ? COLLECT_MS : 0);
+	else
+		schedule(b, RENEW_MS);
+}
+
+static void on_written(const struct tg_store_result *r, void *arg)
+{
+	struct board *b = arg;
+	struct tg_owner_row now;
+
+	if (!w.busy || w.term != b->term)
+		return;
+	if (r->end == TG_STORE_OK) {
+		succeed(b, r->version);
+		return;
+	}
+	if (r->end == TG_STORE_CONFLICT && r->n_rows) {
+		if (!tg_owner_row_decode(&r->rows[0], &now) &&
+		    !strcmp(now.boot, b->boot) && now.fence == b->fence &&
+		    now.seq == w.row.seq) {
+			/* An earlier copy of this write took effect. */
+			succeed(b, r->rows[0].version);
+			return;
+		}
+		owner_lost(b, "the row has another holder");
+		return;
+	}
+	if (!w.failures++)
+		tg_log(EV_FLOW_WRITE_FAILED, "end=%d rows=%zu age_ms=%lld",
+		       (int)r->end, w.n,
+		       (long long)(tg_now_ms() - b->renewed_ms));
+	schedule(b, RETRY_MS);
+}
+
+static void send_write(struct board *b)
+{
+	struct tg_row check = {
+		.table = TG_OWNER_TABLE,
+		.part = TG_OWNER_PART,
+		.key = TG_OWNER_KEY,
+		.version = b->owner_version,
+	};
+	struct tg_store_tx tx = {
+		.checks = &check,
+		.n_checks = 1,
+		.puts = w.rows,
+		.n_puts = w.n,
+		.timeout_ms = WRITE_TIMEOUT_MS,
+	};
+
+	w.started_ms = tg_now_ms();
+	b->site.ops->tx(b->site.port, &tx, on_written, b);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct board *b = arg;
+
+	(void)fd;
+	(void)what;
+	if (!IS_OWNER(b) || !b->flow)
+		return;
+	if (!w.busy) {
+		b->write_wanted = false;
+		collect(b);
+		w.busy = true;
+		w.term = b->term;
+	}
+	send_write(b);
+}
+
+void writer_wake(struct board *b)
+{
+	b->write_wanted = true;
+	if (!w.busy)
+		schedule(b, COLLECT_MS);
+}
+
+void writer_reset(struct board *b)
+{
+	struct waiter *x;
+
+	event_del(w.timer);
+	w.busy = false;
+	w.failures = 0;
+	free_rows();
+	while ((x = b->waiters)) {
+		struct tg_rpc_answer a = { .status = TG_RPC_UNKNOWN,
+					   .text = "no longer the owner" };
+
+		b->waiters = x->next;
+		tg_rpc_reply(x->req, &a);
+		free(x);
+	}
+}
+
+bool writer_idle(const struct board *b)
+{
+	return !w.busy && !b->write_wanted;
+}
+
+static int start(void *board)
+{
+	struct board *b = board;
+
+	w.timer = event_new(b->base, -1, 0, on_timer, b);
+	write_us =
+		tg_histogram("tg_flow_write_us",
+			     "time of the owner's writes to the store", NULL);
+	return 0;
+}
+
+static void stop(void *board)
+{
+	(void)board;
+	free_rows();
+	event_free(w.timer);
+}
+
+const struct tg_controller writer_controller = {
+	.name = "writer",
+	.start = start,
+	.stop = stop,
+};
--- /dev/null
+++ b/cmd/tgqueued/front.c
@@ -0,0 +1,253 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+
+/* Part of the caller's time that is used before the answer must leave. */
+#define USE_PERCENT 85
+/* A connection without traffic is kept this long, longer than any answer. */
+#define IDLE_MS 60000
+#define RETRY_AFTER_S 1
+
+static const char *const kind_names[] = {
+	[TG_CALL_SUBMIT] = "submit", [TG_CALL_SHOW] = "show",
+	[TG_CALL_CANCEL] = "cancel", [TG_CALL_COUNT] = "count",
+	[TG_CALL_BAD] = "bad",
+};
+
+static void count_answer(const struct request *r, int status)
+{
+	char labels[64];
+	struct tg_hist *h;
+
+	snprintf(labels, sizeof(labels), "kind=\"%s\",status=\"%d\"",
+		 kind_names[r->kind], status);
+	tg_counter("tg_queue_requests_total", "callers' requests answered",
+		   labels)
+		->value++;
+	snprintf(labels, sizeof(labels), "kind=\"%s\"", kind_names[r->kind]);
+	h = tg_histogram("tg_queue_request_us",
+			 "time from a request to its answer", labels);
+	tg_hist_add(h, (uint64_t)(tg_now_ms() - r->began_ms) * 1000);
+}
+
+static void finish(struct request *r, int status, const char *why)
+{
+	count_answer(r, status);
+	tg_log(EV_QUEUE_ANSWERED,
+	       "kind=%s job=%s queue=%s status=%d why=%s attempts=%d "
+	       "after_ms=%lld",
+	       kind_names[r->kind], r->job, r->queue, status, why, r->attempts,
+	       (long long)(tg_now_ms() - r->began_ms));
+	free(r->row);
+	free(r);
+}
+
+static void close_when_draining(struct request *r)
+{
+	if (tg_daemon_draining())
+		evhttp_add_header(evhttp_request_get_output_headers(r->http),
+				  "Connection", "close");
+}
+
+void request_end(struct request *r, int status, const char *why)
+{
+	bool later = status == 429 || status == 503;
+
+	close_when_draining(r);
+	r->board->site.ops->reply_status(r->http, status,
+					 later ? RETRY_AFTER_S : 0, why);
+	finish(r, status, why);
+}
+
+void request_end_state(struct request *r, const char *state)
+{
+	close_when_draining(r);
+	r->board->site.ops->reply_state(r->http, state);
+	finish(r, 200, state);
+}
+
+void request_end_count(struct request *r, int64_t waiting)
+{
+	close_when_draining(r);
+	r->board->site.ops->reply_count(r->http, waiting);
+	finish(r, 200, "counted");
+}
+
+int64_t request_left_ms(const struct request *r)
+{
+	return r->deadline_ms - tg_now_ms();
+}
+
+struct later {
+	struct request *request;
+	void (*fn)(struct request *r);
+};
+
+static void on_later(evutil_socket_t fd, short what, void *arg)
+{
+	struct later *l = arg;
+
+	(void)fd;
+	(void)what;
+	l->fn(l->request);
+	free(l);
+}
+
+void request_later(struct request *r, int64_t ms, void (*fn)(struct request *r))
+{
+	struct later *l = tg_xcalloc(1, sizeof(*l));
+	struct timeval tv = { .tv_sec = ms / 1000,
+			      .tv_usec = (ms % 1000) * 1000 };
+
+	l->request = r;
+	l->fn = fn;
+	event_base_once(r->board->base, -1, EV_TIMEOUT, on_later, l, &tv);
+}
+
+/* Findings of a bad request as one text: "place: fault; place: fault". */
+static void refuse(struct request *r, const struct tg_call *c)
+{
+	char text[512] = "";
+	size_t i, n = 0;
+
+	for (i = 0; i < c->findings.n && n < sizeof(text); i++)
+		n += (size_t)snprintf(text + n, sizeof(text) - n, "%s%s: %s",
+				      i ? "; " : "", c->findings.items[i].place,
+				      c->findings.items[i].text);
+	request_end(r, c->status, text);
+}
+
+static char *row_of(const struct request *r, struct tg_call *c)
+{
+	struct tg_job_row row = { .accepted_wall_ms = tg_wall_ms(),
+				  .spec = c->spec };
+
+	tg_strlcpy(row.id, r->job, sizeof(row.id));
+	tg_strlcpy(row.queue, r->queue, sizeof(row.queue));
+	tg_strlcpy(row.workspace, r->workspace, sizeof(row.workspace));
+	return tg_job_row_encode(&row);
+}
+
+static void serve(struct request *r, struct tg_call *c)
+{
+	switch (r->kind) {
+	case TG_CALL_SUBMIT:
+		r->row = row_of(r, c);
+		submit(r);
+		break;
+	case TG_CALL_SHOW:
+		ask_state(r);
+		break;
+	case TG_CALL_CANCEL:
+		ask_cancel(r);
+		break;
+	case TG_CALL_COUNT:
+		ask_count(r);
+		break;
+	default:
+		refuse(r, c);
+	}
+}
+
+static void on_request(struct evhttp_request *http, void *arg)
+{
+	struct board *b = arg;
+	struct request *r = tg_xcalloc(1, sizeof(*r));
+	const struct tg_site_doc *d = tg_document_get(b->document);
+	struct tg_call c = { .kind = TG_CALL_BAD };
+	int64_t wait_ms;
+
+	r->board = b;
+	r->http = http;
+	r->began_ms = tg_now_ms();
+	r->kind = TG_CALL_BAD;
+	if (!d) {
+		request_end(r, 503, "no document yet");
+		return;
+	}
+	b->site.ops->call(http, d, &c);
+	r->kind = c.kind;
+	tg_strlcpy(r->job, c.job, sizeof(r->job));
+	if (c.queue)
+		tg_strlcpy(r->queue, c.queue->name, sizeof(r->queue));
+	if (c.workspace)
+		tg_strlcpy(r->workspace, c.workspace->name,
+			   sizeof(r->workspace));
+	wait_ms = c.deadline_ms > 0 ? c.deadline_ms : b->set.deadline_ms;
+	r->deadline_ms = r->began_ms + wait_ms * USE_PERCENT / 100;
+	serve(r, &c);
+	tg_call_clear(&c);
+}
+
+static bool is_ready(void *arg, const char **why)
+{
+	struct board *b = arg;
+
+	*why = tg_daemon_draining() ? "draining" : "no document yet";
+	return !tg_daemon_draining() && tg_document_get(b->document);
+}
+
+static void on_ready(struct evhttp_request *http, void *arg)
+{
+	const char *why;
+	bool ready = is_ready(arg, &why);
+
+	tg_http_reply_text(http, ready ? 200 : 503, "text/plain",
+			   ready ? "ready\n" : why, ready ? 6 : strlen(why));
+}
+
+#define ANY_METHOD 0xffff
+
+static int start(void *board)
+{
+	static const struct tg_http_route all[] = {
+		{ "/", true, ANY_METHOD, on_request },
+		{ .path = NULL },
+	};
+	static const struct tg_http_route ready[] = {
+		{ "/ready", false, EVHTTP_REQ_GET, on_ready },
+		{ .path = NULL },
+	};
+	struct board *b = board;
+	struct tg_http_server_opts o = {
+		.base = b->base,
+		.addr = b->site.set.front_addr,
+		.idle_ms = IDLE_MS,
+		.routes = all,
+		.ready = is_ready,
+		.arg = b,
+	};
+
+	b->front = tg_http_server_new(&o);
+	o.addr = b->site.set.ready_addr;
+	o.routes = ready;
+	b->ready = tg_http_server_new(&o);
+	o.addr = b->set.flags.metrics_addr;
+	b->metrics = o.addr ? tg_http_server_new(&o) : NULL;
+	return b->front && b->ready && (!o.addr || b->metrics) ? 0 : -1;
+}
+
+static bool drain(void *board, int64_t now_ms)
+{
+	struct board *b = board;
+
+	(void)now_ms;
+	return tg_http_server_in_progress(b->front) == 0;
+}
+
+static void stop(void *board)
+{
+	struct board *b = board;
+
+	tg_http_server_free(b->front);
+	tg_http_server_free(b->ready);
+	tg_http_server_free(b->metrics);
+}
+
+const struct tg_controller front_controller = {
+	.name = "front",
+	.start = start,
+	.drain = drain,
+	.stop = stop,
+};
--- /dev/null
+++ b/cmd/tgqueued/main.c
@@ -0,0 +1,78 @@
+#include <stdlib.h>
+
+#include "board.h"
+#include "platform/platform.h"
+
+/*
+ * The balancer and callers with open connections use a process until it is
+ * gone, so it serves until shortly before it would be killed.
+ */
+#define STOP_MARGIN_MS 900
+#define KILL_MARGIN_MS 300
+
+static const struct tg_setting settings[] = {
+	TG_SITE_FLAGS(settings, NULL),
+	TG_SETTING(settings, "deadline-ms", TG_SET_INT, "3000", 100, 600000,
+		   false, "time for a request that does not say it, in ms",
+		   deadline_ms),
+	{ .flag = NULL },
+};
+
+static const struct tg_settings_spec spec = {
+	.prog = "tgqueued",
+	.summary = "takes callers' jobs and answers questions on them",
+	.items = settings,
+};
+
+static const struct tg_event_info events[] = {
+#define TG_EVENT TG_EVENT_INFO
+#include "events.def"
+#undef TG_EVENT
+	{ 0, TG_INFO, NULL },
+};
+
+static const struct tg_controller *const controllers[] = {
+	&owner_controller,
+	&front_controller,
+	NULL,
+};
+
+int main(int argc, char **argv)
+{
+	static struct board b;
+	struct tg_daemon_opts daemon = {
+		.controllers = controllers,
+		.board = &b,
+	};
+	const char *path;
+	int status;
+
+	switch (tg_settings_load(&spec, argc, argv, &b.set, NULL)) {
+	case TG_SETTINGS_DONE:
+		return 0;
+	case TG_SETTINGS_BAD:
+		return TG_EXIT_USAGE;
+	default:
+		break;
+	}
+	path = b.set.flags.settings ? b.set.flags.settings :
+				      getenv(tg_platform_settings_env);
+	tg_log_open("tgqueued", b.set.flags.log_level);
+	tg_log_register(events);
+	tg_log_register(tg_site_events);
+	tg_log_register(tg_platform_events);
+	tg_log_register(tg_rpc_events);
+	tg_log_register(tg_http_events);
+	b.base = event_base_new();
+	if (tg_site_open(&b.site, b.base, &tg_platform_ops, path ? path : ""))
+		return TG_EXIT_USAGE;
+	b.document = tg_document_new(&b.site, NULL, NULL);
+	daemon.base = b.base;
+	daemon.drain_grace_ms = b.site.set.grace_ms - STOP_MARGIN_MS;
+	daemon.drain_max_ms = b.site.set.grace_ms - KILL_MARGIN_MS;
+	status = tg_daemon_run(&daemon);
+	tg_document_free(b.document);
+	tg_site_close(&b.site);
+	event_base_free(b.base);
+	return status;
+}
--- /dev/null
+++ b/cmd/tgqueued/owner.c
@@ -0,0 +1,145 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+
+/* The owner's row is read at most this often. */
+#define READ_MS 250
+#define READ_TIMEOUT_MS 800
+
+struct owner_ask {
+	struct board *board;
+	owner_done done;
+	void *arg;
+	char addr[TG_ADDR_MAX + 1];
+};
+
+static void set_owner(struct board *b, const char *addr, const char *source)
+{
+	if (!strcmp(b->owner_addr, addr))
+		return;
+	tg_strlcpy(b->owner_addr, addr, sizeof(b->owner_addr));
+	if (*addr)
+		tg_log(EV_QUEUE_OWNER, "addr=%s source=%s", addr, source);
+}
+
+static void on_row(const struct tg_store_result *r, void *arg)
+{
+	struct board *b = arg;
+	struct tg_owner_row o;
+
+	b->owner_reading = false;
+	if (r->end != TG_STORE_OK || !r->n_rows)
+		return;
+	if (!tg_owner_row_decode(&r->rows[0], &o))
+		set_owner(b, o.released ? "" : o.addr, "row");
+}
+
+static void read_owner(struct board *b)
+{
+	struct tg_store_range range = {
+		.table = TG_OWNER_TABLE,
+		.part = TG_OWNER_PART,
+		.timeout_ms = READ_TIMEOUT_MS,
+	};
+	int64_t now_ms = tg_now_ms();
+
+	if (b->owner_reading || now_ms - b->owner_asked_ms < READ_MS)
+		return;
+	b->owner_reading = true;
+	b->owner_asked_ms = now_ms;
+	b->site.ops->get(b->site.port, &range, on_row, b);
+}
+
+static void learn(struct board *b, const struct tg_rpc_answer *a)
+{
+	json_t *o = json_loadb(a->json.json_val, a->json.json_len, 0, NULL);
+	const char *addr = json_string_value(json_object_get(o, "addr"));
+
+	set_owner(b, addr && tg_addr_valid(addr) ? addr : "", "peer");
+	json_decref(o);
+	read_owner(b);
+}
+
+static void on_answer(enum tg_rpc_end end, const void *res, void *arg)
+{
+	struct owner_ask *k = arg;
+	struct board *b = k->board;
+	const struct tg_rpc_answer *a = res;
+
+	if (end == TG_RPC_END_OK && a->status == TG_RPC_NOT_ACTIVE) {
+		learn(b, a);
+		end = TG_RPC_END_REFUSED;
+	} else if (end != TG_RPC_END_OK) {
+		if (!strcmp(b->owner_addr, k->addr)) {
+			tg_log(EV_QUEUE_OWNER_LOST, "addr=%s end=%d", k->addr,
+			       (int)end);
+			set_owner(b, "", "");
+		}
+		read_owner(b);
+	}
+	k->done(end, end == TG_RPC_END_OK ? a : NULL, k->arg);
+	free(k);
+}
+
+static void on_unknown(evutil_socket_t fd, short what, void *arg)
+{
+	struct owner_ask *k = arg;
+
+	(void)fd;
+	(void)what;
+	k->done(TG_RPC_END_NOT_SENT, NULL, k->arg);
+	free(k);
+}
+
+void owner_call(struct board *b, uint32_t proc, const void *args,
+		int64_t timeout_ms, owner_done done, void *arg)
+{
+	struct owner_ask *k = tg_xcalloc(1, sizeof(*k));
+	struct timeval now = { 0 };
+
+	k->board = b;
+	k->done = done;
+	k->arg = arg;
+	if (!*b->owner_addr) {
+		read_owner(b);
+		event_base_once(b->base, -1, EV_TIMEOUT, on_unknown, k, &now);
+		return;
+	}
+	tg_strlcpy(k->addr, b->owner_addr, sizeof(k->addr));
+	tg_rpc_call(b->peers, b->owner_addr, proc, args, timeout_ms, on_answer,
+		    k);
+}
+
+static int start(void *board)
+{
+	struct board *b = board;
+
+	b->peers = tg_rpc_client_new(b->base);
+	read_owner(b);
+	return 0;
+}
+
+static void tick(void *board, int64_t now_ms)
+{
+	struct board *b = board;
+
+	(void)now_ms;
+	if (!*b->owner_addr)
+		read_owner(b);
+}
+
+static void stop(void *board)
+{
+	struct board *b = board;
+
+	tg_rpc_client_free(b->peers);
+}
+
+const struct tg_controller owner_controller = {
+	.name = "owner",
+	.period_ms = 500,
+	.start = start,
+	.tick = tick,
+	.stop = stop,
+};
