--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -56,6 +56,7 @@
 	int64_t processed_n, marked_n, noted_n;
 	int64_t next_ms; /* of the next look */
 	int32_t failures;
+	int64_t unknown_ms; /* since it lists runs of unknown jobs; or 0 */
 	UT_hash_handle hh;
 };
 
@@ -83,6 +84,7 @@
 	uint64_t fence;
 	struct tg_owner_row owner; /* as last read or written */
 	int64_t owner_version;
+	bool former_gone; /* the owner before starts nothing any more */
 	int64_t renewed_ms; /* last write that succeeded */
 	int64_t recover_until_ms; /* unknown runs have ended by then */
 
--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -25,7 +25,12 @@
 	o.workspace = job.workspace;
 	o.spec = job.spec;
 	o.accepted_ms = tg_now_ms() - (age_ms > 0 ? age_ms : 0);
-	o.recovered = b->role == ROLE_RECOVERING && !b->progress;
+	/*
+	 * A former owner that lives may have started it.  Otherwise what comes
+	 * after the first reading is new.
+	 */
+	o.recovered =
+		b->role == ROLE_RECOVERING && !(b->former_gone && b->progress);
 	flow_add_job(b->flow, &o);
 	tg_log(EV_FLOW_JOB_ADDED,
 	       "job=%s queue=%s workspace=%s age_ms=%lld "
@@ -145,6 +150,7 @@
 	struct flow_opts fo = {
 		.far_factor = b->site.set.far_factor,
 		.early_ms = b->site.set.early_ms / 2,
+		.stop_ms = b->site.set.stop_ms,
 	};
 	struct tg_follow_opts o = {
 		.site = &b->site,
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -16,6 +16,8 @@
 #define RETRY_MAX_MS 1000
 /* Ends that are not durable yet would be listed again at once. */
 #define UNNOTED_PAUSE_MS 300
+/* A run of a job that is still unknown after this is stopped. */
+#define UNKNOWN_MS 2000
 /* Clocks of workers may be this much slow. */
 #define CLOCK_SLOW_PERCENT 2
 #define EXPIRY_MARGIN_MS 200
@@ -130,8 +132,9 @@
 	};
 }
 
-static void apply_ends(struct link *l, const struct tg_hold_result *r,
-		       int64_t now_ms)
+/* Return: number of ends of jobs that are not known yet, and were left. */
+static size_t apply_ends(struct link *l, const struct tg_hold_result *r,
+			 int64_t now_ms)
 {
 	static const enum flow_how hows[] = {
 		[TG_RUN_DONE] = FLOW_DONE,	 [TG_RUN_FAILED] = FLOW_FAILURE,
@@ -149,17 +152,20 @@
 
 		if (e->n <= l->processed_n)
 			continue;
+		if (!flow_ended_run(b->flow, &ref, l->entry.id, hows[e->how],
+				    e->saved, now_ms) &&
+		    (!l->unknown_ms || now_ms - l->unknown_ms < UNKNOWN_MS))
+			return r->n_ends - i;
 		l->processed_n = e->n;
 		tg_log(EV_FLOW_END,
 		       "job=%s task=%d.%d.%d run=%d worker=%s how=%s n=%lld",
 		       e->task.job, e->task.occurrence, e->task.step,
 		       e->task.index, e->run, l->entry.id, names[e->how],
 		       (long long)e->n);
-		flow_ended_run(b->flow, &ref, l->entry.id, hows[e->how],
-			       e->saved, now_ms);
 		writer_wake(b);
 		round_wake(b);
 	}
+	return 0;
 }
 
 static void on_stray_stopped(enum tg_order_end end, int64_t clock_ms, void *arg)
@@ -186,23 +192,53 @@
 	b->site.ops->stop(b->site.port, &ref, &o, on_stray_stopped, NULL);
 }
 
-static void apply_lists(struct link *l, const struct tg_hold_result *r,
+/*
+ * A former owner may have started a job that the feed has not brought yet.  Its
+ * run takes room, so the worker gets nothing until the run is known or over.
+ */
+static bool note_unknown(struct link *l, const struct tg_hold_result *r,
+			 const bool *unknown, size_t n_unknown)
+{
+	int64_t now_ms = tg_now_ms();
+	size_t i;
+
+	if (!n_unknown) {
+		l->unknown_ms = 0;
+		return false;
+	}
+	if (!l->unknown_ms)
+		l->unknown_ms = now_ms;
+	for (i = 0; i < r->n_runs; i++)
+		if (unknown[i] && now_ms - l->unknown_ms >= UNKNOWN_MS)
+			stop_stray(l, &r->runs[i]);
+	flow_worker_suspect(l->board->flow, l->entry.id, true);
+	l->next_ms = now_ms + RETRY_MS;
+	return true;
+}
+
+/* Return: whether all that runs there is known. */
+static bool apply_lists(struct link *l, const struct tg_hold_result *r,
 			int64_t asked_ms)
 {
 	struct board *b = l->board;
+	bool *unknown = tg_xcalloc(r->n_runs + 1, sizeof(*unknown));
 	int64_t now_ms = tg_now_ms();
-	size_t i;
+	size_t i, n_unknown;
+	bool known;
 
-	apply_ends(l, r, now_ms);
+	n_unknown = apply_ends(l, r, now_ms);
 	for (i = 0; i < r->n_runs; i++) {
 		struct flow_ref ref = ref_of(&r->runs[i].task, r->runs[i].run);
 
-		if (!flow_listed_run(b->flow, &ref, l->entry.id,
-				     r->runs[i].percent, r->runs[i].saved,
-				     now_ms))
-			stop_stray(l, &r->runs[i]);
+		unknown[i] = !flow_listed_run(b->flow, &ref, l->entry.id,
+					      r->runs[i].percent,
+					      r->runs[i].saved, now_ms);
+		n_unknown += unknown[i];
 	}
 	flow_listed_all(b->flow, l->entry.id, asked_ms, now_ms);
+	known = !note_unknown(l, r, unknown, n_unknown);
+	free(unknown);
+	return known;
 }
 
 static void look_succeeded(struct link *l, const struct tg_hold_result *r,
@@ -222,7 +258,8 @@
 	l->failed = false;
 	l->failures = 0;
 	flow_worker_suspect(b->flow, l->entry.id, !l->present);
-	apply_lists(l, r, asked_ms);
+	if (!apply_lists(l, r, asked_ms))
+		return;
 	if (!l->listed) {
 		/* A former owner may have renewed up to the longest lease. */
 		l->expires_at_ms = l->clock_at_ms + EXPIRY_MARGIN_MS +
--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -30,7 +30,9 @@
 #define EXPIRY_MARGIN_MS 500
 
 static struct {
-	bool pinging, reading, dead, was_silent;
+	bool pinging, reading, was_silent;
+	bool gone; /* the process that wrote the row has ended */
+	bool stale; /* it lives and has not written its row lately */
 	int64_t ping_ms, alive_ms;
 	int64_t read_version, unchanged_since_ms, read_ms;
 } watch;
@@ -42,14 +44,17 @@
 	int64_t now_ms = tg_now_ms();
 
 	watch.pinging = false;
-	if (end == TG_RPC_END_OK && p->active && p->epoch >= b->owner.fence) {
-		watch.alive_ms = now_ms;
-		watch.dead = false;
-		watch.was_silent = false;
+	watch.gone = watch.stale = false;
+	if (end == TG_RPC_END_OK && !strcmp(p->boot, b->owner.boot)) {
+		watch.stale = !p->active;
+		if (p->active) {
+			watch.alive_ms = now_ms;
+			watch.was_silent = false;
+		}
 		return;
 	}
-	/* It answers and does not own, or nobody listens there. */
-	watch.dead = end == TG_RPC_END_OK ||
+	/* Another process answers there, or nobody listens. */
+	watch.gone = end == TG_RPC_END_OK ||
 		(end != TG_RPC_END_TIMEOUT &&
 		 now_ms - watch.ping_ms < REFUSED_WITHIN_MS);
 }
@@ -83,7 +88,7 @@
 	}
 	if (o.fence != b->owner.fence) {
 		watch.alive_ms = tg_now_ms();
-		watch.dead = false;
+		watch.gone = watch.stale = false;
 	}
 	b->owner = o;
 	b->owner_version = row->version;
@@ -100,7 +105,7 @@
 	b->renewed_ms = tg_now_ms();
 	/* A former owner that lives may renew leases for KEEP_MS more. */
 	b->recover_until_ms =
-		b->renewed_ms + lease_ms + (watch.dead ? 0 : KEEP_MS);
+		b->renewed_ms + lease_ms + (b->former_gone ? 0 : KEEP_MS);
 	tg_log(EV_FLOW_CLAIMED, "fence=%llu why=%s version=%lld",
 	       (unsigned long long)b->fence, why, (long long)b->owner_version);
 	jobs_open(b);
@@ -149,6 +154,7 @@
 	};
 	char *text;
 
+	b->former_gone = watch.gone || b->owner.released || !b->owner_version;
 	memset(&claim, 0, sizeof(claim));
 	tg_strlcpy(claim.holder, b->site.set.instance, sizeof(claim.holder));
 	tg_strlcpy(claim.addr, tg_rpc_server_addr(b->rpc), sizeof(claim.addr));
@@ -180,8 +186,10 @@
 		return "no owner yet";
 	if (b->owner.released)
 		return "released";
-	if (watch.dead && unchanged_ms >= UNCHANGED_DEAD_MS)
+	if (watch.gone && unchanged_ms >= UNCHANGED_DEAD_MS)
 		return "owner is gone";
+	if (watch.stale && unchanged_ms >= UNCHANGED_DEAD_MS)
+		return "owner does not reach the store";
 	if (now_ms - watch.alive_ms >= SILENT_MS &&
 	    unchanged_ms >= UNCHANGED_SILENT_MS)
 		return "owner is silent";
@@ -238,11 +246,13 @@
 	ping_owner(b, now_ms);
 	if (silent && !watch.was_silent && b->owner_version) {
 		watch.was_silent = true;
-		tg_log(EV_FLOW_OWNER_SILENT, "owner=%s silent_ms=%lld dead=%d",
+		tg_log(EV_FLOW_OWNER_SILENT,
+		       "owner=%s silent_ms=%lld gone=%d stale=%d",
 		       b->owner.holder, (long long)(now_ms - watch.alive_ms),
-		       watch.dead);
+		       watch.gone, watch.stale);
 	}
-	if (!b->owner_version || silent || watch.dead || b->owner.released)
+	if (!b->owner_version || silent || watch.gone || watch.stale ||
+	    b->owner.released)
 		read_row(b);
 	else
 		watch.read_version = 0;
@@ -262,7 +272,7 @@
 	flow_free(b->flow);
 	b->flow = NULL;
 	watch.alive_ms = tg_now_ms();
-	watch.dead = false;
+	watch.gone = watch.stale = false;
 	watch.read_version = 0;
 }
 
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -61,10 +61,12 @@
  * struct flow_opts - options of a flow
  * @far_factor: how much longer a task takes away from its rack
  * @early_ms: an occurrence may start this long before its time
+ * @stop_ms: longest time from a stop to the end of the run; a worker need not
+ *	list the run meanwhile, although it takes room
  */
 struct flow_opts {
 	double far_factor;
-	int64_t early_ms;
+	int64_t early_ms, stop_ms;
 };
 
 struct flow;
@@ -179,7 +181,7 @@
 /**
  * flow_listed_run() - a worker lists a run
  *
- * Return: false if the run has no place here and should be stopped.
+ * Return: false if there is no such job or task.
  */
 bool flow_listed_run(struct flow *f, const struct flow_ref *r,
 		     const char *worker, int32_t percent, const char *saved,
@@ -187,7 +189,8 @@
 /** flow_listed_all() - end of a list that was asked for at @asked_ms */
 void flow_listed_all(struct flow *f, const char *worker, int64_t asked_ms,
 		     int64_t now_ms);
-void flow_ended_run(struct flow *f, const struct flow_ref *r,
+/** flow_ended_run() - false if there is no such job or task */
+bool flow_ended_run(struct flow *f, const struct flow_ref *r,
 		    const char *worker, enum flow_how how, const char *saved,
 		    int64_t now_ms);
 
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -28,10 +28,15 @@
 	struct run *prev, *next; /* of the worker */
 };
 
+/** struct failures - numbers of the runs that failed, in any order */
+struct failures {
+	int32_t *runs;
+	int32_t n;
+};
+
 struct task {
 	bool done;
-	int32_t failures;
-	int32_t failed_run; /* last one counted as a failure */
+	struct failures failures; /* of a gang those of its first task */
 	int32_t last_run;
 	char saved[FLOW_SAVED_LEN + 1];
 	struct worker *failed_on;
@@ -42,8 +47,6 @@
 struct inst {
 	int32_t occurrence, step;
 	int32_t n_done, n_runs;
-	int32_t failed_gang_run; /* last one counted as a failure */
-	int32_t gang_failures;
 	struct task *tasks;
 };
 
@@ -69,7 +72,10 @@
 	char az[TG_NAME_MAX + 1], rack[TG_NAME_MAX + 1];
 	char labels[8][TG_NAME_MAX + 1];
 	int32_t n_labels;
-	struct flow_shape capacity, used, stopping, reserved;
+	struct flow_shape capacity, used;
+	struct flow_shape stopping; /* part of @used that is being stopped */
+	/* Within a round: promised to waiting tasks; of runs to be stopped. */
+	struct flow_shape reserved, victims;
 	bool present, listed, suspect, draining;
 	int64_t remaining_ms;
 	/* health */
@@ -118,6 +124,9 @@
 bool flow_is_ready(const struct flow *f, struct job *j, const struct inst *in,
 		   int64_t wall_ms);
 
+/** flow_add_failure() - false if @run was counted before */
+bool flow_add_failure(struct failures *fl, int32_t run);
+
 /* workers.c */
 struct worker *flow_worker(const struct flow *f, const char *id);
 bool flow_worker_ready(const struct worker *w, int64_t now_ms);
--- a/lib/flow/jobs.c
+++ b/lib/flow/jobs.c
@@ -91,12 +91,30 @@
 	return flow_job(f, id) != NULL;
 }
 
-static void free_job(struct job *j)
+/* Workers list an end until it is acknowledged, and in no order between them.
+ */
+bool flow_add_failure(struct failures *fl, int32_t run)
 {
 	int32_t i;
 
-	for (i = 0; i < j->n_insts; i++)
+	for (i = 0; i < fl->n; i++)
+		if (fl->runs[i] == run)
+			return false;
+	fl->runs =
+		tg_xrealloc(fl->runs, (size_t)(fl->n + 1) * sizeof(*fl->runs));
+	fl->runs[fl->n++] = run;
+	return true;
+}
+
+static void free_job(struct job *j)
+{
+	int32_t i, k;
+
+	for (i = 0; i < j->n_insts; i++) {
+		for (k = 0; k < flow_step_of(j, &j->insts[i])->tasks; k++)
+			free(j->insts[i].tasks[k].failures.runs);
 		free(j->insts[i].tasks);
+	}
 	free(j->insts);
 	flow_spec_free(j->spec);
 	free(j);
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -32,8 +32,10 @@
 
 	flow_shape_add(&s, &w->used, -1);
 	flow_shape_add(&s, &w->reserved, -1);
-	if (kind != ROOM_FREE)
+	if (kind != ROOM_FREE) {
 		flow_shape_add(&s, &w->stopping, 1);
+		flow_shape_add(&s, &w->victims, 1);
+	}
 	return s;
 }
 
@@ -132,7 +134,7 @@
 
 		chosen[i]->victim = mark && cost >= 0;
 		if (chosen[i]->victim)
-			flow_shape_add(&w->reserved, &freed, -1);
+			flow_shape_add(&w->victims, &freed, 1);
 	}
 	return cost;
 }
@@ -224,7 +226,7 @@
 					flow_step_of(r->job, r->inst));
 
 				r->victim = false;
-				flow_shape_add(&w->reserved, &freed, 1);
+				flow_shape_add(&w->victims, &freed, -1);
 			}
 }
 
--- a/lib/flow/progress.c
+++ b/lib/flow/progress.c
@@ -67,8 +67,13 @@
 
 static json_t *encode_task(const struct task *t)
 {
-	return json_pack("[iiis]", t->last_run, t->failures, t->failed_run,
-			 t->saved);
+	json_t *failed = json_array();
+	int32_t i;
+
+	for (i = 0; i < t->failures.n; i++)
+		json_array_append_new(failed,
+				      json_integer(t->failures.runs[i]));
+	return json_pack("[iso]", t->last_run, t->saved, failed);
 }
 
 static json_t *encode_inst(const struct job *j, const struct inst *in)
@@ -80,14 +85,10 @@
 
 	json_object_set_new(o, "done", json_string(done));
 	free(done);
-	if (in->gang_failures)
-		json_object_set_new(o, "gang",
-				    json_pack("[ii]", in->gang_failures,
-					      in->failed_gang_run));
 	for (i = 0; i < st->tasks; i++) {
 		const struct task *t = &in->tasks[i];
 
-		if (t->done || (!t->failures && !*t->saved))
+		if (t->done || (!t->failures.n && !*t->saved))
 			continue;
 		snprintf(key, sizeof(key), "%d", i);
 		json_object_set_new(tasks, key, encode_task(t));
@@ -133,26 +134,31 @@
 	return true;
 }
 
+static bool decode_task(struct task *t, json_t *o)
+{
+	const char *saved;
+	json_t *failed, *v;
+	size_t i;
+
+	if (json_unpack(o, "[iso]", &t->last_run, &saved, &failed))
+		return false;
+	tg_strlcpy(t->saved, saved, sizeof(t->saved));
+	json_array_foreach(failed, i, v)
+		flow_add_failure(&t->failures, (int32_t)json_integer_value(v));
+	return true;
+}
+
 static bool decode_inst(struct job *j, struct inst *in, json_t *o)
 {
 	const struct flow_step *st = flow_step_of(j, in);
-	json_t *v, *gang = json_object_get(o, "gang");
-	const char *key, *saved;
+	const char *key;
+	json_t *v;
 
-	if (gang &&
-	    json_unpack(gang, "[ii]", &in->gang_failures, &in->failed_gang_run))
-		return false;
 	json_object_foreach(json_object_get(o, "tasks"), key, v) {
 		int32_t i = (int32_t)strtol(key, NULL, 10);
-		struct task *t;
 
-		if (i < 0 || i >= st->tasks)
-			return false;
-		t = &in->tasks[i];
-		if (json_unpack(v, "[iiis]", &t->last_run, &t->failures,
-				&t->failed_run, &saved))
+		if (i < 0 || i >= st->tasks || !decode_task(&in->tasks[i], v))
 			return false;
-		tg_strlcpy(t->saved, saved, sizeof(t->saved));
 		j->begun = true;
 	}
 	return decode_done(j, in,
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -99,24 +99,14 @@
 			   int32_t index, int32_t run)
 {
 	const struct flow_step *st = flow_step_of(j, in);
-	struct task *t = &in->tasks[index];
+	struct failures *fl = &in->tasks[st->gang ? 0 : index].failures;
 	struct queue *q;
-	int32_t n;
 
-	if (st->gang) {
-		if (run <= in->failed_gang_run)
-			return;
-		in->failed_gang_run = run;
-		n = ++in->gang_failures;
-	} else {
-		if (run <= t->failed_run)
-			return;
-		t->failed_run = run;
-		n = ++t->failures;
-	}
+	if (!flow_add_failure(fl, run))
+		return;
 	j->failures++;
 	HASH_FIND_STR(f->queues, j->queue, q);
-	if (q && n >= q->max_attempts && !st->endless && !flow_is_over(j))
+	if (q && fl->n >= q->max_attempts && !st->endless && !flow_is_over(j))
 		j->state = FLOW_FAILED;
 }
 
@@ -276,7 +266,8 @@
 			flow_run_stop(r);
 			break;
 		case RUN_STOPPING:
-			if (!r->refused_later)
+			if (!r->refused_later ||
+			    r->since_ms + f->opts.stop_ms >= asked_ms)
 				break;
 			/* fall through */
 		case RUN_ACTIVE:
@@ -286,7 +277,7 @@
 	}
 }
 
-void flow_ended_run(struct flow *f, const struct flow_ref *ref,
+bool flow_ended_run(struct flow *f, const struct flow_ref *ref,
 		    const char *worker, enum flow_how how, const char *saved,
 		    int64_t now_ms)
 {
@@ -296,8 +287,10 @@
 
 	if (r) {
 		flow_run_over(f, r, how, saved, now_ms);
-		return;
+		return true;
 	}
-	if (resolve(f, ref, &j, &in))
-		record_end(f, j, in, ref->index, ref->run, how, saved);
+	if (!resolve(f, ref, &j, &in))
+		return false;
+	record_end(f, j, in, ref->index, ref->run, how, saved);
+	return true;
 }
--- /dev/null
+++ b/tests/unit/flow/test-flow.c
@@ -0,0 +1,404 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "../run.h"
+#include "fleet.h"
+
+#define STOP_MS 900
+
+static struct flow *f;
+static struct orders o;
+
+static void setup(void)
+{
+	struct flow_opts opts = { .far_factor = 3, .stop_ms = STOP_MS };
+	struct flow_queue q[] = { fleet_queue("urgent", 0),
+				  fleet_queue("normal", 1),
+				  fleet_queue("low", 2) };
+
+	f = flow_new(&opts);
+	flow_set_queues(f, q, ARRAY_SIZE(q));
+}
+
+static void teardown(void)
+{
+	flow_free(f);
+}
+
+static enum flow_state state(const char *job)
+{
+	struct flow_view v;
+
+	ck_assert(flow_view(f, job, &v));
+	return v.state;
+}
+
+/* A job whose last task is done must be shown as completed. */
+START_TEST(runs_to_completion)
+{
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "j1", "normal", fleet_spec(3, 1, false), 0);
+	ck_assert_int_eq(state("j1"), FLOW_QUEUED);
+	fleet_decide(f, &o, 1);
+	ck_assert_int_eq(o.n_starts, 3);
+	ck_assert_int_eq(o.starts[0].run, 1);
+	fleet_confirm(f, &o, 2);
+	ck_assert_int_eq(state("j1"), FLOW_RUNNING);
+	fleet_end(f, &o.starts[0], FLOW_DONE, 10);
+	fleet_end(f, &o.starts[1], FLOW_DONE, 10);
+	ck_assert_int_eq(state("j1"), FLOW_RUNNING);
+	fleet_end(f, &o.starts[2], FLOW_DONE, 11);
+	ck_assert_int_eq(state("j1"), FLOW_COMPLETED);
+	fleet_decide(f, &o, 12);
+	ck_assert_int_eq(o.n_starts, 0);
+}
+END_TEST
+
+/* A step that starts early works on results that do not exist yet. */
+START_TEST(steps_wait_for_those_before)
+{
+	struct flow_spec *s = fleet_spec(2, 1, false);
+
+	s->n_steps = 2;
+	s->steps = tg_xrealloc(s->steps, 2 * sizeof(*s->steps));
+	s->steps[1] = s->steps[0];
+	s->steps[1].after[0] = 0;
+	s->steps[1].n_after = 1;
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "j1", "normal", s, 0);
+	fleet_decide(f, &o, 1);
+	ck_assert_int_eq(o.n_starts, 2);
+	fleet_confirm(f, &o, 2);
+	fleet_end(f, &o.starts[0], FLOW_DONE, 3);
+	struct start_order last = o.starts[1];
+
+	fleet_decide(f, &o, 4);
+	ck_assert_int_eq(o.n_starts, 0);
+	fleet_end(f, &last, FLOW_DONE, 5);
+	fleet_decide(f, &o, 6);
+	ck_assert_int_eq(o.n_starts, 2);
+	ck_assert_int_eq(o.starts[0].step, 1);
+}
+END_TEST
+
+/* An occurrence must not begin before its time. */
+START_TEST(occurrences_wait_for_their_time)
+{
+	struct flow_spec *s = fleet_spec(1, 1, false);
+
+	s->times = 2;
+	s->first_wall_ms = 1000;
+	s->interval_ms = 500;
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "j1", "normal", s, 0);
+	fleet_decide(f, &o, 999);
+	ck_assert_int_eq(o.n_starts, 0);
+	fleet_decide(f, &o, 1000);
+	ck_assert_int_eq(o.n_starts, 1);
+	fleet_decide(f, &o, 1500);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_int_eq(o.starts[0].occurrence, 1);
+}
+END_TEST
+
+/* A gang of which a part is started waits for the others and is lost. */
+START_TEST(gangs_start_whole)
+{
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_worker(f, "w2", "r1", 4);
+	fleet_add_job(f, "j1", "normal", fleet_spec(2, 8, true), 0);
+	fleet_decide(f, &o, 1);
+	ck_assert_int_eq(o.n_starts, 0);
+	fleet_add_worker(f, "w3", "r1", 8);
+	fleet_decide(f, &o, 2);
+	ck_assert_int_eq(o.n_starts, 2);
+	ck_assert_int_eq(o.starts[0].run, o.starts[1].run);
+}
+END_TEST
+
+/* The others of a gang whose member ended can't do anything. */
+START_TEST(gang_restarts_whole)
+{
+	struct orders first;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_worker(f, "w2", "r1", 8);
+	fleet_add_job(f, "j1", "normal", fleet_spec(2, 8, true), 0);
+	fleet_decide(f, &first, 1);
+	fleet_confirm(f, &first, 2);
+	fleet_end(f, &first.starts[0], FLOW_LAPSED, 3);
+	fleet_decide(f, &o, 4);
+	ck_assert_int_eq(o.n_starts, 0);
+	ck_assert_int_eq(o.n_stops, 1);
+	fleet_end(f, &first.starts[1], FLOW_STOPPED, 5);
+	fleet_decide(f, &o, 6);
+	ck_assert_int_eq(o.n_starts, 2);
+	ck_assert_int_eq(o.starts[0].run, 2);
+	ck_assert_int_eq(o.starts[1].run, 2);
+}
+END_TEST
+
+/* A stopped run that its worker no longer lists still takes room (LIMIT). */
+START_TEST(stopping_takes_room)
+{
+	struct flow_ref r;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "j1", "normal", fleet_spec(1, 8, false), 0);
+	fleet_add_job(f, "j2", "normal", fleet_spec(1, 8, false), 1);
+	fleet_decide(f, &o, 1);
+	fleet_confirm(f, &o, 2);
+	r = fleet_ref(&o.starts[0]);
+	flow_cancel(f, "j1", 3);
+	fleet_decide(f, &o, 4);
+	ck_assert_int_eq(o.n_stops, 1);
+	flow_stop_answered(f, &r, "w1", FLOW_ORDER_DONE, 10);
+	flow_listed_all(f, "w1", 10 + STOP_MS, 1000);
+	fleet_decide(f, &o, 1001);
+	ck_assert_int_eq(o.n_starts, 0);
+	flow_listed_all(f, "w1", 11 + STOP_MS, 1002);
+	fleet_decide(f, &o, 1003);
+	ck_assert_int_eq(o.n_starts, 1);
+}
+END_TEST
+
+/*
+ * Room of a run that is to be stopped for an urgent job was given to the next
+ * job of the same round, while the run still took it (LIMIT).
+ */
+START_TEST(victims_take_room)
+{
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "j1", "low", fleet_spec(1, 8, false), 0);
+	fleet_decide(f, &o, 1);
+	fleet_confirm(f, &o, 2);
+	fleet_add_job(f, "j2", "urgent", fleet_spec(1, 2, false), 3);
+	fleet_add_job(f, "j3", "low", fleet_spec(6, 1, false), 3);
+	fleet_decide(f, &o, 4);
+	ck_assert_int_eq(o.n_stops, 1);
+	ck_assert_str_eq(o.stops[0].job, "j1");
+	ck_assert_int_eq(o.n_starts, 0);
+}
+END_TEST
+
+/* The room that was made for an urgent job belongs to it. */
+START_TEST(urgent_gets_the_room_it_made)
+{
+	struct start_order victim;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "j1", "low", fleet_spec(1, 8, false), 0);
+	fleet_decide(f, &o, 1);
+	fleet_confirm(f, &o, 2);
+	victim = o.starts[0];
+	fleet_add_job(f, "j2", "urgent", fleet_spec(1, 8, true), 3);
+	fleet_decide(f, &o, 4);
+	ck_assert_int_eq(o.n_stops, 1);
+	fleet_end(f, &victim, FLOW_STOPPED, 500);
+	fleet_decide(f, &o, 501);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_str_eq(o.starts[0].job, "j2");
+}
+END_TEST
+
+/* A task must not start again after its last attempt has failed. */
+START_TEST(attempts_are_limited)
+{
+	int i;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "j1", "normal", fleet_spec(1, 1, false), 0);
+	for (i = 0; i < 3; i++) {
+		fleet_decide(f, &o, 10 * i + 1);
+		ck_assert_int_eq(o.n_starts, 1);
+		fleet_confirm(f, &o, 10 * i + 2);
+		fleet_end(f, &o.starts[0], FLOW_FAILURE, 10 * i + 3);
+	}
+	ck_assert_int_eq(state("j1"), FLOW_FAILED);
+	fleet_decide(f, &o, 100);
+	ck_assert_int_eq(o.n_starts, 0);
+}
+END_TEST
+
+/*
+ * After a take-over workers list ends again, in no order between workers.  An
+ * end of run 2 after that of run 3 was not counted (BUDGET).
+ */
+START_TEST(failures_count_in_any_order)
+{
+	static const int32_t runs[] = { 3, 1, 3, 2, 1 };
+	struct flow_ref r = { "j1", 0, 0, 0, 0 };
+	size_t i;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "j1", "normal", fleet_spec(1, 1, false), 0);
+	for (i = 0; i < ARRAY_SIZE(runs); i++) {
+		ck_assert_int_eq(state("j1"),
+				 i < 4 ? FLOW_QUEUED : FLOW_FAILED);
+		r.run = runs[i];
+		ck_assert(flow_ended_run(f, &r, "w1", FLOW_FAILURE, "", 5));
+	}
+}
+END_TEST
+
+/* An end of a job that is not known yet must not count as seen (TWICE). */
+START_TEST(unknown_jobs_are_told)
+{
+	struct flow_ref r = { "j9", 0, 0, 0, 1 };
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	ck_assert(!flow_ended_run(f, &r, "w1", FLOW_DONE, "", 5));
+	ck_assert(!flow_listed_run(f, &r, "w1", 0, "", 5));
+}
+END_TEST
+
+/* A start without an answer may run: its room is taken, it isn't repeated. */
+START_TEST(unanswered_start_is_settled_by_the_list)
+{
+	struct flow_ref r;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "j1", "normal", fleet_spec(1, 8, false), 0);
+	fleet_decide(f, &o, 1);
+	r = fleet_ref(&o.starts[0]);
+	flow_start_answered(f, &r, "w1", FLOW_ORDER_UNKNOWN, 900);
+	fleet_decide(f, &o, 901);
+	ck_assert_int_eq(o.n_starts + o.n_stops, 0);
+	/* Not in a list that is older than the lost answer. */
+	flow_listed_all(f, "w1", 900, 1000);
+	fleet_decide(f, &o, 1001);
+	ck_assert_int_eq(o.n_starts + o.n_stops, 0);
+	/* Not in a younger one: a stop makes sure that it never runs. */
+	flow_listed_all(f, "w1", 901, 1002);
+	fleet_decide(f, &o, 1003);
+	ck_assert_int_eq(o.n_stops, 1);
+	ck_assert_int_eq(o.n_starts, 0);
+	flow_stop_answered(f, &r, "w1", FLOW_ORDER_UNKNOWN, 1900);
+	fleet_decide(f, &o, 1901);
+	ck_assert_int_eq(o.n_stops, 1);
+	flow_stop_answered(f, &r, "w1", FLOW_ORDER_DONE, 2000);
+	flow_listed_all(f, "w1", 2001 + STOP_MS, 3000);
+	fleet_decide(f, &o, 3001);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_int_eq(o.starts[0].run, 2);
+}
+END_TEST
+
+/* A job that a former owner may have started waits until all is known. */
+START_TEST(recovered_jobs_wait)
+{
+	struct flow_job_opts j = {
+		.id = "j1",
+		.queue = "normal",
+		.workspace = "w",
+		.spec = fleet_spec(2, 1, false),
+		.recovered = true,
+	};
+	struct flow_ref r = { "j1", 0, 0, 1, 1 };
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	ck_assert(flow_add_job(f, &j));
+	fleet_decide(f, &o, 1);
+	ck_assert_int_eq(o.n_starts, 0);
+	ck_assert(flow_listed_run(f, &r, "w1", 10, "", 2));
+	flow_recovered(f);
+	fleet_decide(f, &o, 3);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_int_eq(o.starts[0].index, 0);
+}
+END_TEST
+
+/* What a take-over reads must be what the owner before wrote. */
+START_TEST(progress_survives)
+{
+	struct flow_spec *s = fleet_spec(4, 1, false);
+	struct flow_opts opts = { .stop_ms = STOP_MS };
+	struct flow_queue q = fleet_queue("normal", 1);
+	struct flow *g = flow_new(&opts);
+	struct flow_ref r;
+	struct flow_view v;
+	json_t *p;
+
+	s->steps[0].checkpoints = true;
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "j1", "normal", s, 0);
+	fleet_decide(f, &o, 1);
+	fleet_confirm(f, &o, 2);
+	fleet_end(f, &o.starts[0], FLOW_DONE, 3);
+	fleet_end(f, &o.starts[2], FLOW_DONE, 3);
+	fleet_end(f, &o.starts[3], FLOW_FAILURE, 3);
+	r = fleet_ref(&o.starts[1]);
+	flow_ended_run(f, &r, "w1", FLOW_STOPPED, "c1", 4);
+	ck_assert_str_eq(flow_next_dirty(f), "j1");
+	ck_assert_ptr_null(flow_next_dirty(f));
+	p = flow_progress_encode(f, "j1");
+
+	flow_set_queues(g, &q, 1);
+	fleet_add_worker(g, "w1", "r1", 8);
+	fleet_add_job(g, "j1", "normal", fleet_spec(4, 1, false), 0);
+	ck_assert(flow_progress_decode(g, "j1", p));
+	json_decref(p);
+	ck_assert(flow_view(g, "j1", &v));
+	ck_assert_int_eq(v.done, 2);
+	fleet_decide(g, &o, 10);
+	ck_assert_int_eq(o.n_starts, 2);
+	ck_assert_int_eq(o.starts[0].index, 1);
+	ck_assert_str_eq(o.starts[0].saved, "c1");
+	ck_assert_int_eq(o.starts[0].run, 2);
+	ck_assert_int_eq(o.starts[1].run, 2);
+	flow_free(g);
+}
+END_TEST
+
+/* A worker that fails tasks of several jobs in a row gets none for a while. */
+START_TEST(failing_worker_is_quarantined)
+{
+	int i;
+
+	for (i = 0; i < 4; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "w%d", i);
+		fleet_add_worker(f, id, "r1", 1);
+	}
+	for (i = 0; i < 3; i++) {
+		struct flow_ref r = { NULL, 0, 0, 0, 1 };
+		char id[16];
+
+		snprintf(id, sizeof(id), "j%d", i);
+		r.job = id;
+		fleet_add_job(f, id, "normal", fleet_spec(1, 1, false), i);
+		ck_assert(flow_listed_run(f, &r, "w0", 0, "", 1));
+		flow_ended_run(f, &r, "w0", FLOW_FAILURE, "", 2);
+	}
+	fleet_decide(f, &o, 3);
+	ck_assert_int_eq(o.n_starts, 3);
+	for (i = 0; i < 3; i++)
+		ck_assert_str_ne(o.starts[i].worker, "w0");
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("flow");
+	TCase *t = tcase_create("engine");
+
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, runs_to_completion);
+	tcase_add_test(t, steps_wait_for_those_before);
+	tcase_add_test(t, occurrences_wait_for_their_time);
+	tcase_add_test(t, gangs_start_whole);
+	tcase_add_test(t, gang_restarts_whole);
+	tcase_add_test(t, stopping_takes_room);
+	tcase_add_test(t, victims_take_room);
+	tcase_add_test(t, urgent_gets_the_room_it_made);
+	tcase_add_test(t, attempts_are_limited);
+	tcase_add_test(t, failures_count_in_any_order);
+	tcase_add_test(t, unknown_jobs_are_told);
+	tcase_add_test(t, unanswered_start_is_settled_by_the_list);
+	tcase_add_test(t, recovered_jobs_wait);
+	tcase_add_test(t, progress_survives);
+	tcase_add_test(t, failing_worker_is_quarantined);
+	suite_add_tcase(s, t);
+	return run_suite(s);
+}
