--- a/cmd/tgflowd/rpc.c
+++ b/cmd/tgflowd/rpc.c
@@ -23,7 +23,7 @@
 /* Whether calls on jobs are served here; otherwise it is answered. */
 static bool serves(struct board *b, struct tg_rpc_req *req)
 {
-	if (IS_OWNER(b) && b->directory_read)
+	if (IS_OWNER(b) && b->directory_read && !b->owner.released)
 		return true;
 	answer(b, req, TG_RPC_NOT_ACTIVE,
 	       json_pack("{s:s}", "addr",
