Record the runs that were ordered, so that a take-over need not wait for silent workers

Now progress rows name the runs, written with the next write of the owner, and the owner's row names the silent workers, which get no starts. A run in a list beats an older record, and a task does not start while any run of it exists (both found as TWICE on the way, both with tests). An owner counts as stale after 1.6 s instead of 2.5 s.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -45,6 +45,7 @@
 	bool present; /* in the directory */
 	bool failed; /* the last look had no answer */
 	bool listed;
+	bool loaded; /* may have runs */
 	bool holding, looking; /* a call is in progress */
 	bool look_again;
 	bool in_scan; /* the reading in progress has brought it */
@@ -136,8 +137,14 @@
 void link_look(struct link *l);
 /** link_expiry() - expiry of leases renewed now, worker's clock */
 int64_t link_expiry(struct link *l);
-/** links_unsettled() - workers with runs that don't answer */
-int64_t links_unsettled(const struct board *b);
+/** links_list_silent() - name the workers that don't answer */
+void links_list_silent(const struct board *b, struct tg_owner_row *r);
+/**
+ * links_unlisted() - workers whose runs are not known
+ *
+ * One that was silent to the owner before got no starts from it, so that all
+ * its runs are recorded.
+ */
 int64_t links_unlisted(const struct board *b);
 
 /* round.c */
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -104,7 +104,7 @@
 	tg_log(event, "worker=%s why=%s silent_ms=%lld", l->entry.id, why,
 	       (long long)(tg_now_ms() - l->clock_at_ms));
 	flow_worker_lost(b->flow, l->entry.id, tg_now_ms());
-	l->listed = false;
+	l->listed = l->loaded = false;
 	round_wake(b);
 }
 
@@ -115,10 +115,10 @@
 	if (l->boot_ms) {
 		lose_runs(l, EV_FLOW_WORKER_BOOT, "other boot");
 		l->clock_ms = l->clock_at_ms = 0;
+		l->until_ms = l->expires_at_ms = 0;
+		l->processed_n = l->marked_n = l->noted_n = 0;
 	}
 	l->boot_ms = boot_ms;
-	l->until_ms = l->expires_at_ms = 0;
-	l->processed_n = l->noted_n = 0;
 }
 
 static struct flow_ref ref_of(const struct tg_task_id *t, int32_t run)
@@ -265,7 +265,7 @@
 		l->expires_at_ms = l->clock_at_ms + EXPIRY_MARGIN_MS +
 			b->site.set.lease_max_ms * 100 /
 				(100 - CLOCK_SLOW_PERCENT);
-		l->listed = true;
+		l->listed = l->loaded = true;
 		flow_worker_listed(b->flow, l->entry.id);
 		owner_check_recovered(b);
 		round_wake(b);
@@ -290,7 +290,7 @@
 {
 	int64_t now_ms = tg_now_ms();
 
-	if (l->holding || l->next_ms > now_ms)
+	if (l->holding || l->next_ms > now_ms || !*l->entry.addr)
 		return;
 	if (l->processed_n > l->noted_n) {
 		/* links_noted() goes on as soon as they are durable. */
@@ -364,14 +364,14 @@
 	}
 }
 
-int64_t links_unsettled(const struct board *b)
+void links_list_silent(const struct board *b, struct tg_owner_row *r)
 {
 	const struct link *l;
-	int64_t n = 0;
 
+	r->silent[0] = '\0';
 	for (l = b->links; l; l = l->hh.next)
-		n += l->failed && l->listed;
-	return n;
+		if (l->failed && l->loaded)
+			tg_owner_row_silence(r, l->entry.id);
 }
 
 int64_t links_unlisted(const struct board *b)
@@ -380,7 +380,8 @@
 	int64_t n = 0;
 
 	for (l = b->links; l; l = l->hh.next)
-		n += l->present && !l->listed;
+		n += l->present && !l->listed &&
+			!tg_owner_row_is_silent(&b->owner, l->entry.id);
 	return n;
 }
 
@@ -416,6 +417,31 @@
 	flow_worker_suspect(b->flow, id, true);
 }
 
+static struct link *new_link(struct board *b, const struct tg_worker_entry *e)
+{
+	struct link *l = tg_xcalloc(1, sizeof(*l));
+
+	l->board = b;
+	l->entry = *e;
+	/* A former owner may have started something there. */
+	l->loaded = b->role == ROLE_RECOVERING;
+	l->expires_at_ms = b->recover_until_ms;
+	HASH_ADD(hh, b->links, entry.id, strlen(l->entry.id), l);
+	return l;
+}
+
+/* A worker with recorded runs that has left the directory. */
+static void add_absent(const char *id, void *arg)
+{
+	struct board *b = arg;
+	struct tg_worker_entry e = { .remaining_ms = -1 };
+
+	if (link_find(b, id))
+		return;
+	tg_strlcpy(e.id, id, sizeof(e.id));
+	new_link(b, &e)->failed = true;
+}
+
 static void on_worker_row(const struct tg_row *row, void *arg)
 {
 	struct board *b = arg;
@@ -432,12 +458,8 @@
 		return;
 	}
 	l = link_find(b, e.id);
-	if (!l) {
-		l = tg_xcalloc(1, sizeof(*l));
-		l->board = b;
-		l->entry = e;
-		HASH_ADD(hh, b->links, entry.id, strlen(l->entry.id), l);
-	}
+	if (!l)
+		l = new_link(b, &e);
 	if (!l->present || l->entry.draining != e.draining)
 		tg_log(EV_FLOW_WORKER_SEEN,
 		       "worker=%s az=%s rack=%s draining=%d remaining_ms=%lld "
@@ -470,6 +492,8 @@
 	for (l = b->links; l; l = l->hh.next)
 		if (!l->in_scan)
 			worker_gone(b, l->entry.id);
+	if (!b->directory_read)
+		flow_absent_workers(b->flow, add_absent, b);
 	b->directory_read = true;
 	owner_check_recovered(b);
 }
@@ -506,7 +530,7 @@
 {
 	struct board *b = l->board;
 
-	if (!l->failed || !l->listed || now_ms < l->expires_at_ms)
+	if (!l->failed || !l->loaded || now_ms < l->expires_at_ms)
 		return;
 	lose_runs(l, EV_FLOW_WORKER_LOST, "leases expired");
 	if (!l->present && !l->holding && !l->looking) {
--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -19,7 +19,7 @@
 #define CLAIM_TIMEOUT_MS 1000
 /* Without a successful write for this long an owner no longer reports itself
  * as active, so that a standby that reaches the store can take over. */
-#define STALE_MS 2500
+#define STALE_MS 1600
 /*
  * Without a successful write for this long an owner renews no leases.  Long
  * enough for the usual outages of the store, in which nobody can take over.
@@ -160,7 +160,7 @@
 	tg_strlcpy(claim.addr, tg_rpc_server_addr(b->rpc), sizeof(claim.addr));
 	tg_strlcpy(claim.boot, b->boot, sizeof(claim.boot));
 	claim.fence = b->owner.fence + 1;
-	claim.unsettled = b->owner.unsettled;
+	tg_strlcpy(claim.silent, b->owner.silent, sizeof(claim.silent));
 	tg_strlcpy(claim_reason, why, sizeof(claim_reason));
 	b->role = ROLE_CLAIMING;
 	text = tg_owner_row_encode(&claim);
@@ -282,11 +282,9 @@
 
 	if (b->role != ROLE_RECOVERING || !b->directory_read)
 		return;
-	if ((links_unlisted(b) || b->owner.unsettled) &&
-	    now_ms < b->recover_until_ms)
+	if (links_unlisted(b) && now_ms < b->recover_until_ms)
 		return;
 	b->role = ROLE_OWNER;
-	b->owner.unsettled = 0;
 	tg_log(EV_FLOW_RECOVERED, "fence=%llu unlisted=%lld",
 	       (unsigned long long)b->fence, (long long)links_unlisted(b));
 	flow_recovered(b->flow);
--- a/cmd/tgflowd/round.c
+++ b/cmd/tgflowd/round.c
@@ -175,7 +175,8 @@
 	/* Once the release is written the next owner starts what comes new. */
 	if (!owner_may_renew(b) || !b->directory_read || b->owner.released)
 		return;
-	flow_decide(b->flow, tg_now_ms(), tg_wall_ms(), &flow_orders, b);
+	if (flow_decide(b->flow, tg_now_ms(), tg_wall_ms(), &flow_orders, b))
+		writer_wake(b);
 	tg_hist_add(round_us, (uint64_t)(tg_now_us() - from_us));
 }
 
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -11,7 +11,7 @@
  */
 
 #define RENEW_MS 500
-#define WRITE_TIMEOUT_MS 1500
+#define WRITE_TIMEOUT_MS 1000
 #define RETRY_MS 150
 /* Changes are collected this long, so that one write takes many ends. */
 #define COLLECT_MS 4
@@ -63,7 +63,7 @@
 	w.row = b->owner;
 	w.row.seq = b->owner.seq + 1;
 	if (b->role == ROLE_OWNER)
-		w.row.unsettled = links_unsettled(b);
+		links_list_silent(b, &w.row);
 	add_row(TG_OWNER_TABLE, TG_OWNER_KEY, tg_owner_row_encode(&w.row));
 	while (w.n <= JOBS_MAX && (id = flow_next_dirty(b->flow))) {
 		json_t *o = flow_progress_encode(b->flow, id);
@@ -130,6 +130,7 @@
 {
 	tg_hist_add(write_us, (uint64_t)(tg_now_ms() - w.started_ms) * 1000);
 	b->owner.seq = w.row.seq;
+	tg_strlcpy(b->owner.silent, w.row.silent, sizeof(b->owner.silent));
 	b->owner_version = version;
 	b->renewed_ms = w.started_ms;
 	w.failures = 0;
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -10,6 +10,7 @@
 	void *arg;
 	struct worker **places;
 	int32_t n_places;
+	bool touched; /* progress has to be written */
 };
 
 static struct flow_ref ref_of(const struct run *r)
@@ -97,7 +98,7 @@
 	if (st->gang)
 		return in->n_runs || in->n_done ? 0 : st->tasks;
 	for (i = 0; i < st->tasks; i++)
-		n += !in->tasks[i].done && !in->tasks[i].run;
+		n += !in->tasks[i].done && !in->tasks[i].n_runs;
 	return n;
 }
 
@@ -127,6 +128,8 @@
 	};
 
 	rd->ops->start(&s, rd->arg);
+	flow_touch(j);
+	rd->touched = true;
 }
 
 static void start_tasks(struct round *rd, struct job *j, struct inst *in,
@@ -140,7 +143,7 @@
 	for (placed = 0; placed < n; i++) {
 		struct worker *w = rd->places[placed];
 
-		if (in->tasks[i].done || in->tasks[i].run)
+		if (in->tasks[i].done || in->tasks[i].n_runs)
 			continue;
 		flow_shape_add(&w->reserved, &need, -1);
 		start_task(rd, j, in, i, w,
@@ -173,7 +176,7 @@
 		start_tasks(rd, j, in, n);
 }
 
-void flow_decide(struct flow *f, int64_t now_ms, int64_t wall_ms,
+bool flow_decide(struct flow *f, int64_t now_ms, int64_t wall_ms,
 		 const struct flow_ops *ops, void *arg)
 {
 	struct round rd = {
@@ -196,4 +199,5 @@
 	stop_unwanted(&rd);
 	free(list);
 	free(rd.places);
+	return rd.touched;
 }
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -119,6 +119,9 @@
  * Its leases have expired, or it has started again.  It is unlisted again.
  */
 void flow_worker_lost(struct flow *f, const char *id, int64_t now_ms);
+/** flow_absent_workers() - those that only recorded runs have named so far */
+void flow_absent_workers(const struct flow *f,
+			 void (*fn)(const char *id, void *arg), void *arg);
 void flow_worker_remove(struct flow *f, const char *id, int64_t now_ms);
 
 /* --- jobs --- */
@@ -196,7 +199,8 @@
 
 /* --- decisions --- */
 
-void flow_decide(struct flow *f, int64_t now_ms, int64_t wall_ms,
+/** flow_decide() - a round; true if progress has to be written */
+bool flow_decide(struct flow *f, int64_t now_ms, int64_t wall_ms,
 		 const struct flow_ops *ops, void *arg);
 
 /* --- durable progress --- */
@@ -213,7 +217,12 @@
 void flow_written(struct flow *f);
 /** flow_progress_encode() - new reference */
 json_t *flow_progress_encode(const struct flow *f, const char *id);
-/** flow_progress_decode() - apply; false if it doesn't fit the job */
+/**
+ * flow_progress_decode() - apply; false if it doesn't fit the job
+ *
+ * Recorded runs are assumed to run until flow_listed_all() or
+ * flow_worker_lost() on their workers.
+ */
 bool flow_progress_decode(struct flow *f, const char *id, const json_t *j);
 
 struct flow_stats {
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -40,7 +40,8 @@
 	int32_t last_run;
 	char saved[FLOW_SAVED_LEN + 1];
 	struct worker *failed_on;
-	struct run *run;
+	struct run *run; /* the one that is wanted */
+	int32_t n_runs; /* with those that are being stopped */
 };
 
 /** struct inst - a step of one occurrence */
@@ -129,6 +130,8 @@
 
 /* workers.c */
 struct worker *flow_worker(const struct flow *f, const char *id);
+/** flow_worker_get() - add one of which nothing else is known if need be */
+struct worker *flow_worker_get(struct flow *f, const char *id);
 bool flow_worker_ready(const struct worker *w, int64_t now_ms);
 bool flow_fits(const struct flow_shape *need, const struct flow_shape *have);
 void flow_shape_add(struct flow_shape *to, const struct flow_shape *s,
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -195,7 +195,8 @@
 		struct task *t;
 		struct worker *w;
 
-		while (s->inst->tasks[index].done || s->inst->tasks[index].run)
+		while (s->inst->tasks[index].done ||
+		       s->inst->tasks[index].n_runs)
 			index++;
 		t = &s->inst->tasks[index++];
 		w = best_worker(s, t, out, n);
--- a/lib/flow/progress.c
+++ b/lib/flow/progress.c
@@ -5,7 +5,8 @@
 
 /*
  * What must outlive the scheduler: the state of a job, which tasks are done,
- * how often the others have failed, and their checkpoints.
+ * which runs of the others have failed, their checkpoints, and the runs that
+ * were ordered by the time of writing.
  */
 
 const char *flow_next_dirty(struct flow *f)
@@ -80,6 +81,7 @@
 {
 	const struct flow_step *st = flow_step_of(j, in);
 	json_t *o = json_object(), *tasks = json_object();
+	json_t *runs = json_array();
 	char *done = encode_done(st, in), key[16];
 	int32_t i;
 
@@ -88,12 +90,19 @@
 	for (i = 0; i < st->tasks; i++) {
 		const struct task *t = &in->tasks[i];
 
+		if (t->run)
+			json_array_append_new(runs,
+					      json_pack("[iis]", i, t->run->run,
+							t->run->worker->id));
 		if (t->done || (!t->failures.n && !*t->saved))
 			continue;
 		snprintf(key, sizeof(key), "%d", i);
 		json_object_set_new(tasks, key, encode_task(t));
 	}
 	json_object_set_new(o, "tasks", tasks);
+	if (json_array_size(runs))
+		json_object_set(o, "runs", runs);
+	json_decref(runs);
 	return o;
 }
 
@@ -148,12 +157,32 @@
 	return true;
 }
 
-static bool decode_inst(struct job *j, struct inst *in, json_t *o)
+/* Such a run is there until its worker's list or its lease says otherwise. */
+static bool assume_run(struct flow *f, struct job *j, struct inst *in,
+		       json_t *o)
+{
+	int index, run;
+	const char *worker;
+
+	if (json_unpack(o, "[iis]", &index, &run, &worker) || index < 0 ||
+	    index >= flow_step_of(j, in)->tasks)
+		return false;
+	if (!in->tasks[index].done && !in->tasks[index].run)
+		flow_run_new(j, in, index, flow_worker_get(f, worker), run, 0)
+			->state = RUN_ACTIVE;
+	return true;
+}
+
+static bool decode_inst(struct flow *f, struct job *j, struct inst *in,
+			json_t *o)
 {
 	const struct flow_step *st = flow_step_of(j, in);
 	const char *key;
 	json_t *v;
+	size_t k;
 
+	if (!decode_done(j, in, json_string_value(json_object_get(o, "done"))))
+		return false;
 	json_object_foreach(json_object_get(o, "tasks"), key, v) {
 		int32_t i = (int32_t)strtol(key, NULL, 10);
 
@@ -161,8 +190,10 @@
 			return false;
 		j->begun = true;
 	}
-	return decode_done(j, in,
-			   json_string_value(json_object_get(o, "done")));
+	json_array_foreach(json_object_get(o, "runs"), k, v)
+		if (!assume_run(f, j, in, v))
+			return false;
+	return true;
 }
 
 bool flow_progress_decode(struct flow *f, const char *id, const json_t *o)
@@ -176,7 +207,7 @@
 	    state > FLOW_CANCELLED)
 		return false;
 	for (i = 0; i < j->n_insts && i < (int32_t)json_array_size(steps); i++)
-		if (!decode_inst(j, &j->insts[i],
+		if (!decode_inst(f, j, &j->insts[i],
 				 json_array_get(steps, (size_t)i)))
 			return false;
 	if (state >= FLOW_COMPLETED)
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -16,8 +16,10 @@
 	r->run = run;
 	r->worker = w;
 	r->since_ms = now_ms;
-	if (!t->run)
+	/* Of two runs the later one was ordered by somebody who knew more. */
+	if (!t->run || t->run->run < run)
 		t->run = r;
+	t->n_runs++;
 	if (run > t->last_run)
 		t->last_run = run;
 	in->n_runs++;
@@ -42,6 +44,7 @@
 		flow_shape_add(&r->worker->stopping, &room, -1);
 	if (t->run == r)
 		t->run = NULL;
+	t->n_runs--;
 	r->inst->n_runs--;
 	r->job->n_runs--;
 	if (r->prev)
@@ -230,12 +233,12 @@
 		return false;
 	t = &in->tasks[ref->index];
 	if (!r) {
-		bool wanted = !t->run && !t->done && !flow_is_over(j) &&
-			ref->run >= t->last_run;
+		bool wanted =
+			!t->done && !flow_is_over(j) && ref->run >= t->last_run;
 
 		r = flow_run_new(j, in, ref->index, w, ref->run, now_ms);
 		r->state = RUN_ACTIVE;
-		if (!wanted)
+		if (!wanted || t->run != r)
 			flow_run_stop(r);
 	}
 	if (r->state == RUN_STARTING || r->state == RUN_UNSURE)
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -49,16 +49,33 @@
 	return s;
 }
 
+struct worker *flow_worker_get(struct flow *f, const char *id)
+{
+	struct worker *w = flow_worker(f, id);
+
+	if (w)
+		return w;
+	w = tg_xcalloc(1, sizeof(*w));
+	tg_strlcpy(w->id, id, sizeof(w->id));
+	HASH_ADD_STR(f->workers, id, w);
+	return w;
+}
+
+void flow_absent_workers(const struct flow *f,
+			 void (*fn)(const char *id, void *arg), void *arg)
+{
+	const struct worker *w;
+
+	for (w = f->workers; w; w = w->hh.next)
+		if (!w->present)
+			fn(w->id, arg);
+}
+
 void flow_worker_set(struct flow *f, const struct flow_worker_spec *s)
 {
-	struct worker *w = flow_worker(f, s->id);
+	struct worker *w = flow_worker_get(f, s->id);
 	int32_t i;
 
-	if (!w) {
-		w = tg_xcalloc(1, sizeof(*w));
-		tg_strlcpy(w->id, s->id, sizeof(w->id));
-		HASH_ADD_STR(f->workers, id, w);
-	}
 	tg_strlcpy(w->service, s->service, sizeof(w->service));
 	tg_strlcpy(w->az, s->az, sizeof(w->az));
 	tg_strlcpy(w->rack, s->rack ? s->rack : "", sizeof(w->rack));
--- a/lib/site/rows.c
+++ b/lib/site/rows.c
@@ -68,13 +68,31 @@
 	return same;
 }
 
+void tg_owner_row_silence(struct tg_owner_row *r, const char *worker)
+{
+	size_t n = strlen(r->silent);
+
+	if (n + strlen(worker) + 3 > sizeof(r->silent))
+		return;
+	snprintf(r->silent + n, sizeof(r->silent) - n, n ? "%s," : ",%s,",
+		 worker);
+}
+
+bool tg_owner_row_is_silent(const struct tg_owner_row *r, const char *worker)
+{
+	char name[TG_NAME_MAX + 3];
+
+	snprintf(name, sizeof(name), ",%s,", worker);
+	return strstr(r->silent, name) != NULL;
+}
+
 char *tg_owner_row_encode(const struct tg_owner_row *r)
 {
-	json_t *o = json_pack(
-		"{s:s,s:s,s:s,s:I,s:I,s:I,s:b}", "holder", r->holder, "addr",
-		r->addr, "boot", r->boot, "fence", (json_int_t)r->fence, "seq",
-		(json_int_t)r->seq, "unsettled", (json_int_t)r->unsettled,
-		"released", r->released);
+	json_t *o =
+		json_pack("{s:s,s:s,s:s,s:I,s:I,s:s,s:b}", "holder", r->holder,
+			  "addr", r->addr, "boot", r->boot, "fence",
+			  (json_int_t)r->fence, "seq", (json_int_t)r->seq,
+			  "silent", r->silent, "released", r->released);
 	char *text = json_dumps(o, JSON_COMPACT);
 
 	json_decref(o);
@@ -84,18 +102,18 @@
 int tg_owner_row_decode(const struct tg_row *row, struct tg_owner_row *r)
 {
 	json_t *o = json_loadb(row->value, row->value_bytes, 0, NULL);
-	const char *holder, *addr, *boot;
-	json_int_t fence, seq, unsettled;
+	const char *holder, *addr, *boot, *silent;
+	json_int_t fence, seq;
 	int released, err = -1;
 
 	memset(r, 0, sizeof(*r));
-	if (json_unpack(o, "{s:s,s:s,s:s,s:I,s:I,s:I,s:b}", "holder", &holder,
+	if (json_unpack(o, "{s:s,s:s,s:s,s:I,s:I,s:s,s:b}", "holder", &holder,
 			"addr", &addr, "boot", &boot, "fence", &fence, "seq",
-			&seq, "unsettled", &unsettled, "released", &released))
+			&seq, "silent", &silent, "released", &released))
 		goto out;
 	r->fence = (uint64_t)fence;
 	r->seq = seq;
-	r->unsettled = unsettled;
+	tg_strlcpy(r->silent, silent, sizeof(r->silent));
 	r->released = released;
 	if (tg_strlcpy(r->holder, holder, sizeof(r->holder)) &&
 	    tg_strlcpy(r->addr, addr, sizeof(r->addr)) &&
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -91,17 +91,23 @@
 bool tg_job_row_same(const char *a, size_t a_bytes, const char *b,
 		     size_t b_bytes);
 
+/** Bytes of the list of silent workers; one that is left out is waited for. */
+#define TG_SILENT_MAX 8192
+
 /** struct tg_owner_row - who schedules */
 struct tg_owner_row {
 	char holder[TG_NAME_MAX + 1], addr[TG_ADDR_MAX + 1];
 	char boot[TG_TOKEN_LEN + 1];
 	uint64_t fence; /* fencing token, rises with each take-over */
 	int64_t seq; /* of the holder's writes */
-	/* Workers with runs that did not answer the holder when it wrote. */
-	int64_t unsettled;
+	/* Workers that did not answer the holder when it wrote: ",id,id," */
+	char silent[TG_SILENT_MAX];
 	bool released; /* the holder has given it up */
 };
 
+/** tg_owner_row_silence() - add a worker to the list */
+void tg_owner_row_silence(struct tg_owner_row *r, const char *worker);
+bool tg_owner_row_is_silent(const struct tg_owner_row *r, const char *worker);
 char *tg_owner_row_encode(const struct tg_owner_row *r);
 int tg_owner_row_decode(const struct tg_row *row, struct tg_owner_row *r);
 
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -350,6 +350,59 @@
 }
 END_TEST
 
+/*
+ * The owner before could not write its last starts: the record names run 1 on
+ * w1, while run 2 runs on w2.  Run 2 must go on, and nothing else start
+ * (TWICE).
+ */
+START_TEST(listed_run_beats_older_record)
+{
+	struct flow_ref r = { "j1", 0, 0, 0, 2 };
+	json_t *p = json_loads("{\"state\":0,\"steps\":[{\"done\":\"\","
+			       "\"tasks\":{},\"runs\":[[0,1,\"w1\"]]}]}",
+			       0, NULL);
+
+	fleet_add_job(f, "j1", "normal", fleet_spec(1, 1, false), 0);
+	ck_assert(flow_progress_decode(f, "j1", p));
+	json_decref(p);
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_worker(f, "w2", "r1", 8);
+	fleet_decide(f, &o, 1);
+	ck_assert_int_eq(o.n_starts, 0);
+	ck_assert(flow_listed_run(f, &r, "w2", 0, "", 5));
+	flow_listed_all(f, "w2", 4, 5);
+	fleet_decide(f, &o, 6);
+	ck_assert_int_eq(o.n_starts, 0);
+	flow_listed_all(f, "w1", 5, 6);
+	fleet_decide(f, &o, 7);
+	ck_assert_int_eq(o.n_starts + o.n_stops, 0);
+	fleet_end(f, &(struct start_order){ "j1", "w2", "", 0, 0, 0, 2 },
+		  FLOW_DONE, 8);
+	ck_assert_int_eq(state("j1"), FLOW_COMPLETED);
+}
+END_TEST
+
+/* While a run that is not wanted is being stopped its task must not start. */
+START_TEST(task_waits_for_unwanted_runs)
+{
+	struct flow_ref r = { "j1", 0, 0, 0, 1 };
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_worker(f, "w2", "r1", 8);
+	fleet_add_job(f, "j1", "normal", fleet_spec(1, 1, false), 0);
+	fleet_decide(f, &o, 1);
+	ck_assert_int_eq(o.n_starts, 1);
+	fleet_end(f, &o.starts[0], FLOW_LAPSED, 2);
+	fleet_decide(f, &o, 3);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert(flow_listed_run(f, &r, "w2", 0, "", 4));
+	fleet_end(f, &o.starts[0], FLOW_LAPSED, 5);
+	fleet_decide(f, &o, 6);
+	ck_assert_int_eq(o.n_stops, 1);
+	ck_assert_int_eq(o.n_starts, 0);
+}
+END_TEST
+
 /* A worker that fails tasks of several jobs in a row gets none for a while. */
 START_TEST(failing_worker_is_quarantined)
 {
@@ -398,6 +451,8 @@
 	tcase_add_test(t, unanswered_start_is_settled_by_the_list);
 	tcase_add_test(t, recovered_jobs_wait);
 	tcase_add_test(t, progress_survives);
+	tcase_add_test(t, listed_run_beats_older_record);
+	tcase_add_test(t, task_waits_for_unwanted_runs);
 	tcase_add_test(t, failing_worker_is_quarantined);
 	suite_add_tcase(s, t);
 	return run_suite(s);
