--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -22,6 +22,7 @@
 	bool refused_later; /* a stop was answered */
 	bool resend_stop; /* the stop had no answer */
 	bool victim; /* is to be stopped for another job */
+	bool considered; /* as a victim, while a search looks at its worker */
 	bool victim_kept; /* the search that chose it has succeeded */
 	int32_t percent;
 	int64_t since_ms, listed_ms, unsure_ms;
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -24,6 +24,7 @@
 	int64_t now_ms;
 	enum room_kind kind;
 	const char *rack; /* only workers of this one, if not NULL */
+	int64_t cost; /* of the victims of fill() */
 };
 
 static struct flow_shape room_of(const struct worker *w, enum room_kind kind)
@@ -86,6 +87,7 @@
 	int64_t weight = st->shape.accelerators + 1;
 	int64_t ran_ms = s->now_ms - r->since_ms;
 
+	/* One member takes the others with it. */
 	if (st->gang)
 		weight *= st->tasks;
 	/* A checkpoint keeps most of it; stopping has a cost of its own. */
@@ -99,42 +101,80 @@
 	return r->job->rank > s->job->rank;
 }
 
+static void mark_victim(struct run *r)
+{
+	struct flow_shape freed = flow_room(flow_step_of(r->job, r->inst));
+
+	if (r->victim || r->state == RUN_STOPPING)
+		return;
+	r->victim = true;
+	flow_shape_add(&r->worker->victims, &freed, 1);
+}
+
+/* A gang ends with its member, so all its room will be free. */
+static void mark_victims(struct run *r)
+{
+	const struct flow_step *st = flow_step_of(r->job, r->inst);
+	int32_t i;
+
+	mark_victim(r);
+	for (i = 0; st->gang && i < st->tasks; i++)
+		if (r->inst->tasks[i].run)
+			mark_victim(r->inst->tasks[i].run);
+}
+
+static struct run *cheapest_victim(const struct search *s,
+				   const struct worker *w)
+{
+	struct run *r, *best = NULL;
+
+	for (r = w->runs; r; r = r->next)
+		if (may_stop(s, r) && !r->considered &&
+		    (!best || r->job->rank > best->job->rank ||
+		     (r->job->rank == best->job->rank &&
+		      lost_work(s, r) < lost_work(s, best))))
+			best = r;
+	return best;
+}
+
+/* Adds the room of @v and of the other members of its gang on its worker. */
+static void consider(struct run *v, struct flow_shape *room)
+{
+	struct flow_shape freed = flow_room(flow_step_of(v->job, v->inst));
+	bool gang = flow_step_of(v->job, v->inst)->gang;
+	struct run *r;
+
+	for (r = v->worker->runs; r; r = r->next)
+		if (r == v ||
+		    (gang && r->inst == v->inst && !r->victim &&
+		     r->state != RUN_STOPPING)) {
+			r->considered = true;
+			flow_shape_add(room, &freed, 1);
+		}
+}
+
 /* Marks the cheapest runs of @w whose end makes room; the cost, or -1. */
 static int64_t choose_victims(const struct search *s, struct worker *w,
 			      bool mark)
 {
 	struct flow_shape room = room_of(w, ROOM_STOPPING);
-	struct run *chosen[64];
 	int64_t cost = 0;
-	int32_t n = 0, i;
+	struct run *r;
 
 	while (!flow_fits(&s->need, &room)) {
-		struct run *r, *best = NULL;
-		struct flow_shape freed;
+		struct run *v = cheapest_victim(s, w);
 
-		for (r = w->runs; r; r = r->next)
-			if (may_stop(s, r) &&
-			    (!best || r->job->rank > best->job->rank ||
-			     (r->job->rank == best->job->rank &&
-			      lost_work(s, r) < lost_work(s, best))))
-				best = r;
-		if (!best || n == ARRAY_SIZE(chosen)) {
+		if (!v) {
 			cost = -1;
 			break;
 		}
-		freed = flow_room(flow_step_of(best->job, best->inst));
-		flow_shape_add(&room, &freed, 1);
-		cost += lost_work(s, best);
-		best->victim = true;
-		chosen[n++] = best;
+		cost += lost_work(s, v);
+		consider(v, &room);
 	}
-	for (i = 0; i < n; i++) {
-		struct flow_shape freed = flow_room(
-			flow_step_of(chosen[i]->job, chosen[i]->inst));
-
-		chosen[i]->victim = mark && cost >= 0;
-		if (chosen[i]->victim)
-			flow_shape_add(&w->victims, &freed, 1);
+	for (r = w->runs; r; r = r->next) {
+		if (r->considered && mark && cost >= 0)
+			mark_victims(r);
+		r->considered = false;
 	}
 	return cost;
 }
@@ -187,7 +227,7 @@
 }
 
 /* Workers for up to @want tasks, their room reserved. */
-static int32_t fill(const struct search *s, int32_t want, struct worker **out)
+static int32_t fill(struct search *s, int32_t want, struct worker **out)
 {
 	int32_t n = 0, index = 0;
 
@@ -203,7 +243,7 @@
 		if (!w)
 			break;
 		if (s->kind == ROOM_VICTIMS)
-			choose_victims(s, w, true);
+			s->cost += choose_victims(s, w, true);
 		flow_shape_add(&w->reserved, &s->need, 1);
 		out[n++] = w;
 	}
@@ -287,47 +327,68 @@
 	return false;
 }
 
-/* The rack with the least room that suffices. */
+/* Whether @w is the first of its rack, in the order of the table. */
+static bool first_of_rack(const struct search *s, const struct worker *w)
+{
+	const struct worker *v;
+
+	for (v = s->f->workers; v != w; v = v->hh.next)
+		if (!strcmp(v->rack, w->rack) && eligible(s, v))
+			return false;
+	return eligible(s, w);
+}
+
+static int32_t fill_rack(struct search *s, const char *rack, int32_t want,
+			 struct worker **out)
+{
+	int32_t n;
+
+	s->rack = rack;
+	s->cost = 0;
+	n = fill(s, want, out);
+	s->rack = NULL;
+	if (n == want)
+		return n;
+	release(s, out, n);
+	return 0;
+}
+
+/* Cost of having the tasks on a rack, or -1: what is least loaded or lost. */
+static int64_t rack_cost(struct search *s, const char *rack, int32_t want,
+			 struct worker **out)
+{
+	int64_t n_slots = rack_slots(s, rack, s->kind == ROOM_VICTIMS);
+
+	if (n_slots < want)
+		return -1;
+	if (s->kind != ROOM_VICTIMS)
+		return n_slots;
+	if (!fill_rack(s, rack, want, out))
+		return -1;
+	release(s, out, want);
+	return s->cost;
+}
+
+/* The rack with the least room that suffices, or with the cheapest victims. */
 static int32_t fill_one_rack(struct search *s, int32_t want,
 			     struct worker **out)
 {
 	const char *best = NULL;
-	int64_t best_slots = 0;
+	int64_t best_cost = 0;
 	struct worker *w;
-	int32_t n;
 
 	for (w = s->f->workers; w; w = w->hh.next) {
-		int64_t n_slots;
+		int64_t cost;
 
-		if (!eligible(s, w) || (best && !strcmp(best, w->rack)))
-			continue;
-		if (s->kind == ROOM_VICTIMS)
-			n_slots = rack_slots(s, w->rack, true);
-		else
-			n_slots = rack_slots(s, w->rack, false);
-		if (n_slots < want || (best && n_slots >= best_slots))
+		if (!first_of_rack(s, w))
 			continue;
-		if (s->kind == ROOM_VICTIMS) {
-			s->rack = w->rack;
-			n = fill(s, want, out);
-			s->rack = NULL;
-			if (n == want)
-				return n;
-			release(s, out, n);
+		cost = rack_cost(s, w->rack, want, out);
+		if (cost < 0 || (best && cost >= best_cost))
 			continue;
-		}
 		best = w->rack;
-		best_slots = n_slots;
+		best_cost = cost;
 	}
-	if (!best)
-		return 0;
-	s->rack = best;
-	n = fill(s, want, out);
-	s->rack = NULL;
-	if (n == want)
-		return n;
-	release(s, out, n);
-	return 0;
+	return best ? fill_rack(s, best, want, out) : 0;
 }
 
 static int32_t fill_gang(struct search *s, int32_t want, struct worker **out)
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -201,6 +201,50 @@
 }
 END_TEST
 
+/* Work was thrown away on the first rack that could be emptied. */
+START_TEST(cheapest_rack_is_emptied)
+{
+	struct flow_spec *s = fleet_spec(1, 8, true);
+	int i;
+
+	s->steps[0].within_rack = true;
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_worker(f, "w2", "r2", 8);
+	fleet_add_worker(f, "w3", "r3", 8);
+	for (i = 0; i < 3; i++) {
+		static const char *const jobs[] = { "j1", "j2", "j3" };
+		static const int64_t begin_ms[] = { 1000, 5000, 3000 };
+
+		fleet_add_job(f, jobs[i], "low", fleet_spec(1, 8, false), i);
+		fleet_decide(f, &o, begin_ms[i]);
+		fleet_confirm(f, &o, begin_ms[i]);
+	}
+	fleet_add_job(f, "j9", "urgent", s, 6000);
+	fleet_decide(f, &o, 6000);
+	ck_assert_int_eq(o.n_stops, 1);
+	ck_assert_str_eq(o.stops[0].job, "j2");
+}
+END_TEST
+
+/* A stopped member ends its gang: all the gang's room is used, no other's. */
+START_TEST(gang_is_one_victim)
+{
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_worker(f, "w2", "r1", 8);
+	fleet_add_worker(f, "w3", "r1", 8);
+	fleet_add_worker(f, "w4", "r1", 8);
+	fleet_add_job(f, "j1", "low", fleet_spec(2, 8, true), 0);
+	fleet_add_job(f, "j2", "low", fleet_spec(2, 8, true), 1);
+	fleet_decide(f, &o, 1);
+	ck_assert_int_eq(o.n_starts, 4);
+	fleet_confirm(f, &o, 2);
+	fleet_add_job(f, "j9", "urgent", fleet_spec(2, 8, true), 500);
+	fleet_decide(f, &o, 501);
+	ck_assert_int_eq(o.n_stops, 2);
+	ck_assert_str_eq(o.stops[0].job, o.stops[1].job);
+}
+END_TEST
+
 /* A task must not start again after its last attempt has failed. */
 START_TEST(attempts_are_limited)
 {
@@ -445,6 +489,8 @@
 	tcase_add_test(t, stopping_takes_room);
 	tcase_add_test(t, victims_take_room);
 	tcase_add_test(t, urgent_gets_the_room_it_made);
+	tcase_add_test(t, cheapest_rack_is_emptied);
+	tcase_add_test(t, gang_is_one_victim);
 	tcase_add_test(t, attempts_are_limited);
 	tcase_add_test(t, failures_count_in_any_order);
 	tcase_add_test(t, unknown_jobs_are_told);
