Relay submissions through another instance where the store refuses this one

Flow daemons announce themselves in the store, and store a row for a caller's daemon (JOB_STORE); every other attempt goes that way, the first one too for 2 s after a failure.

--- a/cmd/tgflowd/rpc.c
+++ b/cmd/tgflowd/rpc.c
@@ -3,6 +3,9 @@
 
 #include "board.h"
 
+/* Shorter than what the caller's daemon waits. */
+#define STORE_TIMEOUT_MS 600
+
 static void answer(struct board *b, struct tg_rpc_req *req,
 		   enum tg_rpc_status status, json_t *json, const char *text)
 {
@@ -142,10 +145,30 @@
 	       "");
 }
 
+static void on_stored(enum tg_job_stored end, void *arg)
+{
+	struct tg_rpc_answer a = { .status = tg_job_stored_encode(end),
+				   .text = "" };
+
+	tg_rpc_reply(arg, &a);
+}
+
+/* Any flow daemon does this, for an instance that the store refuses. */
+static void store(struct tg_rpc_req *req, void *args, void *arg)
+{
+	struct board *b = arg;
+	const struct tg_rpc_job *a = args;
+	char *row = strndup(a->spec.spec_val, a->spec.spec_len);
+
+	tg_job_store(&b->site, a->job, row, STORE_TIMEOUT_MS, on_stored, req);
+	free(row);
+}
+
 static const tg_rpc_handler handlers[TG_RPC_N_PROCS] = {
 	[TG_RPC_PING] = ping,	      [TG_RPC_JOB_SUBMIT] = submit,
 	[TG_RPC_JOB_CANCEL] = cancel, [TG_RPC_JOB_STATUS] = status,
 	[TG_RPC_JOB_LIST] = count,    [TG_RPC_JOB_EXPLAIN] = explain,
+	[TG_RPC_JOB_STORE] = store,
 };
 
 static int start(void *board)
@@ -163,7 +186,10 @@
 		 b->site.set.peers_port);
 	b->rpc = tg_rpc_server_new(&o);
 	b->peers = tg_rpc_client_new(b->base);
-	return b->rpc ? 0 : -1;
+	if (!b->rpc)
+		return -1;
+	tg_members_announce(&b->site, tg_rpc_server_addr(b->rpc));
+	return 0;
 }
 
 static void stop(void *board)
--- a/cmd/tgqueued/board.h
+++ b/cmd/tgqueued/board.h
@@ -35,6 +35,9 @@
 	char owner_addr[TG_ADDR_MAX + 1];
 	int64_t owner_asked_ms; /* the owner's row was read */
 	bool owner_reading;
+	struct tg_members members;
+	struct tg_rng rng;
+	int64_t store_failed_ms; /* last write without success; 0: succeeded */
 };
 
 /** struct request - a caller's request in progress */
@@ -49,6 +52,7 @@
 	bool unknown; /* a write may have taken effect, or may do so later */
 	bool found; /* the job's row exists */
 	int attempts;
+	bool relayed; /* the last attempt */
 };
 
 /* front.c */
@@ -82,6 +86,9 @@
 void owner_call(struct board *b, uint32_t proc, const void *args,
 		int64_t timeout_ms, owner_done done, void *arg);
 
+/** owner_pick_peer() - another flow daemon, the owner if known; or NULL */
+const char *owner_pick_peer(struct board *b);
+
 extern const struct tg_controller front_controller;
 extern const struct tg_controller owner_controller;
 
--- a/cmd/tgqueued/owner.c
+++ b/cmd/tgqueued/owner.c
@@ -82,6 +82,25 @@
 	free(k);
 }
 
+/* The flow daemon of this instance shares its path to the store. */
+static const char *own_addr(const struct board *b)
+{
+	static char addr[TG_ADDR_MAX + 16];
+
+	snprintf(addr, sizeof(addr), "%s:%d", b->site.set.ip,
+		 b->site.set.peers_port);
+	return addr;
+}
+
+const char *owner_pick_peer(struct board *b)
+{
+	const char *own = own_addr(b);
+
+	if (*b->owner_addr && strcmp(b->owner_addr, own) != 0)
+		return b->owner_addr;
+	return tg_members_pick(&b->members, &b->rng, own);
+}
+
 static void on_unknown(evutil_socket_t fd, short what, void *arg)
 {
 	struct owner_ask *k = arg;
@@ -97,18 +116,21 @@
 {
 	struct owner_ask *k = tg_xcalloc(1, sizeof(*k));
 	struct timeval now = { 0 };
+	const char *addr;
 
 	k->board = b;
 	k->done = done;
 	k->arg = arg;
-	if (!*b->owner_addr) {
+	if (!*b->owner_addr)
 		read_owner(b);
+	/* Any flow daemon may know who the owner is. */
+	addr = *b->owner_addr ? b->owner_addr : owner_pick_peer(b);
+	if (!addr) {
 		event_base_once(b->base, -1, EV_TIMEOUT, on_unknown, k, &now);
 		return;
 	}
-	tg_strlcpy(k->addr, b->owner_addr, sizeof(k->addr));
-	tg_rpc_call(b->peers, b->owner_addr, proc, args, timeout_ms, on_answer,
-		    k);
+	tg_strlcpy(k->addr, addr, sizeof(k->addr));
+	tg_rpc_call(b->peers, addr, proc, args, timeout_ms, on_answer, k);
 }
 
 static int start(void *board)
@@ -116,6 +138,8 @@
 	struct board *b = board;
 
 	b->peers = tg_rpc_client_new(b->base);
+	b->members.site = &b->site;
+	tg_rng_seed(&b->rng);
 	read_owner(b);
 	return 0;
 }
@@ -127,6 +151,7 @@
 	(void)now_ms;
 	if (!*b->owner_addr)
 		read_owner(b);
+	tg_members_tick(&b->members);
 }
 
 static void stop(void *board)
--- a/cmd/tgqueued/submit.c
+++ b/cmd/tgqueued/submit.c
@@ -6,16 +6,19 @@
 /*
  * A submission is accepted once its row is in the store.  While a write may
  * have taken effect without an answer the caller gets no refusal: the write is
- * repeated, and the row itself tells.
+ * repeated, and the row itself tells.  The store may refuse this instance and
+ * serve its neighbours, so every other attempt goes through another instance.
  */
 
-#define WRITE_TIMEOUT_MS 900
-#define RETRY_MS 120
+/* An answer takes 4 ms, across regions 64 ms, on a slow store 300 ms. */
+#define WRITE_TIMEOUT_MS 700
+#define RETRY_MS 60
 /* Told to the owner so that it need not wait for its feed; may be lost. */
 #define NOTIFY_TIMEOUT_MS 1000
-#define RETRY_AFTER_S 1
+/* After a failed write the next requests try another instance first. */
+#define AVOID_MS 2000
 
-static void try_write(struct request *r);
+static void try_store(struct request *r);
 
 static void on_notified(enum tg_rpc_end end, const struct tg_rpc_answer *a,
 			void *arg)
@@ -25,7 +28,7 @@
 	(void)arg;
 }
 
-static void notify_owner(struct request *r)
+static struct tg_rpc_job row_args(struct request *r)
 {
 	struct tg_rpc_job j = {
 		.workspace = "",
@@ -34,13 +37,15 @@
 
 	j.spec.spec_val = r->row;
 	j.spec.spec_len = (u_int)strlen(r->row);
-	owner_call(r->board, TG_RPC_JOB_SUBMIT, &j, NOTIFY_TIMEOUT_MS,
-		   on_notified, NULL);
+	return j;
 }
 
 static void accept_job(struct request *r, const char *why)
 {
-	notify_owner(r);
+	struct tg_rpc_job j = row_args(r);
+
+	owner_call(r->board, TG_RPC_JOB_SUBMIT, &j, NOTIFY_TIMEOUT_MS,
+		   on_notified, NULL);
 	request_end(r, 200, why);
 }
 
@@ -54,37 +59,30 @@
 
 static void try_again(struct request *r)
 {
-	tg_log(EV_QUEUE_ATTEMPT, "job=%s attempt=%d unknown=%d left_ms=%lld",
-	       r->job, r->attempts, r->unknown, (long long)request_left_ms(r));
+	tg_log(EV_QUEUE_ATTEMPT,
+	       "job=%s attempt=%d relayed=%d unknown=%d left_ms=%lld", r->job,
+	       r->attempts, r->relayed, r->unknown,
+	       (long long)request_left_ms(r));
 	if (request_left_ms(r) <= RETRY_MS)
 		give_up(r);
 	else
-		request_later(r, RETRY_MS, try_write);
+		request_later(r, RETRY_MS, try_store);
 }
 
-static void on_written(const struct tg_store_result *w, void *arg)
+static void end_attempt(struct request *r, enum tg_job_stored end)
 {
-	struct request *r = arg;
-
-	switch (w->end) {
-	case TG_STORE_OK:
-		accept_job(r, "stored");
+	switch (end) {
+	case TG_JOB_STORED:
+		accept_job(r, r->relayed ? "stored by a peer" : "stored");
 		break;
-	case TG_STORE_CONFLICT:
-		if (!w->n_rows)
-			try_again(r);
-		else if (tg_job_row_same(w->rows[0].value,
-					 w->rows[0].value_bytes, r->row,
-					 strlen(r->row)))
-			accept_job(r, "stored before");
-		else
-			request_end(r, 409, "the id has another job");
+	case TG_JOB_OTHER:
+		request_end(r, 409, "the id has another job");
 		break;
-	case TG_STORE_INVALID:
+	case TG_JOB_UNSTORABLE:
 		request_end(r, r->unknown ? 504 : 413,
 			    "the store can't keep the job");
 		break;
-	case TG_STORE_UNKNOWN:
+	case TG_JOB_UNKNOWN:
 		r->unknown = true;
 		try_again(r);
 		break;
@@ -93,32 +91,56 @@
 	}
 }
 
-static void try_write(struct request *r)
+static void on_stored(enum tg_job_stored end, void *arg)
+{
+	struct request *r = arg;
+	bool failed = end == TG_JOB_NOT_STORED || end == TG_JOB_UNKNOWN;
+
+	r->board->store_failed_ms = failed ? tg_now_ms() : 0;
+	end_attempt(r, end);
+}
+
+static void on_relayed(enum tg_rpc_end end, const void *res, void *arg)
+{
+	const struct tg_rpc_answer *a = res;
+
+	if (end == TG_RPC_END_NOT_SENT || end == TG_RPC_END_REFUSED)
+		end_attempt(arg, TG_JOB_NOT_STORED);
+	else if (end != TG_RPC_END_OK)
+		end_attempt(arg, TG_JOB_UNKNOWN);
+	else
+		end_attempt(arg, tg_job_stored_decode(a->status));
+}
+
+/* Whether this attempt goes through another instance. */
+static bool wants_relay(const struct request *r)
+{
+	int64_t failed_ms = r->board->store_failed_ms;
+	bool avoid = failed_ms && tg_now_ms() - failed_ms < AVOID_MS;
+
+	return (r->attempts % 2 == 1) != avoid;
+}
+
+static void try_store(struct request *r)
 {
 	struct board *b = r->board;
-	struct tg_row check = {
-		.table = TG_JOBS_TABLE,
-		.part = tg_job_part(r->job),
-		.key = r->job,
-	};
-	struct tg_row put = check;
-	struct tg_store_tx tx = {
-		.checks = &check,
-		.n_checks = 1,
-		.puts = &put,
-		.n_puts = 1,
-		.timeout_ms = WRITE_TIMEOUT_MS,
-	};
+	struct tg_rpc_job j = row_args(r);
+	const char *peer = wants_relay(r) ? owner_pick_peer(b) : NULL;
+	int64_t timeout_ms = WRITE_TIMEOUT_MS;
 
-	if (request_left_ms(r) < tx.timeout_ms)
-		tx.timeout_ms = request_left_ms(r);
-	put.value = r->row;
-	put.value_bytes = strlen(r->row);
+	if (request_left_ms(r) < timeout_ms)
+		timeout_ms = request_left_ms(r);
+	r->relayed = peer != NULL;
 	r->attempts++;
-	b->site.ops->tx(b->site.port, &tx, on_written, r);
+	if (peer)
+		tg_rpc_call(b->peers, peer, TG_RPC_JOB_STORE, &j, timeout_ms,
+			    on_relayed, r);
+	else
+		tg_job_store(&b->site, r->job, r->row, timeout_ms, on_stored,
+			     r);
 }
 
 void submit(struct request *r)
 {
-	try_write(r);
+	try_store(r);
 }
--- a/lib/oncrpc/oncrpc.h
+++ b/lib/oncrpc/oncrpc.h
@@ -23,7 +23,7 @@
 #define TG_RPC_RECORD_MAX (1 << 20)
 /** Longest datagram in bytes; stays below the usual limits of UDP. */
 #define TG_RPC_DATAGRAM_MAX 60000
-#define TG_RPC_N_PROCS 14
+#define TG_RPC_N_PROCS 15
 
 /** struct tg_rpc_proc - how a procedure is encoded */
 struct tg_rpc_proc {
--- a/lib/oncrpc/procs.c
+++ b/lib/oncrpc/procs.c
@@ -34,4 +34,5 @@
 		PROC("guarantee_list", tg_rpc_list, tg_rpc_answer),
 	[TG_RPC_INSTANCE_LIST] =
 		PROC("instance_list", tg_rpc_instance_page, tg_rpc_instances),
+	[TG_RPC_JOB_STORE] = PROC("job_store", tg_rpc_job, tg_rpc_answer),
 };
--- a/lib/oncrpc/tgrpc.h
+++ b/lib/oncrpc/tgrpc.h
@@ -242,6 +242,9 @@
 #define TG_RPC_INSTANCE_LIST 13
 extern  tg_rpc_instances * tg_rpc_instance_list_1(tg_rpc_instance_page , CLIENT *);
 extern  tg_rpc_instances * tg_rpc_instance_list_1_svc(tg_rpc_instance_page , struct svc_req *);
+#define TG_RPC_JOB_STORE 14
+extern  tg_rpc_answer * tg_rpc_job_store_1(tg_rpc_job , CLIENT *);
+extern  tg_rpc_answer * tg_rpc_job_store_1_svc(tg_rpc_job , struct svc_req *);
 extern int tg_rpc_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -287,6 +290,9 @@
 #define TG_RPC_INSTANCE_LIST 13
 extern  tg_rpc_instances * tg_rpc_instance_list_1();
 extern  tg_rpc_instances * tg_rpc_instance_list_1_svc();
+#define TG_RPC_JOB_STORE 14
+extern  tg_rpc_answer * tg_rpc_job_store_1();
+extern  tg_rpc_answer * tg_rpc_job_store_1_svc();
 extern int tg_rpc_program_1_freeresult ();
 #endif /* K&R C */
 
--- a/lib/oncrpc/tgrpc.x
+++ b/lib/oncrpc/tgrpc.x
@@ -173,5 +173,7 @@
 		tg_rpc_answer TG_RPC_GUARANTEE_LIST(tg_rpc_list) = 12;
 		tg_rpc_instances TG_RPC_INSTANCE_LIST(tg_rpc_instance_page)
 			= 13;
+		/* Store a job's row (spec) for a caller's daemon. */
+		tg_rpc_answer TG_RPC_JOB_STORE(tg_rpc_job) = 14;
 	} = 1;
 } = 0x20547401;
--- /dev/null
+++ b/lib/site/members.c
@@ -0,0 +1,85 @@
+#include <string.h>
+
+#include "site/site.h"
+
+/* Instances are replaced some times a minute at most. */
+#define READ_MS 5000
+#define TIMEOUT_MS 1500
+
+static void on_announced(const struct tg_store_result *r, void *arg)
+{
+	struct tg_site *s = arg;
+
+	if (r->end != TG_STORE_OK)
+		tg_log(EV_MEMBER_UNANNOUNCED, "instance=%s end=%d",
+		       s->set.instance, (int)r->end);
+}
+
+void tg_members_announce(struct tg_site *s, const char *addr)
+{
+	struct tg_row put = {
+		.table = TG_MEMBERS_TABLE,
+		.part = "",
+		.key = s->set.instance,
+		.value = addr,
+		.value_bytes = strlen(addr),
+	};
+	struct tg_store_tx tx = {
+		.puts = &put,
+		.n_puts = 1,
+		.timeout_ms = TIMEOUT_MS,
+	};
+
+	s->ops->tx(s->port, &tx, on_announced, s);
+}
+
+static void on_read(const struct tg_store_result *r, void *arg)
+{
+	struct tg_members *m = arg;
+	char addr[TG_ADDR_MAX + 1];
+	size_t i;
+
+	m->reading = false;
+	if (r->end != TG_STORE_OK)
+		return;
+	m->n = 0;
+	for (i = 0; i < r->n_rows && m->n < TG_MEMBERS_MAX; i++) {
+		snprintf(addr, sizeof(addr), "%.*s",
+			 (int)r->rows[i].value_bytes, r->rows[i].value);
+		if (tg_addr_valid(addr))
+			tg_strlcpy(m->addrs[m->n++], addr, sizeof(addr));
+	}
+}
+
+void tg_members_tick(struct tg_members *m)
+{
+	struct tg_store_range range = {
+		.table = TG_MEMBERS_TABLE,
+		.part = "",
+		.timeout_ms = TIMEOUT_MS,
+	};
+	int64_t now_ms = tg_now_ms();
+
+	if (m->reading || (m->read_ms && now_ms - m->read_ms < READ_MS))
+		return;
+	m->reading = true;
+	m->read_ms = now_ms;
+	m->site->ops->get(m->site->port, &range, on_read, m);
+}
+
+const char *tg_members_pick(struct tg_members *m, struct tg_rng *rng,
+			    const char * not )
+{
+	int i, from;
+
+	if (!m->n)
+		return NULL;
+	from = (int)tg_rng_below(rng, (uint64_t)m->n);
+	for (i = 0; i < m->n; i++) {
+		const char *addr = m->addrs[(from + i) % m->n];
+
+		if (!not || strcmp(addr, not ) != 0)
+			return addr;
+	}
+	return NULL;
+}
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -111,6 +111,47 @@
 char *tg_owner_row_encode(const struct tg_owner_row *r);
 int tg_owner_row_decode(const struct tg_row *row, struct tg_owner_row *r);
 
+/* --- storing a job --- */
+
+enum tg_job_stored {
+	TG_JOB_STORED, /* by this call or by an earlier one */
+	TG_JOB_OTHER, /* the id has another job */
+	TG_JOB_NOT_STORED, /* by this call; may be tried again */
+	TG_JOB_UNSTORABLE, /* nor will it be */
+	TG_JOB_UNKNOWN, /* may be stored, or will be */
+};
+
+/** tg_job_store() - write a row made by tg_job_row_encode() if there is none */
+void tg_job_store(struct tg_site *s, const char *job, const char *row,
+		  int64_t timeout_ms,
+		  void (*done)(enum tg_job_stored end, void *arg), void *arg);
+
+/* An end as the status of an RPC answer, and back. */
+enum tg_rpc_status tg_job_stored_encode(enum tg_job_stored end);
+enum tg_job_stored tg_job_stored_decode(enum tg_rpc_status status);
+
+/* --- flow daemons --- */
+
+#define TG_MEMBERS_TABLE "members"
+#define TG_MEMBERS_MAX 256
+
+/** struct tg_members - addresses of the flow daemons, read now and then */
+struct tg_members {
+	struct tg_site *site;
+	char addrs[TG_MEMBERS_MAX][TG_ADDR_MAX + 1];
+	int n;
+	bool reading;
+	int64_t read_ms;
+};
+
+/** tg_members_announce() - write this instance's row, best effort */
+void tg_members_announce(struct tg_site *s, const char *addr);
+/** tg_members_tick() - read them if the last reading is old */
+void tg_members_tick(struct tg_members *m);
+/** tg_members_pick() - one at random, other than @not; NULL if there is none */
+const char *tg_members_pick(struct tg_members *m, struct tg_rng *rng,
+			    const char * not );
+
 /* --- following a table --- */
 
 /**
