--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -33,6 +33,7 @@
 	bool pinging, reading, was_silent;
 	bool gone; /* the process that wrote the row has ended */
 	bool stale; /* it lives and has not written its row lately */
+	uint64_t ping_fence; /* owner that the ping in progress asks */
 	int64_t ping_ms, alive_ms;
 	int64_t read_version, unchanged_since_ms, read_ms;
 } watch;
@@ -44,6 +45,9 @@
 	int64_t now_ms = tg_now_ms();
 
 	watch.pinging = false;
+	/* The row may name another owner by now. */
+	if (watch.ping_fence != b->owner.fence)
+		return;
 	watch.gone = watch.stale = false;
 	if (end == TG_RPC_END_OK && !strcmp(p->boot, b->owner.boot)) {
 		watch.stale = !p->active;
@@ -53,9 +57,12 @@
 		}
 		return;
 	}
-	/* Another process answers there, or nobody listens. */
+	/*
+	 * Another process answers there, or nobody listens.  A connection that
+	 * breaks says nothing: it may have led to a process of before.
+	 */
 	watch.gone = end == TG_RPC_END_OK ||
-		(end != TG_RPC_END_TIMEOUT &&
+		(end == TG_RPC_END_NOT_SENT &&
 		 now_ms - watch.ping_ms < REFUSED_WITHIN_MS);
 }
 
@@ -72,6 +79,7 @@
 	    !*b->owner.addr)
 		return;
 	watch.pinging = true;
+	watch.ping_fence = b->owner.fence;
 	watch.ping_ms = now_ms;
 	tg_rpc_call(b->peers, b->owner.addr, TG_RPC_PING, &me, PING_TIMEOUT_MS,
 		    on_ping, b);
