Notice at once that a worker has left or ended

Now the end of a draining worker's entry beside that of its connection, and a refused connection, end its runs. Ruled out: the directory alone, since a worker that is cut off disappears too.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -57,6 +57,8 @@
 	int64_t processed_n, marked_n, noted_n;
 	int64_t next_ms; /* of the next look */
 	int32_t failures;
+	int32_t nobody; /* refused connections in a row */
+	int64_t broken_ms, gone_ms; /* first failed call; entry removed */
 	int64_t unknown_ms; /* since it lists runs of unknown jobs; or 0 */
 	UT_hash_handle hh;
 };
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -10,10 +10,15 @@
 
 /* A worker answers at the latest after this, an end or not. */
 #define WAIT_MS 2000
-#define LOOK_TIMEOUT_MS 1000
+#define LOOK_TIMEOUT_MS 700
 /* After a call that failed. */
 #define RETRY_MS 150
 #define RETRY_MAX_MS 1000
+/* A worker that ends takes its runs along; twice, as a restart is short. */
+#define NOBODY_TIMES 2
+/* Failed calls to a worker that left the directory, before it counts as left.
+ */
+#define LEFT_FAILURES 2
 /* Ends that are not durable yet would be listed again at once. */
 #define UNNOTED_PAUSE_MS 300
 /* A run of a job that is still unknown after this is stopped. */
@@ -102,7 +107,8 @@
 	struct board *b = l->board;
 
 	tg_log(event, "worker=%s why=%s silent_ms=%lld", l->entry.id, why,
-	       (long long)(tg_now_ms() - l->clock_at_ms));
+	       l->clock_at_ms ? (long long)(tg_now_ms() - l->clock_at_ms) :
+				-1LL);
 	flow_worker_lost(b->flow, l->entry.id, tg_now_ms());
 	l->listed = l->loaded = false;
 	round_wake(b);
@@ -256,7 +262,7 @@
 		tg_log(EV_FLOW_WORKER_BACK, "worker=%s failures=%d",
 		       l->entry.id, l->failures);
 	l->failed = false;
-	l->failures = 0;
+	l->failures = l->nobody = 0;
 	flow_worker_suspect(b->flow, l->entry.id, !l->present);
 	if (!apply_lists(l, r, asked_ms))
 		return;
@@ -272,10 +278,26 @@
 	}
 }
 
+/*
+ * Whether a worker that drained has left, which ends its runs.  An entry that
+ * disappears for lack of heartbeats does so two of them after the last contact
+ * at the earliest.
+ */
+static bool has_left(const struct link *l)
+{
+	int64_t apart_ms = l->gone_ms - l->broken_ms;
+
+	return l->entry.draining && !l->present && l->loaded &&
+		l->failures >= LEFT_FAILURES &&
+		llabs(apart_ms) < l->board->site.set.heartbeat_ms;
+}
+
 static void look_failed(struct link *l, enum tg_order_end end)
 {
 	int64_t pause_ms = RETRY_MS * ++l->failures;
 
+	if (!l->failed)
+		l->broken_ms = tg_now_ms();
 	if (!l->failed)
 		tg_log(EV_FLOW_WORKER_SILENT,
 		       "worker=%s end=%d expires_ms=%lld", l->entry.id,
@@ -284,6 +306,11 @@
 	flow_worker_suspect(l->board->flow, l->entry.id, true);
 	l->next_ms = tg_now_ms() +
 		(pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS);
+	l->nobody = end == TG_ORDER_NOBODY ? l->nobody + 1 : 0;
+	if (l->nobody >= NOBODY_TIMES && l->loaded)
+		lose_runs(l, EV_FLOW_WORKER_LOST, "nothing listens there");
+	if (has_left(l))
+		lose_runs(l, EV_FLOW_WORKER_LOST, "it has left");
 }
 
 static void next_look(struct link *l)
@@ -414,6 +441,7 @@
 		return;
 	tg_log(EV_FLOW_WORKER_GONE, "worker=%s failed=%d", id, l->failed);
 	l->present = false;
+	l->gone_ms = tg_now_ms();
 	flow_worker_suspect(b->flow, id, true);
 }
 
--- a/cmd/tgflowd/round.c
+++ b/cmd/tgflowd/round.c
@@ -71,6 +71,7 @@
 		[TG_ORDER_UNHEALTHY] = "unhealthy",
 		[TG_ORDER_OTHER_BOOT] = "other-boot",
 		[TG_ORDER_NOT_SENT] = "not-sent",
+		[TG_ORDER_NOBODY] = "nobody",
 		[TG_ORDER_UNKNOWN] = "unknown",
 	};
 
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -50,6 +50,7 @@
 	enum evhttp_request_error error;
 	bool failed; /* @error was reported */
 	bool sent;
+	bool refused; /* the connection was */
 	bool starting; /* evhttp_make_request() is running */
 	struct tg_http_call *prev, *next;
 };
@@ -230,6 +231,9 @@
 	struct tg_http_result r = { .sent = call->sent };
 	bool whole;
 
+	/* libevent leaves the error of a connect there for its callback. */
+	call->refused |=
+		!req && !call->sent && EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
 	/* A connection that fails at once; the timer tells the caller. */
 	if (call->starting) {
 		discard(call->client, call->con);
@@ -242,6 +246,7 @@
 
 	if (!whole) {
 		r.end = failure_of(call);
+		r.refused = call->refused;
 		discard(call->client, call->con);
 		finish(call, &r);
 		return;
@@ -281,6 +286,7 @@
 {
 	struct tg_http_call *call = arg;
 
+	call->refused = !call->sent && EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
 	call->error = error;
 	call->failed = true;
 }
@@ -320,6 +326,7 @@
 	(void)what;
 	if (!call->req || !call->sent)
 		r.end = TG_HTTP_NOT_CONNECTED;
+	r.refused = call->refused;
 	if (call->client->opts.unsafe_reuse && r.end == TG_HTTP_TIMEOUT)
 		keep_late(call);
 	else
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -169,13 +169,14 @@
  * @end: see above
  * @sent: a byte of the request may have reached the server.  Always set with
  *	TG_HTTP_WHOLE; never with TG_HTTP_NOT_CONNECTED.
+ * @refused: with TG_HTTP_NOT_CONNECTED: nobody listens at the address
  * @status: status of a whole answer, else 0
  * @headers: of a whole answer, else NULL
  * @body: of a whole answer, else NULL
  */
 struct tg_http_result {
 	enum tg_http_end end;
-	bool sent;
+	bool sent, refused;
 	int status;
 	struct evkeyvalq *headers;
 	struct evbuffer *body;
--- a/lib/port/port.h
+++ b/lib/port/port.h
@@ -96,6 +96,7 @@
 	TG_ORDER_UNHEALTHY, /* refused, nothing was done */
 	TG_ORDER_OTHER_BOOT, /* the worker has restarted since */
 	TG_ORDER_NOT_SENT, /* no connection, nothing was done */
+	TG_ORDER_NOBODY, /* nothing listens there: the worker has ended */
 	TG_ORDER_UNKNOWN, /* no answer; may be carried out later */
 };
 
@@ -249,6 +250,7 @@
 	char store_addr[TG_ADDR_MAX + 1];
 	int32_t peers_port;
 	int64_t grace_ms; /* from SIGTERM to SIGKILL */
+	int64_t heartbeat_ms; /* between two writes of a worker's entry */
 	int64_t lease_max_ms, stop_ms, gang_ms, early_ms, status_ms;
 	int64_t reclaim_ms;
 	double far_factor;
