Test the daemons against a stand-in of the platform; refuse at once while the store is down

tests/standin/sited speaks what platform/ speaks: store behind several addresses, workers with leases, fences and late starts, and it judges room, doubled tasks and starts after an acknowledged end.

--- a/cmd/tgflowd/metrics.c
+++ b/cmd/tgflowd/metrics.c
@@ -42,7 +42,12 @@
 				       "accelerators without a run", NULL);
 	g.memory = tg_gauge("tg_resident_kb", "resident memory in KiB", NULL);
 	b->metrics = o.addr ? tg_http_server_new(&o) : NULL;
-	return o.addr && !b->metrics ? -1 : 0;
+	if (o.addr && !b->metrics)
+		return -1;
+	tg_ready_line("tgflowd",
+		      b->metrics ? tg_http_server_addr(b->metrics) : NULL,
+		      tg_rpc_server_addr(b->rpc));
+	return 0;
 }
 
 static void tick(void *board, int64_t now_ms)
--- a/cmd/tgflowd/rpc.c
+++ b/cmd/tgflowd/rpc.c
@@ -26,11 +26,14 @@
 /* Whether calls on jobs are served here; otherwise it is answered. */
 static bool serves(struct board *b, struct tg_rpc_req *req)
 {
+	bool other;
+
 	if (IS_OWNER(b) && b->directory_read && !b->owner.released)
 		return true;
+	/* The row as last read may still name this process. */
+	other = !b->owner.released && strcmp(b->owner.boot, b->boot) != 0;
 	answer(b, req, TG_RPC_NOT_ACTIVE,
-	       json_pack("{s:s}", "addr",
-			 IS_OWNER(b) || b->owner.released ? "" : b->owner.addr),
+	       json_pack("{s:s}", "addr", other ? b->owner.addr : ""),
 	       "not the owner");
 	return false;
 }
--- a/cmd/tgqueued/board.h
+++ b/cmd/tgqueued/board.h
@@ -37,7 +37,9 @@
 	bool owner_reading;
 	struct tg_members members;
 	struct tg_rng rng;
-	int64_t store_failed_ms; /* last write without success; 0: succeeded */
+	/* Last write without success, direct and by a peer; 0: it succeeded. */
+	int64_t store_failed_ms, relay_failed_ms;
+	int64_t probed_ms; /* last write that was tried */
 };
 
 /** struct request - a caller's request in progress */
--- a/cmd/tgqueued/front.c
+++ b/cmd/tgqueued/front.c
@@ -225,7 +225,10 @@
 	b->ready = tg_http_server_new(&o);
 	o.addr = b->set.flags.metrics_addr;
 	b->metrics = o.addr ? tg_http_server_new(&o) : NULL;
-	return b->front && b->ready && (!o.addr || b->metrics) ? 0 : -1;
+	if (!b->front || !b->ready || (o.addr && !b->metrics))
+		return -1;
+	tg_ready_line("tgqueued", tg_http_server_addr(b->front), NULL);
+	return 0;
 }
 
 static bool drain(void *board, int64_t now_ms)
--- a/cmd/tgqueued/submit.c
+++ b/cmd/tgqueued/submit.c
@@ -17,6 +17,11 @@
 #define NOTIFY_TIMEOUT_MS 1000
 /* After a failed write the next requests try another instance first. */
 #define AVOID_MS 2000
+/* While neither way works one request in this time tries; others are refused.
+ */
+#define PROBE_MS 300
+/* Refused attempts, by either way, after which the caller should come back. */
+#define REFUSALS_MAX 3
 
 static void try_store(struct request *r);
 
@@ -57,13 +62,23 @@
 		request_end(r, 503, "the store does not take the job");
 }
 
+/* Neither this instance nor a peer has reached the store lately. */
+static bool store_is_down(const struct board *b)
+{
+	int64_t since_ms = tg_now_ms() - AVOID_MS;
+
+	return b->store_failed_ms > since_ms && b->relay_failed_ms > since_ms;
+}
+
 static void try_again(struct request *r)
 {
 	tg_log(EV_QUEUE_ATTEMPT,
 	       "job=%s attempt=%d relayed=%d unknown=%d left_ms=%lld", r->job,
 	       r->attempts, r->relayed, r->unknown,
 	       (long long)request_left_ms(r));
-	if (request_left_ms(r) <= RETRY_MS)
+	if (request_left_ms(r) <= RETRY_MS ||
+	    (!r->unknown && r->attempts >= REFUSALS_MAX &&
+	     store_is_down(r->board)))
 		give_up(r);
 	else
 		request_later(r, RETRY_MS, try_store);
@@ -102,14 +117,18 @@
 
 static void on_relayed(enum tg_rpc_end end, const void *res, void *arg)
 {
+	struct request *r = arg;
 	const struct tg_rpc_answer *a = res;
+	enum tg_job_stored stored = TG_JOB_UNKNOWN;
+	bool failed;
 
 	if (end == TG_RPC_END_NOT_SENT || end == TG_RPC_END_REFUSED)
-		end_attempt(arg, TG_JOB_NOT_STORED);
-	else if (end != TG_RPC_END_OK)
-		end_attempt(arg, TG_JOB_UNKNOWN);
-	else
-		end_attempt(arg, tg_job_stored_decode(a->status));
+		stored = TG_JOB_NOT_STORED;
+	else if (end == TG_RPC_END_OK)
+		stored = tg_job_stored_decode(a->status);
+	failed = stored == TG_JOB_NOT_STORED || stored == TG_JOB_UNKNOWN;
+	r->board->relay_failed_ms = failed ? tg_now_ms() : 0;
+	end_attempt(r, stored);
 }
 
 /* Whether this attempt goes through another instance. */
@@ -142,5 +161,13 @@
 
 void submit(struct request *r)
 {
+	struct board *b = r->board;
+	int64_t now_ms = tg_now_ms();
+
+	if (store_is_down(b) && now_ms - b->probed_ms < PROBE_MS) {
+		request_end(r, 503, "the store does not answer");
+		return;
+	}
+	b->probed_ms = now_ms;
 	try_store(r);
 }
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -3,6 +3,9 @@
 
 #include "flow/flow_internal.h"
 
+/* Most steps are narrower. */
+#define PLACES_MIN 64
+
 struct round {
 	struct flow *f;
 	int64_t now_ms, wall_ms;
@@ -190,6 +193,7 @@
 	size_t n, i;
 	int32_t k;
 
+	grow_places(&rd, PLACES_MIN);
 	clear_reservations(&rd);
 	n = flow_order(f, now_ms, &list);
 	stop_unwanted(&rd);
--- a/lib/flow/order.c
+++ b/lib/flow/order.c
@@ -44,7 +44,7 @@
 	int64_t memo[FLOW_STEPS_MAX], longest = 0;
 	int32_t i;
 
-	for (i = 0; i < j->spec->n_steps; i++)
+	for (i = 0; i < FLOW_STEPS_MAX; i++)
 		memo[i] = -1;
 	for (i = 0; i < j->spec->n_steps; i++) {
 		int64_t c = chain_from(j, 0, i, all, memo);
@@ -116,7 +116,7 @@
 	struct quota *q, *tmp;
 	size_t i;
 
-	qsort(list, n, sizeof(*list), compare_age);
+	qsort(list, n, sizeof(void *), compare_age);
 	HASH_ITER(hh, f->quotas, q, tmp) {
 		int64_t left = q->guaranteed;
 
@@ -139,7 +139,7 @@
 	struct job *j, *tmp, **list;
 	size_t n = 0;
 
-	list = tg_xcalloc(HASH_COUNT(f->jobs) + 1, sizeof(struct job *));
+	list = tg_xcalloc(HASH_COUNT(f->jobs) + 1, sizeof(void *));
 	HASH_ITER(hh, f->jobs, j, tmp) {
 		if (flow_is_over(j))
 			continue;
@@ -152,7 +152,7 @@
 		list[n++] = j;
 	}
 	rank_guaranteed(f, list, n);
-	qsort(list, n, sizeof(*list), compare);
+	qsort(list, n, sizeof(void *), compare);
 	*out = list;
 	return n;
 }
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -332,7 +332,7 @@
 {
 	const struct worker *v;
 
-	for (v = s->f->workers; v != w; v = v->hh.next)
+	for (v = s->f->workers; v && v != w; v = v->hh.next)
 		if (!strcmp(v->rack, w->rack) && eligible(s, v))
 			return false;
 	return eligible(s, w);
--- a/lib/port/port.c
+++ b/lib/port/port.c
@@ -44,7 +44,8 @@
 		const struct tg_queue *q = &d->queues[i];
 		size_t n = strlen(q->prefix);
 
-		if (!same_host(q->host, host) || strncmp(path, q->prefix, n))
+		if (!same_host(q->host, host) ||
+		    strncmp(path, q->prefix, n) != 0)
 			continue;
 		if (!best || n > longest) {
 			best = q;
--- /dev/null
+++ b/tests/script/site-workers.sh
@@ -0,0 +1,40 @@
+#!/bin/sh
+# Workers that fall silent, restart, refuse, carry out starts late, and entries
+# of other writers.  Guards against a task that runs twice.
+. "$(dirname "$0")/../site-lib.sh"
+start_site --workers=3
+control 'row?table=servers&key=w9' 'not JSON'
+control 'row?table=servers&key=w8' '{"service":"svc","address":7,"state":"ready"}'
+start_instance 1 --lease-ms=2000
+await "an owner" owner_of 1
+
+echo "# a silent worker: its tasks start elsewhere once the lease is over"
+submit 1 00000000000000a1 "ms=1500 acc=8" \
+	'[{"count":3,"cpu":1000,"gpu":8,"est-ms":300}]' && echo
+await "three runs" runs_now 3
+control 'worker?id=w1&mode=silent'
+await_state 1 00000000000000a1 completed
+control 'worker?id=w1&mode=ok'
+judge
+
+echo "# a worker that starts again has lost its runs"
+submit 1 00000000000000a2 "ms=3000 acc=8" \
+	'[{"count":3,"cpu":1000,"gpu":8,"est-ms":300}]' && echo
+await "three runs" runs_now 3
+control 'worker?id=w2&mode=restart'
+await_state 1 00000000000000a2 completed
+judge
+
+echo "# starts that are not answered and carried out late"
+control 'worker?id=all&mode=unanswered'
+submit 1 00000000000000a3 "ms=500" "$(steps 4)" && echo
+sleep 2
+control 'worker?id=all&mode=ok'
+await_state 1 00000000000000a3 completed
+judge
+
+echo "# a worker that refuses everything is passed over"
+control 'worker?id=w3&mode=unhealthy'
+submit 1 00000000000000a4 "ms=100" "$(steps 12)" && echo
+await_state 1 00000000000000a4 completed
+judge
--- /dev/null
+++ b/tests/standin/sited/main.c
@@ -0,0 +1,240 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "../common/loop.h"
+#include "sited.h"
+
+#define PROG "sited"
+
+struct board board;
+
+static const struct tg_setting settings[] = {
+	TG_SETTING(opts, "http-addr", TG_SET_ADDR, "127.0.0.1:0", 0, 0, false,
+		   "address of the control calls", http_addr),
+	TG_SETTING(opts, "stores", TG_SET_INT, "2", 1, STORES_MAX, false,
+		   "addresses of the store", stores),
+	TG_SETTING(opts, "workers", TG_SET_INT, "4", 0, WORKERS_MAX, false,
+		   "number of workers", workers),
+	TG_SETTING(opts, "accelerators", TG_SET_INT, "8", 0, 1000, false,
+		   "of a worker", accelerators),
+	TG_SETTING(opts, "hold-max-ms", TG_SET_INT, "10000", 1, 100000, false,
+		   "longest lease", hold_max_ms),
+	TG_SETTING(opts, "stop-ms", TG_SET_INT, "200", 0, 10000, false,
+		   "time that a stop takes", stop_ms),
+	TG_SETTING(opts, "log-level", TG_SET_STRING, "warn", 0, 0, false,
+		   "debug, info, warn or error", log_level),
+	{ .flag = NULL },
+};
+
+static void reply_ok(struct evhttp_request *req)
+{
+	tg_http_reply_json(req, 200, json_object());
+}
+
+/* POST /standin/config: the operators' document */
+static void set_config(struct evhttp_request *req, void *arg)
+{
+	json_t *body = tg_http_json_body(req);
+	char *text;
+
+	(void)arg;
+	if (!body)
+		return;
+	text = json_dumps(body, JSON_COMPACT);
+	store_put("op", "config", text);
+	free(text);
+	json_decref(body);
+	reply_ok(req);
+}
+
+/* POST /standin/row?table=T&key=K: a row of another writer */
+static void set_row(struct evhttp_request *req, void *arg)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	char *table = tg_http_query(req, "table");
+	char *key = tg_http_query(req, "key");
+	size_t n = evbuffer_get_length(in);
+	char *text = tg_xcalloc(1, n + 1);
+
+	(void)arg;
+	evbuffer_copyout(in, text, n);
+	store_put(table ? table : "", key ? key : "", text);
+	free(text);
+	free(table);
+	free(key);
+	reply_ok(req);
+}
+
+/* POST /standin/store?door=N&mode=M, all doors without N; "forget" */
+static void set_store(struct evhttp_request *req, void *arg)
+{
+	char *door = tg_http_query(req, "door");
+	char *mode = tg_http_query(req, "mode");
+	int i;
+
+	(void)arg;
+	if (mode && !strcmp(mode, "forget"))
+		board.history_from = board.ver + 1;
+	else
+		for (i = 0; i < board.opts.stores; i++)
+			if (!door || atoi(door) == i)
+				tg_strlcpy(board.doors[i].mode,
+					   mode ? mode : "ok",
+					   sizeof(board.doors[i].mode));
+	free(door);
+	free(mode);
+	reply_ok(req);
+}
+
+/* POST /standin/worker?id=W&mode=M; also drain, leave, crash, restart */
+static void set_worker(struct evhttp_request *req, void *arg)
+{
+	char *id = tg_http_query(req, "id");
+	char *mode = tg_http_query(req, "mode");
+	int i;
+
+	(void)arg;
+	for (i = 0; id && mode && i < board.opts.workers; i++) {
+		struct worker *w = &board.workers[i];
+
+		if (strcmp(w->id, id) != 0 && strcmp(id, "all") != 0)
+			continue;
+		if (!strcmp(mode, "drain")) {
+			w->draining = true;
+			worker_write_entry(w);
+		} else if (!strcmp(mode, "leave")) {
+			worker_close(w);
+			worker_remove_entry(w);
+		} else if (!strcmp(mode, "crash")) {
+			worker_close(w);
+		} else if (!strcmp(mode, "restart")) {
+			worker_restart(w);
+		} else {
+			tg_strlcpy(w->mode, mode, sizeof(w->mode));
+		}
+	}
+	free(id);
+	free(mode);
+	reply_ok(req);
+}
+
+/* GET /standin/seen: counts, and what must be 0 */
+static void get_seen(struct evhttp_request *req, void *arg)
+{
+	json_t *runs = json_array();
+	const struct run *r;
+	int i;
+
+	(void)arg;
+	for (i = 0; i < board.opts.workers; i++)
+		for (r = board.workers[i].runs; r; r = r->next)
+			json_array_append_new(
+				runs,
+				json_pack("{s:s,s:s,s:i}", "worker",
+					  board.workers[i].id, "task", r->task,
+					  "run", r->run));
+	tg_http_reply_json(
+		req, 200,
+		json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "reads",
+			  (json_int_t)board.reads, "writes",
+			  (json_int_t)board.writes, "starts",
+			  (json_int_t)board.starts, "stops",
+			  (json_int_t)board.stops, "holds",
+			  (json_int_t)board.holds, "over_room",
+			  (json_int_t)board.over_room, "twice",
+			  (json_int_t)board.twice, "after_done",
+			  (json_int_t)board.after_done, "lapsed",
+			  (json_int_t)board.lapsed, "runs", runs));
+}
+
+static const struct tg_http_route routes[] = {
+	{ "/standin/config", false, EVHTTP_REQ_POST, set_config },
+	{ "/standin/row", false, EVHTTP_REQ_POST, set_row },
+	{ "/standin/store", false, EVHTTP_REQ_POST, set_store },
+	{ "/standin/worker", false, EVHTTP_REQ_POST, set_worker },
+	{ "/standin/seen", false, EVHTTP_REQ_GET, get_seen },
+	{ .path = NULL },
+};
+
+static const struct tg_http_route store_routes[] = {
+	{ "/", true, EVHTTP_REQ_POST | EVHTTP_REQ_GET, store_request },
+	{ .path = NULL },
+};
+
+static struct tg_http_server *control;
+
+static int start(void *arg)
+{
+	struct tg_http_server_opts o = {
+		.base = board.base,
+		.addr = board.opts.http_addr,
+		.routes = routes,
+	};
+	char doors[STORES_MAX * (TG_ADDR_MAX + 1)] = "";
+	int i;
+
+	(void)arg;
+	control = tg_http_server_new(&o);
+	if (!control)
+		return -1;
+	o.addr = "127.0.0.1:0";
+	o.routes = store_routes;
+	for (i = 0; i < board.opts.stores; i++) {
+		o.arg = &board.doors[i];
+		tg_strlcpy(board.doors[i].mode, "ok",
+			   sizeof(board.doors[i].mode));
+		board.doors[i].server = tg_http_server_new(&o);
+		if (!board.doors[i].server)
+			return -1;
+		snprintf(doors + strlen(doors), sizeof(doors) - strlen(doors),
+			 i ? ",%s" : "%s",
+			 tg_http_server_addr(board.doors[i].server));
+	}
+	for (i = 0; i < board.opts.workers; i++)
+		worker_open(&board.workers[i], i + 1);
+	/* The doors of the store stand where others name their RPC address. */
+	tg_ready_line(PROG, tg_http_server_addr(control), doors);
+	return 0;
+}
+
+static void tick(void *arg, int64_t now_ms)
+{
+	(void)arg;
+	(void)now_ms;
+	workers_tick();
+}
+
+static const struct tg_controller controller = {
+	.name = "site",
+	.period_ms = 5,
+	.start = start,
+	.tick = tick,
+};
+
+int main(int argc, char **argv)
+{
+	static const struct tg_settings_spec spec = {
+		.prog = PROG,
+		.summary = "stands in for the users' platform",
+		.items = settings,
+	};
+	static const struct tg_controller *const controllers[] = { &controller,
+								   NULL };
+	struct tg_daemon_opts daemon = { .controllers = controllers,
+					 .board = &board,
+					 .drain_max_ms = 100 };
+
+	switch (tg_settings_load(&spec, argc, argv, &board.opts, NULL)) {
+	case TG_SETTINGS_DONE:
+		return 0;
+	case TG_SETTINGS_BAD:
+		return TG_EXIT_USAGE;
+	default:
+		break;
+	}
+	tg_log_open(PROG, board.opts.log_level);
+	tg_log_register(tg_http_events);
+	board.base = new_precise_loop();
+	daemon.base = board.base;
+	return tg_daemon_run(&daemon);
+}
--- /dev/null
+++ b/tests/standin/sited/sited.h
@@ -0,0 +1,115 @@
+#ifndef SITED_H
+#define SITED_H
+
+#include <uthash.h>
+
+#include "../common/hold.h"
+#include "http/http.h"
+
+/**
+ * DOC: stand-in of the users' platform
+ *
+ * Its store, behind several addresses that can fail alone, and its workers.  It
+ * speaks what platform/ speaks and judges what it sees.
+ */
+
+#define STORES_MAX 8
+#define WORKERS_MAX 64
+#define KEY_BYTES 256
+
+struct opts {
+	const char *http_addr;
+	const char *log_level;
+	int64_t stores, workers, accelerators;
+	int64_t hold_max_ms, stop_ms;
+};
+
+/** struct store_door - one address of the store */
+struct store_door {
+	struct tg_http_server *server;
+	char mode[16]; /* ok, refuse, silent, lose: done but not answered */
+};
+
+struct row {
+	char id[3 * KEY_BYTES]; /* table, part and key */
+	char table[KEY_BYTES], part[KEY_BYTES], key[KEY_BYTES];
+	char *value; /* base64 */
+	int64_t ver;
+	bool deleted;
+	UT_hash_handle hh;
+};
+
+struct run {
+	char task[64];
+	int run;
+	int accelerators;
+	int64_t end_ms; /* by itself */
+	bool fails, stopping;
+	int64_t stopped_ms;
+	struct run *next;
+};
+
+struct end {
+	int64_t n;
+	char task[64], how[16];
+	int run;
+	int64_t ended_ms;
+	bool lapsed; /* the lease has expired since */
+	struct end *next;
+};
+
+struct look; /* a hold that waits */
+
+struct worker {
+	char id[32];
+	struct tg_http_server *server;
+	char addr[TG_ADDR_MAX + 1];
+	char mode[16]; /* ok, silent, unanswered, fail, unhealthy */
+	int64_t boot_ms, born_wall_ms;
+	bool gone, draining;
+	int64_t fence, until_ms;
+	struct run *runs;
+	struct end *ends;
+	int64_t n_ends;
+	struct look *looks;
+	struct refused *refused; /* runs that may not start any more */
+};
+
+struct board {
+	struct opts opts;
+	struct event_base *base;
+	struct store_door doors[STORES_MAX];
+	struct row *rows;
+	int64_t ver, history_from;
+	struct worker workers[WORKERS_MAX];
+	struct done *done; /* tasks that have ended well */
+	/* what was seen */
+	int64_t reads, writes, starts, stops, holds;
+	int64_t over_room, twice, after_done, lapsed;
+};
+
+extern struct board board;
+
+/* store.c */
+void store_request(struct evhttp_request *req, void *arg);
+void store_put(const char *table, const char *key, const char *text);
+void store_delete(const char *table, const char *key);
+
+/* worker.c */
+void worker_open(struct worker *w, int n);
+void worker_close(struct worker *w);
+void worker_restart(struct worker *w);
+void worker_write_entry(struct worker *w);
+void worker_remove_entry(struct worker *w);
+void workers_tick(void);
+int64_t worker_clock(const struct worker *w);
+
+/* judge.c */
+/** judge_start() - a run has begun on @w; counts what must not be */
+void judge_start(const struct worker *w, const struct run *r);
+/**
+ * judge_done() - an end was acknowledged while the worker's lease lasted
+ */
+void judge_done(const char *task, int64_t ended_ms);
+
+#endif
--- /dev/null
+++ b/tests/standin/sited/store.c
@@ -0,0 +1,314 @@
+#include <nettle/base64.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sited.h"
+
+struct waiting {
+	struct evhttp_request *req;
+	char table[KEY_BYTES];
+	int64_t after;
+	bool answered;
+	struct waiting *next;
+};
+
+static struct waiting *waitings;
+
+static const char *text_of(const json_t *o, const char *name)
+{
+	const char *s = json_string_value(json_object_get(o, name));
+
+	return s ? s : "";
+}
+
+static struct row *find_row(const json_t *o)
+{
+	char id[3 * KEY_BYTES];
+	struct row *r;
+
+	snprintf(id, sizeof(id), "%s\x01%s\x01%s", text_of(o, "table"),
+		 text_of(o, "part"), text_of(o, "key"));
+	HASH_FIND_STR(board.rows, id, r);
+	return r;
+}
+
+static struct row *make_row(const json_t *o)
+{
+	struct row *r = find_row(o);
+
+	if (r)
+		return r;
+	r = tg_xcalloc(1, sizeof(*r));
+	tg_strlcpy(r->table, text_of(o, "table"), sizeof(r->table));
+	tg_strlcpy(r->part, text_of(o, "part"), sizeof(r->part));
+	tg_strlcpy(r->key, text_of(o, "key"), sizeof(r->key));
+	snprintf(r->id, sizeof(r->id), "%s\x01%s\x01%s", r->table, r->part,
+		 r->key);
+	HASH_ADD_STR(board.rows, id, r);
+	return r;
+}
+
+static json_t *encode(const struct row *r)
+{
+	json_t *o =
+		json_pack("{s:s,s:s,s:s,s:I}", "table", r->table, "part",
+			  r->part, "key", r->key, "ver", (json_int_t)r->ver);
+
+	if (r->deleted)
+		json_object_set_new(o, "deleted", json_true());
+	else
+		json_object_set_new(o, "value", json_string(r->value));
+	return o;
+}
+
+static json_t *answer(json_t *rows)
+{
+	return json_pack("{s:o,s:I,s:I}", "rows", rows, "ver",
+			 (json_int_t)board.ver, "now-ms",
+			 (json_int_t)tg_now_ms());
+}
+
+static int by_key(struct row *a, struct row *b)
+{
+	return strcmp(a->id, b->id);
+}
+
+static int by_version(struct row *a, struct row *b)
+{
+	return a->ver < b->ver ? -1 : a->ver > b->ver;
+}
+
+/* --- feed --- */
+
+static json_t *changed(const char *table, int64_t after)
+{
+	json_t *rows = json_array();
+	struct row *r;
+
+	HASH_SORT(board.rows, by_version);
+	for (r = board.rows; r; r = r->hh.next)
+		if (r->ver > after && !strcmp(r->table, table))
+			json_array_append_new(rows, encode(r));
+	return rows;
+}
+
+static void forget_waiting(struct waiting *w)
+{
+	struct waiting **p = &waitings;
+
+	while (*p != w)
+		p = &(*p)->next;
+	*p = w->next;
+}
+
+static void feed_timeout(void *arg)
+{
+	struct waiting *w = arg;
+
+	if (!w->answered) {
+		forget_waiting(w);
+		tg_http_reply_json(w->req, 200, answer(json_array()));
+	}
+	free(w);
+}
+
+static void answer_feeds(void)
+{
+	struct waiting *w, *next;
+
+	for (w = waitings; w; w = next) {
+		json_t *rows = changed(w->table, w->after);
+
+		next = w->next;
+		if (!json_array_size(rows)) {
+			json_decref(rows);
+			continue;
+		}
+		forget_waiting(w);
+		w->answered = true;
+		tg_http_reply_json(w->req, 200, answer(rows));
+	}
+}
+
+static int64_t query_int(struct evhttp_request *req, const char *name)
+{
+	char *s = tg_http_query(req, name);
+	int64_t v = s ? strtoll(s, NULL, 10) : 0;
+
+	free(s);
+	return v;
+}
+
+static void feed(struct evhttp_request *req)
+{
+	struct waiting *w = tg_xcalloc(1, sizeof(*w));
+	char *table = tg_http_query(req, "table");
+	json_t *rows;
+
+	w->req = req;
+	w->after = query_int(req, "after");
+	tg_strlcpy(w->table, table ? table : "", sizeof(w->table));
+	free(table);
+	if (w->after < board.history_from) {
+		tg_http_reply_error(req, 410, NULL, "history is gone");
+		free(w);
+		return;
+	}
+	rows = changed(w->table, w->after);
+	if (json_array_size(rows)) {
+		tg_http_reply_json(req, 200, answer(rows));
+		free(w);
+		return;
+	}
+	json_decref(rows);
+	w->next = waitings;
+	waitings = w;
+	delay_call(board.base, query_int(req, "wait-ms"), feed_timeout, w);
+}
+
+/* --- rows --- */
+
+static void get(struct evhttp_request *req)
+{
+	char *table = tg_http_query(req, "table");
+	char *part = tg_http_query(req, "part");
+	char *from = tg_http_query(req, "from");
+	int64_t limit = query_int(req, "limit");
+	json_t *rows = json_array(), *body;
+	bool more = false;
+	struct row *r;
+
+	HASH_SORT(board.rows, by_key);
+	for (r = board.rows; r; r = r->hh.next) {
+		if (r->deleted || !table || strcmp(r->table, table) != 0 ||
+		    strcmp(r->part, part ? part : "") != 0 ||
+		    (from && strcmp(r->key, from) < 0))
+			continue;
+		if (json_array_size(rows) == (size_t)(limit ? limit : 500)) {
+			more = true;
+			break;
+		}
+		json_array_append_new(rows, encode(r));
+	}
+	body = answer(rows);
+	if (more)
+		json_object_set_new(body, "has-more", json_true());
+	tg_http_reply_json(req, 200, body);
+	free(table);
+	free(part);
+	free(from);
+}
+
+static bool expected_holds(const json_t *list, json_t **current)
+{
+	bool holds = true;
+	json_t *o;
+	size_t i;
+
+	*current = json_array();
+	json_array_foreach(list, i, o) {
+		struct row *r = find_row(o);
+		int64_t ver = r && !r->deleted ? r->ver : 0;
+
+		if (ver != json_integer_value(json_object_get(o, "ver")))
+			holds = false;
+		if (ver)
+			json_array_append_new(*current, encode(r));
+	}
+	return holds;
+}
+
+static void put_row(const json_t *o, bool deleted)
+{
+	struct row *r = make_row(o);
+
+	free(r->value);
+	r->value = tg_xstrdup(text_of(o, "value"));
+	r->ver = board.ver;
+	r->deleted = deleted;
+}
+
+static void transact(struct evhttp_request *req, bool answered)
+{
+	json_t *body = tg_http_json_body(req), *current, *o;
+	size_t i;
+
+	if (!body)
+		return;
+	if (!expected_holds(json_object_get(body, "expected"), &current)) {
+		if (answered)
+			tg_http_reply_json(req, 412, answer(current));
+	} else {
+		json_decref(current);
+		board.ver++;
+		json_array_foreach(json_object_get(body, "puts"), i, o)
+			put_row(o, false);
+		json_array_foreach(json_object_get(body, "deletes"), i, o)
+			put_row(o, true);
+		if (answered)
+			tg_http_reply_json(req, 200, answer(json_array()));
+		answer_feeds();
+	}
+	if (!answered)
+		hold_request(board.base, req, HOLD_MS, NULL, NULL);
+	json_decref(body);
+}
+
+void store_request(struct evhttp_request *req, void *arg)
+{
+	const struct store_door *d = arg;
+	char *path = tg_http_path(req);
+	bool tx = path && !strcmp(path, "/rows-tx");
+	bool lose = !strcmp(d->mode, "lose") && tx;
+
+	if (tx)
+		board.writes++;
+	else
+		board.reads++;
+	if (!strcmp(d->mode, "refuse"))
+		tg_http_reply_error(req, 503, NULL, "refused");
+	else if (!strcmp(d->mode, "silent"))
+		hold_request(board.base, req, HOLD_MS, NULL, NULL);
+	else if (tx)
+		transact(req, !lose);
+	else if (path && !strcmp(path, "/rows-get"))
+		get(req);
+	else if (path && !strcmp(path, "/rows-feed"))
+		feed(req);
+	else
+		tg_http_reply_error(req, 404, "path", "no such call");
+	free(path);
+}
+
+static json_t *plain_key(const char *table, const char *key)
+{
+	return json_pack("{s:s,s:s,s:s}", "table", table, "part", "", "key",
+			 key);
+}
+
+void store_put(const char *table, const char *key, const char *text)
+{
+	size_t n = strlen(text);
+	char *value = tg_xcalloc(1, BASE64_ENCODE_RAW_LENGTH(n) + 1);
+	json_t *o = plain_key(table, key);
+
+	base64_encode_raw(value, n, (const uint8_t *)text);
+	json_object_set_new(o, "value", json_string(value));
+	board.ver++;
+	put_row(o, false);
+	answer_feeds();
+	json_decref(o);
+	free(value);
+}
+
+void store_delete(const char *table, const char *key)
+{
+	json_t *o = plain_key(table, key);
+
+	if (find_row(o)) {
+		board.ver++;
+		put_row(o, true);
+		answer_feeds();
+	}
+	json_decref(o);
+}
--- /dev/null
+++ b/tests/standin/sited/worker.c
@@ -0,0 +1,454 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "sited.h"
+
+/*
+ * A worker of the platform.  The text of a job tells what its tasks do, for
+ * instance "ms=700 acc=4 fail": run time, accelerators, end.
+ */
+
+#define DEFAULT_RUN_MS 300
+/* A start that is not answered is carried out this much later. */
+#define LATE_MS 1500
+
+struct look {
+	struct worker *worker;
+	struct evhttp_request *req;
+	int64_t seen;
+	bool answered;
+	struct look *next;
+};
+
+struct refused {
+	char task[64];
+	int run;
+	struct refused *next;
+};
+
+int64_t worker_clock(const struct worker *w)
+{
+	return tg_now_ms() - w->boot_ms;
+}
+
+static int64_t whole(const json_t *o, const char *name)
+{
+	return json_integer_value(json_object_get(o, name));
+}
+
+static void reply_clock(struct worker *w, struct evhttp_request *req,
+			int status, const char *reason)
+{
+	json_t *o =
+		json_pack("{s:I,s:I}", "clock-ms", (json_int_t)worker_clock(w),
+			  "born", (json_int_t)w->born_wall_ms);
+
+	if (reason)
+		json_object_set_new(o, "reason", json_string(reason));
+	tg_http_reply_json(req, status, o);
+}
+
+/* --- lists --- */
+
+static json_t *lists(const struct worker *w)
+{
+	json_t *running = json_array(), *ended = json_array();
+	const struct run *r;
+	const struct end *e;
+
+	for (r = w->runs; r; r = r->next)
+		if (!r->stopping)
+			json_array_append_new(
+				running,
+				json_pack("[sisi]", r->task, r->run, "", 100));
+	for (e = w->ends; e; e = e->next)
+		json_array_append_new(ended,
+				      json_pack("[Isiss]", (json_int_t)e->n,
+						e->task, e->run, e->how, ""));
+	return json_pack("{s:I,s:I,s:o,s:o}", "clock-ms",
+			 (json_int_t)worker_clock(w), "born",
+			 (json_int_t)w->born_wall_ms, "running", running,
+			 "ended", ended);
+}
+
+static void answer_looks(struct worker *w)
+{
+	while (w->looks) {
+		struct look *k = w->looks;
+
+		w->looks = k->next;
+		k->answered = true;
+		tg_http_reply_json(k->req, 200, lists(w));
+	}
+}
+
+static void look_timeout(void *arg)
+{
+	struct look *k = arg;
+	struct look **p;
+
+	if (!k->answered) {
+		for (p = &k->worker->looks; *p != k; p = &(*p)->next)
+			;
+		*p = k->next;
+		tg_http_reply_json(k->req, 200, lists(k->worker));
+	}
+	free(k);
+}
+
+static void forget_ends(struct worker *w, int64_t seen)
+{
+	while (w->ends && w->ends->n <= seen) {
+		struct end *e = w->ends;
+
+		w->ends = e->next;
+		if (!strcmp(e->how, "done") && !e->lapsed)
+			judge_done(e->task, e->ended_ms);
+		free(e);
+	}
+}
+
+static void end_run(struct worker *w, struct run *r, const char *how)
+{
+	struct run **p = &w->runs;
+	struct end *e = tg_xcalloc(1, sizeof(*e)), **last = &w->ends;
+
+	e->n = ++w->n_ends;
+	e->run = r->run;
+	e->ended_ms = tg_now_ms();
+	tg_strlcpy(e->task, r->task, sizeof(e->task));
+	tg_strlcpy(e->how, how, sizeof(e->how));
+	while (*last)
+		last = &(*last)->next;
+	*last = e;
+	board.lapsed += !strcmp(how, "lapsed");
+	while (*p != r)
+		p = &(*p)->next;
+	*p = r->next;
+	free(r);
+}
+
+static void tick(struct worker *w)
+{
+	int64_t now_ms = tg_now_ms(), n = w->n_ends;
+	struct run *r, *next;
+	struct end *e;
+
+	for (e = w->ends; e; e = e->next)
+		e->lapsed |= worker_clock(w) > w->until_ms;
+	for (r = w->runs; r; r = next) {
+		next = r->next;
+		if (worker_clock(w) > w->until_ms)
+			end_run(w, r, "lapsed");
+		else if (r->stopping &&
+			 now_ms >= r->stopped_ms + board.opts.stop_ms)
+			end_run(w, r, "stopped");
+		else if (!r->stopping && now_ms >= r->end_ms)
+			end_run(w, r,
+				r->fails || !strcmp(w->mode, "fail") ?
+					"failed" :
+					"done");
+	}
+	if (w->n_ends > n)
+		answer_looks(w);
+}
+
+void workers_tick(void)
+{
+	int i;
+
+	for (i = 0; i < board.opts.workers; i++)
+		if (!board.workers[i].gone)
+			tick(&board.workers[i]);
+}
+
+/* --- calls --- */
+
+static bool fenced(struct worker *w, struct evhttp_request *req,
+		   const json_t *body)
+{
+	int64_t fence = whole(body, "fence-token");
+
+	if (fence >= w->fence) {
+		w->fence = fence;
+		return false;
+	}
+	reply_clock(w, req, 409, "fence");
+	return true;
+}
+
+static void extend(struct worker *w, int64_t until_ms)
+{
+	int64_t max_ms = worker_clock(w) + board.opts.hold_max_ms;
+
+	if (until_ms > max_ms)
+		until_ms = max_ms;
+	if (until_ms > w->until_ms)
+		w->until_ms = until_ms;
+}
+
+static void hold(struct worker *w, struct evhttp_request *req,
+		 const json_t *body)
+{
+	int64_t wait_ms = whole(body, "wait-ms");
+	struct look *k;
+
+	board.holds++;
+	if (fenced(w, req, body))
+		return;
+	extend(w, whole(body, "until-ms"));
+	forget_ends(w, whole(body, "seen-upto"));
+	if (w->ends || wait_ms <= 0) {
+		tg_http_reply_json(req, 200, lists(w));
+		return;
+	}
+	k = tg_xcalloc(1, sizeof(*k));
+	k->worker = w;
+	k->req = req;
+	k->next = w->looks;
+	w->looks = k;
+	delay_call(board.base, wait_ms, look_timeout, k);
+}
+
+static int64_t spec_value(const char *spec, const char *name, int64_t def)
+{
+	const char *s = strstr(spec, name);
+
+	return s ? strtoll(s + strlen(name), NULL, 10) : def;
+}
+
+static struct run *find_run(const struct worker *w, const char *task, int run)
+{
+	struct run *r;
+
+	for (r = w->runs; r; r = r->next)
+		if (r->run == run && !strcmp(r->task, task))
+			return r;
+	return NULL;
+}
+
+static bool is_refused(const struct worker *w, const char *task, int run)
+{
+	const struct refused *x;
+
+	for (x = w->refused; x; x = x->next)
+		if (run <= x->run && !strcmp(x->task, task))
+			return true;
+	return false;
+}
+
+static const char *start(struct worker *w, const json_t *body)
+{
+	const char *spec = json_string_value(json_object_get(body, "spec"));
+	const char *task = json_string_value(json_object_get(body, "task"));
+	int run = (int)whole(body, "run");
+	struct run *r;
+
+	if (!spec || !task || whole(body, "fence-token") < w->fence)
+		return "fence";
+	if (whole(body, "until-ms") <= worker_clock(w))
+		return "late";
+	if (is_refused(w, task, run))
+		return "old";
+	extend(w, whole(body, "until-ms"));
+	if (find_run(w, task, run))
+		return NULL;
+	r = tg_xcalloc(1, sizeof(*r));
+	tg_strlcpy(r->task, task, sizeof(r->task));
+	r->run = run;
+	r->accelerators = (int)spec_value(spec, "acc=", 1);
+	r->end_ms = tg_now_ms() + spec_value(spec, "ms=", DEFAULT_RUN_MS);
+	r->fails = strstr(spec, "fail") != NULL;
+	r->next = w->runs;
+	w->runs = r;
+	board.starts++;
+	judge_start(w, r);
+	return NULL;
+}
+
+struct late {
+	struct worker *worker;
+	int64_t boot_ms;
+	json_t *body;
+};
+
+static void start_late(void *arg)
+{
+	struct late *l = arg;
+
+	if (l->worker->boot_ms == l->boot_ms)
+		start(l->worker, l->body);
+	json_decref(l->body);
+	free(l);
+}
+
+static void run_start(struct worker *w, struct evhttp_request *req,
+		      json_t *body)
+{
+	const char *reason;
+	struct late *l;
+
+	if (!strcmp(w->mode, "unhealthy")) {
+		tg_http_reply_error(req, 503, NULL, "unhealthy");
+		return;
+	}
+	if (!strcmp(w->mode, "unanswered")) {
+		l = tg_xcalloc(1, sizeof(*l));
+		l->worker = w;
+		l->boot_ms = w->boot_ms;
+		l->body = json_incref(body);
+		delay_call(board.base, LATE_MS, start_late, l);
+		hold_request(board.base, req, HOLD_MS, NULL, NULL);
+		return;
+	}
+	reason = start(w, body);
+	reply_clock(w, req, reason ? 409 : 200, reason);
+}
+
+static void run_stop(struct worker *w, struct evhttp_request *req,
+		     const json_t *body)
+{
+	const char *task = json_string_value(json_object_get(body, "task"));
+	int run = (int)whole(body, "run");
+	struct refused *x = tg_xcalloc(1, sizeof(*x));
+	struct run *r;
+
+	board.stops++;
+	tg_strlcpy(x->task, task ? task : "", sizeof(x->task));
+	x->run = run;
+	x->next = w->refused;
+	w->refused = x;
+	r = find_run(w, x->task, run);
+	if (r && !r->stopping) {
+		r->stopping = true;
+		r->stopped_ms = tg_now_ms();
+	}
+	reply_clock(w, req, 200, NULL);
+}
+
+static bool other_worker(const struct worker *w, struct evhttp_request *req)
+{
+	const char *id = tg_http_header(req, "Tarragonfield-Expect-Instance");
+
+	if (!id || !strcmp(id, w->id))
+		return false;
+	tg_http_reply_error(req, 421, NULL, "another worker");
+	return true;
+}
+
+static void on_call(struct evhttp_request *req, void *arg)
+{
+	struct worker *w = arg;
+	char *path = tg_http_path(req);
+	json_t *body;
+
+	if (!strcmp(w->mode, "silent")) {
+		hold_request(board.base, req, HOLD_MS, NULL, NULL);
+		goto out;
+	}
+	if (other_worker(w, req))
+		goto out;
+	body = tg_http_json_body(req);
+	if (!body)
+		goto out;
+	if (path && !strcmp(path, "/hold"))
+		hold(w, req, body);
+	else if (path && !strcmp(path, "/run-start"))
+		run_start(w, req, body);
+	else if (path && !strcmp(path, "/run-stop") && !fenced(w, req, body))
+		run_stop(w, req, body);
+	json_decref(body);
+out:
+	free(path);
+}
+
+/* --- life --- */
+
+void worker_write_entry(struct worker *w)
+{
+	json_t *o = json_pack(
+		"{s:s,s:s,s:s,s:s,s:I,s:s,s:I,s:{s:I,s:I,s:I},s:[s,s],s:I,s:I}",
+		"service", "svc", "address", w->addr, "zone", "a", "version",
+		"v1", "slots", (json_int_t)8, "state",
+		w->draining ? "draining" : "ready", "warmup-left-ms",
+		(json_int_t)0, "capacity", "cpu", (json_int_t)128000, "mem-mb",
+		(json_int_t)262144, "gpu", (json_int_t)board.opts.accelerators,
+		"labels", "kind", "r1", "born", (json_int_t)w->born_wall_ms,
+		"seq", (json_int_t)1);
+	char *text = json_dumps(o, JSON_COMPACT);
+
+	store_put("servers", w->id, text);
+	free(text);
+	json_decref(o);
+}
+
+void worker_remove_entry(struct worker *w)
+{
+	store_delete("servers", w->id);
+}
+
+static void begin_life(struct worker *w)
+{
+	static int64_t last_wall_ms;
+
+	w->boot_ms = tg_now_ms();
+	w->born_wall_ms = tg_wall_ms();
+	/* Two lives never begin in one millisecond. */
+	if (w->born_wall_ms <= last_wall_ms)
+		w->born_wall_ms = last_wall_ms + 1;
+	last_wall_ms = w->born_wall_ms;
+	w->fence = w->until_ms = w->n_ends = 0;
+}
+
+void worker_open(struct worker *w, int n)
+{
+	static const struct tg_http_route routes[] = {
+		{ "/", true, EVHTTP_REQ_POST | EVHTTP_REQ_GET, on_call },
+		{ .path = NULL },
+	};
+	struct tg_http_server_opts o = {
+		.base = board.base,
+		.addr = "127.0.0.1:0",
+		.routes = routes,
+		.arg = w,
+	};
+
+	snprintf(w->id, sizeof(w->id), "w%d", n);
+	tg_strlcpy(w->mode, "ok", sizeof(w->mode));
+	w->server = tg_http_server_new(&o);
+	tg_strlcpy(w->addr, tg_http_server_addr(w->server), sizeof(w->addr));
+	begin_life(w);
+	worker_write_entry(w);
+}
+
+static void drop_all(struct worker *w)
+{
+	answer_looks(w);
+	while (w->ends) {
+		struct end *e = w->ends;
+
+		w->ends = e->next;
+		free(e);
+	}
+	while (w->runs) {
+		struct run *r = w->runs;
+
+		w->runs = r->next;
+		free(r);
+	}
+}
+
+void worker_close(struct worker *w)
+{
+	drop_all(w);
+	tg_http_server_free(w->server);
+	w->server = NULL;
+	w->gone = true;
+}
+
+void worker_restart(struct worker *w)
+{
+	drop_all(w);
+	begin_life(w);
+	worker_write_entry(w);
+}
