--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -159,7 +159,7 @@
 {
 	if (n <= rd->n_places)
 		return;
-	rd->places = tg_xrealloc(rd->places, (size_t)n * sizeof(*rd->places));
+	rd->places = tg_xrealloc(rd->places, (size_t)n * sizeof(void *));
 	rd->n_places = n;
 }
 
--- a/tests/unit/oncrpc/test-oncrpc.c
+++ b/tests/unit/oncrpc/test-oncrpc.c
@@ -76,6 +76,7 @@
 	[TG_RPC_WORKER_LIST] = { &list, &answer },
 	[TG_RPC_GUARANTEE_LIST] = { &list, &answer },
 	[TG_RPC_INSTANCE_LIST] = { &instance_page, &instances },
+	[TG_RPC_JOB_STORE] = { &job, &answer },
 };
 
 static void *sample_call(uint32_t proc, size_t *n)
