--- a/cmd/tgqueued/main.c
+++ b/cmd/tgqueued/main.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <unistd.h>
 
 #include "board.h"
 #include "platform/platform.h"
@@ -58,6 +59,7 @@
 	path = b.set.flags.settings ? b.set.flags.settings :
 				      getenv(tg_platform_settings_env);
 	tg_log_open("tgqueued", b.set.flags.log_level);
+	tg_log_to(STDOUT_FILENO);
 	tg_log_register(events);
 	tg_log_register(tg_site_events);
 	tg_log_register(tg_platform_events);
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -211,6 +211,15 @@
  * @level: "debug", "info", "warn" or "error"
  */
 void tg_log_open(const char *prog, const char *level);
+/**
+ * tg_log_to() - log to @fd instead of stderr
+ *
+ * A line that can't be written at once is dropped, and so is what an event
+ * logs beyond TG_LOG_LINES_PER_S lines in a second.  Dropped lines are counted
+ * in tg_log_dropped_total, those of an event in a line of EV1006 as well.
+ */
+void tg_log_to(int fd);
+#define TG_LOG_LINES_PER_S 200
 /** tg_log_register() - add an event table, ended by number 0 */
 void tg_log_register(const struct tg_event_info *table);
 /**
--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -1,6 +1,10 @@
 #include <log4c.h>
+#include <poll.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
+#include <uthash.h>
 
 #include "base/base.h"
 
@@ -18,6 +22,17 @@
 static int n_tables = 1;
 static const char *program = "tg";
 static log4c_category_t *category;
+static int log_fd = STDERR_FILENO;
+
+/* Lines of one event in the present second. */
+struct rate {
+	int number;
+	int64_t second;
+	uint32_t lines, dropped;
+	UT_hash_handle hh;
+};
+
+static struct rate *rates;
 
 static const int priorities[] = {
 	[TG_DEBUG] = LOG4C_PRIORITY_DEBUG,
@@ -46,12 +61,29 @@
 
 static const log4c_layout_type_t layout_type = { "tg", format_line };
 
+static void count_dropped(const char *why)
+{
+	char labels[32];
+
+	snprintf(labels, sizeof(labels), "why=\"%s\"", why);
+	tg_counter("tg_log_dropped_total", "log lines not written", labels)
+		->value++;
+}
+
 /* The appender of log4c puts its name before each line. */
 static int append_line(log4c_appender_t *appender,
 		       const log4c_logging_event_t *e)
 {
+	struct pollfd p = { .fd = log_fd, .events = POLLOUT };
+	size_t n = strlen(e->evt_rendered_msg);
+
 	(void)appender;
-	return fputs(e->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+	/* A line is shorter than PIPE_BUF, so that a writable pipe takes it. */
+	if (poll(&p, 1, 0) == 1 && (p.revents & POLLOUT) &&
+	    write(log_fd, e->evt_rendered_msg, n) == (ssize_t)n)
+		return 0;
+	count_dropped("blocked");
+	return -1;
 }
 
 static const log4c_appender_type_t appender_type = { "tg", NULL, append_line,
@@ -83,6 +115,11 @@
 	log4c_category_set_priority(category, parse_level(level));
 }
 
+void tg_log_to(int fd)
+{
+	log_fd = fd;
+}
+
 void tg_log_register(const struct tg_event_info *table)
 {
 	if (n_tables < TABLES_MAX)
@@ -103,6 +140,36 @@
 	return &unknown;
 }
 
+/* Whether the event may log one more line now. */
+static bool take_line(int number)
+{
+	int64_t second = tg_now_ms() / 1000;
+	uint32_t dropped = 0;
+	struct rate *r;
+
+	HASH_FIND_INT(rates, &number, r);
+	if (!r) {
+		r = tg_xcalloc(1, sizeof(*r));
+		r->number = number;
+		HASH_ADD_INT(rates, number, r);
+	}
+	if (r->second != second) {
+		dropped = r->dropped;
+		r->second = second;
+		r->lines = r->dropped = 0;
+	}
+	if (dropped)
+		tg_log(EV_LOG_DROPPED, "event=EV%04d lines=%u", number,
+		       dropped);
+	if (r->lines >= TG_LOG_LINES_PER_S) {
+		r->dropped++;
+		count_dropped("rate");
+		return false;
+	}
+	r->lines++;
+	return true;
+}
+
 void tg_log(int number, const char *fmt, ...)
 {
 	const struct tg_event_info *e = find_event(number);
@@ -111,7 +178,9 @@
 	char *p;
 
 	if (!category ||
-	    !log4c_category_is_priority_enabled(category, priorities[e->level]))
+	    !log4c_category_is_priority_enabled(category,
+						priorities[e->level]) ||
+	    !take_line(number))
 		return;
 	va_start(ap, fmt);
 	vsnprintf(text, sizeof(text), fmt, ap);
--- a/tests/unit/base/test-base.c
+++ b/tests/unit/base/test-base.c
@@ -1,5 +1,7 @@
+#include <fcntl.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/base.h"
 #include "../run.h"
@@ -189,6 +191,48 @@
 }
 END_TEST
 
+static int count_lines(int fd)
+{
+	char buf[65536];
+	ssize_t n;
+	int lines = 0;
+
+	while ((n = read(fd, buf, sizeof(buf))) > 0)
+		while (n-- > 0)
+			lines += buf[n] == '\n';
+	return lines;
+}
+
+/* A burst of one event must not fill the log, and none may block the daemon. */
+START_TEST(logging_is_bounded)
+{
+	struct tg_counter *rate =
+		tg_counter("tg_log_dropped_total", "", "why=\"rate\"");
+	struct tg_counter *blocked =
+		tg_counter("tg_log_dropped_total", "", "why=\"blocked\"");
+	char fill[4096] = "";
+	int fds[2], i;
+
+	ck_assert_int_eq(pipe2(fds, O_NONBLOCK), 0);
+	tg_log_open("test", "info");
+	tg_log_to(fds[1]);
+	for (i = 0; i < 3 * TG_LOG_LINES_PER_S; i++)
+		tg_log(EV_STARTED, "i=%d", i);
+	/* The second may have changed once in between. */
+	i = count_lines(fds[0]);
+	ck_assert_int_ge(i, TG_LOG_LINES_PER_S);
+	ck_assert_int_le(i, 2 * TG_LOG_LINES_PER_S + 1);
+	ck_assert_int_ge((int)rate->value, TG_LOG_LINES_PER_S - 1);
+	while (write(fds[1], fill, sizeof(fill)) > 0)
+		;
+	tg_log(EV_DRAINED, "");
+	ck_assert_int_eq((int)blocked->value, 1);
+	tg_log_to(STDERR_FILENO);
+	close(fds[0]);
+	close(fds[1]);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("base");
@@ -201,6 +245,7 @@
 	tcase_add_test(t, settings_findings);
 	tcase_add_test(t, metrics_bounded);
 	tcase_add_test(t, rendezvous_is_stable);
+	tcase_add_test(t, logging_is_bounded);
 	suite_add_tcase(s, t);
 	return run_suite(s);
 }
