--- a/tests/unit/base/test-base.c
+++ b/tests/unit/base/test-base.c
@@ -225,7 +225,7 @@
 	ck_assert_int_ge((int)rate->value, TG_LOG_LINES_PER_S - 1);
 	while (write(fds[1], fill, sizeof(fill)) > 0)
 		;
-	tg_log(EV_DRAINED, "");
+	tg_log(EV_DRAINED, "after_ms=%d", 0);
 	ck_assert_int_eq((int)blocked->value, 1);
 	tg_log_to(STDERR_FILENO);
 	close(fds[0]);
