Delete the rows of jobs that ended long ago

Cause: jobs and progress stayed in the store for ever. The rows that callers' daemons read go first, then the progress: a job without progress would run again. A next owner deletes progress without a job.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -23,9 +23,7 @@
 
 struct settings {
 	struct tg_site_flags flags;
-	int64_t lease_ms;
-	bool unsafe_no_fence_check;
-	bool unsafe_start_unlisted;
+	int64_t lease_ms, keep_ms;
 };
 
 enum role {
@@ -116,6 +114,8 @@
 /* writer.c */
 /** writer_wake() - write what has changed, soon */
 void writer_wake(struct board *b);
+/** writer_forget() - delete the progress of a job whose row is deleted */
+void writer_forget(struct board *b, const char *job);
 void writer_reset(struct board *b);
 /** writer_idle() - nothing is being written and nothing needs to be */
 bool writer_idle(const struct board *b);
@@ -159,5 +159,6 @@
 extern const struct tg_controller links_controller;
 extern const struct tg_controller round_controller;
 extern const struct tg_controller metrics_controller;
+extern const struct tg_controller purge_controller;
 
 #endif
--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -76,12 +76,15 @@
 	struct board *b = arg;
 	json_t *o;
 
-	if (row->deleted || !strcmp(row->table, TG_OWNER_TABLE))
+	if (row->deleted)
+		return;
+	/* Its job was deleted by an owner that did not get further. */
+	if (!flow_has_job(b->flow, row->key)) {
+		writer_forget(b, row->key);
 		return;
+	}
 	o = json_loadb(row->value, row->value_bytes, 0, NULL);
-	if (!o ||
-	    (flow_has_job(b->flow, row->key) &&
-	     !flow_progress_decode(b->flow, row->key, o)))
+	if (!o || !flow_progress_decode(b->flow, row->key, o))
 		tg_log(EV_ROW_BAD, "table=%s key=%s version=%lld",
 		       TG_PROGRESS_TABLE, row->key, (long long)row->version);
 	json_decref(o);
--- a/cmd/tgflowd/main.c
+++ b/cmd/tgflowd/main.c
@@ -12,6 +12,11 @@
 	TG_SITE_FLAGS(settings, NULL),
 	TG_SETTING(settings, "lease-ms", TG_SET_INT, "6000", 500, 60000, false,
 		   "lease of the runs on a worker, in ms", lease_ms),
+	/* Late copies of a submission arrive seconds after its answer. */
+	TG_SETTING(settings, "keep-ms", TG_SET_INT, "60000", 0, 86400000, false,
+		   "how long an ended job is kept beyond the time in which "
+		   "callers may ask for it, in ms",
+		   keep_ms),
 	{ .flag = NULL },
 };
 
@@ -29,13 +34,10 @@
 };
 
 static const struct tg_controller *const controllers[] = {
-	&rpc_controller,
-	&writer_controller,
-	&round_controller,
-	&owner_controller,
-	&links_controller,
-	&metrics_controller,
-	NULL,
+	&rpc_controller,   &writer_controller,
+	&round_controller, &owner_controller,
+	&links_controller, &metrics_controller,
+	&purge_controller, NULL,
 };
 
 static void on_document(void *arg)
--- /dev/null
+++ b/cmd/tgflowd/purge.c
@@ -0,0 +1,80 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "board.h"
+
+/*
+ * Deletes the rows of jobs that ended long ago: first those that callers'
+ * daemons read, then the progress, since a job without progress would run
+ * again.
+ */
+
+#define TIMEOUT_MS 1500
+
+struct purge {
+	struct board *board;
+	uint64_t term;
+	char job[FLOW_JOB_LEN + 1];
+};
+
+static bool busy;
+
+static void delete_next(struct board *b);
+
+static void on_deleted(const struct tg_store_result *r, void *arg)
+{
+	struct purge *p = arg;
+	struct board *b = p->board;
+
+	busy = false;
+	if (p->term == b->term && r->end == TG_STORE_OK) {
+		tg_log(EV_FLOW_JOB_PURGED, "job=%s", p->job);
+		flow_remove_job(b->flow, p->job);
+		writer_forget(b, p->job);
+		delete_next(b);
+	}
+	free(p);
+}
+
+static void delete_next(struct board *b)
+{
+	const char *id = flow_next_expired(
+		b->flow, tg_now_ms(), b->site.set.status_ms + b->set.keep_ms);
+	char cancel[FLOW_JOB_LEN + sizeof(TG_CANCEL_SUFFIX)];
+	struct tg_row rows[2] = { { .table = TG_JOBS_TABLE },
+				  { .table = TG_JOBS_TABLE } };
+	struct tg_store_tx tx = {
+		.deletes = rows,
+		.n_deletes = ARRAY_SIZE(rows),
+		.timeout_ms = TIMEOUT_MS,
+	};
+	struct purge *p;
+
+	if (!id || busy)
+		return;
+	p = tg_xcalloc(1, sizeof(*p));
+	p->board = b;
+	p->term = b->term;
+	tg_strlcpy(p->job, id, sizeof(p->job));
+	snprintf(cancel, sizeof(cancel), "%s%s", id, TG_CANCEL_SUFFIX);
+	rows[0].key = p->job;
+	rows[1].key = cancel;
+	rows[0].part = rows[1].part = tg_job_part(id);
+	busy = true;
+	b->site.ops->tx(b->site.port, &tx, on_deleted, p);
+}
+
+static void tick(void *board, int64_t now_ms)
+{
+	struct board *b = board;
+
+	(void)now_ms;
+	if (b->role == ROLE_OWNER)
+		delete_next(b);
+}
+
+const struct tg_controller purge_controller = {
+	.name = "purge",
+	.period_ms = 1000,
+	.tick = tick,
+};
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -25,6 +25,10 @@
 	struct tg_owner_row row; /* that the write puts */
 	struct tg_row rows[JOBS_MAX + 1];
 	size_t n;
+	/* Progress to delete: first those of the write, then later ones. */
+	char gone[JOBS_MAX][FLOW_JOB_LEN + 1];
+	struct tg_row deletes[JOBS_MAX];
+	size_t n_gone, n_deletes;
 	bool complete; /* nothing dirty was left out */
 	int64_t started_ms;
 	int failures;
@@ -65,13 +69,20 @@
 	if (b->role == ROLE_OWNER)
 		links_list_silent(b, &w.row);
 	add_row(TG_OWNER_TABLE, TG_OWNER_KEY, tg_owner_row_encode(&w.row));
-	while (w.n <= JOBS_MAX && (id = flow_next_dirty(b->flow))) {
+	for (w.n_deletes = 0; w.n_deletes < w.n_gone; w.n_deletes++)
+		w.deletes[w.n_deletes] = (struct tg_row){
+			.table = TG_PROGRESS_TABLE,
+			.part = TG_OWNER_PART,
+			.key = w.gone[w.n_deletes],
+		};
+	while (w.n + w.n_deletes <= JOBS_MAX &&
+	       (id = flow_next_dirty(b->flow))) {
 		json_t *o = flow_progress_encode(b->flow, id);
 
 		add_row(TG_PROGRESS_TABLE, id, json_dumps(o, JSON_COMPACT));
 		json_decref(o);
 	}
-	w.complete = w.n <= JOBS_MAX;
+	w.complete = w.n + w.n_deletes <= JOBS_MAX;
 	links_mark(b);
 }
 
@@ -126,6 +137,21 @@
 	event_add(w.timer, &tv);
 }
 
+static void drop_deleted(void)
+{
+	w.n_gone -= w.n_deletes;
+	memmove(w.gone, w.gone + w.n_deletes, w.n_gone * sizeof(w.gone[0]));
+	w.n_deletes = 0;
+}
+
+/* What does not fit is left to the next owner, which finds it without a job. */
+void writer_forget(struct board *b, const char *job)
+{
+	if (w.n_gone < JOBS_MAX)
+		tg_strlcpy(w.gone[w.n_gone++], job, sizeof(w.gone[0]));
+	writer_wake(b);
+}
+
 static void succeed(struct board *b, int64_t version)
 {
 	tg_hist_add(write_us, (uint64_t)(tg_now_ms() - w.started_ms) * 1000);
@@ -136,6 +162,7 @@
 	w.failures = 0;
 	w.busy = false;
 	flow_written(b->flow);
+	drop_deleted();
 	log_ends(b);
 	free_rows();
 	if (w.complete)
@@ -190,6 +217,8 @@
 		.n_checks = 1,
 		.puts = w.rows,
 		.n_puts = w.n,
+		.deletes = w.deletes,
+		.n_deletes = w.n_deletes,
 		.timeout_ms = WRITE_TIMEOUT_MS,
 	};
 
@@ -228,6 +257,7 @@
 	event_del(w.timer);
 	w.busy = false;
 	w.failures = 0;
+	w.n_gone = w.n_deletes = 0;
 	free_rows();
 	while ((x = b->waiters)) {
 		struct tg_rpc_answer a = { .status = TG_RPC_UNKNOWN,
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -69,6 +69,8 @@
 		return "another run of the task";
 	if (r->victim)
 		return "preempted";
+	if (r->stalled)
+		return "no progress";
 	return NULL;
 }
 
@@ -79,9 +81,11 @@
 
 	for (w = rd->f->workers; w; w = w->hh.next)
 		for (r = w->runs; r; r = r->next) {
-			const char *why = unwanted(r);
 			struct flow_stop s = { .worker = w->id };
+			const char *why;
 
+			r->stalled |= flow_is_stalled(r, rd->now_ms);
+			why = unwanted(r);
 			if (why)
 				flow_run_stop(r);
 			if (r->state != RUN_STOPPING || !r->resend_stop)
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -215,6 +215,13 @@
 void flow_redirty(struct flow *f);
 /** flow_written() - all jobs that were being written are durable */
 void flow_written(struct flow *f);
+/**
+ * flow_next_expired() - id of a job that ended @keep_ms ago, or NULL
+ *
+ * Its end is durable and it has no runs.  After a take-over the time counts
+ * from the first call.
+ */
+const char *flow_next_expired(struct flow *f, int64_t now_ms, int64_t keep_ms);
 /** flow_progress_encode() - new reference */
 json_t *flow_progress_encode(const struct flow *f, const char *id);
 /**
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -24,8 +24,11 @@
 	bool victim; /* is to be stopped for another job */
 	bool considered; /* as a victim, while a search looks at its worker */
 	bool victim_kept; /* the search that chose it has succeeded */
-	int32_t percent;
-	int64_t since_ms, listed_ms, unsure_ms;
+	int64_t since_ms, listed_ms;
+	/* Progress as listed: first and last value, and when they were new. */
+	int32_t percent, first_percent;
+	int64_t percent_ms, first_percent_ms;
+	bool stalled; /* makes no progress, is stopped */
 	struct run *prev, *next; /* of the worker */
 };
 
@@ -60,7 +63,7 @@
 	int32_t n_insts, n_insts_done;
 	enum flow_state state;
 	bool cancelled, recovered, begun, dirty, writing, durable;
-	int64_t accepted_ms;
+	int64_t accepted_ms, ended_ms; /* 0 until the end was seen as durable */
 	int64_t n_runs, runs_total, failures;
 	struct queue *q; /* of this round */
 	int32_t rank; /* see order.c */
@@ -85,6 +88,7 @@
 	char failed_job[FLOW_JOB_LEN + 1];
 	int64_t quarantined_until_ms;
 	int32_t quarantines;
+	double speed; /* declared over real time of its runs, smoothed */
 	struct run *runs;
 	UT_hash_handle hh;
 };
@@ -152,6 +156,14 @@
 void flow_run_over(struct flow *f, struct run *r, enum flow_how how,
 		   const char *saved, int64_t now_ms);
 
+/* pace.c */
+/** flow_pace_listed() - note the progress of a run */
+void flow_pace_listed(struct run *r, int32_t percent, int64_t now_ms);
+/** flow_remaining_ms() - until the run is expected to end by itself */
+int64_t flow_remaining_ms(const struct run *r, int64_t now_ms);
+/** flow_is_stalled() - whether it has made no progress for too long */
+bool flow_is_stalled(const struct run *r, int64_t now_ms);
+
 /* order.c */
 /** flow_order() - open jobs of known queues, most urgent first, to be freed */
 size_t flow_order(struct flow *f, int64_t now_ms, struct job ***out);
--- /dev/null
+++ b/lib/flow/pace.c
@@ -0,0 +1,84 @@
+#include "flow/flow_internal.h"
+
+/*
+ * What the progress of runs tells: when they end, which stand still, and how
+ * fast their workers are.  Declared times are far from the truth.
+ */
+
+/* Progress below this many percent says too little of the rate. */
+#define RATE_PERCENT 4
+/* A run without news for longer than this and a tenth of its declared time. */
+#define STALL_MS 3000
+/* A run beyond its declared time of which nothing else is known. */
+#define OVERDUE_MS 500
+/* Weight of a new observation of a worker's speed. */
+#define SPEED_WEIGHT 0.2
+#define SPEED_MIN 0.05
+#define SPEED_MAX 3.0
+
+static int64_t declared_ms(const struct run *r)
+{
+	return flow_step_of(r->job, r->inst)->declared_ms;
+}
+
+/* Milliseconds for one percent, or 0 if not known yet. */
+static double ms_per_percent(const struct run *r)
+{
+	int32_t percent = r->percent - r->first_percent;
+
+	if (!r->first_percent_ms || percent < RATE_PERCENT)
+		return 0;
+	return (double)(r->percent_ms - r->first_percent_ms) / percent;
+}
+
+static void observe_speed(const struct run *r)
+{
+	double pace = ms_per_percent(r), speed;
+
+	if (pace <= 0 || declared_ms(r) <= 0)
+		return;
+	speed = (double)declared_ms(r) / (100 * pace);
+	if (speed < SPEED_MIN)
+		speed = SPEED_MIN;
+	if (speed > SPEED_MAX)
+		speed = SPEED_MAX;
+	r->worker->speed += SPEED_WEIGHT * (speed - r->worker->speed);
+}
+
+void flow_pace_listed(struct run *r, int32_t percent, int64_t now_ms)
+{
+	if (!r->first_percent_ms) {
+		r->first_percent = r->percent = percent;
+		r->first_percent_ms = r->percent_ms = now_ms;
+		return;
+	}
+	if (percent == r->percent)
+		return;
+	r->percent = percent;
+	r->percent_ms = now_ms;
+	observe_speed(r);
+}
+
+int64_t flow_remaining_ms(const struct run *r, int64_t now_ms)
+{
+	double pace = ms_per_percent(r);
+	int64_t end_ms;
+
+	if (pace > 0)
+		end_ms = r->percent_ms + (int64_t)(pace * (100 - r->percent));
+	else
+		end_ms = r->since_ms + declared_ms(r);
+	return end_ms > now_ms ? end_ms - now_ms : OVERDUE_MS;
+}
+
+bool flow_is_stalled(const struct run *r, int64_t now_ms)
+{
+	const struct flow_step *st = flow_step_of(r->job, r->inst);
+
+	if (r->state != RUN_ACTIVE || !r->first_percent_ms || st->endless ||
+	    r->percent >= 100)
+		return false;
+	/* Only a list that is younger than the limit can tell. */
+	return r->listed_ms - r->percent_ms > STALL_MS + st->declared_ms / 10 &&
+		now_ms >= r->listed_ms;
+}
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -15,6 +15,12 @@
 	ROOM_VICTIMS, /* after stopping runs of lower rank */
 };
 
+/* About the time that a stop takes. */
+#define SOON_MS 300
+/* Slower workers are passed over, as if they had more free accelerators. */
+#define SLOW_SPEED 0.6
+#define SLOW_COST 60000000
+
 struct search {
 	struct flow *f;
 	struct job *job;
@@ -27,17 +33,34 @@
 	int64_t cost; /* of the victims of fill() */
 };
 
-static struct flow_shape room_of(const struct worker *w, enum room_kind kind)
+/* A run that ends by itself sooner than a stop would end another. */
+static bool ends_soon(const struct search *s, const struct run *r)
 {
-	struct flow_shape s = w->capacity;
+	return r->state == RUN_ACTIVE &&
+		!flow_step_of(r->job, r->inst)->endless &&
+		flow_remaining_ms(r, s->now_ms) <= SOON_MS;
+}
 
-	flow_shape_add(&s, &w->used, -1);
-	flow_shape_add(&s, &w->reserved, -1);
-	if (kind != ROOM_FREE) {
-		flow_shape_add(&s, &w->stopping, 1);
-		flow_shape_add(&s, &w->victims, 1);
-	}
-	return s;
+static struct flow_shape room_of(const struct search *s, const struct worker *w,
+				 enum room_kind kind)
+{
+	struct flow_shape room = w->capacity;
+	const struct run *r;
+
+	flow_shape_add(&room, &w->used, -1);
+	flow_shape_add(&room, &w->reserved, -1);
+	if (kind == ROOM_FREE)
+		return room;
+	flow_shape_add(&room, &w->stopping, 1);
+	flow_shape_add(&room, &w->victims, 1);
+	for (r = w->runs; r; r = r->next)
+		if (!r->victim && ends_soon(s, r)) {
+			struct flow_shape freed =
+				flow_room(flow_step_of(r->job, r->inst));
+
+			flow_shape_add(&room, &freed, 1);
+		}
+	return room;
 }
 
 static bool has_label(const struct worker *w, const char *label)
@@ -96,7 +119,8 @@
 
 static bool may_stop(const struct search *s, const struct run *r)
 {
-	if (r->state == RUN_STOPPING || r->victim || !r->job->q)
+	if (r->state == RUN_STOPPING || r->victim || !r->job->q ||
+	    ends_soon(s, r))
 		return false;
 	return r->job->rank > s->job->rank;
 }
@@ -157,7 +181,7 @@
 static int64_t choose_victims(const struct search *s, struct worker *w,
 			      bool mark)
 {
-	struct flow_shape room = room_of(w, ROOM_STOPPING);
+	struct flow_shape room = room_of(s, w, ROOM_STOPPING);
 	int64_t cost = 0;
 	struct run *r;
 
@@ -187,6 +211,8 @@
 
 	cost += (room->cpu_millicores - s->need.cpu_millicores) / 10;
 	cost += (room->memory_mb - s->need.memory_mb) / 100;
+	if (w->speed < SLOW_SPEED)
+		cost += (int64_t)((SLOW_SPEED - w->speed) * SLOW_COST);
 	if (*s->step->data_rack && strcmp(w->rack, s->step->data_rack) != 0)
 		cost += 1000000000;
 	if (t->failed_on == w)
@@ -213,7 +239,7 @@
 			if (cost < 0)
 				continue;
 		} else {
-			room = room_of(w, s->kind);
+			room = room_of(s, w, s->kind);
 			if (!flow_fits(&s->need, &room))
 				continue;
 			cost = misfit(s, w, &room, t);
@@ -309,7 +335,7 @@
 
 		if (!eligible(s, w))
 			continue;
-		room = empty ? w->capacity : room_of(w, s->kind);
+		room = empty ? w->capacity : room_of(s, w, s->kind);
 		n += slots(s, &room);
 	}
 	s->rack = NULL;
--- a/lib/flow/progress.c
+++ b/lib/flow/progress.c
@@ -44,6 +44,21 @@
 		}
 }
 
+const char *flow_next_expired(struct flow *f, int64_t now_ms, int64_t keep_ms)
+{
+	struct job *j, *tmp;
+
+	HASH_ITER(hh, f->jobs, j, tmp) {
+		if (!flow_is_over(j) || !j->durable || j->n_runs)
+			continue;
+		if (!j->ended_ms)
+			j->ended_ms = now_ms;
+		if (now_ms - j->ended_ms >= keep_ms)
+			return j->id;
+	}
+	return NULL;
+}
+
 /* Done tasks as "0-4,7". */
 static char *encode_done(const struct flow_step *st, const struct inst *in)
 {
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -142,12 +142,13 @@
 	struct inst *in = r->inst;
 	struct worker *w = r->worker;
 	int32_t index = r->index, run = r->run;
+	bool stalled = r->stalled;
 
 	flow_run_free(r);
 	record_end(f, j, in, index, run, how, saved);
 	if (how == FLOW_DONE)
 		flow_worker_succeeded(w);
-	if (how == FLOW_FAILURE) {
+	if (how == FLOW_FAILURE || stalled) {
 		in->tasks[index].failed_on = w;
 		flow_worker_failed(f, w, j->id, now_ms);
 	}
@@ -244,7 +245,7 @@
 	if (r->state == RUN_STARTING || r->state == RUN_UNSURE)
 		r->state = RUN_ACTIVE;
 	r->listed_ms = now_ms;
-	r->percent = percent;
+	flow_pace_listed(r, percent, now_ms);
 	keep_checkpoint(j, in, ref->index, saved);
 	return true;
 }
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -57,6 +57,7 @@
 		return w;
 	w = tg_xcalloc(1, sizeof(*w));
 	tg_strlcpy(w->id, id, sizeof(w->id));
+	w->speed = 1;
 	HASH_ADD_STR(f->workers, id, w);
 	return w;
 }
@@ -116,6 +117,7 @@
 	w->listed = false;
 	w->failures_in_row = 0;
 	w->quarantined_until_ms = 0;
+	w->speed = 1;
 }
 
 void flow_worker_remove(struct flow *f, const char *id, int64_t now_ms)
--- a/tests/site-lib.sh
+++ b/tests/site-lib.sh
@@ -6,6 +6,7 @@
 # Loopback addresses of this run, so that runs beside it don't meet.
 net=127.$(($$ / 250 % 250 + 1)).$(($$ % 250 + 1))
 key=k1
+status_s=120
 config='{"version":7,"routes":[
  {"name":"normal","host":"h","path-prefix":"/n/","priority":1,"service":"svc",
   "max-attempts":3,"stretch":3.0,"target-runtime-ms":1000},
@@ -50,7 +51,7 @@
 		bounds.hold-max-ms=10000
 		bounds.stop-ms=200
 		bounds.gang-ms=3000
-		bounds.status_s=120
+		bounds.status_s=$status_s
 		bounds.reclaim-ms=3400
 		bounds.early_ms=250
 		bounds.far-x=3
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -135,7 +135,9 @@
 					  "run", r->run));
 	tg_http_reply_json(
 		req, 200,
-		json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "reads",
+		json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}",
+			  "jobs", (json_int_t)store_count("jobs"), "progress",
+			  (json_int_t)store_count("progress"), "reads",
 			  (json_int_t)board.reads, "writes",
 			  (json_int_t)board.writes, "starts",
 			  (json_int_t)board.starts, "stops",
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -94,6 +94,7 @@
 void store_request(struct evhttp_request *req, void *arg);
 void store_put(const char *table, const char *key, const char *text);
 void store_delete(const char *table, const char *key);
+int64_t store_count(const char *table);
 
 /* worker.c */
 void worker_open(struct worker *w, int n);
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -312,3 +312,13 @@
 	}
 	json_decref(o);
 }
+
+int64_t store_count(const char *table)
+{
+	const struct row *r;
+	int64_t n = 0;
+
+	for (r = board.rows; r; r = r->hh.next)
+		n += !r->deleted && !strcmp(r->table, table);
+	return n;
+}
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -447,6 +447,87 @@
 }
 END_TEST
 
+static void list_one(const struct start_order *s, int32_t percent,
+		     int64_t now_ms)
+{
+	struct flow_ref r = fleet_ref(s);
+
+	ck_assert(flow_listed_run(f, &r, s->worker, percent, "", now_ms));
+}
+
+/* A task that stands still on its worker was never started elsewhere. */
+START_TEST(stalled_run_is_stopped)
+{
+	struct start_order first;
+	int64_t t;
+
+	fleet_add_worker(f, "w1", "r1", 1);
+	fleet_add_worker(f, "w2", "r1", 1);
+	fleet_add_job(f, "j1", "normal", fleet_spec(1, 1, false), 0);
+	fleet_decide(f, &o, 1);
+	fleet_confirm(f, &o, 2);
+	first = o.starts[0];
+	for (t = 100; t <= 3000; t += 100) {
+		list_one(&first, 20, t);
+		fleet_decide(f, &o, t);
+		ck_assert_int_eq(o.n_stops, 0);
+	}
+	list_one(&first, 20, 3300);
+	fleet_decide(f, &o, 3300);
+	ck_assert_int_eq(o.n_stops, 1);
+	fleet_end(f, &first, FLOW_STOPPED, 3400);
+	fleet_decide(f, &o, 3401);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_str_ne(o.starts[0].worker, first.worker);
+}
+END_TEST
+
+/* A run that is about to end was stopped for an urgent job. */
+START_TEST(run_about_to_end_is_left)
+{
+	struct start_order low[2];
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_worker(f, "w2", "r1", 8);
+	fleet_add_job(f, "j1", "low", fleet_spec(2, 8, false), 0);
+	fleet_decide(f, &o, 1);
+	fleet_confirm(f, &o, 2);
+	low[0] = o.starts[0];
+	low[1] = o.starts[1];
+	list_one(&low[0], 0, 100);
+	list_one(&low[1], 0, 100);
+	list_one(&low[0], 10, 1100);
+	list_one(&low[1], 98, 1100);
+	fleet_add_job(f, "j2", "urgent", fleet_spec(1, 8, false), 1100);
+	fleet_decide(f, &o, 1101);
+	ck_assert_int_eq(o.n_stops, 0);
+	fleet_end(f, &low[1], FLOW_DONE, 1130);
+	fleet_decide(f, &o, 1131);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_str_eq(o.starts[0].job, "j2");
+}
+END_TEST
+
+/* A slow worker is used only if there is no other. */
+START_TEST(slow_worker_is_passed_over)
+{
+	struct start_order first;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_worker(f, "w2", "r1", 8);
+	fleet_add_job(f, "j1", "normal", fleet_spec(1, 1, false), 0);
+	fleet_decide(f, &o, 1);
+	fleet_confirm(f, &o, 2);
+	first = o.starts[0];
+	for (int i = 0; i < 12; i++)
+		list_one(&first, 5 * i, 10 + 500 * i);
+	fleet_add_job(f, "j2", "normal", fleet_spec(1, 1, false), 6000);
+	fleet_decide(f, &o, 6001);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_str_ne(o.starts[0].worker, first.worker);
+}
+END_TEST
+
 /* A worker that fails tasks of several jobs in a row gets none for a while. */
 START_TEST(failing_worker_is_quarantined)
 {
@@ -499,6 +580,9 @@
 	tcase_add_test(t, progress_survives);
 	tcase_add_test(t, listed_run_beats_older_record);
 	tcase_add_test(t, task_waits_for_unwanted_runs);
+	tcase_add_test(t, stalled_run_is_stopped);
+	tcase_add_test(t, run_about_to_end_is_left);
+	tcase_add_test(t, slow_worker_is_passed_over);
 	tcase_add_test(t, failing_worker_is_quarantined);
 	suite_add_tcase(s, t);
 	return run_suite(s);
