Send a start without an answer again; probe the store by a read

Cause: a gang whose start had no answer at one worker was given up after its list (6 to 8 s until it ran, some members ended alone); the second copy names the same run and changes nothing.

--- a/cmd/tgflowd/round.c
+++ b/cmd/tgflowd/round.c
@@ -9,7 +9,12 @@
 #define COLLECT_MS 3
 /* Times of occurrences, quarantines and missed answers need no finer look. */
 #define PERIOD_MS 100
-#define ORDER_TIMEOUT_MS 900
+#define ORDER_TIMEOUT_MS 600
+/*
+ * A start without an answer is sent again: it names the same run, so that a
+ * second copy changes nothing.
+ */
+#define START_TRIES 3
 
 static struct event *timer;
 static struct tg_hist *round_us;
@@ -21,9 +26,20 @@
 	char worker[TG_NAME_MAX + 1];
 	struct tg_task_id task;
 	int32_t run;
+	char *text, *saved; /* of a start */
+	int tries;
 	int64_t sent_ms;
 };
 
+static void free_order(struct order *o)
+{
+	free(o->text);
+	free(o->saved);
+	free(o);
+}
+
+static void send_order(struct order *o);
+
 static struct order *new_order(struct board *b, bool start,
 			       const struct flow_ref *r, const char *worker)
 {
@@ -33,7 +49,6 @@
 	o->term = b->term;
 	o->start = start;
 	o->run = r->run;
-	o->sent_ms = tg_now_ms();
 	tg_strlcpy(o->worker, worker, sizeof(o->worker));
 	tg_strlcpy(o->task.job, r->job, sizeof(o->task.job));
 	o->task.occurrence = r->occurrence;
@@ -100,6 +115,12 @@
 	if (o->term != b->term)
 		goto out;
 	log_answer(o, end);
+	l = link_find(b, o->worker);
+	if (l && end == TG_ORDER_UNKNOWN && o->start &&
+	    o->tries < START_TRIES && owner_may_renew(b)) {
+		send_order(o);
+		return;
+	}
 	if (end == TG_ORDER_FENCED) {
 		owner_lost(b, "a worker has seen a higher fence");
 		goto out;
@@ -110,57 +131,63 @@
 	else
 		flow_stop_answered(b->flow, &ref, o->worker,
 				   translate(end, false), tg_now_ms());
-	l = link_find(b, o->worker);
 	if (l && end == TG_ORDER_UNKNOWN && o->start)
 		link_look(l);
 	if (end != TG_ORDER_DONE)
 		round_wake(b);
 out:
-	free(o);
+	free_order(o);
 }
 
-static void order_start(const struct flow_start *s, void *arg)
+static void send_order(struct order *o)
 {
-	struct board *b = arg;
-	struct link *l = link_find(b, s->worker);
-	struct order *o = new_order(b, true, &s->ref, s->worker);
+	struct board *b = o->board;
+	struct link *l = link_find(b, o->worker);
 	struct tg_worker_ref ref = { .id = l->entry.id, .addr = l->entry.addr };
 	struct tg_order msg = {
 		.task = o->task,
-		.run = s->ref.run,
+		.run = o->run,
 		.fence = b->fence,
-		.spec = s->text,
-		.saved = s->saved,
-		.until_ms = link_expiry(l),
+		.spec = o->text,
+		.saved = o->saved,
 		.timeout_ms = ORDER_TIMEOUT_MS,
 	};
 
+	o->tries++;
+	o->sent_ms = tg_now_ms();
+	if (o->start) {
+		msg.until_ms = link_expiry(l);
+		b->site.ops->start(b->site.port, &ref, &msg, on_order, o);
+	} else {
+		b->site.ops->stop(b->site.port, &ref, &msg, on_order, o);
+	}
+}
+
+static void order_start(const struct flow_start *s, void *arg)
+{
+	struct board *b = arg;
+	struct link *l = link_find(b, s->worker);
+	struct order *o = new_order(b, true, &s->ref, s->worker);
+
 	tg_log(EV_FLOW_START,
 	       "job=%s task=%d.%d.%d run=%d worker=%s saved=%d why=%s "
 	       "clock_age_ms=%lld",
 	       s->ref.job, s->ref.occurrence, s->ref.step, s->ref.index,
 	       s->ref.run, s->worker, *s->saved != '\0', s->reason,
-	       (long long)(o->sent_ms - l->clock_at_ms));
-	b->site.ops->start(b->site.port, &ref, &msg, on_order, o);
+	       (long long)(tg_now_ms() - l->clock_at_ms));
+	o->text = tg_xstrdup(s->text);
+	o->saved = tg_xstrdup(s->saved);
+	send_order(o);
 }
 
 static void order_stop(const struct flow_stop *s, void *arg)
 {
-	struct board *b = arg;
-	struct link *l = link_find(b, s->worker);
-	struct order *o = new_order(b, false, &s->ref, s->worker);
-	struct tg_worker_ref ref = { .id = l->entry.id, .addr = l->entry.addr };
-	struct tg_order msg = {
-		.task = o->task,
-		.run = s->ref.run,
-		.fence = b->fence,
-		.timeout_ms = ORDER_TIMEOUT_MS,
-	};
+	struct order *o = new_order(arg, false, &s->ref, s->worker);
 
 	tg_log(EV_FLOW_STOP, "job=%s task=%d.%d.%d run=%d worker=%s why=%s",
 	       s->ref.job, s->ref.occurrence, s->ref.step, s->ref.index,
 	       s->ref.run, s->worker, s->reason);
-	b->site.ops->stop(b->site.port, &ref, &msg, on_order, o);
+	send_order(o);
 }
 
 static const struct flow_ops flow_orders = {
--- a/cmd/tgqueued/owner.c
+++ b/cmd/tgqueued/owner.c
@@ -29,7 +29,10 @@
 	struct tg_owner_row o;
 
 	b->owner_reading = false;
-	if (r->end != TG_STORE_OK || !r->n_rows)
+	if (r->end != TG_STORE_OK)
+		return;
+	b->store_failed_ms = 0;
+	if (!r->n_rows)
 		return;
 	if (!tg_owner_row_decode(&r->rows[0], &o))
 		set_owner(b, o.released ? "" : o.addr, "row");
@@ -149,7 +152,8 @@
 	struct board *b = board;
 
 	(void)now_ms;
-	if (!*b->owner_addr)
+	/* This read tells as well when the store answers again. */
+	if (!*b->owner_addr || b->store_failed_ms)
 		read_owner(b);
 	tg_members_tick(&b->members);
 }
@@ -163,7 +167,7 @@
 
 const struct tg_controller owner_controller = {
 	.name = "owner",
-	.period_ms = 500,
+	.period_ms = 250,
 	.start = start,
 	.tick = tick,
 	.stop = stop,
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -108,6 +108,17 @@
 	}
 }
 
+/* Runs up to this one can't start there any more. */
+static void refuse_runs(struct worker *w, const char *task, int run)
+{
+	struct refused *x = tg_xcalloc(1, sizeof(*x));
+
+	tg_strlcpy(x->task, task, sizeof(x->task));
+	x->run = run;
+	x->next = w->refused;
+	w->refused = x;
+}
+
 static void end_run(struct worker *w, struct run *r, const char *how)
 {
 	struct run **p = &w->runs;
@@ -122,6 +133,7 @@
 		last = &(*last)->next;
 	*last = e;
 	board.lapsed += !strcmp(how, "lapsed");
+	refuse_runs(w, r->task, r->run);
 	while (*p != r)
 		p = &(*p)->next;
 	*p = r->next;
@@ -310,15 +322,11 @@
 {
 	const char *task = json_string_value(json_object_get(body, "task"));
 	int run = (int)whole(body, "run");
-	struct refused *x = tg_xcalloc(1, sizeof(*x));
 	struct run *r;
 
 	board.stops++;
-	tg_strlcpy(x->task, task ? task : "", sizeof(x->task));
-	x->run = run;
-	x->next = w->refused;
-	w->refused = x;
-	r = find_run(w, x->task, run);
+	refuse_runs(w, task ? task : "", run);
+	r = find_run(w, task ? task : "", run);
 	if (r && !r->stopping) {
 		r->stopping = true;
 		r->stopped_ms = tg_now_ms();
@@ -449,6 +457,12 @@
 void worker_restart(struct worker *w)
 {
 	drop_all(w);
+	while (w->refused) {
+		struct refused *x = w->refused;
+
+		w->refused = x->next;
+		free(x);
+	}
 	begin_life(w);
 	worker_write_entry(w);
 }
