Ask all workers again when ownership comes back

A peer that does not answer a relayed submission no longer counts as the store being down. Rounds pause for twice their length. Test: the last section of site-takeover fails without the reset (workers=0).

--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -108,6 +108,7 @@
 		EXPIRY_MARGIN_MS;
 
 	b->term++;
+	b->directory_read = false;
 	b->role = ROLE_RECOVERING;
 	b->fence = b->owner.fence;
 	b->renewed_ms = tg_now_ms();
@@ -293,8 +294,9 @@
 	if (links_unlisted(b) && now_ms < b->recover_until_ms)
 		return;
 	b->role = ROLE_OWNER;
-	tg_log(EV_FLOW_RECOVERED, "fence=%llu unlisted=%lld",
-	       (unsigned long long)b->fence, (long long)links_unlisted(b));
+	tg_log(EV_FLOW_RECOVERED, "fence=%llu workers=%u unlisted=%lld",
+	       (unsigned long long)b->fence, HASH_COUNT(b->links),
+	       (long long)links_unlisted(b));
 	flow_recovered(b->flow);
 	round_wake(b);
 }
--- a/cmd/tgflowd/round.c
+++ b/cmd/tgflowd/round.c
@@ -7,6 +7,10 @@
 
 /* What has happened is collected this long before the next decision. */
 #define COLLECT_MS 3
+/* A long round is followed by a pause of this many times its length, so that
+ * calls and answers get their share of a small processor. */
+#define PAUSE_FACTOR 2
+#define PAUSE_MAX_MS 200
 /* Times of occurrences, quarantines and missed answers need no finer look. */
 #define PERIOD_MS 100
 #define ORDER_TIMEOUT_MS 600
@@ -15,9 +19,12 @@
  * second copy changes nothing.
  */
 #define START_TRIES 3
+/* An order to a worker that can't be reached counts as not sent after this. */
+#define UNSENT_MS 200
 
 static struct event *timer;
 static struct tg_hist *round_us;
+static int64_t last_round_us;
 
 struct order {
 	struct board *board;
@@ -139,11 +146,26 @@
 	free_order(o);
 }
 
+static void on_unsent(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	on_order(TG_ORDER_NOT_SENT, 0, arg);
+}
+
+/* flow_decide() must not be called back from inside. */
+static void end_later(struct order *o)
+{
+	struct timeval soon = { .tv_usec = UNSENT_MS * 1000 };
+
+	event_base_once(o->board->base, -1, EV_TIMEOUT, on_unsent, o, &soon);
+}
+
 static void send_order(struct order *o)
 {
 	struct board *b = o->board;
 	struct link *l = link_find(b, o->worker);
-	struct tg_worker_ref ref = { .id = l->entry.id, .addr = l->entry.addr };
+	struct tg_worker_ref ref;
 	struct tg_order msg = {
 		.task = o->task,
 		.run = o->run,
@@ -155,6 +177,13 @@
 
 	o->tries++;
 	o->sent_ms = tg_now_ms();
+	if (!l) {
+		/* A worker that only recorded runs have named so far. */
+		end_later(o);
+		return;
+	}
+	ref.id = l->entry.id;
+	ref.addr = l->entry.addr;
 	if (o->start) {
 		msg.until_ms = link_expiry(l);
 		b->site.ops->start(b->site.port, &ref, &msg, on_order, o);
@@ -174,7 +203,7 @@
 	       "clock_age_ms=%lld",
 	       s->ref.job, s->ref.occurrence, s->ref.step, s->ref.index,
 	       s->ref.run, s->worker, *s->saved != '\0', s->reason,
-	       (long long)(tg_now_ms() - l->clock_at_ms));
+	       l ? (long long)(tg_now_ms() - l->clock_at_ms) : -1LL);
 	o->text = tg_xstrdup(s->text);
 	o->saved = tg_xstrdup(s->saved);
 	send_order(o);
@@ -205,7 +234,8 @@
 		return;
 	if (flow_decide(b->flow, tg_now_ms(), tg_wall_ms(), &flow_orders, b))
 		writer_wake(b);
-	tg_hist_add(round_us, (uint64_t)(tg_now_us() - from_us));
+	last_round_us = tg_now_us() - from_us;
+	tg_hist_add(round_us, (uint64_t)last_round_us);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
@@ -217,11 +247,17 @@
 
 void round_wake(struct board *b)
 {
-	struct timeval tv = { .tv_usec = COLLECT_MS * 1000 };
+	int64_t pause_us = PAUSE_FACTOR * last_round_us;
+	struct timeval tv = { 0 };
 
 	if (b->round_wanted)
 		return;
 	b->round_wanted = true;
+	if (pause_us < COLLECT_MS * 1000)
+		pause_us = COLLECT_MS * 1000;
+	if (pause_us > PAUSE_MAX_MS * 1000)
+		pause_us = PAUSE_MAX_MS * 1000;
+	tv.tv_usec = pause_us;
 	event_add(timer, &tv);
 }
 
--- a/cmd/tgqueued/submit.c
+++ b/cmd/tgqueued/submit.c
@@ -120,14 +120,17 @@
 	struct request *r = arg;
 	const struct tg_rpc_answer *a = res;
 	enum tg_job_stored stored = TG_JOB_UNKNOWN;
-	bool failed;
 
 	if (end == TG_RPC_END_NOT_SENT || end == TG_RPC_END_REFUSED)
 		stored = TG_JOB_NOT_STORED;
 	else if (end == TG_RPC_END_OK)
 		stored = tg_job_stored_decode(a->status);
-	failed = stored == TG_JOB_NOT_STORED || stored == TG_JOB_UNKNOWN;
-	r->board->relay_failed_ms = failed ? tg_now_ms() : 0;
+	/* A peer that does not answer says nothing of the store. */
+	if (end == TG_RPC_END_OK)
+		r->board->relay_failed_ms = stored == TG_JOB_NOT_STORED ||
+				stored == TG_JOB_UNKNOWN ?
+			tg_now_ms() :
+			0;
 	end_attempt(r, stored);
 }
 
--- a/tests/script/site-takeover.sh
+++ b/tests/script/site-takeover.sh
@@ -50,3 +50,20 @@
 await_state "$last" 00000000000000a4 completed
 seen '{starts, lapsed}'
 judge
+
+echo "# ownership comes back to an instance that had it before"
+submit "$third" 00000000000000a6 "ms=6000" "$(steps 6)" && echo
+await "six runs" runs_now 6
+control "store?door=$((third - 1))&mode=slow"
+await "store at $third" answers "$third" 200 00000000000000a6
+control "store?door=$((last - 1))&mode=refuse"
+# The owner that is refused starts this one and can't record it.
+submit "$third" 00000000000000a7 "ms=5000" "$(steps 6)" && echo
+await "twelve runs" runs_now 12
+await "the owner of before" owner_of "$third"
+await_state "$third" 00000000000000a6 completed
+await_state "$third" 00000000000000a7 completed
+seen '{starts, lapsed}'
+judge
+# It must have asked all workers again before it started anything.
+sed -n 's/.*EV5501.*\(workers=.*\)/\1/p' "$tmp/flow-$third.out" | tail -n 1
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -27,7 +27,7 @@
 /** struct store_door - one address of the store */
 struct store_door {
 	struct tg_http_server *server;
-	char mode[16]; /* ok, refuse, silent, lose: done but not answered */
+	char mode[16]; /* ok, slow, refuse, silent, lose: done, not answered */
 };
 
 struct row {
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -4,6 +4,9 @@
 
 #include "sited.h"
 
+/* Time of an answer of a slow store. */
+#define SLOW_MS 150
+
 struct waiting {
 	struct evhttp_request *req;
 	char table[KEY_BYTES];
@@ -254,9 +257,38 @@
 	json_decref(body);
 }
 
+struct slow {
+	struct evhttp_request *req;
+	const struct store_door *door;
+};
+
+static void handle(struct evhttp_request *req, const struct store_door *d);
+
+static void handle_slow(void *arg)
+{
+	struct slow *s = arg;
+
+	handle(s->req, s->door);
+	free(s);
+}
+
 void store_request(struct evhttp_request *req, void *arg)
 {
 	const struct store_door *d = arg;
+	struct slow *s;
+
+	if (strcmp(d->mode, "slow") != 0) {
+		handle(req, d);
+		return;
+	}
+	s = tg_xcalloc(1, sizeof(*s));
+	s->req = req;
+	s->door = d;
+	delay_call(board.base, SLOW_MS, handle_slow, s);
+}
+
+static void handle(struct evhttp_request *req, const struct store_door *d)
+{
 	char *path = tg_http_path(req);
 	bool tx = path && !strcmp(path, "/rows-tx");
 	bool lose = !strcmp(d->mode, "lose") && tx;
