--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -154,6 +154,7 @@
 		.far_factor = b->site.set.far_factor,
 		.early_ms = b->site.set.early_ms / 2,
 		.stop_ms = b->site.set.stop_ms,
+		.reclaim_ms = b->site.set.reclaim_ms,
 	};
 	struct tg_follow_opts o = {
 		.site = &b->site,
--- a/cmd/tgflowd/round.c
+++ b/cmd/tgflowd/round.c
@@ -13,7 +13,7 @@
 #define PAUSE_MAX_MS 200
 /* Times of occurrences, quarantines and missed answers need no finer look. */
 #define PERIOD_MS 100
-#define ORDER_TIMEOUT_MS 600
+#define ORDER_TIMEOUT_MS 900
 /*
  * A start without an answer is sent again: it names the same run, so that a
  * second copy changes nothing.
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -63,10 +63,12 @@
  * @early_ms: an occurrence may start this long before its time
  * @stop_ms: longest time from a stop to the end of the run; a worker need not
  *	list the run meanwhile, although it takes room
+ * @reclaim_ms: a job within its workspace's guarantee has begun by then; 0 for
+ *	no bound
  */
 struct flow_opts {
 	double far_factor;
-	int64_t early_ms, stop_ms;
+	int64_t early_ms, stop_ms, reclaim_ms;
 };
 
 struct flow;
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -169,6 +169,10 @@
 size_t flow_order(struct flow *f, int64_t now_ms, struct job ***out);
 /** flow_may_preempt() - whether runs of a greater rank may be stopped for it */
 bool flow_may_preempt(const struct job *j);
+/** flow_must_spread() - whether its gang may span racks so as to begin in time
+ */
+bool flow_must_spread(const struct flow *f, const struct job *j,
+		      int64_t now_ms);
 
 /* place.c */
 /**
--- a/lib/flow/order.c
+++ b/lib/flow/order.c
@@ -11,6 +11,10 @@
 /* A job is worth a part of its value until this many times its objective. */
 #define LATE_FACTOR 3
 
+/* From a decision to stop others to the start in their room, besides stop_ms.
+ */
+#define SPREAD_MARGIN_MS 350
+
 enum { RANK_GUARANTEED, RANK_URGENT, RANK_OTHERS };
 
 /* Longest chain of declared times from step @i on, done steps left out. */
@@ -161,3 +165,10 @@
 {
 	return j->rank <= RANK_URGENT;
 }
+
+bool flow_must_spread(const struct flow *f, const struct job *j, int64_t now_ms)
+{
+	return j->rank == RANK_GUARANTEED && f->opts.reclaim_ms > 0 &&
+		now_ms - j->accepted_ms >
+		f->opts.reclaim_ms - f->opts.stop_ms - SPREAD_MARGIN_MS;
+}
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -421,8 +421,11 @@
 {
 	int32_t n;
 
-	if (s->step->within_rack && some_rack_suffices(s, want))
-		return fill_one_rack(s, want, out);
+	if (s->step->within_rack && some_rack_suffices(s, want)) {
+		n = fill_one_rack(s, want, out);
+		if (n == want || !flow_must_spread(s->f, s->job, s->now_ms))
+			return n;
+	}
 	n = fill(s, want, out);
 	if (n == want)
 		return n;
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -5,13 +5,16 @@
 #include "fleet.h"
 
 #define STOP_MS 900
+#define RECLAIM_MS 3400
 
 static struct flow *f;
 static struct orders o;
 
 static void setup(void)
 {
-	struct flow_opts opts = { .far_factor = 3, .stop_ms = STOP_MS };
+	struct flow_opts opts = { .far_factor = 3,
+				  .stop_ms = STOP_MS,
+				  .reclaim_ms = RECLAIM_MS };
 	struct flow_queue q[] = { fleet_queue("urgent", 0),
 				  fleet_queue("normal", 1),
 				  fleet_queue("low", 2) };
@@ -245,6 +248,33 @@
 }
 END_TEST
 
+/*
+ * A guaranteed gang that prefers one rack waited for ever while each rack had a
+ * guaranteed run (RECLAIM, jurisum mix seed 977205878380).
+ */
+START_TEST(guaranteed_gang_spans_racks_in_time)
+{
+	struct flow_spec *s = fleet_spec(2, 8, true);
+	struct flow_quota q = { "w", 64 };
+
+	flow_set_quotas(f, &q, 1);
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_worker(f, "w2", "r2", 8);
+	fleet_add_job(f, "j1", "urgent", fleet_spec(2, 8, false), 0);
+	fleet_decide(f, &o, 1);
+	fleet_confirm(f, &o, 2);
+	ck_assert_int_eq(o.n_starts, 2);
+	fleet_add_worker(f, "w3", "r1", 8);
+	fleet_add_worker(f, "w4", "r2", 8);
+	s->steps[0].within_rack = true;
+	fleet_add_job(f, "j2", "urgent", s, 10);
+	fleet_decide(f, &o, 11);
+	ck_assert_int_eq(o.n_starts, 0);
+	fleet_decide(f, &o, 10 + RECLAIM_MS - STOP_MS);
+	ck_assert_int_eq(o.n_starts, 2);
+}
+END_TEST
+
 /* A task must not start again after its last attempt has failed. */
 START_TEST(attempts_are_limited)
 {
@@ -572,6 +602,7 @@
 	tcase_add_test(t, urgent_gets_the_room_it_made);
 	tcase_add_test(t, cheapest_rack_is_emptied);
 	tcase_add_test(t, gang_is_one_victim);
+	tcase_add_test(t, guaranteed_gang_spans_racks_in_time);
 	tcase_add_test(t, attempts_are_limited);
 	tcase_add_test(t, failures_count_in_any_order);
 	tcase_add_test(t, unknown_jobs_are_told);
