Split large files, remove what nothing uses, test the adapter without processes

The directory leaves links.c, victims leave place.c; one place opens the logs and settings of both daemons; constants of clocks stand once. Settings that nothing reads are gone. tests/unit/platform: foreign and broken entries, documents, settings.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -21,6 +21,11 @@
 #undef TG_EVENT
 };
 
+/* Clocks of workers may be this much slow, as the platform says. */
+#define CLOCK_SLOW_PERCENT 2
+/* Beyond that before a lease counts as expired: rounding and late timers. */
+#define EXPIRY_MARGIN_MS 200
+
 struct settings {
 	struct tg_site_flags flags;
 	int64_t lease_ms, keep_ms;
@@ -127,10 +132,17 @@
 void jobs_stored(struct board *b, const struct tg_row *row);
 void jobs_apply_document(struct board *b);
 
-/* links.c */
+/* directory.c */
+/** links_open() - follow the directory; each worker gets a link */
 void links_open(struct board *b);
 void links_close(struct board *b);
+
+/* links.c */
 struct link *link_find(struct board *b, const char *id);
+/** link_set_boot() - another boot than before has lost its runs */
+void link_set_boot(struct link *l, int64_t boot_ms);
+/** link_next() - ask for its lists if it is time */
+void link_next(struct link *l);
 /** links_mark() - the write that begins covers all ends known so far */
 void links_mark(struct board *b);
 /** links_noted() - the marked ends are durable */
--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -151,7 +151,6 @@
 {
 	static const char *parts[TG_JOB_PARTS];
 	struct flow_opts fo = {
-		.far_factor = b->site.set.far_factor,
 		.early_ms = b->site.set.early_ms / 2,
 		.stop_ms = b->site.set.stop_ms,
 		.reclaim_ms = b->site.set.reclaim_ms,
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -23,9 +23,6 @@
 #define UNNOTED_PAUSE_MS 300
 /* A run of a job that is still unknown after this is stopped. */
 #define UNKNOWN_MS 2000
-/* Clocks of workers may be this much slow. */
-#define CLOCK_SLOW_PERCENT 2
-#define EXPIRY_MARGIN_MS 200
 
 struct look {
 	struct board *board;
@@ -114,7 +111,7 @@
 	round_wake(b);
 }
 
-static void set_boot(struct link *l, int64_t boot_ms)
+void link_set_boot(struct link *l, int64_t boot_ms)
 {
 	if (!boot_ms || boot_ms == l->boot_ms)
 		return;
@@ -252,7 +249,7 @@
 {
 	struct board *b = l->board;
 
-	set_boot(l, r->boot_ms);
+	link_set_boot(l, r->boot_ms);
 	/* Answers on different connections overtake each other. */
 	if (r->clock_ms < l->clock_ms)
 		return;
@@ -313,7 +310,7 @@
 		lose_runs(l, EV_FLOW_WORKER_LOST, "it has left");
 }
 
-static void next_look(struct link *l)
+void link_next(struct link *l)
 {
 	int64_t now_ms = tg_now_ms();
 
@@ -349,12 +346,12 @@
 	else if (!k->extra)
 		look_failed(l, r->end);
 	if (r->end == TG_ORDER_OTHER_BOOT && l->boot_ms)
-		set_boot(l, -1);
+		link_set_boot(l, -1);
 	if (l->look_again && !l->looking) {
 		l->look_again = false;
 		link_look(l);
 	}
-	next_look(l);
+	link_next(l);
 out:
 	free(k);
 }
@@ -387,7 +384,7 @@
 		if (l->failed || l->processed_n > l->noted_n)
 			continue;
 		l->next_ms = 0;
-		next_look(l);
+		link_next(l);
 	}
 }
 
@@ -412,147 +409,6 @@
 	return n;
 }
 
-static void tell_flow(struct link *l)
-{
-	struct flow_worker_spec s = {
-		.id = l->entry.id,
-		.service = l->entry.service,
-		.az = l->entry.az,
-		.rack = l->entry.rack,
-		.capacity = l->entry.capacity,
-		.draining = l->entry.draining,
-		.remaining_ms = l->entry.remaining_ms,
-	};
-	int i;
-
-	for (i = 0; i < l->entry.n_labels; i++)
-		s.labels[s.n_labels++] = l->entry.labels[i];
-	flow_worker_set(l->board->flow, &s);
-	flow_worker_suspect(l->board->flow, l->entry.id,
-			    l->failed || !l->present);
-	round_wake(l->board);
-}
-
-static void worker_gone(struct board *b, const char *id)
-{
-	struct link *l = link_find(b, id);
-
-	if (!l || !l->present)
-		return;
-	tg_log(EV_FLOW_WORKER_GONE, "worker=%s failed=%d", id, l->failed);
-	l->present = false;
-	l->gone_ms = tg_now_ms();
-	flow_worker_suspect(b->flow, id, true);
-}
-
-static struct link *new_link(struct board *b, const struct tg_worker_entry *e)
-{
-	struct link *l = tg_xcalloc(1, sizeof(*l));
-
-	l->board = b;
-	l->entry = *e;
-	/* A former owner may have started something there. */
-	l->loaded = b->role == ROLE_RECOVERING;
-	l->expires_at_ms = b->recover_until_ms;
-	HASH_ADD(hh, b->links, entry.id, strlen(l->entry.id), l);
-	return l;
-}
-
-/* A worker with recorded runs that has left the directory. */
-static void add_absent(const char *id, void *arg)
-{
-	struct board *b = arg;
-	struct tg_worker_entry e = { .remaining_ms = -1 };
-
-	if (link_find(b, id))
-		return;
-	tg_strlcpy(e.id, id, sizeof(e.id));
-	new_link(b, &e)->failed = true;
-}
-
-static void on_worker_row(const struct tg_row *row, void *arg)
-{
-	struct board *b = arg;
-	struct tg_worker_entry e;
-	struct link *l;
-
-	if (row->deleted) {
-		worker_gone(b, row->key);
-		return;
-	}
-	if (b->site.ops->worker(row, &e)) {
-		tg_log(EV_ROW_BAD, "table=%s key=%s version=%lld", row->table,
-		       row->key, (long long)row->version);
-		return;
-	}
-	l = link_find(b, e.id);
-	if (!l)
-		l = new_link(b, &e);
-	if (!l->present || l->entry.draining != e.draining)
-		tg_log(EV_FLOW_WORKER_SEEN,
-		       "worker=%s az=%s rack=%s draining=%d remaining_ms=%lld "
-		       "boot=%lld version=%lld",
-		       e.id, e.az, e.rack, e.draining,
-		       (long long)e.remaining_ms, (long long)e.boot_ms,
-		       (long long)row->version);
-	l->entry = e;
-	l->present = true;
-	l->in_scan = true;
-	set_boot(l, e.boot_ms);
-	tell_flow(l);
-	next_look(l);
-}
-
-static void on_directory_scan(void *arg)
-{
-	struct board *b = arg;
-	struct link *l;
-
-	for (l = b->links; l; l = l->hh.next)
-		l->in_scan = false;
-}
-
-static void on_directory_read(void *arg)
-{
-	struct board *b = arg;
-	struct link *l;
-
-	for (l = b->links; l; l = l->hh.next)
-		if (!l->in_scan)
-			worker_gone(b, l->entry.id);
-	if (!b->directory_read)
-		flow_absent_workers(b->flow, add_absent, b);
-	b->directory_read = true;
-	owner_check_recovered(b);
-}
-
-void links_open(struct board *b)
-{
-	struct tg_follow_opts o = {
-		.site = &b->site,
-		.table = b->site.ops->directory_table,
-		.on_scan = on_directory_scan,
-		.on_row = on_worker_row,
-		.on_scanned = on_directory_read,
-		.arg = b,
-	};
-
-	b->directory_read = false;
-	b->directory = tg_follow_new(&o);
-}
-
-void links_close(struct board *b)
-{
-	struct link *l, *tmp;
-
-	tg_follow_free(b->directory);
-	b->directory = NULL;
-	HASH_ITER(hh, b->links, l, tmp) {
-		HASH_DEL(b->links, l);
-		free(l);
-	}
-}
-
 /* Leases that nobody can have renewed since are over. */
 static void check_expiry(struct link *l, int64_t now_ms)
 {
@@ -576,7 +432,7 @@
 	if (!IS_OWNER(b))
 		return;
 	HASH_ITER(hh, b->links, l, tmp)
-		next_look(l);
+		link_next(l);
 	HASH_ITER(hh, b->links, l, tmp)
 		check_expiry(l, now_ms);
 }
--- a/cmd/tgflowd/main.c
+++ b/cmd/tgflowd/main.c
@@ -1,6 +1,3 @@
-#include <stdlib.h>
-#include <unistd.h>
-
 #include "board.h"
 #include "platform/platform.h"
 
@@ -54,7 +51,6 @@
 		.drain_grace_ms = DRAIN_GRACE_MS,
 		.drain_max_ms = DRAIN_MAX_MS,
 	};
-	const char *path;
 	int status;
 
 	switch (tg_settings_load(&spec, argc, argv, &b.set, NULL)) {
@@ -65,18 +61,10 @@
 	default:
 		break;
 	}
-	path = b.set.flags.settings ? b.set.flags.settings :
-				      getenv(tg_platform_settings_env);
-	tg_log_open("tgflowd", b.set.flags.log_level);
-	tg_log_to(STDOUT_FILENO);
-	tg_log_register(events);
-	tg_log_register(tg_site_events);
-	tg_log_register(tg_platform_events);
-	tg_log_register(tg_rpc_events);
-	tg_log_register(tg_http_events);
+	tg_site_log_open("tgflowd", &tg_platform_ops, &b.set.flags, events);
 	tg_rng_seed(&b.rng);
 	b.base = event_base_new();
-	if (tg_site_open(&b.site, b.base, &tg_platform_ops, path ? path : ""))
+	if (tg_site_open(&b.site, b.base, &tg_platform_ops, &b.set.flags))
 		return TG_EXIT_USAGE;
 	b.document = tg_document_new(&b.site, on_document, &b);
 	daemon.base = b.base;
--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -25,10 +25,6 @@
  * enough for the usual outages of the store, in which nobody can take over.
  */
 #define KEEP_MS 10000
-/* Clocks of workers may be this much slow. */
-#define CLOCK_SLOW_PERCENT 2
-#define EXPIRY_MARGIN_MS 500
-
 static struct {
 	bool pinging, reading, was_silent;
 	bool gone; /* the process that wrote the row has ended */
--- a/cmd/tgflowd/rpc.c
+++ b/cmd/tgflowd/rpc.c
@@ -38,6 +38,16 @@
 	return false;
 }
 
+/* Whether the job is known; otherwise the call is answered. */
+static bool find_job(struct board *b, struct tg_rpc_req *req, const char *job,
+		     struct flow_view *v)
+{
+	if (flow_view(b->flow, job, v))
+		return true;
+	answer(b, req, TG_RPC_NOT_FOUND, NULL, "no such job");
+	return false;
+}
+
 static void ping(struct tg_rpc_req *req, void *args, void *arg)
 {
 	struct board *b = arg;
@@ -101,12 +111,8 @@
 	const struct tg_rpc_job *a = args;
 	struct flow_view v;
 
-	if (!serves(b, req))
+	if (!serves(b, req) || !find_job(b, req, a->job, &v))
 		return;
-	if (!flow_view(b->flow, a->job, &v)) {
-		answer(b, req, TG_RPC_NOT_FOUND, NULL, "no such job");
-		return;
-	}
 	/* An end counts once it is durable. */
 	if (v.state >= FLOW_COMPLETED && !v.durable)
 		v.state = FLOW_RUNNING;
@@ -133,12 +139,8 @@
 	const struct tg_rpc_job *a = args;
 	struct flow_view v;
 
-	if (!serves(b, req))
+	if (!serves(b, req) || !find_job(b, req, a->job, &v))
 		return;
-	if (!flow_view(b->flow, a->job, &v)) {
-		answer(b, req, TG_RPC_NOT_FOUND, NULL, "no such job");
-		return;
-	}
 	answer(b, req, TG_RPC_OK,
 	       json_pack("{s:s,s:b,s:I,s:I,s:I,s:I}", "state",
 			 flow_state_name(v.state), "durable", v.durable,
--- a/cmd/tgqueued/main.c
+++ b/cmd/tgqueued/main.c
@@ -1,6 +1,3 @@
-#include <stdlib.h>
-#include <unistd.h>
-
 #include "board.h"
 #include "platform/platform.h"
 
@@ -45,7 +42,6 @@
 		.controllers = controllers,
 		.board = &b,
 	};
-	const char *path;
 	int status;
 
 	switch (tg_settings_load(&spec, argc, argv, &b.set, NULL)) {
@@ -56,17 +52,9 @@
 	default:
 		break;
 	}
-	path = b.set.flags.settings ? b.set.flags.settings :
-				      getenv(tg_platform_settings_env);
-	tg_log_open("tgqueued", b.set.flags.log_level);
-	tg_log_to(STDOUT_FILENO);
-	tg_log_register(events);
-	tg_log_register(tg_site_events);
-	tg_log_register(tg_platform_events);
-	tg_log_register(tg_rpc_events);
-	tg_log_register(tg_http_events);
+	tg_site_log_open("tgqueued", &tg_platform_ops, &b.set.flags, events);
 	b.base = event_base_new();
-	if (tg_site_open(&b.site, b.base, &tg_platform_ops, path ? path : ""))
+	if (tg_site_open(&b.site, b.base, &tg_platform_ops, &b.set.flags))
 		return TG_EXIT_USAGE;
 	b.document = tg_document_new(&b.site, NULL, NULL);
 	daemon.base = b.base;
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -59,7 +59,6 @@
 
 /**
  * struct flow_opts - options of a flow
- * @far_factor: how much longer a task takes away from its rack
  * @early_ms: an occurrence may start this long before its time
  * @stop_ms: longest time from a stop to the end of the run; a worker need not
  *	list the run meanwhile, although it takes room
@@ -67,7 +66,6 @@
  *	no bound
  */
 struct flow_opts {
-	double far_factor;
 	int64_t early_ms, stop_ms, reclaim_ms;
 };
 
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -1,68 +1,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "flow/flow_internal.h"
+#include "flow/place_internal.h"
 
 /*
  * Placement by best fit, a gang whole or not at all.  Load it answers: gangs of
  * tasks with all accelerators of a worker beside many tasks with one.
  */
 
-/* What counts as room, in the order in which it is tried. */
-enum room_kind {
-	ROOM_FREE, /* now */
-	ROOM_STOPPING, /* when the runs that are being stopped have ended */
-	ROOM_VICTIMS, /* after stopping runs of lower rank */
-};
-
-/* About the time that a stop takes. */
-#define SOON_MS 300
 /* Slower workers are passed over, as if they had more free accelerators. */
 #define SLOW_SPEED 0.6
 #define SLOW_COST 60000000
 
-struct search {
-	struct flow *f;
-	struct job *job;
-	struct inst *inst;
-	const struct flow_step *step;
-	struct flow_shape need;
-	int64_t now_ms;
-	enum room_kind kind;
-	const char *rack; /* only workers of this one, if not NULL */
-	int64_t cost; /* of the victims of fill() */
-};
-
-/* A run that ends by itself sooner than a stop would end another. */
-static bool ends_soon(const struct search *s, const struct run *r)
-{
-	return r->state == RUN_ACTIVE &&
-		!flow_step_of(r->job, r->inst)->endless &&
-		flow_remaining_ms(r, s->now_ms) <= SOON_MS;
-}
-
-static struct flow_shape room_of(const struct search *s, const struct worker *w,
-				 enum room_kind kind)
-{
-	struct flow_shape room = w->capacity;
-	const struct run *r;
-
-	flow_shape_add(&room, &w->used, -1);
-	flow_shape_add(&room, &w->reserved, -1);
-	if (kind == ROOM_FREE)
-		return room;
-	flow_shape_add(&room, &w->stopping, 1);
-	flow_shape_add(&room, &w->victims, 1);
-	for (r = w->runs; r; r = r->next)
-		if (!r->victim && ends_soon(s, r)) {
-			struct flow_shape freed =
-				flow_room(flow_step_of(r->job, r->inst));
-
-			flow_shape_add(&room, &freed, 1);
-		}
-	return room;
-}
-
 static bool has_label(const struct worker *w, const char *label)
 {
 	int32_t i;
@@ -103,106 +52,6 @@
 		on_worker(s, w, out, n) < s->step->per_worker_max;
 }
 
-/* Work that is lost if @r is stopped now, in accelerator-milliseconds. */
-static int64_t lost_work(const struct search *s, const struct run *r)
-{
-	const struct flow_step *st = flow_step_of(r->job, r->inst);
-	int64_t weight = st->shape.accelerators + 1;
-	int64_t ran_ms = s->now_ms - r->since_ms;
-
-	/* One member takes the others with it. */
-	if (st->gang)
-		weight *= st->tasks;
-	/* A checkpoint keeps most of it; stopping has a cost of its own. */
-	return weight * (st->checkpoints ? ran_ms / 8 + 200 : ran_ms + 500);
-}
-
-static bool may_stop(const struct search *s, const struct run *r)
-{
-	if (r->state == RUN_STOPPING || r->victim || !r->job->q ||
-	    ends_soon(s, r))
-		return false;
-	return r->job->rank > s->job->rank;
-}
-
-static void mark_victim(struct run *r)
-{
-	struct flow_shape freed = flow_room(flow_step_of(r->job, r->inst));
-
-	if (r->victim || r->state == RUN_STOPPING)
-		return;
-	r->victim = true;
-	flow_shape_add(&r->worker->victims, &freed, 1);
-}
-
-/* A gang ends with its member, so all its room will be free. */
-static void mark_victims(struct run *r)
-{
-	const struct flow_step *st = flow_step_of(r->job, r->inst);
-	int32_t i;
-
-	mark_victim(r);
-	for (i = 0; st->gang && i < st->tasks; i++)
-		if (r->inst->tasks[i].run)
-			mark_victim(r->inst->tasks[i].run);
-}
-
-static struct run *cheapest_victim(const struct search *s,
-				   const struct worker *w)
-{
-	struct run *r, *best = NULL;
-
-	for (r = w->runs; r; r = r->next)
-		if (may_stop(s, r) && !r->considered &&
-		    (!best || r->job->rank > best->job->rank ||
-		     (r->job->rank == best->job->rank &&
-		      lost_work(s, r) < lost_work(s, best))))
-			best = r;
-	return best;
-}
-
-/* Adds the room of @v and of the other members of its gang on its worker. */
-static void consider(struct run *v, struct flow_shape *room)
-{
-	struct flow_shape freed = flow_room(flow_step_of(v->job, v->inst));
-	bool gang = flow_step_of(v->job, v->inst)->gang;
-	struct run *r;
-
-	for (r = v->worker->runs; r; r = r->next)
-		if (r == v ||
-		    (gang && r->inst == v->inst && !r->victim &&
-		     r->state != RUN_STOPPING)) {
-			r->considered = true;
-			flow_shape_add(room, &freed, 1);
-		}
-}
-
-/* Marks the cheapest runs of @w whose end makes room; the cost, or -1. */
-static int64_t choose_victims(const struct search *s, struct worker *w,
-			      bool mark)
-{
-	struct flow_shape room = room_of(s, w, ROOM_STOPPING);
-	int64_t cost = 0;
-	struct run *r;
-
-	while (!flow_fits(&s->need, &room)) {
-		struct run *v = cheapest_victim(s, w);
-
-		if (!v) {
-			cost = -1;
-			break;
-		}
-		cost += lost_work(s, v);
-		consider(v, &room);
-	}
-	for (r = w->runs; r; r = r->next) {
-		if (r->considered && mark && cost >= 0)
-			mark_victims(r);
-		r->considered = false;
-	}
-	return cost;
-}
-
 /* Lower is better: a tight fit, near the data, on a worker of good record. */
 static int64_t misfit(const struct search *s, const struct worker *w,
 		      const struct flow_shape *room, const struct task *t)
@@ -235,11 +84,11 @@
 		if (s->kind == ROOM_VICTIMS) {
 			if (!flow_fits(&s->need, &w->capacity))
 				continue;
-			cost = choose_victims(s, w, false);
+			cost = flow_choose_victims(s, w, false);
 			if (cost < 0)
 				continue;
 		} else {
-			room = room_of(s, w, s->kind);
+			room = flow_room_of(s, w, s->kind);
 			if (!flow_fits(&s->need, &room))
 				continue;
 			cost = misfit(s, w, &room, t);
@@ -269,7 +118,7 @@
 		if (!w)
 			break;
 		if (s->kind == ROOM_VICTIMS)
-			s->cost += choose_victims(s, w, true);
+			s->cost += flow_choose_victims(s, w, true);
 		flow_shape_add(&w->reserved, &s->need, 1);
 		out[n++] = w;
 	}
@@ -278,33 +127,10 @@
 
 static void release(const struct search *s, struct worker **out, int32_t n)
 {
-	struct worker *w;
-	struct run *r;
-
 	while (n > 0)
 		flow_shape_add(&out[--n]->reserved, &s->need, -1);
-	if (s->kind != ROOM_VICTIMS)
-		return;
-	for (w = s->f->workers; w; w = w->hh.next)
-		for (r = w->runs; r; r = r->next)
-			if (r->victim && r->state != RUN_STOPPING &&
-			    !r->victim_kept) {
-				struct flow_shape freed = flow_room(
-					flow_step_of(r->job, r->inst));
-
-				r->victim = false;
-				flow_shape_add(&w->victims, &freed, -1);
-			}
-}
-
-static void keep_victims(struct flow *f)
-{
-	struct worker *w;
-	struct run *r;
-
-	for (w = f->workers; w; w = w->hh.next)
-		for (r = w->runs; r; r = r->next)
-			r->victim_kept = r->victim;
+	if (s->kind == ROOM_VICTIMS)
+		flow_drop_victims(s->f);
 }
 
 /* Tasks of the step that fit on one worker. */
@@ -335,7 +161,7 @@
 
 		if (!eligible(s, w))
 			continue;
-		room = empty ? w->capacity : room_of(s, w, s->kind);
+		room = empty ? w->capacity : flow_room_of(s, w, s->kind);
 		n += slots(s, &room);
 	}
 	s->rack = NULL;
@@ -465,6 +291,6 @@
 	}
 	if (n > 0)
 		*wait = s.kind != ROOM_FREE;
-	keep_victims(f);
+	flow_keep_victims(f);
 	return n;
 }
--- /dev/null
+++ b/lib/flow/place_internal.h
@@ -0,0 +1,42 @@
+#ifndef TG_FLOW_PLACE_INTERNAL_H
+#define TG_FLOW_PLACE_INTERNAL_H
+
+#include "flow/flow_internal.h"
+
+/* What counts as room, in the order in which it is tried. */
+enum room_kind {
+	ROOM_FREE, /* now */
+	ROOM_STOPPING, /* when the runs that are being stopped have ended */
+	ROOM_VICTIMS, /* after stopping runs of lower rank */
+};
+
+/** struct search - a search for workers for tasks of one step */
+struct search {
+	struct flow *f;
+	struct job *job;
+	struct inst *inst;
+	const struct flow_step *step;
+	struct flow_shape need;
+	int64_t now_ms;
+	enum room_kind kind;
+	const char *rack; /* only workers of this one, if not NULL */
+	int64_t cost; /* of the victims of fill() */
+};
+
+/** flow_room_of() - room on a worker that counts for a search */
+struct flow_shape flow_room_of(const struct search *s, const struct worker *w,
+			       enum room_kind kind);
+/**
+ * flow_choose_victims() - the cheapest runs of a worker whose end makes room
+ * @mark: they are to be stopped
+ *
+ * Return: the work that is lost, or -1 if there is no room even so.
+ */
+int64_t flow_choose_victims(const struct search *s, struct worker *w,
+			    bool mark);
+/** flow_keep_victims() - the search that marked them has succeeded */
+void flow_keep_victims(struct flow *f);
+/** flow_drop_victims() - forget those of a search that failed */
+void flow_drop_victims(struct flow *f);
+
+#endif
--- a/lib/port/port.c
+++ b/lib/port/port.c
@@ -4,28 +4,6 @@
 
 #include "port/port.h"
 
-const struct tg_queue *tg_site_queue(const struct tg_site_doc *d,
-				     const char *name)
-{
-	size_t i;
-
-	for (i = 0; i < d->n_queues; i++)
-		if (!strcmp(d->queues[i].name, name))
-			return &d->queues[i];
-	return NULL;
-}
-
-const struct tg_workspace *tg_site_workspace(const struct tg_site_doc *d,
-					     const char *name)
-{
-	size_t i;
-
-	for (i = 0; i < d->n_workspaces; i++)
-		if (!strcmp(d->workspaces[i].name, name))
-			return &d->workspaces[i];
-	return NULL;
-}
-
 /* A host may come with a port. */
 static bool same_host(const char *host, const char *given)
 {
@@ -85,11 +63,8 @@
 		free(d->workspaces[i].keys);
 		free(d->workspaces[i].name);
 	}
-	for (i = 0; i < d->n_services; i++)
-		free(d->services[i].name);
 	free(d->queues);
 	free(d->workspaces);
-	free(d->services);
 	free(d);
 }
 
--- a/lib/port/port.h
+++ b/lib/port/port.h
@@ -184,24 +184,14 @@
 	int32_t guaranteed; /* accelerators */
 };
 
-struct tg_backend {
-	char *name;
-	bool guards; /* its workers refuse what doesn't fit */
-};
-
 struct tg_site_doc {
 	int64_t generation;
 	struct tg_queue *queues;
 	struct tg_workspace *workspaces;
-	struct tg_backend *services;
-	size_t n_queues, n_workspaces, n_services;
+	size_t n_queues, n_workspaces;
 	int64_t body_bytes;
 };
 
-const struct tg_queue *tg_site_queue(const struct tg_site_doc *d,
-				     const char *name);
-const struct tg_workspace *tg_site_workspace(const struct tg_site_doc *d,
-					     const char *name);
 /** tg_site_match() - queue of a host and a path: the longest prefix */
 const struct tg_queue *tg_site_match(const struct tg_site_doc *d,
 				     const char *host, const char *path);
@@ -251,16 +241,17 @@
 	int32_t peers_port;
 	int64_t grace_ms; /* from SIGTERM to SIGKILL */
 	int64_t heartbeat_ms; /* between two writes of a worker's entry */
-	int64_t lease_max_ms, stop_ms, gang_ms, early_ms, status_ms;
-	int64_t reclaim_ms;
-	double far_factor;
+	int64_t lease_max_ms, stop_ms, early_ms, status_ms, reclaim_ms;
 };
 
 /* --- the adapter --- */
 
 struct tg_port;
 
+/** struct tg_port_ops - an adapter; @settings_env is a variable's name */
 struct tg_port_ops {
+	const struct tg_event_info *events;
+	const char *settings_env;
 	int (*settings)(const char *path, struct tg_site_settings *out,
 			struct tg_findings *f);
 	struct tg_port *(*open)(struct event_base *base,
--- a/lib/site/follow.c
+++ b/lib/site/follow.c
@@ -16,7 +16,7 @@
 	struct event *retry;
 	int64_t after; /* version up to which rows are known; 0: not scanned */
 	int64_t scan_version; /* of the first answer of a scan */
-	int64_t answered_ms, lost_ms;
+	int64_t lost_ms; /* since when the store does not answer, or 0 */
 	int part;
 	char from[256];
 	bool scanning, calling, freed, finished;
@@ -47,7 +47,6 @@
 			tg_log(EV_STORE_REGAINED, "table=%s after_ms=%lld",
 			       f->opts.table, (long long)(now_ms - f->lost_ms));
 		f->lost_ms = 0;
-		f->answered_ms = now_ms;
 	} else if (!f->lost_ms) {
 		f->lost_ms = now_ms;
 		tg_log(EV_STORE_LOST, "table=%s", f->opts.table);
@@ -192,8 +191,3 @@
 	else
 		free(f);
 }
-
-int64_t tg_follow_age_ms(const struct tg_follow *f)
-{
-	return f->answered_ms ? tg_now_ms() - f->answered_ms : INT64_MAX;
-}
--- a/lib/site/site.c
+++ b/lib/site/site.c
@@ -1,7 +1,9 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "http/http.h"
 #include "site/site.h"
 
 const struct tg_event_info tg_site_events[] = {
@@ -31,17 +33,33 @@
 	tg_findings_free(&f);
 }
 
+void tg_site_log_open(const char *prog, const struct tg_port_ops *ops,
+		      const struct tg_site_flags *flags,
+		      const struct tg_event_info *events)
+{
+	tg_log_open(prog, flags->log_level);
+	tg_log_to(STDOUT_FILENO);
+	tg_log_register(events);
+	tg_log_register(ops->events);
+	tg_log_register(tg_site_events);
+	tg_log_register(tg_rpc_events);
+	tg_log_register(tg_http_events);
+}
+
 int tg_site_open(struct tg_site *s, struct event_base *base,
-		 const struct tg_port_ops *ops, const char *path)
+		 const struct tg_port_ops *ops,
+		 const struct tg_site_flags *flags)
 {
+	const char *path =
+		flags->settings ? flags->settings : getenv(ops->settings_env);
 	struct tg_findings f = { 0 };
 	int err;
 
 	memset(s, 0, sizeof(*s));
 	s->base = base;
 	s->ops = ops;
-	s->path = path;
-	err = ops->settings(path, &s->set, &f);
+	s->path = path ? path : "";
+	err = ops->settings(s->path, &s->set, &f);
 	if (err)
 		tg_findings_print(&f, stderr, "settings");
 	tg_findings_free(&f);
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -46,13 +46,21 @@
 	const char *path;
 };
 
+/**
+ * tg_site_log_open() - log to standard output
+ * @events: of the program; those of the libraries are added
+ */
+void tg_site_log_open(const char *prog, const struct tg_port_ops *ops,
+		      const struct tg_site_flags *flags,
+		      const struct tg_event_info *events);
 /**
  * tg_site_open() - read the settings, open the port, reread on SIGHUP
  *
  * Return: 0, or -1 after all findings were printed to stderr.
  */
 int tg_site_open(struct tg_site *s, struct event_base *base,
-		 const struct tg_port_ops *ops, const char *path);
+		 const struct tg_port_ops *ops,
+		 const struct tg_site_flags *flags);
 void tg_site_close(struct tg_site *s);
 
 /* --- rows --- */
@@ -178,8 +186,6 @@
 
 struct tg_follow *tg_follow_new(const struct tg_follow_opts *opts);
 void tg_follow_free(struct tg_follow *f);
-/** tg_follow_age_ms() - since the store last answered; INT64_MAX if never */
-int64_t tg_follow_age_ms(const struct tg_follow *f);
 
 /* --- document --- */
 
--- a/tests/site-lib.sh
+++ b/tests/site-lib.sh
@@ -50,11 +50,9 @@
 		bounds.grace-s=3
 		bounds.hold-max-ms=10000
 		bounds.stop-ms=200
-		bounds.gang-ms=3000
 		bounds.status_s=$status_s
 		bounds.reclaim-ms=3400
 		bounds.early_ms=250
-		bounds.far-x=3
 		unknown.field=ignored
 	END
 	start "queue-$n" tgqueued --settings="$tmp/i$n.conf"
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -12,8 +12,7 @@
 
 static void setup(void)
 {
-	struct flow_opts opts = { .far_factor = 3,
-				  .stop_ms = STOP_MS,
+	struct flow_opts opts = { .stop_ms = STOP_MS,
 				  .reclaim_ms = RECLAIM_MS };
 	struct flow_queue q[] = { fleet_queue("urgent", 0),
 				  fleet_queue("normal", 1),
--- /dev/null
+++ b/tests/unit/platform/test-platform.c
@@ -0,0 +1,146 @@
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "../run.h"
+#include "platform/platform.h"
+
+#define CAPACITY "\"capacity\":{\"cpu\":1000,\"mem-mb\":2000,\"gpu\":8}"
+#define ENTRY \
+	"\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\"," CAPACITY
+
+static int decode(const char *text, struct tg_worker_entry *out)
+{
+	struct tg_row row = { .key = "w1",
+			      .value = text,
+			      .value_bytes = strlen(text) };
+
+	return tg_platform_ops.worker(&row, out);
+}
+
+/* An entry of another writer must name no worker, and harm nothing. */
+START_TEST(foreign_entries_name_no_worker)
+{
+	static const char *const bad[] = {
+		"",
+		"not JSON",
+		"[]",
+		"{}",
+		"{" ENTRY "}",
+		"{" ENTRY ",\"state\":\"resting\"}",
+		"{" ENTRY ",\"state\":7}",
+		"{" ENTRY ",\"state\":\"ready\",\"labels\":7}",
+		"{" ENTRY ",\"state\":\"ready\",\"labels\":[7]}",
+		"{" ENTRY ",\"state\":\"ready\",\"born\":\"x\"}",
+		"{" ENTRY ",\"state\":\"ready\",\"born\":1.5}",
+		"{\"service\":\"s\",\"address\":\"here\",\"state\":\"ready\"," CAPACITY
+		"}",
+		"{\"address\":\"10.0.0.1:80\",\"state\":\"ready\"," CAPACITY
+		"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+		"\"state\":\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+		"\"state\":\"ready\",\"capacity\":{\"gpu\":-1}}",
+	};
+	struct tg_worker_entry e;
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(bad); i++)
+		ck_assert_msg(decode(bad[i], &e) == -1, "%s", bad[i]);
+}
+END_TEST
+
+START_TEST(entries_are_decoded)
+{
+	struct tg_worker_entry e;
+
+	ck_assert_int_eq(decode("{" ENTRY ",\"state\":\"draining\","
+				"\"remaining-ms\":1200,\"born\":17,"
+				"\"labels\":[\"kind\",\"r1\"],\"new\":1}",
+				&e),
+			 0);
+	ck_assert_str_eq(e.id, "w1");
+	ck_assert_str_eq(e.rack, "r1");
+	ck_assert(e.draining);
+	ck_assert_int_eq(e.remaining_ms, 1200);
+	ck_assert_int_eq(e.boot_ms, 17);
+	ck_assert_int_eq(e.capacity.accelerators, 8);
+	ck_assert_int_eq(decode("{" ENTRY ",\"state\":\"ready\"}", &e), 0);
+	ck_assert_int_eq(e.remaining_ms, -1);
+}
+END_TEST
+
+/* A document that is misread would run work where it may not run. */
+START_TEST(document_is_decoded)
+{
+	static const char text[] =
+		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+		"\"path-prefix\":\"/a/\",\"service\":\"s\",\"priority\":2,"
+		"\"max-attempts\":4,\"stretch\":1.5,\"target-runtime-ms\":600},"
+		"{\"name\":\"q\",\"host\":\"h\",\"path-prefix\":\"/a/b/\","
+		"\"service\":\"s\"}],\"tenants\":[{\"name\":\"t\","
+		"\"api-keys\":[\"k\"],\"guaranteed\":{\"gpu\":72}}]}";
+	struct tg_row row = { .key = "config",
+			      .value = text,
+			      .value_bytes = sizeof(text) - 1 };
+	struct tg_findings f = { 0 };
+	struct tg_site_doc *d = tg_platform_ops.document(&row, &f);
+
+	ck_assert_ptr_nonnull(d);
+	ck_assert_int_eq(d->generation, 7);
+	ck_assert_str_eq(tg_site_match(d, "h:80", "/a/b/x")->name, "q");
+	ck_assert_str_eq(tg_site_match(d, "H", "/a/x")->name, "r");
+	ck_assert_ptr_null(tg_site_match(d, "hh", "/a/x"));
+	ck_assert_ptr_null(tg_site_match(d, "h", "/c"));
+	ck_assert_int_eq(tg_site_match(d, "h", "/a/x")->max_attempts, 4);
+	ck_assert_int_eq(tg_site_key(d, "k")->guaranteed, 72);
+	ck_assert_ptr_null(tg_site_key(d, "kk"));
+	tg_site_doc_free(d);
+	row.value = "{\"version\":\"x\",\"routes\":{}}";
+	row.value_bytes = strlen(row.value);
+	ck_assert_ptr_null(tg_platform_ops.document(&row, &f));
+	ck_assert_int_eq((int)f.total, 2);
+	tg_findings_free(&f);
+}
+END_TEST
+
+/* All faults of a settings file are reported at once. */
+START_TEST(settings_findings)
+{
+	char path[] = "/tmp/tg-settings-XXXXXX";
+	static const char text[] = "node=i1\nip=10.0.0.1\nnew.field=x\n"
+				   "platform.address=nowhere\n"
+				   "internal-ports=7000,7015\n"
+				   "bounds.stop-ms=fast\nbounds.status_s=1.5\n";
+	struct tg_site_settings set;
+	struct tg_findings f = { 0 };
+	int fd = mkstemp(path);
+
+	ck_assert_int_eq((int)write(fd, text, sizeof(text) - 1),
+			 (int)sizeof(text) - 1);
+	close(fd);
+	ck_assert_int_eq(tg_platform_ops.settings(path, &set, &f), -1);
+	unlink(path);
+	/* Two bad values; zone, heartbeat and longest lease are missing. */
+	ck_assert_int_eq((int)f.total, 5);
+	ck_assert_str_eq(set.instance, "i1");
+	ck_assert_int_eq(set.peers_port, 7000);
+	ck_assert_int_eq(set.status_ms, 1500);
+	tg_findings_free(&f);
+	ck_assert_int_eq(tg_platform_ops.settings("/nowhere", &set, &f), -1);
+	tg_findings_free(&f);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("platform");
+	TCase *t = tcase_create("adapter");
+
+	tcase_add_test(t, foreign_entries_name_no_worker);
+	tcase_add_test(t, entries_are_decoded);
+	tcase_add_test(t, document_is_decoded);
+	tcase_add_test(t, settings_findings);
+	suite_add_tcase(s, t);
+	return run_suite(s);
+}
