--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -15,6 +15,13 @@
  */
 #define UNCHANGED_DEAD_MS 300
 #define UNCHANGED_SILENT_MS 1100
+/*
+ * An instance with less than CAPABLE_CORES waits before it claims, up to
+ * WEAK_WAIT_MS, so that a stronger one becomes the owner if there is any: the
+ * owner's rounds take more of a core the more workers there are.
+ */
+#define CAPABLE_CORES 0.25
+#define WEAK_WAIT_MS 2000
 #define READ_TIMEOUT_MS 800
 #define CLAIM_TIMEOUT_MS 1000
 /* Without a successful write for this long an owner no longer reports itself
@@ -31,7 +38,8 @@
 	bool stale; /* it lives and has not written its row lately */
 	uint64_t ping_fence; /* owner that the ping in progress asks */
 	int64_t ping_ms, alive_ms;
-	int64_t read_version, unchanged_since_ms, read_ms;
+	int64_t read_version, unchanged_since_ms;
+	int64_t claimable_ms; /* since when it may be claimed, or 0 */
 } watch;
 
 static void on_ping(enum tg_rpc_end end, const void *res, void *arg)
@@ -201,6 +209,16 @@
 	return NULL;
 }
 
+static int64_t claim_wait_ms(const struct board *b)
+{
+	double cores = b->site.set.core_share * b->site.set.cores;
+
+	if (cores >= CAPABLE_CORES)
+		return 0;
+	return (int64_t)(WEAK_WAIT_MS * (CAPABLE_CORES - cores) /
+			 CAPABLE_CORES);
+}
+
 static void on_read(const struct tg_store_result *r, void *arg)
 {
 	struct board *b = arg;
@@ -225,7 +243,11 @@
 		watch.unchanged_since_ms = now_ms;
 	}
 	why = reason_to_claim(b, now_ms);
-	if (why)
+	if (!why)
+		watch.claimable_ms = 0;
+	else if (!watch.claimable_ms)
+		watch.claimable_ms = now_ms;
+	if (why && now_ms - watch.claimable_ms >= claim_wait_ms(b))
 		claim_ownership(b, why);
 }
 
@@ -240,7 +262,6 @@
 	if (watch.reading)
 		return;
 	watch.reading = true;
-	watch.read_ms = tg_now_ms();
 	b->site.ops->get(b->site.port, &range, on_read, b);
 }
 
--- a/lib/port/port.h
+++ b/lib/port/port.h
@@ -239,6 +239,7 @@
 	char front_addr[TG_ADDR_MAX + 1], ready_addr[TG_ADDR_MAX + 1];
 	char store_addr[TG_ADDR_MAX + 1];
 	int32_t peers_port;
+	double core_share, cores; /* share of a core, times as fast */
 	int64_t grace_ms; /* from SIGTERM to SIGKILL */
 	int64_t heartbeat_ms; /* between two writes of a worker's entry */
 	int64_t lease_max_ms, stop_ms, early_ms, status_ms, reclaim_ms;
--- a/tests/site-lib.sh
+++ b/tests/site-lib.sh
@@ -7,6 +7,7 @@
 net=127.$(($$ / 250 % 250 + 1)).$(($$ % 250 + 1))
 key=k1
 status_s=120
+share=0.5
 config='{"version":7,"routes":[
  {"name":"normal","host":"h","path-prefix":"/n/","priority":1,"service":"svc",
   "max-attempts":3,"stretch":3.0,"target-runtime-ms":1000},
@@ -47,6 +48,8 @@
 		platform.address=$door
 		internal-ports=7000,7015
 		heartbeat-ms=500
+		limits.cpu-share=$share
+		limits.cores=1
 		bounds.grace-s=3
 		bounds.hold-max-ms=10000
 		bounds.stop-ms=200
