Let no refusal of a repeated start settle it

Only a confirmed start settles one that was sent more than once; otherwise the worker's list and a stop do.

--- a/cmd/tgflowd/round.c
+++ b/cmd/tgflowd/round.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "board.h"
+#include "orderend.h"
 
 /* Decisions and the orders that carry them out. */
 
@@ -64,22 +65,6 @@
 	return o;
 }
 
-static enum flow_order_end translate(enum tg_order_end end, bool start)
-{
-	switch (end) {
-	case TG_ORDER_DONE:
-		return FLOW_ORDER_DONE;
-	case TG_ORDER_OLD_RUN:
-		return start ? FLOW_ORDER_OLD_RUN : FLOW_ORDER_DONE;
-	case TG_ORDER_INVALID:
-		return start ? FLOW_ORDER_INVALID : FLOW_ORDER_DONE;
-	case TG_ORDER_UNKNOWN:
-		return FLOW_ORDER_UNKNOWN;
-	default:
-		return FLOW_ORDER_NOT_DONE;
-	}
-}
-
 static void log_answer(const struct order *o, enum tg_order_end end)
 {
 	static const char *const names[] = {
@@ -132,15 +117,14 @@
 		owner_lost(b, "a worker has seen a higher fence");
 		goto out;
 	}
-	/* An earlier copy may have run and ended; the lists tell. */
-	if (o->start && end == TG_ORDER_OLD_RUN && o->tries > 1)
-		end = TG_ORDER_UNKNOWN;
 	if (o->start)
 		flow_start_answered(b->flow, &ref, o->worker,
-				    translate(end, true), tg_now_ms());
+				    order_end(end, true, o->tries),
+				    tg_now_ms());
 	else
 		flow_stop_answered(b->flow, &ref, o->worker,
-				   translate(end, false), tg_now_ms());
+				   order_end(end, false, o->tries),
+				   tg_now_ms());
 	if (l && end == TG_ORDER_UNKNOWN && o->start)
 		link_look(l);
 	if (end != TG_ORDER_DONE)
