Remove a function that nothing calls, and a check that the order of rows makes needless

flow_redirty() was from before writes were repeated unchanged. The first row of a write is the owner's, so log_ends() need not compare tables. No change of behaviour.

--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -107,16 +107,14 @@
 	}
 }
 
+/* The first row is the owner's, the others are the progress of jobs. */
 static void log_ends(struct board *b)
 {
 	size_t i;
 
-	for (i = 0; i < w.n; i++) {
+	for (i = 1; i < w.n; i++) {
 		struct flow_view v;
 
-		if (w.rows[i].table != (const char *)TG_PROGRESS_TABLE &&
-		    strcmp(w.rows[i].table, TG_PROGRESS_TABLE) != 0)
-			continue;
 		if (flow_view(b->flow, w.rows[i].key, &v) &&
 		    v.state >= FLOW_COMPLETED && v.durable)
 			tg_log(EV_FLOW_JOB_OVER,
@@ -128,12 +126,11 @@
 	}
 }
 
-static void schedule(struct board *b, int64_t ms)
+static void schedule(int64_t ms)
 {
 	struct timeval tv = { .tv_sec = ms / 1000,
 			      .tv_usec = (ms % 1000) * 1000 };
 
-	(void)b;
 	event_add(w.timer, &tv);
 }
 
@@ -170,9 +167,9 @@
 	answer_waiters(b);
 	if (!w.complete || b->write_wanted ||
 	    w.row.released != b->owner.released)
-		schedule(b, w.complete ? COLLECT_MS : 0);
+		schedule(w.complete ? COLLECT_MS : 0);
 	else
-		schedule(b, RENEW_MS);
+		schedule(RENEW_MS);
 }
 
 static void on_written(const struct tg_store_result *r, void *arg)
@@ -201,7 +198,7 @@
 		tg_log(EV_FLOW_WRITE_FAILED, "end=%d rows=%zu age_ms=%lld",
 		       (int)r->end, w.n,
 		       (long long)(tg_now_ms() - b->renewed_ms));
-	schedule(b, RETRY_MS);
+	schedule(RETRY_MS);
 }
 
 static void send_write(struct board *b)
@@ -247,7 +244,7 @@
 {
 	b->write_wanted = true;
 	if (!w.busy)
-		schedule(b, COLLECT_MS);
+		schedule(COLLECT_MS);
 }
 
 void writer_reset(struct board *b)
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -211,8 +211,6 @@
  * The job is marked as being written.
  */
 const char *flow_next_dirty(struct flow *f);
-/** flow_redirty() - jobs that were being written are to be written again */
-void flow_redirty(struct flow *f);
 /** flow_written() - all jobs that were being written are durable */
 void flow_written(struct flow *f);
 /**
--- a/lib/flow/progress.c
+++ b/lib/flow/progress.c
@@ -22,17 +22,6 @@
 	return NULL;
 }
 
-void flow_redirty(struct flow *f)
-{
-	struct job *j, *tmp;
-
-	HASH_ITER(hh, f->jobs, j, tmp)
-		if (j->writing) {
-			j->writing = false;
-			j->dirty = true;
-		}
-}
-
 void flow_written(struct flow *f)
 {
 	struct job *j, *tmp;
