Reserve room for gangs that wait

Cause: a gang of whole workers of one rack needs them empty at the same time, but the single tasks of lower queues filled each gap first.

Change: a gang that can't start reserves, for the round, the workers that will have room for it first, as the progress of their runs tells. Racks and pools have numbers, which saves most comparisons of texts in a search.

--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -66,6 +66,7 @@
 	int64_t accepted_ms, ended_ms; /* 0 until the end was seen as durable */
 	int64_t n_runs, runs_total, failures;
 	struct queue *q; /* of this round */
+	struct pool *pool; /* of its queue; NULL while it has no workers */
 	int32_t rank; /* see order.c */
 	bool hopeless; /* can't end while it is still of use */
 	int64_t due_ms;
@@ -73,8 +74,10 @@
 };
 
 struct worker {
-	char id[TG_NAME_MAX + 1], service[TG_NAME_MAX + 1];
+	char id[TG_NAME_MAX + 1];
+	struct pool *pool; /* NULL while only recorded runs name it */
 	char az[TG_NAME_MAX + 1], rack[TG_NAME_MAX + 1];
+	int32_t rack_no;
 	char labels[8][TG_NAME_MAX + 1];
 	int32_t n_labels;
 	struct flow_shape capacity, used;
@@ -93,6 +96,18 @@
 	UT_hash_handle hh;
 };
 
+/** struct pool - the workers of a service */
+struct pool {
+	char service[TG_NAME_MAX + 1];
+	UT_hash_handle hh;
+};
+
+struct rack {
+	char name[TG_NAME_MAX + 1];
+	int32_t no;
+	UT_hash_handle hh;
+};
+
 struct queue {
 	char name[TG_NAME_MAX + 1], service[TG_NAME_MAX + 1];
 	int32_t priority, max_attempts;
@@ -111,6 +126,9 @@
 	struct flow_opts opts;
 	struct job *jobs;
 	struct worker *workers;
+	struct pool *pools;
+	struct rack *racks;
+	int32_t n_racks;
 	struct queue *queues;
 	struct quota *quotas;
 	bool recovering;
@@ -138,6 +156,7 @@
 /** flow_worker_get() - add one of which nothing else is known if need be */
 struct worker *flow_worker_get(struct flow *f, const char *id);
 bool flow_worker_ready(const struct worker *w, int64_t now_ms);
+struct pool *flow_pool(const struct flow *f, const char *service);
 bool flow_fits(const struct flow_shape *need, const struct flow_shape *have);
 void flow_shape_add(struct flow_shape *to, const struct flow_shape *s,
 		    int32_t sign);
--- a/lib/flow/jobs.c
+++ b/lib/flow/jobs.c
@@ -267,6 +267,8 @@
 {
 	struct job *j, *jt;
 	struct worker *w, *wt;
+	struct pool *p, *pt;
+	struct rack *k, *kt;
 
 	if (!f)
 		return;
@@ -278,6 +280,14 @@
 		HASH_DEL(f->workers, w);
 		free(w);
 	}
+	HASH_ITER(hh, f->pools, p, pt) {
+		HASH_DEL(f->pools, p);
+		free(p);
+	}
+	HASH_ITER(hh, f->racks, k, kt) {
+		HASH_DEL(f->racks, k);
+		free(k);
+	}
 	HASH_ITER(hh, f->jobs, j, jt) {
 		HASH_DEL(f->jobs, j);
 		free_job(j);
--- a/lib/flow/order.c
+++ b/lib/flow/order.c
@@ -150,6 +150,7 @@
 		HASH_FIND_STR(f->queues, j->queue, j->q);
 		if (!j->q)
 			continue;
+		j->pool = flow_pool(f, j->q->service);
 		judge(j, now_ms);
 		j->rank = j->q->priority <= 0 ? RANK_URGENT :
 						RANK_OTHERS + j->q->priority;
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -22,16 +22,19 @@
 	return false;
 }
 
-static bool eligible(const struct search *s, const struct worker *w)
+static bool is_eligible(const struct search *s, const struct worker *w)
 {
-	if (!flow_worker_ready(w, s->now_ms) ||
-	    strcmp(w->service, s->job->q->service) != 0)
-		return false;
-	if (s->rack && strcmp(w->rack, s->rack) != 0)
+	if (!flow_worker_ready(w, s->now_ms) || w->pool != s->job->pool ||
+	    (s->rack != ANY_RACK && w->rack_no != s->rack))
 		return false;
 	return !*s->step->label || has_label(w, s->step->label);
 }
 
+bool flow_may_place(const struct search *s, const struct worker *w)
+{
+	return is_eligible(s, w);
+}
+
 static int32_t on_worker(const struct search *s, const struct worker *w,
 			 struct worker *const *out, int32_t n)
 {
@@ -79,7 +82,7 @@
 		struct flow_shape room;
 		int64_t cost;
 
-		if (!eligible(s, w) || !apart_enough(s, w, out, n))
+		if (!flow_may_place(s, w) || !apart_enough(s, w, out, n))
 			continue;
 		if (s->kind == ROOM_VICTIMS) {
 			if (!flow_fits(&s->need, &w->capacity))
@@ -150,7 +153,7 @@
 	return n > 0 ? n : 0;
 }
 
-static int64_t rack_slots(struct search *s, const char *rack, bool empty)
+static int64_t rack_slots(struct search *s, int32_t rack, bool empty)
 {
 	struct worker *w;
 	int64_t n = 0;
@@ -159,38 +162,26 @@
 	for (w = s->f->workers; w; w = w->hh.next) {
 		struct flow_shape room;
 
-		if (!eligible(s, w))
+		if (!(empty ? is_eligible(s, w) : flow_may_place(s, w)))
 			continue;
 		room = empty ? w->capacity : flow_room_of(s, w, s->kind);
 		n += slots(s, &room);
 	}
-	s->rack = NULL;
+	s->rack = ANY_RACK;
 	return n;
 }
 
-/* Whether a rack could hold all tasks if nothing else ran there. */
-static bool some_rack_suffices(struct search *s, int32_t want)
+bool flow_some_rack_suffices(struct search *s, int32_t want)
 {
-	struct worker *w;
+	int32_t rack;
 
-	for (w = s->f->workers; w; w = w->hh.next)
-		if (eligible(s, w) && rack_slots(s, w->rack, true) >= want)
+	for (rack = 0; rack < s->f->n_racks; rack++)
+		if (rack_slots(s, rack, true) >= want)
 			return true;
 	return false;
 }
 
-/* Whether @w is the first of its rack, in the order of the table. */
-static bool first_of_rack(const struct search *s, const struct worker *w)
-{
-	const struct worker *v;
-
-	for (v = s->f->workers; v && v != w; v = v->hh.next)
-		if (!strcmp(v->rack, w->rack) && eligible(s, v))
-			return false;
-	return eligible(s, w);
-}
-
-static int32_t fill_rack(struct search *s, const char *rack, int32_t want,
+static int32_t fill_rack(struct search *s, int32_t rack, int32_t want,
 			 struct worker **out)
 {
 	int32_t n;
@@ -198,7 +189,7 @@
 	s->rack = rack;
 	s->cost = 0;
 	n = fill(s, want, out);
-	s->rack = NULL;
+	s->rack = ANY_RACK;
 	if (n == want)
 		return n;
 	release(s, out, n);
@@ -206,7 +197,7 @@
 }
 
 /* Cost of having the tasks on a rack, or -1: what is least loaded or lost. */
-static int64_t rack_cost(struct search *s, const char *rack, int32_t want,
+static int64_t rack_cost(struct search *s, int32_t rack, int32_t want,
 			 struct worker **out)
 {
 	int64_t n_slots = rack_slots(s, rack, s->kind == ROOM_VICTIMS);
@@ -225,29 +216,25 @@
 static int32_t fill_one_rack(struct search *s, int32_t want,
 			     struct worker **out)
 {
-	const char *best = NULL;
+	int32_t rack, best = ANY_RACK;
 	int64_t best_cost = 0;
-	struct worker *w;
 
-	for (w = s->f->workers; w; w = w->hh.next) {
-		int64_t cost;
+	for (rack = 0; rack < s->f->n_racks; rack++) {
+		int64_t cost = rack_cost(s, rack, want, out);
 
-		if (!first_of_rack(s, w))
-			continue;
-		cost = rack_cost(s, w->rack, want, out);
-		if (cost < 0 || (best && cost >= best_cost))
+		if (cost < 0 || (best != ANY_RACK && cost >= best_cost))
 			continue;
-		best = w->rack;
+		best = rack;
 		best_cost = cost;
 	}
-	return best ? fill_rack(s, best, want, out) : 0;
+	return best == ANY_RACK ? 0 : fill_rack(s, best, want, out);
 }
 
 static int32_t fill_gang(struct search *s, int32_t want, struct worker **out)
 {
 	int32_t n;
 
-	if (s->step->within_rack && some_rack_suffices(s, want)) {
+	if (s->step->within_rack && flow_some_rack_suffices(s, want)) {
 		n = fill_one_rack(s, want, out);
 		if (n == want || !flow_must_spread(s->f, s->job, s->now_ms))
 			return n;
@@ -270,6 +257,7 @@
 		.step = flow_step_of(j, in),
 		.need = flow_room(flow_step_of(j, in)),
 		.now_ms = now_ms,
+		.rack = ANY_RACK,
 	};
 	enum room_kind last = preempt ? ROOM_VICTIMS : ROOM_FREE;
 	int32_t n = 0;
@@ -291,6 +279,8 @@
 	}
 	if (n > 0)
 		*wait = s.kind != ROOM_FREE;
+	else if (s.step->gang)
+		flow_reserve(&s, want);
 	flow_keep_victims(f);
 	return n;
 }
--- a/lib/flow/place_internal.h
+++ b/lib/flow/place_internal.h
@@ -10,6 +10,8 @@
 	ROOM_VICTIMS, /* after stopping runs of lower rank */
 };
 
+#define ANY_RACK (-1)
+
 /** struct search - a search for workers for tasks of one step */
 struct search {
 	struct flow *f;
@@ -19,10 +21,20 @@
 	struct flow_shape need;
 	int64_t now_ms;
 	enum room_kind kind;
-	const char *rack; /* only workers of this one, if not NULL */
+	int32_t rack; /* only workers of this one, or ANY_RACK */
 	int64_t cost; /* of the victims of fill() */
 };
 
+/** flow_may_place() - whether a worker may get tasks of the step, given room */
+bool flow_may_place(const struct search *s, const struct worker *w);
+/** flow_some_rack_suffices() - whether an empty rack could hold all tasks */
+bool flow_some_rack_suffices(struct search *s, int32_t want);
+/**
+ * flow_reserve() - keep the room for a gang that will be free first
+ *
+ * For the rest of the round nothing else is placed there.
+ */
+void flow_reserve(struct search *s, int32_t want);
 /** flow_room_of() - room on a worker that counts for a search */
 struct flow_shape flow_room_of(const struct search *s, const struct worker *w,
 			       enum room_kind kind);
--- /dev/null
+++ b/lib/flow/reserve.c
@@ -0,0 +1,159 @@
+#include <stdlib.h>
+
+#include "flow/place_internal.h"
+
+/*
+ * Room that is kept for a gang that waits.  Load it answers: a backlog of
+ * single tasks, which fill every gap before a gang that needs whole workers
+ * ever fits.
+ */
+
+/** struct slot - room of one task on a worker, free in @free_ms from now */
+struct slot {
+	struct worker *worker;
+	int64_t free_ms;
+};
+
+/** struct ending - a run, and the time until it is expected to end */
+struct ending {
+	const struct run *run;
+	int64_t after_ms;
+};
+
+struct plan {
+	struct slot *slots;
+	int32_t n_slots, slots_size;
+	struct ending *endings; /* of the worker that is looked at */
+	int32_t endings_size;
+};
+
+static int compare_endings(const void *a, const void *b)
+{
+	const struct ending *x = a, *y = b;
+
+	return (x->after_ms > y->after_ms) - (x->after_ms < y->after_ms);
+}
+
+static int compare_slots(const void *a, const void *b)
+{
+	const struct slot *x = a, *y = b;
+
+	return (x->free_ms > y->free_ms) - (x->free_ms < y->free_ms);
+}
+
+/* Space for item @n of an array of items of @bytes. */
+static void *grow(void *array, int32_t n, int32_t *size, size_t bytes)
+{
+	if (n < *size)
+		return array;
+	*size = *size ? 2 * *size : 32;
+	return tg_xrealloc(array, (size_t)*size * bytes);
+}
+
+/* The runs of a worker that end by themselves, in that order. */
+static int32_t list_endings(const struct search *s, const struct worker *w,
+			    struct plan *p)
+{
+	const struct run *r;
+	int32_t n = 0;
+
+	for (r = w->runs; r; r = r->next) {
+		if (flow_step_of(r->job, r->inst)->endless)
+			continue;
+		p->endings = grow(p->endings, n, &p->endings_size,
+				  sizeof(*p->endings));
+		p->endings[n++] = (struct ending){
+			.run = r,
+			.after_ms = r->state == RUN_STOPPING ?
+				s->f->opts.stop_ms :
+				flow_remaining_ms(r, s->now_ms),
+		};
+	}
+	if (n)
+		qsort(p->endings, (size_t)n, sizeof(*p->endings),
+		      compare_endings);
+	return n;
+}
+
+/* Adds a slot for each task that fits on the worker, sooner or later. */
+static void add_slots(const struct search *s, struct worker *w, struct plan *p)
+{
+	struct flow_shape room = flow_room_of(s, w, ROOM_FREE);
+	int32_t n = list_endings(s, w, p), i = 0, found = 0;
+	int32_t most = s->step->per_worker_max ? s->step->per_worker_max :
+						 s->step->tasks;
+	int64_t free_ms = 0;
+
+	while (found < most) {
+		if (flow_fits(&s->need, &room)) {
+			flow_shape_add(&room, &s->need, -1);
+			p->slots = grow(p->slots, p->n_slots, &p->slots_size,
+					sizeof(*p->slots));
+			p->slots[p->n_slots++] = (struct slot){ w, free_ms };
+			found++;
+		} else if (i < n) {
+			const struct run *r = p->endings[i].run;
+			struct flow_shape freed =
+				flow_room(flow_step_of(r->job, r->inst));
+
+			free_ms = p->endings[i++].after_ms;
+			flow_shape_add(&room, &freed, 1);
+		} else {
+			return;
+		}
+	}
+}
+
+/* Time until @want tasks fit on a rack, or anywhere; -1 if they never do. */
+static int64_t plan_rack(struct search *s, int32_t rack, int32_t want,
+			 struct plan *p)
+{
+	struct worker *w;
+
+	p->n_slots = 0;
+	s->rack = rack;
+	for (w = s->f->workers; w; w = w->hh.next)
+		if (flow_may_place(s, w))
+			add_slots(s, w, p);
+	s->rack = ANY_RACK;
+	if (p->n_slots < want)
+		return -1;
+	qsort(p->slots, (size_t)p->n_slots, sizeof(*p->slots), compare_slots);
+	return p->slots[want - 1].free_ms;
+}
+
+/* The rack that has room first, or ANY_RACK if none ever has. */
+static int32_t first_rack(struct search *s, int32_t want, struct plan *p)
+{
+	int32_t rack, best = ANY_RACK;
+	int64_t best_ms = 0;
+
+	for (rack = 0; rack < s->f->n_racks; rack++) {
+		int64_t ms = plan_rack(s, rack, want, p);
+
+		if (ms < 0 || (best != ANY_RACK && ms >= best_ms))
+			continue;
+		best = rack;
+		best_ms = ms;
+	}
+	return best;
+}
+
+void flow_reserve(struct search *s, int32_t want)
+{
+	struct plan p = { 0 };
+	int32_t rack = ANY_RACK, i;
+	bool one_rack =
+		s->step->within_rack && flow_some_rack_suffices(s, want);
+
+	s->kind = ROOM_FREE;
+	if (one_rack)
+		rack = first_rack(s, want, &p);
+	if ((!one_rack || rack != ANY_RACK) &&
+	    plan_rack(s, rack, want, &p) >= 0)
+		for (i = 0; i < want; i++)
+			flow_shape_add(&p.slots[i].worker->reserved, &s->need,
+				       1);
+	free(p.slots);
+	free(p.endings);
+}
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -19,6 +19,40 @@
 	return w;
 }
 
+struct pool *flow_pool(const struct flow *f, const char *service)
+{
+	struct pool *p;
+
+	HASH_FIND_STR(f->pools, service, p);
+	return p;
+}
+
+static struct pool *pool_get(struct flow *f, const char *service)
+{
+	struct pool *p = flow_pool(f, service);
+
+	if (p)
+		return p;
+	p = tg_xcalloc(1, sizeof(*p));
+	tg_strlcpy(p->service, service, sizeof(p->service));
+	HASH_ADD_STR(f->pools, service, p);
+	return p;
+}
+
+static int32_t rack_number(struct flow *f, const char *name)
+{
+	struct rack *r;
+
+	HASH_FIND_STR(f->racks, name, r);
+	if (r)
+		return r->no;
+	r = tg_xcalloc(1, sizeof(*r));
+	tg_strlcpy(r->name, name, sizeof(r->name));
+	r->no = f->n_racks++;
+	HASH_ADD_STR(f->racks, name, r);
+	return r->no;
+}
+
 bool flow_worker_ready(const struct worker *w, int64_t now_ms)
 {
 	return w->present && w->listed && !w->suspect && !w->draining &&
@@ -77,9 +111,10 @@
 	struct worker *w = flow_worker_get(f, s->id);
 	int32_t i;
 
-	tg_strlcpy(w->service, s->service, sizeof(w->service));
+	w->pool = pool_get(f, s->service);
 	tg_strlcpy(w->az, s->az, sizeof(w->az));
 	tg_strlcpy(w->rack, s->rack ? s->rack : "", sizeof(w->rack));
+	w->rack_no = rack_number(f, w->rack);
 	w->n_labels = 0;
 	for (i = 0; i < s->n_labels && i < 8; i++)
 		tg_strlcpy(w->labels[w->n_labels++], s->labels[i],
@@ -153,7 +188,7 @@
 	int32_t n = 0, out = 0;
 
 	for (w = f->workers; w; w = w->hh.next) {
-		if (!w->present || strcmp(w->service, which->service) != 0)
+		if (!w->present || w->pool != which->pool)
 			continue;
 		n++;
 		out += w->quarantined_until_ms > now_ms;
--- /dev/null
+++ b/tests/unit/flow/load.h
@@ -0,0 +1,55 @@
+#ifndef TEST_LOAD_H
+#define TEST_LOAD_H
+
+#include <check.h>
+
+#include "fleet.h"
+
+/*
+ * A load played against the flow engine: jobs arrive at their times, tasks take
+ * the time that their job states, stops take STOP_TAKES_MS.
+ */
+
+#define STOP_TAKES_MS 400
+#define LOAD_JOBS_MAX 512
+#define LOAD_RUNS_MAX 1024
+
+/** struct load_job - a job of one step; @start_ms and @stops are results */
+struct load_job {
+	char id[FLOW_JOB_LEN + 1];
+	const char *queue;
+	int64_t at_ms, run_ms;
+	int32_t tasks, accelerators;
+	bool gang, within_rack;
+	int64_t start_ms; /* of the first task; -1 if none started */
+	int32_t stops;
+};
+
+struct load_run {
+	struct start_order order;
+	struct load_job *job;
+	int64_t end_ms;
+	bool stopped;
+};
+
+struct load {
+	struct flow *f;
+	struct load_job jobs[LOAD_JOBS_MAX];
+	int n_jobs;
+	struct load_run runs[LOAD_RUNS_MAX];
+	int n_runs;
+	int64_t now_ms;
+};
+
+/** load_add() - a job of @tasks with all of @accelerators each, at @at_ms */
+struct load_job *load_add(struct load *l, const char *queue, int64_t at_ms,
+			  int32_t tasks, int32_t accelerators, int64_t run_ms);
+/** load_play() - go on until @until_ms in steps of 50 ms */
+void load_play(struct load *l, int64_t until_ms);
+/** load_accelerators() - that runs take now, those being stopped included */
+int32_t load_accelerators(const struct load *l);
+
+/** load_case() - tests of what callers get under load */
+TCase *load_case(void);
+
+#endif
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "../run.h"
-#include "fleet.h"
+#include "load.h"
 
 #define STOP_MS 900
 #define RECLAIM_MS 3400
@@ -615,5 +615,6 @@
 	tcase_add_test(t, slow_worker_is_passed_over);
 	tcase_add_test(t, failing_worker_is_quarantined);
 	suite_add_tcase(s, t);
+	suite_add_tcase(s, load_case());
 	return run_suite(s);
 }
