Keep workers free for the urgent jobs that are expected

Cause: ordinary tasks took all room as soon as an urgent job ended, so that the next one had to stop runs that had just begun, and waited for the stops.

Change: ordinary tasks leave 1.3 times as many workers alone as urgent jobs have needed on average lately, but at most a quarter of the pool beyond what these use now; urgent and ordinary tasks prefer workers of their own. Endless tasks are exempt.

--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -200,6 +200,8 @@
 	grow_places(&rd, PLACES_MIN);
 	clear_reservations(&rd);
 	n = flow_order(f, now_ms, &list);
+	flow_count_pools(f, now_ms);
+	flow_headroom_plan(f, list, n, now_ms);
 	stop_unwanted(&rd);
 	for (i = 0; i < n; i++)
 		for (k = 0; k < list[i]->n_insts && !list[i]->recovered; k++)
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -84,6 +84,8 @@
 	struct flow_shape stopping; /* part of @used that is being stopped */
 	/* Within a round: promised to waiting tasks; of runs to be stopped. */
 	struct flow_shape reserved, victims;
+	/* Within a round: runs and placed tasks. */
+	int32_t urgent_tasks, ordinary_tasks;
 	bool present, listed, suspect, draining;
 	int64_t remaining_ms;
 	/* health */
@@ -99,6 +101,14 @@
 /** struct pool - the workers of a service */
 struct pool {
 	char service[TG_NAME_MAX + 1];
+	struct flow_shape largest; /* capacity of its largest worker */
+	int32_t n_ready; /* workers that may get tasks, of these: */
+	int32_t n_urgent_only; /* no ordinary tasks */
+	int32_t n_urgent_used; /* only urgent tasks, at least one */
+	/* Workers that urgent jobs need: now, and averaged at @demand_ms. */
+	double demand_now, demand;
+	int64_t demand_ms;
+	double urgent_only_min; /* ordinary tasks leave this many alone */
 	UT_hash_handle hh;
 };
 
@@ -162,6 +172,8 @@
 		    int32_t sign);
 /** flow_room() - what a task of @st takes on a worker */
 struct flow_shape flow_room(const struct flow_step *st);
+/** flow_count_pools() - what a round needs to know of pools and workers */
+void flow_count_pools(struct flow *f, int64_t now_ms);
 void flow_worker_succeeded(struct worker *w);
 void flow_worker_failed(struct flow *f, struct worker *w, const char *job,
 			int64_t now_ms);
@@ -186,6 +198,8 @@
 /* order.c */
 /** flow_order() - open jobs of known queues, most urgent first, to be freed */
 size_t flow_order(struct flow *f, int64_t now_ms, struct job ***out);
+/** flow_is_urgent() - whether it goes before all ordinary jobs */
+bool flow_is_urgent(const struct job *j);
 /** flow_may_preempt() - whether runs of a greater rank may be stopped for it */
 bool flow_may_preempt(const struct job *j);
 /** flow_must_spread() - whether its gang may span racks so as to begin in time
@@ -193,6 +207,17 @@
 bool flow_must_spread(const struct flow *f, const struct job *j,
 		      int64_t now_ms);
 
+/* headroom.c */
+/** flow_headroom_plan() - workers that ordinary tasks leave alone this round */
+void flow_headroom_plan(struct flow *f, struct job *const *list, size_t n,
+			int64_t now_ms);
+/** flow_headroom_allows() - whether a task may be placed on a worker */
+bool flow_headroom_allows(const struct job *j, const struct flow_step *st,
+			  const struct worker *w);
+/** flow_headroom_take() - a task of @j is placed on a worker */
+void flow_headroom_take(const struct job *j, struct worker *w);
+void flow_headroom_give_back(const struct job *j, struct worker *w);
+
 /* place.c */
 /**
  * flow_place() - workers for tasks of a step
--- a/lib/flow/order.c
+++ b/lib/flow/order.c
@@ -162,6 +162,11 @@
 	return n;
 }
 
+bool flow_is_urgent(const struct job *j)
+{
+	return j->rank <= RANK_URGENT;
+}
+
 bool flow_may_preempt(const struct job *j)
 {
 	return j->rank <= RANK_URGENT;
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -11,6 +11,11 @@
 /* Slower workers are passed over, as if they had more free accelerators. */
 #define SLOW_SPEED 0.6
 #define SLOW_COST 60000000
+/*
+ * Urgent and ordinary tasks stay on workers of their own, as if others had this
+ * many more free accelerators: then whole workers become free for urgent gangs.
+ */
+#define APART_COST 10000000
 
 static bool has_label(const struct worker *w, const char *label)
 {
@@ -32,7 +37,9 @@
 
 bool flow_may_place(const struct search *s, const struct worker *w)
 {
-	return is_eligible(s, w);
+	return is_eligible(s, w) &&
+		(s->kind != ROOM_FREE ||
+		 flow_headroom_allows(s->job, s->step, w));
 }
 
 static int32_t on_worker(const struct search *s, const struct worker *w,
@@ -63,6 +70,8 @@
 
 	cost += (room->cpu_millicores - s->need.cpu_millicores) / 10;
 	cost += (room->memory_mb - s->need.memory_mb) / 100;
+	if (flow_is_urgent(s->job) ? !w->urgent_tasks : !w->ordinary_tasks)
+		cost += APART_COST;
 	if (w->speed < SLOW_SPEED)
 		cost += (int64_t)((SLOW_SPEED - w->speed) * SLOW_COST);
 	if (*s->step->data_rack && strcmp(w->rack, s->step->data_rack) != 0)
@@ -123,6 +132,7 @@
 		if (s->kind == ROOM_VICTIMS)
 			s->cost += flow_choose_victims(s, w, true);
 		flow_shape_add(&w->reserved, &s->need, 1);
+		flow_headroom_take(s->job, w);
 		out[n++] = w;
 	}
 	return n;
@@ -130,8 +140,10 @@
 
 static void release(const struct search *s, struct worker **out, int32_t n)
 {
-	while (n > 0)
+	while (n > 0) {
 		flow_shape_add(&out[--n]->reserved, &s->need, -1);
+		flow_headroom_give_back(s->job, out[n]);
+	}
 	if (s->kind == ROOM_VICTIMS)
 		flow_drop_victims(s->f);
 }
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -39,6 +39,35 @@
 	return p;
 }
 
+void flow_count_pools(struct flow *f, int64_t now_ms)
+{
+	struct pool *p;
+	struct worker *w;
+	const struct run *r;
+
+	for (p = f->pools; p; p = p->hh.next) {
+		p->n_ready = 0;
+		p->n_urgent_only = p->n_urgent_used = 0;
+		memset(&p->largest, 0, sizeof(p->largest));
+	}
+	for (w = f->workers; w; w = w->hh.next) {
+		w->urgent_tasks = w->ordinary_tasks = 0;
+		for (r = w->runs; r; r = r->next)
+			if (flow_is_urgent(r->job))
+				w->urgent_tasks++;
+			else
+				w->ordinary_tasks++;
+		p = w->pool;
+		if (!p || !flow_worker_ready(w, now_ms))
+			continue;
+		if (w->capacity.accelerators >= p->largest.accelerators)
+			p->largest = w->capacity;
+		p->n_ready++;
+		p->n_urgent_only += !w->ordinary_tasks;
+		p->n_urgent_used += !w->ordinary_tasks && w->urgent_tasks;
+	}
+}
+
 static int32_t rack_number(struct flow *f, const char *name)
 {
 	struct rack *r;
--- a/tests/unit/flow/test-load.c
+++ b/tests/unit/flow/test-load.c
@@ -83,6 +83,76 @@
 }
 END_TEST
 
+static void add_urgent(int64_t from_ms, int64_t until_ms)
+{
+	int64_t at_ms;
+
+	for (at_ms = from_ms; at_ms < until_ms; at_ms += 700) {
+		struct load_job *j = load_add(l, "urgent", at_ms, 2, 8, 2000);
+
+		j->gang = true;
+	}
+}
+
+/*
+ * Each urgent gang stopped ordinary runs that had just begun in the room of the
+ * urgent one before.  Once the load is known they begin at once, and nothing is
+ * thrown away for them.
+ */
+START_TEST(urgent_gangs_find_room)
+{
+	const int64_t known_ms = 15000;
+	int i;
+
+	add_backlog(30000);
+	add_urgent(0, 30000);
+	load_play(l, 30000);
+	for (i = 0; i < l->n_jobs; i++) {
+		const struct load_job *j = &l->jobs[i];
+
+		if (j->at_ms < known_ms || j->at_ms > 29000)
+			continue;
+		ck_assert_int_eq(j->stops, 0);
+		if (!strcmp(j->queue, "urgent"))
+			ck_assert_int_le(j->start_ms - j->at_ms, 50);
+	}
+}
+END_TEST
+
+/* Room that is kept for urgent jobs idles only for a part, and not for long. */
+START_TEST(ordinary_jobs_get_the_room_after_a_burst)
+{
+	add_backlog(40000);
+	add_urgent(0, 20000);
+	load_play(l, 23000);
+	ck_assert_int_ge(load_accelerators(l), FLEET * 3 / 4);
+	load_play(l, 38000);
+	ck_assert_int_ge(load_accelerators(l), FLEET * 9 / 10);
+}
+END_TEST
+
+/* An endless task has to begin soon, whatever else may come. */
+START_TEST(endless_task_ignores_headroom)
+{
+	struct flow_spec *s = fleet_spec(1, 8, false);
+	struct orders *o = tg_xcalloc(1, sizeof(*o));
+	int i;
+
+	for (i = 0; i < RACKS * WORKERS_A_RACK - 1; i++)
+		load_add(l, "urgent", 0, 1, 8, 60000);
+	load_play(l, 10000);
+	fleet_add_job(l->f, "task", "low", fleet_spec(1, 8, false), 10000);
+	fleet_decide(l->f, o, 10000);
+	ck_assert_int_eq(o->n_starts, 0);
+	s->steps[0].endless = true;
+	fleet_add_job(l->f, "endless", "low", s, 10001);
+	fleet_decide(l->f, o, 10001);
+	ck_assert_int_eq(o->n_starts, 1);
+	ck_assert_str_eq(o->starts[0].job, "endless");
+	free(o);
+}
+END_TEST
+
 TCase *load_case(void)
 {
 	TCase *t = tcase_create("load");
@@ -90,5 +160,8 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, gang_begins_in_a_backlog);
 	tcase_add_test(t, others_work_while_a_gang_waits);
+	tcase_add_test(t, urgent_gangs_find_room);
+	tcase_add_test(t, ordinary_jobs_get_the_room_after_a_burst);
+	tcase_add_test(t, endless_task_ignores_headroom);
 	return t;
 }
