Move guaranteed tasks for a guaranteed gang about to miss its bound

Cause: guaranteed runs were never stopped for another guaranteed job. A gang of whole workers could therefore not begin while each worker had some guaranteed task, although all of them fit together.

Change: once such a job must begin, tasks of guaranteed jobs that have begun their first step may be stopped for it. These don't take the room back, since they have begun. Also, urgent jobs beyond their guarantee that can't end while they are of use no longer stop others.

--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -202,10 +202,13 @@
 bool flow_is_urgent(const struct job *j);
 /** flow_may_preempt() - whether runs of a greater rank may be stopped for it */
 bool flow_may_preempt(const struct job *j);
-/** flow_must_spread() - whether its gang may span racks so as to begin in time
+/**
+ * flow_must_begin() - whether a guaranteed job is about to miss its bound
+ *
+ * Its gang may span racks then, and guaranteed runs that have begun in time may
+ * be moved for it.
  */
-bool flow_must_spread(const struct flow *f, const struct job *j,
-		      int64_t now_ms);
+bool flow_must_begin(const struct flow *f, struct job *j, int64_t now_ms);
 
 /* headroom.c */
 /** flow_headroom_plan() - workers that ordinary tasks leave alone this round */
--- a/lib/flow/order.c
+++ b/lib/flow/order.c
@@ -13,7 +13,7 @@
 
 /* From a decision to stop others to the start in their room, besides stop_ms.
  */
-#define SPREAD_MARGIN_MS 350
+#define BEGIN_MARGIN_MS 350
 
 enum { RANK_GUARANTEED, RANK_URGENT, RANK_OTHERS };
 
@@ -167,14 +167,28 @@
 	return j->rank <= RANK_URGENT;
 }
 
+/* A job that can't end while it is of use stops no work of others. */
 bool flow_may_preempt(const struct job *j)
 {
-	return j->rank <= RANK_URGENT;
+	return j->rank == RANK_GUARANTEED ||
+		(j->rank == RANK_URGENT && !j->hopeless);
+}
+
+static bool has_begun_whole(struct job *j)
+{
+	const struct inst *in = flow_inst(j, 0, 0);
+	int32_t i;
+
+	for (i = 0; i < flow_step_of(j, in)->tasks; i++)
+		if (!in->tasks[i].last_run)
+			return false;
+	return true;
 }
 
-bool flow_must_spread(const struct flow *f, const struct job *j, int64_t now_ms)
+bool flow_must_begin(const struct flow *f, struct job *j, int64_t now_ms)
 {
 	return j->rank == RANK_GUARANTEED && f->opts.reclaim_ms > 0 &&
 		now_ms - j->accepted_ms >
-		f->opts.reclaim_ms - f->opts.stop_ms - SPREAD_MARGIN_MS;
+		f->opts.reclaim_ms - f->opts.stop_ms - BEGIN_MARGIN_MS &&
+		!has_begun_whole(j);
 }
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -248,7 +248,7 @@
 
 	if (s->step->within_rack && flow_some_rack_suffices(s, want)) {
 		n = fill_one_rack(s, want, out);
-		if (n == want || !flow_must_spread(s->f, s->job, s->now_ms))
+		if (n == want || !flow_must_begin(s->f, s->job, s->now_ms))
 			return n;
 	}
 	n = fill(s, want, out);
--- a/lib/flow/victims.c
+++ b/lib/flow/victims.c
@@ -57,7 +57,12 @@
 	if (r->state == RUN_STOPPING || r->victim || !r->job->q ||
 	    ends_soon(s, r))
 		return false;
-	return r->job->rank > s->job->rank;
+	if (r->job->rank > s->job->rank)
+		return true;
+	/* Guarantees hold for all at once if the others move together. */
+	return r->job != s->job && r->job->rank == s->job->rank &&
+		flow_must_begin(s->f, s->job, s->now_ms) &&
+		!flow_must_begin(s->f, r->job, s->now_ms);
 }
 
 static void mark_victim(struct run *r)
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -274,6 +274,39 @@
 }
 END_TEST
 
+/*
+ * A guaranteed gang of a whole worker never began while each worker had a
+ * guaranteed task, although one of them could hold all those tasks (RECLAIM).
+ */
+START_TEST(guaranteed_tasks_make_way_in_time)
+{
+	struct flow_quota q = { "w", 16 };
+	struct flow_ref r = { "j1", 0, 0, 0, 1 };
+
+	flow_set_quotas(f, &q, 1);
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_worker(f, "w2", "r1", 8);
+	fleet_add_job(f, "j1", "urgent", fleet_spec(1, 1, false), 0);
+	fleet_add_job(f, "j2", "urgent", fleet_spec(1, 5, false), 0);
+	ck_assert(flow_listed_run(f, &r, "w1", 0, "", 1));
+	r.job = "j2";
+	ck_assert(flow_listed_run(f, &r, "w2", 0, "", 1));
+	fleet_add_job(f, "j3", "urgent", fleet_spec(1, 8, true), 10);
+	fleet_decide(f, &o, 11);
+	ck_assert_int_eq(o.n_stops, 0);
+	fleet_decide(f, &o, 10 + RECLAIM_MS - STOP_MS);
+	ck_assert_int_eq(o.n_stops, 1);
+	ck_assert_str_eq(o.stops[0].job, "j1");
+	fleet_end(f, &o.stops[0], FLOW_STOPPED, RECLAIM_MS - STOP_MS + 100);
+	fleet_decide(f, &o, RECLAIM_MS - STOP_MS + 101);
+	ck_assert_int_eq(o.n_starts, 2);
+	/* The task that made way does not take the room back. */
+	fleet_confirm(f, &o, RECLAIM_MS - STOP_MS + 110);
+	fleet_decide(f, &o, RECLAIM_MS + 1000);
+	ck_assert_int_eq(o.n_stops, 0);
+}
+END_TEST
+
 /* A task must not start again after its last attempt has failed. */
 START_TEST(attempts_are_limited)
 {
@@ -602,6 +635,7 @@
 	tcase_add_test(t, cheapest_rack_is_emptied);
 	tcase_add_test(t, gang_is_one_victim);
 	tcase_add_test(t, guaranteed_gang_spans_racks_in_time);
+	tcase_add_test(t, guaranteed_tasks_make_way_in_time);
 	tcase_add_test(t, attempts_are_limited);
 	tcase_add_test(t, failures_count_in_any_order);
 	tcase_add_test(t, unknown_jobs_are_told);
