Keep last attempts away from workers that failed a task lately

Gangs with two attempts failed for good within a second; in four of seven cases the second attempt was on a worker that had failed another job's task in the two seconds before. Ruled out: giving each worker a rest after the first failure of a job.

Change: a task that may fail only once more is not placed on a worker whose last task failed within 2.5 s, as long as at most a quarter of the pool is like that.

--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -90,6 +90,7 @@
 	int64_t remaining_ms;
 	/* health */
 	int32_t failures_in_row;
+	int64_t failed_ms; /* last failure */
 	char failed_job[FLOW_JOB_LEN + 1];
 	int64_t quarantined_until_ms;
 	int32_t quarantines;
@@ -103,6 +104,7 @@
 	char service[TG_NAME_MAX + 1];
 	struct flow_shape largest; /* capacity of its largest worker */
 	int32_t n_ready; /* workers that may get tasks, of these: */
+	int32_t n_failing; /* failed a task lately */
 	int32_t n_urgent_only; /* no ordinary tasks */
 	int32_t n_urgent_used; /* only urgent tasks, at least one */
 	/* Workers that urgent jobs need: now, and averaged at @demand_ms. */
@@ -174,6 +176,9 @@
 struct flow_shape flow_room(const struct flow_step *st);
 /** flow_count_pools() - what a round needs to know of pools and workers */
 void flow_count_pools(struct flow *f, int64_t now_ms);
+bool flow_has_failed_lately(const struct worker *w, int64_t now_ms);
+/** flow_is_avoidable() - whether few enough fail to stay away from all those */
+bool flow_is_avoidable(const struct pool *p);
 void flow_worker_succeeded(struct worker *w);
 void flow_worker_failed(struct flow *f, struct worker *w, const char *job,
 			int64_t now_ms);
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -30,7 +30,9 @@
 static bool is_eligible(const struct search *s, const struct worker *w)
 {
 	if (!flow_worker_ready(w, s->now_ms) || w->pool != s->job->pool ||
-	    (s->rack != ANY_RACK && w->rack_no != s->rack))
+	    (s->rack != ANY_RACK && w->rack_no != s->rack) ||
+	    (s->last_attempt && flow_is_avoidable(w->pool) &&
+	     flow_has_failed_lately(w, s->now_ms)))
 		return false;
 	return !*s->step->label || has_label(w, s->step->label);
 }
@@ -258,6 +260,20 @@
 	return 0;
 }
 
+static bool is_last_attempt(const struct job *j, const struct inst *in)
+{
+	int32_t i;
+
+	for (i = 0; i < flow_step_of(j, in)->tasks; i++) {
+		const struct task *t = &in->tasks[i];
+
+		if (!t->done && t->failures.n &&
+		    t->failures.n >= j->q->max_attempts - 1)
+			return true;
+	}
+	return false;
+}
+
 int32_t flow_place(struct flow *f, struct job *j, struct inst *in, int32_t want,
 		   bool preempt, struct worker **out, bool *wait,
 		   int64_t now_ms)
@@ -270,6 +286,7 @@
 		.need = flow_room(flow_step_of(j, in)),
 		.now_ms = now_ms,
 		.rack = ANY_RACK,
+		.last_attempt = is_last_attempt(j, in),
 	};
 	enum room_kind last = preempt ? ROOM_VICTIMS : ROOM_FREE;
 	int32_t n = 0;
--- a/lib/flow/place_internal.h
+++ b/lib/flow/place_internal.h
@@ -22,6 +22,7 @@
 	int64_t now_ms;
 	enum room_kind kind;
 	int32_t rack; /* only workers of this one, or ANY_RACK */
+	bool last_attempt; /* of a task of the step */
 	int64_t cost; /* of the victims of fill() */
 };
 
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -11,6 +11,9 @@
 /* Largest share of the workers of a service that is quarantined. */
 #define QUARANTINE_PERCENT 25
 
+/* A task's last attempt stays away from workers that failed another since. */
+#define AVOID_MS 2500
+
 struct worker *flow_worker(const struct flow *f, const char *id)
 {
 	struct worker *w;
@@ -46,7 +49,7 @@
 	const struct run *r;
 
 	for (p = f->pools; p; p = p->hh.next) {
-		p->n_ready = 0;
+		p->n_ready = p->n_failing = 0;
 		p->n_urgent_only = p->n_urgent_used = 0;
 		memset(&p->largest, 0, sizeof(p->largest));
 	}
@@ -63,11 +66,22 @@
 		if (w->capacity.accelerators >= p->largest.accelerators)
 			p->largest = w->capacity;
 		p->n_ready++;
+		p->n_failing += flow_has_failed_lately(w, now_ms);
 		p->n_urgent_only += !w->ordinary_tasks;
 		p->n_urgent_used += !w->ordinary_tasks && w->urgent_tasks;
 	}
 }
 
+bool flow_has_failed_lately(const struct worker *w, int64_t now_ms)
+{
+	return w->failures_in_row && now_ms - w->failed_ms < AVOID_MS;
+}
+
+bool flow_is_avoidable(const struct pool *p)
+{
+	return p->n_failing * 100 <= p->n_ready * QUARANTINE_PERCENT;
+}
+
 static int32_t rack_number(struct flow *f, const char *name)
 {
 	struct rack *r;
@@ -235,6 +249,7 @@
 	int64_t ms = QUARANTINE_MS;
 	int32_t i;
 
+	w->failed_ms = now_ms;
 	if (strcmp(w->failed_job, job) != 0)
 		w->failures_in_row++;
 	tg_strlcpy(w->failed_job, job, sizeof(w->failed_job));
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -307,6 +307,39 @@
 }
 END_TEST
 
+/* A task's last attempt was lost on a worker that had just failed another. */
+START_TEST(last_attempt_stays_away_from_failing_workers)
+{
+	struct flow_ref r = { "j1", 0, 0, 0, 1 };
+	int i;
+
+	fleet_add_worker(f, "w1", "r1", 1);
+	fleet_add_worker(f, "w2", "r1", 1);
+	fleet_add_worker(f, "w3", "r1", 1);
+	fleet_add_worker(f, "w4", "r1", 1);
+	fleet_add_job(f, "j0", "normal", fleet_spec(3, 1, false), 0);
+	fleet_decide(f, &o, 1);
+	ck_assert_int_eq(o.n_starts, 3);
+	fleet_confirm(f, &o, 2);
+	fleet_add_job(f, "j1", "normal", fleet_spec(1, 1, false), 10);
+	fleet_decide(f, &o, 11);
+	ck_assert_int_eq(o.n_starts, 1);
+	fleet_end(f, &o.starts[0], FLOW_FAILURE, 20);
+	fleet_add_job(f, "j2", "normal", fleet_spec(1, 1, false), 5);
+	r.job = "j2";
+	for (i = 1; i < 3; i++) {
+		r.run = i;
+		flow_ended_run(f, &r, "w9", FLOW_FAILURE, "", 21);
+	}
+	flow_cancel(f, "j1", 22);
+	fleet_decide(f, &o, 23);
+	ck_assert_int_eq(o.n_starts, 0);
+	fleet_decide(f, &o, 20 + 2600);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_str_eq(o.starts[0].job, "j2");
+}
+END_TEST
+
 /* A task must not start again after its last attempt has failed. */
 START_TEST(attempts_are_limited)
 {
@@ -636,6 +669,7 @@
 	tcase_add_test(t, gang_is_one_victim);
 	tcase_add_test(t, guaranteed_gang_spans_racks_in_time);
 	tcase_add_test(t, guaranteed_tasks_make_way_in_time);
+	tcase_add_test(t, last_attempt_stays_away_from_failing_workers);
 	tcase_add_test(t, attempts_are_limited);
 	tcase_add_test(t, failures_count_in_any_order);
 	tcase_add_test(t, unknown_jobs_are_told);
