Notice that a draining worker has left by its refusals; repeat stops slowly

They refused connections from then on, but kept their entries until these expired. Their runs counted as lost only when the leases had expired, 6 s later, 83 times; meanwhile each stop of such a run was sent again as soon as it failed, 13,471 connections in two seconds. Ruled out: a silent path (connects failed within 8 ms); the descriptors' limit. The client did not report these refusals, since libevent closes the socket of a failed connect before it calls back.

Change: a connect that fails by itself counts as refused. A draining worker that refuses, whose least time is over and which has missed a heartbeat has left. A refusal alone ends nothing any more, since a cut path may refuse while the worker goes on. A stop is sent again after 250 ms at the earliest.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -60,8 +60,10 @@
 	int64_t processed_n, marked_n, noted_n;
 	int64_t next_ms; /* of the next look */
 	int32_t failures;
-	int32_t nobody; /* refused connections in a row */
+	int32_t refusals; /* connections in a row that were refused */
 	int64_t broken_ms, gone_ms; /* first failed call; entry removed */
+	int64_t beat_ms; /* its entry last changed */
+	int64_t leaves_ms; /* while it drains: not before; or 0 */
 	int64_t unknown_ms; /* since it lists runs of unknown jobs; or 0 */
 	UT_hash_handle hh;
 };
--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -90,6 +90,10 @@
 		       (long long)row->version);
 	l->entry = e;
 	l->present = true;
+	l->beat_ms = tg_now_ms();
+	l->leaves_ms = e.draining && e.remaining_ms >= 0 ?
+		l->beat_ms + e.remaining_ms :
+		0;
 	l->in_scan = true;
 	link_set_boot(l, e.boot_ms);
 	tell_flow(l);
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "board.h"
+#include "left.h"
 
 /*
  * One call to each worker is always in progress: it renews the worker's leases
@@ -14,11 +15,6 @@
 /* After a call that failed. */
 #define RETRY_MS 150
 #define RETRY_MAX_MS 1000
-/* A worker that ends takes its runs along; twice, as a restart is short. */
-#define NOBODY_TIMES 2
-/* Failed calls to a worker that left the directory, before it counts as left.
- */
-#define LEFT_FAILURES 2
 /* Ends that are not durable yet would be listed again at once. */
 #define UNNOTED_PAUSE_MS 300
 /* A run of a job that is still unknown after this is stopped. */
@@ -259,7 +255,7 @@
 		tg_log(EV_FLOW_WORKER_BACK, "worker=%s failures=%d",
 		       l->entry.id, l->failures);
 	l->failed = false;
-	l->failures = l->nobody = 0;
+	l->failures = l->refusals = 0;
 	flow_worker_suspect(b->flow, l->entry.id, !l->present);
 	if (!apply_lists(l, r, asked_ms))
 		return;
@@ -275,18 +271,21 @@
 	}
 }
 
-/*
- * Whether a worker that drained has left, which ends its runs.  An entry that
- * disappears for lack of heartbeats does so two of them after the last contact
- * at the earliest.
- */
 static bool has_left(const struct link *l)
 {
-	int64_t apart_ms = l->gone_ms - l->broken_ms;
+	struct worker_signs s = {
+		.listed = l->present,
+		.failures = l->failures,
+		.refusals = l->refusals,
+		.broken_ms = l->broken_ms,
+		.unlisted_ms = l->gone_ms,
+		.beat_ms = l->beat_ms,
+		.leaves_ms = l->leaves_ms,
+		.heartbeat_ms = l->board->site.set.heartbeat_ms,
+		.now_ms = tg_now_ms(),
+	};
 
-	return l->entry.draining && !l->present && l->loaded &&
-		l->failures >= LEFT_FAILURES &&
-		llabs(apart_ms) < l->board->site.set.heartbeat_ms;
+	return l->entry.draining && l->loaded && worker_has_left(&s);
 }
 
 static void look_failed(struct link *l, enum tg_order_end end)
@@ -303,9 +302,7 @@
 	flow_worker_suspect(l->board->flow, l->entry.id, true);
 	l->next_ms = tg_now_ms() +
 		(pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS);
-	l->nobody = end == TG_ORDER_NOBODY ? l->nobody + 1 : 0;
-	if (l->nobody >= NOBODY_TIMES && l->loaded)
-		lose_runs(l, EV_FLOW_WORKER_LOST, "nothing listens there");
+	l->refusals = end == TG_ORDER_NOBODY ? l->refusals + 1 : 0;
 	if (has_left(l))
 		lose_runs(l, EV_FLOW_WORKER_LOST, "it has left");
 }
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -5,6 +5,11 @@
 
 /* Most steps are narrower. */
 #define PLACES_MIN 64
+/*
+ * Between two stops of a run, so that a worker that refuses connections gets no
+ * flood of them.
+ */
+#define RESEND_MS 250
 
 struct round {
 	struct flow *f;
@@ -88,9 +93,11 @@
 			why = unwanted(r);
 			if (why)
 				flow_run_stop(r);
-			if (r->state != RUN_STOPPING || !r->resend_stop)
+			if (r->state != RUN_STOPPING || !r->resend_stop ||
+			    rd->now_ms < r->next_stop_ms)
 				continue;
 			r->resend_stop = false;
+			r->next_stop_ms = rd->now_ms + RESEND_MS;
 			s.ref = ref_of(r);
 			s.reason = why ? why : "no longer wanted";
 			rd->ops->stop(&s, rd->arg);
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -20,7 +20,8 @@
 	struct worker *worker;
 	enum run_state state;
 	bool refused_later; /* a stop was answered */
-	bool resend_stop; /* the stop had no answer */
+	bool resend_stop; /* the stop was not confirmed */
+	int64_t next_stop_ms; /* not sent again before */
 	bool victim; /* is to be stopped for another job */
 	bool considered; /* as a victim, while a search looks at its worker */
 	bool victim_kept; /* the search that chose it has succeeded */
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -231,9 +231,13 @@
 	struct tg_http_result r = { .sent = call->sent };
 	bool whole;
 
-	/* libevent leaves the error of a connect there for its callback. */
-	call->refused |=
-		!req && !call->sent && EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+	/*
+	 * libevent closes the socket of a connect that has failed before it
+	 * calls back, so its error is lost.  A timeout ends in on_timer().
+	 */
+	if (!call->sent)
+		call->refused = !call->starting ||
+			EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
 	/* A connection that fails at once; the timer tells the caller. */
 	if (call->starting) {
 		discard(call->client, call->con);
@@ -286,7 +290,6 @@
 {
 	struct tg_http_call *call = arg;
 
-	call->refused = !call->sent && EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
 	call->error = error;
 	call->failed = true;
 }
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -169,7 +169,8 @@
  * @end: see above
  * @sent: a byte of the request may have reached the server.  Always set with
  *	TG_HTTP_WHOLE; never with TG_HTTP_NOT_CONNECTED.
- * @refused: with TG_HTTP_NOT_CONNECTED: nobody listens at the address
+ * @refused: with TG_HTTP_NOT_CONNECTED: the connection was refused, which
+ *	is no proof that the server has ended
  * @status: status of a whole answer, else 0
  * @headers: of a whole answer, else NULL
  * @body: of a whole answer, else NULL
--- a/lib/port/port.h
+++ b/lib/port/port.h
@@ -96,7 +96,7 @@
 	TG_ORDER_UNHEALTHY, /* refused, nothing was done */
 	TG_ORDER_OTHER_BOOT, /* the worker has restarted since */
 	TG_ORDER_NOT_SENT, /* no connection, nothing was done */
-	TG_ORDER_NOBODY, /* nothing listens there: the worker has ended */
+	TG_ORDER_NOBODY, /* the connection was refused, nothing was done */
 	TG_ORDER_UNKNOWN, /* no answer; may be carried out later */
 };
 
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -164,6 +164,34 @@
 }
 END_TEST
 
+/*
+ * Stops were sent again at once to a worker that refused connections: 13,000 in
+ * two seconds (incident inc-04b5).
+ */
+START_TEST(unconfirmed_stop_is_repeated_slowly)
+{
+	struct flow_ref r;
+	int64_t now_ms;
+	int n = 0;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "j1", "normal", fleet_spec(1, 8, false), 0);
+	fleet_decide(f, &o, 1);
+	fleet_confirm(f, &o, 2);
+	r = fleet_ref(&o.starts[0]);
+	flow_cancel(f, "j1", 3);
+	for (now_ms = 1000; now_ms < 3000; now_ms += 5) {
+		fleet_decide(f, &o, now_ms);
+		n += o.n_stops;
+		if (o.n_stops)
+			flow_stop_answered(f, &r, "w1", FLOW_ORDER_NOT_DONE,
+					   now_ms);
+	}
+	ck_assert_int_ge(n, 4);
+	ck_assert_int_le(n, 20);
+}
+END_TEST
+
 /*
  * Room of a run that is to be stopped for an urgent job was given to the next
  * job of the same round, while the run still took it (LIMIT).
@@ -663,6 +691,7 @@
 	tcase_add_test(t, gangs_start_whole);
 	tcase_add_test(t, gang_restarts_whole);
 	tcase_add_test(t, stopping_takes_room);
+	tcase_add_test(t, unconfirmed_stop_is_repeated_slowly);
 	tcase_add_test(t, victims_take_room);
 	tcase_add_test(t, urgent_gets_the_room_it_made);
 	tcase_add_test(t, cheapest_rack_is_emptied);
--- a/tests/unit/flowd/test-flowd.c
+++ b/tests/unit/flowd/test-flowd.c
@@ -1,4 +1,5 @@
 #include "../../../cmd/tgflowd/orderend.h"
+#include "../../../cmd/tgflowd/left.h"
 #include "../run.h"
 
 /*
@@ -46,6 +47,68 @@
 }
 END_TEST
 
+/* A draining worker at @now_ms whose connection broke at 10,000. */
+static struct worker_signs leaving(int64_t now_ms)
+{
+	return (struct worker_signs){
+		.listed = true,
+		.failures = 3,
+		.refusals = 2,
+		.broken_ms = 10000,
+		.beat_ms = 9500,
+		.leaves_ms = 10000,
+		.heartbeat_ms = 1500,
+		.now_ms = now_ms,
+	};
+}
+
+/*
+ * Tasks of a worker that left without a word to the directory waited for its
+ * leases to expire, 6 s (incident inc-04b5).
+ */
+START_TEST(refusing_worker_that_drained_has_left)
+{
+	struct worker_signs s = leaving(12000);
+
+	ck_assert(worker_has_left(&s));
+}
+END_TEST
+
+/* A path that is cut may refuse connections while the worker runs on (TWICE).
+ */
+START_TEST(refusal_alone_is_no_end)
+{
+	struct worker_signs s = leaving(12000);
+
+	s.beat_ms = 11000;
+	ck_assert(!worker_has_left(&s));
+	s = leaving(12000);
+	s.leaves_ms = 13000;
+	ck_assert(!worker_has_left(&s));
+	s.leaves_ms = 0;
+	ck_assert(!worker_has_left(&s));
+	s = leaving(12000);
+	s.refusals = 0;
+	ck_assert(!worker_has_left(&s));
+	s = leaving(10500);
+	ck_assert(!worker_has_left(&s));
+}
+END_TEST
+
+/* An entry that expires disappears two heartbeats after the last contact. */
+START_TEST(removed_entry_tells)
+{
+	struct worker_signs s = leaving(10200);
+
+	s.refusals = 0;
+	s.listed = false;
+	s.unlisted_ms = 10120;
+	ck_assert(worker_has_left(&s));
+	s.unlisted_ms = 13100;
+	ck_assert(!worker_has_left(&s));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("flowd");
@@ -54,5 +117,10 @@
 	tcase_add_test(t, refused_copy_does_not_settle_a_start);
 	tcase_add_test(t, first_answers);
 	suite_add_tcase(s, t);
+	t = tcase_create("workers that leave");
+	tcase_add_test(t, refusing_worker_that_drained_has_left);
+	tcase_add_test(t, refusal_alone_is_no_end);
+	tcase_add_test(t, removed_entry_tells);
+	suite_add_tcase(s, t);
 	return run_suite(s);
 }
