Wait longer for the second attempt of a write to a slow store

The first attempt was given up after 700 ms; each further copy stood in the same queue, so that four of them found no answer in the caller's time (504, unknown). Ruled out: the relay through a peer (both ways had the same times); the limits of the store's rates (no 429).

Change: after an attempt without an answer the next waits 1,400 ms.

--- a/cmd/tgqueued/submit.c
+++ b/cmd/tgqueued/submit.c
@@ -12,6 +12,11 @@
 
 /* An answer takes 4 ms, across regions 64 ms, on a slow store 300 ms. */
 #define WRITE_TIMEOUT_MS 700
+/*
+ * After an attempt without answer.  A slow store applies the writes of a part
+ * one after another, so that more copies make it slower still.
+ */
+#define REWRITE_TIMEOUT_MS 1400
 #define RETRY_MS 60
 /* Told to the owner so that it need not wait for its feed; may be lost. */
 #define NOTIFY_TIMEOUT_MS 1000
@@ -148,7 +153,7 @@
 	struct board *b = r->board;
 	struct tg_rpc_job j = row_args(r);
 	const char *peer = wants_relay(r) ? owner_pick_peer(b) : NULL;
-	int64_t timeout_ms = WRITE_TIMEOUT_MS;
+	int64_t timeout_ms = r->unknown ? REWRITE_TIMEOUT_MS : WRITE_TIMEOUT_MS;
 
 	if (request_left_ms(r) < timeout_ms)
 		timeout_ms = request_left_ms(r);
--- a/tests/script/site-store.sh
+++ b/tests/script/site-store.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# The store is down, loses answers, or forgets its history.  Guards against
+# The store is down or slow, loses answers, or forgets its history.  Guards against
 # jobs that are lost, doubled or refused although they run, and against leases
 # that expire while nobody else can own the site.
 . "$(dirname "$0")/../site-lib.sh"
@@ -20,6 +20,12 @@
 await_state 2 00000000000000a2 completed
 judge
 
+echo "# slower than the first try of a write waits: the job is accepted"
+control "store?mode=sluggish"
+submit 1 00000000000000b1 "ms=100" "$(steps 1)" && echo
+control "store?mode=ok"
+await_state 1 00000000000000b1 completed
+
 echo "# down for 7 s: runs go on, nothing is accepted, nothing lapses"
 submit 1 00000000000000a3 "ms=9000" "$(steps 4)" && echo
 await "four runs" runs_now 4
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -27,7 +27,8 @@
 /** struct store_door - one address of the store */
 struct store_door {
 	struct tg_http_server *server;
-	char mode[16]; /* ok, slow, refuse, silent, lose: done, not answered */
+	/* ok, slow, sluggish, refuse, silent, lose: done, not answered */
+	char mode[16];
 };
 
 struct row {
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -6,6 +6,7 @@
 
 /* Time of an answer of a slow store. */
 #define SLOW_MS 150
+#define SLUGGISH_MS 900
 
 struct waiting {
 	struct evhttp_request *req;
@@ -275,16 +276,18 @@
 void store_request(struct evhttp_request *req, void *arg)
 {
 	const struct store_door *d = arg;
+	bool sluggish = !strcmp(d->mode, "sluggish");
 	struct slow *s;
 
-	if (strcmp(d->mode, "slow") != 0) {
+	if (!sluggish && strcmp(d->mode, "slow") != 0) {
 		handle(req, d);
 		return;
 	}
 	s = tg_xcalloc(1, sizeof(*s));
 	s->req = req;
 	s->door = d;
-	delay_call(board.base, SLOW_MS, handle_slow, s);
+	delay_call(board.base, sluggish ? SLUGGISH_MS : SLOW_MS, handle_slow,
+		   s);
 }
 
 static void handle(struct evhttp_request *req, const struct store_door *d)
