Let a test wait until the entries know the worker

An instance is ready once it has a document; a request that comes before it has read the list of workers is refused, truthfully. A run without any worker gives the same line. The test did not wait for that state, as its sibling entry-callers-key does. What it expects is unchanged.

--- a/tests/script/entry-issued-key.sh
+++ b/tests/script/entry-issued-key.sh
@@ -25,6 +25,9 @@
 echo "# not passed to the home: runs twice"
 start_entry u-1 --unsafe-run-anywhere
 start_entry u-2 --unsafe-run-anywhere
+for e in u-1 u-2; do
+	await "w-1 at $e" knows_worker $e w-1 up
+done
 key=$(new_key u-1)
 post u-1 u-1 "$key" anywhere
 post u-2 u-2 "$key" anywhere
@@ -40,6 +43,7 @@
 start_entry e-3
 for e in e-1 e-2 e-3; do
 	await "peers of $e" sees_peers $e 2
+	await "w-1 at $e" knows_worker $e w-1 up
 done
 
 echo "# passed to the home, which runs it once for all who wait"
