Add a fault soak of the daemons on the users' platform

Steps drawn from a seed submit and cancel jobs and overlap with faults from outside: SIGKILL, SIGTERM, SIGSTOP, SIGHUP, delayed, silent, one-way and reset connections, faults of store and workers, changed keys. Afterwards every accepted job must end completed, no refused one may exist, and no task may have run twice or beyond room.

--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,13 @@
 	@$(MAKE) --no-print-directory all
 	@sh tests/bench/$@.sh
 
+# Seeds of the fault soak, from SEED on.
+SEED ?= 1
+SEEDS ?= 50
+soak: deps
+	@$(MAKE) --no-print-directory all
+	@sh tests/soak/seeds.sh $(SEED) $$(($(SEED) + $(SEEDS) - 1))
+
 model:
 	@sh spec/run.sh
 
@@ -61,5 +68,5 @@
 	rm -rf $(BUILD)
 
 .PHONY: all programs deps check demo demo-up demo-down bench bench-decisions \
-	bench-capacity model format format-check lint clean \
+	bench-capacity soak model format format-check lint clean \
 	$(LIBDIRS) $(PROGDIRS)
--- /dev/null
+++ b/tests/fault/soak.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# A short soak of the queue and flow daemons with fixed seeds.  Guards against
+# jobs that are lost, doubled or run beyond room under overlapping faults.
+# tests/soak/seeds.sh runs other seeds.
+soak=$(dirname "$0")/../soak/run.sh
+for seed in 1 2; do
+	sh "$soak" --seed $seed --steps 30
+done
+echo "# a job that is lost is found"
+sh "$soak" --seed 3 --steps 4 --claim 00000000000000ff
