--- a/lib/flow/reserve.c
+++ b/lib/flow/reserve.c
@@ -116,7 +116,7 @@
 		if (flow_may_place(s, w))
 			add_slots(s, w, p);
 	s->rack = ANY_RACK;
-	if (p->n_slots < want)
+	if (!p->n_slots || p->n_slots < want)
 		return -1;
 	qsort(p->slots, (size_t)p->n_slots, sizeof(*p->slots), compare_slots);
 	return p->slots[want - 1].free_ms;
--- a/tests/unit/flow/test-load.c
+++ b/tests/unit/flow/test-load.c
@@ -48,18 +48,26 @@
 		load_add(l, "low", at_ms, FLEET / 8, 1, 7000);
 }
 
+/* A gang that takes a whole rack, at 10,000. */
+static struct load_job *add_gang_to_backlog(void)
+{
+	struct load_job *gang;
+
+	add_backlog(30000);
+	load_play(l, 10000);
+	gang = load_add(l, "normal", 10000, WORKERS_A_RACK, ACCELERATORS, 5000);
+	gang->gang = gang->within_rack = true;
+	return gang;
+}
+
 /*
  * A gang of whole workers never began, since lower jobs filled each gap.  With
  * runs of 7 s its room is there after the longest of them.
  */
 START_TEST(gang_begins_in_a_backlog)
 {
-	struct load_job *gang;
+	struct load_job *gang = add_gang_to_backlog();
 
-	add_backlog(30000);
-	load_play(l, 10000);
-	gang = load_add(l, "normal", 10000, 4, 8, 5000);
-	gang->gang = gang->within_rack = true;
 	load_play(l, 19000);
 	ck_assert_int_ge(gang->start_ms, 10000);
 	ck_assert_int_le(gang->start_ms, 18000);
@@ -70,12 +78,8 @@
 /* The rest of the fleet works on while a gang waits for its rack. */
 START_TEST(others_work_while_a_gang_waits)
 {
-	struct load_job *gang;
+	struct load_job *gang = add_gang_to_backlog();
 
-	add_backlog(30000);
-	load_play(l, 10000);
-	gang = load_add(l, "normal", 10000, 4, 8, 5000);
-	gang->gang = gang->within_rack = true;
 	load_play(l, 14000);
 	ck_assert_int_lt(gang->start_ms, 0);
 	ck_assert_int_ge(load_accelerators(l),
