Let an owner that the store refuses give way sooner

It counted as current until its last write was 1.6 s old; a standby became the owner 2.0 s after the first refusal. What ended meanwhile was shown late: 22 urgent jobs at once at 21.1 s. Ruled out: a shorter bound for all silence of the store, since a slow store takes up to a second for a write and is slow for all.

Change: an owner whose writes have been refused for 0.5 s no longer reports itself as current.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -94,6 +94,7 @@
 	int64_t owner_version;
 	bool former_gone; /* the owner before starts nothing any more */
 	int64_t renewed_ms; /* last write that succeeded */
+	int64_t refused_ms; /* since when all writes are refused, or 0 */
 	int64_t recover_until_ms; /* unknown runs have ended by then */
 	/*
 	 * Runs that the former owner stopped have ended by then.  Workers don't
@@ -120,7 +121,7 @@
 void owner_check_recovered(struct board *b);
 /** owner_may_renew() - whether leases may be renewed and tasks started */
 bool owner_may_renew(const struct board *b);
-/** owner_is_current() - whether it has written its row lately */
+/** owner_is_current() - whether it is the owner and reaches the store */
 bool owner_is_current(const struct board *b);
 
 /* writer.c */
--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "board.h"
+#include "standing.h"
 
 /* Time between two looks at the owner. */
 #define PING_MS 300
@@ -24,9 +25,6 @@
 #define WEAK_WAIT_MS 2000
 #define READ_TIMEOUT_MS 800
 #define CLAIM_TIMEOUT_MS 1000
-/* Without a successful write for this long an owner no longer reports itself
- * as active, so that a standby that reaches the store can take over. */
-#define STALE_MS 1600
 /*
  * Without a successful write for this long an owner renews no leases.  Long
  * enough for the usual outages of the store, in which nobody can take over.
@@ -123,6 +121,7 @@
 	b->role = ROLE_RECOVERING;
 	b->fence = b->owner.fence;
 	b->renewed_ms = tg_now_ms();
+	b->refused_ms = 0;
 	/* A former owner that lives may renew leases for KEEP_MS more. */
 	b->recover_until_ms =
 		b->renewed_ms + lease_ms + (b->former_gone ? 0 : KEEP_MS);
@@ -334,7 +333,13 @@
 
 bool owner_is_current(const struct board *b)
 {
-	return IS_OWNER(b) && tg_now_ms() - b->renewed_ms < STALE_MS;
+	struct owner_standing s = {
+		.written_ms = b->renewed_ms,
+		.refused_ms = b->refused_ms,
+		.now_ms = tg_now_ms(),
+	};
+
+	return IS_OWNER(b) && owner_stands(&s);
 }
 
 static int start(void *board)
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -179,6 +179,10 @@
 
 	if (!w.busy || w.term != b->term)
 		return;
+	if (r->end != TG_STORE_REFUSED)
+		b->refused_ms = 0;
+	else if (!b->refused_ms)
+		b->refused_ms = tg_now_ms();
 	if (r->end == TG_STORE_OK) {
 		succeed(b, r->version);
 		return;
--- a/tests/unit/flowd/test-flowd.c
+++ b/tests/unit/flowd/test-flowd.c
@@ -1,5 +1,6 @@
 #include "../../../cmd/tgflowd/orderend.h"
 #include "../../../cmd/tgflowd/left.h"
+#include "../../../cmd/tgflowd/standing.h"
 #include "../run.h"
 
 /*
@@ -109,6 +110,32 @@
 }
 END_TEST
 
+/*
+ * An owner that the store refused went on for 1.6 s before a standby took over;
+ * what ended meanwhile was shown late (jurisum-grown, trouble-1).
+ */
+START_TEST(refused_owner_gives_way_soon)
+{
+	struct owner_standing s = { .written_ms = 10000, .refused_ms = 10010 };
+
+	s.now_ms = 10400;
+	ck_assert(owner_stands(&s));
+	s.now_ms = 10510;
+	ck_assert(!owner_stands(&s));
+}
+END_TEST
+
+/* A slow store is slow for all: no other owner would do better. */
+START_TEST(owner_stays_while_the_store_is_slow)
+{
+	struct owner_standing s = { .written_ms = 10000, .now_ms = 11500 };
+
+	ck_assert(owner_stands(&s));
+	s.now_ms = 11600;
+	ck_assert(!owner_stands(&s));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("flowd");
@@ -117,6 +144,10 @@
 	tcase_add_test(t, refused_copy_does_not_settle_a_start);
 	tcase_add_test(t, first_answers);
 	suite_add_tcase(s, t);
+	t = tcase_create("ownership");
+	tcase_add_test(t, refused_owner_gives_way_soon);
+	tcase_add_test(t, owner_stays_while_the_store_is_slow);
+	suite_add_tcase(s, t);
 	t = tcase_create("workers that leave");
 	tcase_add_test(t, refusing_worker_that_drained_has_left);
 	tcase_add_test(t, refusal_alone_is_no_end);
