Move only guaranteed tasks of jobs that have begun

A job that had started a part of its first step, and was not due yet, could be stopped for one that was due, and miss its own bound.

--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -125,7 +125,8 @@
 	/* A former owner that lives may renew leases for KEEP_MS more. */
 	b->recover_until_ms =
 		b->renewed_ms + lease_ms + (b->former_gone ? 0 : KEEP_MS);
-	/* A planned stop recorded all runs; otherwise see link lists too. */
+	/* A planned stop records all runs; without one look_succeeded() adds.
+	 */
 	b->stops_end_ms = watch.gone ? watch.gone_ms + b->site.set.stop_ms : 0;
 	tg_log(EV_FLOW_CLAIMED, "fence=%llu why=%s version=%lld",
 	       (unsigned long long)b->fence, why, (long long)b->owner_version);
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -208,6 +208,8 @@
 bool flow_is_urgent(const struct job *j);
 /** flow_may_preempt() - whether runs of a greater rank may be stopped for it */
 bool flow_may_preempt(const struct job *j);
+/** flow_has_begun() - whether each task of its first step was started once */
+bool flow_has_begun(struct job *j);
 /**
  * flow_must_begin() - whether a guaranteed job is about to miss its bound
  *
--- a/lib/flow/order.c
+++ b/lib/flow/order.c
@@ -174,7 +174,7 @@
 		(j->rank == RANK_URGENT && !j->hopeless);
 }
 
-static bool has_begun_whole(struct job *j)
+bool flow_has_begun(struct job *j)
 {
 	const struct inst *in = flow_inst(j, 0, 0);
 	int32_t i;
@@ -190,5 +190,5 @@
 	return j->rank == RANK_GUARANTEED && f->opts.reclaim_ms > 0 &&
 		now_ms - j->accepted_ms >
 		f->opts.reclaim_ms - f->opts.stop_ms - BEGIN_MARGIN_MS &&
-		!has_begun_whole(j);
+		!flow_has_begun(j);
 }
--- a/lib/flow/victims.c
+++ b/lib/flow/victims.c
@@ -59,10 +59,10 @@
 		return false;
 	if (r->job->rank > s->job->rank)
 		return true;
-	/* Guarantees hold for all at once if the others move together. */
+	/* It has begun in time and fits elsewhere, once the others move. */
 	return r->job != s->job && r->job->rank == s->job->rank &&
 		flow_must_begin(s->f, s->job, s->now_ms) &&
-		!flow_must_begin(s->f, r->job, s->now_ms);
+		flow_has_begun(r->job);
 }
 
 static void mark_victim(struct run *r)
