--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -103,6 +103,9 @@
 # Reaps a process that has got SIGTERM or SIGKILL, and starts it again.
 end_process() { # SIGNAL NAME
 	signal "$1" "$2"
+	# A paused process gets a signal once it goes on.
+	signal CONT "$2"
+	[ "$paused" = "$2" ] && paused=
 	wait "$(pid_of "$2")" 2>/dev/null
 	forget "$(pid_of "$2")"
 	revive
