Keep one record of a former owner that has ended

watch.gone and watch.gone_ms told the same, and one of four places cleared only the first. After a daemon had owned the site and lost it, an old time could be left, and the wait for the stops of the next owner that ended could be cut short.

--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -32,8 +32,8 @@
 #define KEEP_MS 10000
 static struct {
 	bool pinging, reading, was_silent;
-	bool gone; /* the process that wrote the row has ended */
-	int64_t gone_ms; /* since when that is known */
+	/* Since when the process that wrote the row is known to have ended. */
+	int64_t gone_ms; /* 0 if it may live */
 	bool stale; /* it lives and has not written its row lately */
 	uint64_t ping_fence; /* owner that the ping in progress asks */
 	int64_t ping_ms, alive_ms;
@@ -46,12 +46,13 @@
 	struct board *b = arg;
 	const struct tg_rpc_peer *p = res;
 	int64_t now_ms = tg_now_ms();
+	bool gone;
 
 	watch.pinging = false;
 	/* The row may name another owner by now. */
 	if (watch.ping_fence != b->owner.fence)
 		return;
-	watch.gone = watch.stale = false;
+	watch.stale = false;
 	if (end == TG_RPC_END_OK && !strcmp(p->boot, b->owner.boot)) {
 		watch.stale = !p->active;
 		watch.gone_ms = 0;
@@ -65,10 +66,10 @@
 	 * Another process answers there, or nobody listens.  A connection that
 	 * breaks says nothing: it may have led to a process of before.
 	 */
-	watch.gone = end == TG_RPC_END_OK ||
+	gone = end == TG_RPC_END_OK ||
 		(end == TG_RPC_END_NOT_SENT &&
 		 now_ms - watch.ping_ms < REFUSED_WITHIN_MS);
-	if (!watch.gone)
+	if (!gone)
 		watch.gone_ms = 0;
 	else if (!watch.gone_ms)
 		watch.gone_ms = now_ms;
@@ -104,7 +105,7 @@
 	}
 	if (o.fence != b->owner.fence) {
 		watch.alive_ms = tg_now_ms();
-		watch.gone = watch.stale = false;
+		watch.stale = false;
 		watch.gone_ms = 0;
 	}
 	b->owner = o;
@@ -127,7 +128,8 @@
 		b->renewed_ms + lease_ms + (b->former_gone ? 0 : KEEP_MS);
 	/* A planned stop records all runs; without one look_succeeded() adds.
 	 */
-	b->stops_end_ms = watch.gone ? watch.gone_ms + b->site.set.stop_ms : 0;
+	b->stops_end_ms =
+		watch.gone_ms ? watch.gone_ms + b->site.set.stop_ms : 0;
 	tg_log(EV_FLOW_CLAIMED, "fence=%llu why=%s version=%lld",
 	       (unsigned long long)b->fence, why, (long long)b->owner_version);
 	jobs_open(b);
@@ -176,7 +178,8 @@
 	};
 	char *text;
 
-	b->former_gone = watch.gone || b->owner.released || !b->owner_version;
+	b->former_gone =
+		watch.gone_ms || b->owner.released || !b->owner_version;
 	memset(&claim, 0, sizeof(claim));
 	tg_strlcpy(claim.holder, b->site.set.instance, sizeof(claim.holder));
 	tg_strlcpy(claim.addr, tg_rpc_server_addr(b->rpc), sizeof(claim.addr));
@@ -208,7 +211,7 @@
 		return "no owner yet";
 	if (b->owner.released)
 		return "released";
-	if (watch.gone && unchanged_ms >= UNCHANGED_DEAD_MS)
+	if (watch.gone_ms && unchanged_ms >= UNCHANGED_DEAD_MS)
 		return "owner is gone";
 	if (watch.stale && unchanged_ms >= UNCHANGED_DEAD_MS)
 		return "owner does not reach the store";
@@ -284,9 +287,9 @@
 		tg_log(EV_FLOW_OWNER_SILENT,
 		       "owner=%s silent_ms=%lld gone=%d stale=%d",
 		       b->owner.holder, (long long)(now_ms - watch.alive_ms),
-		       watch.gone, watch.stale);
+		       watch.gone_ms != 0, watch.stale);
 	}
-	if (!b->owner_version || silent || watch.gone || watch.stale ||
+	if (!b->owner_version || silent || watch.gone_ms || watch.stale ||
 	    b->owner.released)
 		read_row(b);
 	else
@@ -307,7 +310,8 @@
 	flow_free(b->flow);
 	b->flow = NULL;
 	watch.alive_ms = tg_now_ms();
-	watch.gone = watch.stale = false;
+	watch.gone_ms = 0;
+	watch.stale = false;
 	watch.read_version = 0;
 }
 
