Decide once in a search for workers what holds for all of it

Whether some rack could hold a gang was worked out for each kind of room and again for the reservation, and whether a job must begin for each run that might be stopped. Both are now members of the search.

--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -185,7 +185,8 @@
 	return n;
 }
 
-bool flow_some_rack_suffices(struct search *s, int32_t want)
+/* Whether an empty rack could hold all tasks. */
+static bool some_rack_suffices(struct search *s, int32_t want)
 {
 	int32_t rack;
 
@@ -248,9 +249,9 @@
 {
 	int32_t n;
 
-	if (s->step->within_rack && flow_some_rack_suffices(s, want)) {
+	if (s->one_rack) {
 		n = fill_one_rack(s, want, out);
-		if (n == want || !flow_must_begin(s->f, s->job, s->now_ms))
+		if (n == want || !s->must_begin)
 			return n;
 	}
 	n = fill(s, want, out);
@@ -287,11 +288,14 @@
 		.now_ms = now_ms,
 		.rack = ANY_RACK,
 		.last_attempt = is_last_attempt(j, in),
+		.must_begin = flow_must_begin(f, j, now_ms),
 	};
 	enum room_kind last = preempt ? ROOM_VICTIMS : ROOM_FREE;
 	int32_t n = 0;
 
 	*wait = false;
+	s.one_rack = s.step->gang && s.step->within_rack &&
+		some_rack_suffices(&s, want);
 	for (s.kind = ROOM_FREE; s.kind <= last; s.kind++) {
 		n = s.step->gang ? fill_gang(&s, want, out) :
 				   fill(&s, want, out);
--- a/lib/flow/place_internal.h
+++ b/lib/flow/place_internal.h
@@ -23,13 +23,13 @@
 	enum room_kind kind;
 	int32_t rack; /* only workers of this one, or ANY_RACK */
 	bool last_attempt; /* of a task of the step */
+	bool one_rack; /* a gang that prefers one rack, and one could hold it */
+	bool must_begin; /* see flow_must_begin() */
 	int64_t cost; /* of the victims of fill() */
 };
 
 /** flow_may_place() - whether a worker may get tasks of the step, given room */
 bool flow_may_place(const struct search *s, const struct worker *w);
-/** flow_some_rack_suffices() - whether an empty rack could hold all tasks */
-bool flow_some_rack_suffices(struct search *s, int32_t want);
 /**
  * flow_reserve() - keep the room for a gang that will be free first
  *
--- a/lib/flow/reserve.c
+++ b/lib/flow/reserve.c
@@ -143,13 +143,11 @@
 {
 	struct plan p = { 0 };
 	int32_t rack = ANY_RACK, i;
-	bool one_rack =
-		s->step->within_rack && flow_some_rack_suffices(s, want);
 
 	s->kind = ROOM_FREE;
-	if (one_rack)
+	if (s->one_rack)
 		rack = first_rack(s, want, &p);
-	if ((!one_rack || rack != ANY_RACK) &&
+	if ((!s->one_rack || rack != ANY_RACK) &&
 	    plan_rack(s, rack, want, &p) >= 0)
 		for (i = 0; i < want; i++)
 			flow_shape_add(&p.slots[i].worker->reserved, &s->need,
--- a/lib/flow/victims.c
+++ b/lib/flow/victims.c
@@ -61,8 +61,7 @@
 		return true;
 	/* It has begun in time and fits elsewhere, once the others move. */
 	return r->job != s->job && r->job->rank == s->job->rank &&
-		flow_must_begin(s->f, s->job, s->now_ms) &&
-		flow_has_begun(r->job);
+		s->must_begin && flow_has_begun(r->job);
 }
 
 static void mark_victim(struct run *r)
