Share what tests wrote twice

The stand-ins sited and proxyd have one main, standin_run(); both files of the flow tests make their fleet with fleet_new(). No assertion changes.

--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -67,7 +67,6 @@
 				return
 			fi
 			;;
-		000) unknown=1 ;;
 		*) unknown=1 ;;
 		esac
 		at=$((at % 3 + 1)) i=$((i + 1))
--- a/tests/standin/proxyd/main.c
+++ b/tests/standin/proxyd/main.c
@@ -5,7 +5,7 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
-#include "../common/loop.h"
+#include "../common/standin.h"
 #include "http/http.h"
 
 /*
@@ -229,23 +229,13 @@
 		.summary = "disturbs connections between two programs",
 		.items = settings,
 	};
-	static const struct tg_controller *const controllers[] = { &controller,
-								   NULL };
-	struct tg_daemon_opts daemon = { .controllers = controllers,
-					 .board = &proxy,
-					 .drain_max_ms = 100 };
-
-	switch (tg_settings_load(&spec, argc, argv, &proxy.opts, NULL)) {
-	case TG_SETTINGS_DONE:
-		return 0;
-	case TG_SETTINGS_BAD:
-		return TG_EXIT_USAGE;
-	default:
-		break;
-	}
-	tg_log_open(PROG, proxy.opts.log_level);
-	tg_log_register(tg_http_events);
-	proxy.base = new_precise_loop();
-	daemon.base = proxy.base;
-	return tg_daemon_run(&daemon);
+	const struct standin s = {
+		.spec = &spec,
+		.opts = &proxy.opts,
+		.log_level = &proxy.opts.log_level,
+		.base = &proxy.base,
+		.controller = &controller,
+	};
+
+	return standin_run(&s, argc, argv);
 }
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "../common/loop.h"
+#include "../common/standin.h"
 #include "sited.h"
 
 #define PROG "sited"
@@ -220,23 +220,13 @@
 		.summary = "stands in for the users' platform",
 		.items = settings,
 	};
-	static const struct tg_controller *const controllers[] = { &controller,
-								   NULL };
-	struct tg_daemon_opts daemon = { .controllers = controllers,
-					 .board = &board,
-					 .drain_max_ms = 100 };
-
-	switch (tg_settings_load(&spec, argc, argv, &board.opts, NULL)) {
-	case TG_SETTINGS_DONE:
-		return 0;
-	case TG_SETTINGS_BAD:
-		return TG_EXIT_USAGE;
-	default:
-		break;
-	}
-	tg_log_open(PROG, board.opts.log_level);
-	tg_log_register(tg_http_events);
-	board.base = new_precise_loop();
-	daemon.base = board.base;
-	return tg_daemon_run(&daemon);
+	const struct standin s = {
+		.spec = &spec,
+		.opts = &board.opts,
+		.log_level = &board.opts.log_level,
+		.base = &board.base,
+		.controller = &controller,
+	};
+
+	return standin_run(&s, argc, argv);
 }
--- a/tests/unit/flow/fleet.c
+++ b/tests/unit/flow/fleet.c
@@ -15,6 +15,19 @@
 	};
 }
 
+struct flow *fleet_new(void)
+{
+	const struct flow_opts opts = { .stop_ms = STOP_MS,
+					.reclaim_ms = RECLAIM_MS };
+	const struct flow_queue q[] = { fleet_queue("urgent", 0),
+					fleet_queue("normal", 1),
+					fleet_queue("low", 2) };
+	struct flow *f = flow_new(&opts);
+
+	flow_set_queues(f, q, ARRAY_SIZE(q));
+	return f;
+}
+
 void fleet_add_worker(struct flow *f, const char *id, const char *rack,
 		      int32_t accelerators)
 {
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -9,6 +9,8 @@
  */
 
 #define ORDERS_MAX 4096
+#define STOP_MS 900
+#define RECLAIM_MS 3400
 
 struct start_order {
 	char job[FLOW_JOB_LEN + 1], worker[TG_NAME_MAX + 1];
@@ -21,6 +23,8 @@
 	int n_starts, n_stops;
 };
 
+/** fleet_new() - no workers; the queues "urgent", "normal" and "low" */
+struct flow *fleet_new(void);
 /** fleet_queue() - a queue of the service "s" with @priority, 3 attempts */
 struct flow_queue fleet_queue(const char *name, int32_t priority);
 /** fleet_add_worker() - listed, of service "s" */
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -4,22 +4,12 @@
 #include "../run.h"
 #include "load.h"
 
-#define STOP_MS 900
-#define RECLAIM_MS 3400
-
 static struct flow *f;
 static struct orders o;
 
 static void setup(void)
 {
-	struct flow_opts opts = { .stop_ms = STOP_MS,
-				  .reclaim_ms = RECLAIM_MS };
-	struct flow_queue q[] = { fleet_queue("urgent", 0),
-				  fleet_queue("normal", 1),
-				  fleet_queue("low", 2) };
-
-	f = flow_new(&opts);
-	flow_set_queues(f, q, ARRAY_SIZE(q));
+	f = fleet_new();
 }
 
 static void teardown(void)
--- a/tests/unit/flow/test-load.c
+++ b/tests/unit/flow/test-load.c
@@ -3,8 +3,6 @@
 
 #include "load.h"
 
-#define STOP_MS 900
-#define RECLAIM_MS 3400
 #define RACKS 4
 #define WORKERS_A_RACK 4
 #define ACCELERATORS 8
@@ -14,16 +12,10 @@
 
 static void setup(void)
 {
-	struct flow_opts opts = { .stop_ms = STOP_MS,
-				  .reclaim_ms = RECLAIM_MS };
-	struct flow_queue q[] = { fleet_queue("urgent", 0),
-				  fleet_queue("normal", 1),
-				  fleet_queue("low", 2) };
 	int i;
 
 	l = tg_xcalloc(1, sizeof(*l));
-	l->f = flow_new(&opts);
-	flow_set_queues(l->f, q, ARRAY_SIZE(q));
+	l->f = fleet_new();
 	for (i = 0; i < RACKS * WORKERS_A_RACK; i++) {
 		char id[16], rack[16];
 
