Let a test wait until the guarantee has its place

The second worker had registered a moment after the scheduler's first reading of the list, and the test asked between its answer and the next decision, 10 to 15 ms later. A script that starts that worker late shows the same without load, 3 of 3 times. The test now waits for the state; what it expects is unchanged.

--- a/tests/script/sched-reclaim.sh
+++ b/tests/script/sched-reclaim.sh
@@ -2,6 +2,10 @@
 # stopped and queued, the guaranteed one runs, and the lent one goes on from its
 # checkpoint later.  Guards against guarantees that wait for lent work.
 . "$TG_TESTS/sched-lib.sh"
+has_place() {
+	call "$1" guarantees | grep -q '"at_risk":false'
+}
+
 start_lent() { # NAME RUN-MS [FLAG...]: a scheduler with a lent gang
 	_by=$1 _ms=$2
 	shift 2
@@ -13,6 +17,8 @@
 	worker w2
 	sched "$_by" "$@"
 	await "the scheduler is ready" ready "$_by" 2
+	# The decision after the last worker's answer finds the place.
+	await "a place for the guarantee" has_place "$_by"
 	call "$_by" guarantees | grep -o '"at_risk":[a-z]*'
 	submit "$_by" lent 2 8 "\"run_ms\":$_ms" lent >/dev/null
 	await "the lent gang runs" gang_is "$_by" lent running
