Report the use of capacity by queue and by pool

The logs told starts and stops only: neither which queue holds what, nor what is idle and why, nor how much work was lost, nor how long the oldest job has been without a run.

Capacity is counted in workers, by the resource of which a task takes the largest share. A queue keeps its counts when the document changes.

No decision changed.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -180,6 +180,10 @@
 /** round_wake() - schedule a scheduling round */
 void round_wake(struct board *b);
 
+/* usage.c */
+/** usage_report() - report the use of capacity if this is the owner */
+void usage_report(const struct board *b, int64_t now_ms);
+
 extern const struct tg_controller rpc_controller;
 extern const struct tg_controller owner_controller;
 extern const struct tg_controller writer_controller;
--- a/cmd/tgflowd/metrics.c
+++ b/cmd/tgflowd/metrics.c
@@ -59,7 +59,6 @@
 	struct board *b = board;
 	struct flow_stats s = { 0 };
 
-	(void)now_ms;
 	if (b->flow)
 		flow_stats(b->flow, &s);
 	g.owner->value = IS_OWNER(b);
@@ -73,6 +72,7 @@
 	g.ready_workers->value = s.ready_workers;
 	g.free_accelerators->value = s.free_accelerators;
 	g.memory->value = tg_rss_kb();
+	usage_report(b, now_ms);
 }
 
 static void stop(void *board)
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -91,6 +91,8 @@
 
 			r->stalled |= flow_is_stalled(r, rd->now_ms);
 			why = stop_reason(r);
+			if (r->victim && r->state != RUN_STOPPING)
+				flow_usage_run_preempted(rd->f, r);
 			if (why)
 				flow_run_mark_stopping(r);
 			if (r->state != RUN_STOPPING || !r->stop_pending ||
@@ -143,6 +145,7 @@
 	};
 
 	rd->ops->start(&s, rd->arg);
+	j->queue_conf->starts++;
 	flow_mark_dirty(j);
 	rd->progress_changed = true;
 }
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -343,4 +343,55 @@
 
 void flow_stats(const struct flow *f, struct flow_stats *out);
 
+/**
+ * struct flow_queue_usage - what a queue's jobs have and what they wait for
+ *
+ * Capacity is counted in workers: a task that takes at most a quarter of any
+ * resource of its worker counts as 0.25.
+ *
+ * @stalled_jobs: open jobs without any run; jobs with occurrences at given
+ *times are not counted
+ * @oldest_stalled_ms: age of the oldest of them; 0 if there is none
+ * @held_workers: capacity that the queue's runs hold now
+ * @starts: runs started
+ * @preempted: runs preempted for jobs that go before
+ * @done_worker_ms: time of the runs that ended done or left a checkpoint
+ * @lost_worker_ms: time of the other runs, whose work has to be done again
+ */
+struct flow_queue_usage {
+	const char *queue;
+	int32_t priority;
+	int64_t open_jobs, stalled_jobs, oldest_stalled_ms;
+	double held_workers;
+	int64_t starts, preempted;
+	double done_worker_ms, lost_worker_ms;
+};
+
+/** flow_each_queue_usage() - call @fn for each queue with open jobs */
+void flow_each_queue_usage(const struct flow *f, int64_t now_ms,
+			   void (*fn)(const struct flow_queue_usage *u,
+				      void *arg),
+			   void *arg);
+
+/**
+ * struct flow_pool_usage - capacity of a service's workers that holds no runs
+ *
+ * As of the last flow_decide(), in workers; see struct flow_queue_usage.
+ *
+ * @free_workers: all of it
+ * @reserved_workers: part that is reserved for waiting jobs
+ * @headroom_workers: part that only urgent jobs may use
+ */
+struct flow_pool_usage {
+	const char *service;
+	int32_t ready_workers;
+	double free_workers, reserved_workers, headroom_workers;
+};
+
+/** flow_each_pool_usage() - call @fn for each service that has workers */
+void flow_each_pool_usage(const struct flow *f, int64_t now_ms,
+			  void (*fn)(const struct flow_pool_usage *u,
+				     void *arg),
+			  void *arg);
+
 #endif
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -27,6 +27,7 @@
 	bool victim_committed; /* the search that marked it succeeded */
 	/* Last answer to an order; before any, when the run was added. */
 	int64_t answered_ms;
+	int64_t added_ms;
 	int64_t listed_ms; /* last list that named the run */
 	/* First and latest progress listed, and when each was first seen. */
 	int32_t percent, first_percent;
@@ -128,6 +129,9 @@
 	int32_t priority, max_attempts;
 	double stretch;
 	int64_t target_ms;
+	/* Since the queue became known; see struct flow_queue_usage. */
+	int64_t starts, preempted;
+	double done_worker_ms, lost_worker_ms;
 	UT_hash_handle hh;
 };
 
@@ -176,6 +180,13 @@
 		     const struct flow_shape *have);
 void flow_shape_add(struct flow_shape *to, const struct flow_shape *s,
 		    int32_t sign);
+/**
+ * flow_dominant_share() - share of @whole that @part takes
+ *
+ * Of the resource of which it takes the largest share.
+ */
+double flow_dominant_share(const struct flow_shape *part,
+			   const struct flow_shape *whole);
 /** flow_task_shape() - capacity that a task of @st occupies on a worker */
 struct flow_shape flow_task_shape(const struct flow_step *st);
 /** flow_update_pools() - recompute the per-round counts of pools and workers */
@@ -208,6 +219,15 @@
 /** flow_is_stalled() - whether the run has made no progress for too long */
 bool flow_is_stalled(const struct run *r, int64_t now_ms);
 
+/* usage.c */
+struct queue *flow_find_queue(const struct flow *f, const char *name);
+/** flow_usage_run_ended() - account the time of a run to its queue */
+void flow_usage_run_ended(struct flow *f, const struct run *r,
+			  enum flow_run_result how, const char *saved,
+			  int64_t now_ms);
+/** flow_usage_run_preempted() - count a run that is preempted */
+void flow_usage_run_preempted(struct flow *f, const struct run *r);
+
 /* order.c */
 /**
  * flow_sort_jobs() - list the open jobs of known queues, most urgent first
--- a/lib/flow/headroom.c
+++ b/lib/flow/headroom.c
@@ -17,27 +17,6 @@
  */
 #define IDLE_SHARE_MAX 0.25
 
-/* Share of a worker that a task occupies: the largest over all resources. */
-static double dominant_share(const struct flow_shape *need,
-			     const struct flow_shape *capacity)
-{
-	const int64_t needs[] = { need->cpu_millicores, need->memory_mb,
-				  need->accelerators };
-	const int64_t all[] = { capacity->cpu_millicores, capacity->memory_mb,
-				capacity->accelerators };
-	double max_share = 0;
-	size_t i;
-
-	for (i = 0; i < ARRAY_SIZE(needs); i++) {
-		double share =
-			all[i] > 0 ? (double)needs[i] / (double)all[i] : 0;
-
-		if (share > max_share)
-			max_share = share;
-	}
-	return max_share;
-}
-
 /* Number of workers that the remaining tasks of a job would occupy. */
 static double job_demand(struct job *j, const struct pool *p)
 {
@@ -50,7 +29,7 @@
 		struct flow_shape need = flow_task_shape(st);
 
 		sum += (st->tasks - j->step_states[i].n_done) *
-			dominant_share(&need, &p->largest);
+			flow_dominant_share(&need, &p->largest);
 	}
 	return sum;
 }
--- a/lib/flow/jobs.c
+++ b/lib/flow/jobs.c
@@ -226,25 +226,41 @@
 	return n;
 }
 
+static bool is_listed(const struct queue *q, const struct flow_queue *list,
+		      size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (!strcmp(list[i].name, q->name))
+			return true;
+	return false;
+}
+
+/* A queue that stays keeps its counts. */
 void flow_set_queues(struct flow *f, const struct flow_queue *q, size_t n)
 {
-	struct queue *old, *tmp;
+	struct queue *e, *tmp;
 	size_t i;
 
-	HASH_ITER(hh, f->queues, old, tmp) {
-		HASH_DEL(f->queues, old);
-		free(old);
+	HASH_ITER(hh, f->queues, e, tmp) {
+		if (is_listed(e, q, n))
+			continue;
+		HASH_DEL(f->queues, e);
+		free(e);
 	}
 	for (i = 0; i < n; i++) {
-		struct queue *e = tg_xcalloc(1, sizeof(*e));
-
-		tg_strlcpy(e->name, q[i].name, sizeof(e->name));
+		e = flow_find_queue(f, q[i].name);
+		if (!e) {
+			e = tg_xcalloc(1, sizeof(*e));
+			tg_strlcpy(e->name, q[i].name, sizeof(e->name));
+			HASH_ADD_STR(f->queues, name, e);
+		}
 		tg_strlcpy(e->service, q[i].service, sizeof(e->service));
 		e->priority = q[i].priority;
 		e->max_attempts = q[i].max_attempts;
 		e->stretch = q[i].stretch;
 		e->target_ms = q[i].target_ms;
-		HASH_ADD_STR(f->queues, name, e);
 	}
 }
 
--- a/lib/flow/order.c
+++ b/lib/flow/order.c
@@ -148,7 +148,7 @@
 	HASH_ITER(hh, f->jobs, j, tmp) {
 		if (flow_has_ended(j))
 			continue;
-		HASH_FIND_STR(f->queues, j->queue, j->queue_conf);
+		j->queue_conf = flow_find_queue(f, j->queue);
 		if (!j->queue_conf)
 			continue;
 		j->pool = flow_find_pool(f, j->queue_conf->service);
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -15,7 +15,7 @@
 	r->index = index;
 	r->run = run;
 	r->worker = w;
-	r->answered_ms = now_ms;
+	r->answered_ms = r->added_ms = now_ms;
 	/*
 	 * Of two runs the one with the higher number is current: whoever
 	 * ordered it knew of the other one.
@@ -109,12 +109,11 @@
 {
 	const struct flow_step *st = flow_step_of(j, ss);
 	struct failures *fl = &ss->tasks[st->gang ? 0 : index].failures;
-	struct queue *q;
+	struct queue *q = flow_find_queue(f, j->queue);
 
 	if (!flow_add_failure(fl, run))
 		return;
 	j->failures++;
-	HASH_FIND_STR(f->queues, j->queue, q);
 	if (q && fl->n >= q->max_attempts && !st->endless && !flow_has_ended(j))
 		j->state = FLOW_FAILED;
 }
@@ -150,6 +149,7 @@
 	int32_t index = r->index, run = r->run;
 	bool stalled = r->stalled;
 
+	flow_usage_run_ended(f, r, how, saved, now_ms);
 	flow_run_remove(r);
 	record_end(f, j, ss, index, run, how, saved);
 	if (how == FLOW_RUN_DONE)
--- /dev/null
+++ b/lib/flow/usage.c
@@ -0,0 +1,132 @@
+#include "flow/flow_internal.h"
+
+/*
+ * Accounts capacity by queue and by pool, so that metrics and logs show which
+ * queue has what, how much work is lost, and why capacity is idle.
+ */
+
+struct queue *flow_find_queue(const struct flow *f, const char *name)
+{
+	struct queue *q;
+
+	HASH_FIND_STR(f->queues, name, q);
+	return q;
+}
+
+static double run_share(const struct run *r)
+{
+	struct flow_shape need =
+		flow_task_shape(flow_step_of(r->job, r->step_state));
+
+	return flow_dominant_share(&need, &r->worker->capacity);
+}
+
+void flow_usage_run_ended(struct flow *f, const struct run *r,
+			  enum flow_run_result how, const char *saved,
+			  int64_t now_ms)
+{
+	struct queue *q = flow_find_queue(f, r->job->queue);
+	double ms = run_share(r) * (double)(now_ms - r->added_ms);
+
+	/* The start time of a run that an earlier owner started is unknown. */
+	if (!q || !r->added_ms)
+		return;
+	if (how == FLOW_RUN_DONE || (saved && *saved))
+		q->done_worker_ms += ms;
+	else
+		q->lost_worker_ms += ms;
+}
+
+void flow_usage_run_preempted(struct flow *f, const struct run *r)
+{
+	struct queue *q = flow_find_queue(f, r->job->queue);
+
+	if (q)
+		q->preempted++;
+}
+
+static double held_workers(const struct flow *f, const char *queue)
+{
+	const struct worker *w;
+	const struct run *r;
+	double sum = 0;
+
+	for (w = f->workers; w; w = w->hh.next)
+		for (r = w->runs; r; r = r->next)
+			if (!strcmp(r->job->queue, queue))
+				sum += run_share(r);
+	return sum;
+}
+
+static void count_jobs(const struct flow *f, int64_t now_ms,
+		       struct flow_queue_usage *u)
+{
+	const struct job *j;
+
+	for (j = f->jobs; j; j = j->hh.next) {
+		if (flow_has_ended(j) || strcmp(j->queue, u->queue) != 0)
+			continue;
+		u->open_jobs++;
+		if (j->n_runs || j->spec->times)
+			continue;
+		u->stalled_jobs++;
+		if (now_ms - j->accepted_ms > u->oldest_stalled_ms)
+			u->oldest_stalled_ms = now_ms - j->accepted_ms;
+	}
+}
+
+void flow_each_queue_usage(const struct flow *f, int64_t now_ms,
+			   void (*fn)(const struct flow_queue_usage *u,
+				      void *arg),
+			   void *arg)
+{
+	const struct queue *q;
+
+	for (q = f->queues; q; q = q->hh.next) {
+		struct flow_queue_usage u = {
+			.queue = q->name,
+			.priority = q->priority,
+			.starts = q->starts,
+			.preempted = q->preempted,
+			.done_worker_ms = q->done_worker_ms,
+			.lost_worker_ms = q->lost_worker_ms,
+		};
+
+		count_jobs(f, now_ms, &u);
+		if (!u.open_jobs)
+			continue;
+		u.held_workers = held_workers(f, q->name);
+		fn(&u, arg);
+	}
+}
+
+void flow_each_pool_usage(const struct flow *f, int64_t now_ms,
+			  void (*fn)(const struct flow_pool_usage *u,
+				     void *arg),
+			  void *arg)
+{
+	const struct worker *w;
+	const struct pool *p;
+
+	for (p = f->pools; p; p = p->hh.next) {
+		struct flow_pool_usage u = { .service = p->service };
+
+		for (w = f->workers; w; w = w->hh.next) {
+			double free_share;
+
+			if (w->pool != p || !flow_worker_ready(w, now_ms))
+				continue;
+			free_share =
+				1 - flow_dominant_share(&w->used, &w->capacity);
+			u.ready_workers++;
+			u.free_workers += free_share;
+			u.reserved_workers +=
+				flow_dominant_share(&w->reserved, &w->capacity);
+			if (!w->ordinary_tasks &&
+			    p->n_without_ordinary <= p->urgent_reserve)
+				u.headroom_workers += free_share;
+		}
+		if (u.ready_workers)
+			fn(&u, arg);
+	}
+}
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -119,6 +119,27 @@
 	to->accelerators += sign * s->accelerators;
 }
 
+double flow_dominant_share(const struct flow_shape *part,
+			   const struct flow_shape *whole)
+{
+	const int64_t parts[] = { part->cpu_millicores, part->memory_mb,
+				  part->accelerators };
+	const int64_t wholes[] = { whole->cpu_millicores, whole->memory_mb,
+				   whole->accelerators };
+	double max_share = 0;
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(parts); i++) {
+		double share = wholes[i] > 0 ?
+			(double)parts[i] / (double)wholes[i] :
+			0;
+
+		if (share > max_share)
+			max_share = share;
+	}
+	return max_share;
+}
+
 struct flow_shape flow_task_shape(const struct flow_step *st)
 {
 	struct flow_shape s = st->shape;
--- a/tests/unit/flow/test-load.c
+++ b/tests/unit/flow/test-load.c
@@ -153,6 +153,51 @@
 }
 END_TEST
 
+static void on_queue_usage(const struct flow_queue_usage *u, void *arg)
+{
+	struct flow_queue_usage *low = arg;
+
+	if (!strcmp(u->queue, "low"))
+		*low = *u;
+}
+
+static void on_pool_usage(const struct flow_pool_usage *u, void *arg)
+{
+	struct flow_pool_usage *pool = arg;
+
+	*pool = *u;
+}
+
+/* Without these figures nobody could tell why a queue gets no capacity. */
+START_TEST(usage_tells_what_holds_a_queue_back)
+{
+	const int32_t workers = RACKS * WORKERS_PER_RACK;
+	struct flow_queue_usage low = { 0 };
+	struct flow_pool_usage pool = { 0 };
+
+	load_add(l, "low", 100, workers, ACCELERATORS, 10000);
+	load_add(l, "urgent", 2000, workers, ACCELERATORS, 10000);
+	load_advance(l, 1000);
+	flow_each_queue_usage(l->f, l->now_ms, on_queue_usage, &low);
+	flow_each_pool_usage(l->f, l->now_ms, on_pool_usage, &pool);
+	ck_assert_int_eq(low.open_jobs, 1);
+	ck_assert_int_eq(low.stalled_jobs, 0);
+	ck_assert_int_eq(low.starts, workers);
+	ck_assert_double_eq_tol(low.held_workers, workers, 0.01);
+	ck_assert_int_eq(pool.ready_workers, workers);
+	ck_assert_double_eq_tol(pool.free_workers, 0, 0.01);
+	load_advance(l, 5000);
+	flow_each_queue_usage(l->f, l->now_ms, on_queue_usage, &low);
+	ck_assert_int_eq(low.preempted, workers);
+	ck_assert_int_eq(low.stalled_jobs, 1);
+	ck_assert_int_ge(low.oldest_stalled_ms, 4900);
+	ck_assert_double_eq_tol(low.held_workers, 0, 0.01);
+	ck_assert_double_eq_tol(low.lost_worker_ms,
+				workers * (1900 + STOP_DURATION_MS),
+				workers * 100);
+}
+END_TEST
+
 TCase *load_tcase(void)
 {
 	TCase *t = tcase_create("load");
@@ -163,5 +208,6 @@
 	tcase_add_test(t, urgent_gangs_start_without_preemption);
 	tcase_add_test(t, ordinary_jobs_use_headroom_after_burst);
 	tcase_add_test(t, endless_task_may_use_headroom);
+	tcase_add_test(t, usage_tells_what_holds_a_queue_back);
 	return t;
 }
