Give each ordinary queue a minimum share of what urgent jobs leave

Callers of the queue of lowest priority got nothing for as long as a queue before it had jobs waiting: jobs of defer-batch waited 50 s for their first run while excuse-review held up to 33 of 46 workers. Strict priority has no lower bound for the ones that come last.

A queue that holds less than half of an equal split of what urgent jobs leave on average goes first, up to that share. Only jobs that have used half of the time that they can wait count, since capacity for jobs that still have time is only taken from higher priorities. Nothing ordinary is stopped for it.

low_job_ends_despite_steady_load_above_it failed before (0 of 8 tasks done); low_jobs_take_no_more_than_their_share and share_is_for_jobs_that_fall_behind bound the effect.

--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -19,6 +19,7 @@
 	struct worker **placement;
 	int32_t placement_size;
 	bool progress_changed; /* progress must be written */
+	bool within_shares; /* places what minimum shares allow, no more */
 };
 
 static struct flow_run_ref ref_of(const struct run *r)
@@ -186,7 +187,12 @@
 	int32_t want = tasks_to_start(st, ss), n;
 	bool wait;
 
-	if (!want || !flow_is_ready(rd->f, j, ss, rd->wall_ms))
+	if (!want || ss->waiting_round == rd->f->round ||
+	    !flow_is_ready(rd->f, j, ss, rd->wall_ms))
+		return;
+	if (rd->within_shares)
+		want = flow_share_limit(j, st, want);
+	if (!want)
 		return;
 	grow_placement(rd, want);
 	n = flow_place(rd->f, j, ss, want, flow_may_preempt(j), rd->placement,
@@ -194,6 +200,30 @@
 	/* If it has to wait, the capacity stays reserved for this round. */
 	if (!wait)
 		start_tasks(rd, j, ss, n);
+	if (wait || !n)
+		ss->waiting_round = rd->f->round;
+	if (rd->within_shares)
+		flow_share_use(j, st, n);
+}
+
+static void schedule_jobs(struct round *rd, struct job *const *list, size_t n)
+{
+	size_t i;
+	int32_t k;
+
+	for (i = 0; i < n; i++)
+		for (k = 0; k < list[i]->n_step_states && !list[i]->recovered;
+		     k++)
+			schedule_step(rd, list[i], &list[i]->step_states[k]);
+}
+
+static void schedule_ordinary_jobs(struct round *rd, struct job *const *list,
+				   size_t n)
+{
+	rd->within_shares = true;
+	schedule_jobs(rd, list, n);
+	rd->within_shares = false;
+	schedule_jobs(rd, list, n);
 }
 
 bool flow_decide(struct flow *f, int64_t now_ms, int64_t wall_ms,
@@ -207,19 +237,20 @@
 		.arg = arg,
 	};
 	struct job **list;
-	size_t n, i;
-	int32_t k;
+	size_t n, n_urgent = 0;
 
+	f->round++;
 	grow_placement(&rd, PLACEMENT_MIN);
 	clear_reservations(&rd);
 	n = flow_sort_jobs(f, now_ms, &list);
 	flow_update_pools(f, now_ms);
 	flow_headroom_update(f, list, n, now_ms);
 	stop_unwanted_runs(&rd);
-	for (i = 0; i < n; i++)
-		for (k = 0; k < list[i]->n_step_states && !list[i]->recovered;
-		     k++)
-			schedule_step(&rd, list[i], &list[i]->step_states[k]);
+	flow_share_update(f, list, n);
+	while (n_urgent < n && flow_is_urgent(list[n_urgent]))
+		n_urgent++;
+	schedule_jobs(&rd, list, n_urgent);
+	schedule_ordinary_jobs(&rd, list + n_urgent, n - n_urgent);
 	stop_unwanted_runs(&rd);
 	free(list);
 	free(rd.placement);
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -56,6 +56,7 @@
 struct step_state {
 	int32_t occurrence, step;
 	int32_t n_done, n_runs;
+	int64_t waiting_round; /* last round that found no capacity for it */
 	struct task *tasks;
 };
 
@@ -73,6 +74,7 @@
 	struct queue *queue_conf; /* set each round */
 	struct pool *pool; /* set each round; NULL without workers */
 	int32_t rank; /* lower goes first; set each round */
+	bool behind; /* has waited for half of the time that it can wait */
 	bool will_miss_deadline; /* can't end before deadline_ms */
 	int64_t deadline_ms;
 	UT_hash_handle hh;
@@ -127,6 +129,7 @@
 	double demand_now, demand;
 	int64_t demand_ms;
 	double urgent_reserve; /* workers to be kept free of ordinary tasks */
+	int32_t n_ordinary_queues; /* with open jobs */
 	UT_hash_handle hh;
 };
 
@@ -144,6 +147,9 @@
 	/* Since the queue became known; see struct flow_queue_usage. */
 	int64_t starts, preempted;
 	double done_worker_ms, lost_worker_ms;
+	/* This round: capacity held, and lacking to the minimum share. */
+	double held_workers, share_left;
+	bool has_ordinary_jobs; /* this round */
 	UT_hash_handle hh;
 };
 
@@ -162,6 +168,7 @@
 	int32_t n_racks;
 	struct queue *queues;
 	struct quota *quotas;
+	int64_t round; /* number of the current flow_decide() */
 	bool recovering;
 };
 
@@ -235,6 +242,8 @@
 
 /* usage.c */
 struct queue *flow_find_queue(const struct flow *f, const char *name);
+/** flow_run_share() - part of its worker that a run holds */
+double flow_run_share(const struct run *r);
 /** flow_usage_run_ended() - account the time of a run to its queue */
 void flow_usage_run_ended(struct flow *f, const struct run *r,
 			  enum flow_run_result how, const char *saved,
@@ -280,6 +289,19 @@
 /** flow_headroom_remove_task() - undo flow_headroom_add_task() */
 void flow_headroom_remove_task(const struct job *j, struct worker *w);
 
+/* share.c */
+/** flow_share_update() - set what each queue lacks of its minimum share */
+void flow_share_update(struct flow *f, struct job *const *list, size_t n);
+/**
+ * flow_share_limit() - how many of @want tasks the minimum share allows now
+ *
+ * Return: for a gang @want or 0.
+ */
+int32_t flow_share_limit(const struct job *j, const struct flow_step *st,
+			 int32_t want);
+/** flow_share_use() - count @n tasks placed within the minimum share */
+void flow_share_use(struct job *j, const struct flow_step *st, int32_t n);
+
 /* place.c */
 /**
  * flow_place() - choose workers for tasks of a step and reserve their capacity
--- a/lib/flow/order.c
+++ b/lib/flow/order.c
@@ -74,6 +74,15 @@
 	return n;
 }
 
+static void set_behind(struct job *j, int64_t now_ms, int64_t end_ms)
+{
+	int64_t waited_ms = now_ms - j->accepted_ms;
+	int64_t can_wait_ms =
+		j->deadline_ms - j->accepted_ms - (end_ms - now_ms);
+
+	j->behind = 2 * waited_ms > can_wait_ms;
+}
+
 static void update_deadline(struct job *j, int64_t now_ms)
 {
 	int64_t objective = (int64_t)(j->queue_conf->stretch *
@@ -84,11 +93,13 @@
 
 	j->deadline_ms = j->accepted_ms + objective;
 	j->will_miss_deadline = false;
+	set_behind(j, now_ms, end_ms);
 	if (j->spec->times || end_ms <= j->deadline_ms)
 		return;
 	/* Too late for its full value: try to end while it has any. */
 	j->deadline_ms = j->accepted_ms + FINAL_DEADLINE_FACTOR * objective;
 	j->will_miss_deadline = end_ms > j->deadline_ms;
+	set_behind(j, now_ms, end_ms);
 }
 
 static int compare_urgency(const void *a, const void *b)
@@ -146,10 +157,8 @@
 
 	list = tg_xcalloc(HASH_COUNT(f->jobs) + 1, sizeof(void *));
 	HASH_ITER(hh, f->jobs, j, tmp) {
-		if (flow_has_ended(j))
-			continue;
 		j->queue_conf = flow_find_queue(f, j->queue);
-		if (!j->queue_conf)
+		if (flow_has_ended(j) || !j->queue_conf)
 			continue;
 		j->pool = flow_find_pool(f, j->queue_conf->service);
 		update_deadline(j, now_ms);
--- a/lib/flow/usage.c
+++ b/lib/flow/usage.c
@@ -13,7 +13,7 @@
 	return q;
 }
 
-static double run_share(const struct run *r)
+double flow_run_share(const struct run *r)
 {
 	struct flow_shape need =
 		flow_task_shape(flow_step_of(r->job, r->step_state));
@@ -26,7 +26,7 @@
 			  int64_t now_ms)
 {
 	struct queue *q = flow_find_queue(f, r->job->queue);
-	double ms = run_share(r) * (double)(now_ms - r->added_ms);
+	double ms = flow_run_share(r) * (double)(now_ms - r->added_ms);
 
 	/* The start time of a run that an earlier owner started is unknown. */
 	if (!q || !r->added_ms)
@@ -54,7 +54,7 @@
 	for (w = f->workers; w; w = w->hh.next)
 		for (r = w->runs; r; r = r->next)
 			if (!strcmp(r->job->queue, queue))
-				sum += run_share(r);
+				sum += flow_run_share(r);
 	return sum;
 }
 
--- a/tests/unit/flow/load.c
+++ b/tests/unit/flow/load.c
@@ -51,6 +51,7 @@
 			i++;
 			continue;
 		}
+		r->job->done += !r->stopped;
 		fleet_end_run(l->f, &r->order,
 			      r->stopped ? FLOW_RUN_STOPPED : FLOW_RUN_DONE,
 			      l->now_ms);
--- a/tests/unit/flow/load.h
+++ b/tests/unit/flow/load.h
@@ -18,6 +18,7 @@
  * struct load_job - a job of one step
  * @start_ms: result: start of its first task; -1 if none has started
  * @stops: result: number of runs that were stopped
+ * @done: result: number of tasks that are done
  */
 struct load_job {
 	char id[FLOW_JOB_ID_LEN + 1];
@@ -26,7 +27,7 @@
 	int32_t tasks, accelerators;
 	bool gang, within_rack;
 	int64_t start_ms;
-	int32_t stops;
+	int32_t stops, done;
 };
 
 struct load_run {
--- a/tests/unit/share/test-share.c
+++ b/tests/unit/share/test-share.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "../flow/load.h"
 #include "../run.h"
@@ -85,6 +86,74 @@
 }
 END_TEST
 
+/* Gangs of priority 1 that need one and a half times as much as there is. */
+static void add_steady_gangs(int64_t until_ms)
+{
+	int64_t at_ms;
+
+	for (at_ms = 0; at_ms < until_ms; at_ms += 1000) {
+		struct load_job *j = load_add(l, "normal", at_ms, WORKERS / 4,
+					      ACCELERATORS, 6000);
+
+		j->gang = true;
+	}
+}
+
+static int32_t count_done(const char *queue)
+{
+	int32_t i, n = 0;
+
+	for (i = 0; i < l->n_jobs; i++)
+		n += !strcmp(l->jobs[i].queue, queue) &&
+			l->jobs[i].done == l->jobs[i].tasks;
+	return n;
+}
+
+START_TEST(low_job_ends_despite_steady_load_above_it)
+{
+	struct load_job *low, *wide;
+
+	add_steady_gangs(60000);
+	low = load_add(l, "low", 3000, ACCELERATORS, 1, 5000);
+	wide = load_add(l, "low", 3001, 3 * ACCELERATORS, 1, 5000);
+	load_advance(l, 3000 + 3 * 5000 + 1000);
+	ck_assert_int_eq(low->done, low->tasks);
+	ck_assert_int_eq(wide->done, wide->tasks);
+}
+END_TEST
+
+/* The minimum share of one of two queues is a quarter of the workers. */
+START_TEST(low_jobs_take_no_more_than_their_share)
+{
+	int32_t alone, n;
+	int64_t at_ms;
+
+	add_steady_gangs(60000);
+	load_advance(l, 60000);
+	alone = count_done("normal");
+	teardown();
+	setup();
+	add_steady_gangs(60000);
+	for (at_ms = 3000; at_ms < 60000; at_ms += 1000)
+		load_add(l, "low", at_ms, 3 * ACCELERATORS, 1, 5000);
+	load_advance(l, 60000);
+	n = count_done("normal");
+	ck_assert_int_ge(4 * n, 3 * alone);
+}
+END_TEST
+
+/* A low job that has time left doesn't go before one of higher priority. */
+START_TEST(share_is_for_jobs_that_fall_behind)
+{
+	struct load_job *low;
+
+	add_steady_gangs(20000);
+	low = load_add(l, "low", 3000, ACCELERATORS, 1, 5000);
+	load_advance(l, 3000 + 4000);
+	ck_assert_int_lt(low->start_ms, 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("share");
@@ -93,6 +162,9 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, low_job_uses_what_waiting_gang_leaves);
 	tcase_add_test(t, tasks_that_end_in_time_use_reserved_capacity);
+	tcase_add_test(t, low_job_ends_despite_steady_load_above_it);
+	tcase_add_test(t, low_jobs_take_no_more_than_their_share);
+	tcase_add_test(t, share_is_for_jobs_that_fall_behind);
 	suite_add_tcase(s, t);
 	return run_suite(s);
 }
