Weigh work lost by preemption by the largest share of a worker

Urgent jobs stopped runs of excuse-review, each with 52 of 128 processors and one accelerator, as if they were as small as runs of defer-batch with 11 processors: the weight of a run was its number of accelerators. Each such gang that is stopped gives up several workers' work.

A run now weighs the largest share of a resource that it takes of its worker, as in the headroom and the report of usage.

run_with_few_accelerators_is_no_cheap_victim failed before.

--- a/lib/flow/place_internal.h
+++ b/lib/flow/place_internal.h
@@ -53,8 +53,8 @@
  * flow_choose_victims() - select runs of a worker to preempt for one task
  * @mark: mark them as victims, and the other members of their gangs
  *
- * Return: the work lost, about in accelerator-milliseconds, or -1 if the task
- * doesn't fit even so.
+ * Return: the work lost, in thousandths of a worker-millisecond, or -1 if the
+ * task doesn't fit even so.
  */
 int64_t flow_choose_victims(const struct search *s, struct worker *w,
 			    bool mark);
--- a/lib/flow/victims.c
+++ b/lib/flow/victims.c
@@ -42,11 +42,11 @@
 	return available;
 }
 
-/* Work lost if @r is stopped now, about in accelerator-milliseconds. */
+/* Work lost if @r is stopped now, in thousandths of a worker-millisecond. */
 static int64_t lost_work(const struct search *s, const struct run *r)
 {
 	const struct flow_step *st = flow_step_of(r->job, r->step_state);
-	int64_t weight = st->shape.accelerators + 1;
+	int64_t weight = (int64_t)(1000 * flow_run_share(r));
 	int64_t ran_ms = s->now_ms - r->answered_ms;
 
 	/* Stopping one member ends them all. */
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -250,6 +250,29 @@
 }
 END_TEST
 
+/* A run that takes most of a worker's processors counts for more than one. */
+START_TEST(run_with_few_accelerators_is_no_cheap_victim)
+{
+	struct flow_spec *s = fleet_new_spec(1, 1, false);
+
+	s->steps[0].shape.cpu_millicores = 8 * 16000;
+	s->steps[0].declared_ms = 10000;
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_worker(f, "w2", "r1", 8);
+	fleet_add_job(f, "large", "low", s, 0);
+	s = fleet_new_spec(1, 3, false);
+	s->steps[0].declared_ms = 10000;
+	fleet_add_job(f, "small", "low", s, 1);
+	fleet_decide(f, &o, 10);
+	ck_assert_int_eq(o.n_starts, 2);
+	fleet_confirm_starts(f, &o, 10);
+	fleet_add_job(f, "j9", "urgent", fleet_new_spec(1, 8, false), 2000);
+	fleet_decide(f, &o, 2000);
+	ck_assert_int_eq(o.n_stops, 1);
+	ck_assert_str_eq(o.stops[0].job, "small");
+}
+END_TEST
+
 /*
  * Stopping one member ends its gang.  The capacity of all members is used
  * before another gang is stopped.
@@ -742,6 +765,7 @@
 	tcase_add_test(t, victim_holds_capacity_until_it_ends);
 	tcase_add_test(t, freed_capacity_goes_to_preempting_job);
 	tcase_add_test(t, rack_with_least_lost_work_is_preempted);
+	tcase_add_test(t, run_with_few_accelerators_is_no_cheap_victim);
 	tcase_add_test(t, gang_is_preempted_as_a_unit);
 	tcase_add_test(t, guaranteed_gang_spans_racks_near_bound);
 	tcase_add_test(t, guaranteed_task_is_moved_near_bound);
