Keep headroom for a burst from its first second on

Clerks whose urgent jobs came at the start of a burst waited for runs to stop that had only just begun: the headroom follows the average demand of the last 8 s, so that ordinary tasks went on filling what urgent gangs would need next.

The headroom now follows the demand of now where that is larger. Its limit stays.

start_of_burst_preempts_no_new_runs failed before (40 stops).

--- a/lib/flow/headroom.c
+++ b/lib/flow/headroom.c
@@ -38,12 +38,15 @@
 {
 	double weight = (double)(now_ms - p->demand_ms) / DEMAND_AVERAGE_MS;
 	double limit = p->n_urgent_busy + IDLE_SHARE_MAX * p->n_ready;
+	double expected;
 
 	if (!p->demand_ms || weight > 1)
 		weight = 1;
 	p->demand_ms = now_ms;
 	p->demand += weight * (p->demand_now - p->demand);
-	p->urgent_reserve = HEADROOM_FACTOR * p->demand;
+	/* The average lags behind the start of a burst. */
+	expected = p->demand > p->demand_now ? p->demand : p->demand_now;
+	p->urgent_reserve = HEADROOM_FACTOR * expected;
 	if (p->urgent_reserve > limit)
 		p->urgent_reserve = limit;
 }
--- a/tests/unit/flow/test-load.c
+++ b/tests/unit/flow/test-load.c
@@ -117,6 +117,28 @@
 }
 END_TEST
 
+/*
+ * The average demand rises only slowly when a burst begins.  Until then
+ * ordinary tasks started in capacity that had just become free, and were
+ * preempted at once by the next urgent gang.
+ */
+START_TEST(start_of_burst_preempts_no_new_runs)
+{
+	const int64_t burst_ms = 10000;
+	int32_t i;
+
+	for (i = 0; i < 33; i++)
+		load_add(l, "low", 100 + 600 * i, FLEET_ACCELERATORS / 8, 1,
+			 4000);
+	for (i = 0; i < 20; i++)
+		load_add(l, "urgent", burst_ms + 300 * i, 1, ACCELERATORS, 4000)
+			->gang = true;
+	load_advance(l, burst_ms + 10000);
+	for (i = 0; i < l->n_jobs; i++)
+		ck_assert_int_eq(l->jobs[i].stops, 0);
+}
+END_TEST
+
 /* Only a part of the capacity idles as headroom, and not long after a burst. */
 START_TEST(ordinary_jobs_use_headroom_after_burst)
 {
@@ -206,6 +228,7 @@
 	tcase_add_test(t, gang_starts_despite_backlog);
 	tcase_add_test(t, waiting_gang_idles_only_its_rack);
 	tcase_add_test(t, urgent_gangs_start_without_preemption);
+	tcase_add_test(t, start_of_burst_preempts_no_new_runs);
 	tcase_add_test(t, ordinary_jobs_use_headroom_after_burst);
 	tcase_add_test(t, endless_task_may_use_headroom);
 	tcase_add_test(t, usage_tells_what_holds_a_queue_back);
