Serve jobs that can end in time before late ones

A job that had missed its objective moved behind by its final deadline only, three objectives after it was accepted, so that old late jobs displaced jobs that could still meet theirs, and these then were late too. A job that could end just in time by its declared run time counted as in time, although declared times are often too short.

Within a rank, late jobs now follow all that are in time, and remaining run time counts one and a quarter times.

job_in_time_goes_before_late_job and job_without_margin_is_late failed before; older_job_in_time_goes_first keeps the order of the others.

--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -74,6 +74,7 @@
 	struct queue *queue_conf; /* set each round */
 	struct pool *pool; /* set each round; NULL without workers */
 	int32_t rank; /* lower goes first; set each round */
+	bool late; /* can't end within its objective */
 	bool behind; /* has waited for half of the time that it can wait */
 	bool will_miss_deadline; /* can't end before deadline_ms */
 	int64_t deadline_ms;
--- a/lib/flow/order.c
+++ b/lib/flow/order.c
@@ -8,6 +8,9 @@
  * capacity of all workers, when not every job can meet its deadline.
  */
 
+/* Declared run times may be this much too short. */
+#define RUN_TIME_MARGIN 1.25
+
 /* A late job keeps part of its value until this many times its objective. */
 #define FINAL_DEADLINE_FACTOR 3
 
@@ -88,13 +91,16 @@
 	int64_t objective = (int64_t)(j->queue_conf->stretch *
 				      (double)critical_path_ms(j, true)) +
 		j->queue_conf->target_ms;
-	int64_t end_ms =
-		now_ms + (j->spec->times ? 0 : critical_path_ms(j, false));
+	int64_t end_ms = now_ms;
 
+	if (!j->spec->times)
+		end_ms += (int64_t)(RUN_TIME_MARGIN *
+				    (double)critical_path_ms(j, false));
 	j->deadline_ms = j->accepted_ms + objective;
 	j->will_miss_deadline = false;
+	j->late = !j->spec->times && end_ms > j->deadline_ms;
 	set_behind(j, now_ms, end_ms);
-	if (j->spec->times || end_ms <= j->deadline_ms)
+	if (!j->late)
 		return;
 	/* Too late for its full value: try to end while it has any. */
 	j->deadline_ms = j->accepted_ms + FINAL_DEADLINE_FACTOR * objective;
@@ -111,6 +117,8 @@
 		return x->rank < y->rank ? -1 : 1;
 	if (x->will_miss_deadline != y->will_miss_deadline)
 		return x->will_miss_deadline ? 1 : -1;
+	if (x->late != y->late)
+		return x->late ? 1 : -1;
 	if (x->deadline_ms != y->deadline_ms)
 		return x->deadline_ms < y->deadline_ms ? -1 : 1;
 	return strcmp(x->id, y->id);
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -675,6 +675,44 @@
 }
 END_TEST
 
+/* With stretch 3 and 1 s on top, a job of 1 s is due after 4 s. */
+static void first_of_two_jobs_is(const char *job, int64_t late_accepted_ms)
+{
+	const int64_t now_ms = 20000;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "old", "low", fleet_new_spec(1, 8, false),
+		      late_accepted_ms);
+	fleet_add_job(f, "new", "low", fleet_new_spec(1, 8, false),
+		      now_ms - 100);
+	fleet_decide(f, &o, now_ms);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_str_eq(o.starts[0].job, job);
+}
+
+/*
+ * Once its objective was missed, a job displaced jobs that could still meet
+ * theirs, as soon as its final deadline came before theirs.
+ */
+START_TEST(job_in_time_goes_before_late_job)
+{
+	first_of_two_jobs_is("new", 20000 - 10500);
+}
+END_TEST
+
+/* Declared run times are often too short, so an end just in time is late. */
+START_TEST(job_without_margin_is_late)
+{
+	first_of_two_jobs_is("new", 20000 - 2900);
+}
+END_TEST
+
+START_TEST(older_job_in_time_goes_first)
+{
+	first_of_two_jobs_is("old", 20000 - 2700);
+}
+END_TEST
+
 /* An urgent job preempted a run that would have ended as soon by itself. */
 START_TEST(run_about_to_end_is_not_preempted)
 {
@@ -781,6 +819,9 @@
 	tcase_add_test(t, task_waits_for_stopping_runs);
 	tcase_add_test(t, stalled_run_is_stopped);
 	tcase_add_test(t, run_about_to_end_is_not_preempted);
+	tcase_add_test(t, job_in_time_goes_before_late_job);
+	tcase_add_test(t, job_without_margin_is_late);
+	tcase_add_test(t, older_job_in_time_goes_first);
 	tcase_add_test(t, slow_worker_is_avoided);
 	tcase_add_test(t, failing_worker_is_quarantined);
 	suite_add_tcase(s, t);
