Say what reserved capacity counts, and how to read the report

The report can show more reserved than free capacity, since waiting gangs also wait for what runs still hold; the texts said that it is a part of the free one.

--- a/cmd/tgflowd/usage.c
+++ b/cmd/tgflowd/usage.c
@@ -64,10 +64,10 @@
 		  "capacity without runs, in thousandths of a worker",
 		  "service", u->service, (int64_t)(1000 * u->free_workers));
 	set_gauge("tg_flow_pool_reserved_milliworkers",
-		  "part of it reserved for waiting jobs", "service", u->service,
-		  (int64_t)(1000 * u->reserved_workers));
+		  "capacity kept for waiting jobs, free or not", "service",
+		  u->service, (int64_t)(1000 * u->reserved_workers));
 	set_gauge("tg_flow_pool_headroom_milliworkers",
-		  "part of it that only urgent jobs may use", "service",
+		  "free capacity that only urgent jobs may use", "service",
 		  u->service, (int64_t)(1000 * u->headroom_workers));
 	if (*log)
 		tg_log(EV_FLOW_POOL_USAGE,
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -374,13 +374,14 @@
 			   void *arg);
 
 /**
- * struct flow_pool_usage - capacity of a service's workers that holds no runs
+ * struct flow_pool_usage - capacity of a service's workers that is free or kept
  *
  * As of the last flow_decide(), in workers; see struct flow_queue_usage.
  *
- * @free_workers: all of it
- * @reserved_workers: part that is reserved for waiting jobs
- * @headroom_workers: part that only urgent jobs may use
+ * @free_workers: capacity that holds no runs
+ * @reserved_workers: capacity kept for waiting jobs.  It can be more than is
+ *	free, since they also wait for capacity that runs still hold.
+ * @headroom_workers: part of the free capacity that only urgent jobs may use
  */
 struct flow_pool_usage {
 	const char *service;
