Bound the waits of the random fault runs

fault/random once printed nothing in 300 s and its logs were lost: a run waited without limit for a process that had got SIGTERM, for each job that had to come to rest up to 300 polls of up to 10 s, and for stand-ins that don't answer. Which of these it was is not known.

All that has to be reached at the end shares 90 s. Calls to stand-ins end after 10 s.

--- a/tests/fault/run/processes.sh
+++ b/tests/fault/run/processes.sh
@@ -11,8 +11,11 @@
 TG_SCHED_RENEW_MS=400 TG_SCHED_LEASE_MS=1500 TG_RENEW_MS=800
 TG_LEASE_MS=$lease_ms TG_CALL_MS=300 TG_WORKER_LOST_MS=2000
 TG_PROBE_MS=500 TG_CHECKPOINT_MS=1000 TG_DRAIN_GRACE_MS=600
+# Several times the deadline of a request (4 s) and the longest job (6.1 s).
+TG_DRAIN_MAX_MS=25000
 export TG_SCHED_RENEW_MS TG_SCHED_LEASE_MS TG_RENEW_MS TG_LEASE_MS \
-	TG_CALL_MS TG_WORKER_LOST_MS TG_PROBE_MS TG_CHECKPOINT_MS TG_DRAIN_GRACE_MS
+	TG_CALL_MS TG_WORKER_LOST_MS TG_PROBE_MS TG_CHECKPOINT_MS \
+	TG_DRAIN_GRACE_MS TG_DRAIN_MAX_MS
 
 az_of() {
 	case $1 in
@@ -90,8 +93,29 @@
 	list_instance "$1" leaving
 }
 
-# end_of NAME: waits until a process that was terminated has ended
+# Longest wait for the end of a terminated process, in seconds; more than
+# TG_DRAIN_MAX_MS, after which a daemon ends whatever is left.
+end_max_s=30
+
+has_ended() { # PID of a child that has not been waited for
+	case $(sed -n 's/.*) \([A-Z]\) .*/\1/p' "/proc/$1/stat" 2>/dev/null) in
+	'' | Z) return 0 ;;
+	esac
+	return 1
+}
+
+# end_of NAME: waits until a process that was terminated has ended.  One that
+# does not end is killed, and its exit status then shows that in the history.
 end_of() {
+	limit_ms=$(($(now_ms) + 1000 * end_max_s))
+	until has_ended "$(pid_of "$1")"; do
+		if [ "$(now_ms)" -gt "$limit_ms" ]; then
+			note "$1 did not end after SIGTERM"
+			kill_own "$(pid_of "$1")"
+			break
+		fi
+		sleep 0.05
+	done
 	wait "$(pid_of "$1")"
 	record --arg n "$1" --argjson s $? '{kind: "ended", name: $n, status: $s}'
 	forget "$(pid_of "$1")"
--- a/tests/fault/run/steps.sh
+++ b/tests/fault/run/steps.sh
@@ -260,14 +260,17 @@
 	done
 }
 
+# Longest time from the end of all faults to rest, in seconds, over all that
+# has to be reached.  A run has to end before its test is cut off, since the
+# history is checked at its end.
+rest_max_s=90
+
 # reach WHAT COMMAND...: like await, but the run goes on without it
 reach() {
 	what=$1
 	shift
-	i=0
 	until "$@" >/dev/null 2>&1; do
-		i=$((i + 1))
-		if [ $i -gt 300 ]; then
+		if [ "$(now_ms)" -gt "$rest_until_ms" ]; then
 			record --arg w "$what" '{kind: "not-reached", what: $w}'
 			return 0
 		fi
@@ -321,6 +324,7 @@
 }
 
 come_to_rest() {
+	rest_until_ms=$(($(now_ms) + 1000 * rest_max_s))
 	for p in $background; do
 		wait "$p"
 	done
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -88,7 +88,8 @@
 
 # fault NAME JSON: sets the faults of a stand-in; {} ends them
 fault() {
-	curl -sf -o /dev/null -d "$2" "http://$(http_of "$1")/standin/faults" ||
+	curl -sf -m 10 -o /dev/null -d "$2" \
+		"http://$(http_of "$1")/standin/faults" ||
 		echo "fault not set: $1 $2"
 }
 
