Never count a job of endless tasks as late

A task of it that ended, or was lost with its worker, then waited behind all other jobs of its priority, although it has to run all the time.

endless_task_is_restarted_before_later_jobs failed before.

--- a/lib/flow/order.c
+++ b/lib/flow/order.c
@@ -8,7 +8,7 @@
  * capacity of all workers, when not every job can meet its deadline.
  */
 
-/* Declared run times may be this much too short. */
+/* Declared run times are often too short; remaining ones count this much. */
 #define RUN_TIME_MARGIN 1.25
 
 /* A late job keeps part of its value until this many times its objective. */
@@ -86,6 +86,17 @@
 	j->behind = 2 * waited_ms > can_wait_ms;
 }
 
+/* Occurrences at given times and endless tasks can't be late as a whole. */
+static bool has_end(const struct job *j)
+{
+	int32_t i;
+
+	for (i = 0; i < j->spec->n_steps; i++)
+		if (j->spec->steps[i].endless)
+			return false;
+	return !j->spec->times;
+}
+
 static void update_deadline(struct job *j, int64_t now_ms)
 {
 	int64_t objective = (int64_t)(j->queue_conf->stretch *
@@ -93,12 +104,12 @@
 		j->queue_conf->target_ms;
 	int64_t end_ms = now_ms;
 
-	if (!j->spec->times)
+	if (has_end(j))
 		end_ms += (int64_t)(RUN_TIME_MARGIN *
 				    (double)critical_path_ms(j, false));
 	j->deadline_ms = j->accepted_ms + objective;
 	j->will_miss_deadline = false;
-	j->late = !j->spec->times && end_ms > j->deadline_ms;
+	j->late = has_end(j) && end_ms > j->deadline_ms;
 	set_behind(j, now_ms, end_ms);
 	if (!j->late)
 		return;
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -713,6 +713,29 @@
 }
 END_TEST
 
+/*
+ * A job of endless tasks counted as late once it was older than its objective,
+ * so that a task of it that ended waited behind all jobs in time.
+ */
+START_TEST(endless_task_is_restarted_before_later_jobs)
+{
+	struct flow_spec *s = fleet_new_spec(1, 8, false);
+	const int64_t now_ms = 60000;
+
+	s->steps[0].endless = true;
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "endless", "low", s, 0);
+	fleet_decide(f, &o, 1);
+	ck_assert_int_eq(o.n_starts, 1);
+	fleet_confirm_starts(f, &o, 2);
+	fleet_end_run(f, &o.starts[0], FLOW_RUN_FAILED, now_ms);
+	fleet_add_job(f, "new", "low", fleet_new_spec(1, 8, false), now_ms);
+	fleet_decide(f, &o, now_ms);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_str_eq(o.starts[0].job, "endless");
+}
+END_TEST
+
 /* An urgent job preempted a run that would have ended as soon by itself. */
 START_TEST(run_about_to_end_is_not_preempted)
 {
@@ -822,6 +845,7 @@
 	tcase_add_test(t, job_in_time_goes_before_late_job);
 	tcase_add_test(t, job_without_margin_is_late);
 	tcase_add_test(t, older_job_in_time_goes_first);
+	tcase_add_test(t, endless_task_is_restarted_before_later_jobs);
 	tcase_add_test(t, slow_worker_is_avoided);
 	tcase_add_test(t, failing_worker_is_quarantined);
 	suite_add_tcase(s, t);
