Log bytes, times and age of what is read from the store

EV1702 and EV1705 could not tell a store that does not answer from an answer that is cut off while it arrives, nor a slow transfer from slow decoding.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -53,6 +53,9 @@
 	bool sent; /* as in struct tg_http_result */
 	bool refused; /* as in struct tg_http_result */
 	bool starting; /* evhttp_make_request() is on the stack */
+	int64_t started_ms;
+	int64_t first_byte_ms; /* of the response; 0 before */
+	size_t received_bytes;
 	struct tg_http_call *prev, *next;
 };
 
@@ -67,6 +70,20 @@
 		c->call->sent = true;
 }
 
+static void on_input_change(struct evbuffer *buf,
+			    const struct evbuffer_cb_info *info, void *arg)
+{
+	struct connection *c = arg;
+	struct tg_http_call *call = c->call;
+
+	(void)buf;
+	if (!info->n_added || !call)
+		return;
+	if (!call->first_byte_ms)
+		call->first_byte_ms = tg_now_ms();
+	call->received_bytes += info->n_added;
+}
+
 static struct connection *open_connection(struct tg_http_client *client,
 					  const char *addr)
 {
@@ -83,6 +100,7 @@
 		goto fail;
 	bev = evhttp_connection_get_bufferevent(c->con);
 	evbuffer_add_cb(bufferevent_get_output(bev), on_output_change, c);
+	evbuffer_add_cb(bufferevent_get_input(bev), on_input_change, c);
 	tg_http_count_bytes(bev);
 	evhttp_connection_set_retries(c->con, 0);
 	evhttp_connection_set_max_headers_size(
@@ -195,12 +213,24 @@
 	free(call);
 }
 
-static void finish_call(struct tg_http_call *call,
-			const struct tg_http_result *r)
+static struct tg_http_transfer transfer_of(const struct tg_http_call *call)
+{
+	int64_t now_ms = tg_now_ms();
+	int64_t first_ms = call->first_byte_ms ? call->first_byte_ms : now_ms;
+
+	return (struct tg_http_transfer){
+		.bytes = call->received_bytes,
+		.wait_ms = first_ms - call->started_ms,
+		.receive_ms = now_ms - first_ms,
+	};
+}
+
+static void finish_call(struct tg_http_call *call, struct tg_http_result *r)
 {
 	void (*done)(const struct tg_http_result *r, void *arg) = call->done;
 	void *arg = call->arg;
 
+	r->transfer = transfer_of(call);
 	free_call(call);
 	done(r, arg);
 }
@@ -405,6 +435,7 @@
 	struct timeval tv;
 
 	call->client = client;
+	call->started_ms = tg_now_ms();
 	call->done = opts->done;
 	call->arg = opts->arg;
 	call->method = opts->method;
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -185,6 +185,18 @@
 	TG_HTTP_TOO_LARGE, /* response exceeds header_bytes or body_bytes */
 };
 
+/**
+ * struct tg_http_transfer - how a response arrived
+ * @bytes: received so far, headers included
+ * @wait_ms: from the start of the call to the first of them, or to the end of
+ *	the call if there are none
+ * @receive_ms: from the first of them to the end of the call
+ */
+struct tg_http_transfer {
+	size_t bytes;
+	int64_t wait_ms, receive_ms;
+};
+
 /**
  * struct tg_http_result - outcome of a call and its response
  * @sent: the server may have received part of the request.  Always true with
@@ -195,6 +207,7 @@
  * @status: status code, 0 unless TG_HTTP_COMPLETE
  * @headers: response headers, NULL unless TG_HTTP_COMPLETE
  * @body: response body, NULL unless TG_HTTP_COMPLETE
+ * @transfer: also set if the response is not complete
  *
  * Headers and body are valid only during the callback.
  */
@@ -204,6 +217,7 @@
 	int status;
 	struct evkeyvalq *headers;
 	struct evbuffer *body;
+	struct tg_http_transfer transfer;
 };
 
 struct tg_http_header_field {
--- a/lib/port/port.h
+++ b/lib/port/port.h
@@ -41,11 +41,22 @@
 	TG_STORE_HISTORY_GONE, /* the changes after this version are not kept */
 };
 
+/**
+ * struct tg_store_transfer - how the answer of a read arrived
+ * @bytes: received before the call ended
+ * @wait_ms: time to the first of them
+ * @receive_ms: time from the first of them to the end of the call
+ */
+struct tg_store_transfer {
+	int64_t bytes, wait_ms, receive_ms;
+};
+
 /**
  * struct tg_store_result - result of a call to the store
  * @version: store version at which the answer was made
  * @rows: owned by the adapter and valid only during the callback
  * @more: the range has further rows after the last one in @rows
+ * @transfer: also set if the answer did not arrive whole
  */
 struct tg_store_result {
 	enum tg_store_end end;
@@ -53,6 +64,7 @@
 	const struct tg_row *rows;
 	size_t n_rows;
 	bool more;
+	struct tg_store_transfer transfer;
 };
 
 typedef void (*tg_store_done)(const struct tg_store_result *r, void *arg);
--- a/lib/site/document.c
+++ b/lib/site/document.c
@@ -15,6 +15,7 @@
 {
 	struct tg_document *d = arg;
 	struct tg_findings f = { 0 };
+	int64_t from_ms = tg_now_ms();
 	struct tg_site_doc *doc;
 
 	if (strcmp(row->key, d->site->ops->document_key) != 0 || row->deleted)
@@ -29,10 +30,13 @@
 		tg_site_doc_free(doc);
 	} else {
 		tg_log(EV_DOCUMENT_IN_FORCE,
-		       "generation=%lld before=%lld queues=%zu workspaces=%zu",
+		       "generation=%lld before=%lld queues=%zu workspaces=%zu "
+		       "bytes=%zu decode_ms=%lld not_current_ms=%lld",
 		       (long long)doc->generation,
 		       d->doc ? (long long)d->doc->generation : 0,
-		       doc->n_queues, doc->n_workspaces);
+		       doc->n_queues, doc->n_workspaces, row->value_bytes,
+		       (long long)(tg_now_ms() - from_ms),
+		       (long long)tg_table_watch_not_current_ms(d->watch));
 		tg_site_doc_free(d->doc);
 		d->doc = doc;
 		if (d->on_change)
--- a/lib/site/follow.c
+++ b/lib/site/follow.c
@@ -11,6 +11,8 @@
 #define FEED_WAIT_MS 1200
 #define SCAN_TIMEOUT_MS 1500
 #define RETRY_MS 200
+/* Answers from this size on are logged. */
+#define LARGE_BYTES (64 << 10)
 
 struct tg_table_watch {
 	struct tg_table_watch_opts opts;
@@ -18,6 +20,7 @@
 	int64_t after; /* version up to which rows are known; 0: scan needed */
 	int64_t scan_version; /* version in the first answer of the scan */
 	int64_t unavailable_since_ms; /* 0 while the store answers */
+	int64_t current_ms; /* when rows were last known to be current; or 0 */
 	int part; /* index of the part that is being scanned */
 	char from[256]; /* key at which the scan goes on in the part */
 	bool scanning;
@@ -42,11 +45,30 @@
 	start_next_call(arg);
 }
 
-static void record_availability(struct tg_table_watch *f, bool answered)
+static void log_transfer(const struct tg_table_watch *f,
+			 const struct tg_store_result *r)
+{
+	const struct tg_store_transfer *t = &r->transfer;
+	bool whole = r->end == TG_STORE_OK;
+
+	if (whole ? t->bytes < LARGE_BYTES : !t->receive_ms)
+		return;
+	tg_log(whole ? EV_STORE_READ_LARGE : EV_STORE_READ_CUT,
+	       "table=%s scan=%d after=%lld bytes=%lld wait_ms=%lld "
+	       "receive_ms=%lld rows=%zu not_current_ms=%lld",
+	       f->opts.table, f->scanning, (long long)f->after,
+	       (long long)t->bytes, (long long)t->wait_ms,
+	       (long long)t->receive_ms, r->n_rows,
+	       (long long)tg_table_watch_not_current_ms(f));
+}
+
+static void record_availability(struct tg_table_watch *f,
+				const struct tg_store_result *r)
 {
 	int64_t now_ms = tg_now_ms();
 
-	if (answered) {
+	log_transfer(f, r);
+	if (r->end == TG_STORE_OK) {
 		if (f->unavailable_since_ms)
 			tg_log(EV_STORE_REGAINED, "table=%s after_ms=%lld",
 			       f->opts.table,
@@ -54,7 +76,9 @@
 		f->unavailable_since_ms = 0;
 	} else if (!f->unavailable_since_ms) {
 		f->unavailable_since_ms = now_ms;
-		tg_log(EV_STORE_LOST, "table=%s", f->opts.table);
+		tg_log(EV_STORE_LOST, "table=%s after=%lld bytes=%lld",
+		       f->opts.table, (long long)f->after,
+		       (long long)r->transfer.bytes);
 	}
 }
 
@@ -108,7 +132,7 @@
 
 	if (end_call(f))
 		return;
-	record_availability(f, r->end == TG_STORE_OK);
+	record_availability(f, r);
 	if (r->end != TG_STORE_OK) {
 		retry_later(f);
 		return;
@@ -118,6 +142,8 @@
 	f->in_call = true; /* callbacks may free @f; end_call() does it */
 	deliver_rows(f, r);
 	advance_scan(f, r);
+	if (!f->scanning)
+		f->current_ms = tg_now_ms();
 	if (!end_call(f))
 		start_next_call(f);
 }
@@ -135,7 +161,7 @@
 		start_next_call(f);
 		return;
 	}
-	record_availability(f, r->end == TG_STORE_OK);
+	record_availability(f, r);
 	if (r->end != TG_STORE_OK) {
 		retry_later(f);
 		return;
@@ -144,6 +170,7 @@
 		f->after = r->version;
 	f->in_call = true;
 	deliver_rows(f, r);
+	f->current_ms = tg_now_ms();
 	if (!end_call(f))
 		start_next_call(f);
 }
@@ -200,3 +227,8 @@
 	else
 		free(f);
 }
+
+int64_t tg_table_watch_not_current_ms(const struct tg_table_watch *f)
+{
+	return f->current_ms ? tg_now_ms() - f->current_ms : -1;
+}
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -254,6 +254,13 @@
  * delivered: the remaining rows of that answer still reach @on_row.
  */
 void tg_table_watch_free(struct tg_table_watch *f);
+/**
+ * tg_table_watch_not_current_ms() - time since the rows were known to be
+ * current
+ *
+ * Return: -1 before the first scan is complete.
+ */
+int64_t tg_table_watch_not_current_ms(const struct tg_table_watch *f);
 
 /* --- document --- */
 
