Limit the pause in an answer of the store instead of its whole time

What callers saw: 404 for queues that had been added, and requests handled by a document older than one acknowledged 4 s before. Cause: the time limit of a feed call ran from its start, over the wait for a change and the transfer. An answer that took longer than what was left was thrown away, and the next try began from nothing with the same limit. Scans had the same limit per page, so that a new owner behind a narrow link never read a large job table. Now the limit of the call ends when the answer begins to arrive, and from then on only a pause ends it. The pause that is allowed doubles with each answer that did not arrive whole, so that the next try gets further.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -54,7 +54,8 @@
 	bool refused; /* as in struct tg_http_result */
 	bool starting; /* evhttp_make_request() is on the stack */
 	int64_t started_ms;
-	int64_t first_byte_ms; /* of the response; 0 before */
+	int64_t first_byte_ms, last_byte_ms; /* of the response; 0 before */
+	int64_t stall_ms; /* as in struct tg_http_call_opts */
 	size_t received_bytes;
 	struct tg_http_call *prev, *next;
 };
@@ -79,8 +80,9 @@
 	(void)buf;
 	if (!info->n_added || !call)
 		return;
+	call->last_byte_ms = tg_now_ms();
 	if (!call->first_byte_ms)
-		call->first_byte_ms = tg_now_ms();
+		call->first_byte_ms = call->last_byte_ms;
 	call->received_bytes += info->n_added;
 }
 
@@ -361,6 +363,23 @@
 	release_connection(call->client, call->pool, c);
 }
 
+static void set_timer(struct tg_http_call *call, int64_t ms)
+{
+	struct timeval tv = { .tv_sec = ms / 1000,
+			      .tv_usec = (ms % 1000) * 1000 };
+
+	event_add(call->timer, &tv);
+}
+
+/* Time for which a response that is arriving may still pause; 0 if none. */
+static int64_t stall_left_ms(const struct tg_http_call *call)
+{
+	int64_t left_ms = call->last_byte_ms + call->stall_ms - tg_now_ms();
+
+	return call->stall_ms && call->first_byte_ms && left_ms > 0 ? left_ms :
+								      0;
+}
+
 static void on_call_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct tg_http_call *call = arg;
@@ -369,6 +388,10 @@
 
 	(void)fd;
 	(void)what;
+	if (stall_left_ms(call)) {
+		set_timer(call, stall_left_ms(call));
+		return;
+	}
 	if (!call->req || !call->sent)
 		r.end = TG_HTTP_NOT_CONNECTED;
 	r.refused = call->refused;
@@ -431,14 +454,13 @@
 					const struct tg_http_call_opts *opts)
 {
 	struct tg_http_call *call = tg_xcalloc(1, sizeof(*call));
-	int64_t ms = opts->timeout_ms;
-	struct timeval tv;
 
 	call->client = client;
 	call->started_ms = tg_now_ms();
 	call->done = opts->done;
 	call->arg = opts->arg;
 	call->method = opts->method;
+	call->stall_ms = opts->stall_ms;
 	call->next = client->calls;
 	if (client->calls)
 		client->calls->prev = call;
@@ -447,11 +469,7 @@
 	call->timer = event_new(client->opts.base, -1, 0, on_call_timer, call);
 	send_request(call, opts);
 	/* If the request could not be sent, the event loop reports that. */
-	if (!call->req)
-		ms = 0;
-	tv = (struct timeval){ .tv_sec = ms / 1000,
-			       .tv_usec = (ms % 1000) * 1000 };
-	event_add(call->timer, &tv);
+	set_timer(call, call->req ? opts->timeout_ms : 0);
 	return call;
 }
 
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -232,9 +232,12 @@
  *	NULL.  Host is always set.
  * @body: request body, copied
  * @body_bytes: length of @body; 0 for none
- * @timeout_ms: limit on the duration of the whole call.  When it expires the
+ * @timeout_ms: limit on the duration of the whole call, or with @stall_ms on
+ *	the time to the first byte of the response.  When it expires the
  *	connection is closed, so that a late response can't be mistaken for the
  *	response to a later request.
+ * @stall_ms: longest time without further bytes once the response has begun,
+ *	however long all of it takes; 0 to limit the whole call by @timeout_ms
  * @done: called exactly once unless the call is cancelled, never from within
  *	tg_http_call_start()
  * @arg: passed to @done
@@ -246,7 +249,7 @@
 	const struct tg_http_header_field *headers;
 	const void *body;
 	size_t body_bytes;
-	int64_t timeout_ms;
+	int64_t timeout_ms, stall_ms;
 	void (*done)(const struct tg_http_result *r, void *arg);
 	void *arg;
 };
--- a/lib/port/port.h
+++ b/lib/port/port.h
@@ -84,11 +84,26 @@
  * struct tg_store_range - rows of a part with keys >= @from, in key order
  * @from: first key; NULL or empty for the start of the part
  * @limit: maximum number of rows; 0 for as many as the store returns at once
+ * @stall_ms: @timeout_ms ends when the answer begins to arrive; from then on
+ *	this is the longest time without further bytes.  0 to limit the whole
+ *	call by @timeout_ms.
  */
 struct tg_store_range {
 	const char *table, *part, *from;
 	int32_t limit;
-	int64_t timeout_ms;
+	int64_t timeout_ms, stall_ms;
+};
+
+/**
+ * struct tg_store_feed - rows of a table that changed after version @after
+ * @wait_ms: the store delays its answer by up to this until there is a change
+ * @stall_ms: longest time without further bytes once the answer has begun to
+ *	arrive, however long all of it takes
+ */
+struct tg_store_feed {
+	const char *table;
+	int64_t after;
+	int64_t wait_ms, stall_ms;
 };
 
 /* --- workers --- */
@@ -383,12 +398,8 @@
 		   tg_store_done done, void *arg);
 	void (*get)(struct tg_port *p, const struct tg_store_range *range,
 		    tg_store_done done, void *arg);
-	/*
-	 * Read the rows of @table that changed after version @after.  The store
-	 * delays its answer by up to @wait_ms until there is a change.
-	 */
-	void (*feed)(struct tg_port *p, const char *table, int64_t after,
-		     int64_t wait_ms, tg_store_done done, void *arg);
+	void (*feed)(struct tg_port *p, const struct tg_store_feed *feed,
+		     tg_store_done done, void *arg);
 
 	const char *document_table, *document_key, *directory_table;
 	/* Decode the document; NULL with findings if it is invalid. */
--- a/lib/site/follow.c
+++ b/lib/site/follow.c
@@ -5,11 +5,18 @@
 
 /*
  * A connection can stop working without being closed, which is noticed only
- * when the call on it times out.  Changes must be in force within 3 s, so a
- * call to the feed takes much less.
+ * when the call on it times out.  Changes must be in force within 3 s, so an
+ * answer must begin much sooner.  Once it has begun, it takes as long as the
+ * link needs for it.
  */
 #define FEED_WAIT_MS 1200
 #define SCAN_TIMEOUT_MS 1500
+/*
+ * Longest pause in an answer.  It doubles each time that an answer does not
+ * arrive whole, so that a link that is worse than that is waited for as well.
+ */
+#define STALL_MS 800
+#define STALL_MAX_MS 12800
 #define RETRY_MS 200
 /* Answers from this size on are logged. */
 #define LARGE_BYTES (64 << 10)
@@ -21,6 +28,7 @@
 	int64_t scan_version; /* version in the first answer of the scan */
 	int64_t unavailable_since_ms; /* 0 while the store answers */
 	int64_t current_ms; /* when rows were last known to be current; or 0 */
+	int64_t stall_ms; /* longest pause in the next answer */
 	int part; /* index of the part that is being scanned */
 	char from[256]; /* key at which the scan goes on in the part */
 	bool scanning;
@@ -62,12 +70,22 @@
 	       (long long)tg_table_watch_not_current_ms(f));
 }
 
+static void update_stall_limit(struct tg_table_watch *f,
+			       const struct tg_store_result *r)
+{
+	if (r->end == TG_STORE_OK)
+		f->stall_ms = STALL_MS;
+	else if (r->transfer.receive_ms && f->stall_ms < STALL_MAX_MS)
+		f->stall_ms *= 2;
+}
+
 static void record_availability(struct tg_table_watch *f,
 				const struct tg_store_result *r)
 {
 	int64_t now_ms = tg_now_ms();
 
 	log_transfer(f, r);
+	update_stall_limit(f, r);
 	if (r->end == TG_STORE_OK) {
 		if (f->unavailable_since_ms)
 			tg_log(EV_STORE_REGAINED, "table=%s after_ms=%lld",
@@ -196,12 +214,19 @@
 			.part = current_part(f),
 			.from = f->from,
 			.timeout_ms = SCAN_TIMEOUT_MS,
+			.stall_ms = f->stall_ms,
 		};
 
 		s->ops->get(s->port, &range, on_scan_result, f);
 	} else {
-		s->ops->feed(s->port, f->opts.table, f->after, FEED_WAIT_MS,
-			     on_feed_result, f);
+		struct tg_store_feed feed = {
+			.table = f->opts.table,
+			.after = f->after,
+			.wait_ms = FEED_WAIT_MS,
+			.stall_ms = f->stall_ms,
+		};
+
+		s->ops->feed(s->port, &feed, on_feed_result, f);
 	}
 }
 
@@ -211,6 +236,7 @@
 	struct tg_table_watch *f = tg_xcalloc(1, sizeof(*f));
 
 	f->opts = *opts;
+	f->stall_ms = STALL_MS;
 	f->retry = event_new(opts->site->base, -1, 0, on_retry, f);
 	start_next_call(f);
 	return f;
--- a/tests/site-lib.sh
+++ b/tests/site-lib.sh
@@ -19,8 +19,8 @@
 
 # control PATH [BODY]: a control call of the stand-in
 control() {
-	curl -sf -o /dev/null -X POST -d "${2:-}" "http://$site_http/standin/$1" ||
-		echo "control call failed: $1"
+	printf '%s' "${2:-}" | curl -sf -o /dev/null -X POST --data-binary @- \
+		"http://$site_http/standin/$1" || echo "control call failed: $1"
 }
 
 # seen FILTER: what the stand-in saw
@@ -77,6 +77,10 @@
 	[ "$(front "$1" "/n/$3")" = "$2" ]
 }
 
+answers_at() { # N PREFIX STATUS
+	[ "$(front "$1" "${2}0000000000000000")" = "$3" ]
+}
+
 # steps COUNT [FIELDS]: JSON of a job's only step
 steps() {
 	echo "[{\"count\":$1,\"cpu\":1000,\"mem-mb\":1000,\"gpu\":1,\"est-ms\":300${2:-}}]"
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -27,7 +27,10 @@
 /** struct store_door - one address of the store */
 struct store_door {
 	struct tg_http_server *server;
-	/* ok, slow, sluggish, refuse, silent, lose: done, not answered */
+	/*
+	 * ok, slow, sluggish, refuse, silent, lose: done, not answered,
+	 * narrow: answers arrive slowly
+	 */
 	char mode[16];
 };
 
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -1,3 +1,4 @@
+#include <event2/bufferevent.h>
 #include <nettle/base64.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,9 +8,13 @@
 /* Time of an answer of a slow store. */
 #define SLOW_MS 150
 #define SLUGGISH_MS 900
+/* Bandwidth of a connection to a narrow door. */
+#define NARROW_BYTES_PER_S 40000
+#define TICKS_PER_S 20
 
 struct waiting {
 	struct evhttp_request *req;
+	const struct store_door *door;
 	char table[KEY_BYTES];
 	int64_t after;
 	bool answered;
@@ -116,6 +121,23 @@
 	free(w);
 }
 
+/* The limit stays with the connection, so it is set for each answer. */
+static void limit_bandwidth(struct evhttp_request *req,
+			    const struct store_door *d)
+{
+	static struct ev_token_bucket_cfg *narrow;
+	struct evhttp_connection *con = evhttp_request_get_connection(req);
+	struct timeval tick = { .tv_usec = 1000000 / TICKS_PER_S };
+	size_t bytes = NARROW_BYTES_PER_S / TICKS_PER_S;
+
+	if (!narrow)
+		narrow = ev_token_bucket_cfg_new(INT32_MAX, INT32_MAX, bytes,
+						 bytes, &tick);
+	bufferevent_set_rate_limit(evhttp_connection_get_bufferevent(con),
+				   strcmp(d->mode, "narrow") != 0 ? NULL :
+								    narrow);
+}
+
 static void answer_feeds(void)
 {
 	struct waiting *w, *next;
@@ -130,6 +152,7 @@
 		}
 		forget_waiting(w);
 		w->answered = true;
+		limit_bandwidth(w->req, w->door);
 		tg_http_reply_json(w->req, 200, answer(rows));
 	}
 }
@@ -143,13 +166,14 @@
 	return v;
 }
 
-static void feed(struct evhttp_request *req)
+static void feed(struct evhttp_request *req, const struct store_door *d)
 {
 	struct waiting *w = tg_xcalloc(1, sizeof(*w));
 	char *table = tg_http_query_param(req, "table");
 	json_t *rows;
 
 	w->req = req;
+	w->door = d;
 	w->after = query_int(req, "after");
 	tg_strlcpy(w->table, table ? table : "", sizeof(w->table));
 	free(table);
@@ -296,6 +320,7 @@
 	bool tx = path && !strcmp(path, "/rows-tx");
 	bool lose = !strcmp(d->mode, "lose") && tx;
 
+	limit_bandwidth(req, d);
 	if (tx)
 		board.writes++;
 	else
@@ -309,7 +334,7 @@
 	else if (path && !strcmp(path, "/rows-get"))
 		get(req);
 	else if (path && !strcmp(path, "/rows-feed"))
-		feed(req);
+		feed(req, d);
 	else
 		tg_http_reply_error(req, 404, "path", "no such call");
 	free(path);
