Fail a job whose attempts were used before its queue was known

A new owner reads ends of runs and the document at the same time. The same holds for a limit that is lowered. Test: attempts_used_before_queue_is_known_count, which failed before: a fourth start.

--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -236,6 +236,14 @@
 void flow_run_ended(struct flow *f, struct run *r, enum flow_run_result how,
 		    const char *saved, int64_t now_ms);
 
+/**
+ * flow_fail_if_exhausted() - fail the job if a task has used all its attempts
+ *
+ * Nothing happens while the job's queue is not known.
+ */
+void flow_fail_if_exhausted(struct flow *f, struct job *j,
+			    struct step_state *ss, int32_t index);
+
 /* pace.c */
 /** flow_pace_update() - record the progress that a worker lists for a run */
 void flow_pace_update(struct run *r, int32_t percent, int64_t now_ms);
--- a/lib/flow/jobs.c
+++ b/lib/flow/jobs.c
@@ -245,6 +245,22 @@
 	return false;
 }
 
+/* Attempts may have been recorded before the limit of the queue was known. */
+static void fail_exhausted_jobs(struct flow *f)
+{
+	struct job *j, *tmp;
+	int32_t i, k;
+
+	HASH_ITER(hh, f->jobs, j, tmp)
+		for (i = 0; i < j->n_step_states; i++) {
+			struct step_state *ss = &j->step_states[i];
+
+			for (k = 0; k < flow_step_of(j, ss)->tasks; k++)
+				if (!ss->tasks[k].done)
+					flow_fail_if_exhausted(f, j, ss, k);
+		}
+}
+
 /* A queue that stays keeps its counts. */
 void flow_set_queues(struct flow *f, const struct flow_queue *q, size_t n)
 {
@@ -270,6 +286,7 @@
 		e->stretch = q[i].stretch;
 		e->target_ms = q[i].target_ms;
 	}
+	fail_exhausted_jobs(f);
 }
 
 void flow_set_quotas(struct flow *f, const struct flow_quota *q, size_t n)
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -103,19 +103,32 @@
 		flow_task_done(j, ss, i);
 }
 
+static struct failures *failures_of(const struct job *j, struct step_state *ss,
+				    int32_t index)
+{
+	return &ss->tasks[flow_step_of(j, ss)->gang ? 0 : index].failures;
+}
+
+void flow_fail_if_exhausted(struct flow *f, struct job *j,
+			    struct step_state *ss, int32_t index)
+{
+	const struct queue *q = flow_find_queue(f, j->queue);
+
+	if (!q || flow_has_ended(j) || flow_step_of(j, ss)->endless ||
+	    failures_of(j, ss, index)->n < q->max_attempts)
+		return;
+	j->state = FLOW_FAILED;
+	flow_mark_dirty(j);
+}
+
 /* Counts a failure once, however often its worker reports it. */
 static void record_failure(struct flow *f, struct job *j, struct step_state *ss,
 			   int32_t index, int32_t run)
 {
-	const struct flow_step *st = flow_step_of(j, ss);
-	struct failures *fl = &ss->tasks[st->gang ? 0 : index].failures;
-	struct queue *q = flow_find_queue(f, j->queue);
-
-	if (!flow_add_failure(fl, run))
+	if (!flow_add_failure(failures_of(j, ss, index), run))
 		return;
 	j->failures++;
-	if (q && fl->n >= q->max_attempts && !st->endless && !flow_has_ended(j))
-		j->state = FLOW_FAILED;
+	flow_fail_if_exhausted(f, j, ss, index);
 }
 
 /* Records the end of a run for its job; the run need not be known. */
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -414,6 +414,26 @@
  * 2 reported after that of run 3 was not counted, so that the task got more
  * attempts than its queue allows.
  */
+/* A new owner may read the ends of runs before it knows the queue's limit. */
+START_TEST(attempts_used_before_queue_is_known_count)
+{
+	const struct flow_queue q = fleet_queue("later", 1);
+	struct flow_run_ref ref = { .job = "00000000000000aa" };
+	struct flow_job_status v;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, ref.job, "later", fleet_new_spec(1, 1, false), 0);
+	for (ref.run = 1; ref.run <= 3; ref.run++)
+		ck_assert(flow_report_end(f, &ref, "w1", FLOW_RUN_FAILED, "",
+					  10));
+	flow_set_queues(f, &q, 1);
+	fleet_decide(f, &o, 20);
+	ck_assert_int_eq(o.n_starts, 0);
+	ck_assert(flow_job_status(f, ref.job, &v));
+	ck_assert_int_eq(v.state, FLOW_FAILED);
+}
+END_TEST
+
 START_TEST(failures_are_counted_in_any_order)
 {
 	static const int32_t runs[] = { 3, 1, 3, 2, 1 };
@@ -832,6 +852,7 @@
 	tcase_add_test(t, guaranteed_task_is_moved_near_bound);
 	tcase_add_test(t, last_attempt_avoids_failing_workers);
 	tcase_add_test(t, attempts_are_limited);
+	tcase_add_test(t, attempts_used_before_queue_is_known_count);
 	tcase_add_test(t, failures_are_counted_in_any_order);
 	tcase_add_test(t, reports_on_unknown_jobs_are_refused);
 	tcase_add_test(t, unanswered_start_is_resolved_by_run_list);
