Read the document in the flow daemon only while it owns the site

Cause: both daemons of an instance transferred and decoded each document at the same time over one link and one core, though a standby uses none of it. Now a flow daemon watches the document from its take-over to the end of its ownership. Test: script/site-standby-document, which failed before ("standby: 1").

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -86,7 +86,6 @@
 	struct event_base *base;
 	struct tg_rng rng;
 	struct tg_site site;
-	struct tg_document *document;
 	struct tg_rpc_server *rpc;
 	struct tg_rpc_client *peers;
 	struct tg_http_server *metrics;
@@ -111,6 +110,7 @@
 	/* set only on the owner */
 	struct flow *flow;
 	struct link *links;
+	struct tg_document *document;
 	struct tg_table_watch *jobs, *progress, *directory;
 	bool directory_read;
 	struct waiter *waiters;
@@ -145,7 +145,6 @@
 void jobs_close(struct board *b);
 /** jobs_add_stored() - add a job from its row in the store, unless known */
 void jobs_add_stored(struct board *b, const struct tg_row *row);
-void jobs_apply_document(struct board *b);
 
 /* directory.c */
 /** links_open() - follow the directory and create a link for each worker */
--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -115,15 +115,14 @@
 		b->progress = tg_table_watch_new(&o);
 }
 
-void jobs_apply_document(struct board *b)
+static void apply_document(void *arg)
 {
+	struct board *b = arg;
 	const struct tg_site_doc *d = tg_document_get(b->document);
 	struct flow_queue *q;
 	struct flow_quota *k;
 	size_t i;
 
-	if (!b->flow || !d)
-		return;
 	q = tg_xcalloc(d->n_queues + 1, sizeof(*q));
 	k = tg_xcalloc(d->n_workspaces + 1, sizeof(*k));
 	for (i = 0; i < d->n_queues; i++)
@@ -169,13 +168,15 @@
 	for (i = 0; i < TG_JOB_PARTS; i++)
 		parts[i] = tg_job_part_name(i);
 	b->flow = flow_new(&fo);
-	jobs_apply_document(b);
+	b->document = tg_document_new(&b->site, apply_document, b);
 	b->jobs = tg_table_watch_new(&o);
 	writer_wake(b);
 }
 
 void jobs_close(struct board *b)
 {
+	tg_document_free(b->document);
+	b->document = NULL;
 	tg_table_watch_free(b->jobs);
 	tg_table_watch_free(b->progress);
 	b->jobs = b->progress = NULL;
--- a/cmd/tgflowd/main.c
+++ b/cmd/tgflowd/main.c
@@ -40,11 +40,6 @@
 	&purge_controller, NULL,
 };
 
-static void on_document(void *arg)
-{
-	jobs_apply_document(arg);
-}
-
 int main(int argc, char **argv)
 {
 	static struct board b;
@@ -69,10 +64,8 @@
 	b.base = event_base_new();
 	if (tg_site_open(&b.site, b.base, &tg_platform_ops, &b.set.flags))
 		return TG_EXIT_USAGE;
-	b.document = tg_document_new(&b.site, on_document, &b);
 	daemon.base = b.base;
 	status = tg_daemon_run(&daemon);
-	tg_document_free(b.document);
 	tg_site_close(&b.site);
 	event_base_free(b.base);
 	return status;
