Limit the pause in an answer of the platform in lib/plat as well

The same cause as in the store of the users' platform, found by looking for it: a read of a list or an object ended one second after it began, however much of it had arrived, and tgentryd and tgschedd began again from nothing. Documents have up to 256 KiB and pages 500 rows. Test: script/plat, three pages over a link of 20 kB/s, which failed before ("list: unavailable 0 rows"). The limit on bandwidth of the two stand-ins is one function. Left as it is: a document pulled from a peer has 2 s for at most 256 KiB (lib/member), which a link of 1.1 Mbit/s carries.

--- a/lib/plat/plat.c
+++ b/lib/plat/plat.c
@@ -60,6 +60,9 @@
 	};
 	struct call *c = tg_xcalloc(1, sizeof(*c));
 
+	/* The transfer of a list or an object may take longer than a call. */
+	if (opts->method == EVHTTP_REQ_GET)
+		http.stall_ms = p->opts.timeout_ms;
 	c->plat = p;
 	c->done = opts->done;
 	c->free_arg = opts->free_arg;
--- a/lib/plat/plat.h
+++ b/lib/plat/plat.h
@@ -31,7 +31,8 @@
 /**
  * struct tg_plat_opts - options of the client
  * @addr: IP:PORT of the platform; copied
- * @timeout_ms: time limit of one HTTP call; 0 for 1,000
+ * @timeout_ms: time limit of one HTTP call; for a read, of the time to the
+ *first byte of its answer and of each pause in it; 0 for 1,000
  * @settle_ms: for how long after its first attempt a transaction is sent again
  *	if its answer is lost, before it ends as TG_PLAT_UNKNOWN; 0 for 3,000
  * @group_ms: how long the first transaction of a group waits for more; 0: not
--- a/tests/script/plat.sh
+++ b/tests/script/plat.sh
@@ -55,6 +55,15 @@
 wait
 END
 
+# A page that took longer than a call to transfer was given up, and so the list.
+drive "rows of three pages over a narrow link" <<'END'
+many 1203 p/
+wait-count
+fault {"bytes_per_s":20000}
+list p/
+wait
+END
+
 # A conflict of one member must not fail or repeat the others.
 drive "conflict within a group" <<'END'
 txn setup put=taken:x
--- a/tests/standin/platformd/faults.c
+++ b/tests/standin/platformd/faults.c
@@ -78,6 +78,7 @@
 		tg_http_reply_error(req, 503, NULL, "too many calls");
 		return;
 	}
+	limit_bandwidth(req, hit ? f->bytes_per_s : 0);
 	c = tg_xcalloc(1, sizeof(*c));
 	c->board = b;
 	c->req = req;
@@ -146,22 +147,24 @@
 {
 	struct board *b = arg;
 	const char *outage = "none", *only = "all", *paths = NULL;
-	json_int_t slow_ms = 0, lose_next = 0;
+	json_int_t slow_ms = 0, lose_next = 0, bytes_per_s = 0;
 	json_t *v = tg_http_parse_json_body(req);
 	json_error_t e;
 	int o, s;
 
 	if (!v)
 		return;
-	if (json_unpack_ex(v, &e, JSON_STRICT, "{s?:s, s?:I, s?:I, s?:s, s?:s}",
-			   "outage", &outage, "slow_ms", &slow_ms, "lose_next",
-			   &lose_next, "only", &only, "paths", &paths)) {
+	if (json_unpack_ex(v, &e, JSON_STRICT,
+			   "{s?:s, s?:I, s?:I, s?:I, s?:s, s?:s}", "outage",
+			   &outage, "slow_ms", &slow_ms, "lose_next",
+			   &lose_next, "bytes_per_s", &bytes_per_s, "only",
+			   &only, "paths", &paths)) {
 		tg_http_reply_error(req, 400, "body", "%s", e.text);
 		goto out;
 	}
 	o = find_name(outages, ARRAY_SIZE(outages), outage);
 	s = find_name(services, ARRAY_SIZE(services), only);
-	if (o < 0 || s < 0 || slow_ms < 0 || lose_next < 0) {
+	if (o < 0 || s < 0 || slow_ms < 0 || lose_next < 0 || bytes_per_s < 0) {
 		tg_http_reply_error(req, 400, "body", "no such fault");
 		goto out;
 	}
@@ -170,6 +173,7 @@
 		.outage = (enum outage)o,
 		.slow_ms = slow_ms,
 		.lose_next = lose_next,
+		.bytes_per_s = bytes_per_s,
 		.only = s == N_SERVICES ? -1 : s,
 		.paths = paths ? tg_xstrdup(paths) : NULL,
 	};
--- a/tests/standin/platformd/platformd.h
+++ b/tests/standin/platformd/platformd.h
@@ -3,6 +3,7 @@
 
 #include <uthash.h>
 
+#include "../common/bandwidth.h"
 #include "../common/hold.h"
 #include "http/http.h"
 
@@ -27,6 +28,7 @@
 	enum outage outage;
 	int64_t slow_ms;
 	int64_t lose_next; /* writes whose answer is still to be lost */
+	int64_t bytes_per_s; /* of each connection; 0 for no limit */
 	int only; /* enum service, or -1 for all */
 	char *paths; /* prefix of the path, or NULL */
 };
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -3,6 +3,7 @@
 
 #include <uthash.h>
 
+#include "../common/bandwidth.h"
 #include "../common/hold.h"
 #include "http/http.h"
 
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -1,4 +1,3 @@
-#include <event2/bufferevent.h>
 #include <nettle/base64.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,7 +9,6 @@
 #define SLUGGISH_MS 900
 /* Bandwidth of a connection to a narrow door. */
 #define NARROW_BYTES_PER_S 40000
-#define TICKS_PER_S 20
 
 struct waiting {
 	struct evhttp_request *req;
@@ -137,21 +135,10 @@
 	free(w);
 }
 
-/* The limit stays with the connection, so it is set for each answer. */
-static void limit_bandwidth(struct evhttp_request *req,
-			    const struct store_door *d)
+/* Bandwidth of the connections to a store door; 0 for no limit. */
+static int64_t bandwidth(const struct store_door *d)
 {
-	static struct ev_token_bucket_cfg *narrow;
-	struct evhttp_connection *con = evhttp_request_get_connection(req);
-	struct timeval tick = { .tv_usec = 1000000 / TICKS_PER_S };
-	size_t bytes = NARROW_BYTES_PER_S / TICKS_PER_S;
-
-	if (!narrow)
-		narrow = ev_token_bucket_cfg_new(INT32_MAX, INT32_MAX, bytes,
-						 bytes, &tick);
-	bufferevent_set_rate_limit(evhttp_connection_get_bufferevent(con),
-				   strcmp(d->mode, "narrow") != 0 ? NULL :
-								    narrow);
+	return strcmp(d->mode, "narrow") != 0 ? 0 : NARROW_BYTES_PER_S;
 }
 
 static void answer_feeds(void)
@@ -168,7 +155,7 @@
 		}
 		forget_waiting(w);
 		w->answered = true;
-		limit_bandwidth(w->req, w->door);
+		limit_bandwidth(w->req, bandwidth(w->door));
 		tg_http_reply_json(w->req, 200, answer(rows));
 	}
 }
@@ -337,7 +324,7 @@
 	bool tx = path && !strcmp(path, "/rows-tx");
 	bool lose = !strcmp(d->mode, "lose") && tx;
 
-	limit_bandwidth(req, d);
+	limit_bandwidth(req, bandwidth(d));
 	if (tx)
 		board.writes++;
 	else
