--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -95,6 +95,18 @@
 	b->site.ops->hold(b->site.port, &ref, &h, on_polled, k);
 }
 
+static void log_lost_run(const struct flow_run_ref *r, int64_t started_ms,
+			 void *arg)
+{
+	const struct link *l = arg;
+	int64_t until_ms = l->failed ? l->first_failure_ms : tg_now_ms();
+
+	tg_log(EV_FLOW_RUN_LOST,
+	       "job=%s task=%d.%d.%d run=%d worker=%s age_ms=%lld", r->job,
+	       r->occurrence, r->step, r->index, r->run, l->entry.id,
+	       started_ms ? (long long)(until_ms - started_ms) : -1LL);
+}
+
 /* Records that all runs on the worker have ended. */
 static void declare_runs_lost(struct link *l, int event, const char *why)
 {
@@ -103,6 +115,7 @@
 	tg_log(event, "worker=%s why=%s silent_ms=%lld", l->entry.id, why,
 	       l->clock_at_ms ? (long long)(tg_now_ms() - l->clock_at_ms) :
 				-1LL);
+	flow_each_run_of(b->flow, l->entry.id, log_lost_run, l);
 	flow_worker_lost(b->flow, l->entry.id, tg_now_ms());
 	l->runs_known = l->may_have_runs = false;
 	round_wake(b);
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -22,17 +22,6 @@
 	bool within_shares; /* places what minimum shares allow, no more */
 };
 
-static struct flow_run_ref ref_of(const struct run *r)
-{
-	return (struct flow_run_ref){
-		.job = r->job->id,
-		.occurrence = r->step_state->occurrence,
-		.step = r->step_state->step,
-		.index = r->index,
-		.run = r->run,
-	};
-}
-
 static void clear_reservations(struct round *rd)
 {
 	struct worker *w;
@@ -102,7 +91,7 @@
 				continue;
 			r->stop_pending = false;
 			r->next_stop_ms = rd->now_ms + STOP_RETRY_MS;
-			s.ref = ref_of(r);
+			s.ref = flow_ref_of(r);
 			s.reason = why ? why : "no longer wanted";
 			rd->ops->stop(&s, rd->arg);
 		}
@@ -139,7 +128,7 @@
 {
 	struct run *r = flow_run_add(j, ss, index, w, number, rd->now_ms);
 	struct flow_start_order s = {
-		.ref = ref_of(r),
+		.ref = flow_ref_of(r),
 		.worker = w->id,
 		.text = j->spec->text,
 		.saved = ss->tasks[index].saved,
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -157,6 +157,14 @@
  * starts until flow_worker_set_runs_known() is called again.
  */
 void flow_worker_lost(struct flow *f, const char *id, int64_t now_ms);
+/**
+ * flow_each_run_of() - call @fn for each run that occupies a worker
+ * @fn: @started_ms is the time of the start order, 0 if it is not known
+ */
+void flow_each_run_of(const struct flow *f, const char *worker,
+		      void (*fn)(const struct flow_run_ref *r,
+				 int64_t started_ms, void *arg),
+		      void *arg);
 /**
  * flow_each_undescribed_worker() - call @fn for each worker without a
  * description
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -230,6 +230,7 @@
 struct run *flow_run_add(struct job *j, struct step_state *ss, int32_t index,
 			 struct worker *w, int32_t run, int64_t now_ms);
 void flow_run_remove(struct run *r);
+struct flow_run_ref flow_ref_of(const struct run *r);
 /** flow_run_mark_stopping() - let the next flow_decide() order a stop */
 void flow_run_mark_stopping(struct run *r);
 /** flow_run_ended() - record the end of a run and free it with its capacity */
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -37,6 +37,17 @@
 	return r;
 }
 
+struct flow_run_ref flow_ref_of(const struct run *r)
+{
+	return (struct flow_run_ref){
+		.job = r->job->id,
+		.occurrence = r->step_state->occurrence,
+		.step = r->step_state->step,
+		.index = r->index,
+		.run = r->run,
+	};
+}
+
 void flow_run_remove(struct run *r)
 {
 	struct flow_shape available =
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -186,6 +186,21 @@
 			fn(w->id, arg);
 }
 
+void flow_each_run_of(const struct flow *f, const char *worker,
+		      void (*fn)(const struct flow_run_ref *r,
+				 int64_t started_ms, void *arg),
+		      void *arg)
+{
+	const struct worker *w = flow_find_worker(f, worker);
+	const struct run *r;
+
+	for (r = w ? w->runs : NULL; r; r = r->next) {
+		struct flow_run_ref ref = flow_ref_of(r);
+
+		fn(&ref, r->added_ms, arg);
+	}
+}
+
 void flow_worker_update(struct flow *f, const struct flow_worker_spec *s)
 {
 	struct worker *w = flow_get_or_add_worker(f, s->id);
