Give up a task under which three workers have crashed

Cause: only failures that a worker lists count as attempts. A run that ends with its worker counted for nothing, nothing was learned from it, and a new owner could not know of it. Now a crash is blamed on the runs that began shortly before, of these on the tasks that were blamed before, and on none if other workers without such runs went silent at the same time. A blamed task starts apart from others. After three crashes its job has failed; a run that outlives the crashes clears it. The counts are in the progress row. A worker that is gone is polled for 20 s, which also shows a return after its leases have expired; its link is removed then. So far a link whose worker had restarted under another id was polled for ever.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -68,6 +68,7 @@
 	int32_t failures;
 	int32_t refusals; /* consecutive refused connections */
 	int64_t first_failure_ms, removed_ms; /* removed from the directory */
+	int64_t lost_ms; /* its runs were last declared to have ended */
 	int64_t last_heartbeat_ms; /* its entry last changed */
 	int64_t earliest_exit_ms; /* of a draining worker, or 0 */
 	int64_t unknown_since_ms; /* it lists runs of unknown jobs; or 0 */
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -20,6 +20,11 @@
 #define NOT_DURABLE_PAUSE_MS 300
 /* A run is stopped if its job is still unknown after this time. */
 #define UNKNOWN_RUN_MAX_MS 2000
+/*
+ * A worker that is gone is polled this long after its runs have ended, since a
+ * process that answers in its place shows that it has crashed.
+ */
+#define POLL_GONE_MS 20000
 
 struct poll_call {
 	struct board *board;
@@ -107,18 +112,53 @@
 	       started_ms ? (long long)(until_ms - started_ms) : -1LL);
 }
 
-/* Records that all runs on the worker have ended. */
-static void declare_runs_lost(struct link *l, int event, const char *why)
+static void log_lost_worker(struct link *l, int event, const char *why)
 {
-	struct board *b = l->board;
-
 	tg_log(event, "worker=%s why=%s silent_ms=%lld", l->entry.id, why,
 	       l->clock_at_ms ? (long long)(tg_now_ms() - l->clock_at_ms) :
 				-1LL);
-	flow_each_run_of(b->flow, l->entry.id, log_lost_run, l);
-	flow_worker_lost(b->flow, l->entry.id, tg_now_ms());
+	flow_each_run_of(l->board->flow, l->entry.id, log_lost_run, l);
 	l->runs_known = l->may_have_runs = false;
-	round_wake(b);
+	l->lost_ms = tg_now_ms();
+	round_wake(l->board);
+}
+
+/* Records that all runs on the worker have ended. */
+static void declare_runs_lost(struct link *l, const char *why)
+{
+	log_lost_worker(l, EV_FLOW_WORKER_LOST, why);
+	flow_worker_lost(l->board->flow, l->entry.id, tg_now_ms());
+}
+
+static void on_blame(const struct flow_blame *b, void *arg)
+{
+	const struct link *l = arg;
+
+	tg_log(b->given_up ? EV_FLOW_TASK_GIVEN_UP : EV_FLOW_TASK_BLAMED,
+	       "job=%s task=%d.%d.%d run=%d worker=%s addr=%s age_ms=%lld "
+	       "crashes=%d",
+	       b->ref.job, b->ref.occurrence, b->ref.step, b->ref.index,
+	       b->ref.run, l->entry.id, l->entry.addr, (long long)b->age_ms,
+	       b->crashes);
+}
+
+/* Another process answers at the worker's address, or has written its entry. */
+static void declare_restarted(struct link *l)
+{
+	int64_t now_ms = tg_now_ms();
+	struct flow_crash c = {
+		.worker = l->entry.id,
+		.silent_ms = l->failed ? l->first_failure_ms : now_ms,
+		.on_blame = on_blame,
+		.arg = l,
+	};
+
+	log_lost_worker(l, EV_FLOW_WORKER_BOOT, "worker has restarted");
+	if (l->entry.draining)
+		flow_worker_lost(l->board->flow, l->entry.id, now_ms);
+	else
+		flow_worker_crashed(l->board->flow, &c, now_ms);
+	writer_wake(l->board);
 }
 
 void link_set_boot(struct link *l, int64_t boot_ms)
@@ -126,8 +166,7 @@
 	if (!boot_ms || boot_ms == l->boot_ms)
 		return;
 	if (l->boot_ms) {
-		declare_runs_lost(l, EV_FLOW_WORKER_BOOT,
-				  "worker has restarted");
+		declare_restarted(l);
 		l->clock_ms = l->clock_at_ms = 0;
 		l->lease_until_ms = l->leases_end_ms = 0;
 		l->processed_n = l->writing_n = l->durable_n = 0;
@@ -329,8 +368,11 @@
 {
 	int64_t pause_ms = RETRY_MS * ++l->failures;
 
-	if (!l->failed)
+	if (!l->failed) {
 		l->first_failure_ms = tg_now_ms();
+		flow_worker_silent(l->board->flow, l->entry.id,
+				   l->first_failure_ms);
+	}
 	if (!l->failed)
 		tg_log(EV_FLOW_WORKER_SILENT,
 		       "worker=%s end=%d expires_ms=%lld", l->entry.id,
@@ -341,7 +383,7 @@
 		(pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS);
 	l->refusals = end == TG_ORDER_CONN_REFUSED ? l->refusals + 1 : 0;
 	if (has_exited(l))
-		declare_runs_lost(l, EV_FLOW_WORKER_LOST, "worker has exited");
+		declare_runs_lost(l, "worker has exited");
 }
 
 void link_poll_if_due(struct link *l)
@@ -448,17 +490,21 @@
  * have granted have expired.
  */
 static void check_expiry(struct link *l, int64_t now_ms)
+{
+	if (l->failed && l->may_have_runs && now_ms >= l->leases_end_ms)
+		declare_runs_lost(l, "leases expired");
+}
+
+static void remove_if_gone(struct link *l, int64_t now_ms)
 {
 	struct board *b = l->board;
 
-	if (!l->failed || !l->may_have_runs || now_ms < l->leases_end_ms)
+	if (l->in_directory || !l->failed || l->may_have_runs ||
+	    l->long_polling || l->polling || now_ms - l->lost_ms < POLL_GONE_MS)
 		return;
-	declare_runs_lost(l, EV_FLOW_WORKER_LOST, "leases expired");
-	if (!l->in_directory && !l->long_polling && !l->polling) {
-		flow_worker_remove(b->flow, l->entry.id, now_ms);
-		HASH_DEL(b->links, l);
-		free(l);
-	}
+	flow_worker_remove(b->flow, l->entry.id, now_ms);
+	HASH_DEL(b->links, l);
+	free(l);
 }
 
 static void tick(void *board, int64_t now_ms)
@@ -472,6 +518,8 @@
 		link_poll_if_due(l);
 	HASH_ITER(hh, b->links, l, tmp)
 		check_expiry(l, now_ms);
+	HASH_ITER(hh, b->links, l, tmp)
+		remove_if_gone(l, now_ms);
 }
 
 const struct tg_controller links_controller = {
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -80,6 +80,7 @@
 			struct flow_stop_order s = { .worker = w->id };
 			const char *why;
 
+			flow_clear_suspicion(r);
 			r->stalled |= flow_is_stalled(r, rd->now_ms);
 			why = stop_reason(r);
 			if (r->victim && r->state != RUN_STOPPING)
@@ -135,6 +136,8 @@
 		.reason = j->rank <= 0 ? "guaranteed" : "by deadline",
 	};
 
+	if (flow_run_is_isolated(r, rd->now_ms))
+		w->isolated_for = j;
 	rd->ops->start(&s, rd->arg);
 	j->queue_conf->starts++;
 	flow_mark_dirty(j);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -150,11 +150,48 @@
 void flow_worker_set_runs_known(struct flow *f, const char *id);
 /** flow_worker_set_suspect() - a suspect worker gets no starts */
 void flow_worker_set_suspect(struct flow *f, const char *id, bool suspect);
+/** flow_worker_silent() - the worker has just stopped answering */
+void flow_worker_silent(struct flow *f, const char *id, int64_t now_ms);
+
+/**
+ * struct flow_blame - a task that a worker's crash is blamed on
+ * @age_ms: of its run when the worker went silent; -1 if unknown
+ * @crashes: number of crashes that the task is blamed for now
+ * @given_up: the job has failed for that
+ */
+struct flow_blame {
+	struct flow_run_ref ref;
+	int64_t age_ms;
+	int32_t crashes;
+	bool given_up;
+};
+
+/**
+ * struct flow_crash - the unannounced end of a worker's process
+ * @silent_ms: when the worker stopped answering
+ * @on_blame: called for each task that is blamed; must not call back into the
+ *	engine.  May be NULL.
+ */
+struct flow_crash {
+	const char *worker;
+	int64_t silent_ms;
+	void (*on_blame)(const struct flow_blame *b, void *arg);
+	void *arg;
+};
+
+/**
+ * flow_worker_crashed() - like flow_worker_lost(), and find the task to blame
+ *
+ * To be called when the worker has been replaced by another process without
+ * having drained, also if that shows only after flow_worker_lost().
+ */
+void flow_worker_crashed(struct flow *f, const struct flow_crash *crash,
+			 int64_t now_ms);
 /**
  * flow_worker_lost() - end all runs of a worker as FLOW_RUN_LEASE_EXPIRED
  *
- * To be called when its leases have expired or it has restarted.  It gets no
- * starts until flow_worker_set_runs_known() is called again.
+ * To be called when its leases have expired or it has ended as announced.  It
+ * gets no starts until flow_worker_set_runs_known() is called again.
  */
 void flow_worker_lost(struct flow *f, const char *id, int64_t now_ms);
 /**
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -36,15 +36,21 @@
 	struct run *prev, *next; /* list of the worker's runs */
 };
 
-/** struct failures - numbers of failed runs, each once, unsorted */
-struct failures {
+/** struct run_numbers - numbers of runs of a task, each once, unsorted */
+struct run_numbers {
 	int32_t *runs;
 	int32_t n;
 };
 
 struct task {
 	bool done;
-	struct failures failures; /* a gang's are kept by its first task */
+	struct run_numbers failures; /* a gang's are kept by its first task */
+	/*
+	 * Runs whose workers' crashes are blamed on the task, and the greatest
+	 * age at which one of them crashed.
+	 */
+	struct run_numbers crashes;
+	int64_t crash_age_ms;
 	int32_t last_run;
 	char saved[FLOW_CHECKPOINT_LEN + 1];
 	struct worker *last_failed_on;
@@ -92,6 +98,17 @@
 	int64_t from_ms;
 };
 
+/**
+ * struct lost_run - a run that ended when its worker's leases expired
+ *
+ * It is kept until the worker's address shows whether the worker has crashed.
+ */
+struct lost_run {
+	char job[FLOW_JOB_ID_LEN + 1];
+	int32_t occurrence, step, index, run;
+	int64_t age_ms; /* when the worker went silent; -1 if unknown */
+};
+
 struct worker {
 	char id[TG_NAME_MAX + 1];
 	struct pool *pool; /* NULL before flow_worker_update() */
@@ -113,6 +130,11 @@
 	char failed_job[FLOW_JOB_ID_LEN + 1];
 	int64_t quarantined_until_ms;
 	int32_t quarantines;
+	int64_t silent_ms; /* last time that it went silent; or 0 */
+	bool silent_with_young_run;
+	struct lost_run *lost_runs;
+	size_t n_lost_runs;
+	const struct job *isolated_for; /* this round; see crash.c */
 	double speed; /* declared / actual run time, moving average */
 	struct run *runs;
 	UT_hash_handle hh;
@@ -190,8 +212,8 @@
 		   const struct step_state *ss, int64_t wall_ms);
 
 struct queue *flow_find_queue(const struct flow *f, const char *name);
-/** flow_add_failure() - false if the failure of @run is already recorded */
-bool flow_add_failure(struct failures *fl, int32_t run);
+/** flow_add_run_number() - false if @run is already among them */
+bool flow_add_run_number(struct run_numbers *fl, int32_t run);
 
 /* workers.c */
 struct worker *flow_find_worker(const struct flow *f, const char *id);
@@ -227,6 +249,8 @@
 			int64_t now_ms);
 
 /* runs.c */
+/** flow_count_runs() - number of runs that occupy a worker */
+size_t flow_count_runs(const struct worker *w);
 struct run *flow_run_add(struct job *j, struct step_state *ss, int32_t index,
 			 struct worker *w, int32_t run, int64_t now_ms);
 void flow_run_remove(struct run *r);
@@ -245,6 +269,16 @@
 void flow_fail_if_exhausted(struct flow *f, struct job *j,
 			    struct step_state *ss, int32_t index);
 
+/* crash.c */
+/** flow_is_suspect() - whether the task may have crashed its last workers */
+bool flow_is_suspect(const struct task *t);
+/** flow_run_is_isolated() - whether its worker gets no tasks of other jobs */
+bool flow_run_is_isolated(const struct run *r, int64_t now_ms);
+/** flow_clear_suspicion() - clear the task if the run has lasted long enough */
+void flow_clear_suspicion(struct run *r);
+void flow_remember_lost_run(struct worker *w, const struct run *r);
+void flow_forget_lost_runs(struct worker *w);
+
 /* pace.c */
 /** flow_pace_update() - record the progress that a worker lists for a run */
 void flow_pace_update(struct run *r, int32_t percent, int64_t now_ms);
--- a/lib/flow/jobs.c
+++ b/lib/flow/jobs.c
@@ -95,7 +95,7 @@
 }
 
 /* Workers report an end until it is acknowledged, and in any order. */
-bool flow_add_failure(struct failures *fl, int32_t run)
+bool flow_add_run_number(struct run_numbers *fl, int32_t run)
 {
 	int32_t i;
 
@@ -113,8 +113,11 @@
 	int32_t i, k;
 
 	for (i = 0; i < j->n_step_states; i++) {
-		for (k = 0; k < flow_step_of(j, &j->step_states[i])->tasks; k++)
+		for (k = 0; k < flow_step_of(j, &j->step_states[i])->tasks;
+		     k++) {
 			free(j->step_states[i].tasks[k].failures.runs);
+			free(j->step_states[i].tasks[k].crashes.runs);
+		}
 		free(j->step_states[i].tasks);
 	}
 	free(j->step_states);
@@ -322,6 +325,7 @@
 		while (w->runs)
 			flow_run_remove(w->runs);
 		HASH_DEL(f->workers, w);
+		flow_forget_lost_runs(w);
 		free(w);
 	}
 	HASH_ITER(hh, f->pools, p, pt) {
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -22,6 +22,13 @@
  * workers become free for urgent gangs.
  */
 #define MIXED_COST 10000000
+/*
+ * Cost of placing a task that may crash its worker beside other runs, and in
+ * addition for a whole worker of such runs.  An idle worker goes before the
+ * data.
+ */
+#define SUSPECT_BESIDE_COST 2000000000LL
+#define SUSPECT_BESIDE_WORKER_COST 1000000000.0
 
 static bool has_label(const struct worker *w, const char *label)
 {
@@ -40,6 +47,9 @@
 	    (s->last_attempt && flow_pool_can_avoid_failing(w->pool) &&
 	     flow_worker_failed_recently(w, s->now_ms)))
 		return false;
+	if (w->isolated_for && !s->reclaim_due &&
+	    (w->isolated_for != s->job || !s->step->gang))
+		return false;
 	return !*s->step->label || has_label(w, s->step->label);
 }
 
@@ -70,6 +80,21 @@
 		count_on_worker(s, w, out, n) < s->step->per_worker_max;
 }
 
+/* What a crash of the worker would cost others. */
+static int64_t cost_of_company(const struct search *s, const struct worker *w,
+			       struct worker *const *out, int32_t n)
+{
+	const struct run *r;
+	double share = 0;
+
+	if (!w->runs && !count_on_worker(s, w, out, n))
+		return 0;
+	for (r = w->runs; r; r = r->next)
+		share += flow_run_share(r);
+	return SUSPECT_BESIDE_COST +
+		(int64_t)(share * SUSPECT_BESIDE_WORKER_COST);
+}
+
 /* Lower is better: tight fit, near the data, no recent failures. */
 static int64_t placement_cost(const struct search *s, const struct worker *w,
 			      const struct flow_shape *available,
@@ -115,6 +140,8 @@
 			if (!flow_shape_fits(&s->need, &available))
 				continue;
 			cost = placement_cost(s, w, &available, t);
+			if (flow_is_suspect(t))
+				cost += cost_of_company(s, w, out, n);
 		}
 		if (!best || cost < best_cost) {
 			best = w;
--- a/lib/flow/progress.c
+++ b/lib/flow/progress.c
@@ -71,15 +71,22 @@
 	return s;
 }
 
-static json_t *encode_task(const struct task *t)
+static json_t *encode_run_numbers(const struct run_numbers *n)
 {
-	json_t *failed = json_array();
+	json_t *a = json_array();
 	int32_t i;
 
-	for (i = 0; i < t->failures.n; i++)
-		json_array_append_new(failed,
-				      json_integer(t->failures.runs[i]));
-	return json_pack("[iso]", t->last_run, t->saved, failed);
+	for (i = 0; i < n->n; i++)
+		json_array_append_new(a, json_integer(n->runs[i]));
+	return a;
+}
+
+static json_t *encode_task(const struct task *t)
+{
+	return json_pack("[isooI]", t->last_run, t->saved,
+			 encode_run_numbers(&t->failures),
+			 encode_run_numbers(&t->crashes),
+			 (json_int_t)t->crash_age_ms);
 }
 
 static json_t *encode_step_state(const struct job *j,
@@ -100,7 +107,7 @@
 			json_array_append_new(runs,
 					      json_pack("[iis]", i, t->run->run,
 							t->run->worker->id));
-		if (t->done || (!t->failures.n && !*t->saved))
+		if (t->done || (!t->failures.n && !t->crashes.n && !*t->saved))
 			continue;
 		snprintf(key, sizeof(key), "%d", i);
 		json_object_set_new(tasks, key, encode_task(t));
@@ -161,7 +168,13 @@
 		return false;
 	tg_strlcpy(t->saved, saved, sizeof(t->saved));
 	json_array_foreach(failed, i, v)
-		flow_add_failure(&t->failures, (int32_t)json_integer_value(v));
+		flow_add_run_number(&t->failures,
+				    (int32_t)json_integer_value(v));
+	/* Rows written by older versions end here. */
+	json_array_foreach(json_array_get(o, 3), i, v)
+		flow_add_run_number(&t->crashes,
+				    (int32_t)json_integer_value(v));
+	t->crash_age_ms = json_integer_value(json_array_get(o, 4));
 	return true;
 }
 
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -37,6 +37,16 @@
 	return r;
 }
 
+size_t flow_count_runs(const struct worker *w)
+{
+	const struct run *r;
+	size_t n = 0;
+
+	for (r = w->runs; r; r = r->next)
+		n++;
+	return n;
+}
+
 struct flow_run_ref flow_ref_of(const struct run *r)
 {
 	return (struct flow_run_ref){
@@ -114,8 +124,8 @@
 		flow_task_done(j, ss, i);
 }
 
-static struct failures *failures_of(const struct job *j, struct step_state *ss,
-				    int32_t index)
+static struct run_numbers *failures_of(const struct job *j,
+				       struct step_state *ss, int32_t index)
 {
 	return &ss->tasks[flow_step_of(j, ss)->gang ? 0 : index].failures;
 }
@@ -136,7 +146,7 @@
 static void record_failure(struct flow *f, struct job *j, struct step_state *ss,
 			   int32_t index, int32_t run)
 {
-	if (!flow_add_failure(failures_of(j, ss, index), run))
+	if (!flow_add_run_number(failures_of(j, ss, index), run))
 		return;
 	j->failures++;
 	flow_fail_if_exhausted(f, j, ss, index);
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -55,11 +55,15 @@
 	}
 	for (w = f->workers; w; w = w->hh.next) {
 		w->urgent_tasks = w->ordinary_tasks = 0;
-		for (r = w->runs; r; r = r->next)
+		w->isolated_for = NULL;
+		for (r = w->runs; r; r = r->next) {
 			if (flow_is_urgent(r->job))
 				w->urgent_tasks++;
 			else
 				w->ordinary_tasks++;
+			if (flow_run_is_isolated(r, now_ms))
+				w->isolated_for = r->job;
+		}
 		p = w->pool;
 		if (!p || !flow_worker_ready(w, now_ms))
 			continue;
@@ -224,8 +228,10 @@
 {
 	struct worker *w = flow_find_worker(f, id);
 
-	if (w)
-		w->runs_known = true;
+	if (!w)
+		return;
+	w->runs_known = true;
+	flow_forget_lost_runs(w);
 }
 
 void flow_worker_set_suspect(struct flow *f, const char *id, bool suspect)
@@ -242,9 +248,12 @@
 
 	if (!w)
 		return;
-	while (w->runs)
+	while (w->runs) {
+		if (!w->draining)
+			flow_remember_lost_run(w, w->runs);
 		flow_run_ended(f, w->runs, FLOW_RUN_LEASE_EXPIRED, NULL,
 			       now_ms);
+	}
 	w->runs_known = false;
 	w->failures_in_row = 0;
 	w->quarantined_until_ms = 0;
@@ -271,6 +280,7 @@
 						.tasks[k]
 						.last_failed_on = NULL;
 	HASH_DEL(f->workers, w);
+	flow_forget_lost_runs(w);
 	free(w);
 }
 
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -5,12 +5,14 @@
 
 /*
  * A worker of the platform.  The text of a job tells what its tasks do, for
- * instance "ms=700 acc=4 fail": run time, accelerators, end.
+ * instance "ms=700 acc=4 fail": run time, accelerators, end.  A task with
+ * "deadly" crashes the worker, which is back soon as another process.
  */
 
 #define DEFAULT_RUN_MS 300
 /* A start that is not answered is carried out this much later. */
 #define LATE_MS 1500
+#define DOWN_MS 1000
 
 struct look {
 	struct worker *worker;
@@ -298,6 +300,32 @@
 	free(l);
 }
 
+static void open_again(void *arg)
+{
+	struct worker *w = arg;
+	int n = (int)(w - board.workers) + 1;
+
+	w->gone = false;
+	worker_open(w, n);
+}
+
+static void crash(void *arg)
+{
+	struct worker *w = arg;
+
+	if (w->gone)
+		return;
+	worker_close(w);
+	delay_call(board.base, DOWN_MS, open_again, w);
+}
+
+static bool is_deadly(const json_t *body)
+{
+	const char *spec = json_string_value(json_object_get(body, "spec"));
+
+	return spec && strstr(spec, "deadly");
+}
+
 static void run_start(struct worker *w, struct evhttp_request *req,
 		      json_t *body)
 {
@@ -318,6 +346,11 @@
 		return;
 	}
 	reason = start(w, body);
+	if (!reason && is_deadly(body)) {
+		close_without_reply(board.base, req, NO_REPLY_MS, NULL, NULL);
+		delay_call(board.base, 0, crash, w);
+		return;
+	}
 	if (!strcmp(w->mode, "mute") && !reason)
 		close_without_reply(board.base, req, NO_REPLY_MS, NULL, NULL);
 	else
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -1,6 +1,8 @@
 #ifndef TEST_FLEET_H
 #define TEST_FLEET_H
 
+#include <check.h>
+
 #include "flow/flow.h"
 
 /*
@@ -45,4 +47,7 @@
 void fleet_end_run(struct flow *f, const struct start_order *s,
 		   enum flow_run_result how, int64_t now_ms);
 
+/** crash_tcase() - tests of test-crash.c */
+TCase *crash_tcase(void);
+
 #endif
--- /dev/null
+++ b/tests/unit/flow/test-crash.c
@@ -0,0 +1,353 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+
+/*
+ * Tasks that crash the workers that start them.  One such task took down worker
+ * after worker; none of its neighbours may be given up in its place.
+ */
+
+#define OLD_MS 5000 /* age of a run that is not put down to its start */
+#define BACK_MS 4000 /* time after which a crashed worker is back */
+#define CRASHES_MAX 3
+
+static struct flow *f;
+static struct orders o;
+static int n_blamed, n_given_up;
+static char last_blamed[FLOW_JOB_ID_LEN + 1];
+
+static void setup(void)
+{
+	f = fleet_new();
+	n_blamed = n_given_up = 0;
+	last_blamed[0] = '\0';
+}
+
+static void teardown(void)
+{
+	flow_free(f);
+}
+
+static void on_blame(const struct flow_blame *b, void *arg)
+{
+	(void)arg;
+	n_blamed++;
+	n_given_up += b->given_up;
+	tg_strlcpy(last_blamed, b->ref.job, sizeof(last_blamed));
+}
+
+/* The worker crashes at @at_ms; at @back_ms it is back, without runs. */
+static void crash(struct flow *flow, const char *worker, int64_t at_ms,
+		  int64_t back_ms)
+{
+	struct flow_crash c = {
+		.worker = worker,
+		.silent_ms = at_ms,
+		.on_blame = on_blame,
+	};
+
+	flow_worker_silent(flow, worker, at_ms);
+	flow_worker_crashed(flow, &c, back_ms);
+	flow_worker_set_runs_known(flow, worker);
+}
+
+static enum flow_state state(struct flow *flow, const char *job)
+{
+	struct flow_job_status v;
+
+	ck_assert(flow_job_status(flow, job, &v));
+	return v.state;
+}
+
+/* Starts what can be started; returns the worker of @job's only start. */
+static const char *start(const char *job, int64_t now_ms)
+{
+	static char worker[TG_NAME_MAX + 1];
+	int i, n = 0;
+
+	fleet_decide(f, &o, now_ms);
+	fleet_confirm_starts(f, &o, now_ms + 1);
+	for (i = 0; i < o.n_starts; i++)
+		if (!strcmp(o.starts[i].job, job)) {
+			tg_strlcpy(worker, o.starts[i].worker, sizeof(worker));
+			n++;
+		}
+	ck_assert_int_eq(n, 1);
+	return worker;
+}
+
+/* The worker lists the run of the last start order at @now_ms. */
+static void list_run(const struct start_order *s, int64_t now_ms)
+{
+	struct flow_run_ref r = fleet_run_ref(s);
+
+	ck_assert(flow_report_run(f, &r, s->worker, 0, "", now_ms));
+	flow_report_list_end(f, s->worker, now_ms - 1, now_ms);
+}
+
+START_TEST(task_that_crashes_its_workers_is_given_up)
+{
+	int64_t now_ms = 1000;
+	int i;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_worker(f, "w2", "r1", 8);
+	fleet_add_job(f, "deadly", "normal", fleet_new_spec(1, 1, false), 0);
+	for (i = 0; i < CRASHES_MAX; i++) {
+		ck_assert_int_ne(state(f, "deadly"), FLOW_FAILED);
+		crash(f, start("deadly", now_ms), now_ms + 10,
+		      now_ms + BACK_MS);
+		now_ms += BACK_MS + 1;
+	}
+	ck_assert_int_eq(n_given_up, 1);
+	ck_assert_int_eq(state(f, "deadly"), FLOW_FAILED);
+	fleet_decide(f, &o, now_ms);
+	ck_assert_int_eq(o.n_starts, 0);
+}
+END_TEST
+
+START_TEST(crash_is_not_blamed_on_older_runs)
+{
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "old", "normal", fleet_new_spec(1, 1, false), 0);
+	start("old", 1000);
+	fleet_add_job(f, "deadly", "normal", fleet_new_spec(1, 1, false), 0);
+	start("deadly", 1000 + OLD_MS);
+	crash(f, "w1", 1010 + OLD_MS, 1000 + OLD_MS + BACK_MS);
+	ck_assert_int_eq(n_blamed, 1);
+	ck_assert_str_eq(last_blamed, "deadly");
+}
+END_TEST
+
+START_TEST(crash_is_blamed_on_suspect_not_on_its_neighbours)
+{
+	int64_t now_ms = 1000;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "deadly", "normal", fleet_new_spec(1, 1, false), 0);
+	start("deadly", now_ms);
+	crash(f, "w1", now_ms + 10, now_ms + BACK_MS);
+	now_ms += BACK_MS;
+	fleet_add_job(f, "beside", "urgent", fleet_new_spec(1, 1, false),
+		      now_ms);
+	fleet_decide(f, &o, now_ms);
+	ck_assert_int_eq(o.n_starts, 2); /* there is no other worker */
+	fleet_confirm_starts(f, &o, now_ms);
+	crash(f, "w1", now_ms + 10, now_ms + BACK_MS);
+	ck_assert_int_eq(n_blamed, 2);
+	ck_assert_str_eq(last_blamed, "deadly");
+}
+END_TEST
+
+START_TEST(suspect_gets_idle_worker_and_keeps_others_away)
+{
+	int64_t now_ms = 1000;
+	const char *first, *second;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_worker(f, "w2", "r1", 8);
+	fleet_add_job(f, "deadly", "normal", fleet_new_spec(1, 1, false), 0);
+	first = start("deadly", now_ms);
+	crash(f, first, now_ms + 10, now_ms + BACK_MS);
+	now_ms += BACK_MS;
+	/* Best fit would put the task beside this one. */
+	fleet_add_job(f, "wide", "urgent", fleet_new_spec(1, 6, false), 0);
+	first = tg_xstrdup(start("wide", now_ms));
+	ck_assert_str_eq(o.starts[0].job, "wide");
+	second = o.starts[1].worker;
+	ck_assert_str_ne(first, second);
+	fleet_add_job(f, "next", "normal", fleet_new_spec(1, 1, false), 0);
+	ck_assert_str_eq(start("next", now_ms + 100), first);
+	free((char *)first);
+}
+END_TEST
+
+START_TEST(loss_of_many_workers_is_blamed_on_no_task)
+{
+	static const char *const workers[] = { "w1", "w2", "w3" };
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(workers); i++)
+		fleet_add_worker(f, workers[i], "r1", 1);
+	fleet_add_job(f, "job", "normal", fleet_new_spec(3, 1, false), 0);
+	fleet_decide(f, &o, 1000);
+	ck_assert_int_eq(o.n_starts, 3);
+	fleet_confirm_starts(f, &o, 1000);
+	for (i = 0; i < ARRAY_SIZE(workers); i++)
+		flow_worker_silent(f, workers[i], 1000 + OLD_MS);
+	for (i = 0; i < ARRAY_SIZE(workers); i++)
+		crash(f, workers[i], 1000 + OLD_MS, 1000 + OLD_MS + BACK_MS);
+	ck_assert_int_eq(n_blamed, 0);
+}
+END_TEST
+
+START_TEST(deadly_tasks_that_start_together_are_each_blamed)
+{
+	static const char *const workers[] = { "w1", "w2", "w3" };
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(workers); i++)
+		fleet_add_worker(f, workers[i], "r1", 1);
+	fleet_add_job(f, "job", "normal", fleet_new_spec(3, 1, true), 0);
+	fleet_decide(f, &o, 1000);
+	ck_assert_int_eq(o.n_starts, 3);
+	fleet_confirm_starts(f, &o, 1000);
+	for (i = 0; i < ARRAY_SIZE(workers); i++)
+		flow_worker_silent(f, workers[i], 1010);
+	for (i = 0; i < ARRAY_SIZE(workers); i++)
+		crash(f, workers[i], 1010, 1000 + BACK_MS);
+	ck_assert_int_eq(n_blamed, 3);
+	ck_assert_int_eq(n_given_up, 0);
+}
+END_TEST
+
+START_TEST(announced_exit_is_blamed_on_no_task)
+{
+	const struct flow_worker_spec draining = {
+		.id = "w1",
+		.service = "s",
+		.az = "a",
+		.draining = true,
+	};
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "job", "normal", fleet_new_spec(1, 1, false), 0);
+	start("job", 1000);
+	flow_worker_update(f, &draining);
+	flow_worker_silent(f, "w1", 1010);
+	flow_worker_lost(f, "w1", 1020);
+	crash(f, "w1", 1030, 1000 + BACK_MS);
+	ck_assert_int_eq(n_blamed, 0);
+}
+END_TEST
+
+/* Its leases expire before the worker is back; the task runs elsewhere then. */
+START_TEST(crash_that_shows_after_its_leases_expired_counts)
+{
+	struct flow_crash c = { .worker = "w1",
+				.silent_ms = 1010,
+				.on_blame = on_blame };
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "deadly", "normal", fleet_new_spec(1, 1, false), 0);
+	start("deadly", 1000);
+	flow_worker_silent(f, "w1", 1010);
+	flow_worker_lost(f, "w1", 9000);
+	ck_assert_int_eq(n_blamed, 0);
+	flow_worker_crashed(f, &c, 12000);
+	ck_assert_int_eq(n_blamed, 1);
+}
+END_TEST
+
+START_TEST(cut_off_worker_that_returns_is_no_crash)
+{
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "job", "normal", fleet_new_spec(1, 1, false), 0);
+	start("job", 1000);
+	flow_worker_silent(f, "w1", 1010);
+	flow_worker_lost(f, "w1", 9000);
+	flow_worker_set_runs_known(f, "w1");
+	crash(f, "w1", 20000, 24000);
+	ck_assert_int_eq(n_blamed, 0);
+}
+END_TEST
+
+START_TEST(crashes_survive_takeover)
+{
+	int64_t now_ms = 1000;
+	struct flow *g = fleet_new();
+	json_t *p;
+	int i;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "deadly", "normal", fleet_new_spec(1, 1, false), 0);
+	for (i = 0; i < CRASHES_MAX - 1; i++) {
+		start("deadly", now_ms);
+		crash(f, "w1", now_ms + 10, now_ms + BACK_MS);
+		now_ms += BACK_MS + 1;
+	}
+	ck_assert_str_eq(flow_take_dirty(f), "deadly");
+	p = flow_progress_encode(f, "deadly");
+	flow_free(f);
+	f = g;
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "deadly", "normal", fleet_new_spec(1, 1, false), 0);
+	ck_assert(flow_progress_decode(f, "deadly", p));
+	json_decref(p);
+	start("deadly", now_ms);
+	crash(f, "w1", now_ms + 10, now_ms + BACK_MS);
+	ck_assert_int_eq(state(f, "deadly"), FLOW_FAILED);
+}
+END_TEST
+
+/* Years of rare crashes must not add up. */
+START_TEST(task_that_outlives_its_crashes_is_cleared)
+{
+	struct flow_spec *s = fleet_new_spec(1, 1, false);
+	int64_t now_ms = 1000;
+	int i;
+
+	s->steps[0].endless = true;
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "endless", "normal", s, 0);
+	for (i = 0; i < 2 * CRASHES_MAX; i++) {
+		start("endless", now_ms);
+		list_run(&o.starts[0], now_ms + OLD_MS);
+		fleet_decide(f, &o, now_ms + OLD_MS);
+		crash(f, "w1", now_ms + OLD_MS, now_ms + OLD_MS + BACK_MS);
+		now_ms += OLD_MS + BACK_MS;
+		start("endless", now_ms);
+		list_run(&o.starts[0], now_ms + 3 * OLD_MS);
+		fleet_decide(f, &o, now_ms + 3 * OLD_MS);
+		fleet_end_run(f,
+			      &(struct start_order){ .job = "endless",
+						     .worker = "w1",
+						     .run = 2 * i + 2 },
+			      FLOW_RUN_FAILED, now_ms + 3 * OLD_MS);
+		now_ms += 3 * OLD_MS + 1;
+	}
+	ck_assert_int_eq(n_given_up, 0);
+	ck_assert_int_eq(n_blamed, 2 * CRASHES_MAX);
+}
+END_TEST
+
+/* A task that always crashes its worker late is not cleared in between. */
+START_TEST(late_crashes_of_a_task_add_up)
+{
+	int64_t now_ms = 1000;
+	int i;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "deadly", "normal", fleet_new_spec(1, 1, false), 0);
+	for (i = 0; i < CRASHES_MAX; i++) {
+		start("deadly", now_ms);
+		list_run(&o.starts[0], now_ms + OLD_MS);
+		fleet_decide(f, &o, now_ms + OLD_MS);
+		crash(f, "w1", now_ms + OLD_MS, now_ms + OLD_MS + BACK_MS);
+		now_ms += OLD_MS + BACK_MS;
+	}
+	ck_assert_int_eq(state(f, "deadly"), FLOW_FAILED);
+}
+END_TEST
+
+TCase *crash_tcase(void)
+{
+	TCase *t = tcase_create("crash");
+
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, task_that_crashes_its_workers_is_given_up);
+	tcase_add_test(t, crash_is_not_blamed_on_older_runs);
+	tcase_add_test(t, crash_is_blamed_on_suspect_not_on_its_neighbours);
+	tcase_add_test(t, suspect_gets_idle_worker_and_keeps_others_away);
+	tcase_add_test(t, loss_of_many_workers_is_blamed_on_no_task);
+	tcase_add_test(t, deadly_tasks_that_start_together_are_each_blamed);
+	tcase_add_test(t, announced_exit_is_blamed_on_no_task);
+	tcase_add_test(t, crash_that_shows_after_its_leases_expired_counts);
+	tcase_add_test(t, cut_off_worker_that_returns_is_no_crash);
+	tcase_add_test(t, crashes_survive_takeover);
+	tcase_add_test(t, task_that_outlives_its_crashes_is_cleared);
+	tcase_add_test(t, late_crashes_of_a_task_add_up);
+	return t;
+}
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -871,5 +871,6 @@
 	tcase_add_test(t, failing_worker_is_quarantined);
 	suite_add_tcase(s, t);
 	suite_add_tcase(s, load_tcase());
+	suite_add_tcase(s, crash_tcase());
 	return run_suite(s);
 }
