Test workers that shrink and grow while they run

The platform announces that a worker's capacity may change while it runs (LIMIT). The engine takes it from the directory entry and needed no change: a start fits into what the worker has now, and runs that are being stopped count.

--- a/tests/script/site-workers.sh
+++ b/tests/script/site-workers.sh
@@ -25,6 +25,20 @@
 await_state 1 00000000000000a2 completed
 judge
 
+echo "# a worker that shrinks gets no more than it has, until it grows again"
+control 'worker?id=all&mode=size%3D2'
+submit 1 00000000000000b1 "ms=6000" "$(steps 6)" && echo
+await "six runs" runs_now 6
+submit 1 00000000000000b2 "ms=100" "$(steps 4)" && echo
+is_state 1 00000000000000b2 queued && echo "b2 waits"
+judge
+control 'worker?id=w1&mode=size%3D8'
+await_state 1 00000000000000b2 completed
+is_state 1 00000000000000b1 running && echo "b1 still runs"
+control 'worker?id=all&mode=size%3D8'
+await_state 1 00000000000000b1 completed
+judge
+
 echo "# starts that are not answered and carried out late"
 control 'worker?id=all&mode=unanswered'
 submit 1 00000000000000a3 "ms=500" "$(steps 4)" && echo
--- a/tests/standin/sited/judge.c
+++ b/tests/standin/sited/judge.c
@@ -52,7 +52,7 @@
 	board.after_done += d->done;
 	d->started_ms = tg_now_ms();
 	board.twice += copies(r->task) > 1;
-	board.over_room += used(w) > board.opts.accelerators;
+	board.over_room += used(w) > worker_room(w);
 }
 
 void judge_done(const char *task, int64_t ended_ms)
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -86,7 +86,8 @@
 	reply_ok(req);
 }
 
-/* POST /standin/worker?id=W&mode=M; also drain, leave, crash, restart */
+/* POST /standin/worker?id=W&mode=M; also drain, leave, crash, restart, size=N
+ */
 static void set_worker(struct evhttp_request *req, void *arg)
 {
 	char *id = tg_http_query_param(req, "id");
@@ -107,6 +108,8 @@
 			worker_remove_entry(w);
 		} else if (!strcmp(mode, "crash")) {
 			worker_close(w);
+		} else if (!strncmp(mode, "size=", 5)) {
+			worker_resize(w, atoi(mode + 5));
 		} else if (!strcmp(mode, "restart")) {
 			worker_restart(w);
 		} else {
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -74,6 +74,10 @@
 	int64_t boot_ms, born_wall_ms;
 	bool gone, draining;
 	int64_t fence, until_ms;
+	int accelerators; /* as its entry says */
+	/* What it had before it shrank; counts until shrunk_ms. */
+	int accelerators_before;
+	int64_t shrunk_ms;
 	struct run *runs;
 	struct end *ends;
 	int64_t n_ends;
@@ -107,6 +111,10 @@
 void worker_close(struct worker *w);
 void worker_restart(struct worker *w);
 void worker_write_entry(struct worker *w);
+/** worker_resize() - change the capacity of a worker while it runs */
+void worker_resize(struct worker *w, int accelerators);
+/** worker_room() - accelerators that a start may use now */
+int worker_room(const struct worker *w);
 void worker_remove_entry(struct worker *w);
 void workers_tick(void);
 int64_t worker_clock(const struct worker *w);
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -13,6 +13,8 @@
 /* A start that is not answered is carried out this much later. */
 #define LATE_MS 1500
 #define DOWN_MS 1000
+/* A start may still use what a worker had this long before. */
+#define SHRUNK_GRACE_MS 1000
 
 struct look {
 	struct worker *worker;
@@ -420,7 +422,7 @@
 		"v1", "slots", (json_int_t)8, "state",
 		w->draining ? "draining" : "ready", "warmup-left-ms",
 		(json_int_t)0, "capacity", "cpu", (json_int_t)128000, "mem-mb",
-		(json_int_t)262144, "gpu", (json_int_t)board.opts.accelerators,
+		(json_int_t)262144, "gpu", (json_int_t)w->accelerators,
 		"labels", "kind", "r1", "born", (json_int_t)w->born_wall_ms,
 		"seq", (json_int_t)1);
 	char *text = json_dumps(o, JSON_COMPACT);
@@ -430,6 +432,22 @@
 	json_decref(o);
 }
 
+void worker_resize(struct worker *w, int accelerators)
+{
+	w->accelerators_before = w->accelerators;
+	w->accelerators = accelerators;
+	w->shrunk_ms = tg_now_ms() + SHRUNK_GRACE_MS;
+	worker_write_entry(w);
+}
+
+int worker_room(const struct worker *w)
+{
+	if (tg_now_ms() < w->shrunk_ms &&
+	    w->accelerators_before > w->accelerators)
+		return w->accelerators_before;
+	return w->accelerators;
+}
+
 void worker_remove_entry(struct worker *w)
 {
 	store_delete("servers", w->id);
@@ -463,6 +481,7 @@
 
 	snprintf(w->id, sizeof(w->id), "w%d", n);
 	tg_strlcpy(w->mode, "ok", sizeof(w->mode));
+	w->accelerators = (int)board.opts.accelerators;
 	w->server = tg_http_server_new(&o);
 	tg_strlcpy(w->addr, tg_http_server_addr(w->server), sizeof(w->addr));
 	begin_life(w);
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -49,5 +49,7 @@
 
 /** crash_tcase() - tests of test-crash.c */
 TCase *crash_tcase(void);
+/** capacity_tcase() - tests of test-capacity.c */
+TCase *capacity_tcase(void);
 
 #endif
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -872,5 +872,6 @@
 	suite_add_tcase(s, t);
 	suite_add_tcase(s, load_tcase());
 	suite_add_tcase(s, crash_tcase());
+	suite_add_tcase(s, capacity_tcase());
 	return run_suite(s);
 }
