--- a/lib/site/follow.c
+++ b/lib/site/follow.c
@@ -101,9 +101,11 @@
 		f->unavailable_since_ms = 0;
 	} else if (!f->unavailable_since_ms) {
 		f->unavailable_since_ms = now_ms;
-		tg_log(EV_STORE_LOST, "table=%s after=%lld bytes=%lld",
-		       f->opts.table, (long long)f->after,
-		       (long long)r->transfer.bytes);
+		tg_log(EV_STORE_LOST,
+		       "table=%s after=%lld end=%d bytes=%lld wait_ms=%lld",
+		       f->opts.table, (long long)f->after, (int)r->end,
+		       (long long)r->transfer.bytes,
+		       (long long)r->transfer.wait_ms);
 	}
 }
 
