Take only a truncated answer of the store for a slow transfer

Found by reading: a refusal (503) whose body arrived a millisecond after its headers counted as an answer that did not arrive whole; it was logged as EV1709 and doubled the allowed pause. The adapter says now whether the answer was cut. No test: on loopback both arrive at once.

--- a/lib/port/port.h
+++ b/lib/port/port.h
@@ -47,9 +47,11 @@
  * @bytes: received before the call ended
  * @wait_ms: time to the first of them
  * @receive_ms: time from the first of them to the end of the call
+ * @cut: the answer began to arrive, but the rest of it did not
  */
 struct tg_store_transfer {
 	int64_t bytes, wait_ms, receive_ms;
+	bool cut;
 };
 
 /**
--- a/lib/site/follow.c
+++ b/lib/site/follow.c
@@ -64,11 +64,10 @@
 			 const struct tg_store_result *r)
 {
 	const struct tg_store_transfer *t = &r->transfer;
-	bool whole = r->end == TG_STORE_OK;
 
-	if (whole ? t->bytes < LARGE_BYTES : !t->receive_ms)
+	if (!t->cut && (r->end != TG_STORE_OK || t->bytes < LARGE_BYTES))
 		return;
-	tg_log(whole ? EV_STORE_READ_LARGE : EV_STORE_READ_CUT,
+	tg_log(t->cut ? EV_STORE_READ_CUT : EV_STORE_READ_LARGE,
 	       "table=%s scan=%d after=%lld bytes=%lld wait_ms=%lld "
 	       "receive_ms=%lld rows=%zu not_current_ms=%lld",
 	       f->opts.table, f->scanning, (long long)f->after,
@@ -82,7 +81,7 @@
 {
 	if (r->end == TG_STORE_OK)
 		f->stall_ms = STALL_MS;
-	else if (r->transfer.receive_ms && f->stall_ms < STALL_MAX_MS)
+	else if (r->transfer.cut && f->stall_ms < STALL_MAX_MS)
 		f->stall_ms *= 2;
 }
 
