Blame no task for the restart of a draining worker

Found by reading: a drained worker that comes back under its id writes an entry that isn't draining, and the check looked at the new entry, so that its last tasks were blamed for a planned stop. The engine still knows the old state. Test: restart_of_draining_worker_is_blamed_on_no_task, which failed before.

--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -154,10 +154,7 @@
 	};
 
 	log_lost_worker(l, EV_FLOW_WORKER_BOOT, "worker has restarted");
-	if (l->entry.draining)
-		flow_worker_lost(l->board->flow, l->entry.id, now_ms);
-	else
-		flow_worker_crashed(l->board->flow, &c, now_ms);
+	flow_worker_crashed(l->board->flow, &c, now_ms);
 	writer_wake(l->board);
 }
 
--- a/lib/flow/crash.c
+++ b/lib/flow/crash.c
@@ -227,7 +227,7 @@
 	n = add_lost_runs(f, w, list);
 	for (r = w->runs; r; r = r->next)
 		list[n++] = casualty_of(r, crash->silent_ms);
-	if (!has_common_cause(f, w, crash->silent_ms))
+	if (!w->draining && !has_common_cause(f, w, crash->silent_ms))
 		find_culprits(list, n, crash);
 	free(list);
 	flow_worker_lost(f, crash->worker, now_ms);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -167,7 +167,7 @@
 };
 
 /**
- * struct flow_crash - the unannounced end of a worker's process
+ * struct flow_crash - the end of a worker's process
  * @silent_ms: when the worker stopped answering
  * @on_blame: called for each task that is blamed; must not call back into the
  *	engine.  May be NULL.
@@ -182,8 +182,9 @@
 /**
  * flow_worker_crashed() - like flow_worker_lost(), and find the task to blame
  *
- * To be called when the worker has been replaced by another process without
- * having drained, also if that shows only after flow_worker_lost().
+ * To be called when the worker has been replaced by another process, also if
+ * that shows only after flow_worker_lost().  No task is blamed if the worker
+ * was draining.
  */
 void flow_worker_crashed(struct flow *f, const struct flow_crash *crash,
 			 int64_t now_ms);
--- a/tests/unit/flow/test-crash.c
+++ b/tests/unit/flow/test-crash.c
@@ -203,15 +203,26 @@
 }
 END_TEST
 
-START_TEST(announced_exit_is_blamed_on_no_task)
+static const struct flow_worker_spec draining = {
+	.id = "w1",
+	.service = "s",
+	.az = "a",
+	.draining = true,
+};
+
+START_TEST(restart_of_draining_worker_is_blamed_on_no_task)
 {
-	const struct flow_worker_spec draining = {
-		.id = "w1",
-		.service = "s",
-		.az = "a",
-		.draining = true,
-	};
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "job", "normal", fleet_new_spec(1, 1, false), 0);
+	start("job", 1000);
+	flow_worker_update(f, &draining);
+	crash(f, "w1", 1010, 1000 + BACK_MS);
+	ck_assert_int_eq(n_blamed, 0);
+}
+END_TEST
 
+START_TEST(announced_exit_is_blamed_on_no_task)
+{
 	fleet_add_worker(f, "w1", "r1", 8);
 	fleet_add_job(f, "job", "normal", fleet_new_spec(1, 1, false), 0);
 	start("job", 1000);
@@ -343,6 +354,7 @@
 	tcase_add_test(t, suspect_gets_idle_worker_and_keeps_others_away);
 	tcase_add_test(t, loss_of_many_workers_is_blamed_on_no_task);
 	tcase_add_test(t, deadly_tasks_that_start_together_are_each_blamed);
+	tcase_add_test(t, restart_of_draining_worker_is_blamed_on_no_task);
 	tcase_add_test(t, announced_exit_is_blamed_on_no_task);
 	tcase_add_test(t, crash_that_shows_after_its_leases_expired_counts);
 	tcase_add_test(t, cut_off_worker_that_returns_is_no_crash);
