--- a/lib/flow/crash.c
+++ b/lib/flow/crash.c
@@ -34,7 +34,7 @@
 	int64_t age_ms;
 };
 
-bool flow_is_suspect(const struct task *t)
+bool flow_may_crash_worker(const struct task *t)
 {
 	return t->crashes.n > 1 || (t->crashes.n && t->crash_age_ms < YOUNG_MS);
 }
@@ -59,11 +59,11 @@
 
 bool flow_run_is_isolated(const struct run *r, int64_t now_ms)
 {
-	return flow_is_suspect(&r->step_state->tasks[r->index]) &&
+	return flow_may_crash_worker(&r->step_state->tasks[r->index]) &&
 		age_at(r, now_ms) >= 0 && age_at(r, now_ms) < YOUNG_MS;
 }
 
-void flow_clear_suspicion(struct run *r)
+void flow_clear_crashes(struct run *r)
 {
 	struct task *t = &r->step_state->tasks[r->index];
 
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -80,7 +80,7 @@
 			struct flow_stop_order s = { .worker = w->id };
 			const char *why;
 
-			flow_clear_suspicion(r);
+			flow_clear_crashes(r);
 			r->stalled |= flow_is_stalled(r, rd->now_ms);
 			why = stop_reason(r);
 			if (r->victim && r->state != RUN_STOPPING)
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -270,12 +270,13 @@
 			    struct step_state *ss, int32_t index);
 
 /* crash.c */
-/** flow_is_suspect() - whether the task may have crashed its last workers */
-bool flow_is_suspect(const struct task *t);
+/** flow_may_crash_worker() - whether the task may have crashed its last workers
+ */
+bool flow_may_crash_worker(const struct task *t);
 /** flow_run_is_isolated() - whether its worker gets no tasks of other jobs */
 bool flow_run_is_isolated(const struct run *r, int64_t now_ms);
-/** flow_clear_suspicion() - clear the task if the run has lasted long enough */
-void flow_clear_suspicion(struct run *r);
+/** flow_clear_crashes() - clear the task if the run has lasted long enough */
+void flow_clear_crashes(struct run *r);
 void flow_remember_lost_run(struct worker *w, const struct run *r);
 void flow_forget_lost_runs(struct worker *w);
 
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -27,8 +27,8 @@
  * addition for a whole worker of such runs.  An idle worker goes before the
  * data.
  */
-#define SUSPECT_BESIDE_COST 2000000000LL
-#define SUSPECT_BESIDE_WORKER_COST 1000000000.0
+#define COMPANY_COST 2000000000LL
+#define COMPANY_WORKER_COST 1000000000.0
 
 static bool has_label(const struct worker *w, const char *label)
 {
@@ -91,8 +91,7 @@
 		return 0;
 	for (r = w->runs; r; r = r->next)
 		share += flow_run_share(r);
-	return SUSPECT_BESIDE_COST +
-		(int64_t)(share * SUSPECT_BESIDE_WORKER_COST);
+	return COMPANY_COST + (int64_t)(share * COMPANY_WORKER_COST);
 }
 
 /* Lower is better: tight fit, near the data, no recent failures. */
@@ -140,7 +139,7 @@
 			if (!flow_shape_fits(&s->need, &available))
 				continue;
 			cost = placement_cost(s, w, &available, t);
-			if (flow_is_suspect(t))
+			if (flow_may_crash_worker(t))
 				cost += cost_of_company(s, w, out, n);
 		}
 		if (!best || cost < best_cost) {
--- a/tests/unit/flow/test-crash.c
+++ b/tests/unit/flow/test-crash.c
@@ -121,7 +121,7 @@
 }
 END_TEST
 
-START_TEST(crash_is_blamed_on_suspect_not_on_its_neighbours)
+START_TEST(crash_is_blamed_on_task_blamed_before)
 {
 	int64_t now_ms = 1000;
 
@@ -141,7 +141,7 @@
 }
 END_TEST
 
-START_TEST(suspect_gets_idle_worker_and_keeps_others_away)
+START_TEST(blamed_task_gets_idle_worker_to_itself)
 {
 	int64_t now_ms = 1000;
 	const char *first, *second;
@@ -350,8 +350,8 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, task_that_crashes_its_workers_is_given_up);
 	tcase_add_test(t, crash_is_not_blamed_on_older_runs);
-	tcase_add_test(t, crash_is_blamed_on_suspect_not_on_its_neighbours);
-	tcase_add_test(t, suspect_gets_idle_worker_and_keeps_others_away);
+	tcase_add_test(t, crash_is_blamed_on_task_blamed_before);
+	tcase_add_test(t, blamed_task_gets_idle_worker_to_itself);
 	tcase_add_test(t, loss_of_many_workers_is_blamed_on_no_task);
 	tcase_add_test(t, deadly_tasks_that_start_together_are_each_blamed);
 	tcase_add_test(t, restart_of_draining_worker_is_blamed_on_no_task);
