Answer a call whose result can't be encoded with SYSTEM_ERR

SYSTEM_ERR is the protocol's status for it, and the caller takes it for no valid reply. An older caller takes it for a rejection, as before. Test: unencodable_result_is_no_rejection, which fails with GARBAGE_ARGS.

--- a/lib/oncrpc/codec.c
+++ b/lib/oncrpc/codec.c
@@ -139,6 +139,15 @@
 	return encode_message(&msg, tg_rpc_procs[proc].xdr_res, res, n);
 }
 
+void *rpc_encode_executed_error(uint32_t xid, size_t *n)
+{
+	struct rpc_msg msg = { 0 };
+
+	init_reply(&msg, xid);
+	msg.acpted_rply.ar_stat = SYSTEM_ERR;
+	return encode_message(&msg, rpc_xdr_void, NULL, n);
+}
+
 void *rpc_encode_error(uint32_t xid, enum rpc_decode_status why, size_t *n)
 {
 	struct rpc_msg msg = { 0 };
@@ -186,6 +195,9 @@
 	if (msg.rm_reply.rp_stat == MSG_ACCEPTED &&
 	    msg.acpted_rply.ar_stat == SUCCESS)
 		return TG_RPC_CALL_OK;
+	if (msg.rm_reply.rp_stat == MSG_ACCEPTED &&
+	    msg.acpted_rply.ar_stat == SYSTEM_ERR)
+		return TG_RPC_CALL_NO_VALID_REPLY;
 	return TG_RPC_CALL_REJECTED;
 }
 
--- a/lib/oncrpc/codec.h
+++ b/lib/oncrpc/codec.h
@@ -36,6 +36,8 @@
 void *rpc_encode_result(uint32_t xid, uint32_t proc, const void *res,
 			size_t *n);
 void *rpc_encode_error(uint32_t xid, enum rpc_decode_status why, size_t *n);
+/* To a call that was executed; the caller gets TG_RPC_CALL_NO_VALID_REPLY. */
+void *rpc_encode_executed_error(uint32_t xid, size_t *n);
 
 /*
  * rpc_decode_result() - decode the reply to a call of @proc
--- a/lib/oncrpc/oncrpc.h
+++ b/lib/oncrpc/oncrpc.h
@@ -85,8 +85,8 @@
  *
  * Nothing is sent for a void procedure called over UDP, nor if the connection
  * has closed.  A result that can't be encoded or exceeds TG_RPC_RECORD_MAX is
- * replaced by a GARBAGE_ARGS error; the caller then sees TG_RPC_CALL_REJECTED
- * although the call was executed.
+ * replaced by a SYSTEM_ERR error; the caller then sees
+ * TG_RPC_CALL_NO_VALID_REPLY, since the call was executed.
  */
 void tg_rpc_reply(struct tg_rpc_req *req, const void *res);
 /**
--- a/lib/oncrpc/server.c
+++ b/lib/oncrpc/server.c
@@ -339,7 +339,7 @@
 			     rpc_encode_result(req->xid, req->proc, res, &n);
 
 	if (!p && !no_reply)
-		p = rpc_encode_error(req->xid, RPC_BAD_HEADER, &n);
+		p = rpc_encode_executed_error(req->xid, &n);
 	if (p)
 		send_reply(req, p, n);
 	free(p);
--- a/tests/unit/oncrpc/test-oncrpc.c
+++ b/tests/unit/oncrpc/test-oncrpc.c
@@ -231,6 +231,20 @@
 }
 END_TEST
 
+/* The call ran, so its caller must not take the reply for a rejection. */
+START_TEST(unencodable_result_is_no_rejection)
+{
+	struct tg_rpc_peer res = { 0 };
+	size_t n;
+	void *p = rpc_encode_executed_error(XID, &n);
+
+	ck_assert_ptr_nonnull(p);
+	ck_assert_int_eq(rpc_decode_result(p, n, TG_RPC_PING, &res),
+			 TG_RPC_CALL_NO_VALID_REPLY);
+	free(p);
+}
+END_TEST
+
 /* Lengths in a record beyond the bounds of tgrpc.x must not be accepted. */
 START_TEST(overlong_fields_are_refused)
 {
@@ -458,6 +472,7 @@
 	tcase_add_loop_test(c, truncated_results_refused, 0, TG_RPC_N_PROCS);
 	tcase_add_test(c, invalid_headers_are_refused);
 	tcase_add_test(c, error_replies_end_as_refused);
+	tcase_add_test(c, unencodable_result_is_no_rejection);
 	tcase_add_test(c, overlong_fields_are_refused);
 	tcase_add_test(c, stream_byte_by_byte);
 	tcase_add_test(c, stream_with_empty_fragments);
