Clear a setting that has no value

On x86-64 the byte happened to be 0. Now a setting without flag, variable or default is 0, false or NULL. Test: setting_without_value_is_cleared, which failed before.

--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -195,6 +195,7 @@
  * @rest: receives the operands; may be NULL.  @rest->v is to be freed.
  *
  * Flags take precedence over environment variables, and those over defaults.
+ * A setting without any of these is 0, false or NULL.
  * Strings in @opts and @rest point into @argv, the environment or @spec.  All
  * findings are printed to stderr.
  *
--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -117,6 +117,18 @@
 	*(const char **)field = text;
 }
 
+static void clear_value(const struct tg_setting *s, void *opts)
+{
+	void *field = (char *)opts + s->offset;
+
+	if (s->type == TG_SET_INT)
+		*(int64_t *)field = 0;
+	else if (s->type == TG_SET_BOOL)
+		*(bool *)field = false;
+	else
+		*(const char **)field = NULL;
+}
+
 /* Arguments of argtable2: settings, --help, --version, operands, errors. */
 struct flag_table {
 	size_t n; /* settings */
@@ -202,6 +214,7 @@
 		snprintf(place, sizeof(place), "%s", var);
 	if (!text)
 		text = s->def;
+	clear_value(s, opts);
 	if (text)
 		store_value(s, text, place, opts, f);
 	else if (s->required)
--- a/tests/unit/base/test-base.c
+++ b/tests/unit/base/test-base.c
@@ -123,6 +123,19 @@
 }
 END_TEST
 
+/* A flag that was not given read as true from an uninitialized struct. */
+START_TEST(setting_without_value_is_cleared)
+{
+	char *argv[] = { "t", "--addr", "127.0.0.1:1", NULL };
+	struct opts o;
+
+	memset(&o, 0xff, sizeof(o));
+	ck_assert_int_eq(tg_settings_load(&spec, 3, argv, &o, NULL),
+			 TG_SETTINGS_OK);
+	ck_assert(!o.flag);
+}
+END_TEST
+
 /* Several invalid settings must all be reported in one run. */
 START_TEST(settings_report_all_findings)
 {
@@ -243,6 +256,7 @@
 	tcase_add_test(t, names_and_addresses);
 	tcase_add_test(t, histogram_error_is_bounded);
 	tcase_add_test(t, settings_precedence);
+	tcase_add_test(t, setting_without_value_is_cleared);
 	tcase_add_test(t, settings_report_all_findings);
 	tcase_add_test(t, metric_series_are_bounded);
 	tcase_add_test(t, rendezvous_moves_only_lost_keys);
