Place tasks by an index of the workers' free capacity

Cause: each task looked at each worker, each search of a gang at each worker for each rack, and each placed step at each run of the site to commit its victims.

Change: workers of a pool are sorted by what a best fit prefers (fitindex.c); a rack knows its workers; a search that failed is not repeated for demands that are alike (nofit.c); ends and victims of a worker's runs are sorted once a round; jobs to write are in a list instead of being looked for.

--- a/lib/flow/book.c
+++ b/lib/flow/book.c
@@ -27,17 +27,8 @@
 	struct flow_shape left;
 };
 
-/** struct run_end - a run, and the estimated time until it ends */
-struct run_end {
-	const struct run *run;
-	int64_t after_ms;
-};
-
 struct slot_plan {
-	struct slot *slots;
-	int32_t n_slots, slots_size;
-	struct run_end *run_ends; /* of one worker at a time */
-	int32_t run_ends_size;
+	struct array slots; /* of struct slot */
 };
 
 static int compare_run_ends(const void *a, const void *b)
@@ -54,38 +45,28 @@
 	return (x->free_ms > y->free_ms) - (x->free_ms < y->free_ms);
 }
 
-/* Makes space for item @n of an array whose items have @bytes. */
-static void *grow_array(void *array, int32_t n, int32_t *size, size_t bytes)
-{
-	if (n < *size)
-		return array;
-	*size = *size ? 2 * *size : 32;
-	return tg_xrealloc(array, (size_t)*size * bytes);
-}
-
-/* Lists the runs of a worker that will end, soonest first. */
-static int32_t list_run_ends(const struct search *s, const struct worker *w,
-			     struct slot_plan *p)
+/* Lists the runs of a worker that will end, once a round. */
+static void list_run_ends(const struct search *s, struct worker *w)
 {
 	const struct run *r;
-	int32_t n = 0;
+	struct run_end *e;
 
+	if (w->run_ends_round == s->f->round)
+		return;
+	w->run_ends_round = s->f->round;
+	w->run_ends.n = 0;
 	for (r = w->runs; r; r = r->next) {
 		if (flow_step_of(r->job, r->step_state)->endless)
 			continue;
-		p->run_ends = grow_array(p->run_ends, n, &p->run_ends_size,
-					 sizeof(*p->run_ends));
-		p->run_ends[n++] = (struct run_end){
-			.run = r,
-			.after_ms = r->state == RUN_STOPPING ?
-				s->f->opts.stop_ms :
-				flow_remaining_ms(r, s->now_ms),
-		};
+		e = flow_array_add(&w->run_ends, sizeof(*e));
+		e->run = r;
+		e->after_ms = r->state == RUN_STOPPING ?
+			s->f->opts.stop_ms :
+			flow_remaining_ms(r, s->now_ms);
 	}
-	if (n)
-		qsort(p->run_ends, (size_t)n, sizeof(*p->run_ends),
+	if (w->run_ends.n)
+		qsort(w->run_ends.items, w->run_ends.n, sizeof(*e),
 		      compare_run_ends);
-	return n;
 }
 
 static struct flow_shape unbooked_capacity(const struct worker *w)
@@ -103,29 +84,33 @@
 		      struct slot_plan *p)
 {
 	struct flow_shape available = unbooked_capacity(w);
-	int32_t n = list_run_ends(s, w, p), i = 0, n_found = 0;
+	const struct run_end *run_ends;
+	int32_t n_found = 0;
+	size_t i = 0;
 	int32_t max_slots = s->step->per_worker_max ? s->step->per_worker_max :
 						      s->step->tasks;
 	int64_t free_ms = 0;
 
+	list_run_ends(s, w);
+	run_ends = w->run_ends.items;
 	while (n_found < max_slots) {
 		if (flow_shape_fits(&s->need, &available)) {
+			struct slot *slot;
+
 			flow_shape_add(&available, &s->need, -1);
-			p->slots =
-				grow_array(p->slots, p->n_slots, &p->slots_size,
-					   sizeof(*p->slots));
-			p->slots[p->n_slots++] = (struct slot){
+			slot = flow_array_add(&p->slots, sizeof(*slot));
+			*slot = (struct slot){
 				.worker = w,
 				.free_ms = free_ms,
 				.left = available,
 			};
 			n_found++;
-		} else if (i < n) {
-			const struct run *r = p->run_ends[i].run;
+		} else if (i < w->run_ends.n) {
+			const struct run *r = run_ends[i].run;
 			struct flow_shape freed = flow_task_shape(
 				flow_step_of(r->job, r->step_state));
 
-			free_ms = p->run_ends[i++].after_ms;
+			free_ms = run_ends[i++].after_ms;
 			flow_shape_add(&available, &freed, 1);
 		} else {
 			return;
@@ -133,35 +118,44 @@
 	}
 }
 
-/* Time until @want tasks fit in a rack (or ANY_RACK); -1 if they never do. */
-static int64_t find_slots(struct search *s, int32_t rack, int32_t want,
-			  struct slot_plan *p)
+/*
+ * Time until @want tasks fit in a rack (or, if it is NULL, anywhere); -1 if
+ * they never do.
+ */
+static int64_t find_slots(struct search *s, const struct rack *rack,
+			  int32_t want, struct slot_plan *p)
 {
-	struct worker *w;
+	const struct array *list;
+	struct worker **workers;
+	const struct slot *slots;
+	size_t i;
 
-	p->n_slots = 0;
+	p->slots.n = 0;
 	s->rack = rack;
-	for (w = s->f->workers; w; w = w->hh.next)
-		if (flow_worker_allowed(s, w))
-			add_slots(s, w, p);
-	s->rack = ANY_RACK;
-	if (!p->n_slots || p->n_slots < want)
+	list = flow_search_workers(s);
+	workers = list->items;
+	for (i = 0; i < list->n; i++)
+		if (flow_worker_allowed(s, workers[i]))
+			add_slots(s, workers[i], p);
+	s->rack = NULL;
+	if (!p->slots.n || (int32_t)p->slots.n < want)
 		return -1;
-	qsort(p->slots, (size_t)p->n_slots, sizeof(*p->slots), compare_slots);
-	return p->slots[want - 1].free_ms;
+	slots = p->slots.items;
+	qsort(p->slots.items, p->slots.n, sizeof(*slots), compare_slots);
+	return slots[want - 1].free_ms;
 }
 
-/* The rack where the tasks fit first, or ANY_RACK if they fit in none. */
-static int32_t earliest_rack(struct search *s, int32_t want,
-			     struct slot_plan *p)
+/* The rack where the tasks fit first, or NULL if they fit in none. */
+static const struct rack *earliest_rack(struct search *s, int32_t want,
+					struct slot_plan *p)
 {
-	int32_t rack, best = ANY_RACK;
+	const struct rack *rack, *best = NULL;
 	int64_t best_ms = 0;
 
-	for (rack = 0; rack < s->f->n_racks; rack++) {
+	for (rack = s->f->racks; rack; rack = rack->hh.next) {
 		int64_t ms = find_slots(s, rack, want, p);
 
-		if (ms < 0 || (best != ANY_RACK && ms >= best_ms))
+		if (ms < 0 || (best && ms >= best_ms))
 			continue;
 		best = rack;
 		best_ms = ms;
@@ -186,18 +180,20 @@
 void flow_book_earliest(struct search *s, int32_t want)
 {
 	struct slot_plan p = { 0 };
-	int32_t rack = ANY_RACK, i;
+	const struct rack *rack = NULL;
+	const struct slot *slots;
 	int64_t after_ms = -1;
+	int32_t i;
 
 	s->source = CAPACITY_FREE;
 	if (s->one_rack)
 		rack = earliest_rack(s, want, &p);
-	if (!s->one_rack || rack != ANY_RACK)
+	if (!s->one_rack || rack)
 		after_ms = find_slots(s, rack, want, &p);
+	slots = p.slots.items;
 	for (i = 0; i < want && after_ms >= 0; i++)
-		book_slot(s, &p.slots[i], s->now_ms + after_ms);
-	free(p.slots);
-	free(p.run_ends);
+		book_slot(s, &slots[i], s->now_ms + after_ms);
+	flow_array_free(&p.slots);
 }
 
 bool flow_outlasts_booking(const struct search *s, const struct worker *w)
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -32,25 +32,10 @@
 		memset(&w->victims, 0, sizeof(w->victims));
 		memset(&w->booking, 0, sizeof(w->booking));
 		for (r = w->runs; r; r = r->next)
-			r->victim = r->victim_committed = false;
+			r->victim = false;
 	}
-}
-
-/* The members of a gang can only work together. */
-static bool gang_is_partial(const struct run *r)
-{
-	const struct flow_step *st = flow_step_of(r->job, r->step_state);
-	int32_t i;
-
-	if (!st->gang || r->step_state->n_done)
-		return false;
-	for (i = 0; i < st->tasks; i++) {
-		const struct run *o = r->step_state->tasks[i].run;
-
-		if (!o || o->run != r->run || o->state == RUN_STOPPING)
-			return true;
-	}
-	return false;
+	rd->f->victims.n = rd->f->no_fits.n = 0;
+	rd->f->workers_checked = 0;
 }
 
 static const char *stop_reason(const struct run *r)
@@ -59,7 +44,7 @@
 		return "cancelled";
 	if (flow_has_ended(r->job) && r->job->state != FLOW_COMPLETED)
 		return "job failed";
-	if (gang_is_partial(r))
+	if (flow_gang_is_partial(r))
 		return "gang member missing";
 	if (r->step_state->tasks[r->index].run != r)
 		return "superseded by another run";
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -381,10 +381,13 @@
 /**
  * struct flow_stats - counts for metrics
  * @unsure: runs whose start had no answer
+ * @workers_checked: workers looked at for tasks by the last flow_decide(), each
+ *	as often as it was looked at
  */
 struct flow_stats {
 	int64_t jobs, open_jobs, waiting_tasks, runs, stopping, unsure;
 	int64_t workers, ready_workers, quarantined, free_accelerators;
+	int64_t workers_checked;
 };
 
 void flow_stats(const struct flow *f, struct flow_stats *out);
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -24,7 +24,8 @@
 	int64_t next_stop_ms; /* earliest time of the next stop order */
 	bool victim; /* to be preempted for another job */
 	bool is_candidate; /* for preemption, during a search */
-	bool victim_committed; /* the search that marked it succeeded */
+	bool ends_soon; /* see flow_prepare_victims() */
+	int64_t lost_work; /* if it is preempted; see flow_prepare_victims() */
 	/* Last answer to an order; before any, when the run was added. */
 	int64_t answered_ms;
 	int64_t added_ms;
@@ -63,10 +64,14 @@
 	int32_t occurrence, step;
 	int32_t n_done, n_runs;
 	int64_t waiting_round; /* last round that found no capacity for it */
+	/* Of a gang in this round; see flow_gang_is_partial(). */
+	int64_t gang_checked_round;
+	bool gang_is_partial;
 	struct task *tasks;
 };
 
 struct job {
+	struct flow *flow;
 	char id[FLOW_JOB_ID_LEN + 1];
 	char queue[TG_NAME_MAX + 1], workspace[TG_NAME_MAX + 1];
 	struct flow_spec *spec;
@@ -74,6 +79,8 @@
 	int32_t n_step_states, n_step_states_done;
 	enum flow_state state;
 	bool cancelled, recovered, begun, dirty, writing, durable;
+	/* In lists of the flow: those that are dirty, and being written. */
+	struct job *dirty_prev, *dirty_next, *writing_prev, *writing_next;
 	int64_t accepted_ms;
 	int64_t ended_ms; /* when its end was found durable; 0 before */
 	int64_t n_runs, runs_total, failures;
@@ -109,11 +116,46 @@
 	int64_t age_ms; /* when the worker went silent; -1 if unknown */
 };
 
+/**
+ * struct run_end - a run, and the estimated time until it ends
+ */
+struct run_end {
+	const struct run *run;
+	int64_t after_ms;
+};
+
+/** struct array - items of one type in memory that grows */
+struct array {
+	void *items;
+	size_t n, size;
+};
+
+/** enum fit_class - by the kinds of tasks that a worker runs */
+enum fit_class {
+	FIT_IDLE,
+	FIT_URGENT = 1,
+	FIT_ORDINARY = 2,
+	FIT_BOTH = 3,
+	FIT_CLASSES,
+};
+
+/**
+ * struct fit_entry - place of a worker in its pool's index
+ *
+ * Entries are sorted by @key, workers with the same key by @number.
+ */
+struct fit_entry {
+	int64_t key;
+	int32_t number;
+	struct worker *worker;
+};
+
 struct worker {
 	char id[TG_NAME_MAX + 1];
+	int32_t number; /* workers are numbered as they are added */
 	struct pool *pool; /* NULL before flow_worker_update() */
 	char az[TG_NAME_MAX + 1], rack[TG_NAME_MAX + 1];
-	int32_t rack_index;
+	struct rack *in_rack; /* NULL before flow_worker_update() */
 	char labels[8][TG_NAME_MAX + 1];
 	int32_t n_labels;
 	struct flow_shape capacity, used;
@@ -123,6 +165,21 @@
 	struct booking booking; /* of this round */
 	/* This round: number of runs and placed tasks. */
 	int32_t urgent_tasks, ordinary_tasks;
+	/* Its entry in the index of its pool; see fitindex.c. */
+	int64_t fit_round; /* round of the index; it is not in an older one */
+	int64_t fit_key;
+	enum fit_class fit_class;
+	/*
+	 * What a search for victims needs to know of its runs, and the
+	 * preemptible ones, the first to preempt first; see victims.c.
+	 */
+	int64_t victims_round;
+	struct flow_shape ends_soon; /* used by such runs, without victims */
+	struct array preemptible; /* of struct run * */
+	/* Ends of its runs, soonest first; see book.c. */
+	int64_t run_ends_round;
+	struct array run_ends; /* of struct run_end */
+	size_t candidate; /* its index in the current search */
 	bool present, runs_known, suspect, draining;
 	int64_t remaining_ms;
 	int32_t failures_in_row;
@@ -144,7 +201,8 @@
 struct pool {
 	char service[TG_NAME_MAX + 1];
 	struct flow_shape largest; /* of the worker with most accelerators */
-	int32_t n_ready; /* workers that may get tasks; of these: */
+	struct array ready; /* of struct worker *: those that may get tasks */
+	int32_t n_ready; /* number of them; of these: */
 	int32_t n_failing; /* failed a task recently */
 	int32_t n_without_ordinary; /* run no ordinary tasks */
 	int32_t n_urgent_busy; /* run urgent tasks only */
@@ -153,12 +211,14 @@
 	int64_t demand_ms;
 	double urgent_reserve; /* workers to be kept free of ordinary tasks */
 	int32_t n_ordinary_queues; /* with open jobs */
+	int64_t fit_round; /* round in which the index was built */
+	struct array fit[FIT_CLASSES]; /* of struct fit_entry */
 	UT_hash_handle hh;
 };
 
 struct rack {
 	char name[TG_NAME_MAX + 1];
-	int32_t index;
+	struct array workers; /* of struct worker *, of all pools */
 	UT_hash_handle hh;
 };
 
@@ -181,16 +241,21 @@
 struct quota {
 	char workspace[TG_NAME_MAX + 1];
 	int32_t guaranteed;
+	int64_t left; /* this round, not used by jobs ranked so far */
 	UT_hash_handle hh;
 };
 
 struct flow {
 	struct flow_opts opts;
 	struct job *jobs;
+	struct job *dirty, *writing; /* lists */
 	struct worker *workers;
+	int32_t n_workers_added;
 	struct pool *pools;
 	struct rack *racks;
-	int32_t n_racks;
+	struct array victims; /* of struct run *: marked, not committed yet */
+	struct array no_fits; /* of struct no_fit; of this round */
+	int64_t workers_checked; /* see struct flow_stats */
 	struct queue *queues;
 	struct quota *quotas;
 	int64_t round; /* number of the current flow_decide() */
@@ -205,6 +270,8 @@
 				     const struct step_state *ss);
 bool flow_has_ended(const struct job *j);
 void flow_mark_dirty(struct job *j);
+/** flow_unlist_job() - remove the job from all lists but the table of jobs */
+void flow_unlist_job(struct job *j);
 /** flow_task_done() - mark a task as done; completes the job with its last */
 void flow_task_done(struct job *j, struct step_state *ss, int32_t index);
 /** flow_is_ready() - whether the step's dependencies are done and it is due */
@@ -215,7 +282,17 @@
 /** flow_add_run_number() - false if @run is already among them */
 bool flow_add_run_number(struct run_numbers *fl, int32_t run);
 
+/* array.c */
+/** flow_array_add() - append an item of @bytes, zeroed, and return it */
+void *flow_array_add(struct array *a, size_t bytes);
+/** flow_array_insert() - insert an item before item @i, and return it */
+void *flow_array_insert(struct array *a, size_t i, size_t bytes);
+void flow_array_remove(struct array *a, size_t i, size_t bytes);
+void flow_array_free(struct array *a);
+
 /* workers.c */
+/** flow_free_worker() - free a worker without runs */
+void flow_free_worker(struct flow *f, struct worker *w);
 struct worker *flow_find_worker(const struct flow *f, const char *id);
 /** flow_get_or_add_worker() - a worker that is added has no description yet */
 struct worker *flow_get_or_add_worker(struct flow *f, const char *id);
@@ -257,6 +334,12 @@
 struct flow_run_ref flow_ref_of(const struct run *r);
 /** flow_run_mark_stopping() - let the next flow_decide() order a stop */
 void flow_run_mark_stopping(struct run *r);
+/**
+ * flow_gang_is_partial() - whether a member of the run's gang is missing
+ *
+ * The members of a gang can only work together.
+ */
+bool flow_gang_is_partial(const struct run *r);
 /** flow_run_ended() - record the end of a run and free it with its capacity */
 void flow_run_ended(struct flow *f, struct run *r, enum flow_run_result how,
 		    const char *saved, int64_t now_ms);
@@ -328,9 +411,12 @@
  */
 void flow_headroom_update(struct flow *f, struct job *const *list, size_t n,
 			  int64_t now_ms);
-/** flow_headroom_allows() - whether the headroom lets a worker get a task */
+/**
+ * flow_headroom_allows() - whether the headroom lets a worker get a task
+ * @runs_ordinary: whether the worker, of pool @p, has ordinary tasks
+ */
 bool flow_headroom_allows(const struct job *j, const struct flow_step *st,
-			  const struct worker *w);
+			  const struct pool *p, bool runs_ordinary);
 /** flow_headroom_add_task() - count a task of @j that is placed on a worker */
 void flow_headroom_add_task(const struct job *j, struct worker *w);
 /** flow_headroom_remove_task() - undo flow_headroom_add_task() */
--- a/lib/flow/headroom.c
+++ b/lib/flow/headroom.c
@@ -68,10 +68,10 @@
 }
 
 bool flow_headroom_allows(const struct job *j, const struct flow_step *st,
-			  const struct worker *w)
+			  const struct pool *p, bool runs_ordinary)
 {
-	return flow_is_urgent(j) || st->endless || w->ordinary_tasks ||
-		w->pool->n_without_ordinary > w->pool->urgent_reserve;
+	return flow_is_urgent(j) || st->endless || runs_ordinary ||
+		p->n_without_ordinary > p->urgent_reserve;
 }
 
 void flow_headroom_add_task(const struct job *j, struct worker *w)
--- a/lib/flow/jobs.c
+++ b/lib/flow/jobs.c
@@ -1,6 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <utlist.h>
+
 #include "flow/flow_internal.h"
 
 const char *flow_state_name(enum flow_state s)
@@ -52,8 +54,20 @@
 
 void flow_mark_dirty(struct job *j)
 {
-	j->dirty = true;
 	j->durable = false;
+	if (j->dirty)
+		return;
+	j->dirty = true;
+	DL_APPEND2(j->flow->dirty, j, dirty_prev, dirty_next);
+}
+
+void flow_unlist_job(struct job *j)
+{
+	if (j->dirty)
+		DL_DELETE2(j->flow->dirty, j, dirty_prev, dirty_next);
+	if (j->writing)
+		DL_DELETE2(j->flow->writing, j, writing_prev, writing_next);
+	j->dirty = j->writing = false;
 }
 
 bool flow_add_job(struct flow *f, const struct flow_job_opts *o)
@@ -66,6 +80,7 @@
 		return false;
 	}
 	j = tg_xcalloc(1, sizeof(*j));
+	j->flow = f;
 	tg_strlcpy(j->id, o->id, sizeof(j->id));
 	tg_strlcpy(j->queue, o->queue, sizeof(j->queue));
 	tg_strlcpy(j->workspace, o->workspace ? o->workspace : "",
@@ -132,6 +147,7 @@
 	if (!j || !flow_has_ended(j) || j->n_runs)
 		return false;
 	HASH_DEL(f->jobs, j);
+	flow_unlist_job(j);
 	free_job(j);
 	return true;
 }
@@ -316,6 +332,7 @@
 	struct worker *w, *wt;
 	struct pool *p, *pt;
 	struct rack *k, *kt;
+	int32_t i;
 
 	if (!f)
 		return;
@@ -324,18 +341,22 @@
 	HASH_ITER(hh, f->workers, w, wt) {
 		while (w->runs)
 			flow_run_remove(w->runs);
-		HASH_DEL(f->workers, w);
-		flow_forget_lost_runs(w);
-		free(w);
+		flow_free_worker(f, w);
 	}
 	HASH_ITER(hh, f->pools, p, pt) {
 		HASH_DEL(f->pools, p);
+		flow_array_free(&p->ready);
+		for (i = 0; i < FIT_CLASSES; i++)
+			flow_array_free(&p->fit[i]);
 		free(p);
 	}
 	HASH_ITER(hh, f->racks, k, kt) {
 		HASH_DEL(f->racks, k);
+		flow_array_free(&k->workers);
 		free(k);
 	}
+	flow_array_free(&f->victims);
+	flow_array_free(&f->no_fits);
 	HASH_ITER(hh, f->jobs, j, jt) {
 		HASH_DEL(f->jobs, j);
 		free_job(j);
@@ -351,6 +372,7 @@
 	int32_t i;
 
 	memset(out, 0, sizeof(*out));
+	out->workers_checked = f->workers_checked;
 	HASH_ITER(hh, f->jobs, j, jt) {
 		out->jobs++;
 		if (flow_has_ended(j))
--- a/lib/flow/order.c
+++ b/lib/flow/order.c
@@ -50,7 +50,7 @@
 	int64_t memo[FLOW_STEPS_MAX], longest = 0;
 	int32_t i;
 
-	for (i = 0; i < FLOW_STEPS_MAX; i++)
+	for (i = 0; i < j->spec->n_steps; i++)
 		memo[i] = -1;
 	for (i = 0; i < j->spec->n_steps; i++) {
 		int64_t c = critical_path_from(j, 0, i, all, memo);
@@ -148,24 +148,23 @@
 /* The oldest urgent jobs that fit their workspace's guarantee go first. */
 static void rank_guaranteed(struct flow *f, struct job **list, size_t n)
 {
-	struct quota *q, *tmp;
+	struct quota *q;
 	size_t i;
 
+	for (q = f->quotas; q; q = q->hh.next)
+		q->left = q->guaranteed;
 	qsort(list, n, sizeof(void *), compare_accepted);
-	HASH_ITER(hh, f->quotas, q, tmp) {
-		int64_t left = q->guaranteed;
-
-		for (i = 0; i < n; i++) {
-			struct job *j = list[i];
-			int64_t need = peak_accelerators(j);
-
-			if (j->queue_conf->priority != 0 ||
-			    strcmp(j->workspace, q->workspace) != 0 ||
-			    need > left)
-				continue;
-			left -= need;
-			j->rank = RANK_GUARANTEED;
-		}
+	for (i = 0; i < n; i++) {
+		struct job *j = list[i];
+		int64_t need = peak_accelerators(j);
+
+		if (j->queue_conf->priority != 0)
+			continue;
+		HASH_FIND_STR(f->quotas, j->workspace, q);
+		if (!q || need > q->left)
+			continue;
+		q->left -= need;
+		j->rank = RANK_GUARANTEED;
 	}
 }
 
--- a/lib/flow/place_internal.h
+++ b/lib/flow/place_internal.h
@@ -10,8 +10,6 @@
 	CAPACITY_VICTIMS, /* free after preempting runs of a greater rank */
 };
 
-#define ANY_RACK (-1)
-
 /** struct search - state of a search for workers for tasks of one step */
 struct search {
 	struct flow *f;
@@ -21,7 +19,7 @@
 	struct flow_shape need;
 	int64_t now_ms;
 	enum capacity_source source;
-	int32_t rack; /* only its workers qualify, or ANY_RACK */
+	const struct rack *rack; /* only its workers qualify; NULL for any */
 	bool last_attempt; /* a task of the step can fail only once more */
 	bool one_rack; /* a gang that prefers one rack, and fits in one */
 	bool reclaim_due; /* see flow_reclaim_due() */
@@ -47,8 +45,56 @@
  */
 bool flow_outlasts_booking(const struct search *s, const struct worker *w);
 /** flow_available() - capacity of a worker that is available from @source */
-struct flow_shape flow_available(const struct search *s, const struct worker *w,
+struct flow_shape flow_available(const struct search *s, struct worker *w,
 				 enum capacity_source source);
+
+/* bestfit.c */
+/**
+ * flow_is_eligible() - whether a worker may get tasks of the step when it is
+ * idle
+ */
+bool flow_is_eligible(const struct search *s, const struct worker *w);
+/** flow_search_workers() - the workers that the search may look at */
+const struct array *flow_search_workers(const struct search *s);
+/**
+ * flow_place_tasks() - choose workers for up to @want tasks and reserve their
+ * capacity
+ *
+ * Return: number of tasks placed.
+ */
+int32_t flow_place_tasks(struct search *s, int32_t want, struct worker **out);
+/** flow_undo_tasks() - undo flow_place_tasks() */
+void flow_undo_tasks(const struct search *s, struct worker **out, int32_t n);
+/** flow_below_worker_limit() - whether per_worker_max allows one more task */
+bool flow_below_worker_limit(const struct search *s, const struct worker *w,
+			     struct worker *const *out, int32_t n);
+
+/* fitindex.c */
+/**
+ * flow_index_best() - the worker with the tightest fit in free capacity
+ * @exclude: a worker not to be chosen, or NULL
+ *
+ * @out and @n are the tasks of the step that are placed already.
+ *
+ * Return: NULL if the task fits nowhere.
+ */
+struct worker *flow_index_best(const struct search *s,
+			       const struct worker *exclude,
+			       struct worker *const *out, int32_t n);
+/** flow_index_update() - what is free on a worker, or what it runs, changed */
+void flow_index_update(struct flow *f, struct worker *w);
+/** flow_fit_cost() - cost of a worker by its free capacity and its state */
+int64_t flow_fit_cost(const struct worker *w,
+		      const struct flow_shape *available);
+/** flow_mixes_classes() - whether the worker lacks tasks of the job's class */
+bool flow_mixes_classes(const struct job *j, enum fit_class c);
+enum fit_class flow_fit_class(const struct worker *w);
+
+/* nofit.c */
+/** flow_no_fit_known() - whether a search in this round showed that it fails */
+bool flow_no_fit_known(const struct search *s, int32_t want);
+/** flow_no_fit_add() - record that @want tasks didn't fit */
+void flow_no_fit_add(const struct search *s, int32_t want);
 /**
  * flow_choose_victims() - select runs of a worker to preempt for one task
  * @mark: mark them as victims, and the other members of their gangs
@@ -58,6 +104,13 @@
  */
 int64_t flow_choose_victims(const struct search *s, struct worker *w,
 			    bool mark);
+/**
+ * flow_prepare_victims() - look at the runs of a worker, once a round
+ *
+ * It finds those that end by themselves soon, and the work that preempting the
+ * others loses.  The runs that the round itself starts are left out.
+ */
+void flow_prepare_victims(const struct search *s, struct worker *w);
 /** flow_commit_victims() - keep all victims that are marked now */
 void flow_commit_victims(struct flow *f);
 /** flow_rollback_victims() - unmark the victims that are not committed */
--- a/lib/flow/progress.c
+++ b/lib/flow/progress.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "flow/flow_internal.h"
 
@@ -11,26 +12,27 @@
 
 const char *flow_take_dirty(struct flow *f)
 {
-	struct job *j, *tmp;
+	struct job *j = f->dirty;
 
-	HASH_ITER(hh, f->jobs, j, tmp)
-		if (j->dirty) {
-			j->dirty = false;
-			j->writing = true;
-			return j->id;
-		}
-	return NULL;
+	if (!j)
+		return NULL;
+	DL_DELETE2(f->dirty, j, dirty_prev, dirty_next);
+	j->dirty = false;
+	if (!j->writing)
+		DL_APPEND2(f->writing, j, writing_prev, writing_next);
+	j->writing = true;
+	return j->id;
 }
 
 void flow_mark_written(struct flow *f)
 {
-	struct job *j, *tmp;
+	struct job *j;
 
-	HASH_ITER(hh, f->jobs, j, tmp)
-		if (j->writing) {
-			j->writing = false;
-			j->durable = !j->dirty;
-		}
+	while ((j = f->writing)) {
+		DL_DELETE2(f->writing, j, writing_prev, writing_next);
+		j->writing = false;
+		j->durable = !j->dirty;
+	}
 }
 
 const char *flow_next_expired(struct flow *f, int64_t now_ms, int64_t keep_ms)
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -30,6 +30,7 @@
 	j->runs_total++;
 	j->begun = true;
 	flow_shape_add(&w->used, &available, 1);
+	ss->gang_checked_round = w->run_ends_round = 0;
 	r->next = w->runs;
 	if (w->runs)
 		w->runs->prev = r;
@@ -69,6 +70,7 @@
 		flow_shape_add(&r->worker->stopping, &available, -1);
 	if (t->run == r)
 		t->run = NULL;
+	r->step_state->gang_checked_round = 0;
 	t->n_runs--;
 	r->step_state->n_runs--;
 	r->job->n_runs--;
@@ -90,9 +92,41 @@
 		return;
 	r->state = RUN_STOPPING;
 	r->stop_pending = true;
+	r->step_state->gang_checked_round = 0;
 	flow_shape_add(&r->worker->stopping, &available, 1);
 }
 
+/* Whether the step's runs are other than one run of all its tasks. */
+static bool is_partial(const struct run *r)
+{
+	const struct flow_step *st = flow_step_of(r->job, r->step_state);
+	int32_t i;
+
+	for (i = 0; i < st->tasks; i++) {
+		const struct run *o = r->step_state->tasks[i].run;
+
+		if (!o || o->run != r->run || o->state == RUN_STOPPING)
+			return true;
+	}
+	return false;
+}
+
+bool flow_gang_is_partial(const struct run *r)
+{
+	struct step_state *ss = r->step_state;
+
+	if (!flow_step_of(r->job, ss)->gang || ss->n_done)
+		return false;
+	/* All members but those of another run get the same answer. */
+	if (r->step_state->tasks[r->index].run != r)
+		return is_partial(r);
+	if (ss->gang_checked_round != r->job->flow->round) {
+		ss->gang_checked_round = r->job->flow->round;
+		ss->gang_is_partial = is_partial(r);
+	}
+	return ss->gang_is_partial;
+}
+
 static void store_checkpoint(struct job *j, struct step_state *ss,
 			     int32_t index, const char *saved)
 {
--- a/lib/flow/victims.c
+++ b/lib/flow/victims.c
@@ -1,3 +1,6 @@
+#include <stdlib.h>
+#include <string.h>
+
 #include "flow/place_internal.h"
 
 /*
@@ -16,11 +19,10 @@
 		flow_remaining_ms(r, s->now_ms) <= ENDS_SOON_MS;
 }
 
-struct flow_shape flow_available(const struct search *s, const struct worker *w,
+struct flow_shape flow_available(const struct search *s, struct worker *w,
 				 enum capacity_source source)
 {
 	struct flow_shape available = w->capacity;
-	const struct run *r;
 
 	flow_shape_add(&available, &w->used, -1);
 	flow_shape_add(&available, &w->reserved, -1);
@@ -32,13 +34,8 @@
 	flow_shape_add(&available, &w->booking.need, -1);
 	flow_shape_add(&available, &w->stopping, 1);
 	flow_shape_add(&available, &w->victims, 1);
-	for (r = w->runs; r; r = r->next)
-		if (!r->victim && ends_soon(s, r)) {
-			struct flow_shape freed = flow_task_shape(
-				flow_step_of(r->job, r->step_state));
-
-			flow_shape_add(&available, &freed, 1);
-		}
+	flow_prepare_victims(s, w);
+	flow_shape_add(&available, &w->ends_soon, 1);
 	return available;
 }
 
@@ -56,10 +53,48 @@
 	return weight * (st->checkpoints ? ran_ms / 8 + 200 : ran_ms + 500);
 }
 
+/* The first to preempt first: of the greatest rank, with least work lost. */
+static int compare_preemptible(const void *a, const void *b)
+{
+	const struct run *x = *(struct run *const *)a;
+	const struct run *y = *(struct run *const *)b;
+
+	if (x->job->rank != y->job->rank)
+		return x->job->rank > y->job->rank ? -1 : 1;
+	return (x->lost_work > y->lost_work) - (x->lost_work < y->lost_work);
+}
+
+void flow_prepare_victims(const struct search *s, struct worker *w)
+{
+	struct run *r, **to;
+
+	if (w->victims_round == s->f->round)
+		return;
+	w->victims_round = s->f->round;
+	w->preemptible.n = 0;
+	memset(&w->ends_soon, 0, sizeof(w->ends_soon));
+	for (r = w->runs; r; r = r->next) {
+		struct flow_shape freed =
+			flow_task_shape(flow_step_of(r->job, r->step_state));
+
+		r->ends_soon = ends_soon(s, r);
+		if (r->ends_soon && !r->victim)
+			flow_shape_add(&w->ends_soon, &freed, 1);
+		if (r->ends_soon || r->state == RUN_STOPPING ||
+		    !r->job->queue_conf)
+			continue;
+		r->lost_work = lost_work(s, r);
+		to = flow_array_add(&w->preemptible, sizeof(*to));
+		*to = r;
+	}
+	if (w->preemptible.n)
+		qsort(w->preemptible.items, w->preemptible.n, sizeof(*to),
+		      compare_preemptible);
+}
+
 static bool is_preemptible(const struct search *s, const struct run *r)
 {
-	if (r->state == RUN_STOPPING || r->victim || !r->job->queue_conf ||
-	    ends_soon(s, r))
+	if (r->victim)
 		return false;
 	if (r->job->rank > s->job->rank)
 		return true;
@@ -71,41 +106,55 @@
 		s->reclaim_due && flow_first_step_started(r->job);
 }
 
-static void mark_victim(struct run *r)
+/* Marks a run as victim, or with -1 takes the mark back. */
+static void set_victim(struct run *r, int32_t sign)
 {
 	struct flow_shape freed =
 		flow_task_shape(flow_step_of(r->job, r->step_state));
 
+	r->victim = sign > 0;
+	flow_shape_add(&r->worker->victims, &freed, sign);
+	if (r->ends_soon)
+		flow_shape_add(&r->worker->ends_soon, &freed, -sign);
+}
+
+static void mark_victim(const struct search *s, struct run *r)
+{
+	struct run **to;
+
 	if (r->victim || r->state == RUN_STOPPING)
 		return;
-	r->victim = true;
-	flow_shape_add(&r->worker->victims, &freed, 1);
+	flow_prepare_victims(s, r->worker);
+	set_victim(r, 1);
+	to = flow_array_add(&s->f->victims, sizeof(*to));
+	*to = r;
 }
 
 /* A gang ends with any member, which frees the capacity of all. */
-static void mark_victims(struct run *r)
+static void mark_victims(const struct search *s, struct run *r)
 {
 	const struct flow_step *st = flow_step_of(r->job, r->step_state);
 	int32_t i;
 
-	mark_victim(r);
+	mark_victim(s, r);
 	for (i = 0; st->gang && i < st->tasks; i++)
 		if (r->step_state->tasks[i].run)
-			mark_victim(r->step_state->tasks[i].run);
+			mark_victim(s, r->step_state->tasks[i].run);
 }
 
-static struct run *cheapest_victim(const struct search *s,
-				   const struct worker *w)
+/* The first that qualifies, from index @i on; @i becomes the one after it. */
+static struct run *next_victim(const struct search *s, const struct worker *w,
+			       size_t *i)
 {
-	struct run *r, *best = NULL;
-
-	for (r = w->runs; r; r = r->next)
-		if (is_preemptible(s, r) && !r->is_candidate &&
-		    (!best || r->job->rank > best->job->rank ||
-		     (r->job->rank == best->job->rank &&
-		      lost_work(s, r) < lost_work(s, best))))
-			best = r;
-	return best;
+	struct run **list = w->preemptible.items;
+
+	while (*i < w->preemptible.n) {
+		struct run *r = list[(*i)++];
+
+		if (!r->is_candidate && is_preemptible(s, r))
+			return r;
+	}
+	return NULL;
 }
 
 /* Adds what @v and members of its gang occupy on its worker to @available. */
@@ -113,13 +162,15 @@
 {
 	struct flow_shape freed =
 		flow_task_shape(flow_step_of(v->job, v->step_state));
-	bool gang = flow_step_of(v->job, v->step_state)->gang;
 	struct run *r;
 
+	v->is_candidate = true;
+	flow_shape_add(available, &freed, 1);
+	if (!flow_step_of(v->job, v->step_state)->gang)
+		return;
 	for (r = v->worker->runs; r; r = r->next)
-		if (r == v ||
-		    (gang && r->step_state == v->step_state && !r->victim &&
-		     r->state != RUN_STOPPING)) {
+		if (r != v && r->step_state == v->step_state && !r->victim &&
+		    r->state != RUN_STOPPING) {
 			r->is_candidate = true;
 			flow_shape_add(available, &freed, 1);
 		}
@@ -130,20 +181,21 @@
 	struct flow_shape available = flow_available(s, w, CAPACITY_STOPPING);
 	int64_t cost = 0;
 	struct run *r;
+	size_t i = 0;
 
 	while (!flow_shape_fits(&s->need, &available)) {
-		struct run *v = cheapest_victim(s, w);
+		struct run *v = next_victim(s, w, &i);
 
 		if (!v) {
 			cost = -1;
 			break;
 		}
-		cost += lost_work(s, v);
+		cost += v->lost_work;
 		add_candidate(v, &available);
 	}
-	for (r = w->runs; r; r = r->next) {
+	for (r = w->runs; i && r; r = r->next) {
 		if (r->is_candidate && mark && cost >= 0)
-			mark_victims(r);
+			mark_victims(s, r);
 		r->is_candidate = false;
 	}
 	return cost;
@@ -151,27 +203,13 @@
 
 void flow_rollback_victims(struct flow *f)
 {
-	struct worker *w;
-	struct run *r;
+	struct run **list = f->victims.items;
 
-	for (w = f->workers; w; w = w->hh.next)
-		for (r = w->runs; r; r = r->next)
-			if (r->victim && r->state != RUN_STOPPING &&
-			    !r->victim_committed) {
-				struct flow_shape freed = flow_task_shape(
-					flow_step_of(r->job, r->step_state));
-
-				r->victim = false;
-				flow_shape_add(&w->victims, &freed, -1);
-			}
+	while (f->victims.n)
+		set_victim(list[--f->victims.n], -1);
 }
 
 void flow_commit_victims(struct flow *f)
 {
-	struct worker *w;
-	struct run *r;
-
-	for (w = f->workers; w; w = w->hh.next)
-		for (r = w->runs; r; r = r->next)
-			r->victim_committed = r->victim;
+	f->victims.n = 0;
 }
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -45,11 +45,12 @@
 void flow_update_pools(struct flow *f, int64_t now_ms)
 {
 	struct pool *p;
-	struct worker *w;
+	struct worker *w, **to;
 	const struct run *r;
 
 	for (p = f->pools; p; p = p->hh.next) {
 		p->n_ready = p->n_failing = 0;
+		p->ready.n = 0;
 		p->n_without_ordinary = p->n_urgent_busy = 0;
 		memset(&p->largest, 0, sizeof(p->largest));
 	}
@@ -69,6 +70,8 @@
 			continue;
 		if (w->capacity.accelerators >= p->largest.accelerators)
 			p->largest = w->capacity;
+		to = flow_array_add(&p->ready, sizeof(*to));
+		*to = w;
 		p->n_ready++;
 		p->n_failing += flow_worker_failed_recently(w, now_ms);
 		p->n_without_ordinary += !w->ordinary_tasks;
@@ -87,18 +90,47 @@
 	return p->n_failing * 100 <= p->n_ready * QUARANTINE_PERCENT;
 }
 
-static int32_t get_or_add_rack(struct flow *f, const char *name)
+static struct rack *get_or_add_rack(struct flow *f, const char *name)
 {
 	struct rack *r;
 
 	HASH_FIND_STR(f->racks, name, r);
 	if (r)
-		return r->index;
+		return r;
 	r = tg_xcalloc(1, sizeof(*r));
 	tg_strlcpy(r->name, name, sizeof(r->name));
-	r->index = f->n_racks++;
 	HASH_ADD_STR(f->racks, name, r);
-	return r->index;
+	return r;
+}
+
+static void leave_rack(struct worker *w)
+{
+	struct worker **list;
+	size_t i;
+
+	if (!w->in_rack)
+		return;
+	list = w->in_rack->workers.items;
+	for (i = 0; list[i] != w; i++)
+		;
+	flow_array_remove(&w->in_rack->workers, i, sizeof(*list));
+	w->in_rack = NULL;
+}
+
+/* The workers of a rack are sorted by number, like those of a pool. */
+static void join_rack(struct worker *w, struct rack *r)
+{
+	struct worker **list = r->workers.items, **to;
+	size_t i = r->workers.n;
+
+	if (w->in_rack == r)
+		return;
+	leave_rack(w);
+	while (i > 0 && list[i - 1]->number > w->number)
+		i--;
+	to = flow_array_insert(&r->workers, i, sizeof(*to));
+	*to = w;
+	w->in_rack = r;
 }
 
 bool flow_worker_ready(const struct worker *w, int64_t now_ms)
@@ -174,6 +206,7 @@
 		return w;
 	w = tg_xcalloc(1, sizeof(*w));
 	tg_strlcpy(w->id, id, sizeof(w->id));
+	w->number = f->n_workers_added++;
 	w->speed = 1;
 	HASH_ADD_STR(f->workers, id, w);
 	return w;
@@ -213,7 +246,7 @@
 	w->pool = get_or_add_pool(f, s->service);
 	tg_strlcpy(w->az, s->az, sizeof(w->az));
 	tg_strlcpy(w->rack, s->rack ? s->rack : "", sizeof(w->rack));
-	w->rack_index = get_or_add_rack(f, w->rack);
+	join_rack(w, get_or_add_rack(f, w->rack));
 	w->n_labels = 0;
 	for (i = 0; i < s->n_labels && i < 8; i++)
 		tg_strlcpy(w->labels[w->n_labels++], s->labels[i],
@@ -279,8 +312,16 @@
 					j->step_states[i]
 						.tasks[k]
 						.last_failed_on = NULL;
+	flow_free_worker(f, w);
+}
+
+void flow_free_worker(struct flow *f, struct worker *w)
+{
 	HASH_DEL(f->workers, w);
+	leave_rack(w);
 	flow_forget_lost_runs(w);
+	flow_array_free(&w->preemptible);
+	flow_array_free(&w->run_ends);
 	free(w);
 }
 
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -51,5 +51,9 @@
 TCase *crash_tcase(void);
 /** capacity_tcase() - tests of test-capacity.c */
 TCase *capacity_tcase(void);
+/** index_tcase() - tests of test-index.c on a fleet of their own */
+TCase *index_tcase(void);
+/** fleet_size_tcase() - tests of test-index.c that compare fleets */
+TCase *fleet_size_tcase(void);
 
 #endif
