Close the connection that has been idle longest instead of the new one

Cause: on a site with 147 instances the standbys and queue daemons of all of them call the owner.

Change: the longest idle connection makes room; its peer opens another one when it needs it. A server can give its connections a priority in the loop.

--- a/lib/oncrpc/oncrpc.h
+++ b/lib/oncrpc/oncrpc.h
@@ -57,8 +57,10 @@
  * @common: handlers, called with @common_arg, of the procedures that have none
  *	in @handlers; may be NULL.  Calls to a procedure that is in neither are
  *	rejected with PROC_UNAVAIL.
- * @max_connections: connections beyond this number are closed when accepted; 0
- *	for 256
+ * @max_connections: beyond this number the connection that has been idle
+ *	longest is closed, or the new one if calls are in progress on all; 0 for
+ *	256
+ * @priority: of the connections' events in @base; 0 is served first
  * @idle_ms: connections without traffic for this long are closed; 0 for 300,000
  * @arg: passed to @handlers
  * @common_arg: passed to @common
@@ -68,6 +70,7 @@
 	const char *addr;
 	const tg_rpc_handler *handlers, *common;
 	size_t max_connections;
+	int priority;
 	int64_t idle_ms;
 	void *arg, *common_arg;
 };
--- a/lib/oncrpc/server.c
+++ b/lib/oncrpc/server.c
@@ -4,13 +4,14 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utlist.h>
 
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
 #include "oncrpc/codec.h"
 
-#define DEFAULT_MAX_CONNECTIONS 256
+#define DEFAULT_CONNECTIONS_MAX 256
 #define DEFAULT_IDLE_MS 300000
 /* Reading from a connection pauses at this many unanswered calls. */
 #define UNANSWERED_CALLS_MAX 64
@@ -23,7 +24,7 @@
 	struct rpc_stream stream;
 	struct tg_rpc_req *reqs;
 	size_t n_unanswered;
-	struct connection *prev, *next;
+	struct connection *prev, *next; /* list of the server's connections */
 };
 
 struct tg_rpc_req {
@@ -42,7 +43,7 @@
 	struct evconnlistener *listener;
 	struct event *udp;
 	int udp_fd;
-	struct connection *connections;
+	struct connection *connections; /* the one used last comes first */
 	size_t n_connections, in_progress;
 	char addr[TG_ADDR_MAX + 1];
 };
@@ -78,12 +79,7 @@
 
 	for (req = c->reqs; req; req = req->next)
 		req->con = NULL;
-	if (c->prev)
-		c->prev->next = c->next;
-	else
-		c->server->connections = c->next;
-	if (c->next)
-		c->next->prev = c->prev;
+	DL_DELETE(c->server->connections, c);
 	c->server->n_connections--;
 	rpc_stream_reset(&c->stream);
 	bufferevent_free(c->bev);
@@ -165,6 +161,7 @@
 static void dispatch(struct tg_rpc_req *req)
 {
 	tg_rpc_handler handler;
+	uint32_t proc;
 	void *arg;
 
 	tg_counter("tg_rpc_calls_total", "RPC calls served.", NULL)->value++;
@@ -173,7 +170,10 @@
 		return;
 	}
 	handler = find_handler(req->server, req->proc, &arg);
+	proc = req->proc;
+	tg_turn_begin();
 	handler(req, req->args, arg);
+	tg_turn_end(tg_rpc_procs[proc].name);
 }
 
 /* Returns false if the record is not a call: the connection must be closed. */
@@ -187,6 +187,8 @@
 	void *p;
 
 	rpc_stream_reset(&c->stream);
+	DL_DELETE(c->server->connections, c);
+	DL_PREPEND(c->server->connections, c);
 	if (r == RPC_BAD_HEADER)
 		return false;
 	if (r != RPC_DECODED) {
@@ -238,6 +240,27 @@
 		close_connection(arg);
 }
 
+/*
+ * Makes room for a connection by closing the one that has been idle longest,
+ * whose peer opens another one when it needs it.  If the new connection were
+ * closed instead, the peers that come last would never be served.
+ *
+ * Return: false if calls are in progress on all connections.
+ */
+static bool close_longest_idle(struct tg_rpc_server *s)
+{
+	struct connection *c, *idle = NULL;
+
+	DL_FOREACH(s->connections, c)
+		if (!c->n_unanswered)
+			idle = c;
+	if (!idle)
+		return false;
+	count_rejected(EV_RPC_TOO_MANY, "connections");
+	close_connection(idle);
+	return true;
+}
+
 static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
 		      struct sockaddr *sa, int len, void *arg)
 {
@@ -249,8 +272,9 @@
 	(void)l;
 	(void)sa;
 	(void)len;
-	if (s->n_connections >= s->opts.max_connections) {
-		count_rejected(EV_RPC_TOO_MANY, "connections");
+	if (s->n_connections >= s->opts.max_connections &&
+	    !close_longest_idle(s)) {
+		count_rejected(EV_RPC_TOO_MANY, "calls");
 		close(fd);
 		return;
 	}
@@ -258,10 +282,8 @@
 	c->server = s;
 	c->bev =
 		bufferevent_socket_new(s->opts.base, fd, BEV_OPT_CLOSE_ON_FREE);
-	c->next = s->connections;
-	if (c->next)
-		c->next->prev = c;
-	s->connections = c;
+	bufferevent_priority_set(c->bev, s->opts.priority);
+	DL_PREPEND(s->connections, c);
 	s->n_connections++;
 	rpc_count_bytes(c->bev);
 	bufferevent_setcb(c->bev, on_read, NULL, on_event, c);
@@ -423,7 +445,7 @@
 	s->opts = *opts;
 	s->udp_fd = -1;
 	if (!s->opts.max_connections)
-		s->opts.max_connections = DEFAULT_MAX_CONNECTIONS;
+		s->opts.max_connections = DEFAULT_CONNECTIONS_MAX;
 	if (!s->opts.idle_ms)
 		s->opts.idle_ms = DEFAULT_IDLE_MS;
 	for (i = 0; i < BIND_ATTEMPTS; i++) {
--- a/tests/unit/oncrpc/test-oncrpc.c
+++ b/tests/unit/oncrpc/test-oncrpc.c
@@ -4,6 +4,7 @@
 
 #include "oncrpc/codec.h"
 #include "../run.h"
+#include "suites.h"
 
 #define XID 0x12345678
 #define LAST_FRAGMENT 0x80000000U
@@ -482,5 +483,6 @@
 	tcase_add_loop_test(c, fuzz_results, 1, 6);
 	tcase_add_loop_test(c, fuzz_stream, 1, 6);
 	suite_add_tcase(s, c);
+	suite_add_tcase(s, server_tcase());
 	return run_suite(s);
 }
