Don't count time in which the loop was held up against servers

Cause: the limits of calls ran while the process itself was busy or stopped and read no answers. CLOCK_MONOTONIC, in addition, stands still while a machine is suspended, so that the owner's permission and leases seemed to last longer than others thought.

Change: a limit that fires late, or while the answer lies unread, is extended, to its double at most.

--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -306,6 +306,32 @@
 
 /* --- daemons --- */
 
+/*
+ * Priorities of events on a loop of tg_loop_new().  What keeps the process
+ * alive in the eyes of others goes before the bulk of the work.
+ */
+enum {
+	TG_PRIORITY_URGENT,
+	TG_PRIORITY_NORMAL,
+	TG_PRIORITIES,
+};
+
+/**
+ * tg_loop_new() - an event loop with these priorities
+ *
+ * Events have TG_PRIORITY_NORMAL unless it is set.  Urgent events are looked
+ * for again after 20 ms at most, however many others are to be handled.
+ */
+struct event_base *tg_loop_new(void);
+/**
+ * tg_turn_begin() - an event has begun to keep the loop
+ *
+ * A turn within another one counts as a part of it.
+ */
+void tg_turn_begin(void);
+/** tg_turn_end() - measure the turn, and log @what if it took too long */
+void tg_turn_end(const char *what);
+
 /**
  * struct tg_controller - component of a daemon
  * @name: for logs
--- a/lib/base/clock.c
+++ b/lib/base/clock.c
@@ -10,9 +10,13 @@
 	return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
 }
 
+/*
+ * CLOCK_MONOTONIC stands still while a machine is suspended, so that leases and
+ * permissions would seem to be valid for longer than they are.
+ */
 int64_t tg_now_us(void)
 {
-	return read_clock_us(CLOCK_MONOTONIC);
+	return read_clock_us(CLOCK_BOOTTIME);
 }
 
 int64_t tg_now_ms(void)
--- a/lib/base/daemon.c
+++ b/lib/base/daemon.c
@@ -1,3 +1,4 @@
+#include <limits.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <sys/resource.h>
@@ -6,6 +7,8 @@
 #include "base/base.h"
 
 #define DRAIN_PERIOD_MS 50
+/* Longest time in which no urgent events are looked for. */
+#define LOOK_FOR_URGENT_MS 20
 
 struct started_controller {
 	const struct tg_controller *controller;
@@ -41,7 +44,24 @@
 
 	(void)fd;
 	(void)what;
+	tg_turn_begin();
 	s->controller->tick(s->board, tg_now_ms());
+	tg_turn_end(s->controller->name);
+}
+
+struct event_base *tg_loop_new(void)
+{
+	const struct timeval interval = { .tv_usec =
+						  LOOK_FOR_URGENT_MS * 1000 };
+	struct event_config *c = event_config_new();
+	struct event_base *base;
+
+	event_config_set_max_dispatch_interval(c, &interval, INT_MAX,
+					       TG_PRIORITY_NORMAL);
+	base = event_base_new_with_config(c);
+	event_config_free(c);
+	event_base_priority_init(base, TG_PRIORITIES);
+	return base;
 }
 
 static bool drain_controllers(struct run_state *run, int64_t now_ms)
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -13,6 +13,10 @@
 #define DEFAULT_BODY_BYTES (4 << 20)
 #define DEFAULT_IDLE_PER_ADDR 8
 #define DEFAULT_IDLE_MS 20000
+/* A timer that fires this late was held up by the loop, not by the server. */
+#define LOOP_LATE_MS 50
+/* Time to read a response that has arrived already. */
+#define READ_GRACE_MS 20
 
 struct connection {
 	struct evhttp_connection *con;
@@ -54,6 +58,9 @@
 	bool refused; /* as in struct tg_http_result */
 	bool starting; /* evhttp_make_request() is on the stack */
 	int64_t started_ms;
+	int64_t due_ms; /* when @timer fires */
+	int64_t extended_ms; /* added to the limit so far, see extension_ms() */
+	int64_t timeout_ms; /* as in struct tg_http_call_opts */
 	int64_t first_byte_ms, last_byte_ms; /* of the response; 0 before */
 	int64_t stall_ms; /* as in struct tg_http_call_opts */
 	size_t received_bytes;
@@ -315,7 +322,9 @@
 
 static void on_response(struct evhttp_request *req, void *arg)
 {
+	tg_turn_begin();
 	handle_response(arg, req);
+	tg_turn_end("response");
 }
 
 /* With unsafe_reuse: delivers a late response to the connection's next call. */
@@ -366,9 +375,40 @@
 	struct timeval tv = { .tv_sec = ms / 1000,
 			      .tv_usec = (ms % 1000) * 1000 };
 
+	call->due_ms = tg_now_ms() + ms;
 	event_add(call->timer, &tv);
 }
 
+/* Whether a part of the response has arrived that has not been read yet. */
+static bool has_unread_response(const struct tg_http_call *call)
+{
+	struct bufferevent *bev;
+	evutil_socket_t fd;
+	char byte;
+
+	if (!call->con || !call->req || !call->sent)
+		return false;
+	bev = evhttp_connection_get_bufferevent(call->con->con);
+	fd = bufferevent_getfd(bev);
+	return fd >= 0 && recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/*
+ * Time by which to extend a limit that has run out; 0 for none.  The limit is
+ * for the server: time in which this process was too busy or was suspended, so
+ * that it did not even read the response, must not run against the server.
+ */
+static int64_t extension_ms(const struct tg_http_call *call)
+{
+	int64_t ms = tg_now_ms() - call->due_ms;
+
+	if (ms < LOOP_LATE_MS)
+		ms = has_unread_response(call) ? READ_GRACE_MS : 0;
+	if (ms > call->timeout_ms - call->extended_ms)
+		ms = call->timeout_ms - call->extended_ms;
+	return ms > 0 ? ms : 0;
+}
+
 /* Time for which a response that is arriving may still pause; 0 if none. */
 static int64_t stall_left_ms(const struct tg_http_call *call)
 {
@@ -383,6 +423,7 @@
 	struct tg_http_call *call = arg;
 	struct tg_http_result r = { .end = TG_HTTP_TIMEOUT,
 				    .sent = call->sent };
+	int64_t extended_ms;
 
 	(void)fd;
 	(void)what;
@@ -390,6 +431,12 @@
 		set_timer(call, stall_left_ms(call));
 		return;
 	}
+	extended_ms = call->req ? extension_ms(call) : 0;
+	if (extended_ms) {
+		call->extended_ms += extended_ms;
+		set_timer(call, extended_ms);
+		return;
+	}
 	if (!call->req || !call->sent)
 		r.end = TG_HTTP_NOT_CONNECTED;
 	r.refused = call->refused;
@@ -397,7 +444,9 @@
 		reuse_after_timeout(call);
 	else
 		abort_request(call);
+	tg_turn_begin();
 	finish_call(call, &r);
+	tg_turn_end("time limit of a call");
 }
 
 static int new_request(struct tg_http_call *call,
@@ -452,6 +501,10 @@
 				opts->uri))
 		call->req = NULL;
 	call->starting = false;
+	/* To connect resets the priority. */
+	bufferevent_priority_set(
+		evhttp_connection_get_bufferevent(call->con->con),
+		opts->priority);
 }
 
 struct tg_http_call *tg_http_call_start(struct tg_http_client *client,
@@ -465,6 +518,7 @@
 	call->arg = opts->arg;
 	call->method = opts->method;
 	call->stall_ms = opts->stall_ms;
+	call->timeout_ms = opts->timeout_ms;
 	call->next = client->calls;
 	if (client->calls)
 		client->calls->prev = call;
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -240,6 +240,9 @@
  *	tg_http_client_opts for the response to this call; 0 for none
  * @stall_ms: longest time without further bytes once the response has begun,
  *	however long all of it takes; 0 to limit the whole call by @timeout_ms
+ *	Both limits are extended, to twice their length at most, by time in
+ *	which the event loop was held up.
+ * @priority: of the connection's events in the loop, as in enum of base.h
  * @done: called exactly once unless the call is cancelled, never from within
  *	tg_http_call_start()
  * @arg: passed to @done
@@ -253,6 +256,7 @@
 	size_t body_bytes;
 	size_t response_max_bytes;
 	int64_t timeout_ms, stall_ms;
+	int priority;
 	void (*done)(const struct tg_http_result *r, void *arg);
 	void *arg;
 };
--- a/tests/unit/base/test-base.c
+++ b/tests/unit/base/test-base.c
@@ -1,11 +1,40 @@
 #include <fcntl.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/syscall.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "base/base.h"
 #include "../run.h"
 
+/* Time for which the machine was suspended, in this process's view. */
+static int64_t suspended_s;
+
+/* In place of the C library's. */
+int clock_gettime(clockid_t id, struct timespec *ts)
+{
+	int r = (int)syscall(SYS_clock_gettime, id, ts);
+
+	if (id == CLOCK_BOOTTIME || id == CLOCK_REALTIME)
+		ts->tv_sec += suspended_s;
+	return r;
+}
+
+/*
+ * On a clock that stands still while the machine is suspended, the owner's
+ * permission lasted for as much longer than the others thought.
+ */
+START_TEST(clock_counts_suspended_time)
+{
+	int64_t before_ms = tg_now_ms();
+
+	suspended_s = 30;
+	ck_assert_int_ge(tg_now_ms() - before_ms, 30000);
+	suspended_s = 0;
+}
+END_TEST
+
 /* A misparsed expiry time would end a guarantee too early or too late. */
 START_TEST(utc_timestamps)
 {
@@ -252,6 +281,7 @@
 	Suite *s = suite_create("base");
 	TCase *t = tcase_create("base");
 
+	tcase_add_test(t, clock_counts_suspended_time);
 	tcase_add_test(t, utc_timestamps);
 	tcase_add_test(t, names_and_addresses);
 	tcase_add_test(t, histogram_error_is_bounded);
