Send orders in turns, and none before a held-up owner has asked the store

Changes: orders wait in a queue, stops first, that is sent in turns of 10 ms with at most two orders in progress on a worker; the text of a start is looked up when it is sent, and a start that is not wanted any more is dropped. At most 100 links are opened at a time. Writes, calls of peers and the store go before other events. Instances with little processor ping every 900 ms. The watch of standbys is in standby.c.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -24,6 +24,8 @@
 
 /* The platform states that a worker's clock may be slow by up to this. */
 #define CLOCK_SLOW_PERCENT 2
+/* Role of the flow daemons in pings. */
+#define FLOW_ROLE "flow"
 /* Added before a lease counts as expired, for rounding and late timers. */
 #define EXPIRY_MARGIN_MS 200
 
@@ -55,6 +57,7 @@
 	bool in_directory;
 	bool failed; /* the last poll got no answer */
 	bool runs_known; /* the worker's lists were applied in this term */
+	bool opening; /* a poll is in progress, and they were not */
 	bool may_have_runs;
 	bool long_polling, polling; /* a call of this kind is in progress */
 	bool poll_again;
@@ -101,6 +104,8 @@
 	bool former_owner_ended; /* the previous owner can start no more runs */
 	int64_t written_ms; /* start of the last write that succeeded */
 	int64_t refused_since_ms; /* first of the refused writes, or 0 */
+	int64_t ticked_ms; /* when the loop was last seen to run */
+	int64_t held_up_ms; /* it went on then; no write since; or 0 */
 	int64_t recover_until_ms; /* all unknown runs have ended by then */
 	/*
 	 * Runs that the former owner stopped have ended by then.  Until they
@@ -111,6 +116,7 @@
 	/* set only on the owner */
 	struct flow *flow;
 	struct link *links;
+	int n_opening; /* links that are being opened */
 	struct tg_document *document;
 	struct tg_table_watch *jobs, *progress, *directory;
 	bool directory_read;
@@ -121,13 +127,37 @@
 
 #define IS_OWNER(b) ((b)->role == ROLE_OWNER || (b)->role == ROLE_RECOVERING)
 
+/* standby.c */
+/** standby_watch() - look after the owner and take over if it is gone */
+void standby_watch(struct board *b, int64_t now_ms);
+/** standby_notify_former() - tell the former owner that it is replaced */
+void standby_notify_former(struct board *b, int64_t now_ms);
+/** standby_reset() - watch the owner from now on */
+void standby_reset(void);
+
 /* owner.c */
+/**
+ * owner_begin_term() - begin a term after a claim
+ * @former_ended_ms: when the former owner's process was seen to have ended; 0
+ *	if it may be running
+ */
+void owner_begin_term(struct board *b, const char *why,
+		      int64_t former_ended_ms);
+/** owner_written() - a write that began at @started_ms has succeeded */
+void owner_written(struct board *b, int64_t started_ms);
 /** owner_lost() - end the term, since another daemon is or will be the owner */
 void owner_lost(struct board *b, const char *why);
 /** owner_check_recovered() - end the recovery if all runs are known or ended */
 void owner_check_recovered(struct board *b);
-/** owner_may_renew() - whether leases may be renewed and tasks started */
-bool owner_may_renew(const struct board *b);
+/**
+ * owner_was_held_up() - whether it is unknown if this is still the owner
+ *
+ * The process was stopped for a while, and no write has succeeded since.  It
+ * must not call any worker.
+ */
+bool owner_was_held_up(struct board *b);
+/** owner_may_renew() - whether leases may be renewed and orders sent */
+bool owner_may_renew(struct board *b);
 /** owner_is_current() - whether this is the owner and reaches the store */
 bool owner_is_current(const struct board *b);
 
@@ -176,6 +206,14 @@
  */
 int64_t links_count_unknown(const struct board *b);
 
+/* orders.c */
+/** orders_flow_ops - queue the orders of a round */
+extern const struct flow_ops orders_flow_ops;
+/** orders_wake() - go on with the queue */
+void orders_wake(void);
+/** orders_reset() - drop all orders that have not been sent */
+void orders_reset(void);
+
 /* round.c */
 /** round_wake() - schedule a scheduling round */
 void round_wake(struct board *b);
@@ -187,6 +225,7 @@
 extern const struct tg_controller rpc_controller;
 extern const struct tg_controller owner_controller;
 extern const struct tg_controller writer_controller;
+extern const struct tg_controller orders_controller;
 extern const struct tg_controller links_controller;
 extern const struct tg_controller round_controller;
 extern const struct tg_controller metrics_controller;
--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -164,4 +164,5 @@
 		HASH_DEL(b->links, l);
 		free(l);
 	}
+	b->n_opening = 0;
 }
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -26,6 +26,12 @@
  */
 #define POLL_GONE_MS 20000
 
+/*
+ * Links of which the first poll is in progress.  A new owner opens the links to
+ * all workers; if it did so at once, the answers would come too late.
+ */
+#define OPENING_MAX 100
+
 struct poll_call {
 	struct board *board;
 	uint64_t term;
@@ -64,7 +70,7 @@
 	return lease_until_ms;
 }
 
-static bool may_renew(const struct link *l)
+static bool may_renew(struct link *l)
 {
 	return l->runs_known && !l->failed && owner_may_renew(l->board);
 }
@@ -93,6 +99,10 @@
 			h.wait_ms = LONG_POLL_MS;
 	}
 	h.timeout_ms += h.wait_ms;
+	if (!l->runs_known && !l->opening) {
+		l->opening = true;
+		b->n_opening++;
+	}
 	if (extra)
 		l->polling = true;
 	else
@@ -272,7 +282,7 @@
 	if (!l->unknown_since_ms)
 		l->unknown_since_ms = now_ms;
 	for (i = 0; i < r->n_runs; i++)
-		if (unknown[i] &&
+		if (unknown[i] && !owner_was_held_up(l->board) &&
 		    now_ms - l->unknown_since_ms >= UNKNOWN_RUN_MAX_MS)
 			stop_unknown_run(l, &r->runs[i]);
 	flow_worker_set_suspect(l->board->flow, l->entry.id, true);
@@ -326,6 +336,8 @@
 	flow_worker_set_suspect(b->flow, l->entry.id, !l->in_directory);
 	if (!apply_lists(l, r, asked_ms))
 		return;
+	if (l->runs_known && !may_renew(l))
+		l->next_poll_ms = l->clock_at_ms + RETRY_MS;
 	if (!l->runs_known) {
 		/* A former owner may have granted leases of maximum length. */
 		l->leases_end_ms = l->clock_at_ms + EXPIRY_MARGIN_MS +
@@ -385,9 +397,13 @@
 
 void link_poll_if_due(struct link *l)
 {
+	struct board *b = l->board;
 	int64_t now_ms = tg_now_ms();
 
-	if (l->long_polling || l->next_poll_ms > now_ms || !*l->entry.addr)
+	if (l->long_polling || l->next_poll_ms > now_ms || !*l->entry.addr ||
+	    owner_was_held_up(b))
+		return;
+	if (!l->runs_known && b->n_opening >= OPENING_MAX)
 		return;
 	if (l->processed_n > l->durable_n) {
 		/* links_write_done() polls once the ends are durable. */
@@ -398,11 +414,30 @@
 	send_poll(l, false);
 }
 
+static void end_opening(struct link *l)
+{
+	if (!l->opening)
+		return;
+	l->opening = false;
+	l->board->n_opening--;
+}
+
+/* Opens the next link that waits for it; the links are in order of creation. */
+static void open_next(struct link *l)
+{
+	struct board *b = l->board;
+
+	for (l = l->hh.next; l && b->n_opening < OPENING_MAX; l = l->hh.next)
+		if (!l->runs_known)
+			link_poll_if_due(l);
+}
+
 static void on_polled(const struct tg_worker_poll_result *r, void *arg)
 {
 	struct poll_call *k = arg;
 	struct board *b = k->board;
 	struct link *l = k->term == b->term ? link_find(b, k->id) : NULL;
+	bool was_opening;
 
 	if (!l)
 		goto out;
@@ -410,6 +445,8 @@
 		l->polling = false;
 	else
 		l->long_polling = false;
+	was_opening = l->opening;
+	end_opening(l);
 	if (r->end == TG_ORDER_FENCED) {
 		owner_lost(b, "a worker has seen a higher fence");
 		goto out;
@@ -425,6 +462,8 @@
 		link_poll(l);
 	}
 	link_poll_if_due(l);
+	if (was_opening)
+		open_next(l);
 out:
 	free(k);
 }
@@ -435,7 +474,9 @@
 		l->poll_again = true;
 		return;
 	}
-	send_poll(l, true);
+	/* The next long poll will do. */
+	if (!owner_was_held_up(l->board))
+		send_poll(l, true);
 }
 
 void links_write_started(struct board *b)
@@ -505,6 +546,7 @@
 	    l->long_polling || l->polling || now_ms - l->lost_ms < POLL_GONE_MS)
 		return;
 	flow_worker_remove(b->flow, l->entry.id, now_ms);
+	end_opening(l);
 	HASH_DEL(b->links, l);
 	free(l);
 }
--- a/cmd/tgflowd/main.c
+++ b/cmd/tgflowd/main.c
@@ -34,10 +34,9 @@
 };
 
 static const struct tg_controller *const controllers[] = {
-	&rpc_controller,   &writer_controller,
-	&round_controller, &owner_controller,
-	&links_controller, &metrics_controller,
-	&purge_controller, NULL,
+	&rpc_controller,     &writer_controller, &orders_controller,
+	&round_controller,   &owner_controller,	 &links_controller,
+	&metrics_controller, &purge_controller,	 NULL,
 };
 
 int main(int argc, char **argv)
@@ -61,7 +60,7 @@
 	}
 	tg_site_log_open("tgflowd", &tg_platform_ops, &b.set.flags, events);
 	tg_rng_seed(&b.rng);
-	b.base = event_base_new();
+	b.base = tg_loop_new();
 	if (tg_site_open(&b.site, b.base, &tg_platform_ops, &b.set.flags))
 		return TG_EXIT_USAGE;
 	daemon.base = b.base;
--- /dev/null
+++ b/cmd/tgflowd/orders.c
@@ -0,0 +1,414 @@
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "board.h"
+#include "orderoutcome.h"
+
+/*
+ * Sends start and stop orders to workers.  A round may decide on thousands of
+ * them.  They are sent in turns that leave the loop to others in between, stop
+ * orders first, since what starts often waits for them.
+ */
+
+#define ORDER_TIMEOUT_MS 900
+/* Orders are sent for this long before other events get their turn. */
+#define TURN_US 10000
+/*
+ * Attempts in all at a start that gets no answer.  Each copy names the same
+ * run, so a second one has no effect.
+ */
+#define START_TRIES 3
+/* Delay after which an order to a worker without a link fails as not sent. */
+#define NOT_SENT_DELAY_MS 200
+/*
+ * Orders in progress at a time on one worker, each on a connection of its own.
+ * Together with the poll that stays below the limit on descriptors.
+ */
+#define ORDERS_PER_WORKER 2
+
+struct order {
+	struct board *board;
+	uint64_t term;
+	bool start;
+	char worker[TG_NAME_MAX + 1];
+	struct tg_task_id task;
+	int32_t run;
+	char saved[FLOW_CHECKPOINT_LEN + 1]; /* of a start */
+	int tries;
+	int64_t queued_ms, sent_ms;
+	struct order *prev, *next; /* in a queue or in a lane */
+};
+
+/** struct lane - orders for one worker, while there are any */
+struct lane {
+	char worker[TG_NAME_MAX + 1];
+	int in_progress;
+	/* Until fewer are in progress. */
+	struct order *waiting_stops, *waiting_starts;
+	UT_hash_handle hh;
+};
+
+/* Orders to be sent, in order. */
+static struct order *stops, *starts;
+static struct lane *lanes;
+static struct event *turn_timer;
+static struct tg_gauge *queued;
+static struct tg_hist *wait_ms;
+
+static struct lane *get_lane(const char *worker)
+{
+	struct lane *n;
+
+	HASH_FIND_STR(lanes, worker, n);
+	if (n)
+		return n;
+	n = tg_xcalloc(1, sizeof(*n));
+	tg_strlcpy(n->worker, worker, sizeof(n->worker));
+	HASH_ADD_STR(lanes, worker, n);
+	return n;
+}
+
+static void free_lane_if_idle(struct lane *n)
+{
+	if (n->in_progress || n->waiting_stops || n->waiting_starts)
+		return;
+	HASH_DEL(lanes, n);
+	free(n);
+}
+
+static void wake(void)
+{
+	struct timeval now = { 0 };
+
+	if (!event_pending(turn_timer, EV_TIMEOUT, NULL))
+		event_add(turn_timer, &now);
+}
+
+static void enqueue(struct order *o)
+{
+	if (o->start)
+		DL_APPEND(starts, o);
+	else
+		DL_APPEND(stops, o);
+	queued->value++;
+	wake();
+}
+
+static void dequeue(struct order *o)
+{
+	if (o->start)
+		DL_DELETE(starts, o);
+	else
+		DL_DELETE(stops, o);
+	queued->value--;
+}
+
+static void wait_in_lane(struct order *o, struct lane *n)
+{
+	if (o->start)
+		DL_APPEND(n->waiting_starts, o);
+	else
+		DL_APPEND(n->waiting_stops, o);
+	queued->value++;
+}
+
+/* An order of the lane has ended or was dropped: the next one can be sent. */
+static void advance_lane(struct lane *n)
+{
+	struct order **list =
+		n->waiting_stops ? &n->waiting_stops : &n->waiting_starts;
+	struct order *next = *list;
+
+	if (next) {
+		DL_DELETE(*list, next);
+		queued->value--;
+		enqueue(next);
+	}
+	free_lane_if_idle(n);
+}
+
+static void release_lane(const struct order *o)
+{
+	struct lane *n = get_lane(o->worker);
+
+	n->in_progress--;
+	advance_lane(n);
+}
+
+static struct order *new_order(struct board *b, bool start,
+			       const struct flow_run_ref *r, const char *worker)
+{
+	struct order *o = tg_xcalloc(1, sizeof(*o));
+
+	o->board = b;
+	o->term = b->term;
+	o->start = start;
+	o->queued_ms = tg_now_ms();
+	o->run = r->run;
+	tg_strlcpy(o->worker, worker, sizeof(o->worker));
+	tg_strlcpy(o->task.job, r->job, sizeof(o->task.job));
+	o->task.occurrence = r->occurrence;
+	o->task.step = r->step;
+	o->task.index = r->index;
+	return o;
+}
+
+static void log_answer(const struct order *o, enum tg_order_end end)
+{
+	static const char *const names[] = {
+		[TG_ORDER_DONE] = "done",
+		[TG_ORDER_FENCED] = "fenced",
+		[TG_ORDER_OLD_RUN] = "old-run",
+		[TG_ORDER_LEASE_EXPIRED] = "late",
+		[TG_ORDER_NO_CAPACITY] = "no-room",
+		[TG_ORDER_NO_TICKET] = "ticket",
+		[TG_ORDER_INVALID] = "invalid",
+		[TG_ORDER_UNHEALTHY] = "unhealthy",
+		[TG_ORDER_OTHER_BOOT] = "other-boot",
+		[TG_ORDER_NOT_SENT] = "not-sent",
+		[TG_ORDER_CONN_REFUSED] = "nobody",
+		[TG_ORDER_UNKNOWN] = "unknown",
+	};
+
+	if (end != TG_ORDER_DONE)
+		tg_log(EV_FLOW_START_ANSWER,
+		       "order=%s job=%s task=%d.%d.%d run=%d worker=%s "
+		       "outcome=%s after_ms=%lld queued_ms=%lld",
+		       o->start ? "start" : "stop", o->task.job,
+		       o->task.occurrence, o->task.step, o->task.index, o->run,
+		       o->worker, names[end],
+		       (long long)(tg_now_ms() - o->sent_ms),
+		       (long long)(o->sent_ms - o->queued_ms));
+}
+
+static struct flow_run_ref ref_of(const struct order *o)
+{
+	return (struct flow_run_ref){
+		.job = o->task.job,
+		.occurrence = o->task.occurrence,
+		.step = o->task.step,
+		.index = o->task.index,
+		.run = o->run,
+	};
+}
+
+static void on_order(enum tg_order_end end, int64_t clock_ms, void *arg)
+{
+	struct order *o = arg;
+	struct board *b = o->board;
+	struct flow_run_ref ref = ref_of(o);
+	struct link *l;
+
+	(void)clock_ms;
+	if (o->term != b->term)
+		goto out;
+	release_lane(o);
+	log_answer(o, end);
+	l = link_find(b, o->worker);
+	if (l && end == TG_ORDER_UNKNOWN && o->start &&
+	    o->tries < START_TRIES) {
+		o->queued_ms = tg_now_ms();
+		enqueue(o);
+		return;
+	}
+	if (end == TG_ORDER_FENCED) {
+		owner_lost(b, "a worker has seen a higher fence");
+		goto out;
+	}
+	if (o->start)
+		flow_start_answered(b->flow, &ref, o->worker,
+				    order_outcome(end, true, o->tries),
+				    tg_now_ms());
+	else
+		flow_stop_answered(b->flow, &ref, o->worker,
+				   order_outcome(end, false, o->tries),
+				   tg_now_ms());
+	if (l && end == TG_ORDER_UNKNOWN && o->start)
+		link_poll(l);
+	if (end != TG_ORDER_DONE)
+		round_wake(b);
+out:
+	free(o);
+}
+
+static void on_not_sent(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	on_order(TG_ORDER_NOT_SENT, 0, arg);
+}
+
+/* For a worker that is known from recorded runs only. */
+static void fail_later(struct order *o)
+{
+	struct timeval soon = { .tv_usec = NOT_SENT_DELAY_MS * 1000 };
+
+	event_base_once(o->board->base, -1, EV_TIMEOUT, on_not_sent, o, &soon);
+}
+
+/* @text is of the job's specification. */
+static void send_order(struct order *o, const char *text)
+{
+	struct board *b = o->board;
+	struct link *l = link_find(b, o->worker);
+	struct tg_worker_ref ref;
+	struct tg_order msg = {
+		.task = o->task,
+		.run = o->run,
+		.fence = b->fence,
+		.spec = text,
+		.saved = o->saved,
+		.timeout_ms = ORDER_TIMEOUT_MS,
+	};
+
+	o->tries++;
+	o->sent_ms = tg_now_ms();
+	tg_hist_add(wait_ms, (uint64_t)(o->sent_ms - o->queued_ms));
+	if (!l) {
+		fail_later(o);
+		return;
+	}
+	ref.id = l->entry.id;
+	ref.addr = l->entry.addr;
+	if (o->start) {
+		msg.until_ms = link_expiry(l);
+		b->site.ops->start(b->site.port, &ref, &msg, on_order, o);
+	} else {
+		b->site.ops->stop(b->site.port, &ref, &msg, on_order, o);
+	}
+}
+
+/* Sends what it can of a queue; false if the turn has ended. */
+static bool send_queue(struct board *b, struct order **queue, int64_t end_us)
+{
+	struct order *o;
+
+	while ((o = *queue)) {
+		struct flow_run_ref ref = ref_of(o);
+		const char *text = NULL;
+		struct lane *n;
+
+		if (tg_now_us() >= end_us)
+			return false;
+		n = get_lane(o->worker);
+		if (o->start)
+			text = flow_starting_text(b->flow, &ref, o->worker);
+		dequeue(o);
+		if (n->in_progress >= ORDERS_PER_WORKER) {
+			wait_in_lane(o, n);
+		} else if (o->start && !text) {
+			/* The run has been stopped or lost meanwhile. */
+			free(o);
+			advance_lane(n);
+		} else {
+			n->in_progress++;
+			send_order(o, text);
+		}
+	}
+	return true;
+}
+
+static void on_turn(evutil_socket_t fd, short what, void *arg)
+{
+	struct board *b = arg;
+	int64_t end_us = tg_now_us() + TURN_US;
+
+	(void)fd;
+	(void)what;
+	/* The next write that succeeds wakes the queue. */
+	if (!owner_may_renew(b))
+		return;
+	tg_turn_begin();
+	if (!send_queue(b, &stops, end_us) || !send_queue(b, &starts, end_us))
+		wake();
+	tg_turn_end("orders");
+}
+
+void orders_wake(void)
+{
+	if (stops || starts)
+		wake();
+}
+
+static void free_list(struct order **list)
+{
+	struct order *o;
+
+	while ((o = *list)) {
+		DL_DELETE(*list, o);
+		free(o);
+	}
+}
+
+void orders_reset(void)
+{
+	struct lane *n, *tmp;
+
+	free_list(&stops);
+	free_list(&starts);
+	HASH_ITER(hh, lanes, n, tmp) {
+		free_list(&n->waiting_stops);
+		free_list(&n->waiting_starts);
+		HASH_DEL(lanes, n);
+		free(n);
+	}
+	queued->value = 0;
+}
+
+static void order_start(const struct flow_start_order *s, void *arg)
+{
+	struct board *b = arg;
+	struct link *l = link_find(b, s->worker);
+	struct order *o = new_order(b, true, &s->ref, s->worker);
+
+	tg_log(EV_FLOW_START,
+	       "job=%s task=%d.%d.%d run=%d worker=%s saved=%d why=%s "
+	       "clock_age_ms=%lld",
+	       s->ref.job, s->ref.occurrence, s->ref.step, s->ref.index,
+	       s->ref.run, s->worker, *s->saved != '\0', s->reason,
+	       l ? (long long)(tg_now_ms() - l->clock_at_ms) : -1LL);
+	tg_strlcpy(o->saved, s->saved, sizeof(o->saved));
+	enqueue(o);
+}
+
+static void order_stop(const struct flow_stop_order *s, void *arg)
+{
+	struct order *o = new_order(arg, false, &s->ref, s->worker);
+
+	tg_log(EV_FLOW_STOP, "job=%s task=%d.%d.%d run=%d worker=%s why=%s",
+	       s->ref.job, s->ref.occurrence, s->ref.step, s->ref.index,
+	       s->ref.run, s->worker, s->reason);
+	enqueue(o);
+}
+
+const struct flow_ops orders_flow_ops = {
+	.start = order_start,
+	.stop = order_stop,
+};
+
+static int start(void *board)
+{
+	struct board *b = board;
+
+	turn_timer = event_new(b->base, -1, 0, on_turn, b);
+	queued = tg_gauge("tg_flow_orders_queued",
+			  "start and stop orders that wait to be sent", NULL);
+	wait_ms = tg_histogram("tg_flow_order_wait_ms",
+			       "time from a decision until its order is sent",
+			       NULL);
+	return 0;
+}
+
+static void stop(void *board)
+{
+	(void)board;
+	orders_reset();
+	event_free(turn_timer);
+}
+
+const struct tg_controller orders_controller = {
+	.name = "orders",
+	.start = start,
+	.stop = stop,
+};
--- a/cmd/tgflowd/rpc.c
+++ b/cmd/tgflowd/rpc.c
@@ -5,6 +5,11 @@
 
 /* Must be shorter than the time-out of the calling queue daemon. */
 #define STORE_TIMEOUT_MS 600
+/*
+ * One in this many descriptors is for connections of peers: two for each
+ * instance of the site, whose daemons call the owner.
+ */
+#define PEER_FDS_SHARE 5
 
 static void answer(struct board *b, struct tg_rpc_req *req,
 		   enum tg_rpc_status status, json_t *json, const char *text)
@@ -51,17 +56,20 @@
 static void ping(struct tg_rpc_req *req, void *args, void *arg)
 {
 	struct board *b = arg;
+	const struct tg_rpc_peer *peer = args;
 	struct tg_rpc_peer me = {
 		.instance = b->site.set.instance,
-		.role = "flow",
+		.role = FLOW_ROLE,
 		.az = b->site.set.az,
 		.boot = b->boot,
 		.epoch = b->owner.fence,
-		.active = owner_is_current(b) && !b->owner.released,
 		.draining = tg_daemon_draining(),
 	};
 
-	(void)args;
+	if (IS_OWNER(b) && !strcmp(peer->role, FLOW_ROLE) &&
+	    peer->epoch > b->fence)
+		owner_lost(b, "a peer knows of a later owner");
+	me.active = owner_is_current(b) && !b->owner.released;
 	tg_rpc_reply(req, &me);
 }
 
@@ -187,6 +195,9 @@
 		.base = b->base,
 		.addr = addr,
 		.handlers = handlers,
+		.max_connections =
+			(size_t)(b->site.set.fds_max / PEER_FDS_SHARE),
+		.priority = TG_PRIORITY_URGENT,
 		.arg = b,
 	};
 
--- /dev/null
+++ b/cmd/tgflowd/standby.c
@@ -0,0 +1,345 @@
+#include <string.h>
+
+#include "board.h"
+
+/* Watches the owner, and claims the ownership when it is gone. */
+
+/*
+ * Interval between pings of the owner: of an instance that would take over at
+ * once, and of one with fewer than PREFERRED_CORES, so that hundreds of
+ * standbys cost the owner little.
+ */
+#define PING_MS 300
+#define PING_SMALL_MS 900
+#define PING_TIMEOUT_MS 500
+/* A refused connection fails within this time; a silent peer takes longer. */
+#define REFUSED_WITHIN_MS 250
+/* A standby reads the owner's row if an answer is overdue by this much. */
+#define OWNER_SILENT_MS 300
+/* A new owner tells the former one, until it has answered, this often at most.
+ */
+#define NOTIFY_MAX 10
+/*
+ * The owner writes its row every RENEW_MS (writer.c) or sooner.  It is
+ * considered dead if the row stays unchanged this long: after pings showed that
+ * its process has ended or is not active, and after pings without an answer.
+ */
+#define UNCHANGED_ENDED_MS 300
+#define UNCHANGED_SILENT_MS 1100
+/*
+ * An instance with fewer than PREFERRED_CORES delays its claim by up to
+ * CLAIM_DELAY_MAX_MS, so that an instance with more becomes the owner if there
+ * is one: the CPU time of the owner's rounds grows with the number of workers.
+ */
+#define PREFERRED_CORES 0.25
+#define CLAIM_DELAY_MAX_MS 2000
+#define READ_TIMEOUT_MS 800
+#define CLAIM_TIMEOUT_MS 1000
+
+static struct {
+	bool pinging, reading, silence_logged;
+	/* Since when the process that wrote the row is known to have ended. */
+	int64_t ended_since_ms; /* 0 if it may be running */
+	bool stale; /* it runs but answers that it is not active */
+	uint64_t ping_fence; /* fence of the owner that is being pinged */
+	int64_t ping_ms, last_alive_ms;
+	int64_t read_version, unchanged_since_ms;
+	int64_t claimable_since_ms; /* there is a reason to claim; or 0 */
+	/* Address of the former owner, while it is still to be told. */
+	char former_addr[TG_ADDR_MAX + 1];
+	int notified;
+} watch;
+
+static bool has_preferred_cores(const struct board *b)
+{
+	return b->site.set.core_share * b->site.set.cores >= PREFERRED_CORES;
+}
+
+static int64_t ping_interval_ms(const struct board *b)
+{
+	return has_preferred_cores(b) ? PING_MS : PING_SMALL_MS;
+}
+
+static void on_ping(enum tg_rpc_call_status end, const void *res, void *arg)
+{
+	struct board *b = arg;
+	const struct tg_rpc_peer *p = res;
+	int64_t now_ms = tg_now_ms();
+	bool ended;
+
+	watch.pinging = false;
+	/* The owner may have changed during the ping. */
+	if (watch.ping_fence != b->owner.fence)
+		return;
+	watch.stale = false;
+	if (end == TG_RPC_CALL_OK && !strcmp(p->boot, b->owner.boot)) {
+		watch.stale = !p->active;
+		watch.ended_since_ms = 0;
+		if (p->active) {
+			watch.last_alive_ms = now_ms;
+			watch.silence_logged = false;
+		}
+		return;
+	}
+	/*
+	 * The owner's process has ended if another process answers at its
+	 * address or nothing listens there.  A broken connection is not
+	 * enough: it may have led to an earlier process at the address.
+	 */
+	ended = end == TG_RPC_CALL_OK ||
+		(end == TG_RPC_CALL_NOT_SENT &&
+		 now_ms - watch.ping_ms < REFUSED_WITHIN_MS);
+	if (!ended)
+		watch.ended_since_ms = 0;
+	else if (!watch.ended_since_ms)
+		watch.ended_since_ms = now_ms;
+}
+
+/* Says which owner this daemon knows of, so that a former one learns of it. */
+static void send_ping(struct board *b, const char *addr, tg_rpc_done done)
+{
+	struct tg_rpc_peer me = {
+		.instance = b->site.set.instance,
+		.role = FLOW_ROLE,
+		.az = b->site.set.az,
+		.boot = b->boot,
+		.epoch = b->owner.fence,
+	};
+
+	watch.pinging = true;
+	watch.ping_fence = b->owner.fence;
+	watch.ping_ms = tg_now_ms();
+	tg_rpc_call(b->peers, addr, TG_RPC_PING, &me, PING_TIMEOUT_MS, done, b);
+}
+
+static void ping_owner(struct board *b, int64_t now_ms)
+{
+	if (watch.pinging || now_ms - watch.ping_ms < ping_interval_ms(b) ||
+	    !*b->owner.addr)
+		return;
+	send_ping(b, b->owner.addr, on_ping);
+}
+
+static void on_notified(enum tg_rpc_call_status end, const void *res, void *arg)
+{
+	const struct tg_rpc_peer *p = res;
+
+	(void)arg;
+	watch.pinging = false;
+	if (end == TG_RPC_CALL_OK && !p->active)
+		watch.former_addr[0] = '\0';
+}
+
+void standby_notify_former(struct board *b, int64_t now_ms)
+{
+	if (!*watch.former_addr || watch.pinging ||
+	    (watch.notified && now_ms - watch.ping_ms < PING_MS))
+		return;
+	if (++watch.notified > NOTIFY_MAX)
+		watch.former_addr[0] = '\0';
+	else
+		send_ping(b, watch.former_addr, on_notified);
+}
+
+static void set_owner_row(struct board *b, const struct tg_row *row)
+{
+	struct tg_owner_row o;
+
+	if (tg_owner_row_decode(row, &o)) {
+		tg_log(EV_ROW_BAD, "table=%s key=%s version=%lld",
+		       TG_OWNER_TABLE, row->key, (long long)row->version);
+		return;
+	}
+	if (o.fence != b->owner.fence) {
+		watch.last_alive_ms = tg_now_ms();
+		watch.stale = false;
+		watch.ended_since_ms = 0;
+	}
+	b->owner = o;
+	b->owner_version = row->version;
+}
+
+static char claim_reason[64];
+static struct tg_owner_row claim;
+
+static void read_row(struct board *b);
+
+static void begin_term(struct board *b)
+{
+	owner_begin_term(b, claim_reason, watch.ended_since_ms);
+	standby_notify_former(b, tg_now_ms());
+}
+
+static void on_claim(const struct tg_store_result *r, void *arg)
+{
+	struct board *b = arg;
+
+	if (b->role != ROLE_CLAIMING)
+		return;
+	b->role = ROLE_STANDBY;
+	if (r->end == TG_STORE_OK) {
+		b->owner = claim;
+		b->owner_version = r->version;
+		begin_term(b);
+	} else if (r->end == TG_STORE_CONFLICT && r->n_rows) {
+		set_owner_row(b, &r->rows[0]);
+		watch.read_version = 0;
+	} else {
+		/* The row shows whether the claim succeeded. */
+		read_row(b);
+	}
+}
+
+static void claim_ownership(struct board *b, const char *why)
+{
+	struct tg_row check = {
+		.table = TG_OWNER_TABLE,
+		.part = TG_OWNER_PART,
+		.key = TG_OWNER_KEY,
+		.version = b->owner_version,
+	};
+	struct tg_row put = check;
+	struct tg_store_tx tx = {
+		.checks = &check,
+		.n_checks = 1,
+		.puts = &put,
+		.n_puts = 1,
+		.timeout_ms = CLAIM_TIMEOUT_MS,
+	};
+	char *text;
+
+	b->former_owner_ended =
+		watch.ended_since_ms || b->owner.released || !b->owner_version;
+	memset(&claim, 0, sizeof(claim));
+	tg_strlcpy(claim.holder, b->site.set.instance, sizeof(claim.holder));
+	tg_strlcpy(claim.addr, tg_rpc_server_addr(b->rpc), sizeof(claim.addr));
+	tg_strlcpy(claim.boot, b->boot, sizeof(claim.boot));
+	claim.fence = b->owner.fence + 1;
+	tg_owner_row_copy_silent(&claim, &b->owner);
+	tg_strlcpy(watch.former_addr,
+		   b->former_owner_ended ? "" : b->owner.addr,
+		   sizeof(watch.former_addr));
+	watch.notified = 0;
+	tg_strlcpy(claim_reason, why, sizeof(claim_reason));
+	b->role = ROLE_CLAIMING;
+	text = tg_owner_row_encode(&claim);
+	put.value = text;
+	put.value_bytes = strlen(text);
+	b->site.ops->tx(b->site.port, &tx, on_claim, b);
+	free(text);
+}
+
+/* Whether an unanswered claim of this process took effect. */
+static bool is_own_claim(const struct board *b)
+{
+	return !strcmp(b->owner.boot, b->boot) &&
+		b->owner.fence == claim.fence && !b->owner.released;
+}
+
+static bool is_silent(const struct board *b, int64_t now_ms)
+{
+	return now_ms - watch.last_alive_ms >=
+		ping_interval_ms(b) + OWNER_SILENT_MS;
+}
+
+static const char *reason_to_claim(struct board *b, int64_t now_ms)
+{
+	int64_t unchanged_ms = now_ms - watch.unchanged_since_ms;
+
+	if (!b->owner_version)
+		return "no owner yet";
+	if (b->owner.released)
+		return "released";
+	if (watch.ended_since_ms && unchanged_ms >= UNCHANGED_ENDED_MS)
+		return "owner process has ended";
+	if (watch.stale && unchanged_ms >= UNCHANGED_ENDED_MS)
+		return "owner does not reach the store";
+	if (is_silent(b, now_ms) && unchanged_ms >= UNCHANGED_SILENT_MS)
+		return "owner does not answer";
+	return NULL;
+}
+
+static int64_t claim_delay_ms(const struct board *b)
+{
+	double cores = b->site.set.core_share * b->site.set.cores;
+
+	if (has_preferred_cores(b))
+		return 0;
+	return (int64_t)(CLAIM_DELAY_MAX_MS * (PREFERRED_CORES - cores) /
+			 PREFERRED_CORES);
+}
+
+static void on_read(const struct tg_store_result *r, void *arg)
+{
+	struct board *b = arg;
+	int64_t now_ms = tg_now_ms();
+	const char *why;
+
+	watch.reading = false;
+	if (b->role != ROLE_STANDBY)
+		return;
+	if (r->end != TG_STORE_OK) {
+		watch.read_version = 0;
+		return;
+	}
+	if (r->n_rows)
+		set_owner_row(b, &r->rows[0]);
+	if (r->n_rows && is_own_claim(b)) {
+		begin_term(b);
+		return;
+	}
+	if (watch.read_version != b->owner_version) {
+		watch.read_version = b->owner_version;
+		watch.unchanged_since_ms = now_ms;
+	}
+	why = reason_to_claim(b, now_ms);
+	if (!why)
+		watch.claimable_since_ms = 0;
+	else if (!watch.claimable_since_ms)
+		watch.claimable_since_ms = now_ms;
+	if (why && now_ms - watch.claimable_since_ms >= claim_delay_ms(b))
+		claim_ownership(b, why);
+}
+
+static void read_row(struct board *b)
+{
+	struct tg_store_range range = {
+		.table = TG_OWNER_TABLE,
+		.part = TG_OWNER_PART,
+		.timeout_ms = READ_TIMEOUT_MS,
+	};
+
+	if (watch.reading)
+		return;
+	watch.reading = true;
+	b->site.ops->get(b->site.port, &range, on_read, b);
+}
+
+void standby_watch(struct board *b, int64_t now_ms)
+{
+	bool silent = is_silent(b, now_ms);
+
+	ping_owner(b, now_ms);
+	if (silent && !watch.silence_logged && b->owner_version) {
+		watch.silence_logged = true;
+		tg_log(EV_FLOW_OWNER_SILENT,
+		       "owner=%s silent_ms=%lld gone=%d stale=%d",
+		       b->owner.holder,
+		       (long long)(now_ms - watch.last_alive_ms),
+		       watch.ended_since_ms != 0, watch.stale);
+	}
+	if (!b->owner_version || silent || watch.ended_since_ms ||
+	    watch.stale || b->owner.released)
+		read_row(b);
+	else
+		watch.read_version = 0;
+}
+
+void standby_reset(void)
+{
+	watch.last_alive_ms = tg_now_ms();
+	watch.ended_since_ms = 0;
+	watch.stale = false;
+	watch.read_version = 0;
+	watch.former_addr[0] = '\0';
+}
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -158,9 +158,9 @@
 	b->owner.seq = w.row.seq;
 	tg_owner_row_copy_silent(&b->owner, &w.row);
 	b->owner_version = version;
-	b->written_ms = w.started_ms;
 	w.failures = 0;
 	w.busy = false;
+	owner_written(b, w.started_ms);
 	flow_mark_written(b->flow);
 	forget_deletes();
 	log_ends(b);
@@ -238,6 +238,7 @@
 	(void)what;
 	if (!IS_OWNER(b) || !b->flow)
 		return;
+	tg_turn_begin();
 	if (!w.busy) {
 		b->write_wanted = false;
 		collect(b);
@@ -245,6 +246,7 @@
 		w.term = b->term;
 	}
 	send_write(b);
+	tg_turn_end("write");
 }
 
 void writer_wake(struct board *b)
@@ -283,6 +285,7 @@
 	struct board *b = board;
 
 	w.timer = event_new(b->base, -1, 0, on_timer, b);
+	event_priority_set(w.timer, TG_PRIORITY_URGENT);
 	write_us = tg_histogram("tg_flow_write_us",
 				"duration of the owner's writes to the store",
 				NULL);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -335,6 +335,15 @@
 		     const char *worker, enum flow_run_result how,
 		     const char *saved, int64_t now_ms);
 
+/**
+ * flow_starting_text() - text of the specification for a start order
+ *
+ * Return: NULL if the run is not waiting for its start any more.
+ */
+const char *flow_starting_text(const struct flow *f,
+			       const struct flow_run_ref *r,
+			       const char *worker);
+
 /* --- decisions --- */
 
 /** flow_decide() - run a scheduling round; true if progress must be written */
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -228,7 +228,7 @@
 	}
 }
 
-static bool find_task(struct flow *f, const struct flow_run_ref *ref,
+static bool find_task(const struct flow *f, const struct flow_run_ref *ref,
 		      struct job **j, struct step_state **ss)
 {
 	*j = flow_find_job(f, ref->job);
@@ -237,8 +237,8 @@
 		ref->index < flow_step_of(*j, *ss)->tasks;
 }
 
-static struct run *find_run(struct flow *f, const struct flow_run_ref *ref,
-			    struct worker *w)
+static struct run *find_run(const struct flow *f,
+			    const struct flow_run_ref *ref, struct worker *w)
 {
 	struct step_state *ss;
 	struct run *r;
@@ -253,6 +253,15 @@
 	return NULL;
 }
 
+const char *flow_starting_text(const struct flow *f,
+			       const struct flow_run_ref *ref,
+			       const char *worker)
+{
+	struct run *r = find_run(f, ref, flow_find_worker(f, worker));
+
+	return r && r->state == RUN_STARTING ? r->job->spec->text : NULL;
+}
+
 void flow_start_answered(struct flow *f, const struct flow_run_ref *ref,
 			 const char *worker, enum flow_order_result end,
 			 int64_t now_ms)
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -138,18 +138,20 @@
 					  "run", r->run));
 	tg_http_reply_json(
 		req, 200,
-		json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}",
-			  "jobs", (json_int_t)store_count("jobs"), "progress",
-			  (json_int_t)store_count("progress"), "reads",
-			  (json_int_t)board.reads, "writes",
-			  (json_int_t)board.writes, "starts",
-			  (json_int_t)board.starts, "stops",
-			  (json_int_t)board.stops, "holds",
-			  (json_int_t)board.holds, "over_room",
-			  (json_int_t)board.over_room, "twice",
-			  (json_int_t)board.twice, "after_done",
-			  (json_int_t)board.after_done, "lapsed",
-			  (json_int_t)board.lapsed, "runs", runs));
+		json_pack(
+			"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}",
+			"jobs", (json_int_t)store_count("jobs"), "progress",
+			(json_int_t)store_count("progress"), "reads",
+			(json_int_t)board.reads, "writes",
+			(json_int_t)board.writes, "starts",
+			(json_int_t)board.starts, "stops",
+			(json_int_t)board.stops, "holds",
+			(json_int_t)board.holds, "over_room",
+			(json_int_t)board.over_room, "twice",
+			(json_int_t)board.twice, "after_done",
+			(json_int_t)board.after_done, "lapsed",
+			(json_int_t)board.lapsed, "fenced",
+			(json_int_t)board.fenced, "runs", runs));
 }
 
 static const struct tg_http_route routes[] = {
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -96,6 +96,7 @@
 	/* what was seen */
 	int64_t reads, writes, starts, stops, holds;
 	int64_t over_room, twice, after_done, lapsed;
+	int64_t fenced; /* calls of a former owner */
 };
 
 extern struct board board;
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -189,6 +189,7 @@
 		w->fence = fence;
 		return false;
 	}
+	board.fenced++;
 	reply_clock(w, req, 409, "fence");
 	return true;
 }
@@ -349,6 +350,7 @@
 		return;
 	}
 	reason = start(w, body);
+	board.fenced += reason && !strcmp(reason, "fence");
 	if (!reason && is_deadly(body)) {
 		close_without_reply(board.base, req, NO_REPLY_MS, NULL, NULL);
 		delay_call(board.base, 0, crash, w);
--- /dev/null
+++ b/tests/unit/orders/test-orders.c
@@ -0,0 +1,265 @@
+#include <string.h>
+#include <unistd.h>
+
+#include "../../../cmd/tgflowd/board.h"
+#include "../flow/fleet.h"
+#include "../run.h"
+
+/*
+ * The orders of a round were all sent before the round returned.  With 2,500 of
+ * them the owner did nothing else for most of a second.
+ */
+
+#define WORKERS 16
+#define ACCELERATORS 8
+/* What it takes here to send an order. */
+#define SEND_US 1000
+/* Of a turn of 10 ms, and the order that exceeds it. */
+#define ORDERS_PER_TURN 11
+#define IN_PROGRESS_MAX 2
+
+struct sent {
+	tg_order_done done;
+	void *arg;
+	bool start;
+	char worker[TG_NAME_MAX + 1];
+};
+
+static struct board b;
+static struct link links[WORKERS];
+static struct sent sent[WORKERS * ACCELERATORS * 2];
+static int n_sent, n_answered;
+static bool may_renew;
+
+/* --- what orders.c calls --- */
+
+struct link *link_find(struct board *board, const char *id)
+{
+	(void)board;
+	return &links[atoi(id + 1)];
+}
+
+void link_poll(struct link *l)
+{
+	(void)l;
+}
+
+int64_t link_expiry(struct link *l)
+{
+	(void)l;
+	return 1;
+}
+
+bool owner_may_renew(struct board *board)
+{
+	(void)board;
+	return may_renew;
+}
+
+void owner_lost(struct board *board, const char *why)
+{
+	(void)board;
+	ck_abort_msg("ownership lost: %s", why);
+}
+
+void round_wake(struct board *board)
+{
+	(void)board;
+}
+
+/* --- the port --- */
+
+static void note_order(bool start, const struct tg_worker_ref *w,
+		       tg_order_done done, void *arg)
+{
+	struct sent *s = &sent[n_sent++];
+
+	s->done = done;
+	s->arg = arg;
+	s->start = start;
+	tg_strlcpy(s->worker, w->id, sizeof(s->worker));
+	usleep(SEND_US);
+}
+
+static void start_run(struct tg_port *p, const struct tg_worker_ref *w,
+		      const struct tg_order *o, tg_order_done done, void *arg)
+{
+	(void)p;
+	ck_assert_str_eq(o->spec, "text");
+	note_order(true, w, done, arg);
+}
+
+static void stop_run(struct tg_port *p, const struct tg_worker_ref *w,
+		     const struct tg_order *o, tg_order_done done, void *arg)
+{
+	(void)p;
+	(void)o;
+	note_order(false, w, done, arg);
+}
+
+static const struct tg_port_ops port_ops = { .start = start_run,
+					     .stop = stop_run };
+
+/* --- tests --- */
+
+static void setup(void)
+{
+	char id[8];
+	int i;
+
+	memset(&b, 0, sizeof(b));
+	n_sent = n_answered = 0;
+	may_renew = true;
+	b.base = tg_loop_new();
+	b.site.ops = &port_ops;
+	b.flow = fleet_new();
+	for (i = 0; i < WORKERS; i++) {
+		snprintf(id, sizeof(id), "w%d", i);
+		fleet_add_worker(b.flow, id, "r", ACCELERATORS);
+		tg_strlcpy(links[i].entry.id, id, sizeof(links[i].entry.id));
+	}
+	orders_controller.start(&b);
+}
+
+static void teardown(void)
+{
+	orders_controller.stop(&b);
+	flow_free(b.flow);
+	event_base_free(b.base);
+}
+
+/* Decides on a task for each accelerator of the fleet. */
+static void fill_fleet(void)
+{
+	fleet_add_job(b.flow, "job", "normal",
+		      fleet_new_spec(WORKERS * ACCELERATORS, 1, false), 0);
+	flow_decide(b.flow, 100, 100, &orders_flow_ops, &b);
+}
+
+static void run_loop(void)
+{
+	event_base_loop(b.base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+}
+
+static void answer(int i)
+{
+	sent[i].done(TG_ORDER_DONE, 1, sent[i].arg);
+	n_answered++;
+}
+
+static int in_progress(const char *worker)
+{
+	int i, n = 0;
+
+	for (i = n_answered; i < n_sent; i++)
+		n += !strcmp(sent[i].worker, worker);
+	return n;
+}
+
+START_TEST(orders_are_sent_in_turns)
+{
+	int before = 0, turns = 0;
+
+	fill_fleet();
+	ck_assert_int_eq(n_sent, 0);
+	while (n_answered < WORKERS * ACCELERATORS && turns < 1000) {
+		run_loop();
+		ck_assert_int_le(n_sent - before, ORDERS_PER_TURN);
+		while (n_answered < n_sent)
+			answer(n_answered);
+		before = n_sent;
+		turns++;
+	}
+	ck_assert_int_eq(n_sent, WORKERS * ACCELERATORS);
+}
+END_TEST
+
+/* More connections to each worker than that exceed the descriptors. */
+START_TEST(few_orders_are_in_progress_on_a_worker)
+{
+	int i;
+
+	fill_fleet();
+	for (i = 0; i < 100; i++)
+		run_loop();
+	ck_assert_int_eq(n_sent, WORKERS * IN_PROGRESS_MAX);
+	for (i = 0; i < WORKERS; i++)
+		ck_assert_int_eq(in_progress(links[i].entry.id),
+				 IN_PROGRESS_MAX);
+	answer(0);
+	run_loop();
+	ck_assert_int_eq(n_sent, WORKERS * IN_PROGRESS_MAX + 1);
+	ck_assert_str_eq(sent[n_sent - 1].worker, sent[0].worker);
+}
+END_TEST
+
+START_TEST(stops_go_first_and_unsent_starts_are_dropped)
+{
+	int i, n_stops = 0;
+
+	fill_fleet();
+	run_loop();
+	i = n_sent;
+	ck_assert_int_lt(i, WORKERS * IN_PROGRESS_MAX);
+	flow_cancel(b.flow, "job", 200);
+	flow_decide(b.flow, 200, 200, &orders_flow_ops, &b);
+	for (i = 0; i < 1000; i++) {
+		run_loop();
+		if (n_answered < n_sent)
+			answer(n_answered);
+	}
+	for (i = 0; i < n_sent; i++)
+		n_stops += !sent[i].start;
+	/* All runs are stopped; those that weren't started yet never are. */
+	ck_assert_int_eq(n_stops, WORKERS * ACCELERATORS);
+	ck_assert_int_lt(n_sent - n_stops, WORKERS * IN_PROGRESS_MAX);
+}
+END_TEST
+
+START_TEST(nothing_is_sent_without_permission)
+{
+	int i;
+
+	may_renew = false;
+	fill_fleet();
+	for (i = 0; i < 10; i++)
+		run_loop();
+	ck_assert_int_eq(n_sent, 0);
+	may_renew = true;
+	orders_wake();
+	run_loop();
+	ck_assert_int_gt(n_sent, 0);
+}
+END_TEST
+
+START_TEST(a_term_that_ends_drops_its_orders)
+{
+	int i;
+
+	fill_fleet();
+	run_loop();
+	b.term++;
+	orders_reset();
+	for (i = 0; i < n_sent; i++)
+		answer(i);
+	i = n_sent;
+	run_loop();
+	run_loop();
+	ck_assert_int_eq(n_sent, i);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("orders");
+	TCase *t = tcase_create("orders");
+
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, orders_are_sent_in_turns);
+	tcase_add_test(t, few_orders_are_in_progress_on_a_worker);
+	tcase_add_test(t, stops_go_first_and_unsent_starts_are_dropped);
+	tcase_add_test(t, nothing_is_sent_without_permission);
+	tcase_add_test(t, a_term_that_ends_drops_its_orders);
+	suite_add_tcase(s, t);
+	return run_suite(s);
+}
