Ignore odd rows of other writers, and read past long keys

Deep nesting and integers of 20 digits were ignored already. A key of more than 255 bytes made a scan of the table read the same page for ever, so that the daemon stopped following it.

The key at which a scan goes on has any length.

--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -13,7 +13,8 @@
 
 	if (flow_has_job(b->flow, row->key))
 		return;
-	if (tg_job_row_decode(row->value, row->value_bytes, &job)) {
+	if (tg_job_row_decode(row->value, row->value_bytes, &job) ||
+	    strcmp(job.id, row->key) != 0) {
 		tg_log(EV_ROW_BAD, "table=%s key=%s version=%lld",
 		       TG_JOBS_TABLE, row->key, (long long)row->version);
 		flow_spec_free(job.spec);
--- a/lib/flow/spec.c
+++ b/lib/flow/spec.c
@@ -5,6 +5,7 @@
 
 #define SHAPE_MAX 1000000000LL
 #define DURATION_MAX_MS (400LL * 86400 * 1000) /* 400 days */
+#define WALL_MAX_MS (1LL << 53)
 
 static void check_after(const struct flow_spec *s, int32_t i,
 			struct tg_findings *f)
@@ -46,8 +47,8 @@
 		tg_findings_add(f, "/times", "%d is not a number of times",
 				s->times);
 	if (s->times > 0 &&
-	    (s->first_wall_ms < 0 || s->interval_ms < 0 ||
-	     s->interval_ms > DURATION_MAX_MS))
+	    (s->first_wall_ms < 0 || s->first_wall_ms > WALL_MAX_MS ||
+	     s->interval_ms < 0 || s->interval_ms > DURATION_MAX_MS))
 		tg_findings_add(f, "/times", "times out of range");
 	for (i = 0; i < s->n_steps; i++) {
 		const struct flow_step *st = &s->steps[i];
--- a/lib/site/follow.c
+++ b/lib/site/follow.c
@@ -37,7 +37,7 @@
 	int64_t stall_ms; /* longest pause in the next answer */
 	int64_t scan_bytes; /* size of all answers of the last scan */
 	int part; /* index of the part that is being scanned */
-	char from[256]; /* key at which the scan goes on in the part */
+	char *from; /* key at which the scan goes on in the part; or NULL */
 	bool scanning;
 	bool in_call; /* a call is in progress, or a callback is running */
 	bool free_pending; /* to be freed when the call ends */
@@ -46,6 +46,12 @@
 
 static void start_next_call(struct tg_table_watch *f);
 
+static void free_watch(struct tg_table_watch *f)
+{
+	free(f->from);
+	free(f);
+}
+
 static void retry_later(struct tg_table_watch *f)
 {
 	struct timeval tv = { .tv_usec = RETRY_MS * 1000 };
@@ -126,12 +132,12 @@
 static void advance_scan(struct tg_table_watch *f,
 			 const struct tg_store_result *r)
 {
+	free(f->from);
+	f->from = NULL;
 	if (r->more && r->n_rows) {
-		snprintf(f->from, sizeof(f->from), "%s\x01",
-			 r->rows[r->n_rows - 1].key);
+		f->from = tg_xasprintf("%s\x01", r->rows[r->n_rows - 1].key);
 		return;
 	}
-	f->from[0] = '\0';
 	f->part++;
 	if (f->opts.parts && f->part < f->opts.n_parts)
 		return;
@@ -148,7 +154,7 @@
 	f->in_call = false;
 	if (!f->free_pending)
 		return false;
-	free(f);
+	free_watch(f);
 	return true;
 }
 
@@ -231,7 +237,8 @@
 		f->scanning = true;
 		f->scan_version = f->scan_bytes = 0;
 		f->part = 0;
-		f->from[0] = '\0';
+		free(f->from);
+		f->from = NULL;
 		if (f->opts.on_scan_start)
 			f->opts.on_scan_start(f->opts.arg);
 	}
@@ -279,7 +286,7 @@
 	if (f->in_call)
 		f->free_pending = true;
 	else
-		free(f);
+		free_watch(f);
 }
 
 int64_t tg_table_watch_not_current_ms(const struct tg_table_watch *f)
--- a/lib/site/rows.c
+++ b/lib/site/rows.c
@@ -3,6 +3,9 @@
 
 #include "site/site.h"
 
+/* Differences of two such times stay in the range of the type. */
+#define WALL_MAX_MS (1LL << 53)
+
 const char *tg_job_part_name(int i)
 {
 	static const char *const parts[TG_JOB_PARTS] = { "0", "1", "2", "3" };
@@ -46,6 +49,8 @@
 	    !tg_strlcpy(r->queue, queue, sizeof(r->queue)) ||
 	    !tg_strlcpy(r->workspace, workspace, sizeof(r->workspace)))
 		goto out;
+	if (accepted < 0 || accepted > WALL_MAX_MS)
+		goto out;
 	r->accepted_wall_ms = accepted;
 	r->spec = flow_spec_decode(spec);
 	err = r->spec ? 0 : -1;
--- a/tests/unit/platform/test-platform.c
+++ b/tests/unit/platform/test-platform.c
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include "../run.h"
+#include "odd.h"
 #include "platform/platform.h"
 
 #define CAPACITY "\"capacity\":{\"cpu\":1000,\"mem-mb\":2000,\"gpu\":8}"
@@ -148,5 +149,6 @@
 	tcase_add_test(t, document_is_decoded);
 	tcase_add_test(t, settings_findings_are_complete);
 	suite_add_tcase(s, t);
+	suite_add_tcase(s, odd_tcase());
 	return run_suite(s);
 }
--- /dev/null
+++ b/tests/unit/site/test-site.c
@@ -0,0 +1,122 @@
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../run.h"
+#include "site/site.h"
+
+#define KEY_BYTES 10000
+
+static struct tg_site site;
+static char key[KEY_BYTES + 1];
+static char *last_from;
+static int n_gets, n_rows_seen;
+static bool scan_done;
+
+struct pending {
+	tg_store_done done;
+	void *arg;
+	bool first;
+};
+
+/* The first page ends with the long key; the second one is empty. */
+static void answer_page(evutil_socket_t fd, short what, void *arg)
+{
+	struct pending *p = arg;
+	struct tg_row row = { .table = "servers",
+			      .part = "",
+			      .key = key,
+			      .value = "",
+			      .version = 1 };
+	struct tg_store_result r = { .end = TG_STORE_OK, .version = 1 };
+
+	(void)fd;
+	(void)what;
+	if (p->first) {
+		r.rows = &row;
+		r.n_rows = 1;
+		r.more = true;
+	}
+	p->done(&r, p->arg);
+	free(p);
+}
+
+static void get_page(struct tg_port *port, const struct tg_store_range *range,
+		     tg_store_done done, void *arg)
+{
+	struct timeval now = { 0 };
+	struct pending *p = tg_xcalloc(1, sizeof(*p));
+
+	(void)port;
+	free(last_from);
+	last_from = tg_xstrdup(range->from ? range->from : "");
+	p->done = done;
+	p->arg = arg;
+	p->first = !n_gets++;
+	event_base_once(site.base, -1, EV_TIMEOUT, answer_page, p, &now);
+}
+
+/* Never answers: the test ends with the scan. */
+static void feed(struct tg_port *port, const struct tg_store_feed *f,
+		 tg_store_done done, void *arg)
+{
+	(void)port;
+	(void)f;
+	(void)done;
+	(void)arg;
+	event_base_loopbreak(site.base);
+}
+
+static void on_row(const struct tg_row *row, void *arg)
+{
+	(void)row;
+	(void)arg;
+	n_rows_seen++;
+}
+
+static void on_scan_done(void *arg)
+{
+	(void)arg;
+	scan_done = true;
+}
+
+/*
+ * The key at which a scan goes on was cut off after 255 bytes.  Behind a longer
+ * one, of another writer, the same page was read again and again.
+ */
+START_TEST(scan_goes_on_behind_a_long_key)
+{
+	static const struct tg_port_ops ops = { .get = get_page, .feed = feed };
+	struct tg_table_watch_opts o = {
+		.site = &site,
+		.table = "servers",
+		.on_row = on_row,
+		.on_scan_done = on_scan_done,
+	};
+	struct tg_table_watch *w;
+
+	memset(key, 'k', KEY_BYTES);
+	site.ops = &ops;
+	site.base = event_base_new();
+	w = tg_table_watch_new(&o);
+	event_base_dispatch(site.base);
+	ck_assert(scan_done);
+	ck_assert_int_eq(n_rows_seen, 1);
+	ck_assert_int_eq(n_gets, 2);
+	ck_assert_uint_eq(strlen(last_from), KEY_BYTES + 1);
+	ck_assert(!strncmp(last_from, key, KEY_BYTES));
+	tg_table_watch_free(w);
+	event_base_free(site.base);
+	free(last_from);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("site");
+	TCase *t = tcase_create("follow");
+
+	tcase_add_test(t, scan_goes_on_behind_a_long_key);
+	suite_add_tcase(s, t);
+	return run_suite(s);
+}
