Blame crashes beside a cut or a take-over as well

Cause: the crash of a worker was forgiven if two others of its pool went silent within 3 s without a young run.

Change: workers that come back as the same process, or had runs of unknown age, are no sign of a common cause; and beside one, runs that began up to 250 ms before, or whose task was blamed before, are still blamed. An innocent job is given up only if its task is that unlucky three times.

Tests: crashes_beside_a_cut_are_blamed, workers_that_were_only_silent_explain_no_crash and crashes_under_runs_of_unknown_age_explain_no_other fail before; loss_of_a_rack_gives_up_no_job.

--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -321,16 +321,22 @@
 			   int64_t asked_ms)
 {
 	struct board *b = l->board;
+	int64_t known_boot_ms = l->boot_ms;
+	bool restarted;
 
 	link_set_boot(l, r->boot_ms);
+	restarted = known_boot_ms && l->boot_ms != known_boot_ms;
 	/* Answers on different connections may arrive out of order. */
 	if (r->clock_ms < l->clock_ms)
 		return;
 	l->clock_ms = r->clock_ms;
 	l->clock_at_ms = tg_now_ms();
-	if (l->failed)
+	if (l->failed) {
 		tg_log(EV_FLOW_WORKER_BACK, "worker=%s failures=%d",
 		       l->entry.id, l->failures);
+		if (!restarted)
+			flow_worker_back(b->flow, l->entry.id);
+	}
 	l->failed = false;
 	l->failures = l->refusals = 0;
 	flow_worker_set_suspect(b->flow, l->entry.id, !l->in_directory);
--- a/lib/flow/crash.c
+++ b/lib/flow/crash.c
@@ -15,6 +15,12 @@
 
 /* Most tasks that crash their worker do so this soon after their start. */
 #define YOUNG_MS 2000
+/*
+ * A run that began this shortly before its worker crashed is blamed even if
+ * other workers went silent at the same time: few tasks start in that time, and
+ * an innocent one would have to be as unlucky CRASHES_MAX times.
+ */
+#define VERY_YOUNG_MS 250
 /* A job fails when this many crashes are blamed on one of its tasks. */
 #define CRASHES_MAX 3
 /*
@@ -83,13 +89,24 @@
 	if (!w)
 		return;
 	w->silent_ms = now_ms;
-	w->silent_with_young_run = false;
+	w->may_have_own_cause = false;
+	/* The age of runs that a former owner started is not known. */
 	for (r = w->runs; r; r = r->next)
-		w->silent_with_young_run |=
-			age_at(r, now_ms) >= 0 && age_at(r, now_ms) < YOUNG_MS;
+		w->may_have_own_cause |= age_at(r, now_ms) < YOUNG_MS;
 }
 
-/* Workers with a young run are left out: each may have a cause of its own. */
+void flow_worker_back(struct flow *f, const char *id)
+{
+	struct worker *w = flow_find_worker(f, id);
+
+	if (w)
+		w->silent_ms = 0;
+}
+
+/*
+ * Whether other workers ended at the same time.  Those that have a run which
+ * may have crashed them are left out, and those that were only silent.
+ */
 static bool has_common_cause(const struct flow *f, const struct worker *w,
 			     int64_t silent_ms)
 {
@@ -98,7 +115,7 @@
 
 	for (o = f->workers; o; o = o->hh.next)
 		n += o != w && o->pool == w->pool && o->silent_ms &&
-			!o->silent_with_young_run &&
+			!o->may_have_own_cause &&
 			llabs(o->silent_ms - silent_ms) <= SAME_TIME_MS;
 	return n >= SAME_TIME_WORKERS;
 }
@@ -133,6 +150,25 @@
 		crash->on_blame(&b, crash->arg);
 }
 
+/* Whether the run is blamed although there may be a common cause. */
+static bool is_telling(const struct casualty *c)
+{
+	return is_on_probation(c) &&
+		(c->age_ms < VERY_YOUNG_MS || c->task->crashes.n);
+}
+
+/* Drops the casualties that a common cause explains; returns how many remain.
+ */
+static size_t keep_telling(struct casualty *list, size_t n)
+{
+	size_t i, kept = 0;
+
+	for (i = 0; i < n; i++)
+		if (is_telling(&list[i]))
+			list[kept++] = list[i];
+	return kept;
+}
+
 static void find_culprits(const struct casualty *list, size_t n,
 			  const struct flow_crash *crash)
 {
@@ -227,7 +263,9 @@
 	n = add_lost_runs(f, w, list);
 	for (r = w->runs; r; r = r->next)
 		list[n++] = casualty_of(r, crash->silent_ms);
-	if (!w->draining && !has_common_cause(f, w, crash->silent_ms))
+	if (has_common_cause(f, w, crash->silent_ms))
+		n = keep_telling(list, n);
+	if (!w->draining)
 		find_culprits(list, n, crash);
 	free(list);
 	flow_worker_lost(f, crash->worker, now_ms);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -152,6 +152,8 @@
 void flow_worker_set_suspect(struct flow *f, const char *id, bool suspect);
 /** flow_worker_silent() - the worker has just stopped answering */
 void flow_worker_silent(struct flow *f, const char *id, int64_t now_ms);
+/** flow_worker_back() - the same process of the worker answers again */
+void flow_worker_back(struct flow *f, const char *id);
 
 /**
  * struct flow_blame - a task that a worker's crash is blamed on
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -188,7 +188,7 @@
 	int64_t quarantined_until_ms;
 	int32_t quarantines;
 	int64_t silent_ms; /* last time that it went silent; or 0 */
-	bool silent_with_young_run;
+	bool may_have_own_cause; /* of that silence: a run that crashed it */
 	struct lost_run *lost_runs;
 	size_t n_lost_runs;
 	const struct job *isolated_for; /* this round; see crash.c */
--- a/tests/unit/flow/test-crash.c
+++ b/tests/unit/flow/test-crash.c
@@ -183,6 +183,135 @@
 }
 END_TEST
 
+/* Starts a job of one task, and crashes its worker after @age_ms. */
+static int64_t crash_at_age(const char *job, int64_t now_ms, int64_t age_ms)
+{
+	crash(f, start(job, now_ms), now_ms + age_ms, now_ms + BACK_MS);
+	return now_ms + BACK_MS + 1;
+}
+
+/*
+ * Workers with old runs that a cut silences while a deadly task goes round: its
+ * crashes were put down to the cut, and it crashed worker after worker.
+ */
+START_TEST(crashes_beside_a_cut_are_blamed)
+{
+	static const char *const cut[] = { "w1", "w2", "w3" };
+	int64_t now_ms = 1000;
+	size_t i;
+	int k;
+
+	for (i = 0; i < ARRAY_SIZE(cut); i++)
+		fleet_add_worker(f, cut[i], "r1", 8);
+	/* They are full with old runs, so that the task starts on others. */
+	fleet_add_job(f, "old", "normal", fleet_new_spec(3, 8, false), 0);
+	fleet_decide(f, &o, now_ms);
+	ck_assert_int_eq(o.n_starts, 3);
+	fleet_confirm_starts(f, &o, now_ms);
+	now_ms += OLD_MS;
+	fleet_add_worker(f, "w4", "r2", 8);
+	fleet_add_worker(f, "w5", "r2", 8);
+	fleet_add_job(f, "deadly", "normal", fleet_new_spec(1, 1, false), 0);
+	for (k = 0; k < CRASHES_MAX; k++) {
+		for (i = 0; i < ARRAY_SIZE(cut); i++)
+			flow_worker_silent(f, cut[i], now_ms);
+		now_ms = crash_at_age("deadly", now_ms, 150);
+	}
+	ck_assert_int_eq(n_given_up, 1);
+	ck_assert_int_eq(state(f, "deadly"), FLOW_FAILED);
+	ck_assert_int_ne(state(f, "old"), FLOW_FAILED);
+}
+END_TEST
+
+/* What was cut off comes back as the same process: it proves no common cause.
+ */
+START_TEST(workers_that_were_only_silent_explain_no_crash)
+{
+	static const char *const cut[] = { "w1", "w2", "w3" };
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(cut); i++)
+		fleet_add_worker(f, cut[i], "r1", 8);
+	fleet_add_job(f, "old", "normal", fleet_new_spec(3, 8, false), 0);
+	fleet_decide(f, &o, 1000);
+	fleet_confirm_starts(f, &o, 1000);
+	fleet_add_worker(f, "w4", "r2", 8);
+	fleet_add_job(f, "deadly", "normal", fleet_new_spec(1, 1, false), 0);
+	for (i = 0; i < ARRAY_SIZE(cut); i++)
+		flow_worker_silent(f, cut[i], 1000 + OLD_MS);
+	for (i = 0; i < ARRAY_SIZE(cut); i++)
+		flow_worker_back(f, cut[i]);
+	crash_at_age("deadly", 1000 + OLD_MS, 1500);
+	ck_assert_int_eq(n_blamed, 1);
+	ck_assert_str_eq(last_blamed, "deadly");
+}
+END_TEST
+
+/*
+ * After a take-over nobody knows how long the former owner's runs had lasted.
+ * Workers that crashed under them were taken for a common cause, which forgave
+ * the crashes of others.
+ */
+START_TEST(crashes_under_runs_of_unknown_age_explain_no_other)
+{
+	static const char *const workers[] = { "w1", "w2", "w3" };
+	size_t i;
+
+	fleet_add_job(f, "recorded", "normal", fleet_new_spec(3, 8, false), 0);
+	for (i = 0; i < ARRAY_SIZE(workers); i++) {
+		json_t *p;
+		char text[256];
+
+		fleet_add_worker(f, workers[i], "r1", 8);
+		snprintf(text, sizeof(text),
+			 "{\"state\":0,\"steps\":[{\"done\":\"\","
+			 "\"tasks\":{},\"runs\":[[%d,1,\"%s\"]]}]}",
+			 (int)i, workers[i]);
+		p = json_loads(text, 0, NULL);
+		ck_assert(flow_progress_decode(f, "recorded", p));
+		json_decref(p);
+	}
+	for (i = 0; i < ARRAY_SIZE(workers); i++)
+		flow_worker_silent(f, workers[i], 1000);
+	fleet_add_worker(f, "w4", "r2", 8);
+	fleet_add_job(f, "deadly", "normal", fleet_new_spec(1, 1, false), 0);
+	crash_at_age("deadly", 1000, 1500);
+	ck_assert_int_eq(n_blamed, 1);
+	ck_assert_str_eq(last_blamed, "deadly");
+}
+END_TEST
+
+/* A rack that loses power: at most what began just before is blamed, once. */
+START_TEST(loss_of_a_rack_gives_up_no_job)
+{
+	char id[16];
+	int i;
+
+	for (i = 0; i < 20; i++) {
+		snprintf(id, sizeof(id), "w%d", i);
+		fleet_add_worker(f, id, "r1", 8);
+	}
+	fleet_add_job(f, "old", "normal", fleet_new_spec(20, 7, false), 0);
+	fleet_decide(f, &o, 1000);
+	ck_assert_int_eq(o.n_starts, 20);
+	fleet_confirm_starts(f, &o, 1000);
+	fleet_add_job(f, "young", "normal", fleet_new_spec(10, 1, false), 0);
+	fleet_decide(f, &o, 1000 + OLD_MS);
+	ck_assert_int_eq(o.n_starts, 10);
+	fleet_confirm_starts(f, &o, 1000 + OLD_MS);
+	for (i = 0; i < 20; i++) {
+		snprintf(id, sizeof(id), "w%d", i);
+		flow_worker_silent(f, id, 1500 + OLD_MS);
+	}
+	for (i = 0; i < 20; i++) {
+		snprintf(id, sizeof(id), "w%d", i);
+		crash(f, id, 1500 + OLD_MS, 1500 + OLD_MS + BACK_MS);
+	}
+	ck_assert_int_eq(n_blamed, 0);
+	ck_assert_int_eq(n_given_up, 0);
+}
+END_TEST
+
 START_TEST(deadly_tasks_that_start_together_are_each_blamed)
 {
 	static const char *const workers[] = { "w1", "w2", "w3" };
@@ -348,6 +477,10 @@
 	TCase *t = tcase_create("crash");
 
 	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, crashes_beside_a_cut_are_blamed);
+	tcase_add_test(t, workers_that_were_only_silent_explain_no_crash);
+	tcase_add_test(t, crashes_under_runs_of_unknown_age_explain_no_other);
+	tcase_add_test(t, loss_of_a_rack_gives_up_no_job);
 	tcase_add_test(t, task_that_crashes_its_workers_is_given_up);
 	tcase_add_test(t, crash_is_not_blamed_on_older_runs);
 	tcase_add_test(t, crash_is_blamed_on_task_blamed_before);
