Limit connections to workers and orders in progress by the descriptors

Cause: 1,331 connections at 300 workers, 4,306 at 998 and 8,134 at 3,000 from one owner, with limits of 4,100 and 8,192: idle ones to each worker were kept for 20 s, and a burst of orders had no bound.

Tests: idle_connections_make_room, few_orders_are_in_progress_in_all.

--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -26,6 +26,12 @@
  * Together with the poll that stays below the limit on descriptors.
  */
 #define ORDERS_PER_WORKER 2
+/*
+ * Orders in progress in all: one in this many descriptors, and without a limit
+ * on those ORDERS_MAX.  More would only wait for their answers to be read.
+ */
+#define ORDER_FDS_SHARE 8
+#define ORDERS_MAX 1024
 
 struct order {
 	struct board *board;
@@ -52,6 +58,7 @@
 /* Orders to be sent, in order. */
 static struct order *stops, *starts;
 static struct lane *lanes;
+static int n_in_progress; /* in all lanes */
 static struct event *turn_timer;
 static struct tg_gauge *queued;
 static struct tg_hist *wait_ms;
@@ -128,12 +135,21 @@
 	free_lane_if_idle(n);
 }
 
+static int orders_max(const struct board *b)
+{
+	int64_t fds_max = b->site.set.fds_max;
+
+	return fds_max ? (int)(fds_max / ORDER_FDS_SHARE) : ORDERS_MAX;
+}
+
 static void release_lane(const struct order *o)
 {
 	struct lane *n = get_lane(o->worker);
 
 	n->in_progress--;
 	advance_lane(n);
+	if (n_in_progress-- == orders_max(o->board))
+		wake();
 }
 
 static struct order *new_order(struct board *b, bool start,
@@ -284,7 +300,7 @@
 {
 	struct order *o;
 
-	while ((o = *queue)) {
+	while ((o = *queue) && n_in_progress < orders_max(b)) {
 		struct flow_run_ref ref = ref_of(o);
 		const char *text = NULL;
 		struct lane *n;
@@ -303,6 +319,7 @@
 			advance_lane(n);
 		} else {
 			n->in_progress++;
+			n_in_progress++;
 			send_order(o, text);
 		}
 	}
@@ -354,6 +371,7 @@
 		free(n);
 	}
 	queued->value = 0;
+	n_in_progress = 0;
 }
 
 static void order_start(const struct flow_start_order *s, void *arg)
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <uthash.h>
+#include <utlist.h>
 
 #include <event2/bufferevent.h>
 
@@ -21,7 +22,10 @@
 struct connection {
 	struct evhttp_connection *con;
 	struct tg_http_call *call; /* NULL while idle or discarded */
+	struct pool *pool;
 	struct connection *next; /* in @idle or @discarded */
+	/* In the client's list of idle connections. */
+	struct connection *idle_prev, *idle_next;
 	int64_t idle_since_ms;
 	/* With unsafe_reuse: timed-out request that awaits its response. */
 	struct evhttp_request *late_request;
@@ -41,6 +45,8 @@
 	struct tg_http_call *calls;
 	struct connection *discarded;
 	struct event *free_discarded_event;
+	struct connection *idle; /* of all pools, the longest idle first */
+	int n_connections;
 };
 
 struct tg_http_call {
@@ -67,6 +73,16 @@
 	struct tg_http_call *prev, *next;
 };
 
+static struct tg_gauge *connections_gauge(void)
+{
+	static struct tg_gauge *g;
+
+	if (!g)
+		g = tg_gauge("tg_http_client_connections",
+			     "open connections to servers", NULL);
+	return g;
+}
+
 static void on_output_change(struct evbuffer *buf,
 			     const struct evbuffer_cb_info *info, void *arg)
 {
@@ -93,20 +109,60 @@
 	call->received_bytes += info->n_added;
 }
 
+static void free_connection(struct tg_http_client *client, struct connection *c)
+{
+	client->n_connections--;
+	connections_gauge()->value--;
+	evhttp_connection_free(c->con);
+	free(c);
+}
+
+static void unlist_idle(struct tg_http_client *client, struct connection *c)
+{
+	struct connection **p = &c->pool->idle;
+
+	while (*p != c)
+		p = &(*p)->next;
+	*p = c->next;
+	c->next = NULL;
+	c->pool->n_idle--;
+	DL_DELETE2(client->idle, c, idle_prev, idle_next);
+}
+
+/* Closes the connection that is idle longest if there are too many. */
+static void limit_connections(struct tg_http_client *client)
+{
+	struct connection *c = client->idle;
+
+	if (!client->opts.connections_max ||
+	    client->n_connections < client->opts.connections_max)
+		return;
+	tg_log(EV_HTTP_CONNECTIONS, "open=%d most=%d idle=%d",
+	       client->n_connections, client->opts.connections_max, c != NULL);
+	if (!c)
+		return;
+	unlist_idle(client, c);
+	free_connection(client, c);
+}
+
 static struct connection *open_connection(struct tg_http_client *client,
-					  const char *addr)
+					  struct pool *p)
 {
 	struct connection *c = tg_xcalloc(1, sizeof(*c));
 	struct bufferevent *bev;
 	char host[TG_ADDR_MAX + 1];
 	uint16_t port;
 
-	if (tg_addr_split(addr, host, sizeof(host), &port))
+	limit_connections(client);
+	if (tg_addr_split(p->addr, host, sizeof(host), &port))
 		goto fail;
 	c->con = evhttp_connection_base_bufferevent_new(client->opts.base, NULL,
 							NULL, host, port);
 	if (!c->con)
 		goto fail;
+	c->pool = p;
+	client->n_connections++;
+	connections_gauge()->value++;
 	bev = evhttp_connection_get_bufferevent(c->con);
 	evbuffer_add_cb(bufferevent_get_output(bev), on_output_change, c);
 	evbuffer_add_cb(bufferevent_get_input(bev), on_input_change, c);
@@ -120,12 +176,6 @@
 	return NULL;
 }
 
-static void free_connection(struct connection *c)
-{
-	evhttp_connection_free(c->con);
-	free(c);
-}
-
 static void free_discarded(evutil_socket_t fd, short what, void *arg)
 {
 	struct tg_http_client *client = arg;
@@ -136,7 +186,7 @@
 		struct connection *c = client->discarded;
 
 		client->discarded = c->next;
-		free_connection(c);
+		free_connection(client, c);
 	}
 }
 
@@ -171,14 +221,12 @@
 	while (p->idle) {
 		struct connection *c = p->idle;
 
-		p->idle = c->next;
-		p->n_idle--;
-		c->next = NULL;
+		unlist_idle(client, c);
 		if (c->idle_since_ms >= oldest_ms && !is_stale(c))
 			return c;
-		free_connection(c);
+		free_connection(client, c);
 	}
-	return open_connection(client, p->addr);
+	return open_connection(client, p);
 }
 
 static void release_connection(struct tg_http_client *client, struct pool *p,
@@ -193,6 +241,7 @@
 	c->next = p->idle;
 	p->idle = c;
 	p->n_idle++;
+	DL_APPEND2(client->idle, c, idle_prev, idle_next);
 }
 
 static struct pool *get_pool(struct tg_http_client *client, const char *addr)
@@ -568,8 +617,8 @@
 		while (p->idle) {
 			struct connection *con = p->idle;
 
-			p->idle = con->next;
-			free_connection(con);
+			unlist_idle(c, con);
+			free_connection(c, con);
 		}
 		HASH_DEL(c->pools, p);
 		free(p);
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -160,6 +160,8 @@
  * @body_bytes: limit on the size of a response body; 0 for 4 MiB
  * @idle_per_addr: maximum number of idle connections kept per server address;
  *	0 for 8
+ * @connections_max: beyond this number the connection that has been idle
+ *longest is closed for a new one; 0 for no limit
  * @idle_ms: connections idle for longer are not reused; 0 for 20,000
  * @unsafe_reuse: for fault tests only: reuse a connection on which a call timed
  *	out, so that the late response is delivered to the next call
@@ -171,6 +173,7 @@
 	size_t header_bytes;
 	size_t body_bytes;
 	int idle_per_addr;
+	int connections_max;
 	int64_t idle_ms;
 	bool unsafe_reuse;
 	bool unsafe_undelimited;
--- a/tests/unit/http/test-http.c
+++ b/tests/unit/http/test-http.c
@@ -138,6 +138,68 @@
 }
 END_TEST
 
+#define SERVERS 4
+
+static struct tg_http_server *servers[SERVERS];
+
+static int64_t open_connections(void)
+{
+	return tg_gauge("tg_http_client_connections", NULL, NULL)->value;
+}
+
+/* Calls each server; returns the most connections that were open. */
+static int64_t call_each_server(void)
+{
+	int64_t most = 0;
+	int i;
+
+	for (i = 0; i < SERVERS; i++) {
+		struct tg_http_call_opts o = {
+			.method = EVHTTP_REQ_GET,
+			.addr = tg_http_server_addr(servers[i]),
+			.uri = "/",
+			.timeout_ms = TIMEOUT_MS,
+			.done = on_done,
+		};
+
+		tg_http_call_start(client, &o);
+		event_base_dispatch(base);
+		ck_assert_int_eq(result.end, TG_HTTP_COMPLETE);
+		if (open_connections() > most)
+			most = open_connections();
+	}
+	return most;
+}
+
+/*
+ * Idle connections to 1,100 workers, some four to each, used up the descriptors
+ * of a small instance.
+ */
+START_TEST(idle_connections_make_room)
+{
+	static const struct tg_http_route routes[] = {
+		{ "/", true, EVHTTP_REQ_GET, on_request },
+		{ .path = NULL },
+	};
+	struct tg_http_server_opts so = { .base = base,
+					  .addr = "127.0.0.1:0",
+					  .routes = routes };
+	struct tg_http_client_opts co = { .base = base, .connections_max = 2 };
+	int i;
+
+	for (i = 0; i < SERVERS; i++)
+		servers[i] = tg_http_server_new(&so);
+	ck_assert_int_eq(call_each_server(), SERVERS);
+	tg_http_client_free(client);
+	ck_assert_int_eq(open_connections(), 0);
+	client = tg_http_client_new(&co);
+	ck_assert_int_eq(call_each_server(), 2);
+	ck_assert_int_eq(call_each_server(), 2);
+	for (i = 0; i < SERVERS; i++)
+		tg_http_server_free(servers[i]);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("http");
@@ -148,6 +210,7 @@
 	tcase_add_test(t, an_answer_that_was_not_read_is_no_timeout);
 	tcase_add_test(t, a_slow_server_times_out);
 	tcase_add_test(t, a_limit_is_extended_to_its_double);
+	tcase_add_test(t, idle_connections_make_room);
 	suite_add_tcase(s, t);
 	return run_suite(s);
 }
--- a/tests/unit/orders/test-orders.c
+++ b/tests/unit/orders/test-orders.c
@@ -17,6 +17,7 @@
 /* Of a turn of 10 ms, and the order that exceeds it. */
 #define ORDERS_PER_TURN 11
 #define IN_PROGRESS_MAX 2
+#define FDS_PER_ORDER 8
 
 struct sent {
 	tg_order_done done;
@@ -193,6 +194,21 @@
 }
 END_TEST
 
+START_TEST(few_orders_are_in_progress_in_all)
+{
+	int i;
+
+	b.site.set.fds_max = 64;
+	fill_fleet();
+	for (i = 0; i < 100; i++)
+		run_loop();
+	ck_assert_int_eq(n_sent, 64 / FDS_PER_ORDER);
+	answer(0);
+	run_loop();
+	ck_assert_int_eq(n_sent, 64 / FDS_PER_ORDER + 1);
+}
+END_TEST
+
 START_TEST(stops_go_first_and_unsent_starts_are_dropped)
 {
 	int i, n_stops = 0;
@@ -257,6 +273,7 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, orders_are_sent_in_turns);
 	tcase_add_test(t, few_orders_are_in_progress_on_a_worker);
+	tcase_add_test(t, few_orders_are_in_progress_in_all);
 	tcase_add_test(t, stops_go_first_and_unsent_starts_are_dropped);
 	tcase_add_test(t, nothing_is_sent_without_permission);
 	tcase_add_test(t, a_term_that_ends_drops_its_orders);
