--- a/cmd/tgflowd/metrics.c
+++ b/cmd/tgflowd/metrics.c
@@ -5,7 +5,7 @@
 static struct {
 	struct tg_gauge *owner, *jobs, *open_jobs, *waiting_tasks, *runs,
 		*stopping, *unsure, *workers, *ready_workers,
-		*free_accelerators, *memory;
+		*free_accelerators, *workers_checked, *memory;
 } g;
 
 static bool is_ready(void *arg, const char **why)
@@ -44,6 +44,10 @@
 	g.free_accelerators =
 		tg_gauge("tg_flow_free_accelerators",
 			 "accelerators not in use by a run", NULL);
+	g.workers_checked = tg_gauge(
+		"tg_flow_workers_checked",
+		"workers that the last round looked at, each as often as it did",
+		NULL);
 	g.memory = tg_gauge("tg_resident_kb", "resident memory in KiB", NULL);
 	b->metrics = o.addr ? tg_http_server_new(&o) : NULL;
 	if (o.addr && !b->metrics)
@@ -71,6 +75,7 @@
 	g.workers->value = s.workers;
 	g.ready_workers->value = s.ready_workers;
 	g.free_accelerators->value = s.free_accelerators;
+	g.workers_checked->value = s.workers_checked;
 	g.memory->value = tg_rss_kb();
 	usage_report(b, now_ms);
 }
