--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -30,7 +30,7 @@
  * Links of which the first poll is in progress.  A new owner opens the links to
  * all workers; if it did so at once, the answers would come too late.
  */
-#define OPENING_MAX 100
+#define OPENING_MAX 200
 
 struct poll_call {
 	struct board *board;
