Set no priority on a connection that failed at once

It would have taken a worker with an address that has no route.

Test: a_connection_that_fails_at_once_is_reported, which crashes before.

--- a/lib/flow/array.c
+++ b/lib/flow/array.c
@@ -38,6 +38,30 @@
 	memmove(at, at + bytes, (a->n - i) * bytes);
 }
 
+void flow_pointers_insert(struct array *a, size_t i, void *p)
+{
+	void **to = flow_array_insert(a, i, sizeof(void *));
+
+	*to = p;
+}
+
+void flow_pointers_add(struct array *a, void *p)
+{
+	flow_pointers_insert(a, a->n, p);
+}
+
+void flow_pointers_remove(struct array *a, size_t i)
+{
+	flow_array_remove(a, i, sizeof(void *));
+}
+
+void flow_pointers_sort(struct array *a,
+			int (*compare)(const void *x, const void *y))
+{
+	if (a->n)
+		qsort(a->items, a->n, sizeof(void *), compare);
+}
+
 void flow_array_free(struct array *a)
 {
 	free(a->items);
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -289,6 +289,12 @@
 void *flow_array_insert(struct array *a, size_t i, size_t bytes);
 void flow_array_remove(struct array *a, size_t i, size_t bytes);
 void flow_array_free(struct array *a);
+/* The same for arrays of pointers. */
+void flow_pointers_insert(struct array *a, size_t i, void *p);
+void flow_pointers_add(struct array *a, void *p);
+void flow_pointers_remove(struct array *a, size_t i);
+void flow_pointers_sort(struct array *a,
+			int (*compare)(const void *x, const void *y));
 
 /* workers.c */
 /** flow_free_worker() - free a worker without runs */
--- a/lib/flow/order.c
+++ b/lib/flow/order.c
@@ -50,7 +50,7 @@
 	int64_t memo[FLOW_STEPS_MAX], longest = 0;
 	int32_t i;
 
-	for (i = 0; i < j->spec->n_steps; i++)
+	for (i = 0; i < FLOW_STEPS_MAX; i++)
 		memo[i] = -1;
 	for (i = 0; i < j->spec->n_steps; i++) {
 		int64_t c = critical_path_from(j, 0, i, all, memo);
--- a/lib/flow/victims.c
+++ b/lib/flow/victims.c
@@ -66,7 +66,7 @@
 
 void flow_prepare_victims(const struct search *s, struct worker *w)
 {
-	struct run *r, **to;
+	struct run *r;
 
 	if (w->victims_round == s->f->round)
 		return;
@@ -84,12 +84,9 @@
 		    !r->job->queue_conf)
 			continue;
 		r->lost_work = lost_work(s, r);
-		to = flow_array_add(&w->preemptible, sizeof(*to));
-		*to = r;
+		flow_pointers_add(&w->preemptible, r);
 	}
-	if (w->preemptible.n)
-		qsort(w->preemptible.items, w->preemptible.n, sizeof(*to),
-		      compare_preemptible);
+	flow_pointers_sort(&w->preemptible, compare_preemptible);
 }
 
 static bool is_preemptible(const struct search *s, const struct run *r)
@@ -120,14 +117,11 @@
 
 static void mark_victim(const struct search *s, struct run *r)
 {
-	struct run **to;
-
 	if (r->victim || r->state == RUN_STOPPING)
 		return;
 	flow_prepare_victims(s, r->worker);
 	set_victim(r, 1);
-	to = flow_array_add(&s->f->victims, sizeof(*to));
-	*to = r;
+	flow_pointers_add(&s->f->victims, r);
 }
 
 /* A gang ends with any member, which frees the capacity of all. */
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -45,7 +45,7 @@
 void flow_update_pools(struct flow *f, int64_t now_ms)
 {
 	struct pool *p;
-	struct worker *w, **to;
+	struct worker *w;
 	const struct run *r;
 
 	for (p = f->pools; p; p = p->hh.next) {
@@ -70,8 +70,7 @@
 			continue;
 		if (w->capacity.accelerators >= p->largest.accelerators)
 			p->largest = w->capacity;
-		to = flow_array_add(&p->ready, sizeof(*to));
-		*to = w;
+		flow_pointers_add(&p->ready, w);
 		p->n_ready++;
 		p->n_failing += flow_worker_failed_recently(w, now_ms);
 		p->n_without_ordinary += !w->ordinary_tasks;
@@ -113,14 +112,14 @@
 	list = w->in_rack->workers.items;
 	for (i = 0; list[i] != w; i++)
 		;
-	flow_array_remove(&w->in_rack->workers, i, sizeof(*list));
+	flow_pointers_remove(&w->in_rack->workers, i);
 	w->in_rack = NULL;
 }
 
 /* The workers of a rack are sorted by number, like those of a pool. */
 static void join_rack(struct worker *w, struct rack *r)
 {
-	struct worker **list = r->workers.items, **to;
+	struct worker **list = r->workers.items;
 	size_t i = r->workers.n;
 
 	if (w->in_rack == r)
@@ -128,8 +127,7 @@
 	leave_rack(w);
 	while (i > 0 && list[i - 1]->number > w->number)
 		i--;
-	to = flow_array_insert(&r->workers, i, sizeof(*to));
-	*to = w;
+	flow_pointers_insert(&r->workers, i, w);
 	w->in_rack = r;
 }
 
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -550,10 +550,12 @@
 				opts->uri))
 		call->req = NULL;
 	call->starting = false;
-	/* To connect resets the priority. */
-	bufferevent_priority_set(
-		evhttp_connection_get_bufferevent(call->con->con),
-		opts->priority);
+	/* To connect resets the priority; if that fails there is nothing left.
+	 */
+	if (call->con)
+		bufferevent_priority_set(
+			evhttp_connection_get_bufferevent(call->con->con),
+			opts->priority);
 }
 
 struct tg_http_call *tg_http_call_start(struct tg_http_client *client,
--- a/tests/unit/http/test-http.c
+++ b/tests/unit/http/test-http.c
@@ -138,6 +138,23 @@
 }
 END_TEST
 
+/* There is no connection left on which a priority could be set. */
+START_TEST(a_connection_that_fails_at_once_is_reported)
+{
+	struct tg_http_call_opts o = {
+		.method = EVHTTP_REQ_GET,
+		.addr = "255.255.255.255:80",
+		.uri = "/",
+		.timeout_ms = TIMEOUT_MS,
+		.done = on_done,
+	};
+
+	tg_http_call_start(client, &o);
+	event_base_dispatch(base);
+	ck_assert_int_eq(result.end, TG_HTTP_NOT_CONNECTED);
+}
+END_TEST
+
 #define SERVERS 4
 
 static struct tg_http_server *servers[SERVERS];
@@ -210,6 +227,7 @@
 	tcase_add_test(t, an_answer_that_was_not_read_is_no_timeout);
 	tcase_add_test(t, a_slow_server_times_out);
 	tcase_add_test(t, a_limit_is_extended_to_its_double);
+	tcase_add_test(t, a_connection_that_fails_at_once_is_reported);
 	tcase_add_test(t, idle_connections_make_room);
 	suite_add_tcase(s, t);
 	return run_suite(s);
--- a/tests/unit/platform/test-odd.c
+++ b/tests/unit/platform/test-odd.c
@@ -108,13 +108,12 @@
 
 static char *repeat(const char *s, size_t n, const char *end)
 {
-	size_t bytes = strlen(s);
-	char *out = tg_xcalloc(1, n * bytes + strlen(end) + 1);
-	size_t i;
+	size_t bytes = strlen(s), size = n * bytes + strlen(end) + 1, i;
+	char *out = tg_xcalloc(1, size);
 
 	for (i = 0; i < n; i++)
-		memcpy(out + i * bytes, s, bytes);
-	strcpy(out + n * bytes, end);
+		tg_strlcpy(out + i * bytes, s, size - i * bytes);
+	tg_strlcpy(out + n * bytes, end, size - n * bytes);
 	return out;
 }
 
