--- a/lib/base/daemon.c
+++ b/lib/base/daemon.c
@@ -56,6 +56,8 @@
 	struct event_config *c = event_config_new();
 	struct event_base *base;
 
+	/* A call that is made and answered would need some four epoll_ctl(). */
+	event_config_set_flag(c, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
 	event_config_set_max_dispatch_interval(c, &interval, INT_MAX,
 					       TG_PRIORITY_NORMAL);
 	base = event_base_new_with_config(c);
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -23,7 +23,7 @@
 	struct evhttp_connection *con;
 	struct tg_http_call *call; /* NULL while idle or discarded */
 	struct pool *pool;
-	struct connection *next; /* in @idle or @discarded */
+	struct connection *prev, *next; /* in @idle of the pool or @discarded */
 	/* In the client's list of idle connections. */
 	struct connection *idle_prev, *idle_next;
 	int64_t idle_since_ms;
@@ -119,12 +119,7 @@
 
 static void unlist_idle(struct tg_http_client *client, struct connection *c)
 {
-	struct connection **p = &c->pool->idle;
-
-	while (*p != c)
-		p = &(*p)->next;
-	*p = c->next;
-	c->next = NULL;
+	DL_DELETE(c->pool->idle, c);
 	c->pool->n_idle--;
 	DL_DELETE2(client->idle, c, idle_prev, idle_next);
 }
@@ -238,8 +233,7 @@
 		return;
 	}
 	c->idle_since_ms = tg_now_ms();
-	c->next = p->idle;
-	p->idle = c;
+	DL_PREPEND(p->idle, c);
 	p->n_idle++;
 	DL_APPEND2(client->idle, c, idle_prev, idle_next);
 }
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -50,7 +50,12 @@
 account SEND_RAISED
 account VOUCH_AT_ONCE
 account END_AT_ONCE
-account NO_LIMIT"
+account NO_LIMIT
+holder -
+holder NO_FENCE
+holder ANY_LIST
+holder ACK_EARLY
+holder RENEW_ALWAYS"
 
 judge() { # MODEL SWITCH
 	if [ "$2" = - ]; then
