--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -603,19 +603,18 @@
 
 void tg_http_client_free(struct tg_http_client *c)
 {
+	struct connection *con;
 	struct pool *p, *tmp;
 
 	if (!c)
 		return;
 	while (c->calls)
 		tg_http_call_cancel(c->calls);
+	while ((con = c->idle)) {
+		unlist_idle(c, con);
+		free_connection(c, con);
+	}
 	HASH_ITER(hh, c->pools, p, tmp) {
-		while (p->idle) {
-			struct connection *con = p->idle;
-
-			unlist_idle(c, con);
-			free_connection(c, con);
-		}
 		HASH_DEL(c->pools, p);
 		free(p);
 	}
