--- a/lib/flow/bestfit.c
+++ b/lib/flow/bestfit.c
@@ -11,7 +11,6 @@
 /* An idle worker goes before the data, the data before recent failures. */
 #define DATA_RACK_COST 1000000000
 #define LAST_FAILED_COST 500000000
-#define MIXED_COST 10000000
 /*
  * Cost of placing a task that may crash its worker beside other runs, and in
  * addition for a whole worker of such runs.
@@ -109,10 +108,9 @@
 static int64_t placement_cost(const struct search *s, const struct worker *w,
 			      const struct flow_shape *available)
 {
-	int64_t cost = flow_fit_cost(w, available);
+	int64_t cost = flow_fit_cost(w, available) +
+		flow_class_cost(s->job, flow_fit_class(w));
 
-	if (flow_mixes_classes(s->job, flow_fit_class(w)))
-		cost += MIXED_COST;
 	if (*s->step->data_rack && strcmp(w->rack, s->step->data_rack) != 0)
 		cost += DATA_RACK_COST;
 	return cost;
@@ -257,12 +255,7 @@
 	flow_index_update(s->f, w);
 }
 
-/* Marks the victims of a task; a gang's are on several workers. */
-static void mark_victims(struct search *s, struct worker *w)
-{
-	s->cost += flow_choose_victims(s, w, true);
-}
-
+/* The victims of a task that was placed may be on several workers. */
 static void update_candidates(const struct search *s, struct candidates *c,
 			      size_t n_victims, struct worker *const *out,
 			      int32_t n)
@@ -293,7 +286,7 @@
 		if (!w)
 			break;
 		if (s->source == CAPACITY_VICTIMS)
-			mark_victims(s, w);
+			s->cost += flow_choose_victims(s, w, true);
 		reserve_task(s, w, 1);
 		out[n++] = w;
 		update_candidates(s, &c, n_victims, out, n);
--- a/lib/flow/fitindex.c
+++ b/lib/flow/fitindex.c
@@ -54,9 +54,10 @@
 				(w->ordinary_tasks ? FIT_ORDINARY : 0));
 }
 
-bool flow_mixes_classes(const struct job *j, enum fit_class c)
+int64_t flow_class_cost(const struct job *j, enum fit_class c)
 {
-	return !(c & (flow_is_urgent(j) ? FIT_URGENT : FIT_ORDINARY));
+	return c & (flow_is_urgent(j) ? FIT_URGENT : FIT_ORDINARY) ? 0 :
+								     MIXED_COST;
 }
 
 static int compare_entries(const void *a, const void *b)
@@ -203,9 +204,7 @@
 		cursors[n_cursors++] = (struct cursor){
 			.a = &p->fit[k],
 			.i = lower_bound(&p->fit[k], &first),
-			.extra_cost = flow_mixes_classes(s->job, class) ?
-				MIXED_COST :
-				0,
+			.extra_cost = flow_class_cost(s->job, class),
 		};
 	}
 	while ((c = cheapest(cursors, n_cursors))) {
--- a/lib/flow/place_internal.h
+++ b/lib/flow/place_internal.h
@@ -86,9 +86,9 @@
 /** flow_fit_cost() - cost of a worker by its free capacity and its state */
 int64_t flow_fit_cost(const struct worker *w,
 		      const struct flow_shape *available);
-/** flow_mixes_classes() - whether the worker lacks tasks of the job's class */
-bool flow_mixes_classes(const struct job *j, enum fit_class c);
 enum fit_class flow_fit_class(const struct worker *w);
+/** flow_class_cost() - added for a worker without tasks of the job's class */
+int64_t flow_class_cost(const struct job *j, enum fit_class c);
 
 /* nofit.c */
 /** flow_no_fit_known() - whether a search in this round showed that it fails */
