--- a/cmd/tgschedd/workers.c
+++ b/cmd/tgschedd/workers.c
@@ -156,8 +156,9 @@
 
 	if (now_ms <= own_expiry_ms(b, m))
 		return false;
+	/* Members that can be reached are stopped: only the wait is left out. */
 	if (b->opts->unsafe_restart_before_expiry)
-		return true;
+		return m->lost;
 	request_epoch_raise(b, w);
 	others_expiry_ms = authority_others_expiry_ms(b, w);
 	if (now_ms > others_expiry_ms)
