--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -305,11 +305,6 @@
 				 opts->body_bytes ?
 					 (ev_ssize_t)opts->body_bytes :
 					 DEFAULT_BODY_BYTES);
-	/*
-	 * The rest of a body that is too large is read: closing the connection
-	 * while the client sends would reset it, and lose the answer.
-	 */
-	evhttp_set_flags(s->http, EVHTTP_SERVER_LINGERING_CLOSE);
 	evhttp_set_timeout_tv(s->http, &idle);
 	evhttp_set_allowed_methods(
 		s->http,
