--- a/cmd/tgqueued/board.h
+++ b/cmd/tgqueued/board.h
@@ -53,6 +53,9 @@
 	char job[FLOW_JOB_ID_LEN + 1];
 	char queue[TG_NAME_MAX + 1], workspace[TG_NAME_MAX + 1];
 	int64_t started_ms, deadline_ms; /* must be answered by then */
+	/* Document by which the request was decoded, and for how long it had
+	 * not been known to be the newest one. */
+	int64_t generation, not_current_ms;
 	char *row; /* encoded job row of a submission */
 	bool maybe_stored; /* a write that got no answer may take effect */
 	bool found; /* the job's row exists */
--- a/cmd/tgqueued/front.c
+++ b/cmd/tgqueued/front.c
@@ -36,9 +36,10 @@
 	record_metrics(r, status);
 	tg_log(EV_QUEUE_ANSWERED,
 	       "kind=%s job=%s queue=%s status=%d why=%s attempts=%d "
-	       "after_ms=%lld",
+	       "after_ms=%lld generation=%lld not_current_ms=%lld",
 	       kind_names[r->kind], r->job, r->queue, status, why, r->attempts,
-	       (long long)(tg_now_ms() - r->started_ms));
+	       (long long)(tg_now_ms() - r->started_ms),
+	       (long long)r->generation, (long long)r->not_current_ms);
 	free(r->row);
 	free(r);
 }
@@ -163,6 +164,8 @@
 	r->http = http;
 	r->started_ms = tg_now_ms();
 	r->kind = TG_REQUEST_INVALID;
+	r->generation = d ? d->generation : 0;
+	r->not_current_ms = tg_document_not_current_ms(b->document);
 	if (!d) {
 		request_end(r, 503, "no document yet");
 		return;
--- a/lib/site/document.c
+++ b/lib/site/document.c
@@ -77,3 +77,8 @@
 {
 	return d->doc;
 }
+
+int64_t tg_document_not_current_ms(const struct tg_document *d)
+{
+	return d->doc ? tg_table_watch_not_current_ms(d->watch) : -1;
+}
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -300,5 +300,12 @@
  * It is valid until the next one is in force.
  */
 const struct tg_site_doc *tg_document_get(const struct tg_document *d);
+/**
+ * tg_document_not_current_ms() - time since the document in force was known to
+ * be the newest one
+ *
+ * Return: -1 before the first one is in force.
+ */
+int64_t tg_document_not_current_ms(const struct tg_document *d);
 
 #endif
