--- /dev/null
+++ b/tests/script/site-document-behind.sh
@@ -0,0 +1,45 @@
+#!/bin/sh
+# An instance that the store didn't answer went on to use a document for more than
+# 3 s after a newer one was acknowledged.
+. "$(dirname "$0")/../site-lib.sh"
+
+# doc GENERATION PREFIX: the document with one more queue
+doc() {
+	echo "$config" | jq -c --argjson g "$1" --arg p "$2" '.version = $g |
+		.routes += [.routes[0] | .name = $p | .["path-prefix"] = $p]'
+}
+
+# show N PREFIX: status of a call for the state of an unknown job, and for a count
+show() {
+	echo "$2: $(front "$1" "${2}0000000000000000") $(front "$1" "$2")"
+}
+
+start_site --stores=2
+start_instance 1
+await "an owner" owner_of 1
+start_instance 2
+control config "$(doc 9 /old/)"
+await "generation 9 on 1" answers_at 1 /old/ 410
+await "generation 9 on 2" answers_at 2 /old/ 410
+
+echo "# the store doesn't answer instance 2 any more; /old/ is replaced"
+control "store?door=1&mode=silent"
+control config "$(doc 10 /new/)"
+await "generation 10 on 1" answers_at 1 /new/ 410
+sleep 3.2
+show 2 /old/
+show 2 /new/
+show 2 /n/
+echo "ready: $(front 2 /readyz)"
+
+echo "# it answers again"
+control "store?door=1&mode=ok"
+await "generation 10 on 2" answers_at 2 /new/ 410
+show 2 /old/
+show 2 /new/
+
+echo "# the store answers nobody: what the last known document has is served"
+control "store?mode=silent"
+sleep 3.2
+echo "/never/: $(front 1 /never/0000000000000000)"
+echo "count of /new/: $(front 1 /new/)"
--- a/tests/script/site-narrow.sh
+++ b/tests/script/site-narrow.sh
@@ -3,13 +3,6 @@
 # of a call.  They were given up half way and begun again, for ever.
 . "$(dirname "$0")/../site-lib.sh"
 
-# large_config GENERATION COUNT: JSON of the document with COUNT more queues
-large_config() {
-	echo "$config" | jq -c --argjson g "$1" --argjson n "$2" '.version = $g |
-		.routes += [range($n) as $i | .routes[0] | .name = "more\($i)" |
-			.["path-prefix"] = "/more\($i)/"]'
-}
-
 start_site --stores=2
 start_instance 1
 
--- a/tests/site-lib.sh
+++ b/tests/site-lib.sh
@@ -28,6 +28,13 @@
 	curl -s "http://$site_http/standin/seen" | jq -c "$1"
 }
 
+# large_config GENERATION COUNT: JSON of the document with COUNT more queues
+large_config() {
+	echo "$config" | jq -c --argjson g "$1" --argjson n "$2" '.version = $g |
+		.routes += [range($n) as $i | .routes[0] | .name = "more\($i)" |
+			.["path-prefix"] = "/more\($i)/"]'
+}
+
 # start_site FLAG...: the platform
 start_site() {
 	start site sited "$@"
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -5,6 +5,8 @@
 #include "sited.h"
 
 #define PROG "sited"
+/* The largest document that a read of the store returns is 3 MiB. */
+#define CONTROL_BODY_BYTES (4 << 20)
 
 struct board board;
 
@@ -175,6 +177,7 @@
 	struct tg_http_server_opts o = {
 		.base = board.base,
 		.addr = board.opts.http_addr,
+		.body_bytes = CONTROL_BODY_BYTES,
 		.routes = routes,
 	};
 	char doors[STORES_MAX * (TG_ADDR_MAX + 1)] = "";
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -30,7 +30,7 @@
 	struct tg_http_server *server;
 	/*
 	 * ok, slow, sluggish, refuse, silent, lose: done, not answered,
-	 * narrow: answers arrive slowly
+	 * narrow: answers arrive slowly, rate:N: at N bytes per second
 	 */
 	char mode[16];
 };
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -138,6 +138,8 @@
 /* Bandwidth of the connections to a store door; 0 for no limit. */
 static int64_t bandwidth(const struct store_door *d)
 {
+	if (!strncmp(d->mode, "rate:", 5))
+		return strtoll(d->mode + 5, NULL, 10);
 	return strcmp(d->mode, "narrow") != 0 ? 0 : NARROW_BYTES_PER_S;
 }
 
