--- a/tests/script/site-document-behind.sh
+++ b/tests/script/site-document-behind.sh
@@ -24,6 +24,8 @@
 
 echo "# the store doesn't answer instance 2 any more; /old/ is replaced"
 control "store?door=1&mode=silent"
+# The call that waits for a change is still answered.
+sleep 1.5
 control config "$(doc 10 /new/)"
 await "generation 10 on 1" answers_at 1 /new/ 410
 sleep 3.2
