Reject requests that only a document that is over would decide

What callers saw: an instance that the store didn't answer used a document for as long as that lasted, also when it could know that there was a newer one: 200 for a queue that was gone, 404 for one that had been added.

Cause: nothing compared the document in force with what is known of newer ones. tg_table_watch_not_current_ms() was only logged, and it counted from the arrival of an answer, which may have been held up.

An instance now knows up to when its document was the newest: the time at which the store was asked, or until which it was to wait for a change and had none. The owner's answers carry the generation that it uses. If the store is silent and nothing newer is known, only a queue or key that isn't known is rejected with 503 instead of 404 or 401: what the document has is served on.

--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -164,12 +164,17 @@
 		.on_scan_done = on_jobs_read,
 		.arg = b,
 	};
+	struct tg_document_opts d = {
+		.site = &b->site,
+		.on_change = apply_document,
+		.arg = b,
+	};
 	int i;
 
 	for (i = 0; i < TG_JOB_PARTS; i++)
 		parts[i] = tg_job_part_name(i);
 	b->flow = flow_new(&fo);
-	b->document = tg_document_new(&b->site, apply_document, b);
+	b->document = tg_document_new(&d);
 	b->jobs = tg_table_watch_new(&o);
 	writer_wake(b);
 }
--- a/cmd/tgflowd/rpc.c
+++ b/cmd/tgflowd/rpc.c
@@ -14,13 +14,22 @@
 static void answer(struct board *b, struct tg_rpc_req *req,
 		   enum tg_rpc_status status, json_t *json, const char *text)
 {
-	char *s = json ? json_dumps(json, JSON_COMPACT) : NULL;
+	const struct tg_site_doc *d =
+		b->document ? tg_document_get(b->document) : NULL;
 	struct tg_rpc_answer a = {
 		.status = status,
 		.epoch = b->owner.fence,
 		.text = (char *)text,
 	};
-
+	char *s;
+
+	/* The caller may use an older document. */
+	if (d && !json)
+		json = json_object();
+	if (d)
+		json_object_set_new(json, "generation",
+				    json_integer(d->generation));
+	s = json ? json_dumps(json, JSON_COMPACT) : NULL;
 	a.json.json_val = s;
 	a.json.json_len = s ? (u_int)strlen(s) : 0;
 	tg_rpc_reply(req, &a);
--- a/cmd/tgqueued/board.h
+++ b/cmd/tgqueued/board.h
@@ -66,6 +66,8 @@
 /* front.c */
 /** request_end() - send the reply, log it and free @r */
 void request_end(struct request *r, int status, const char *why);
+/** request_end_outdated() - reject: a newer document must be used */
+void request_end_outdated(struct request *r);
 void request_end_state(struct request *r, const char *state);
 void request_end_count(struct request *r, int64_t waiting);
 /** request_left_ms() - time left until the request must be answered */
--- a/cmd/tgqueued/front.c
+++ b/cmd/tgqueued/front.c
@@ -61,6 +61,11 @@
 	finish(r, status, why);
 }
 
+void request_end_outdated(struct request *r)
+{
+	request_end(r, 503, "a newer document is not in force here yet");
+}
+
 void request_end_state(struct request *r, const char *state)
 {
 	add_close_if_draining(r);
@@ -152,11 +157,21 @@
 	}
 }
 
+/* A queue or key that isn't known here may be in a newer document. */
+static bool may_be_in_newer_document(const struct tg_request *c,
+				     enum tg_document_state state)
+{
+	return state == TG_DOCUMENT_UNCONFIRMED &&
+		c->kind == TG_REQUEST_INVALID &&
+		(c->status == 401 || c->status == 404);
+}
+
 static void on_request(struct evhttp_request *http, void *arg)
 {
 	struct board *b = arg;
 	struct request *r = tg_xcalloc(1, sizeof(*r));
 	const struct tg_site_doc *d = tg_document_get(b->document);
+	enum tg_document_state state = tg_document_state(b->document);
 	struct tg_request c = { .kind = TG_REQUEST_INVALID };
 	int64_t wait_ms;
 
@@ -166,10 +181,14 @@
 	r->kind = TG_REQUEST_INVALID;
 	r->generation = d ? d->generation : 0;
 	r->not_current_ms = tg_document_not_current_ms(b->document);
-	if (!d) {
+	if (state == TG_DOCUMENT_NONE) {
 		request_end(r, 503, "no document yet");
 		return;
 	}
+	if (state == TG_DOCUMENT_OUTDATED) {
+		request_end_outdated(r);
+		return;
+	}
 	b->site.ops->call(http, d, &c);
 	r->kind = c.kind;
 	tg_strlcpy(r->job, c.job, sizeof(r->job));
@@ -180,16 +199,27 @@
 			   sizeof(r->workspace));
 	wait_ms = c.deadline_ms > 0 ? c.deadline_ms : b->set.deadline_ms;
 	r->deadline_ms = r->started_ms + wait_ms * DEADLINE_PERCENT / 100;
-	dispatch(r, &c);
+	if (may_be_in_newer_document(&c, state))
+		request_end(r, 503, "the document is not known to be current");
+	else
+		dispatch(r, &c);
 	tg_request_clear(&c);
 }
 
 static bool is_ready(void *arg, const char **why)
 {
 	struct board *b = arg;
+	enum tg_document_state state = tg_document_state(b->document);
 
-	*why = tg_daemon_draining() ? "draining" : "no document yet";
-	return !tg_daemon_draining() && tg_document_get(b->document);
+	if (tg_daemon_draining())
+		*why = "draining";
+	else if (state == TG_DOCUMENT_NONE)
+		*why = "no document yet";
+	else if (state == TG_DOCUMENT_OUTDATED)
+		*why = "a newer document is not in force here yet";
+	else
+		return true;
+	return false;
 }
 
 static void on_ready(struct evhttp_request *http, void *arg)
--- a/cmd/tgqueued/main.c
+++ b/cmd/tgqueued/main.c
@@ -38,6 +38,7 @@
 int main(int argc, char **argv)
 {
 	static struct board b;
+	struct tg_document_opts document = { .site = &b.site };
 	struct tg_daemon_opts daemon = {
 		.controllers = controllers,
 		.board = &b,
@@ -56,7 +57,7 @@
 	b.base = event_base_new();
 	if (tg_site_open(&b.site, b.base, &tg_platform_ops, &b.set.flags))
 		return TG_EXIT_USAGE;
-	b.document = tg_document_new(&b.site, NULL, NULL);
+	b.document = tg_document_new(&document);
 	daemon.base = b.base;
 	daemon.drain_grace_ms = b.site.set.grace_ms - STOP_MARGIN_MS;
 	daemon.drain_max_ms = b.site.set.grace_ms - KILL_MARGIN_MS;
--- a/cmd/tgqueued/owner.c
+++ b/cmd/tgqueued/owner.c
@@ -54,34 +54,48 @@
 	b->site.ops->get(b->site.port, &range, on_row, b);
 }
 
-static void update_owner(struct board *b, const struct tg_rpc_answer *a)
+static void update_owner(struct board *b, const json_t *answer)
 {
-	json_t *o = json_loadb(a->json.json_val, a->json.json_len, 0, NULL);
-	const char *addr = json_string_value(json_object_get(o, "addr"));
+	const char *addr = json_string_value(json_object_get(answer, "addr"));
 
 	set_owner(b, addr && tg_addr_valid(addr) ? addr : "", "peer");
-	json_decref(o);
 	read_owner(b);
 }
 
+static void handle_answer(struct owner_call_state *k,
+			  const struct tg_rpc_answer *a)
+{
+	struct board *b = k->board;
+	json_t *o = json_loadb(a->json.json_val, a->json.json_len, 0, NULL);
+
+	tg_document_heard_of(
+		b->document,
+		json_integer_value(json_object_get(o, "generation")));
+	if (a->status == TG_RPC_NOT_ACTIVE) {
+		update_owner(b, o);
+		k->done(TG_RPC_CALL_REJECTED, NULL, k->arg);
+	} else {
+		k->done(TG_RPC_CALL_OK, a, k->arg);
+	}
+	json_decref(o);
+}
+
 static void on_answer(enum tg_rpc_call_status end, const void *res, void *arg)
 {
 	struct owner_call_state *k = arg;
 	struct board *b = k->board;
-	const struct tg_rpc_answer *a = res;
 
-	if (end == TG_RPC_CALL_OK && a->status == TG_RPC_NOT_ACTIVE) {
-		update_owner(b, a);
-		end = TG_RPC_CALL_REJECTED;
-	} else if (end != TG_RPC_CALL_OK) {
+	if (end == TG_RPC_CALL_OK) {
+		handle_answer(k, res);
+	} else {
 		if (!strcmp(b->owner_addr, k->addr)) {
 			tg_log(EV_QUEUE_OWNER_LOST, "addr=%s end=%d", k->addr,
 			       (int)end);
 			set_owner(b, "", "");
 		}
 		read_owner(b);
+		k->done(end, NULL, k->arg);
 	}
-	k->done(end, end == TG_RPC_CALL_OK ? a : NULL, k->arg);
 	free(k);
 }
 
--- a/cmd/tgqueued/query.c
+++ b/cmd/tgqueued/query.c
@@ -32,6 +32,18 @@
 	return j;
 }
 
+/*
+ * Ends the request if the owner's answer shows that it was decoded by a
+ * document that must not be used any more.
+ */
+static bool outdated(struct request *r)
+{
+	if (tg_document_state(r->board->document) != TG_DOCUMENT_OUTDATED)
+		return false;
+	request_end_outdated(r);
+	return true;
+}
+
 static bool out_of_time(struct request *r)
 {
 	if (request_left_ms(r) > RETRY_MS)
@@ -129,6 +141,8 @@
 	const char *state;
 	json_t *o;
 
+	if (outdated(r))
+		return;
 	if (end != TG_RPC_CALL_OK || a->status != TG_RPC_OK) {
 		/* The owner may not have read a newly stored job yet. */
 		read_job(r);
@@ -191,6 +205,8 @@
 
 	if (end == TG_RPC_CALL_OK && a->status == TG_RPC_OK)
 		request_end(r, 200, "cancelled");
+	else if (outdated(r))
+		return;
 	else
 		read_job(r);
 }
@@ -216,6 +232,8 @@
 	struct request *r = arg;
 	json_t *o;
 
+	if (outdated(r))
+		return;
 	if (end != TG_RPC_CALL_OK || a->status != TG_RPC_OK) {
 		if (request_left_ms(r) <= 2 * RETRY_MS)
 			request_end(r, 503, "no owner answered in time");
--- a/lib/site/follow.c
+++ b/lib/site/follow.c
@@ -34,6 +34,10 @@
 	int64_t scan_version; /* version in the first answer of the scan */
 	int64_t unavailable_since_ms; /* 0 while the store answers */
 	int64_t current_ms; /* when rows were last known to be current; or 0 */
+	int64_t call_ms; /* when the call in progress began */
+	int64_t wait_ms; /* how long the feed may delay its answer */
+	int64_t scan_ms; /* when the scan began */
+	bool confirmed; /* the last feed had no change */
 	int64_t stall_ms; /* longest pause in the next answer */
 	int64_t scan_bytes; /* size of all answers of the last scan */
 	int part; /* index of the part that is being scanned */
@@ -142,6 +146,8 @@
 	if (f->opts.parts && f->part < f->opts.n_parts)
 		return;
 	f->scanning = false;
+	f->confirmed = false;
+	f->current_ms = f->scan_ms;
 	f->after = f->scan_version;
 	f->finished = f->opts.once;
 	if (f->opts.on_scan_done)
@@ -175,8 +181,6 @@
 	f->in_call = true; /* callbacks may free @f; end_call() does it */
 	deliver_rows(f, r);
 	advance_scan(f, r);
-	if (!f->scanning)
-		f->current_ms = tg_now_ms();
 	if (!end_call(f))
 		start_next_call(f);
 }
@@ -204,14 +208,17 @@
 	}
 	record_availability(f, r);
 	if (r->end != TG_STORE_OK) {
+		f->confirmed = false;
 		retry_later(f);
 		return;
 	}
 	if (r->version > f->after)
 		f->after = r->version;
+	/* The store has seen no change for the time that it was to wait. */
+	f->confirmed = !r->n_rows;
+	f->current_ms = f->call_ms + (f->confirmed ? f->wait_ms : 0);
 	f->in_call = true;
 	deliver_rows(f, r);
-	f->current_ms = tg_now_ms();
 	if (!end_call(f))
 		start_next_call(f);
 }
@@ -233,8 +240,10 @@
 	if (f->in_call || f->finished)
 		return;
 	f->in_call = true;
+	f->call_ms = tg_now_ms();
 	if (!f->after && !f->scanning) {
 		f->scanning = true;
+		f->scan_ms = f->call_ms;
 		f->scan_version = f->scan_bytes = 0;
 		f->part = 0;
 		free(f->from);
@@ -242,6 +251,7 @@
 		if (f->opts.on_scan_start)
 			f->opts.on_scan_start(f->opts.arg);
 	}
+	f->wait_ms = f->opts.confirm && !f->confirmed ? 0 : FEED_WAIT_MS;
 	if (f->scanning) {
 		struct tg_store_range range = {
 			.table = f->opts.table,
@@ -257,7 +267,7 @@
 			.table = f->opts.table,
 			.after = f->after,
 			.max_bytes = feed_max_bytes(f),
-			.wait_ms = FEED_WAIT_MS,
+			.wait_ms = f->wait_ms,
 			.stall_ms = f->stall_ms,
 		};
 
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -240,6 +240,8 @@
  * @few_rows: the rows change more often than rows are added.  The store returns
  *	each version of a changed row, so the table is scanned instead if the
  *	changes are larger than the table.
+ * @confirm: after a change, a scan or a failure, ask without waiting for the
+ *	next change whether the rows are current
  * @once: stop after the scan instead of following the changes
  * @on_scan_start: a full scan begins; rows that it does not deliver don't exist
  *	any more.  The first call comes from within tg_table_watch_new().  May
@@ -255,6 +257,7 @@
 	const char *const *parts;
 	int n_parts;
 	bool few_rows;
+	bool confirm;
 	bool once;
 	void (*on_scan_start)(void *arg);
 	void (*on_row)(const struct tg_row *row, void *arg);
@@ -278,20 +281,49 @@
  * tg_table_watch_not_current_ms() - time since the rows were known to be
  * current
  *
+ * That is the time at which the store was asked, or up to which it was to wait
+ * for a change and found none.
+ *
  * Return: -1 before the first scan is complete.
  */
 int64_t tg_table_watch_not_current_ms(const struct tg_table_watch *f);
 
 /* --- document --- */
 
+/** Time from the acknowledgement of a document until it is used everywhere. */
+#define TG_DOCUMENT_BOUND_MS 3000
+
+/**
+ * enum tg_document_state - what may be decided by the document in force
+ * @TG_DOCUMENT_NONE: there is none yet
+ * @TG_DOCUMENT_CURRENT: a newer one, if any, was acknowledged less than
+ *	TG_DOCUMENT_BOUND_MS ago
+ * @TG_DOCUMENT_UNCONFIRMED: nothing newer is known, but the store has not
+ *	confirmed it for that time
+ * @TG_DOCUMENT_OUTDATED: a newer one is known and may have been acknowledged
+ *	before that time
+ */
+enum tg_document_state {
+	TG_DOCUMENT_NONE,
+	TG_DOCUMENT_CURRENT,
+	TG_DOCUMENT_UNCONFIRMED,
+	TG_DOCUMENT_OUTDATED,
+};
+
 struct tg_document;
 
 /**
- * tg_document_new() - watch the operators' document
+ * struct tg_document_opts - options of a document
  * @on_change: called whenever a new document is in force; may be NULL
  */
-struct tg_document *tg_document_new(struct tg_site *s,
-				    void (*on_change)(void *arg), void *arg);
+struct tg_document_opts {
+	struct tg_site *site;
+	void (*on_change)(void *arg);
+	void *arg;
+};
+
+/** tg_document_new() - watch the operators' document */
+struct tg_document *tg_document_new(const struct tg_document_opts *opts);
 /** tg_document_free() - stop watching and free the document; may be NULL */
 void tg_document_free(struct tg_document *d);
 /**
@@ -300,6 +332,9 @@
  * It is valid until the next one is in force.
  */
 const struct tg_site_doc *tg_document_get(const struct tg_document *d);
+enum tg_document_state tg_document_state(const struct tg_document *d);
+/** tg_document_heard_of() - another instance uses this generation */
+void tg_document_heard_of(struct tg_document *d, int64_t generation);
 /**
  * tg_document_not_current_ms() - time since the document in force was known to
  * be the newest one
--- a/tests/script/site-document-behind.sh
+++ b/tests/script/site-document-behind.sh
@@ -42,6 +42,6 @@
 
 echo "# the store answers nobody: what the last known document has is served"
 control "store?mode=silent"
-sleep 3.2
+sleep 4.7
 echo "/never/: $(front 1 /never/0000000000000000)"
 echo "count of /new/: $(front 1 /new/)"
