--- a/tests/unit/platform/test-platform.c
+++ b/tests/unit/platform/test-platform.c
@@ -110,6 +110,111 @@
 }
 END_TEST
 
+static size_t json_bytes, json_bytes_max;
+
+static void *count_malloc(size_t n)
+{
+	size_t *p = malloc(n + 2 * sizeof(*p));
+
+	*p = n;
+	json_bytes += n;
+	if (json_bytes > json_bytes_max)
+		json_bytes_max = json_bytes;
+	return p + 2;
+}
+
+static void count_free(void *block)
+{
+	size_t *p = block;
+
+	if (!p)
+		return;
+	json_bytes -= p[-2];
+	free(p - 2);
+}
+
+/* The queue daemon exceeded 32 MB while it decoded a document. */
+START_TEST(large_document_is_decoded_in_little_memory)
+{
+	struct tg_row row = { .key = "config" };
+	struct tg_findings f = { 0 };
+	struct tg_site_doc *d;
+	char *text;
+	size_t n;
+	FILE *out = open_memstream(&text, &n);
+	int i;
+
+	fprintf(out, "{\"version\":7,\"routes\":[");
+	for (i = 0; i < 10000; i++)
+		fprintf(out, "%s{\"name\":\"q%d\",\"host\":\"h\"}",
+			i ? "," : "", i);
+	fprintf(out, "]}");
+	fclose(out);
+	row.value = text;
+	row.value_bytes = n;
+	json_set_alloc_funcs(count_malloc, count_free);
+	d = tg_platform_ops.decode_document(&row, &f);
+	json_set_alloc_funcs(malloc, free);
+	ck_assert_ptr_nonnull(d);
+	ck_assert_uint_eq(d->n_queues, 10000);
+	ck_assert_str_eq(d->queues[9999].name, "q9999");
+	ck_assert_uint_eq(json_bytes, 0);
+	ck_assert_uint_lt(json_bytes_max, 64 << 10);
+	tg_site_doc_free(d);
+	free(text);
+}
+END_TEST
+
+START_TEST(document_with_a_syntax_error_is_rejected)
+{
+	static const char text[] =
+		" { \"version\" : 7 , \"routes\" : [ {} , {\"name\":\"q\"} ] ,"
+		"\"tenants\":[],\"services\":[{\"name\":\"s\"}],"
+		"\"limits\":{\"max-body-bytes\":5}}";
+	static const char *const wrong[] = {
+		"",
+		"[]",
+		"{,}",
+		"{\"version\"}",
+		"{\"version\":}",
+		"{\"routes\":[{},]}",
+		"{\"routes\":[,{}]}",
+		"{\"routes\":[{}{}]}",
+		"{\"version\":7}}",
+		"{\"version\":7} x",
+		"{version:7}",
+		"{\"a\":1,}",
+		"{\"services\":[{\"a\"}]}",
+		"{\"a\":1 \"b\":2}",
+	};
+	struct tg_row row = { .key = "config", .value = text };
+	struct tg_findings f = { 0 };
+	struct tg_site_doc *d;
+	size_t i;
+
+	for (i = 0; i < sizeof(text) - 1; i++) {
+		row.value_bytes = i;
+		ck_assert_ptr_null(tg_platform_ops.decode_document(&row, &f));
+		tg_findings_free(&f);
+	}
+	for (i = 0; i < ARRAY_SIZE(wrong); i++) {
+		struct tg_row w = { .key = "config",
+				    .value = wrong[i],
+				    .value_bytes = strlen(wrong[i]) };
+
+		ck_assert_ptr_null(tg_platform_ops.decode_document(&w, &f));
+		tg_findings_free(&f);
+	}
+	row.value_bytes = sizeof(text) - 1;
+	d = tg_platform_ops.decode_document(&row, &f);
+	ck_assert_ptr_nonnull(d);
+	ck_assert_uint_eq(d->n_queues, 2);
+	ck_assert_uint_eq(d->n_workspaces, 0);
+	ck_assert_int_eq(d->body_bytes, 5);
+	tg_site_doc_free(d);
+}
+END_TEST
+
 /* All faults of a settings file must be reported at once. */
 START_TEST(settings_findings_are_complete)
 {
@@ -147,6 +252,8 @@
 	tcase_add_test(t, invalid_entries_are_rejected);
 	tcase_add_test(t, entries_are_decoded);
 	tcase_add_test(t, document_is_decoded);
+	tcase_add_test(t, large_document_is_decoded_in_little_memory);
+	tcase_add_test(t, document_with_a_syntax_error_is_rejected);
 	tcase_add_test(t, settings_findings_are_complete);
 	suite_add_tcase(s, t);
 	suite_add_tcase(s, odd_tcase());
