Don't reuse a connection to the store after a large answer

The store closes a connection 3 s after it began a large answer on it, and with it the call for changes that waits there by then.

The unit test fails without the new limit.

--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -301,6 +301,18 @@
 		evhttp_find_header(h, "Transfer-Encoding");
 }
 
+/*
+ * Some servers send a body in response to HEAD.  On a reused connection it
+ * would be parsed as the start of the next response.
+ */
+static bool is_reusable(const struct tg_http_call *call)
+{
+	size_t max_bytes = call->client->opts.reuse_max_bytes;
+
+	return call->method != EVHTTP_REQ_HEAD &&
+		(!max_bytes || call->received_bytes <= max_bytes);
+}
+
 static enum tg_http_outcome failure_outcome(const struct tg_http_call *call)
 {
 	if (!call->sent)
@@ -352,14 +364,10 @@
 	r.status = evhttp_request_get_response_code(req);
 	r.headers = evhttp_request_get_input_headers(req);
 	r.body = evhttp_request_get_input_buffer(req);
-	/*
-	 * Some servers send a body in response to HEAD.  On a reused connection
-	 * it would be parsed as the start of the next response.
-	 */
-	if (call->method == EVHTTP_REQ_HEAD)
-		discard_connection(call->client, call->con);
-	else
+	if (is_reusable(call))
 		release_connection(call->client, call->pool, call->con);
+	else
+		discard_connection(call->client, call->con);
 	finish_call(call, &r);
 }
 
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -163,6 +163,9 @@
  * @connections_max: beyond this number the connection that has been idle
  *longest is closed for a new one; 0 for no limit
  * @idle_ms: connections idle for longer are not reused; 0 for 20,000
+ * @reuse_max_bytes: a connection on which a larger response has arrived is
+ *	closed; 0 for no limit.  Servers may limit the time in which a response
+ *	is read, and close a connection on which that has run out.
  * @unsafe_reuse: for fault tests only: reuse a connection on which a call timed
  *	out, so that the late response is delivered to the next call
  * @unsafe_undelimited: for fault tests only: accept a response whose end is
@@ -175,6 +178,7 @@
 	int idle_per_addr;
 	int connections_max;
 	int64_t idle_ms;
+	size_t reuse_max_bytes;
 	bool unsafe_reuse;
 	bool unsafe_undelimited;
 };
--- a/tests/unit/http/test-http.c
+++ b/tests/unit/http/test-http.c
@@ -1,4 +1,6 @@
 #include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
 #include "../run.h"
@@ -14,12 +16,25 @@
 static struct tg_http_client *client;
 static struct tg_http_result result;
 static int64_t delay_ms, started_ms, ended_ms;
+static size_t body_bytes;
+
+static json_t *make_text(size_t n)
+{
+	char *text = tg_xcalloc(1, n + 1);
+	json_t *v;
+
+	memset(text, 'x', n);
+	v = json_stringn(text, n);
+	free(text);
+	return v;
+}
 
 static void answer(evutil_socket_t fd, short what, void *arg)
 {
 	(void)fd;
 	(void)what;
-	tg_http_reply_json(arg, 200, json_object());
+	tg_http_reply_json(arg, 200,
+			   json_pack("{s:o}", "body", make_text(body_bytes)));
 }
 
 static void on_request(struct evhttp_request *req, void *arg)
@@ -47,13 +62,14 @@
 	};
 	struct tg_http_server_opts so = { .addr = "127.0.0.1:0",
 					  .routes = routes };
-	struct tg_http_client_opts co = { 0 };
+	struct tg_http_client_opts co = { .reuse_max_bytes = 100000 };
 
 	base = so.base = co.base = tg_loop_new();
 	server = tg_http_server_new(&so);
 	client = tg_http_client_new(&co);
 	ck_assert_ptr_nonnull(server);
 	delay_ms = 0;
+	body_bytes = 0;
 }
 
 static void teardown(void)
@@ -219,6 +235,25 @@
 }
 END_TEST
 
+/*
+ * The platform's store closed connections some time after a large answer, and
+ * with them the call that was waiting there for a change.
+ */
+START_TEST(connection_with_a_large_response_is_not_reused)
+{
+	call();
+	event_base_dispatch(base);
+	ck_assert_int_eq(result.end, TG_HTTP_COMPLETE);
+	ck_assert_int_eq(open_connections(), 1);
+	body_bytes = 200000;
+	call();
+	event_base_dispatch(base);
+	ck_assert_int_eq(result.end, TG_HTTP_COMPLETE);
+	event_base_loop(base, EVLOOP_NONBLOCK);
+	ck_assert_int_eq(open_connections(), 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("http");
@@ -231,6 +266,7 @@
 	tcase_add_test(t, a_limit_is_extended_to_its_double);
 	tcase_add_test(t, a_connection_that_fails_at_once_is_reported);
 	tcase_add_test(t, idle_connections_make_room);
+	tcase_add_test(t, connection_with_a_large_response_is_not_reused);
 	suite_add_tcase(s, t);
 	return run_suite(s);
 }
