Wait for the store after a pause before a request is decided

A process that was paused for some seconds decided the requests that had waited meanwhile by the document it had before, or rejected them once the owner's answer showed a newer one. While no call to the store has failed, the confirmation is only some milliseconds away: requests wait for it, at most 1 s.

script/site-document-behind, new part: a request for a queue that was removed during the pause got 503 in three runs of three, and 404 now.

--- a/cmd/tgqueued/front.c
+++ b/cmd/tgqueued/front.c
@@ -8,6 +8,13 @@
 /* Idle time-out of connections; longer than any request takes. */
 #define IDLE_MS 60000
 #define RETRY_AFTER_S 1
+/*
+ * After this process was held up, requests wait until the store has said
+ * whether the document is current, at most for this long, looking at it at this
+ * interval.
+ */
+#define CHECK_MAX_MS 1000
+#define CHECK_MS 10
 
 static const char *const kind_names[] = {
 	[TG_REQUEST_SUBMIT] = "submit", [TG_REQUEST_SHOW] = "show",
@@ -161,36 +168,21 @@
 static bool may_be_in_newer_document(const struct tg_request *c,
 				     enum tg_document_state state)
 {
-	return state == TG_DOCUMENT_UNCONFIRMED &&
-		c->kind == TG_REQUEST_INVALID &&
+	return state != TG_DOCUMENT_CURRENT && c->kind == TG_REQUEST_INVALID &&
 		(c->status == 401 || c->status == 404);
 }
 
-static void on_request(struct evhttp_request *http, void *arg)
+/* Decodes the request by the document in force. */
+static void handle_request(struct request *r, enum tg_document_state state)
 {
-	struct board *b = arg;
-	struct request *r = tg_xcalloc(1, sizeof(*r));
+	struct board *b = r->board;
 	const struct tg_site_doc *d = tg_document_get(b->document);
-	enum tg_document_state state = tg_document_state(b->document);
 	struct tg_request c = { .kind = TG_REQUEST_INVALID };
 	int64_t wait_ms;
 
-	r->board = b;
-	r->http = http;
-	r->started_ms = tg_now_ms();
-	r->kind = TG_REQUEST_INVALID;
-	r->generation = d ? d->generation : 0;
-	r->not_current_ms = tg_document_not_current_ms(b->document);
-	if (state == TG_DOCUMENT_NONE) {
-		request_end(r, 503, "no document yet");
-		return;
-	}
-	if (state == TG_DOCUMENT_OUTDATED) {
-		request_end_outdated(r);
-		return;
-	}
-	b->site.ops->call(http, d, &c);
+	b->site.ops->call(r->http, d, &c);
 	r->kind = c.kind;
+	r->generation = d->generation;
 	tg_strlcpy(r->job, c.job, sizeof(r->job));
 	if (c.queue)
 		tg_strlcpy(r->queue, c.queue->name, sizeof(r->queue));
@@ -206,6 +198,33 @@
 	tg_request_clear(&c);
 }
 
+static void begin_request(struct request *r)
+{
+	enum tg_document_state state = tg_document_state(r->board->document);
+	bool may_wait = tg_now_ms() - r->started_ms < CHECK_MAX_MS;
+
+	r->not_current_ms = tg_document_not_current_ms(r->board->document);
+	if (state == TG_DOCUMENT_NONE)
+		request_end(r, 503, "no document yet");
+	else if (state == TG_DOCUMENT_OUTDATED)
+		request_end_outdated(r);
+	else if (state == TG_DOCUMENT_CHECKING && may_wait)
+		request_schedule(r, CHECK_MS, begin_request);
+	else
+		handle_request(r, state);
+}
+
+static void on_request(struct evhttp_request *http, void *arg)
+{
+	struct request *r = tg_xcalloc(1, sizeof(*r));
+
+	r->board = arg;
+	r->http = http;
+	r->started_ms = tg_now_ms();
+	r->kind = TG_REQUEST_INVALID;
+	begin_request(r);
+}
+
 static bool is_ready(void *arg, const char **why)
 {
 	struct board *b = arg;
--- a/lib/site/document.c
+++ b/lib/site/document.c
@@ -273,8 +273,10 @@
 	if (tg_document_not_current_ms(d) <
 	    TG_DOCUMENT_BOUND_MS - CLOCK_MARGIN_MS)
 		return TG_DOCUMENT_CURRENT;
-	return newer_is_known(d) ? TG_DOCUMENT_OUTDATED :
-				   TG_DOCUMENT_UNCONFIRMED;
+	if (newer_is_known(d))
+		return TG_DOCUMENT_OUTDATED;
+	return tg_table_watch_is_failing(d->watch) ? TG_DOCUMENT_UNCONFIRMED :
+						     TG_DOCUMENT_CHECKING;
 }
 
 void tg_document_heard_of(struct tg_document *d, int64_t generation)
--- a/lib/site/follow.c
+++ b/lib/site/follow.c
@@ -367,6 +367,11 @@
 	return &f->transfer;
 }
 
+bool tg_table_watch_is_failing(const struct tg_table_watch *f)
+{
+	return f->unavailable_since_ms != 0;
+}
+
 int64_t tg_table_watch_not_current_ms(const struct tg_table_watch *f)
 {
 	return f->current_ms ? tg_now_ms() - f->current_ms : -1;
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -298,6 +298,8 @@
 /** tg_table_watch_transfer() - how the last answer arrived */
 const struct tg_store_transfer *
 tg_table_watch_transfer(const struct tg_table_watch *f);
+/** tg_table_watch_is_failing() - whether the last call has failed */
+bool tg_table_watch_is_failing(const struct tg_table_watch *f);
 /**
  * tg_table_watch_not_current_ms() - time since the rows were known to be
  * current
@@ -319,14 +321,17 @@
  * @TG_DOCUMENT_NONE: there is none yet
  * @TG_DOCUMENT_CURRENT: a newer one, if any, was acknowledged less than
  *	TG_DOCUMENT_BOUND_MS ago
- * @TG_DOCUMENT_UNCONFIRMED: nothing newer is known, but the store has not
- *	confirmed it for that time
+ * @TG_DOCUMENT_CHECKING: it has not been confirmed for that time because this
+ *	process was held up; the store is being asked
+ * @TG_DOCUMENT_UNCONFIRMED: it has not been confirmed for that time because the
+ *	store does not answer; nothing newer is known
  * @TG_DOCUMENT_OUTDATED: a newer one is known and may have been acknowledged
  *	before that time
  */
 enum tg_document_state {
 	TG_DOCUMENT_NONE,
 	TG_DOCUMENT_CURRENT,
+	TG_DOCUMENT_CHECKING,
 	TG_DOCUMENT_UNCONFIRMED,
 	TG_DOCUMENT_OUTDATED,
 };
--- a/tests/script/site-document-behind.sh
+++ b/tests/script/site-document-behind.sh
@@ -40,8 +40,22 @@
 show 2 /old/
 show 2 /new/
 
+echo "# paused while /new/ is replaced: a request that was sent meanwhile"
+signal_queue() { # SIGNAL
+	is_own "$(pid_of queue-2)" && kill "-$1" "$(pid_of queue-2)"
+}
+signal_queue STOP
+control config "$(doc 11 /last/)"
+sleep 3.2
+front 2 /new/0000000000000000 >"$tmp/status" &
+sleep 0.3
+signal_queue CONT
+wait $!
+echo "/new/: $(cat "$tmp/status")"
+show 2 /last/
+
 echo "# the store answers nobody: what the last known document has is served"
 control "store?mode=silent"
 sleep 4.7
 echo "/never/: $(front 1 /never/0000000000000000)"
-echo "count of /new/: $(front 1 /new/)"
+echo "count of /last/: $(front 1 /last/)"
