Let the owner confirm the document of an instance that the store doesn't answer

The owner's answers now say for how long its document has not been known to be the newest, which confirms the same generation at the caller. While the store doesn't answer, a request is decided after such an answer. Without it, only states and cancellations of jobs are served, which don't depend on the queue; counts, submissions, unknown queues and keys are rejected with 503.

An instance that only it can't reach the store now answers 404 and accepts jobs through a peer as before, which script/site-document-behind shows (503 before).

--- a/cmd/tgflowd/rpc.c
+++ b/cmd/tgflowd/rpc.c
@@ -23,12 +23,17 @@
 	};
 	char *s;
 
-	/* The caller may use an older document. */
+	/* The caller may use an older document, or be unable to ask the store.
+	 */
 	if (d && !json)
 		json = json_object();
-	if (d)
+	if (d) {
 		json_object_set_new(json, "generation",
 				    json_integer(d->generation));
+		json_object_set_new(
+			json, "not-current-ms",
+			json_integer(tg_document_not_current_ms(b->document)));
+	}
 	s = json ? json_dumps(json, JSON_COMPACT) : NULL;
 	a.json.json_val = s;
 	a.json.json_len = s ? (u_int)strlen(s) : 0;
--- a/cmd/tgqueued/board.h
+++ b/cmd/tgqueued/board.h
@@ -43,6 +43,8 @@
 	 */
 	int64_t store_failed_ms, relay_failed_ms;
 	int64_t probed_ms; /* last submission that tried the store */
+	int64_t unconfirmed_ms; /* when the owner last did not confirm the
+				   document */
 };
 
 /** struct request - a caller's request in progress */
--- a/cmd/tgqueued/front.c
+++ b/cmd/tgqueued/front.c
@@ -15,6 +15,12 @@
  */
 #define CHECK_MAX_MS 1000
 #define CHECK_MS 10
+/*
+ * How long the owner may take to say whether the document is current, and how
+ * long it isn't asked again after it could not.
+ */
+#define ASK_TIMEOUT_MS 600
+#define ASK_INTERVAL_MS 500
 
 static const char *const kind_names[] = {
 	[TG_REQUEST_SUBMIT] = "submit", [TG_REQUEST_SHOW] = "show",
@@ -164,12 +170,16 @@
 	}
 }
 
-/* A queue or key that isn't known here may be in a newer document. */
-static bool may_be_in_newer_document(const struct tg_request *c,
-				     enum tg_document_state state)
+/*
+ * Whether a request can be decided by a document of which nobody knows whether
+ * it is the newest.  The state of an accepted job and its cancellation don't
+ * depend on the queue; all else may be different in a newer document.
+ */
+static bool may_use_unconfirmed(const struct tg_request *c)
 {
-	return state != TG_DOCUMENT_CURRENT && c->kind == TG_REQUEST_INVALID &&
-		(c->status == 401 || c->status == 404);
+	if (c->kind == TG_REQUEST_INVALID)
+		return c->status != 401 && c->status != 404;
+	return c->kind == TG_REQUEST_SHOW || c->kind == TG_REQUEST_CANCEL;
 }
 
 /* Decodes the request by the document in force. */
@@ -191,17 +201,45 @@
 			   sizeof(r->workspace));
 	wait_ms = c.deadline_ms > 0 ? c.deadline_ms : b->set.deadline_ms;
 	r->deadline_ms = r->started_ms + wait_ms * DEADLINE_PERCENT / 100;
-	if (may_be_in_newer_document(&c, state))
+	if (state != TG_DOCUMENT_CURRENT && !may_use_unconfirmed(&c))
 		request_end(r, 503, "the document is not known to be current");
 	else
 		dispatch(r, &c);
 	tg_request_clear(&c);
 }
 
+static void on_owner_asked(enum tg_rpc_call_status end,
+			   const struct tg_rpc_answer *a, void *arg)
+{
+	struct request *r = arg;
+	struct board *b = r->board;
+	enum tg_document_state state = tg_document_state(b->document);
+
+	(void)end;
+	(void)a;
+	if (state == TG_DOCUMENT_CHECKING || state == TG_DOCUMENT_UNCONFIRMED)
+		b->unconfirmed_ms = tg_now_ms();
+	if (state == TG_DOCUMENT_OUTDATED)
+		request_end_outdated(r);
+	else
+		handle_request(r, state);
+}
+
+/* The store doesn't answer this instance; the owner may know the document. */
+static void ask_owner(struct request *r)
+{
+	struct tg_rpc_list l = { .workspace = "", .after = "" };
+
+	owner_call(r->board, TG_RPC_JOB_LIST, &l, ASK_TIMEOUT_MS,
+		   on_owner_asked, r);
+}
+
 static void begin_request(struct request *r)
 {
 	enum tg_document_state state = tg_document_state(r->board->document);
-	bool may_wait = tg_now_ms() - r->started_ms < CHECK_MAX_MS;
+	int64_t now_ms = tg_now_ms();
+	bool may_wait = now_ms - r->started_ms < CHECK_MAX_MS;
+	bool may_ask = now_ms - r->board->unconfirmed_ms > ASK_INTERVAL_MS;
 
 	r->not_current_ms = tg_document_not_current_ms(r->board->document);
 	if (state == TG_DOCUMENT_NONE)
@@ -210,6 +248,8 @@
 		request_end_outdated(r);
 	else if (state == TG_DOCUMENT_CHECKING && may_wait)
 		request_schedule(r, CHECK_MS, begin_request);
+	else if (state == TG_DOCUMENT_UNCONFIRMED && may_ask)
+		ask_owner(r);
 	else
 		handle_request(r, state);
 }
--- a/cmd/tgqueued/owner.c
+++ b/cmd/tgqueued/owner.c
@@ -11,6 +11,7 @@
 	struct board *board;
 	owner_call_done done;
 	void *arg;
+	int64_t started_ms;
 	char addr[TG_ADDR_MAX + 1];
 };
 
@@ -62,15 +63,26 @@
 	read_owner(b);
 }
 
+/* The owner tells which document it uses, and how old that knowledge is. */
+static void hear_of_document(const struct owner_call_state *k,
+			     const json_t *answer)
+{
+	const json_t *age = json_object_get(answer, "not-current-ms");
+	const json_t *generation = json_object_get(answer, "generation");
+
+	if (json_is_integer(age) && json_is_integer(generation))
+		tg_document_heard_of(k->board->document,
+				     json_integer_value(generation),
+				     k->started_ms - json_integer_value(age));
+}
+
 static void handle_answer(struct owner_call_state *k,
 			  const struct tg_rpc_answer *a)
 {
 	struct board *b = k->board;
 	json_t *o = json_loadb(a->json.json_val, a->json.json_len, 0, NULL);
 
-	tg_document_heard_of(
-		b->document,
-		json_integer_value(json_object_get(o, "generation")));
+	hear_of_document(k, o);
 	if (a->status == TG_RPC_NOT_ACTIVE) {
 		update_owner(b, o);
 		k->done(TG_RPC_CALL_REJECTED, NULL, k->arg);
@@ -141,6 +153,7 @@
 	k->board = b;
 	k->done = done;
 	k->arg = arg;
+	k->started_ms = tg_now_ms();
 	if (!*b->owner_addr)
 		read_owner(b);
 	/* A flow daemon that is not the owner answers with the owner's address.
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -511,10 +511,11 @@
 		return -1;
 	evhttp_request_set_error_cb(call->req, on_request_error);
 	out = evhttp_request_get_output_headers(call->req);
-	evhttp_add_header(out, "Host", opts->addr);
 	for (h = opts->headers; h && h->name; h++)
 		if (evhttp_add_header(out, h->name, h->value))
 			return -1;
+	if (!evhttp_find_header(out, "Host"))
+		evhttp_add_header(out, "Host", opts->addr);
 	if (opts->body_bytes)
 		evbuffer_add(evhttp_request_get_output_buffer(call->req),
 			     opts->body, opts->body_bytes);
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -236,7 +236,7 @@
  * @addr: IP:PORT of the server
  * @uri: path and query
  * @headers: additional headers, terminated by an entry with a NULL name; may be
- *	NULL.  Host is always set.
+ *	NULL.  Host is @addr if it is not among them.
  * @body: request body, copied
  * @body_bytes: length of @body; 0 for none
  * @timeout_ms: limit on the duration of the whole call, or with @stall_ms on
--- a/lib/site/document.c
+++ b/lib/site/document.c
@@ -32,6 +32,8 @@
 	/* The last large read, decoding included. */
 	int64_t read_bytes, read_ms;
 	int64_t heard_generation; /* newest one that another instance uses */
+	/* When another instance knew that the one in force was the newest. */
+	int64_t heard_current_ms;
 	bool newer_in_store; /* a change is known that is not in force */
 	bool change_applied; /* the last document came as a change */
 };
@@ -258,7 +260,12 @@
 
 int64_t tg_document_not_current_ms(const struct tg_document *d)
 {
-	return d->doc ? tg_table_watch_not_current_ms(d->watch) : -1;
+	int64_t ms = tg_table_watch_not_current_ms(d->watch);
+	int64_t heard_ms = tg_now_ms() - d->heard_current_ms;
+
+	if (!d->doc)
+		return -1;
+	return d->heard_current_ms && heard_ms < ms ? heard_ms : ms;
 }
 
 static bool newer_is_known(const struct tg_document *d)
@@ -279,8 +286,12 @@
 						     TG_DOCUMENT_CHECKING;
 }
 
-void tg_document_heard_of(struct tg_document *d, int64_t generation)
+void tg_document_heard_of(struct tg_document *d, int64_t generation,
+			  int64_t current_ms)
 {
+	if (d->doc && generation == d->doc->generation &&
+	    current_ms > d->heard_current_ms)
+		d->heard_current_ms = current_ms;
 	if (generation <= d->heard_generation)
 		return;
 	d->heard_generation = generation;
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -362,11 +362,15 @@
  */
 const struct tg_site_doc *tg_document_get(const struct tg_document *d);
 enum tg_document_state tg_document_state(const struct tg_document *d);
-/** tg_document_heard_of() - another instance uses this generation */
-void tg_document_heard_of(struct tg_document *d, int64_t generation);
+/**
+ * tg_document_heard_of() - another instance uses this generation
+ * @current_ms: when that was known to be the newest one
+ */
+void tg_document_heard_of(struct tg_document *d, int64_t generation,
+			  int64_t current_ms);
 /**
  * tg_document_not_current_ms() - time since the document in force was known to
- * be the newest one
+ * be the newest one, by the store or by another instance
  *
  * Return: -1 before the first one is in force.
  */
--- a/tests/script/site-document-behind.sh
+++ b/tests/script/site-document-behind.sh
@@ -26,6 +26,9 @@
 control "store?door=1&mode=silent"
 # The call that waits for a change is still answered.
 sleep 1.5
+sleep 3.2
+echo "the owner confirms the document: $(front 2 /never/0000000000000000)" \
+	"$(front 2 /old/) $(submit 2 00000000000000a1 ms=1 "$(steps 1)")"
 control config "$(doc 10 /new/)"
 await "generation 10 on 1" answers_at 1 /new/ 410
 sleep 3.2
@@ -54,8 +57,9 @@
 echo "/new/: $(cat "$tmp/status")"
 show 2 /last/
 
-echo "# the store answers nobody: what the last known document has is served"
+echo "# the store answers nobody: states are served, what the document decides is not"
 control "store?mode=silent"
 sleep 4.7
 echo "/never/: $(front 1 /never/0000000000000000)"
+echo "state of a1: $(front 1 /n/00000000000000a1)"
 echo "count of /last/: $(front 1 /last/)"
