--- a/tests/soak/seeds.sh
+++ b/tests/soak/seeds.sh
@@ -1,16 +1,18 @@
 #!/bin/sh
-# Runs seeds of the soak, some at a time: seeds.sh FROM TO [AT-ONCE] [KEEP]
+# Runs seeds of a soak, some at a time: seeds.sh FROM TO [AT-ONCE] [KEEP]
+# SOAK names the soak: run (the default) or document; FLAGS are passed to it.
 # Prints the lines of seeds that broke a promise, then a count.
 cd "$(dirname "$0")/../.." || exit 1
 TG_BIN=$PWD/${BUILD:-build}/bin
 TG_TESTBIN=$PWD/${BUILD:-build}/tests
 TG_TESTS=$PWD/tests
-export TG_BIN TG_TESTBIN TG_TESTS
+FLAGS=${FLAGS:-}
+export TG_BIN TG_TESTBIN TG_TESTS SOAK FLAGS
 from=$1 to=$2 at_once=${3:-4} keep=${4:-}
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
 seq "$from" "$to" | xargs -P "$at_once" -I '{}' sh -c \
-	'sh tests/soak/run.sh --seed "$1" ${3:+--keep "$3/$1"} \
+	'sh "tests/soak/${SOAK:-run}.sh" --seed "$1" ${3:+--keep "$3/$1"} $FLAGS \
 		>"$2/$1" 2>"$2/$1.err"; tail -n 1 "$2/$1.err"' \
 	- '{}' "$out" "$keep"
 bad=0
