Take the document for current only when the store waited and the scan is complete

An answer without changes that comes before the requested wait is over shows only that the document was current when the store was asked. Before a first scan of several pages is complete, nothing is known. Found by reading.

--- a/cmd/tgqueued/owner.c
+++ b/cmd/tgqueued/owner.c
@@ -70,7 +70,8 @@
 	const json_t *age = json_object_get(answer, "not-current-ms");
 	const json_t *generation = json_object_get(answer, "generation");
 
-	if (json_is_integer(age) && json_is_integer(generation))
+	if (json_integer_value(age) >= 0 && json_is_integer(age) &&
+	    json_is_integer(generation))
 		tg_document_heard_of(k->board->document,
 				     json_integer_value(generation),
 				     k->started_ms - json_integer_value(age));
--- a/lib/site/document.c
+++ b/lib/site/document.c
@@ -265,7 +265,9 @@
 
 	if (!d->doc)
 		return -1;
-	return d->heard_current_ms && heard_ms < ms ? heard_ms : ms;
+	if (d->heard_current_ms && (ms < 0 || heard_ms < ms))
+		return heard_ms;
+	return ms;
 }
 
 static bool newer_is_known(const struct tg_document *d)
@@ -275,10 +277,12 @@
 
 enum tg_document_state tg_document_state(const struct tg_document *d)
 {
+	int64_t ms = tg_document_not_current_ms(d);
+
 	if (!d->doc)
 		return TG_DOCUMENT_NONE;
-	if (tg_document_not_current_ms(d) <
-	    TG_DOCUMENT_BOUND_MS - CLOCK_MARGIN_MS)
+	/* Below 0 the scan that has found the document is not complete. */
+	if (ms >= 0 && ms < TG_DOCUMENT_BOUND_MS - CLOCK_MARGIN_MS)
 		return TG_DOCUMENT_CURRENT;
 	if (newer_is_known(d))
 		return TG_DOCUMENT_OUTDATED;
--- a/lib/site/follow.c
+++ b/lib/site/follow.c
@@ -262,9 +262,11 @@
 	}
 	if (r->version > f->after)
 		f->after = r->version;
-	/* The store has seen no change for the time that it was to wait. */
 	f->confirmed = !r->n_rows;
-	f->current_ms = f->call_ms + (f->confirmed ? f->wait_ms : 0);
+	f->current_ms = f->call_ms;
+	/* The store has seen no change for the time that it was to wait. */
+	if (f->confirmed && f->call_ms + f->wait_ms <= tg_now_ms())
+		f->current_ms += f->wait_ms;
 	f->in_call = true;
 	deliver_rows(f, r);
 	if (!end_call(f))
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -372,7 +372,7 @@
  * tg_document_not_current_ms() - time since the document in force was known to
  * be the newest one, by the store or by another instance
  *
- * Return: -1 before the first one is in force.
+ * Return: -1 before the first scan is complete.
  */
 int64_t tg_document_not_current_ms(const struct tg_document *d);
 
