Don't end a request by a document that turned out to be over

A request that was decoded by an unconfirmed document is now rejected with 503 if another one is in force or known when it ends, and so is 410, which is final, if the document still isn't confirmed.

--- a/cmd/tgqueued/board.h
+++ b/cmd/tgqueued/board.h
@@ -58,6 +58,7 @@
 	/* Document by which the request was decoded, and for how long it had
 	 * not been known to be the newest one. */
 	int64_t generation, not_current_ms;
+	bool unconfirmed; /* nobody knew whether that was the newest one */
 	char *row; /* encoded job row of a submission */
 	bool maybe_stored; /* a write that got no answer may take effect */
 	bool found; /* the job's row exists */
@@ -68,7 +69,7 @@
 /* front.c */
 /** request_end() - send the reply, log it and free @r */
 void request_end(struct request *r, int status, const char *why);
-/** request_end_outdated() - reject: a newer document must be used */
+/** request_end_outdated() - reject: decided by a document that may be over */
 void request_end_outdated(struct request *r);
 void request_end_state(struct request *r, const char *state);
 void request_end_count(struct request *r, int64_t waiting);
--- a/cmd/tgqueued/front.c
+++ b/cmd/tgqueued/front.c
@@ -64,7 +64,7 @@
 				  "Connection", "close");
 }
 
-void request_end(struct request *r, int status, const char *why)
+static void reply(struct request *r, int status, const char *why)
 {
 	bool retry_later = status == 429 || status == 503;
 
@@ -74,13 +74,41 @@
 	finish(r, status, why);
 }
 
+/*
+ * Whether the document by which @r was decoded turns out not to have been the
+ * newest one, or for a final refusal, still isn't known to be.
+ */
+static bool was_outdated(const struct request *r, bool is_final)
+{
+	const struct tg_document *d = r->board->document;
+
+	if (!r->unconfirmed)
+		return false;
+	if (tg_document_get(d)->generation != r->generation ||
+	    tg_document_state(d) == TG_DOCUMENT_OUTDATED)
+		return true;
+	return is_final && tg_document_state(d) != TG_DOCUMENT_CURRENT;
+}
+
+void request_end(struct request *r, int status, const char *why)
+{
+	if (status == 410 && was_outdated(r, true))
+		request_end_outdated(r);
+	else
+		reply(r, status, why);
+}
+
 void request_end_outdated(struct request *r)
 {
-	request_end(r, 503, "a newer document is not in force here yet");
+	reply(r, 503, "the document is not the newest one");
 }
 
 void request_end_state(struct request *r, const char *state)
 {
+	if (was_outdated(r, false)) {
+		request_end_outdated(r);
+		return;
+	}
 	add_close_if_draining(r);
 	r->board->site.ops->reply_state(r->http, state);
 	finish(r, 200, state);
@@ -193,6 +221,7 @@
 	b->site.ops->call(r->http, d, &c);
 	r->kind = c.kind;
 	r->generation = d->generation;
+	r->unconfirmed = state != TG_DOCUMENT_CURRENT;
 	tg_strlcpy(r->job, c.job, sizeof(r->job));
 	if (c.queue)
 		tg_strlcpy(r->queue, c.queue->name, sizeof(r->queue));
@@ -201,7 +230,7 @@
 			   sizeof(r->workspace));
 	wait_ms = c.deadline_ms > 0 ? c.deadline_ms : b->set.deadline_ms;
 	r->deadline_ms = r->started_ms + wait_ms * DEADLINE_PERCENT / 100;
-	if (state != TG_DOCUMENT_CURRENT && !may_use_unconfirmed(&c))
+	if (r->unconfirmed && !may_use_unconfirmed(&c))
 		request_end(r, 503, "the document is not known to be current");
 	else
 		dispatch(r, &c);
--- a/tests/script/site-document-behind.sh
+++ b/tests/script/site-document-behind.sh
@@ -63,3 +63,13 @@
 echo "/never/: $(front 1 /never/0000000000000000)"
 echo "state of a1: $(front 1 /n/00000000000000a1)"
 echo "count of /last/: $(front 1 /last/)"
+
+echo "# a state is asked for meanwhile, and found when the document is over"
+control config "$(doc 12 /after/)"
+front 1 /last/0000000000000000 >"$tmp/status" &
+sleep 0.3
+control "store?mode=ok"
+wait $!
+echo "/last/: $(cat "$tmp/status")"
+await "generation 12 on 1" answers_at 1 /after/ 410
+echo "/last/: $(front 1 /last/0000000000000000)"
