Let the owner wait for the change of a document instead of decoding it

The owner decoded a document of 11,246 queues in 0.7 s on half a core, in one turn, with the same limit of 0.7 s as the queue daemons. Peers take an owner for dead that is silent for that long. Its limit is 0.1 s now, so that it applies the change; a queue daemon writes that. A new owner still reads the document whole when it takes over.

The limit of the feed and the expected time of a read now count the same bytes: the first those of the answer, the second those of the row.

--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -116,6 +116,12 @@
 		b->progress = tg_table_watch_new(&o);
 }
 
+/*
+ * To decode a document holds up the owner, which peers take for dead after 0.6
+ * s or more.
+ */
+#define DOCUMENT_DIRECT_MS 100
+
 static void apply_document(void *arg)
 {
 	struct board *b = arg;
@@ -166,6 +172,7 @@
 	};
 	struct tg_document_opts d = {
 		.site = &b->site,
+		.direct_ms = DOCUMENT_DIRECT_MS,
 		.on_change = apply_document,
 		.arg = b,
 	};
--- a/cmd/tgqueued/main.c
+++ b/cmd/tgqueued/main.c
@@ -7,6 +7,8 @@
  */
 #define STOP_MARGIN_MS 900
 #define KILL_MARGIN_MS 300
+/* Leaves time within 3 s for the others, which wait for the change. */
+#define DOCUMENT_DIRECT_MS 700
 
 static const struct tg_setting settings[] = {
 	TG_SITE_FLAGS(settings, NULL),
@@ -38,7 +40,11 @@
 int main(int argc, char **argv)
 {
 	static struct board b;
-	struct tg_document_opts document = { .site = &b.site, .publish = true };
+	struct tg_document_opts document = {
+		.site = &b.site,
+		.direct_ms = DOCUMENT_DIRECT_MS,
+		.publish = true,
+	};
 	struct tg_daemon_opts daemon = {
 		.controllers = controllers,
 		.board = &b,
--- a/lib/site/document.c
+++ b/lib/site/document.c
@@ -7,8 +7,6 @@
 #define CLOCK_MARGIN_MS 100
 /* Answers from this size on show how fast documents are read. */
 #define MEASURED_BYTES (64 << 10)
-/* An instance that reads the document faster than this doesn't wait. */
-#define DIRECT_MS 700
 /*
  * How long the others wait for the change before they read the document: a part
  * of the time that this takes, within these limits.  The part is larger once a
@@ -59,9 +57,10 @@
 
 	if (t->bytes < MEASURED_BYTES)
 		return;
-	d->read_bytes = t->bytes;
+	d->read_bytes = d->doc->row_bytes;
 	d->read_ms = t->receive_ms + decode_ms + 1;
-	tg_table_watch_limit(d->watch, d->read_bytes * DIRECT_MS / d->read_ms);
+	tg_table_watch_limit(d->watch,
+			     t->bytes * d->opts.direct_ms / d->read_ms);
 }
 
 static void document_changed(struct tg_document *d)
@@ -92,7 +91,7 @@
 	d->doc = doc;
 	measure_read(d, decode_ms);
 	d->change_applied = false;
-	if (expected_ms(d) > DIRECT_MS)
+	if (expected_ms(d) > d->opts.direct_ms)
 		follow_changes(d);
 	else if (d->publisher && doc->row_bytes >= PUBLISH_BYTES)
 		tg_doc_publisher_wake(d->publisher);
@@ -204,7 +203,7 @@
 	int64_t ms = expected_ms(d);
 
 	d->newer_in_store = true;
-	if (ms <= DIRECT_MS)
+	if (ms <= d->opts.direct_ms)
 		return 0;
 	follow_changes(d);
 	ms = ms *
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -340,12 +340,15 @@
 
 /**
  * struct tg_document_opts - options of a document
+ * @direct_ms: read a document from the feed if that takes at most this long,
+ *	decoding included; otherwise wait for its change first
  * @publish: write the changes of a large document to the store, for instances
  *	that would take long to read it
  * @on_change: called whenever a new document is in force; may be NULL
  */
 struct tg_document_opts {
 	struct tg_site *site;
+	int64_t direct_ms;
 	bool publish;
 	void (*on_change)(void *arg);
 	void *arg;
