--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -116,10 +116,7 @@
 		b->progress = tg_table_watch_new(&o);
 }
 
-/*
- * To decode a document holds up the owner, which peers take for dead after 0.6
- * s or more.
- */
+/* Peers take an owner for dead that decodes a document for 0.6 s. */
 #define DOCUMENT_DIRECT_MS 100
 
 static void apply_document(void *arg)
--- a/cmd/tgflowd/rpc.c
+++ b/cmd/tgflowd/rpc.c
@@ -23,8 +23,7 @@
 	};
 	char *s;
 
-	/* The caller may use an older document, or be unable to ask the store.
-	 */
+	/* For callers that use another document or can't ask the store. */
 	if (d && !json)
 		json = json_object();
 	if (d) {
--- a/cmd/tgqueued/board.h
+++ b/cmd/tgqueued/board.h
@@ -43,8 +43,8 @@
 	 */
 	int64_t store_failed_ms, relay_failed_ms;
 	int64_t probed_ms; /* last submission that tried the store */
-	int64_t unconfirmed_ms; /* when the owner last did not confirm the
-				   document */
+	/* When the owner last could not confirm the document. */
+	int64_t unconfirmed_ms;
 };
 
 /** struct request - a caller's request in progress */
@@ -55,8 +55,10 @@
 	char job[FLOW_JOB_ID_LEN + 1];
 	char queue[TG_NAME_MAX + 1], workspace[TG_NAME_MAX + 1];
 	int64_t started_ms, deadline_ms; /* must be answered by then */
-	/* Document by which the request was decoded, and for how long it had
-	 * not been known to be the newest one. */
+	/*
+	 * Document by which the request was decoded, and for how long it had
+	 * not been known to be the newest one.
+	 */
 	int64_t generation, not_current_ms;
 	bool unconfirmed; /* nobody knew whether that was the newest one */
 	char *row; /* encoded job row of a submission */
--- a/cmd/tgqueued/query.c
+++ b/cmd/tgqueued/query.c
@@ -36,7 +36,7 @@
  * Ends the request if the owner's answer shows that it was decoded by a
  * document that must not be used any more.
  */
-static bool outdated(struct request *r)
+static bool end_if_outdated(struct request *r)
 {
 	if (tg_document_state(r->board->document) != TG_DOCUMENT_OUTDATED)
 		return false;
@@ -141,7 +141,7 @@
 	const char *state;
 	json_t *o;
 
-	if (outdated(r))
+	if (end_if_outdated(r))
 		return;
 	if (end != TG_RPC_CALL_OK || a->status != TG_RPC_OK) {
 		/* The owner may not have read a newly stored job yet. */
@@ -205,7 +205,7 @@
 
 	if (end == TG_RPC_CALL_OK && a->status == TG_RPC_OK)
 		request_end(r, 200, "cancelled");
-	else if (outdated(r))
+	else if (end_if_outdated(r))
 		return;
 	else
 		read_job(r);
@@ -232,7 +232,7 @@
 	struct request *r = arg;
 	json_t *o;
 
-	if (outdated(r))
+	if (end_if_outdated(r))
 		return;
 	if (end != TG_RPC_CALL_OK || a->status != TG_RPC_OK) {
 		if (request_left_ms(r) <= 2 * RETRY_MS)
--- a/lib/site/follow.c
+++ b/lib/site/follow.c
@@ -341,11 +341,6 @@
 		free_watch(f);
 }
 
-int64_t tg_table_watch_version(const struct tg_table_watch *f)
-{
-	return f->after;
-}
-
 void tg_table_watch_advance(struct tg_table_watch *f, int64_t version)
 {
 	if (version <= f->after)
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -282,8 +282,6 @@
  * delivered: the remaining rows of that answer still reach @on_row.
  */
 void tg_table_watch_free(struct tg_table_watch *f);
-/** tg_table_watch_version() - version up to which rows are known; 0: none */
-int64_t tg_table_watch_version(const struct tg_table_watch *f);
 /**
  * tg_table_watch_advance() - the rows up to a version are known by other means
  *
