--- a/lib/site/docchange.c
+++ b/lib/site/docchange.c
@@ -70,7 +70,8 @@
 static struct tg_doc_mark *find_mark(struct tg_doc_mark *marks, size_t n,
 				     uint64_t digest)
 {
-	return bsearch(&digest, marks, n, sizeof(*marks), compare_digests);
+	return n ? bsearch(&digest, marks, n, sizeof(*marks), compare_digests) :
+		   NULL;
 }
 
 static struct tg_doc_mark *sorted_marks(const struct tg_site_doc *d, size_t *n)
--- a/tests/unit/docchange/test-docchange.c
+++ b/tests/unit/docchange/test-docchange.c
@@ -211,13 +211,11 @@
 
 START_TEST(odd_rows_are_ignored)
 {
-	static const char *const odd[] = {
-		"",
-		"[]",
-		"{}",
-		"{\"from\":1,\"to\":2}",
+	static const char bad_digest[] =
 		"{\"from\":1,\"to\":2,\"row-version\":1,\"row-bytes\":1,"
-		"\"body-bytes\":1,\"index\":0,\"digest\":\"xyz\"}",
+		"\"body-bytes\":1,\"index\":0,\"digest\":\"xyz\"}";
+	static const char *const odd[] = {
+		"", "[]", "{}", "{\"from\":1,\"to\":2}", bad_digest,
 	};
 	static const char wrong_items[] =
 		"{\"from\":1,\"to\":2,\"row-version\":1,\"row-bytes\":1,"
