--- a/lib/site/document.c
+++ b/lib/site/document.c
@@ -93,7 +93,8 @@
 	d->change_applied = false;
 	if (expected_ms(d) > d->opts.direct_ms)
 		follow_changes(d);
-	else if (d->publisher && doc->row_bytes >= PUBLISH_BYTES)
+	/* Also after a slow read: no faster instance may have written it. */
+	if (d->publisher && doc->row_bytes >= PUBLISH_BYTES)
 		tg_doc_publisher_wake(d->publisher);
 	document_changed(d);
 }
