--- a/review/lib.sh
+++ b/review/lib.sh
@@ -191,7 +191,8 @@
 keep_logs() {
 	note "--- what the daemons logged (warnings and worse)"
 	cat "$tmp"/*.out | grep -E ' (WARN|ERROR) |EV5500|EV5501|EV5502' |
-		cut -c1-220 >>"$record"
+		grep -v EV1801 | sed 's/call=[^ ]*/call=[...]/' | cut -c1-220 |
+		head -n 60 >>"$record"
 }
 
 # verdict STATUS TEXT
