--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,10 +1,10 @@
 #!/bin/sh
-# The store is down for 4 s while workers end more than 500 work items each.  A
+# The store is down for 4.4 s while workers end more than 500 work items each.  A
 # worker lists 500 ends at a time, and the others follow once these have been
 # taken note of.  What has ended but isn't listed yet must not be started again.
 . "$(dirname "$0")/../lib.sh"
 job=00000000000000a1
-items=6000
+items=8000
 
 start_platform --stores=2 --workers=2 --stop-ms=400
 for n in 1 2; do
@@ -23,15 +23,15 @@
 	done
 }
 
-# Work items of the shape of the first step in PROTOCOL's example.
-request_job 1 $job "ms=900 acc=0" "[{\"count\":$items,\"cpu\":500,
-	\"mem-mb\":256,\"est-ms\":900}]" || not_run "the job was not accepted"
+# Small work items, much like those of PROTOCOL's example job.
+request_job 1 $job "ms=600 acc=0" "[{\"count\":$items,\"cpu\":500,
+	\"mem-mb\":256,\"est-ms\":600}]" || not_run "the job was not accepted"
 sleep 2
 report
 if [ "$TROUBLE" != 0 ]; then
 	note "store: down"
 	control 'store?mode=refuse'
-	sleep 4
+	sleep 4.4
 	note "store: up"
 	control 'store?mode=ok'
 	report
