--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -37,7 +37,7 @@
 enum role {
 	ROLE_STANDBY,
 	ROLE_CLAIMING, /* waiting for the result of its claim */
-	ROLE_RECOVERING, /* owner that does not know all runs yet */
+	ROLE_RECOVERING, /* owner that has not read all it needs yet */
 	ROLE_OWNER,
 	ROLE_STOPPING, /* shutting down; makes no further claims */
 };
@@ -109,12 +109,9 @@
 	int64_t refused_since_ms; /* first of the refused writes, or 0 */
 	int64_t ticked_ms; /* when the loop was last seen to run */
 	int64_t held_up_ms; /* it went on then; no write since; or 0 */
-	int64_t recover_until_ms; /* all unknown runs have ended by then */
-	/*
-	 * Runs that the former owner stopped have ended by then.  Until they
-	 * end workers don't list them, although they use capacity.
-	 */
-	int64_t stops_end_ms;
+	/* The former owner had recorded every run when it lost the site. */
+	bool former_runs_recorded;
+	int64_t recover_until_ms; /* leases of earlier owners expire by then */
 
 	/* set only on the owner */
 	struct flow *flow;
@@ -159,18 +156,13 @@
 void standby_reset(void);
 
 /* owner.c */
-/**
- * owner_begin_term() - begin a term after a claim
- * @former_ended_ms: when the former owner's process was seen to have ended; 0
- *	if it may be running
- */
-void owner_begin_term(struct board *b, const char *why,
-		      int64_t former_ended_ms);
+/** owner_begin_term() - begin a term after a claim */
+void owner_begin_term(struct board *b, const char *why);
 /** owner_written() - a write that began at @started_ms has succeeded */
 void owner_written(struct board *b, int64_t started_ms);
 /** owner_lost() - end the term, since another daemon is or will be the owner */
 void owner_lost(struct board *b, const char *why);
-/** owner_check_recovered() - end the recovery if all runs are known or ended */
+/** owner_check_recovered() - end the recovery if every run is known or ended */
 void owner_check_recovered(struct board *b);
 /**
  * owner_was_held_up() - whether it is unknown if this is still the owner
@@ -224,13 +216,6 @@
 int64_t link_expiry(struct link *l);
 /** links_record_silent() - list unreachable workers with runs in @r */
 void links_record_silent(const struct board *b, struct tg_owner_row *r);
-/**
- * links_count_unknown() - number of workers whose runs are not known
- *
- * Workers that the previous owner recorded as silent are not counted: it sent
- * them no starts, so all their runs are in the stored progress.
- */
-int64_t links_count_unknown(const struct board *b);
 
 /* orders.c */
 /** orders_flow_ops - queue the orders of a round */
@@ -243,6 +228,8 @@
 /* round.c */
 /** round_wake() - schedule a scheduling round */
 void round_wake(struct board *b);
+/** round_start_recorded() - start the runs whose record has become durable */
+void round_start_recorded(struct board *b);
 
 /* usage.c */
 /** usage_report() - report the use of capacity if this is the owner */
--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -26,12 +26,8 @@
 	o.workspace = job.workspace;
 	o.spec = job.spec;
 	o.accepted_ms = tg_now_ms() - (age_ms > 0 ? age_ms : 0);
-	/*
-	 * A former owner that is still running may have started the job.  If
-	 * there is none, jobs that arrive after the first scan are new.
-	 */
-	o.recovered = b->role == ROLE_RECOVERING &&
-		!(b->former_owner_ended && b->progress);
+	/* A former owner may have started the job without a record. */
+	o.recovered = b->role == ROLE_RECOVERING && !b->former_runs_recorded;
 	flow_add_job(b->flow, &o);
 	tg_log(EV_FLOW_JOB_ADDED,
 	       "job=%s queue=%s workspace=%s age_ms=%lld "
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -247,10 +247,7 @@
 		 * The worker has seen this owner's fence and refuses orders of
 		 * former owners from now on.
 		 */
-		if (b->role == ROLE_RECOVERING && !b->former_owner_ended)
-			b->stops_end_ms = l->clock_at_ms + b->site.set.stop_ms;
 		flow_worker_set_runs_known(b->flow, l->entry.id);
-		owner_check_recovered(b);
 		round_wake(b);
 	}
 }
@@ -386,17 +383,6 @@
 	}
 }
 
-int64_t links_count_unknown(const struct board *b)
-{
-	const struct link *l;
-	int64_t n = 0;
-
-	for (l = b->links; l; l = l->hh.next)
-		n += l->in_directory && !l->runs_known &&
-			!tg_owner_row_is_silent(&b->owner, l->entry.id);
-	return n;
-}
-
 /*
  * Ends the runs of an unreachable worker once all leases that any owner can
  * have granted have expired.
--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -400,9 +400,19 @@
 	enqueue(o);
 }
 
+static void log_drop(const struct flow_stop_order *s, void *arg)
+{
+	(void)arg;
+	tg_log(EV_FLOW_START_DROPPED,
+	       "job=%s task=%d.%d.%d run=%d worker=%s why=%s", s->ref.job,
+	       s->ref.occurrence, s->ref.step, s->ref.index, s->ref.run,
+	       s->worker, s->reason);
+}
+
 const struct flow_ops orders_flow_ops = {
 	.start = order_start,
 	.stop = order_stop,
+	.drop = log_drop,
 };
 
 static int start(void *board)
--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -11,7 +11,7 @@
 /* The loop runs several times in this time, however busy it is. */
 #define HELD_UP_MS 500
 
-void owner_begin_term(struct board *b, const char *why, int64_t former_ended_ms)
+void owner_begin_term(struct board *b, const char *why)
 {
 	int64_t lease_ms = b->set.lease_ms * (100 + CLOCK_SLOW_PERCENT) / 100 +
 		EXPIRY_MARGIN_MS;
@@ -26,14 +26,10 @@
 	/* A former owner that still runs renews leases up to this long. */
 	b->recover_until_ms = b->written_ms + lease_ms +
 		(b->former_owner_ended ? 0 : RENEW_AFTER_WRITE_MAX_MS);
-	/*
-	 * An owner that releases the site has recorded all its runs.  If it
-	 * may still be running, poll_succeeded() extends this time.
-	 */
-	b->stops_end_ms =
-		former_ended_ms ? former_ended_ms + b->site.set.stop_ms : 0;
-	tg_log(EV_FLOW_CLAIMED, "fence=%llu why=%s version=%lld",
-	       (unsigned long long)b->fence, why, (long long)b->owner_version);
+	tg_log(EV_FLOW_CLAIMED,
+	       "fence=%llu why=%s version=%lld former_ended=%d recorded=%d",
+	       (unsigned long long)b->fence, why, (long long)b->owner_version,
+	       b->former_owner_ended, b->former_runs_recorded);
 	jobs_open(b);
 }
 
@@ -60,12 +56,11 @@
 
 	if (b->role != ROLE_RECOVERING || !b->directory_read)
 		return;
-	if (links_count_unknown(b) && now_ms < b->recover_until_ms)
+	if (!b->former_runs_recorded && now_ms < b->recover_until_ms)
 		return;
 	b->role = ROLE_OWNER;
-	tg_log(EV_FLOW_RECOVERED, "fence=%llu workers=%u unlisted=%lld",
-	       (unsigned long long)b->fence, HASH_COUNT(b->links),
-	       (long long)links_count_unknown(b));
+	tg_log(EV_FLOW_RECOVERED, "fence=%llu workers=%u",
+	       (unsigned long long)b->fence, HASH_COUNT(b->links));
 	flow_end_recovery(b->flow);
 	round_wake(b);
 }
@@ -153,6 +148,7 @@
 	(void)now_ms;
 	if (IS_OWNER(b) && !b->owner.released) {
 		b->owner.released = true;
+		flow_drop_decided(b->flow, &orders_flow_ops, b);
 		writer_wake(b);
 	}
 	if (IS_OWNER(b) && !writer_idle(b))
--- a/cmd/tgflowd/round.c
+++ b/cmd/tgflowd/round.c
@@ -17,15 +17,27 @@
 static struct tg_hist *round_us;
 static int64_t last_round_us;
 
+/* The next owner starts new tasks once a release is written. */
+static bool may_order(struct board *b)
+{
+	return owner_may_renew(b) && b->directory_read && !b->owner.released;
+}
+
+void round_start_recorded(struct board *b)
+{
+	if (may_order(b) &&
+	    flow_start_recorded(b->flow, tg_now_ms(), &orders_flow_ops, b))
+		writer_wake(b);
+}
+
 static void decide(struct board *b)
 {
 	int64_t from_us = tg_now_us();
 
 	b->round_wanted = false;
-	/* The next owner starts new tasks once the release is written. */
-	if (!owner_may_renew(b) || !b->directory_read || b->owner.released ||
-	    tg_now_ms() < b->stops_end_ms)
+	if (!may_order(b))
 		return;
+	round_start_recorded(b);
 	if (flow_decide(b->flow, tg_now_ms(), tg_wall_ms(), &orders_flow_ops,
 			b))
 		writer_wake(b);
--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -166,7 +166,7 @@
 
 static void begin_term(struct board *b)
 {
-	owner_begin_term(b, claim_reason, watch.ended_since_ms);
+	owner_begin_term(b, claim_reason);
 	standby_notify_former(b, tg_now_ms());
 }
 
@@ -210,11 +210,14 @@
 
 	b->former_owner_ended =
 		watch.ended_since_ms || b->owner.released || !b->owner_version;
+	b->former_runs_recorded = b->owner.runs_recorded || b->owner.released ||
+		!b->owner_version;
 	memset(&claim, 0, sizeof(claim));
 	tg_strlcpy(claim.holder, b->site.set.instance, sizeof(claim.holder));
 	tg_strlcpy(claim.addr, tg_rpc_server_addr(b->rpc), sizeof(claim.addr));
 	tg_strlcpy(claim.boot, b->boot, sizeof(claim.boot));
 	claim.fence = b->owner.fence + 1;
+	claim.runs_recorded = b->former_runs_recorded;
 	tg_owner_row_copy_silent(&claim, &b->owner);
 	tg_strlcpy(watch.former_addr,
 		   b->former_owner_ended ? "" : b->owner.addr,
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -48,6 +48,12 @@
 	w.n = 0;
 }
 
+static void set_value(struct tg_row *r, char *text)
+{
+	r->value = text;
+	r->value_bytes = strlen(text);
+}
+
 static void add_row(const char *table, const char *key, char *text)
 {
 	struct tg_row *r = &w.rows[w.n++];
@@ -56,8 +62,8 @@
 	r->table = table;
 	r->part = TG_OWNER_PART;
 	r->key = tg_xstrdup(key);
-	r->value = text;
-	r->value_bytes = strlen(text);
+	if (text)
+		set_value(r, text);
 }
 
 static void collect(struct board *b)
@@ -69,7 +75,7 @@
 	w.row.seq = b->owner.seq + 1;
 	if (b->role == ROLE_OWNER)
 		links_record_silent(b, &w.row);
-	add_row(TG_OWNER_TABLE, TG_OWNER_KEY, tg_owner_row_encode(&w.row));
+	add_row(TG_OWNER_TABLE, TG_OWNER_KEY, NULL);
 	for (w.n_deletes = 0; w.n_deletes < w.n_obsolete; w.n_deletes++)
 		w.deletes[w.n_deletes] = (struct tg_row){
 			.table = TG_PROGRESS_TABLE,
@@ -84,6 +90,8 @@
 		json_decref(o);
 	}
 	w.complete = w.n + w.n_deletes <= JOBS_MAX;
+	w.row.runs_recorded |= b->role == ROLE_OWNER && w.complete;
+	set_value(&w.rows[0], tg_owner_row_encode(&w.row));
 	links_write_started(b);
 }
 
@@ -108,23 +116,31 @@
 	}
 }
 
+static bool end_is_durable(const struct board *b, size_t row,
+			   struct flow_job_status *v)
+{
+	return flow_job_status(b->flow, w.rows[row].key, v) &&
+		v->state >= FLOW_COMPLETED && v->durable;
+}
+
 /* Row 0 is the owner's row; the others are the progress of jobs. */
-static void log_ends(struct board *b)
+static void mark_written(struct board *b)
 {
+	bool was_durable[JOBS_MAX + 1];
+	struct flow_job_status v;
 	size_t i;
 
-	for (i = 1; i < w.n; i++) {
-		struct flow_job_status v;
-
-		if (flow_job_status(b->flow, w.rows[i].key, &v) &&
-		    v.state >= FLOW_COMPLETED && v.durable)
+	for (i = 1; i < w.n; i++)
+		was_durable[i] = end_is_durable(b, i, &v);
+	flow_mark_written(b->flow);
+	for (i = 1; i < w.n; i++)
+		if (!was_durable[i] && end_is_durable(b, i, &v))
 			tg_log(EV_FLOW_JOB_OVER,
 			       "job=%s state=%s runs=%lld failures=%lld "
 			       "done=%lld/%lld",
 			       w.rows[i].key, flow_state_name(v.state),
 			       (long long)v.runs, (long long)v.failures,
 			       (long long)v.done, (long long)v.tasks);
-	}
 }
 
 static void schedule(int64_t ms)
@@ -156,14 +172,15 @@
 {
 	tg_hist_add(write_us, (uint64_t)(tg_now_ms() - w.started_ms) * 1000);
 	b->owner.seq = w.row.seq;
+	b->owner.runs_recorded = w.row.runs_recorded;
 	tg_owner_row_copy_silent(&b->owner, &w.row);
 	b->owner_version = version;
 	w.failures = 0;
 	w.busy = false;
 	owner_written(b, w.started_ms);
-	flow_mark_written(b->flow);
+	mark_written(b);
+	round_start_recorded(b);
 	forget_deletes();
-	log_ends(b);
 	free_rows();
 	if (w.complete)
 		links_write_done(b);
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -1,6 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <utlist.h>
+
 #include "flow/flow_internal.h"
 
 /* Initial size of the array; most steps have fewer tasks. */
@@ -48,6 +50,9 @@
 		return "gang member missing";
 	if (r->step_state->tasks[r->index].run != r)
 		return "superseded by another run";
+	if (r->step_state->tasks[r->index].done &&
+	    !flow_step_of(r->job, r->step_state)->gang)
+		return "task is done";
 	if (r->victim)
 		return "preempted";
 	if (r->stalled)
@@ -55,31 +60,56 @@
 	return NULL;
 }
 
+static void drop(struct run *r, const char *why, const struct flow_ops *ops,
+		 void *arg)
+{
+	struct flow_stop_order s = {
+		.ref = flow_ref_of(r),
+		.worker = r->worker->id,
+		.reason = why,
+	};
+
+	if (ops->drop)
+		ops->drop(&s, arg);
+	flow_run_remove(r);
+}
+
+static void stop_if_unwanted(struct round *rd, struct run *r)
+{
+	struct flow_stop_order s = { .worker = r->worker->id };
+	const char *why;
+
+	flow_clear_crashes(r);
+	r->stalled |= flow_is_stalled(r, rd->now_ms);
+	why = stop_reason(r);
+	if (r->victim && r->state != RUN_STOPPING)
+		flow_usage_run_preempted(rd->f, r);
+	if (why && r->state == RUN_DECIDED) {
+		drop(r, why, rd->ops, rd->arg);
+		rd->progress_changed = true;
+		return;
+	}
+	if (why)
+		flow_run_mark_stopping(r);
+	if (r->state != RUN_STOPPING || !r->stop_pending ||
+	    rd->now_ms < r->next_stop_ms)
+		return;
+	r->stop_pending = false;
+	r->next_stop_ms = rd->now_ms + STOP_RETRY_MS;
+	s.ref = flow_ref_of(r);
+	s.reason = why ? why : "no longer wanted";
+	rd->ops->stop(&s, rd->arg);
+}
+
 static void stop_unwanted_runs(struct round *rd)
 {
 	struct worker *w;
-	struct run *r;
+	struct run *r, *next;
 
 	for (w = rd->f->workers; w; w = w->hh.next)
-		for (r = w->runs; r; r = r->next) {
-			struct flow_stop_order s = { .worker = w->id };
-			const char *why;
-
-			flow_clear_crashes(r);
-			r->stalled |= flow_is_stalled(r, rd->now_ms);
-			why = stop_reason(r);
-			if (r->victim && r->state != RUN_STOPPING)
-				flow_usage_run_preempted(rd->f, r);
-			if (why)
-				flow_run_mark_stopping(r);
-			if (r->state != RUN_STOPPING || !r->stop_pending ||
-			    rd->now_ms < r->next_stop_ms)
-				continue;
-			r->stop_pending = false;
-			r->next_stop_ms = rd->now_ms + STOP_RETRY_MS;
-			s.ref = flow_ref_of(r);
-			s.reason = why ? why : "no longer wanted";
-			rd->ops->stop(&s, rd->arg);
+		for (r = w->runs; r; r = next) {
+			next = r->next;
+			stop_if_unwanted(rd, r);
 		}
 }
 
@@ -113,17 +143,12 @@
 		       int32_t index, struct worker *w, int32_t number)
 {
 	struct run *r = flow_run_add(j, ss, index, w, number, rd->now_ms);
-	struct flow_start_order s = {
-		.ref = flow_ref_of(r),
-		.worker = w->id,
-		.text = j->spec->text,
-		.saved = ss->tasks[index].saved,
-		.reason = j->rank <= 0 ? "guaranteed" : "by deadline",
-	};
 
+	r->state = RUN_DECIDED;
+	r->decision = ++rd->f->decisions;
+	DL_APPEND2(rd->f->decided, r, decided_prev, decided_next);
 	if (flow_run_is_isolated(r, rd->now_ms))
 		w->isolated_for = j;
-	rd->ops->start(&s, rd->arg);
 	j->queue_conf->starts++;
 	flow_mark_dirty(j);
 	rd->progress_changed = true;
@@ -233,3 +258,66 @@
 	free(rd.placement);
 	return rd.progress_changed;
 }
+
+/* Why a run that was decided on is not to be started any more. */
+static const char *drop_reason(const struct run *r, int64_t now_ms)
+{
+	const char *why = stop_reason(r);
+
+	if (!why && !flow_worker_ready(r->worker, now_ms))
+		why = "worker gets no starts";
+	return why;
+}
+
+static bool is_recorded(const struct run *r)
+{
+	return r->decision <= r->job->written_decision;
+}
+
+static void start(struct run *r, int64_t now_ms, const struct flow_ops *ops,
+		  void *arg)
+{
+	struct flow_start_order s = {
+		.ref = flow_ref_of(r),
+		.worker = r->worker->id,
+		.text = r->job->spec->text,
+		.saved = r->step_state->tasks[r->index].saved,
+		.reason = r->job->rank <= 0 ? "guaranteed" : "by deadline",
+	};
+
+	DL_DELETE2(r->job->flow->decided, r, decided_prev, decided_next);
+	r->state = RUN_STARTING;
+	r->answered_ms = r->added_ms = now_ms;
+	ops->start(&s, arg);
+}
+
+bool flow_start_recorded(struct flow *f, int64_t now_ms,
+			 const struct flow_ops *ops, void *arg)
+{
+	struct run *r, *next;
+	bool dropped = false, again = true;
+
+	/* Without one member the others of a gang are dropped as well. */
+	while (again) {
+		again = false;
+		DL_FOREACH_SAFE2(f->decided, r, next, decided_next)
+		{
+			const char *why = drop_reason(r, now_ms);
+
+			if (!why)
+				continue;
+			drop(r, why, ops, arg);
+			dropped = again = true;
+		}
+	}
+	DL_FOREACH_SAFE2(f->decided, r, next, decided_next)
+	if (is_recorded(r))
+		start(r, now_ms, ops, arg);
+	return dropped;
+}
+
+void flow_drop_decided(struct flow *f, const struct flow_ops *ops, void *arg)
+{
+	while (f->decided)
+		drop(f->decided, "owner is stopping", ops, arg);
+}
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -8,7 +8,8 @@
  *
  * Keeps the state of all jobs and workers of a site and schedules tasks.  It
  * does no I/O and reads no clock.  The caller reports events; flow_decide()
- * issues start and stop orders through struct flow_ops.  Times are milliseconds
+ * decides on starts and issues stop orders through struct flow_ops, and
+ * flow_start_recorded() issues start orders.  Times are milliseconds
  * of one monotonic clock of the caller's choice; those with "wall" in their
  * name are milliseconds of the wall clock.
  */
@@ -77,10 +78,13 @@
  * struct flow_ops - functions that carry out the orders of flow_decide()
  *
  * They must not call back into the engine.
+ *
+ * @drop: a run that was decided on is given up; no order was issued for it
  */
 struct flow_ops {
 	void (*start)(const struct flow_start_order *s, void *arg);
 	void (*stop)(const struct flow_stop_order *s, void *arg);
+	void (*drop)(const struct flow_stop_order *s, void *arg);
 };
 
 /**
@@ -198,7 +202,7 @@
  */
 void flow_worker_lost(struct flow *f, const char *id, int64_t now_ms);
 /**
- * flow_each_run_of() - call @fn for each run that occupies a worker
+ * flow_each_run_of() - call @fn for each run that a worker may have
  * @fn: @started_ms is the time of the start order, 0 if it is not known
  */
 void flow_each_run_of(const struct flow *f, const char *worker,
@@ -348,10 +352,31 @@
 
 /* --- decisions --- */
 
-/** flow_decide() - run a scheduling round; true if progress must be written */
+/**
+ * flow_decide() - run a scheduling round
+ *
+ * The runs that it decides to start occupy capacity from then on.
+ *
+ * Return: whether progress must be written.
+ */
 bool flow_decide(struct flow *f, int64_t now_ms, int64_t wall_ms,
 		 const struct flow_ops *ops, void *arg);
 
+/**
+ * flow_start_recorded() - issue start orders for runs whose record is durable
+ *
+ * No other run gets one, so the progress that another process reads names every
+ * run that may exist.  Runs that are not wanted any more, or whose worker gets
+ * no starts now, are dropped.
+ *
+ * Return: whether progress must be written.
+ */
+bool flow_start_recorded(struct flow *f, int64_t now_ms,
+			 const struct flow_ops *ops, void *arg);
+
+/** flow_drop_decided() - drop all runs that have no start order yet */
+void flow_drop_decided(struct flow *f, const struct flow_ops *ops, void *arg);
+
 /* --- durable progress --- */
 
 /**
@@ -365,6 +390,8 @@
 /**
  * flow_mark_written() - all jobs marked as being written are written
  *
+ * Their progress as it was when flow_take_dirty() returned them is durable.
+ *
  * Those that have changed meanwhile are not durable yet.
  */
 void flow_mark_written(struct flow *f);
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -6,6 +6,7 @@
 #include "flow/flow.h"
 
 enum run_state {
+	RUN_DECIDED, /* its record is not durable yet, so no order was sent */
 	RUN_STARTING, /* the start order has no answer yet */
 	RUN_START_UNKNOWN, /* no answer to the start order; see next list */
 	RUN_ACTIVE,
@@ -19,6 +20,8 @@
 	int32_t index, run;
 	struct worker *worker;
 	enum run_state state;
+	int64_t decision; /* number of the decision to start it */
+	struct run *decided_prev, *decided_next; /* while it is RUN_DECIDED */
 	bool stop_confirmed; /* the worker will refuse a delayed start */
 	bool stop_pending; /* a stop order is still to be sent */
 	int64_t next_stop_ms; /* earliest time of the next stop order */
@@ -79,8 +82,12 @@
 	int32_t n_step_states, n_step_states_done;
 	enum flow_state state;
 	bool cancelled, recovered, begun, dirty, writing, durable;
+	bool taken_ended; /* when its progress was taken to be written */
+	bool end_durable;
 	/* In lists of the flow: those that are dirty, and being written. */
 	struct job *dirty_prev, *dirty_next, *writing_prev, *writing_next;
+	/* The last decision covered by the progress taken, and written. */
+	int64_t taken_decision, written_decision;
 	int64_t accepted_ms;
 	int64_t ended_ms; /* when its end was found durable; 0 before */
 	int64_t n_runs, runs_total, failures;
@@ -250,6 +257,8 @@
 	struct flow_opts opts;
 	struct job *jobs;
 	struct job *dirty, *writing; /* lists */
+	struct run *decided; /* list of runs that are RUN_DECIDED, in order */
+	int64_t decisions; /* number of the last decision to start a run */
 	struct worker *workers;
 	int32_t n_workers_added;
 	struct pool *pools;
--- a/lib/flow/jobs.c
+++ b/lib/flow/jobs.c
@@ -223,7 +223,7 @@
 	v->state = j->state;
 	if (j->state == FLOW_QUEUED && j->begun)
 		v->state = FLOW_RUNNING;
-	v->durable = j->durable;
+	v->durable = flow_has_ended(j) ? j->end_durable : j->durable;
 	v->begun = j->begun;
 	v->runs = j->runs_total;
 	v->failures = j->failures;
--- a/lib/flow/progress.c
+++ b/lib/flow/progress.c
@@ -21,6 +21,8 @@
 	if (!j->writing)
 		DL_APPEND2(f->writing, j, writing_prev, writing_next);
 	j->writing = true;
+	j->taken_decision = f->decisions;
+	j->taken_ended = flow_has_ended(j);
 	return j->id;
 }
 
@@ -31,7 +33,9 @@
 	while ((j = f->writing)) {
 		DL_DELETE2(f->writing, j, writing_prev, writing_next);
 		j->writing = false;
+		j->written_decision = j->taken_decision;
 		j->durable = !j->dirty;
+		j->end_durable |= j->taken_ended;
 	}
 }
 
@@ -131,7 +135,8 @@
 		return NULL;
 	o = json_object();
 	json_object_set_new(o, "state", json_integer(j->state));
-	if (flow_has_ended(j))
+	/* Runs that are being stopped still use capacity. */
+	if (flow_has_ended(j) && !j->n_runs)
 		return o;
 	step_states = json_array();
 	for (i = 0; i < j->n_step_states; i++)
@@ -190,7 +195,7 @@
 	if (json_unpack(o, "[iis]", &index, &run, &worker) || index < 0 ||
 	    index >= flow_step_of(j, ss)->tasks)
 		return false;
-	if (!ss->tasks[index].done && !ss->tasks[index].run)
+	if (!ss->tasks[index].run)
 		flow_run_add(j, ss, index, flow_get_or_add_worker(f, worker),
 			     run, 0)
 			->state = RUN_ACTIVE;
@@ -238,6 +243,7 @@
 			return false;
 	if (state >= FLOW_COMPLETED)
 		j->state = (enum flow_state)state;
+	j->end_durable = flow_has_ended(j);
 	j->cancelled = j->state == FLOW_CANCELLED;
 	j->begun |= state != FLOW_QUEUED;
 	return true;
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -1,6 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <utlist.h>
+
 #include "flow/flow_internal.h"
 
 struct run *flow_run_add(struct job *j, struct step_state *ss, int32_t index,
@@ -59,12 +61,21 @@
 	};
 }
 
+static void unlist_decided(struct run *r)
+{
+	if (r->state == RUN_DECIDED)
+		DL_DELETE2(r->job->flow->decided, r, decided_prev,
+			   decided_next);
+}
+
 void flow_run_remove(struct run *r)
 {
 	struct flow_shape available =
 		flow_task_shape(flow_step_of(r->job, r->step_state));
 	struct task *t = &r->step_state->tasks[r->index];
 
+	unlist_decided(r);
+	flow_mark_dirty(r->job);
 	flow_shape_add(&r->worker->used, &available, -1);
 	if (r->state == RUN_STOPPING)
 		flow_shape_add(&r->worker->stopping, &available, -1);
@@ -323,10 +334,12 @@
 
 		r = flow_run_add(j, ss, ref->index, w, ref->run, now_ms);
 		r->state = RUN_ACTIVE;
+		flow_mark_dirty(j);
 		if (!wanted || t->run != r)
 			flow_run_mark_stopping(r);
 	}
-	if (r->state == RUN_STARTING || r->state == RUN_START_UNKNOWN)
+	unlist_decided(r);
+	if (r->state != RUN_STOPPING)
 		r->state = RUN_ACTIVE;
 	r->listed_ms = now_ms;
 	flow_pace_update(r, percent, now_ms);
@@ -348,6 +361,7 @@
 			continue;
 		/* Not in a list that was requested after the answer. */
 		switch (r->state) {
+		case RUN_DECIDED:
 		case RUN_STARTING:
 			break;
 		case RUN_START_UNKNOWN:
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -232,7 +232,8 @@
 	for (r = w ? w->runs : NULL; r; r = r->next) {
 		struct flow_run_ref ref = flow_ref_of(r);
 
-		fn(&ref, r->added_ms, arg);
+		if (r->state != RUN_DECIDED)
+			fn(&ref, r->added_ms, arg);
 	}
 }
 
@@ -280,6 +281,10 @@
 	if (!w)
 		return;
 	while (w->runs) {
+		if (w->runs->state == RUN_DECIDED) {
+			flow_run_remove(w->runs);
+			continue;
+		}
 		if (!w->draining)
 			flow_remember_lost_run(w, w->runs);
 		flow_run_ended(f, w->runs, FLOW_RUN_LEASE_EXPIRED, NULL,
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -120,7 +120,7 @@
 
 /**
  * Size of the list of silent workers in bytes.  A worker that does not fit is
- * left out; a new owner then waits for that worker's answer.
+ * left out; a new owner then doesn't learn whether that worker has crashed.
  */
 #define TG_SILENT_LIST_SIZE 8192
 
@@ -143,6 +143,8 @@
  *	leaves the directory, a new owner finds out there whether it has
  *crashed.
  * @released: the owner has given up ownership
+ * @runs_recorded: every run that may exist is in the stored progress.  Rows of
+ *	owners that started runs before they recorded them don't say so.
  */
 struct tg_owner_row {
 	char holder[TG_NAME_MAX + 1], addr[TG_ADDR_MAX + 1];
@@ -150,7 +152,7 @@
 	uint64_t fence;
 	int64_t seq;
 	char silent[TG_SILENT_LIST_SIZE], silent_at[TG_SILENT_LIST_SIZE];
-	bool released;
+	bool released, runs_recorded;
 };
 
 /** tg_owner_row_add_silent() - add a worker to the lists that have space */
@@ -162,7 +164,6 @@
 /** tg_owner_row_find_silent() - false if the worker is not in @silent_at */
 bool tg_owner_row_find_silent(const struct tg_owner_row *r, const char *worker,
 			      struct tg_silent_worker *out);
-bool tg_owner_row_is_silent(const struct tg_owner_row *r, const char *worker);
 /** tg_owner_row_encode() - encode as JSON; the caller frees the text */
 char *tg_owner_row_encode(const struct tg_owner_row *r);
 /** tg_owner_row_decode() - 0, or -1 if the row is not valid */
--- a/tests/bench/rounds/main.c
+++ b/tests/bench/rounds/main.c
@@ -61,7 +61,7 @@
 	t->stops++;
 }
 
-static const struct flow_ops ops = { on_start, on_stop };
+static const struct flow_ops ops = { .start = on_start, .stop = on_stop };
 
 static void set_queues(struct flow *f)
 {
@@ -136,6 +136,10 @@
 	int64_t from_us = tg_now_us();
 
 	flow_decide(t->flow, now_ms, now_ms, &ops, t);
+	while (flow_take_dirty(t->flow))
+		;
+	flow_mark_written(t->flow);
+	flow_start_recorded(t->flow, now_ms, &ops, t);
 	return tg_now_us() - from_us;
 }
 
--- a/tests/unit/flow/fleet.c
+++ b/tests/unit/flow/fleet.c
@@ -110,14 +110,34 @@
 	copy_ref(&o->stops[o->n_stops++], &s->ref, s->worker);
 }
 
-void fleet_decide(struct flow *f, struct orders *o, int64_t now_ms)
-{
-	static const struct flow_ops ops = { on_start, on_stop };
+static const struct flow_ops ops = { .start = on_start, .stop = on_stop };
 
+void fleet_decide_unwritten(struct flow *f, struct orders *o, int64_t now_ms)
+{
 	o->n_starts = o->n_stops = 0;
 	flow_decide(f, now_ms, now_ms, &ops, o);
 }
 
+void fleet_start_recorded(struct flow *f, struct orders *o, int64_t now_ms)
+{
+	o->n_starts = o->n_stops = 0;
+	flow_start_recorded(f, now_ms, &ops, o);
+}
+
+void fleet_write(struct flow *f)
+{
+	while (flow_take_dirty(f))
+		;
+	flow_mark_written(f);
+}
+
+void fleet_decide(struct flow *f, struct orders *o, int64_t now_ms)
+{
+	fleet_decide_unwritten(f, o, now_ms);
+	fleet_write(f);
+	flow_start_recorded(f, now_ms, &ops, o);
+}
+
 struct flow_run_ref fleet_run_ref(const struct start_order *s)
 {
 	return (struct flow_run_ref){ s->job, s->occurrence, s->step, s->index,
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -37,7 +37,17 @@
 				 bool gang);
 void fleet_add_job(struct flow *f, const char *id, const char *queue,
 		   struct flow_spec *spec, int64_t accepted_ms);
-/** fleet_decide() - run a round; @o then holds its orders only */
+/** fleet_decide_unwritten() - run a round; @o then holds its orders only */
+void fleet_decide_unwritten(struct flow *f, struct orders *o, int64_t now_ms);
+/** fleet_write() - write all progress that has changed */
+void fleet_write(struct flow *f);
+/** fleet_start_recorded() - start recorded runs; @o holds these orders only */
+void fleet_start_recorded(struct flow *f, struct orders *o, int64_t now_ms);
+/**
+ * fleet_decide() - run a round, write progress, and start what it decided on
+ *
+ * @o then holds the orders of all that.
+ */
 void fleet_decide(struct flow *f, struct orders *o, int64_t now_ms);
 struct flow_run_ref fleet_run_ref(const struct start_order *s);
 /** fleet_confirm_starts() - report that all start orders were carried out */
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -616,7 +616,7 @@
 
 	fleet_add_worker(f, "w1", "r1", 8);
 	fleet_add_job(f, "j1", "normal", fleet_new_spec(1, 8, false), 0);
-	fleet_decide(f, &o, 1);
+	fleet_decide_unwritten(f, &o, 1);
 	ck_assert_str_eq(flow_take_dirty(f), "j1");
 	p = flow_progress_encode(f, "j1");
 
@@ -692,6 +692,146 @@
 }
 END_TEST
 
+/*
+ * Runs were started before they were recorded.  An owner that was cut off from
+ * the store went on starting, and the next one, which read the progress,
+ * started the same tasks (review/1).
+ */
+START_TEST(start_order_waits_for_its_record)
+{
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "j1", "normal", fleet_new_spec(2, 8, false), 0);
+	ck_assert_ptr_null(flow_take_dirty(f));
+	fleet_decide_unwritten(f, &o, 1);
+	ck_assert_int_eq(o.n_starts, 0);
+	fleet_start_recorded(f, &o, 2);
+	ck_assert_int_eq(o.n_starts, 0);
+	ck_assert_str_eq(flow_take_dirty(f), "j1");
+	fleet_start_recorded(f, &o, 3);
+	ck_assert_int_eq(o.n_starts, 0);
+	/* The write that is in progress doesn't hold this decision. */
+	fleet_add_worker(f, "w2", "r1", 8);
+	fleet_decide_unwritten(f, &o, 4);
+	flow_mark_written(f);
+	fleet_start_recorded(f, &o, 5);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_str_eq(o.starts[0].worker, "w1");
+	fleet_write(f);
+	fleet_start_recorded(f, &o, 6);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_str_eq(o.starts[0].worker, "w2");
+}
+END_TEST
+
+/* A start that was decided on is not ordered if its worker fell silent since.
+ */
+START_TEST(decided_gang_is_dropped_with_its_worker)
+{
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_worker(f, "w2", "r1", 8);
+	fleet_add_job(f, "j1", "normal", fleet_new_spec(2, 8, true), 0);
+	fleet_decide_unwritten(f, &o, 1);
+	fleet_write(f);
+	flow_worker_set_suspect(f, "w1", true);
+	fleet_start_recorded(f, &o, 2);
+	ck_assert_int_eq(o.n_starts + o.n_stops, 0);
+	flow_worker_set_suspect(f, "w1", false);
+	fleet_decide(f, &o, 3);
+	ck_assert_int_eq(o.n_starts, 2);
+	ck_assert_int_eq(o.starts[0].run, 2);
+}
+END_TEST
+
+/*
+ * A run that an owner learned from a worker's list was not recorded.  The next
+ * owner started its task again while that worker was cut off (review/5).
+ */
+START_TEST(run_learned_from_a_list_is_recorded)
+{
+	struct flow_opts opts = { .stop_ms = STOP_MS };
+	struct flow_queue q = fleet_queue("normal", 1);
+	struct flow *g = flow_new(&opts);
+	struct flow_run_ref r = { "j1", 0, 0, 0, 1 };
+	json_t *p;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "j1", "normal", fleet_new_spec(1, 8, false), 0);
+	ck_assert(flow_report_run(f, &r, "w1", 0, "", 5));
+	ck_assert_str_eq(flow_take_dirty(f), "j1");
+	p = flow_progress_encode(f, "j1");
+
+	flow_set_queues(g, &q, 1);
+	fleet_add_worker(g, "w2", "r1", 8);
+	fleet_add_job(g, "j1", "normal", fleet_new_spec(1, 8, false), 0);
+	ck_assert(flow_progress_decode(g, "j1", p));
+	json_decref(p);
+	fleet_decide(g, &o, 10);
+	ck_assert_int_eq(o.n_starts, 0);
+	flow_free(g);
+}
+END_TEST
+
+/*
+ * A run that is being stopped uses capacity, and its worker doesn't list it.
+ * The next owner learns of it from the record, also if its job has ended.
+ */
+START_TEST(run_of_a_cancelled_job_holds_capacity_after_a_takeover)
+{
+	struct flow_opts opts = { .stop_ms = STOP_MS };
+	struct flow_queue q = fleet_queue("normal", 1);
+	struct flow *g = flow_new(&opts);
+	struct flow_job_status v;
+	json_t *p;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "j1", "normal", fleet_new_spec(1, 8, false), 0);
+	fleet_decide(f, &o, 1);
+	fleet_confirm_starts(f, &o, 2);
+	flow_cancel(f, "j1", 3);
+	ck_assert_str_eq(flow_take_dirty(f), "j1");
+	p = flow_progress_encode(f, "j1");
+	flow_mark_written(f);
+	ck_assert(flow_job_status(f, "j1", &v) && v.durable);
+	/* The end of the run changes the record, but not the state shown. */
+	fleet_end_run(f, &o.starts[0], FLOW_RUN_STOPPED, 4);
+	ck_assert(flow_job_status(f, "j1", &v) && v.durable);
+	ck_assert_str_eq(flow_take_dirty(f), "j1");
+
+	flow_set_queues(g, &q, 1);
+	fleet_add_worker(g, "w1", "r1", 8);
+	fleet_add_job(g, "j1", "normal", fleet_new_spec(1, 8, false), 0);
+	fleet_add_job(g, "j2", "normal", fleet_new_spec(1, 8, false), 0);
+	ck_assert(flow_progress_decode(g, "j1", p));
+	json_decref(p);
+	flow_report_list_end(g, "w1", 1000, 1001);
+	fleet_decide(g, &o, 1002);
+	ck_assert_int_eq(o.n_starts, 0);
+	flow_report_list_end(g, "w1", 1002 + STOP_MS, 1003 + STOP_MS);
+	fleet_decide(g, &o, 1004 + STOP_MS);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_str_eq(o.starts[0].job, "j2");
+	flow_free(g);
+}
+END_TEST
+
+/* A run that began on one worker may end done on another: its copy is needless.
+ */
+START_TEST(second_run_of_a_done_task_is_stopped)
+{
+	struct flow_run_ref r = { "j1", 0, 0, 0, 1 };
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "j1", "normal", fleet_new_spec(2, 1, false), 0);
+	fleet_decide(f, &o, 1);
+	fleet_confirm_starts(f, &o, 2);
+	ck_assert_int_eq(o.n_starts, 2);
+	flow_report_end(f, &r, "w2", FLOW_RUN_DONE, "", 3);
+	fleet_decide(f, &o, 4);
+	ck_assert_int_eq(o.n_stops, 1);
+	ck_assert_int_eq(o.stops[0].index, 0);
+}
+END_TEST
+
 static void report_percent(const struct start_order *s, int32_t percent,
 			   int64_t now_ms)
 {
@@ -889,6 +1029,12 @@
 	tcase_add_test(t, reports_on_unknown_jobs_are_refused);
 	tcase_add_test(t, unanswered_start_is_resolved_by_run_list);
 	tcase_add_test(t, recovered_job_waits_for_run_lists);
+	tcase_add_test(t, start_order_waits_for_its_record);
+	tcase_add_test(t, decided_gang_is_dropped_with_its_worker);
+	tcase_add_test(t, run_learned_from_a_list_is_recorded);
+	tcase_add_test(t,
+		       run_of_a_cancelled_job_holds_capacity_after_a_takeover);
+	tcase_add_test(t, second_run_of_a_done_task_is_stopped);
 	tcase_add_test(t, progress_survives_takeover);
 	tcase_add_test(t, recorded_run_may_be_stopping);
 	tcase_add_test(t, listed_run_supersedes_record);
--- a/tests/unit/orders/test-orders.c
+++ b/tests/unit/orders/test-orders.c
@@ -135,6 +135,8 @@
 	fleet_add_job(b.flow, "job", "normal",
 		      fleet_new_spec(WORKERS * ACCELERATORS, 1, false), 0);
 	flow_decide(b.flow, 100, 100, &orders_flow_ops, &b);
+	fleet_write(b.flow);
+	flow_start_recorded(b.flow, 100, &orders_flow_ops, &b);
 }
 
 static void run_loop(void)
