--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -4,6 +4,7 @@
 #include <uthash.h>
 
 #include "flow/flow.h"
+#include "formerowner.h"
 #include "http/http.h"
 #include "site/site.h"
 
@@ -104,7 +105,7 @@
 	uint64_t fence;
 	struct tg_owner_row owner; /* as last read or written */
 	int64_t owner_version;
-	bool former_owner_ended; /* the previous owner can start no more runs */
+	struct former_owner former;
 	int64_t written_ms; /* start of the last write that succeeded */
 	int64_t refused_since_ms; /* first of the refused writes, or 0 */
 	int64_t ticked_ms; /* when the loop was last seen to run */
@@ -158,6 +159,12 @@
 /* owner.c */
 /** owner_begin_term() - begin a term after a claim */
 void owner_begin_term(struct board *b, const char *why);
+/**
+ * owner_former_ended() - the former owner was proved to act no more
+ *
+ * Leases that it granted on workers that don't answer expire sooner then.
+ */
+void owner_former_ended(struct board *b);
 /** owner_written() - a write that began at @started_ms has succeeded */
 void owner_written(struct board *b, int64_t started_ms);
 /** owner_lost() - end the term, since another daemon is or will be the owner */
@@ -214,6 +221,8 @@
 void link_poll(struct link *l);
 /** link_expiry() - expiry of leases renewed now, by the worker's clock */
 int64_t link_expiry(struct link *l);
+/** links_limit_leases() - former owners' leases have expired at @end_ms */
+void links_limit_leases(struct board *b, int64_t end_ms);
 /** links_record_silent() - list unreachable workers with runs in @r */
 void links_record_silent(const struct board *b, struct tg_owner_row *r);
 
--- /dev/null
+++ b/cmd/tgflowd/formerowner.c
@@ -0,0 +1,25 @@
+#include "formerowner.h"
+
+/* A refused connection fails within this time; a silent peer takes longer. */
+#define REFUSED_WITHIN_MS 250
+
+enum owner_sign owner_sign_of(enum tg_rpc_call_status end, bool same_boot,
+			      int64_t after_ms)
+{
+	if (end == TG_RPC_CALL_OK)
+		return same_boot ? OWNER_ANSWERS : OWNER_REPLACED;
+	/* A broken connection may have led to an earlier process there. */
+	if (end == TG_RPC_CALL_NOT_SENT && after_ms < REFUSED_WITHIN_MS)
+		return OWNER_UNREACHABLE;
+	return OWNER_SILENT;
+}
+
+int64_t former_leases_end_ms(const struct former_owner *f)
+{
+	/* No write of an earlier owner succeeds after the claim. */
+	int64_t end_ms = f->claimed_ms + f->renew_max_ms;
+
+	if (f->settled && f->ended_ms && f->ended_ms < end_ms)
+		end_ms = f->ended_ms;
+	return end_ms + f->lease_ms;
+}
--- /dev/null
+++ b/cmd/tgflowd/formerowner.h
@@ -0,0 +1,41 @@
+#ifndef TGFLOWD_FORMEROWNER_H
+#define TGFLOWD_FORMEROWNER_H
+
+#include "oncrpc/oncrpc.h"
+
+/** enum owner_sign - what the result of a ping tells of the owner */
+enum owner_sign {
+	OWNER_ANSWERS,
+	OWNER_SILENT,
+	/* The connection is refused: by its machine, or by a path that is cut.
+	 */
+	OWNER_UNREACHABLE,
+	OWNER_REPLACED, /* another process answers: the owner's has ended */
+};
+
+/**
+ * owner_sign_of() - interpret the result of a ping
+ * @same_boot: the answer, if there is one, names the owner's process
+ * @after_ms: duration of the call
+ */
+enum owner_sign owner_sign_of(enum tg_rpc_call_status end, bool same_boot,
+			      int64_t after_ms);
+
+/**
+ * struct former_owner - what is known of the owners before this one
+ * @claimed_ms: when this daemon claimed the ownership
+ * @ended_ms: the last one was proved to have ended, or to act no more; or 0
+ * @settled: owners before the last one could renew no leases any more
+ * @lease_ms: longest duration of a lease by this daemon's clock
+ * @renew_max_ms: an owner renews leases this long after its last write
+ */
+struct former_owner {
+	int64_t claimed_ms, ended_ms;
+	bool settled;
+	int64_t lease_ms, renew_max_ms;
+};
+
+/** former_leases_end_ms() - when all leases of former owners have expired */
+int64_t former_leases_end_ms(const struct former_owner *f);
+
+#endif
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -367,6 +367,16 @@
 		send_poll(l, true);
 }
 
+void links_limit_leases(struct board *b, int64_t end_ms)
+{
+	struct link *l;
+
+	/* A worker that has answered has leases of this owner. */
+	for (l = b->links; l; l = l->hh.next)
+		if (!l->clock_at_ms && l->leases_end_ms > end_ms)
+			l->leases_end_ms = end_ms;
+}
+
 void links_record_silent(const struct board *b, struct tg_owner_row *r)
 {
 	const struct link *l;
--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -13,8 +13,7 @@
 
 void owner_begin_term(struct board *b, const char *why)
 {
-	int64_t lease_ms = b->set.lease_ms * (100 + CLOCK_SLOW_PERCENT) / 100 +
-		EXPIRY_MARGIN_MS;
+	struct former_owner *f = &b->former;
 
 	b->term++;
 	b->directory_read = false;
@@ -23,16 +22,28 @@
 	b->written_ms = tg_now_ms();
 	b->refused_since_ms = 0;
 	b->held_up_ms = 0;
-	/* A former owner that still runs renews leases up to this long. */
-	b->recover_until_ms = b->written_ms + lease_ms +
-		(b->former_owner_ended ? 0 : RENEW_AFTER_WRITE_MAX_MS);
+	f->claimed_ms = b->written_ms;
+	f->lease_ms = b->set.lease_ms * 100 / (100 - CLOCK_SLOW_PERCENT) +
+		EXPIRY_MARGIN_MS;
+	f->renew_max_ms = RENEW_AFTER_WRITE_MAX_MS;
+	b->recover_until_ms = former_leases_end_ms(f);
 	tg_log(EV_FLOW_CLAIMED,
-	       "fence=%llu why=%s version=%lld former_ended=%d recorded=%d",
+	       "fence=%llu why=%s version=%lld recorded=%d settled=%d "
+	       "former_ended=%d",
 	       (unsigned long long)b->fence, why, (long long)b->owner_version,
-	       b->former_owner_ended, b->former_runs_recorded);
+	       b->former_runs_recorded, f->settled, f->ended_ms != 0);
 	jobs_open(b);
 }
 
+void owner_former_ended(struct board *b)
+{
+	if (!IS_OWNER(b) || b->former.ended_ms)
+		return;
+	b->former.ended_ms = tg_now_ms();
+	b->recover_until_ms = former_leases_end_ms(&b->former);
+	links_limit_leases(b, b->recover_until_ms);
+}
+
 void owner_lost(struct board *b, const char *why)
 {
 	if (!IS_OWNER(b))
--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -12,17 +12,12 @@
 #define PING_MS 300
 #define PING_SMALL_MS 900
 #define PING_TIMEOUT_MS 500
-/* A refused connection fails within this time; a silent peer takes longer. */
-#define REFUSED_WITHIN_MS 250
 /* A standby reads the owner's row if an answer is overdue by this much. */
 #define OWNER_SILENT_MS 300
-/* A new owner tells the former one, until it has answered, this often at most.
- */
-#define NOTIFY_MAX 10
 /*
  * The owner writes its row every RENEW_MS (writer.c) or sooner.  It is
  * considered dead if the row stays unchanged this long: after pings showed that
- * its process has ended or is not active, and after pings without an answer.
+ * it is unreachable, replaced or not active, and after pings without an answer.
  */
 #define UNCHANGED_ENDED_MS 300
 #define UNCHANGED_SILENT_MS 1100
@@ -38,8 +33,8 @@
 
 static struct {
 	bool pinging, reading, silence_logged;
-	/* Since when the process that wrote the row is known to have ended. */
-	int64_t ended_since_ms; /* 0 if it may be running */
+	enum owner_sign sign; /* result of the last ping */
+	int64_t replaced_ms; /* when another process answered; or 0 */
 	bool stale; /* it runs but answers that it is not active */
 	uint64_t ping_fence; /* fence of the owner that is being pinged */
 	int64_t ping_ms, last_alive_ms;
@@ -47,7 +42,6 @@
 	int64_t claimable_since_ms; /* there is a reason to claim; or 0 */
 	/* Address of the former owner, while it is still to be told. */
 	char former_addr[TG_ADDR_MAX + 1];
-	int notified;
 } watch;
 
 static bool has_preferred_cores(const struct board *b)
@@ -65,34 +59,21 @@
 	struct board *b = arg;
 	const struct tg_rpc_peer *p = res;
 	int64_t now_ms = tg_now_ms();
-	bool ended;
 
 	watch.pinging = false;
 	/* The owner may have changed during the ping. */
 	if (watch.ping_fence != b->owner.fence)
 		return;
-	watch.stale = false;
-	if (end == TG_RPC_CALL_OK && !strcmp(p->boot, b->owner.boot)) {
-		watch.stale = !p->active;
-		watch.ended_since_ms = 0;
-		if (p->active) {
-			watch.last_alive_ms = now_ms;
-			watch.silence_logged = false;
-		}
-		return;
+	watch.sign = owner_sign_of(
+		end, end == TG_RPC_CALL_OK && !strcmp(p->boot, b->owner.boot),
+		now_ms - watch.ping_ms);
+	watch.stale = watch.sign == OWNER_ANSWERS && !p->active;
+	if (watch.sign == OWNER_ANSWERS && p->active) {
+		watch.last_alive_ms = now_ms;
+		watch.silence_logged = false;
 	}
-	/*
-	 * The owner's process has ended if another process answers at its
-	 * address or nothing listens there.  A broken connection is not
-	 * enough: it may have led to an earlier process at the address.
-	 */
-	ended = end == TG_RPC_CALL_OK ||
-		(end == TG_RPC_CALL_NOT_SENT &&
-		 now_ms - watch.ping_ms < REFUSED_WITHIN_MS);
-	if (!ended)
-		watch.ended_since_ms = 0;
-	else if (!watch.ended_since_ms)
-		watch.ended_since_ms = now_ms;
+	if (watch.sign == OWNER_REPLACED && !watch.replaced_ms)
+		watch.replaced_ms = now_ms;
 }
 
 /* Says which owner this daemon knows of, so that a former one learns of it. */
@@ -124,18 +105,19 @@
 {
 	const struct tg_rpc_peer *p = res;
 
-	(void)arg;
 	watch.pinging = false;
-	if (end == TG_RPC_CALL_OK && !p->active)
-		watch.former_addr[0] = '\0';
+	if (end != TG_RPC_CALL_OK || p->active)
+		return;
+	watch.former_addr[0] = '\0';
+	owner_former_ended(arg);
 }
 
 void standby_notify_former(struct board *b, int64_t now_ms)
 {
 	if (!*watch.former_addr || watch.pinging ||
-	    (watch.notified && now_ms - watch.ping_ms < PING_MS))
+	    now_ms - watch.ping_ms < PING_MS)
 		return;
-	if (++watch.notified > NOTIFY_MAX)
+	if (now_ms >= b->recover_until_ms)
 		watch.former_addr[0] = '\0';
 	else
 		send_ping(b, watch.former_addr, on_notified);
@@ -153,7 +135,8 @@
 	if (o.fence != b->owner.fence) {
 		watch.last_alive_ms = tg_now_ms();
 		watch.stale = false;
-		watch.ended_since_ms = 0;
+		watch.sign = OWNER_ANSWERS;
+		watch.replaced_ms = 0;
 	}
 	b->owner = o;
 	b->owner_version = row->version;
@@ -167,6 +150,7 @@
 static void begin_term(struct board *b)
 {
 	owner_begin_term(b, claim_reason);
+	watch.ping_ms = 0;
 	standby_notify_former(b, tg_now_ms());
 }
 
@@ -208,8 +192,8 @@
 	};
 	char *text;
 
-	b->former_owner_ended =
-		watch.ended_since_ms || b->owner.released || !b->owner_version;
+	b->former.ended_ms = watch.replaced_ms;
+	b->former.settled = b->owner.settled || !b->owner_version;
 	b->former_runs_recorded = b->owner.runs_recorded || b->owner.released ||
 		!b->owner_version;
 	memset(&claim, 0, sizeof(claim));
@@ -219,10 +203,8 @@
 	claim.fence = b->owner.fence + 1;
 	claim.runs_recorded = b->former_runs_recorded;
 	tg_owner_row_copy_silent(&claim, &b->owner);
-	tg_strlcpy(watch.former_addr,
-		   b->former_owner_ended ? "" : b->owner.addr,
+	tg_strlcpy(watch.former_addr, watch.replaced_ms ? "" : b->owner.addr,
 		   sizeof(watch.former_addr));
-	watch.notified = 0;
 	tg_strlcpy(claim_reason, why, sizeof(claim_reason));
 	b->role = ROLE_CLAIMING;
 	text = tg_owner_row_encode(&claim);
@@ -253,8 +235,11 @@
 		return "no owner yet";
 	if (b->owner.released)
 		return "released";
-	if (watch.ended_since_ms && unchanged_ms >= UNCHANGED_ENDED_MS)
+	if (watch.sign == OWNER_REPLACED && unchanged_ms >= UNCHANGED_ENDED_MS)
 		return "owner process has ended";
+	if (watch.sign == OWNER_UNREACHABLE &&
+	    unchanged_ms >= UNCHANGED_ENDED_MS)
+		return "owner refuses connections";
 	if (watch.stale && unchanged_ms >= UNCHANGED_ENDED_MS)
 		return "owner does not reach the store";
 	if (is_silent(b, now_ms) && unchanged_ms >= UNCHANGED_SILENT_MS)
@@ -329,9 +314,9 @@
 		       "owner=%s silent_ms=%lld gone=%d stale=%d",
 		       b->owner.holder,
 		       (long long)(now_ms - watch.last_alive_ms),
-		       watch.ended_since_ms != 0, watch.stale);
+		       watch.sign >= OWNER_UNREACHABLE, watch.stale);
 	}
-	if (!b->owner_version || silent || watch.ended_since_ms ||
+	if (!b->owner_version || silent || watch.sign >= OWNER_UNREACHABLE ||
 	    watch.stale || b->owner.released)
 		read_row(b);
 	else
@@ -341,7 +326,8 @@
 void standby_reset(void)
 {
 	watch.last_alive_ms = tg_now_ms();
-	watch.ended_since_ms = 0;
+	watch.sign = OWNER_ANSWERS;
+	watch.replaced_ms = 0;
 	watch.stale = false;
 	watch.read_version = 0;
 	watch.former_addr[0] = '\0';
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -90,6 +90,7 @@
 		json_decref(o);
 	}
 	w.complete = w.n + w.n_deletes <= JOBS_MAX;
+	w.row.settled = tg_now_ms() >= b->recover_until_ms;
 	w.row.runs_recorded |= b->role == ROLE_OWNER && w.complete;
 	set_value(&w.rows[0], tg_owner_row_encode(&w.row));
 	links_write_started(b);
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -145,6 +145,7 @@
  * @released: the owner has given up ownership
  * @runs_recorded: every run that may exist is in the stored progress.  Rows of
  *	owners that started runs before they recorded them don't say so.
+ * @settled: no owner before this one can renew leases any more
  */
 struct tg_owner_row {
 	char holder[TG_NAME_MAX + 1], addr[TG_ADDR_MAX + 1];
@@ -152,7 +153,7 @@
 	uint64_t fence;
 	int64_t seq;
 	char silent[TG_SILENT_LIST_SIZE], silent_at[TG_SILENT_LIST_SIZE];
-	bool released, runs_recorded;
+	bool released, runs_recorded, settled;
 };
 
 /** tg_owner_row_add_silent() - add a worker to the lists that have space */
--- a/tests/unit/flowd/test-flowd.c
+++ b/tests/unit/flowd/test-flowd.c
@@ -1,3 +1,4 @@
+#include "../../../cmd/tgflowd/formerowner.h"
 #include "../../../cmd/tgflowd/orderoutcome.h"
 #include "../../../cmd/tgflowd/workerexit.h"
 #include "../../../cmd/tgflowd/ownerwrites.h"
@@ -147,6 +148,50 @@
 }
 END_TEST
 
+/*
+ * A refused connection counted as the end of the owner's process, although a
+ * path that is cut refuses as well.  The owner lived on and renewed leases that
+ * its successor held for expired (review/1).
+ */
+START_TEST(refused_connection_does_not_prove_an_end)
+{
+	ck_assert_int_eq(owner_sign_of(TG_RPC_CALL_NOT_SENT, false, 1),
+			 OWNER_UNREACHABLE);
+	ck_assert_int_eq(owner_sign_of(TG_RPC_CALL_NOT_SENT, false, 400),
+			 OWNER_SILENT);
+	ck_assert_int_eq(owner_sign_of(TG_RPC_CALL_TIMEOUT, false, 1),
+			 OWNER_SILENT);
+	ck_assert_int_eq(owner_sign_of(TG_RPC_CALL_OK, true, 1), OWNER_ANSWERS);
+	ck_assert_int_eq(owner_sign_of(TG_RPC_CALL_OK, false, 1),
+			 OWNER_REPLACED);
+}
+END_TEST
+
+/*
+ * The end of the last owner says nothing of the one before it, which may be cut
+ * off and renew leases until RENEW_MAX_MS after its own last write.
+ */
+START_TEST(leases_of_all_former_owners_are_waited_for)
+{
+	struct former_owner f = {
+		.claimed_ms = 50000,
+		.lease_ms = 6000,
+		.renew_max_ms = 10000,
+	};
+
+	ck_assert_int_eq(former_leases_end_ms(&f), 66000);
+	f.ended_ms = 51000;
+	ck_assert_int_eq(former_leases_end_ms(&f), 66000);
+	f.settled = true;
+	ck_assert_int_eq(former_leases_end_ms(&f), 57000);
+	f.ended_ms = 0;
+	ck_assert_int_eq(former_leases_end_ms(&f), 66000);
+	/* An answer that comes late tells no more than the claim. */
+	f.ended_ms = 65000;
+	ck_assert_int_eq(former_leases_end_ms(&f), 66000);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("flowd");
@@ -158,6 +203,8 @@
 	t = tcase_create("ownership");
 	tcase_add_test(t, owner_refused_by_store_is_replaced_early);
 	tcase_add_test(t, owner_is_kept_while_store_is_slow);
+	tcase_add_test(t, refused_connection_does_not_prove_an_end);
+	tcase_add_test(t, leases_of_all_former_owners_are_waited_for);
 	suite_add_tcase(s, t);
 	t = tcase_create("workers that exit");
 	tcase_add_test(t, drained_worker_refusing_connections_has_exited);
