--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -133,7 +133,7 @@
 /**
  * link_apply_lists() - apply a worker's list of runs and ends
  *
- * Return: whether the jobs of all of them are known.
+ * Return: whether they are complete and the jobs of all of them are known.
  */
 bool link_apply_lists(struct link *l, const struct tg_worker_poll_result *r,
 		      int64_t asked_ms);
--- a/cmd/tgflowd/lists.c
+++ b/cmd/tgflowd/lists.c
@@ -137,8 +137,10 @@
 					      r->runs[i].saved, now_ms);
 		n_unknown += unknown[i];
 	}
-	flow_report_list_end(b->flow, l->entry.id, asked_ms, now_ms);
-	known = !handle_unknown_runs(l, r, unknown, n_unknown);
+	/* What is missing in an incomplete list may have ended as done. */
+	if (!r->more_ends)
+		flow_report_list_end(b->flow, l->entry.id, asked_ms, now_ms);
+	known = !handle_unknown_runs(l, r, unknown, n_unknown) && !r->more_ends;
 	free(unknown);
 	return known;
 }
--- a/lib/port/port.h
+++ b/lib/port/port.h
@@ -221,7 +221,8 @@
  * @boot_ms: as in struct tg_worker_entry
  * @runs: all runs in progress.  @runs and @ends are owned by the adapter and
  *	valid only during the callback.
- * @ends: the ends that are not acknowledged yet
+ * @ends: the oldest of the ends that are not acknowledged yet
+ * @more_ends: there may be further ends, of runs that are in neither list
  */
 struct tg_worker_poll_result {
 	enum tg_order_end end;
@@ -229,6 +230,7 @@
 	const struct tg_run *runs;
 	const struct tg_run_end *ends;
 	size_t n_runs, n_ends;
+	bool more_ends;
 };
 
 /**
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -13,6 +13,8 @@
 /* A start that is not answered is carried out this much later. */
 #define LATE_MS 1500
 #define DOWN_MS 3000
+/* A list names the oldest ends that are not acknowledged, this many at most. */
+#define ENDS_LISTED_MAX 500
 /* A start may still use what a worker had this long before. */
 #define SHRUNK_GRACE_MS 1000
 
@@ -65,7 +67,8 @@
 			json_array_append_new(
 				running,
 				json_pack("[sisi]", r->task, r->run, "", 100));
-	for (e = w->ends; e; e = e->next)
+	for (e = w->ends; e && json_array_size(ended) < ENDS_LISTED_MAX;
+	     e = e->next)
 		json_array_append_new(ended,
 				      json_pack("[Isiss]", (json_int_t)e->n,
 						e->task, e->run, e->how, ""));
