--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -190,6 +190,8 @@
 void writer_delete_progress(struct board *b, const char *job);
 /** writer_reset() - drop pending writes; waiters get TG_RPC_UNKNOWN */
 void writer_reset(struct board *b);
+/** writer_is_stuck() - whether a write takes longer than one normally does */
+bool writer_is_stuck(void);
 /** writer_idle() - whether no write is in progress or scheduled */
 bool writer_idle(const struct board *b);
 
--- a/cmd/tgflowd/round.c
+++ b/cmd/tgflowd/round.c
@@ -38,9 +38,11 @@
 	if (!may_order(b))
 		return;
 	round_start_recorded(b);
+	flow_set_offline(b->flow, writer_is_stuck());
 	if (flow_decide(b->flow, tg_now_ms(), tg_wall_ms(), &orders_flow_ops,
 			b))
 		writer_wake(b);
+	round_start_recorded(b);
 	last_round_us = tg_now_us() - from_us;
 	tg_hist_add(round_us, (uint64_t)last_round_us);
 }
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -14,6 +14,8 @@
 #define RENEW_MS 500
 #define WRITE_TIMEOUT_MS 1000
 #define RETRY_MS 150
+/* Longer than a write of an instance far from the store takes. */
+#define STUCK_MS 300
 /* Changes are collected this long, so that one write covers many ends. */
 #define BATCH_DELAY_MS 4
 /* The store accepts 100 entries per call, including the owner's row. */
@@ -31,7 +33,8 @@
 	struct tg_row deletes[JOBS_MAX];
 	size_t n_obsolete, n_deletes;
 	bool complete; /* the write covers all changes */
-	int64_t started_ms;
+	int64_t started_ms; /* this attempt */
+	int64_t first_ms; /* the first attempt */
 	int failures;
 } w;
 
@@ -262,6 +265,7 @@
 		collect(b);
 		w.busy = true;
 		w.term = b->term;
+		w.first_ms = tg_now_ms();
 	}
 	send_write(b);
 	tg_turn_end("write");
@@ -293,6 +297,11 @@
 	}
 }
 
+bool writer_is_stuck(void)
+{
+	return w.busy && tg_now_ms() - w.first_ms >= STUCK_MS;
+}
+
 bool writer_idle(const struct board *b)
 {
 	return !w.busy && !b->write_wanted;
--- a/lib/flow/crash.c
+++ b/lib/flow/crash.c
@@ -93,7 +93,7 @@
 	/* The age of runs that a former owner started is not known. */
 	for (r = w->runs; r; r = r->next)
 		w->may_have_own_cause |=
-			r->state != RUN_DECIDED && age_at(r, now_ms) < YOUNG_MS;
+			flow_run_was_ordered(r) && age_at(r, now_ms) < YOUNG_MS;
 }
 
 void flow_worker_back(struct flow *f, const char *id)
@@ -263,7 +263,7 @@
 			  sizeof(*list));
 	n = add_lost_runs(f, w, list);
 	for (r = w->runs; r; r = r->next)
-		if (r->state != RUN_DECIDED)
+		if (flow_run_was_ordered(r))
 			list[n++] = casualty_of(r, crash->silent_ms);
 	if (has_common_cause(f, w, crash->silent_ms))
 		n = keep_telling(list, n);
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -74,6 +74,11 @@
 	flow_run_remove(r);
 }
 
+static bool is_recorded(const struct run *r)
+{
+	return r->decision <= r->job->written_decision;
+}
+
 static void stop_if_unwanted(struct round *rd, struct run *r)
 {
 	struct flow_stop_order s = { .worker = r->worker->id };
@@ -91,8 +96,12 @@
 	}
 	if (why)
 		flow_run_mark_stopping(r);
+	/*
+	 * A run that is recorded only as planned counts as not started once its
+	 * worker doesn't list it, so it must not be stopping then.
+	 */
 	if (r->state != RUN_STOPPING || !r->stop_pending ||
-	    rd->now_ms < r->next_stop_ms)
+	    rd->now_ms < r->next_stop_ms || (r->planned && !is_recorded(r)))
 		return;
 	r->stop_pending = false;
 	r->next_stop_ms = rd->now_ms + STOP_RETRY_MS;
@@ -142,15 +151,11 @@
 static void start_task(struct round *rd, struct job *j, struct step_state *ss,
 		       int32_t index, struct worker *w, int32_t number)
 {
-	struct run *r = flow_run_add(j, ss, index, w, number, rd->now_ms);
+	struct run *r = flow_run_decide(j, ss, index, w, number, rd->now_ms);
 
-	r->state = RUN_DECIDED;
-	r->decision = ++rd->f->decisions;
-	DL_APPEND2(rd->f->decided, r, decided_prev, decided_next);
 	if (flow_run_is_isolated(r, rd->now_ms))
 		w->isolated_for = j;
 	j->queue_conf->starts++;
-	flow_mark_dirty(j);
 	rd->progress_changed = true;
 }
 
@@ -248,12 +253,20 @@
 	flow_update_pools(f, now_ms);
 	flow_headroom_update(f, list, n, now_ms);
 	stop_unwanted_runs(&rd);
+	if (f->offline) {
+		rd.progress_changed |=
+			flow_start_planned(f, list, n, now_ms, wall_ms);
+		goto out;
+	}
 	flow_share_update(f, list, n);
 	while (n_urgent < n && flow_is_urgent(list[n_urgent]))
 		n_urgent++;
 	schedule_jobs(&rd, list, n_urgent);
 	schedule_ordinary_jobs(&rd, list + n_urgent, n - n_urgent);
 	stop_unwanted_runs(&rd);
+	flow_plan(f, list, n, now_ms, wall_ms);
+out:
+	rd.progress_changed |= f->dirty != NULL;
 	free(list);
 	free(rd.placement);
 	return rd.progress_changed;
@@ -269,11 +282,6 @@
 	return why;
 }
 
-static bool is_recorded(const struct run *r)
-{
-	return r->decision <= r->job->written_decision;
-}
-
 static void start(struct run *r, int64_t now_ms, const struct flow_ops *ops,
 		  void *arg)
 {
@@ -311,11 +319,16 @@
 		}
 	}
 	DL_FOREACH_SAFE2(f->decided, r, next, decided_next)
-	if (is_recorded(r))
+	if (r->planned || is_recorded(r))
 		start(r, now_ms, ops, arg);
 	return dropped;
 }
 
+void flow_set_offline(struct flow *f, bool offline)
+{
+	f->offline = offline;
+}
+
 void flow_drop_decided(struct flow *f, const struct flow_ops *ops, void *arg)
 {
 	while (f->decided)
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -374,6 +374,12 @@
 bool flow_start_recorded(struct flow *f, int64_t now_ms,
 			 const struct flow_ops *ops, void *arg);
 
+/**
+ * flow_set_offline() - whether progress can't be written at present
+ *
+ * Meanwhile flow_decide() starts only what was planned and recorded before.
+ */
+void flow_set_offline(struct flow *f, bool offline);
 /** flow_drop_decided() - drop all runs that have no start order yet */
 void flow_drop_decided(struct flow *f, const struct flow_ops *ops, void *arg);
 
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -7,6 +7,8 @@
 
 enum run_state {
 	RUN_DECIDED, /* its record is not durable yet, so no order was sent */
+	RUN_POSSIBLE, /* a former owner had planned it, and may have started it
+		       */
 	RUN_STARTING, /* the start order has no answer yet */
 	RUN_START_UNKNOWN, /* no answer to the start order; see next list */
 	RUN_ACTIVE,
@@ -21,6 +23,7 @@
 	struct worker *worker;
 	enum run_state state;
 	int64_t decision; /* number of the decision to start it */
+	bool planned; /* it was recorded as planned before that; see plan.c */
 	struct run *decided_prev, *decided_next; /* while it is RUN_DECIDED */
 	bool stop_confirmed; /* the worker will refuse a delayed start */
 	bool stop_pending; /* a stop order is still to be sent */
@@ -60,6 +63,10 @@
 	struct worker *last_failed_on;
 	struct run *run; /* the current one; others are to be stopped */
 	int32_t n_runs; /* including those being stopped */
+	/* The next run, while there is none; see plan.c. */
+	struct worker *planned_on; /* NULL without a plan */
+	int32_t planned_run;
+	int64_t planned_ms, planned_decision;
 };
 
 /** struct step_state - progress of a step in one occurrence of its job */
@@ -167,6 +174,7 @@
 	int32_t n_labels;
 	struct flow_shape capacity, used;
 	struct flow_shape stopping; /* part of used held by stopping runs */
+	struct flow_shape expected; /* free soon and not planned; see plan.c */
 	/* This round: capacity promised to tasks, and held by victims. */
 	struct flow_shape reserved, victims;
 	struct booking booking; /* of this round */
@@ -259,6 +267,8 @@
 	struct job *dirty, *writing; /* lists */
 	struct run *decided; /* list of runs that are RUN_DECIDED, in order */
 	int64_t decisions; /* number of the last decision to start a run */
+	int64_t planned_ms; /* when plans were last made */
+	bool offline; /* see flow_set_offline() */
 	struct worker *workers;
 	int32_t n_workers_added;
 	struct pool *pools;
@@ -347,6 +357,11 @@
 struct run *flow_run_add(struct job *j, struct step_state *ss, int32_t index,
 			 struct worker *w, int32_t run, int64_t now_ms);
 void flow_run_remove(struct run *r);
+/** flow_run_decide() - add a run that is RUN_DECIDED */
+struct run *flow_run_decide(struct job *j, struct step_state *ss, int32_t index,
+			    struct worker *w, int32_t run, int64_t now_ms);
+/** flow_run_was_ordered() - false if the run may never have been ordered */
+bool flow_run_was_ordered(const struct run *r);
 struct flow_run_ref flow_ref_of(const struct run *r);
 /** flow_run_mark_stopping() - let the next flow_decide() order a stop */
 void flow_run_mark_stopping(struct run *r);
@@ -379,6 +394,19 @@
 void flow_remember_lost_run(struct worker *w, const struct run *r);
 void flow_forget_lost_runs(struct worker *w);
 
+/* plan.c */
+void flow_plan_clear(struct task *t);
+/** flow_plan() - plan the next starts of the open jobs @list, in order */
+void flow_plan(struct flow *f, struct job *const *list, size_t n,
+	       int64_t now_ms, int64_t wall_ms);
+/**
+ * flow_start_planned() - decide to start what is planned and recorded
+ *
+ * Return: whether there was anything.
+ */
+bool flow_start_planned(struct flow *f, struct job *const *list, size_t n,
+			int64_t now_ms, int64_t wall_ms);
+
 /* pace.c */
 /** flow_pace_update() - record the progress that a worker lists for a run */
 void flow_pace_update(struct run *r, int32_t percent, int64_t now_ms);
--- /dev/null
+++ b/lib/flow/plan.c
@@ -0,0 +1,204 @@
+#include <string.h>
+
+#include <utlist.h>
+
+#include "flow/place_internal.h"
+
+/*
+ * Plans where waiting tasks start next, so that they can start while progress
+ * can't be written.  A plan is recorded like a run: whoever reads the progress
+ * knows that the run may exist on that worker, and nowhere else.
+ */
+
+/* Plans cover what is expected to become free in this time. */
+#define HORIZON_MS 6000
+#define PERIOD_MS 500
+/* A plan whose worker is not expected to have room is kept this long. */
+#define KEEP_MS 2000
+/* A pass ends after this many searches that find no worker. */
+#define MISSES_MAX 4
+
+/* What is expected to be free within the horizon. */
+static void expect_capacity(struct flow *f, int64_t now_ms)
+{
+	struct worker *w;
+	const struct run *r;
+
+	for (w = f->workers; w; w = w->hh.next) {
+		w->expected = w->capacity;
+		flow_shape_add(&w->expected, &w->used, -1);
+		for (r = w->runs; r; r = r->next) {
+			const struct flow_step *st =
+				flow_step_of(r->job, r->step_state);
+			struct flow_shape freed = flow_task_shape(st);
+
+			if (r->state == RUN_STOPPING ||
+			    (!st->endless &&
+			     flow_remaining_ms(r, now_ms) <= HORIZON_MS))
+				flow_shape_add(&w->expected, &freed, 1);
+		}
+	}
+}
+
+void flow_plan_clear(struct task *t)
+{
+	t->planned_on = NULL;
+}
+
+static void cancel_plan(struct job *j, struct task *t)
+{
+	if (!t->planned_on)
+		return;
+	flow_plan_clear(t);
+	flow_mark_dirty(j);
+}
+
+/* Gangs need all their workers at one time, so they are not planned. */
+static bool can_plan(const struct search *s)
+{
+	return !s->step->gang && !s->step->per_worker_max;
+}
+
+static bool is_waiting(const struct task *t)
+{
+	return !t->done && !t->n_runs;
+}
+
+static struct worker *find_worker(const struct search *s)
+{
+	const struct array *list = flow_search_workers(s);
+	struct worker **workers = list->items;
+	size_t i;
+
+	for (i = 0; i < list->n; i++)
+		if (flow_shape_fits(&s->need, &workers[i]->expected) &&
+		    flow_worker_allowed(s, workers[i]))
+			return workers[i];
+	return NULL;
+}
+
+static bool keep_plan(const struct search *s, const struct task *t)
+{
+	struct worker *w = t->planned_on;
+
+	return w && t->planned_run == t->last_run + 1 &&
+		flow_worker_ready(w, s->now_ms) && flow_worker_allowed(s, w) &&
+		(flow_shape_fits(&s->need, &w->expected) ||
+		 s->now_ms - t->planned_ms < KEEP_MS);
+}
+
+static bool plan_task(const struct search *s, struct task *t)
+{
+	struct worker *w = find_worker(s);
+
+	if (!w)
+		return false;
+	t->planned_on = w;
+	t->planned_run = t->last_run + 1;
+	t->planned_ms = s->now_ms;
+	t->planned_decision = ++s->f->decisions;
+	flow_mark_dirty(s->job);
+	return true;
+}
+
+/* Return: false if a task found no worker. */
+static bool plan_step(const struct search *s, bool may_search)
+{
+	bool found = true;
+	int32_t i;
+
+	for (i = 0; i < s->step->tasks; i++) {
+		struct task *t = &s->step_state->tasks[i];
+
+		if (!is_waiting(t))
+			continue;
+		if (!keep_plan(s, t)) {
+			cancel_plan(s->job, t);
+			if (!may_search || !found || flow_may_crash_worker(t))
+				continue;
+			found = plan_task(s, t);
+		}
+		if (t->planned_on)
+			flow_shape_add(&t->planned_on->expected, &s->need, -1);
+	}
+	return found;
+}
+
+static struct search search_for(struct flow *f, struct job *j, int32_t k,
+				int64_t now_ms)
+{
+	struct step_state *ss = &j->step_states[k];
+
+	return (struct search){
+		.f = f,
+		.job = j,
+		.step_state = ss,
+		.step = flow_step_of(j, ss),
+		.need = flow_task_shape(flow_step_of(j, ss)),
+		.now_ms = now_ms,
+	};
+}
+
+void flow_plan(struct flow *f, struct job *const *list, size_t n,
+	       int64_t now_ms, int64_t wall_ms)
+{
+	int misses = 0;
+	size_t i;
+	int32_t k;
+
+	if (f->planned_ms && now_ms - f->planned_ms < PERIOD_MS)
+		return;
+	f->planned_ms = now_ms;
+	expect_capacity(f, now_ms);
+	for (i = 0; i < n; i++)
+		for (k = 0; k < list[i]->n_step_states; k++) {
+			struct search s = search_for(f, list[i], k, now_ms);
+
+			if (list[i]->recovered || !can_plan(&s) ||
+			    !flow_is_ready(f, s.job, s.step_state, wall_ms))
+				continue;
+			misses += !plan_step(&s, misses < MISSES_MAX);
+		}
+}
+
+static bool may_start(const struct search *s, const struct task *t)
+{
+	const struct worker *w = t->planned_on;
+	struct flow_shape available;
+
+	if (!w || !is_waiting(t) || t->planned_run != t->last_run + 1 ||
+	    t->planned_decision > s->job->written_decision ||
+	    !flow_worker_ready(w, s->now_ms) || !flow_worker_allowed(s, w))
+		return false;
+	available = w->capacity;
+	flow_shape_add(&available, &w->used, -1);
+	return flow_shape_fits(&s->need, &available);
+}
+
+bool flow_start_planned(struct flow *f, struct job *const *list, size_t n,
+			int64_t now_ms, int64_t wall_ms)
+{
+	bool started = false;
+	size_t i;
+	int32_t k, index;
+
+	for (i = 0; i < n; i++)
+		for (k = 0; k < list[i]->n_step_states; k++) {
+			struct search s = search_for(f, list[i], k, now_ms);
+
+			if (!flow_is_ready(f, s.job, s.step_state, wall_ms))
+				continue;
+			for (index = 0; index < s.step->tasks; index++) {
+				struct task *t = &s.step_state->tasks[index];
+
+				if (!may_start(&s, t))
+					continue;
+				flow_run_decide(s.job, s.step_state, index,
+						t->planned_on, t->planned_run,
+						now_ms)
+					->planned = true;
+				started = true;
+			}
+		}
+	return started;
+}
--- a/lib/flow/progress.c
+++ b/lib/flow/progress.c
@@ -95,6 +95,17 @@
 			 (json_int_t)t->crash_age_ms);
 }
 
+/* A run that may exist, or may be started without a further record. */
+static json_t *encode_run(int32_t index, int32_t run, const struct worker *w,
+			  bool planned)
+{
+	json_t *a = json_pack("[iis]", index, run, w->id);
+
+	if (planned)
+		json_array_append_new(a, json_true());
+	return a;
+}
+
 static json_t *encode_step_state(const struct job *j,
 				 const struct step_state *ss)
 {
@@ -110,9 +121,14 @@
 		const struct task *t = &ss->tasks[i];
 
 		if (t->run)
+			json_array_append_new(
+				runs,
+				encode_run(i, t->run->run, t->run->worker,
+					   t->run->state == RUN_POSSIBLE));
+		else if (t->planned_on)
 			json_array_append_new(runs,
-					      json_pack("[iis]", i, t->run->run,
-							t->run->worker->id));
+					      encode_run(i, t->planned_run,
+							 t->planned_on, true));
 		if (t->done || (!t->failures.n && !t->crashes.n && !*t->saved))
 			continue;
 		snprintf(key, sizeof(key), "%d", i);
@@ -191,14 +207,19 @@
 {
 	int index, run;
 	const char *worker;
+	bool begun = j->begun, planned = json_is_true(json_array_get(o, 3));
+	struct run *r;
 
 	if (json_unpack(o, "[iis]", &index, &run, &worker) || index < 0 ||
 	    index >= flow_step_of(j, ss)->tasks)
 		return false;
-	if (!ss->tasks[index].run)
-		flow_run_add(j, ss, index, flow_get_or_add_worker(f, worker),
-			     run, 0)
-			->state = RUN_ACTIVE;
+	if (ss->tasks[index].run)
+		return true;
+	r = flow_run_add(j, ss, index, flow_get_or_add_worker(f, worker), run,
+			 0);
+	r->state = planned ? RUN_POSSIBLE : RUN_ACTIVE;
+	if (planned)
+		j->begun = begun;
 	return true;
 }
 
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -25,6 +25,7 @@
 	if (!t->run || t->run->run < run)
 		t->run = r;
 	t->n_runs++;
+	flow_plan_clear(t);
 	if (run > t->last_run)
 		t->last_run = run;
 	ss->n_runs++;
@@ -61,6 +62,23 @@
 	};
 }
 
+struct run *flow_run_decide(struct job *j, struct step_state *ss, int32_t index,
+			    struct worker *w, int32_t run, int64_t now_ms)
+{
+	struct run *r = flow_run_add(j, ss, index, w, run, now_ms);
+
+	r->state = RUN_DECIDED;
+	r->decision = ++j->flow->decisions;
+	DL_APPEND2(j->flow->decided, r, decided_prev, decided_next);
+	flow_mark_dirty(j);
+	return r;
+}
+
+bool flow_run_was_ordered(const struct run *r)
+{
+	return r->state != RUN_DECIDED && r->state != RUN_POSSIBLE;
+}
+
 static void unlist_decided(struct run *r)
 {
 	if (r->state == RUN_DECIDED)
@@ -341,6 +359,7 @@
 	unlist_decided(r);
 	if (r->state != RUN_STOPPING)
 		r->state = RUN_ACTIVE;
+	j->begun = true;
 	r->listed_ms = now_ms;
 	flow_pace_update(r, percent, now_ms);
 	store_checkpoint(j, ss, ref->index, saved);
@@ -364,6 +383,10 @@
 		case RUN_DECIDED:
 		case RUN_STARTING:
 			break;
+		case RUN_POSSIBLE:
+			/* Planned runs are stopped only once recorded. */
+			flow_run_remove(r);
+			break;
 		case RUN_START_UNKNOWN:
 			flow_run_mark_stopping(r);
 			break;
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -285,7 +285,7 @@
 			flow_run_remove(w->runs);
 			continue;
 		}
-		if (!w->draining)
+		if (!w->draining && flow_run_was_ordered(w->runs))
 			flow_remember_lost_run(w, w->runs);
 		flow_run_ended(f, w->runs, FLOW_RUN_LEASE_EXPIRED, NULL,
 			       now_ms);
@@ -296,6 +296,14 @@
 	w->speed = 1;
 }
 
+static void forget_worker(struct task *t, const struct worker *w)
+{
+	if (t->last_failed_on == w)
+		t->last_failed_on = NULL;
+	if (t->planned_on == w)
+		flow_plan_clear(t);
+}
+
 void flow_worker_remove(struct flow *f, const char *id, int64_t now_ms)
 {
 	struct worker *w = flow_find_worker(f, id);
@@ -310,11 +318,7 @@
 			for (k = 0;
 			     k < flow_step_of(j, &j->step_states[i])->tasks;
 			     k++)
-				if (j->step_states[i].tasks[k].last_failed_on ==
-				    w)
-					j->step_states[i]
-						.tasks[k]
-						.last_failed_on = NULL;
+				forget_worker(&j->step_states[i].tasks[k], w);
 	flow_free_worker(f, w);
 }
 
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -59,6 +59,8 @@
 
 /** crash_tcase() - tests of test-crash.c */
 TCase *crash_tcase(void);
+/** plan_tcase() - tests of test-plan.c */
+TCase *plan_tcase(void);
 /** capacity_tcase() - tests of test-capacity.c */
 TCase *capacity_tcase(void);
 /** index_tcase() - tests of test-index.c on a fleet of their own */
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -1053,6 +1053,7 @@
 	suite_add_tcase(s, load_tcase());
 	suite_add_tcase(s, crash_tcase());
 	suite_add_tcase(s, capacity_tcase());
+	suite_add_tcase(s, plan_tcase());
 	suite_add_tcase(s, index_tcase());
 	suite_add_tcase(s, fleet_size_tcase());
 	return run_suite(s);
