--- a/cmd/tgflowd/lists.c
+++ b/cmd/tgflowd/lists.c
@@ -118,6 +118,13 @@
 	return true;
 }
 
+static void log_unrecorded_run(const struct link *l,
+			       const struct flow_run_ref *r)
+{
+	tg_log(EV_FLOW_RUN_UNRECORDED, "job=%s task=%d.%d.%d run=%d worker=%s",
+	       r->job, r->occurrence, r->step, r->index, r->run, l->entry.id);
+}
+
 bool link_apply_lists(struct link *l, const struct tg_worker_poll_result *r,
 		      int64_t asked_ms)
 {
@@ -132,9 +139,13 @@
 		struct flow_run_ref ref =
 			ref_of(&r->runs[i].task, r->runs[i].run);
 
-		unknown[i] = !flow_report_run(b->flow, &ref, l->entry.id,
-					      r->runs[i].percent,
-					      r->runs[i].saved, now_ms);
+		enum flow_listed listed = flow_report_run(
+			b->flow, &ref, l->entry.id, r->runs[i].percent,
+			r->runs[i].saved, now_ms);
+
+		if (listed == FLOW_LISTED_ADDED)
+			log_unrecorded_run(l, &ref);
+		unknown[i] = listed == FLOW_LISTED_UNKNOWN;
 		n_unknown += unknown[i];
 	}
 	/* What is missing in an incomplete list may have ended as done. */
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -308,17 +308,22 @@
 void flow_stop_answered(struct flow *f, const struct flow_run_ref *r,
 			const char *worker, enum flow_order_result end,
 			int64_t now_ms);
+/** enum flow_listed - what is known of a run that a worker lists */
+enum flow_listed {
+	FLOW_LISTED_UNKNOWN, /* there is no such job, task or worker */
+	FLOW_LISTED_KNOWN,
+	FLOW_LISTED_ADDED, /* neither recorded nor ordered by this engine */
+};
+
 /**
  * flow_report_run() - report a run that a worker lists
  * @saved: its last checkpoint; NULL or empty for none
  *
  * A run that is not known is added; it is stopped if it is not wanted.
- *
- * Return: false if there is no such job, task or worker.
  */
-bool flow_report_run(struct flow *f, const struct flow_run_ref *r,
-		     const char *worker, int32_t percent, const char *saved,
-		     int64_t now_ms);
+enum flow_listed flow_report_run(struct flow *f, const struct flow_run_ref *r,
+				 const char *worker, int32_t percent,
+				 const char *saved, int64_t now_ms);
 /**
  * flow_report_list_end() - report that a worker has listed all its runs
  * @asked_ms: when the list was requested
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -333,10 +333,11 @@
 	}
 }
 
-bool flow_report_run(struct flow *f, const struct flow_run_ref *ref,
-		     const char *worker, int32_t percent, const char *saved,
-		     int64_t now_ms)
+enum flow_listed flow_report_run(struct flow *f, const struct flow_run_ref *ref,
+				 const char *worker, int32_t percent,
+				 const char *saved, int64_t now_ms)
 {
+	enum flow_listed listed = FLOW_LISTED_KNOWN;
 	struct worker *w = flow_find_worker(f, worker);
 	struct run *r = find_run(f, ref, w);
 	struct step_state *ss;
@@ -344,7 +345,7 @@
 	struct task *t;
 
 	if (!w || !find_task(f, ref, &j, &ss))
-		return false;
+		return FLOW_LISTED_UNKNOWN;
 	t = &ss->tasks[ref->index];
 	if (!r) {
 		bool wanted = !t->done && !flow_has_ended(j) &&
@@ -352,6 +353,7 @@
 
 		r = flow_run_add(j, ss, ref->index, w, ref->run, now_ms);
 		r->state = RUN_ACTIVE;
+		listed = FLOW_LISTED_ADDED;
 		flow_mark_dirty(j);
 		if (!wanted || t->run != r)
 			flow_run_mark_stopping(r);
@@ -363,7 +365,7 @@
 	r->listed_ms = now_ms;
 	flow_pace_update(r, percent, now_ms);
 	store_checkpoint(j, ss, ref->index, saved);
-	return true;
+	return listed;
 }
 
 void flow_report_list_end(struct flow *f, const char *worker, int64_t asked_ms,
