--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -396,6 +396,20 @@
 	call->failed = true;
 }
 
+/*
+ * Connections to a server may go silent together, without being closed, while
+ * new ones work.
+ */
+static void drop_idle(struct tg_http_client *client, struct pool *p)
+{
+	while (p->idle) {
+		struct connection *c = p->idle;
+
+		unlist_idle(client, c);
+		discard_connection(client, c);
+	}
+}
+
 static void abort_request(struct tg_http_call *call)
 {
 	if (call->req)
@@ -491,6 +505,8 @@
 	if (!call->req || !call->sent)
 		r.end = TG_HTTP_NOT_CONNECTED;
 	r.refused = call->refused;
+	if (r.end == TG_HTTP_TIMEOUT && !call->first_byte_ms)
+		drop_idle(call->client, call->pool);
 	if (call->client->opts.unsafe_reuse && r.end == TG_HTTP_TIMEOUT)
 		reuse_after_timeout(call);
 	else
--- a/tests/standin/proxyd/main.c
+++ b/tests/standin/proxyd/main.c
@@ -25,6 +25,7 @@
 
 struct pair {
 	struct bufferevent *client, *server;
+	bool dead; /* nothing passes any more; it is not closed */
 	struct pair *prev, *next;
 };
 
@@ -69,6 +70,8 @@
 /* Whether bytes that come from this end pass now. */
 static bool passes(const struct pair *p, const struct bufferevent *from)
 {
+	if (p->dead)
+		return false;
 	return proxy.mode < MODE_SILENT ||
 		(proxy.mode == MODE_ONE_WAY && from == p->client);
 }
@@ -135,7 +138,16 @@
 	}
 }
 
-/* POST /proxy?mode=ok|delay|silent|one-way|reset */
+/* Of the connections that are open now; new ones work. */
+static void silence_all(void)
+{
+	struct pair *p;
+
+	for (p = proxy.pairs; p; p = p->next)
+		p->dead = true;
+}
+
+/* POST /proxy?mode=ok|delay|silent|one-way|reset|silent-for-good */
 static void set_mode(struct evhttp_request *req, void *arg)
 {
 	static const char *const names[] = {
@@ -154,6 +166,8 @@
 			proxy.mode = (enum mode)i;
 	if (mode && !strcmp(mode, "reset"))
 		reset_all();
+	if (mode && !strcmp(mode, "silent-for-good"))
+		silence_all();
 	for (p = proxy.pairs; p; p = p->next) {
 		pass(p, p->client);
 		pass(p, p->server);
