--- a/tests/fault/soak.sh
+++ b/tests/fault/soak.sh
@@ -7,5 +7,10 @@
 for seed in 1 2 37; do
 	sh "$soak" --seed $seed --steps 40
 done
+# Seeds 7 and 10: a new owner, while entries of workers were missing after an
+# outage, started tasks that its predecessor had started without a record.
+for seed in 7 10; do
+	sh "$soak" --seed $seed --steps 40 --outages
+done
 echo "# a job that is lost is found"
 sh "$soak" --seed 3 --steps 4 --claim 00000000000000ff
--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -1,21 +1,27 @@
 #!/bin/sh
 # A soak of the queue and flow daemons: run.sh --seed N [--steps N]
-#	[--keep DIRECTORY] [--claim JOB]
+#	[--keep DIRECTORY] [--claim JOB] [--outages]
 # Three instances run on a stand-in of the platform, each with a proxy before
 # the store.  Steps drawn from the seed submit and cancel jobs and inject faults
 # from outside: signals, disturbed connections, faults of store and workers.
 # They overlap.  Then all faults end, and what callers and workers saw is
 # checked: an accepted job ends completed, one that was refused does not exist,
-# no task runs twice or beyond room.  --claim says that JOB was accepted, which
-# shows that a lost job is found.
+# no task runs twice or beyond room.  --outages adds outages of the store in
+# which entries of workers expire, beside the other faults.  --claim says that
+# JOB was accepted, which shows that a lost job is found.
 . "$(dirname "$0")/../site-lib.sh"
-seed=1 steps=40 keep= claim=
+seed=1 steps=40 keep= claim= outages=
 while [ $# -gt 0 ]; do
 	case $1 in
 	--seed) seed=$2 ;;
 	--steps) steps=$2 ;;
 	--keep) keep=$2 ;;
 	--claim) claim=$2 ;;
+	--outages)
+		outages=1
+		shift
+		continue
+		;;
 	*)
 		echo "run.sh: unknown flag $1" >&2
 		exit 2
@@ -115,6 +121,18 @@
 		"http://$(http_of "proxy-$1")/proxy?mode=$2"
 }
 
+# The store is down, and entries of three workers expire meanwhile.
+outage() { # WORKER
+	control "store?mode=refuse"
+	for i in 0 1 2; do
+		control "worker?id=w$((($1 + i - 1) % workers + 1))&mode=expire"
+	done
+	sleep 3.5
+	control "store?mode=ok"
+	sleep 1.9
+	control "worker?id=all&mode=listed"
+}
+
 pick() { # NUMBER WORD...: the word that the number chooses
 	n=$1
 	shift
@@ -173,6 +191,7 @@
 	done
 	control 'store?mode=ok'
 	control 'worker?id=all&mode=ok'
+	control 'worker?id=all&mode=listed'
 	revive
 }
 
@@ -214,8 +233,14 @@
 done
 await "an owner" owner_of 1 2 3
 n_jobs=0
+n_steps=0
 draw_steps >"$tmp/steps"
 while read -r what instance worker tasks acc run_ms pause_ms extra; do
+	n_steps=$((n_steps + 1))
+	if [ -n "$outages" ] && [ $((n_steps % 12)) = 5 ]; then
+		say "outage $worker"
+		outage "$worker" </dev/null &
+	fi
 	say "$what $instance $worker $tasks $acc $run_ms $pause_ms $extra"
 	step "$what" "$instance" "$worker" "$tasks" "$acc" "$run_ms" \
 		"$pause_ms" "$extra"
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -110,6 +110,12 @@
 			worker_remove_entry(w);
 		} else if (!strcmp(mode, "crash")) {
 			worker_close(w);
+		} else if (!strcmp(mode, "expire")) {
+			/* Its heartbeats don't reach the store; it runs on. */
+			worker_remove_entry(w);
+		} else if (!strcmp(mode, "listed")) {
+			if (!w->gone)
+				worker_write_entry(w);
 		} else if (!strncmp(mode, "size=", 5)) {
 			worker_resize(w, atoi(mode + 5));
 		} else if (!strcmp(mode, "restart")) {
