--- a/spec/run.sh
+++ b/spec/run.sh
@@ -55,7 +55,13 @@
 holder NO_FENCE
 holder ANY_LIST
 holder ACK_EARLY
-holder RENEW_ALWAYS"
+holder RENEW_ALWAYS
+takeover -
+takeover START_FIRST
+takeover NO_FENCE
+takeover IGNORE_RECORD
+takeover NO_STOP_WAIT
+takeover STOP_PLANNED"
 
 judge() { # MODEL SWITCH
 	if [ "$2" = - ]; then
