--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -130,7 +130,7 @@
 /* Row 0 is the owner's row; the others are the progress of jobs. */
 static void mark_written(struct board *b)
 {
-	bool was_durable[JOBS_MAX + 1];
+	bool was_durable[JOBS_MAX + 1] = { false };
 	struct flow_job_status v;
 	size_t i;
 
--- a/lib/flow/plan.c
+++ b/lib/flow/plan.c
@@ -15,9 +15,15 @@
 #define PERIOD_MS 500
 /* A plan whose worker is not expected to have room is kept this long. */
 #define KEEP_MS 2000
-/* A pass ends after this many searches that find no worker. */
+/* Searches of a pass, and those of them that find no worker. */
+#define SEARCHES_MAX 100
 #define MISSES_MAX 4
 
+/** struct pass - one pass over all waiting tasks */
+struct pass {
+	int searches, misses;
+};
+
 /* What is expected to be free within the horizon. */
 static void expect_capacity(struct flow *f, int64_t now_ms)
 {
@@ -87,24 +93,25 @@
 		 s->now_ms - t->planned_ms < KEEP_MS);
 }
 
-static bool plan_task(const struct search *s, struct task *t)
+static void plan_task(struct pass *p, const struct search *s, struct task *t)
 {
 	struct worker *w = find_worker(s);
 
-	if (!w)
-		return false;
+	p->searches++;
+	if (!w) {
+		p->misses++;
+		return;
+	}
 	t->planned_on = w;
 	t->planned_run = t->last_run + 1;
 	t->planned_ms = s->now_ms;
 	t->planned_decision = ++s->f->decisions;
 	flow_mark_dirty(s->job);
-	return true;
 }
 
-/* Return: false if a task found no worker. */
-static bool plan_step(const struct search *s, bool may_search)
+static void plan_step(struct pass *p, const struct search *s)
 {
-	bool found = true;
+	int misses = p->misses;
 	int32_t i;
 
 	for (i = 0; i < s->step->tasks; i++) {
@@ -114,14 +121,16 @@
 			continue;
 		if (!keep_plan(s, t)) {
 			cancel_plan(s->job, t);
-			if (!may_search || !found || flow_may_crash_worker(t))
+			/* After a miss the step's other tasks fit nowhere. */
+			if (p->misses > misses || p->misses >= MISSES_MAX ||
+			    p->searches >= SEARCHES_MAX ||
+			    flow_may_crash_worker(t))
 				continue;
-			found = plan_task(s, t);
+			plan_task(p, s, t);
 		}
 		if (t->planned_on)
 			flow_shape_add(&t->planned_on->expected, &s->need, -1);
 	}
-	return found;
 }
 
 static struct search search_for(struct flow *f, struct job *j, int32_t k,
@@ -142,7 +151,7 @@
 void flow_plan(struct flow *f, struct job *const *list, size_t n,
 	       int64_t now_ms, int64_t wall_ms)
 {
-	int misses = 0;
+	struct pass p = { 0 };
 	size_t i;
 	int32_t k;
 
@@ -157,7 +166,7 @@
 			if (list[i]->recovered || !can_plan(&s) ||
 			    !flow_is_ready(f, s.job, s.step_state, wall_ms))
 				continue;
-			misses += !plan_step(&s, misses < MISSES_MAX);
+			plan_step(&p, &s);
 		}
 }
 
--- a/lib/flow/progress.c
+++ b/lib/flow/progress.c
@@ -125,7 +125,7 @@
 				runs,
 				encode_run(i, t->run->run, t->run->worker,
 					   t->run->state == RUN_POSSIBLE));
-		else if (t->planned_on)
+		else if (t->planned_on && !flow_has_ended(j))
 			json_array_append_new(runs,
 					      encode_run(i, t->planned_run,
 							 t->planned_on, true));
