--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -14,8 +14,11 @@
 #define RENEW_MS 500
 #define WRITE_TIMEOUT_MS 1000
 #define RETRY_MS 150
-/* Longer than a write of an instance far from the store takes. */
-#define STUCK_MS 300
+/*
+ * An owner that is cut off from a store that others reach is replaced within
+ * about this time.
+ */
+#define STUCK_MS 1000
 /* Changes are collected this long, so that one write covers many ends. */
 #define BATCH_DELAY_MS 4
 /* The store accepts 100 entries per call, including the owner's row. */
