--- a/cmd/tgflowd/formerowner.h
+++ b/cmd/tgflowd/formerowner.h
@@ -7,9 +7,7 @@
 enum owner_sign {
 	OWNER_ANSWERS,
 	OWNER_SILENT,
-	/* The connection is refused: by its machine, or by a path that is cut.
-	 */
-	OWNER_UNREACHABLE,
+	OWNER_UNREACHABLE, /* refused, by its machine or a path that is cut */
 	OWNER_REPLACED, /* another process answers: the owner's has ended */
 };
 
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -290,7 +290,9 @@
 		.worker = r->worker->id,
 		.text = r->job->spec->text,
 		.saved = r->step_state->tasks[r->index].saved,
-		.reason = r->job->rank <= 0 ? "guaranteed" : "by deadline",
+		.reason = r->planned	  ? "planned" :
+			r->job->rank <= 0 ? "guaranteed" :
+					    "by deadline",
 	};
 
 	DL_DELETE2(r->job->flow->decided, r, decided_prev, decided_next);
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -7,8 +7,7 @@
 
 enum run_state {
 	RUN_DECIDED, /* its record is not durable yet, so no order was sent */
-	RUN_POSSIBLE, /* a former owner had planned it, and may have started it
-		       */
+	RUN_POSSIBLE, /* a former owner planned it, and may have started it */
 	RUN_STARTING, /* the start order has no answer yet */
 	RUN_START_UNKNOWN, /* no answer to the start order; see next list */
 	RUN_ACTIVE,
@@ -89,8 +88,8 @@
 	int32_t n_step_states, n_step_states_done;
 	enum flow_state state;
 	bool cancelled, recovered, begun, dirty, writing, durable;
-	bool taken_ended; /* when its progress was taken to be written */
-	bool end_durable;
+	bool taken_ended; /* it had ended when its progress was last taken */
+	bool end_durable; /* progress that shows its end is durable */
 	/* In lists of the flow: those that are dirty, and being written. */
 	struct job *dirty_prev, *dirty_next, *writing_prev, *writing_next;
 	/* The last decision covered by the progress taken, and written. */
@@ -395,7 +394,8 @@
 void flow_forget_lost_runs(struct worker *w);
 
 /* plan.c */
-void flow_plan_clear(struct task *t);
+/** flow_plan_cancel() - drop the plan of a task, if it has one */
+void flow_plan_cancel(struct job *j, struct task *t);
 /** flow_plan() - plan the next starts of the open jobs @list, in order */
 void flow_plan(struct flow *f, struct job *const *list, size_t n,
 	       int64_t now_ms, int64_t wall_ms);
--- a/lib/flow/plan.c
+++ b/lib/flow/plan.c
@@ -1,7 +1,3 @@
-#include <string.h>
-
-#include <utlist.h>
-
 #include "flow/place_internal.h"
 
 /*
@@ -46,16 +42,11 @@
 	}
 }
 
-void flow_plan_clear(struct task *t)
-{
-	t->planned_on = NULL;
-}
-
-static void cancel_plan(struct job *j, struct task *t)
+void flow_plan_cancel(struct job *j, struct task *t)
 {
 	if (!t->planned_on)
 		return;
-	flow_plan_clear(t);
+	t->planned_on = NULL;
 	flow_mark_dirty(j);
 }
 
@@ -120,7 +111,7 @@
 		if (!is_waiting(t))
 			continue;
 		if (!keep_plan(s, t)) {
-			cancel_plan(s->job, t);
+			flow_plan_cancel(s->job, t);
 			/* After a miss the step's other tasks fit nowhere. */
 			if (p->misses > misses || p->misses >= MISSES_MAX ||
 			    p->searches >= SEARCHES_MAX ||
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -25,7 +25,7 @@
 	if (!t->run || t->run->run < run)
 		t->run = r;
 	t->n_runs++;
-	flow_plan_clear(t);
+	t->planned_on = NULL;
 	if (run > t->last_run)
 		t->last_run = run;
 	ss->n_runs++;
