--- a/cmd/tgflowd/formerowner.c
+++ b/cmd/tgflowd/formerowner.c
@@ -14,6 +14,13 @@
 	return OWNER_SILENT;
 }
 
+bool former_owner_yielded(enum tg_rpc_call_status end, bool active,
+			  uint64_t told, uint64_t own)
+{
+	/* An answer from an earlier term is about another former owner. */
+	return end == TG_RPC_CALL_OK && !active && told == own;
+}
+
 int64_t former_leases_end_ms(const struct former_owner *f)
 {
 	/* No write of an earlier owner succeeds after the claim. */
--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -104,12 +104,14 @@
 static void on_notified(enum tg_rpc_call_status end, const void *res, void *arg)
 {
 	const struct tg_rpc_peer *p = res;
+	struct board *b = arg;
 
 	watch.pinging = false;
-	if (end != TG_RPC_CALL_OK || p->active)
+	if (!former_owner_yielded(end, end == TG_RPC_CALL_OK && p->active,
+				  watch.ping_fence, b->owner.fence))
 		return;
 	watch.former_addr[0] = '\0';
-	owner_former_ended(arg);
+	owner_former_ended(b);
 }
 
 void standby_notify_former(struct board *b, int64_t now_ms)
--- a/tests/unit/flowd/test-flowd.c
+++ b/tests/unit/flowd/test-flowd.c
@@ -192,6 +192,19 @@
 }
 END_TEST
 
+/*
+ * An answer that came after this daemon had lost the ownership and claimed it
+ * again counted as that of the former owner of the new term, which lived on.
+ */
+START_TEST(answer_of_an_earlier_term_proves_nothing)
+{
+	ck_assert(former_owner_yielded(TG_RPC_CALL_OK, false, 7, 7));
+	ck_assert(!former_owner_yielded(TG_RPC_CALL_OK, false, 5, 7));
+	ck_assert(!former_owner_yielded(TG_RPC_CALL_OK, true, 7, 7));
+	ck_assert(!former_owner_yielded(TG_RPC_CALL_TIMEOUT, false, 7, 7));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("flowd");
@@ -205,6 +218,7 @@
 	tcase_add_test(t, owner_is_kept_while_store_is_slow);
 	tcase_add_test(t, refused_connection_does_not_prove_an_end);
 	tcase_add_test(t, leases_of_all_former_owners_are_waited_for);
+	tcase_add_test(t, answer_of_an_earlier_term_proves_nothing);
 	suite_add_tcase(s, t);
 	t = tcase_create("workers that exit");
 	tcase_add_test(t, drained_worker_refusing_connections_has_exited);
