--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -19,7 +19,7 @@
  * considered dead if the row stays unchanged this long: after pings showed that
  * it is unreachable, replaced or not active, and after pings without an answer.
  */
-#define UNCHANGED_ENDED_MS 300
+#define UNCHANGED_SIGN_MS 300
 #define UNCHANGED_SILENT_MS 1100
 /*
  * An instance with fewer than PREFERRED_CORES delays its claim by up to
@@ -237,12 +237,12 @@
 		return "no owner yet";
 	if (b->owner.released)
 		return "released";
-	if (watch.sign == OWNER_REPLACED && unchanged_ms >= UNCHANGED_ENDED_MS)
+	if (watch.sign == OWNER_REPLACED && unchanged_ms >= UNCHANGED_SIGN_MS)
 		return "owner process has ended";
 	if (watch.sign == OWNER_UNREACHABLE &&
-	    unchanged_ms >= UNCHANGED_ENDED_MS)
+	    unchanged_ms >= UNCHANGED_SIGN_MS)
 		return "owner refuses connections";
-	if (watch.stale && unchanged_ms >= UNCHANGED_ENDED_MS)
+	if (watch.stale && unchanged_ms >= UNCHANGED_SIGN_MS)
 		return "owner does not reach the store";
 	if (is_silent(b, now_ms) && unchanged_ms >= UNCHANGED_SILENT_MS)
 		return "owner does not answer";
@@ -313,10 +313,11 @@
 	if (silent && !watch.silence_logged && b->owner_version) {
 		watch.silence_logged = true;
 		tg_log(EV_FLOW_OWNER_SILENT,
-		       "owner=%s silent_ms=%lld gone=%d stale=%d",
+		       "owner=%s silent_ms=%lld gone=%d refused=%d stale=%d",
 		       b->owner.holder,
 		       (long long)(now_ms - watch.last_alive_ms),
-		       watch.sign >= OWNER_UNREACHABLE, watch.stale);
+		       watch.sign == OWNER_REPLACED,
+		       watch.sign == OWNER_UNREACHABLE, watch.stale);
 	}
 	if (!b->owner_version || silent || watch.sign >= OWNER_UNREACHABLE ||
 	    watch.stale || b->owner.released)
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -130,8 +130,11 @@
 		v->state >= FLOW_COMPLETED && v->durable;
 }
 
-/* Row 0 is the owner's row; the others are the progress of jobs. */
-static void mark_written(struct board *b)
+/*
+ * Marks the progress as written, and logs the jobs whose end it makes durable.
+ * Row 0 is the owner's row; the others are the progress of jobs.
+ */
+static void finish_rows(struct board *b)
 {
 	bool was_durable[JOBS_MAX + 1] = { false };
 	struct flow_job_status v;
@@ -185,7 +188,7 @@
 	w.failures = 0;
 	w.busy = false;
 	owner_written(b, w.started_ms);
-	mark_written(b);
+	finish_rows(b);
 	round_start_recorded(b);
 	forget_deletes();
 	free_rows();
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -138,7 +138,7 @@
  * @fence: fencing token, which rises with each take-over
  * @seq: sequence number of the owner's writes
  * @silent: workers that did not answer the owner at the time of the write, as
- *	",ID,ID,"; empty if there are none
+ *	",ID,ID,"; empty if there are none.  Only older versions read it.
  * @silent_at: their addresses and boots, as ",ID ADDR BOOT,".  If the worker
  *	leaves the directory, a new owner finds out there whether it has
  *crashed.
--- a/tests/unit/flow/test-plan.c
+++ b/tests/unit/flow/test-plan.c
@@ -34,10 +34,7 @@
 	fleet_start_recorded(f, &o, 1001);
 }
 
-/*
- * Work items waited for the store, for seconds, although workers were free and
- * knew the owner.
- */
+/* Tasks waited for the store although their worker was free. */
 START_TEST(planned_task_starts_while_offline)
 {
 	fleet_decide(f, &o, 1000);
