sited: refuse what the platform's store refuses

Cause: the stand-in accepted rows and transactions of any size, so no test and no soak could see a write that the users' store refuses.

Each scripted run and the soak check that nothing was refused.

--- a/tests/site-lib.sh
+++ b/tests/site-lib.sh
@@ -8,6 +8,7 @@
 key=k1
 status_s=120
 share=0.5
+row_bytes=${row_bytes:-65536}
 config='{"version":7,"routes":[
  {"name":"normal","host":"h","path-prefix":"/n/","priority":1,"service":"svc",
   "max-attempts":3,"stretch":3.0,"target-runtime-ms":1000},
@@ -53,6 +54,7 @@
 		listen.front=$net.$n:0
 		listen.ready=$net.$n:0
 		platform.address=$door
+		platform.row-bytes=$row_bytes
 		internal-ports=7000,7015
 		heartbeat-ms=500
 		limits.cpu-share=$share
@@ -129,7 +131,7 @@
 	[ "$(seen '.runs | length')" -eq "$1" ]
 }
 
-# judge: what no worker may have seen
+# judge: what no worker may have seen, nor the store: writes beyond its limits
 judge() {
-	seen '{over_room, twice, after_done}'
+	seen '{over_room, twice, after_done, refused}'
 }
--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -261,7 +261,7 @@
 	while read -r job outcome; do
 		check_job "$job" "$outcome"
 	done <"$tmp/callers"
-	seen '{over_room,twice,after_done}' | grep -v '"over_room":0,"twice":0,"after_done":0'
+	judge | grep -v '"over_room":0,"twice":0,"after_done":0,"refused":0'
 } >"$tmp/broken" 2>&1
 echo "seed $seed: $n_jobs jobs," \
 	"$(grep -c accepted "$tmp/callers") accepted," \
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -23,6 +23,9 @@
 		   "longest lease", hold_max_ms),
 	TG_SETTING(opts, "stop-ms", TG_SET_INT, "200", 0, 10000, false,
 		   "time that a stop takes", stop_ms),
+	TG_SETTING(opts, "row-bytes", TG_SET_INT, "65536", 1, 1 << 30, false,
+		   "largest value of a row that a transaction writes",
+		   row_bytes),
 	TG_SETTING(opts, "log-level", TG_SET_STRING, "warn", 0, 0, false,
 		   "debug, info, warn or error", log_level),
 	{ .flag = NULL },
@@ -147,11 +150,13 @@
 	tg_http_reply_json(
 		req, 200,
 		json_pack(
-			"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}",
+			"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,"
+			"s:o}",
 			"jobs", (json_int_t)store_count("jobs"), "progress",
 			(json_int_t)store_count("progress"), "reads",
 			(json_int_t)board.reads, "writes",
-			(json_int_t)board.writes, "starts",
+			(json_int_t)board.writes, "refused",
+			(json_int_t)board.refused, "starts",
 			(json_int_t)board.starts, "stops",
 			(json_int_t)board.stops, "holds",
 			(json_int_t)board.holds, "over_room",
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -23,6 +23,7 @@
 	const char *log_level;
 	int64_t stores, workers, accelerators;
 	int64_t hold_max_ms, stop_ms;
+	int64_t row_bytes;
 };
 
 /** struct store_door - one address of the store */
@@ -94,7 +95,7 @@
 	struct worker workers[WORKERS_MAX];
 	struct done *done; /* tasks that have ended well */
 	/* what was seen */
-	int64_t reads, writes, starts, stops, holds;
+	int64_t reads, writes, refused, starts, stops, holds;
 	int64_t over_room, twice, after_done, lapsed;
 	int64_t fenced; /* calls of a former owner */
 };
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -10,6 +10,12 @@
 /* Bandwidth of a connection to a narrow door. */
 #define NARROW_BYTES_PER_S 40000
 
+/* Limits of a transaction, and of an answer with rows. */
+#define TX_ENTRIES_MAX 100
+#define CALL_BYTES_MAX 1000000
+#define NAME_BYTES_MAX 200
+#define ANSWER_ROWS_MAX 500
+
 struct waiting {
 	struct evhttp_request *req;
 	const struct store_door *door;
@@ -209,6 +215,7 @@
 	int64_t limit = query_int(req, "limit");
 	json_t *rows = json_array(), *body;
 	bool more = false;
+	size_t bytes = 0;
 	struct row *r;
 
 	HASH_SORT(board.rows, by_key);
@@ -217,7 +224,10 @@
 		    strcmp(r->part, part ? part : "") != 0 ||
 		    (from && strcmp(r->key, from) < 0))
 			continue;
-		if (json_array_size(rows) == (size_t)(limit ? limit : 500)) {
+		bytes += strlen(r->value) + strlen(r->id);
+		if (json_array_size(rows) ==
+			    (size_t)(limit ? limit : ANSWER_ROWS_MAX) ||
+		    (json_array_size(rows) && bytes > CALL_BYTES_MAX)) {
 			more = true;
 			break;
 		}
@@ -232,6 +242,50 @@
 	free(from);
 }
 
+/* Decoded size of a value. */
+static int64_t value_bytes(const json_t *o)
+{
+	const char *value = text_of(o, "value");
+	size_t n = strlen(value);
+
+	while (n && value[n - 1] == '=')
+		n--;
+	return (int64_t)(n * 3 / 4);
+}
+
+static bool names_fit(const json_t *o)
+{
+	return strlen(text_of(o, "table")) <= NAME_BYTES_MAX &&
+		strlen(text_of(o, "part")) <= NAME_BYTES_MAX &&
+		strlen(text_of(o, "key")) <= NAME_BYTES_MAX;
+}
+
+/* What the transaction exceeds, or NULL. */
+static const char *find_excess(const json_t *body, size_t bytes)
+{
+	static const char *const lists[] = { "expected", "puts", "deletes" };
+	bool across = json_is_true(json_object_get(body, "across"));
+	const char *part = NULL;
+	size_t entries = 0, i, k;
+	json_t *o;
+
+	for (k = 0; k < ARRAY_SIZE(lists); k++)
+		json_array_foreach(json_object_get(body, lists[k]), i, o) {
+			entries++;
+			if (!names_fit(o))
+				return "name too long";
+			if (value_bytes(o) > board.opts.row_bytes)
+				return "row too large";
+			if (!part)
+				part = text_of(o, "part");
+			if (!across && strcmp(part, text_of(o, "part")) != 0)
+				return "several parts";
+		}
+	if (entries > TX_ENTRIES_MAX)
+		return "too many entries";
+	return bytes > CALL_BYTES_MAX ? "call too large" : NULL;
+}
+
 static bool expected_holds(const json_t *list, json_t **current)
 {
 	bool holds = true;
@@ -264,11 +318,21 @@
 
 static void transact(struct evhttp_request *req, bool answered)
 {
+	size_t bytes =
+		evbuffer_get_length(evhttp_request_get_input_buffer(req));
 	json_t *body = tg_http_parse_json_body(req), *current, *o;
+	const char *excess;
 	size_t i;
 
 	if (!body)
 		return;
+	excess = find_excess(body, bytes);
+	if (excess) {
+		board.refused++;
+		tg_http_reply_error(req, 400, NULL, "%s", excess);
+		json_decref(body);
+		return;
+	}
 	if (!expected_holds(json_object_get(body, "expected"), &current)) {
 		if (answered)
 			tg_http_reply_json(req, 412, answer(current));
