flow: keep a job's progress in rows of 32 tasks

What callers saw: a job with some 5,000 running tasks, accepted with 200, stopped the site. No start went on, of any job, and no end was acknowledged.

Cause: all progress of a job was in one row. Beyond 65,536 bytes the store refuses it for good; the owner repeated the write unchanged for ever, with all other jobs' records in it, and lost the site to owners that did the same.

Writes are bounded in bytes as well. A refused write is collected anew in smaller ones until a single record is refused, whose job fails alone (EV5526, EV5527, a counter). Rows of older versions are read and replaced. Of a task's failed runs the last 16 numbers are kept.

--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -76,7 +76,7 @@
 	if (row->deleted)
 		return;
 	/* An earlier owner deleted the job but not yet its progress. */
-	if (!flow_has_job(b->flow, row->key)) {
+	if (!flow_knows_record(b->flow, row->key)) {
 		writer_delete_progress(b, row->key);
 		return;
 	}
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -21,20 +21,29 @@
 #define STUCK_MS 1000
 /* Changes are collected this long, so that one write covers many ends. */
 #define BATCH_DELAY_MS 4
-/* The store accepts 100 entries per call, including the owner's row. */
-#define JOBS_MAX 90
+/* Rows of a write besides the check and the owner's row. */
+#define RECORDS_MAX 90
 
 static struct {
 	struct event *timer;
 	bool busy; /* a write is in progress or will be repeated */
 	uint64_t term;
 	struct tg_owner_row row; /* as the write leaves it */
-	struct tg_row rows[JOBS_MAX + 1];
+	int64_t seq; /* of the last write collected in this term */
+	struct tg_row rows[RECORDS_MAX + 1];
 	size_t n;
-	/* Progress rows to delete; the write in progress has the first ones. */
-	char obsolete[JOBS_MAX][FLOW_JOB_ID_LEN + 1];
-	struct tg_row deletes[JOBS_MAX];
-	size_t n_obsolete, n_deletes;
+	/*
+	 * Progress rows of unknown jobs to delete; the write in progress has
+	 * the first ones.
+	 */
+	char obsolete[RECORDS_MAX][FLOW_PROGRESS_KEY_LEN + 1];
+	size_t n_obsolete;
+	struct tg_row deletes[RECORDS_MAX];
+	size_t n_deletes, n_obsolete_sent;
+	size_t n_records; /* records of the write; see flow_take_dirty() */
+	size_t records_max; /* at present */
+	const char *last_record; /* key of the last one */
+	size_t bytes; /* of all values */
 	bool complete; /* the write covers all changes */
 	int64_t started_ms; /* this attempt */
 	int64_t first_ms; /* the first attempt */
@@ -42,6 +51,7 @@
 } w;
 
 static struct tg_hist *write_us;
+static struct tg_counter *refused_records;
 
 static void free_rows(void)
 {
@@ -58,6 +68,7 @@
 {
 	r->value = text;
 	r->value_bytes = strlen(text);
+	w.bytes += r->value_bytes;
 }
 
 static void add_row(const char *table, const char *key, char *text)
@@ -72,30 +83,80 @@
 		set_value(r, text);
 }
 
-static void collect(struct board *b)
+static void add_delete(const char *key)
+{
+	w.deletes[w.n_deletes++] = (struct tg_row){
+		.table = TG_PROGRESS_TABLE,
+		.part = TG_OWNER_PART,
+		.key = key,
+	};
+}
+
+/* What can't be recorded must not be started, so the job fails. */
+static void refuse_record(struct board *b, const char *key, size_t bytes)
+{
+	bool failed = flow_record_refused(b->flow, key);
+
+	refused_records->value++;
+	tg_log(EV_FLOW_RECORD_REFUSED,
+	       "record=%s bytes=%zu row_bytes=%lld "
+	       "given_up=%d",
+	       key, bytes, (long long)b->site.set.row_bytes, !failed);
+	round_wake(b);
+}
+
+/* Return: whether there was a record. */
+static bool add_record(struct board *b)
+{
+	const char *key = flow_take_dirty(b->flow);
+	char *text;
+	json_t *o;
+
+	if (!key)
+		return false;
+	o = flow_progress_encode(b->flow, key);
+	text = o ? json_dumps(o, JSON_COMPACT) : NULL;
+	json_decref(o);
+	if (text && strlen(text) > (size_t)b->site.set.row_bytes) {
+		refuse_record(b, key, strlen(text));
+		free(text);
+		return true;
+	}
+	if (text)
+		add_row(TG_PROGRESS_TABLE, key, text);
+	else
+		add_delete(key);
+	w.n_records++;
+	w.last_record = key;
+	return true;
+}
+
+static bool has_room(const struct board *b)
 {
-	const char *id;
+	const struct tg_site_settings *set = &b->site.set;
+
+	return w.n_records < w.records_max &&
+		w.n + w.n_deletes <= RECORDS_MAX &&
+		w.bytes + (size_t)set->row_bytes <= (size_t)set->tx_bytes;
+}
 
+static void collect(struct board *b)
+{
 	free_rows();
 	w.row = b->owner;
-	w.row.seq = b->owner.seq + 1;
+	/* The number tells this write from one that was given up. */
+	if (w.seq < b->owner.seq)
+		w.seq = b->owner.seq;
+	w.row.seq = ++w.seq;
 	if (b->role == ROLE_OWNER)
 		links_record_silent(b, &w.row);
 	add_row(TG_OWNER_TABLE, TG_OWNER_KEY, NULL);
-	for (w.n_deletes = 0; w.n_deletes < w.n_obsolete; w.n_deletes++)
-		w.deletes[w.n_deletes] = (struct tg_row){
-			.table = TG_PROGRESS_TABLE,
-			.part = TG_OWNER_PART,
-			.key = w.obsolete[w.n_deletes],
-		};
-	while (w.n + w.n_deletes <= JOBS_MAX &&
-	       (id = flow_take_dirty(b->flow))) {
-		json_t *o = flow_progress_encode(b->flow, id);
-
-		add_row(TG_PROGRESS_TABLE, id, json_dumps(o, JSON_COMPACT));
-		json_decref(o);
-	}
-	w.complete = w.n + w.n_deletes <= JOBS_MAX;
+	w.n_deletes = w.n_records = w.bytes = 0;
+	for (w.n_obsolete_sent = 0; w.n_obsolete_sent < w.n_obsolete;)
+		add_delete(w.obsolete[w.n_obsolete_sent++]);
+	while (has_room(b) && add_record(b))
+		;
+	w.complete = !flow_has_dirty(b->flow);
 	w.row.settled = tg_now_ms() >= b->recover_until_ms;
 	w.row.runs_recorded |= b->role == ROLE_OWNER && w.complete;
 	set_value(&w.rows[0], tg_owner_row_encode(&w.row));
@@ -136,7 +197,7 @@
  */
 static void finish_rows(struct board *b)
 {
-	bool was_durable[JOBS_MAX + 1] = { false };
+	bool was_durable[RECORDS_MAX + 1] = { false };
 	struct flow_job_status v;
 	size_t i;
 
@@ -163,16 +224,16 @@
 
 static void forget_deletes(void)
 {
-	w.n_obsolete -= w.n_deletes;
-	memmove(w.obsolete, w.obsolete + w.n_deletes,
+	w.n_obsolete -= w.n_obsolete_sent;
+	memmove(w.obsolete, w.obsolete + w.n_obsolete_sent,
 		w.n_obsolete * sizeof(w.obsolete[0]));
-	w.n_deletes = 0;
+	w.n_deletes = w.n_obsolete_sent = 0;
 }
 
 /* If the list is full, the next owner finds and deletes the row. */
 void writer_delete_progress(struct board *b, const char *job)
 {
-	if (w.n_obsolete < JOBS_MAX)
+	if (w.n_obsolete < RECORDS_MAX)
 		tg_strlcpy(w.obsolete[w.n_obsolete++], job,
 			   sizeof(w.obsolete[0]));
 	writer_wake(b);
@@ -187,6 +248,8 @@
 	b->owner_version = version;
 	w.failures = 0;
 	w.busy = false;
+	if (w.records_max < RECORDS_MAX)
+		w.records_max *= 2;
 	owner_written(b, w.started_ms);
 	finish_rows(b);
 	round_start_recorded(b);
@@ -202,6 +265,37 @@
 		schedule(RENEW_MS);
 }
 
+/*
+ * The store refuses this write and would always do so.  Nothing has changed, so
+ * what it holds is collected anew, in smaller writes, until one with a single
+ * record shows which one is refused.
+ *
+ * Return: false if it isn't refused for its records.
+ */
+static bool drop_refused(struct board *b)
+{
+	char key[FLOW_PROGRESS_KEY_LEN + 1];
+	size_t n = w.n_records, bytes = w.n > 1 ? w.rows[1].value_bytes : 0;
+
+	if (!n && !w.n_obsolete_sent)
+		return false;
+	tg_log(EV_FLOW_WRITE_REFUSED, "records=%zu deletes=%zu bytes=%zu", n,
+	       w.n_deletes, w.bytes);
+	flow_mark_unwritten(b->flow);
+	w.busy = false;
+	if (w.n_obsolete_sent) {
+		forget_deletes();
+	} else if (n > 1) {
+		w.records_max = n / 2;
+	} else {
+		tg_strlcpy(key, w.last_record, sizeof(key));
+		refuse_record(b, key, bytes);
+		w.records_max = RECORDS_MAX;
+	}
+	schedule(0);
+	return true;
+}
+
 static void on_written(const struct tg_store_result *r, void *arg)
 {
 	struct board *b = arg;
@@ -228,6 +322,8 @@
 		owner_lost(b, "another daemon holds the owner row");
 		return;
 	}
+	if (r->end == TG_STORE_INVALID && drop_refused(b))
+		return;
 	if (!w.failures++)
 		tg_log(EV_FLOW_WRITE_FAILED, "end=%d rows=%zu age_ms=%lld",
 		       (int)r->end, w.n,
@@ -291,7 +387,9 @@
 	event_del(w.timer);
 	w.busy = false;
 	w.failures = 0;
-	w.n_obsolete = w.n_deletes = 0;
+	w.n_obsolete = w.n_deletes = w.n_obsolete_sent = 0;
+	w.records_max = RECORDS_MAX;
+	w.seq = 0;
 	free_rows();
 	while ((x = b->waiters)) {
 		struct tg_rpc_answer a = { .status = TG_RPC_UNKNOWN,
@@ -319,6 +417,10 @@
 
 	w.timer = event_new(b->base, -1, 0, on_timer, b);
 	event_priority_set(w.timer, TG_PRIORITY_URGENT);
+	w.records_max = RECORDS_MAX;
+	refused_records =
+		tg_counter("tg_flow_refused_records_total",
+			   "records that the store refused for good", NULL);
 	write_us = tg_histogram("tg_flow_write_us",
 				"duration of the owner's writes to the store",
 				NULL);
--- a/lib/flow/crash.c
+++ b/lib/flow/crash.c
@@ -76,9 +76,9 @@
 	/* What its worker has not listed may have crashed since. */
 	if (!t->crashes.n || age_at(r, r->listed_ms) < probation_ms(t))
 		return;
-	t->crashes.n = 0;
+	t->crashes.n = t->crashes.n_older = 0;
 	t->crash_age_ms = 0;
-	flow_mark_dirty(r->job);
+	flow_mark_dirty(r->job, r->step_state, r->index);
 }
 
 void flow_worker_silent(struct flow *f, const char *id, int64_t now_ms)
@@ -143,9 +143,10 @@
 		c->task->crash_age_ms = c->age_ms;
 	if (c->task->crashes.n >= CRASHES_MAX && !flow_has_ended(c->job)) {
 		c->job->state = FLOW_FAILED;
+		flow_mark_state_dirty(c->job);
 		b.given_up = true;
 	}
-	flow_mark_dirty(c->job);
+	flow_mark_dirty(c->job, c->step_state, c->index);
 	b.crashes = c->task->crashes.n;
 	if (crash->on_blame)
 		crash->on_blame(&b, crash->arg);
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -74,11 +74,6 @@
 	flow_run_remove(r);
 }
 
-static bool is_recorded(const struct run *r)
-{
-	return r->decision <= r->job->written_decision;
-}
-
 static void stop_if_unwanted(struct round *rd, struct run *r)
 {
 	struct flow_stop_order s = { .worker = r->worker->id };
@@ -101,7 +96,8 @@
 	 * worker doesn't list it, so it must not be stopping then.
 	 */
 	if (r->state != RUN_STOPPING || !r->stop_pending ||
-	    rd->now_ms < r->next_stop_ms || (r->planned && !is_recorded(r)))
+	    rd->now_ms < r->next_stop_ms ||
+	    (r->planned && !flow_is_recorded(r)))
 		return;
 	r->stop_pending = false;
 	r->next_stop_ms = rd->now_ms + STOP_RETRY_MS;
@@ -219,7 +215,8 @@
 	int32_t k;
 
 	for (i = 0; i < n; i++)
-		for (k = 0; k < list[i]->n_step_states && !list[i]->recovered;
+		for (k = 0;
+		     k < list[i]->n_step_states && !flow_may_not_start(list[i]);
 		     k++)
 			schedule_step(rd, list[i], &list[i]->step_states[k]);
 }
@@ -266,7 +263,7 @@
 	stop_unwanted_runs(&rd);
 	flow_plan(f, list, n, now_ms, wall_ms);
 out:
-	rd.progress_changed |= f->dirty != NULL;
+	rd.progress_changed |= flow_has_dirty(f);
 	free(list);
 	free(rd.placement);
 	return rd.progress_changed;
@@ -321,7 +318,7 @@
 		}
 	}
 	DL_FOREACH_SAFE2(f->decided, r, next, decided_next)
-	if (r->planned || is_recorded(r))
+	if (r->planned || flow_is_recorded(r))
 		start(r, now_ms, ops, arg);
 	return dropped;
 }
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -390,22 +390,49 @@
 
 /* --- durable progress --- */
 
+/* Tasks whose progress shares a row of the store. */
+#define FLOW_RECORD_TASKS 32
+/*
+ * Key of a row: the id of the job, for rows other than the first one with the
+ * number of their first task.
+ */
+#define FLOW_PROGRESS_KEY_LEN (FLOW_JOB_ID_LEN + 6)
+
 /**
- * flow_take_dirty() - take a job whose progress must be written
+ * flow_take_dirty() - take a record that must be written
  *
- * The job is marked as being written.
+ * A record is a row of the store with the progress of some tasks of a job.  It
+ * is marked as being written.  Records that are only to be deleted come last.
+ * The records must be written in the order in which they are taken.
  *
- * Return: its id, or NULL if there is none.
+ * Return: its key, valid as long as the job exists; NULL if there is none.
  */
 const char *flow_take_dirty(struct flow *f);
+/** flow_has_dirty() - whether a record must be written, not only deleted */
+bool flow_has_dirty(const struct flow *f);
 /**
- * flow_mark_written() - all jobs marked as being written are written
- *
- * Their progress as it was when flow_take_dirty() returned them is durable.
+ * flow_mark_written() - all records marked as being written are written
  *
- * Those that have changed meanwhile are not durable yet.
+ * As they were when flow_take_dirty() returned them they are durable.  Those
+ * that have changed meanwhile are not durable yet.
  */
 void flow_mark_written(struct flow *f);
+/**
+ * flow_mark_unwritten() - no record marked as being written is written
+ *
+ * They are taken again, in the same order.
+ */
+void flow_mark_unwritten(struct flow *f);
+/**
+ * flow_record_refused() - the store will never accept a record
+ *
+ * It is not marked as being written any more.  Its job fails unless it has
+ * ended, as its runs can't be recorded.  From then on only the state of the job
+ * is written.
+ *
+ * Return: false if that was refused, which is given up then.
+ */
+bool flow_record_refused(struct flow *f, const char *key);
 /**
  * flow_next_expired() - find a job that ended at least @keep_ms ago
  *
@@ -415,17 +442,25 @@
  * Return: its id, or NULL if there is none.
  */
 const char *flow_next_expired(struct flow *f, int64_t now_ms, int64_t keep_ms);
-/** flow_progress_encode() - a new reference, or NULL if there is no such job */
-json_t *flow_progress_encode(const struct flow *f, const char *id);
+/**
+ * flow_progress_encode() - encode a record
+ *
+ * Return: a new reference; NULL if there is no such record, or if it was taken
+ * to be deleted.
+ */
+json_t *flow_progress_encode(const struct flow *f, const char *key);
+/** flow_knows_record() - whether the job of the record exists */
+bool flow_knows_record(const struct flow *f, const char *key);
 /**
  * flow_progress_decode() - apply the result of flow_progress_encode() to a job
  *
- * Recorded runs count as active until flow_report_list_end() or
- * flow_worker_lost() is called for their workers.
+ * The records of a job are to be decoded in the order of their keys.  Recorded
+ * runs count as active until flow_report_list_end() or flow_worker_lost() is
+ * called for their workers.
  *
  * Return: false if there is no such job or the progress doesn't match it.
  */
-bool flow_progress_decode(struct flow *f, const char *id, const json_t *j);
+bool flow_progress_decode(struct flow *f, const char *key, const json_t *j);
 
 /**
  * struct flow_stats - counts for metrics
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -42,10 +42,17 @@
 	struct run *prev, *next; /* list of the worker's runs */
 };
 
-/** struct run_numbers - numbers of runs of a task, each once, unsorted */
+/* Most that are kept; a task that lasts can have any number of failed runs. */
+#define RUN_NUMBERS_MAX 16
+
+/**
+ * struct run_numbers - numbers of runs of a task, each once, ascending
+ * @n_older: how many more there were, all lower
+ */
 struct run_numbers {
 	int32_t *runs;
 	int32_t n;
+	int32_t n_older;
 };
 
 struct task {
@@ -71,6 +78,7 @@
 /** struct step_state - progress of a step in one occurrence of its job */
 struct step_state {
 	int32_t occurrence, step;
+	int32_t first; /* number of its first task among those of the job */
 	int32_t n_done, n_runs;
 	int64_t waiting_round; /* last round that found no capacity for it */
 	/* Of a gang in this round; see flow_gang_is_partial(). */
@@ -79,6 +87,28 @@
 	struct task *tasks;
 };
 
+/**
+ * struct record - row of the store that holds the progress of some tasks
+ *
+ * A job has a record for each FLOW_RECORD_TASKS tasks, so that the size of a
+ * row doesn't grow with the job.  Record 0 holds the state of the job as well.
+ * See progress.c.
+ */
+struct record {
+	struct job *job;
+	char key[FLOW_PROGRESS_KEY_LEN + 1];
+	int32_t number;
+	int32_t step_state; /* index of the first one that it covers */
+	bool stored; /* the store may have the row */
+	bool dirty, writing;
+	bool unneeded; /* dirty, only to be deleted some time */
+	bool taken_for_delete;
+	/* In lists of the flow: dirty or unneeded, and being written. */
+	struct record *dirty_prev, *dirty_next, *writing_prev, *writing_next;
+	/* The last decision covered by the record as taken, and as written. */
+	int64_t taken_decision, written_decision;
+};
+
 struct job {
 	struct flow *flow;
 	char id[FLOW_JOB_ID_LEN + 1];
@@ -87,13 +117,17 @@
 	struct step_state *step_states; /* index: occurrence x n_steps + step */
 	int32_t n_step_states, n_step_states_done;
 	enum flow_state state;
-	bool cancelled, recovered, begun, dirty, writing, durable;
-	bool taken_ended; /* it had ended when its progress was last taken */
-	bool end_durable; /* progress that shows its end is durable */
-	/* In lists of the flow: those that are dirty, and being written. */
-	struct job *dirty_prev, *dirty_next, *writing_prev, *writing_next;
-	/* The last decision covered by the progress taken, and written. */
-	int64_t taken_decision, written_decision;
+	bool cancelled, recovered, begun;
+	bool taken_ended; /* it had ended when record 0 was last taken */
+	bool end_durable; /* a record 0 that shows its end is durable */
+	/* Record 0 in the store has all tasks, as older versions wrote it. */
+	bool unsplit;
+	bool void_records; /* it was read as ended and without runs */
+	bool refused; /* the store refuses its records; only its end is kept */
+	struct record *records;
+	int32_t n_records;
+	/* Records that are dirty (and needed), being written, in the store. */
+	int32_t n_dirty, n_writing, n_stored;
 	int64_t accepted_ms;
 	int64_t ended_ms; /* when its end was found durable; 0 before */
 	int64_t n_runs, runs_total, failures;
@@ -263,7 +297,7 @@
 struct flow {
 	struct flow_opts opts;
 	struct job *jobs;
-	struct job *dirty, *writing; /* lists */
+	struct record *dirty, *unneeded, *writing; /* lists */
 	struct run *decided; /* list of runs that are RUN_DECIDED, in order */
 	int64_t decisions; /* number of the last decision to start a run */
 	int64_t planned_ms; /* when plans were last made */
@@ -288,9 +322,9 @@
 const struct flow_step *flow_step_of(const struct job *j,
 				     const struct step_state *ss);
 bool flow_has_ended(const struct job *j);
-void flow_mark_dirty(struct job *j);
-/** flow_unlist_job() - remove the job from all lists but the table of jobs */
-void flow_unlist_job(struct job *j);
+/** flow_may_not_start() - whether the job must not start or plan anything yet
+ */
+bool flow_may_not_start(const struct job *j);
 /** flow_task_done() - mark a task as done; completes the job with its last */
 void flow_task_done(struct job *j, struct step_state *ss, int32_t index);
 /** flow_is_ready() - whether the step's dependencies are done and it is due */
@@ -300,6 +334,8 @@
 struct queue *flow_find_queue(const struct flow *f, const char *name);
 /** flow_add_run_number() - false if @run is already among them */
 bool flow_add_run_number(struct run_numbers *fl, int32_t run);
+/** flow_count_run_numbers() - how many there were, kept or not */
+int32_t flow_count_run_numbers(const struct run_numbers *fl);
 
 /* array.c */
 /** flow_array_add() - append an item of @bytes, zeroed, and return it */
@@ -350,6 +386,39 @@
 void flow_worker_failed(struct flow *f, struct worker *w, const char *job,
 			int64_t now_ms);
 
+/* record.c */
+/** flow_records_init() - divide the tasks of a new job among records */
+void flow_records_init(struct job *j);
+/** flow_records_free() - remove the records from all lists and free them */
+void flow_records_free(struct job *j);
+/** flow_find_record() - NULL if there is no such record */
+struct record *flow_find_record(const struct flow *f, const char *key);
+struct record *flow_record_of(const struct job *j, const struct step_state *ss,
+			      int32_t index);
+/** flow_mark_dirty() - the record of a task must be written */
+void flow_mark_dirty(struct job *j, const struct step_state *ss, int32_t index);
+/** flow_mark_step_dirty() - the records of all tasks of a step must be written
+ */
+void flow_mark_step_dirty(struct job *j, const struct step_state *ss);
+/** flow_mark_state_dirty() - the state of the job must be written */
+void flow_mark_state_dirty(struct job *j);
+/** flow_mark_all_dirty() - all records of the job must be written */
+void flow_mark_all_dirty(struct job *j);
+/** flow_drop_unneeded() - delete records of a job whose end is durable */
+void flow_drop_unneeded(struct job *j);
+/** flow_record_stored() - the store has, or may have, the row */
+void flow_record_stored(struct record *p, bool stored);
+/** flow_record_has_runs() - whether any of its tasks has a run */
+bool flow_record_has_runs(const struct record *p);
+/** flow_is_durable() - whether the store has all that is to be recorded */
+bool flow_is_durable(const struct job *j);
+/**
+ * flow_is_recorded() - whether the record of a decision to start is durable
+ *
+ * For a member of a gang: of the decisions to start all its members.
+ */
+bool flow_is_recorded(const struct run *r);
+
 /* runs.c */
 /** flow_count_runs() - number of runs that occupy a worker */
 size_t flow_count_runs(const struct worker *w);
@@ -370,6 +439,11 @@
  * The members of a gang can only work together.
  */
 bool flow_gang_is_partial(const struct run *r);
+/** flow_store_checkpoint() - record a checkpoint of a task, or of its gang */
+void flow_store_checkpoint(struct job *j, struct step_state *ss, int32_t index,
+			   const char *saved);
+/** flow_gang_done() - mark all tasks of a gang as done */
+void flow_gang_done(struct job *j, struct step_state *ss);
 /** flow_run_ended() - record the end of a run and free it with its capacity */
 void flow_run_ended(struct flow *f, struct run *r, enum flow_run_result how,
 		    const char *saved, int64_t now_ms);
@@ -395,7 +469,8 @@
 
 /* plan.c */
 /** flow_plan_cancel() - drop the plan of a task, if it has one */
-void flow_plan_cancel(struct job *j, struct task *t);
+void flow_plan_cancel(struct job *j, const struct step_state *ss,
+		      int32_t index);
 /** flow_plan() - plan the next starts of the open jobs @list, in order */
 void flow_plan(struct flow *f, struct job *const *list, size_t n,
 	       int64_t now_ms, int64_t wall_ms);
--- a/lib/flow/jobs.c
+++ b/lib/flow/jobs.c
@@ -52,22 +52,9 @@
 	return j->state >= FLOW_COMPLETED;
 }
 
-void flow_mark_dirty(struct job *j)
+bool flow_may_not_start(const struct job *j)
 {
-	j->durable = false;
-	if (j->dirty)
-		return;
-	j->dirty = true;
-	DL_APPEND2(j->flow->dirty, j, dirty_prev, dirty_next);
-}
-
-void flow_unlist_job(struct job *j)
-{
-	if (j->dirty)
-		DL_DELETE2(j->flow->dirty, j, dirty_prev, dirty_next);
-	if (j->writing)
-		DL_DELETE2(j->flow->writing, j, writing_prev, writing_next);
-	j->dirty = j->writing = false;
+	return j->recovered || j->unsplit;
 }
 
 bool flow_add_job(struct flow *f, const struct flow_job_opts *o)
@@ -88,7 +75,6 @@
 	j->spec = o->spec;
 	j->accepted_ms = o->accepted_ms;
 	j->recovered = o->recovered;
-	j->durable = true;
 	j->n_step_states = j->spec->n_steps * flow_spec_occurrences(j->spec);
 	j->step_states =
 		tg_xcalloc((size_t)j->n_step_states, sizeof(*j->step_states));
@@ -100,6 +86,7 @@
 		ss->tasks = tg_xcalloc((size_t)flow_step_of(j, ss)->tasks,
 				       sizeof(*ss->tasks));
 	}
+	flow_records_init(j);
 	HASH_ADD_STR(f->jobs, id, j);
 	return true;
 }
@@ -114,19 +101,36 @@
 {
 	int32_t i;
 
-	for (i = 0; i < fl->n; i++)
-		if (fl->runs[i] == run)
-			return false;
+	for (i = 0; i < fl->n && fl->runs[i] < run; i++)
+		;
+	if (i < fl->n && fl->runs[i] == run)
+		return false;
+	if (!i && fl->n_older)
+		return false;
 	fl->runs =
 		tg_xrealloc(fl->runs, (size_t)(fl->n + 1) * sizeof(*fl->runs));
-	fl->runs[fl->n++] = run;
+	memmove(fl->runs + i + 1, fl->runs + i,
+		(size_t)(fl->n - i) * sizeof(*fl->runs));
+	fl->runs[i] = run;
+	if (fl->n < RUN_NUMBERS_MAX) {
+		fl->n++;
+		return true;
+	}
+	fl->n_older++;
+	memmove(fl->runs, fl->runs + 1, (size_t)fl->n * sizeof(*fl->runs));
 	return true;
 }
 
+int32_t flow_count_run_numbers(const struct run_numbers *fl)
+{
+	return fl->n + fl->n_older;
+}
+
 static void free_job(struct job *j)
 {
 	int32_t i, k;
 
+	flow_records_free(j);
 	for (i = 0; i < j->n_step_states; i++) {
 		for (k = 0; k < flow_step_of(j, &j->step_states[i])->tasks;
 		     k++) {
@@ -147,7 +151,6 @@
 	if (!j || !flow_has_ended(j) || j->n_runs)
 		return false;
 	HASH_DEL(f->jobs, j);
-	flow_unlist_job(j);
 	free_job(j);
 	return true;
 }
@@ -163,7 +166,7 @@
 		return true;
 	j->cancelled = true;
 	j->state = FLOW_CANCELLED;
-	flow_mark_dirty(j);
+	flow_mark_state_dirty(j);
 	return true;
 }
 
@@ -179,8 +182,10 @@
 	if (ss->n_done < st->tasks)
 		return;
 	j->n_step_states_done++;
-	if (j->n_step_states_done == j->n_step_states && !flow_has_ended(j))
-		j->state = FLOW_COMPLETED;
+	if (j->n_step_states_done < j->n_step_states || flow_has_ended(j))
+		return;
+	j->state = FLOW_COMPLETED;
+	flow_mark_state_dirty(j);
 }
 
 bool flow_is_ready(const struct flow *f, struct job *j,
@@ -223,7 +228,7 @@
 	v->state = j->state;
 	if (j->state == FLOW_QUEUED && j->begun)
 		v->state = FLOW_RUNNING;
-	v->durable = flow_has_ended(j) ? j->end_durable : j->durable;
+	v->durable = flow_has_ended(j) ? j->end_durable : flow_is_durable(j);
 	v->begun = j->begun;
 	v->runs = j->runs_total;
 	v->failures = j->failures;
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -131,7 +131,8 @@
 		const struct task *t = &ss->tasks[i];
 
 		if (!t->done && t->failures.n &&
-		    t->failures.n >= j->queue_conf->max_attempts - 1)
+		    flow_count_run_numbers(&t->failures) >=
+			    j->queue_conf->max_attempts - 1)
 			return true;
 	}
 	return false;
--- a/lib/flow/plan.c
+++ b/lib/flow/plan.c
@@ -42,12 +42,14 @@
 	}
 }
 
-void flow_plan_cancel(struct job *j, struct task *t)
+void flow_plan_cancel(struct job *j, const struct step_state *ss, int32_t index)
 {
+	struct task *t = &ss->tasks[index];
+
 	if (!t->planned_on)
 		return;
 	t->planned_on = NULL;
-	flow_mark_dirty(j);
+	flow_mark_dirty(j, ss, index);
 }
 
 /* Gangs need all their workers at one time, so they are not planned. */
@@ -84,8 +86,9 @@
 		 s->now_ms - t->planned_ms < KEEP_MS);
 }
 
-static void plan_task(struct pass *p, const struct search *s, struct task *t)
+static void plan_task(struct pass *p, const struct search *s, int32_t index)
 {
+	struct task *t = &s->step_state->tasks[index];
 	struct worker *w = find_worker(s);
 
 	p->searches++;
@@ -97,7 +100,7 @@
 	t->planned_run = t->last_run + 1;
 	t->planned_ms = s->now_ms;
 	t->planned_decision = ++s->f->decisions;
-	flow_mark_dirty(s->job);
+	flow_mark_dirty(s->job, s->step_state, index);
 }
 
 static void plan_step(struct pass *p, const struct search *s)
@@ -111,13 +114,13 @@
 		if (!is_waiting(t))
 			continue;
 		if (!keep_plan(s, t)) {
-			flow_plan_cancel(s->job, t);
+			flow_plan_cancel(s->job, s->step_state, i);
 			/* After a miss the step's other tasks fit nowhere. */
 			if (p->misses > misses || p->misses >= MISSES_MAX ||
 			    p->searches >= SEARCHES_MAX ||
 			    flow_may_crash_worker(t))
 				continue;
-			plan_task(p, s, t);
+			plan_task(p, s, i);
 		}
 		if (t->planned_on)
 			flow_shape_add(&t->planned_on->expected, &s->need, -1);
@@ -154,20 +157,22 @@
 		for (k = 0; k < list[i]->n_step_states; k++) {
 			struct search s = search_for(f, list[i], k, now_ms);
 
-			if (list[i]->recovered || !can_plan(&s) ||
+			if (flow_may_not_start(list[i]) || !can_plan(&s) ||
 			    !flow_is_ready(f, s.job, s.step_state, wall_ms))
 				continue;
 			plan_step(&p, &s);
 		}
 }
 
-static bool may_start(const struct search *s, const struct task *t)
+static bool may_start(const struct search *s, int32_t index)
 {
+	const struct task *t = &s->step_state->tasks[index];
+	const struct record *rec = flow_record_of(s->job, s->step_state, index);
 	const struct worker *w = t->planned_on;
 	struct flow_shape available;
 
 	if (!w || !is_waiting(t) || t->planned_run != t->last_run + 1 ||
-	    t->planned_decision > s->job->written_decision ||
+	    t->planned_decision > rec->written_decision ||
 	    !flow_worker_ready(w, s->now_ms) || !flow_worker_allowed(s, w))
 		return false;
 	available = w->capacity;
@@ -191,7 +196,7 @@
 			for (index = 0; index < s.step->tasks; index++) {
 				struct task *t = &s.step_state->tasks[index];
 
-				if (!may_start(&s, t))
+				if (!may_start(&s, index))
 					continue;
 				flow_run_decide(s.job, s.step_state, index,
 						t->planned_on, t->planned_run,
--- a/lib/flow/progress.c
+++ b/lib/flow/progress.c
@@ -5,46 +5,22 @@
 #include "flow/flow_internal.h"
 
 /*
- * Durable progress of a job, from which another process can take over: its
- * state, which tasks are done, failed runs and checkpoints of the others, and
- * the runs that existed when it was written.
+ * Encodes and decodes the records from which another process can take over: the
+ * state of a job, which tasks are done, failed runs and checkpoints of the
+ * others, and the runs that existed when the record was written.
+ *
+ * A record has the members of its steps in the order of the job's step states,
+ * of which "first" is the first one.  Record 0 of a job that ended and has no
+ * runs has only the state; the job's other records are void then.
  */
 
-const char *flow_take_dirty(struct flow *f)
-{
-	struct job *j = f->dirty;
-
-	if (!j)
-		return NULL;
-	DL_DELETE2(f->dirty, j, dirty_prev, dirty_next);
-	j->dirty = false;
-	if (!j->writing)
-		DL_APPEND2(f->writing, j, writing_prev, writing_next);
-	j->writing = true;
-	j->taken_decision = f->decisions;
-	j->taken_ended = flow_has_ended(j);
-	return j->id;
-}
-
-void flow_mark_written(struct flow *f)
-{
-	struct job *j;
-
-	while ((j = f->writing)) {
-		DL_DELETE2(f->writing, j, writing_prev, writing_next);
-		j->writing = false;
-		j->written_decision = j->taken_decision;
-		j->durable = !j->dirty;
-		j->end_durable |= j->taken_ended;
-	}
-}
-
 const char *flow_next_expired(struct flow *f, int64_t now_ms, int64_t keep_ms)
 {
 	struct job *j, *tmp;
 
 	HASH_ITER(hh, f->jobs, j, tmp) {
-		if (!flow_has_ended(j) || !j->durable || j->n_runs)
+		if (!flow_has_ended(j) || !flow_is_durable(j) || j->n_runs ||
+		    j->n_stored)
 			continue;
 		if (!j->ended_ms)
 			j->ended_ms = now_ms;
@@ -54,21 +30,41 @@
 	return NULL;
 }
 
+/** struct range - the tasks of a step that a record covers, without @end */
+struct range {
+	int32_t from, end;
+};
+
+static struct range range_of(const struct record *p,
+			     const struct step_state *ss)
+{
+	struct range r = {
+		.from = p->number * FLOW_RECORD_TASKS - ss->first,
+		.end = (p->number + 1) * FLOW_RECORD_TASKS - ss->first,
+	};
+	int32_t tasks = flow_step_of(p->job, ss)->tasks;
+
+	if (r.from < 0)
+		r.from = 0;
+	if (r.end > tasks)
+		r.end = tasks;
+	return r;
+}
+
 /* Ranges of done tasks, such as "0-4,7-7". */
-static char *encode_done_tasks(const struct flow_step *st,
-			       const struct step_state *ss)
+static char *encode_done_tasks(const struct step_state *ss, struct range range)
 {
-	size_t size = (size_t)st->tasks * 12 + 1, n = 0;
+	size_t size = (size_t)(range.end - range.from) * 12 + 1, n = 0;
 	char *s = tg_xcalloc(1, size);
-	int32_t i = 0, from;
+	int32_t i = range.from, from;
 
-	while (i < st->tasks) {
+	while (i < range.end) {
 		if (!ss->tasks[i].done) {
 			i++;
 			continue;
 		}
 		from = i;
-		while (i + 1 < st->tasks && ss->tasks[i + 1].done)
+		while (i + 1 < range.end && ss->tasks[i + 1].done)
 			i++;
 		n += (size_t)snprintf(s + n, size - n, n ? ",%d-%d" : "%d-%d",
 				      from, i);
@@ -87,12 +83,12 @@
 	return a;
 }
 
-static json_t *encode_task(const struct task *t)
+static json_t *encode_task(const struct task *t, const char *saved)
 {
-	return json_pack("[isooI]", t->last_run, t->saved,
+	return json_pack("[isooIi]", t->last_run, saved,
 			 encode_run_numbers(&t->failures),
 			 encode_run_numbers(&t->crashes),
-			 (json_int_t)t->crash_age_ms);
+			 (json_int_t)t->crash_age_ms, t->failures.n_older);
 }
 
 /* A run that may exist, or may be started without a further record. */
@@ -106,19 +102,23 @@
 	return a;
 }
 
-static json_t *encode_step_state(const struct job *j,
+static json_t *encode_step_state(const struct record *p,
 				 const struct step_state *ss)
 {
-	const struct flow_step *st = flow_step_of(j, ss);
+	const struct job *j = p->job;
+	struct range range = range_of(p, ss);
 	json_t *o = json_object(), *tasks = json_object();
 	json_t *runs = json_array();
-	char *done = encode_done_tasks(st, ss), key[16];
+	char *done = encode_done_tasks(ss, range), key[16];
 	int32_t i;
 
 	json_object_set_new(o, "done", json_string(done));
 	free(done);
-	for (i = 0; i < st->tasks; i++) {
+	for (i = range.from; i < range.end; i++) {
 		const struct task *t = &ss->tasks[i];
+		/* A gang has one checkpoint, that of its first task. */
+		const char *saved =
+			i && flow_step_of(j, ss)->gang ? "" : t->saved;
 
 		if (t->run)
 			json_array_append_new(
@@ -129,10 +129,10 @@
 			json_array_append_new(runs,
 					      encode_run(i, t->planned_run,
 							 t->planned_on, true));
-		if (t->done || (!t->failures.n && !t->crashes.n && !*t->saved))
+		if (t->done || (!t->failures.n && !t->crashes.n && !*saved))
 			continue;
 		snprintf(key, sizeof(key), "%d", i);
-		json_object_set_new(tasks, key, encode_task(t));
+		json_object_set_new(tasks, key, encode_task(t, saved));
 	}
 	json_object_set_new(o, "tasks", tasks);
 	if (json_array_size(runs))
@@ -141,23 +141,29 @@
 	return o;
 }
 
-json_t *flow_progress_encode(const struct flow *f, const char *id)
+json_t *flow_progress_encode(const struct flow *f, const char *key)
 {
-	struct job *j = flow_find_job(f, id);
+	const struct record *p = flow_find_record(f, key);
+	const struct job *j = p ? p->job : NULL;
 	json_t *o, *step_states;
-	int32_t i;
+	int32_t i, end;
 
-	if (!j)
+	if (!p || (p->writing && p->taken_for_delete))
 		return NULL;
 	o = json_object();
-	json_object_set_new(o, "state", json_integer(j->state));
+	if (!p->number)
+		json_object_set_new(o, "state", json_integer(j->state));
 	/* Runs that are being stopped still use capacity. */
-	if (flow_has_ended(j) && !j->n_runs)
+	if (!p->number && flow_has_ended(j) && (!j->n_runs || j->refused))
 		return o;
+	if (j->n_records > 1)
+		json_object_set_new(o, "first", json_integer(p->step_state));
+	end = (p->number + 1) * FLOW_RECORD_TASKS;
 	step_states = json_array();
-	for (i = 0; i < j->n_step_states; i++)
+	for (i = p->step_state;
+	     i < j->n_step_states && j->step_states[i].first < end; i++)
 		json_array_append_new(step_states,
-				      encode_step_state(j, &j->step_states[i]));
+				      encode_step_state(p, &j->step_states[i]));
 	json_object_set_new(o, "steps", step_states);
 	return o;
 }
@@ -169,6 +175,8 @@
 	int32_t from, to;
 	int len;
 
+	if (s && *s)
+		j->begun = true;
 	while (s && *s) {
 		if (sscanf(s, "%d-%d%n", &from, &to, &len) != 2 || from < 0 ||
 		    to >= st->tasks)
@@ -189,7 +197,8 @@
 
 	if (json_unpack(o, "[iso]", &t->last_run, &saved, &failed))
 		return false;
-	tg_strlcpy(t->saved, saved, sizeof(t->saved));
+	if (*saved)
+		tg_strlcpy(t->saved, saved, sizeof(t->saved));
 	json_array_foreach(failed, i, v)
 		flow_add_run_number(&t->failures,
 				    (int32_t)json_integer_value(v));
@@ -198,6 +207,7 @@
 		flow_add_run_number(&t->crashes,
 				    (int32_t)json_integer_value(v));
 	t->crash_age_ms = json_integer_value(json_array_get(o, 4));
+	t->failures.n_older = (int32_t)json_integer_value(json_array_get(o, 5));
 	return true;
 }
 
@@ -239,33 +249,78 @@
 
 		if (i < 0 || i >= st->tasks || !decode_task(&ss->tasks[i], v))
 			return false;
+		flow_store_checkpoint(j, ss, i, ss->tasks[i].saved);
 		j->begun = true;
 	}
+	/* The records of a gang may have been written one after another. */
+	if (st->gang && ss->n_done)
+		flow_gang_done(j, ss);
 	json_array_foreach(json_object_get(o, "runs"), k, v)
 		if (!add_recorded_run(f, j, ss, v))
 			return false;
 	return true;
 }
 
-bool flow_progress_decode(struct flow *f, const char *id, const json_t *o)
+static bool decode_steps(struct flow *f, struct job *j, const json_t *o)
 {
-	struct job *j = flow_find_job(f, id);
-	json_int_t state = json_integer_value(json_object_get(o, "state"));
-	json_t *steps = json_object_get(o, "steps");
-	int32_t i;
+	json_t *steps = json_object_get(o, "steps"), *v;
+	json_int_t first = json_integer_value(json_object_get(o, "first"));
+	size_t i;
 
-	if (!j || !json_is_object(o) || state < FLOW_QUEUED ||
-	    state > FLOW_CANCELLED)
+	if (first < 0 || first > j->n_step_states)
 		return false;
-	for (i = 0; i < j->n_step_states && i < (int32_t)json_array_size(steps);
-	     i++)
-		if (!decode_step_state(f, j, &j->step_states[i],
-				       json_array_get(steps, (size_t)i)))
+	json_array_foreach(steps, i, v)
+		if ((json_int_t)i >= j->n_step_states - first ||
+		    !decode_step_state(f, j, &j->step_states[first + (int)i],
+				       v))
 			return false;
+	return true;
+}
+
+static bool decode_first(struct flow *f, struct job *j, const json_t *o)
+{
+	json_int_t state = json_integer_value(json_object_get(o, "state"));
+	bool has_steps = json_object_get(o, "steps") != NULL;
+
+	if (state < FLOW_QUEUED || state > FLOW_CANCELLED)
+		return false;
 	if (state >= FLOW_COMPLETED)
 		j->state = (enum flow_state)state;
 	j->end_durable = flow_has_ended(j);
+	j->void_records = j->end_durable && !has_steps;
 	j->cancelled = j->state == FLOW_CANCELLED;
 	j->begun |= state != FLOW_QUEUED;
-	return true;
+	j->unsplit =
+		has_steps && j->n_records > 1 && !json_object_get(o, "first");
+	return decode_steps(f, j, o);
+}
+
+static bool decode_other(struct flow *f, struct record *p, const json_t *o)
+{
+	struct job *j = p->job;
+	bool ok = decode_steps(f, j, o);
+
+	if (flow_has_ended(j) && !j->end_durable)
+		flow_mark_state_dirty(j);
+	return ok;
+}
+
+bool flow_progress_decode(struct flow *f, const char *key, const json_t *o)
+{
+	struct record *p = flow_find_record(f, key);
+	struct job *j = p ? p->job : NULL;
+	bool ok = true;
+
+	if (!p || !json_is_object(o))
+		return false;
+	flow_record_stored(p, true);
+	if (!p->number)
+		ok = decode_first(f, j, o);
+	else if (!j->void_records)
+		ok = decode_other(f, p, o);
+	if (j->unsplit)
+		flow_mark_all_dirty(j);
+	else if (j->end_durable)
+		flow_drop_unneeded(j);
+	return ok;
 }
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -70,7 +70,7 @@
 	r->state = RUN_DECIDED;
 	r->decision = ++j->flow->decisions;
 	DL_APPEND2(j->flow->decided, r, decided_prev, decided_next);
-	flow_mark_dirty(j);
+	flow_mark_dirty(j, ss, index);
 	return r;
 }
 
@@ -93,7 +93,7 @@
 	struct task *t = &r->step_state->tasks[r->index];
 
 	unlist_decided(r);
-	flow_mark_dirty(r->job);
+	flow_mark_dirty(r->job, r->step_state, r->index);
 	flow_shape_add(&r->worker->used, &available, -1);
 	if (r->state == RUN_STOPPING)
 		flow_shape_add(&r->worker->stopping, &available, -1);
@@ -103,6 +103,8 @@
 	t->n_runs--;
 	r->step_state->n_runs--;
 	r->job->n_runs--;
+	if (flow_has_ended(r->job) && !r->job->n_runs)
+		flow_mark_state_dirty(r->job);
 	if (r->prev)
 		r->prev->next = r->next;
 	else
@@ -156,8 +158,8 @@
 	return ss->gang_is_partial;
 }
 
-static void store_checkpoint(struct job *j, struct step_state *ss,
-			     int32_t index, const char *saved)
+void flow_store_checkpoint(struct job *j, struct step_state *ss, int32_t index,
+			   const char *saved)
 {
 	const struct flow_step *st = flow_step_of(j, ss);
 	int32_t i;
@@ -174,17 +176,30 @@
 		tg_strlcpy(ss->tasks[i].saved, saved, FLOW_CHECKPOINT_LEN + 1);
 }
 
-static void record_done(struct job *j, struct step_state *ss, int32_t index)
+void flow_gang_done(struct job *j, struct step_state *ss)
 {
-	const struct flow_step *st = flow_step_of(j, ss);
 	int32_t i;
 
-	if (!st->gang) {
-		flow_task_done(j, ss, index);
+	for (i = 0; i < flow_step_of(j, ss)->tasks; i++)
+		flow_task_done(j, ss, i);
+}
+
+static void record_done(struct job *j, struct step_state *ss, int32_t index)
+{
+	if (flow_step_of(j, ss)->gang) {
+		flow_gang_done(j, ss);
+		flow_mark_step_dirty(j, ss);
 		return;
 	}
-	for (i = 0; i < st->tasks; i++)
-		flow_task_done(j, ss, i);
+	flow_task_done(j, ss, index);
+	flow_mark_dirty(j, ss, index);
+}
+
+/* Failures and the checkpoint of a gang are recorded for its first task. */
+static void mark_shared_dirty(struct job *j, const struct step_state *ss,
+			      int32_t index)
+{
+	flow_mark_dirty(j, ss, flow_step_of(j, ss)->gang ? 0 : index);
 }
 
 static struct run_numbers *failures_of(const struct job *j,
@@ -199,10 +214,10 @@
 	const struct queue *q = flow_find_queue(f, j->queue);
 
 	if (!q || flow_has_ended(j) || flow_step_of(j, ss)->endless ||
-	    failures_of(j, ss, index)->n < q->max_attempts)
+	    flow_count_run_numbers(failures_of(j, ss, index)) < q->max_attempts)
 		return;
 	j->state = FLOW_FAILED;
-	flow_mark_dirty(j);
+	flow_mark_state_dirty(j);
 }
 
 /* Counts a failure once, however often its worker reports it. */
@@ -212,6 +227,7 @@
 	if (!flow_add_run_number(failures_of(j, ss, index), run))
 		return;
 	j->failures++;
+	mark_shared_dirty(j, ss, index);
 	flow_fail_if_exhausted(f, j, ss, index);
 }
 
@@ -227,14 +243,13 @@
 		t->last_run = run;
 	if (how == FLOW_RUN_DONE && !endless) {
 		record_done(j, ss, index);
-		flow_mark_dirty(j);
 		return;
 	}
-	store_checkpoint(j, ss, index, saved);
+	flow_store_checkpoint(j, ss, index, saved);
+	if (saved && *saved)
+		mark_shared_dirty(j, ss, index);
 	if (how == FLOW_RUN_FAILED)
 		record_failure(f, j, ss, index, run);
-	if (how == FLOW_RUN_FAILED || (saved && *saved))
-		flow_mark_dirty(j);
 }
 
 void flow_run_ended(struct flow *f, struct run *r, enum flow_run_result how,
@@ -310,7 +325,7 @@
 	}
 	if (end == FLOW_ORDER_INVALID && !flow_has_ended(r->job)) {
 		r->job->state = FLOW_FAILED;
-		flow_mark_dirty(r->job);
+		flow_mark_state_dirty(r->job);
 	}
 	if (end == FLOW_ORDER_NOT_DONE)
 		flow_worker_failed(f, w, r->job->id, now_ms);
@@ -354,7 +369,10 @@
 		r = flow_run_add(j, ss, ref->index, w, ref->run, now_ms);
 		r->state = RUN_ACTIVE;
 		listed = FLOW_LISTED_ADDED;
-		flow_mark_dirty(j);
+		flow_mark_dirty(j, ss, ref->index);
+		/* The record of an ended job says whether it has runs. */
+		if (flow_has_ended(j))
+			flow_mark_state_dirty(j);
 		if (!wanted || t->run != r)
 			flow_run_mark_stopping(r);
 	}
@@ -364,7 +382,7 @@
 	j->begun = true;
 	r->listed_ms = now_ms;
 	flow_pace_update(r, percent, now_ms);
-	store_checkpoint(j, ss, ref->index, saved);
+	flow_store_checkpoint(j, ss, ref->index, saved);
 	return listed;
 }
 
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -296,12 +296,15 @@
 	w->speed = 1;
 }
 
-static void forget_worker(struct job *j, struct task *t, const struct worker *w)
+static void forget_worker(struct job *j, struct step_state *ss, int32_t index,
+			  const struct worker *w)
 {
+	struct task *t = &ss->tasks[index];
+
 	if (t->last_failed_on == w)
 		t->last_failed_on = NULL;
 	if (t->planned_on == w)
-		flow_plan_cancel(j, t);
+		flow_plan_cancel(j, ss, index);
 }
 
 void flow_worker_remove(struct flow *f, const char *id, int64_t now_ms)
@@ -318,8 +321,7 @@
 			for (k = 0;
 			     k < flow_step_of(j, &j->step_states[i])->tasks;
 			     k++)
-				forget_worker(j, &j->step_states[i].tasks[k],
-					      w);
+				forget_worker(j, &j->step_states[i], k, w);
 	flow_free_worker(f, w);
 }
 
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -61,6 +61,10 @@
 TCase *crash_tcase(void);
 /** plan_tcase() - tests of test-plan.c */
 TCase *plan_tcase(void);
+/** record_tcase() - tests of test-record.c */
+TCase *record_tcase(void);
+/** takeover_tcase() - tests of test-takeover.c */
+TCase *takeover_tcase(void);
 /** capacity_tcase() - tests of test-capacity.c */
 TCase *capacity_tcase(void);
 /** index_tcase() - tests of test-index.c on a fleet of their own */
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -1054,6 +1054,8 @@
 	suite_add_tcase(s, crash_tcase());
 	suite_add_tcase(s, capacity_tcase());
 	suite_add_tcase(s, plan_tcase());
+	suite_add_tcase(s, record_tcase());
+	suite_add_tcase(s, takeover_tcase());
 	suite_add_tcase(s, index_tcase());
 	suite_add_tcase(s, fleet_size_tcase());
 	return run_suite(s);
