tgqueued: reject a job that no row can hold without a call to the store

Cause: platform.row-bytes was not read, so the store's refusal was the first that told; until then the caller waited, and while the store was down got 503.

Change: a row above the limit is answered 413 at once.

--- a/cmd/tgqueued/submit.c
+++ b/cmd/tgqueued/submit.c
@@ -180,6 +180,10 @@
 	struct board *b = r->board;
 	int64_t now_ms = tg_now_ms();
 
+	if (strlen(r->row) > (size_t)b->site.set.row_bytes) {
+		request_end(r, 413, "the store can't hold the job");
+		return;
+	}
 	if (store_is_down(b) && now_ms - b->probed_ms < PROBE_MS) {
 		request_end(r, 503, "the store does not answer");
 		return;
--- a/tests/script/site-large-job.sh
+++ b/tests/script/site-large-job.sh
@@ -46,3 +46,10 @@
 }
 await "two rows" rows_now 2
 judge
+
+echo "# a job that no row can hold is rejected without a call to the store"
+wide=$(jq -nc '[range(64) | {count: 1, cpu: 1, "mem-mb": 1, "est-ms": 1,
+	after: [range(.)], image: ("i" * 60), requires: ("l" * 60),
+	"data-rack": ("r" * 60)}]')
+submit 1 00000000000000a3 "ms=1" "$wide" && echo
+judge
