tgflowd: bound the owner's row by the platform's row limit

Cause: the lists of silent workers in the owner's row could fill 16 KiB, so that a store with rows of 16,384 bytes refused every write of the owner while some 90 workers were silent. Workers that did not fit were left out silently.

Change: the lists get half of what the row limit leaves; EV5539 tells when a worker is left out.

Measured: test-site, owner_row_fits_with_many_silent_workers at 1,024, 4,096, 16,384 and 65,536 bytes.

--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -379,7 +379,9 @@
 
 void links_record_silent(const struct board *b, struct tg_owner_row *r)
 {
+	static int last_left_out;
 	const struct link *l;
+	int n = 0, left_out = 0;
 
 	r->silent[0] = r->silent_at[0] = '\0';
 	DL_FOREACH2(b->failed, l, failed_next)
@@ -389,8 +391,14 @@
 		if (!l->may_have_runs)
 			continue;
 		tg_strlcpy(s.addr, l->entry.addr, sizeof(s.addr));
-		tg_owner_row_add_silent(r, l->entry.id, &s);
+		n++;
+		left_out += !tg_owner_row_add_silent(r, l->entry.id, &s,
+						     b->site.set.row_bytes);
 	}
+	if (left_out && !last_left_out)
+		tg_log(EV_FLOW_SILENT_LEFT_OUT, "silent=%d left_out=%d", n,
+		       left_out);
+	last_left_out = left_out;
 }
 
 /*
--- a/lib/site/rows.c
+++ b/lib/site/rows.c
@@ -3,6 +3,8 @@
 
 #include "site/site.h"
 
+/* Largest size of the owner's row without its lists. */
+#define OWNER_OTHER_BYTES 512
 /* Differences of two such times stay in the range of the type. */
 #define WALL_MAX_MS (1LL << 53)
 
@@ -74,25 +76,30 @@
 	return equal;
 }
 
-static void add_to_list(char *list, const char *item)
+static bool add_to_list(char *list, const char *item, int64_t max_bytes)
 {
 	size_t n = strlen(list);
 
-	if (n + strlen(item) + 3 > TG_SILENT_LIST_SIZE)
-		return;
+	if (n + strlen(item) + 3 > TG_SILENT_LIST_SIZE ||
+	    (int64_t)(n + strlen(item) + 2) > max_bytes)
+		return false;
 	snprintf(list + n, TG_SILENT_LIST_SIZE - n, n ? "%s," : ",%s,", item);
+	return true;
 }
 
-void tg_owner_row_add_silent(struct tg_owner_row *r, const char *worker,
-			     const struct tg_silent_worker *s)
+bool tg_owner_row_add_silent(struct tg_owner_row *r, const char *worker,
+			     const struct tg_silent_worker *s,
+			     int64_t row_bytes)
 {
 	char item[TG_NAME_MAX + TG_ADDR_MAX + 32];
+	int64_t list_bytes = (row_bytes - OWNER_OTHER_BYTES) / 2;
+	bool listed = add_to_list(r->silent, worker, list_bytes);
 
-	add_to_list(r->silent, worker);
 	snprintf(item, sizeof(item), "%s %s %lld", worker, s->addr,
 		 (long long)s->boot_ms);
 	if (*s->addr && s->boot_ms)
-		add_to_list(r->silent_at, item);
+		listed &= add_to_list(r->silent_at, item, list_bytes);
+	return listed;
 }
 
 void tg_owner_row_copy_silent(struct tg_owner_row *to,
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -156,9 +156,15 @@
 	bool released, runs_recorded, settled;
 };
 
-/** tg_owner_row_add_silent() - add a worker to the lists that have space */
-void tg_owner_row_add_silent(struct tg_owner_row *r, const char *worker,
-			     const struct tg_silent_worker *s);
+/**
+ * tg_owner_row_add_silent() - add a worker to the lists that have space
+ * @row_bytes: largest size of the encoded row
+ *
+ * Return: whether they had space.
+ */
+bool tg_owner_row_add_silent(struct tg_owner_row *r, const char *worker,
+			     const struct tg_silent_worker *s,
+			     int64_t row_bytes);
 /** tg_owner_row_copy_silent() - replace the lists of @to by those of @from */
 void tg_owner_row_copy_silent(struct tg_owner_row *to,
 			      const struct tg_owner_row *from);
--- a/tests/unit/site/test-site.c
+++ b/tests/unit/site/test-site.c
@@ -111,6 +111,33 @@
 }
 END_TEST
 
+/*
+ * The lists of silent workers filled 16 KiB, so that the store refused the
+ * owner's row where a row holds no more than that.
+ */
+START_TEST(owner_row_fits_with_many_silent_workers)
+{
+	static const int64_t limits[] = { 1024, 4096, 16384, 65536 };
+	struct tg_owner_row r = { .fence = UINT32_MAX, .seq = INT64_MAX };
+	struct tg_silent_worker s = { .boot_ms = INT64_MAX };
+	char worker[TG_NAME_MAX + 1], *text;
+	int n = 0;
+
+	memset(r.holder, 'h', TG_NAME_MAX);
+	memset(r.addr, 'a', TG_ADDR_MAX);
+	memset(r.boot, 'b', TG_TOKEN_LEN);
+	memset(s.addr, '1', TG_ADDR_MAX);
+	do
+		snprintf(worker, sizeof(worker), "%060d", n++);
+	while (tg_owner_row_add_silent(&r, worker, &s, limits[_i]));
+	while (n++ < 400)
+		tg_owner_row_add_silent(&r, worker, &s, limits[_i]);
+	text = tg_owner_row_encode(&r);
+	ck_assert_uint_le(strlen(text), (size_t)limits[_i]);
+	free(text);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("site");
@@ -118,5 +145,8 @@
 
 	tcase_add_test(t, scan_goes_on_behind_a_long_key);
 	suite_add_tcase(s, t);
+	t = tcase_create("rows");
+	tcase_add_loop_test(t, owner_row_fits_with_many_silent_workers, 0, 4);
+	suite_add_tcase(s, t);
 	return run_suite(s);
 }
