site: bound the rows of a document's change by the platform's row limit

Cause: the rows of a change had 45 KB whatever platform.row-bytes says, so that a store with smaller rows refused each change for good. Instances that need long for a document then read it whole, later than 3 s.

Change: rows take 70% of the limit by estimated sizes; a change may have 48 rows (they and those it deletes are one transaction of 100 entries) and the bytes of a transaction.

Measured: test-docchange, rows_keep_to_the_limit, from 4,096 to 65,536 bytes. The limit is a parameter of the function since, so the test doesn't build before; its limit was the constant 65,536.

--- a/lib/site/docchange.h
+++ b/lib/site/docchange.h
@@ -8,7 +8,7 @@
  *
  * To transfer and decode a large document takes seconds on a small instance,
  * however little has changed.  Instances that read documents quickly write what
- * differs to the store, as rows of some 40 KB, and the others apply these.
+ * differs to the store, in a few rows, and the others apply these.
  *
  * A document is treated as a set of queues and workspaces.  A change contains
  * all items that were added after the generation @from and all that were
@@ -60,12 +60,13 @@
 /**
  * tg_doc_change_encode() - the rows of the change from generation @from to @d
  * @from: at least the history_from of @d
+ * @row_bytes: largest size of a row
  * @rows: set to an array of texts; the caller frees both
  *
  * Return: number of rows, 0 if a row would be too large.
  */
 size_t tg_doc_change_encode(const struct tg_site_doc *d, int64_t from,
-			    char ***rows);
+			    size_t row_bytes, char ***rows);
 /**
  * tg_doc_change_add_row() - decode a row and add it to a change
  * @c: all zero, or with the rows before this one
--- a/lib/site/docpublish.c
+++ b/lib/site/docpublish.c
@@ -16,10 +16,11 @@
 #define READ_TIMEOUT_MS 800
 #define WRITE_TIMEOUT_MS 1500
 /*
- * The store limits a transaction to 1 MB, encoded.  A larger change is not
- * written: the instances read the document instead.
+ * A transaction has the rows of a change, those of the one before it, which it
+ * deletes, and twice the head.  A larger change is not written: the instances
+ * read the document instead.
  */
-#define ROWS_MAX 14
+#define ROWS_MAX 48
 #define KEY_BYTES 32
 
 /**
@@ -157,15 +158,20 @@
 }
 
 /* Return: number of rows, 0 if the store can't hold them. */
-static size_t encode_from(const struct tg_site_doc *d, int64_t from,
+static size_t encode_from(const struct tg_doc_publisher *p,
+			  const struct tg_site_doc *d, int64_t from,
 			  char ***texts)
 {
-	size_t n = tg_doc_change_encode(d, from, texts);
+	const struct tg_site_settings *set = &p->site->set;
+	size_t n = tg_doc_change_encode(d, from, (size_t)set->row_bytes, texts);
+	size_t bytes = 0, i;
 
-	if (n && n <= ROWS_MAX)
+	for (i = 0; i < n; i++)
+		bytes += strlen((*texts)[i]);
+	if (n && n <= ROWS_MAX && bytes <= (size_t)set->tx_bytes)
 		return n;
-	tg_log(EV_CHANGE_LARGE, "generation=%lld from=%lld rows=%zu",
-	       (long long)d->generation, (long long)from, n);
+	tg_log(EV_CHANGE_LARGE, "generation=%lld from=%lld rows=%zu bytes=%zu",
+	       (long long)d->generation, (long long)from, n, bytes);
 	free_texts(*texts, n);
 	return 0;
 }
@@ -175,15 +181,16 @@
  * applied that can apply this one too.  Otherwise it begins at the document
  * that was in force before.
  */
-static size_t encode_change(const struct tg_site_doc *d, const struct head *h,
+static size_t encode_change(const struct tg_doc_publisher *p,
+			    const struct tg_site_doc *d, const struct head *h,
 			    char ***texts)
 {
 	size_t n = 0;
 
 	if (h->generation >= d->history_from)
-		n = encode_from(d, h->generation, texts);
+		n = encode_from(p, d, h->generation, texts);
 	if (!n && d->previous != h->generation)
-		n = encode_from(d, d->previous, texts);
+		n = encode_from(p, d, d->previous, texts);
 	return n;
 }
 
@@ -240,7 +247,7 @@
 
 	if (h->generation >= d->generation || d->previous == d->generation)
 		return;
-	n = encode_change(d, h, &texts);
+	n = encode_change(p, d, h, &texts);
 	if (!n)
 		return;
 	p->writing = d->generation;
--- a/lib/site/docrows.c
+++ b/lib/site/docrows.c
@@ -11,9 +11,8 @@
  * space than their values.
  */
 
-/* The store limits a row to 64 KiB. */
-#define ROW_BYTES 45000
-#define ROW_MAX_BYTES 65536
+/* Part of a row that items may take by their estimated sizes. */
+#define ITEMS_PERCENT 70
 /* Bytes of a digest, and of an item besides its strings. */
 #define DIGEST_BYTES 19
 #define ITEM_BYTES 80
@@ -26,6 +25,7 @@
 	int64_t from;
 	json_t *row, *removed, *queues, *workspaces;
 	size_t bytes; /* estimated size of the row in progress */
+	size_t row_bytes; /* largest size */
 	char **texts;
 	size_t n;
 	bool too_large;
@@ -64,7 +64,7 @@
 	text = json_dumps(e->row,
 			  JSON_COMPACT | JSON_REAL_PRECISION(NUMBER_DIGITS));
 	json_decref(e->row);
-	e->too_large |= !text || strlen(text) > ROW_MAX_BYTES;
+	e->too_large |= !text || strlen(text) > e->row_bytes;
 	e->texts = tg_xrealloc(e->texts, (e->n + 1) * sizeof(*e->texts));
 	e->texts[e->n++] = text;
 }
@@ -78,7 +78,7 @@
 
 static void make_room(struct encoder *e)
 {
-	if (e->bytes < ROW_BYTES)
+	if (e->bytes < e->row_bytes * ITEMS_PERCENT / 100)
 		return;
 	end_row(e, false);
 	begin_row(e);
@@ -152,9 +152,9 @@
 }
 
 size_t tg_doc_change_encode(const struct tg_site_doc *d, int64_t from,
-			    char ***rows)
+			    size_t row_bytes, char ***rows)
 {
-	struct encoder e = { .doc = d, .from = from };
+	struct encoder e = { .doc = d, .from = from, .row_bytes = row_bytes };
 	size_t i;
 
 	begin_row(&e);
--- a/tests/unit/docchange/test-docchange.c
+++ b/tests/unit/docchange/test-docchange.c
@@ -6,6 +6,7 @@
 
 #define ITEMS_MAX 400
 #define GENERATIONS 60
+#define ROW_BYTES 65536
 #define SEEDS 50
 
 /* What the operators have written: item i has value[i], 0 if it is not there.
@@ -111,7 +112,7 @@
 {
 	struct tg_doc_change c = { 0 };
 	char **rows;
-	size_t n = tg_doc_change_encode(writer, from, &rows);
+	size_t n = tg_doc_change_encode(writer, from, ROW_BYTES, &rows);
 	bool applied;
 
 	ck_assert_uint_gt(n, 0);
@@ -180,7 +181,7 @@
 	take_whole(&writer, &m);
 	change_model(&m, &rng, ITEMS_MAX);
 	take_whole(&writer, &m);
-	n = tg_doc_change_encode(writer, 1, &rows);
+	n = tg_doc_change_encode(writer, 1, ROW_BYTES, &rows);
 	ck_assert_uint_gt(n, 1);
 
 	add_rows(&c, rows, n - 1);
@@ -209,6 +210,34 @@
 }
 END_TEST
 
+/*
+ * Rows of changes had 45 KB whatever the platform's limit, so that the store
+ * refused them where it is smaller, and small instances read documents whole.
+ */
+START_TEST(rows_keep_to_the_limit)
+{
+	struct tg_rng rng = { .state = 7 };
+	struct model m = { .generation = 1 };
+	struct tg_site_doc *writer = NULL;
+	size_t limit, n, i, last_n = SIZE_MAX;
+	char **rows;
+
+	take_whole(&writer, &m);
+	change_model(&m, &rng, ITEMS_MAX);
+	take_whole(&writer, &m);
+	for (limit = 4096; limit <= 65536; limit *= 2) {
+		n = tg_doc_change_encode(writer, 1, limit, &rows);
+		ck_assert_uint_gt(n, 0);
+		ck_assert_uint_lt(n, last_n);
+		last_n = n;
+		for (i = 0; i < n; i++)
+			ck_assert_uint_le(strlen(rows[i]), limit);
+		free_rows(rows, n);
+	}
+	tg_site_doc_free(writer);
+}
+END_TEST
+
 START_TEST(odd_rows_are_ignored)
 {
 	static const char bad_digest[] =
@@ -268,6 +297,7 @@
 	tcase_set_timeout(t, 60);
 	tcase_add_test(t, applied_change_gives_the_whole_document);
 	tcase_add_test(t, change_is_applied_whole_or_not_at_all);
+	tcase_add_test(t, rows_keep_to_the_limit);
 	tcase_add_test(t, odd_rows_are_ignored);
 	tcase_add_test(t, long_history_is_forgotten_by_generations);
 	suite_add_tcase(s, t);
