soak: jobs whose progress takes several rows

Cause: the soak's jobs have six tasks at most, so no take-over of it came between two rows of a job.

The stand-in counts the bytes of transactions.

--- a/tests/fault/soak.sh
+++ b/tests/fault/soak.sh
@@ -12,5 +12,10 @@
 for seed in 7 10; do
 	sh "$soak" --seed $seed --steps 40 --outages
 done
+# Jobs whose progress takes several rows, of which a take-over may find some
+# written and others not.
+for seed in 1 4; do
+	sh "$soak" --seed $seed --steps 40 --large
+done
 echo "# a job that is lost is found"
 sh "$soak" --seed 3 --steps 4 --claim 00000000000000ff
--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -1,16 +1,17 @@
 #!/bin/sh
 # A soak of the queue and flow daemons: run.sh --seed N [--steps N]
-#	[--keep DIRECTORY] [--claim JOB] [--outages]
+#	[--keep DIRECTORY] [--claim JOB] [--outages] [--large]
 # Three instances run on a stand-in of the platform, each with a proxy before
 # the store.  Steps drawn from the seed submit and cancel jobs and inject faults
 # from outside: signals, disturbed connections, faults of store and workers.
 # They overlap.  Then all faults end, and what callers and workers saw is
 # checked: an accepted job ends completed, one that was refused does not exist,
 # no task runs twice or beyond room.  --outages adds outages of the store in
-# which entries of workers expire, beside the other faults.  --claim says that
-# JOB was accepted, which shows that a lost job is found.
+# which entries of workers expire, beside the other faults.  --large submits jobs
+# of many small tasks, whose progress takes several rows.  --claim says that JOB
+# was accepted, which shows that a lost job is found.
 . "$(dirname "$0")/../site-lib.sh"
-seed=1 steps=40 keep= claim= outages=
+seed=1 steps=40 keep= claim= outages= large=
 while [ $# -gt 0 ]; do
 	case $1 in
 	--seed) seed=$2 ;;
@@ -22,6 +23,11 @@
 		shift
 		continue
 		;;
+	--large)
+		large=1
+		shift
+		continue
+		;;
 	*)
 		echo "run.sh: unknown flag $1" >&2
 		exit 2
@@ -60,7 +66,7 @@
 		code=$(curl -s -m 3 -o /dev/null -w '%{http_code}' -H 'Host: h' \
 			-H 'X-Api-Key: k1' -H 'Tarragonfield-Deadline-Ms: 3000' \
 			-d "{\"spec\":\"ms=$5 acc=$4\",\"steps\":[{\"count\":$3,
-			 \"cpu\":1000,\"gpu\":$4,\"est-ms\":$5}]}" \
+			 \"cpu\":$((1 + $4 * 1000)),\"gpu\":$4,\"est-ms\":$5}]}" \
 			"http://$net.$at:$(cat "$tmp/port.$at")/$6/$1")
 		case $code in
 		200)
@@ -145,6 +151,9 @@
 	submit)
 		n_jobs=$((n_jobs + 1))
 		job=$(printf '%016x' $((seed * 1000 + n_jobs)))
+		if [ -n "$large" ]; then
+			set -- "$1" "$2" "$3" $(($4 * $5 * 20)) 0 "$6" "$7" "$8"
+		fi
 		caller "$job" "$2" "$4" "$5" "$6" \
 			"$(pick "$8" n u)" </dev/null &
 		;;
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -151,11 +151,12 @@
 		req, 200,
 		json_pack(
 			"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,"
-			"s:o}",
+			"s:I,s:o}",
 			"jobs", (json_int_t)store_count("jobs"), "progress",
 			(json_int_t)store_count("progress"), "reads",
 			(json_int_t)board.reads, "writes",
-			(json_int_t)board.writes, "refused",
+			(json_int_t)board.writes, "write_bytes",
+			(json_int_t)board.write_bytes, "refused",
 			(json_int_t)board.refused, "starts",
 			(json_int_t)board.starts, "stops",
 			(json_int_t)board.stops, "holds",
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -95,7 +95,7 @@
 	struct worker workers[WORKERS_MAX];
 	struct done *done; /* tasks that have ended well */
 	/* what was seen */
-	int64_t reads, writes, refused, starts, stops, holds;
+	int64_t reads, writes, write_bytes, refused, starts, stops, holds;
 	int64_t over_room, twice, after_done, lapsed;
 	int64_t fenced; /* calls of a former owner */
 };
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -326,6 +326,7 @@
 
 	if (!body)
 		return;
+	board.write_bytes += (int64_t)bytes;
 	excess = find_excess(body, bytes);
 	if (excess) {
 		board.refused++;
