--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -70,15 +70,21 @@
 	reply_ok(req);
 }
 
-/* POST /standin/store?door=N&mode=M, all doors without N; "forget" */
+/*
+ * POST /standin/store?door=N&mode=M, all doors without N; "forget";
+ * store?reject=TABLE/KEY: transactions that write this row are refused
+ */
 static void set_store(struct evhttp_request *req, void *arg)
 {
 	char *door = tg_http_query_param(req, "door");
 	char *mode = tg_http_query_param(req, "mode");
+	char *reject = tg_http_query_param(req, "reject");
 	int i;
 
 	(void)arg;
-	if (mode && !strcmp(mode, "forget"))
+	if (reject)
+		tg_strlcpy(board.rejected, reject, sizeof(board.rejected));
+	else if (mode && !strcmp(mode, "forget"))
 		board.history_from = board.ver + 1;
 	else
 		for (i = 0; i < board.opts.stores; i++)
@@ -88,6 +94,7 @@
 					   sizeof(board.doors[i].mode));
 	free(door);
 	free(mode);
+	free(reject);
 	reply_ok(req);
 }
 
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -92,6 +92,7 @@
 	struct store_door doors[STORES_MAX];
 	struct row *rows;
 	int64_t ver, history_from;
+	char rejected[2 * KEY_BYTES]; /* TABLE/KEY of a row not to write */
 	struct worker workers[WORKERS_MAX];
 	struct done *done; /* tasks that have ended well */
 	/* what was seen */
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -260,7 +260,16 @@
 		strlen(text_of(o, "key")) <= NAME_BYTES_MAX;
 }
 
-/* What the transaction exceeds, or NULL. */
+static bool is_rejected(const json_t *o)
+{
+	char name[2 * KEY_BYTES];
+
+	snprintf(name, sizeof(name), "%s/%s", text_of(o, "table"),
+		 text_of(o, "key"));
+	return !strcmp(name, board.rejected);
+}
+
+/* Why the transaction is refused, or NULL. */
 static const char *find_excess(const json_t *body, size_t bytes)
 {
 	static const char *const lists[] = { "expected", "puts", "deletes" };
@@ -274,6 +283,8 @@
 			entries++;
 			if (!names_fit(o))
 				return "name too long";
+			if (is_rejected(o))
+				return "rejected row";
 			if (value_bytes(o) > board.opts.row_bytes)
 				return "row too large";
 			if (!part)
