--- a/tests/unit/flow/test-record.c
+++ b/tests/unit/flow/test-record.c
@@ -223,7 +223,7 @@
 	ck_assert_uint_eq(record_store_write(&store, f, 90), 4);
 	fleet_start_recorded(f, &o, 2);
 	fleet_confirm_starts(f, &o, 2);
-	for (i = 0; i < 100; i++)
+	for (i = 99; i >= 0; i--)
 		fleet_end_run(f, &o.starts[i], FLOW_RUN_DONE, 3);
 	ck_assert_int_eq(state_of("j1"), FLOW_COMPLETED);
 	ck_assert(!flow_next_expired(f, 1000, 0));
@@ -247,6 +247,29 @@
 }
 END_TEST
 
+/* The last task ends the job, but its row has other tasks that are done. */
+START_TEST(row_is_not_deleted_before_the_end_is_stored)
+{
+	int i;
+
+	fleet_add_worker(f, "w1", "r1", 100);
+	fleet_add_job(f, "j1", "normal", fleet_new_spec(100, 1, false), 0);
+	fleet_decide_unwritten(f, &o, 1);
+	record_store_write(&store, f, 90);
+	fleet_start_recorded(f, &o, 2);
+	fleet_confirm_starts(f, &o, 2);
+	for (i = 0; i < 99; i++)
+		fleet_end_run(f, &o.starts[i], FLOW_RUN_DONE, 3);
+	record_store_write(&store, f, 90);
+	fleet_end_run(f, &o.starts[99], FLOW_RUN_DONE, 4);
+	record_store_write(&store, f, 1);
+	take_over();
+	fleet_add_job(f, "j1", "normal", fleet_new_spec(100, 1, false), 0);
+	record_store_read(&store, f);
+	ck_assert(state_of("j1") == FLOW_COMPLETED || done_of("j1") >= 99);
+}
+END_TEST
+
 /* Runs that are being stopped are recorded until they end, in any row. */
 START_TEST(runs_of_a_cancelled_job_are_read_from_all_rows)
 {
@@ -377,6 +400,7 @@
 	tcase_add_test(t, gang_that_is_done_in_part_is_done);
 	tcase_add_test(t, gang_has_one_checkpoint_after_takeover);
 	tcase_add_test(t, rows_of_an_ended_job_are_deleted_after_its_end);
+	tcase_add_test(t, row_is_not_deleted_before_the_end_is_stored);
 	tcase_add_test(t, runs_of_a_cancelled_job_are_read_from_all_rows);
 	tcase_add_loop_test(t, row_of_an_older_version_is_split, 0, 5);
 	tcase_add_test(t, job_whose_record_is_refused_fails_alone);
