--- a/tests/unit/platform/test-platform.c
+++ b/tests/unit/platform/test-platform.c
@@ -244,6 +244,46 @@
 }
 END_TEST
 
+/* Reads settings with a line added; returns the number of findings. */
+static size_t read_with(const char *line, struct tg_site_settings *set)
+{
+	char path[] = "/tmp/tg-settings-XXXXXX";
+	struct tg_findings f = { 0 };
+	int fd = mkstemp(path);
+	size_t n;
+
+	dprintf(fd,
+		"node=i1\nzone=a\nip=10.0.0.1\nplatform.address=10.0.0.2:80\n"
+		"internal-ports=7000\nheartbeat-ms=500\n"
+		"bounds.hold-max-ms=1\nbounds.stop-ms=1\n"
+		"bounds.status_s=1\n%s\n",
+		line);
+	close(fd);
+	tg_platform_ops.read_settings(path, set, &f);
+	unlink(path);
+	n = f.total;
+	tg_findings_free(&f);
+	return n;
+}
+
+/*
+ * With rows as large as a transaction the owner would find no room for any
+ * record beside its own row.
+ */
+START_TEST(transaction_has_room_for_two_rows)
+{
+	struct tg_site_settings set;
+
+	ck_assert_uint_eq(read_with("", &set), 0);
+	ck_assert_int_eq(set.row_bytes, 65536);
+	ck_assert_uint_eq(read_with("platform.row-bytes=16384", &set), 0);
+	ck_assert_int_eq(set.row_bytes, 16384);
+	ck_assert_uint_eq(read_with("platform.row-bytes=1048576", &set), 0);
+	ck_assert_int_ge(set.tx_bytes, 2 * set.row_bytes);
+	ck_assert_uint_eq(read_with("platform.row-bytes=0", &set), 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("platform");
@@ -255,6 +295,7 @@
 	tcase_add_test(t, large_document_is_decoded_in_little_memory);
 	tcase_add_test(t, document_with_a_syntax_error_is_rejected);
 	tcase_add_test(t, settings_findings_are_complete);
+	tcase_add_test(t, transaction_has_room_for_two_rows);
 	suite_add_tcase(s, t);
 	suite_add_tcase(s, odd_tcase());
 	return run_suite(s);
