flow: take a record only once for a write

Cause: a record that is refused while a write is collected marks the first row of its job dirty, which may be in that write already; it was taken again, so that the transaction had two puts of one row (found by reading).

Change: what is being written waits for the next write.

Measured: test-record, record_is_taken_once_in_a_write, fails with the record.c before (a second record is taken).

--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -92,7 +92,7 @@
  *
  * A job has a record for each FLOW_RECORD_TASKS tasks, so that the size of a
  * row doesn't grow with the job.  Record 0 holds the state of the job as well.
- * See progress.c.
+ * See record.c.
  */
 struct record {
 	struct job *job;
--- a/lib/flow/record.c
+++ b/lib/flow/record.c
@@ -231,12 +231,13 @@
 	return true;
 }
 
-/* Whether other records of the job are to be written before this one. */
+/* Whether the record can't be part of the present write. */
 static bool must_wait(const struct record *p)
 {
 	const struct job *j = p->job;
 
-	return !p->number && j->unsplit && (j->n_dirty > 1 || j->n_writing);
+	return p->writing ||
+		(!p->number && j->unsplit && (j->n_dirty > 1 || j->n_writing));
 }
 
 static struct record *next_dirty(const struct flow *f)
@@ -249,7 +250,7 @@
 
 		if (must_wait(p))
 			continue;
-		return first->dirty && !p->job->unsplit ? first : p;
+		return first->dirty && !must_wait(first) ? first : p;
 	}
 	return f->unneeded;
 }
@@ -261,11 +262,9 @@
 	if (!p)
 		return NULL;
 	unlist_dirty(p);
-	if (!p->writing) {
-		p->writing = true;
-		p->job->n_writing++;
-		DL_APPEND2(f->writing, p, writing_prev, writing_next);
-	}
+	p->writing = true;
+	p->job->n_writing++;
+	DL_APPEND2(f->writing, p, writing_prev, writing_next);
 	p->taken_decision = f->decisions;
 	p->taken_for_delete = is_unneeded(p);
 	if (!p->number)
--- a/tests/unit/flow/test-record.c
+++ b/tests/unit/flow/test-record.c
@@ -388,6 +388,23 @@
 }
 END_TEST
 
+/* A transaction must not write a row twice. */
+START_TEST(record_is_taken_once_in_a_write)
+{
+	fleet_add_worker(f, "w1", "r1", 100);
+	fleet_add_job(f, "j1", "normal", fleet_new_spec(40, 1, false), 0);
+	fleet_decide_unwritten(f, &o, 1);
+	ck_assert_str_eq(flow_take_dirty(f), "j1");
+	ck_assert_str_eq(flow_take_dirty(f), "j1~00032");
+	ck_assert(flow_record_refused(f, "j1~00032"));
+	ck_assert_ptr_null(flow_take_dirty(f));
+	ck_assert(flow_has_dirty(f));
+	flow_mark_written(f);
+	ck_assert_str_eq(flow_take_dirty(f), "j1");
+	ck_assert_ptr_null(flow_take_dirty(f));
+}
+END_TEST
+
 TCase *record_tcase(void)
 {
 	TCase *t = tcase_create("records");
@@ -404,5 +421,6 @@
 	tcase_add_test(t, runs_of_a_cancelled_job_are_read_from_all_rows);
 	tcase_add_loop_test(t, row_of_an_older_version_is_split, 0, 5);
 	tcase_add_test(t, job_whose_record_is_refused_fails_alone);
+	tcase_add_test(t, record_is_taken_once_in_a_write);
 	return t;
 }
