--- a/tests/unit/flow/test-record.c
+++ b/tests/unit/flow/test-record.c
@@ -61,6 +61,31 @@
 	return n;
 }
 
+/* A job of 100 tasks on worker w1, which needs four rows. */
+static void add_job(void)
+{
+	fleet_add_worker(f, "w1", "r1", 100);
+	fleet_add_job(f, "j1", "normal", fleet_new_spec(100, 1, false), 0);
+}
+
+/* Starts all tasks of it. */
+static void run_job(void)
+{
+	add_job();
+	fleet_decide_unwritten(f, &o, 1);
+	ck_assert_uint_eq(record_store_write(&store, f, 90), 4);
+	fleet_start_recorded(f, &o, 2);
+	fleet_confirm_starts(f, &o, 2);
+}
+
+/* Makes a new owner of the engine, which reads the job. */
+static void read_job(void)
+{
+	take_over();
+	add_job();
+	record_store_read(&store, f);
+}
+
 /* The platform's smallest limit that is known, and its usual one. */
 #define SMALL_ROW_BYTES 16384
 #define ROW_BYTES 65536
@@ -217,12 +242,7 @@
 {
 	int i;
 
-	fleet_add_worker(f, "w1", "r1", 100);
-	fleet_add_job(f, "j1", "normal", fleet_new_spec(100, 1, false), 0);
-	fleet_decide_unwritten(f, &o, 1);
-	ck_assert_uint_eq(record_store_write(&store, f, 90), 4);
-	fleet_start_recorded(f, &o, 2);
-	fleet_confirm_starts(f, &o, 2);
+	run_job();
 	for (i = 99; i >= 0; i--)
 		fleet_end_run(f, &o.starts[i], FLOW_RUN_DONE, 3);
 	ck_assert_int_eq(state_of("j1"), FLOW_COMPLETED);
@@ -232,10 +252,7 @@
 	ck_assert_str_eq(store.rows[0].text, "{\"state\":2}");
 	ck_assert_uint_eq(store.n, 4);
 	/* A new owner ignores what the others still say. */
-	take_over();
-	fleet_add_worker(f, "w1", "r1", 100);
-	fleet_add_job(f, "j1", "normal", fleet_new_spec(100, 1, false), 0);
-	record_store_read(&store, f);
+	read_job();
 	ck_assert_int_eq(runs_on("w1"), 0);
 	ck_assert_int_eq(state_of("j1"), FLOW_COMPLETED);
 	ck_assert(!flow_has_dirty(f));
@@ -252,20 +269,13 @@
 {
 	int i;
 
-	fleet_add_worker(f, "w1", "r1", 100);
-	fleet_add_job(f, "j1", "normal", fleet_new_spec(100, 1, false), 0);
-	fleet_decide_unwritten(f, &o, 1);
-	record_store_write(&store, f, 90);
-	fleet_start_recorded(f, &o, 2);
-	fleet_confirm_starts(f, &o, 2);
+	run_job();
 	for (i = 0; i < 99; i++)
 		fleet_end_run(f, &o.starts[i], FLOW_RUN_DONE, 3);
 	record_store_write(&store, f, 90);
 	fleet_end_run(f, &o.starts[99], FLOW_RUN_DONE, 4);
 	record_store_write(&store, f, 1);
-	take_over();
-	fleet_add_job(f, "j1", "normal", fleet_new_spec(100, 1, false), 0);
-	record_store_read(&store, f);
+	read_job();
 	ck_assert(state_of("j1") == FLOW_COMPLETED || done_of("j1") >= 99);
 }
 END_TEST
@@ -275,21 +285,14 @@
 {
 	int i;
 
-	fleet_add_worker(f, "w1", "r1", 100);
-	fleet_add_job(f, "j1", "normal", fleet_new_spec(100, 1, false), 0);
-	fleet_decide_unwritten(f, &o, 1);
-	record_store_write(&store, f, 90);
-	fleet_start_recorded(f, &o, 2);
-	fleet_confirm_starts(f, &o, 2);
+	run_job();
 	flow_cancel(f, "j1", 3);
 	for (i = 0; i < 90; i++)
 		fleet_end_run(f, &o.starts[i], FLOW_RUN_STOPPED, 4);
 	while (record_store_write(&store, f, 90))
 		;
 	ck_assert_uint_eq(store.n, 3);
-	take_over();
-	fleet_add_job(f, "j1", "normal", fleet_new_spec(100, 1, false), 0);
-	record_store_read(&store, f);
+	read_job();
 	ck_assert_int_eq(state_of("j1"), FLOW_CANCELLED);
 	ck_assert_int_eq(runs_on("w1"), 10);
 }
@@ -312,14 +315,6 @@
 	return text;
 }
 
-static void read_old_job(void)
-{
-	take_over();
-	fleet_add_worker(f, "w1", "r1", 100);
-	fleet_add_job(f, "j1", "normal", fleet_new_spec(100, 1, false), 0);
-	record_store_read(&store, f);
-}
-
 /*
  * Older versions wrote a job into one row.  A take-over may come after any of
  * the transactions that replace it.
@@ -333,7 +328,7 @@
 
 	record_store_put(&store, "j1", text);
 	free(text);
-	read_old_job();
+	read_job();
 	ck_assert_int_eq(done_of("j1"), 50);
 	ck_assert_int_eq(runs_on("w1"), 40);
 	flow_report_end(f, &r, "w1", FLOW_RUN_DONE, "", 2);
@@ -344,7 +339,7 @@
 	flow_stats(f, &st);
 	ck_assert_int_eq(st.runs, _i < 4 ? 39 : 49);
 
-	read_old_job();
+	read_job();
 	ck_assert_int_ge(runs_on("w1"), 39);
 	while (record_store_write(&store, f, 1))
 		;
@@ -352,7 +347,7 @@
 	while (record_store_write(&store, f, 1))
 		;
 	ck_assert_uint_eq(store.n, 4);
-	read_old_job();
+	read_job();
 	ck_assert_int_eq(done_of("j1"), 51);
 	ck_assert_int_eq(runs_on("w1"), 39);
 	fleet_decide(f, &o, 4);
