tgflowd: blame a record only if the store accepts a write without it

What callers saw: while the store refused every write of the owner for a while (400, 403, 404), the owner narrowed the write down to one record and failed its job, one job after another.

Cause: a refusal of a single record was put down to that record.

Change: a write without records goes in between; if that is refused as well, it is repeated until the store accepts it, and the record is tried again.

--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -21,7 +21,7 @@
 #define STUCK_MS 1000
 /* Changes are collected this long, so that one write covers many ends. */
 #define BATCH_DELAY_MS 4
-/* Rows of a write besides the check and the owner's row. */
+/* A transaction holds 100 entries, of which a few are for the owner's row. */
 #define RECORDS_MAX 90
 
 static struct {
@@ -41,7 +41,9 @@
 	struct tg_row deletes[RECORDS_MAX];
 	size_t n_deletes, n_obsolete_sent;
 	size_t n_records; /* records of the write; see flow_take_dirty() */
-	size_t records_max; /* at present */
+	size_t records_max; /* at present; see narrow_refused_write() */
+	/* Since a single record was refused, a write without any succeeded. */
+	bool accepted_without_records;
 	const char *last_record; /* key of the last one */
 	size_t bytes; /* of all values */
 	bool complete; /* the write covers all changes */
@@ -248,8 +250,9 @@
 	b->owner_version = version;
 	w.failures = 0;
 	w.busy = false;
+	w.accepted_without_records = !w.records_max;
 	if (w.records_max < RECORDS_MAX)
-		w.records_max *= 2;
+		w.records_max = w.records_max ? 2 * w.records_max : 1;
 	owner_written(b, w.started_ms);
 	finish_rows(b);
 	round_start_recorded(b);
@@ -268,11 +271,12 @@
 /*
  * The store refuses this write and would always do so.  Nothing has changed, so
  * what it holds is collected anew, in smaller writes, until one with a single
- * record shows which one is refused.
+ * record shows which one is refused.  That record is to blame only if the store
+ * accepts a write without records in between: it may refuse all for a while.
  *
- * Return: false if it isn't refused for its records.
+ * Return: false if the write has no records.
  */
-static bool drop_refused(struct board *b)
+static bool narrow_refused_write(struct board *b)
 {
 	char key[FLOW_PROGRESS_KEY_LEN + 1];
 	size_t n = w.n_records, bytes = w.n > 1 ? w.rows[1].value_bytes : 0;
@@ -287,10 +291,13 @@
 		forget_deletes();
 	} else if (n > 1) {
 		w.records_max = n / 2;
+	} else if (!w.accepted_without_records) {
+		w.records_max = 0;
 	} else {
 		tg_strlcpy(key, w.last_record, sizeof(key));
 		refuse_record(b, key, bytes);
 		w.records_max = RECORDS_MAX;
+		w.accepted_without_records = false;
 	}
 	schedule(0);
 	return true;
@@ -322,7 +329,7 @@
 		owner_lost(b, "another daemon holds the owner row");
 		return;
 	}
-	if (r->end == TG_STORE_INVALID && drop_refused(b))
+	if (r->end == TG_STORE_INVALID && narrow_refused_write(b))
 		return;
 	if (!w.failures++)
 		tg_log(EV_FLOW_WRITE_FAILED, "end=%d rows=%zu age_ms=%lld",
@@ -389,6 +396,7 @@
 	w.failures = 0;
 	w.n_obsolete = w.n_deletes = w.n_obsolete_sent = 0;
 	w.records_max = RECORDS_MAX;
+	w.accepted_without_records = false;
 	w.seq = 0;
 	free_rows();
 	while ((x = b->waiters)) {
--- a/tests/script/site-refused-job.sh
+++ b/tests/script/site-refused-job.sh
@@ -31,3 +31,12 @@
 submit 1 00000000000000a4 "ms=300 acc=1" "$(steps 2)" && echo
 await_state 1 00000000000000a4 completed
 seen '{over_room, twice, after_done}'
+
+echo "# no job fails because the store refuses every write for a while"
+submit 1 00000000000000a5 "ms=1500 acc=1" "$(steps 40)" && echo
+await "runs" runs_now 32
+control "store?reject=*"
+sleep 3
+control "store?reject="
+await_state 1 00000000000000a5 completed
+seen '{over_room, twice, after_done}'
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -72,7 +72,8 @@
 
 /*
  * POST /standin/store?door=N&mode=M, all doors without N; "forget";
- * store?reject=TABLE/KEY: transactions that write this row are refused
+ * store?reject=TABLE/KEY: transactions that write this row are refused; * for
+ * all transactions
  */
 static void set_store(struct evhttp_request *req, void *arg)
 {
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -266,7 +266,7 @@
 
 	snprintf(name, sizeof(name), "%s/%s", text_of(o, "table"),
 		 text_of(o, "key"));
-	return !strcmp(name, board.rejected);
+	return !strcmp(name, board.rejected) || !strcmp(board.rejected, "*");
 }
 
 /* Why the transaction is refused, or NULL. */
