tgflowd: log which observation a verdict on a worker was based on

An owner that takes the runs of a worker for ended starts their tasks again.

EV5542 and tg_flow_runs_outlived_total report a worker that still lists runs which were taken for ended: between a verdict and the next list it gets no starts, so each such run shows a wrong verdict.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -76,6 +76,9 @@
 	int32_t refusals; /* consecutive refused connections */
 	int64_t first_failure_ms, removed_ms; /* removed from the directory */
 	int64_t lost_ms; /* its runs were last declared to have ended */
+	/* The process of that verdict until it answers, or 0; what proved it */
+	int64_t lost_boot_ms;
+	const char *lost_source;
 	int64_t last_heartbeat_ms; /* its entry last changed */
 	int64_t earliest_exit_ms; /* of a draining worker, or 0 */
 	int64_t unknown_since_ms; /* it lists runs of unknown jobs; or 0 */
@@ -215,8 +218,21 @@
 void link_set_failed(struct link *l, bool failed);
 /** link_free() - remove the link from the board and free it */
 void link_free(struct link *l);
+/**
+ * struct link_proof - what proves that all runs of a worker's process have
+ *ended
+ * @source: kind of observation, for log lines
+ * @why: what it proves, for log lines
+ * @boot_ms: process that was seen instead; 0 if none, -1 if it is another
+ *	worker's
+ * @asked_ms: when the call began whose answer proves it; 0 if it is not one
+ */
+struct link_proof {
+	const char *source, *why;
+	int64_t boot_ms, asked_ms;
+};
 /** link_set_boot() - record the boot; a changed boot has lost its runs */
-void link_set_boot(struct link *l, int64_t boot_ms);
+void link_set_boot(struct link *l, const struct link_proof *p);
 /** link_poll_if_due() - start the next long poll of the worker if it is due */
 void link_poll_if_due(struct link *l);
 /** link_poll() - poll the worker at once, in parallel to the long poll */
--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -82,6 +82,10 @@
 static void on_worker_row(const struct tg_row *row, void *arg)
 {
 	struct board *b = arg;
+	struct link_proof proof = {
+		.source = "entry",
+		.why = "worker has restarted",
+	};
 	struct tg_worker_entry e;
 	struct link *l;
 
@@ -111,7 +115,8 @@
 		l->last_heartbeat_ms + e.remaining_ms :
 		0;
 	l->seen_in_scan = true;
-	link_set_boot(l, e.boot_ms);
+	proof.boot_ms = e.boot_ms;
+	link_set_boot(l, &proof);
 	update_flow_worker(l);
 	link_poll_if_due(l);
 }
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -29,6 +29,8 @@
  */
 #define OPENING_MAX 200
 
+static struct tg_counter *outlived;
+
 struct poll_call {
 	struct board *board;
 	uint64_t term;
@@ -149,24 +151,63 @@
 	       started_ms ? (long long)(until_ms - started_ms) : -1LL);
 }
 
-static void log_lost_worker(struct link *l, int event, const char *why)
+/* How long ago it was; -1 if never. */
+static long long age_ms(int64_t at_ms)
 {
-	tg_log(event, "worker=%s why=%s silent_ms=%lld", l->entry.id, why,
-	       l->clock_at_ms ? (long long)(tg_now_ms() - l->clock_at_ms) :
-				-1LL);
+	return at_ms ? (long long)(tg_now_ms() - at_ms) : -1LL;
+}
+
+static void log_lost_worker(struct link *l, int event,
+			    const struct link_proof *p)
+{
+	tg_log(event,
+	       "worker=%s why=%s source=%s boot=%lld other_boot=%lld "
+	       "entry_boot=%lld silent_ms=%lld asked_age_ms=%lld "
+	       "entry_age_ms=%lld removed_age_ms=%lld failed_age_ms=%lld "
+	       "failures=%d refusals=%d draining=%d leases_left_ms=%lld",
+	       l->entry.id, p->why, p->source, (long long)l->boot_ms,
+	       (long long)p->boot_ms, (long long)l->entry.boot_ms,
+	       age_ms(l->clock_at_ms), age_ms(p->asked_ms),
+	       age_ms(l->last_heartbeat_ms),
+	       l->in_directory ? -1LL : age_ms(l->removed_ms),
+	       l->failed ? age_ms(l->first_failure_ms) : -1LL, l->failures,
+	       l->refusals, l->entry.draining,
+	       (long long)(l->leases_end_ms - tg_now_ms()));
 	flow_each_run_of(l->board->flow, l->entry.id, log_lost_run, l);
+	/* Of two verdicts without an answer in between the first one counts. */
+	if (l->runs_known || !l->lost_boot_ms) {
+		l->lost_boot_ms = l->boot_ms;
+		l->lost_source = p->source;
+	}
 	l->runs_known = l->may_have_runs = false;
 	l->lost_ms = tg_now_ms();
 	round_wake(l->board);
 }
 
 /* Records that all runs on the worker have ended. */
-static void declare_runs_lost(struct link *l, const char *why)
+static void declare_runs_lost(struct link *l, const struct link_proof *p)
 {
-	log_lost_worker(l, EV_FLOW_WORKER_LOST, why);
+	log_lost_worker(l, EV_FLOW_WORKER_LOST, p);
 	flow_worker_lost(l->board->flow, l->entry.id, tg_now_ms());
 }
 
+/*
+ * Between a verdict and the worker's next list it gets no starts, so a run in
+ * that list is one that was taken for ended.
+ */
+static void check_verdict(struct link *l, const struct tg_worker_poll_result *r)
+{
+	if (r->n_runs && r->boot_ms == l->lost_boot_ms) {
+		tg_log(EV_FLOW_RUNS_OUTLIVED,
+		       "worker=%s boot=%lld source=%s verdict_age_ms=%lld "
+		       "runs=%zu",
+		       l->entry.id, (long long)l->lost_boot_ms, l->lost_source,
+		       age_ms(l->lost_ms), r->n_runs);
+		outlived->value++;
+	}
+	l->lost_boot_ms = 0;
+}
+
 static void on_blame(const struct flow_blame *b, void *arg)
 {
 	const struct link *l = arg;
@@ -180,7 +221,7 @@
 }
 
 /* Another process answers at the worker's address, or has written its entry. */
-static void declare_restarted(struct link *l)
+static void declare_restarted(struct link *l, const struct link_proof *p)
 {
 	int64_t now_ms = tg_now_ms();
 	struct flow_crash c = {
@@ -190,23 +231,23 @@
 		.arg = l,
 	};
 
-	log_lost_worker(l, EV_FLOW_WORKER_BOOT, "worker has restarted");
+	log_lost_worker(l, EV_FLOW_WORKER_BOOT, p);
 	flow_worker_crashed(l->board->flow, &c, now_ms);
 	writer_wake(l->board);
 }
 
-void link_set_boot(struct link *l, int64_t boot_ms)
+void link_set_boot(struct link *l, const struct link_proof *p)
 {
-	if (!boot_ms || boot_ms == l->boot_ms)
+	if (!p->boot_ms || p->boot_ms == l->boot_ms)
 		return;
 	if (l->boot_ms) {
-		declare_restarted(l);
+		declare_restarted(l, p);
 		l->clock_ms = l->clock_at_ms = 0;
 		l->lease_until_ms = l->leases_end_ms = 0;
 		l->processed_n = l->writing_n = l->durable_n = 0;
 		link_expect_no_ack(l);
 	}
-	l->boot_ms = boot_ms;
+	l->boot_ms = p->boot_ms;
 }
 
 static void poll_succeeded(struct link *l,
@@ -215,9 +256,15 @@
 {
 	struct board *b = l->board;
 	int64_t known_boot_ms = l->boot_ms;
+	struct link_proof proof = {
+		.source = "poll",
+		.why = "worker has restarted",
+		.boot_ms = r->boot_ms,
+		.asked_ms = asked_ms,
+	};
 	bool restarted;
 
-	link_set_boot(l, r->boot_ms);
+	link_set_boot(l, &proof);
 	restarted = known_boot_ms && l->boot_ms != known_boot_ms;
 	/* Answers on different connections may arrive out of order. */
 	if (r->clock_ms < l->clock_ms)
@@ -233,6 +280,8 @@
 	link_set_failed(l, false);
 	l->failures = l->refusals = 0;
 	flow_worker_set_suspect(b->flow, l->entry.id, !l->in_directory);
+	if (!l->runs_known)
+		check_verdict(l, r);
 	if (!link_apply_lists(l, r, asked_ms))
 		return;
 	if (l->runs_known && !may_renew(l))
@@ -271,6 +320,10 @@
 
 static void poll_failed(struct link *l, enum tg_order_end end)
 {
+	struct link_proof proof = {
+		.source = l->in_directory ? "refused" : "removed",
+		.why = "worker has exited",
+	};
 	int64_t pause_ms = LINK_RETRY_MS * ++l->failures;
 
 	if (!l->failed) {
@@ -288,7 +341,7 @@
 		(pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS);
 	l->refusals = end == TG_ORDER_CONN_REFUSED ? l->refusals + 1 : 0;
 	if (has_exited(l))
-		declare_runs_lost(l, "worker has exited");
+		declare_runs_lost(l, &proof);
 }
 
 void link_poll_if_due(struct link *l)
@@ -343,8 +396,16 @@
 		poll_succeeded(l, r, k->asked_ms);
 	else if (!k->is_extra)
 		poll_failed(l, r->end);
-	if (r->end == TG_ORDER_OTHER_BOOT && l->boot_ms)
-		link_set_boot(l, -1);
+	if (r->end == TG_ORDER_OTHER_BOOT && l->boot_ms) {
+		struct link_proof proof = {
+			.source = "421",
+			.why = "another worker has its address",
+			.boot_ms = -1,
+			.asked_ms = k->asked_ms,
+		};
+
+		link_set_boot(l, &proof);
+	}
 	if (l->poll_again && !l->polling) {
 		l->poll_again = false;
 		link_poll(l);
@@ -407,8 +468,13 @@
  */
 static void check_expiry(struct link *l, int64_t now_ms)
 {
+	static const struct link_proof proof = {
+		.source = "lease",
+		.why = "leases expired",
+	};
+
 	if (l->may_have_runs && now_ms >= l->leases_end_ms)
-		declare_runs_lost(l, "leases expired");
+		declare_runs_lost(l, &proof);
 }
 
 static void remove_if_gone(struct link *l, int64_t now_ms)
@@ -437,8 +503,19 @@
 	remove_if_gone(l, now_ms);
 }
 
+static int start(void *board)
+{
+	(void)board;
+	outlived = tg_counter(
+		"tg_flow_runs_outlived_total",
+		"verdicts on workers that a later list of the worker disproved",
+		NULL);
+	return 0;
+}
+
 const struct tg_controller links_controller = {
 	.name = "links",
 	.period_ms = 50,
+	.start = start,
 	.tick = tick,
 };
