sited: heartbeats, entries that expire, cuts that refuse, older entries

The stand-in's workers wrote their entries once. The platform's workers write them every heartbeat interval; an entry expires after three of them, and may be that of an earlier process for a while. What the owner concludes from entries could not be tested without that. A worker that is cut off (silent, refuse) has no heartbeats; deaf is cut off from callers only.

--- a/tests/standin/common/hold.c
+++ b/tests/standin/common/hold.c
@@ -1,14 +1,19 @@
 #include <stdlib.h>
+#include <utlist.h>
 
 #include "hold.h"
 
 struct unanswered {
 	struct evhttp_request *req;
 	bool client_closed;
+	bool ended; /* before its time */
 	void (*done)(void *arg);
 	void *arg;
+	struct unanswered *prev, *next;
 };
 
+static struct unanswered *all_unanswered;
+
 struct delayed_call {
 	void (*fn)(void *arg);
 	void *arg;
@@ -43,10 +48,8 @@
 	h->client_closed = true;
 }
 
-static void end_unanswered(void *arg)
+static void close_now(struct unanswered *h)
 {
-	struct unanswered *h = arg;
-
 	tg_http_set_abort_callback(h->req, NULL, NULL);
 	/* Once the connection is gone, sending a reply only frees the request.
 	 */
@@ -54,6 +57,15 @@
 		evhttp_send_reply(h->req, 503, NULL, NULL);
 	else
 		evhttp_connection_free(evhttp_request_get_connection(h->req));
+}
+
+static void end_unanswered(void *arg)
+{
+	struct unanswered *h = arg;
+
+	DL_DELETE(all_unanswered, h);
+	if (!h->ended)
+		close_now(h);
 	if (h->done)
 		h->done(h->arg);
 	free(h);
@@ -70,5 +82,18 @@
 	tg_http_set_abort_callback(req, on_client_close, h);
 	if (!evhttp_request_get_connection(req))
 		h->client_closed = true;
+	DL_APPEND(all_unanswered, h);
 	delay_call(base, ms, end_unanswered, h);
 }
+
+void close_all_unanswered(const void *arg)
+{
+	struct unanswered *h;
+
+	DL_FOREACH(all_unanswered, h) {
+		if (h->ended || h->arg != arg)
+			continue;
+		close_now(h);
+		h->ended = true;
+	}
+}
--- a/tests/standin/common/hold.h
+++ b/tests/standin/common/hold.h
@@ -25,6 +25,12 @@
 void close_without_reply(struct event_base *base, struct evhttp_request *req,
 			 int64_t ms, void (*done)(void *arg), void *arg);
 
+/**
+ * close_all_unanswered() - close the connections of such requests now
+ * @arg: of close_without_reply(); other requests are left
+ */
+void close_all_unanswered(const void *arg);
+
 /**
  * delay_call() - call @fn(@arg) from the event loop after @ms
  * @base: event loop
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -26,6 +26,8 @@
 	TG_SETTING(opts, "row-bytes", TG_SET_INT, "65536", 1, 1 << 30, false,
 		   "largest value of a row that a transaction writes",
 		   row_bytes),
+	TG_SETTING(opts, "heartbeat-ms", TG_SET_INT, "500", 10, 100000, false,
+		   "time between two heartbeats of a worker", heartbeat_ms),
 	TG_SETTING(opts, "log-level", TG_SET_STRING, "warn", 0, 0, false,
 		   "debug, info, warn or error", log_level),
 	{ .flag = NULL },
@@ -99,7 +101,10 @@
 	reply_ok(req);
 }
 
-/* POST /standin/worker?id=W&mode=M; also drain, leave, crash, restart, size=N
+/*
+ * POST /standin/worker?id=W&mode=M; also drain, leave, crash, restart, move,
+ * size=N; expire: its entry is gone until listed; old=N: its entry is that of
+ * its process N lives before until its next heartbeat
  */
 static void set_worker(struct evhttp_request *req, void *arg)
 {
@@ -123,16 +128,22 @@
 			worker_close(w);
 		} else if (!strcmp(mode, "expire")) {
 			/* Its heartbeats don't reach the store; it runs on. */
+			w->unlisted = true;
 			worker_remove_entry(w);
 		} else if (!strcmp(mode, "listed")) {
+			w->unlisted = false;
 			if (!w->gone)
 				worker_write_entry(w);
 		} else if (!strncmp(mode, "size=", 5)) {
 			worker_resize(w, atoi(mode + 5));
+		} else if (!strncmp(mode, "old=", 4)) {
+			worker_write_old_entry(w, atoi(mode + 4));
 		} else if (!strcmp(mode, "restart")) {
 			worker_restart(w);
+		} else if (!strcmp(mode, "move")) {
+			worker_move(w);
 		} else {
-			tg_strlcpy(w->mode, mode, sizeof(w->mode));
+			worker_set_mode(w, mode);
 		}
 	}
 	free(id);
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -16,6 +16,7 @@
 
 #define STORES_MAX 8
 #define WORKERS_MAX 64
+#define LIVES_MAX 8
 #define KEY_BYTES 256
 
 struct opts {
@@ -24,6 +25,7 @@
 	int64_t stores, workers, accelerators;
 	int64_t hold_max_ms, stop_ms;
 	int64_t row_bytes;
+	int64_t heartbeat_ms;
 };
 
 /** struct store_door - one address of the store */
@@ -66,13 +68,28 @@
 
 struct look; /* a hold that waits */
 
+/** struct life - a process of a worker, as its entry names it */
+struct life {
+	char addr[TG_ADDR_MAX + 1];
+	int64_t born_wall_ms;
+};
+
 struct worker {
 	char id[32];
 	struct tg_http_server *server;
 	char addr[TG_ADDR_MAX + 1];
-	/* ok, silent, unanswered: late, mute: at once, fail, unhealthy */
+	/*
+	 * ok, silent: cut off from everybody, refuse: cut off, connections are
+	 * refused, deaf: cut off from callers only, unanswered: late, mute: at
+	 * once, fail, unhealthy
+	 */
 	char mode[16];
 	int64_t boot_ms, born_wall_ms;
+	int64_t seq, next_beat_ms, beat_ms; /* its heartbeats; beat_ms: last */
+	struct life lives[LIVES_MAX]; /* the last ones, the current one first */
+	/* Its entry has expired and stays away although it runs on. */
+	bool unlisted;
+	bool listed; /* the directory has its entry */
 	bool gone, draining;
 	int64_t fence, until_ms;
 	int accelerators; /* as its entry says */
@@ -113,12 +130,18 @@
 void worker_open(struct worker *w, int n);
 void worker_close(struct worker *w);
 void worker_restart(struct worker *w);
+/** worker_move() - restart at another address */
+void worker_move(struct worker *w);
 void worker_write_entry(struct worker *w);
+/** worker_write_old_entry() - write the entry of a process @lives before */
+void worker_write_old_entry(struct worker *w, int lives);
 /** worker_resize() - change the capacity of a worker while it runs */
 void worker_resize(struct worker *w, int accelerators);
 /** worker_room() - accelerators that a start may use now */
 int worker_room(const struct worker *w);
 void worker_remove_entry(struct worker *w);
+/** worker_set_mode() - behave as the mode says from now on */
+void worker_set_mode(struct worker *w, const char *mode);
 void workers_tick(void);
 int64_t worker_clock(const struct worker *w);
 
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -15,6 +15,8 @@
 #define DOWN_MS 3000
 /* A list names the oldest ends that are not acknowledged, this many at most. */
 #define ENDS_LISTED_MAX 500
+/* An entry expires after this many heartbeat intervals without a heartbeat. */
+#define HEARTBEATS_MISSED_MAX 3
 /* A start may still use what a worker had this long before. */
 #define SHRUNK_GRACE_MS 1000
 
@@ -172,13 +174,37 @@
 		answer_looks(w);
 }
 
+/* Whether the worker is cut off from everybody, the store too. */
+static bool is_cut_off(const struct worker *w)
+{
+	return !strcmp(w->mode, "silent") || !strcmp(w->mode, "refuse");
+}
+
+/* A heartbeat, if it is due, or the end of an entry that had none. */
+static void beat(struct worker *w)
+{
+	int64_t now_ms = tg_now_ms();
+
+	if (w->listed &&
+	    now_ms - w->beat_ms >=
+		    HEARTBEATS_MISSED_MAX * board.opts.heartbeat_ms)
+		worker_remove_entry(w);
+	if (w->gone || now_ms < w->next_beat_ms)
+		return;
+	w->next_beat_ms = now_ms + board.opts.heartbeat_ms;
+	if (!w->unlisted && !is_cut_off(w))
+		worker_write_entry(w);
+}
+
 void workers_tick(void)
 {
 	int i;
 
-	for (i = 0; i < board.opts.workers; i++)
+	for (i = 0; i < board.opts.workers; i++) {
+		beat(&board.workers[i]);
 		if (!board.workers[i].gone)
 			tick(&board.workers[i]);
+	}
 }
 
 /* --- calls --- */
@@ -215,7 +241,7 @@
 
 	board.holds++;
 	if (!strcmp(w->mode, "mute")) {
-		close_without_reply(board.base, req, NO_REPLY_MS, NULL, NULL);
+		close_without_reply(board.base, req, NO_REPLY_MS, NULL, w);
 		return;
 	}
 	if (fenced(w, req, body))
@@ -349,18 +375,18 @@
 		l->boot_ms = w->boot_ms;
 		l->body = json_incref(body);
 		delay_call(board.base, LATE_MS, start_late, l);
-		close_without_reply(board.base, req, NO_REPLY_MS, NULL, NULL);
+		close_without_reply(board.base, req, NO_REPLY_MS, NULL, w);
 		return;
 	}
 	reason = start(w, body);
 	board.fenced += reason && !strcmp(reason, "fence");
 	if (!reason && is_deadly(body)) {
-		close_without_reply(board.base, req, NO_REPLY_MS, NULL, NULL);
+		close_without_reply(board.base, req, NO_REPLY_MS, NULL, w);
 		delay_call(board.base, 0, crash, w);
 		return;
 	}
 	if (!strcmp(w->mode, "mute") && !reason)
-		close_without_reply(board.base, req, NO_REPLY_MS, NULL, NULL);
+		close_without_reply(board.base, req, NO_REPLY_MS, NULL, w);
 	else
 		reply_clock(w, req, reason ? 409 : 200, reason);
 }
@@ -398,8 +424,8 @@
 	char *path = tg_http_decode_path(req);
 	json_t *body;
 
-	if (!strcmp(w->mode, "silent")) {
-		close_without_reply(board.base, req, NO_REPLY_MS, NULL, NULL);
+	if (!strcmp(w->mode, "silent") || !strcmp(w->mode, "deaf")) {
+		close_without_reply(board.base, req, NO_REPLY_MS, NULL, w);
 		goto out;
 	}
 	if (other_worker(w, req))
@@ -420,24 +446,37 @@
 
 /* --- life --- */
 
-void worker_write_entry(struct worker *w)
+static void write_entry(struct worker *w, const struct life *life)
 {
 	json_t *o = json_pack(
 		"{s:s,s:s,s:s,s:s,s:I,s:s,s:I,s:{s:I,s:I,s:I},s:[s,s],s:I,s:I}",
-		"service", "svc", "address", w->addr, "zone", "a", "version",
+		"service", "svc", "address", life->addr, "zone", "a", "version",
 		"v1", "slots", (json_int_t)8, "state",
 		w->draining ? "draining" : "ready", "warmup-left-ms",
 		(json_int_t)0, "capacity", "cpu", (json_int_t)128000, "mem-mb",
 		(json_int_t)262144, "gpu", (json_int_t)w->accelerators,
-		"labels", "kind", "r1", "born", (json_int_t)w->born_wall_ms,
-		"seq", (json_int_t)1);
+		"labels", "kind", "r1", "born", (json_int_t)life->born_wall_ms,
+		"seq", (json_int_t)++w->seq);
 	char *text = json_dumps(o, JSON_COMPACT);
 
+	w->listed = true;
+	w->beat_ms = tg_now_ms();
 	store_put("servers", w->id, text);
 	free(text);
 	json_decref(o);
 }
 
+void worker_write_entry(struct worker *w)
+{
+	write_entry(w, &w->lives[0]);
+}
+
+void worker_write_old_entry(struct worker *w, int lives)
+{
+	if (lives > 0 && lives < LIVES_MAX && w->lives[lives].born_wall_ms)
+		write_entry(w, &w->lives[lives]);
+}
+
 void worker_resize(struct worker *w, int accelerators)
 {
 	w->accelerators_before = w->accelerators;
@@ -456,6 +495,7 @@
 
 void worker_remove_entry(struct worker *w)
 {
+	w->listed = false;
 	store_delete("servers", w->id);
 }
 
@@ -469,10 +509,15 @@
 	if (w->born_wall_ms <= last_wall_ms)
 		w->born_wall_ms = last_wall_ms + 1;
 	last_wall_ms = w->born_wall_ms;
-	w->fence = w->until_ms = w->n_ends = 0;
+	w->fence = w->until_ms = w->n_ends = w->seq = 0;
+	memmove(&w->lives[1], &w->lives[0],
+		sizeof(w->lives) - sizeof(*w->lives));
+	tg_strlcpy(w->lives[0].addr, w->addr, sizeof(w->lives[0].addr));
+	w->lives[0].born_wall_ms = w->born_wall_ms;
 }
 
-void worker_open(struct worker *w, int n)
+/* Serves at @addr; port 0 for any. */
+static void listen_at(struct worker *w, const char *addr)
 {
 	static const struct tg_http_route routes[] = {
 		{ "/", true, EVHTTP_REQ_POST | EVHTTP_REQ_GET, on_call },
@@ -480,16 +525,64 @@
 	};
 	struct tg_http_server_opts o = {
 		.base = board.base,
-		.addr = "127.0.0.1:0",
+		.addr = addr,
 		.routes = routes,
 		.arg = w,
 	};
 
+	w->server = tg_http_server_new(&o);
+}
+
+/* Looks that wait end with their connections. */
+static void drop_looks(struct worker *w)
+{
+	struct evhttp_connection *con;
+
+	while (w->looks) {
+		struct look *k = w->looks;
+
+		w->looks = k->next;
+		k->answered = true;
+		con = evhttp_request_get_connection(k->req);
+		/* Once the caller has closed it, a reply frees the request. */
+		if (con)
+			evhttp_connection_free(con);
+		else
+			evhttp_send_reply(k->req, 503, NULL, NULL);
+	}
+}
+
+static void stop_listening(struct worker *w)
+{
+	close_all_unanswered(w);
+	tg_http_server_free(w->server);
+	w->server = NULL;
+}
+
+void worker_set_mode(struct worker *w, const char *mode)
+{
+	bool refuses = !strcmp(mode, "refuse");
+
+	tg_strlcpy(w->mode, mode, sizeof(w->mode));
+	if (refuses && w->server) {
+		/* The path is closed, and its connections are reset. */
+		drop_looks(w);
+		stop_listening(w);
+	} else if (!refuses && !w->server && !w->gone) {
+		listen_at(w, w->addr);
+	}
+}
+
+void worker_open(struct worker *w, int n)
+{
 	snprintf(w->id, sizeof(w->id), "w%d", n);
 	tg_strlcpy(w->mode, "ok", sizeof(w->mode));
 	w->accelerators = (int)board.opts.accelerators;
-	w->server = tg_http_server_new(&o);
+	listen_at(w, "127.0.0.1:0");
 	tg_strlcpy(w->addr, tg_http_server_addr(w->server), sizeof(w->addr));
+	/* The heartbeats of the workers are spread over the interval. */
+	w->next_beat_ms = tg_now_ms() +
+		board.opts.heartbeat_ms * n / (board.opts.workers + 1);
 	begin_life(w);
 	worker_write_entry(w);
 }
@@ -514,14 +607,13 @@
 void worker_close(struct worker *w)
 {
 	drop_all(w);
-	tg_http_server_free(w->server);
-	w->server = NULL;
+	stop_listening(w);
 	w->gone = true;
 }
 
-void worker_restart(struct worker *w)
+static void restart(struct worker *w)
 {
-	drop_all(w);
+	w->draining = false;
 	while (w->refused) {
 		struct refused *x = w->refused;
 
@@ -531,3 +623,18 @@
 	begin_life(w);
 	worker_write_entry(w);
 }
+
+void worker_restart(struct worker *w)
+{
+	drop_all(w);
+	restart(w);
+}
+
+void worker_move(struct worker *w)
+{
+	drop_all(w);
+	stop_listening(w);
+	listen_at(w, "127.0.0.1:0");
+	tg_strlcpy(w->addr, tg_http_server_addr(w->server), sizeof(w->addr));
+	restart(w);
+}
