--- a/tests/site-lib.sh
+++ b/tests/site-lib.sh
@@ -9,6 +9,7 @@
 status_s=120
 share=0.5
 row_bytes=${row_bytes:-65536}
+heartbeat_ms=${heartbeat_ms:-500}
 config='{"version":7,"routes":[
  {"name":"normal","host":"h","path-prefix":"/n/","priority":1,"service":"svc",
   "max-attempts":3,"stretch":3.0,"target-runtime-ms":1000},
@@ -38,7 +39,7 @@
 
 # start_site FLAG...: the platform
 start_site() {
-	start site sited "$@"
+	start site sited --heartbeat-ms="$heartbeat_ms" "$@"
 	control config "$config"
 }
 
@@ -56,7 +57,7 @@
 		platform.address=$door
 		platform.row-bytes=$row_bytes
 		internal-ports=7000,7015
-		heartbeat-ms=500
+		heartbeat-ms=$heartbeat_ms
 		limits.cpu-share=$share
 		limits.cores=1
 		bounds.grace-s=3
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -102,9 +102,10 @@
 }
 
 /*
- * POST /standin/worker?id=W&mode=M; also drain, leave, crash, restart, move,
- * size=N; expire: its entry is gone until listed; old=N: its entry is that of
- * its process N lives before until its next heartbeat
+ * POST /standin/worker?id=W&mode=M; also drain, drain=N: it exits no sooner
+ * than in N ms, leave, crash, restart, move, size=N; expire: its entry is gone
+ * until listed; lost: its heartbeats are; old=N: its entry is that of its
+ * process N lives before until its next heartbeat
  */
 static void set_worker(struct evhttp_request *req, void *arg)
 {
@@ -118,8 +119,10 @@
 
 		if (strcmp(w->id, id) != 0 && strcmp(id, "all") != 0)
 			continue;
-		if (!strcmp(mode, "drain")) {
+		if (!strncmp(mode, "drain", 5)) {
 			w->draining = true;
+			w->drained_ms =
+				mode[5] ? tg_now_ms() + atoi(mode + 6) : 0;
 			worker_write_entry(w);
 		} else if (!strcmp(mode, "leave")) {
 			worker_close(w);
@@ -127,9 +130,10 @@
 		} else if (!strcmp(mode, "crash")) {
 			worker_close(w);
 		} else if (!strcmp(mode, "expire")) {
-			/* Its heartbeats don't reach the store; it runs on. */
 			w->unlisted = true;
 			worker_remove_entry(w);
+		} else if (!strcmp(mode, "lost")) {
+			w->unlisted = true;
 		} else if (!strcmp(mode, "listed")) {
 			w->unlisted = false;
 			if (!w->gone)
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -87,10 +87,12 @@
 	int64_t boot_ms, born_wall_ms;
 	int64_t seq, next_beat_ms, beat_ms; /* its heartbeats; beat_ms: last */
 	struct life lives[LIVES_MAX]; /* the last ones, the current one first */
-	/* Its entry has expired and stays away although it runs on. */
+	/* Its heartbeats don't reach the store; it runs on. */
 	bool unlisted;
 	bool listed; /* the directory has its entry */
 	bool gone, draining;
+	int64_t drained_ms; /* a draining worker exits no sooner; 0 if unknown
+			     */
 	int64_t fence, until_ms;
 	int accelerators; /* as its entry says */
 	/* What it had before it shrank; counts until shrunk_ms. */
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -457,8 +457,13 @@
 		(json_int_t)262144, "gpu", (json_int_t)w->accelerators,
 		"labels", "kind", "r1", "born", (json_int_t)life->born_wall_ms,
 		"seq", (json_int_t)++w->seq);
-	char *text = json_dumps(o, JSON_COMPACT);
+	int64_t left_ms = w->drained_ms - tg_now_ms();
+	char *text;
 
+	if (w->draining && w->drained_ms)
+		json_object_set_new(o, "remaining-ms",
+				    json_integer(left_ms > 0 ? left_ms : 0));
+	text = json_dumps(o, JSON_COMPACT);
 	w->listed = true;
 	w->beat_ms = tg_now_ms();
 	store_put("servers", w->id, text);
@@ -552,6 +557,18 @@
 	}
 }
 
+/* Looks that wait get no answer. */
+static void hold_looks(struct worker *w)
+{
+	while (w->looks) {
+		struct look *k = w->looks;
+
+		w->looks = k->next;
+		k->answered = true;
+		close_without_reply(board.base, k->req, NO_REPLY_MS, NULL, w);
+	}
+}
+
 static void stop_listening(struct worker *w)
 {
 	close_all_unanswered(w);
@@ -564,6 +581,9 @@
 	bool refuses = !strcmp(mode, "refuse");
 
 	tg_strlcpy(w->mode, mode, sizeof(w->mode));
+	/* A caller behind a silent cut gets no answer any more. */
+	if (!strcmp(mode, "silent") || !strcmp(mode, "deaf"))
+		hold_looks(w);
 	if (refuses && w->server) {
 		/* The path is closed, and its connections are reset. */
 		drop_looks(w);
