tgflowd: take a worker for restarted only on the answer of a later process

Cause: any other boot than the known one counted as a restart, whatever told of it. Directory entries are read late, and may be those of an earlier process; answers overtake each other, and the boot was taken from an answer before its age was looked at; 421 counted at an address that the process may never have had. The higher boot isn't the later process either, since it is a time of day, which steps.

Now only answers count. A call that was sent after the last answer of the known process and is answered by another one shows that that one has run later; if the known one answered in between, the call is repeated. 421 counts at an address where the known process has answered. An entry that names another process or address is a reason to ask at both; until an answer comes, orders go to the known process, which gets no new starts, since its capacity isn't described. If nobody answers, leases decide.

The class of fault: an observation without a bound on its age is used as proof of the present state.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -45,6 +45,14 @@
 
 struct board;
 
+/** enum poll_kind - polls of which a worker gets one at a time */
+enum poll_kind {
+	POLL_LONG,
+	POLL_EXTRA, /* in parallel to the long poll */
+	POLL_PROBE, /* at the address in the directory, if that is another */
+	POLL_KINDS,
+};
+
 /**
  * struct link - connection to one worker and what is known about the worker
  *
@@ -63,10 +71,19 @@
 	bool runs_known; /* the worker's lists were applied in this term */
 	bool opening; /* a poll is in progress, and they were not */
 	bool may_have_runs;
-	bool long_polling, polling; /* a call of this kind is in progress */
+	bool in_progress[POLL_KINDS];
 	bool poll_again;
 	bool seen_in_scan; /* by the directory scan in progress */
+	/*
+	 * The process that the owner calls: its number on the board, its boot
+	 * (0 until it is known) and address, how often it has answered, when
+	 * last, and the latest start of a call that it answered.
+	 */
+	uint64_t process;
 	int64_t boot_ms;
+	char addr[TG_ADDR_MAX + 1];
+	int64_t n_answers, answered_ms, asked_ms;
+	int64_t next_probe_ms;
 	int64_t clock_ms, clock_at_ms; /* worker's clock; own time of receipt */
 	int64_t lease_until_ms; /* latest expiry sent, by the worker's clock */
 	int64_t leases_end_ms; /* all leases have expired, by the own clock */
@@ -80,6 +97,7 @@
 	int64_t lost_boot_ms;
 	const char *lost_source;
 	int64_t last_heartbeat_ms; /* its entry last changed */
+	int64_t entry_ms; /* since then it has named this process there */
 	int64_t earliest_exit_ms; /* of a draining worker, or 0 */
 	int64_t unknown_since_ms; /* it lists runs of unknown jobs; or 0 */
 	UT_hash_handle hh;
@@ -122,6 +140,7 @@
 	struct link *links;
 	struct link *failed, *unacked; /* lists of such links */
 	int n_opening; /* links that are being opened */
+	uint64_t n_processes; /* that links have turned to */
 	struct tg_document *document;
 	struct tg_table_watch *jobs, *progress, *directory;
 	bool directory_read;
@@ -209,30 +228,58 @@
 void links_open(struct board *b);
 void links_close(struct board *b);
 
-/* links.c */
-/* Pause after a failed poll, multiplied by the number of failures. */
-#define LINK_RETRY_MS 150
+/** link_is_described() - whether the directory has an entry of the process */
+bool link_is_described(const struct link *l);
+/**
+ * link_describe_worker() - give the flow engine what the entry says
+ *
+ * Without an entry of the known process the worker gets no starts, since its
+ * kind and its capacity are not known.
+ */
+void link_describe_worker(struct link *l);
+/**
+ * link_entry_is_doubtful() - whether the entry names another process or another
+ * address than the known one, which has not answered since the entry was read
+ */
+bool link_entry_is_doubtful(const struct link *l);
+/**
+ * link_adopt_address() - call the address in the entry from now on, unless the
+ * known process may have runs
+ */
+void link_adopt_address(struct link *l);
 
-struct link *link_find(struct board *b, const char *id);
-/** link_set_failed() - record whether the last poll got no answer */
-void link_set_failed(struct link *l, bool failed);
-/** link_free() - remove the link from the board and free it */
-void link_free(struct link *l);
+/* verdict.c */
 /**
  * struct link_proof - what proves that all runs of a worker's process have
- *ended
+ * ended
  * @source: kind of observation, for log lines
  * @why: what it proves, for log lines
- * @boot_ms: process that was seen instead; 0 if none, -1 if it is another
- *	worker's
+ * @boot_ms: process that was seen instead; 0 if none
  * @asked_ms: when the call began whose answer proves it; 0 if it is not one
  */
 struct link_proof {
 	const char *source, *why;
 	int64_t boot_ms, asked_ms;
 };
-/** link_set_boot() - record the boot; a changed boot has lost its runs */
-void link_set_boot(struct link *l, const struct link_proof *p);
+/** link_declare_runs_lost() - all runs of the worker have ended */
+void link_declare_runs_lost(struct link *l, const struct link_proof *p);
+/** link_declare_replaced() - the same, as another process took its place */
+void link_declare_replaced(struct link *l, const struct link_proof *p);
+/** link_check_verdict() - whether the first list after a verdict disproves it
+ */
+void link_check_verdict(struct link *l, const struct tg_worker_poll_result *r);
+
+/* links.c */
+/* Pause after a failed poll, multiplied by the number of failures. */
+#define LINK_RETRY_MS 150
+
+struct link *link_find(struct board *b, const char *id);
+/** link_set_failed() - record whether the last poll got no answer */
+void link_set_failed(struct link *l, bool failed);
+/** link_free() - remove the link from the board and free it */
+void link_free(struct link *l);
+/** link_check_entry() - ask if the entry names another process than the link */
+void link_check_entry(struct link *l);
 /** link_poll_if_due() - start the next long poll of the worker if it is due */
 void link_poll_if_due(struct link *l);
 /** link_poll() - poll the worker at once, in parallel to the long poll */
@@ -267,6 +314,7 @@
 extern const struct tg_controller writer_controller;
 extern const struct tg_controller orders_controller;
 extern const struct tg_controller links_controller;
+extern const struct tg_controller verdict_controller;
 extern const struct tg_controller round_controller;
 extern const struct tg_controller metrics_controller;
 extern const struct tg_controller purge_controller;
--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -5,6 +5,28 @@
 
 /* Follows the platform's directory of workers and keeps a link for each. */
 
+static bool names_process(const struct link *l)
+{
+	return !l->boot_ms || !l->entry.boot_ms ||
+		l->entry.boot_ms == l->boot_ms;
+}
+
+bool link_entry_is_doubtful(const struct link *l)
+{
+	return l->in_directory && l->boot_ms && l->asked_ms <= l->entry_ms &&
+		(!names_process(l) || strcmp(l->entry.addr, l->addr) != 0);
+}
+
+void link_adopt_address(struct link *l)
+{
+	if (!l->in_directory || (l->boot_ms && l->may_have_runs) ||
+	    !strcmp(l->addr, l->entry.addr))
+		return;
+	tg_strlcpy(l->addr, l->entry.addr, sizeof(l->addr));
+	/* No answer has come from there yet. */
+	l->n_answers = 0;
+}
+
 static void update_flow_worker(struct link *l)
 {
 	struct flow_worker_spec s = {
@@ -21,8 +43,22 @@
 	for (i = 0; i < l->entry.n_labels; i++)
 		s.labels[s.n_labels++] = l->entry.labels[i];
 	flow_worker_update(l->board->flow, &s);
+	/* The engine may not have had the worker when its runs became known. */
+	if (l->runs_known)
+		flow_worker_set_runs_known(l->board->flow, l->entry.id);
+}
+
+bool link_is_described(const struct link *l)
+{
+	return l->in_directory && names_process(l);
+}
+
+void link_describe_worker(struct link *l)
+{
+	if (link_is_described(l))
+		update_flow_worker(l);
 	flow_worker_set_suspect(l->board->flow, l->entry.id,
-				l->failed || !l->in_directory);
+				l->failed || !link_is_described(l));
 	round_wake(l->board);
 }
 
@@ -44,14 +80,15 @@
 	struct tg_silent_worker s;
 
 	l->board = b;
+	l->process = ++b->n_processes;
 	l->entry = *e;
+	tg_strlcpy(l->addr, e->addr, sizeof(l->addr));
 	/* What a former owner had runs on may have restarted since. */
 	if (b->role == ROLE_RECOVERING &&
 	    tg_owner_row_find_silent(&b->owner, e->id, &s)) {
-		l->boot_ms = s.boot_ms;
-		if (!*l->entry.addr)
-			tg_strlcpy(l->entry.addr, s.addr,
-				   sizeof(l->entry.addr));
+		/* Versions before wrote -1 if they had lost it. */
+		l->boot_ms = s.boot_ms > 0 ? s.boot_ms : 0;
+		tg_strlcpy(l->addr, s.addr, sizeof(l->addr));
 	}
 	/* A former owner may have started runs on this worker. */
 	l->may_have_runs = b->role == ROLE_RECOVERING;
@@ -82,11 +119,8 @@
 static void on_worker_row(const struct tg_row *row, void *arg)
 {
 	struct board *b = arg;
-	struct link_proof proof = {
-		.source = "entry",
-		.why = "worker has restarted",
-	};
 	struct tg_worker_entry e;
+	bool is_new = false;
 	struct link *l;
 
 	if (row->deleted) {
@@ -108,16 +142,22 @@
 		       e.id, e.az, e.rack, e.draining,
 		       (long long)e.remaining_ms, (long long)e.boot_ms,
 		       (long long)row->version);
+	l->last_heartbeat_ms = tg_now_ms();
+	if (!l->entry_ms || l->entry.boot_ms != e.boot_ms ||
+	    strcmp(l->entry.addr, e.addr) != 0) {
+		l->entry_ms = l->last_heartbeat_ms;
+		is_new = true;
+	}
 	l->entry = e;
 	l->in_directory = true;
-	l->last_heartbeat_ms = tg_now_ms();
 	l->earliest_exit_ms = e.draining && e.remaining_ms >= 0 ?
 		l->last_heartbeat_ms + e.remaining_ms :
 		0;
 	l->seen_in_scan = true;
-	proof.boot_ms = e.boot_ms;
-	link_set_boot(l, &proof);
-	update_flow_worker(l);
+	link_adopt_address(l);
+	link_describe_worker(l);
+	if (is_new)
+		link_check_entry(l);
 	link_poll_if_due(l);
 }
 
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -4,6 +4,7 @@
 
 #include "board.h"
 #include "workerexit.h"
+#include "workerprocess.h"
 
 /*
  * Keeps a long poll to each worker open.  It renews the worker's leases and
@@ -29,14 +30,21 @@
  */
 #define OPENING_MAX 200
 
-static struct tg_counter *outlived;
+/* Time between two questions to the address in an entry; see probe(). */
+#define PROBE_INTERVAL_MS 500
 
+/**
+ * struct poll_call - a poll in progress
+ * @process: of the link when the call began
+ * @n_answers: answers of that process that had been received by then
+ */
 struct poll_call {
 	struct board *board;
-	uint64_t term;
-	char id[TG_NAME_MAX + 1];
+	uint64_t term, process;
+	int64_t n_answers;
+	char id[TG_NAME_MAX + 1], addr[TG_ADDR_MAX + 1];
 	int64_t asked_ms;
-	bool is_extra;
+	enum poll_kind kind;
 };
 
 struct link *link_find(struct board *b, const char *id)
@@ -106,166 +114,127 @@
 
 static void on_polled(const struct tg_worker_poll_result *r, void *arg);
 
-static void send_poll(struct link *l, bool extra)
+static void send_poll(struct link *l, enum poll_kind kind)
 {
 	struct board *b = l->board;
 	struct poll_call *k = tg_xcalloc(1, sizeof(*k));
-	struct tg_worker_ref ref = { .id = l->entry.id, .addr = l->entry.addr };
+	struct tg_worker_ref ref = { .id = k->id, .addr = k->addr };
 	struct tg_worker_poll h = {
 		.fence = b->fence,
-		.acked_n = l->durable_n,
 		.timeout_ms = POLL_TIMEOUT_MS,
 	};
 
 	k->board = b;
 	k->term = b->term;
+	k->process = l->process;
+	k->n_answers = l->n_answers;
 	k->asked_ms = tg_now_ms();
-	k->is_extra = extra;
+	k->kind = kind;
 	tg_strlcpy(k->id, l->entry.id, sizeof(k->id));
-	if (may_renew(l)) {
-		h.until_ms = link_expiry(l);
-		if (!extra)
-			h.wait_ms = LONG_POLL_MS;
+	tg_strlcpy(k->addr, kind == POLL_PROBE ? l->entry.addr : l->addr,
+		   sizeof(k->addr));
+	/* Leases and the numbers of ends are those of the known process. */
+	if (kind != POLL_PROBE) {
+		h.acked_n = l->durable_n;
+		if (may_renew(l)) {
+			h.until_ms = link_expiry(l);
+			if (kind == POLL_LONG)
+				h.wait_ms = LONG_POLL_MS;
+		}
+		if (!l->runs_known && !l->opening) {
+			l->opening = true;
+			b->n_opening++;
+		}
 	}
 	h.timeout_ms += h.wait_ms;
-	if (!l->runs_known && !l->opening) {
-		l->opening = true;
-		b->n_opening++;
-	}
-	if (extra)
-		l->polling = true;
-	else
-		l->long_polling = true;
+	l->in_progress[kind] = true;
 	b->site.ops->hold(b->site.port, &ref, &h, on_polled, k);
 }
 
-static void log_lost_run(const struct flow_run_ref *r, int64_t started_ms,
-			 void *arg)
-{
-	const struct link *l = arg;
-	int64_t until_ms = l->failed ? l->first_failure_ms : tg_now_ms();
-
-	tg_log(EV_FLOW_RUN_LOST,
-	       "job=%s task=%d.%d.%d run=%d worker=%s age_ms=%lld", r->job,
-	       r->occurrence, r->step, r->index, r->run, l->entry.id,
-	       started_ms ? (long long)(until_ms - started_ms) : -1LL);
-}
-
-/* How long ago it was; -1 if never. */
-static long long age_ms(int64_t at_ms)
+/* Calls in progress are about the process before. */
+static void turn_to_process(struct link *l, int64_t boot_ms, const char *addr)
 {
-	return at_ms ? (long long)(tg_now_ms() - at_ms) : -1LL;
-}
-
-static void log_lost_worker(struct link *l, int event,
-			    const struct link_proof *p)
-{
-	tg_log(event,
-	       "worker=%s why=%s source=%s boot=%lld other_boot=%lld "
-	       "entry_boot=%lld silent_ms=%lld asked_age_ms=%lld "
-	       "entry_age_ms=%lld removed_age_ms=%lld failed_age_ms=%lld "
-	       "failures=%d refusals=%d draining=%d leases_left_ms=%lld",
-	       l->entry.id, p->why, p->source, (long long)l->boot_ms,
-	       (long long)p->boot_ms, (long long)l->entry.boot_ms,
-	       age_ms(l->clock_at_ms), age_ms(p->asked_ms),
-	       age_ms(l->last_heartbeat_ms),
-	       l->in_directory ? -1LL : age_ms(l->removed_ms),
-	       l->failed ? age_ms(l->first_failure_ms) : -1LL, l->failures,
-	       l->refusals, l->entry.draining,
-	       (long long)(l->leases_end_ms - tg_now_ms()));
-	flow_each_run_of(l->board->flow, l->entry.id, log_lost_run, l);
-	/* Of two verdicts without an answer in between the first one counts. */
-	if (l->runs_known || !l->lost_boot_ms) {
-		l->lost_boot_ms = l->boot_ms;
-		l->lost_source = p->source;
-	}
-	l->runs_known = l->may_have_runs = false;
-	l->lost_ms = tg_now_ms();
-	round_wake(l->board);
+	end_opening(l);
+	l->process = ++l->board->n_processes;
+	l->boot_ms = boot_ms;
+	tg_strlcpy(l->addr, addr, sizeof(l->addr));
+	l->n_answers = l->answered_ms = l->asked_ms = 0;
+	l->clock_ms = l->clock_at_ms = 0;
+	l->lease_until_ms = l->leases_end_ms = 0;
+	l->processed_n = l->writing_n = l->durable_n = 0;
+	link_expect_no_ack(l);
+	memset(l->in_progress, 0, sizeof(l->in_progress));
+	l->poll_again = false;
 }
 
-/* Records that all runs on the worker have ended. */
-static void declare_runs_lost(struct link *l, const struct link_proof *p)
+static struct process_signs signs_of(const struct link *l,
+				     const struct poll_call *k, int64_t boot_ms)
 {
-	log_lost_worker(l, EV_FLOW_WORKER_LOST, p);
-	flow_worker_lost(l->board->flow, l->entry.id, tg_now_ms());
+	return (struct process_signs){
+		.known_boot_ms = l->boot_ms,
+		.boot_ms = boot_ms,
+		.answers_at_call = k->n_answers,
+		.answers = l->n_answers,
+	};
 }
 
-/*
- * Between a verdict and the worker's next list it gets no starts, so a run in
- * that list is one that was taken for ended.
- */
-static void check_verdict(struct link *l, const struct tg_worker_poll_result *r)
+static void log_unordered(const struct link *l, const struct poll_call *k,
+			  int64_t boot_ms)
 {
-	if (r->n_runs && r->boot_ms == l->lost_boot_ms) {
-		tg_log(EV_FLOW_RUNS_OUTLIVED,
-		       "worker=%s boot=%lld source=%s verdict_age_ms=%lld "
-		       "runs=%zu",
-		       l->entry.id, (long long)l->lost_boot_ms, l->lost_source,
-		       age_ms(l->lost_ms), r->n_runs);
-		outlived->value++;
-	}
-	l->lost_boot_ms = 0;
-}
+	int64_t now_ms = tg_now_ms();
 
-static void on_blame(const struct flow_blame *b, void *arg)
-{
-	const struct link *l = arg;
-
-	tg_log(b->given_up ? EV_FLOW_TASK_GIVEN_UP : EV_FLOW_TASK_BLAMED,
-	       "job=%s task=%d.%d.%d run=%d worker=%s addr=%s age_ms=%lld "
-	       "crashes=%d",
-	       b->ref.job, b->ref.occurrence, b->ref.step, b->ref.index,
-	       b->ref.run, l->entry.id, l->entry.addr, (long long)b->age_ms,
-	       b->crashes);
+	tg_log(EV_FLOW_ANSWER_UNORDERED,
+	       "worker=%s boot=%lld other_boot=%lld addr=%s silent_ms=%lld "
+	       "asked_age_ms=%lld",
+	       l->entry.id, (long long)l->boot_ms, (long long)boot_ms, k->addr,
+	       (long long)(now_ms - l->answered_ms),
+	       (long long)(now_ms - k->asked_ms));
 }
 
-/* Another process answers at the worker's address, or has written its entry. */
-static void declare_restarted(struct link *l, const struct link_proof *p)
+/* Another process answers, which has run after the known one. */
+static void replace_process(struct link *l, const struct poll_call *k,
+			    int64_t boot_ms)
 {
-	int64_t now_ms = tg_now_ms();
-	struct flow_crash c = {
-		.worker = l->entry.id,
-		.silent_ms = l->failed ? l->first_failure_ms : now_ms,
-		.on_blame = on_blame,
-		.arg = l,
+	const struct link_proof proof = {
+		.source = "poll",
+		.why = "worker has restarted",
+		.boot_ms = boot_ms,
+		.asked_ms = k->asked_ms,
 	};
 
-	log_lost_worker(l, EV_FLOW_WORKER_BOOT, p);
-	flow_worker_crashed(l->board->flow, &c, now_ms);
-	writer_wake(l->board);
+	link_declare_replaced(l, &proof);
+	turn_to_process(l, boot_ms, k->addr);
 }
 
-void link_set_boot(struct link *l, const struct link_proof *p)
+static void record_answer(struct link *l, const struct poll_call *k,
+			  int64_t boot_ms)
 {
-	if (!p->boot_ms || p->boot_ms == l->boot_ms)
-		return;
-	if (l->boot_ms) {
-		declare_restarted(l, p);
-		l->clock_ms = l->clock_at_ms = 0;
-		l->lease_until_ms = l->leases_end_ms = 0;
-		l->processed_n = l->writing_n = l->durable_n = 0;
-		link_expect_no_ack(l);
-	}
-	l->boot_ms = p->boot_ms;
+	if (boot_ms)
+		l->boot_ms = boot_ms;
+	tg_strlcpy(l->addr, k->addr, sizeof(l->addr));
+	l->n_answers++;
+	l->answered_ms = tg_now_ms();
+	if (k->asked_ms > l->asked_ms)
+		l->asked_ms = k->asked_ms;
 }
 
 static void poll_succeeded(struct link *l,
 			   const struct tg_worker_poll_result *r,
-			   int64_t asked_ms)
+			   const struct poll_call *k)
 {
 	struct board *b = l->board;
-	int64_t known_boot_ms = l->boot_ms;
-	struct link_proof proof = {
-		.source = "poll",
-		.why = "worker has restarted",
-		.boot_ms = r->boot_ms,
-		.asked_ms = asked_ms,
-	};
-	bool restarted;
+	struct process_signs signs = signs_of(l, k, r->boot_ms);
+	enum process_sign sign = process_sign_of(&signs);
+	bool is_new = sign == PROCESS_REPLACED || !l->boot_ms;
 
-	link_set_boot(l, &proof);
-	restarted = known_boot_ms && l->boot_ms != known_boot_ms;
+	if (sign == PROCESS_UNORDERED) {
+		log_unordered(l, k, r->boot_ms);
+		link_poll(l);
+		return;
+	}
+	if (sign == PROCESS_REPLACED)
+		replace_process(l, k, r->boot_ms);
+	record_answer(l, k, r->boot_ms);
 	/* Answers on different connections may arrive out of order. */
 	if (r->clock_ms < l->clock_ms)
 		return;
@@ -274,15 +243,17 @@
 	if (l->failed) {
 		tg_log(EV_FLOW_WORKER_BACK, "worker=%s failures=%d",
 		       l->entry.id, l->failures);
-		if (!restarted)
+		if (sign != PROCESS_REPLACED)
 			flow_worker_back(b->flow, l->entry.id);
 	}
 	link_set_failed(l, false);
 	l->failures = l->refusals = 0;
-	flow_worker_set_suspect(b->flow, l->entry.id, !l->in_directory);
+	if (is_new)
+		link_describe_worker(l);
+	flow_worker_set_suspect(b->flow, l->entry.id, !link_is_described(l));
 	if (!l->runs_known)
-		check_verdict(l, r);
-	if (!link_apply_lists(l, r, asked_ms))
+		link_check_verdict(l, r);
+	if (!link_apply_lists(l, r, k->asked_ms))
 		return;
 	if (l->runs_known && !may_renew(l))
 		l->next_poll_ms = l->clock_at_ms + LINK_RETRY_MS;
@@ -318,7 +289,7 @@
 	return l->entry.draining && l->may_have_runs && worker_has_exited(&s);
 }
 
-static void poll_failed(struct link *l, enum tg_order_end end)
+static void poll_failed(struct link *l, const struct tg_worker_poll_result *r)
 {
 	struct link_proof proof = {
 		.source = l->in_directory ? "refused" : "removed",
@@ -334,14 +305,15 @@
 	if (!l->failed)
 		tg_log(EV_FLOW_WORKER_SILENT,
 		       "worker=%s end=%d expires_ms=%lld", l->entry.id,
-		       (int)end, (long long)(l->leases_end_ms - tg_now_ms()));
+		       (int)r->end,
+		       (long long)(l->leases_end_ms - tg_now_ms()));
 	link_set_failed(l, true);
 	flow_worker_set_suspect(l->board->flow, l->entry.id, true);
 	l->next_poll_ms = tg_now_ms() +
 		(pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS);
-	l->refusals = end == TG_ORDER_CONN_REFUSED ? l->refusals + 1 : 0;
+	l->refusals = r->end == TG_ORDER_CONN_REFUSED ? l->refusals + 1 : 0;
 	if (has_exited(l))
-		declare_runs_lost(l, &proof);
+		link_declare_runs_lost(l, &proof);
 }
 
 void link_poll_if_due(struct link *l)
@@ -349,8 +321,8 @@
 	struct board *b = l->board;
 	int64_t now_ms = tg_now_ms();
 
-	if (l->long_polling || l->next_poll_ms > now_ms || !*l->entry.addr ||
-	    owner_was_held_up(b))
+	if (l->in_progress[POLL_LONG] || l->next_poll_ms > now_ms ||
+	    !*l->addr || owner_was_held_up(b))
 		return;
 	if (!l->runs_known && b->n_opening >= OPENING_MAX)
 		return;
@@ -360,7 +332,7 @@
 		if (now_ms - l->clock_at_ms < NOT_DURABLE_PAUSE_MS)
 			return;
 	}
-	send_poll(l, false);
+	send_poll(l, POLL_LONG);
 }
 
 /* Opens the next link that waits for it; the links are in order of creation. */
@@ -373,6 +345,21 @@
 			link_poll_if_due(l);
 }
 
+static void check_other_worker(struct link *l, const struct poll_call *k)
+{
+	struct process_signs signs = signs_of(l, k, 0);
+	const struct link_proof proof = {
+		.source = "421",
+		.why = "another worker has its address",
+		.asked_ms = k->asked_ms,
+	};
+
+	if (!process_lost_address(&signs))
+		return;
+	link_declare_replaced(l, &proof);
+	turn_to_process(l, 0, l->in_directory ? l->entry.addr : l->addr);
+}
+
 static void on_polled(const struct tg_worker_poll_result *r, void *arg)
 {
 	struct poll_call *k = arg;
@@ -382,36 +369,28 @@
 
 	if (!l)
 		goto out;
-	if (k->is_extra)
-		l->polling = false;
-	else
-		l->long_polling = false;
-	was_opening = l->opening;
-	end_opening(l);
 	if (r->end == TG_ORDER_FENCED) {
 		owner_lost(b, "a worker has seen a higher fence");
 		goto out;
 	}
+	if (k->process != l->process)
+		goto out;
+	l->in_progress[k->kind] = false;
+	was_opening = l->opening;
+	if (k->kind != POLL_PROBE)
+		end_opening(l);
 	if (r->end == TG_ORDER_DONE)
-		poll_succeeded(l, r, k->asked_ms);
-	else if (!k->is_extra)
-		poll_failed(l, r->end);
-	if (r->end == TG_ORDER_OTHER_BOOT && l->boot_ms) {
-		struct link_proof proof = {
-			.source = "421",
-			.why = "another worker has its address",
-			.boot_ms = -1,
-			.asked_ms = k->asked_ms,
-		};
-
-		link_set_boot(l, &proof);
-	}
-	if (l->poll_again && !l->polling) {
+		poll_succeeded(l, r, k);
+	else if (k->kind == POLL_LONG)
+		poll_failed(l, r);
+	if (r->end == TG_ORDER_OTHER_BOOT && k->kind != POLL_PROBE)
+		check_other_worker(l, k);
+	if (l->poll_again && !l->in_progress[POLL_EXTRA]) {
 		l->poll_again = false;
 		link_poll(l);
 	}
 	link_poll_if_due(l);
-	if (was_opening)
+	if (was_opening && !l->opening)
 		open_next(l);
 out:
 	free(k);
@@ -419,13 +398,44 @@
 
 void link_poll(struct link *l)
 {
-	if (l->polling) {
+	if (l->in_progress[POLL_EXTRA]) {
 		l->poll_again = true;
 		return;
 	}
 	/* The next long poll will do. */
-	if (!owner_was_held_up(l->board))
-		send_poll(l, true);
+	if (!owner_was_held_up(l->board) && *l->addr)
+		send_poll(l, POLL_EXTRA);
+}
+
+/*
+ * The entry names another process, or another address of the known one.  Either
+ * the worker has restarted or moved, or the entry is an old one.  An entry
+ * doesn't tell which, since it may be read late; answers do.
+ */
+static void probe(struct link *l, int64_t now_ms)
+{
+	if (l->in_progress[POLL_PROBE] || now_ms < l->next_probe_ms ||
+	    !link_entry_is_doubtful(l) || !strcmp(l->entry.addr, l->addr) ||
+	    owner_was_held_up(l->board))
+		return;
+	l->next_probe_ms = now_ms + PROBE_INTERVAL_MS;
+	send_poll(l, POLL_PROBE);
+}
+
+void link_check_entry(struct link *l)
+{
+	if (!link_entry_is_doubtful(l))
+		return;
+	tg_log(EV_FLOW_ENTRY_DOUBTFUL,
+	       "worker=%s boot=%lld addr=%s entry_boot=%lld entry_addr=%s "
+	       "silent_ms=%lld",
+	       l->entry.id, (long long)l->boot_ms, l->addr,
+	       (long long)l->entry.boot_ms, l->entry.addr,
+	       l->answered_ms ? (long long)(tg_now_ms() - l->answered_ms) :
+				-1LL);
+	link_poll(l);
+	l->next_probe_ms = 0;
+	probe(l, tg_now_ms());
 }
 
 void links_limit_leases(struct board *b, int64_t end_ms)
@@ -451,7 +461,7 @@
 
 		if (!l->may_have_runs)
 			continue;
-		tg_strlcpy(s.addr, l->entry.addr, sizeof(s.addr));
+		tg_strlcpy(s.addr, l->addr, sizeof(s.addr));
 		n++;
 		left_out += !tg_owner_row_add_silent(r, l->entry.id, &s,
 						     b->site.set.row_bytes);
@@ -473,16 +483,18 @@
 		.why = "leases expired",
 	};
 
-	if (l->may_have_runs && now_ms >= l->leases_end_ms)
-		declare_runs_lost(l, &proof);
+	if (!l->may_have_runs || now_ms < l->leases_end_ms)
+		return;
+	link_declare_runs_lost(l, &proof);
+	link_adopt_address(l);
 }
 
 static void remove_if_gone(struct link *l, int64_t now_ms)
 {
 	struct board *b = l->board;
 
-	if (l->in_directory || l->may_have_runs || l->long_polling ||
-	    l->polling || now_ms - l->lost_ms < POLL_GONE_MS)
+	if (l->in_directory || l->may_have_runs || l->in_progress[POLL_LONG] ||
+	    l->in_progress[POLL_EXTRA] || now_ms - l->lost_ms < POLL_GONE_MS)
 		return;
 	flow_worker_remove(b->flow, l->entry.id, now_ms);
 	link_free(l);
@@ -495,27 +507,18 @@
 
 	if (!IS_OWNER(b))
 		return;
-	for (l = b->links; l; l = l->hh.next)
+	for (l = b->links; l; l = l->hh.next) {
 		link_poll_if_due(l);
+		probe(l, now_ms);
+	}
 	DL_FOREACH2(b->failed, l, failed_next)
 	check_expiry(l, now_ms);
 	DL_FOREACH_SAFE2(b->failed, l, tmp, failed_next)
 	remove_if_gone(l, now_ms);
 }
 
-static int start(void *board)
-{
-	(void)board;
-	outlived = tg_counter(
-		"tg_flow_runs_outlived_total",
-		"verdicts on workers that a later list of the worker disproved",
-		NULL);
-	return 0;
-}
-
 const struct tg_controller links_controller = {
 	.name = "links",
 	.period_ms = 50,
-	.start = start,
 	.tick = tick,
 };
--- a/cmd/tgflowd/lists.c
+++ b/cmd/tgflowd/lists.c
@@ -75,7 +75,7 @@
 static void stop_unknown_run(struct link *l, const struct tg_run *run)
 {
 	struct board *b = l->board;
-	struct tg_worker_ref ref = { .id = l->entry.id, .addr = l->entry.addr };
+	struct tg_worker_ref ref = { .id = l->entry.id, .addr = l->addr };
 	struct tg_order o = {
 		.task = run->task,
 		.run = run->run,
--- a/cmd/tgflowd/main.c
+++ b/cmd/tgflowd/main.c
@@ -34,9 +34,11 @@
 };
 
 static const struct tg_controller *const controllers[] = {
-	&rpc_controller,     &writer_controller, &orders_controller,
-	&round_controller,   &owner_controller,	 &links_controller,
-	&metrics_controller, &purge_controller,	 NULL,
+	&rpc_controller,     &writer_controller,
+	&orders_controller,  &round_controller,
+	&owner_controller,   &links_controller,
+	&verdict_controller, &metrics_controller,
+	&purge_controller,   NULL,
 };
 
 int main(int argc, char **argv)
--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -286,7 +286,7 @@
 		return;
 	}
 	ref.id = l->entry.id;
-	ref.addr = l->entry.addr;
+	ref.addr = l->addr;
 	if (o->start) {
 		msg.until_ms = link_expiry(l);
 		b->site.ops->start(b->site.port, &ref, &msg, on_order, o);
--- /dev/null
+++ b/cmd/tgflowd/verdict.c
@@ -0,0 +1,116 @@
+#include "board.h"
+
+/*
+ * Verdicts on workers: all runs of a worker's process are taken for ended, so
+ * that their tasks start elsewhere.  docs/platform.md, "When a worker's runs
+ * have ended", has the proofs.
+ */
+
+static struct tg_counter *outlived;
+
+static void log_lost_run(const struct flow_run_ref *r, int64_t started_ms,
+			 void *arg)
+{
+	const struct link *l = arg;
+	int64_t until_ms = l->failed ? l->first_failure_ms : tg_now_ms();
+
+	tg_log(EV_FLOW_RUN_LOST,
+	       "job=%s task=%d.%d.%d run=%d worker=%s age_ms=%lld", r->job,
+	       r->occurrence, r->step, r->index, r->run, l->entry.id,
+	       started_ms ? (long long)(until_ms - started_ms) : -1LL);
+}
+
+/* How long ago it was; -1 if never. */
+static long long age_ms(int64_t at_ms)
+{
+	return at_ms ? (long long)(tg_now_ms() - at_ms) : -1LL;
+}
+
+static void log_lost_worker(struct link *l, int event,
+			    const struct link_proof *p)
+{
+	tg_log(event,
+	       "worker=%s why=%s source=%s boot=%lld other_boot=%lld "
+	       "addr=%s entry_boot=%lld silent_ms=%lld asked_age_ms=%lld "
+	       "entry_age_ms=%lld removed_age_ms=%lld failed_age_ms=%lld "
+	       "failures=%d refusals=%d draining=%d leases_left_ms=%lld",
+	       l->entry.id, p->why, p->source, (long long)l->boot_ms,
+	       (long long)p->boot_ms, l->addr, (long long)l->entry.boot_ms,
+	       age_ms(l->clock_at_ms), age_ms(p->asked_ms),
+	       age_ms(l->last_heartbeat_ms),
+	       l->in_directory ? -1LL : age_ms(l->removed_ms),
+	       l->failed ? age_ms(l->first_failure_ms) : -1LL, l->failures,
+	       l->refusals, l->entry.draining,
+	       (long long)(l->leases_end_ms - tg_now_ms()));
+	flow_each_run_of(l->board->flow, l->entry.id, log_lost_run, l);
+	/* Of two verdicts without an answer in between the first one counts. */
+	if (l->runs_known || !l->lost_boot_ms) {
+		l->lost_boot_ms = l->boot_ms;
+		l->lost_source = p->source;
+	}
+	l->runs_known = l->may_have_runs = false;
+	l->lost_ms = tg_now_ms();
+	round_wake(l->board);
+}
+
+void link_declare_runs_lost(struct link *l, const struct link_proof *p)
+{
+	log_lost_worker(l, EV_FLOW_WORKER_LOST, p);
+	flow_worker_lost(l->board->flow, l->entry.id, tg_now_ms());
+}
+
+/* Between a verdict and the worker's next list it gets no starts. */
+void link_check_verdict(struct link *l, const struct tg_worker_poll_result *r)
+{
+	if (r->n_runs && r->boot_ms == l->lost_boot_ms) {
+		tg_log(EV_FLOW_RUNS_OUTLIVED,
+		       "worker=%s boot=%lld source=%s verdict_age_ms=%lld "
+		       "runs=%zu",
+		       l->entry.id, (long long)l->lost_boot_ms, l->lost_source,
+		       age_ms(l->lost_ms), r->n_runs);
+		outlived->value++;
+	}
+	l->lost_boot_ms = 0;
+}
+
+static void on_blame(const struct flow_blame *b, void *arg)
+{
+	const struct link *l = arg;
+
+	tg_log(b->given_up ? EV_FLOW_TASK_GIVEN_UP : EV_FLOW_TASK_BLAMED,
+	       "job=%s task=%d.%d.%d run=%d worker=%s addr=%s age_ms=%lld "
+	       "crashes=%d",
+	       b->ref.job, b->ref.occurrence, b->ref.step, b->ref.index,
+	       b->ref.run, l->entry.id, l->entry.addr, (long long)b->age_ms,
+	       b->crashes);
+}
+
+void link_declare_replaced(struct link *l, const struct link_proof *p)
+{
+	int64_t now_ms = tg_now_ms();
+	struct flow_crash c = {
+		.worker = l->entry.id,
+		.silent_ms = l->failed ? l->first_failure_ms : now_ms,
+		.on_blame = on_blame,
+		.arg = l,
+	};
+
+	log_lost_worker(l, EV_FLOW_WORKER_BOOT, p);
+	flow_worker_crashed(l->board->flow, &c, now_ms);
+	writer_wake(l->board);
+}
+
+static int start(void *board)
+{
+	(void)board;
+	outlived = tg_counter(
+		"tg_flow_runs_outlived_total",
+		"verdicts on workers that a later list of the worker disproved",
+		NULL);
+	return 0;
+}
+
+const struct tg_controller verdict_controller = {
+	.name = "verdict",
+	.start = start,
+};
--- a/tests/unit/flowd/test-flowd.c
+++ b/tests/unit/flowd/test-flowd.c
@@ -1,6 +1,7 @@
 #include "../../../cmd/tgflowd/formerowner.h"
 #include "../../../cmd/tgflowd/orderoutcome.h"
 #include "../../../cmd/tgflowd/workerexit.h"
+#include "../../../cmd/tgflowd/workerprocess.h"
 #include "../../../cmd/tgflowd/ownerwrites.h"
 #include "../run.h"
 
@@ -51,6 +52,53 @@
 }
 END_TEST
 
+/* Guards against tasks that ran twice after an answer of an earlier process. */
+START_TEST(answer_of_earlier_process_is_not_a_restart)
+{
+	struct process_signs s = {
+		.known_boot_ms = 2000,
+		.boot_ms = 1000,
+		.answers_at_call = 0,
+		.answers = 1,
+	};
+
+	ck_assert_int_eq(process_sign_of(&s), PROCESS_UNORDERED);
+	/* The time of day may have stepped, so a higher boot tells nothing. */
+	s.boot_ms = 3000;
+	ck_assert_int_eq(process_sign_of(&s), PROCESS_UNORDERED);
+	s.answers_at_call = 1;
+	ck_assert_int_eq(process_sign_of(&s), PROCESS_REPLACED);
+	s.boot_ms = 1000;
+	ck_assert_int_eq(process_sign_of(&s), PROCESS_REPLACED);
+}
+END_TEST
+
+START_TEST(known_process_or_none_is_not_replaced)
+{
+	struct process_signs s = { .known_boot_ms = 2000, .boot_ms = 2000 };
+
+	ck_assert_int_eq(process_sign_of(&s), PROCESS_ANSWERS);
+	s.boot_ms = 0;
+	ck_assert_int_eq(process_sign_of(&s), PROCESS_ANSWERS);
+	s = (struct process_signs){ .boot_ms = 2000 };
+	ck_assert_int_eq(process_sign_of(&s), PROCESS_ANSWERS);
+}
+END_TEST
+
+/* Guards against an older address of a worker being taken for its end. */
+START_TEST(other_worker_at_address_ends_only_who_answered_there)
+{
+	struct process_signs s = { .known_boot_ms = 2000 };
+
+	ck_assert(!process_lost_address(&s));
+	s.answers = 3;
+	s.answers_at_call = 2;
+	ck_assert(!process_lost_address(&s));
+	s.answers_at_call = 3;
+	ck_assert(process_lost_address(&s));
+}
+END_TEST
+
 /* A draining worker at @now_ms whose connection broke at 10,000. */
 static struct worker_exit_signs draining_worker(int64_t now_ms)
 {
@@ -221,6 +269,9 @@
 	tcase_add_test(t, answer_of_an_earlier_term_proves_nothing);
 	suite_add_tcase(s, t);
 	t = tcase_create("workers that exit");
+	tcase_add_test(t, answer_of_earlier_process_is_not_a_restart);
+	tcase_add_test(t, known_process_or_none_is_not_replaced);
+	tcase_add_test(t, other_worker_at_address_ends_only_who_answered_there);
 	tcase_add_test(t, drained_worker_refusing_connections_has_exited);
 	tcase_add_test(t, refused_connections_alone_are_not_an_exit);
 	tcase_add_test(t, removed_directory_entry_means_exit);
