tgflowd: take a draining worker for exited only if it removed its entry itself

Two rules were wrong. An entry that disappeared within a heartbeat of the first failed call counted as removed by the worker; but a cut that times out is noticed 0.7 to 2.7 s late, an entry expires 3 to 4.5 s after its last write, and it may have expired before the cut or while the store was down. And a worker that refused connections after its drain time with a heartbeat missing counted as exited; a path that is cut does the same, and a worker may serve for many seconds after that time.

Now the entry must have been removed sooner after its last write than it could expire (two heartbeat intervals of three), by bounds that hold if rows are read late, while the store answered all calls; and the connection must have closed at about that time. The second rule is dropped, leases remain: drained_worker_refusing_connections_has_exited, which demanded it, is replaced by tests that demand the opposite for these signs.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -91,7 +91,9 @@
 	int64_t next_poll_ms;
 	int32_t failures;
 	int32_t refusals; /* consecutive refused connections */
+	bool closed; /* the first failed call ended as its connection closed */
 	int64_t first_failure_ms, removed_ms; /* removed from the directory */
+	int64_t written_after_ms; /* lower bound of the entry's last write; 0 */
 	int64_t lost_ms; /* its runs were last declared to have ended */
 	/* The process of that verdict until it answers, or 0; what proved it */
 	int64_t lost_boot_ms;
--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -150,8 +150,9 @@
 	}
 	l->entry = e;
 	l->in_directory = true;
+	l->written_after_ms = tg_table_watch_changed_after_ms(b->directory);
 	l->earliest_exit_ms = e.draining && e.remaining_ms >= 0 ?
-		l->last_heartbeat_ms + e.remaining_ms :
+		l->written_after_ms + e.remaining_ms :
 		0;
 	l->seen_in_scan = true;
 	link_adopt_address(l);
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -274,31 +274,36 @@
 
 static bool has_exited(const struct link *l)
 {
+	struct board *b = l->board;
 	struct worker_exit_signs s = {
 		.in_directory = l->in_directory,
 		.failures = l->failures,
-		.refusals = l->refusals,
+		.closed = l->closed,
 		.first_failure_ms = l->first_failure_ms,
 		.removed_ms = l->removed_ms,
-		.last_heartbeat_ms = l->last_heartbeat_ms,
+		.written_after_ms = l->written_after_ms,
 		.earliest_exit_ms = l->earliest_exit_ms,
-		.heartbeat_ms = l->board->site.set.heartbeat_ms,
-		.now_ms = tg_now_ms(),
+		.heartbeat_ms = b->site.set.heartbeat_ms,
 	};
 
-	return l->entry.draining && l->may_have_runs && worker_has_exited(&s);
+	if (owner_is_current(b) && !b->refused_since_ms)
+		s.store_since_ms =
+			tg_table_watch_answered_since_ms(b->directory);
+	return l->entry.draining && l->entry.boot_ms == l->boot_ms &&
+		l->may_have_runs && worker_has_exited(&s);
 }
 
 static void poll_failed(struct link *l, const struct tg_worker_poll_result *r)
 {
 	struct link_proof proof = {
-		.source = l->in_directory ? "refused" : "removed",
+		.source = "removed",
 		.why = "worker has exited",
 	};
 	int64_t pause_ms = LINK_RETRY_MS * ++l->failures;
 
 	if (!l->failed) {
 		l->first_failure_ms = tg_now_ms();
+		l->closed = r->closed;
 		flow_worker_silent(l->board->flow, l->entry.id,
 				   l->first_failure_ms);
 	}
--- a/cmd/tgflowd/workerexit.c
+++ b/cmd/tgflowd/workerexit.c
@@ -5,36 +5,36 @@
 /* A single call or connection attempt may fail for other reasons. */
 #define FAILURES_MIN 2
 /*
- * A running worker updates its entry once per heartbeat interval; the fraction
- * allows for a late update.
+ * An entry expires three heartbeat intervals after it was last written.  One
+ * that was removed sooner than this many was removed by the worker itself.
  */
-#define HEARTBEATS_MISSED 1.6
+#define HEARTBEATS_BEFORE_EXPIRY 2
 
 /*
- * An entry that expires because heartbeats are missing disappears at least two
- * heartbeat intervals after the last contact.  One that disappears within one
- * interval of the first failed call was removed by the worker itself.
+ * The time of the removal is an upper bound and that of the last write a lower
+ * one, so that rows that are read late don't look like a removal.  While the
+ * store is down, entries may expire at any time.
  */
 static bool has_removed_entry(const struct worker_exit_signs *s)
 {
-	return !s->in_directory &&
-		llabs(s->removed_ms - s->first_failure_ms) < s->heartbeat_ms;
+	return !s->in_directory && s->written_after_ms &&
+		s->removed_ms - s->written_after_ms <
+		HEARTBEATS_BEFORE_EXPIRY * s->heartbeat_ms &&
+		s->store_since_ms && s->store_since_ms <= s->written_after_ms;
 }
 
 /*
- * Whether the announced exit time has passed, the worker refuses connections
- * and its heartbeat is missing.
+ * A cut that times out is noticed late, at a time at which the entry may just
+ * expire.
  */
-static bool has_stopped_serving(const struct worker_exit_signs *s)
+static bool has_closed_connection(const struct worker_exit_signs *s)
 {
-	return s->refusals >= FAILURES_MIN && s->earliest_exit_ms &&
-		s->now_ms >= s->earliest_exit_ms &&
-		s->now_ms - s->last_heartbeat_ms >
-		(int64_t)(HEARTBEATS_MISSED * (double)s->heartbeat_ms);
+	return s->closed && s->failures >= FAILURES_MIN &&
+		llabs(s->removed_ms - s->first_failure_ms) < s->heartbeat_ms;
 }
 
 bool worker_has_exited(const struct worker_exit_signs *s)
 {
-	return s->failures >= FAILURES_MIN &&
-		(has_removed_entry(s) || has_stopped_serving(s));
+	return has_removed_entry(s) && has_closed_connection(s) &&
+		s->removed_ms >= s->earliest_exit_ms;
 }
--- a/lib/site/follow.c
+++ b/lib/site/follow.c
@@ -33,6 +33,8 @@
 	int64_t after; /* version up to which rows are known; 0: scan needed */
 	int64_t scan_version; /* version in the first answer of the scan */
 	int64_t unavailable_since_ms; /* 0 while the store answers */
+	int64_t answered_since_ms; /* see the function; or 0 */
+	int64_t changed_after_ms; /* of the rows being delivered; or 0 */
 	int64_t current_ms; /* when rows were last known to be current; or 0 */
 	int64_t call_ms; /* when the call in progress began */
 	int64_t wait_ms; /* how long the feed may delay its answer */
@@ -119,6 +121,8 @@
 	int64_t now_ms = tg_now_ms();
 
 	f->transfer = r->transfer;
+	if (r->end != TG_STORE_OK)
+		f->answered_since_ms = 0;
 	log_transfer(f, r);
 	update_stall_limit(f, r);
 	if (r->end == TG_STORE_OK) {
@@ -127,6 +131,8 @@
 			       f->opts.table,
 			       (long long)(now_ms - f->unavailable_since_ms));
 		f->unavailable_since_ms = 0;
+		if (!f->answered_since_ms)
+			f->answered_since_ms = now_ms;
 	} else if (!f->unavailable_since_ms) {
 		f->unavailable_since_ms = now_ms;
 		tg_log(EV_STORE_LOST,
@@ -198,6 +204,7 @@
 	if (!f->scan_version)
 		f->scan_version = r->version;
 	f->scan_bytes += r->transfer.bytes;
+	f->changed_after_ms = 0;
 	f->in_call = true; /* callbacks may free @f; end_call() does it */
 	deliver_rows(f, r);
 	advance_scan(f, r);
@@ -263,6 +270,7 @@
 	if (r->version > f->after)
 		f->after = r->version;
 	f->confirmed = !r->n_rows;
+	f->changed_after_ms = f->current_ms;
 	f->current_ms = f->call_ms;
 	/* The store has seen no change for the time that it was to wait. */
 	if (f->confirmed && f->call_ms + f->wait_ms <= tg_now_ms())
@@ -373,3 +381,13 @@
 {
 	return f->current_ms ? tg_now_ms() - f->current_ms : -1;
 }
+
+int64_t tg_table_watch_changed_after_ms(const struct tg_table_watch *f)
+{
+	return f->changed_after_ms;
+}
+
+int64_t tg_table_watch_answered_since_ms(const struct tg_table_watch *f)
+{
+	return f->answered_since_ms;
+}
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -306,6 +306,19 @@
 tg_table_watch_transfer(const struct tg_table_watch *f);
 /** tg_table_watch_is_failing() - whether the last call has failed */
 bool tg_table_watch_is_failing(const struct tg_table_watch *f);
+/**
+ * tg_table_watch_changed_after_ms() - earliest change of the row in @on_row
+ *
+ * The row's last change took effect after this time.  0 if it was scanned, so
+ * that it may be as old as it likes.
+ */
+int64_t tg_table_watch_changed_after_ms(const struct tg_table_watch *f);
+/**
+ * tg_table_watch_answered_since_ms() - the store has answered all calls since
+ *
+ * Return: 0 if the last call has failed.
+ */
+int64_t tg_table_watch_answered_since_ms(const struct tg_table_watch *f);
 /**
  * tg_table_watch_not_current_ms() - time since the rows were known to be
  * current
--- a/tests/unit/flowd/test-flowd.c
+++ b/tests/unit/flowd/test-flowd.c
@@ -99,72 +99,101 @@
 }
 END_TEST
 
-/* A draining worker at @now_ms whose connection broke at 10,000. */
-static struct worker_exit_signs draining_worker(int64_t now_ms)
+/*
+ * A draining worker whose connection broke at 10,000 and whose entry was
+ * removed 120 ms later.
+ */
+static struct worker_exit_signs leaving_worker(void)
 {
 	return (struct worker_exit_signs){
-		.in_directory = true,
-		.failures = 3,
-		.refusals = 2,
+		.failures = 2,
+		.closed = true,
 		.first_failure_ms = 10000,
-		.last_heartbeat_ms = 9500,
+		.removed_ms = 10120,
+		.written_after_ms = 9500,
+		.store_since_ms = 5000,
 		.earliest_exit_ms = 10000,
 		.heartbeat_ms = 1500,
-		.now_ms = now_ms,
 	};
 }
 
-/*
- * When a worker exited without removing its directory entry, its tasks waited 6
- * s for its leases to expire before they were started again (incident
- * inc-04b5).
- */
-START_TEST(drained_worker_refusing_connections_has_exited)
+/* Guards against tasks that wait for the leases of a worker that has left. */
+START_TEST(removed_directory_entry_means_exit)
 {
-	struct worker_exit_signs s = draining_worker(12000);
+	struct worker_exit_signs s = leaving_worker();
 
 	ck_assert(worker_has_exited(&s));
+	s.earliest_exit_ms = 0;
+	ck_assert(worker_has_exited(&s));
+	s.in_directory = true;
+	ck_assert(!worker_has_exited(&s));
+	s = leaving_worker();
+	s.failures = 1;
+	ck_assert(!worker_has_exited(&s));
+	s = leaving_worker();
+	s.earliest_exit_ms = 10121;
+	ck_assert(!worker_has_exited(&s));
+}
+END_TEST
+
+/* Guards against tasks that ran twice as a cut was noticed late. */
+START_TEST(cut_noticed_when_entry_expires_is_not_an_exit)
+{
+	struct worker_exit_signs s = leaving_worker();
+
+	s.closed = false;
+	ck_assert(!worker_has_exited(&s));
 }
 END_TEST
 
 /*
- * A broken network path may refuse connections while the worker keeps running.
- * Taking that for an exit would run its tasks twice.
+ * Guards against tasks that ran twice behind a path that refuses connections,
+ * before the drain time or after it.
  */
-START_TEST(refused_connections_alone_are_not_an_exit)
+START_TEST(refused_connections_and_expired_entry_are_not_an_exit)
 {
-	struct worker_exit_signs s = draining_worker(12000);
+	struct worker_exit_signs s = leaving_worker();
 
-	s.last_heartbeat_ms = 11000;
+	s.in_directory = true;
+	s.failures = 10;
 	ck_assert(!worker_has_exited(&s));
-	s = draining_worker(12000);
-	s.earliest_exit_ms = 13000;
+	s.in_directory = false;
+	s.removed_ms = 13100;
+	s.written_after_ms = 8600;
 	ck_assert(!worker_has_exited(&s));
-	s.earliest_exit_ms = 0;
+	/* The entry had expired before the path was cut. */
+	s.removed_ms = 10050;
+	s.written_after_ms = 5500;
 	ck_assert(!worker_has_exited(&s));
-	s = draining_worker(12000);
-	s.refusals = 0;
+	s.removed_ms = 8400;
+	s.written_after_ms = 8300;
+	ck_assert(!worker_has_exited(&s));
+}
+END_TEST
+
+/* Guards against an entry that expires as the store is down. */
+START_TEST(entry_missing_after_outage_is_not_an_exit)
+{
+	struct worker_exit_signs s = leaving_worker();
+
+	s.store_since_ms = 0;
 	ck_assert(!worker_has_exited(&s));
-	s = draining_worker(10500);
+	s.store_since_ms = 9900;
 	ck_assert(!worker_has_exited(&s));
 }
 END_TEST
 
-/*
- * An entry removed within one heartbeat interval of the first failure was
- * removed by the worker.  One that expires disappears two intervals after the
- * last contact.
- */
-START_TEST(removed_directory_entry_means_exit)
+/* Guards against rows that are read late and a removal of unknown age. */
+START_TEST(entry_of_unknown_age_is_not_an_exit)
 {
-	struct worker_exit_signs s = draining_worker(10200);
+	struct worker_exit_signs s = leaving_worker();
 
-	s.refusals = 0;
-	s.in_directory = false;
-	s.removed_ms = 10120;
-	ck_assert(worker_has_exited(&s));
-	s.removed_ms = 13100;
+	s.written_after_ms = 0;
 	ck_assert(!worker_has_exited(&s));
+	s.written_after_ms = 7100;
+	ck_assert(!worker_has_exited(&s));
+	s.written_after_ms = 7121;
+	ck_assert(worker_has_exited(&s));
 }
 END_TEST
 
@@ -272,9 +301,12 @@
 	tcase_add_test(t, answer_of_earlier_process_is_not_a_restart);
 	tcase_add_test(t, known_process_or_none_is_not_replaced);
 	tcase_add_test(t, other_worker_at_address_ends_only_who_answered_there);
-	tcase_add_test(t, drained_worker_refusing_connections_has_exited);
-	tcase_add_test(t, refused_connections_alone_are_not_an_exit);
 	tcase_add_test(t, removed_directory_entry_means_exit);
+	tcase_add_test(t, cut_noticed_when_entry_expires_is_not_an_exit);
+	tcase_add_test(t,
+		       refused_connections_and_expired_entry_are_not_an_exit);
+	tcase_add_test(t, entry_missing_after_outage_is_not_an_exit);
+	tcase_add_test(t, entry_of_unknown_age_is_not_an_exit);
 	suite_add_tcase(s, t);
 	return run_suite(s);
 }
