--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -88,7 +88,8 @@
 	    tg_owner_row_find_silent(&b->owner, e->id, &s)) {
 		/* Versions before wrote -1 if they had lost it. */
 		l->boot_ms = s.boot_ms > 0 ? s.boot_ms : 0;
-		tg_strlcpy(l->addr, s.addr, sizeof(l->addr));
+		if (*s.addr)
+			tg_strlcpy(l->addr, s.addr, sizeof(l->addr));
 	}
 	/* A former owner may have started runs on this worker. */
 	l->may_have_runs = b->role == ROLE_RECOVERING;
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -359,7 +359,7 @@
 		.asked_ms = k->asked_ms,
 	};
 
-	if (!process_lost_address(&signs))
+	if (strcmp(k->addr, l->addr) != 0 || !process_lost_address(&signs))
 		return;
 	link_declare_replaced(l, &proof);
 	turn_to_process(l, 0, l->in_directory ? l->entry.addr : l->addr);
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -56,6 +56,11 @@
 holder ANY_LIST
 holder ACK_EARLY
 holder RENEW_ALWAYS
+process -
+process ANY_ANSWER
+process HIGHER_BOOT
+process ENTRY_PROVES
+process ANY_ADDRESS
 takeover -
 takeover START_FIRST
 takeover NO_FENCE
