tgflowd: count answers of a process without a reset; blame crashes after 421

The count of answers went back to 0 when a link adopted another address, so a call from before could look as if no answer had come since; found by review, not shown to lead to a wrong verdict. Whether the process has answered at its address is a state of its own now.

After a 421 the first answer of the next process counted as the known one coming back, so the worker was left out when a common cause of crashes was looked for.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -82,6 +82,7 @@
 	uint64_t process;
 	int64_t boot_ms;
 	char addr[TG_ADDR_MAX + 1];
+	bool has_answered_there; /* at this address */
 	int64_t n_answers, answered_ms, asked_ms;
 	int64_t next_probe_ms;
 	int64_t clock_ms, clock_at_ms; /* worker's clock; own time of receipt */
--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -23,8 +23,7 @@
 	    !strcmp(l->addr, l->entry.addr))
 		return;
 	tg_strlcpy(l->addr, l->entry.addr, sizeof(l->addr));
-	/* No answer has come from there yet. */
-	l->n_answers = 0;
+	l->has_answered_there = false;
 }
 
 static void update_flow_worker(struct link *l)
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -158,6 +158,7 @@
 	l->process = ++l->board->n_processes;
 	l->boot_ms = boot_ms;
 	tg_strlcpy(l->addr, addr, sizeof(l->addr));
+	l->has_answered_there = false;
 	l->n_answers = l->answered_ms = l->asked_ms = 0;
 	l->clock_ms = l->clock_at_ms = 0;
 	l->lease_until_ms = l->leases_end_ms = 0;
@@ -175,6 +176,8 @@
 		.boot_ms = boot_ms,
 		.answers_at_call = k->n_answers,
 		.answers = l->n_answers,
+		.at_its_address =
+			l->has_answered_there && !strcmp(k->addr, l->addr),
 	};
 }
 
@@ -212,6 +215,7 @@
 	if (boot_ms)
 		l->boot_ms = boot_ms;
 	tg_strlcpy(l->addr, k->addr, sizeof(l->addr));
+	l->has_answered_there = true;
 	l->n_answers++;
 	l->answered_ms = tg_now_ms();
 	if (k->asked_ms > l->asked_ms)
@@ -226,6 +230,9 @@
 	struct process_signs signs = signs_of(l, k, r->boot_ms);
 	enum process_sign sign = process_sign_of(&signs);
 	bool is_new = sign == PROCESS_REPLACED || !l->boot_ms;
+	/* No process is known after one that has lost its address. */
+	bool restarted =
+		sign == PROCESS_REPLACED || (!l->boot_ms && l->lost_boot_ms);
 
 	if (sign == PROCESS_UNORDERED) {
 		log_unordered(l, k, r->boot_ms);
@@ -243,7 +250,7 @@
 	if (l->failed) {
 		tg_log(EV_FLOW_WORKER_BACK, "worker=%s failures=%d",
 		       l->entry.id, l->failures);
-		if (sign != PROCESS_REPLACED)
+		if (!restarted)
 			flow_worker_back(b->flow, l->entry.id);
 	}
 	link_set_failed(l, false);
@@ -359,7 +366,7 @@
 		.asked_ms = k->asked_ms,
 	};
 
-	if (strcmp(k->addr, l->addr) != 0 || !process_lost_address(&signs))
+	if (!process_lost_address(&signs))
 		return;
 	link_declare_replaced(l, &proof);
 	turn_to_process(l, 0, l->in_directory ? l->entry.addr : l->addr);
--- a/cmd/tgflowd/verdict.c
+++ b/cmd/tgflowd/verdict.c
@@ -2,8 +2,8 @@
 
 /*
  * Verdicts on workers: all runs of a worker's process are taken for ended, so
- * that their tasks start elsewhere.  docs/platform.md, "When a worker's runs
- * have ended", has the proofs.
+ * that their tasks start elsewhere.  docs/platform.md, "When a worker's process
+ * has ended", has the proofs.
  */
 
 static struct tg_counter *outlived;
--- a/cmd/tgflowd/workerprocess.c
+++ b/cmd/tgflowd/workerprocess.c
@@ -18,5 +18,5 @@
 
 bool process_lost_address(const struct process_signs *s)
 {
-	return s->known_boot_ms && s->answers && is_later_than_known(s);
+	return s->known_boot_ms && s->at_its_address && is_later_than_known(s);
 }
--- a/cmd/tgflowd/workerprocess.h
+++ b/cmd/tgflowd/workerprocess.h
@@ -17,10 +17,12 @@
  * @boot_ms: boot that the answer names; 0 if none
  * @answers_at_call: answers of the known process received when the call began
  * @answers: the same by now
+ * @at_its_address: the known process has answered at the address of the call
  */
 struct process_signs {
 	int64_t known_boot_ms, boot_ms;
 	int64_t answers_at_call, answers;
+	bool at_its_address;
 };
 
 /**
@@ -35,7 +37,7 @@
  * process_lost_address() - whether the known process has ended, as another
  * worker answers at its address
  *
- * That proves nothing of an address at which the process never answered.
+ * That proves nothing at an address at which the process never answered.
  */
 bool process_lost_address(const struct process_signs *s);
 
--- a/tests/unit/flowd/test-flowd.c
+++ b/tests/unit/flowd/test-flowd.c
@@ -92,6 +92,9 @@
 
 	ck_assert(!process_lost_address(&s));
 	s.answers = 3;
+	s.answers_at_call = 3;
+	ck_assert(!process_lost_address(&s));
+	s.at_its_address = true;
 	s.answers_at_call = 2;
 	ck_assert(!process_lost_address(&s));
 	s.answers_at_call = 3;
