tgflowd: allow for a slow clock when a worker stops a run

A run that is being stopped and that its worker doesn't list counted as ended once a list was requested more than stop-ms after the stop was confirmed. The worker measures that time by its own clock, which may be 2 % slow, so the run could still be there: its capacity was given away, or its task started elsewhere, up to 2 % of stop-ms too early.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -153,6 +153,12 @@
 
 #define IS_OWNER(b) ((b)->role == ROLE_OWNER || (b)->role == ROLE_RECOVERING)
 
+/** stop_max_ms() - longest time from a confirmed stop to the end of the run */
+static inline int64_t stop_max_ms(const struct board *b)
+{
+	return b->site.set.stop_ms * 100 / (100 - CLOCK_SLOW_PERCENT) + 1;
+}
+
 /* lists.c */
 /**
  * link_apply_lists() - apply a worker's list of runs and ends
--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -151,7 +151,7 @@
 	static const char *parts[TG_JOB_PARTS];
 	struct flow_opts fo = {
 		.early_ms = b->site.set.early_ms / 2,
-		.stop_ms = b->site.set.stop_ms,
+		.stop_ms = stop_max_ms(b),
 		.reclaim_ms = b->site.set.reclaim_ms,
 	};
 	struct tg_table_watch_opts o = {
--- a/tests/site-lib.sh
+++ b/tests/site-lib.sh
@@ -10,6 +10,7 @@
 share=0.5
 row_bytes=${row_bytes:-65536}
 heartbeat_ms=${heartbeat_ms:-500}
+stop_ms=${stop_ms:-200}
 config='{"version":7,"routes":[
  {"name":"normal","host":"h","path-prefix":"/n/","priority":1,"service":"svc",
   "max-attempts":3,"stretch":3.0,"target-runtime-ms":1000},
@@ -62,7 +63,7 @@
 		limits.cores=1
 		bounds.grace-s=3
 		bounds.hold-max-ms=10000
-		bounds.stop-ms=200
+		bounds.stop-ms=$stop_ms
 		bounds.status_s=$status_s
 		bounds.reclaim-ms=3400
 		bounds.early_ms=250
