tgflowd: request a list when a stop must be over

A run that its worker never had ends with the first list that is requested after its stop is over. No end is listed for it, so the long poll that is in progress takes its whole time of 2 s, and so does the next one, as the first was requested too early. Its task waited for up to 4 s.

--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -21,6 +21,8 @@
 #define START_TRIES 3
 /* Delay after which an order to a worker without a link fails as not sent. */
 #define NOT_SENT_DELAY_MS 200
+/* A list is requested this long after a stop is over, for late timers. */
+#define STOP_POLL_MARGIN_MS 10
 /*
  * Orders in progress at a time on one worker, each on a connection of its own.
  * Together with the poll that stays below the limit on descriptors.
@@ -209,6 +211,49 @@
 	};
 }
 
+struct stopped {
+	struct board *board;
+	uint64_t term;
+	char worker[TG_NAME_MAX + 1];
+	struct flow_run_ref ref;
+	char job[FLOW_JOB_ID_LEN + 1];
+};
+
+static void on_stop_over(evutil_socket_t fd, short what, void *arg)
+{
+	struct stopped *s = arg;
+	struct board *b = s->board;
+	struct link *l = s->term == b->term ? link_find(b, s->worker) : NULL;
+
+	(void)fd;
+	(void)what;
+	s->ref.job = s->job;
+	if (l && flow_is_stopping(b->flow, &s->ref, s->worker))
+		link_poll(l);
+	free(s);
+}
+
+/*
+ * A run that its worker never had is not in a list of ends, so that the long
+ * poll is not answered when its stop is over.
+ */
+static void poll_after_stop(const struct order *o)
+{
+	struct stopped *s = tg_xcalloc(1, sizeof(*s));
+	int64_t ms = stop_max_ms(o->board) + STOP_POLL_MARGIN_MS;
+	struct timeval tv = {
+		.tv_sec = ms / 1000,
+		.tv_usec = ms % 1000 * 1000,
+	};
+
+	s->board = o->board;
+	s->term = o->term;
+	s->ref = ref_of(o);
+	tg_strlcpy(s->job, o->task.job, sizeof(s->job));
+	tg_strlcpy(s->worker, o->worker, sizeof(s->worker));
+	event_base_once(o->board->base, -1, EV_TIMEOUT, on_stop_over, s, &tv);
+}
+
 static void on_order(enum tg_order_end end, int64_t clock_ms, void *arg)
 {
 	struct order *o = arg;
@@ -242,6 +287,8 @@
 				   tg_now_ms());
 	if (l && end == TG_ORDER_UNKNOWN && o->start)
 		link_poll(l);
+	if (end == TG_ORDER_DONE && !o->start)
+		poll_after_stop(o);
 	if (end != TG_ORDER_DONE)
 		round_wake(b);
 out:
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -308,6 +308,10 @@
 void flow_stop_answered(struct flow *f, const struct flow_run_ref *r,
 			const char *worker, enum flow_order_result end,
 			int64_t now_ms);
+/** flow_is_stopping() - whether a worker still has a run that is to be stopped
+ */
+bool flow_is_stopping(const struct flow *f, const struct flow_run_ref *r,
+		      const char *worker);
 /** enum flow_listed - what is known of a run that a worker lists */
 enum flow_listed {
 	FLOW_LISTED_UNKNOWN, /* there is no such job, task or worker */
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -348,6 +348,14 @@
 	}
 }
 
+bool flow_is_stopping(const struct flow *f, const struct flow_run_ref *ref,
+		      const char *worker)
+{
+	const struct run *r = find_run(f, ref, flow_find_worker(f, worker));
+
+	return r && r->state == RUN_STOPPING;
+}
+
 enum flow_listed flow_report_run(struct flow *f, const struct flow_run_ref *ref,
 				 const char *worker, int32_t percent,
 				 const char *saved, int64_t now_ms)
