flow: keep a run whose start order may reach the worker's next process

A start order that gets no answer may be carried out seconds later, and it names the worker by its id only, which a restarted worker keeps. The owner ended all runs of a worker once another process answered and started their tasks elsewhere. Then the order reached the new process, which accepted it, and the task ran twice.

Runs of which a copy of the start order is unanswered now stay on the worker as runs to be stopped until the new process has confirmed a stop order for them, since a worker refuses any copy of a run that it was told to stop. Stop orders that were sent to an earlier process confirm nothing for the later one. All other runs end at once as before, and a crash is blamed on the same tasks; a run that is kept isn't blamed for the next process.

--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -44,6 +44,7 @@
 	int32_t run;
 	char saved[FLOW_CHECKPOINT_LEN + 1]; /* of a start */
 	int tries;
+	uint64_t process; /* of the link, to which it was last sent */
 	int64_t queued_ms, sent_ms;
 	struct order *prev, *next; /* in a queue or in a lane */
 };
@@ -211,6 +212,7 @@
 	};
 }
 
+/** struct stopped - a run whose stop was confirmed */
 struct stopped {
 	struct board *board;
 	uint64_t term;
@@ -254,6 +256,16 @@
 	event_base_once(o->board->base, -1, EV_TIMEOUT, on_stop_over, s, &tv);
 }
 
+/*
+ * What an earlier process of the worker has confirmed does not hold for the one
+ * that serves now.
+ */
+static enum tg_order_end stop_end(const struct order *o, const struct link *l,
+				  enum tg_order_end end)
+{
+	return l && l->process != o->process ? TG_ORDER_UNKNOWN : end;
+}
+
 static void on_order(enum tg_order_end end, int64_t clock_ms, void *arg)
 {
 	struct order *o = arg;
@@ -269,6 +281,7 @@
 	l = link_find(b, o->worker);
 	if (l && end == TG_ORDER_UNKNOWN && o->start &&
 	    o->tries < START_TRIES) {
+		flow_start_unanswered(b->flow, &ref, o->worker);
 		o->queued_ms = tg_now_ms();
 		enqueue(o);
 		return;
@@ -282,9 +295,10 @@
 				    order_outcome(end, true, o->tries),
 				    tg_now_ms());
 	else
-		flow_stop_answered(b->flow, &ref, o->worker,
-				   order_outcome(end, false, o->tries),
-				   tg_now_ms());
+		flow_stop_answered(
+			b->flow, &ref, o->worker,
+			order_outcome(stop_end(o, l, end), false, o->tries),
+			tg_now_ms());
 	if (l && end == TG_ORDER_UNKNOWN && o->start)
 		link_poll(l);
 	if (end == TG_ORDER_DONE && !o->start)
@@ -332,6 +346,7 @@
 		fail_later(o);
 		return;
 	}
+	o->process = l->process;
 	ref.id = l->entry.id;
 	ref.addr = l->addr;
 	if (o->start) {
--- a/lib/flow/crash.c
+++ b/lib/flow/crash.c
@@ -264,13 +264,13 @@
 			  sizeof(*list));
 	n = add_lost_runs(f, w, list);
 	for (r = w->runs; r; r = r->next)
-		if (flow_run_was_ordered(r))
+		if (flow_run_was_ordered(r) && !r->process_ended)
 			list[n++] = casualty_of(r, crash->silent_ms);
 	if (has_common_cause(f, w, crash->silent_ms))
 		n = keep_telling(list, n);
 	if (!w->draining)
 		find_culprits(list, n, crash);
 	free(list);
-	flow_worker_lost(f, crash->worker, now_ms);
+	flow_worker_replaced(f, w, now_ms);
 	flow_forget_lost_runs(w);
 }
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -191,6 +191,10 @@
  * To be called when the worker has been replaced by another process, also if
  * that shows only after flow_worker_lost().  No task is blamed if the worker
  * was draining.
+ *
+ * A start order that got no answer may yet reach the other process, since
+ * orders name the worker only.  Such a run ends once that process has confirmed
+ * a stop order for it.
  */
 void flow_worker_crashed(struct flow *f, const struct flow_crash *crash,
 			 int64_t now_ms);
@@ -298,6 +302,14 @@
 void flow_start_answered(struct flow *f, const struct flow_run_ref *r,
 			 const char *worker, enum flow_order_result end,
 			 int64_t now_ms);
+/**
+ * flow_start_unanswered() - a copy of a start order got no answer
+ *
+ * It may be carried out later, also by another process of the worker.  To be
+ * called when the order is sent again; FLOW_ORDER_UNKNOWN tells the same.
+ */
+void flow_start_unanswered(struct flow *f, const struct flow_run_ref *r,
+			   const char *worker);
 /**
  * flow_stop_answered() - report the outcome of a stop order
  *
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -26,6 +26,10 @@
 	struct run *decided_prev, *decided_next; /* while it is RUN_DECIDED */
 	bool stop_confirmed; /* the worker will refuse a delayed start */
 	bool stop_pending; /* a stop order is still to be sent */
+	/* A copy of the start order got no answer, and may be carried out. */
+	bool start_unanswered;
+	/* The process that got the start order has ended; a later one may. */
+	bool process_ended;
 	int64_t next_stop_ms; /* earliest time of the next stop order */
 	bool victim; /* to be preempted for another job */
 	bool is_candidate; /* for preemption, during a search */
@@ -354,6 +358,12 @@
 /* workers.c */
 /** flow_free_worker() - free a worker without runs */
 void flow_free_worker(struct flow *f, struct worker *w);
+/**
+ * flow_worker_replaced() - like flow_worker_lost(), but another process serves
+ *
+ * What it may yet start is stopped there instead of ended.
+ */
+void flow_worker_replaced(struct flow *f, struct worker *w, int64_t now_ms);
 struct worker *flow_find_worker(const struct flow *f, const char *id);
 /** flow_get_or_add_worker() - a worker that is added has no description yet */
 struct worker *flow_get_or_add_worker(struct flow *f, const char *id);
@@ -431,6 +441,18 @@
 struct flow_run_ref flow_ref_of(const struct run *r);
 /** flow_run_mark_stopping() - let the next flow_decide() order a stop */
 void flow_run_mark_stopping(struct run *r);
+/**
+ * flow_run_may_start_late() - whether a copy of its start order may yet reach
+ * the worker
+ */
+bool flow_run_may_start_late(const struct run *r);
+/**
+ * flow_run_process_ended() - the process that got its start order has ended
+ *
+ * The run is to be stopped at the worker's next process, which then refuses a
+ * late copy of the order.
+ */
+void flow_run_process_ended(struct run *r, int64_t now_ms);
 /**
  * flow_gang_is_partial() - whether a member of the run's gang is missing
  *
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -306,6 +306,30 @@
 	return r && r->state == RUN_STARTING ? r->job->spec->text : NULL;
 }
 
+bool flow_run_may_start_late(const struct run *r)
+{
+	return r->state == RUN_STARTING || r->start_unanswered;
+}
+
+void flow_run_process_ended(struct run *r, int64_t now_ms)
+{
+	flow_run_mark_stopping(r);
+	r->process_ended = r->start_unanswered = r->stop_pending = true;
+	/* The next process has neither seen a stop order nor listed it. */
+	r->stop_confirmed = false;
+	r->next_stop_ms = 0;
+	r->answered_ms = now_ms;
+}
+
+void flow_start_unanswered(struct flow *f, const struct flow_run_ref *ref,
+			   const char *worker)
+{
+	struct run *r = find_run(f, ref, flow_find_worker(f, worker));
+
+	if (r)
+		r->start_unanswered = true;
+}
+
 void flow_start_answered(struct flow *f, const struct flow_run_ref *ref,
 			 const char *worker, enum flow_order_result end,
 			 int64_t now_ms)
@@ -315,6 +339,7 @@
 
 	if (!r)
 		return;
+	r->start_unanswered |= end == FLOW_ORDER_UNKNOWN;
 	if (end == FLOW_ORDER_DONE || end == FLOW_ORDER_UNKNOWN) {
 		if (r->state != RUN_STARTING)
 			return;
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -274,28 +274,52 @@
 		w->suspect = suspect;
 }
 
-void flow_worker_lost(struct flow *f, const char *id, int64_t now_ms)
+static void end_run(struct flow *f, struct run *r, int64_t now_ms)
 {
-	struct worker *w = flow_find_worker(f, id);
+	struct worker *w = r->worker;
 
-	if (!w)
+	if (r->state == RUN_DECIDED) {
+		flow_run_remove(r);
 		return;
-	while (w->runs) {
-		if (w->runs->state == RUN_DECIDED) {
-			flow_run_remove(w->runs);
-			continue;
-		}
-		if (!w->draining && flow_run_was_ordered(w->runs))
-			flow_remember_lost_run(w, w->runs);
-		flow_run_ended(f, w->runs, FLOW_RUN_LEASE_EXPIRED, NULL,
-			       now_ms);
 	}
+	if (!w->draining && flow_run_was_ordered(r) && !r->process_ended)
+		flow_remember_lost_run(w, r);
+	flow_run_ended(f, r, FLOW_RUN_LEASE_EXPIRED, NULL, now_ms);
+}
+
+static void forget_process(struct worker *w)
+{
 	w->runs_known = false;
 	w->failures_in_row = 0;
 	w->quarantined_until_ms = 0;
 	w->speed = 1;
 }
 
+void flow_worker_lost(struct flow *f, const char *id, int64_t now_ms)
+{
+	struct worker *w = flow_find_worker(f, id);
+
+	if (!w)
+		return;
+	while (w->runs)
+		end_run(f, w->runs, now_ms);
+	forget_process(w);
+}
+
+void flow_worker_replaced(struct flow *f, struct worker *w, int64_t now_ms)
+{
+	struct run *r, *next;
+
+	for (r = w->runs; r; r = next) {
+		next = r->next;
+		if (flow_run_may_start_late(r))
+			flow_run_process_ended(r, now_ms);
+		else
+			end_run(f, r, now_ms);
+	}
+	forget_process(w);
+}
+
 static void forget_worker(struct job *j, struct step_state *ss, int32_t index,
 			  const struct worker *w)
 {
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -80,10 +80,11 @@
 	char addr[TG_ADDR_MAX + 1];
 	/*
 	 * ok, silent: cut off from everybody, refuse: cut off, connections are
-	 * refused, deaf: cut off from callers only, unanswered: late, mute: at
-	 * once, fail, unhealthy
+	 * refused, deaf: cut off from callers only, unanswered: late,
+	 * unanswered-later: also by a later process, mute: at once, fail,
+	 * unhealthy
 	 */
-	char mode[16];
+	char mode[24];
 	int64_t boot_ms, born_wall_ms;
 	int64_t seq, next_beat_ms, beat_ms; /* its heartbeats; beat_ms: last */
 	struct life lives[LIVES_MAX]; /* the last ones, the current one first */
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -318,16 +318,19 @@
 
 struct late {
 	struct worker *worker;
-	int64_t boot_ms;
+	int64_t boot_ms; /* 0 for whichever process serves the address */
+	char addr[TG_ADDR_MAX + 1];
 	json_t *body;
 };
 
 static void start_late(void *arg)
 {
 	struct late *l = arg;
+	struct worker *w = l->worker;
 
-	if (l->worker->boot_ms == l->boot_ms)
-		start(l->worker, l->body);
+	if (l->boot_ms ? w->boot_ms == l->boot_ms :
+			 w->server && !strcmp(w->addr, l->addr))
+		start(w, l->body);
 	json_decref(l->body);
 	free(l);
 }
@@ -362,6 +365,7 @@
 static void run_start(struct worker *w, struct evhttp_request *req,
 		      json_t *body)
 {
+	bool later = !strcmp(w->mode, "unanswered-later");
 	const char *reason;
 	struct late *l;
 
@@ -369,10 +373,11 @@
 		tg_http_reply_error(req, 503, NULL, "unhealthy");
 		return;
 	}
-	if (!strcmp(w->mode, "unanswered")) {
+	if (later || !strcmp(w->mode, "unanswered")) {
 		l = tg_xcalloc(1, sizeof(*l));
 		l->worker = w;
-		l->boot_ms = w->boot_ms;
+		l->boot_ms = later ? 0 : w->boot_ms;
+		tg_strlcpy(l->addr, w->addr, sizeof(l->addr));
 		l->body = json_incref(body);
 		delay_call(board.base, LATE_MS, start_late, l);
 		close_without_reply(board.base, req, NO_REPLY_MS, NULL, w);
--- a/tests/unit/flow/test-crash.c
+++ b/tests/unit/flow/test-crash.c
@@ -363,6 +363,98 @@
 }
 END_TEST
 
+/* A job whose only start order is answered as @end says at 1010. */
+static struct flow_run_ref start_unanswered(enum flow_order_result end)
+{
+	static struct start_order s;
+	struct flow_run_ref r;
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "job", "normal", fleet_new_spec(1, 1, false), 0);
+	fleet_decide(f, &o, 1000);
+	ck_assert_int_eq(o.n_starts, 1);
+	s = o.starts[0];
+	r = fleet_run_ref(&s);
+	flow_start_unanswered(f, &r, "w1");
+	flow_start_answered(f, &r, "w1", end, 1010);
+	fleet_add_worker(f, "w2", "r1", 8);
+	return r;
+}
+
+/* The next process confirms a stop at @now_ms and lists the run no more. */
+static void confirm_stop(const struct flow_run_ref *r, int64_t now_ms)
+{
+	fleet_decide(f, &o, now_ms);
+	ck_assert_int_eq(o.n_starts, 0);
+	ck_assert_int_eq(o.n_stops, 1);
+	flow_stop_answered(f, r, "w1", FLOW_ORDER_DONE, now_ms);
+	flow_report_list_end(f, "w1", now_ms + STOP_MS, now_ms + STOP_MS + 1);
+	fleet_decide(f, &o, now_ms + STOP_MS + 2);
+	ck_assert_int_eq(o.n_starts, 0);
+	flow_report_list_end(f, "w1", now_ms + STOP_MS + 3,
+			     now_ms + STOP_MS + 4);
+}
+
+/*
+ * The worker's next process carried out a start order that had got no answer,
+ * while the task ran elsewhere already.
+ */
+START_TEST(unanswered_start_outlives_its_process)
+{
+	struct flow_run_ref r = start_unanswered(FLOW_ORDER_UNKNOWN);
+
+	crash(f, "w1", 1010, 1100);
+	ck_assert_int_eq(n_blamed, 1);
+	confirm_stop(&r, 1200);
+	fleet_decide(f, &o, 4000);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_int_eq(o.starts[0].run, 2);
+}
+END_TEST
+
+/* The second copy of the order was answered, so the first may be on its way. */
+START_TEST(unanswered_copy_of_a_start_outlives_its_process)
+{
+	struct flow_run_ref r = start_unanswered(FLOW_ORDER_DONE);
+
+	ck_assert(flow_report_run(f, &r, "w1", 0, "", 1020));
+	flow_report_list_end(f, "w1", 1019, 1020);
+	crash(f, "w1", 1090, 1100);
+	confirm_stop(&r, 1200);
+	fleet_decide(f, &o, 4000);
+	ck_assert_int_eq(o.n_starts, 1);
+}
+END_TEST
+
+/* What a process has confirmed says nothing about the one after it. */
+START_TEST(stop_is_confirmed_by_each_process)
+{
+	struct flow_run_ref r = start_unanswered(FLOW_ORDER_UNKNOWN);
+
+	crash(f, "w1", 1010, 1100);
+	fleet_decide(f, &o, 1150);
+	flow_stop_answered(f, &r, "w1", FLOW_ORDER_DONE, 1160);
+	crash(f, "w1", 1170, 1180);
+	ck_assert_int_eq(n_blamed, 1);
+	flow_report_list_end(f, "w1", 3000, 3001);
+	confirm_stop(&r, 3010);
+	fleet_decide(f, &o, 6000);
+	ck_assert_int_eq(o.n_starts, 1);
+}
+END_TEST
+
+/* The only copy of the order was answered by the process that has ended. */
+START_TEST(answered_start_ends_with_its_process)
+{
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "job", "normal", fleet_new_spec(1, 1, false), 0);
+	start("job", 1000);
+	list_run(&o.starts[0], 1020);
+	crash(f, "w1", 1090, 1100);
+	start("job", 1200);
+}
+END_TEST
+
 /* Its leases expire before the worker is back; the task runs elsewhere then. */
 START_TEST(crash_that_shows_after_its_leases_expired_counts)
 {
@@ -489,6 +581,10 @@
 	tcase_add_test(t, deadly_tasks_that_start_together_are_each_blamed);
 	tcase_add_test(t, restart_of_draining_worker_is_blamed_on_no_task);
 	tcase_add_test(t, announced_exit_is_blamed_on_no_task);
+	tcase_add_test(t, unanswered_start_outlives_its_process);
+	tcase_add_test(t, unanswered_copy_of_a_start_outlives_its_process);
+	tcase_add_test(t, stop_is_confirmed_by_each_process);
+	tcase_add_test(t, answered_start_ends_with_its_process);
 	tcase_add_test(t, crash_that_shows_after_its_leases_expired_counts);
 	tcase_add_test(t, cut_off_worker_that_returns_is_no_crash);
 	tcase_add_test(t, crashes_survive_takeover);
