tgschedd: don't take another worker's answer for that of the worker called

Callers see a job run twice at one time, and a running job stopped and queued again, after a worker's address has passed to another worker.

Cause: an answer counted as the worker's whoever sent it. The instance list lags, by tens of seconds if it is long or the platform doesn't answer, so the address may belong to another worker by then. Its inventory has none of the first worker's leases, which counted as proof that they had ended, and its own leases were stopped as orphans of the first worker.

Each answer names its worker. If that is another one, the worker counts as unreachable, so its leases are waited for, and nothing is sent by what the answer says.

--- a/cmd/tgschedd/call.c
+++ b/cmd/tgschedd/call.c
@@ -41,13 +41,27 @@
 	free(text);
 }
 
+/* At an address that has changed hands, before the instance list shows it. */
+static bool is_from_other_worker(const struct worker *w, const json_t *response)
+{
+	const char *name =
+		json_string_value(json_object_get(response, "worker"));
+
+	if (!name || !strcmp(name, w->name))
+		return false;
+	tg_log(EV_SCHED_OTHER_WORKER, "worker=%s addr=%s other=%s", w->name,
+	       w->addr, name);
+	return true;
+}
+
 bool worker_finish_call(struct board *b, struct worker *w,
 			const struct tg_http_result *r, const json_t *response)
 {
 	w->call = NULL;
 	w->call_arg = NULL;
 	w->call_in_flight = false;
-	if (r->end == TG_HTTP_COMPLETE && response)
+	if (r->end == TG_HTTP_COMPLETE && response &&
+	    !is_from_other_worker(w, response))
 		return true;
 	w->reachable = false;
 	w->contacted = true;
--- a/cmd/tgschedd/message.h
+++ b/cmd/tgschedd/message.h
@@ -27,7 +27,8 @@
 /**
  * worker_update_from_response() - note boot, clock, epoch and draining state
  *
- * Return: false, after logging it, if the response lacks boot or clock.
+ * Return: false, after logging it, if the response lacks boot or clock or is
+ * from another worker.
  */
 bool worker_update_from_response(struct worker *w, const json_t *response);
 
@@ -48,8 +49,8 @@
  * worker_finish_call() - record the end of the call in flight
  * @response: parsed body; NULL if there is none
  *
- * Return: whether the worker answered.  If not, it is called again after
- * call_ms.
+ * Return: whether the worker answered, and not another one at its address.  If
+ * not, it is called again after call_ms.
  */
 bool worker_finish_call(struct board *b, struct worker *w,
 			const struct tg_http_result *r, const json_t *response);
--- a/cmd/tgschedd/response.c
+++ b/cmd/tgschedd/response.c
@@ -220,11 +220,14 @@
 
 bool worker_update_from_response(struct worker *w, const json_t *response)
 {
+	const char *name =
+		json_string_value(json_object_get(response, "worker"));
 	const char *boot = json_string_value(json_object_get(response, "boot"));
 	const json_t *now = json_object_get(response, "now_ms");
 	const json_t *epoch = json_object_get(response, "epoch");
 
-	if (!boot || !json_is_integer(now)) {
+	if (!boot || !json_is_integer(now) || !name ||
+	    strcmp(name, w->name) != 0) {
 		tg_log(EV_SCHED_BAD_ANSWER, "worker=%s", w->name);
 		return false;
 	}
