tgentryd: don't apply notes on a former start of a worker

Callers see requests refused with 503 (not run) although the worker serves, until the next probe of it or, at a daemon that doesn't probe it, for up to 10 s.

Cause: a note of a peer that names another boot than the known one was taken for a newer one. Boots have no order. The note may be about a start that has ended since, as that of a peer that was stopped for a while or whose datagram was late, and its "down" or "draining" was applied to the present start. A new address made it worse: the time of the last observation was forgotten, but the former boot was kept, so that notes on it were accepted. The answer to a probe that was sent to the former address counted too.

Now a note is applied only if it is about the known start. Otherwise the daemon probes the worker itself, and the answer decides, since it is asked for later. It does so after a new address too.

--- a/cmd/tgentryd/board.h
+++ b/cmd/tgentryd/board.h
@@ -96,6 +96,8 @@
  * @next_probe_ms: when this process probes it next; 0: this process has never
  *	probed it
  * @probe_failures: consecutive probes that failed
+ * @probe_wanted: its address changed or a peer's note names another start of
+ *	it, so this process probes it even if a peer has to
  * @note_due: its state or load changed and has to be sent to the peers
  * @last_note_in_use: @in_use_reported when it was last sent to the peers
  * @note_sender: instance that sent the newest note about it
@@ -121,7 +123,7 @@
 	int64_t failing_until_ms, full_until_ms;
 
 	int64_t next_probe_ms;
-	bool probe_in_flight;
+	bool probe_in_flight, probe_wanted;
 	uint32_t probe_failures;
 	bool note_due;
 	uint32_t last_note_in_use;
--- a/cmd/tgentryd/notes.c
+++ b/cmd/tgentryd/notes.c
@@ -99,6 +99,20 @@
 		b->next_full_notes_ms = now_ms + FULL_NOTES_PERIOD_MS;
 }
 
+/*
+ * Whether the note is about the known start of the worker.  One that names
+ * another start may be older, as that of a peer that was stopped for a while,
+ * and boots have no order.  Only a probe shows which start runs now.
+ */
+static bool is_about_known_start(struct worker *w,
+				 const struct tg_rpc_worker_note *n)
+{
+	if (*w->boot ? !strcmp(w->boot, n->boot) : !w->probe_wanted)
+		return true;
+	w->probe_wanted = true;
+	return false;
+}
+
 /*
  * Returns false if the note is not newer than what is known, as datagrams may
  * arrive out of order or more than once.  Stores the sender and the number of
@@ -119,8 +133,7 @@
 	 * worker, so the times of the observations are compared as well.
 	 */
 	if (n->state == TG_RPC_WORKER_DOWN)
-		return strcmp(w->boot, n->boot) != 0 ||
-			n->observed_ms >= w->observed_ms;
+		return n->observed_ms >= w->observed_ms;
 	return worker_accept_observation(w, n->boot, n->observed_ms);
 }
 
@@ -139,7 +152,8 @@
 	struct worker *w;
 
 	HASH_FIND_STR(b->workers, n->worker, w);
-	if (!w || !accept_if_newer(w, a, n) || is_stale(w, n))
+	if (!w || !is_about_known_start(w, n) || !accept_if_newer(w, a, n) ||
+	    is_stale(w, n))
 		return;
 	if (n->state == TG_RPC_WORKER_DOWN)
 		worker_set_down(b, w, true);
--- a/cmd/tgentryd/probe.c
+++ b/cmd/tgentryd/probe.c
@@ -11,7 +11,7 @@
 
 struct probe {
 	struct board *board;
-	char worker[TG_NAME_MAX + 1];
+	char worker[TG_NAME_MAX + 1], addr[TG_ADDR_MAX + 1];
 };
 
 /*
@@ -26,7 +26,8 @@
 
 /*
  * Whether this process probes the worker.  Rendezvous hashing assigns each
- * worker to one of the live entry daemons of its AZ.
+ * worker to one of the live entry daemons of its AZ; others probe it only if
+ * notes don't tell which start of it runs.
  */
 static bool is_probed_here(const struct board *b, const struct worker *w)
 {
@@ -36,6 +37,8 @@
 
 	if (strcmp(w->az, b->settings.az) != 0)
 		return false;
+	if (w->probe_wanted)
+		return true;
 	peers = tg_member_peers(b->member, &n);
 	for (i = 0; i < n; i++)
 		if (sends_probes(b, &peers[i]) &&
@@ -88,21 +91,29 @@
 	struct probe *p = arg;
 	struct board *b = p->board;
 	struct worker *w;
+	bool moved;
 
 	HASH_FIND_STR(b->workers, p->worker, w);
+	moved = w && strcmp(w->addr, p->addr) != 0;
 	free(p);
 	if (!w)
 		return;
 	w->probe_in_flight = false;
+	/* It says nothing of the worker that is listed now. */
+	if (moved)
+		return;
 	if (res->end == TG_HTTP_COMPLETE && res->status == 200 &&
 	    apply_probe_answer(b, w, res)) {
 		w->probe_failures = 0;
+		w->probe_wanted = false;
 		worker_set_down(b, w, false);
 		services_dispatch_queued(b);
 		return;
 	}
-	if (++w->probe_failures >= PROBE_FAILURE_THRESHOLD)
+	if (++w->probe_failures >= PROBE_FAILURE_THRESHOLD) {
+		w->probe_wanted = false;
 		worker_set_down(b, w, true);
+	}
 }
 
 static void send_probe(struct board *b, struct worker *w)
@@ -119,6 +130,7 @@
 
 	p->board = b;
 	tg_strlcpy(p->worker, w->name, sizeof(p->worker));
+	tg_strlcpy(p->addr, w->addr, sizeof(p->addr));
 	w->probe_in_flight = true;
 	tg_counter("tg_probes_total", "Probes sent to workers.", NULL)->value++;
 	tg_http_call_start(b->probe_http, &call);
--- a/cmd/tgentryd/workers.c
+++ b/cmd/tgentryd/workers.c
@@ -60,6 +60,9 @@
 		w->down = false;
 		w->failures = 0;
 		w->failing_until_ms = 0;
+		/* Notes on the former worker may still arrive. */
+		w->boot[0] = '\0';
+		w->probe_wanted = *w->addr != '\0';
 	}
 	tg_strlcpy(w->az, instance->az, sizeof(w->az));
 	tg_strlcpy(w->addr, instance->addr, sizeof(w->addr));
