tgentryd: ask the issuer of a key that has restarted unnoticed

Callers see "unknown" (504) for a request with an issued key, and for a question for its outcome, although nothing ran, shortly after the instance that issued the key has restarted.

Cause: a peer whose last answer to a ping named another boot than the key counted as restarted since the key was issued, so that it had lost it. The answer is up to 1 s old (longer if pings fail), the key may be newer: the process before gave the answer, and the present one issued the key.

Now the peer is asked. If the key is not its own, it answers from the table as the daemon that was called did, so that recorded outcomes are still found. Of several records of the instance the one with the key's boot is used, then one that has not answered yet.

--- a/cmd/tgentryd/board.h
+++ b/cmd/tgentryd/board.h
@@ -638,9 +638,9 @@
 void issued_tick(void *board, int64_t now_ms);
 void issued_free(struct board *b);
 /**
- * issuer_peer() - peer that issued a key
+ * issuer_peer() - peer that may have issued a key
  *
- * Return: NULL if it is not known, or was restarted and so has lost the key.
+ * Return: NULL if the instance is not known.
  */
 const struct tg_member_peer *issuer_peer(const struct board *b,
 					 const struct issued_key *k);
--- a/cmd/tgentryd/issued.c
+++ b/cmd/tgentryd/issued.c
@@ -19,18 +19,33 @@
 		!strcmp(k->boot, tg_member_boot_id(b->member));
 }
 
+/*
+ * A peer whose last answer names another boot may have been restarted since and
+ * then issued the key, so it is asked as well.
+ */
+static int issuer_rank(const struct tg_member_peer *p,
+		       const struct issued_key *k)
+{
+	if (strcmp(p->instance, k->instance) != 0 ||
+	    strcmp(p->az, k->az) != 0 || strcmp(p->role, "entry") != 0)
+		return 0;
+	if (!strcmp(p->boot, k->boot))
+		return 3;
+	return *p->boot ? 1 : 2;
+}
+
 const struct tg_member_peer *issuer_peer(const struct board *b,
 					 const struct issued_key *k)
 {
-	const struct tg_member_peer *p =
-		tg_member_find_peer(b->member, k->instance, "entry");
-
-	if (!p || strcmp(p->az, k->az) != 0)
-		return NULL;
-	/* A daemon that was restarted since then does not know the key. */
-	if (p->live && *p->boot && strcmp(p->boot, k->boot) != 0)
-		return NULL;
-	return p;
+	const struct tg_member_peer *found = NULL, *peers;
+	size_t i, n;
+
+	peers = tg_member_peers(b->member, &n);
+	for (i = 0; i < n; i++)
+		if (issuer_rank(&peers[i], k) >
+		    (found ? issuer_rank(found, k) : 0))
+			found = &peers[i];
+	return found;
 }
 
 static struct issued_entry *find_entry(struct board *b, const char *key)
@@ -315,8 +330,7 @@
 	else if (issued_key_is_local(r->board, &r->issued_key))
 		start_local(r);
 	else if (r->rpc)
-		request_finish_unknown(r, 504,
-				       "this instance did not issue the key");
+		issued_key_answer_from_table(r);
 	else
 		forward_to_issuer(r);
 }
