sited: workers come back after they exit; what fails with a cut or a door fails

A soak of exits, cuts and restarts needs workers that come back (back), and met behaviour that the platform doesn't have: a worker that was cut off wrote its entry or removed it all the same, a start that was carried out late ran on a worker that had exited, a restart kept the connections of the process before, and changes arrived through a door of the store that refused or was silent.

--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -103,9 +103,10 @@
 
 /*
  * POST /standin/worker?id=W&mode=M; also drain, drain=N: it exits no sooner
- * than in N ms, leave, crash, restart, move, size=N; expire: its entry is gone
- * until listed; lost: its heartbeats are; old=N: its entry is that of its
- * process N lives before until its next heartbeat
+ * than in N ms, leave, crash, restart, move, back: a worker that has exited or
+ * drains restarts, size=N; expire: its entry is gone until listed; lost: its
+ * heartbeats are; old=N: its entry is that of its process N lives before until
+ * its next heartbeat
  */
 static void set_worker(struct evhttp_request *req, void *arg)
 {
@@ -125,8 +126,7 @@
 				mode[5] ? tg_now_ms() + atoi(mode + 6) : 0;
 			worker_write_entry(w);
 		} else if (!strcmp(mode, "leave")) {
-			worker_close(w);
-			worker_remove_entry(w);
+			worker_leave(w);
 		} else if (!strcmp(mode, "crash")) {
 			worker_close(w);
 		} else if (!strcmp(mode, "expire")) {
@@ -136,14 +136,16 @@
 			w->unlisted = true;
 		} else if (!strcmp(mode, "listed")) {
 			w->unlisted = false;
-			if (!w->gone)
-				worker_write_entry(w);
+			worker_write_entry(w);
 		} else if (!strncmp(mode, "size=", 5)) {
 			worker_resize(w, atoi(mode + 5));
 		} else if (!strncmp(mode, "old=", 4)) {
 			worker_write_old_entry(w, atoi(mode + 4));
 		} else if (!strcmp(mode, "restart")) {
 			worker_restart(w);
+		} else if (!strcmp(mode, "back")) {
+			if (w->gone || w->draining)
+				worker_restart(w);
 		} else if (!strcmp(mode, "move")) {
 			worker_move(w);
 		} else {
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -131,11 +131,17 @@
 /* worker.c */
 void worker_open(struct worker *w, int n);
 void worker_close(struct worker *w);
+/** worker_leave() - exit after draining, with the entry removed */
+void worker_leave(struct worker *w);
 void worker_restart(struct worker *w);
 /** worker_move() - restart at another address */
 void worker_move(struct worker *w);
+/** worker_write_entry() - a heartbeat, if the worker reaches the store */
 void worker_write_entry(struct worker *w);
-/** worker_write_old_entry() - write the entry of a process @lives before */
+/**
+ * worker_write_old_entry() - write the entry of a process @lives before, unless
+ *	there is no entry
+ */
 void worker_write_old_entry(struct worker *w, int lives);
 /** worker_resize() - change the capacity of a worker while it runs */
 void worker_resize(struct worker *w, int accelerators);
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -130,13 +130,36 @@
 	*p = w->next;
 }
 
+static bool is_silent(const struct store_door *d)
+{
+	return !strcmp(d->mode, "silent");
+}
+
+static bool is_refusing(const struct store_door *d)
+{
+	return !strcmp(d->mode, "refuse");
+}
+
+/* No change arrives through a door that fails. */
+static void fail_feed(struct waiting *w)
+{
+	if (is_refusing(w->door))
+		tg_http_reply_error(w->req, 503, NULL, "refused");
+	else
+		close_without_reply(board.base, w->req, NO_REPLY_MS, NULL,
+				    NULL);
+}
+
 static void feed_timeout(void *arg)
 {
 	struct waiting *w = arg;
 
 	if (!w->answered) {
 		forget_waiting(w);
-		tg_http_reply_json(w->req, 200, answer(json_array()));
+		if (is_refusing(w->door) || is_silent(w->door))
+			fail_feed(w);
+		else
+			tg_http_reply_json(w->req, 200, answer(json_array()));
 	}
 	free(w);
 }
@@ -163,6 +186,11 @@
 		}
 		forget_waiting(w);
 		w->answered = true;
+		if (is_refusing(w->door) || is_silent(w->door)) {
+			json_decref(rows);
+			fail_feed(w);
+			continue;
+		}
 		limit_bandwidth(w->req, bandwidth(w->door));
 		tg_http_reply_json(w->req, 200, answer(rows));
 	}
@@ -407,9 +435,9 @@
 		board.writes++;
 	else
 		board.reads++;
-	if (!strcmp(d->mode, "refuse"))
+	if (is_refusing(d))
 		tg_http_reply_error(req, 503, NULL, "refused");
-	else if (!strcmp(d->mode, "silent"))
+	else if (is_silent(d))
 		close_without_reply(board.base, req, NO_REPLY_MS, NULL, NULL);
 	else if (tx)
 		transact(req, !lose);
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -192,19 +192,7 @@
 	if (w->gone || now_ms < w->next_beat_ms)
 		return;
 	w->next_beat_ms = now_ms + board.opts.heartbeat_ms;
-	if (!w->unlisted && !is_cut_off(w))
-		worker_write_entry(w);
-}
-
-void workers_tick(void)
-{
-	int i;
-
-	for (i = 0; i < board.opts.workers; i++) {
-		beat(&board.workers[i]);
-		if (!board.workers[i].gone)
-			tick(&board.workers[i]);
-	}
+	worker_write_entry(w);
 }
 
 /* --- calls --- */
@@ -326,7 +314,7 @@
 {
 	struct late *l = arg;
 
-	if (l->worker->boot_ms == l->boot_ms)
+	if (l->worker->boot_ms == l->boot_ms && !l->worker->gone)
 		start(l->worker, l->body);
 	json_decref(l->body);
 	free(l);
@@ -337,6 +325,9 @@
 	struct worker *w = arg;
 	int n = (int)(w - board.workers) + 1;
 
+	/* It may have been started in the meantime. */
+	if (!w->gone)
+		return;
 	w->gone = false;
 	worker_open(w, n);
 }
@@ -473,12 +464,14 @@
 
 void worker_write_entry(struct worker *w)
 {
-	write_entry(w, &w->lives[0]);
+	if (!w->gone && !w->unlisted && !is_cut_off(w))
+		write_entry(w, &w->lives[0]);
 }
 
 void worker_write_old_entry(struct worker *w, int lives)
 {
-	if (lives > 0 && lives < LIVES_MAX && w->lives[lives].born_wall_ms)
+	if (w->listed && lives > 0 && lives < LIVES_MAX &&
+	    w->lives[lives].born_wall_ms)
 		write_entry(w, &w->lives[lives]);
 }
 
@@ -536,6 +529,16 @@
 	};
 
 	w->server = tg_http_server_new(&o);
+	/* A client may have got the port while the worker was away. */
+	if (w->server)
+		tg_strlcpy(w->addr, tg_http_server_addr(w->server),
+			   sizeof(w->addr));
+}
+
+/* Whether it should serve but doesn't. */
+static bool is_closed(const struct worker *w)
+{
+	return !w->server && !w->gone && strcmp(w->mode, "refuse") != 0;
 }
 
 /* Looks that wait end with their connections. */
@@ -588,7 +591,7 @@
 		/* The path is closed, and its connections are reset. */
 		drop_looks(w);
 		stop_listening(w);
-	} else if (!refuses && !w->server && !w->gone) {
+	} else if (is_closed(w)) {
 		listen_at(w, w->addr);
 	}
 }
@@ -599,7 +602,6 @@
 	tg_strlcpy(w->mode, "ok", sizeof(w->mode));
 	w->accelerators = (int)board.opts.accelerators;
 	listen_at(w, "127.0.0.1:0");
-	tg_strlcpy(w->addr, tg_http_server_addr(w->server), sizeof(w->addr));
 	/* The heartbeats of the workers are spread over the interval. */
 	w->next_beat_ms = tg_now_ms() +
 		board.opts.heartbeat_ms * n / (board.opts.workers + 1);
@@ -631,9 +633,22 @@
 	w->gone = true;
 }
 
+void worker_leave(struct worker *w)
+{
+	if (w->gone)
+		return;
+	worker_close(w);
+	/* Otherwise it can't reach the store, and the entry expires. */
+	if (!w->unlisted && !is_cut_off(w))
+		worker_remove_entry(w);
+}
+
 static void restart(struct worker *w)
 {
-	w->draining = false;
+	w->gone = w->draining = false;
+	if (is_closed(w))
+		listen_at(w, w->addr);
+	w->drained_ms = 0;
 	while (w->refused) {
 		struct refused *x = w->refused;
 
@@ -647,6 +662,8 @@
 void worker_restart(struct worker *w)
 {
 	drop_all(w);
+	/* Open connections end with the process. */
+	stop_listening(w);
 	restart(w);
 }
 
@@ -655,6 +672,22 @@
 	drop_all(w);
 	stop_listening(w);
 	listen_at(w, "127.0.0.1:0");
-	tg_strlcpy(w->addr, tg_http_server_addr(w->server), sizeof(w->addr));
+	if (!strcmp(w->mode, "refuse"))
+		stop_listening(w);
 	restart(w);
 }
+
+void workers_tick(void)
+{
+	int i;
+
+	for (i = 0; i < board.opts.workers; i++) {
+		struct worker *w = &board.workers[i];
+
+		if (is_closed(w))
+			listen_at(w, w->addr);
+		beat(w);
+		if (!w->gone)
+			tick(w);
+	}
+}
