--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -1,24 +1,30 @@
 #!/bin/sh
 # A soak of the queue and flow daemons: run.sh --seed N [--steps N]
-#	[--keep DIRECTORY] [--claim JOB] [--outages] [--large]
-# Three instances run on a stand-in of the platform, each with a proxy before
-# the store.  Steps drawn from the seed submit and cancel jobs and inject faults
-# from outside: signals, disturbed connections, faults of store and workers.
-# They overlap.  Then all faults end, and what callers and workers saw is
-# checked: an accepted job ends completed, one that was refused does not exist,
-# no task runs twice or beyond room.  --outages adds outages of the store in
-# which entries of workers expire, beside the other faults.  --large submits jobs
-# of many small tasks, on a store with rows of 8 KiB, which the progress of a
-# job doesn't fit.  --claim says that JOB was accepted, which shows that a lost
-# job is found.
+#	[--keep DIRECTORY] [--claim JOB] [--outages] [--large] [--workers]
+#	[--heartbeat-ms N] [--instances N]
+# Three instances (or N) run on a stand-in of the platform, with three proxies
+# before the store.  Steps drawn from the seed submit and cancel jobs and inject
+# faults from outside: signals, disturbed connections, faults of store and
+# workers.  They overlap.  Then all faults end, and what callers and workers saw
+# is checked: an accepted job ends completed, one that was refused does not
+# exist, no task runs twice or beyond room, and no owner took runs for ended that
+# went on.  --outages adds outages of the store in which entries of workers
+# expire, beside the other faults.  --large submits jobs of many small tasks, on
+# a store with rows of 8 KiB, which the progress of a job doesn't fit.  --workers
+# adds series of faults of workers: they drain, are cut off, with entries that
+# expire about the time at which that is noticed, exit, and restart at the same
+# and at other addresses, and entries of earlier processes are read.  --claim
+# says that JOB was accepted, which shows that a lost job is found.
 . "$(dirname "$0")/../site-lib.sh"
-seed=1 steps=40 keep= claim= outages= large=
+seed=1 steps=40 keep= claim= outages= large= series= instances=3 lease_ms=4000
 while [ $# -gt 0 ]; do
 	case $1 in
 	--seed) seed=$2 ;;
 	--steps) steps=$2 ;;
 	--keep) keep=$2 ;;
 	--claim) claim=$2 ;;
+	--instances) instances=$2 ;;
+	--heartbeat-ms) heartbeat_ms=$2 ;;
 	--outages)
 		outages=1
 		shift
@@ -30,6 +36,14 @@
 		shift
 		continue
 		;;
+	--workers)
+		series=1
+		# As on the platform: a cut is noticed 0.7 to 2.7 s late, and
+		# an entry expires 3 to 4.5 s after it, within a lease.
+		heartbeat_ms=1500 lease_ms=9000
+		shift
+		continue
+		;;
 	*)
 		echo "run.sh: unknown flag $1" >&2
 		exit 2
@@ -43,7 +57,8 @@
 
 # Numbers of a step: WHAT INSTANCE WORKER TASKS ACCELERATORS RUN_MS PAUSE_MS
 draw_steps() {
-	awk -v seed="$seed" -v steps="$steps" -v workers="$workers" '
+	awk -v seed="$seed" -v steps="$steps" -v workers="$workers" \
+		-v instances="$instances" '
 	function rnd(n) { return int(rand() * n) }
 	BEGIN {
 		srand(seed)
@@ -51,12 +66,38 @@
 			"kill-flow kill-queue term-flow term-queue pause " \
 			"hup door door link link link worker worker keys", what, " ")
 		for (i = 0; i < steps; i++)
-			print what[1 + rnd(n)], 1 + rnd(3), 1 + rnd(workers),
+			print what[1 + rnd(n)], 1 + rnd(instances), 1 + rnd(workers),
 				1 + rnd(6), 1 + rnd(8), 200 + rnd(2500),
 				rnd(600), rnd(1000)
 	}'
 }
 
+# Series of faults of workers, one a line, WORKER the first of COUNT:
+# PAUSE_MS WORKER COUNT DRAIN WAIT_MS LOST LOST_MS CUT CUT_MS END AWAY_MS OLD
+draw_series() {
+	awk -v seed="$seed" -v n="$((steps / 3))" -v workers="$workers" '
+	function rnd(n) { return int(rand() * n) }
+	function pick(words, n, word) {
+		n = split(words, word, " ")
+		return word[1 + rnd(n)]
+	}
+	BEGIN {
+		# The same sequence as that of the steps would couple them.
+		srand(seed + 1000000)
+		for (i = 0; i < n; i++)
+			print rnd(2500), 1 + rnd(workers), 1 + rnd(3),
+				pick("none drain drain drain=100 drain=3000"),
+				rnd(1500),
+				pick("never never before before at after"),
+				rnd(4500),
+				pick("none silent silent refuse refuse deaf"),
+				500 + rnd(6500),
+				pick("heal heal heal leave leave restart move crash"),
+				1000 + rnd(3000),
+				pick("0 0 1 1 2 3 12 21 13")
+	}'
+}
+
 say() {
 	echo "$(date +%H:%M:%S.%3N) $*" >>"$tmp/steps.log"
 }
@@ -83,15 +124,17 @@
 			;;
 		*) unknown=1 ;;
 		esac
-		at=$((at % 3 + 1)) i=$((i + 1))
+		at=$((at % instances + 1)) i=$((i + 1))
 		sleep 0.5
 	done
 	echo "$1 unknown" >>"$tmp/callers"
 }
 
 instance_flow() { # N
+	# A start replaces the log of the process before.
+	cat "$tmp/flow-$1.out" >>"$tmp/flow-$1.log"
 	start "flow-$1" tgflowd --settings="$tmp/i$1.conf" \
-		--metrics-addr="$net.$1:0" --lease-ms=4000
+		--metrics-addr="$net.$1:0" --lease-ms=$lease_ms
 }
 
 instance_queue() { # N
@@ -101,7 +144,7 @@
 
 # Starts again whatever the steps have ended.
 revive() {
-	for n in 1 2 3; do
+	for n in $(seq "$instances"); do
 		for role in flow queue; do
 			kill -0 "$(pid_of "$role-$n")" 2>/dev/null ||
 				"instance_$role" "$n"
@@ -124,9 +167,14 @@
 	revive
 }
 
-link() { # N MODE
+# door_of INSTANCE: its address of the store, and the proxy before it
+door_of() {
+	echo $((($1 - 1) % 3 + 1))
+}
+
+link() { # INSTANCE MODE
 	curl -sf -o /dev/null -X POST \
-		"http://$(http_of "proxy-$1")/proxy?mode=$2"
+		"http://$(http_of "proxy-$(door_of "$1")")/proxy?mode=$2"
 }
 
 # The store is down, and entries of three workers expire meanwhile.
@@ -141,6 +189,83 @@
 	control "worker?id=all&mode=listed"
 }
 
+pause() { # MS
+	sleep "$(printf '%d.%03d' $(($1 / 1000)) $(($1 % 1000)))"
+}
+
+# of_each MODE WORKER...
+of_each() {
+	mode=$(echo "$1" | sed 's/=/%3D/')
+	shift
+	for w in "$@"; do
+		control "worker?id=w$w&mode=$mode"
+	done
+}
+
+# lose AT WHEN MS WORKER...: heartbeats no longer reach the store; how long before
+# the cut decides when the entry expires
+lose() {
+	[ "$1" = "$2" ] || return 0
+	shift 2
+	ms=$1
+	shift
+	of_each lost "$@"
+	pause "$ms"
+}
+
+# One series of faults of some workers, as draw_series() names it.
+one_series() {
+	drain=$4 wait_ms=$5 lost=$6 lost_ms=$7 cut=$8 cut_ms=$9
+	some=$(seq "$2" $(($2 + $3 - 1)) | awk -v n="$workers" \
+		'{ print ($1 - 1) % n + 1 }')
+	shift 9
+	end=$1 away_ms=$2 old=$3
+	# shellcheck disable=SC2086
+	{
+		[ "$drain" = none ] || of_each "$drain" $some
+		pause "$wait_ms"
+		lose "$lost" before "$lost_ms" $some
+		lose "$lost" at 0 $some
+		[ "$cut" = none ] || of_each "$cut" $some
+		lose "$lost" after $((lost_ms / 3)) $some
+		for n in $(echo "$old" | sed 's/./& /g'); do
+			of_each "old=$n" $some
+			sleep 0.3
+		done
+		pause "$cut_ms"
+		case $end in
+		leave | crash)
+			of_each "$end" $some
+			pause "$away_ms"
+			of_each ok $some
+			of_each listed $some
+			of_each back $some
+			return
+			;;
+		restart | move)
+			of_each "$end" $some
+			;;
+		esac
+		of_each ok $some
+		of_each listed $some
+		# Some drain for a while, and leave for good.
+		pause $((away_ms * 2))
+		[ "$drain" = none ] || of_each leave $some
+		pause 500
+		of_each back $some
+	}
+}
+
+run_series() {
+	while read -r pause_ms line; do
+		say "series $line"
+		# shellcheck disable=SC2086
+		one_series - $line </dev/null &
+		pause "$pause_ms"
+	done
+	wait
+}
+
 pick() { # NUMBER WORD...: the word that the number chooses
 	n=$1
 	shift
@@ -153,6 +278,9 @@
 	submit)
 		n_jobs=$((n_jobs + 1))
 		job=$(printf '%016x' $((seed * 1000 + n_jobs)))
+		if [ -n "$series" ]; then
+			set -- "$1" "$2" "$3" "$4" "$5" $(($6 * 3)) "$7" "$8"
+		fi
 		if [ -n "$large" ]; then
 			set -- "$1" "$2" "$3" $(($4 * $5 * 20)) 0 "$6" "$7" "$8"
 		fi
@@ -176,7 +304,7 @@
 		;;
 	hup) signal HUP "$(pick "$8" "flow-$2" "queue-$2")" ;;
 	door)
-		control "store?door=$(($2 - 1))&mode=$(pick "$8" \
+		control "store?door=$(($(door_of "$2") - 1))&mode=$(pick "$8" \
 			refuse silent lose slow ok ok)"
 		;;
 	link) link "$2" "$(pick "$8" delay silent one-way reset ok ok)" ;;
@@ -203,6 +331,7 @@
 	control 'store?mode=ok'
 	control 'worker?id=all&mode=ok'
 	control 'worker?id=all&mode=listed'
+	[ -z "$series" ] || control 'worker?id=all&mode=back'
 	revive
 }
 
@@ -231,6 +360,15 @@
 	esac
 }
 
+# Prints a line for each owner that took runs for ended that went on.
+check_verdicts() {
+	grep -h EV5542 "$tmp"/flow-*.out "$tmp"/flow-*.log
+	for n in $(seq "$instances"); do
+		count=$(metric "flow-$n" tg_flow_runs_outlived_total)
+		[ "$count" = 0 ] || echo "flow-$n: $count wrong verdicts"
+	done
+}
+
 : >"$tmp/callers"
 : >"$tmp/cancelled"
 start_site --stores=3 --workers=$workers --row-bytes=$row_bytes
@@ -238,14 +376,25 @@
 	start "proxy-$n" proxyd --target="$(echo "$site_rpc" | cut -d, -f$n)"
 done
 site_rpc="$(rpc_of proxy-1),$(rpc_of proxy-2),$(rpc_of proxy-3)"
-for n in 1 2 3; do
-	start_instance $n --lease-ms=4000
+if [ -n "$series" ]; then
+	for mode in move restart move; do
+		control "worker?id=all&mode=$mode"
+	done
+fi
+for n in $(seq "$instances"); do
+	start_instance "$n" --lease-ms=$lease_ms
 	http_of "queue-$n" | sed 's/.*://' >"$tmp/port.$n"
 done
-await "an owner" owner_of 1 2 3
+# shellcheck disable=SC2046
+await "an owner" owner_of $(seq "$instances")
 n_jobs=0
 n_steps=0
 draw_steps >"$tmp/steps"
+if [ -n "$series" ]; then
+	draw_series >"$tmp/series"
+	run_series <"$tmp/series" &
+	series_pid=$!
+fi
 while read -r what instance worker tasks acc run_ms pause_ms extra; do
 	n_steps=$((n_steps + 1))
 	if [ -n "$outages" ] && [ $((n_steps % 12)) = 5 ]; then
@@ -257,6 +406,7 @@
 		"$pause_ms" "$extra"
 	sleep "$(printf '0.%03d' "$pause_ms")"
 done <"$tmp/steps"
+[ -z "$series" ] || wait $series_pid
 heal
 i=0
 while [ "$(wc -l <"$tmp/callers")" -lt "$n_jobs" ] && [ $i -lt 300 ]; do
@@ -273,6 +423,7 @@
 		check_job "$job" "$outcome"
 	done <"$tmp/callers"
 	judge | grep -v '"over_room":0,"twice":0,"after_done":0,"refused":0'
+	check_verdicts
 } >"$tmp/broken" 2>&1
 echo "seed $seed: $n_jobs jobs," \
 	"$(grep -c accepted "$tmp/callers") accepted," \
@@ -281,6 +432,7 @@
 echo "seed $seed ended"
 if [ -n "$keep" ]; then
 	mkdir -p "$keep"
-	cp "$tmp/steps" "$tmp/steps.log" "$tmp/callers" "$tmp/broken" "$tmp"/*.out \
-		"$tmp"/*.err "$keep"/
+	# There are series and logs of ended processes only sometimes.
+	cp "$tmp"/steps* "$tmp"/series* "$tmp/callers" "$tmp/broken" \
+		"$tmp"/*.out "$tmp"/*.log "$tmp"/*.err "$keep"/ 2>/dev/null
 fi
--- a/tests/soak/seeds.sh
+++ b/tests/soak/seeds.sh
@@ -1,10 +1,11 @@
 #!/bin/sh
 # Runs seeds of a soak, some at a time: seeds.sh FROM TO [AT-ONCE] [KEEP]
 # SOAK names the soak: run (the default) or document; FLAGS are passed to it.
+# TG_BIN names other programs than those of BUILD.
 # Prints the lines of seeds that broke a promise, then a count.
 cd "$(dirname "$0")/../.." || exit 1
-TG_BIN=$PWD/${BUILD:-build}/bin
-TG_TESTBIN=$PWD/${BUILD:-build}/tests
+TG_BIN=${TG_BIN:-$PWD/${BUILD:-build}/bin}
+TG_TESTBIN=${TG_TESTBIN:-$PWD/${BUILD:-build}/tests}
 TG_TESTS=$PWD/tests
 FLAGS=${FLAGS:-}
 export TG_BIN TG_TESTBIN TG_TESTS SOAK FLAGS
