--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -72,7 +72,8 @@
 	}'
 }
 
-# Series of faults of workers, one a line, WORKER the first of COUNT:
+# Series of faults of workers, one a line, WORKER the first of COUNT; OLD has a
+# digit for each entry of an earlier process, its number of lives ago:
 # PAUSE_MS WORKER COUNT DRAIN WAIT_MS LOST LOST_MS CUT CUT_MS END AWAY_MS OLD
 draw_series() {
 	awk -v seed="$seed" -v n="$((steps / 3))" -v workers="$workers" '
@@ -90,7 +91,8 @@
 				rnd(1500),
 				pick("never never before before at after"),
 				rnd(4500),
-				pick("none silent silent refuse refuse deaf"),
+				pick("none silent silent refuse refuse deaf " \
+					"unanswered mute"),
 				500 + rnd(6500),
 				pick("heal heal heal heal leave leave restart " \
 					"move crash"),
@@ -262,9 +264,11 @@
 		esac
 		of_each ok $some
 		of_each listed $some
-		# Some drain for a while, and leave for good.
+		# Half of those that drain leave; others stay until all faults
+		# end, or another series restarts them.
+		[ "$drain" != none ] && [ $((away_ms % 2)) = 0 ] || return 0
 		pause $((away_ms * 2))
-		[ "$drain" = none ] || of_each leave $some
+		of_each leave $some
 		pause 500
 		of_each back $some
 	}
