--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -81,7 +81,7 @@
 	/*
 	 * ok, silent: cut off from everybody, refuse: cut off, connections are
 	 * refused, deaf: cut off from callers only, unanswered: late, mute: at
-	 * once, fail, unhealthy
+	 * once, fail, unhealthy, slow-path: starts arrive late
 	 */
 	char mode[16];
 	int64_t boot_ms, born_wall_ms;
