--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -265,10 +265,13 @@
  * @why: what it proves, for log lines
  * @boot_ms: process that was seen instead; 0 if none
  * @asked_ms: when the call began whose answer proves it; 0 if it is not one
+ * @at_its_address: that process has its address, so that orders in progress may
+ *	reach it
  */
 struct link_proof {
 	const char *source, *why;
 	int64_t boot_ms, asked_ms;
+	bool at_its_address;
 };
 /** link_declare_runs_lost() - all runs of the worker have ended */
 void link_declare_runs_lost(struct link *l, const struct link_proof *p);
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -203,6 +203,7 @@
 		.why = "worker has restarted",
 		.boot_ms = boot_ms,
 		.asked_ms = k->asked_ms,
+		.at_its_address = !strcmp(k->addr, l->addr),
 	};
 
 	link_declare_replaced(l, &proof);
--- a/cmd/tgflowd/verdict.c
+++ b/cmd/tgflowd/verdict.c
@@ -91,6 +91,7 @@
 	struct flow_crash c = {
 		.worker = l->entry.id,
 		.silent_ms = l->failed ? l->first_failure_ms : now_ms,
+		.orders_lost = !p->at_its_address,
 		.on_blame = on_blame,
 		.arg = l,
 	};
--- a/cmd/tgflowd/workerexit.c
+++ b/cmd/tgflowd/workerexit.c
@@ -6,9 +6,10 @@
 #define FAILURES_MIN 2
 /*
  * An entry expires three heartbeat intervals after it was last written.  One
- * that was removed sooner than this many was removed by the worker itself.
+ * that was removed sooner than this was removed by the worker itself.  In
+ * a small directory the last write is known to one interval only.
  */
-#define HEARTBEATS_BEFORE_EXPIRY 2
+#define BEFORE_EXPIRY_PERCENT 250
 
 /*
  * The time of the removal is an upper bound and that of the last write a lower
@@ -19,7 +20,7 @@
 {
 	return !s->in_directory && s->written_after_ms &&
 		s->removed_ms - s->written_after_ms <
-		HEARTBEATS_BEFORE_EXPIRY * s->heartbeat_ms &&
+		BEFORE_EXPIRY_PERCENT * s->heartbeat_ms / 100 &&
 		s->store_since_ms && s->store_since_ms <= s->written_after_ms;
 }
 
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -82,7 +82,7 @@
 	 * ok, silent: cut off from everybody, refuse: cut off, connections are
 	 * refused, deaf: cut off from callers only, unanswered: late,
 	 * unanswered-later: also by a later process, mute: at once, fail,
-	 * unhealthy, slow-path: starts arrive late
+	 * unhealthy
 	 */
 	char mode[24];
 	int64_t boot_ms, born_wall_ms;
--- a/tests/unit/flow/test-crash.c
+++ b/tests/unit/flow/test-crash.c
@@ -426,6 +426,24 @@
 }
 END_TEST
 
+/* A process at another address doesn't get orders for the one before. */
+START_TEST(unanswered_start_ends_if_its_order_is_lost)
+{
+	struct flow_run_ref r = start_unanswered(FLOW_ORDER_UNKNOWN);
+	struct flow_crash c = {
+		.worker = "w1",
+		.silent_ms = 1010,
+		.orders_lost = true,
+	};
+
+	flow_worker_crashed(f, &c, 1100);
+	fleet_decide(f, &o, 1200);
+	ck_assert_int_eq(o.n_stops, 0);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_int_eq(o.starts[0].run, r.run + 1);
+}
+END_TEST
+
 /* What a process has confirmed says nothing about the one after it. */
 START_TEST(stop_is_confirmed_by_each_process)
 {
@@ -583,6 +601,7 @@
 	tcase_add_test(t, announced_exit_is_blamed_on_no_task);
 	tcase_add_test(t, unanswered_start_outlives_its_process);
 	tcase_add_test(t, unanswered_copy_of_a_start_outlives_its_process);
+	tcase_add_test(t, unanswered_start_ends_if_its_order_is_lost);
 	tcase_add_test(t, stop_is_confirmed_by_each_process);
 	tcase_add_test(t, answered_start_ends_with_its_process);
 	tcase_add_test(t, crash_that_shows_after_its_leases_expired_counts);
