tgschedd: count renewals that may arrive late when a worker is back

A task could start again while its first run still had a valid lease.

Cause: when a worker was back after a loss, the expiry in its inventory replaced the latest one that this scheduler had asked for. A renewal that was sent before and not answered has the same epoch and may reach the worker after the inventory was taken. If the worker was lost again before the task was stopped there, the task counted as ended up to a renewal period (5 s by default) less the margin (1.1 s) too early.

Now the expiry of a member only moves forward, as message_add_expiry() has it. After a takeover, where the inventory is exact as the former epoch is fenced, members of a worker that is lost at once are waited for a little longer.

--- a/cmd/tgschedd/inventory.c
+++ b/cmd/tgschedd/inventory.c
@@ -11,6 +11,7 @@
 	int64_t index = json_integer_value(json_object_get(v, "index"));
 	int64_t expires_ms =
 		json_integer_value(json_object_get(v, "expires_ms"));
+	int64_t local_expiry_ms;
 	struct member *m;
 
 	if (!job || !tg_name_valid(job) || !state) {
@@ -23,8 +24,11 @@
 		return;
 	}
 	message_update_checkpoint(m, v);
-	m->local_expiry_ms =
+	/* A renewal that was not answered may still reach the worker. */
+	local_expiry_ms =
 		lease_local_expiry_ms(w->response_ms, expires_ms - w->clock_ms);
+	if (m->local_expiry_ms < local_expiry_ms)
+		m->local_expiry_ms = local_expiry_ms;
 	if (m->state >= MEMBER_DONE)
 		return;
 	if (!strcmp(state, "running"))
