tgschedd: keep completed tasks of a worker that has restarted

Callers see a job start again, and its running tasks stopped, although no running task was lost: a worker on which a task of the gang had completed restarted.

Cause: the inventory of the new start has no record of the completed task, and what is missing there counted as lost, also a task that is known to be done. The loss of the worker without a restart leaves such a task as it is, see mark_worker_lost().

Now a completed task stays completed.

--- a/cmd/tgschedd/inventory.c
+++ b/cmd/tgschedd/inventory.c
@@ -89,9 +89,10 @@
 
 	json_array_foreach(w->inventory, i, v)
 		adopt_lease(b, w, v);
+	/* A worker that has restarted has no record of completed tasks. */
 	DL_FOREACH(w->members, m)
-		if (m->state != MEMBER_NONE && m->state != MEMBER_GONE &&
-		    !in_inventory(w, m)) {
+		if (m->state != MEMBER_NONE && m->state != MEMBER_DONE &&
+		    m->state != MEMBER_GONE && !in_inventory(w, m)) {
 			m->lost = m->state != MEMBER_STOPPED;
 			m->state = MEMBER_GONE;
 		}
--- a/cmd/tgschedd/message.h
+++ b/cmd/tgschedd/message.h
@@ -20,8 +20,9 @@
 /**
  * worker_reconcile() - update the members from the worker's inventory
  *
- * Members without a lease there become MEMBER_GONE; leases without a member
- * become orphans.  Frees the inventory.
+ * Members without a lease there become MEMBER_GONE, except those that are known
+ * to have completed; leases without a member become orphans.  Frees the
+ * inventory.
  */
 void worker_reconcile(struct board *b, struct worker *w);
 /**
