Test two workers that restart at each other's address

No run with real processes had a worker of another id at a known address, so the rule on 421 was covered by a unit test only. site-worker-swap passes, four of four runs (load average 14 to 20 on 8 cores).

--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -144,6 +144,8 @@
 			worker_write_old_entry(w, atoi(mode + 4));
 		} else if (!strcmp(mode, "restart")) {
 			worker_restart(w);
+		} else if (!strncmp(mode, "swap=", 5)) {
+			worker_swap(w, &board.workers[atoi(mode + 5) - 1]);
 		} else if (!strcmp(mode, "move")) {
 			worker_move(w);
 		} else {
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -132,6 +132,8 @@
 void worker_open(struct worker *w, int n);
 void worker_close(struct worker *w);
 void worker_restart(struct worker *w);
+/** worker_swap() - restart two workers, each at the other's address */
+void worker_swap(struct worker *w, struct worker *o);
 /** worker_move() - restart at another address */
 void worker_move(struct worker *w);
 void worker_write_entry(struct worker *w);
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -679,6 +679,23 @@
 	restart(w);
 }
 
+void worker_swap(struct worker *w, struct worker *o)
+{
+	char addr[TG_ADDR_MAX + 1];
+
+	drop_all(w);
+	drop_all(o);
+	stop_listening(w);
+	stop_listening(o);
+	tg_strlcpy(addr, w->addr, sizeof(addr));
+	tg_strlcpy(w->addr, o->addr, sizeof(w->addr));
+	tg_strlcpy(o->addr, addr, sizeof(o->addr));
+	listen_at(w, w->addr);
+	listen_at(o, o->addr);
+	restart(w);
+	restart(o);
+}
+
 void worker_move(struct worker *w)
 {
 	drop_all(w);
