--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -135,6 +135,8 @@
 /** worker_leave() - exit after draining, with the entry removed */
 void worker_leave(struct worker *w);
 void worker_restart(struct worker *w);
+/** worker_swap() - restart two workers, each at the other's address */
+void worker_swap(struct worker *w, struct worker *o);
 /** worker_move() - restart at another address */
 void worker_move(struct worker *w);
 /** worker_write_entry() - a heartbeat, if the worker reaches the store */
