tgflowd: end no runs by a list with ends that are yet to be processed

Ends are processed in order, and those behind an end of an unknown job wait until the job is known, or for 2 s. Meanwhile the runs they are about are in no list of running ones either. The owner took them for lost stop-ms later and started their tasks again, although they were done.

--- a/cmd/tgflowd/lists.c
+++ b/cmd/tgflowd/lists.c
@@ -131,10 +131,10 @@
 	struct board *b = l->board;
 	bool *unknown = tg_xcalloc(r->n_runs + 1, sizeof(*unknown));
 	int64_t now_ms = tg_now_ms();
-	size_t i, n_unknown;
+	size_t n_pending = apply_ends(l, r, now_ms);
+	size_t i, n_unknown = n_pending;
 	bool known;
 
-	n_unknown = apply_ends(l, r, now_ms);
 	for (i = 0; i < r->n_runs; i++) {
 		struct flow_run_ref ref =
 			ref_of(&r->runs[i].task, r->runs[i].run);
@@ -148,8 +148,8 @@
 		unknown[i] = listed == FLOW_LISTED_UNKNOWN;
 		n_unknown += unknown[i];
 	}
-	/* What is missing in an incomplete list may have ended as done. */
-	if (!r->more_ends)
+	/* What is missing may have ended as done, in an end to be processed. */
+	if (!r->more_ends && !n_pending)
 		flow_report_list_end(b->flow, l->entry.id, asked_ms, now_ms);
 	known = !handle_unknown_runs(l, r, unknown, n_unknown) && !r->more_ends;
 	free(unknown);
