--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -364,10 +364,15 @@
 	esac
 }
 
+# Only what has been restarted has an older log.
+flow_logs() {
+	cat "$tmp"/flow-*.out "$tmp"/flow-*.log 2>/dev/null
+}
+
 # Series may end three processes under a task, after which its job fails
 # (EV5538).
 is_blamed() { # JOB
-	[ -n "$series" ] && cat "$tmp"/flow-*.out "$tmp"/flow-*.log |
+	[ -n "$series" ] && flow_logs |
 		grep -q "EV5538.*job=$1 .*crashes=3" &&
 		echo "$1" >>"$tmp/blamed"
 }
@@ -391,7 +396,7 @@
 
 # Prints a line for each owner that took runs for ended that went on.
 check_verdicts() {
-	grep -h EV5542 "$tmp"/flow-*.out "$tmp"/flow-*.log
+	flow_logs | grep EV5542
 	for n in $(seq "$instances"); do
 		count=$(metric "flow-$n" tg_flow_runs_outlived_total)
 		[ "$count" = 0 ] || echo "flow-$n: $count wrong verdicts"
