--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -409,7 +409,10 @@
 for n in 1 2 3; do
 	start "proxy-$n" proxyd --target="$(echo "$site_rpc" | cut -d, -f$n)"
 done
-site_rpc="$(rpc_of proxy-1),$(rpc_of proxy-2),$(rpc_of proxy-3)"
+site_rpc=
+for n in $(seq "$instances"); do
+	site_rpc="$site_rpc$(rpc_of "proxy-$(door_of "$n")"),"
+done
 if [ -n "$series" ]; then
 	for mode in move restart move; do
 		control "worker?id=all&mode=$mode"
