tgflowd: begin no term that a later owner has ended already

An instance whose claim of the ownership succeeded, but that learned of it late, began its term although a later owner was active, which it had told before that it is not the owner. It noted the time of the late answer as that of its last write, which is after the claim of the later owner, so that it could renew leases for longer than that one counts with (10 s after its claim). No run has shown that a task ran twice by that: the instance ends its term at its first write, which conflicts, unless it is cut off from the store just then.

Cause: the result of a claim, or of the read that shows it, counted as news of the time at which it arrived.

Now the last write is as old as the call that shows the claim, as board.h has it. An instance remembers the highest fencing token that a peer told it of, and begins no term below it, so that its answer "not active" holds.

The stand-in of the store has a mode "late" for it.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -128,6 +128,7 @@
 	uint64_t fence;
 	struct tg_owner_row owner; /* as last read or written */
 	int64_t owner_version;
+	uint64_t told_fence; /* highest one that a peer knew of */
 	struct former_owner former;
 	int64_t written_ms; /* start of the last write that succeeded */
 	int64_t refused_since_ms; /* first of the refused writes, or 0 */
@@ -181,8 +182,11 @@
 void standby_reset(void);
 
 /* owner.c */
-/** owner_begin_term() - begin a term after a claim */
-void owner_begin_term(struct board *b, const char *why);
+/**
+ * owner_begin_term() - begin a term after a claim
+ * @started_ms: when the call began that showed that the claim succeeded
+ */
+void owner_begin_term(struct board *b, const char *why, int64_t started_ms);
 /**
  * owner_former_ended() - the former owner was proved to act no more
  *
--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -11,7 +11,7 @@
 /* The loop runs several times in this time, however busy it is. */
 #define HELD_UP_MS 500
 
-void owner_begin_term(struct board *b, const char *why)
+void owner_begin_term(struct board *b, const char *why, int64_t started_ms)
 {
 	struct former_owner *f = &b->former;
 
@@ -19,10 +19,10 @@
 	b->directory_read = false;
 	b->role = ROLE_RECOVERING;
 	b->fence = b->owner.fence;
-	b->written_ms = tg_now_ms();
+	b->written_ms = started_ms;
 	b->refused_since_ms = 0;
 	b->held_up_ms = 0;
-	f->claimed_ms = b->written_ms;
+	f->claimed_ms = tg_now_ms();
 	f->lease_ms = b->set.lease_ms * 100 / (100 - CLOCK_SLOW_PERCENT) +
 		EXPIRY_MARGIN_MS;
 	f->renew_max_ms = RENEW_AFTER_WRITE_MAX_MS;
--- a/cmd/tgflowd/rpc.c
+++ b/cmd/tgflowd/rpc.c
@@ -79,9 +79,12 @@
 		.draining = tg_daemon_draining(),
 	};
 
-	if (IS_OWNER(b) && !strcmp(peer->role, FLOW_ROLE) &&
-	    peer->epoch > b->fence)
-		owner_lost(b, "a peer knows of a later owner");
+	if (!strcmp(peer->role, FLOW_ROLE)) {
+		if (peer->epoch > b->told_fence)
+			b->told_fence = peer->epoch;
+		if (IS_OWNER(b) && peer->epoch > b->fence)
+			owner_lost(b, "a peer knows of a later owner");
+	}
 	me.active = owner_is_current(b) && !b->owner.released;
 	tg_rpc_reply(req, &me);
 }
--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -38,6 +38,7 @@
 	bool stale; /* it runs but answers that it is not active */
 	uint64_t ping_fence; /* fence of the owner that is being pinged */
 	int64_t ping_ms, last_alive_ms;
+	int64_t read_ms, claim_ms; /* when these calls began */
 	int64_t read_version, unchanged_since_ms;
 	int64_t claimable_since_ms; /* there is a reason to claim; or 0 */
 	/* Address of the former owner, while it is still to be told. */
@@ -149,9 +150,15 @@
 
 static void read_row(struct board *b);
 
-static void begin_term(struct board *b)
+static void begin_term(struct board *b, int64_t started_ms)
 {
-	owner_begin_term(b, claim_reason);
+	/*
+	 * A later owner that was answered "not active" counts on it that this
+	 * claim, whose result comes late, does not take effect here.
+	 */
+	if (b->told_fence > b->owner.fence)
+		return;
+	owner_begin_term(b, claim_reason, started_ms);
 	watch.ping_ms = 0;
 	standby_notify_former(b, tg_now_ms());
 }
@@ -166,7 +173,7 @@
 	if (r->end == TG_STORE_OK) {
 		b->owner = claim;
 		b->owner_version = r->version;
-		begin_term(b);
+		begin_term(b, watch.claim_ms);
 	} else if (r->end == TG_STORE_CONFLICT && r->n_rows) {
 		set_owner_row(b, &r->rows[0]);
 		watch.read_version = 0;
@@ -209,6 +216,7 @@
 		   sizeof(watch.former_addr));
 	tg_strlcpy(claim_reason, why, sizeof(claim_reason));
 	b->role = ROLE_CLAIMING;
+	watch.claim_ms = tg_now_ms();
 	text = tg_owner_row_encode(&claim);
 	put.value = text;
 	put.value_bytes = strlen(text);
@@ -275,7 +283,7 @@
 	if (r->n_rows)
 		set_owner_row(b, &r->rows[0]);
 	if (r->n_rows && is_own_claim(b)) {
-		begin_term(b);
+		begin_term(b, watch.read_ms);
 		return;
 	}
 	if (watch.read_version != b->owner_version) {
@@ -302,6 +310,7 @@
 	if (watch.reading)
 		return;
 	watch.reading = true;
+	watch.read_ms = tg_now_ms();
 	b->site.ops->get(b->site.port, &range, on_read, b);
 }
 
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -33,7 +33,8 @@
 	struct tg_http_server *server;
 	/*
 	 * ok, slow, sluggish, refuse, silent, lose: done, not answered,
-	 * narrow: answers arrive slowly, rate:N: at N bytes per second
+	 * late: done, answered later, narrow: answers arrive slowly, rate:N: at
+	 * N bytes per second
 	 */
 	char mode[16];
 };
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -7,6 +7,8 @@
 /* Time of an answer of a slow store. */
 #define SLOW_MS 150
 #define SLUGGISH_MS 900
+/* Delay of an answer of what the store held before. */
+#define LATE_MS 650
 /* Bandwidth of a connection to a narrow door. */
 #define NARROW_BYTES_PER_S 40000
 
@@ -207,7 +209,35 @@
 
 /* --- rows --- */
 
-static void get(struct evhttp_request *req)
+struct late_answer {
+	struct evhttp_request *req;
+	json_t *body;
+};
+
+static void send_late_answer(void *arg)
+{
+	struct late_answer *l = arg;
+
+	tg_http_reply_json(l->req, 200, l->body);
+	free(l);
+}
+
+static void reply_rows(struct evhttp_request *req, json_t *body,
+		       const char *mode)
+{
+	struct late_answer *l;
+
+	if (strcmp(mode, "late") != 0) {
+		tg_http_reply_json(req, 200, body);
+		return;
+	}
+	l = tg_xcalloc(1, sizeof(*l));
+	l->req = req;
+	l->body = body;
+	delay_call(board.base, LATE_MS, send_late_answer, l);
+}
+
+static void get(struct evhttp_request *req, const char *mode)
 {
 	char *table = tg_http_query_param(req, "table");
 	char *part = tg_http_query_param(req, "part");
@@ -236,7 +266,7 @@
 	body = answer(rows);
 	if (more)
 		json_object_set_new(body, "has-more", json_true());
-	tg_http_reply_json(req, 200, body);
+	reply_rows(req, body, mode);
 	free(table);
 	free(part);
 	free(from);
@@ -327,8 +357,9 @@
 	record_change(r);
 }
 
-static void transact(struct evhttp_request *req, bool answered)
+static void transact(struct evhttp_request *req, const char *mode)
 {
+	bool answered = strcmp(mode, "lose") != 0;
 	size_t bytes =
 		evbuffer_get_length(evhttp_request_get_input_buffer(req));
 	json_t *body = tg_http_parse_json_body(req), *current, *o;
@@ -356,7 +387,7 @@
 		json_array_foreach(json_object_get(body, "deletes"), i, o)
 			put_row(o, true);
 		if (answered)
-			tg_http_reply_json(req, 200, answer(json_array()));
+			reply_rows(req, answer(json_array()), mode);
 		answer_feeds();
 	}
 	if (!answered)
@@ -400,7 +431,6 @@
 {
 	char *path = tg_http_decode_path(req);
 	bool tx = path && !strcmp(path, "/rows-tx");
-	bool lose = !strcmp(d->mode, "lose") && tx;
 
 	limit_bandwidth(req, bandwidth(d));
 	if (tx)
@@ -412,9 +442,9 @@
 	else if (!strcmp(d->mode, "silent"))
 		close_without_reply(board.base, req, NO_REPLY_MS, NULL, NULL);
 	else if (tx)
-		transact(req, !lose);
+		transact(req, d->mode);
 	else if (path && !strcmp(path, "/rows-get"))
-		get(req);
+		get(req, d->mode);
 	else if (path && !strcmp(path, "/rows-feed"))
 		feed(req, d);
 	else
