--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -82,8 +82,8 @@
 	/*
 	 * ok, silent: cut off from everybody, refuse: cut off, connections are
 	 * refused, deaf: cut off from callers only, unanswered: late,
-	 * unanswered-later: also by a later process, mute: at once, fail,
-	 * unhealthy
+	 * unanswered-later: also by a later process, holds-later: the same of
+	 * holds, mute: at once, fail, unhealthy
 	 */
 	char mode[24];
 	int64_t boot_ms, born_wall_ms;
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -221,33 +221,6 @@
 		w->until_ms = until_ms;
 }
 
-static void hold(struct worker *w, struct evhttp_request *req,
-		 const json_t *body)
-{
-	int64_t wait_ms = whole(body, "wait-ms");
-	struct look *k;
-
-	board.holds++;
-	if (!strcmp(w->mode, "mute")) {
-		close_without_reply(board.base, req, NO_REPLY_MS, NULL, w);
-		return;
-	}
-	if (fenced(w, req, body))
-		return;
-	extend(w, whole(body, "until-ms"));
-	forget_ends(w, whole(body, "seen-upto"));
-	if (w->ends || wait_ms <= 0) {
-		tg_http_reply_json(req, 200, lists(w));
-		return;
-	}
-	k = tg_xcalloc(1, sizeof(*k));
-	k->worker = w;
-	k->req = req;
-	k->next = w->looks;
-	w->looks = k;
-	delay_call(board.base, wait_ms, look_timeout, k);
-}
-
 static int64_t spec_value(const char *spec, const char *name, int64_t def)
 {
 	const char *s = strstr(spec, name);
@@ -306,24 +279,73 @@
 
 struct late {
 	struct worker *worker;
+	bool is_start; /* or a hold */
 	int64_t boot_ms; /* 0 for whichever process serves the address */
 	char addr[TG_ADDR_MAX + 1];
 	json_t *body;
 };
 
-static void start_late(void *arg)
+static void carry_out_late(void *arg)
 {
 	struct late *l = arg;
 	struct worker *w = l->worker;
+	bool reached = !w->gone &&
+		(l->boot_ms ? w->boot_ms == l->boot_ms :
+			      w->server && !strcmp(w->addr, l->addr));
 
-	if (!w->gone &&
-	    (l->boot_ms ? w->boot_ms == l->boot_ms :
-			  w->server && !strcmp(w->addr, l->addr)))
+	if (reached && l->is_start)
 		start(w, l->body);
+	else if (reached && whole(l->body, "fence-token") >= w->fence)
+		extend(w, whole(l->body, "until-ms"));
 	json_decref(l->body);
 	free(l);
 }
 
+/* Carries out a call late, also by a later process if @any_process. */
+static void delay(struct worker *w, struct evhttp_request *req, json_t *body,
+		  bool is_start, bool any_process)
+{
+	struct late *l = tg_xcalloc(1, sizeof(*l));
+
+	l->worker = w;
+	l->is_start = is_start;
+	l->boot_ms = any_process ? 0 : w->boot_ms;
+	tg_strlcpy(l->addr, w->addr, sizeof(l->addr));
+	l->body = json_incref(body);
+	delay_call(board.base, LATE_MS, carry_out_late, l);
+	close_without_reply(board.base, req, NO_REPLY_MS, NULL, w);
+}
+
+static void hold(struct worker *w, struct evhttp_request *req, json_t *body)
+{
+	int64_t wait_ms = whole(body, "wait-ms");
+	struct look *k;
+
+	board.holds++;
+	if (!strcmp(w->mode, "mute")) {
+		close_without_reply(board.base, req, NO_REPLY_MS, NULL, w);
+		return;
+	}
+	if (!strcmp(w->mode, "holds-later")) {
+		delay(w, req, body, false, true);
+		return;
+	}
+	if (fenced(w, req, body))
+		return;
+	extend(w, whole(body, "until-ms"));
+	forget_ends(w, whole(body, "seen-upto"));
+	if (w->ends || wait_ms <= 0) {
+		tg_http_reply_json(req, 200, lists(w));
+		return;
+	}
+	k = tg_xcalloc(1, sizeof(*k));
+	k->worker = w;
+	k->req = req;
+	k->next = w->looks;
+	w->looks = k;
+	delay_call(board.base, wait_ms, look_timeout, k);
+}
+
 static void open_again(void *arg)
 {
 	struct worker *w = arg;
@@ -359,20 +381,13 @@
 {
 	bool later = !strcmp(w->mode, "unanswered-later");
 	const char *reason;
-	struct late *l;
 
 	if (!strcmp(w->mode, "unhealthy")) {
 		tg_http_reply_error(req, 503, NULL, "unhealthy");
 		return;
 	}
 	if (later || !strcmp(w->mode, "unanswered")) {
-		l = tg_xcalloc(1, sizeof(*l));
-		l->worker = w;
-		l->boot_ms = later ? 0 : w->boot_ms;
-		tg_strlcpy(l->addr, w->addr, sizeof(l->addr));
-		l->body = json_incref(body);
-		delay_call(board.base, LATE_MS, start_late, l);
-		close_without_reply(board.base, req, NO_REPLY_MS, NULL, w);
+		delay(w, req, body, true, later);
 		return;
 	}
 	reason = start(w, body);
