--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -175,12 +175,14 @@
 /**
  * struct flow_crash - the end of a worker's process
  * @silent_ms: when the worker stopped answering
+ * @orders_lost: orders in progress can't reach the process that answers now
  * @on_blame: called for each task that is blamed; must not call back into the
  *	engine.  May be NULL.
  */
 struct flow_crash {
 	const char *worker;
 	int64_t silent_ms;
+	bool orders_lost;
 	void (*on_blame)(const struct flow_blame *b, void *arg);
 	void *arg;
 };
@@ -191,6 +193,10 @@
  * To be called when the worker has been replaced by another process, also if
  * that shows only after flow_worker_lost().  No task is blamed if the worker
  * was draining.
+ *
+ * A start order that got no answer may yet reach the other process, since
+ * orders name the worker only.  Unless @orders_lost says that it can't, such a
+ * run ends once that process has confirmed a stop order for it.
  */
 void flow_worker_crashed(struct flow *f, const struct flow_crash *crash,
 			 int64_t now_ms);
@@ -298,6 +304,14 @@
 void flow_start_answered(struct flow *f, const struct flow_run_ref *r,
 			 const char *worker, enum flow_order_result end,
 			 int64_t now_ms);
+/**
+ * flow_start_unanswered() - a copy of a start order got no answer
+ *
+ * It may be carried out later, also by another process of the worker.  To be
+ * called when the order is sent again; FLOW_ORDER_UNKNOWN tells the same.
+ */
+void flow_start_unanswered(struct flow *f, const struct flow_run_ref *r,
+			   const char *worker);
 /**
  * flow_stop_answered() - report the outcome of a stop order
  *
@@ -308,6 +322,10 @@
 void flow_stop_answered(struct flow *f, const struct flow_run_ref *r,
 			const char *worker, enum flow_order_result end,
 			int64_t now_ms);
+/** flow_is_stopping() - whether a worker still has a run that is to be stopped
+ */
+bool flow_is_stopping(const struct flow *f, const struct flow_run_ref *r,
+		      const char *worker);
 /** enum flow_listed - what is known of a run that a worker lists */
 enum flow_listed {
 	FLOW_LISTED_UNKNOWN, /* there is no such job, task or worker */
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -80,10 +80,11 @@
 	char addr[TG_ADDR_MAX + 1];
 	/*
 	 * ok, silent: cut off from everybody, refuse: cut off, connections are
-	 * refused, deaf: cut off from callers only, unanswered: late, mute: at
-	 * once, fail, unhealthy
+	 * refused, deaf: cut off from callers only, unanswered: late,
+	 * unanswered-later: also by a later process, mute: at once, fail,
+	 * unhealthy
 	 */
-	char mode[16];
+	char mode[24];
 	int64_t boot_ms, born_wall_ms;
 	int64_t seq, next_beat_ms, beat_ms; /* its heartbeats; beat_ms: last */
 	struct life lives[LIVES_MAX]; /* the last ones, the current one first */
@@ -131,11 +132,17 @@
 /* worker.c */
 void worker_open(struct worker *w, int n);
 void worker_close(struct worker *w);
+/** worker_leave() - exit after draining, with the entry removed */
+void worker_leave(struct worker *w);
 void worker_restart(struct worker *w);
 /** worker_move() - restart at another address */
 void worker_move(struct worker *w);
+/** worker_write_entry() - a heartbeat, if the worker reaches the store */
 void worker_write_entry(struct worker *w);
-/** worker_write_old_entry() - write the entry of a process @lives before */
+/**
+ * worker_write_old_entry() - write the entry of a process @lives before, unless
+ *	there is no entry
+ */
 void worker_write_old_entry(struct worker *w, int lives);
 /** worker_resize() - change the capacity of a worker while it runs */
 void worker_resize(struct worker *w, int accelerators);
