--- a/cmd/tgschedd/inventory.c
+++ b/cmd/tgschedd/inventory.c
@@ -11,6 +11,7 @@
 	int64_t index = json_integer_value(json_object_get(v, "index"));
 	int64_t expires_ms =
 		json_integer_value(json_object_get(v, "expires_ms"));
+	int64_t local_expiry_ms;
 	struct member *m;
 
 	if (!job || !tg_name_valid(job) || !state) {
@@ -23,8 +24,11 @@
 		return;
 	}
 	message_update_checkpoint(m, v);
-	m->local_expiry_ms =
+	/* A renewal that was not answered may still reach the worker. */
+	local_expiry_ms =
 		lease_local_expiry_ms(w->response_ms, expires_ms - w->clock_ms);
+	if (m->local_expiry_ms < local_expiry_ms)
+		m->local_expiry_ms = local_expiry_ms;
 	if (m->state >= MEMBER_DONE)
 		return;
 	if (!strcmp(state, "running"))
@@ -85,9 +89,10 @@
 
 	json_array_foreach(w->inventory, i, v)
 		adopt_lease(b, w, v);
+	/* A worker that has restarted has no record of completed tasks. */
 	DL_FOREACH(w->members, m)
-		if (m->state != MEMBER_NONE && m->state != MEMBER_GONE &&
-		    !in_inventory(w, m)) {
+		if (m->state != MEMBER_NONE && m->state != MEMBER_DONE &&
+		    m->state != MEMBER_GONE && !in_inventory(w, m)) {
 			m->lost = m->state != MEMBER_STOPPED;
 			m->state = MEMBER_GONE;
 		}
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -146,6 +146,8 @@
 		} else if (!strcmp(mode, "back")) {
 			if (w->gone || w->draining)
 				worker_restart(w);
+		} else if (!strncmp(mode, "swap=", 5)) {
+			worker_swap(w, &board.workers[atoi(mode + 5) - 1]);
 		} else if (!strcmp(mode, "move")) {
 			worker_move(w);
 		} else {
