flow: keep a run whose start the worker's next process may have answered

A list that shows another process may have been made before that process carried out a start, and arrive after the answer to the start, since answers on different connections overtake each other. The run counted as ended with the process before, and its task was started elsewhere: two runs at once, with neither start late.

Runs whose start was answered since the call began are stopped on the next process now, like those without an answer.

--- a/cmd/tgflowd/verdict.c
+++ b/cmd/tgflowd/verdict.c
@@ -32,8 +32,9 @@
 	tg_log(event,
 	       "worker=%s why=%s source=%s boot=%lld other_boot=%lld "
 	       "addr=%s entry_boot=%lld silent_ms=%lld asked_age_ms=%lld "
-	       "entry_age_ms=%lld written_after_age_ms=%lld removed_age_ms=%lld failed_age_ms=%lld "
-	       "failures=%d refusals=%d closed=%d draining=%d leases_left_ms=%lld",
+	       "entry_age_ms=%lld written_after_age_ms=%lld "
+	       "removed_age_ms=%lld failed_age_ms=%lld failures=%d "
+	       "refusals=%d closed=%d draining=%d leases_left_ms=%lld",
 	       l->entry.id, p->why, p->source, (long long)l->boot_ms,
 	       (long long)p->boot_ms, l->addr, (long long)l->entry.boot_ms,
 	       age_ms(l->clock_at_ms), age_ms(p->asked_ms),
@@ -81,7 +82,7 @@
 	       "job=%s task=%d.%d.%d run=%d worker=%s addr=%s age_ms=%lld "
 	       "crashes=%d",
 	       b->ref.job, b->ref.occurrence, b->ref.step, b->ref.index,
-	       b->ref.run, l->entry.id, l->entry.addr, (long long)b->age_ms,
+	       b->ref.run, l->entry.id, l->addr, (long long)b->age_ms,
 	       b->crashes);
 }
 
@@ -91,6 +92,7 @@
 	struct flow_crash c = {
 		.worker = l->entry.id,
 		.silent_ms = l->failed ? l->first_failure_ms : now_ms,
+		.asked_ms = p->asked_ms,
 		.orders_lost = !p->at_its_address,
 		.on_blame = on_blame,
 		.arg = l,
--- a/lib/flow/crash.c
+++ b/lib/flow/crash.c
@@ -271,9 +271,6 @@
 	if (!w->draining)
 		find_culprits(list, n, crash);
 	free(list);
-	if (crash->orders_lost)
-		flow_worker_lost(f, crash->worker, now_ms);
-	else
-		flow_worker_replaced(f, w, now_ms);
+	flow_worker_replaced(f, w, crash, now_ms);
 	flow_forget_lost_runs(w);
 }
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -175,13 +175,14 @@
 /**
  * struct flow_crash - the end of a worker's process
  * @silent_ms: when the worker stopped answering
+ * @asked_ms: when the call began whose answer shows it; 0 if it is not known
  * @orders_lost: orders in progress can't reach the process that answers now
  * @on_blame: called for each task that is blamed; must not call back into the
  *	engine.  May be NULL.
  */
 struct flow_crash {
 	const char *worker;
-	int64_t silent_ms;
+	int64_t silent_ms, asked_ms;
 	bool orders_lost;
 	void (*on_blame)(const struct flow_blame *b, void *arg);
 	void *arg;
@@ -195,8 +196,9 @@
  * was draining.
  *
  * A start order that got no answer may yet reach the other process, since
- * orders name the worker only.  Unless @orders_lost says that it can't, such a
- * run ends once that process has confirmed a stop order for it.
+ * orders name the worker only, and one that was answered after @asked_ms may
+ * have been answered by that process.  Unless @orders_lost says that it can't,
+ * such a run ends once that process has confirmed a stop order for it.
  */
 void flow_worker_crashed(struct flow *f, const struct flow_crash *crash,
 			 int64_t now_ms);
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -363,7 +363,8 @@
  *
  * What it may yet start is stopped there instead of ended.
  */
-void flow_worker_replaced(struct flow *f, struct worker *w, int64_t now_ms);
+void flow_worker_replaced(struct flow *f, struct worker *w,
+			  const struct flow_crash *crash, int64_t now_ms);
 struct worker *flow_find_worker(const struct flow *f, const char *id);
 /** flow_get_or_add_worker() - a worker that is added has no description yet */
 struct worker *flow_get_or_add_worker(struct flow *f, const char *id);
@@ -442,10 +443,10 @@
 /** flow_run_mark_stopping() - let the next flow_decide() order a stop */
 void flow_run_mark_stopping(struct run *r);
 /**
- * flow_run_may_start_late() - whether a copy of its start order may yet reach
- * the worker
+ * flow_run_may_outlive() - whether the run may be, or come to be, on the
+ * process that has replaced the one which it was started on
  */
-bool flow_run_may_start_late(const struct run *r);
+bool flow_run_may_outlive(const struct run *r, const struct flow_crash *crash);
 /**
  * flow_run_process_ended() - the process that got its start order has ended
  *
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -306,9 +306,12 @@
 	return r && r->state == RUN_STARTING ? r->job->spec->text : NULL;
 }
 
-bool flow_run_may_start_late(const struct run *r)
+bool flow_run_may_outlive(const struct run *r, const struct flow_crash *crash)
 {
-	return r->state == RUN_STARTING || r->start_unanswered;
+	if (crash->orders_lost || !flow_run_was_ordered(r))
+		return false;
+	return r->state == RUN_STARTING || r->start_unanswered ||
+		(crash->asked_ms && r->answered_ms >= crash->asked_ms);
 }
 
 void flow_run_process_ended(struct run *r, int64_t now_ms)
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -306,13 +306,14 @@
 	forget_process(w);
 }
 
-void flow_worker_replaced(struct flow *f, struct worker *w, int64_t now_ms)
+void flow_worker_replaced(struct flow *f, struct worker *w,
+			  const struct flow_crash *crash, int64_t now_ms)
 {
 	struct run *r, *next;
 
 	for (r = w->runs; r; r = next) {
 		next = r->next;
-		if (flow_run_may_start_late(r))
+		if (flow_run_may_outlive(r, crash))
 			flow_run_process_ended(r, now_ms);
 		else
 			end_run(f, r, now_ms);
--- a/tests/unit/flow/test-crash.c
+++ b/tests/unit/flow/test-crash.c
@@ -444,6 +444,29 @@
 }
 END_TEST
 
+/* The next process had answered the start before its list arrived. */
+START_TEST(start_answered_after_the_call_outlives_its_process)
+{
+	struct flow_run_ref r;
+	struct flow_crash c = {
+		.worker = "w1",
+		.silent_ms = 1100,
+		.asked_ms = 1005,
+	};
+
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "job", "normal", fleet_new_spec(1, 1, false), 0);
+	fleet_decide(f, &o, 1000);
+	r = fleet_run_ref(&o.starts[0]);
+	flow_start_answered(f, &r, "w1", FLOW_ORDER_DONE, 1010);
+	fleet_add_worker(f, "w2", "r1", 8);
+	flow_worker_crashed(f, &c, 1100);
+	confirm_stop(&r, 1200);
+	fleet_decide(f, &o, 4000);
+	ck_assert_int_eq(o.n_starts, 1);
+}
+END_TEST
+
 /* What a process has confirmed says nothing about the one after it. */
 START_TEST(stop_is_confirmed_by_each_process)
 {
@@ -602,6 +625,7 @@
 	tcase_add_test(t, unanswered_start_outlives_its_process);
 	tcase_add_test(t, unanswered_copy_of_a_start_outlives_its_process);
 	tcase_add_test(t, unanswered_start_ends_if_its_order_is_lost);
+	tcase_add_test(t, start_answered_after_the_call_outlives_its_process);
 	tcase_add_test(t, stop_is_confirmed_by_each_process);
 	tcase_add_test(t, answered_start_ends_with_its_process);
 	tcase_add_test(t, crash_that_shows_after_its_leases_expired_counts);
