--- a/tests/unit/site/test-site.c
+++ b/tests/unit/site/test-site.c
@@ -111,6 +111,98 @@
 }
 END_TEST
 
+static struct tg_table_watch *watched;
+static int64_t changed_after_ms; /* of the last row */
+
+static void on_dated_row(const struct tg_row *row, void *arg)
+{
+	(void)row;
+	(void)arg;
+	changed_after_ms = tg_table_watch_changed_after_ms(watched);
+	n_rows_seen++;
+}
+
+/* The feed in progress, and when it was asked for. */
+static struct {
+	tg_store_done done;
+	void *arg;
+	int64_t asked_ms;
+} fed;
+
+static void hold_feed(struct tg_port *port, const struct tg_store_feed *f,
+		      tg_store_done done, void *arg)
+{
+	(void)port;
+	(void)f;
+	fed.done = done;
+	fed.arg = arg;
+	fed.asked_ms = tg_now_ms();
+	event_base_loopbreak(site.base);
+}
+
+/* Answers the feed in progress some time after it was asked for. */
+static void answer_feed(enum tg_store_end end)
+{
+	struct tg_row row = { .table = "servers",
+			      .part = "",
+			      .key = "w1",
+			      .value = "",
+			      .version = 2 };
+	struct tg_store_result r = { .end = end, .version = 2 };
+	int64_t asked_ms = fed.asked_ms;
+
+	if (end == TG_STORE_OK) {
+		r.rows = &row;
+		r.n_rows = 1;
+	}
+	while (tg_now_ms() < asked_ms + 5)
+		;
+	fed.asked_ms = 0;
+	fed.done(&r, fed.arg);
+	if (!fed.asked_ms)
+		event_base_dispatch(site.base);
+}
+
+/* Guards against an entry that is read late being taken for a recent one. */
+START_TEST(row_may_be_as_old_as_the_call_before)
+{
+	static const struct tg_port_ops ops = { .get = get_page,
+						.feed = hold_feed };
+	struct tg_table_watch_opts o = {
+		.site = &site,
+		.table = "servers",
+		.on_row = on_dated_row,
+	};
+	int64_t first_ms;
+
+	memset(key, 'k', KEY_BYTES);
+	site.ops = &ops;
+	site.base = event_base_new();
+	changed_after_ms = -1;
+	watched = tg_table_watch_new(&o);
+	event_base_dispatch(site.base);
+	ck_assert_int_eq(changed_after_ms, 0);
+	ck_assert_int_gt(tg_table_watch_answered_since_ms(watched), 0);
+
+	first_ms = fed.asked_ms;
+	answer_feed(TG_STORE_OK);
+	ck_assert_int_gt(changed_after_ms, 0);
+	ck_assert_int_le(changed_after_ms, first_ms);
+	answer_feed(TG_STORE_OK);
+	ck_assert_int_eq(changed_after_ms, first_ms);
+
+	first_ms = fed.asked_ms;
+	answer_feed(TG_STORE_UNAVAILABLE);
+	ck_assert_int_eq(tg_table_watch_answered_since_ms(watched), 0);
+	answer_feed(TG_STORE_OK);
+	ck_assert_int_lt(changed_after_ms, first_ms);
+	ck_assert_int_gt(tg_table_watch_answered_since_ms(watched), first_ms);
+	tg_table_watch_free(watched);
+	event_base_free(site.base);
+	free(last_from);
+}
+END_TEST
+
 /*
  * The lists of silent workers filled 16 KiB, so that the store refused the
  * owner's row where a row holds no more than that.
@@ -144,6 +236,7 @@
 	TCase *t = tcase_create("follow");
 
 	tcase_add_test(t, scan_goes_on_behind_a_long_key);
+	tcase_add_test(t, row_may_be_as_old_as_the_call_before);
 	suite_add_tcase(s, t);
 	t = tcase_create("rows");
 	tcase_add_loop_test(t, owner_row_fits_with_many_silent_workers, 0, 4);
