tests: keep the files of a scripted run's processes if it fails

Four entries of KNOWN-RED.txt say that the logs went with the run's directory, so that the failure could not be traced. tests/run.sh names a folder beside the run's log; the scripts copy their files there when they end, also after a time limit, and a run that passes leaves none.

Tried with a script that ends and one that is cut off by timeout: the files of its processes are there in both cases.

--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -11,6 +11,7 @@
 cleanup() {
 	# shellcheck disable=SC2086
 	kill_own $pids
+	keep_logs "$tmp"
 	rm -rf "$tmp"
 }
 trap cleanup EXIT
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -16,13 +16,19 @@
 	[ -f KNOWN-RED.txt ] && grep -qx "test: $1" KNOWN-RED.txt
 }
 
-# A scripted run prints what happened; NAME.exp holds what should have.
+# A scripted run prints what happened; NAME.exp holds what should have.  If it
+# fails, the files of its processes stay beside its log.
 run_script() { # FILE LOG
-	timeout 300 sh "$1" >"$2.out" 2>"$2.err"
+	kept=${2%.log}.files
+	TG_KEEP_LOGS=$kept timeout 300 sh "$1" >"$2.out" 2>"$2.err"
 	status=$?
 	# Without an expected output this fails as well.
 	diff -u "${1%.sh}.exp" "$2.out" >"$2" 2>&1 || status=1
-	[ "$status" -eq 0 ] || tail -n 40 "$2.err" >>"$2"
+	if [ "$status" -eq 0 ]; then
+		rm -rf "$kept"
+	else
+		tail -n 40 "$2.err" >>"$2"
+	fi
 	return "$status"
 }
 
--- a/tests/sched-lib.sh
+++ b/tests/sched-lib.sh
@@ -13,9 +13,7 @@
 	# shellcheck disable=SC2086
 	kill_own $PIDS
 	wait 2>/dev/null
-	if [ -n "${TG_KEEP_LOGS:-}" ]; then
-		mkdir -p "$TG_KEEP_LOGS" && cp "$W"/* "$TG_KEEP_LOGS"/
-	fi
+	keep_logs "$W"
 	for f in "$W"/*.err; do
 		[ -f "$f" ] && echo "== $(basename "$f")" >&2 && tail -n 15 "$f" >&2
 	done
