tgflowd: call the next process of a worker with a higher token

Callers saw a task run twice, or again after it was done. A call names a worker by its id, which its next process keeps, and may be carried out seconds late. A late hold extended the leases of the next process beyond what the owner counts with, and acknowledged ends of it that were not recorded; a late start began a run.

Once the owner knows that a process was replaced, it calls the next one with a token above all before, so that the worker refuses the late calls. Until the process has answered under that token, it gets no starts and no leases, and each of its answers counts as a lease of hold-max-ms. That holds now also for a worker that lists runs of unknown jobs.

The owner raises the token in its own row and uses it once the write has succeeded. Whoever claims the ownership takes the row's token and one more, so no two owners use the same one, whatever became of a write, and also if the next owner is of an older version. The row's new field "term" identifies the term; rows without it are of versions that never raise the token. Pings tell the term. An owner gives up if it is told of a token above all that it knows to be recorded: a later owner began there. Beside standbys of older versions it may do so for a write of its own whose answer is missing; it then claims anew.

A call that one with a higher token has overtaken is refused as well and no longer ends the term; an order counts as not answered then. All links that await a token share one write, which a restart causes anyway.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -4,6 +4,7 @@
 #include <uthash.h>
 
 #include "flow/flow.h"
+#include "fencetoken.h"
 #include "formerowner.h"
 #include "http/http.h"
 #include "site/site.h"
@@ -74,6 +75,9 @@
 	bool in_progress[POLL_KINDS];
 	bool poll_again;
 	bool seen_in_scan; /* by the directory scan in progress */
+	uint64_t fence; /* token of its calls; see fence.c */
+	bool awaits_fence; /* calls to an earlier process carried it as well */
+	struct link *awaits_fence_prev, *awaits_fence_next; /* on the board */
 	/*
 	 * The process that the owner calls: its number on the board, its boot
 	 * (0 until it is known) and address, how often it has answered, when
@@ -126,7 +130,7 @@
 	/* ownership */
 	enum role role;
 	uint64_t term;
-	uint64_t fence;
+	uint64_t fence; /* of the claim; that of @owner may be higher */
 	struct tg_owner_row owner; /* as last read or written */
 	int64_t owner_version;
 	uint64_t told_fence; /* highest one that a peer knew of */
@@ -142,7 +146,7 @@
 	/* set only on the owner */
 	struct flow *flow;
 	struct link *links;
-	struct link *failed, *unacked; /* lists of such links */
+	struct link *failed, *unacked, *awaits_fence; /* lists of such links */
 	int n_opening; /* links that are being opened */
 	uint64_t n_processes; /* that links have turned to */
 	struct tg_document *document;
@@ -180,6 +184,28 @@
 /** links_write_done() - the ends that the write covers are durable */
 void links_write_done(struct board *b);
 
+/* fence.c */
+/**
+ * link_raise_fence() - give the link a token above those of its calls so far
+ *
+ * The link awaits a write if the owner's row has no such token yet.
+ */
+void link_raise_fence(struct link *l);
+/** link_await_no_fence() - the link needs no other token any more */
+void link_await_no_fence(struct link *l);
+/** fence_to_record() - token that the next write has to record */
+uint64_t fence_to_record(const struct board *b);
+/** links_fence_recorded() - the token in b->owner has become durable */
+void links_fence_recorded(struct board *b);
+/**
+ * fence_is_exceeded() - whether a refusal shows that the worker has seen a
+ * token above all of this owner's
+ * @l: link to the worker, or NULL
+ * @fence: token of the refused call
+ */
+bool fence_is_exceeded(const struct board *b, const struct link *l,
+		       uint64_t fence);
+
 /* standby.c */
 /** standby_watch() - look after the owner and take over if it is gone */
 void standby_watch(struct board *b, int64_t now_ms);
--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -80,6 +80,8 @@
 
 	l->board = b;
 	l->process = ++b->n_processes;
+	/* An earlier link to the worker may have used a token of this term. */
+	l->fence = b->owner.fence;
 	l->entry = *e;
 	tg_strlcpy(l->addr, e->addr, sizeof(l->addr));
 	/* What a former owner had runs on may have restarted since. */
--- a/cmd/tgflowd/formerowner.h
+++ b/cmd/tgflowd/formerowner.h
@@ -23,8 +23,8 @@
  * former_owner_yielded() - whether a former owner's answer proves that it acts
  * no more
  * @active: it answers that it is the owner
- * @told: fencing token that the ping told it of
- * @own: fencing token of this owner
+ * @told: term that the ping told it of
+ * @own: term of this owner
  */
 bool former_owner_yielded(enum tg_rpc_call_status end, bool active,
 			  uint64_t told, uint64_t own);
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -36,11 +36,12 @@
 /**
  * struct poll_call - a poll in progress
  * @process: of the link when the call began
+ * @fence: token that it carries
  * @n_answers: answers of that process that had been received by then
  */
 struct poll_call {
 	struct board *board;
-	uint64_t term, process;
+	uint64_t term, process, fence;
 	int64_t n_answers;
 	char id[TG_NAME_MAX + 1], addr[TG_ADDR_MAX + 1];
 	int64_t asked_ms;
@@ -81,6 +82,7 @@
 	end_opening(l);
 	link_set_failed(l, false);
 	link_expect_no_ack(l);
+	link_await_no_fence(l);
 	HASH_DEL(l->board->links, l);
 	free(l);
 }
@@ -120,13 +122,14 @@
 	struct poll_call *k = tg_xcalloc(1, sizeof(*k));
 	struct tg_worker_ref ref = { .id = k->id, .addr = k->addr };
 	struct tg_worker_poll h = {
-		.fence = b->fence,
+		.fence = l->fence,
 		.timeout_ms = POLL_TIMEOUT_MS,
 	};
 
 	k->board = b;
 	k->term = b->term;
 	k->process = l->process;
+	k->fence = l->fence;
 	k->n_answers = l->n_answers;
 	k->asked_ms = tg_now_ms();
 	k->kind = kind;
@@ -166,6 +169,7 @@
 	link_expect_no_ack(l);
 	memset(l->in_progress, 0, sizeof(l->in_progress));
 	l->poll_again = false;
+	link_raise_fence(l);
 }
 
 static struct process_signs signs_of(const struct link *l,
@@ -223,6 +227,12 @@
 		l->asked_ms = k->asked_ms;
 }
 
+/* Whether the process refuses calls that have been sent to earlier ones. */
+static bool has_seen_fence(const struct link *l, const struct poll_call *k)
+{
+	return k->fence == l->fence && !l->awaits_fence;
+}
+
 static void poll_succeeded(struct link *l,
 			   const struct tg_worker_poll_result *r,
 			   const struct poll_call *k)
@@ -259,21 +269,26 @@
 	if (is_new)
 		link_describe_worker(l);
 	flow_worker_set_suspect(b->flow, l->entry.id, !link_is_described(l));
-	if (!l->runs_known)
-		link_check_verdict(l, r);
-	if (!link_apply_lists(l, r, k->asked_ms))
-		return;
-	if (l->runs_known && !may_renew(l))
-		l->next_poll_ms = l->clock_at_ms + LINK_RETRY_MS;
 	if (!l->runs_known) {
-		/* A former owner may have granted leases of maximum length. */
+		link_check_verdict(l, r);
+		/*
+		 * A former owner, or a late call to an earlier process, may
+		 * have granted leases of maximum length.
+		 */
 		l->leases_end_ms = l->clock_at_ms + EXPIRY_MARGIN_MS +
 			b->site.set.lease_max_ms * 100 /
 				(100 - CLOCK_SLOW_PERCENT);
-		l->runs_known = l->may_have_runs = true;
+		l->may_have_runs = true;
+	}
+	if (!link_apply_lists(l, r, k->asked_ms))
+		return;
+	if (l->runs_known ? !may_renew(l) : l->awaits_fence)
+		l->next_poll_ms = l->clock_at_ms + LINK_RETRY_MS;
+	if (!l->runs_known && has_seen_fence(l, k)) {
+		l->runs_known = true;
 		/*
-		 * The worker has seen this owner's fence and refuses orders of
-		 * former owners from now on.
+		 * The worker refuses calls of former owners, and those to its
+		 * earlier processes, from now on.
 		 */
 		flow_worker_set_runs_known(b->flow, l->entry.id);
 		round_wake(b);
@@ -382,7 +397,7 @@
 
 	if (!l)
 		goto out;
-	if (r->end == TG_ORDER_FENCED) {
+	if (r->end == TG_ORDER_FENCED && fence_is_exceeded(b, l, k->fence)) {
 		owner_lost(b, "a worker has seen a higher fence");
 		goto out;
 	}
@@ -394,7 +409,7 @@
 		end_opening(l);
 	if (r->end == TG_ORDER_DONE)
 		poll_succeeded(l, r, k);
-	else if (k->kind == POLL_LONG)
+	else if (k->kind == POLL_LONG && r->end != TG_ORDER_FENCED)
 		poll_failed(l, r);
 	if (r->end == TG_ORDER_OTHER_BOOT && k->kind != POLL_PROBE)
 		check_other_worker(l, k);
--- a/cmd/tgflowd/lists.c
+++ b/cmd/tgflowd/lists.c
@@ -79,7 +79,7 @@
 	struct tg_order o = {
 		.task = run->task,
 		.run = run->run,
-		.fence = b->fence,
+		.fence = l->fence,
 		.timeout_ms = STOP_TIMEOUT_MS,
 	};
 
--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -44,7 +44,7 @@
 	int32_t run;
 	char saved[FLOW_CHECKPOINT_LEN + 1]; /* of a start */
 	int tries;
-	uint64_t process; /* of the link, to which it was last sent */
+	uint64_t process, fence; /* of the link when it was last sent */
 	int64_t queued_ms, sent_ms;
 	struct order *prev, *next; /* in a queue or in a lane */
 };
@@ -279,6 +279,13 @@
 	release_lane(o);
 	log_answer(o, end);
 	l = link_find(b, o->worker);
+	if (end == TG_ORDER_FENCED && fence_is_exceeded(b, l, o->fence)) {
+		owner_lost(b, "a worker has seen a higher fence");
+		goto out;
+	}
+	/* A call to the next process has overtaken it. */
+	if (end == TG_ORDER_FENCED)
+		end = TG_ORDER_UNKNOWN;
 	if (l && end == TG_ORDER_UNKNOWN && o->start &&
 	    o->tries < START_TRIES) {
 		flow_start_unanswered(b->flow, &ref, o->worker);
@@ -286,10 +293,6 @@
 		enqueue(o);
 		return;
 	}
-	if (end == TG_ORDER_FENCED) {
-		owner_lost(b, "a worker has seen a higher fence");
-		goto out;
-	}
 	if (o->start)
 		flow_start_answered(b->flow, &ref, o->worker,
 				    order_outcome(end, true, o->tries),
@@ -333,7 +336,6 @@
 	struct tg_order msg = {
 		.task = o->task,
 		.run = o->run,
-		.fence = b->fence,
 		.spec = text,
 		.saved = o->saved,
 		.timeout_ms = ORDER_TIMEOUT_MS,
@@ -347,6 +349,7 @@
 		return;
 	}
 	o->process = l->process;
+	o->fence = msg.fence = l->fence;
 	ref.id = l->entry.id;
 	ref.addr = l->addr;
 	if (o->start) {
--- a/cmd/tgflowd/rpc.c
+++ b/cmd/tgflowd/rpc.c
@@ -18,7 +18,7 @@
 		b->document ? tg_document_get(b->document) : NULL;
 	struct tg_rpc_answer a = {
 		.status = status,
-		.epoch = b->owner.fence,
+		.epoch = b->owner.term,
 		.text = (char *)text,
 	};
 	char *s;
@@ -75,14 +75,15 @@
 		.role = FLOW_ROLE,
 		.az = b->site.set.az,
 		.boot = b->boot,
-		.epoch = b->owner.fence,
+		.epoch = b->owner.term,
 		.draining = tg_daemon_draining(),
 	};
 
 	if (!strcmp(peer->role, FLOW_ROLE)) {
 		if (peer->epoch > b->told_fence)
 			b->told_fence = peer->epoch;
-		if (IS_OWNER(b) && peer->epoch > b->fence)
+		if (IS_OWNER(b) &&
+		    ping_shows_later_owner(peer->epoch, b->owner.fence))
 			owner_lost(b, "a peer knows of a later owner");
 	}
 	me.active = owner_is_current(b) && !b->owner.released;
--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -36,7 +36,7 @@
 	enum owner_sign sign; /* result of the last ping */
 	int64_t replaced_ms; /* when another process answered; or 0 */
 	bool stale; /* it runs but answers that it is not active */
-	uint64_t ping_fence; /* fence of the owner that is being pinged */
+	uint64_t ping_term; /* of the owner that is being pinged */
 	int64_t ping_ms, last_alive_ms;
 	int64_t read_ms, claim_ms; /* when these calls began */
 	int64_t read_version, unchanged_since_ms;
@@ -63,7 +63,7 @@
 
 	watch.pinging = false;
 	/* The owner may have changed during the ping. */
-	if (watch.ping_fence != b->owner.fence)
+	if (watch.ping_term != b->owner.term)
 		return;
 	watch.sign = owner_sign_of(
 		end, end == TG_RPC_CALL_OK && !strcmp(p->boot, b->owner.boot),
@@ -85,11 +85,11 @@
 		.role = FLOW_ROLE,
 		.az = b->site.set.az,
 		.boot = b->boot,
-		.epoch = b->owner.fence,
+		.epoch = b->owner.term,
 	};
 
 	watch.pinging = true;
-	watch.ping_fence = b->owner.fence;
+	watch.ping_term = b->owner.term;
 	watch.ping_ms = tg_now_ms();
 	tg_rpc_call(b->peers, addr, TG_RPC_PING, &me, PING_TIMEOUT_MS, done, b);
 }
@@ -109,7 +109,7 @@
 
 	watch.pinging = false;
 	if (!former_owner_yielded(end, end == TG_RPC_CALL_OK && p->active,
-				  watch.ping_fence, b->owner.fence))
+				  watch.ping_term, b->owner.term))
 		return;
 	watch.former_addr[0] = '\0';
 	owner_former_ended(b);
@@ -135,7 +135,7 @@
 		       TG_OWNER_TABLE, row->key, (long long)row->version);
 		return;
 	}
-	if (o.fence != b->owner.fence) {
+	if (o.term != b->owner.term) {
 		watch.last_alive_ms = tg_now_ms();
 		watch.stale = false;
 		watch.sign = OWNER_ANSWERS;
@@ -209,7 +209,7 @@
 	tg_strlcpy(claim.holder, b->site.set.instance, sizeof(claim.holder));
 	tg_strlcpy(claim.addr, tg_rpc_server_addr(b->rpc), sizeof(claim.addr));
 	tg_strlcpy(claim.boot, b->boot, sizeof(claim.boot));
-	claim.fence = b->owner.fence + 1;
+	claim.fence = claim.term = b->owner.fence + 1;
 	claim.runs_recorded = b->former_runs_recorded;
 	tg_owner_row_copy_silent(&claim, &b->owner);
 	tg_strlcpy(watch.former_addr, watch.replaced_ms ? "" : b->owner.addr,
@@ -224,7 +224,10 @@
 	free(text);
 }
 
-/* Whether an unanswered claim of this process took effect. */
+/*
+ * Whether an unanswered claim of this process took effect.  A token that has
+ * been raised is that of a term which has begun before.
+ */
 static bool is_own_claim(const struct board *b)
 {
 	return !strcmp(b->owner.boot, b->boot) &&
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -150,6 +150,7 @@
 	if (w.seq < b->owner.seq)
 		w.seq = b->owner.seq;
 	w.row.seq = ++w.seq;
+	w.row.fence = fence_to_record(b);
 	if (b->role == ROLE_OWNER)
 		links_record_silent(b, &w.row);
 	add_row(TG_OWNER_TABLE, TG_OWNER_KEY, NULL);
@@ -245,6 +246,7 @@
 {
 	tg_hist_add(write_us, (uint64_t)(tg_now_ms() - w.started_ms) * 1000);
 	b->owner.seq = w.row.seq;
+	b->owner.fence = w.row.fence;
 	b->owner.runs_recorded = w.row.runs_recorded;
 	tg_owner_row_copy_silent(&b->owner, &w.row);
 	b->owner_version = version;
@@ -255,6 +257,7 @@
 		w.records_max = w.records_max ? 2 * w.records_max : 1;
 	owner_written(b, w.started_ms);
 	finish_rows(b);
+	links_fence_recorded(b);
 	round_start_recorded(b);
 	forget_deletes();
 	free_rows();
@@ -320,7 +323,7 @@
 	}
 	if (r->end == TG_STORE_CONFLICT && r->n_rows) {
 		if (!tg_owner_row_decode(&r->rows[0], &now) &&
-		    !strcmp(now.boot, b->boot) && now.fence == b->fence &&
+		    !strcmp(now.boot, b->boot) && now.term == b->fence &&
 		    now.seq == w.row.seq) {
 			/* An earlier copy of this write took effect. */
 			write_succeeded(b, r->rows[0].version);
--- a/lib/site/rows.c
+++ b/lib/site/rows.c
@@ -132,12 +132,13 @@
 
 char *tg_owner_row_encode(const struct tg_owner_row *r)
 {
-	json_t *o = json_pack(
-		"{s:s,s:s,s:s,s:I,s:I,s:s,s:s,s:b,s:b,s:b}", "holder",
-		r->holder, "addr", r->addr, "boot", r->boot, "fence",
-		(json_int_t)r->fence, "seq", (json_int_t)r->seq, "silent",
-		r->silent, "silent_at", r->silent_at, "released", r->released,
-		"runs_recorded", r->runs_recorded, "settled", r->settled);
+	json_t *o = json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:s,s:s,s:b,s:b,s:b}",
+			      "holder", r->holder, "addr", r->addr, "boot",
+			      r->boot, "fence", (json_int_t)r->fence, "term",
+			      (json_int_t)r->term, "seq", (json_int_t)r->seq,
+			      "silent", r->silent, "silent_at", r->silent_at,
+			      "released", r->released, "runs_recorded",
+			      r->runs_recorded, "settled", r->settled);
 	char *text = json_dumps(o, JSON_COMPACT);
 
 	json_decref(o);
@@ -148,18 +149,19 @@
 {
 	json_t *o = json_loadb(row->value, row->value_bytes, 0, NULL);
 	const char *holder, *addr, *boot, *silent, *silent_at = "";
-	json_int_t fence, seq;
+	json_int_t fence, term = 0, seq;
 	int released, runs_recorded = 0, settled = 0, err = -1;
 
 	memset(r, 0, sizeof(*r));
 	/* Rows written by older versions lack the optional fields. */
-	if (json_unpack(o, "{s:s,s:s,s:s,s:I,s:I,s:s,s?:s,s:b,s?:b,s?:b}",
+	if (json_unpack(o, "{s:s,s:s,s:s,s:I,s?:I,s:I,s:s,s?:s,s:b,s?:b,s?:b}",
 			"holder", &holder, "addr", &addr, "boot", &boot,
-			"fence", &fence, "seq", &seq, "silent", &silent,
-			"silent_at", &silent_at, "released", &released,
+			"fence", &fence, "term", &term, "seq", &seq, "silent",
+			&silent, "silent_at", &silent_at, "released", &released,
 			"runs_recorded", &runs_recorded, "settled", &settled))
 		goto out;
 	r->fence = (uint64_t)fence;
+	r->term = (uint64_t)(term ? term : fence);
 	r->seq = seq;
 	tg_strlcpy(r->silent, silent, sizeof(r->silent));
 	tg_strlcpy(r->silent_at, silent_at, sizeof(r->silent_at));
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -135,7 +135,10 @@
  * @holder: instance of the owner
  * @addr: RPC address of the owner
  * @boot: random token of the owner's process
- * @fence: fencing token, which rises with each take-over
+ * @fence: highest fencing token that the owner may use.  It rises with each
+ *	take-over, and in a term when a worker's process has been replaced.
+ * @term: token of the owner's claim, which identifies its term.  Rows of older
+ *	versions lack it; their @fence doesn't rise in a term.
  * @seq: sequence number of the owner's writes
  * @silent: workers that did not answer the owner at the time of the write, as
  *	",ID,ID,"; empty if there are none.  Only older versions read it.
@@ -150,7 +153,7 @@
 struct tg_owner_row {
 	char holder[TG_NAME_MAX + 1], addr[TG_ADDR_MAX + 1];
 	char boot[TG_TOKEN_LEN + 1];
-	uint64_t fence;
+	uint64_t fence, term;
 	int64_t seq;
 	char silent[TG_SILENT_LIST_SIZE], silent_at[TG_SILENT_LIST_SIZE];
 	bool released, runs_recorded, settled;
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -61,6 +61,12 @@
 process HIGHER_BOOT
 process ENTRY_PROVES
 process ANY_ADDRESS
+fence -
+fence NO_RAISE
+fence USE_EARLY
+fence ANY_LIST
+fence ANY_REFUSAL
+fence SENT_COUNTS
 takeover -
 takeover START_FIRST
 takeover NO_FENCE
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -104,9 +104,9 @@
 /*
  * POST /standin/worker?id=W&mode=M; also drain, drain=N: it exits no sooner
  * than in N ms, leave, crash, restart, move, back: a worker that has exited or
- * drains restarts, size=N; expire: its entry is gone until listed; lost: its
- * heartbeats are; old=N: its entry is that of its process N lives before until
- * its next heartbeat
+ * drains restarts, deliver, size=N; expire: its entry is gone until listed;
+ * lost: its heartbeats are; old=N: its entry is that of its process N lives
+ * before until its next heartbeat
  */
 static void set_worker(struct evhttp_request *req, void *arg)
 {
@@ -150,6 +150,8 @@
 			worker_swap(w, &board.workers[atoi(mode + 5) - 1]);
 		} else if (!strcmp(mode, "move")) {
 			worker_move(w);
+		} else if (!strcmp(mode, "deliver")) {
+			worker_deliver(w);
 		} else {
 			worker_set_mode(w, mode);
 		}
@@ -178,7 +180,7 @@
 		req, 200,
 		json_pack(
 			"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,"
-			"s:I,s:o}",
+			"s:I,s:I,s:o}",
 			"jobs", (json_int_t)store_count("jobs"), "progress",
 			(json_int_t)store_count("progress"), "reads",
 			(json_int_t)board.reads, "writes",
@@ -192,7 +194,8 @@
 			(json_int_t)board.twice, "after_done",
 			(json_int_t)board.after_done, "lapsed",
 			(json_int_t)board.lapsed, "fenced",
-			(json_int_t)board.fenced, "runs", runs));
+			(json_int_t)board.fenced, "kept",
+			(json_int_t)board.kept, "runs", runs));
 }
 
 static const struct tg_http_route routes[] = {
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -68,6 +68,7 @@
 };
 
 struct look; /* a hold that waits */
+struct late; /* a call that is carried out late */
 
 /** struct life - a process of a worker, as its entry names it */
 struct life {
@@ -83,7 +84,8 @@
 	 * ok, silent: cut off from everybody, refuse: cut off, connections are
 	 * refused, deaf: cut off from callers only, unanswered: late,
 	 * unanswered-later: also by a later process, holds-later: the same of
-	 * holds, mute: at once, fail, unhealthy
+	 * holds, holds-kept: on "deliver", hold-overtaken: one hold is
+	 * answered late, mute: at once, fail, unhealthy
 	 */
 	char mode[24];
 	int64_t boot_ms, born_wall_ms;
@@ -105,6 +107,7 @@
 	int64_t n_ends;
 	struct look *looks;
 	struct refused *refused; /* runs that may not start any more */
+	struct late *kept; /* holds of the mode "holds-kept" */
 };
 
 struct board {
@@ -119,7 +122,8 @@
 	/* what was seen */
 	int64_t reads, writes, write_bytes, refused, starts, stops, holds;
 	int64_t over_room, twice, after_done, lapsed;
-	int64_t fenced; /* calls of a former owner */
+	int64_t fenced; /* calls with a lower token than one before */
+	int64_t kept; /* holds of the mode "holds-kept" so far */
 };
 
 extern struct board board;
@@ -154,6 +158,8 @@
 void worker_remove_entry(struct worker *w);
 /** worker_set_mode() - behave as the mode says from now on */
 void worker_set_mode(struct worker *w, const char *mode);
+/** worker_deliver() - carry out the calls that were kept */
+void worker_deliver(struct worker *w);
 void workers_tick(void);
 int64_t worker_clock(const struct worker *w);
 
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -12,6 +12,8 @@
 #define DEFAULT_RUN_MS 300
 /* A start that is not answered is carried out this much later. */
 #define LATE_MS 1500
+/* Sooner than a caller gives up a hold that needs not wait. */
+#define OVERTAKEN_MS 500
 #define DOWN_MS 3000
 /* A list names the oldest ends that are not acknowledged, this many at most. */
 #define ENDS_LISTED_MAX 500
@@ -283,6 +285,7 @@
 	int64_t boot_ms; /* 0 for whichever process serves the address */
 	char addr[TG_ADDR_MAX + 1];
 	json_t *body;
+	struct late *next;
 };
 
 static void carry_out_late(void *arg)
@@ -293,17 +296,28 @@
 		(l->boot_ms ? w->boot_ms == l->boot_ms :
 			      w->server && !strcmp(w->addr, l->addr));
 
-	if (reached && l->is_start)
+	if (reached && l->is_start) {
 		start(w, l->body);
-	else if (reached && whole(l->body, "fence-token") >= w->fence)
+	} else if (reached && whole(l->body, "fence-token") >= w->fence) {
 		extend(w, whole(l->body, "until-ms"));
+		forget_ends(w, whole(l->body, "seen-upto"));
+	}
 	json_decref(l->body);
 	free(l);
 }
 
-/* Carries out a call late, also by a later process if @any_process. */
-static void delay(struct worker *w, struct evhttp_request *req, json_t *body,
-		  bool is_start, bool any_process)
+void worker_deliver(struct worker *w)
+{
+	while (w->kept) {
+		struct late *l = w->kept;
+
+		w->kept = l->next;
+		carry_out_late(l);
+	}
+}
+
+static struct late *late_call(struct worker *w, json_t *body, bool is_start,
+			      bool any_process)
 {
 	struct late *l = tg_xcalloc(1, sizeof(*l));
 
@@ -312,7 +326,27 @@
 	l->boot_ms = any_process ? 0 : w->boot_ms;
 	tg_strlcpy(l->addr, w->addr, sizeof(l->addr));
 	l->body = json_incref(body);
-	delay_call(board.base, LATE_MS, carry_out_late, l);
+	return l;
+}
+
+/* Carries out a call late, also by a later process if @any_process. */
+static void delay(struct worker *w, struct evhttp_request *req, json_t *body,
+		  bool is_start, bool any_process)
+{
+	delay_call(board.base, LATE_MS, carry_out_late,
+		   late_call(w, body, is_start, any_process));
+	close_without_reply(board.base, req, NO_REPLY_MS, NULL, w);
+}
+
+/* Carries out a hold when worker_deliver() is called. */
+static void keep_hold(struct worker *w, struct evhttp_request *req,
+		      json_t *body)
+{
+	struct late *l = late_call(w, body, false, true);
+
+	l->next = w->kept;
+	w->kept = l;
+	board.kept++;
 	close_without_reply(board.base, req, NO_REPLY_MS, NULL, w);
 }
 
@@ -330,6 +364,10 @@
 		delay(w, req, body, false, true);
 		return;
 	}
+	if (!strcmp(w->mode, "holds-kept")) {
+		keep_hold(w, req, body);
+		return;
+	}
 	if (fenced(w, req, body))
 		return;
 	extend(w, whole(body, "until-ms"));
@@ -346,6 +384,34 @@
 	delay_call(board.base, wait_ms, look_timeout, k);
 }
 
+struct overtaken {
+	struct worker *worker;
+	struct evhttp_request *req;
+	json_t *body;
+};
+
+static void hold_overtaken(void *arg)
+{
+	struct overtaken *o = arg;
+
+	hold(o->worker, o->req, o->body);
+	json_decref(o->body);
+	free(o);
+}
+
+/* Calls that come later are carried out before this one. */
+static void let_overtake(struct worker *w, struct evhttp_request *req,
+			 json_t *body)
+{
+	struct overtaken *o = tg_xcalloc(1, sizeof(*o));
+
+	o->worker = w;
+	o->req = req;
+	o->body = json_incref(body);
+	tg_strlcpy(w->mode, "ok", sizeof(w->mode));
+	delay_call(board.base, OVERTAKEN_MS, hold_overtaken, o);
+}
+
 static void open_again(void *arg)
 {
 	struct worker *w = arg;
@@ -445,7 +511,10 @@
 	body = tg_http_parse_json_body(req);
 	if (!body)
 		goto out;
-	if (path && !strcmp(path, "/hold"))
+	if (path && !strcmp(path, "/hold") &&
+	    !strcmp(w->mode, "hold-overtaken"))
+		let_overtake(w, req, body);
+	else if (path && !strcmp(path, "/hold"))
 		hold(w, req, body);
 	else if (path && !strcmp(path, "/run-start"))
 		run_start(w, req, body);
--- a/tests/unit/flowd/test-flowd.c
+++ b/tests/unit/flowd/test-flowd.c
@@ -1,3 +1,4 @@
+#include "../../../cmd/tgflowd/fencetoken.h"
 #include "../../../cmd/tgflowd/formerowner.h"
 #include "../../../cmd/tgflowd/orderoutcome.h"
 #include "../../../cmd/tgflowd/workerexit.h"
@@ -285,6 +286,27 @@
 }
 END_TEST
 
+/* Guards against an owner that gives up its term for a call of its own. */
+START_TEST(call_overtaken_by_a_higher_token_shows_no_later_owner)
+{
+	ck_assert(!fence_shows_later_owner(7, 8));
+	ck_assert(fence_shows_later_owner(8, 8));
+	ck_assert(fence_shows_later_owner(9, 8));
+}
+END_TEST
+
+/*
+ * Guards against an owner that gives up its term when it is told of a token
+ * that it has recorded itself, or keeps it when a later owner began above that.
+ */
+START_TEST(recorded_token_shows_no_later_owner)
+{
+	ck_assert(!ping_shows_later_owner(7, 9));
+	ck_assert(!ping_shows_later_owner(9, 9));
+	ck_assert(ping_shows_later_owner(10, 9));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("flowd");
@@ -299,6 +321,9 @@
 	tcase_add_test(t, refused_connection_does_not_prove_an_end);
 	tcase_add_test(t, leases_of_all_former_owners_are_waited_for);
 	tcase_add_test(t, answer_of_an_earlier_term_proves_nothing);
+	tcase_add_test(t,
+		       call_overtaken_by_a_higher_token_shows_no_later_owner);
+	tcase_add_test(t, recorded_token_shows_no_later_owner);
 	suite_add_tcase(s, t);
 	t = tcase_create("workers that exit");
 	tcase_add_test(t, answer_of_earlier_process_is_not_a_restart);
--- a/tests/unit/orders/test-orders.c
+++ b/tests/unit/orders/test-orders.c
@@ -19,20 +19,24 @@
 #define IN_PROGRESS_MAX 2
 #define FDS_PER_ORDER 8
 
+/* Token of the owner's claim. */
+#define FENCE 7
+
 struct sent {
 	tg_order_done done;
 	void *arg;
 	bool start;
+	uint64_t fence;
 	char worker[TG_NAME_MAX + 1];
 };
 
 static struct board b;
 static struct link links[WORKERS];
 static struct sent sent[WORKERS * ACCELERATORS * 2];
-static int n_sent, n_answered;
+static int n_sent, n_answered, n_writes_wanted;
 static bool may_renew;
 
-/* --- what orders.c calls --- */
+/* --- what orders.c and fence.c call --- */
 
 struct link *link_find(struct board *board, const char *id)
 {
@@ -45,6 +49,17 @@
 	(void)l;
 }
 
+void link_poll_if_due(struct link *l)
+{
+	(void)l;
+}
+
+void writer_wake(struct board *board)
+{
+	(void)board;
+	n_writes_wanted++;
+}
+
 int64_t link_expiry(struct link *l)
 {
 	(void)l;
@@ -71,13 +86,14 @@
 /* --- the port --- */
 
 static void note_order(bool start, const struct tg_worker_ref *w,
-		       tg_order_done done, void *arg)
+		       const struct tg_order *o, tg_order_done done, void *arg)
 {
 	struct sent *s = &sent[n_sent++];
 
 	s->done = done;
 	s->arg = arg;
 	s->start = start;
+	s->fence = o->fence;
 	tg_strlcpy(s->worker, w->id, sizeof(s->worker));
 	usleep(SEND_US);
 }
@@ -87,15 +103,14 @@
 {
 	(void)p;
 	ck_assert_str_eq(o->spec, "text");
-	note_order(true, w, done, arg);
+	note_order(true, w, o, done, arg);
 }
 
 static void stop_run(struct tg_port *p, const struct tg_worker_ref *w,
 		     const struct tg_order *o, tg_order_done done, void *arg)
 {
 	(void)p;
-	(void)o;
-	note_order(false, w, done, arg);
+	note_order(false, w, o, done, arg);
 }
 
 static const struct tg_port_ops port_ops = { .start = start_run,
@@ -109,7 +124,9 @@
 	int i;
 
 	memset(&b, 0, sizeof(b));
-	n_sent = n_answered = 0;
+	memset(links, 0, sizeof(links));
+	n_sent = n_answered = n_writes_wanted = 0;
+	b.fence = b.owner.fence = b.owner.term = FENCE;
 	may_renew = true;
 	b.base = tg_loop_new();
 	b.site.ops = &port_ops;
@@ -118,6 +135,8 @@
 		snprintf(id, sizeof(id), "w%d", i);
 		fleet_add_worker(b.flow, id, "r", ACCELERATORS);
 		tg_strlcpy(links[i].entry.id, id, sizeof(links[i].entry.id));
+		links[i].board = &b;
+		links[i].fence = FENCE;
 	}
 	orders_controller.start(&b);
 }
@@ -267,6 +286,78 @@
 }
 END_TEST
 
+/* Guards against orders that the next process takes for earlier ones. */
+START_TEST(order_carries_the_token_at_its_sending)
+{
+	int i;
+
+	fill_fleet();
+	for (i = 0; i < WORKERS; i++)
+		links[i].fence = FENCE + 1;
+	run_loop();
+	ck_assert_int_gt(n_sent, 0);
+	ck_assert_uint_eq(sent[0].fence, FENCE + 1);
+}
+END_TEST
+
+/* Guards against an owner that gives up its term for a call of its own. */
+START_TEST(overtaken_order_is_repeated_in_the_same_term)
+{
+	int i, n = 0;
+
+	fill_fleet();
+	run_loop();
+	links[atoi(sent[0].worker + 1)].fence = FENCE + 1;
+	sent[0].done(TG_ORDER_FENCED, 1, sent[0].arg);
+	n_answered = 1;
+	for (i = 0; i < 1000; i++) {
+		run_loop();
+		while (n_answered < n_sent)
+			answer(n_answered);
+	}
+	ck_assert_int_eq(n_sent, WORKERS * ACCELERATORS + 1);
+	for (i = 0; i < n_sent; i++)
+		n += !strcmp(sent[i].worker, sent[0].worker) &&
+			sent[i].fence == FENCE + 1;
+	ck_assert_int_ge(n, ACCELERATORS - 1);
+}
+END_TEST
+
+/*
+ * Guards against tokens that are used before they are durable, so that the next
+ * owner might use them as well, and against a write for each restart.
+ */
+START_TEST(one_recorded_token_serves_all_links_that_await_it)
+{
+	link_raise_fence(&links[0]);
+	link_raise_fence(&links[1]);
+	ck_assert_int_gt(n_writes_wanted, 0);
+	ck_assert_uint_eq(links[0].fence, FENCE);
+	ck_assert_uint_eq(fence_to_record(&b), FENCE + 1);
+	links_fence_recorded(&b);
+	ck_assert_uint_eq(links[0].fence, FENCE);
+
+	/* The write has begun. */
+	link_raise_fence(&links[2]);
+	b.owner.fence = FENCE + 1;
+	links_fence_recorded(&b);
+	ck_assert_uint_eq(links[0].fence, FENCE + 1);
+	ck_assert_uint_eq(links[1].fence, FENCE + 1);
+	ck_assert_uint_eq(links[2].fence, FENCE + 1);
+	ck_assert_uint_eq(fence_to_record(&b), FENCE + 1);
+
+	n_writes_wanted = 0;
+	link_raise_fence(&links[3]);
+	ck_assert_uint_eq(links[3].fence, FENCE + 1);
+	ck_assert_int_eq(n_writes_wanted, 0);
+	link_raise_fence(&links[3]);
+	ck_assert_int_eq(n_writes_wanted, 1);
+	ck_assert_uint_eq(fence_to_record(&b), FENCE + 2);
+	link_await_no_fence(&links[3]);
+	ck_assert_uint_eq(fence_to_record(&b), FENCE + 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("orders");
@@ -279,6 +370,9 @@
 	tcase_add_test(t, stops_go_first_and_unsent_starts_are_dropped);
 	tcase_add_test(t, nothing_is_sent_without_permission);
 	tcase_add_test(t, a_term_that_ends_drops_its_orders);
+	tcase_add_test(t, order_carries_the_token_at_its_sending);
+	tcase_add_test(t, overtaken_order_is_repeated_in_the_same_term);
+	tcase_add_test(t, one_recorded_token_serves_all_links_that_await_it);
 	suite_add_tcase(s, t);
 	return run_suite(s);
 }
--- a/tests/unit/site/test-site.c
+++ b/tests/unit/site/test-site.c
@@ -210,7 +210,9 @@
 START_TEST(owner_row_fits_with_many_silent_workers)
 {
 	static const int64_t limits[] = { 1024, 4096, 16384, 65536 };
-	struct tg_owner_row r = { .fence = UINT32_MAX, .seq = INT64_MAX };
+	struct tg_owner_row r = { .fence = UINT32_MAX,
+				  .term = UINT32_MAX,
+				  .seq = INT64_MAX };
 	struct tg_silent_worker s = { .boot_ms = INT64_MAX };
 	char worker[TG_NAME_MAX + 1], *text;
 	int n = 0;
@@ -230,6 +232,40 @@
 }
 END_TEST
 
+static struct tg_owner_row decode_owner_row(char *text)
+{
+	struct tg_row row = { .value = text, .value_bytes = strlen(text) };
+	struct tg_owner_row r;
+
+	ck_assert_int_eq(tg_owner_row_decode(&row, &r), 0);
+	return r;
+}
+
+/* Guards against a token that has been raised being taken for a later term. */
+START_TEST(raised_token_leaves_the_term)
+{
+	struct tg_owner_row r = { .fence = 9, .term = 7 };
+	char *text = tg_owner_row_encode(&r);
+
+	r = decode_owner_row(text);
+	ck_assert_uint_eq(r.fence, 9);
+	ck_assert_uint_eq(r.term, 7);
+	free(text);
+}
+END_TEST
+
+START_TEST(token_of_an_older_version_is_that_of_its_claim)
+{
+	char text[] = "{\"holder\":\"i1\",\"addr\":\"127.0.0.1:1\","
+		      "\"boot\":\"b\",\"fence\":7,\"seq\":3,"
+		      "\"silent\":\"\",\"released\":false}";
+	struct tg_owner_row r = decode_owner_row(text);
+
+	ck_assert_uint_eq(r.fence, 7);
+	ck_assert_uint_eq(r.term, 7);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("site");
@@ -240,6 +276,8 @@
 	suite_add_tcase(s, t);
 	t = tcase_create("rows");
 	tcase_add_loop_test(t, owner_row_fits_with_many_silent_workers, 0, 4);
+	tcase_add_test(t, raised_token_leaves_the_term);
+	tcase_add_test(t, token_of_an_older_version_is_that_of_its_claim);
 	suite_add_tcase(s, t);
 	return run_suite(s);
 }
