flow: stop the runs of a draining worker before it may exit

Cause: the list with the end is lost with the worker's connections, and nothing tells of it afterwards.

Runs on a draining worker, but for endless ones, which are never done, are stopped now stop-ms and 0.3 s before the announced earliest exit. All of them have ended by then, and their ends are listed. With a checkpoint the task goes on from there; without one its work was lost with the worker as well. The bound is the highest of those that the entries of the process give.

The stand-in counts ends that were listed as such a worker left, acknowledged or not, as the rule does where no fault is near.

--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -35,7 +35,7 @@
 		.rack = l->entry.rack,
 		.capacity = l->entry.capacity,
 		.draining = l->entry.draining,
-		.remaining_ms = l->entry.remaining_ms,
+		.earliest_exit_ms = l->earliest_exit_ms,
 	};
 	int i;
 
@@ -116,6 +116,27 @@
 	l->first_failure_ms = tg_now_ms();
 }
 
+/*
+ * A worker exits no sooner than any of its entries says.  The last write of an
+ * entry that was read in a scan is at most a heartbeat interval old if its
+ * worker writes in time.
+ */
+static int64_t earliest_exit_ms(const struct link *l,
+				const struct tg_worker_entry *e)
+{
+	int64_t written_ms = l->written_after_ms;
+	int64_t exit_ms;
+
+	if (!e->draining || e->remaining_ms < 0)
+		return 0;
+	if (!written_ms)
+		written_ms = tg_now_ms() - l->board->site.set.heartbeat_ms;
+	exit_ms = written_ms + e->remaining_ms;
+	if (l->entry.boot_ms == e->boot_ms && l->earliest_exit_ms > exit_ms)
+		return l->earliest_exit_ms;
+	return exit_ms;
+}
+
 static void on_worker_row(const struct tg_row *row, void *arg)
 {
 	struct board *b = arg;
@@ -148,12 +169,10 @@
 		l->entry_ms = l->last_heartbeat_ms;
 		is_new = true;
 	}
-	l->entry = e;
 	l->in_directory = true;
 	l->written_after_ms = tg_table_watch_changed_after_ms(b->directory);
-	l->earliest_exit_ms = e.draining && e.remaining_ms >= 0 ?
-		l->written_after_ms + e.remaining_ms :
-		0;
+	l->earliest_exit_ms = earliest_exit_ms(l, &e);
+	l->entry = e;
 	l->seen_in_scan = true;
 	link_adopt_address(l);
 	link_describe_worker(l);
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -40,7 +40,7 @@
 	rd->f->workers_checked = 0;
 }
 
-static const char *stop_reason(const struct run *r)
+static const char *stop_reason(const struct run *r, int64_t now_ms)
 {
 	if (r->job->cancelled)
 		return "cancelled";
@@ -57,6 +57,8 @@
 		return "preempted";
 	if (r->stalled)
 		return "no progress";
+	if (flow_must_leave_worker(r, now_ms))
+		return "worker may exit soon";
 	return NULL;
 }
 
@@ -81,7 +83,7 @@
 
 	flow_clear_crashes(r);
 	r->stalled |= flow_is_stalled(r, rd->now_ms);
-	why = stop_reason(r);
+	why = stop_reason(r, rd->now_ms);
 	if (r->victim && r->state != RUN_STOPPING)
 		flow_usage_run_preempted(rd->f, r);
 	if (why && r->state == RUN_DECIDED) {
@@ -272,7 +274,7 @@
 /* Why a run that was decided on is not to be started any more. */
 static const char *drop_reason(const struct run *r, int64_t now_ms)
 {
-	const char *why = stop_reason(r);
+	const char *why = stop_reason(r, now_ms);
 
 	if (!why && !flow_worker_ready(r->worker, now_ms))
 		why = "worker gets no starts";
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -140,7 +140,8 @@
 	int32_t n_labels;
 	struct flow_shape capacity;
 	bool draining; /* gets no starts */
-	int64_t remaining_ms; /* of the drain; -1 if unknown */
+	/* Of a draining worker: it exits no sooner; 0 if unknown. */
+	int64_t earliest_exit_ms;
 };
 
 /**
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -233,7 +233,7 @@
 	struct array run_ends; /* of struct run_end */
 	size_t candidate; /* its index in the current search */
 	bool present, runs_known, suspect, draining;
-	int64_t remaining_ms;
+	int64_t earliest_exit_ms; /* see struct flow_worker_spec */
 	int32_t failures_in_row;
 	int64_t failed_ms; /* time of the last failure */
 	char failed_job[FLOW_JOB_ID_LEN + 1];
@@ -488,6 +488,13 @@
 void flow_remember_lost_run(struct worker *w, const struct run *r);
 void flow_forget_lost_runs(struct worker *w);
 
+/* drain.c */
+/**
+ * flow_must_leave_worker() - whether the run has to be stopped now, so that its
+ * end is known when its draining worker exits
+ */
+bool flow_must_leave_worker(const struct run *r, int64_t now_ms);
+
 /* plan.c */
 /** flow_plan_cancel() - drop the plan of a task, if it has one */
 void flow_plan_cancel(struct job *j, const struct step_state *ss,
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -253,7 +253,7 @@
 	w->capacity = s->capacity;
 	w->present = true;
 	w->draining = s->draining;
-	w->remaining_ms = s->remaining_ms;
+	w->earliest_exit_ms = s->earliest_exit_ms;
 }
 
 void flow_worker_set_runs_known(struct flow *f, const char *id)
--- a/tests/bench/rounds/main.c
+++ b/tests/bench/rounds/main.c
@@ -93,7 +93,6 @@
 			.az = "a",
 			.rack = rack,
 			.capacity = { 128000, 262144, ACCELERATORS },
-			.remaining_ms = -1,
 		};
 
 		snprintf(id, sizeof(id), "w%d", i);
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -103,10 +103,11 @@
 
 /*
  * POST /standin/worker?id=W&mode=M; also drain, drain=N: it exits no sooner
- * than in N ms, leave, crash, restart, move, back: a worker that has exited or
- * drains restarts, size=N; expire: its entry is gone until listed; lost: its
- * heartbeats are; old=N: its entry is that of its process N lives before until
- * its next heartbeat
+ * than in N ms, leave, leave-at-end: as a run ends by itself, so that the list
+ * that has the end is lost, crash, restart, move, back: a worker that has
+ * exited or drains restarts, size=N; expire: its entry is gone until listed;
+ * lost: its heartbeats are; old=N: its entry is that of its process N lives
+ * before until its next heartbeat
  */
 static void set_worker(struct evhttp_request *req, void *arg)
 {
@@ -127,6 +128,8 @@
 			worker_write_entry(w);
 		} else if (!strcmp(mode, "leave")) {
 			worker_leave(w);
+		} else if (!strcmp(mode, "leave-at-end")) {
+			w->leaves_at_end = true;
 		} else if (!strcmp(mode, "crash")) {
 			worker_close(w);
 		} else if (!strcmp(mode, "expire")) {
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -64,6 +64,7 @@
 	int run;
 	int64_t ended_ms;
 	bool lapsed; /* the lease has expired since */
+	bool listed; /* in an answer, received or not */
 	struct end *next;
 };
 
@@ -93,6 +94,7 @@
 	bool unlisted;
 	bool listed; /* the directory has its entry */
 	bool gone, draining;
+	bool leaves_at_end; /* it exits as a run ends by itself */
 	int64_t drained_ms; /* a draining worker exits no sooner; 0 if unknown
 			     */
 	int64_t fence, until_ms;
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -62,7 +62,7 @@
 {
 	json_t *running = json_array(), *ended = json_array();
 	const struct run *r;
-	const struct end *e;
+	struct end *e;
 
 	for (r = w->runs; r; r = r->next)
 		if (!r->stopping)
@@ -70,10 +70,12 @@
 				running,
 				json_pack("[sisi]", r->task, r->run, "", 100));
 	for (e = w->ends; e && json_array_size(ended) < ENDS_LISTED_MAX;
-	     e = e->next)
+	     e = e->next) {
+		e->listed = true;
 		json_array_append_new(ended,
 				      json_pack("[Isiss]", (json_int_t)e->n,
 						e->task, e->run, e->how, ""));
+	}
 	return json_pack("{s:I,s:I,s:o,s:o}", "clock-ms",
 			 (json_int_t)worker_clock(w), "born",
 			 (json_int_t)w->born_wall_ms, "running", running,
@@ -149,11 +151,25 @@
 	free(r);
 }
 
+/*
+ * Without a fault nearby the rules count ends that were listed, whether they
+ * are acknowledged or not.
+ */
+static void judge_listed_ends(const struct worker *w)
+{
+	const struct end *e;
+
+	for (e = w->ends; e; e = e->next)
+		if (e->listed && !strcmp(e->how, "done") && !e->lapsed)
+			judge_done(e->task, e->ended_ms);
+}
+
 static void tick(struct worker *w)
 {
 	int64_t now_ms = tg_now_ms(), n = w->n_ends;
 	struct run *r, *next;
 	struct end *e;
+	bool leaves = false;
 
 	for (e = w->ends; e; e = e->next)
 		e->lapsed |= worker_clock(w) > w->until_ms;
@@ -164,14 +180,22 @@
 		else if (r->stopping &&
 			 now_ms >= r->stopped_ms + board.opts.stop_ms)
 			end_run(w, r, "stopped");
-		else if (!r->stopping && now_ms >= r->end_ms)
+		else if (!r->stopping && now_ms >= r->end_ms) {
 			end_run(w, r,
 				r->fails || !strcmp(w->mode, "fail") ?
 					"failed" :
 					"done");
+			leaves = w->leaves_at_end;
+		}
 	}
-	if (w->n_ends > n)
-		answer_looks(w);
+	if (w->n_ends == n)
+		return;
+	answer_looks(w);
+	if (!leaves)
+		return;
+	/* The connections are closed before the answers are sent. */
+	judge_listed_ends(w);
+	worker_leave(w);
 }
 
 /* Whether the worker is cut off from everybody, the store too. */
@@ -666,7 +690,7 @@
 
 static void restart(struct worker *w)
 {
-	w->gone = w->draining = false;
+	w->gone = w->draining = w->leaves_at_end = false;
 	if (is_closed(w))
 		listen_at(w, w->addr);
 	w->drained_ms = 0;
--- a/tests/unit/flow/fleet.c
+++ b/tests/unit/flow/fleet.c
@@ -40,7 +40,6 @@
 		.n_labels = 2,
 		.capacity = { accelerators * 16000, accelerators * 32000,
 			      accelerators },
-		.remaining_ms = -1,
 	};
 
 	flow_worker_update(f, &s);
