flow: let a gang stay on a draining worker while another worker lists its end

The members of a gang end as done together, and one such end represents all of them. So it is listed by any worker of the gang that stays, also if the list of the one that exits is lost, and the gang's other members hold the task until then. Such gangs go on; if the exit breaks one, it starts again as before.

--- a/lib/flow/drain.c
+++ b/lib/flow/drain.c
@@ -13,6 +13,24 @@
  */
 #define STOP_MARGIN_MS 300
 
+/*
+ * The members of a gang end as done together, so a worker that stays lists the
+ * end.
+ */
+static bool is_listed_elsewhere(const struct run *r)
+{
+	const struct flow_step *st = flow_step_of(r->job, r->step_state);
+	int32_t i;
+
+	for (i = 0; st->gang && i < st->tasks; i++) {
+		const struct run *o = r->step_state->tasks[i].run;
+
+		if (o && o->run == r->run && !o->worker->draining)
+			return true;
+	}
+	return false;
+}
+
 bool flow_must_leave_worker(const struct run *r, int64_t now_ms)
 {
 	const struct worker *w = r->worker;
@@ -25,6 +43,8 @@
 	/* An endless task is never done. */
 	if (flow_step_of(r->job, r->step_state)->endless)
 		return false;
-	return now_ms >= w->earliest_exit_ms - r->job->flow->opts.stop_ms -
-		STOP_MARGIN_MS;
+	if (now_ms <
+	    w->earliest_exit_ms - r->job->flow->opts.stop_ms - STOP_MARGIN_MS)
+		return false;
+	return !is_listed_elsewhere(r);
 }
--- a/tests/unit/flow/test-drain.c
+++ b/tests/unit/flow/test-drain.c
@@ -23,11 +23,10 @@
 	flow_free(f);
 }
 
-/* The worker of @run drains, and others join. */
-static void drain(int64_t earliest_exit_ms)
+static void drain_worker(const char *id, int64_t earliest_exit_ms)
 {
 	const struct flow_worker_spec s = {
-		.id = "w1",
+		.id = id,
 		.service = "s",
 		.az = "a",
 		.rack = "r1",
@@ -37,6 +36,12 @@
 	};
 
 	flow_worker_update(f, &s);
+}
+
+/* The worker of @run drains, and others join. */
+static void drain(int64_t earliest_exit_ms)
+{
+	drain_worker("w1", earliest_exit_ms);
 	fleet_add_worker(f, "w2", "r1", 8);
 	fleet_add_worker(f, "w3", "r1", 8);
 }
@@ -90,12 +95,16 @@
 }
 END_TEST
 
-START_TEST(gang_leaves_draining_worker_together)
+/* Gangs lost work although a worker that stays would have listed their end. */
+START_TEST(gang_stays_while_a_worker_of_it_does_not_drain)
 {
 	fleet_add_worker(f, "w4", "r1", 8);
 	start(fleet_new_spec(2, 8, true));
 	drain(EXIT_MS);
 	fleet_decide(f, &o, STOP_DUE_MS);
+	ck_assert_int_eq(o.n_stops, 0);
+	drain_worker("w4", 2 * EXIT_MS);
+	fleet_decide(f, &o, STOP_DUE_MS + 1);
 	ck_assert_int_eq(o.n_stops, 2);
 }
 END_TEST
@@ -157,7 +166,7 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, run_is_stopped_before_its_worker_may_exit);
 	tcase_add_test(t, run_that_ends_before_its_stop_is_done);
-	tcase_add_test(t, gang_leaves_draining_worker_together);
+	tcase_add_test(t, gang_stays_while_a_worker_of_it_does_not_drain);
 	tcase_add_test(t, endless_task_stays_until_its_worker_exits);
 	tcase_add_test(t, run_stays_if_no_exit_is_announced);
 	tcase_add_test(t, possible_run_on_draining_worker_is_not_stopped);
