--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -295,8 +295,10 @@
 
 	if (reached && l->is_start)
 		start(w, l->body);
-	else if (reached && whole(l->body, "fence-token") >= w->fence)
+	else if (reached && whole(l->body, "fence-token") >= w->fence) {
 		extend(w, whole(l->body, "until-ms"));
+		forget_ends(w, whole(l->body, "seen-upto"));
+	}
 	json_decref(l->body);
 	free(l);
 }
