tgflowd: take no job from a read of before its deletion

The flow engine did not have the job any more, its progress was deleted, so the job was added as a new one. The notice of a submission, which a queue daemon sends without bound on its delay, did the same.

The store has one counter that rises with each transaction, so versions decide. The owner keeps the version of each deletion until each row that it may still be given exists at that version or has changed later (the new tg_table_watch_settled_version(), which stays at the start of a scan until the feed has gone on from there), and ignores rows of the job up to that version. That takes one read as a rule; while 4,096 deletions wait, the purge pauses.

The notice carries the version of the stored row now. A notice counts only if the table has not been read at that version: otherwise the read decides, and before that only this owner can have deleted the job. Notices of older queue daemons have no version, so that their jobs are read from the feed.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -233,8 +233,14 @@
 /* jobs.c */
 void jobs_open(struct board *b);
 void jobs_close(struct board *b);
-/** jobs_add_stored() - add a job from its row in the store, unless known */
-void jobs_add_stored(struct board *b, const struct tg_row *row);
+/** jobs_add_notified() - add a job that a queue daemon says it has stored */
+void jobs_add_notified(struct board *b, const struct tg_row *row);
+
+/* purge.c */
+/** purge_has_deleted() - whether a row that was read is deleted by now */
+bool purge_has_deleted(const char *key, int64_t row_version);
+/** purge_reset() - forget the deletions, as all reads of the term have ended */
+void purge_reset(void);
 
 /* directory.c */
 /** links_open() - follow the directory and create a link for each worker */
--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -5,38 +5,67 @@
 
 /* Loads jobs, their progress and the document from the store into the flow. */
 
-void jobs_add_stored(struct board *b, const struct tg_row *row)
+static void add_job(struct board *b, const struct tg_job_row *job)
 {
-	struct tg_job_row job;
-	struct flow_job_opts o = { 0 };
-	int64_t age_ms;
+	int64_t age_ms = tg_wall_ms() - job->accepted_wall_ms;
+	struct flow_job_opts o = {
+		.id = job->id,
+		.queue = job->queue,
+		.workspace = job->workspace,
+		.spec = job->spec,
+		.accepted_ms = tg_now_ms() - (age_ms > 0 ? age_ms : 0),
+		/* A former owner may have started it without a record. */
+		.recovered =
+			b->role == ROLE_RECOVERING && !b->former_runs_recorded,
+	};
 
-	if (flow_has_job(b->flow, row->key))
-		return;
-	if (tg_job_row_decode(row->value, row->value_bytes, &job) ||
-	    strcmp(job.id, row->key) != 0) {
-		tg_log(EV_ROW_BAD, "table=%s key=%s version=%lld",
-		       TG_JOBS_TABLE, row->key, (long long)row->version);
-		flow_spec_free(job.spec);
-		return;
-	}
-	age_ms = tg_wall_ms() - job.accepted_wall_ms;
-	o.id = job.id;
-	o.queue = job.queue;
-	o.workspace = job.workspace;
-	o.spec = job.spec;
-	o.accepted_ms = tg_now_ms() - (age_ms > 0 ? age_ms : 0);
-	/* A former owner may have started the job without a record. */
-	o.recovered = b->role == ROLE_RECOVERING && !b->former_runs_recorded;
 	flow_add_job(b->flow, &o);
 	tg_log(EV_FLOW_JOB_ADDED,
 	       "job=%s queue=%s workspace=%s age_ms=%lld "
 	       "recovered=%d",
-	       job.id, job.queue, job.workspace, (long long)age_ms,
+	       job->id, job->queue, job->workspace, (long long)age_ms,
 	       o.recovered);
 	round_wake(b);
 }
 
+/* Return: 0, and the caller frees the specification; -1 if it is invalid. */
+static int decode_job(const struct tg_row *row, struct tg_job_row *job)
+{
+	if (!tg_job_row_decode(row->value, row->value_bytes, job) &&
+	    !strcmp(job->id, row->key))
+		return 0;
+	tg_log(EV_ROW_BAD, "table=%s key=%s version=%lld", TG_JOBS_TABLE,
+	       row->key, (long long)row->version);
+	flow_spec_free(job->spec);
+	return -1;
+}
+
+static void add_stored_job(struct board *b, const struct tg_row *row)
+{
+	struct tg_job_row job;
+
+	if (!flow_has_job(b->flow, row->key) && !decode_job(row, &job))
+		add_job(b, &job);
+}
+
+/*
+ * The notice may be late, and the job may have ended and been deleted since.
+ * If the table has been read at the row's version, that read decides; if not,
+ * only this owner can have deleted the job.
+ */
+void jobs_add_notified(struct board *b, const struct tg_row *row)
+{
+	struct tg_job_row job;
+
+	if (flow_has_job(b->flow, row->key) || decode_job(row, &job))
+		return;
+	if (job.row_version > tg_table_watch_settled_version(b->jobs) &&
+	    !purge_has_deleted(job.id, job.row_version))
+		add_job(b, &job);
+	else
+		flow_spec_free(job.spec);
+}
+
 static void cancel_job(struct board *b, const char *key)
 {
 	char id[FLOW_JOB_ID_LEN + 1];
@@ -60,12 +89,12 @@
 {
 	struct board *b = arg;
 
-	if (row->deleted)
+	if (row->deleted || purge_has_deleted(row->key, row->version))
 		return;
 	if (is_cancel_key(row->key))
 		cancel_job(b, row->key);
 	else
-		jobs_add_stored(b, row);
+		add_stored_job(b, row);
 }
 
 static void on_progress_row(const struct tg_row *row, void *arg)
@@ -186,4 +215,5 @@
 	tg_table_watch_free(b->jobs);
 	tg_table_watch_free(b->progress);
 	b->jobs = b->progress = NULL;
+	purge_reset();
 }
--- a/cmd/tgflowd/purge.c
+++ b/cmd/tgflowd/purge.c
@@ -2,14 +2,21 @@
 #include <string.h>
 
 #include "board.h"
+#include "deletions.h"
 
 /*
  * Deletes the rows of jobs that ended longer ago than the retention time.  The
  * job's own row and its cancellation, which the queue daemons read, go first
- * and the progress last: a job whose progress is missing would run again.
+ * and the progress last: a job whose progress is missing would run again.  For
+ * the same reason rows that were read before their deletion are ignored.
  */
 
 #define DELETE_TIMEOUT_MS 1500
+/*
+ * Deletions that the reads of the job table have not caught up with.  They do
+ * so within seconds, unless the store fails for reads only.
+ */
+#define DELETIONS_MAX 4096
 
 struct purge {
 	struct board *board;
@@ -18,6 +25,17 @@
 };
 
 static bool deleting;
+static struct deletion *deletions;
+
+bool purge_has_deleted(const char *key, int64_t row_version)
+{
+	return deletions_cover(deletions, key, row_version);
+}
+
+void purge_reset(void)
+{
+	deletions_forget(&deletions, INT64_MAX);
+}
 
 static void delete_next(struct board *b);
 
@@ -29,6 +47,7 @@
 	deleting = false;
 	if (p->term == b->term && r->end == TG_STORE_OK) {
 		tg_log(EV_FLOW_JOB_PURGED, "job=%s", p->job);
+		deletions_add(&deletions, p->job, r->version);
 		flow_remove_job(b->flow, p->job);
 		writer_delete_progress(b, p->job);
 		delete_next(b);
@@ -51,7 +70,7 @@
 	};
 	struct purge *p;
 
-	if (!id || deleting)
+	if (!id || deleting || HASH_COUNT(deletions) >= DELETIONS_MAX)
 		return;
 	p = tg_xcalloc(1, sizeof(*p));
 	p->board = b;
@@ -70,8 +89,10 @@
 	struct board *b = board;
 
 	(void)now_ms;
-	if (b->role == ROLE_OWNER)
-		delete_next(b);
+	if (b->role != ROLE_OWNER)
+		return;
+	deletions_forget(&deletions, tg_table_watch_settled_version(b->jobs));
+	delete_next(b);
 }
 
 const struct tg_controller purge_controller = {
--- a/cmd/tgflowd/rpc.c
+++ b/cmd/tgflowd/rpc.c
@@ -103,7 +103,7 @@
 
 	if (!check_is_owner(b, req))
 		return;
-	jobs_add_stored(b, &row);
+	jobs_add_notified(b, &row);
 	answer(b, req, TG_RPC_OK, NULL, "");
 }
 
@@ -174,12 +174,17 @@
 	       "");
 }
 
-static void on_stored(enum tg_job_store_result end, void *arg)
+static void on_stored(enum tg_job_store_result end, int64_t version, void *arg)
 {
 	struct tg_rpc_answer a = { .status = tg_job_store_result_to_rpc(end),
 				   .text = "" };
+	json_t *o = json_pack("{s:I}", "row_version", (json_int_t)version);
 
+	a.json.json_val = json_dumps(o, JSON_COMPACT);
+	a.json.json_len = (u_int)strlen(a.json.json_val);
 	tg_rpc_reply(arg, &a);
+	free(a.json.json_val);
+	json_decref(o);
 }
 
 /* Stores a job for an instance that the store refuses; needs no ownership. */
--- a/cmd/tgqueued/submit.c
+++ b/cmd/tgqueued/submit.c
@@ -57,12 +57,17 @@
 	return j;
 }
 
-static void accept_job(struct request *r, const char *why)
+/* The version tells the owner whether the job may have been deleted since. */
+static void accept_job(struct request *r, int64_t row_version, const char *why)
 {
 	struct tg_rpc_job j = submit_args(r);
+	char *notice = tg_job_notice_encode(r->row, row_version);
 
+	j.spec.spec_val = notice;
+	j.spec.spec_len = (u_int)strlen(notice);
 	owner_call(r->board, TG_RPC_JOB_SUBMIT, &j, NOTIFY_TIMEOUT_MS,
 		   on_notified, NULL);
+	free(notice);
 	request_end(r, 200, why);
 }
 
@@ -96,11 +101,13 @@
 		request_schedule(r, RETRY_MS, try_store);
 }
 
-static void attempt_ended(struct request *r, enum tg_job_store_result end)
+static void attempt_ended(struct request *r, enum tg_job_store_result end,
+			  int64_t row_version)
 {
 	switch (end) {
 	case TG_JOB_STORED:
-		accept_job(r, r->relayed ? "stored by a peer" : "stored");
+		accept_job(r, row_version,
+			   r->relayed ? "stored by a peer" : "stored");
 		break;
 	case TG_JOB_ID_TAKEN:
 		request_end(r, 409, "another job has this id");
@@ -118,13 +125,24 @@
 	}
 }
 
-static void on_stored(enum tg_job_store_result end, void *arg)
+static void on_stored(enum tg_job_store_result end, int64_t row_version,
+		      void *arg)
 {
 	struct request *r = arg;
 	bool failed = end == TG_JOB_NOT_STORED || end == TG_JOB_UNKNOWN;
 
 	r->board->store_failed_ms = failed ? tg_now_ms() : 0;
-	attempt_ended(r, end);
+	attempt_ended(r, end, row_version);
+}
+
+/* 0 if the peer is of an older version. */
+static int64_t row_version_of(const struct tg_rpc_answer *a)
+{
+	json_t *o = json_loadb(a->json.json_val, a->json.json_len, 0, NULL);
+	int64_t v = json_integer_value(json_object_get(o, "row_version"));
+
+	json_decref(o);
+	return v;
 }
 
 static void on_relayed(enum tg_rpc_call_status end, const void *res, void *arg)
@@ -143,7 +161,8 @@
 				stored == TG_JOB_UNKNOWN ?
 			tg_now_ms() :
 			0;
-	attempt_ended(r, stored);
+	attempt_ended(r, stored,
+		      stored == TG_JOB_STORED ? row_version_of(a) : 0);
 }
 
 /* Whether the next attempt goes through a peer. */
--- a/lib/site/follow.c
+++ b/lib/site/follow.c
@@ -32,6 +32,7 @@
 	struct event *retry;
 	int64_t after; /* version up to which rows are known; 0: scan needed */
 	int64_t scan_version; /* version in the first answer of the scan */
+	int64_t settled_version; /* see tg_table_watch_settled_version() */
 	int64_t unavailable_since_ms; /* 0 while the store answers */
 	int64_t answered_since_ms; /* see the function; or 0 */
 	int64_t changed_after_ms; /* of the rows being delivered; or 0 */
@@ -148,6 +149,13 @@
 	return f->opts.parts ? f->opts.parts[f->part] : "";
 }
 
+/* From now on the store is read at or after @version. */
+static void settle(struct tg_table_watch *f, int64_t version)
+{
+	if (f->settled_version < version)
+		f->settled_version = version;
+}
+
 static void deliver_rows(struct tg_table_watch *f,
 			 const struct tg_store_result *r)
 {
@@ -203,6 +211,7 @@
 	}
 	if (!f->scan_version)
 		f->scan_version = r->version;
+	settle(f, f->scan_version);
 	f->scan_bytes += r->transfer.bytes;
 	f->changed_after_ms = 0;
 	f->in_call = true; /* callbacks may free @f; end_call() does it */
@@ -269,6 +278,7 @@
 	}
 	if (r->version > f->after)
 		f->after = r->version;
+	settle(f, f->after);
 	f->confirmed = !r->n_rows;
 	f->changed_after_ms = f->current_ms;
 	f->current_ms = f->call_ms;
@@ -354,6 +364,7 @@
 	if (version <= f->after)
 		return;
 	f->after = version;
+	settle(f, version);
 	if (!f->scan_due)
 		return;
 	f->scan_due = false;
@@ -377,6 +388,11 @@
 	return f->unavailable_since_ms != 0;
 }
 
+int64_t tg_table_watch_settled_version(const struct tg_table_watch *f)
+{
+	return f->settled_version;
+}
+
 int64_t tg_table_watch_not_current_ms(const struct tg_table_watch *f)
 {
 	return f->current_ms ? tg_now_ms() - f->current_ms : -1;
--- a/lib/site/rows.c
+++ b/lib/site/rows.c
@@ -39,13 +39,13 @@
 {
 	json_t *o = json_loadb(text, n, 0, NULL), *spec = NULL;
 	const char *id, *queue, *workspace;
-	json_int_t accepted = 0;
+	json_int_t accepted = 0, version = 0;
 	int err = -1;
 
 	memset(r, 0, sizeof(*r));
-	if (json_unpack(o, "{s:s,s:s,s:s,s:I,s:o}", "id", &id, "queue", &queue,
-			"workspace", &workspace, "accepted_wall_ms", &accepted,
-			"spec", &spec))
+	if (json_unpack(o, "{s:s,s:s,s:s,s:I,s:o,s?:I}", "id", &id, "queue",
+			&queue, "workspace", &workspace, "accepted_wall_ms",
+			&accepted, "spec", &spec, "row_version", &version))
 		goto out;
 	if (!tg_strlcpy(r->id, id, sizeof(r->id)) ||
 	    !tg_strlcpy(r->queue, queue, sizeof(r->queue)) ||
@@ -54,6 +54,7 @@
 	if (accepted < 0 || accepted > WALL_MAX_MS)
 		goto out;
 	r->accepted_wall_ms = accepted;
+	r->row_version = version;
 	r->spec = flow_spec_decode(spec);
 	err = r->spec ? 0 : -1;
 out:
@@ -61,6 +62,17 @@
 	return err;
 }
 
+char *tg_job_notice_encode(const char *row, int64_t row_version)
+{
+	json_t *o = json_loads(row, 0, NULL);
+	char *text;
+
+	json_object_set_new(o, "row_version", json_integer(row_version));
+	text = json_dumps(o, JSON_COMPACT);
+	json_decref(o);
+	return text;
+}
+
 bool tg_job_rows_equal(const char *a, size_t a_bytes, const char *b,
 		       size_t b_bytes)
 {
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -94,11 +94,16 @@
 /** tg_job_part_name() - name of the part numbered @i, below TG_JOB_PARTS */
 const char *tg_job_part_name(int i);
 
-/** struct tg_job_row - a job as it was submitted */
+/**
+ * struct tg_job_row - a job as it was submitted
+ * @row_version: in the notice of a submission, the version of the stored row.
+ *	0 if that is not known, as in notices of older versions.
+ */
 struct tg_job_row {
 	char id[FLOW_JOB_ID_LEN + 1];
 	char queue[TG_NAME_MAX + 1], workspace[TG_NAME_MAX + 1];
 	int64_t accepted_wall_ms;
+	int64_t row_version;
 	struct flow_spec *spec;
 };
 
@@ -110,6 +115,12 @@
  * Return: 0, and the caller frees @r->spec; -1 if the text is not a valid job.
  */
 int tg_job_row_decode(const char *text, size_t n, struct tg_job_row *r);
+/**
+ * tg_job_notice_encode() - the text of a row with the version of the stored row
+ *
+ * Return: JSON that tg_job_row_decode() reads; the caller frees it.
+ */
+char *tg_job_notice_encode(const char *row, int64_t row_version);
 /**
  * tg_job_rows_equal() - whether two encoded rows describe the same job
  *
@@ -187,15 +198,20 @@
 	TG_JOB_UNKNOWN, /* may be stored already, or later */
 };
 
+/**
+ * tg_job_store_done - result of tg_job_store()
+ * @version: of the job's row, or 0 if it is not known
+ */
+typedef void (*tg_job_store_done)(enum tg_job_store_result end, int64_t version,
+				  void *arg);
+
 /**
  * tg_job_store() - store a job unless its id is taken
  * @row: made by tg_job_row_encode(); copied
  * @done: called exactly once, from the event loop
  */
 void tg_job_store(struct tg_site *s, const char *job, const char *row,
-		  int64_t timeout_ms,
-		  void (*done)(enum tg_job_store_result end, void *arg),
-		  void *arg);
+		  int64_t timeout_ms, tg_job_store_done done, void *arg);
 
 /** tg_job_store_result_to_rpc() - convert to the status of an RPC answer */
 enum tg_rpc_status tg_job_store_result_to_rpc(enum tg_job_store_result end);
@@ -306,6 +322,14 @@
 tg_table_watch_transfer(const struct tg_table_watch *f);
 /** tg_table_watch_is_failing() - whether the last call has failed */
 bool tg_table_watch_is_failing(const struct tg_table_watch *f);
+/**
+ * tg_table_watch_settled_version() - version up to which changes are settled
+ *
+ * Each row that is delivered after the present answer exists in the store at
+ * this version or has changed after it.  So a row that was deleted at or before
+ * this version is not delivered any more, unless it was written again.
+ */
+int64_t tg_table_watch_settled_version(const struct tg_table_watch *f);
 /**
  * tg_table_watch_changed_after_ms() - earliest change of the row in @on_row
  *
--- a/lib/site/store_job.c
+++ b/lib/site/store_job.c
@@ -5,7 +5,7 @@
 
 struct store_call {
 	char *row;
-	void (*done)(enum tg_job_store_result end, void *arg);
+	tg_job_store_done done;
 	void *arg;
 };
 
@@ -35,16 +35,18 @@
 static void on_written(const struct tg_store_result *r, void *arg)
 {
 	struct store_call *c = arg;
+	enum tg_job_store_result end = to_job_stored(c, r);
+	int64_t version = 0;
 
-	c->done(to_job_stored(c, r), c->arg);
+	if (end == TG_JOB_STORED)
+		version = r->n_rows ? r->rows[0].version : r->version;
+	c->done(end, version, c->arg);
 	free(c->row);
 	free(c);
 }
 
 void tg_job_store(struct tg_site *s, const char *job, const char *row,
-		  int64_t timeout_ms,
-		  void (*done)(enum tg_job_store_result end, void *arg),
-		  void *arg)
+		  int64_t timeout_ms, tg_job_store_done done, void *arg)
 {
 	struct store_call *c = tg_xcalloc(1, sizeof(*c));
 	struct tg_row check = {
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -75,18 +75,22 @@
 /*
  * POST /standin/store?door=N&mode=M, all doors without N; "forget";
  * store?reject=TABLE/KEY: transactions that write this row are refused; * for
- * all transactions
+ * all transactions; store?keep=TABLE/KEY: deletions of this row are answered
+ * with 503
  */
 static void set_store(struct evhttp_request *req, void *arg)
 {
 	char *door = tg_http_query_param(req, "door");
 	char *mode = tg_http_query_param(req, "mode");
 	char *reject = tg_http_query_param(req, "reject");
+	char *keep = tg_http_query_param(req, "keep");
 	int i;
 
 	(void)arg;
 	if (reject)
 		tg_strlcpy(board.rejected, reject, sizeof(board.rejected));
+	else if (keep)
+		tg_strlcpy(board.kept, keep, sizeof(board.kept));
 	else if (mode && !strcmp(mode, "forget"))
 		board.history_from = board.ver + 1;
 	else
@@ -98,6 +102,7 @@
 	free(door);
 	free(mode);
 	free(reject);
+	free(keep);
 	reply_ok(req);
 }
 
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -318,13 +318,29 @@
 		strlen(text_of(o, "key")) <= NAME_BYTES_MAX;
 }
 
-static bool is_rejected(const json_t *o)
+static bool is_named(const json_t *o, const char *row)
 {
 	char name[2 * KEY_BYTES];
 
 	snprintf(name, sizeof(name), "%s/%s", text_of(o, "table"),
 		 text_of(o, "key"));
-	return !strcmp(name, board.rejected) || !strcmp(board.rejected, "*");
+	return !strcmp(name, row);
+}
+
+static bool is_rejected(const json_t *o)
+{
+	return is_named(o, board.rejected) || !strcmp(board.rejected, "*");
+}
+
+static bool deletes_kept_row(const json_t *body)
+{
+	json_t *o;
+	size_t i;
+
+	json_array_foreach(json_object_get(body, "deletes"), i, o)
+		if (is_named(o, board.kept))
+			return true;
+	return false;
 }
 
 /* Why the transaction is refused, or NULL. */
@@ -397,6 +413,11 @@
 	if (!body)
 		return;
 	board.write_bytes += (int64_t)bytes;
+	if (deletes_kept_row(body)) {
+		tg_http_reply_error(req, 503, NULL, "kept row");
+		json_decref(body);
+		return;
+	}
 	excess = find_excess(body, bytes);
 	if (excess) {
 		board.refused++;
--- a/tests/unit/flowd/test-flowd.c
+++ b/tests/unit/flowd/test-flowd.c
@@ -1,3 +1,4 @@
+#include "../../../cmd/tgflowd/deletions.h"
 #include "../../../cmd/tgflowd/formerowner.h"
 #include "../../../cmd/tgflowd/orderoutcome.h"
 #include "../../../cmd/tgflowd/workerexit.h"
@@ -285,6 +286,29 @@
 }
 END_TEST
 
+/* Guards against a job that runs again after a late read of its deleted row. */
+START_TEST(row_read_before_its_deletion_is_void)
+{
+	struct deletion *d = NULL;
+
+	ck_assert(!deletions_cover(d, "j1", 3));
+	deletions_add(&d, "j1", 7);
+	deletions_add(&d, "j2", 9);
+	ck_assert(deletions_cover(d, "j1", 3));
+	ck_assert(deletions_cover(d, "j1~cancel", 6));
+	ck_assert(!deletions_cover(d, "j10", 3));
+	/* It was written again, and deleted again. */
+	ck_assert(!deletions_cover(d, "j1", 8));
+	deletions_add(&d, "j1", 12);
+	ck_assert(deletions_cover(d, "j1", 8));
+	deletions_forget(&d, 9);
+	ck_assert(deletions_cover(d, "j1", 8));
+	ck_assert(!deletions_cover(d, "j2", 8));
+	deletions_forget(&d, 12);
+	ck_assert_ptr_null(d);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("flowd");
@@ -311,5 +335,8 @@
 	tcase_add_test(t, entry_missing_after_outage_is_not_an_exit);
 	tcase_add_test(t, entry_of_unknown_age_is_not_an_exit);
 	suite_add_tcase(s, t);
+	t = tcase_create("jobs");
+	tcase_add_test(t, row_read_before_its_deletion_is_void);
+	suite_add_tcase(s, t);
 	return run_suite(s);
 }
--- a/tests/unit/site/test-site.c
+++ b/tests/unit/site/test-site.c
@@ -203,6 +203,123 @@
 }
 END_TEST
 
+/* The answers of a scan of two pages and of the feed, by their versions. */
+static int64_t versions[8];
+static int n_answers;
+
+static void answer_version(evutil_socket_t fd, short what, void *arg)
+{
+	struct pending *p = arg;
+	struct tg_row row = { .table = "servers",
+			      .part = "",
+			      .key = "w1",
+			      .value = "",
+			      .version = 1 };
+	struct tg_store_result r = { .end = TG_STORE_OK,
+				     .version = versions[n_answers++] };
+
+	(void)fd;
+	(void)what;
+	if (!r.version) {
+		r.end = TG_STORE_HISTORY_GONE;
+	} else if (p->first) {
+		r.rows = &row;
+		r.n_rows = 1;
+		r.more = true;
+	}
+	p->done(&r, p->arg);
+	free(p);
+}
+
+static void answer_later(tg_store_done done, void *arg, bool first)
+{
+	struct timeval now = { 0 };
+	struct pending *p = tg_xcalloc(1, sizeof(*p));
+
+	if (!versions[n_answers] && !versions[n_answers + 1]) {
+		event_base_loopbreak(site.base);
+		free(p);
+		return;
+	}
+	p->done = done;
+	p->arg = arg;
+	p->first = first;
+	event_base_once(site.base, -1, EV_TIMEOUT, answer_version, p, &now);
+}
+
+static void get_versioned(struct tg_port *port,
+			  const struct tg_store_range *range,
+			  tg_store_done done, void *arg)
+{
+	(void)port;
+	answer_later(done, arg, !range->from);
+}
+
+static void feed_versioned(struct tg_port *port, const struct tg_store_feed *f,
+			   tg_store_done done, void *arg)
+{
+	(void)port;
+	(void)f;
+	answer_later(done, arg, false);
+}
+
+/*
+ * Guards against forgetting a deletion too early: a later page of a scan is
+ * newer than what the feed goes on from.
+ */
+START_TEST(changes_are_settled_up_to_the_start_of_a_scan)
+{
+	static const struct tg_port_ops ops = { .get = get_versioned,
+						.feed = feed_versioned };
+	/* A version 0 stands for a feed whose changes the store has dropped. */
+	static const struct {
+		int64_t versions[8], settled;
+	} cases[] = {
+		{ { 5 }, 5 },
+		{ { 5, 9 }, 5 },
+		{ { 5, 9, 12 }, 12 },
+		{ { 5, 9, 12, 0, 20 }, 20 },
+		{ { 5, 9, 12, 0, 20, 25 }, 20 },
+	};
+	struct tg_table_watch_opts o = {
+		.site = &site,
+		.table = "servers",
+		.on_row = on_row,
+	};
+	struct tg_table_watch *w;
+
+	memcpy(versions, cases[_i].versions, sizeof(versions));
+	site.ops = &ops;
+	site.base = event_base_new();
+	w = tg_table_watch_new(&o);
+	ck_assert_int_eq(tg_table_watch_settled_version(w), 0);
+	event_base_dispatch(site.base);
+	ck_assert_int_eq(tg_table_watch_settled_version(w), cases[_i].settled);
+	tg_table_watch_free(w);
+	event_base_free(site.base);
+}
+END_TEST
+
+START_TEST(notice_tells_the_version_of_the_row)
+{
+	static const char row[] =
+		"{\"id\":\"j1\",\"queue\":\"q\",\"workspace\":\"w\","
+		"\"accepted_wall_ms\":7,"
+		"\"spec\":{\"steps\":[{\"tasks\":1}]}}";
+	char *notice = tg_job_notice_encode(row, 42);
+	struct tg_job_row got;
+
+	ck_assert_int_eq(tg_job_row_decode(notice, strlen(notice), &got), 0);
+	ck_assert_int_eq(got.row_version, 42);
+	flow_spec_free(got.spec);
+	free(notice);
+	/* Older queue daemons don't tell it. */
+	ck_assert_int_eq(tg_job_row_decode(row, strlen(row), &got), 0);
+	ck_assert_int_eq(got.row_version, 0);
+	flow_spec_free(got.spec);
+}
+END_TEST
+
 /*
  * The lists of silent workers filled 16 KiB, so that the store refused the
  * owner's row where a row holds no more than that.
@@ -237,8 +354,11 @@
 
 	tcase_add_test(t, scan_goes_on_behind_a_long_key);
 	tcase_add_test(t, row_may_be_as_old_as_the_call_before);
+	tcase_add_loop_test(t, changes_are_settled_up_to_the_start_of_a_scan, 0,
+			    5);
 	suite_add_tcase(s, t);
 	t = tcase_create("rows");
+	tcase_add_test(t, notice_tells_the_version_of_the_row);
 	tcase_add_loop_test(t, owner_row_fits_with_many_silent_workers, 0, 4);
 	suite_add_tcase(s, t);
 	return run_suite(s);
