tgflowd: write no progress before all of it is read

Callers saw a job that had completed turn into a cancelled one: it was asked to be cancelled while there was no owner, so row ID~cancel was stored. The next owner read that row, cancelled the job, whose progress it had not read yet, and wrote {"state":cancelled} before its scan of the progress reached the job.

The writer leaves all records alone until the scan of the progress is complete, whatever has marked them as changed: stored cancellations, a new document, rows of older versions. Stored cancellations wait for the scan by themselves too, as a job must not be cancelled before it is known whether it has ended. Writes of the owner's row go on meanwhile.

While there was no owner, queue daemons told of the stored cancellation alone. They read the progress as well now, so that the job that had ended is shown as completed before and after the take-over.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -113,6 +113,12 @@
 	struct waiter *next;
 };
 
+/** struct stored_cancel - a row that requests the cancellation of a job */
+struct stored_cancel {
+	char job[FLOW_JOB_ID_LEN + 1];
+	struct stored_cancel *next;
+};
+
 struct board {
 	struct settings set;
 	struct event_base *base;
@@ -147,7 +153,8 @@
 	uint64_t n_processes; /* that links have turned to */
 	struct tg_document *document;
 	struct tg_table_watch *jobs, *progress, *directory;
-	bool directory_read;
+	bool progress_read, directory_read;
+	struct stored_cancel *cancels; /* that wait for the progress */
 	struct waiter *waiters;
 
 	bool round_wanted, write_wanted;
--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -66,18 +66,36 @@
 		flow_spec_free(job.spec);
 }
 
-static void cancel_job(struct board *b, const char *key)
+/*
+ * The progress that is not read yet may say that the job has ended, or name
+ * runs of it, so the cancellations wait for it.
+ */
+static void apply_cancels(struct board *b)
 {
-	char id[FLOW_JOB_ID_LEN + 1];
+	struct stored_cancel *c;
 
-	snprintf(id, sizeof(id), "%.*s", FLOW_JOB_ID_LEN, key);
-	if (!flow_cancel(b->flow, id, tg_now_ms()))
+	if (!b->progress_read)
 		return;
-	tg_log(EV_FLOW_JOB_CANCEL, "job=%s by=row", id);
+	while ((c = b->cancels)) {
+		b->cancels = c->next;
+		if (flow_cancel(b->flow, c->job, tg_now_ms()))
+			tg_log(EV_FLOW_JOB_CANCEL, "job=%s by=row", c->job);
+		free(c);
+	}
 	writer_wake(b);
 	round_wake(b);
 }
 
+static void add_cancel(struct board *b, const char *key)
+{
+	struct stored_cancel *c = tg_xcalloc(1, sizeof(*c));
+
+	snprintf(c->job, sizeof(c->job), "%.*s", (int)strcspn(key, "~"), key);
+	c->next = b->cancels;
+	b->cancels = c;
+	apply_cancels(b);
+}
+
 static bool is_cancel_key(const char *key)
 {
 	size_t n = strlen(key), suffix = strlen(TG_CANCEL_SUFFIX);
@@ -92,7 +110,7 @@
 	if (row->deleted || purge_has_deleted(row->key, row->version))
 		return;
 	if (is_cancel_key(row->key))
-		cancel_job(b, row->key);
+		add_cancel(b, row->key);
 	else
 		add_stored_job(b, row);
 }
@@ -118,7 +136,11 @@
 
 static void on_progress_read(void *arg)
 {
-	links_open(arg);
+	struct board *b = arg;
+
+	b->progress_read = true;
+	apply_cancels(b);
+	links_open(b);
 }
 
 static void on_jobs_read(void *arg)
@@ -202,6 +224,7 @@
 
 	for (i = 0; i < TG_JOB_PARTS; i++)
 		parts[i] = tg_job_part_name(i);
+	b->progress_read = false;
 	b->flow = flow_new(&fo);
 	b->document = tg_document_new(&d);
 	b->jobs = tg_table_watch_new(&o);
@@ -210,10 +233,16 @@
 
 void jobs_close(struct board *b)
 {
+	struct stored_cancel *c;
+
 	tg_document_free(b->document);
 	b->document = NULL;
 	tg_table_watch_free(b->jobs);
 	tg_table_watch_free(b->progress);
 	b->jobs = b->progress = NULL;
+	while ((c = b->cancels)) {
+		b->cancels = c->next;
+		free(c);
+	}
 	purge_reset();
 }
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -156,9 +156,10 @@
 	w.n_deletes = w.n_records = w.bytes = 0;
 	for (w.n_obsolete_sent = 0; w.n_obsolete_sent < w.n_obsolete;)
 		add_delete(w.obsolete[w.n_obsolete_sent++]);
-	while (has_room(b) && add_record(b))
+	/* A record that is not read yet would be lost. */
+	while (b->progress_read && has_room(b) && add_record(b))
 		;
-	w.complete = !flow_has_dirty(b->flow);
+	w.complete = !b->progress_read || !flow_has_dirty(b->flow);
 	w.row.settled = tg_now_ms() >= b->recover_until_ms;
 	w.row.runs_recorded |= b->role == ROLE_OWNER && w.complete;
 	set_value(&w.rows[0], tg_owner_row_encode(&w.row));
--- a/cmd/tgqueued/board.h
+++ b/cmd/tgqueued/board.h
@@ -64,6 +64,7 @@
 	char *row; /* encoded job row of a submission */
 	bool maybe_stored; /* a write that got no answer may take effect */
 	bool found; /* the job's row exists */
+	bool cancelled; /* so does the row that requests its cancellation */
 	int attempts;
 	bool relayed; /* the last attempt went through a peer */
 };
--- a/cmd/tgqueued/query.c
+++ b/cmd/tgqueued/query.c
@@ -54,29 +54,47 @@
 
 /* --- state --- */
 
-static void on_progress(const struct tg_store_result *w, void *arg)
+/*
+ * A job that had ended when its cancellation was stored is not cancelled.
+ *
+ * Return: NULL if the stored state is invalid.
+ */
+static const char *state_of(const struct request *r,
+			    const struct tg_store_result *w)
 {
-	struct request *r = arg;
-	json_t *o = NULL;
 	json_int_t state = FLOW_QUEUED;
+	json_t *o;
 
-	if (w->end != TG_STORE_OK) {
-		if (!out_of_time(r))
-			request_schedule(r, RETRY_MS, retry_query);
-		return;
-	}
 	if (w->n_rows && !strcmp(w->rows[0].key, r->job)) {
 		o = json_loadb(w->rows[0].value, w->rows[0].value_bytes, 0,
 			       NULL);
 		state = json_integer_value(json_object_get(o, "state"));
 		if (state == FLOW_QUEUED)
 			state = FLOW_RUNNING;
+		json_decref(o);
 	}
-	json_decref(o);
 	if (state < FLOW_QUEUED || state > FLOW_CANCELLED)
-		request_end(r, 503, "the stored state of the job is invalid");
+		return NULL;
+	if (state < FLOW_COMPLETED && r->cancelled)
+		state = FLOW_CANCELLED;
+	return flow_state_name((enum flow_state)state);
+}
+
+static void on_progress(const struct tg_store_result *w, void *arg)
+{
+	struct request *r = arg;
+	const char *state;
+
+	if (w->end != TG_STORE_OK) {
+		if (!out_of_time(r))
+			request_schedule(r, RETRY_MS, retry_query);
+		return;
+	}
+	state = state_of(r, w);
+	if (state)
+		request_end_state(r, state);
 	else
-		request_end_state(r, flow_state_name((enum flow_state)state));
+		request_end(r, 503, "the stored state of the job is invalid");
 }
 
 static void read_progress(struct request *r)
@@ -98,7 +116,6 @@
 {
 	struct request *r = arg;
 	char cancel[64];
-	bool cancelled = false;
 	size_t i;
 
 	if (w->end != TG_STORE_OK) {
@@ -109,14 +126,12 @@
 	snprintf(cancel, sizeof(cancel), "%s%s", r->job, TG_CANCEL_SUFFIX);
 	for (i = 0; i < w->n_rows; i++) {
 		r->found |= !strcmp(w->rows[i].key, r->job);
-		cancelled |= !strcmp(w->rows[i].key, cancel);
+		r->cancelled |= !strcmp(w->rows[i].key, cancel);
 	}
 	if (!r->found)
 		request_end(r, 410, "no such job");
 	else if (r->kind == TG_REQUEST_CANCEL)
 		store_cancel(r);
-	else if (cancelled)
-		request_end_state(r, "cancelled");
 	else
 		read_progress(r);
 }
--- /dev/null
+++ b/tests/unit/writer/test-writer.c
@@ -0,0 +1,203 @@
+#include <string.h>
+
+#include "../../../cmd/tgflowd/board.h"
+#include "../flow/fleet.h"
+#include "../run.h"
+
+/* The owner's writes, whose answers may be late. */
+
+#define CALLS_MAX 8
+
+struct call {
+	tg_store_done done;
+	void *arg;
+	size_t n_puts;
+	struct tg_owner_row row;
+};
+
+static struct board b;
+static struct call calls[CALLS_MAX];
+static int n_calls, n_written, n_lost;
+
+/* --- what writer.c calls --- */
+
+void links_record_silent(const struct board *board, struct tg_owner_row *r)
+{
+	(void)board;
+	(void)r;
+}
+
+void links_write_started(struct board *board)
+{
+	(void)board;
+}
+
+void links_write_done(struct board *board)
+{
+	(void)board;
+}
+
+void owner_written(struct board *board, int64_t started_ms)
+{
+	(void)board;
+	(void)started_ms;
+	n_written++;
+}
+
+void owner_lost(struct board *board, const char *why)
+{
+	(void)board;
+	(void)why;
+	n_lost++;
+}
+
+void round_start_recorded(struct board *board)
+{
+	(void)board;
+}
+
+void round_wake(struct board *board)
+{
+	(void)board;
+}
+
+/* --- the port --- */
+
+static void transact(struct tg_port *p, const struct tg_store_tx *tx,
+		     tg_store_done done, void *arg)
+{
+	struct call *c = &calls[n_calls++];
+
+	(void)p;
+	ck_assert_int_le(n_calls, CALLS_MAX);
+	c->done = done;
+	c->arg = arg;
+	c->n_puts = tx->n_puts;
+	ck_assert_int_eq(tg_owner_row_decode(&tx->puts[0], &c->row), 0);
+	event_base_loopbreak(b.base);
+}
+
+static const struct tg_port_ops port_ops = { .tx = transact };
+
+/* --- tests --- */
+
+static void begin_term(void)
+{
+	b.term++;
+	b.flow = fleet_new();
+	fleet_add_worker(b.flow, "w1", "r", 8);
+}
+
+static void end_term(void)
+{
+	b.term++;
+	writer_reset(&b);
+	flow_free(b.flow);
+	b.flow = NULL;
+}
+
+static void setup(void)
+{
+	memset(&b, 0, sizeof(b));
+	n_calls = n_written = n_lost = 0;
+	b.base = tg_loop_new();
+	b.site.ops = &port_ops;
+	b.site.set.row_bytes = 65536;
+	b.site.set.tx_bytes = 1000000;
+	b.role = ROLE_OWNER;
+	b.progress_read = true;
+	b.fence = b.owner.fence = 3;
+	tg_strlcpy(b.boot, "boot", sizeof(b.boot));
+	tg_strlcpy(b.owner.boot, "boot", sizeof(b.owner.boot));
+	writer_controller.start(&b);
+	begin_term();
+}
+
+static void teardown(void)
+{
+	end_term();
+	writer_controller.stop(&b);
+	event_base_free(b.base);
+}
+
+/* Decides on a run of a new job; the write that records it is in progress. */
+static struct call *write_run(void)
+{
+	static struct orders o;
+
+	fleet_add_job(b.flow, "j1", "normal", fleet_new_spec(1, 1, false), 0);
+	fleet_decide_unwritten(b.flow, &o, 1);
+	writer_wake(&b);
+	event_base_dispatch(b.base);
+	return &calls[n_calls - 1];
+}
+
+static void answer(const struct call *c, enum tg_store_end end,
+		   const struct tg_owner_row *now)
+{
+	struct tg_row row = { .version = 90 };
+	struct tg_store_result r = { .end = end, .version = 90 };
+	char *text = now ? tg_owner_row_encode(now) : NULL;
+
+	if (text) {
+		row.value = text;
+		row.value_bytes = strlen(text);
+		r.rows = &row;
+		r.n_rows = 1;
+	}
+	c->done(&r, c->arg);
+	free(text);
+}
+
+static bool is_recorded(void)
+{
+	struct flow_job_status v;
+
+	ck_assert(flow_job_status(b.flow, "j1", &v));
+	return v.durable;
+}
+
+START_TEST(row_of_an_earlier_copy_shows_that_it_took_effect)
+{
+	struct call *c = write_run();
+
+	answer(c, TG_STORE_CONFLICT, &c->row);
+	ck_assert_int_eq(n_written, 1);
+	ck_assert_int_eq(n_lost, 0);
+	ck_assert(is_recorded());
+}
+END_TEST
+
+/* Guards against progress that is overwritten before it is read. */
+START_TEST(no_record_is_written_before_all_are_read)
+{
+	struct call *c;
+
+	b.progress_read = false;
+	c = write_run();
+	ck_assert_uint_eq(c->n_puts, 1);
+	answer(c, TG_STORE_OK, NULL);
+	ck_assert_int_eq(n_written, 1);
+	ck_assert(!is_recorded());
+
+	b.progress_read = true;
+	writer_wake(&b);
+	event_base_dispatch(b.base);
+	c = &calls[n_calls - 1];
+	ck_assert_uint_eq(c->n_puts, 2);
+	answer(c, TG_STORE_OK, NULL);
+	ck_assert(is_recorded());
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("writer");
+	TCase *t = tcase_create("writes");
+
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, row_of_an_earlier_copy_shows_that_it_took_effect);
+	tcase_add_test(t, no_record_is_written_before_all_are_read);
+	suite_add_tcase(s, t);
+	return run_suite(s);
+}
