tgflowd: count an answer only for the write that it answers

Callers might see a task run twice: the callback of the owner's writes compared the term of the present write with the present term, which are always the same, so it took any answer for that to the present write. After a write, a loss of the ownership and a new term, all within the time limit of the write, the old OK made the records of the present write count as durable, and starts were ordered that no record names.

The argument of the callback names the term and the number of the write now.

The same cause beside it: numbers of writes began anew in each term. If the store told that the owner's row had changed, a write of an earlier term of the same process could pass for an earlier copy of the present write. Numbers don't repeat in a process now. And a term could begin by a row that an earlier term of the same process had left, so that a late write of that term could still take effect beside it. A term uses its claim up now; the next one claims again, under a higher fencing token.

That a term uses its claim up has no test of its own.

--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -158,6 +158,8 @@
 	 */
 	if (b->told_fence > b->owner.fence)
 		return;
+	/* Writes of this term may be late if it ends: the next one claims. */
+	claim.fence = 0;
 	owner_begin_term(b, claim_reason, started_ms);
 	watch.ping_ms = 0;
 	standby_notify_former(b, tg_now_ms());
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -27,9 +27,8 @@
 static struct {
 	struct event *timer;
 	bool busy; /* a write is in progress or will be repeated */
-	uint64_t term;
 	struct tg_owner_row row; /* as the write leaves it */
-	int64_t seq; /* of the last write collected in this term */
+	int64_t seq; /* of the last write collected */
 	struct tg_row rows[RECORDS_MAX + 1];
 	size_t n;
 	/*
@@ -52,6 +51,13 @@
 	int failures;
 } w;
 
+/** struct call - an attempt of a write: which write of which term it is */
+struct call {
+	struct board *board;
+	uint64_t term;
+	int64_t seq;
+};
+
 static struct tg_hist *write_us;
 static struct tg_counter *refused_records;
 
@@ -146,7 +152,10 @@
 {
 	free_rows();
 	w.row = b->owner;
-	/* The number tells this write from one that was given up. */
+	/*
+	 * The number tells this write from one that was given up, also in an
+	 * earlier term of this process.
+	 */
 	if (w.seq < b->owner.seq)
 		w.seq = b->owner.seq;
 	w.row.seq = ++w.seq;
@@ -304,13 +313,10 @@
 	return true;
 }
 
-static void on_written(const struct tg_store_result *r, void *arg)
+static void handle_result(struct board *b, const struct tg_store_result *r)
 {
-	struct board *b = arg;
 	struct tg_owner_row now;
 
-	if (!w.busy || w.term != b->term)
-		return;
 	if (r->end != TG_STORE_UNAVAILABLE)
 		b->refused_since_ms = 0;
 	else if (!b->refused_since_ms)
@@ -339,6 +345,16 @@
 	schedule(RETRY_MS);
 }
 
+static void on_written(const struct tg_store_result *r, void *arg)
+{
+	struct call *c = arg;
+
+	/* The answer to an earlier write says nothing of the present one. */
+	if (w.busy && c->term == c->board->term && c->seq == w.row.seq)
+		handle_result(c->board, r);
+	free(c);
+}
+
 static void send_write(struct board *b)
 {
 	struct tg_row check = {
@@ -356,9 +372,13 @@
 		.n_deletes = w.n_deletes,
 		.timeout_ms = WRITE_TIMEOUT_MS,
 	};
+	struct call *c = tg_xcalloc(1, sizeof(*c));
 
+	c->board = b;
+	c->term = b->term;
+	c->seq = w.row.seq;
 	w.started_ms = tg_now_ms();
-	b->site.ops->tx(b->site.port, &tx, on_written, b);
+	b->site.ops->tx(b->site.port, &tx, on_written, c);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *arg)
@@ -374,7 +394,6 @@
 		b->write_wanted = false;
 		collect(b);
 		w.busy = true;
-		w.term = b->term;
 		w.first_ms = tg_now_ms();
 	}
 	send_write(b);
@@ -398,7 +417,6 @@
 	w.n_obsolete = w.n_deletes = w.n_obsolete_sent = 0;
 	w.records_max = RECORDS_MAX;
 	w.accepted_without_records = false;
-	w.seq = 0;
 	free_rows();
 	while ((x = b->waiters)) {
 		struct tg_rpc_answer a = { .status = TG_RPC_UNKNOWN,
--- a/tests/unit/writer/test-writer.c
+++ b/tests/unit/writer/test-writer.c
@@ -157,6 +157,39 @@
 	return v.durable;
 }
 
+/* Guards against starts that are ordered before the write that records them. */
+START_TEST(answer_to_a_write_of_an_earlier_term_is_ignored)
+{
+	struct call *old = write_run(), *now;
+
+	end_term();
+	begin_term();
+	now = write_run();
+	answer(old, TG_STORE_OK, NULL);
+	ck_assert_int_eq(n_written, 0);
+	ck_assert(!is_recorded());
+	answer(now, TG_STORE_OK, NULL);
+	ck_assert_int_eq(n_written, 1);
+	ck_assert(is_recorded());
+}
+END_TEST
+
+/* The same, if the row in the store is that of the earlier write. */
+START_TEST(row_of_an_earlier_term_is_not_that_of_the_write)
+{
+	struct tg_owner_row old = write_run()->row;
+	struct call *now;
+
+	end_term();
+	begin_term();
+	now = write_run();
+	answer(now, TG_STORE_CONFLICT, &old);
+	ck_assert_int_eq(n_written, 0);
+	ck_assert_int_eq(n_lost, 1);
+	ck_assert(!is_recorded());
+}
+END_TEST
+
 START_TEST(row_of_an_earlier_copy_shows_that_it_took_effect)
 {
 	struct call *c = write_run();
@@ -196,6 +229,8 @@
 	TCase *t = tcase_create("writes");
 
 	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, answer_to_a_write_of_an_earlier_term_is_ignored);
+	tcase_add_test(t, row_of_an_earlier_term_is_not_that_of_the_write);
 	tcase_add_test(t, row_of_an_earlier_copy_shows_that_it_took_effect);
 	tcase_add_test(t, no_record_is_written_before_all_are_read);
 	suite_add_tcase(s, t);
