--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -117,6 +117,12 @@
 	struct waiter *next;
 };
 
+/** struct stored_cancel - a row that requests the cancellation of a job */
+struct stored_cancel {
+	char job[FLOW_JOB_ID_LEN + 1];
+	struct stored_cancel *next;
+};
+
 struct board {
 	struct settings set;
 	struct event_base *base;
@@ -151,7 +157,8 @@
 	uint64_t n_processes; /* that links have turned to */
 	struct tg_document *document;
 	struct tg_table_watch *jobs, *progress, *directory;
-	bool directory_read;
+	bool progress_read, directory_read;
+	struct stored_cancel *cancels; /* that wait for the progress */
 	struct waiter *waiters;
 
 	bool round_wanted, write_wanted;
@@ -259,8 +266,14 @@
 /* jobs.c */
 void jobs_open(struct board *b);
 void jobs_close(struct board *b);
-/** jobs_add_stored() - add a job from its row in the store, unless known */
-void jobs_add_stored(struct board *b, const struct tg_row *row);
+/** jobs_add_notified() - add a job that a queue daemon says it has stored */
+void jobs_add_notified(struct board *b, const struct tg_row *row);
+
+/* purge.c */
+/** purge_has_deleted() - whether a row that was read is deleted by now */
+bool purge_has_deleted(const char *key, int64_t row_version);
+/** purge_reset() - forget the deletions, as all reads of the term have ended */
+void purge_reset(void);
 
 /* directory.c */
 /** links_open() - follow the directory and create a link for each worker */
