--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -90,7 +90,7 @@
 	if (reject)
 		tg_strlcpy(board.rejected, reject, sizeof(board.rejected));
 	else if (keep)
-		tg_strlcpy(board.kept, keep, sizeof(board.kept));
+		tg_strlcpy(board.kept_row, keep, sizeof(board.kept_row));
 	else if (mode && !strcmp(mode, "forget"))
 		board.history_from = board.ver + 1;
 	else
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -119,7 +119,7 @@
 	struct row *rows;
 	int64_t ver, history_from;
 	char rejected[2 * KEY_BYTES]; /* TABLE/KEY of a row not to write */
-	char kept[2 * KEY_BYTES]; /* TABLE/KEY of a row not to delete */
+	char kept_row[2 * KEY_BYTES]; /* TABLE/KEY of a row not to delete */
 	struct worker workers[WORKERS_MAX];
 	struct done *done; /* tasks that have ended well */
 	/* what was seen */
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -338,7 +338,7 @@
 	size_t i;
 
 	json_array_foreach(json_object_get(body, "deletes"), i, o)
-		if (is_named(o, board.kept))
+		if (is_named(o, board.kept_row))
 			return true;
 	return false;
 }
