test-site: clocks, late stops and holds, odd lists; log runs that overlap

The stand-in's workers had exact clocks and a time of day that never stepped, carried out only starts late, and always sent whole lists, so that no test could show what an owner makes of anything else.

Added: clocks that are slow or fast, processes whose time of day is behind that of the process before, calls of all kinds that are carried out late after a given time or at once without an answer, resets, runs that stand still or tell their progress, workers that serve on after they have removed their entry, and lists that lack a field, are of another type or have an unreadable entry. A stop takes its time by the worker's clock. A late hold acknowledges ends as well. An overlap is logged with both runs, their age and their ends, and so is each process of a worker, so that a soak's logs tell the way to a task that ran twice. An instance's zone can be set.

--- a/tests/site-lib.sh
+++ b/tests/site-lib.sh
@@ -11,6 +11,7 @@
 row_bytes=${row_bytes:-65536}
 heartbeat_ms=${heartbeat_ms:-500}
 stop_ms=${stop_ms:-200}
+zone=${zone:-a}
 config='{"version":7,"routes":[
  {"name":"normal","host":"h","path-prefix":"/n/","priority":1,"service":"svc",
   "max-attempts":3,"stretch":3.0,"target-runtime-ms":1000},
@@ -51,7 +52,7 @@
 	door=$(echo "$site_rpc" | cut -d, -f"$n")
 	cat >"$tmp/i$n.conf" <<-END
 		node=i$n
-		zone=a
+		zone=$zone
 		ip=$net.$n
 		listen.front=$net.$n:0
 		listen.ready=$net.$n:0
--- a/tests/standin/sited/judge.c
+++ b/tests/standin/sited/judge.c
@@ -1,5 +1,7 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "sited.h"
 
@@ -34,25 +36,69 @@
 	return n;
 }
 
-static int copies(const char *task)
+static void log_time(void)
 {
-	const struct run *r;
-	int i, n = 0;
+	int64_t ms = tg_wall_ms();
+	time_t day_s = (time_t)(ms / 1000);
+	struct tm tm;
+
+	gmtime_r(&day_s, &tm);
+	fprintf(stderr, "%02d:%02d:%02d.%03d ", tm.tm_hour, tm.tm_min,
+		tm.tm_sec, (int)(ms % 1000));
+}
+
+void judge_log(const struct worker *w, const char *task, int run,
+	       const char *what)
+{
+	log_time();
+	fprintf(stderr, "%s task=%s run=%d worker=%s\n", what, task, run,
+		w->id);
+}
+
+void judge_process(const struct worker *w)
+{
+	log_time();
+	fprintf(stderr, "process worker=%s boot=%lld\n", w->id,
+		(long long)w->born_wall_ms);
+}
+
+/* Whether another run of the task goes on. */
+static bool has_copy(const struct worker *w, struct run *r)
+{
+	char what[64];
+	struct run *o;
+	int i;
 
 	for (i = 0; i < WORKERS_MAX; i++)
-		for (r = board.workers[i].runs; r; r = r->next)
-			n += !strcmp(r->task, task);
-	return n;
+		for (o = board.workers[i].runs; o; o = o->next) {
+			if (o == r || strcmp(o->task, r->task) != 0)
+				continue;
+			snprintf(what, sizeof(what),
+				 "goes on after %lld ms%s%s,",
+				 (long long)(tg_now_ms() - o->started_ms),
+				 o->late ? ", late" : "",
+				 o->stopping ? ", being stopped" : "");
+			judge_log(&board.workers[i], o->task, o->run, what);
+			judge_log(w, r->task, r->run,
+				  r->late ? "second start, late," :
+					    "second start,");
+			o->doubled = r->doubled = true;
+		}
+	return r->doubled;
 }
 
-void judge_start(const struct worker *w, const struct run *r)
+void judge_start(const struct worker *w, struct run *r)
 {
 	struct done *d = find_task(r->task);
 
+	if (d->done)
+		judge_log(w, r->task, r->run, "start after done,");
 	board.after_done += d->done;
 	d->started_ms = tg_now_ms();
-	board.twice += copies(r->task) > 1;
+	board.twice += has_copy(w, r);
 	board.over_room += used(w) > worker_room(w);
+	if (used(w) > worker_room(w))
+		judge_log(w, r->task, r->run, "beyond room,");
 }
 
 void judge_done(const char *task, int64_t ended_ms)
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -106,7 +106,10 @@
  * than in N ms, leave, crash, restart, move, back: a worker that has exited or
  * drains restarts, size=N; expire: its entry is gone until listed; lost: its
  * heartbeats are; old=N: its entry is that of its process N lives before until
- * its next heartbeat
+ * its next heartbeat; linger=N: it removes its entry and exits in N ms;
+ * clock=N: its clock is N percent fast; step=N: the time of day is N ms ahead
+ * from its next life on; late=N: late calls are carried out after N ms; pace=N:
+ * its runs go on at N percent of their speed; reset: its connections are
  */
 static void set_worker(struct evhttp_request *req, void *arg)
 {
@@ -150,6 +153,18 @@
 			worker_swap(w, &board.workers[atoi(mode + 5) - 1]);
 		} else if (!strcmp(mode, "move")) {
 			worker_move(w);
+		} else if (!strncmp(mode, "linger=", 7)) {
+			worker_linger(w, atoi(mode + 7));
+		} else if (!strncmp(mode, "clock=", 6)) {
+			worker_set_clock(w, atoi(mode + 6));
+		} else if (!strncmp(mode, "step=", 5)) {
+			w->step_ms = atoi(mode + 5);
+		} else if (!strncmp(mode, "late=", 5)) {
+			w->late_ms = atoi(mode + 5);
+		} else if (!strncmp(mode, "pace=", 5)) {
+			w->pace_percent = atoi(mode + 5);
+		} else if (!strcmp(mode, "reset")) {
+			worker_reset(w);
 		} else {
 			worker_set_mode(w, mode);
 		}
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -52,8 +52,15 @@
 	char task[64];
 	int run;
 	int accelerators;
-	int64_t end_ms; /* by itself */
+	int64_t run_ms, end_ms; /* by itself */
+	int64_t started_ms;
 	bool fails, stopping;
+	/* Its percent is told; otherwise it is 100 from the start. */
+	bool tells_progress;
+	/* Its order was carried out late. */
+	bool late;
+	/* Another run of its task ran at the same time. */
+	bool doubled;
 	int64_t stopped_ms;
 	struct run *next;
 };
@@ -64,6 +71,7 @@
 	int run;
 	int64_t ended_ms;
 	bool lapsed; /* the lease has expired since */
+	bool doubled;
 	struct end *next;
 };
 
@@ -81,12 +89,25 @@
 	char addr[TG_ADDR_MAX + 1];
 	/*
 	 * ok, silent: cut off from everybody, refuse: cut off, connections are
-	 * refused, deaf: cut off from callers only, unanswered: late,
-	 * unanswered-later: also by a later process, holds-later: the same of
-	 * holds, mute: at once, fail, unhealthy
+	 * refused, deaf: cut off from callers only, fail, unhealthy.  Calls
+	 * without an answer: unanswered: starts, carried out late,
+	 * unanswered-later: also by a later process, stops-late, holds-late,
+	 * calls-late: all three, holds-later: also by a later process, mute:
+	 * starts, at once, one-way: all calls, at once.  Lists: no-running,
+	 * odd-running: of another type, odd-run: an entry is unreadable, the
+	 * same of ended; no-born
 	 */
 	char mode[24];
+	int64_t late_ms; /* after which a late call is carried out */
 	int64_t boot_ms, born_wall_ms;
+	/* Its clock was clock_ms at clock_at_ms and runs this much faster. */
+	int64_t clock_ms, clock_at_ms;
+	int fast_percent;
+	int64_t step_ms; /* by which the time of day differs from its next life
+			    on */
+	int pace_percent; /* of the usual speed at which its runs go on */
+	int64_t ticked_ms;
+	bool is_late; /* The order that is carried out now is. */
 	int64_t seq, next_beat_ms, beat_ms; /* its heartbeats; beat_ms: last */
 	struct life lives[LIVES_MAX]; /* the last ones, the current one first */
 	/* Its heartbeats don't reach the store; it runs on. */
@@ -147,6 +168,12 @@
  *	there is no entry
  */
 void worker_write_old_entry(struct worker *w, int lives);
+/** worker_reset() - end all connections */
+void worker_reset(struct worker *w);
+/** worker_linger() - leave, but serve for a while without an entry */
+void worker_linger(struct worker *w, int ms);
+/** worker_set_clock() - the worker's clock runs faster by this from now on */
+void worker_set_clock(struct worker *w, int fast_percent);
 /** worker_resize() - change the capacity of a worker while it runs */
 void worker_resize(struct worker *w, int accelerators);
 /** worker_room() - accelerators that a start may use now */
@@ -159,7 +186,12 @@
 
 /* judge.c */
 /** judge_start() - a run has begun on @w; counts what must not be */
-void judge_start(const struct worker *w, const struct run *r);
+void judge_start(const struct worker *w, struct run *r);
+/** judge_process() - log that a process of a worker begins */
+void judge_process(const struct worker *w);
+/** judge_log() - tell what happened to a run that ran twice at a time */
+void judge_log(const struct worker *w, const char *task, int run,
+	       const char *what);
 /**
  * judge_done() - an end was acknowledged while the worker's lease lasted
  */
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -36,7 +36,15 @@
 
 int64_t worker_clock(const struct worker *w)
 {
-	return tg_now_ms() - w->boot_ms;
+	return w->clock_ms +
+		(tg_now_ms() - w->clock_at_ms) * (100 + w->fast_percent) / 100;
+}
+
+void worker_set_clock(struct worker *w, int fast_percent)
+{
+	w->clock_ms = worker_clock(w);
+	w->clock_at_ms = tg_now_ms();
+	w->fast_percent = fast_percent;
 }
 
 static int64_t whole(const json_t *o, const char *name)
@@ -58,26 +66,56 @@
 
 /* --- lists --- */
 
+static int percent_of(const struct run *r)
+{
+	int64_t left_ms = r->end_ms - tg_now_ms();
+
+	if (!r->tells_progress || left_ms <= 0 || r->run_ms <= 0)
+		return 100;
+	return (int)(100 - 100 * left_ms / r->run_ms);
+}
+
+/* What a worker that speaks another version might send. */
+static void spoil(const struct worker *w, json_t *lists, const char *name,
+		  const char *entry)
+{
+	const char *mode = w->mode;
+
+	if (!strncmp(mode, "no-", 3) && !strcmp(mode + 3, name))
+		json_object_del(lists, name);
+	else if (!strncmp(mode, "odd-", 4) && !strcmp(mode + 4, name))
+		json_object_set_new(lists, name, json_string("none"));
+	else if (!strncmp(mode, "odd-", 4) && !strcmp(mode + 4, entry) &&
+		 json_array_size(json_object_get(lists, name)))
+		json_array_set_new(json_object_get(lists, name), 0,
+				   json_pack("[s]", "odd"));
+}
+
 static json_t *lists(const struct worker *w)
 {
-	json_t *running = json_array(), *ended = json_array();
+	json_t *running = json_array(), *ended = json_array(), *out;
 	const struct run *r;
 	const struct end *e;
 
 	for (r = w->runs; r; r = r->next)
 		if (!r->stopping)
-			json_array_append_new(
-				running,
-				json_pack("[sisi]", r->task, r->run, "", 100));
+			json_array_append_new(running,
+					      json_pack("[sisi]", r->task,
+							r->run, "",
+							percent_of(r)));
 	for (e = w->ends; e && json_array_size(ended) < ENDS_LISTED_MAX;
 	     e = e->next)
 		json_array_append_new(ended,
 				      json_pack("[Isiss]", (json_int_t)e->n,
 						e->task, e->run, e->how, ""));
-	return json_pack("{s:I,s:I,s:o,s:o}", "clock-ms",
-			 (json_int_t)worker_clock(w), "born",
-			 (json_int_t)w->born_wall_ms, "running", running,
-			 "ended", ended);
+	out = json_pack("{s:I,s:I,s:o,s:o}", "clock-ms",
+			(json_int_t)worker_clock(w), "born",
+			(json_int_t)w->born_wall_ms, "running", running,
+			"ended", ended);
+	spoil(w, out, "running", "run");
+	spoil(w, out, "ended", "end");
+	spoil(w, out, "born", "");
+	return out;
 }
 
 static void answer_looks(struct worker *w)
@@ -113,6 +151,8 @@
 		w->ends = e->next;
 		if (!strcmp(e->how, "done") && !e->lapsed)
 			judge_done(e->task, e->ended_ms);
+		if (e->doubled)
+			judge_log(w, e->task, e->run, "end acknowledged,");
 		free(e);
 	}
 }
@@ -138,6 +178,9 @@
 	e->ended_ms = tg_now_ms();
 	tg_strlcpy(e->task, r->task, sizeof(e->task));
 	tg_strlcpy(e->how, how, sizeof(e->how));
+	e->doubled = r->doubled;
+	if (r->doubled)
+		judge_log(w, r->task, r->run, how);
 	while (*last)
 		last = &(*last)->next;
 	*last = e;
@@ -152,17 +195,20 @@
 static void tick(struct worker *w)
 {
 	int64_t now_ms = tg_now_ms(), n = w->n_ends;
+	int64_t idle_ms = (now_ms - w->ticked_ms) * (100 - w->pace_percent);
 	struct run *r, *next;
 	struct end *e;
 
+	w->ticked_ms = now_ms;
 	for (e = w->ends; e; e = e->next)
 		e->lapsed |= worker_clock(w) > w->until_ms;
 	for (r = w->runs; r; r = next) {
 		next = r->next;
+		r->end_ms += idle_ms / 100;
 		if (worker_clock(w) > w->until_ms)
 			end_run(w, r, "lapsed");
 		else if (r->stopping &&
-			 now_ms >= r->stopped_ms + board.opts.stop_ms)
+			 worker_clock(w) >= r->stopped_ms + board.opts.stop_ms)
 			end_run(w, r, "stopped");
 		else if (!r->stopping && now_ms >= r->end_ms)
 			end_run(w, r,
@@ -268,7 +314,11 @@
 	tg_strlcpy(r->task, task, sizeof(r->task));
 	r->run = run;
 	r->accelerators = (int)spec_value(spec, "acc=", 1);
-	r->end_ms = tg_now_ms() + spec_value(spec, "ms=", DEFAULT_RUN_MS);
+	r->run_ms = spec_value(spec, "ms=", DEFAULT_RUN_MS);
+	r->started_ms = tg_now_ms();
+	r->late = w->is_late;
+	r->end_ms = r->started_ms + r->run_ms;
+	r->tells_progress = strstr(spec, "progress") != NULL;
 	r->fails = strstr(spec, "fail") != NULL;
 	r->next = w->runs;
 	w->runs = r;
@@ -277,45 +327,101 @@
 	return NULL;
 }
 
+enum call { CALL_START, CALL_STOP, CALL_HOLD };
+
 struct late {
 	struct worker *worker;
-	bool is_start; /* or a hold */
+	enum call call;
 	int64_t boot_ms; /* 0 for whichever process serves the address */
 	char addr[TG_ADDR_MAX + 1];
 	json_t *body;
 };
 
+static void stop(struct worker *w, const json_t *body)
+{
+	const char *task = json_string_value(json_object_get(body, "task"));
+	int run = (int)whole(body, "run");
+	struct run *r;
+
+	board.stops++;
+	refuse_runs(w, task ? task : "", run);
+	r = find_run(w, task ? task : "", run);
+	if (r && !r->stopping) {
+		r->stopping = true;
+		r->stopped_ms = worker_clock(w);
+	}
+}
+
+static void carry_out(struct worker *w, enum call call, const json_t *body)
+{
+	if (call == CALL_START) {
+		w->is_late = true;
+		start(w, body);
+		w->is_late = false;
+	} else if (whole(body, "fence-token") >= w->fence) {
+		w->fence = whole(body, "fence-token");
+		if (call == CALL_STOP) {
+			stop(w, body);
+			return;
+		}
+		extend(w, whole(body, "until-ms"));
+		forget_ends(w, whole(body, "seen-upto"));
+	}
+}
+
 static void carry_out_late(void *arg)
 {
 	struct late *l = arg;
 	struct worker *w = l->worker;
-	bool reached = !w->gone &&
-		(l->boot_ms ? w->boot_ms == l->boot_ms :
-			      w->server && !strcmp(w->addr, l->addr));
-
-	if (reached && l->is_start)
-		start(w, l->body);
-	else if (reached && whole(l->body, "fence-token") >= w->fence)
-		extend(w, whole(l->body, "until-ms"));
+
+	if (!w->gone &&
+	    (l->boot_ms ? w->boot_ms == l->boot_ms :
+			  w->server && !strcmp(w->addr, l->addr)))
+		carry_out(w, l->call, l->body);
 	json_decref(l->body);
 	free(l);
 }
 
 /* Carries out a call late, also by a later process if @any_process. */
 static void delay(struct worker *w, struct evhttp_request *req, json_t *body,
-		  bool is_start, bool any_process)
+		  enum call call, bool any_process)
 {
 	struct late *l = tg_xcalloc(1, sizeof(*l));
 
 	l->worker = w;
-	l->is_start = is_start;
+	l->call = call;
 	l->boot_ms = any_process ? 0 : w->boot_ms;
 	tg_strlcpy(l->addr, w->addr, sizeof(l->addr));
 	l->body = json_incref(body);
-	delay_call(board.base, LATE_MS, carry_out_late, l);
+	if (strcmp(w->mode, "one-way") != 0)
+		delay_call(board.base, w->late_ms, carry_out_late, l);
+	else
+		carry_out_late(l);
 	close_without_reply(board.base, req, NO_REPLY_MS, NULL, w);
 }
 
+/* Whether the worker leaves the call unanswered, and carries it out late. */
+static bool is_left_unanswered(struct worker *w, struct evhttp_request *req,
+			       json_t *body, enum call call)
+{
+	static const char *const modes[][3] = {
+		[CALL_START] = { "unanswered", "calls-late", "one-way" },
+		[CALL_STOP] = { "stops-late", "calls-late", "one-way" },
+		[CALL_HOLD] = { "holds-late", "calls-late", "one-way" },
+	};
+	bool later =
+		(call == CALL_START && !strcmp(w->mode, "unanswered-later")) ||
+		(call == CALL_HOLD && !strcmp(w->mode, "holds-later"));
+	bool late = later;
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(modes[call]); i++)
+		late |= !strcmp(w->mode, modes[call][i]);
+	if (late)
+		delay(w, req, body, call, later);
+	return late;
+}
+
 static void hold(struct worker *w, struct evhttp_request *req, json_t *body)
 {
 	int64_t wait_ms = whole(body, "wait-ms");
@@ -326,10 +432,8 @@
 		close_without_reply(board.base, req, NO_REPLY_MS, NULL, w);
 		return;
 	}
-	if (!strcmp(w->mode, "holds-later")) {
-		delay(w, req, body, false, true);
+	if (is_left_unanswered(w, req, body, CALL_HOLD))
 		return;
-	}
 	if (fenced(w, req, body))
 		return;
 	extend(w, whole(body, "until-ms"));
@@ -379,17 +483,14 @@
 static void run_start(struct worker *w, struct evhttp_request *req,
 		      json_t *body)
 {
-	bool later = !strcmp(w->mode, "unanswered-later");
 	const char *reason;
 
 	if (!strcmp(w->mode, "unhealthy")) {
 		tg_http_reply_error(req, 503, NULL, "unhealthy");
 		return;
 	}
-	if (later || !strcmp(w->mode, "unanswered")) {
-		delay(w, req, body, true, later);
+	if (is_left_unanswered(w, req, body, CALL_START))
 		return;
-	}
 	reason = start(w, body);
 	board.fenced += reason && !strcmp(reason, "fence");
 	if (!reason && is_deadly(body)) {
@@ -403,20 +504,11 @@
 		reply_clock(w, req, reason ? 409 : 200, reason);
 }
 
-static void run_stop(struct worker *w, struct evhttp_request *req,
-		     const json_t *body)
+static void run_stop(struct worker *w, struct evhttp_request *req, json_t *body)
 {
-	const char *task = json_string_value(json_object_get(body, "task"));
-	int run = (int)whole(body, "run");
-	struct run *r;
-
-	board.stops++;
-	refuse_runs(w, task ? task : "", run);
-	r = find_run(w, task ? task : "", run);
-	if (r && !r->stopping) {
-		r->stopping = true;
-		r->stopped_ms = tg_now_ms();
-	}
+	if (is_left_unanswered(w, req, body, CALL_STOP) || fenced(w, req, body))
+		return;
+	stop(w, body);
 	reply_clock(w, req, 200, NULL);
 }
 
@@ -449,7 +541,7 @@
 		hold(w, req, body);
 	else if (path && !strcmp(path, "/run-start"))
 		run_start(w, req, body);
-	else if (path && !strcmp(path, "/run-stop") && !fenced(w, req, body))
+	else if (path && !strcmp(path, "/run-stop"))
 		run_stop(w, req, body);
 	json_decref(body);
 out:
@@ -521,18 +613,21 @@
 static void begin_life(struct worker *w)
 {
 	static int64_t last_wall_ms;
+	int64_t wall_ms = tg_wall_ms();
 
-	w->boot_ms = tg_now_ms();
-	w->born_wall_ms = tg_wall_ms();
+	w->boot_ms = w->clock_at_ms = w->ticked_ms = tg_now_ms();
+	w->clock_ms = 0;
 	/* Two lives never begin in one millisecond. */
-	if (w->born_wall_ms <= last_wall_ms)
-		w->born_wall_ms = last_wall_ms + 1;
-	last_wall_ms = w->born_wall_ms;
+	if (wall_ms <= last_wall_ms)
+		wall_ms = last_wall_ms + 1;
+	last_wall_ms = wall_ms;
+	w->born_wall_ms = wall_ms + w->step_ms;
 	w->fence = w->until_ms = w->n_ends = w->seq = 0;
 	memmove(&w->lives[1], &w->lives[0],
 		sizeof(w->lives) - sizeof(*w->lives));
 	tg_strlcpy(w->lives[0].addr, w->addr, sizeof(w->lives[0].addr));
 	w->lives[0].born_wall_ms = w->born_wall_ms;
+	judge_process(w);
 }
 
 /* Serves at @addr; port 0 for any. */
@@ -606,7 +701,8 @@
 
 	tg_strlcpy(w->mode, mode, sizeof(w->mode));
 	/* A caller behind a silent cut gets no answer any more. */
-	if (!strcmp(mode, "silent") || !strcmp(mode, "deaf"))
+	if (!strcmp(mode, "silent") || !strcmp(mode, "deaf") ||
+	    !strcmp(mode, "one-way"))
 		hold_looks(w);
 	if (refuses && w->server) {
 		/* The path is closed, and its connections are reset. */
@@ -617,10 +713,21 @@
 	}
 }
 
+void worker_reset(struct worker *w)
+{
+	if (!w->server)
+		return;
+	drop_looks(w);
+	stop_listening(w);
+	listen_at(w, w->addr);
+}
+
 void worker_open(struct worker *w, int n)
 {
 	snprintf(w->id, sizeof(w->id), "w%d", n);
 	tg_strlcpy(w->mode, "ok", sizeof(w->mode));
+	w->late_ms = LATE_MS;
+	w->pace_percent = 100;
 	w->accelerators = (int)board.opts.accelerators;
 	listen_at(w, "127.0.0.1:0");
 	/* The heartbeats of the workers are spread over the interval. */
@@ -664,6 +771,24 @@
 		worker_remove_entry(w);
 }
 
+static void end_lingering(void *arg)
+{
+	struct worker *w = arg;
+
+	/* It may have been started in the meantime. */
+	if (!w->gone && !w->listed && w->draining)
+		worker_close(w);
+}
+
+void worker_linger(struct worker *w, int ms)
+{
+	if (w->gone)
+		return;
+	w->unlisted = w->draining = true;
+	worker_remove_entry(w);
+	delay_call(board.base, ms, end_lingering, w);
+}
+
 static void restart(struct worker *w)
 {
 	w->gone = w->draining = false;
