platform: don't take runs for ended because a list can't be read

A worker's answer without "running", or with one of another type, counted as a list without runs, and an unreadable entry was skipped, so that the run that it names counted as missing. The third such list ended the runs and started their tasks elsewhere while they went on. Without "ended", runs that were done counted as lost, and ran again.

Cause: what couldn't be read was taken for absent.

Now such lists are treated like one with further ends: what they name is applied, what they lack stays as it is. The worker's leases go on; a new owner starts nothing there until it has seen whole lists. An unreadable entry of "ended" is skipped as before, since its run has ended. An answer without "born" counted as none before and does now.

--- a/cmd/tgflowd/lists.c
+++ b/cmd/tgflowd/lists.c
@@ -149,9 +149,9 @@
 		n_unknown += unknown[i];
 	}
 	/* What is missing may have ended as done, in an end to be processed. */
-	if (!r->more_ends && !n_pending)
+	if (!r->more && !n_pending)
 		flow_report_list_end(b->flow, l->entry.id, asked_ms, now_ms);
-	known = !handle_unknown_runs(l, r, unknown, n_unknown) && !r->more_ends;
+	known = !handle_unknown_runs(l, r, unknown, n_unknown) && !r->more;
 	free(unknown);
 	return known;
 }
--- a/lib/port/port.h
+++ b/lib/port/port.h
@@ -222,7 +222,7 @@
  * @runs: all runs in progress.  @runs and @ends are owned by the adapter and
  *	valid only during the callback.
  * @ends: the oldest of the ends that are not acknowledged yet
- * @more_ends: there may be further ends, of runs that are in neither list
+ * @more: there may be runs and ends that are in neither list
  * @closed: there is no answer, since the connection was closed or refused
  */
 struct tg_worker_poll_result {
@@ -231,7 +231,7 @@
 	const struct tg_run *runs;
 	const struct tg_run_end *ends;
 	size_t n_runs, n_ends;
-	bool more_ends, closed;
+	bool more, closed;
 };
 
 /**
