--- a/tests/soak/seeds.sh
+++ b/tests/soak/seeds.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Runs seeds of a soak, some at a time: seeds.sh FROM TO [AT-ONCE] [KEEP]
-# SOAK names the soak: run (the default) or document; FLAGS are passed to it.
+# SOAK names the soak: run (the default), document or record; FLAGS are passed
+# to it.
 # TG_BIN names other programs than those of BUILD.
 # Prints the lines of seeds that broke a promise, then a count.
 cd "$(dirname "$0")/../.." || exit 1
