flow: find a run by its task before searching its worker's runs

Each report of a run, and each answer to an order, searched all runs of the worker, so that a worker's list of n runs took n^2 / 2 steps. A task mostly has one run, its current one, and an end may be reported of a run that isn't known at all. Both are found by the task now.

The owner's turn was not measured.

The new test fails if only the current run is found, or if the older run is not found after the current one has ended; no other unit test did.

--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -281,15 +281,23 @@
 		ref->index < flow_step_of(*j, *ss)->tasks;
 }
 
+/* A worker may have many runs, so its list is searched last. */
 static struct run *find_run(const struct flow *f,
 			    const struct flow_run_ref *ref, struct worker *w)
 {
 	struct step_state *ss;
+	const struct task *t;
 	struct run *r;
 	struct job *j;
 
 	if (!w || !find_task(f, ref, &j, &ss))
 		return NULL;
+	t = &ss->tasks[ref->index];
+	if (t->run && t->run->worker == w && t->run->run == ref->run)
+		return t->run;
+	/* It has no run but the current one. */
+	if (t->n_runs <= (t->run ? 1 : 0))
+		return NULL;
 	for (r = w->runs; r; r = r->next)
 		if (r->step_state == ss && r->index == ref->index &&
 		    r->run == ref->run)
--- a/tests/unit/flow/test-record.c
+++ b/tests/unit/flow/test-record.c
@@ -400,6 +400,28 @@
 }
 END_TEST
 
+/* Guards against a search that finds only the current run of a task. */
+START_TEST(end_of_an_older_run_is_found)
+{
+	struct flow_run_ref r = { "j1", 0, 0, 0, 1 };
+
+	fleet_add_worker(f, "w1", "r1", 1);
+	fleet_add_worker(f, "w2", "r1", 1);
+	fleet_add_job(f, "j1", "normal", fleet_new_spec(1, 1, false), 0);
+	flow_report_run(f, &r, "w1", 50, "", 1);
+	r.run = 2;
+	flow_report_run(f, &r, "w2", 50, "", 2);
+	/* The current one ends first, or not. */
+	if (_i) {
+		flow_report_end(f, &r, "w2", FLOW_RUN_FAILED, "", 3);
+		ck_assert_int_eq(runs_on("w2"), 0);
+	}
+	r.run = 1;
+	flow_report_end(f, &r, "w1", FLOW_RUN_FAILED, "", 4);
+	ck_assert_int_eq(runs_on("w1"), 0);
+}
+END_TEST
+
 TCase *record_tcase(void)
 {
 	TCase *t = tcase_create("records");
@@ -417,5 +439,6 @@
 	tcase_add_loop_test(t, row_of_an_older_version_is_split, 0, 5);
 	tcase_add_test(t, job_whose_record_is_refused_fails_alone);
 	tcase_add_test(t, record_is_taken_once_in_a_write);
+	tcase_add_loop_test(t, end_of_an_older_run_is_found, 0, 2);
 	return t;
 }
