tests/fault: give each random run a loopback address of its own

The daemons of a run now listen on an address derived from the run's process id, where only its own processes get ports.

--- a/tests/fault/run/processes.sh
+++ b/tests/fault/run/processes.sh
@@ -8,6 +8,12 @@
 # renewal (800 ms) that was sent before the loss could be known, one call to a
 # worker (300 ms), and 1,000 ms for processes that wait for a busy machine.
 gang_margin_ms=2100
+# An address of this run only: callers call a daemon also while it is killed, and
+# its port may be that of another process by then.
+own_address=127.$(($$ / 62500 % 250 + 1)).$(($$ / 250 % 250 + 1)).$(($$ % 250 + 1))
+TG_HTTP_ADDR=$own_address:0 TG_RPC_ADDR=$own_address:0
+TG_SERVICE_ADDR=$own_address:0
+export TG_HTTP_ADDR TG_RPC_ADDR TG_SERVICE_ADDR
 TG_SCHED_RENEW_MS=400 TG_SCHED_LEASE_MS=1500 TG_RENEW_MS=800
 TG_LEASE_MS=$lease_ms TG_CALL_MS=300 TG_WORKER_LOST_MS=2000
 TG_PROBE_MS=500 TG_CHECKPOINT_MS=1000 TG_DRAIN_GRACE_MS=600
