--- /dev/null
+++ b/tests/unit/directory/test-directory.c
@@ -0,0 +1,143 @@
+#include <string.h>
+
+#include "../../../cmd/tgflowd/board.h"
+#include "../flow/fleet.h"
+#include "../run.h"
+
+/* Entries of workers, which are read in a scan or from the feed. */
+
+static int64_t changed_after_ms;
+
+#define tg_table_watch_changed_after_ms(f) changed_after_ms
+#include "../../../cmd/tgflowd/directory.c"
+
+#define HEARTBEAT_MS 1500
+
+static struct board b;
+static struct tg_worker_entry entry;
+
+/* --- what directory.c and fence.c call --- */
+
+struct link *link_find(struct board *board, const char *id)
+{
+	struct link *l;
+
+	HASH_FIND(hh, board->links, id, strlen(id), l);
+	return l;
+}
+
+void link_free(struct link *l)
+{
+	HASH_DEL(l->board->links, l);
+	free(l);
+}
+
+void link_set_failed(struct link *l, bool failed)
+{
+	l->failed = failed;
+}
+
+void link_check_entry(struct link *l)
+{
+	(void)l;
+}
+
+void link_poll_if_due(struct link *l)
+{
+	(void)l;
+}
+
+void round_wake(struct board *board)
+{
+	(void)board;
+}
+
+void writer_wake(struct board *board)
+{
+	(void)board;
+}
+
+void owner_check_recovered(struct board *board)
+{
+	(void)board;
+}
+
+static int decode(const struct tg_row *row, struct tg_worker_entry *e)
+{
+	(void)row;
+	*e = entry;
+	return 0;
+}
+
+static const struct tg_port_ops port_ops = { .worker = decode };
+
+/* --- tests --- */
+
+static void setup(void)
+{
+	memset(&b, 0, sizeof(b));
+	memset(&entry, 0, sizeof(entry));
+	b.role = ROLE_OWNER;
+	b.site.ops = &port_ops;
+	b.site.set.heartbeat_ms = HEARTBEAT_MS;
+	b.flow = fleet_new();
+	tg_strlcpy(entry.id, "w1", sizeof(entry.id));
+	entry.boot_ms = 1;
+	entry.draining = true;
+}
+
+static void teardown(void)
+{
+	links_close(&b);
+	flow_free(b.flow);
+}
+
+/* Return: the worker's earliest exit, from its row read now. */
+static int64_t read_row(int64_t remaining_ms, int64_t after_ms)
+{
+	struct tg_row row = { .key = "w1", .value = "" };
+
+	entry.remaining_ms = remaining_ms;
+	changed_after_ms = after_ms;
+	on_worker_row(&row, &b);
+	return link_find(&b, "w1")->earliest_exit_ms;
+}
+
+/*
+ * Guards against stops that are due only after the exit: an entry that was old
+ * when a scan read it, as after an outage of the store, announced a later exit
+ * than the worker's next entry, read from the feed.
+ */
+START_TEST(old_entry_of_a_scan_does_not_delay_the_exit)
+{
+	int64_t now_ms = tg_now_ms();
+	/* Written 4 s ago, so that it exits in 2 s. */
+	int64_t exit_ms = now_ms - 4000 + 6000;
+
+	read_row(6000, 0);
+	/* The next entry, written now and known to be at most 100 ms old. */
+	ck_assert_int_le(read_row(2000, now_ms - 100), exit_ms);
+}
+END_TEST
+
+/* What the feed says bounds the exit from below, also if rows come late. */
+START_TEST(late_row_of_the_feed_does_not_advance_the_exit)
+{
+	int64_t now_ms = tg_now_ms(), exit_ms = read_row(6000, now_ms);
+
+	ck_assert_int_eq(exit_ms, now_ms + 6000);
+	ck_assert_int_eq(read_row(5000, now_ms - 3000), exit_ms);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("directory");
+	TCase *t = tcase_create("exits");
+
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, old_entry_of_a_scan_does_not_delay_the_exit);
+	tcase_add_test(t, late_row_of_the_feed_does_not_advance_the_exit);
+	suite_add_tcase(s, t);
+	return run_suite(s);
+}
