tgflowd: take the earliest exit from the feed, not from an old entry

A run that ended as done while its draining worker exited could start again: its stop came after the exit. An entry that a scan reads may be old, as after an outage of the store, and its exit was put too late; the bound that the next entry gave was lower, and the highest one counted. Each further scan put it off again.

What a scan shows is an estimate now. It gives way to the bound of the feed, and of two estimates the earlier one counts.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -106,6 +106,7 @@
 	int64_t last_heartbeat_ms; /* its entry last changed */
 	int64_t entry_ms; /* since then it has named this process there */
 	int64_t earliest_exit_ms; /* of a draining worker, or 0 */
+	bool exit_is_estimate; /* it is not a bound that the feed gives */
 	int64_t unknown_since_ms; /* it lists runs of unknown jobs; or 0 */
 	UT_hash_handle hh;
 };
--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -121,22 +121,28 @@
 /*
  * A worker exits no sooner than any of its entries says.  The last write of an
  * entry that was read in a scan is at most a heartbeat interval old if its
- * worker writes in time.
+ * worker writes in time.  That is an estimate, and gives way to the bound that
+ * the feed gives; of two estimates the earlier one is on the safe side.
  */
-static int64_t earliest_exit_ms(const struct link *l,
-				const struct tg_worker_entry *e)
+static void note_earliest_exit(struct link *l, const struct tg_worker_entry *e)
 {
-	int64_t written_ms = l->written_after_ms;
+	bool is_estimate = !l->written_after_ms;
+	bool is_first = !l->earliest_exit_ms || l->entry.boot_ms != e->boot_ms;
 	int64_t exit_ms;
 
-	if (!e->draining || e->remaining_ms < 0)
-		return 0;
-	if (!written_ms)
-		written_ms = tg_now_ms() - l->board->site.set.heartbeat_ms;
-	exit_ms = written_ms + e->remaining_ms;
-	if (l->entry.boot_ms == e->boot_ms && l->earliest_exit_ms > exit_ms)
-		return l->earliest_exit_ms;
-	return exit_ms;
+	if (!e->draining || e->remaining_ms < 0) {
+		l->earliest_exit_ms = 0;
+		return;
+	}
+	if (!is_first && is_estimate && !l->exit_is_estimate)
+		return;
+	exit_ms = e->remaining_ms +
+		(is_estimate ? tg_now_ms() - l->board->site.set.heartbeat_ms :
+			       l->written_after_ms);
+	if (is_first || l->exit_is_estimate != is_estimate ||
+	    (exit_ms < l->earliest_exit_ms) == is_estimate)
+		l->earliest_exit_ms = exit_ms;
+	l->exit_is_estimate = is_estimate;
 }
 
 static void on_worker_row(const struct tg_row *row, void *arg)
@@ -173,7 +179,7 @@
 	}
 	l->in_directory = true;
 	l->written_after_ms = tg_table_watch_changed_after_ms(b->directory);
-	l->earliest_exit_ms = earliest_exit_ms(l, &e);
+	note_earliest_exit(l, &e);
 	l->entry = e;
 	l->seen_in_scan = true;
 	link_adopt_address(l);
--- a/tests/unit/directory/test-directory.c
+++ b/tests/unit/directory/test-directory.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <unistd.h>
 
 #include "../../../cmd/tgflowd/board.h"
 #include "../flow/fleet.h"
@@ -130,6 +131,25 @@
 }
 END_TEST
 
+/* Guards against scans that put off the exit each time they read the entry. */
+START_TEST(repeated_scan_does_not_delay_the_exit)
+{
+	int64_t exit_ms = read_row(6000, 0);
+
+	usleep(20000);
+	ck_assert_int_le(read_row(6000, 0), exit_ms);
+}
+END_TEST
+
+START_TEST(scan_does_not_replace_what_the_feed_says)
+{
+	int64_t now_ms = tg_now_ms(), exit_ms = read_row(6000, now_ms);
+
+	ck_assert_int_eq(read_row(1000, 0), exit_ms);
+	ck_assert_int_eq(read_row(9000, 0), exit_ms);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("directory");
@@ -138,6 +158,8 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, old_entry_of_a_scan_does_not_delay_the_exit);
 	tcase_add_test(t, late_row_of_the_feed_does_not_advance_the_exit);
+	tcase_add_test(t, repeated_scan_does_not_delay_the_exit);
+	tcase_add_test(t, scan_does_not_replace_what_the_feed_says);
 	suite_add_tcase(s, t);
 	return run_suite(s);
 }
