tgflowd: tell a claim from a token raised in an earlier term

A raise and a claim that are made from the same row have the same token, so a late raise of an earlier term of the process could look like its unanswered claim. Found by review; no run shows it, since each loss of a term leaves a newer row.

--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -227,13 +227,15 @@
 }
 
 /*
- * Whether an unanswered claim of this process took effect.  A token that has
- * been raised is that of a term which has begun before.
+ * Whether an unanswered claim of this process took effect.  A token that was
+ * raised in an earlier term of this process may be that of the claim, but its
+ * row names the earlier term.
  */
 static bool is_own_claim(const struct board *b)
 {
 	return !strcmp(b->owner.boot, b->boot) &&
-		b->owner.fence == claim.fence && !b->owner.released;
+		b->owner.fence == claim.fence && b->owner.term == claim.term &&
+		!b->owner.released;
 }
 
 static bool is_silent(const struct board *b, int64_t now_ms)
