tgflowd: poll less often while a restarted worker awaits a token

While the store is down, each restarted worker was polled every 150 ms without a lease. The write that records the token causes a poll by itself, so the pause can be the longest one.

--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -282,7 +282,10 @@
 	}
 	if (!link_apply_lists(l, r, k->asked_ms))
 		return;
-	if (l->runs_known ? !may_renew(l) : l->awaits_fence)
+	/* The write that it awaits causes a poll by itself. */
+	if (l->awaits_fence)
+		l->next_poll_ms = l->clock_at_ms + RETRY_MAX_MS;
+	else if (l->runs_known && !may_renew(l))
 		l->next_poll_ms = l->clock_at_ms + LINK_RETRY_MS;
 	if (!l->runs_known && has_seen_fence(l, k)) {
 		l->runs_known = true;
