--- a/tests/script/site-takeover.sh
+++ b/tests/script/site-takeover.sh
@@ -45,7 +45,10 @@
 # shellcheck disable=SC2046
 last=$(echo 1 2 3 | tr -d "$second$third" | tr -d ' ')
 await "another owner" owner_of "$last"
-echo "relayed: $(submit "$third" 00000000000000a5 "ms=100" "$(steps 1)")"
+relayed=$(submit "$third" 00000000000000a5 "ms=100" "$(steps 1)")
+echo "relayed: $relayed"
+# Without the job all that follows waits for its time limits.
+[ "$relayed" = 200 ] || exit 1
 await_state "$third" 00000000000000a5 completed
 await_state "$last" 00000000000000a4 completed
 seen '{starts, lapsed}'
