tgflowd: name the token of the claim and the term told by peers

board.fence was the token of the claim, next to that of the owner's row, which may be higher, and told_fence has been a term since rows have one. The stripped program is the same byte for byte but for its build id.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -137,10 +137,10 @@
 	/* ownership */
 	enum role role;
 	uint64_t term;
-	uint64_t fence; /* of the claim; that of @owner may be higher */
+	uint64_t claim_fence; /* of this term; that of @owner may be higher */
 	struct tg_owner_row owner; /* as last read or written */
 	int64_t owner_version;
-	uint64_t told_fence; /* highest one that a peer knew of */
+	uint64_t told_term; /* highest one of an owner that a peer knew */
 	struct former_owner former;
 	int64_t written_ms; /* start of the last write that succeeded */
 	int64_t refused_since_ms; /* first of the refused writes, or 0 */
--- a/cmd/tgflowd/fence.c
+++ b/cmd/tgflowd/fence.c
@@ -59,7 +59,7 @@
 	}
 	if (n)
 		tg_log(EV_FLOW_FENCE_RAISED, "term=%llu fence=%llu workers=%d",
-		       (unsigned long long)b->fence,
+		       (unsigned long long)b->claim_fence,
 		       (unsigned long long)b->owner.fence, n);
 }
 
--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -18,7 +18,7 @@
 	b->term++;
 	b->directory_read = false;
 	b->role = ROLE_RECOVERING;
-	b->fence = b->owner.fence;
+	b->claim_fence = b->owner.fence;
 	b->written_ms = started_ms;
 	b->refused_since_ms = 0;
 	b->held_up_ms = 0;
@@ -30,8 +30,9 @@
 	tg_log(EV_FLOW_CLAIMED,
 	       "fence=%llu why=%s version=%lld recorded=%d settled=%d "
 	       "former_ended=%d",
-	       (unsigned long long)b->fence, why, (long long)b->owner_version,
-	       b->former_runs_recorded, f->settled, f->ended_ms != 0);
+	       (unsigned long long)b->claim_fence, why,
+	       (long long)b->owner_version, b->former_runs_recorded, f->settled,
+	       f->ended_ms != 0);
 	jobs_open(b);
 }
 
@@ -48,8 +49,8 @@
 {
 	if (!IS_OWNER(b))
 		return;
-	tg_log(EV_FLOW_LOST, "fence=%llu why=%s", (unsigned long long)b->fence,
-	       why);
+	tg_log(EV_FLOW_LOST, "fence=%llu why=%s",
+	       (unsigned long long)b->claim_fence, why);
 	b->term++;
 	b->role = ROLE_STANDBY;
 	writer_reset(b);
@@ -71,7 +72,7 @@
 		return;
 	b->role = ROLE_OWNER;
 	tg_log(EV_FLOW_RECOVERED, "fence=%llu workers=%u",
-	       (unsigned long long)b->fence, HASH_COUNT(b->links));
+	       (unsigned long long)b->claim_fence, HASH_COUNT(b->links));
 	flow_end_recovery(b->flow);
 	round_wake(b);
 }
@@ -91,7 +92,7 @@
 		return;
 	tg_log(EV_FLOW_HELD_UP,
 	       "fence=%llu held_up_ms=%lld written_age_ms=%lld",
-	       (unsigned long long)b->fence, (long long)ms,
+	       (unsigned long long)b->claim_fence, (long long)ms,
 	       (long long)(now_ms - b->written_ms));
 	b->held_up_ms = now_ms;
 	writer_wake(b);
@@ -166,7 +167,7 @@
 		return false;
 	if (IS_OWNER(b)) {
 		tg_log(EV_FLOW_RELEASED, "fence=%llu",
-		       (unsigned long long)b->fence);
+		       (unsigned long long)b->claim_fence);
 		owner_lost(b, "shutting down");
 	}
 	b->role = ROLE_STOPPING;
--- a/cmd/tgflowd/rpc.c
+++ b/cmd/tgflowd/rpc.c
@@ -80,8 +80,8 @@
 	};
 
 	if (!strcmp(peer->role, FLOW_ROLE)) {
-		if (peer->epoch > b->told_fence)
-			b->told_fence = peer->epoch;
+		if (peer->epoch > b->told_term)
+			b->told_term = peer->epoch;
 		if (IS_OWNER(b) &&
 		    ping_shows_later_owner(peer->epoch, b->owner.fence))
 			owner_lost(b, "a peer knows of a later owner");
--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -156,7 +156,7 @@
 	 * A later owner that was answered "not active" counts on it that this
 	 * claim, whose result comes late, does not take effect here.
 	 */
-	if (b->told_fence > b->owner.fence)
+	if (b->told_term > b->owner.fence)
 		return;
 	/* Writes of this term may be late if it ends: the next one claims. */
 	claim.fence = 0;
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -183,7 +183,7 @@
 	while (*p) {
 		struct waiter *x = *p;
 		struct tg_rpc_answer a = { .status = TG_RPC_OK,
-					   .epoch = b->fence,
+					   .epoch = b->claim_fence,
 					   .text = "" };
 		struct flow_job_status v;
 
@@ -330,7 +330,7 @@
 	}
 	if (r->end == TG_STORE_CONFLICT && r->n_rows) {
 		if (!tg_owner_row_decode(&r->rows[0], &now) &&
-		    !strcmp(now.boot, b->boot) && now.term == b->fence &&
+		    !strcmp(now.boot, b->boot) && now.term == b->claim_fence &&
 		    now.seq == w.row.seq) {
 			/* An earlier copy of this write took effect. */
 			write_succeeded(b, r->rows[0].version);
--- a/tests/unit/orders/test-orders.c
+++ b/tests/unit/orders/test-orders.c
@@ -126,7 +126,7 @@
 	memset(&b, 0, sizeof(b));
 	memset(links, 0, sizeof(links));
 	n_sent = n_answered = n_writes_wanted = 0;
-	b.fence = b.owner.fence = b.owner.term = FENCE;
+	b.claim_fence = b.owner.fence = b.owner.term = FENCE;
 	may_renew = true;
 	b.base = tg_loop_new();
 	b.site.ops = &port_ops;
--- a/tests/unit/writer/test-writer.c
+++ b/tests/unit/writer/test-writer.c
@@ -116,7 +116,7 @@
 	b.site.set.tx_bytes = 1000000;
 	b.role = ROLE_OWNER;
 	b.progress_read = true;
-	b.fence = b.owner.fence = 3;
+	b.claim_fence = b.owner.fence = 3;
 	tg_strlcpy(b.boot, "boot", sizeof(b.boot));
 	tg_strlcpy(b.owner.boot, "boot", sizeof(b.owner.boot));
 	writer_controller.start(&b);
