tgflowd: tell which capacity is kept free, for whom, and who waits beside it

EV5546 names each gang that capacity is booked for: when that begins, when the gang is 5 s later than expected at first, when it starts, or when nothing is kept for it any more. EV5547 names a task that fits and waits, and what keeps its room. No decision changes.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -364,6 +364,8 @@
 /* usage.c */
 /** usage_report() - report the use of capacity if this is the owner */
 void usage_report(const struct board *b, int64_t now_ms);
+/** usage_log_reservation() - log the state of a reservation */
+void usage_log_reservation(const struct flow_reservation *r, void *arg);
 
 extern const struct tg_controller rpc_controller;
 extern const struct tg_controller owner_controller;
--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -478,6 +478,7 @@
 	.start = order_start,
 	.stop = order_stop,
 	.drop = log_drop,
+	.reservation = usage_log_reservation,
 };
 
 static int start(void *board)
--- a/cmd/tgflowd/usage.c
+++ b/cmd/tgflowd/usage.c
@@ -3,11 +3,14 @@
 /* Reports the use of capacity by queue and by pool in metrics and the log. */
 
 #define LOG_PERIOD_MS 5000
-/* Limits the lines of one report. */
+/* Limits the lines of one report, of each kind. */
 #define QUEUE_LINES_MAX 16
+#define KEPT_LINES_MAX 8
+/* Shorter waits beside kept capacity are not worth a line. */
+#define KEPT_WAIT_MIN_MS 500
 
 static int64_t next_log_ms;
-static int queue_lines;
+static int queue_lines, reservation_lines, kept_wait_lines;
 
 static void set_gauge(const char *name, const char *help, const char *label,
 		      const char *value, int64_t number)
@@ -79,6 +82,44 @@
 			       0);
 }
 
+void usage_log_reservation(const struct flow_reservation *r, void *arg)
+{
+	static const char *const states[] = {
+		[FLOW_RESERVATION_BEGUN] = "kept",
+		[FLOW_RESERVATION_OVERDUE] = "overdue",
+		[FLOW_RESERVATION_USED] = "used",
+		[FLOW_RESERVATION_DROPPED] = "dropped",
+	};
+
+	(void)arg;
+	tg_log(EV_FLOW_RESERVATION,
+	       "job=%s step=%d.%d state=%s tasks=%d cpu_millicores=%lld "
+	       "memory_mb=%lld accelerators=%lld for_ms=%lld "
+	       "expected_in_ms=%lld late_ms=%lld postponed=%d",
+	       r->job, r->occurrence, r->step, states[r->state], r->tasks,
+	       (long long)r->need.cpu_millicores, (long long)r->need.memory_mb,
+	       (long long)r->need.accelerators, (long long)r->for_ms,
+	       (long long)r->expected_in_ms, (long long)r->late_ms,
+	       r->postponed);
+}
+
+static void report_reservation(const struct flow_reservation *r, void *arg)
+{
+	if (++reservation_lines <= KEPT_LINES_MAX)
+		usage_log_reservation(r, arg);
+}
+
+static void report_kept_wait(const struct flow_kept_wait *w, void *arg)
+{
+	(void)arg;
+	if (w->for_ms < KEPT_WAIT_MIN_MS || ++kept_wait_lines > KEPT_LINES_MAX)
+		return;
+	tg_log(EV_FLOW_KEPT_WAIT,
+	       "job=%s step=%d.%d for_ms=%lld worker=%s kept_for=%s", w->job,
+	       w->occurrence, w->step, (long long)w->for_ms, w->worker,
+	       *w->keeper ? w->keeper : "headroom");
+}
+
 void usage_report(const struct board *b, int64_t now_ms)
 {
 	bool log = now_ms >= next_log_ms;
@@ -90,4 +131,9 @@
 	queue_lines = 0;
 	flow_each_queue_usage(b->flow, now_ms, report_queue, &log);
 	flow_each_pool_usage(b->flow, now_ms, report_pool, &log);
+	if (!log)
+		return;
+	reservation_lines = kept_wait_lines = 0;
+	flow_each_reservation(b->flow, now_ms, report_reservation, NULL);
+	flow_each_kept_wait(b->flow, now_ms, report_kept_wait, NULL);
 }
--- a/lib/flow/bestfit.c
+++ b/lib/flow/bestfit.c
@@ -53,12 +53,17 @@
 	return !*s->step->label || has_label(w, s->step->label);
 }
 
+bool flow_headroom_permits(const struct search *s, bool runs_ordinary)
+{
+	return s->source != CAPACITY_FREE ||
+		flow_headroom_allows(s->job, s->step, s->job->pool,
+				     runs_ordinary);
+}
+
 bool flow_worker_allowed(const struct search *s, const struct worker *w)
 {
 	return flow_is_eligible(s, w) &&
-		(s->source != CAPACITY_FREE ||
-		 flow_headroom_allows(s->job, s->step, w->pool,
-				      w->ordinary_tasks > 0));
+		flow_headroom_permits(s, w->ordinary_tasks > 0);
 }
 
 const struct array *flow_search_workers(const struct search *s)
@@ -235,7 +240,8 @@
 {
 	if (s->source != CAPACITY_VICTIMS && flow_may_crash_worker(t))
 		return best_of_all(s, t, out, n);
-	if (s->source == CAPACITY_FREE && !s->rack)
+	if ((s->source == CAPACITY_FREE || s->source == CAPACITY_KEPT) &&
+	    !s->rack)
 		return best_free(s, t, out, n);
 	if (s->source != CAPACITY_VICTIMS && t->last_failed_on)
 		return best_of_all(s, t, out, n);
--- a/lib/flow/book.c
+++ b/lib/flow/book.c
@@ -172,8 +172,10 @@
 		flow_shape_limit(&b->left, &slot->left);
 	else
 		b->left = slot->left;
-	if (!b->from_ms || from_ms < b->from_ms)
+	if (!b->from_ms || from_ms < b->from_ms) {
 		b->from_ms = from_ms;
+		b->job = s->job;
+	}
 	flow_shape_add(&b->need, &s->need, 1);
 }
 
@@ -193,6 +195,9 @@
 	slots = p.slots.items;
 	for (i = 0; i < want && after_ms >= 0; i++)
 		book_slot(s, &slots[i], s->now_ms + after_ms);
+	if (after_ms >= 0)
+		flow_reservation_update(s->step_state, s->now_ms,
+					s->now_ms + after_ms);
 	flow_array_free(&p.slots);
 }
 
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -32,6 +32,8 @@
 	for (w = rd->f->workers; w; w = w->hh.next) {
 		memset(&w->reserved, 0, sizeof(w->reserved));
 		memset(&w->victims, 0, sizeof(w->victims));
+		memset(&w->held, 0, sizeof(w->held));
+		w->held_for = NULL;
 		memset(&w->booking, 0, sizeof(w->booking));
 		for (r = w->runs; r; r = r->next)
 			r->victim = false;
@@ -264,6 +266,7 @@
 	schedule_ordinary_jobs(&rd, list + n_urgent, n - n_urgent);
 	stop_unwanted_runs(&rd);
 	flow_plan(f, list, n, now_ms, wall_ms);
+	flow_report_reservations(f, now_ms, ops, arg);
 out:
 	rd.progress_changed |= flow_has_dirty(f);
 	free(list);
--- a/lib/flow/fitindex.c
+++ b/lib/flow/fitindex.c
@@ -139,7 +139,7 @@
 	if (!flow_worker_allowed(s, w) ||
 	    !flow_below_worker_limit(s, w, out, n))
 		return false;
-	available = flow_available(s, w, CAPACITY_FREE);
+	available = flow_available(s, w, s->source);
 	return flow_shape_fits(&s->need, &available);
 }
 
@@ -198,8 +198,7 @@
 	for (k = 0; k < FIT_CLASSES; k++) {
 		enum fit_class class = (enum fit_class)k;
 
-		if (!flow_headroom_allows(s->job, s->step, p,
-					  class & FIT_ORDINARY))
+		if (!flow_headroom_permits(s, class & FIT_ORDINARY))
 			continue;
 		cursors[n_cursors++] = (struct cursor){
 			.a = &p->fit[k],
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -74,17 +74,48 @@
 	const char *reason;
 };
 
+/** enum flow_reservation_state - what has happened to a reservation */
+enum flow_reservation_state {
+	FLOW_RESERVATION_NONE,
+	FLOW_RESERVATION_BEGUN,
+	/* The gang was expected to start a while ago, and still waits. */
+	FLOW_RESERVATION_OVERDUE,
+	FLOW_RESERVATION_USED, /* the gang starts */
+	FLOW_RESERVATION_DROPPED, /* nothing is booked for it any more */
+};
+
+/**
+ * struct flow_reservation - capacity that is booked for a waiting gang
+ *
+ * The strings are valid during the call only.
+ *
+ * @for_ms: time since it began
+ * @expected_in_ms: time until the gang is expected to start
+ * @late_ms: how much later that is than was expected at first
+ * @postponed: how many times the expected start became later
+ */
+struct flow_reservation {
+	const char *job;
+	int32_t occurrence, step;
+	enum flow_reservation_state state;
+	int32_t tasks, postponed;
+	struct flow_shape need; /* of each task */
+	int64_t for_ms, expected_in_ms, late_ms;
+};
+
 /**
  * struct flow_ops - functions that carry out the orders of flow_decide()
  *
  * They must not call back into the engine.
  *
  * @drop: a run that was decided on is given up; no order was issued for it
+ * @reservation: the state of a reservation has changed; may be NULL
  */
 struct flow_ops {
 	void (*start)(const struct flow_start_order *s, void *arg);
 	void (*stop)(const struct flow_stop_order *s, void *arg);
 	void (*drop)(const struct flow_stop_order *s, void *arg);
+	void (*reservation)(const struct flow_reservation *r, void *arg);
 };
 
 /**
@@ -549,4 +580,33 @@
 				     void *arg),
 			  void *arg);
 
+/** flow_each_reservation() - call @fn for each gang that capacity is booked for
+ */
+void flow_each_reservation(const struct flow *f, int64_t now_ms,
+			   void (*fn)(const struct flow_reservation *r,
+				      void *arg),
+			   void *arg);
+
+/**
+ * struct flow_kept_wait - a step that waits beside free capacity
+ *
+ * As of the last flow_decide().  The strings are valid during the call only.
+ *
+ * @worker: where a task of the step could start
+ * @keeper: the job that the capacity is booked for, or that waits there for
+ *	stopped runs; empty if it is headroom for urgent jobs
+ * @for_ms: how long it could have started in each round
+ */
+struct flow_kept_wait {
+	const char *job;
+	int32_t occurrence, step;
+	const char *worker, *keeper;
+	int64_t for_ms;
+};
+
+/** flow_each_kept_wait() - call @fn for each step that waits so */
+void flow_each_kept_wait(const struct flow *f, int64_t now_ms,
+			 void (*fn)(const struct flow_kept_wait *w, void *arg),
+			 void *arg);
+
 #endif
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -79,12 +79,44 @@
 	int64_t planned_ms, planned_decision;
 };
 
+/**
+ * struct reservation - capacity that is booked for a gang, round after round
+ * @round: last round that booked it; 0 without a reservation
+ * @since_ms: when it began
+ * @expected_ms: when the gang is expected to start
+ * @first_expected_ms: when it was expected to start at first
+ * @postponed: how many times @expected_ms became later
+ * @reported: the state that was reported last
+ */
+struct reservation {
+	int64_t round, since_ms, expected_ms, first_expected_ms;
+	int32_t postponed;
+	enum flow_reservation_state reported;
+};
+
+/**
+ * struct kept_wait - a wait beside free capacity that is kept for others
+ * @round: last round in which the step could have used it
+ * @since_ms: since when it could have done so in each round
+ * @worker: where
+ * @keeper: for whom, see struct flow_kept_wait
+ */
+struct kept_wait {
+	int64_t round, since_ms;
+	char worker[TG_NAME_MAX + 1], keeper[FLOW_JOB_ID_LEN + 1];
+};
+
 /** struct step_state - progress of a step in one occurrence of its job */
 struct step_state {
+	struct job *job;
 	int32_t occurrence, step;
 	int32_t first; /* number of its first task among those of the job */
 	int32_t n_done, n_runs;
 	int64_t waiting_round; /* last round that found no capacity for it */
+	struct kept_wait kept_wait;
+	struct reservation reservation; /* of a gang */
+	/* In the list of those with a reservation. */
+	struct step_state *reserved_prev, *reserved_next;
 	/* Of a gang in this round; see flow_gang_is_partial(). */
 	int64_t gang_checked_round;
 	bool gang_is_partial;
@@ -150,10 +182,12 @@
  * @need: of all their tasks on the worker
  * @left: least capacity that remains beside them
  * @from_ms: when the first of these tasks is expected to start; 0 without any
+ * @job: the job of that task
  */
 struct booking {
 	struct flow_shape need, left;
 	int64_t from_ms;
+	const struct job *job;
 };
 
 /**
@@ -214,6 +248,9 @@
 	struct flow_shape expected; /* free soon and not planned; see plan.c */
 	/* This round: capacity promised to tasks, and held by victims. */
 	struct flow_shape reserved, victims;
+	/* Part of reserved that is for tasks which wait for stopped runs. */
+	struct flow_shape held;
+	const struct job *held_for; /* the job of one of them */
 	struct booking booking; /* of this round */
 	/* This round: number of runs and placed tasks. */
 	int32_t urgent_tasks, ordinary_tasks;
@@ -302,6 +339,7 @@
 	struct flow_opts opts;
 	struct job *jobs;
 	struct record *dirty, *unneeded, *writing; /* lists */
+	struct step_state *reservations; /* list */
 	struct run *decided; /* list of runs that are RUN_DECIDED, in order */
 	int64_t decisions; /* number of the last decision to start a run */
 	int64_t planned_ms; /* when plans were last made */
@@ -495,6 +533,16 @@
  */
 bool flow_must_leave_worker(const struct run *r, int64_t now_ms);
 
+/* kept.c */
+/** flow_reservation_update() - a gang has booked capacity in this round */
+void flow_reservation_update(struct step_state *ss, int64_t now_ms,
+			     int64_t expected_ms);
+/** flow_reservation_forget() - the job of the step is freed */
+void flow_reservation_forget(struct step_state *ss);
+/** flow_report_reservations() - tell @ops which ones began or ended */
+void flow_report_reservations(struct flow *f, int64_t now_ms,
+			      const struct flow_ops *ops, void *arg);
+
 /* plan.c */
 /** flow_plan_cancel() - drop the plan of a task, if it has one */
 void flow_plan_cancel(struct job *j, const struct step_state *ss,
--- a/lib/flow/jobs.c
+++ b/lib/flow/jobs.c
@@ -81,6 +81,7 @@
 	for (i = 0; i < j->n_step_states; i++) {
 		struct step_state *ss = &j->step_states[i];
 
+		ss->job = j;
 		ss->occurrence = i / j->spec->n_steps;
 		ss->step = i % j->spec->n_steps;
 		ss->tasks = tg_xcalloc((size_t)flow_step_of(j, ss)->tasks,
@@ -132,6 +133,7 @@
 
 	flow_records_free(j);
 	for (i = 0; i < j->n_step_states; i++) {
+		flow_reservation_forget(&j->step_states[i]);
 		for (k = 0; k < flow_step_of(j, &j->step_states[i])->tasks;
 		     k++) {
 			free(j->step_states[i].tasks[k].failures.runs);
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -152,6 +152,30 @@
 	return n;
 }
 
+/* Adds what a job reserves on workers where it waits for stopped runs. */
+static void hold(const struct search *s, struct worker *const *out, int32_t n)
+{
+	int32_t i;
+
+	for (i = 0; i < n; i++) {
+		flow_shape_add(&out[i]->held, &s->need, 1);
+		out[i]->held_for = s->job;
+	}
+}
+
+/* Notes whether @want more tasks could start in capacity kept for others. */
+static void note_kept_wait(struct search *s, int32_t want, struct worker **out)
+{
+	int32_t n;
+
+	s->source = CAPACITY_KEPT;
+	n = place_step(s, want, out);
+	if (!n)
+		return;
+	flow_kept_wait_note(s, out[0]);
+	flow_undo_tasks(s, out, n);
+}
+
 int32_t flow_place(struct flow *f, struct job *j, struct step_state *ss,
 		   int32_t want, bool preempt, struct worker **out, bool *wait,
 		   int64_t now_ms)
@@ -178,18 +202,28 @@
 		if (n == want)
 			break;
 		/* Single tasks use what is free now; the others wait. */
-		if (s.source == CAPACITY_FREE && !s.step->gang && n > 0)
+		if (s.source == CAPACITY_FREE && !s.step->gang && n > 0) {
+			note_kept_wait(&s, 1, out + n);
 			return n;
+		}
 		if (s.source != last_source || s.step->gang) {
 			if (!s.step->gang)
 				flow_undo_tasks(&s, out, n);
 			n = 0;
 		}
 	}
-	if (n > 0)
+	if (n > 0) {
 		*wait = s.source != CAPACITY_FREE;
-	else if (s.step->gang)
-		flow_book_earliest(&s, want);
+		if (*wait)
+			hold(&s, out, n);
+		if (*wait && s.step->gang)
+			flow_reservation_update(ss, now_ms,
+						now_ms + f->opts.stop_ms);
+	} else {
+		note_kept_wait(&s, s.step->gang ? want : 1, out);
+		if (s.step->gang)
+			flow_book_earliest(&s, want);
+	}
 	flow_commit_victims(f);
 	return n;
 }
--- a/lib/flow/place_internal.h
+++ b/lib/flow/place_internal.h
@@ -3,11 +3,13 @@
 
 #include "flow/flow_internal.h"
 
-/* Capacity that a search may use; each includes the ones before. */
+/* Capacity that a search may use; each includes the ones before, but the last.
+ */
 enum capacity_source {
 	CAPACITY_FREE, /* free now */
 	CAPACITY_STOPPING, /* free once runs that are stopping have ended */
 	CAPACITY_VICTIMS, /* free after preempting runs of a greater rank */
+	CAPACITY_KEPT, /* free now, though it may be kept for others */
 };
 
 /** struct search - state of a search for workers for tasks of one step */
@@ -48,7 +50,18 @@
 struct flow_shape flow_available(const struct search *s, struct worker *w,
 				 enum capacity_source source);
 
+/* kept.c */
+/**
+ * flow_kept_wait_note() - the step could start on @w, in kept capacity
+ */
+void flow_kept_wait_note(const struct search *s, const struct worker *w);
+
 /* bestfit.c */
+/**
+ * flow_headroom_permits() - whether headroom keeps no worker from the search
+ * @runs_ordinary: whether the worker has ordinary tasks
+ */
+bool flow_headroom_permits(const struct search *s, bool runs_ordinary);
 /**
  * flow_is_eligible() - whether a worker may get tasks of the step when it is
  * idle
--- a/lib/flow/victims.c
+++ b/lib/flow/victims.c
@@ -26,6 +26,10 @@
 
 	flow_shape_add(&available, &w->used, -1);
 	flow_shape_add(&available, &w->reserved, -1);
+	if (source == CAPACITY_KEPT) {
+		flow_shape_add(&available, &w->held, 1);
+		return available;
+	}
 	if (source == CAPACITY_FREE) {
 		if (flow_outlasts_booking(s, w))
 			flow_shape_limit(&available, &w->booking.left);
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -61,6 +61,8 @@
 TCase *crash_tcase(void);
 /** drain_tcase() - tests of test-drain.c */
 TCase *drain_tcase(void);
+/** kept_tcase() - tests of test-kept.c */
+TCase *kept_tcase(void);
 /** plan_tcase() - tests of test-plan.c */
 TCase *plan_tcase(void);
 /** record_tcase() - tests of test-record.c */
--- a/tests/unit/orders/test-orders.c
+++ b/tests/unit/orders/test-orders.c
@@ -83,6 +83,12 @@
 	(void)board;
 }
 
+void usage_log_reservation(const struct flow_reservation *r, void *arg)
+{
+	(void)r;
+	(void)arg;
+}
+
 /* --- the port --- */
 
 static void note_order(bool start, const struct tg_worker_ref *w,
