--- /dev/null
+++ b/tests/unit/flow/drawn-load.h
@@ -0,0 +1,67 @@
+#ifndef TEST_DRAWN_LOAD_H
+#define TEST_DRAWN_LOAD_H
+
+#include "load.h"
+#include "record-store.h"
+
+/*
+ * A drawn load on a fleet whose workers drain, go once they are idle, and come
+ * back.
+ */
+
+#define DRAWN_RACKS 4
+#define DRAWN_WORKERS 32
+#define DRAWN_ACCELERATORS 8
+/* Runs take up to this many times their declared time. */
+#define DRAWN_OVERRUN 4
+
+/**
+ * struct drawn_opts - what is drawn
+ * @workers: number of workers
+ * @workers_min: at least as many take orders
+ * @come_back: workers that have gone may come back
+ * @until_ms: jobs arrive and workers drain and come back until then
+ * @gangs: number of gangs
+ * @gang_tasks_max: most tasks of a gang
+ * @single_jobs: number of jobs that are no gangs
+ * @urgent_jobs: number of urgent gangs
+ * @owners: number of owners, one after the other
+ */
+struct drawn_opts {
+	int workers, workers_min;
+	bool come_back;
+	int64_t until_ms;
+	int gangs, gang_tasks_max, single_jobs, urgent_jobs, owners;
+};
+
+struct drawn_worker {
+	bool present, draining;
+	struct flow_shape capacity, used;
+};
+
+/**
+ * struct drawn_load - a drawn load and its fleet
+ * @drains: result: how many times a worker began to drain
+ * @takeovers: result: number of changes of the owner
+ */
+struct drawn_load {
+	struct load load;
+	struct drawn_opts opts;
+	struct tg_rng rng;
+	struct drawn_worker workers[DRAWN_WORKERS];
+	struct record_store store;
+	int drains, takeovers;
+};
+
+/** drawn_load_new() - draw a load; drawn_load_free() frees it */
+struct drawn_load *drawn_load_new(const struct drawn_opts *opts, int seed);
+void drawn_load_free(struct drawn_load *d);
+/** drawn_load_advance() - simulate one step of load_advance() */
+void drawn_load_advance(struct drawn_load *d);
+/** drawn_load_share_used() - share of the most used resource that runs hold */
+double drawn_load_share_used(const struct drawn_load *d);
+/** drawn_load_count_fits() - tasks of a job that fit into what runs leave */
+int64_t drawn_load_count_fits(const struct drawn_load *d,
+			      const struct load_job *j);
+
+#endif
--- a/tests/unit/flow/fleet.c
+++ b/tests/unit/flow/fleet.c
@@ -46,6 +46,15 @@
 	flow_worker_set_runs_known(f, id);
 }
 
+struct flow_shape fleet_task_shape(int32_t accelerators)
+{
+	return (struct flow_shape){
+		.cpu_millicores = accelerators * 10000,
+		.memory_mb = accelerators * 20000,
+		.accelerators = accelerators,
+	};
+}
+
 struct flow_spec *fleet_new_spec(int32_t tasks, int32_t accelerators, bool gang)
 {
 	struct flow_spec *s = tg_xcalloc(1, sizeof(*s));
@@ -56,11 +65,7 @@
 	s->steps[0].tasks = tasks;
 	s->steps[0].gang = gang;
 	s->steps[0].declared_ms = 1000;
-	s->steps[0].shape = (struct flow_shape){
-		.cpu_millicores = accelerators * 10000,
-		.memory_mb = accelerators * 20000,
-		.accelerators = accelerators,
-	};
+	s->steps[0].shape = fleet_task_shape(accelerators);
 	return s;
 }
 
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -32,6 +32,8 @@
 /** fleet_add_worker() - add a worker of service "s" that has listed its runs */
 void fleet_add_worker(struct flow *f, const char *id, const char *rack,
 		      int32_t accelerators);
+/** fleet_task_shape() - demand of a task of fleet_new_spec() */
+struct flow_shape fleet_task_shape(int32_t accelerators);
 /** fleet_new_spec() - a job of one step: @tasks with @accelerators each */
 struct flow_spec *fleet_new_spec(int32_t tasks, int32_t accelerators,
 				 bool gang);
--- a/tests/unit/flow/load.c
+++ b/tests/unit/flow/load.c
@@ -3,7 +3,8 @@
 
 #include "load.h"
 
-#define STEP_MS 50
+/* Prime, so that the tasks of a job end at different times. */
+#define SPREAD_STEP_MS 797
 
 struct load_job *load_add(struct load *l, const char *queue, int64_t at_ms,
 			  int32_t tasks, int32_t accelerators, int64_t run_ms)
@@ -15,28 +16,37 @@
 		.queue = queue,
 		.at_ms = at_ms,
 		.run_ms = run_ms,
+		.declared_ms = run_ms,
 		.tasks = tasks,
 		.accelerators = accelerators,
+		.shape = fleet_task_shape(accelerators),
 		.start_ms = -1,
 	};
 	snprintf(j->id, sizeof(j->id), "j%d", l->n_jobs++);
 	return j;
 }
 
-static void submit(struct load *l)
+static struct flow_spec *new_spec(const struct load_job *j)
+{
+	struct flow_spec *s =
+		fleet_new_spec(j->tasks, j->accelerators, j->gang);
+
+	s->steps[0].declared_ms = j->declared_ms;
+	s->steps[0].within_rack = j->within_rack;
+	s->steps[0].shape = j->shape;
+	return s;
+}
+
+void load_submit(struct load *l)
 {
 	int i;
 
 	for (i = 0; i < l->n_jobs; i++) {
-		struct load_job *j = &l->jobs[i];
-		struct flow_spec *s;
+		const struct load_job *j = &l->jobs[i];
 
-		if (j->at_ms > l->now_ms || flow_has_job(l->f, j->id))
-			continue;
-		s = fleet_new_spec(j->tasks, j->accelerators, j->gang);
-		s->steps[0].declared_ms = j->run_ms;
-		s->steps[0].within_rack = j->within_rack;
-		fleet_add_job(l->f, j->id, j->queue, s, j->at_ms);
+		if (j->at_ms <= l->now_ms && !flow_has_job(l->f, j->id))
+			fleet_add_job(l->f, j->id, j->queue, new_spec(j),
+				      j->at_ms);
 	}
 }
 
@@ -51,6 +61,7 @@
 			i++;
 			continue;
 		}
+		r->job->running--;
 		r->job->done += !r->stopped;
 		fleet_end_run(l->f, &r->order,
 			      r->stopped ? FLOW_RUN_STOPPED : FLOW_RUN_DONE,
@@ -73,14 +84,18 @@
 static void begin_run(struct load *l, const struct start_order *s)
 {
 	struct load_job *j = find_job(l, s->job);
+	int64_t spread_ms = j->gang ? 0 : j->spread_ms;
 
 	ck_assert_int_lt(l->n_runs, LOAD_RUNS_MAX);
 	if (j->start_ms < 0)
 		j->start_ms = l->now_ms;
+	j->starts++;
+	j->running++;
 	l->runs[l->n_runs++] = (struct load_run){
 		.order = *s,
 		.job = j,
-		.end_ms = l->now_ms + j->run_ms,
+		.end_ms = l->now_ms + j->run_ms +
+			s->index * SPREAD_STEP_MS % (spread_ms + 1),
 	};
 }
 
@@ -101,20 +116,30 @@
 	}
 }
 
-void load_advance(struct load *l, int64_t until_ms)
+static void run_round(struct load *l)
 {
 	static struct orders o;
 	int i;
 
-	for (; l->now_ms < until_ms; l->now_ms += STEP_MS) {
-		submit(l);
+	fleet_decide_unwritten(l->f, &o, l->now_ms);
+	for (i = 0; i < o.n_stops; i++)
+		stop_run(l, &o.stops[i]);
+	if (l->write)
+		l->write(l);
+	else
+		fleet_write(l->f);
+	fleet_start_recorded(l->f, &o, l->now_ms);
+	fleet_confirm_starts(l->f, &o, l->now_ms);
+	for (i = 0; i < o.n_starts; i++)
+		begin_run(l, &o.starts[i]);
+}
+
+void load_advance(struct load *l, int64_t until_ms)
+{
+	for (; l->now_ms < until_ms; l->now_ms += LOAD_STEP_MS) {
+		load_submit(l);
 		end_runs(l);
-		fleet_decide(l->f, &o, l->now_ms);
-		fleet_confirm_starts(l->f, &o, l->now_ms);
-		for (i = 0; i < o.n_stops; i++)
-			stop_run(l, &o.stops[i]);
-		for (i = 0; i < o.n_starts; i++)
-			begin_run(l, &o.starts[i]);
+		run_round(l);
 	}
 }
 
