flow: lend capacity that is kept free in a service that is hardly used

Capacity was kept free for gangs that wait, as headroom for urgent jobs, and on workers where a job waits for stops. Each of them rests on an estimate, and none had a bound: a gang whose start moves on, or that can't start because of headroom, keeps what it has booked for as long as it waits, and several gangs together keep the whole pool.

Now capacity may be kept free without a bound only while most of the service is in use. If less than 55% has been in use for 1.5 s, tasks that have waited 1.5 s beside it start there on loan, until 55% are in use; in any case a job without a run gets one task on loan after 20 s. A gang that goes before stops runs on loan if it can start then.

--- a/cmd/tgflowd/usage.c
+++ b/cmd/tgflowd/usage.c
@@ -71,12 +71,20 @@
 	set_gauge("tg_flow_pool_headroom_milliworkers",
 		  "free capacity that only urgent jobs may use", "service",
 		  u->service, (int64_t)(1000 * u->headroom_workers));
+	set_gauge("tg_flow_pool_in_use_permille",
+		  "capacity held by runs, of the resource held most", "service",
+		  u->service, (int64_t)(1000 * u->share_in_use));
+	set_gauge("tg_flow_pool_on_loan",
+		  "runs in capacity that is kept for other jobs", "service",
+		  u->service, u->on_loan);
 	if (*log)
 		tg_log(EV_FLOW_POOL_USAGE,
 		       "service=%s ready=%d free=%.1f reserved=%.1f "
-		       "headroom=%.1f queues_not_listed=%d",
+		       "headroom=%.1f in_use=%.2f underused_ms=%lld "
+		       "on_loan=%d queues_not_listed=%d",
 		       u->service, u->ready_workers, u->free_workers,
 		       u->reserved_workers, u->headroom_workers,
+		       u->share_in_use, (long long)u->underused_ms, u->on_loan,
 		       queue_lines > QUEUE_LINES_MAX ?
 			       queue_lines - QUEUE_LINES_MAX :
 			       0);
--- a/lib/flow/bestfit.c
+++ b/lib/flow/bestfit.c
@@ -53,9 +53,15 @@
 	return !*s->step->label || has_label(w, s->step->label);
 }
 
+bool flow_search_uses_headroom(const struct search *s)
+{
+	return s->source == CAPACITY_KEPT &&
+		(!s->on_loan || s->job->pool->underused_since_ms);
+}
+
 bool flow_headroom_permits(const struct search *s, bool runs_ordinary)
 {
-	return s->source != CAPACITY_FREE ||
+	return flow_search_uses_headroom(s) ||
 		flow_headroom_allows(s->job, s->step, s->job->pool,
 				     runs_ordinary);
 }
--- a/lib/flow/book.c
+++ b/lib/flow/book.c
@@ -79,6 +79,23 @@
 	return available;
 }
 
+/* What the runs on loan that the gang may stop hold on the worker. */
+static struct flow_shape recallable_capacity(const struct search *s,
+					     const struct worker *w)
+{
+	struct flow_shape sum = { 0 };
+	const struct run *r;
+
+	for (r = w->runs; s->recall && r; r = r->next) {
+		struct flow_shape freed =
+			flow_task_shape(flow_step_of(r->job, r->step_state));
+
+		if (flow_may_recall(s, r))
+			flow_shape_add(&sum, &freed, 1);
+	}
+	return sum;
+}
+
 /* Adds a slot for each task that fits on the worker, now or as runs end. */
 static void add_slots(const struct search *s, struct worker *w,
 		      struct slot_plan *p)
@@ -89,6 +106,7 @@
 	size_t i = 0;
 	int32_t max_slots = s->step->per_worker_max ? s->step->per_worker_max :
 						      s->step->tasks;
+	bool recalled = !s->recall;
 	int64_t free_ms = 0;
 
 	list_run_ends(s, w);
@@ -105,12 +123,24 @@
 				.left = available,
 			};
 			n_found++;
+		} else if (!recalled) {
+			struct flow_shape freed = recallable_capacity(s, w);
+
+			recalled = true;
+			free_ms = s->f->opts.stop_ms;
+			flow_shape_add(&available, &freed, 1);
 		} else if (i < w->run_ends.n) {
 			const struct run *r = run_ends[i].run;
 			struct flow_shape freed = flow_task_shape(
 				flow_step_of(r->job, r->step_state));
 
-			free_ms = run_ends[i++].after_ms;
+			if (flow_may_recall(s, r)) {
+				i++;
+				continue;
+			}
+			if (run_ends[i].after_ms > free_ms)
+				free_ms = run_ends[i].after_ms;
+			i++;
 			flow_shape_add(&available, &freed, 1);
 		} else {
 			return;
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -56,7 +56,7 @@
 	    !flow_step_of(r->job, r->step_state)->gang)
 		return "task is done";
 	if (r->victim)
-		return "preempted";
+		return r->on_loan ? "recalled" : "preempted";
 	if (r->stalled)
 		return "no progress";
 	if (flow_must_leave_worker(r, now_ms))
@@ -86,8 +86,10 @@
 	flow_clear_crashes(r);
 	r->stalled |= flow_is_stalled(r, rd->now_ms);
 	why = stop_reason(r, rd->now_ms);
-	if (r->victim && r->state != RUN_STOPPING)
+	if (r->victim && r->state != RUN_STOPPING) {
 		flow_usage_run_preempted(rd->f, r);
+		flow_kept_wait_restart(r->step_state, rd->now_ms);
+	}
 	if (why && r->state == RUN_DECIDED) {
 		drop(r, why, rd->ops, rd->arg);
 		rd->progress_changed = true;
@@ -149,10 +151,12 @@
 }
 
 static void start_task(struct round *rd, struct job *j, struct step_state *ss,
-		       int32_t index, struct worker *w, int32_t number)
+		       int32_t index, struct worker *w, int32_t number,
+		       bool on_loan)
 {
 	struct run *r = flow_run_decide(j, ss, index, w, number, rd->now_ms);
 
+	r->on_loan = on_loan;
 	if (flow_run_is_isolated(r, rd->now_ms))
 		w->isolated_for = j;
 	j->queue_conf->starts++;
@@ -160,7 +164,7 @@
 }
 
 static void start_tasks(struct round *rd, struct job *j, struct step_state *ss,
-			int32_t n)
+			int32_t n, bool on_loan)
 {
 	const struct flow_step *st = flow_step_of(j, ss);
 	struct flow_shape need = flow_task_shape(st);
@@ -173,8 +177,9 @@
 		if (ss->tasks[i].done || ss->tasks[i].n_runs)
 			continue;
 		flow_shape_add(&w->reserved, &need, -1);
+		flow_use_add(j->pool, &need);
 		start_task(rd, j, ss, i, w,
-			   st->gang ? run : next_run(st, ss, i));
+			   st->gang ? run : next_run(st, ss, i), on_loan);
 		placed++;
 	}
 }
@@ -192,7 +197,7 @@
 {
 	const struct flow_step *st = flow_step_of(j, ss);
 	int32_t want = tasks_to_start(st, ss), n;
-	bool wait;
+	bool wait, on_loan;
 
 	if (!want || ss->waiting_round == rd->f->round ||
 	    !flow_is_ready(rd->f, j, ss, rd->wall_ms))
@@ -203,10 +208,10 @@
 		return;
 	grow_placement(rd, want);
 	n = flow_place(rd->f, j, ss, want, flow_may_preempt(j), rd->placement,
-		       &wait, rd->now_ms);
+		       &wait, &on_loan, rd->now_ms);
 	/* If it has to wait, the capacity stays reserved for this round. */
 	if (!wait)
-		start_tasks(rd, j, ss, n);
+		start_tasks(rd, j, ss, n, on_loan);
 	if (wait || !n)
 		ss->waiting_round = rd->f->round;
 	if (rd->within_shares)
@@ -252,6 +257,7 @@
 	clear_reservations(&rd);
 	n = flow_sort_jobs(f, now_ms, &list);
 	flow_update_pools(f, now_ms);
+	flow_update_use(f, now_ms);
 	flow_headroom_update(f, list, n, now_ms);
 	stop_unwanted_runs(&rd);
 	if (f->offline) {
@@ -293,6 +299,7 @@
 		.text = r->job->spec->text,
 		.saved = r->step_state->tasks[r->index].saved,
 		.reason = r->planned	  ? "planned" :
+			r->on_loan	  ? "on loan" :
 			r->job->rank <= 0 ? "guaranteed" :
 					    "by deadline",
 	};
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -567,11 +567,17 @@
  * @reserved_workers: capacity kept for waiting jobs.  It can be more than is
  *	free, since they also wait for capacity that runs still hold.
  * @headroom_workers: part of the free capacity that only urgent jobs may use
+ * @share_in_use: of the resource of which runs hold the largest share
+ * @underused_ms: how long kept capacity may be lent, see kept.c; else 0
+ * @on_loan: runs in capacity that is kept for others
  */
 struct flow_pool_usage {
 	const char *service;
 	int32_t ready_workers;
 	double free_workers, reserved_workers, headroom_workers;
+	double share_in_use;
+	int64_t underused_ms;
+	int32_t on_loan;
 };
 
 /** flow_each_pool_usage() - call @fn for each service that has workers */
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -32,6 +32,7 @@
 	bool process_ended;
 	int64_t next_stop_ms; /* earliest time of the next stop order */
 	bool victim; /* to be preempted for another job */
+	bool on_loan; /* in capacity kept for others; see kept.c */
 	bool is_candidate; /* for preemption, during a search */
 	bool ends_soon; /* see flow_prepare_victims() */
 	int64_t lost_work; /* if it is preempted; see flow_prepare_victims() */
@@ -114,6 +115,8 @@
 	int32_t n_done, n_runs;
 	int64_t waiting_round; /* last round that found no capacity for it */
 	struct kept_wait kept_wait;
+	/* Last round that waited for stopped runs, and since when. */
+	int64_t stop_wait_round, stop_wait_since_ms;
 	struct reservation reservation; /* of a gang */
 	/* In the list of those with a reservation. */
 	struct step_state *reserved_prev, *reserved_next;
@@ -170,6 +173,7 @@
 	struct queue *queue_conf; /* set each round */
 	struct pool *pool; /* set each round; NULL without workers */
 	int32_t rank; /* lower goes first; set each round */
+	int32_t position; /* in the order of the round; set each round */
 	bool late; /* can't end within its objective */
 	bool behind; /* has waited for half of the time that it can wait */
 	bool will_miss_deadline; /* can't end before deadline_ms */
@@ -248,9 +252,9 @@
 	struct flow_shape expected; /* free soon and not planned; see plan.c */
 	/* This round: capacity promised to tasks, and held by victims. */
 	struct flow_shape reserved, victims;
-	/* Part of reserved that is for tasks which wait for stopped runs. */
+	/* Part of reserved that waits for runs whose stop is overdue. */
 	struct flow_shape held;
-	const struct job *held_for; /* the job of one of them */
+	const struct job *held_for; /* a job that waits so */
 	struct booking booking; /* of this round */
 	/* This round: number of runs and placed tasks. */
 	int32_t urgent_tasks, ordinary_tasks;
@@ -295,6 +299,10 @@
 	int32_t n_failing; /* failed a task recently */
 	int32_t n_without_ordinary; /* run no ordinary tasks */
 	int32_t n_urgent_busy; /* run urgent tasks only */
+	/* Of the workers that take orders, and the part that runs hold. */
+	struct flow_shape total, in_use;
+	int64_t underused_since_ms; /* see kept.c; 0 if it isn't underused */
+	int32_t n_on_loan; /* runs */
 	/* Workers that urgent jobs need: now, and average at demand_ms. */
 	double demand_now, demand;
 	int64_t demand_ms;
@@ -534,6 +542,12 @@
 bool flow_must_leave_worker(const struct run *r, int64_t now_ms);
 
 /* kept.c */
+/** flow_update_use() - find how much of each pool is in use, once a round */
+void flow_update_use(struct flow *f, int64_t now_ms);
+/** flow_kept_wait_restart() - a task of the step is recalled; it waits anew */
+void flow_kept_wait_restart(struct step_state *ss, int64_t now_ms);
+/** flow_use_add() - a run of the round will hold capacity of the pool */
+void flow_use_add(struct pool *p, const struct flow_shape *need);
 /** flow_reservation_update() - a gang has booked capacity in this round */
 void flow_reservation_update(struct step_state *ss, int64_t now_ms,
 			     int64_t expected_ms);
@@ -637,11 +651,12 @@
  * @preempt: runs of a greater rank may be marked as victims
  * @out: set to a worker for each task placed; has space for @want
  * @wait: set if the tasks can't start before stopped runs have ended
+ * @on_loan: set if the tasks start in capacity that is kept for others
  *
  * Return: number of tasks placed; for a gang @want or 0.
  */
 int32_t flow_place(struct flow *f, struct job *j, struct step_state *ss,
 		   int32_t want, bool preempt, struct worker **out, bool *wait,
-		   int64_t now_ms);
+		   bool *on_loan, int64_t now_ms);
 
 #endif
--- a/lib/flow/nofit.c
+++ b/lib/flow/nofit.c
@@ -13,15 +13,16 @@
 /**
  * struct no_fit - a search that failed
  * @want: tasks of a gang; 1 for tasks that are placed one by one
+ * @position: of the job, which says which runs on loan it may stop
  * @run_ms: declared time; INT64_MAX if the tasks outlast any booking
  */
 struct no_fit {
 	const struct pool *pool;
 	enum capacity_source source;
 	struct flow_shape need;
-	int32_t want, rank;
+	int32_t want, rank, position;
 	int64_t run_ms;
-	bool one_rack, reclaim_due, uses_headroom;
+	bool one_rack, reclaim_due, uses_headroom, preempt, recall;
 };
 
 static struct no_fit describe(const struct search *s, int32_t want)
@@ -34,10 +35,15 @@
 		.need = s->need,
 		.want = st->gang ? want : 1,
 		.rank = s->job->rank,
+		.position = s->recall ? s->job->position : 0,
 		.run_ms = st->gang || st->endless ? INT64_MAX : st->declared_ms,
-		.one_rack = s->one_rack && !s->reclaim_due,
+		.one_rack = s->one_rack && !s->reclaim_due &&
+			s->source != CAPACITY_KEPT,
 		.reclaim_due = s->reclaim_due,
-		.uses_headroom = st->endless || flow_is_urgent(s->job),
+		.preempt = s->preempt,
+		.recall = s->recall,
+		.uses_headroom = st->endless || flow_is_urgent(s->job) ||
+			flow_search_uses_headroom(s),
 	};
 }
 
@@ -48,7 +54,9 @@
 		flow_shape_fits(&a->need, &b->need) && a->want <= b->want &&
 		a->rank <= b->rank && a->run_ms <= b->run_ms &&
 		a->one_rack <= b->one_rack &&
-		a->reclaim_due >= b->reclaim_due &&
+		a->reclaim_due >= b->reclaim_due && a->preempt >= b->preempt &&
+		a->recall >= b->recall &&
+		(!b->recall || a->position <= b->position) &&
 		a->uses_headroom >= b->uses_headroom;
 }
 
--- a/lib/flow/order.c
+++ b/lib/flow/order.c
@@ -171,7 +171,7 @@
 size_t flow_sort_jobs(struct flow *f, int64_t now_ms, struct job ***out)
 {
 	struct job *j, *tmp, **list;
-	size_t n = 0;
+	size_t n = 0, i;
 
 	list = tg_xcalloc(HASH_COUNT(f->jobs) + 1, sizeof(void *));
 	HASH_ITER(hh, f->jobs, j, tmp) {
@@ -187,6 +187,8 @@
 	}
 	rank_guaranteed(f, list, n);
 	qsort(list, n, sizeof(void *), compare_urgency);
+	for (i = 0; i < n; i++)
+		list[i]->position = (int32_t)i;
 	*out = list;
 	return n;
 }
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -113,7 +113,8 @@
 
 	if (s->one_rack) {
 		n = place_in_best_rack(s, want, out);
-		if (n == want || !s->reclaim_due)
+		if (n == want ||
+		    (!s->reclaim_due && s->source != CAPACITY_KEPT))
 			return n;
 	}
 	n = flow_place_tasks(s, want, out);
@@ -152,17 +153,6 @@
 	return n;
 }
 
-/* Adds what a job reserves on workers where it waits for stopped runs. */
-static void hold(const struct search *s, struct worker *const *out, int32_t n)
-{
-	int32_t i;
-
-	for (i = 0; i < n; i++) {
-		flow_shape_add(&out[i]->held, &s->need, 1);
-		out[i]->held_for = s->job;
-	}
-}
-
 /* Notes whether @want more tasks could start in capacity kept for others. */
 static void note_kept_wait(struct search *s, int32_t want, struct worker **out)
 {
@@ -176,9 +166,27 @@
 	flow_undo_tasks(s, out, n);
 }
 
+/* Places tasks in capacity that is kept for others, if they may start there. */
+static int32_t place_on_loan(struct search *s, int32_t want,
+			     struct worker **out)
+{
+	int32_t n = s->job->pool ? flow_loan_limit(s, want) : 0;
+
+	s->source = CAPACITY_KEPT;
+	s->on_loan = true;
+	if (n)
+		n = place_step(s, n, out);
+	s->on_loan = false;
+	if (n)
+		flow_kept_wait_note(s, out[0]);
+	else
+		note_kept_wait(s, s->step->gang ? want : 1, out);
+	return n;
+}
+
 int32_t flow_place(struct flow *f, struct job *j, struct step_state *ss,
 		   int32_t want, bool preempt, struct worker **out, bool *wait,
-		   int64_t now_ms)
+		   bool *on_loan, int64_t now_ms)
 {
 	struct search s = {
 		.f = f,
@@ -189,12 +197,14 @@
 		.now_ms = now_ms,
 		.last_attempt = is_last_attempt(j, ss),
 		.reclaim_due = flow_reclaim_due(f, j, now_ms),
+		.preempt = preempt,
 	};
-	enum capacity_source last_source =
-		preempt ? CAPACITY_VICTIMS : CAPACITY_FREE;
+	enum capacity_source last_source;
 	int32_t n = 0;
 
-	*wait = false;
+	*wait = *on_loan = false;
+	s.recall = s.step->gang && j->pool && j->pool->n_on_loan > 0;
+	last_source = preempt || s.recall ? CAPACITY_VICTIMS : CAPACITY_FREE;
 	s.one_rack = s.step->gang && s.step->within_rack &&
 		fits_in_one_rack(&s, want);
 	for (s.source = CAPACITY_FREE; s.source <= last_source; s.source++) {
@@ -215,13 +225,14 @@
 	if (n > 0) {
 		*wait = s.source != CAPACITY_FREE;
 		if (*wait)
-			hold(&s, out, n);
+			flow_stop_wait_note(&s, out, n);
 		if (*wait && s.step->gang)
 			flow_reservation_update(ss, now_ms,
 						now_ms + f->opts.stop_ms);
 	} else {
-		note_kept_wait(&s, s.step->gang ? want : 1, out);
-		if (s.step->gang)
+		n = place_on_loan(&s, want, out);
+		*on_loan = n > 0;
+		if (!n && s.step->gang)
 			flow_book_earliest(&s, want);
 	}
 	flow_commit_victims(f);
--- a/lib/flow/place_internal.h
+++ b/lib/flow/place_internal.h
@@ -8,7 +8,7 @@
 enum capacity_source {
 	CAPACITY_FREE, /* free now */
 	CAPACITY_STOPPING, /* free once runs that are stopping have ended */
-	CAPACITY_VICTIMS, /* free after preempting runs of a greater rank */
+	CAPACITY_VICTIMS, /* free after stopping runs of other jobs */
 	CAPACITY_KEPT, /* free now, though it may be kept for others */
 };
 
@@ -25,6 +25,9 @@
 	bool last_attempt; /* a task of the step can fail only once more */
 	bool one_rack; /* a gang that prefers one rack, and fits in one */
 	bool reclaim_due; /* see flow_reclaim_due() */
+	bool preempt; /* may preempt runs of a greater rank */
+	bool recall; /* see flow_may_recall() */
+	bool on_loan; /* what it finds is taken on loan */
 	int64_t cost; /* work lost by the victims of place_tasks() */
 };
 
@@ -55,8 +58,28 @@
  * flow_kept_wait_note() - the step could start on @w, in kept capacity
  */
 void flow_kept_wait_note(const struct search *s, const struct worker *w);
+/**
+ * flow_loan_limit() - how many of @want tasks may start in kept capacity now
+ *
+ * Return: for a gang @want or 0.
+ */
+int32_t flow_loan_limit(const struct search *s, int32_t want);
+/**
+ * flow_may_recall() - whether the search may stop a run because it is on loan
+ *
+ * A gang may, unless the run's job goes before it.
+ */
+bool flow_may_recall(const struct search *s, const struct run *r);
+/**
+ * flow_stop_wait_note() - the step waits for runs that are being stopped
+ * @out: where its @n tasks will start
+ */
+void flow_stop_wait_note(const struct search *s, struct worker *const *out,
+			 int32_t n);
 
 /* bestfit.c */
+/** flow_search_uses_headroom() - whether headroom is there for the search */
+bool flow_search_uses_headroom(const struct search *s);
 /**
  * flow_headroom_permits() - whether headroom keeps no worker from the search
  * @runs_ordinary: whether the worker has ordinary tasks
--- a/lib/flow/usage.c
+++ b/lib/flow/usage.c
@@ -94,7 +94,15 @@
 	const struct pool *p;
 
 	for (p = f->pools; p; p = p->hh.next) {
-		struct flow_pool_usage u = { .service = p->service };
+		struct flow_pool_usage u = {
+			.service = p->service,
+			.share_in_use =
+				flow_dominant_share(&p->in_use, &p->total),
+			.on_loan = p->n_on_loan,
+		};
+
+		if (p->underused_since_ms)
+			u.underused_ms = now_ms - p->underused_since_ms;
 
 		for (w = f->workers; w; w = w->hh.next) {
 			double free_share;
--- a/lib/flow/victims.c
+++ b/lib/flow/victims.c
@@ -97,6 +97,10 @@
 {
 	if (r->victim)
 		return false;
+	if (flow_may_recall(s, r))
+		return true;
+	if (!s->preempt)
+		return false;
 	if (r->job->rank > s->job->rank)
 		return true;
 	/*
