test-flow: gangs start beside endless backlogs, and keep nothing if they can't

Three properties over drawn loads, all of which hold now:

A gang that fits starts beside a backlog of single tasks that never ends. Bound: the runs that hold capacity of the first gang in the order end within the longest run L of the load. Others may begin there meanwhile that should end in time and last as long, so 2 L, the stop time and a few rounds. Each gang that starts first may make it wait as long again, and a worker that drains as well, so that the time counts from the last drain: (1 + gangs started meanwhile) x (2 L + stop time + 4 rounds).

Single tasks fill the fleet beside a gang that is wider than the fleet, or whose tasks are larger than any worker.

Without urgent jobs a run is stopped only for a gang: some gang starts within the stop time and 4 rounds of a stop, and as many runs are stopped as the gangs that have started have accelerators at most, gangs counted as one. No run is stopped at present, so this guards what is to come.

--- a/tests/unit/flow/load.h
+++ b/tests/unit/flow/load.h
@@ -12,7 +12,7 @@
 
 #define STOP_DURATION_MS 400
 #define LOAD_STEP_MS 50
-#define LOAD_JOBS_MAX 512
+#define LOAD_JOBS_MAX 1024
 #define LOAD_RUNS_MAX 1024
 
 /**
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "../run.h"
-#include "load.h"
+#include "drawn-load.h"
 
 static struct flow *f;
 static struct orders o;
@@ -1058,6 +1058,8 @@
 	suite_add_tcase(s, plan_tcase());
 	suite_add_tcase(s, record_tcase());
 	suite_add_tcase(s, takeover_tcase());
+	suite_add_tcase(s, gang_wait_tcase());
+	suite_add_tcase(s, never_fits_tcase());
 	suite_add_tcase(s, index_tcase());
 	suite_add_tcase(s, fleet_size_tcase());
 	return run_suite(s);
