--- a/tests/unit/idle/test-idle.c
+++ b/tests/unit/idle/test-idle.c
@@ -117,6 +117,54 @@
 }
 END_TEST
 
+/* Until the next round, and from there until its orders are carried out. */
+#define ROUNDS_MS (4 * LOAD_STEP_MS)
+
+/*
+ * A gang that needs the whole fleet waits for one run, which takes far longer
+ * than declared.  Single tasks that last longer than it was to last arrive.
+ */
+static void add_gang_behind_long_run(struct load *l, int64_t run_ms)
+{
+	struct load_job *j = load_add(l, "normal", 0, 1, 8, run_ms);
+	int i;
+
+	j->declared_ms = 5000;
+	j = load_add(l, "normal", 500, 8, 8, 5000);
+	j->gang = true;
+	for (i = 0; i < 10; i++)
+		load_add(l, "low", 1000 + 1000 * i, 64, 1, 10000);
+}
+
+START_TEST(kept_capacity_is_lent_until_the_gang_can_start)
+{
+	static struct load l;
+	const struct load_job *gang = &l.jobs[1];
+	const int64_t run_ms = 20000;
+	int64_t half_used_ms = 1000;
+	char id[16];
+	int i;
+
+	l.f = fleet_new();
+	for (i = 0; i < 8; i++) {
+		snprintf(id, sizeof(id), "w%d", i);
+		fleet_add_worker(l.f, id, "r", 8);
+	}
+	add_gang_behind_long_run(&l, run_ms);
+	while (l.now_ms < run_ms) {
+		load_advance(&l, l.now_ms + LOAD_STEP_MS);
+		if (load_accelerators_in_use(&l) >= SHARE_MAX * 64)
+			half_used_ms = l.now_ms;
+		ck_assert_int_lt(l.now_ms - half_used_ms, BOUND_MS);
+	}
+	load_advance(&l, run_ms + STOP_DURATION_MS + ROUNDS_MS);
+	ck_assert_int_ge(gang->start_ms, run_ms);
+	load_advance(&l, gang->start_ms + gang->run_ms);
+	ck_assert_int_eq(gang->stops, 0);
+	flow_free(l.f);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("idle");
@@ -124,6 +172,8 @@
 
 	tcase_add_loop_test(t, no_task_waits_beside_capacity_that_nobody_uses,
 			    0, SEEDS);
+	tcase_add_test(t, kept_capacity_is_lent_until_the_gang_can_start);
 	suite_add_tcase(s, t);
+	suite_add_tcase(s, urgent_never_fits_tcase());
 	return run_suite(s);
 }
