--- a/lib/flow/book.c
+++ b/lib/flow/book.c
@@ -134,7 +134,7 @@
 			struct flow_shape freed = flow_task_shape(
 				flow_step_of(r->job, r->step_state));
 
-			if (flow_may_recall(s, r)) {
+			if (s->recall && flow_may_recall(s, r)) {
 				i++;
 				continue;
 			}
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -78,6 +78,12 @@
 	flow_run_remove(r);
 }
 
+static void note_preemption(struct round *rd, const struct run *r)
+{
+	flow_usage_run_preempted(rd->f, r);
+	flow_kept_wait_restart(r->step_state, rd->now_ms);
+}
+
 static void stop_if_unwanted(struct round *rd, struct run *r)
 {
 	struct flow_stop_order s = { .worker = r->worker->id };
@@ -86,10 +92,8 @@
 	flow_clear_crashes(r);
 	r->stalled |= flow_is_stalled(r, rd->now_ms);
 	why = stop_reason(r, rd->now_ms);
-	if (r->victim && r->state != RUN_STOPPING) {
-		flow_usage_run_preempted(rd->f, r);
-		flow_kept_wait_restart(r->step_state, rd->now_ms);
-	}
+	if (r->victim && r->state != RUN_STOPPING)
+		note_preemption(rd, r);
 	if (why && r->state == RUN_DECIDED) {
 		drop(r, why, rd->ops, rd->arg);
 		rd->progress_changed = true;
--- a/lib/flow/kept.c
+++ b/lib/flow/kept.c
@@ -66,17 +66,13 @@
 void flow_update_use(struct flow *f, int64_t now_ms)
 {
 	struct worker *w;
-	const struct run *r;
 	struct pool *p;
 
 	for (p = f->pools; p; p = p->hh.next) {
 		memset(&p->total, 0, sizeof(p->total));
 		memset(&p->in_use, 0, sizeof(p->in_use));
-		p->n_on_loan = 0;
 	}
 	for (w = f->workers; w; w = w->hh.next) {
-		for (r = w->runs; w->pool && r; r = r->next)
-			w->pool->n_on_loan += r->on_loan;
 		if (!takes_orders(w))
 			continue;
 		flow_shape_add(&w->pool->total, &w->capacity, 1);
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -51,10 +51,12 @@
 	for (p = f->pools; p; p = p->hh.next) {
 		p->n_ready = p->n_failing = 0;
 		p->ready.n = 0;
-		p->n_without_ordinary = p->n_urgent_busy = 0;
+		p->n_without_ordinary = p->n_urgent_busy = p->n_on_loan = 0;
 		memset(&p->largest, 0, sizeof(p->largest));
 	}
 	for (w = f->workers; w; w = w->hh.next) {
+		int32_t n_on_loan = 0;
+
 		w->urgent_tasks = w->ordinary_tasks = 0;
 		w->isolated_for = NULL;
 		for (r = w->runs; r; r = r->next) {
@@ -64,8 +66,11 @@
 				w->ordinary_tasks++;
 			if (flow_run_is_isolated(r, now_ms))
 				w->isolated_for = r->job;
+			n_on_loan += r->on_loan;
 		}
 		p = w->pool;
+		if (p)
+			p->n_on_loan += n_on_loan;
 		if (!p || !flow_worker_ready(w, now_ms))
 			continue;
 		if (w->capacity.accelerators >= p->largest.accelerators)
