--- a/lib/flow/headroom.c
+++ b/lib/flow/headroom.c
@@ -17,6 +17,19 @@
  */
 #define IDLE_SHARE_MAX 0.25
 
+/* Whether there is less capacity than the task or the gang needs in all. */
+static bool never_fits(const struct flow_step *st, const struct pool *p)
+{
+	struct flow_shape need = flow_task_shape(st);
+
+	if (!flow_shape_fits(&need, &p->largest))
+		return true;
+	need.cpu_millicores *= st->tasks;
+	need.memory_mb *= st->tasks;
+	need.accelerators *= st->tasks;
+	return st->gang && !flow_shape_fits(&need, &p->total);
+}
+
 /* Number of workers that the remaining tasks of a job would occupy. */
 static double job_demand(struct job *j, const struct pool *p)
 {
@@ -28,6 +41,8 @@
 			flow_step_of(j, &j->step_states[i]);
 		struct flow_shape need = flow_task_shape(st);
 
+		if (never_fits(st, p))
+			continue;
 		sum += (st->tasks - j->step_states[i].n_done) *
 			flow_dominant_share(&need, &p->largest);
 	}
