flow: recall runs on loan only for a gang that can start with their room

A gang stopped runs on loan as urgent jobs preempt: it also counted on other stops, on runs about to end, on workers that headroom keeps from it afterwards, and past the bookings of gangs before it. Then it could not start when the stops had ended, others borrowed the room again, and so on: 189 stops in 52 s without a start of the gang in one case, 9 starts and 9 stops of one run in 20 s in another.

Now a gang recalls only if it could start with what is free and what the runs on loan give back, under the limits that hold for a start. Until they have ended it is placed before the other ordinary jobs; else those before it book what it has recalled. Stops that are overdue free nothing, for urgent jobs as well, so that no job reserves its other workers for them, and the capacity held for such waits needs no rule of its own. Rounds without the store don't restart the wait for a loan. An endless task gets a loan after 1.5 s however much is in use and whether its job has other runs, as the platform counts each such task.

In kept_capacity_is_lent_until_the_gang_can_start the single tasks declare a longer time: the minimum share of their queue let them pass the gang, as it should.

--- a/lib/flow/bestfit.c
+++ b/lib/flow/bestfit.c
@@ -66,9 +66,27 @@
 				     runs_ordinary);
 }
 
+/*
+ * Runs on loan that are stopped for the search don't count.  Until then their
+ * worker isn't among those without ordinary tasks.
+ */
+static bool headroom_permits_recall(const struct search *s,
+				    const struct worker *w)
+{
+	const struct pool *p = w->pool;
+
+	return w->ordinary_tasks != w->ordinary_on_loan ||
+		flow_is_urgent(s->job) || s->step->endless ||
+		p->n_without_ordinary + (w->ordinary_tasks > 0) >
+		p->urgent_reserve;
+}
+
 bool flow_worker_allowed(const struct search *s, const struct worker *w)
 {
-	return flow_is_eligible(s, w) &&
+	if (!flow_is_eligible(s, w))
+		return false;
+	return s->source == CAPACITY_RECALL ?
+		headroom_permits_recall(s, w) :
 		flow_headroom_permits(s, w->ordinary_tasks > 0);
 }
 
--- a/lib/flow/book.c
+++ b/lib/flow/book.c
@@ -90,7 +90,7 @@
 		struct flow_shape freed =
 			flow_task_shape(flow_step_of(r->job, r->step_state));
 
-		if (flow_may_recall(s, r))
+		if (flow_may_recall(s, r) && r->state != RUN_STOPPING)
 			flow_shape_add(&sum, &freed, 1);
 	}
 	return sum;
@@ -127,14 +127,16 @@
 			struct flow_shape freed = recallable_capacity(s, w);
 
 			recalled = true;
-			free_ms = s->f->opts.stop_ms;
+			if (freed.cpu_millicores || freed.memory_mb)
+				free_ms = s->f->opts.stop_ms;
 			flow_shape_add(&available, &freed, 1);
 		} else if (i < w->run_ends.n) {
 			const struct run *r = run_ends[i].run;
 			struct flow_shape freed = flow_task_shape(
 				flow_step_of(r->job, r->step_state));
 
-			if (s->recall && flow_may_recall(s, r)) {
+			if (s->recall && r->state != RUN_STOPPING &&
+			    flow_may_recall(s, r)) {
 				i++;
 				continue;
 			}
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -32,8 +32,6 @@
 	for (w = rd->f->workers; w; w = w->hh.next) {
 		memset(&w->reserved, 0, sizeof(w->reserved));
 		memset(&w->victims, 0, sizeof(w->victims));
-		memset(&w->held, 0, sizeof(w->held));
-		w->held_for = NULL;
 		memset(&w->booking, 0, sizeof(w->booking));
 		for (r = w->runs; r; r = r->next)
 			r->victim = false;
@@ -234,6 +232,24 @@
 			schedule_step(rd, list[i], &list[i]->step_states[k]);
 }
 
+/*
+ * These go first, since the jobs before them would book what the recalled runs
+ * give back, and so the runs would have been stopped in vain.
+ */
+static void schedule_recalling_jobs(struct round *rd, struct job *const *list,
+				    size_t n)
+{
+	size_t i;
+	int32_t k;
+
+	for (i = 0; i < n; i++)
+		for (k = 0; k < list[i]->n_step_states; k++)
+			if (flow_awaits_recall(rd->f, &list[i]->step_states[k],
+					       rd->now_ms))
+				schedule_step(rd, list[i],
+					      &list[i]->step_states[k]);
+}
+
 static void schedule_ordinary_jobs(struct round *rd, struct job *const *list,
 				   size_t n)
 {
@@ -269,10 +285,12 @@
 			flow_start_planned(f, list, n, now_ms, wall_ms);
 		goto out;
 	}
+	f->scheduling_round++;
 	flow_share_update(f, list, n);
 	while (n_urgent < n && flow_is_urgent(list[n_urgent]))
 		n_urgent++;
 	schedule_jobs(&rd, list, n_urgent);
+	schedule_recalling_jobs(&rd, list + n_urgent, n - n_urgent);
 	schedule_ordinary_jobs(&rd, list + n_urgent, n - n_urgent);
 	stop_unwanted_runs(&rd);
 	flow_plan(f, list, n, now_ms, wall_ms);
--- a/lib/flow/drain.c
+++ b/lib/flow/drain.c
@@ -11,7 +11,7 @@
  * the end of the run until its list has arrived: a round, and two round trips
  * beside a write.
  */
-#define STOP_MARGIN_MS 300
+#define EXIT_MARGIN_MS 300
 
 /*
  * The members of a gang end as done together, so a worker that stays lists the
@@ -44,7 +44,7 @@
 	if (flow_step_of(r->job, r->step_state)->endless)
 		return false;
 	if (now_ms <
-	    w->earliest_exit_ms - r->job->flow->opts.stop_ms - STOP_MARGIN_MS)
+	    w->earliest_exit_ms - r->job->flow->opts.stop_ms - EXIT_MARGIN_MS)
 		return false;
 	return !is_listed_elsewhere(r);
 }
--- a/lib/flow/fitindex.c
+++ b/lib/flow/fitindex.c
@@ -28,14 +28,12 @@
  */
 #define MIXED_COST 10000000
 
-/* Also what is held, which some searches may use. */
 static struct flow_shape free_capacity(const struct worker *w)
 {
 	struct flow_shape available = w->capacity;
 
 	flow_shape_add(&available, &w->used, -1);
 	flow_shape_add(&available, &w->reserved, -1);
-	flow_shape_add(&available, &w->held, 1);
 	return available;
 }
 
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -26,6 +26,7 @@
 	struct run *decided_prev, *decided_next; /* while it is RUN_DECIDED */
 	bool stop_confirmed; /* the worker will refuse a delayed start */
 	bool stop_pending; /* a stop order is still to be sent */
+	int64_t stopping_since_ms; /* 0 until a round has seen it stopping */
 	/* A copy of the start order got no answer, and may be carried out. */
 	bool start_unanswered;
 	/* The process that got the start order has ended; a later one may. */
@@ -78,11 +79,12 @@
 	struct worker *planned_on; /* NULL without a plan */
 	int32_t planned_run;
 	int64_t planned_ms, planned_decision;
+	bool planned_on_loan; /* in capacity that is booked */
 };
 
 /**
  * struct reservation - capacity that is booked for a gang, round after round
- * @round: last round that booked it; 0 without a reservation
+ * @round: last scheduling round that booked it; 0 without a reservation
  * @since_ms: when it began
  * @expected_ms: when the gang is expected to start
  * @first_expected_ms: when it was expected to start at first
@@ -97,7 +99,7 @@
 
 /**
  * struct kept_wait - a wait beside free capacity that is kept for others
- * @round: last round in which the step could have used it
+ * @round: last scheduling round in which the step could have used it
  * @since_ms: since when it could have done so in each round
  * @worker: where
  * @keeper: for whom, see struct flow_kept_wait
@@ -115,8 +117,9 @@
 	int32_t n_done, n_runs;
 	int64_t waiting_round; /* last round that found no capacity for it */
 	struct kept_wait kept_wait;
-	/* Last round that waited for stopped runs, and since when. */
-	int64_t stop_wait_round, stop_wait_since_ms;
+	/* Last scheduling round that waited for recalled runs, and since when.
+	 */
+	int64_t recall_round, recall_since_ms;
 	struct reservation reservation; /* of a gang */
 	/* In the list of those with a reservation. */
 	struct step_state *reserved_prev, *reserved_next;
@@ -249,15 +252,14 @@
 	int32_t n_labels;
 	struct flow_shape capacity, used;
 	struct flow_shape stopping; /* part of used held by stopping runs */
+	struct flow_shape overdue; /* part of that whose stop is overdue */
 	struct flow_shape expected; /* free soon and not planned; see plan.c */
 	/* This round: capacity promised to tasks, and held by victims. */
 	struct flow_shape reserved, victims;
-	/* Part of reserved that waits for runs whose stop is overdue. */
-	struct flow_shape held;
-	const struct job *held_for; /* a job that waits so */
 	struct booking booking; /* of this round */
 	/* This round: number of runs and placed tasks. */
 	int32_t urgent_tasks, ordinary_tasks;
+	int32_t ordinary_on_loan; /* of the ordinary runs */
 	/* Its entry in the index of its pool; see fitindex.c. */
 	int64_t fit_round; /* round of the index; it is not in an older one */
 	int64_t fit_key;
@@ -362,6 +364,7 @@
 	struct queue *queues;
 	struct quota *quotas;
 	int64_t round; /* number of the current flow_decide() */
+	int64_t scheduling_round; /* the same without those that are offline */
 	bool recovering;
 };
 
@@ -431,6 +434,15 @@
 			   const struct flow_shape *whole);
 /** flow_task_shape() - capacity that a task of @st occupies on a worker */
 struct flow_shape flow_task_shape(const struct flow_step *st);
+/*
+ * Nobody waits for a stop that takes this much longer than stop_ms, the time of
+ * the orders and lists around it.
+ */
+#define STOP_MARGIN_MS 300
+
+/** flow_stop_is_overdue() - whether a stop takes too long to be waited for */
+bool flow_stop_is_overdue(const struct flow *f, const struct run *r,
+			  int64_t now_ms);
 /** flow_update_pools() - recompute the per-round counts of pools and workers */
 void flow_update_pools(struct flow *f, int64_t now_ms);
 bool flow_worker_failed_recently(const struct worker *w, int64_t now_ms);
@@ -546,6 +558,12 @@
 void flow_update_use(struct flow *f, int64_t now_ms);
 /** flow_kept_wait_restart() - a task of the step is recalled; it waits anew */
 void flow_kept_wait_restart(struct step_state *ss, int64_t now_ms);
+/**
+ * flow_awaits_recall() - whether the step stopped runs on loan that are about
+ * to end
+ */
+bool flow_awaits_recall(const struct flow *f, const struct step_state *ss,
+			int64_t now_ms);
 /** flow_use_add() - a run of the round will hold capacity of the pool */
 void flow_use_add(struct pool *p, const struct flow_shape *need);
 /** flow_reservation_update() - a gang has booked capacity in this round */
--- a/lib/flow/kept.c
+++ b/lib/flow/kept.c
@@ -11,8 +11,8 @@
  *
  * A pool is underused if less than USE_MIN of it is in use.  While it is, tasks
  * that have waited beside kept capacity start there on loan, until it isn't any
- * more.  A gang that goes before them stops runs on loan if it can start then,
- * so a loan delays it by a stop at most.
+ * more.  A gang that goes before them stops runs on loan if it can start as
+ * soon as these have ended, so a loan delays it by a stop at most.
  */
 
 /*
@@ -28,9 +28,6 @@
 #define LOAN_AFTER_MS 1500
 /* A job without a run gets a loan after this long, however full the pool is. */
 #define STALLED_LOAN_AFTER_MS 20000
-/* Time of the orders and lists around a stop, on top of stop_ms. */
-#define STOP_MARGIN_MS 300
-
 /* A reservation is overdue this long after the first expected start. */
 #define OVERDUE_MS 5000
 /* An expected start that is later by less than this has not been postponed. */
@@ -41,13 +38,11 @@
 	struct kept_wait *k = &s->step_state->kept_wait;
 	const struct job *keeper = NULL;
 
-	if (k->round + 1 < s->f->round)
+	if (k->round + 1 < s->f->scheduling_round)
 		k->since_ms = s->now_ms;
-	k->round = s->f->round;
+	k->round = s->f->scheduling_round;
 	if (w->booking.from_ms)
 		keeper = w->booking.job;
-	else if (w->held_for)
-		keeper = w->held_for;
 	tg_strlcpy(k->worker, w->id, sizeof(k->worker));
 	tg_strlcpy(k->keeper, keeper ? keeper->id : "", sizeof(k->keeper));
 }
@@ -113,8 +108,10 @@
 	int64_t waited_ms = s->now_ms - k->since_ms;
 	int32_t n = 0;
 
-	if (k->round + 1 < s->f->round || waited_ms < LOAN_AFTER_MS)
+	if (k->round + 1 < s->f->scheduling_round || waited_ms < LOAN_AFTER_MS)
 		return 0;
+	if (s->step->endless)
+		return want;
 	if (p->underused_since_ms &&
 	    s->now_ms - p->underused_since_ms >= LOAN_AFTER_MS)
 		n = underused_limit(s, want);
@@ -123,29 +120,27 @@
 	return n && s->step->gang ? want : n;
 }
 
-bool flow_may_recall(const struct search *s, const struct run *r)
+void flow_recall_note(const struct search *s)
 {
-	return s->recall && r->on_loan && r->state != RUN_STOPPING &&
-		r->job->position > s->job->position;
+	struct step_state *ss = s->step_state;
+
+	if (ss->recall_round + 1 < s->f->scheduling_round)
+		ss->recall_since_ms = s->now_ms;
+	ss->recall_round = s->f->scheduling_round;
 }
 
-void flow_stop_wait_note(const struct search *s, struct worker *const *out,
-			 int32_t n)
+bool flow_awaits_recall(const struct flow *f, const struct step_state *ss,
+			int64_t now_ms)
 {
-	struct step_state *ss = s->step_state;
-	int32_t i;
+	return ss->recall_round &&
+		ss->recall_round + 1 == f->scheduling_round &&
+		now_ms - ss->recall_since_ms <=
+		f->opts.stop_ms + STOP_MARGIN_MS;
+}
 
-	if (ss->stop_wait_round + 1 < s->f->round)
-		ss->stop_wait_since_ms = s->now_ms;
-	ss->stop_wait_round = s->f->round;
-	if (s->now_ms - ss->stop_wait_since_ms <
-	    s->f->opts.stop_ms + STOP_MARGIN_MS)
-		return;
-	for (i = 0; i < n; i++) {
-		flow_shape_add(&out[i]->held, &s->need, 1);
-		out[i]->held_for = s->job;
-		flow_index_update(s->f, out[i]);
-	}
+bool flow_may_recall(const struct search *s, const struct run *r)
+{
+	return s->recall && r->on_loan && r->job->position > s->job->position;
 }
 
 void flow_each_kept_wait(const struct flow *f, int64_t now_ms,
@@ -167,7 +162,8 @@
 				.for_ms = now_ms - ss->kept_wait.since_ms,
 			};
 
-			if (f->round && ss->kept_wait.round == f->round)
+			if (ss->kept_wait.round &&
+			    ss->kept_wait.round == f->scheduling_round)
 				fn(&w, arg);
 		}
 }
@@ -188,7 +184,7 @@
 	}
 	r->postponed += expected_ms > r->expected_ms + POSTPONED_MS;
 	r->expected_ms = expected_ms;
-	r->round = f->round;
+	r->round = f->scheduling_round;
 }
 
 void flow_reservation_forget(struct step_state *ss)
@@ -226,7 +222,7 @@
 {
 	const struct reservation *r = &ss->reservation;
 
-	if (r->round != ss->job->flow->round)
+	if (r->round != ss->job->flow->scheduling_round)
 		return ss->n_runs ? FLOW_RESERVATION_USED :
 				    FLOW_RESERVATION_DROPPED;
 	return now_ms > r->first_expected_ms + OVERDUE_MS ?
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -184,10 +184,32 @@
 	return n;
 }
 
+/* Stops the runs on loan that hold what is reserved for a gang. */
+static void recall(const struct search *s, struct worker *const *out, int32_t n)
+{
+	int32_t i;
+
+	/* If it can't start after all, it has waited longer than these runs. */
+	flow_kept_wait_note(s, out[0]);
+	flow_recall_note(s);
+	for (i = 0; i < n; i++)
+		flow_recall_loans(s, out[i]);
+}
+
 int32_t flow_place(struct flow *f, struct job *j, struct step_state *ss,
 		   int32_t want, bool preempt, struct worker **out, bool *wait,
 		   bool *on_loan, int64_t now_ms)
 {
+	/* Each list ends with CAPACITY_KEPT. */
+	static const enum capacity_source ordinary[] = { CAPACITY_FREE,
+							 CAPACITY_KEPT },
+					  recalling[] = { CAPACITY_FREE,
+							  CAPACITY_RECALL,
+							  CAPACITY_KEPT },
+					  preempting[] = { CAPACITY_FREE,
+							   CAPACITY_STOPPING,
+							   CAPACITY_VICTIMS,
+							   CAPACITY_KEPT };
 	struct search s = {
 		.f = f,
 		.job = j,
@@ -199,15 +221,16 @@
 		.reclaim_due = flow_reclaim_due(f, j, now_ms),
 		.preempt = preempt,
 	};
-	enum capacity_source last_source;
+	const enum capacity_source *source;
 	int32_t n = 0;
 
 	*wait = *on_loan = false;
 	s.recall = s.step->gang && j->pool && j->pool->n_on_loan > 0;
-	last_source = preempt || s.recall ? CAPACITY_VICTIMS : CAPACITY_FREE;
 	s.one_rack = s.step->gang && s.step->within_rack &&
 		fits_in_one_rack(&s, want);
-	for (s.source = CAPACITY_FREE; s.source <= last_source; s.source++) {
+	source = preempt ? preempting : s.recall ? recalling : ordinary;
+	for (; *source != CAPACITY_KEPT; source++) {
+		s.source = *source;
 		n = place_step(&s, want, out);
 		if (n == want)
 			break;
@@ -216,7 +239,7 @@
 			note_kept_wait(&s, 1, out + n);
 			return n;
 		}
-		if (s.source != last_source || s.step->gang) {
+		if (source[1] != CAPACITY_KEPT || s.step->gang) {
 			if (!s.step->gang)
 				flow_undo_tasks(&s, out, n);
 			n = 0;
@@ -224,8 +247,8 @@
 	}
 	if (n > 0) {
 		*wait = s.source != CAPACITY_FREE;
-		if (*wait)
-			flow_stop_wait_note(&s, out, n);
+		if (s.source == CAPACITY_RECALL)
+			recall(&s, out, n);
 		if (*wait && s.step->gang)
 			flow_reservation_update(ss, now_ms,
 						now_ms + f->opts.stop_ms);
--- a/lib/flow/place_internal.h
+++ b/lib/flow/place_internal.h
@@ -3,10 +3,13 @@
 
 #include "flow/flow_internal.h"
 
-/* Capacity that a search may use; each includes the ones before, but the last.
+/*
+ * Capacity that a search may use.  CAPACITY_STOPPING includes what is free, and
+ * CAPACITY_VICTIMS includes CAPACITY_STOPPING.
  */
 enum capacity_source {
 	CAPACITY_FREE, /* free now */
+	CAPACITY_RECALL, /* free once runs on loan have been stopped */
 	CAPACITY_STOPPING, /* free once runs that are stopping have ended */
 	CAPACITY_VICTIMS, /* free after stopping runs of other jobs */
 	CAPACITY_KEPT, /* free now, though it may be kept for others */
@@ -64,18 +67,14 @@
  * Return: for a gang @want or 0.
  */
 int32_t flow_loan_limit(const struct search *s, int32_t want);
+/** flow_recall_note() - the step waits for runs on loan that it stops */
+void flow_recall_note(const struct search *s);
 /**
  * flow_may_recall() - whether the search may stop a run because it is on loan
  *
  * A gang may, unless the run's job goes before it.
  */
 bool flow_may_recall(const struct search *s, const struct run *r);
-/**
- * flow_stop_wait_note() - the step waits for runs that are being stopped
- * @out: where its @n tasks will start
- */
-void flow_stop_wait_note(const struct search *s, struct worker *const *out,
-			 int32_t n);
 
 /* bestfit.c */
 /** flow_search_uses_headroom() - whether headroom is there for the search */
@@ -147,6 +146,11 @@
  * others loses.  The runs that the round itself starts are left out.
  */
 void flow_prepare_victims(const struct search *s, struct worker *w);
+/**
+ * flow_recall_loans() - mark runs on loan as victims, so that what the round
+ * has reserved on the worker fits
+ */
+void flow_recall_loans(const struct search *s, struct worker *w);
 /** flow_commit_victims() - keep all victims that are marked now */
 void flow_commit_victims(struct flow *f);
 /** flow_rollback_victims() - unmark the victims that are not committed */
--- a/lib/flow/victims.c
+++ b/lib/flow/victims.c
@@ -19,6 +19,23 @@
 		flow_remaining_ms(r, s->now_ms) <= ENDS_SOON_MS;
 }
 
+/* Adds what runs on loan hold that the search may stop, or that are stopping.
+ */
+static void add_loans(const struct search *s, const struct worker *w,
+		      struct flow_shape *available)
+{
+	const struct run *r;
+
+	for (r = w->runs; r; r = r->next) {
+		struct flow_shape freed =
+			flow_task_shape(flow_step_of(r->job, r->step_state));
+
+		if (flow_may_recall(s, r) &&
+		    !flow_stop_is_overdue(s->f, r, s->now_ms))
+			flow_shape_add(available, &freed, 1);
+	}
+}
+
 struct flow_shape flow_available(const struct search *s, struct worker *w,
 				 enum capacity_source source)
 {
@@ -26,17 +43,18 @@
 
 	flow_shape_add(&available, &w->used, -1);
 	flow_shape_add(&available, &w->reserved, -1);
-	if (source == CAPACITY_KEPT) {
-		flow_shape_add(&available, &w->held, 1);
+	if (source == CAPACITY_KEPT)
 		return available;
-	}
-	if (source == CAPACITY_FREE) {
+	if (source == CAPACITY_RECALL)
+		add_loans(s, w, &available);
+	if (source == CAPACITY_FREE || source == CAPACITY_RECALL) {
 		if (flow_outlasts_booking(s, w))
 			flow_shape_limit(&available, &w->booking.left);
 		return available;
 	}
 	flow_shape_add(&available, &w->booking.need, -1);
 	flow_shape_add(&available, &w->stopping, 1);
+	flow_shape_add(&available, &w->overdue, -1);
 	flow_shape_add(&available, &w->victims, 1);
 	flow_prepare_victims(s, w);
 	flow_shape_add(&available, &w->ends_soon, 1);
@@ -99,8 +117,6 @@
 		return false;
 	if (flow_may_recall(s, r))
 		return true;
-	if (!s->preempt)
-		return false;
 	if (r->job->rank > s->job->rank)
 		return true;
 	/*
@@ -203,6 +219,34 @@
 	return cost;
 }
 
+void flow_recall_loans(const struct search *s, struct worker *w)
+{
+	static const struct flow_shape none;
+	struct flow_shape left = w->capacity;
+	struct run *r;
+
+	flow_shape_add(&left, &w->used, -1);
+	flow_shape_add(&left, &w->reserved, -1);
+	flow_shape_add(&left, &w->victims, 1);
+	for (r = w->runs; r; r = r->next)
+		if (r->state == RUN_STOPPING && flow_may_recall(s, r)) {
+			struct flow_shape freed = flow_task_shape(
+				flow_step_of(r->job, r->step_state));
+
+			flow_shape_add(&left, &freed, 1);
+		}
+	for (r = w->runs; r && !flow_shape_fits(&none, &left); r = r->next) {
+		struct flow_shape freed =
+			flow_task_shape(flow_step_of(r->job, r->step_state));
+
+		if (r->victim || r->state == RUN_STOPPING ||
+		    !flow_may_recall(s, r))
+			continue;
+		mark_victims(s, r);
+		flow_shape_add(&left, &freed, 1);
+	}
+}
+
 void flow_rollback_victims(struct flow *f)
 {
 	struct run **list = f->victims.items;
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -42,11 +42,36 @@
 	return p;
 }
 
+static void count_ordinary(struct worker *w, const struct run *r)
+{
+	w->ordinary_tasks++;
+	w->ordinary_on_loan += r->on_loan;
+}
+
+bool flow_stop_is_overdue(const struct flow *f, const struct run *r,
+			  int64_t now_ms)
+{
+	return r->state == RUN_STOPPING && r->stopping_since_ms &&
+		now_ms - r->stopping_since_ms >
+		f->opts.stop_ms + STOP_MARGIN_MS;
+}
+
+static void check_stop(const struct flow *f, struct run *r, int64_t now_ms)
+{
+	struct flow_shape freed =
+		flow_task_shape(flow_step_of(r->job, r->step_state));
+
+	if (!r->stopping_since_ms)
+		r->stopping_since_ms = now_ms;
+	if (flow_stop_is_overdue(f, r, now_ms))
+		flow_shape_add(&r->worker->overdue, &freed, 1);
+}
+
 void flow_update_pools(struct flow *f, int64_t now_ms)
 {
 	struct pool *p;
 	struct worker *w;
-	const struct run *r;
+	struct run *r;
 
 	for (p = f->pools; p; p = p->hh.next) {
 		p->n_ready = p->n_failing = 0;
@@ -57,13 +82,16 @@
 	for (w = f->workers; w; w = w->hh.next) {
 		int32_t n_on_loan = 0;
 
-		w->urgent_tasks = w->ordinary_tasks = 0;
+		w->urgent_tasks = w->ordinary_tasks = w->ordinary_on_loan = 0;
+		memset(&w->overdue, 0, sizeof(w->overdue));
 		w->isolated_for = NULL;
 		for (r = w->runs; r; r = r->next) {
 			if (flow_is_urgent(r->job))
 				w->urgent_tasks++;
 			else
-				w->ordinary_tasks++;
+				count_ordinary(w, r);
+			if (r->state == RUN_STOPPING)
+				check_stop(f, r, now_ms);
 			if (flow_run_is_isolated(r, now_ms))
 				w->isolated_for = r->job;
 			n_on_loan += r->on_loan;
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -65,6 +65,8 @@
 TCase *drain_tcase(void);
 /** kept_tcase() - tests of test-kept.c */
 TCase *kept_tcase(void);
+/** loans_tcase() - tests of test-loans.c */
+TCase *loans_tcase(void);
 /** plan_tcase() - tests of test-plan.c */
 TCase *plan_tcase(void);
 /** record_tcase() - tests of test-record.c */
--- a/tests/unit/flow/load.c
+++ b/tests/unit/flow/load.c
@@ -111,7 +111,8 @@
 		    r->stopped)
 			continue;
 		r->stopped = true;
-		r->end_ms = l->now_ms + STOP_DURATION_MS;
+		r->end_ms = l->now_ms + STOP_DURATION_MS +
+			s->index * r->job->stop_step_ms;
 		r->job->stops++;
 	}
 }
--- a/tests/unit/flow/load.h
+++ b/tests/unit/flow/load.h
@@ -19,6 +19,7 @@
  * struct load_job - a job of one step
  * @declared_ms: its caller's estimate of @run_ms, and equal to it at first
  * @spread_ms: the tasks of a job that is no gang take up to this much longer
+ * @stop_step_ms: a stop of a task takes this much longer than of the one before
  * @shape: of a task
  * @running: result: number of runs that have not ended
  * @start_ms: result: start of its first task; -1 if none has started
@@ -29,7 +30,7 @@
 struct load_job {
 	char id[FLOW_JOB_ID_LEN + 1];
 	const char *queue;
-	int64_t at_ms, run_ms, declared_ms, spread_ms;
+	int64_t at_ms, run_ms, declared_ms, spread_ms, stop_step_ms;
 	int32_t tasks, accelerators;
 	struct flow_shape shape;
 	bool gang, within_rack;
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -1055,6 +1055,7 @@
 	suite_add_tcase(s, capacity_tcase());
 	suite_add_tcase(s, drain_tcase());
 	suite_add_tcase(s, kept_tcase());
+	suite_add_tcase(s, loans_tcase());
 	suite_add_tcase(s, plan_tcase());
 	suite_add_tcase(s, record_tcase());
 	suite_add_tcase(s, takeover_tcase());
--- a/tests/unit/idle/test-idle.c
+++ b/tests/unit/idle/test-idle.c
@@ -122,7 +122,9 @@
 
 /*
  * A gang that needs the whole fleet waits for one run, which takes far longer
- * than declared.  Single tasks that last longer than it was to last arrive.
+ * than declared.  Single tasks that last longer than it was to last arrive.  By
+ * their declared times they don't fall behind, so that no minimum share lets
+ * them pass the gang.
  */
 static void add_gang_behind_long_run(struct load *l, int64_t run_ms)
 {
@@ -133,7 +135,8 @@
 	j = load_add(l, "normal", 500, 8, 8, 5000);
 	j->gang = true;
 	for (i = 0; i < 10; i++)
-		load_add(l, "low", 1000 + 1000 * i, 64, 1, 10000);
+		load_add(l, "low", 1000 + 1000 * i, 64, 1, 10000)->declared_ms =
+			60000;
 }
 
 START_TEST(kept_capacity_is_lent_until_the_gang_can_start)
