flow: record which runs are on loan

A new owner knew of no loans, so that an endless run on loan held its worker for good, and a gang that needed it never started. Tasks that start as planned while the store is away started in booked capacity and could not be recalled.

A run in a record has a fifth value now if it is on loan; older versions ignore it. A planned start is on loan if it outlasts a booking. gang_gets_what_an_endless_run_of_a_former_owner_borrowed and planned_start_in_booked_capacity_is_on_loan failed before.

--- a/lib/flow/plan.c
+++ b/lib/flow/plan.c
@@ -122,8 +122,10 @@
 				continue;
 			plan_task(p, s, i);
 		}
-		if (t->planned_on)
-			flow_shape_add(&t->planned_on->expected, &s->need, -1);
+		if (!t->planned_on)
+			continue;
+		flow_shape_add(&t->planned_on->expected, &s->need, -1);
+		t->planned_on_loan = flow_outlasts_booking(s, t->planned_on);
 	}
 }
 
@@ -180,6 +182,17 @@
 	return flow_shape_fits(&s->need, &available);
 }
 
+static void start_as_planned(const struct search *s, int32_t index)
+{
+	struct task *t = &s->step_state->tasks[index];
+	struct run *r =
+		flow_run_decide(s->job, s->step_state, index, t->planned_on,
+				t->planned_run, s->now_ms);
+
+	r->planned = true;
+	r->on_loan = t->planned_on_loan;
+}
+
 bool flow_start_planned(struct flow *f, struct job *const *list, size_t n,
 			int64_t now_ms, int64_t wall_ms)
 {
@@ -194,14 +207,9 @@
 			if (!flow_is_ready(f, s.job, s.step_state, wall_ms))
 				continue;
 			for (index = 0; index < s.step->tasks; index++) {
-				struct task *t = &s.step_state->tasks[index];
-
 				if (!may_start(&s, index))
 					continue;
-				flow_run_decide(s.job, s.step_state, index,
-						t->planned_on, t->planned_run,
-						now_ms)
-					->planned = true;
+				start_as_planned(&s, index);
 				started = true;
 			}
 		}
--- a/lib/flow/progress.c
+++ b/lib/flow/progress.c
@@ -93,11 +93,13 @@
 
 /* A run that may exist, or may be started without a further record. */
 static json_t *encode_run(int32_t index, int32_t run, const struct worker *w,
-			  bool planned)
+			  bool planned, bool on_loan)
 {
 	json_t *a = json_pack("[iis]", index, run, w->id);
 
-	if (planned)
+	if (planned || on_loan)
+		json_array_append_new(a, json_boolean(planned));
+	if (on_loan)
 		json_array_append_new(a, json_true());
 	return a;
 }
@@ -124,11 +126,13 @@
 			json_array_append_new(
 				runs,
 				encode_run(i, t->run->run, t->run->worker,
-					   t->run->state == RUN_POSSIBLE));
+					   t->run->state == RUN_POSSIBLE,
+					   t->run->on_loan));
 		else if (t->planned_on && !flow_has_ended(j))
 			json_array_append_new(runs,
 					      encode_run(i, t->planned_run,
-							 t->planned_on, true));
+							 t->planned_on, true,
+							 t->planned_on_loan));
 		if (t->done || (!t->failures.n && !t->crashes.n && !*saved))
 			continue;
 		snprintf(key, sizeof(key), "%d", i);
@@ -228,6 +232,8 @@
 	r = flow_run_add(j, ss, index, flow_get_or_add_worker(f, worker), run,
 			 0);
 	r->state = planned ? RUN_POSSIBLE : RUN_ACTIVE;
+	/* Rows written by older versions don't tell. */
+	r->on_loan = json_is_true(json_array_get(o, 4));
 	if (planned)
 		j->begun = begun;
 	return true;
--- a/tests/unit/flow/test-loans.c
+++ b/tests/unit/flow/test-loans.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "load.h"
+#include "record-store.h"
 
 /* Loans of kept capacity: what ends them, and what keeps them from starting. */
 
@@ -110,6 +111,26 @@
 }
 END_TEST
 
+/* Room booked for a gang went to planned tasks, which it could not recall. */
+START_TEST(planned_start_in_booked_capacity_is_on_loan)
+{
+	struct load_job *gang, *single;
+
+	load_add(l, "normal", 0, 1, ACCELERATORS, 10000);
+	load_advance(l, 100);
+	gang = load_add(l, "normal", 100, WORKERS, ACCELERATORS, 5000);
+	gang->gang = true;
+	single = load_add(l, "low", 200, 4, 1, 60000);
+	load_advance(l, 1200);
+	flow_set_offline(l->f, true);
+	load_advance(l, l->now_ms + LOAD_STEP_MS);
+	flow_set_offline(l->f, false);
+	ck_assert_int_ge(single->start_ms, 0);
+	load_advance(l, 20000);
+	ck_assert_msg(gang->start_ms >= 0, "not started in 20 s");
+}
+END_TEST
+
 static struct flow_spec *endless_spec(int32_t tasks, int32_t accelerators)
 {
 	struct flow_spec *s = fleet_new_spec(tasks, accelerators, false);
@@ -184,6 +205,84 @@
 }
 END_TEST
 
+static void add_busy_task(void)
+{
+	struct flow_spec *s = fleet_new_spec(1, ACCELERATORS, false);
+
+	s->steps[0].declared_ms = 10000;
+	fleet_add_job(l->f, "busy", "normal", s, 0);
+}
+
+/* A gang that needs all workers, and an endless task. */
+static void add_waiting_jobs(void)
+{
+	fleet_add_job(l->f, "gang", "normal",
+		      fleet_new_spec(WORKERS, ACCELERATORS, true), 100);
+	fleet_add_job(l->f, "lasting", "low", endless_spec(1, 1), 100);
+}
+
+static void decide_and_store(struct record_store *store, int64_t now_ms)
+{
+	fleet_decide_unwritten(l->f, &o, now_ms);
+	while (record_store_write(store, l->f, RECORD_ROWS_MAX))
+		;
+	fleet_start_recorded(l->f, &o, now_ms);
+	fleet_confirm_starts(l->f, &o, now_ms);
+}
+
+/* An endless run on loan held its worker for good after a take-over. */
+START_TEST(gang_gets_what_an_endless_run_of_a_former_owner_borrowed)
+{
+	static struct record_store store;
+	struct start_order loan = { 0 }, busy;
+	struct flow_run_ref ref;
+	int64_t now_ms;
+	int i;
+
+	add_busy_task();
+	decide_and_store(&store, 0);
+	ck_assert_int_eq(o.n_starts, 1);
+	busy = o.starts[0];
+	add_waiting_jobs();
+	for (now_ms = 100; now_ms < 5000 && !*loan.job; now_ms += 100) {
+		decide_and_store(&store, now_ms);
+		if (o.n_starts)
+			loan = o.starts[0];
+	}
+	ck_assert_str_eq(loan.job, "lasting");
+	flow_free(l->f);
+	l->f = fleet_new();
+	for (i = 0; i < WORKERS; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "w%d", i);
+		fleet_add_worker(l->f, id, "r", ACCELERATORS);
+	}
+	add_busy_task();
+	add_waiting_jobs();
+	record_store_read(&store, l->f);
+	record_store_clear(&store);
+	ref = fleet_run_ref(&loan);
+	flow_report_run(l->f, &ref, loan.worker, 0, "", now_ms);
+	fleet_end_run(l->f, &busy, FLOW_RUN_DONE, now_ms);
+	for (i = 0; i < WORKERS; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "w%d", i);
+		flow_report_list_end(l->f, id, now_ms, now_ms);
+	}
+	for (; now_ms < 60000; now_ms += 100) {
+		decide(now_ms);
+		for (i = 0; i < o.n_stops; i++)
+			fleet_end_run(l->f, &o.stops[i], FLOW_RUN_STOPPED,
+				      now_ms);
+		if (o.n_starts > 1)
+			return;
+	}
+	ck_abort_msg("the gang has not started");
+}
+END_TEST
+
 /*
  * Tasks waited from the first stop that ended, the gang from the last one, so
  * that they got the workers back first and were recalled again.
@@ -266,9 +365,12 @@
 		t,
 		run_on_loan_is_not_recalled_for_a_gang_that_waits_for_another_stop);
 	tcase_add_test(t, offline_round_does_not_restart_a_wait);
+	tcase_add_test(t, planned_start_in_booked_capacity_is_on_loan);
 	tcase_add_test(
 		t, endless_task_of_a_job_with_runs_does_not_wait_for_a_gang);
 	tcase_add_test(t, gang_that_recalls_starts_when_the_stops_have_ended);
+	tcase_add_test(
+		t, gang_gets_what_an_endless_run_of_a_former_owner_borrowed);
 	tcase_add_test(t, gang_and_runs_on_loan_do_not_take_turns_without_end);
 	tcase_add_test(t,
 		       gang_that_waits_for_an_overdue_stop_gets_kept_capacity);
