tgflowd: tell which capacity gets no starts, why and since when

EV5541 tells only what is free on workers that get starts. A task that waits for a worker that the platform counts and the owner doesn't use, or for a run that has ended without the owner knowing, could not be told from one that waits for a busy fleet. EV5548, beside EV5541, has both by reason, with the longest time and where; it is left out while nothing lasts for 0.5 s. No decision changes.

--- a/cmd/tgflowd/usage.c
+++ b/cmd/tgflowd/usage.c
@@ -8,6 +8,8 @@
 #define KEPT_LINES_MAX 8
 /* Shorter waits beside kept capacity are not worth a line. */
 #define KEPT_WAIT_MIN_MS 500
+/* Orders and writes in progress last less. */
+#define UNUSED_MIN_MS 500
 
 static int64_t next_log_ms;
 static int queue_lines, reservation_lines, kept_wait_lines;
@@ -120,6 +122,58 @@
 	       *w->keeper ? w->keeper : "headroom");
 }
 
+/* A field: workers, longest time and where, such as "2.0/1500/i-1". */
+static const char *describe_count(const struct flow_unused_count *c, char *text,
+				  size_t size)
+{
+	if (!c->worker)
+		return "0";
+	snprintf(text, size, "%.1f/%lld/%s", c->workers,
+		 (long long)c->longest_ms, c->worker);
+	return text;
+}
+
+static bool lasts(const struct flow_unused *u)
+{
+	int i;
+
+	for (i = 0; i < FLOW_UNREADY_REASONS; i++)
+		if (u->unready[i].longest_ms >= UNUSED_MIN_MS)
+			return true;
+	for (i = 0; i < FLOW_HELD_KINDS; i++)
+		if (u->held[i].longest_ms >= UNUSED_MIN_MS)
+			return true;
+	return false;
+}
+
+static void report_unused(const struct flow_unused *u, void *arg)
+{
+	char text[FLOW_UNREADY_REASONS + FLOW_HELD_KINDS][TG_NAME_MAX + 48];
+	const char *unready[FLOW_UNREADY_REASONS], *held[FLOW_HELD_KINDS];
+	int i;
+
+	(void)arg;
+	if (!lasts(u))
+		return;
+	for (i = 0; i < FLOW_UNREADY_REASONS; i++)
+		unready[i] = describe_count(&u->unready[i], text[i],
+					    sizeof(text[i]));
+	for (i = 0; i < FLOW_HELD_KINDS; i++)
+		held[i] = describe_count(&u->held[i],
+					 text[FLOW_UNREADY_REASONS + i],
+					 sizeof(text[i]));
+	tg_log(EV_FLOW_UNUSED,
+	       "service=%s draining=%s suspect=%s unlisted=%s quarantined=%s "
+	       "unrecorded=%s unanswered=%s stopping=%s possible=%s away=%s "
+	       "away_runs=%d",
+	       u->service, unready[FLOW_UNREADY_DRAINING],
+	       unready[FLOW_UNREADY_SUSPECT], unready[FLOW_UNREADY_UNLISTED],
+	       unready[FLOW_UNREADY_QUARANTINED], held[FLOW_HELD_UNRECORDED],
+	       held[FLOW_HELD_UNANSWERED], held[FLOW_HELD_STOPPING],
+	       held[FLOW_HELD_POSSIBLE], held[FLOW_HELD_AWAY],
+	       u->held[FLOW_HELD_AWAY].runs);
+}
+
 void usage_report(const struct board *b, int64_t now_ms)
 {
 	bool log = now_ms >= next_log_ms;
@@ -136,4 +190,5 @@
 	reservation_lines = kept_wait_lines = 0;
 	flow_each_reservation(b->flow, now_ms, report_reservation, NULL);
 	flow_each_kept_wait(b->flow, now_ms, report_kept_wait, NULL);
+	flow_each_unused(b->flow, now_ms, report_unused, NULL);
 }
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -580,6 +580,63 @@
 				     void *arg),
 			  void *arg);
 
+/** enum flow_unready - why a worker gets no starts */
+enum flow_unready {
+	FLOW_READY,
+	FLOW_UNREADY_DRAINING,
+	FLOW_UNREADY_SUSPECT, /* it is suspect, or has no description */
+	FLOW_UNREADY_UNLISTED, /* its runs are not known */
+	FLOW_UNREADY_QUARANTINED,
+	FLOW_UNREADY_REASONS,
+};
+
+/** enum flow_held - what holds capacity on a worker */
+enum flow_held {
+	FLOW_HELD_RUNNING, /* a run that its worker has confirmed or listed */
+	FLOW_HELD_UNRECORDED, /* a decided run, until its record is durable */
+	FLOW_HELD_UNANSWERED, /* a start order without an answer */
+	FLOW_HELD_STOPPING, /* a run to be stopped that has not ended */
+	FLOW_HELD_POSSIBLE, /* a run that a former owner planned */
+	/* Any of them on a worker that is suspect or not listed. */
+	FLOW_HELD_AWAY,
+	FLOW_HELD_KINDS,
+};
+
+/**
+ * struct flow_unused_count - workers that get no starts, or runs of one kind
+ * @workers: how many; for runs the capacity that they hold, see struct
+ *	flow_queue_usage
+ * @runs: number of runs
+ * @worker: where it has been so for longest; NULL if there is none
+ * @longest_ms: for how long
+ */
+struct flow_unused_count {
+	double workers;
+	int32_t runs;
+	const char *worker;
+	int64_t longest_ms;
+};
+
+/**
+ * struct flow_unused - capacity of a service that gets no starts although it
+ * may be free
+ *
+ * As of the last flow_decide().  The strings are valid during the call only.
+ *
+ * @unready: by reason; that of FLOW_READY is empty
+ * @held: by what holds it; that of FLOW_HELD_RUNNING is empty
+ */
+struct flow_unused {
+	const char *service;
+	struct flow_unused_count unready[FLOW_UNREADY_REASONS];
+	struct flow_unused_count held[FLOW_HELD_KINDS];
+};
+
+/** flow_each_unused() - call @fn for each service that has such capacity */
+void flow_each_unused(const struct flow *f, int64_t now_ms,
+		      void (*fn)(const struct flow_unused *u, void *arg),
+		      void *arg);
+
 /** flow_each_reservation() - call @fn for each gang that capacity is booked for
  */
 void flow_each_reservation(const struct flow *f, int64_t now_ms,
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -38,6 +38,9 @@
 	/* Last answer to an order; before any, when the run was added. */
 	int64_t answered_ms;
 	int64_t added_ms;
+	/* As of the last round, and since which one; see unused.c. */
+	enum flow_held held;
+	int64_t held_since_ms;
 	int64_t listed_ms; /* last list that named the run */
 	/* First and latest progress listed, and when each was first seen. */
 	int32_t percent, first_percent;
@@ -281,6 +284,9 @@
 	struct lost_run *lost_runs;
 	size_t n_lost_runs;
 	const struct job *isolated_for; /* this round; see crash.c */
+	/* As of the last round, and since which one; see unused.c. */
+	enum flow_unready unready;
+	int64_t unready_since_ms;
 	double speed; /* declared / actual run time, moving average */
 	struct run *runs;
 	UT_hash_handle hh;
@@ -576,6 +582,10 @@
 /** flow_usage_run_preempted() - count a run that is preempted */
 void flow_usage_run_preempted(struct flow *f, const struct run *r);
 
+/* unused.c */
+/** flow_unused_update() - note why the capacity of a worker is not used now */
+void flow_unused_update(struct worker *w, int64_t now_ms);
+
 /* order.c */
 /**
  * flow_sort_jobs() - list the open jobs of known queues, most urgent first
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -57,6 +57,7 @@
 	for (w = f->workers; w; w = w->hh.next) {
 		w->urgent_tasks = w->ordinary_tasks = 0;
 		w->isolated_for = NULL;
+		flow_unused_update(w, now_ms);
 		for (r = w->runs; r; r = r->next) {
 			if (flow_is_urgent(r->job))
 				w->urgent_tasks++;
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -69,6 +69,8 @@
 TCase *record_tcase(void);
 /** takeover_tcase() - tests of test-takeover.c */
 TCase *takeover_tcase(void);
+/** unused_tcase() - tests of test-unused.c */
+TCase *unused_tcase(void);
 /** capacity_tcase() - tests of test-capacity.c */
 TCase *capacity_tcase(void);
 /** index_tcase() - tests of test-index.c on a fleet of their own */
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -1058,6 +1058,7 @@
 	suite_add_tcase(s, plan_tcase());
 	suite_add_tcase(s, record_tcase());
 	suite_add_tcase(s, takeover_tcase());
+	suite_add_tcase(s, unused_tcase());
 	suite_add_tcase(s, index_tcase());
 	suite_add_tcase(s, fleet_size_tcase());
 	return run_suite(s);
