tgflowd: record that former owners are settled once they can renew nothing

A take-over waits for the leases of workers that it can't reach: a lease after the proof that the last owner acts no more, if that owner's row says that those before it could renew nothing, or else 10 s and a lease after the claim. The row said so only once the leases of the earlier owners had expired too, though the next owner waits for these anyway, as it waits for a lease after a later time. So when two owners were replaced within about 16 s, tasks recorded on workers that were gone waited for 16 s after the second claim, beside free workers and with nothing else of their job running.

Now the row says it when the renewals have ended, which is what it means.

Script with three instances and two workers, of which one is gone: the job starts again 15.5 s after the third owner's claim before this change (1 of 1, 4 of 4 without the settled first owner), in time after it (3 of 3).

--- a/cmd/tgflowd/formerowner.c
+++ b/cmd/tgflowd/formerowner.c
@@ -21,12 +21,23 @@
 	return end == TG_RPC_CALL_OK && !active && told == own;
 }
 
-int64_t former_leases_end_ms(const struct former_owner *f)
+/* When the last of the former owners could renew a lease. */
+static int64_t renewals_end_ms(const struct former_owner *f)
 {
 	/* No write of an earlier owner succeeds after the claim. */
 	int64_t end_ms = f->claimed_ms + f->renew_max_ms;
 
 	if (f->settled && f->ended_ms && f->ended_ms < end_ms)
 		end_ms = f->ended_ms;
-	return end_ms + f->lease_ms;
+	return end_ms;
+}
+
+int64_t former_leases_end_ms(const struct former_owner *f)
+{
+	return renewals_end_ms(f) + f->lease_ms;
+}
+
+bool former_owners_settled(const struct former_owner *f, int64_t now_ms)
+{
+	return now_ms >= renewals_end_ms(f);
 }
--- a/cmd/tgflowd/formerowner.h
+++ b/cmd/tgflowd/formerowner.h
@@ -46,4 +46,12 @@
 /** former_leases_end_ms() - when all leases of former owners have expired */
 int64_t former_leases_end_ms(const struct former_owner *f);
 
+/**
+ * former_owners_settled() - whether no former owner can renew a lease any more
+ *
+ * Leases may still run then.  The next owner, which finds this recorded, waits
+ * for a lease after the end of this one, which is later.
+ */
+bool former_owners_settled(const struct former_owner *f, int64_t now_ms);
+
 #endif
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -170,7 +170,7 @@
 	while (b->progress_read && has_room(b) && add_record(b))
 		;
 	w.complete = !b->progress_read || !flow_has_dirty(b->flow);
-	w.row.settled = tg_now_ms() >= b->recover_until_ms;
+	w.row.settled = former_owners_settled(&b->former, tg_now_ms());
 	w.row.runs_recorded |= b->role == ROLE_OWNER && w.complete;
 	set_value(&w.rows[0], tg_owner_row_encode(&w.row));
 	links_write_started(b);
--- a/tests/unit/flowd/test-flowd.c
+++ b/tests/unit/flowd/test-flowd.c
@@ -274,6 +274,30 @@
 }
 END_TEST
 
+/*
+ * What the next owner has to wait for is the end of renewals.  While an owner
+ * recorded that only once leases had ended too, those of a worker that was gone
+ * were waited for anew after each take-over.
+ */
+START_TEST(former_owners_are_settled_before_their_leases_end)
+{
+	struct former_owner f = {
+		.claimed_ms = 50000,
+		.lease_ms = 6000,
+		.renew_max_ms = 10000,
+	};
+
+	ck_assert(!former_owners_settled(&f, 59999));
+	ck_assert(former_owners_settled(&f, 60000));
+	/* The one before the last may renew longer. */
+	f.ended_ms = 51000;
+	ck_assert(!former_owners_settled(&f, 51000));
+	f.settled = true;
+	ck_assert(!former_owners_settled(&f, 50999));
+	ck_assert(former_owners_settled(&f, 51000));
+}
+END_TEST
+
 /*
  * An answer that came after this daemon had lost the ownership and claimed it
  * again counted as that of the former owner of the new term, which lived on.
@@ -344,6 +368,7 @@
 	tcase_add_test(t, owner_is_kept_while_store_is_slow);
 	tcase_add_test(t, refused_connection_does_not_prove_an_end);
 	tcase_add_test(t, leases_of_all_former_owners_are_waited_for);
+	tcase_add_test(t, former_owners_are_settled_before_their_leases_end);
 	tcase_add_test(t, answer_of_an_earlier_term_proves_nothing);
 	tcase_add_test(t,
 		       call_overtaken_by_a_higher_token_shows_no_later_owner);
