tgflowd: poll again for a recorded run that a worker doesn't list

A run that a former owner recorded, and that its worker doesn't list, has ended by the first list that is requested stop-ms after that. Only long polls asked for lists then: the one that is sent at once is too early, though its answer comes after 2 s, so that the answer to the next one counts, after 4 s, unless runs on the worker end before. A task that the former owner had recorded and not started waited that long beside an idle worker. Confirmed stops cause a poll of their own; now this does so too.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -89,6 +89,7 @@
 	bool has_answered_there; /* at this address */
 	int64_t n_answers, answered_ms, asked_ms;
 	int64_t next_probe_ms;
+	int64_t extra_poll_ms; /* when an extra poll is due; or 0 */
 	int64_t clock_ms, clock_at_ms; /* worker's clock; own time of receipt */
 	int64_t lease_until_ms; /* latest expiry sent, by the worker's clock */
 	int64_t leases_end_ms; /* all leases have expired, by the own clock */
@@ -167,6 +168,9 @@
 
 #define IS_OWNER(b) ((b)->role == ROLE_OWNER || (b)->role == ROLE_RECOVERING)
 
+/* A list is requested this long after a stop is over, for late timers. */
+#define STOP_POLL_MARGIN_MS 10
+
 /** stop_max_ms() - longest time from a confirmed stop to the end of the run */
 static inline int64_t stop_max_ms(const struct board *b)
 {
@@ -340,6 +344,8 @@
 void link_poll_if_due(struct link *l);
 /** link_poll() - poll the worker at once, in parallel to the long poll */
 void link_poll(struct link *l);
+/** link_poll_after_stop() - poll once a stop confirmed now is over */
+void link_poll_after_stop(struct link *l);
 /** link_expiry() - expiry of leases renewed now, by the worker's clock */
 int64_t link_expiry(struct link *l);
 /** links_limit_leases() - former owners' leases have expired at @end_ms */
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -169,6 +169,7 @@
 	link_expect_no_ack(l);
 	memset(l->in_progress, 0, sizeof(l->in_progress));
 	l->poll_again = false;
+	l->extra_poll_ms = 0;
 	link_raise_fence(l);
 }
 
@@ -438,6 +439,24 @@
 		send_poll(l, POLL_EXTRA);
 }
 
+/*
+ * A run that its worker never had is not in a list of ends, so that the long
+ * poll is not answered when its stop is over.
+ */
+void link_poll_after_stop(struct link *l)
+{
+	l->extra_poll_ms =
+		tg_now_ms() + stop_max_ms(l->board) + STOP_POLL_MARGIN_MS;
+}
+
+static void extra_poll_if_due(struct link *l, int64_t now_ms)
+{
+	if (!l->extra_poll_ms || now_ms < l->extra_poll_ms)
+		return;
+	l->extra_poll_ms = 0;
+	link_poll(l);
+}
+
 /*
  * The entry names another process, or another address of the known one.  Either
  * the worker has restarted or moved, or the entry is an old one.  An entry
@@ -540,6 +559,7 @@
 		return;
 	for (l = b->links; l; l = l->hh.next) {
 		link_poll_if_due(l);
+		extra_poll_if_due(l, now_ms);
 		probe(l, now_ms);
 	}
 	DL_FOREACH2(b->failed, l, failed_next)
--- a/cmd/tgflowd/lists.c
+++ b/cmd/tgflowd/lists.c
@@ -149,8 +149,9 @@
 		n_unknown += unknown[i];
 	}
 	/* What is missing may have ended as done, in an end to be processed. */
-	if (!r->more && !n_pending)
-		flow_report_list_end(b->flow, l->entry.id, asked_ms, now_ms);
+	if (!r->more && !n_pending &&
+	    flow_report_list_end(b->flow, l->entry.id, asked_ms, now_ms))
+		link_poll_after_stop(l);
 	known = !handle_unknown_runs(l, r, unknown, n_unknown) && !r->more;
 	free(unknown);
 	return known;
--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -21,8 +21,6 @@
 #define START_TRIES 3
 /* Delay after which an order to a worker without a link fails as not sent. */
 #define NOT_SENT_DELAY_MS 200
-/* A list is requested this long after a stop is over, for late timers. */
-#define STOP_POLL_MARGIN_MS 10
 /*
  * Orders in progress at a time on one worker, each on a connection of its own.
  * Together with the poll that stays below the limit on descriptors.
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -385,8 +385,10 @@
  * by the first list that is requested more than stop_ms of struct flow_opts
  * later.  A run is left alone if its start order has no answer yet, or if its
  * last answer is not older than @asked_ms.
+ *
+ * Return: whether an active run is missing, which only such a later list ends.
  */
-void flow_report_list_end(struct flow *f, const char *worker, int64_t asked_ms,
+bool flow_report_list_end(struct flow *f, const char *worker, int64_t asked_ms,
 			  int64_t now_ms);
 /**
  * flow_report_end() - report the end of a run, known or not
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -430,14 +430,15 @@
 	return listed;
 }
 
-void flow_report_list_end(struct flow *f, const char *worker, int64_t asked_ms,
+bool flow_report_list_end(struct flow *f, const char *worker, int64_t asked_ms,
 			  int64_t now_ms)
 {
 	struct worker *w = flow_find_worker(f, worker);
+	bool active_missing = false;
 	struct run *r, *next;
 
 	if (!w)
-		return;
+		return false;
 	for (r = w->runs; r; r = next) {
 		next = r->next;
 		if (r->listed_ms >= now_ms || r->answered_ms >= asked_ms)
@@ -470,9 +471,11 @@
 			r->stop_pending = false;
 			r->stop_confirmed = true;
 			r->answered_ms = now_ms;
+			active_missing = true;
 			break;
 		}
 	}
+	return active_missing;
 }
 
 bool flow_report_end(struct flow *f, const struct flow_run_ref *ref,
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -626,13 +626,16 @@
 	fleet_add_job(g, "j1", "normal", fleet_new_spec(1, 8, false), 0);
 	ck_assert(flow_progress_decode(g, "j1", p));
 	json_decref(p);
-	flow_report_list_end(g, "w1", 1000, 1001);
+	/* Without a later list, which no end causes, the task waits. */
+	ck_assert(flow_report_list_end(g, "w1", 1000, 1001));
 	fleet_decide(g, &o, 1002);
 	ck_assert_int_eq(o.n_starts, 0);
-	flow_report_list_end(g, "w1", 1001 + STOP_MS, 1002 + STOP_MS);
+	ck_assert(
+		!flow_report_list_end(g, "w1", 1001 + STOP_MS, 1002 + STOP_MS));
 	fleet_decide(g, &o, 1003 + STOP_MS);
 	ck_assert_int_eq(o.n_starts, 0);
-	flow_report_list_end(g, "w1", 1002 + STOP_MS, 1003 + STOP_MS);
+	ck_assert(
+		!flow_report_list_end(g, "w1", 1002 + STOP_MS, 1003 + STOP_MS));
 	fleet_decide(g, &o, 1004 + STOP_MS);
 	ck_assert_int_eq(o.n_starts, 1);
 	flow_free(g);
