--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -70,7 +70,7 @@
 	tg_log(EV_FLOW_WORKER_GONE, "worker=%s failed=%d", id, l->failed);
 	l->in_directory = false;
 	l->removed_ms = tg_now_ms();
-	flow_worker_set_suspect(b->flow, id, true);
+	flow_worker_set_gone(b->flow, id);
 }
 
 static struct link *new_link(struct board *b, const struct tg_worker_entry *e)
--- a/cmd/tgflowd/usage.c
+++ b/cmd/tgflowd/usage.c
@@ -163,11 +163,12 @@
 					 text[FLOW_UNREADY_REASONS + i],
 					 sizeof(text[i]));
 	tg_log(EV_FLOW_UNUSED,
-	       "service=%s draining=%s suspect=%s unlisted=%s quarantined=%s "
+	       "service=%s draining=%s suspect=%s gone=%s unlisted=%s quarantined=%s "
 	       "unrecorded=%s unanswered=%s stopping=%s possible=%s away=%s "
 	       "away_runs=%d",
 	       u->service, unready[FLOW_UNREADY_DRAINING],
-	       unready[FLOW_UNREADY_SUSPECT], unready[FLOW_UNREADY_UNLISTED],
+	       unready[FLOW_UNREADY_SUSPECT], unready[FLOW_UNREADY_GONE],
+	       unready[FLOW_UNREADY_UNLISTED],
 	       unready[FLOW_UNREADY_QUARANTINED], held[FLOW_HELD_UNRECORDED],
 	       held[FLOW_HELD_UNANSWERED], held[FLOW_HELD_STOPPING],
 	       held[FLOW_HELD_POSSIBLE], held[FLOW_HELD_AWAY],
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -186,6 +186,12 @@
 void flow_worker_set_runs_known(struct flow *f, const char *id);
 /** flow_worker_set_suspect() - a suspect worker gets no starts */
 void flow_worker_set_suspect(struct flow *f, const char *id, bool suspect);
+/**
+ * flow_worker_set_gone() - a worker is not listed any more; it is suspect
+ *
+ * flow_worker_update() says that it is listed again.
+ */
+void flow_worker_set_gone(struct flow *f, const char *id);
 /** flow_worker_silent() - the worker has just stopped answering */
 void flow_worker_silent(struct flow *f, const char *id, int64_t now_ms);
 /** flow_worker_back() - the same process of the worker answers again */
@@ -587,6 +593,7 @@
 	FLOW_READY,
 	FLOW_UNREADY_DRAINING,
 	FLOW_UNREADY_SUSPECT, /* it is suspect, or has no description */
+	FLOW_UNREADY_GONE, /* it is suspect and not listed any more */
 	FLOW_UNREADY_UNLISTED, /* its runs are not known */
 	FLOW_UNREADY_QUARANTINED,
 	FLOW_UNREADY_REASONS,
@@ -599,7 +606,7 @@
 	FLOW_HELD_UNANSWERED, /* a start order without an answer */
 	FLOW_HELD_STOPPING, /* a run to be stopped that has not ended */
 	FLOW_HELD_POSSIBLE, /* a run that a former owner planned */
-	/* Any of them on a worker that is suspect or not listed. */
+	/* Any of them on a worker that is suspect, gone or not listed. */
 	FLOW_HELD_AWAY,
 	FLOW_HELD_KINDS,
 };
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -273,6 +273,7 @@
 	struct array run_ends; /* of struct run_end */
 	size_t candidate; /* its index in the current search */
 	bool present, runs_known, suspect, draining;
+	bool gone; /* see flow_worker_set_gone(); for reports only */
 	int64_t earliest_exit_ms; /* see struct flow_worker_spec */
 	int32_t failures_in_row;
 	int64_t failed_ms; /* time of the last failure */
--- a/lib/flow/unused.c
+++ b/lib/flow/unused.c
@@ -7,6 +7,8 @@
 
 static enum flow_unready unready_reason(const struct worker *w, int64_t now_ms)
 {
+	if (w->suspect && w->gone)
+		return FLOW_UNREADY_GONE;
 	if (w->draining)
 		return FLOW_UNREADY_DRAINING;
 	if (w->suspect || !w->present)
@@ -80,6 +82,7 @@
 {
 	const struct worker *w = r->worker;
 	bool away = w->unready == FLOW_UNREADY_SUSPECT ||
+		w->unready == FLOW_UNREADY_GONE ||
 		w->unready == FLOW_UNREADY_UNLISTED;
 	struct flow_unused_count *c =
 		away ? &u->held[FLOW_HELD_AWAY] : &u->held[r->held];
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -253,6 +253,7 @@
 			   sizeof(w->labels[0]));
 	w->capacity = s->capacity;
 	w->present = true;
+	w->gone = false;
 	w->draining = s->draining;
 	w->earliest_exit_ms = s->earliest_exit_ms;
 }
@@ -275,6 +276,14 @@
 		w->suspect = suspect;
 }
 
+void flow_worker_set_gone(struct flow *f, const char *id)
+{
+	struct worker *w = flow_find_worker(f, id);
+
+	if (w)
+		w->suspect = w->gone = true;
+}
+
 static void end_run(struct flow *f, struct run *r, int64_t now_ms)
 {
 	struct worker *w = r->worker;
--- a/tests/unit/flow/test-unused.c
+++ b/tests/unit/flow/test-unused.c
@@ -103,6 +103,20 @@
 	flow_cancel(f, job, now_ms);
 }
 
+/* Else those of a fleet that was replaced would count as not answering. */
+START_TEST(worker_that_is_not_listed_any_more_is_counted_as_gone)
+{
+	read_unused(0);
+	flow_worker_set_gone(f, "w1");
+	read_unused(1000);
+	check_unready(FLOW_UNREADY_GONE, "w1", 0);
+	fleet_add_worker(f, "w1", "r", 2);
+	flow_worker_set_suspect(f, "w1", false);
+	read_unused(2000);
+	ck_assert_int_eq(n_reports, 0);
+}
+END_TEST
+
 START_TEST(quarantined_worker_is_counted)
 {
 	fleet_add_worker(f, "w2", "r", 2);
@@ -172,6 +186,8 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, fleet_that_is_in_use_is_not_reported);
 	tcase_add_test(t, worker_without_starts_is_counted_by_reason);
+	tcase_add_test(t,
+		       worker_that_is_not_listed_any_more_is_counted_as_gone);
 	tcase_add_test(t, quarantined_worker_is_counted);
 	tcase_add_test(t, start_that_waits_for_its_record_holds_capacity);
 	tcase_add_test(t, start_without_answer_and_its_stop_hold_capacity);
