tgflowd: ask for the list that settles an unanswered start after its failure

After three attempts without an answer a start is settled by the next list: if it doesn't name the run, the run is stopped and its task starts again. The poll for that list was sent in the same millisecond in which the attempt failed, and a list requested no later than the last answer is passed over, as it may be from before. So only long polls settled it: the task waited 2 to 4 s more while its worker answered polls and other workers had room. Now the poll is sent later.

Script: the task runs 6.3 to 6.4 s after it was submitted before (3 of 3), of which attempts take 2.7 s, and within 4.3 s after (3 of 3).

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -344,6 +344,8 @@
 void link_poll_if_due(struct link *l);
 /** link_poll() - poll the worker at once, in parallel to the long poll */
 void link_poll(struct link *l);
+/** link_poll_at() - poll at @at_ms at the earliest, or some ms later */
+void link_poll_at(struct link *l, int64_t at_ms);
 /** link_poll_after_stop() - poll once a stop confirmed now is over */
 void link_poll_after_stop(struct link *l);
 /** link_expiry() - expiry of leases renewed now, by the worker's clock */
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -439,14 +439,21 @@
 		send_poll(l, POLL_EXTRA);
 }
 
+void link_poll_at(struct link *l, int64_t at_ms)
+{
+	/* One poll at the later time serves both. */
+	if (at_ms > l->extra_poll_ms)
+		l->extra_poll_ms = at_ms;
+}
+
 /*
  * A run that its worker never had is not in a list of ends, so that the long
  * poll is not answered when its stop is over.
  */
 void link_poll_after_stop(struct link *l)
 {
-	l->extra_poll_ms =
-		tg_now_ms() + stop_max_ms(l->board) + STOP_POLL_MARGIN_MS;
+	link_poll_at(l,
+		     tg_now_ms() + stop_max_ms(l->board) + STOP_POLL_MARGIN_MS);
 }
 
 static void extra_poll_if_due(struct link *l, int64_t now_ms)
--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -300,8 +300,9 @@
 			b->flow, &ref, o->worker,
 			order_outcome(stop_end(o, l, end), false, o->tries),
 			tg_now_ms());
+	/* A list requested in the same millisecond settles nothing. */
 	if (l && end == TG_ORDER_UNKNOWN && o->start)
-		link_poll(l);
+		link_poll_at(l, tg_now_ms() + 1);
 	if (end == TG_ORDER_DONE && !o->start)
 		poll_after_stop(o);
 	if (end != TG_ORDER_DONE)
--- a/tests/unit/orders/test-orders.c
+++ b/tests/unit/orders/test-orders.c
@@ -32,7 +32,7 @@
 
 static struct board b;
 static struct link links[WORKERS];
-static struct sent sent[WORKERS * ACCELERATORS * 2];
+static struct sent sent[WORKERS * ACCELERATORS * 3];
 static int n_sent, n_answered, n_writes_wanted;
 static bool may_renew;
 
@@ -49,6 +49,11 @@
 	(void)l;
 }
 
+void link_poll_at(struct link *l, int64_t at_ms)
+{
+	l->extra_poll_ms = at_ms;
+}
+
 void link_poll_if_due(struct link *l)
 {
 	(void)l;
@@ -275,6 +280,27 @@
 }
 END_TEST
 
+/* A list requested in the same millisecond doesn't settle whether it runs. */
+START_TEST(list_is_requested_after_a_start_without_answer)
+{
+	int64_t poll_ms = 0, answered_ms = 0;
+	int i;
+
+	fill_fleet();
+	for (i = 0; i < 1000 && !poll_ms; i++) {
+		run_loop();
+		while (n_answered < n_sent && !poll_ms) {
+			struct sent *s = &sent[n_answered++];
+
+			answered_ms = tg_now_ms();
+			s->done(TG_ORDER_UNKNOWN, 0, s->arg);
+			poll_ms = links[atoi(s->worker + 1)].extra_poll_ms;
+		}
+	}
+	ck_assert_int_gt(poll_ms, answered_ms);
+}
+END_TEST
+
 START_TEST(a_term_that_ends_drops_its_orders)
 {
 	int i;
@@ -375,6 +401,7 @@
 	tcase_add_test(t, few_orders_are_in_progress_in_all);
 	tcase_add_test(t, stops_go_first_and_unsent_starts_are_dropped);
 	tcase_add_test(t, nothing_is_sent_without_permission);
+	tcase_add_test(t, list_is_requested_after_a_start_without_answer);
 	tcase_add_test(t, a_term_that_ends_drops_its_orders);
 	tcase_add_test(t, order_carries_the_token_at_its_sending);
 	tcase_add_test(t, overtaken_order_is_repeated_in_the_same_term);
