--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -186,6 +186,12 @@
 void flow_worker_set_runs_known(struct flow *f, const char *id);
 /** flow_worker_set_suspect() - a suspect worker gets no starts */
 void flow_worker_set_suspect(struct flow *f, const char *id, bool suspect);
+/**
+ * flow_worker_set_gone() - a worker is not listed any more; it is suspect
+ *
+ * flow_worker_update() says that it is listed again.
+ */
+void flow_worker_set_gone(struct flow *f, const char *id);
 /** flow_worker_silent() - the worker has just stopped answering */
 void flow_worker_silent(struct flow *f, const char *id, int64_t now_ms);
 /** flow_worker_back() - the same process of the worker answers again */
@@ -385,8 +391,10 @@
  * by the first list that is requested more than stop_ms of struct flow_opts
  * later.  A run is left alone if its start order has no answer yet, or if its
  * last answer is not older than @asked_ms.
+ *
+ * Return: whether an active run is missing, which only such a later list ends.
  */
-void flow_report_list_end(struct flow *f, const char *worker, int64_t asked_ms,
+bool flow_report_list_end(struct flow *f, const char *worker, int64_t asked_ms,
 			  int64_t now_ms);
 /**
  * flow_report_end() - report the end of a run, known or not
@@ -586,6 +594,64 @@
 				     void *arg),
 			  void *arg);
 
+/** enum flow_unready - why a worker gets no starts */
+enum flow_unready {
+	FLOW_READY,
+	FLOW_UNREADY_DRAINING,
+	FLOW_UNREADY_SUSPECT, /* it is suspect, or has no description */
+	FLOW_UNREADY_GONE, /* it is suspect and not listed any more */
+	FLOW_UNREADY_UNLISTED, /* its runs are not known */
+	FLOW_UNREADY_QUARANTINED,
+	FLOW_UNREADY_REASONS,
+};
+
+/** enum flow_held - what holds capacity on a worker */
+enum flow_held {
+	FLOW_HELD_RUNNING, /* a run that its worker has confirmed or listed */
+	FLOW_HELD_UNRECORDED, /* a decided run, until its record is durable */
+	FLOW_HELD_UNANSWERED, /* a start order without an answer */
+	FLOW_HELD_STOPPING, /* a run to be stopped that has not ended */
+	FLOW_HELD_POSSIBLE, /* a run that a former owner planned */
+	/* Any of them on a worker that is suspect, gone or not listed. */
+	FLOW_HELD_AWAY,
+	FLOW_HELD_KINDS,
+};
+
+/**
+ * struct flow_unused_count - workers that get no starts, or runs of one kind
+ * @workers: how many; for runs the capacity that they hold, see struct
+ *	flow_queue_usage
+ * @runs: number of runs
+ * @worker: where it has been so for longest; NULL if there is none
+ * @longest_ms: for how long
+ */
+struct flow_unused_count {
+	double workers;
+	int32_t runs;
+	const char *worker;
+	int64_t longest_ms;
+};
+
+/**
+ * struct flow_unused - capacity of a service that gets no starts although it
+ * may be free
+ *
+ * As of the last flow_decide().  The strings are valid during the call only.
+ *
+ * @unready: by reason; that of FLOW_READY is empty
+ * @held: by what holds it; that of FLOW_HELD_RUNNING is empty
+ */
+struct flow_unused {
+	const char *service;
+	struct flow_unused_count unready[FLOW_UNREADY_REASONS];
+	struct flow_unused_count held[FLOW_HELD_KINDS];
+};
+
+/** flow_each_unused() - call @fn for each service that has such capacity */
+void flow_each_unused(const struct flow *f, int64_t now_ms,
+		      void (*fn)(const struct flow_unused *u, void *arg),
+		      void *arg);
+
 /** flow_each_reservation() - call @fn for each gang that capacity is booked for
  */
 void flow_each_reservation(const struct flow *f, int64_t now_ms,
