sited: count jobs that wait beside free workers

Rule LOST of the platform: while no fault is near, nothing of a job runs for 3 s although there is room for one of its tasks, or its gang, twice over, and less than half of the capacity is in use. The stand-in knows jobs from their rows and runs from its workers, whose use it now counts in processors and memory as well; faults that it doesn't see are told to it.

--- a/tests/standin/sited/judge.c
+++ b/tests/standin/sited/judge.c
@@ -36,7 +36,7 @@
 	return n;
 }
 
-static void log_time(void)
+void judge_log_time(void)
 {
 	int64_t ms = tg_wall_ms();
 	time_t day_s = (time_t)(ms / 1000);
@@ -50,14 +50,14 @@
 void judge_log(const struct worker *w, const char *task, int run,
 	       const char *what)
 {
-	log_time();
+	judge_log_time();
 	fprintf(stderr, "%s task=%s run=%d worker=%s\n", what, task, run,
 		w->id);
 }
 
 void judge_process(const struct worker *w)
 {
-	log_time();
+	judge_log_time();
 	fprintf(stderr, "process worker=%s boot=%lld\n", w->id,
 		(long long)w->born_wall_ms);
 }
@@ -95,6 +95,7 @@
 		judge_log(w, r->task, r->run, "start after done,");
 	board.after_done += d->done;
 	d->started_ms = tg_now_ms();
+	judge_task_started(r->task);
 	board.twice += has_copy(w, r);
 	board.over_room += used(w) > worker_room(w);
 	if (used(w) > worker_room(w))
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -19,6 +19,10 @@
 		   "number of workers", workers),
 	TG_SETTING(opts, "accelerators", TG_SET_INT, "8", 0, 1000, false,
 		   "of a worker", accelerators),
+	TG_SETTING(opts, "memory-mb", TG_SET_INT, "262144", 0, 1 << 30, false,
+		   "of a worker", memory_mb),
+	TG_SETTING(opts, "rack-workers", TG_SET_INT, "0", 0, WORKERS_MAX, false,
+		   "workers of a rack, 0 for all", rack_workers),
 	TG_SETTING(opts, "hold-max-ms", TG_SET_INT, "10000", 1, 100000, false,
 		   "longest lease", hold_max_ms),
 	TG_SETTING(opts, "stop-ms", TG_SET_INT, "200", 0, 10000, false,
@@ -106,6 +110,48 @@
 	reply_ok(req);
 }
 
+/* Whether a call to a worker is no fault. */
+static bool is_planned(const char *mode)
+{
+	static const char *const modes[] = {
+		"drain", "leave", "linger", "back",
+		"size",	 "clock", "step",   "late"
+	};
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(modes); i++)
+		if (!strncmp(mode, modes[i], strlen(modes[i])))
+			return true;
+	return false;
+}
+
+/*
+ * POST /standin/fault?begin=NAME, end=NAME: a fault that the stand-in doesn't
+ * see, for instance of a process; no job is judged for its waiting meanwhile
+ */
+static void set_fault(struct evhttp_request *req, void *arg)
+{
+	char *begin = tg_http_query_param(req, "begin");
+	char *end = tg_http_query_param(req, "end");
+	int i, unused = 0;
+
+	(void)arg;
+	board.disturbed_ms = tg_now_ms();
+	for (i = FAULTS_MAX - 1; i >= 0; i--) {
+		if ((begin && !strcmp(board.faults[i], begin)) ||
+		    (end && !strcmp(board.faults[i], end)))
+			*board.faults[i] = '\0';
+		if (!*board.faults[i])
+			unused = i;
+	}
+	if (begin)
+		tg_strlcpy(board.faults[unused], begin,
+			   sizeof(board.faults[unused]));
+	free(begin);
+	free(end);
+	reply_ok(req);
+}
+
 /*
  * POST /standin/worker?id=W&mode=M; also drain, drain=N: it exits no sooner
  * than in N ms, leave, leave-at-end: as a run ends by itself, so that the list
@@ -125,6 +171,8 @@
 	int i;
 
 	(void)arg;
+	if (mode && !is_planned(mode))
+		board.disturbed_ms = tg_now_ms();
 	for (i = 0; id && mode && i < board.opts.workers; i++) {
 		struct worker *w = &board.workers[i];
 
@@ -204,7 +252,7 @@
 		req, 200,
 		json_pack(
 			"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,"
-			"s:I,s:I,s:o}",
+			"s:I,s:I,s:I,s:o}",
 			"jobs", (json_int_t)store_count("jobs"), "progress",
 			(json_int_t)store_count("progress"), "reads",
 			(json_int_t)board.reads, "writes",
@@ -219,7 +267,8 @@
 			(json_int_t)board.after_done, "lapsed",
 			(json_int_t)board.lapsed, "fenced",
 			(json_int_t)board.fenced, "kept",
-			(json_int_t)board.kept, "runs", runs));
+			(json_int_t)board.kept, "waited_idle",
+			(json_int_t)board.waited_idle, "runs", runs));
 }
 
 static const struct tg_http_route routes[] = {
@@ -227,6 +276,7 @@
 	{ "/standin/row", false, EVHTTP_REQ_POST, set_row },
 	{ "/standin/store", false, EVHTTP_REQ_POST, set_store },
 	{ "/standin/worker", false, EVHTTP_REQ_POST, set_worker },
+	{ "/standin/fault", false, EVHTTP_REQ_POST, set_fault },
 	{ "/standin/seen", false, EVHTTP_REQ_GET, get_seen },
 	{ .path = NULL },
 };
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -18,11 +18,14 @@
 #define WORKERS_MAX 64
 #define LIVES_MAX 8
 #define KEY_BYTES 256
+#define FAULTS_MAX 16
+#define WORKER_CPU 128000 /* millicores */
 
 struct opts {
 	const char *http_addr;
 	const char *log_level;
-	int64_t stores, workers, accelerators;
+	int64_t stores, workers, accelerators, memory_mb;
+	int64_t rack_workers;
 	int64_t hold_max_ms, stop_ms;
 	int64_t row_bytes;
 	int64_t heartbeat_ms;
@@ -148,6 +151,10 @@
 	int64_t over_room, twice, after_done, lapsed;
 	int64_t fenced; /* calls with a lower token than one before */
 	int64_t kept; /* holds of the mode "holds-kept" so far */
+	int64_t waited_idle; /* waits of jobs beside free workers */
+	/* Faults under way that others brought about, and the last one here. */
+	char faults[FAULTS_MAX][32];
+	int64_t disturbed_ms;
 };
 
 extern struct board board;
@@ -205,5 +212,15 @@
  * judge_done() - an end was acknowledged while the worker's lease lasted
  */
 void judge_done(const char *task, int64_t ended_ms);
+void judge_log_time(void);
+
+/* waits.c */
+/** judge_row() - a row was written */
+void judge_row(const struct row *r);
+void judge_task_started(const char *task);
+/** judge_task_done() - its end was acknowledged, or listed near no fault */
+void judge_task_done(const char *task);
+/** judge_waits() - count jobs that wait beside free workers */
+void judge_waits(void);
 
 #endif
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -398,6 +398,7 @@
 	r->value = tg_xstrdup(text_of(o, "value"));
 	r->ver = board.ver;
 	r->deleted = deleted;
+	judge_row(r);
 	record_change(r);
 }
 
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -153,6 +153,8 @@
 		struct end *e = w->ends;
 
 		w->ends = e->next;
+		if (!strcmp(e->how, "done"))
+			judge_task_done(e->task);
 		if (!strcmp(e->how, "done") && !e->lapsed)
 			judge_done(e->task, e->ended_ms);
 		if (e->doubled)
@@ -205,8 +207,10 @@
 	const struct end *e;
 
 	for (e = w->ends; e; e = e->next)
-		if (e->listed && !strcmp(e->how, "done") && !e->lapsed)
+		if (e->listed && !strcmp(e->how, "done") && !e->lapsed) {
 			judge_done(e->task, e->ended_ms);
+			judge_task_done(e->task);
+		}
 }
 
 static void tick(struct worker *w)
@@ -644,15 +648,19 @@
 
 static void write_entry(struct worker *w, const struct life *life)
 {
+	int64_t n = w - board.workers;
+	int64_t rack =
+		board.opts.rack_workers ? n / board.opts.rack_workers + 1 : 1;
 	json_t *o = json_pack(
-		"{s:s,s:s,s:s,s:s,s:I,s:s,s:I,s:{s:I,s:I,s:I},s:[s,s],s:I,s:I}",
+		"{s:s,s:s,s:s,s:s,s:I,s:s,s:I,s:{s:I,s:I,s:I},s:[s,o],s:I,s:I}",
 		"service", "svc", "address", life->addr, "zone", "a", "version",
 		"v1", "slots", (json_int_t)8, "state",
 		w->draining ? "draining" : "ready", "warmup-left-ms",
-		(json_int_t)0, "capacity", "cpu", (json_int_t)128000, "mem-mb",
-		(json_int_t)262144, "gpu", (json_int_t)w->accelerators,
-		"labels", "kind", "r1", "born", (json_int_t)life->born_wall_ms,
-		"seq", (json_int_t)++w->seq);
+		(json_int_t)0, "capacity", "cpu", (json_int_t)WORKER_CPU,
+		"mem-mb", (json_int_t)board.opts.memory_mb, "gpu",
+		(json_int_t)w->accelerators, "labels", "kind",
+		json_sprintf("r%d", (int)rack), "born",
+		(json_int_t)life->born_wall_ms, "seq", (json_int_t)++w->seq);
 	int64_t left_ms = w->drained_ms - tg_now_ms();
 	char *text;
 
@@ -945,4 +953,5 @@
 		if (!w->gone)
 			tick(w);
 	}
+	judge_waits();
 }
