--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -1,24 +1,29 @@
 #!/bin/sh
 # A soak of the queue and flow daemons: run.sh --seed N [--steps N]
 #	[--keep DIRECTORY] [--claim JOB] [--outages] [--large] [--workers]
-#	[--heartbeat-ms N] [--instances N]
+#	[--heartbeat-ms N] [--instances N] [--gangs]
 # Three instances (or N) run on a stand-in of the platform, with three proxies
 # before the store.  Steps drawn from the seed submit and cancel jobs and inject
 # faults from outside: signals, disturbed connections, faults of store and
 # workers.  They overlap.  Then all faults end, and what callers and workers saw
 # is checked: an accepted job ends completed, one that was refused does not
-# exist, no task runs twice or beyond room, and no owner took runs for ended that
-# went on.  --outages adds outages of the store in which entries of workers
+# exist, no task runs twice or beyond room, no job has waited for 3 s beside free
+# workers while no fault was near, and no owner took runs for ended that went on.
+# --outages adds outages of the store in which entries of workers
 # expire, beside the other faults.  --large submits jobs of many small tasks, on
 # a store with rows of 8 KiB, which the progress of a job doesn't fit.  --workers
 # adds series of faults of workers: they drain, are cut off, with entries that
 # expire about the time at which that is noticed, leave calls unanswered and carry
 # them out late, exit, and restart at the same and at other addresses, their clocks
 # are slow, the time of day steps between two processes, and entries of earlier
-# ones are read.  --claim says that JOB was accepted, which shows that a lost job
+# ones are read.  --gangs plays N seconds instead of steps, with the figures of a
+# site of the users: a backlog of gangs, some of them wider than the fleet, with
+# single tasks and urgent gangs.  Tasks take longer than declared, workers leave in
+# series, some for good, and one series of faults of the owner overlaps with that.
+# --claim says that JOB was accepted, which shows that a lost job
 # is found.
 . "$(dirname "$0")/../site-lib.sh"
-seed=1 steps=40 keep= claim= outages= large= series= instances=3 lease_ms=4000
+seed=1 steps=40 keep= claim= outages= large= series= gangs= instances=3 lease_ms=4000
 while [ $# -gt 0 ]; do
 	case $1 in
 	--seed) seed=$2 ;;
@@ -46,6 +51,12 @@
 		shift
 		continue
 		;;
+	--gangs)
+		gangs=1
+		heartbeat_ms=1500 lease_ms=9000 stop_ms=400
+		shift
+		continue
+		;;
 	*)
 		echo "run.sh: unknown flag $1" >&2
 		exit 2
@@ -54,6 +65,13 @@
 	shift 2
 done
 workers=6
+if [ -n "$gangs" ]; then
+	workers=24
+	config=$(echo "$config" | jq -c '.tenants[0].guaranteed.gpu = 30 |
+		.routes += [.routes[0] | .name = "low" | .priority = 2 |
+			.["path-prefix"] = "/l/" | .["target-runtime-ms"] = 3000] |
+		.routes[0]["target-runtime-ms"] = 1500')
+fi
 # A caller gives up after this many tries of 3 s.
 tries_max=4
 
@@ -109,19 +127,84 @@
 	}'
 }
 
+# What happens with --gangs, one a line: AT_MS gang|single|urgent INSTANCE QUEUE
+# TASKS CPU MEMORY_MB ACCELERATORS RUN_MS DECLARED_MS FIELDS; AT_MS leave|back
+# WORKER; AT_MS kill|term|freeze|cut K, which happens to the owner, and then
+# AT_MS heal K
+draw_gangs() {
+	awk -v seed="$seed" -v end_ms=$((steps * 1000)) -v workers="$workers" \
+		-v instances="$instances" '
+	function rnd(n) { return int(rand() * n) }
+	function pick(words, n, word) {
+		n = split(words, word, " ")
+		return word[1 + rnd(n)]
+	}
+	function job(at, what, queue, tasks, cpu, memory, acc, est, late, fields) {
+		print int(at), what, 1 + rnd(instances), queue, tasks, cpu, memory,
+			acc, int(est * (1 + rand() * late)), int(est), fields
+	}
+	# A gang of whole workers, or of what fits beside others.
+	function gang(at, tasks, acc) {
+		job(at, "gang", "n", tasks, 52000, 210000, acc, 2000 + rnd(4000),
+			2, pick("gang gang gang,same-rack"))
+	}
+	function leave(n, at, first, i, w) {
+		first = rnd(workers)
+		for (i = 0; i < n; i++) {
+			w = 1 + (first + i * 5) % workers
+			at += rnd(800)
+			print at, "leave", w
+			if (rand() < 0.3)
+				print at + 6000 + rnd(9000), "back", w
+		}
+	}
+	BEGIN {
+		srand(seed + 2000000)
+		bursts = 2 + rnd(2)
+		for (b = 0; b < bursts; b++) {
+			start = b * end_ms / bursts + rnd(2000)
+			for (i = 3 + rnd(4); i > 0; i--)
+				gang(start + rnd(2500), 1 + rnd(6),
+					pick("1 2 4 8 8 8 8"))
+			# A few workers are kept for much longer than declared.
+			job(start, "single", "n", 1 + rnd(5), 52000, 210000,
+				pick("1 2 4"), 2000, 6, "")
+			# Wider than what is left.
+			gang(start + rnd(2500), int(workers / 2) + rnd(workers / 2), 8)
+			for (i = 4 + rnd(6); i > 0; i--)
+				job(start + rnd(4000), "single", "l", 1 + rnd(8),
+					11000, 33000, 1, 2000 + rnd(4000), 1, "")
+		}
+		job(rnd(end_ms / 2), "never", "n", workers + 1 + rnd(9), 52000,
+			210000, 8, 3000, 1, "gang")
+		for (at = rnd(2000); at < end_ms; at += 400 + rnd(5000))
+			job(at, "urgent", "u", 1 + rnd(5), 15000, 79000,
+				pick("1 2 4 8 8"), 800 + rnd(2500), 0.5, "gang")
+		for (at = end_ms / 2; at < end_ms; at += 1000 + rnd(3000))
+			job(at, "single", "l", 1 + rnd(4), 11000, 33000, 1,
+				2000 + rnd(4000), 1, "")
+		leave(int(workers * (0.3 + 0.3 * rand())), 2000 + rnd(end_ms / 2))
+		at = rnd(end_ms * 0.5)
+		for (k = 1; seed % 4 && k <= 1 + rnd(4); k++) {
+			print at, pick("kill kill term freeze cut"), k
+			print at + 500 + rnd(3000), "heal", k
+			at += rnd(1500)
+		}
+	}' | sort -n
+}
+
 say() {
 	echo "$(date +%H:%M:%S.%3N) $*" >>"$tmp/steps.log"
 }
 
 # What one caller does, in the background: "JOB accepted|refused|unknown"
-caller() { # JOB INSTANCE TASKS ACCELERATORS RUN_MS QUEUE
+caller() { # JOB INSTANCE QUEUE BODY
 	at=$2 unknown=0 i=0
 	while [ $i -lt $tries_max ]; do
 		code=$(curl -s -m 3 -o /dev/null -w '%{http_code}' -H 'Host: h' \
 			-H 'X-Api-Key: k1' -H 'Tarragonfield-Deadline-Ms: 3000' \
-			-d "{\"spec\":\"ms=$5 acc=$4\",\"steps\":[{\"count\":$3,
-			 \"cpu\":$((1 + $4 * 1000)),\"gpu\":$4,\"est-ms\":$5}]}" \
-			"http://$net.$at:$(cat "$tmp/port.$at")/$6/$1")
+			-d "$4" \
+			"http://$net.$at:$(cat "$tmp/port.$at")/$3/$1")
 		case $code in
 		200)
 			echo "$1 accepted" >>"$tmp/callers"
@@ -159,11 +242,13 @@
 	cat "$tmp/flow-$1.out" >>"$tmp/flow-$1.log"
 	start "flow-$1" tgflowd --settings="$tmp/i$1.conf" \
 		--metrics-addr="$net.$1:0" --lease-ms=$lease_ms
+	control "fault?end=flow-$1"
 }
 
 instance_queue() { # N
 	start "queue-$1" tgqueued --settings="$tmp/i$1.conf"
 	http_of "queue-$1" | sed 's/.*://' >"$tmp/port.$1"
+	control "fault?end=queue-$1"
 }
 
 # Starts again whatever the steps have ended.
@@ -177,7 +262,13 @@
 }
 
 signal() { # SIGNAL NAME
-	is_own "$(pid_of "$2")" && kill "-$1" "$(pid_of "$2")"
+	is_own "$(pid_of "$2")" || return 0
+	case $1 in
+	KILL | TERM | STOP) control "fault?begin=$2" ;;
+	CONT) control "fault?end=$2" ;;
+	esac
+	# One that was killed may have been reaped.
+	kill "-$1" "$(pid_of "$2")" 2>/dev/null
 }
 
 # Reaps a process that has got SIGTERM or SIGKILL, and starts it again.
@@ -197,6 +288,10 @@
 }
 
 link() { # INSTANCE MODE
+	case $2 in
+	ok) control "fault?end=link-$(door_of "$1")" ;;
+	*) control "fault?begin=link-$(door_of "$1")" ;;
+	esac
 	curl -sf -o /dev/null -X POST \
 		"http://$(http_of "proxy-$(door_of "$1")")/proxy?mode=$2"
 }
@@ -315,8 +410,10 @@
 		if [ -n "$large" ]; then
 			set -- "$1" "$2" "$3" $(($4 * $5 * 20)) 0 "$6" "$7" "$8"
 		fi
-		caller "$job" "$2" "$4" "$5" "$6" \
-			"$(pick "$8" n u)" </dev/null &
+		caller "$job" "$2" "$(pick "$8" n u)" \
+			"{\"spec\":\"ms=$6 acc=$5\",\"steps\":[{\"count\":$4,
+			 \"cpu\":$((1 + $5 * 1000)),\"gpu\":$5,\"est-ms\":$6}]}" \
+			</dev/null &
 		;;
 	cancel)
 		job=$(printf '%016x' $((seed * 1000 + (n_jobs > 0 ? n_jobs : 1))))
@@ -354,6 +451,93 @@
 	return 0
 }
 
+find_owner() {
+	for n in $(seq "$instances"); do
+		curl -s -m 0.3 "http://$(http_of "flow-$n")/metrics" |
+			grep -qx 'tg_flow_owner 1' && echo "$n" && return
+	done
+	return 1
+}
+
+# A worker announces that it drains, and exits 3 s later.
+leave_for_good() { # WORKER
+	control "worker?id=w$1&mode=drain%3D3000"
+	pause 3050
+	control "worker?id=w$1&mode=leave"
+}
+
+gang_job() { # WHAT INSTANCE QUEUE TASKS CPU MEMORY ACCELERATORS RUN_MS EST_MS FIELDS
+	n_jobs=$((n_jobs + 1))
+	job=$(printf '%016x' $((seed * 1000 + n_jobs)))
+	fields=$(echo "${10:-}" | sed 's/[a-z][a-z-]*/,"&":true/g; s/,,/,/g')
+	[ "$1" != never ] || echo "$job" >>"$tmp/never"
+	caller "$job" "$2" "$3" "{\"spec\":\"ms=$8 acc=$7\",\"steps\":[{
+		\"count\":$4,\"cpu\":$5,\"mem-mb\":$6,\"gpu\":$7,
+		\"est-ms\":$9$fields}]}" </dev/null &
+}
+
+# owner_fault WHAT K: a fault that lasts until heal_owner K
+owner_fault() {
+	owner=$(find_owner) || return 0
+	say "$1 owner $owner"
+	eval "fault_$2='$1 $owner'"
+	case $1 in
+	kill) signal KILL "flow-$owner" ;;
+	term)
+		signal TERM "flow-$owner"
+		signal TERM "queue-$owner"
+		;;
+	freeze) signal STOP "flow-$owner" ;;
+	cut) link "$owner" silent ;;
+	esac
+}
+
+heal_owner() { # K
+	eval "fault=\${fault_$1:-}"
+	owner=${fault#* }
+	case ${fault% *} in
+	kill) end_process KILL "flow-$owner" ;;
+	term)
+		end_process TERM "flow-$owner"
+		end_process TERM "queue-$owner"
+		;;
+	freeze) signal CONT "flow-$owner" ;;
+	cut) link "$owner" ok ;;
+	esac
+}
+
+play_gangs() {
+	begun_ms=$(date +%s%3N)
+	while read -r at_ms what line; do
+		now_ms=$(($(date +%s%3N) - begun_ms))
+		[ "$now_ms" -ge "$at_ms" ] || pause $((at_ms - now_ms))
+		say "$what $line"
+		# shellcheck disable=SC2086
+		case $what in
+		leave) leave_for_good $line </dev/null & ;;
+		back) control "worker?id=w$line&mode=back" ;;
+		heal) heal_owner "$line" ;;
+		kill | term | freeze | cut) owner_fault "$what" "$line" ;;
+		*) gang_job "$what" $line ;;
+		esac
+	done
+}
+
+# Of gangs that never fit; callers are asked until one answers.
+cancel_never() {
+	while read -r job; do
+		await "cancellation of $job" is_cancelled "$job"
+	done <"$tmp/never"
+}
+
+is_cancelled() { # JOB
+	case $(front 1 "/n/$1" -X DELETE) in
+	200 | 202 | 204) echo "$1" >>"$tmp/cancelled" ;;
+	410) ;;
+	*) return 1 ;;
+	esac
+}
+
 heal() {
 	[ -n "$paused" ] && signal CONT "$paused"
 	for n in 1 2 3; do
@@ -362,7 +546,7 @@
 	control 'store?mode=ok'
 	control 'worker?id=all&mode=ok'
 	control 'worker?id=all&mode=listed'
-	[ -z "$series" ] || control 'worker?id=all&mode=back'
+	[ -z "$series$gangs" ] || control 'worker?id=all&mode=back'
 	revive
 }
 
@@ -418,7 +602,9 @@
 
 : >"$tmp/callers"
 : >"$tmp/cancelled"
-start_site --stores=3 --workers=$workers --row-bytes=$row_bytes
+: >"$tmp/never"
+start_site --stores=3 --workers=$workers --row-bytes=$row_bytes \
+	--stop-ms="$stop_ms" ${gangs:+--memory-mb=524288 --rack-workers=8}
 for n in 1 2 3; do
 	start "proxy-$n" proxyd --target="$(echo "$site_rpc" | cut -d, -f$n)"
 done
@@ -440,11 +626,17 @@
 n_jobs=0
 n_steps=0
 draw_steps >"$tmp/steps"
-if [ -n "$series" ]; then
+if [ -n "$series$gangs" ]; then
 	: >"$tmp/calling"
 	for n in 1 2 3; do
 		keep_calling $n </dev/null &
 	done
+fi
+if [ -n "$gangs" ]; then
+	draw_gangs >"$tmp/series"
+	play_gangs <"$tmp/series"
+	: >"$tmp/steps"
+elif [ -n "$series" ]; then
 	draw_series >"$tmp/series"
 	run_series <"$tmp/series" &
 	series_pid=$!
@@ -463,6 +655,7 @@
 [ -z "$series" ] || wait $series_pid
 rm -f "$tmp/calling"
 heal
+cancel_never
 i=0
 while [ "$(wc -l <"$tmp/callers")" -lt "$n_jobs" ] && [ $i -lt 300 ]; do
 	sleep 0.1
@@ -478,8 +671,12 @@
 		check_job "$job" "$outcome"
 	done <"$tmp/callers"
 	judge | grep -v '"over_room":0,"twice":0,"after_done":0,"refused":0'
+	[ "$(seen .waited_idle)" = 0 ] || {
+		echo "waited_idle=$(seen .waited_idle)"
+		grep waited_idle "$tmp/site.err"
+	}
 	check_verdicts
-	[ -z "$series" ] || grep -vE '^(000|200|410|429|503|504)$' "$tmp/answers"
+	[ -z "$series$gangs" ] || grep -vE '^(000|200|410|429|503|504)$' "$tmp/answers"
 } >"$tmp/broken" 2>&1
 echo "seed $seed: $n_jobs jobs," \
 	"$(grep -c accepted "$tmp/callers") accepted," \
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -18,7 +18,7 @@
 #define WORKERS_MAX 64
 #define LIVES_MAX 8
 #define KEY_BYTES 256
-#define FAULTS_MAX 16
+#define FAULTS_MAX 64
 #define WORKER_CPU 128000 /* millicores */
 
 struct opts {
