--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -79,7 +79,8 @@
 static void note_preemption(struct round *rd, const struct run *r)
 {
 	flow_usage_run_preempted(rd->f, r);
-	flow_kept_wait_restart(r->step_state, rd->now_ms);
+	if (r->on_loan)
+		flow_kept_wait_restart(r->step_state, rd->now_ms);
 }
 
 static void stop_if_unwanted(struct round *rd, struct run *r)
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -573,6 +573,8 @@
 			int64_t now_ms);
 /** flow_use_add() - a run of the round will hold capacity of the pool */
 void flow_use_add(struct pool *p, const struct flow_shape *need);
+
+/* reservation.c */
 /** flow_reservation_update() - a gang has booked capacity in this round */
 void flow_reservation_update(struct step_state *ss, int64_t now_ms,
 			     int64_t expected_ms);
