--- a/lib/flow/bestfit.c
+++ b/lib/flow/bestfit.c
@@ -85,9 +85,17 @@
 {
 	if (!flow_is_eligible(s, w))
 		return false;
-	return s->source == CAPACITY_RECALL ?
-		headroom_permits_recall(s, w) :
-		flow_headroom_permits(s, w->ordinary_tasks > 0);
+	switch (s->source) {
+	case CAPACITY_STOPPING:
+	case CAPACITY_VICTIMS:
+		return true; /* only urgent jobs search there */
+	case CAPACITY_RECALL:
+		return headroom_permits_recall(s, w);
+	case CAPACITY_FREE:
+	case CAPACITY_KEPT:
+		break;
+	}
+	return flow_headroom_permits(s, w->ordinary_tasks > 0);
 }
 
 const struct array *flow_search_workers(const struct search *s)
--- a/lib/flow/book.c
+++ b/lib/flow/book.c
@@ -96,57 +96,66 @@
 	return sum;
 }
 
-/* Adds a slot for each task that fits on the worker, now or as runs end. */
+/* Adds slots while tasks fit into @available; returns how many. */
+static int32_t fill_slots(const struct search *s, struct worker *w,
+			  int64_t free_ms, int32_t max_slots,
+			  struct flow_shape *available, struct slot_plan *p)
+{
+	int32_t n;
+
+	for (n = 0; n < max_slots && flow_shape_fits(&s->need, available);
+	     n++) {
+		struct slot *slot;
+
+		flow_shape_add(available, &s->need, -1);
+		slot = flow_array_add(&p->slots, sizeof(*slot));
+		*slot = (struct slot){
+			.worker = w,
+			.free_ms = free_ms,
+			.left = *available,
+		};
+	}
+	return n;
+}
+
+/*
+ * Adds a slot for each task that fits on the worker: now, once runs on loan
+ * have been stopped, or as runs end.
+ */
 static void add_slots(const struct search *s, struct worker *w,
 		      struct slot_plan *p)
 {
 	struct flow_shape available = unbooked_capacity(w);
+	int32_t left = s->step->per_worker_max ? s->step->per_worker_max :
+						 s->step->tasks;
 	const struct run_end *run_ends;
-	int32_t n_found = 0;
-	size_t i = 0;
-	int32_t max_slots = s->step->per_worker_max ? s->step->per_worker_max :
-						      s->step->tasks;
-	bool recalled = !s->recall;
 	int64_t free_ms = 0;
+	size_t i;
 
 	list_run_ends(s, w);
 	run_ends = w->run_ends.items;
-	while (n_found < max_slots) {
-		if (flow_shape_fits(&s->need, &available)) {
-			struct slot *slot;
-
-			flow_shape_add(&available, &s->need, -1);
-			slot = flow_array_add(&p->slots, sizeof(*slot));
-			*slot = (struct slot){
-				.worker = w,
-				.free_ms = free_ms,
-				.left = available,
-			};
-			n_found++;
-		} else if (!recalled) {
-			struct flow_shape freed = recallable_capacity(s, w);
-
-			recalled = true;
-			if (freed.cpu_millicores || freed.memory_mb)
-				free_ms = s->f->opts.stop_ms;
-			flow_shape_add(&available, &freed, 1);
-		} else if (i < w->run_ends.n) {
-			const struct run *r = run_ends[i].run;
-			struct flow_shape freed = flow_task_shape(
-				flow_step_of(r->job, r->step_state));
-
-			if (s->recall && r->state != RUN_STOPPING &&
-			    flow_may_recall(s, r)) {
-				i++;
-				continue;
-			}
-			if (run_ends[i].after_ms > free_ms)
-				free_ms = run_ends[i].after_ms;
-			i++;
-			flow_shape_add(&available, &freed, 1);
-		} else {
-			return;
-		}
+	left -= fill_slots(s, w, 0, left, &available, p);
+	if (s->recall) {
+		struct flow_shape freed = recallable_capacity(s, w);
+
+		if (freed.cpu_millicores || freed.memory_mb)
+			free_ms = s->f->opts.stop_ms;
+		flow_shape_add(&available, &freed, 1);
+		left -= fill_slots(s, w, free_ms, left, &available, p);
+	}
+	for (i = 0; i < w->run_ends.n && left > 0; i++) {
+		const struct run *r = run_ends[i].run;
+		struct flow_shape freed =
+			flow_task_shape(flow_step_of(r->job, r->step_state));
+
+		if (s->recall && r->state != RUN_STOPPING &&
+		    flow_may_recall(s, r))
+			continue;
+		if (run_ends[i].after_ms > free_ms)
+			free_ms = run_ends[i].after_ms;
+		flow_shape_add(&available, &freed, 1);
+		if (flow_shape_fits(&s->need, &available))
+			left -= fill_slots(s, w, free_ms, left, &available, p);
 	}
 }
 
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -279,6 +279,7 @@
 	n = flow_sort_jobs(f, now_ms, &list);
 	flow_update_pools(f, now_ms);
 	flow_update_use(f, now_ms);
+	flow_unused_update(f, now_ms);
 	flow_headroom_update(f, list, n, now_ms);
 	stop_unwanted_runs(&rd);
 	if (f->offline) {
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -256,6 +256,7 @@
 	struct flow_shape capacity, used;
 	struct flow_shape stopping; /* part of used held by stopping runs */
 	struct flow_shape overdue; /* part of that whose stop is overdue */
+	int32_t n_overdue; /* such runs */
 	struct flow_shape expected; /* free soon and not planned; see plan.c */
 	/* This round: capacity promised to tasks, and held by victims. */
 	struct flow_shape reserved, victims;
@@ -372,6 +373,7 @@
 	struct quota *quotas;
 	int64_t round; /* number of the current flow_decide() */
 	int64_t scheduling_round; /* the same without those that are offline */
+	int64_t unused_checked_ms; /* see unused.c */
 	bool recovering;
 };
 
@@ -618,8 +620,8 @@
 void flow_usage_run_preempted(struct flow *f, const struct run *r);
 
 /* unused.c */
-/** flow_unused_update() - note why the capacity of a worker is not used now */
-void flow_unused_update(struct worker *w, int64_t now_ms);
+/** flow_unused_update() - note which capacity is not used now, and why */
+void flow_unused_update(struct flow *f, int64_t now_ms);
 
 /* order.c */
 /**
--- a/lib/flow/unused.c
+++ b/lib/flow/unused.c
@@ -5,6 +5,9 @@
  * of workers that get no starts, and that of runs which may not exist.
  */
 
+/* The report leaves out what lasts less than 0.5 s. */
+#define PERIOD_MS 100
+
 static enum flow_unready unready_reason(const struct worker *w, int64_t now_ms)
 {
 	if (w->suspect && w->gone)
@@ -38,7 +41,7 @@
 	return FLOW_HELD_RUNNING;
 }
 
-void flow_unused_update(struct worker *w, int64_t now_ms)
+static void update_worker(struct worker *w, int64_t now_ms)
 {
 	enum flow_unready why = unready_reason(w, now_ms);
 	struct run *r;
@@ -57,6 +60,17 @@
 	}
 }
 
+void flow_unused_update(struct flow *f, int64_t now_ms)
+{
+	struct worker *w;
+
+	if (f->unused_checked_ms && now_ms - f->unused_checked_ms < PERIOD_MS)
+		return;
+	f->unused_checked_ms = now_ms;
+	for (w = f->workers; w; w = w->hh.next)
+		update_worker(w, now_ms);
+}
+
 static void note_oldest(struct flow_unused_count *c, const char *worker,
 			int64_t for_ms)
 {
--- a/lib/flow/victims.c
+++ b/lib/flow/victims.c
@@ -54,7 +54,8 @@
 	}
 	flow_shape_add(&available, &w->booking.need, -1);
 	flow_shape_add(&available, &w->stopping, 1);
-	flow_shape_add(&available, &w->overdue, -1);
+	if (w->n_overdue)
+		flow_shape_add(&available, &w->overdue, -1);
 	flow_shape_add(&available, &w->victims, 1);
 	flow_prepare_victims(s, w);
 	flow_shape_add(&available, &w->ends_soon, 1);
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -63,8 +63,10 @@
 
 	if (!r->stopping_since_ms)
 		r->stopping_since_ms = now_ms;
-	if (flow_stop_is_overdue(f, r, now_ms))
-		flow_shape_add(&r->worker->overdue, &freed, 1);
+	if (!flow_stop_is_overdue(f, r, now_ms))
+		return;
+	flow_shape_add(&r->worker->overdue, &freed, 1);
+	r->worker->n_overdue++;
 }
 
 void flow_update_pools(struct flow *f, int64_t now_ms)
@@ -84,8 +86,8 @@
 
 		w->urgent_tasks = w->ordinary_tasks = w->ordinary_on_loan = 0;
 		memset(&w->overdue, 0, sizeof(w->overdue));
+		w->n_overdue = 0;
 		w->isolated_for = NULL;
-		flow_unused_update(w, now_ms);
 		for (r = w->runs; r; r = r->next) {
 			if (flow_is_urgent(r->job))
 				w->urgent_tasks++;
