--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -665,6 +665,8 @@
 	echo "$claim accepted" >>"$tmp/callers"
 	n_jobs=$((n_jobs + 1))
 fi
+# Wide gangs of a backlog run one after the other once all workers are back.
+[ -z "$gangs" ] || await_tries=1200
 # A job without an end ends the subshell.
 (
 	[ "$(wc -l <"$tmp/callers")" -eq "$n_jobs" ] || echo "a caller hangs"
