--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -32,8 +32,6 @@
 	for (w = rd->f->workers; w; w = w->hh.next) {
 		memset(&w->reserved, 0, sizeof(w->reserved));
 		memset(&w->victims, 0, sizeof(w->victims));
-		memset(&w->held, 0, sizeof(w->held));
-		w->held_for = NULL;
 		memset(&w->booking, 0, sizeof(w->booking));
 		for (r = w->runs; r; r = r->next)
 			r->victim = false;
@@ -78,6 +76,12 @@
 	flow_run_remove(r);
 }
 
+static void note_preemption(struct round *rd, const struct run *r)
+{
+	flow_usage_run_preempted(rd->f, r);
+	flow_kept_wait_restart(r->step_state, rd->now_ms);
+}
+
 static void stop_if_unwanted(struct round *rd, struct run *r)
 {
 	struct flow_stop_order s = { .worker = r->worker->id };
@@ -86,10 +90,8 @@
 	flow_clear_crashes(r);
 	r->stalled |= flow_is_stalled(r, rd->now_ms);
 	why = stop_reason(r, rd->now_ms);
-	if (r->victim && r->state != RUN_STOPPING) {
-		flow_usage_run_preempted(rd->f, r);
-		flow_kept_wait_restart(r->step_state, rd->now_ms);
-	}
+	if (r->victim && r->state != RUN_STOPPING)
+		note_preemption(rd, r);
 	if (why && r->state == RUN_DECIDED) {
 		drop(r, why, rd->ops, rd->arg);
 		rd->progress_changed = true;
@@ -230,6 +232,24 @@
 			schedule_step(rd, list[i], &list[i]->step_states[k]);
 }
 
+/*
+ * These go first, since the jobs before them would book what the recalled runs
+ * give back, and so the runs would have been stopped in vain.
+ */
+static void schedule_recalling_jobs(struct round *rd, struct job *const *list,
+				    size_t n)
+{
+	size_t i;
+	int32_t k;
+
+	for (i = 0; i < n; i++)
+		for (k = 0; k < list[i]->n_step_states; k++)
+			if (flow_awaits_recall(rd->f, &list[i]->step_states[k],
+					       rd->now_ms))
+				schedule_step(rd, list[i],
+					      &list[i]->step_states[k]);
+}
+
 static void schedule_ordinary_jobs(struct round *rd, struct job *const *list,
 				   size_t n)
 {
@@ -265,10 +285,12 @@
 			flow_start_planned(f, list, n, now_ms, wall_ms);
 		goto out;
 	}
+	f->scheduling_round++;
 	flow_share_update(f, list, n);
 	while (n_urgent < n && flow_is_urgent(list[n_urgent]))
 		n_urgent++;
 	schedule_jobs(&rd, list, n_urgent);
+	schedule_recalling_jobs(&rd, list + n_urgent, n - n_urgent);
 	schedule_ordinary_jobs(&rd, list + n_urgent, n - n_urgent);
 	stop_unwanted_runs(&rd);
 	flow_plan(f, list, n, now_ms, wall_ms);
