--- a/tests/unit/label/test-label.c
+++ b/tests/unit/label/test-label.c
@@ -20,7 +20,7 @@
 
 	f = fleet_new();
 	for (i = 0; i < WORKERS; i++) {
-		char id[16];
+		char id[FLOW_JOB_ID_LEN + 1];
 
 		snprintf(id, sizeof(id), "w%d", i);
 		fleet_add_worker(f, id, "r", ACCELERATORS);
@@ -46,14 +46,14 @@
 	int i, k;
 
 	for (i = 0; i < 2; i++) {
-		char id[16];
+		char id[FLOW_JOB_ID_LEN + 1];
 
 		snprintf(id, sizeof(id), "x%d", i);
 		fleet_add_worker(f, id, "x", ACCELERATORS);
 	}
 	for (k = 0; k < 3; k++) {
 		struct flow_spec *s = fleet_new_spec(2, ACCELERATORS, false);
-		char id[16];
+		char id[FLOW_JOB_ID_LEN + 1];
 
 		snprintf(id, sizeof(id), "fails%d", k);
 		tg_strlcpy(s->steps[0].label, "x", sizeof(s->steps[0].label));
@@ -69,7 +69,7 @@
 	for (k = 0; k < 2; k++) {
 		struct flow_spec *s = fleet_new_spec(1, 1, false);
 		int64_t from_ms = now_ms;
-		char id[16];
+		char id[FLOW_JOB_ID_LEN + 1];
 
 		snprintf(id, sizeof(id), "waits%d", k);
 		tg_strlcpy(s->steps[0].label, "x", sizeof(s->steps[0].label));
--- a/tests/unit/quarantine/test-quarantine.c
+++ b/tests/unit/quarantine/test-quarantine.c
@@ -16,7 +16,7 @@
 static void fail_on(int worker, int64_t now_ms)
 {
 	static int n;
-	char job[16], id[8];
+	char job[FLOW_JOB_ID_LEN + 1], id[8];
 	struct flow_run_ref r = { job, 0, 0, 0, 1 };
 
 	snprintf(job, sizeof(job), "f%d", n++);
@@ -39,7 +39,7 @@
 static void fill_others(void)
 {
 	struct flow_spec *s = fleet_new_spec(WORKERS - N_FAILING, 1, false);
-	char id[8];
+	char id[FLOW_JOB_ID_LEN + 1];
 	int i;
 
 	s->steps[0].endless = true;
@@ -59,7 +59,7 @@
 START_TEST(whole_worker_does_not_wait_for_a_long_quarantine)
 {
 	int64_t end_ms = 4200, now_ms;
-	char id[8];
+	char id[FLOW_JOB_ID_LEN + 1];
 	int i;
 
 	f = fleet_new();
