--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -652,8 +652,7 @@
 		      void (*fn)(const struct flow_unused *u, void *arg),
 		      void *arg);
 
-/** flow_each_reservation() - call @fn for each gang that capacity is booked for
- */
+/** flow_each_reservation() - call @fn for each gang with a reservation */
 void flow_each_reservation(const struct flow *f, int64_t now_ms,
 			   void (*fn)(const struct flow_reservation *r,
 				      void *arg),
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -120,8 +120,7 @@
 	int32_t n_done, n_runs;
 	int64_t waiting_round; /* last round that found no capacity for it */
 	struct kept_wait kept_wait;
-	/* Last scheduling round that waited for recalled runs, and since when.
-	 */
+	/* Last scheduling round that waited for recalls, and since when. */
 	int64_t recall_round, recall_since_ms;
 	struct reservation reservation; /* of a gang */
 	/* In the list of those with a reservation. */
@@ -312,7 +311,7 @@
 	/* Of the workers that take orders, and the part that runs hold. */
 	struct flow_shape total, in_use;
 	int64_t underused_since_ms; /* see kept.c; 0 if it isn't underused */
-	int32_t n_on_loan; /* runs */
+	int32_t n_on_loan; /* runs on loan */
 	/* Workers that urgent jobs need: now, and average at demand_ms. */
 	double demand_now, demand;
 	int64_t demand_ms;
--- a/lib/flow/kept.c
+++ b/lib/flow/kept.c
@@ -9,7 +9,7 @@
  * A pool is underused if less than USE_MIN of it is in use.  While it is, tasks
  * that have waited beside kept capacity start there on loan, until it isn't any
  * more.  A gang that goes before them stops runs on loan if it can start as
- * soon as these have ended, so a loan delays it by a stop at most.
+ * soon as these have ended, so a loan delays it by about a stop.
  */
 
 /*
@@ -25,6 +25,7 @@
 #define LOAN_AFTER_MS 1500
 /* A job without a run gets a loan after this long, however full the pool is. */
 #define STALLED_LOAN_AFTER_MS 20000
+
 void flow_kept_wait_note(const struct search *s, const struct worker *w)
 {
 	struct kept_wait *k = &s->step_state->kept_wait;
