flow: log what a verdict by leases is based on

EV5534 and EV5535 say whose leases the bound is of, the expiry that was sent last and the clock of the process that answers instead; EV5549 says when the former owner was taken for ended.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -93,6 +93,7 @@
 	int64_t clock_ms, clock_at_ms; /* worker's clock; own time of receipt */
 	int64_t lease_until_ms; /* latest expiry sent, by the worker's clock */
 	int64_t leases_end_ms; /* all leases have expired, by the own clock */
+	const char *leases_of; /* what that bound is derived from, for logs */
 	int64_t processed_n, writing_n, durable_n;
 	int64_t next_poll_ms;
 	int32_t failures;
@@ -313,12 +314,13 @@
  * @why: what it proves, for log lines
  * @boot_ms: process that was seen instead; 0 if none
  * @asked_ms: when the call began whose answer proves it; 0 if it is not one
+ * @clock_ms: clock of that process in its answer; 0 if there is none
  * @at_its_address: that process has its address, so that orders in progress may
  *	reach it
  */
 struct link_proof {
 	const char *source, *why;
-	int64_t boot_ms, asked_ms;
+	int64_t boot_ms, asked_ms, clock_ms;
 	bool at_its_address;
 };
 /** link_declare_runs_lost() - all runs of the worker have ended */
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -103,8 +103,10 @@
 			span_ms * 100 / (100 - CLOCK_SLOW_PERCENT);
 
 		l->lease_until_ms = lease_until_ms;
-		if (leases_end_ms > l->leases_end_ms)
+		if (leases_end_ms > l->leases_end_ms) {
 			l->leases_end_ms = leases_end_ms;
+			l->leases_of = "owner";
+		}
 	}
 	return lease_until_ms;
 }
@@ -201,18 +203,19 @@
 
 /* Another process answers, which has run after the known one. */
 static void replace_process(struct link *l, const struct poll_call *k,
-			    int64_t boot_ms)
+			    const struct tg_worker_poll_result *r)
 {
 	const struct link_proof proof = {
 		.source = "poll",
 		.why = "worker has restarted",
-		.boot_ms = boot_ms,
+		.boot_ms = r->boot_ms,
 		.asked_ms = k->asked_ms,
+		.clock_ms = r->clock_ms,
 		.at_its_address = !strcmp(k->addr, l->addr),
 	};
 
 	link_declare_replaced(l, &proof);
-	turn_to_process(l, boot_ms, k->addr);
+	turn_to_process(l, r->boot_ms, k->addr);
 }
 
 static void record_answer(struct link *l, const struct poll_call *k,
@@ -252,7 +255,7 @@
 		return;
 	}
 	if (sign == PROCESS_REPLACED)
-		replace_process(l, k, r->boot_ms);
+		replace_process(l, k, r);
 	record_answer(l, k, r->boot_ms);
 	/* Answers on different connections may arrive out of order. */
 	if (r->clock_ms < l->clock_ms)
@@ -279,6 +282,7 @@
 		l->leases_end_ms = l->clock_at_ms + EXPIRY_MARGIN_MS +
 			b->site.set.lease_max_ms * 100 /
 				(100 - CLOCK_SLOW_PERCENT);
+		l->leases_of = "longest";
 		l->may_have_runs = true;
 	}
 	if (!link_apply_lists(l, r, k->asked_ms))
--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -42,6 +42,12 @@
 		return;
 	b->former.ended_ms = tg_now_ms();
 	b->recover_until_ms = former_leases_end_ms(&b->former);
+	tg_log(EV_FLOW_FORMER_ENDED,
+	       "term=%llu claim_age_ms=%lld settled=%d leases_left_ms=%lld",
+	       (unsigned long long)b->claim_fence,
+	       (long long)(b->former.ended_ms - b->former.claimed_ms),
+	       b->former.settled,
+	       (long long)(b->recover_until_ms - b->former.ended_ms));
 	links_limit_leases(b, b->recover_until_ms);
 }
 
--- a/cmd/tgflowd/verdict.c
+++ b/cmd/tgflowd/verdict.c
@@ -34,7 +34,8 @@
 	       "addr=%s entry_boot=%lld silent_ms=%lld asked_age_ms=%lld "
 	       "entry_age_ms=%lld written_after_age_ms=%lld "
 	       "removed_age_ms=%lld failed_age_ms=%lld failures=%d "
-	       "refusals=%d closed=%d draining=%d leases_left_ms=%lld",
+	       "refusals=%d closed=%d draining=%d leases_left_ms=%lld "
+	       "leases_of=%s sent_until_ms=%lld other_clock_ms=%lld",
 	       l->entry.id, p->why, p->source, (long long)l->boot_ms,
 	       (long long)p->boot_ms, l->addr, (long long)l->entry.boot_ms,
 	       age_ms(l->clock_at_ms), age_ms(p->asked_ms),
@@ -42,7 +43,9 @@
 	       l->in_directory ? -1LL : age_ms(l->removed_ms),
 	       l->failed ? age_ms(l->first_failure_ms) : -1LL, l->failures,
 	       l->refusals, l->failed && l->closed, l->entry.draining,
-	       (long long)(l->leases_end_ms - tg_now_ms()));
+	       (long long)(l->leases_end_ms - tg_now_ms()),
+	       l->leases_of ? l->leases_of : "nobody",
+	       (long long)l->lease_until_ms, (long long)p->clock_ms);
 	flow_each_run_of(l->board->flow, l->entry.id, log_lost_run, l);
 	/* Of two verdicts without an answer in between the first one counts. */
 	if (l->runs_known || !l->lost_boot_ms) {
