--- a/tests/site-lib.sh
+++ b/tests/site-lib.sh
@@ -11,6 +11,7 @@
 row_bytes=${row_bytes:-65536}
 heartbeat_ms=${heartbeat_ms:-500}
 stop_ms=${stop_ms:-200}
+hold_max_ms=${hold_max_ms:-10000}
 zone=${zone:-a}
 config='{"version":7,"routes":[
  {"name":"normal","host":"h","path-prefix":"/n/","priority":1,"service":"svc",
@@ -41,7 +42,8 @@
 
 # start_site FLAG...: the platform
 start_site() {
-	start site sited --heartbeat-ms="$heartbeat_ms" "$@"
+	start site sited --heartbeat-ms="$heartbeat_ms" \
+		--hold-max-ms="$hold_max_ms" "$@"
 	control config "$config"
 }
 
@@ -63,7 +65,7 @@
 		limits.cpu-share=$share
 		limits.cores=1
 		bounds.grace-s=3
-		bounds.hold-max-ms=10000
+		bounds.hold-max-ms=$hold_max_ms
 		bounds.stop-ms=$stop_ms
 		bounds.status_s=$status_s
 		bounds.reclaim-ms=3400
@@ -76,6 +78,15 @@
 	await "document on $n" answers "$n" 410 0000000000000000
 }
 
+# restart_flow N FLAG...: its flow daemon crashes and starts again
+restart_flow() {
+	n=$1
+	shift
+	crash "flow-$n"
+	start "flow-$n" tgflowd --settings="$tmp/i$n.conf" \
+		--metrics-addr="$net.$n:0" "$@"
+}
+
 # front N PATH CURL-FLAG...: status of a call; the body is in $tmp/body
 front() {
 	n=$1 path=$2
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -26,7 +26,7 @@
 	const char *log_level;
 	int64_t stores, workers, accelerators, memory_mb;
 	int64_t rack_workers;
-	int64_t hold_max_ms, stop_ms;
+	int64_t hold_max_ms, stop_ms, clock_ms;
 	int64_t row_bytes;
 	int64_t heartbeat_ms;
 };
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -489,7 +489,7 @@
 	struct look *k;
 
 	board.holds++;
-	if (!strcmp(w->mode, "mute")) {
+	if (!strncmp(w->mode, "mute", 4)) {
 		close_without_reply(board.base, req, NO_REPLY_MS, NULL, w);
 		return;
 	}
@@ -716,7 +716,7 @@
 	int64_t wall_ms = tg_wall_ms();
 
 	w->boot_ms = w->clock_at_ms = w->ticked_ms = tg_now_ms();
-	w->clock_ms = 0;
+	w->clock_ms = w->lives[0].born_wall_ms ? 0 : board.opts.clock_ms;
 	/* Two lives never begin in one millisecond. */
 	if (wall_ms <= last_wall_ms)
 		wall_ms = last_wall_ms + 1;
