--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -30,6 +30,8 @@
 #define FLOW_ROLE "flow"
 /* Added before a lease counts as expired, for rounding and late timers. */
 #define EXPIRY_MARGIN_MS 200
+/* A call that is not carried out late reaches its worker within this time. */
+#define CALL_ARRIVES_MS 1000
 
 struct settings {
 	struct tg_site_flags flags;
@@ -94,6 +96,14 @@
 	int64_t lease_until_ms; /* latest expiry sent, by the worker's clock */
 	int64_t leases_end_ms; /* all leases have expired, by the own clock */
 	const char *leases_of; /* what that bound is derived from, for logs */
+	/*
+	 * Until then, or if it is in the list that a new owner reads, the
+	 * worker may hold a longer lease than owners ask for; see leases.c.
+	 */
+	int64_t long_lease_until_ms; /* or 0, then it is not in the list */
+	struct link *long_lease_prev, *long_lease_next; /* on the board */
+	bool had_long_lease; /* the former owner's row says so */
+	int64_t until_sent_ms; /* when a call with an expiry was last sent */
 	int64_t processed_n, writing_n, durable_n;
 	int64_t next_poll_ms;
 	int32_t failures;
@@ -150,12 +160,12 @@
 	int64_t held_up_ms; /* it went on then; no write since; or 0 */
 	/* The former owner had recorded every run when it lost the site. */
 	bool former_runs_recorded;
-	int64_t recover_until_ms; /* leases of earlier owners expire by then */
 
 	/* set only on the owner */
 	struct flow *flow;
 	struct link *links;
-	struct link *failed, *unacked, *awaits_fence; /* lists of such links */
+	/* Lists of such links. */
+	struct link *failed, *unacked, *awaits_fence, *long_leases;
 	int n_opening; /* links that are being opened */
 	uint64_t n_processes; /* that links have turned to */
 	struct tg_document *document;
@@ -178,6 +188,51 @@
 	return b->site.set.stop_ms * 100 / (100 - CLOCK_SLOW_PERCENT) + 1;
 }
 
+/** ref_of_task() - a run of a task, as the flow engine names it */
+static inline struct flow_run_ref ref_of_task(const struct tg_task_id *t,
+					      int32_t run)
+{
+	return (struct flow_run_ref){
+		.job = t->job,
+		.occurrence = t->occurrence,
+		.step = t->step,
+		.index = t->index,
+		.run = run,
+	};
+}
+
+/** long_lease_ms() - longest time by the own clock that a lease can last */
+static inline int64_t long_lease_ms(const struct board *b)
+{
+	return b->site.set.lease_max_ms * 100 / (100 - CLOCK_SLOW_PERCENT) +
+		EXPIRY_MARGIN_MS;
+}
+
+/* leases.c */
+/** link_expiry() - expiry of leases renewed now, by the worker's clock */
+int64_t link_expiry(struct link *l);
+/** link_expect_former_leases() - a new link; former owners' leases may run */
+void link_expect_former_leases(struct link *l);
+/**
+ * link_expect_long_lease() - the process that has just answered may hold a
+ * lease of the longest duration
+ */
+void link_expect_long_lease(struct link *l);
+/** link_expect_no_long_lease() - remove the link from the board's list */
+void link_expect_no_long_lease(struct link *l);
+/**
+ * link_grants_as_counted() - whether leases that an answer with @clock_ms
+ * grants end when this owner counts with
+ */
+bool link_grants_as_counted(const struct link *l, int64_t clock_ms);
+/** links_limit_leases() - former owners act no more */
+void links_limit_leases(struct board *b);
+/** links_record_long_leases() - list workers that may hold long leases in @r */
+void links_record_long_leases(struct board *b, struct tg_owner_row *r);
+/** link_check_expiry() - end the runs of an unreachable worker without a lease
+ */
+void link_check_expiry(struct link *l, int64_t now_ms);
+
 /* lists.c */
 /**
  * link_apply_lists() - apply a worker's list of runs and ends
@@ -317,13 +372,14 @@
  * @clock_ms: clock of that process in its answer; 0 if there is none
  * @at_its_address: that process has its address, so that orders in progress may
  *	reach it
+ * @only_confirmed: it says nothing of runs that may hold another lease
  */
 struct link_proof {
 	const char *source, *why;
 	int64_t boot_ms, asked_ms, clock_ms;
-	bool at_its_address;
+	bool at_its_address, only_confirmed;
 };
-/** link_declare_runs_lost() - all runs of the worker have ended */
+/** link_declare_runs_lost() - runs of the worker have ended */
 void link_declare_runs_lost(struct link *l, const struct link_proof *p);
 /** link_declare_replaced() - the same, as another process took its place */
 void link_declare_replaced(struct link *l, const struct link_proof *p);
@@ -350,10 +406,6 @@
 void link_poll_at(struct link *l, int64_t at_ms);
 /** link_poll_after_stop() - poll once a stop confirmed now is over */
 void link_poll_after_stop(struct link *l);
-/** link_expiry() - expiry of leases renewed now, by the worker's clock */
-int64_t link_expiry(struct link *l);
-/** links_limit_leases() - former owners' leases have expired at @end_ms */
-void links_limit_leases(struct board *b, int64_t end_ms);
 /** links_record_silent() - list unreachable workers with runs in @r */
 void links_record_silent(const struct board *b, struct tg_owner_row *r);
 
--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -94,8 +94,7 @@
 	}
 	/* A former owner may have started runs on this worker. */
 	l->may_have_runs = b->role == ROLE_RECOVERING;
-	l->leases_end_ms = b->recover_until_ms;
-	l->leases_of = "former owner";
+	link_expect_former_leases(l);
 	HASH_ADD(hh, b->links, entry.id, strlen(l->entry.id), l);
 	return l;
 }
--- a/cmd/tgflowd/formerowner.c
+++ b/cmd/tgflowd/formerowner.c
@@ -32,9 +32,9 @@
 	return end_ms;
 }
 
-int64_t former_leases_end_ms(const struct former_owner *f)
+int64_t former_leases_end_ms(const struct former_owner *f, bool is_long)
 {
-	return renewals_end_ms(f) + f->lease_ms;
+	return renewals_end_ms(f) + (is_long ? f->long_lease_ms : f->lease_ms);
 }
 
 bool former_owners_settled(const struct former_owner *f, int64_t now_ms)
--- a/cmd/tgflowd/formerowner.h
+++ b/cmd/tgflowd/formerowner.h
@@ -34,17 +34,22 @@
  * @claimed_ms: when this daemon claimed the ownership
  * @ended_ms: the last one was proved to have ended, or to act no more; or 0
  * @settled: owners before the last one could renew no leases any more
- * @lease_ms: longest duration of a lease by this daemon's clock
+ * @lease_ms: longest duration of a lease that an owner asks for, by this
+ *	daemon's clock
+ * @long_lease_ms: the same of any lease, after the call that grants it
  * @renew_max_ms: an owner renews leases this long after its last write
  */
 struct former_owner {
 	int64_t claimed_ms, ended_ms;
 	bool settled;
-	int64_t lease_ms, renew_max_ms;
+	int64_t lease_ms, long_lease_ms, renew_max_ms;
 };
 
-/** former_leases_end_ms() - when all leases of former owners have expired */
-int64_t former_leases_end_ms(const struct former_owner *f);
+/**
+ * former_leases_end_ms() - when all leases of former owners have expired
+ * @is_long: on a worker that may hold a longer one than they asked for
+ */
+int64_t former_leases_end_ms(const struct former_owner *f, bool is_long);
 
 /**
  * former_owners_settled() - whether no former owner can renew a lease any more
--- /dev/null
+++ b/cmd/tgflowd/leases.c
@@ -0,0 +1,171 @@
+#include <utlist.h>
+
+#include "board.h"
+#include "workerclock.h"
+
+/*
+ * When the leases on a worker have expired, so that its runs have ended.
+ *
+ * An expiry is a time on the clock of the worker's process, and the owner knows
+ * the one that has answered.  If that has been replaced, the next process may
+ * carry out a call that was meant for it: its clock begins anew, and the lease
+ * lasts as long as any can.  So a worker may hold a long lease
+ *
+ * - if it has answered for the first time in a term, or after a restart, until
+ *   that long after its last list under an earlier token;
+ * - if it has a run whose start order is not confirmed, as the process that
+ *   carried it out is not known; until that long after the last call.
+ *
+ * The owner's row lists these workers, since a new owner knows neither.
+ */
+
+/* The wait that a new link has for leases of former owners. */
+static void limit_former_leases(struct link *l)
+{
+	l->leases_end_ms =
+		former_leases_end_ms(&l->board->former, l->had_long_lease);
+	l->leases_of =
+		l->had_long_lease ? "former owner, long" : "former owner";
+}
+
+static void set_long_lease(struct link *l, int64_t until_ms)
+{
+	struct board *b = l->board;
+
+	if (!l->long_lease_until_ms)
+		DL_APPEND2(b->long_leases, l, long_lease_prev, long_lease_next);
+	l->long_lease_until_ms = until_ms;
+}
+
+void link_expect_no_long_lease(struct link *l)
+{
+	if (!l->long_lease_until_ms)
+		return;
+	l->long_lease_until_ms = 0;
+	DL_DELETE2(l->board->long_leases, l, long_lease_prev, long_lease_next);
+}
+
+void link_expect_former_leases(struct link *l)
+{
+	struct board *b = l->board;
+
+	if (b->role != ROLE_RECOVERING)
+		return;
+	l->had_long_lease = tg_owner_row_has_long_lease(&b->owner, l->entry.id);
+	limit_former_leases(l);
+	if (l->had_long_lease)
+		set_long_lease(l, l->leases_end_ms);
+}
+
+void links_limit_leases(struct board *b)
+{
+	struct link *l;
+
+	/* A worker that has answered has leases of this owner. */
+	for (l = b->links; l; l = l->hh.next) {
+		if (l->clock_at_ms || !l->may_have_runs)
+			continue;
+		limit_former_leases(l);
+		if (l->had_long_lease)
+			set_long_lease(l, l->leases_end_ms);
+	}
+}
+
+void link_expect_long_lease(struct link *l)
+{
+	l->leases_end_ms = l->clock_at_ms + long_lease_ms(l->board);
+	l->leases_of = "longest";
+	set_long_lease(l, l->leases_end_ms);
+}
+
+int64_t link_expiry(struct link *l)
+{
+	struct board *b = l->board;
+	int64_t now_ms = tg_now_ms();
+	int64_t lease_ms = b->set.lease_ms;
+	int64_t lease_until_ms;
+
+	if (lease_ms > b->site.set.lease_max_ms)
+		lease_ms = b->site.set.lease_max_ms;
+	l->until_sent_ms = now_ms;
+	lease_until_ms = l->clock_ms + (now_ms - l->clock_at_ms) + lease_ms;
+	if (lease_until_ms > l->lease_until_ms) {
+		int64_t span_ms = lease_until_ms - l->clock_ms;
+		int64_t leases_end_ms = l->clock_at_ms + EXPIRY_MARGIN_MS +
+			span_ms * 100 / (100 - CLOCK_SLOW_PERCENT);
+
+		l->lease_until_ms = lease_until_ms;
+		if (leases_end_ms > l->leases_end_ms) {
+			l->leases_end_ms = leases_end_ms;
+			l->leases_of = "owner";
+		}
+	}
+	return lease_until_ms;
+}
+
+bool link_grants_as_counted(const struct link *l, int64_t clock_ms)
+{
+	const struct worker_clock known = { l->clock_ms, l->clock_at_ms };
+	const struct worker_clock told = { clock_ms, tg_now_ms() };
+
+	return worker_clock_goes_on(&known, &told, CLOCK_SLOW_PERCENT,
+				    EXPIRY_MARGIN_MS);
+}
+
+static void add_unconfirmed(const char *worker, void *arg)
+{
+	struct board *b = ((void **)arg)[0];
+	struct tg_owner_row *r = ((void **)arg)[1];
+
+	tg_owner_row_add_long_lease(r, worker, b->site.set.row_bytes);
+}
+
+void links_record_long_leases(struct board *b, struct tg_owner_row *r)
+{
+	void *arg[] = { b, r };
+	int64_t now_ms = tg_now_ms();
+	struct link *l, *tmp;
+
+	r->long_leases[0] = '\0';
+	DL_FOREACH_SAFE2(b->long_leases, l, tmp, long_lease_next)
+	{
+		if (now_ms >= l->long_lease_until_ms)
+			link_expect_no_long_lease(l);
+		else
+			tg_owner_row_add_long_lease(r, l->entry.id,
+						    b->site.set.row_bytes);
+	}
+	flow_each_unconfirmed(b->flow, add_unconfirmed, arg);
+}
+
+/* When the leases of runs have expired whose start is not confirmed. */
+static int64_t unconfirmed_end_ms(const struct link *l)
+{
+	const struct board *b = l->board;
+
+	if (!l->until_sent_ms && !l->clock_at_ms)
+		return former_leases_end_ms(&b->former, true);
+	return l->until_sent_ms + CALL_ARRIVES_MS + long_lease_ms(b);
+}
+
+void link_check_expiry(struct link *l, int64_t now_ms)
+{
+	struct link_proof proof = {
+		.source = "lease",
+		.why = "leases expired",
+	};
+	int64_t end_ms;
+
+	if (!l->may_have_runs || now_ms < l->leases_end_ms)
+		return;
+	end_ms = unconfirmed_end_ms(l);
+	proof.only_confirmed = now_ms < end_ms &&
+		flow_worker_has_unconfirmed(l->board->flow, l->entry.id);
+	link_declare_runs_lost(l, &proof);
+	if (proof.only_confirmed) {
+		l->leases_end_ms = end_ms;
+		l->leases_of = "start without a known process";
+	} else {
+		link_adopt_address(l);
+	}
+}
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -83,34 +83,11 @@
 	link_set_failed(l, false);
 	link_expect_no_ack(l);
 	link_await_no_fence(l);
+	link_expect_no_long_lease(l);
 	HASH_DEL(l->board->links, l);
 	free(l);
 }
 
-int64_t link_expiry(struct link *l)
-{
-	struct board *b = l->board;
-	int64_t now_ms = tg_now_ms();
-	int64_t lease_ms = b->set.lease_ms;
-	int64_t lease_until_ms;
-
-	if (lease_ms > b->site.set.lease_max_ms)
-		lease_ms = b->site.set.lease_max_ms;
-	lease_until_ms = l->clock_ms + (now_ms - l->clock_at_ms) + lease_ms;
-	if (lease_until_ms > l->lease_until_ms) {
-		int64_t span_ms = lease_until_ms - l->clock_ms;
-		int64_t leases_end_ms = l->clock_at_ms + EXPIRY_MARGIN_MS +
-			span_ms * 100 / (100 - CLOCK_SLOW_PERCENT);
-
-		l->lease_until_ms = lease_until_ms;
-		if (leases_end_ms > l->leases_end_ms) {
-			l->leases_end_ms = leases_end_ms;
-			l->leases_of = "owner";
-		}
-	}
-	return lease_until_ms;
-}
-
 static bool may_renew(struct link *l)
 {
 	return l->runs_known && !l->failed && owner_may_renew(l->board);
@@ -167,6 +144,7 @@
 	l->n_answers = l->answered_ms = l->asked_ms = 0;
 	l->clock_ms = l->clock_at_ms = 0;
 	l->lease_until_ms = l->leases_end_ms = 0;
+	l->leases_of = NULL;
 	l->processed_n = l->writing_n = l->durable_n = 0;
 	link_expect_no_ack(l);
 	memset(l->in_progress, 0, sizeof(l->in_progress));
@@ -275,14 +253,7 @@
 	flow_worker_set_suspect(b->flow, l->entry.id, !link_is_described(l));
 	if (!l->runs_known) {
 		link_check_verdict(l, r);
-		/*
-		 * A former owner, or a late call to an earlier process, may
-		 * have granted leases of maximum length.
-		 */
-		l->leases_end_ms = l->clock_at_ms + EXPIRY_MARGIN_MS +
-			b->site.set.lease_max_ms * 100 /
-				(100 - CLOCK_SLOW_PERCENT);
-		l->leases_of = "longest";
+		link_expect_long_lease(l);
 		l->may_have_runs = true;
 	}
 	if (!link_apply_lists(l, r, k->asked_ms))
@@ -499,16 +470,6 @@
 	probe(l, tg_now_ms());
 }
 
-void links_limit_leases(struct board *b, int64_t end_ms)
-{
-	struct link *l;
-
-	/* A worker that has answered has leases of this owner. */
-	for (l = b->links; l; l = l->hh.next)
-		if (!l->clock_at_ms && l->leases_end_ms > end_ms)
-			l->leases_end_ms = end_ms;
-}
-
 void links_record_silent(const struct board *b, struct tg_owner_row *r)
 {
 	static int last_left_out;
@@ -533,23 +494,6 @@
 	last_left_out = left_out;
 }
 
-/*
- * Ends the runs of an unreachable worker once all leases that any owner can
- * have granted have expired.
- */
-static void check_expiry(struct link *l, int64_t now_ms)
-{
-	static const struct link_proof proof = {
-		.source = "lease",
-		.why = "leases expired",
-	};
-
-	if (!l->may_have_runs || now_ms < l->leases_end_ms)
-		return;
-	link_declare_runs_lost(l, &proof);
-	link_adopt_address(l);
-}
-
 static void remove_if_gone(struct link *l, int64_t now_ms)
 {
 	struct board *b = l->board;
@@ -574,7 +518,7 @@
 		probe(l, now_ms);
 	}
 	DL_FOREACH2(b->failed, l, failed_next)
-	check_expiry(l, now_ms);
+	link_check_expiry(l, now_ms);
 	DL_FOREACH_SAFE2(b->failed, l, tmp, failed_next)
 	remove_if_gone(l, now_ms);
 }
--- a/cmd/tgflowd/lists.c
+++ b/cmd/tgflowd/lists.c
@@ -8,17 +8,6 @@
 #define UNKNOWN_RUN_MAX_MS 2000
 #define STOP_TIMEOUT_MS 700
 
-static struct flow_run_ref ref_of(const struct tg_task_id *t, int32_t run)
-{
-	return (struct flow_run_ref){
-		.job = t->job,
-		.occurrence = t->occurrence,
-		.step = t->step,
-		.index = t->index,
-		.run = run,
-	};
-}
-
 /*
  * Processes ends in order up to the first one whose job is not known yet.
  *
@@ -42,7 +31,7 @@
 
 	for (i = 0; i < r->n_ends; i++) {
 		const struct tg_run_end *e = &r->ends[i];
-		struct flow_run_ref ref = ref_of(&e->task, e->run);
+		struct flow_run_ref ref = ref_of_task(&e->task, e->run);
 
 		if (e->n <= l->processed_n)
 			continue;
@@ -137,7 +126,7 @@
 
 	for (i = 0; i < r->n_runs; i++) {
 		struct flow_run_ref ref =
-			ref_of(&r->runs[i].task, r->runs[i].run);
+			ref_of_task(&r->runs[i].task, r->runs[i].run);
 
 		enum flow_listed listed = flow_report_run(
 			b->flow, &ref, l->entry.id, r->runs[i].percent,
--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -201,13 +201,7 @@
 
 static struct flow_run_ref ref_of(const struct order *o)
 {
-	return (struct flow_run_ref){
-		.job = o->task.job,
-		.occurrence = o->task.occurrence,
-		.step = o->task.step,
-		.index = o->task.index,
-		.run = o->run,
-	};
+	return ref_of_task(&o->task, o->run);
 }
 
 /** struct stopped - a run whose stop was confirmed */
@@ -264,6 +258,33 @@
 	return l && l->process != o->process ? TG_ORDER_UNKNOWN : end;
 }
 
+/*
+ * The expiry in a start is by the clock of the known process.  If another one
+ * carries it out, its clock shows, and so does a list.
+ */
+static void check_lease(const struct order *o, struct link *l, int64_t clock_ms)
+{
+	struct flow_run_ref ref = ref_of(o);
+
+	if (l->process != o->process)
+		return;
+	if (link_grants_as_counted(l, clock_ms)) {
+		flow_start_confirmed(l->board->flow, &ref, o->worker);
+		/* A new owner waits longer for the worker while it is listed.
+		 */
+		writer_wake(l->board);
+		return;
+	}
+	tg_log(EV_FLOW_OTHER_CLOCK,
+	       "job=%s task=%d.%d.%d run=%d worker=%s boot=%lld clock_ms=%lld "
+	       "known_clock_ms=%lld known_age_ms=%lld",
+	       o->task.job, o->task.occurrence, o->task.step, o->task.index,
+	       o->run, o->worker, (long long)l->boot_ms, (long long)clock_ms,
+	       (long long)l->clock_ms,
+	       (long long)(tg_now_ms() - l->clock_at_ms));
+	link_poll_at(l, tg_now_ms() + 1);
+}
+
 static void on_order(enum tg_order_end end, int64_t clock_ms, void *arg)
 {
 	struct order *o = arg;
@@ -271,7 +292,6 @@
 	struct flow_run_ref ref = ref_of(o);
 	struct link *l;
 
-	(void)clock_ms;
 	if (o->term != b->term)
 		goto out;
 	release_lane(o);
@@ -291,6 +311,8 @@
 		enqueue(o);
 		return;
 	}
+	if (l && o->start && end == TG_ORDER_DONE)
+		check_lease(o, l, clock_ms);
 	if (o->start)
 		flow_start_answered(b->flow, &ref, o->worker,
 				    order_outcome(end, true, o->tries),
@@ -352,6 +374,9 @@
 	ref.id = l->entry.id;
 	ref.addr = l->addr;
 	if (o->start) {
+		struct flow_run_ref r = ref_of(o);
+
+		flow_start_sent(b->flow, &r, o->worker);
 		msg.until_ms = link_expiry(l);
 		b->site.ops->start(b->site.port, &ref, &msg, on_order, o);
 	} else {
--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -25,14 +25,14 @@
 	f->claimed_ms = tg_now_ms();
 	f->lease_ms = b->set.lease_ms * 100 / (100 - CLOCK_SLOW_PERCENT) +
 		EXPIRY_MARGIN_MS;
+	f->long_lease_ms = long_lease_ms(b) + CALL_ARRIVES_MS;
 	f->renew_max_ms = RENEW_AFTER_WRITE_MAX_MS;
-	b->recover_until_ms = former_leases_end_ms(f);
 	tg_log(EV_FLOW_CLAIMED,
 	       "fence=%llu why=%s version=%lld recorded=%d settled=%d "
-	       "former_ended=%d",
+	       "former_ended=%d long_leases=%s",
 	       (unsigned long long)b->claim_fence, why,
 	       (long long)b->owner_version, b->former_runs_recorded, f->settled,
-	       f->ended_ms != 0);
+	       f->ended_ms != 0, b->owner.long_leases);
 	jobs_open(b);
 }
 
@@ -41,14 +41,17 @@
 	if (!IS_OWNER(b) || b->former.ended_ms)
 		return;
 	b->former.ended_ms = tg_now_ms();
-	b->recover_until_ms = former_leases_end_ms(&b->former);
 	tg_log(EV_FLOW_FORMER_ENDED,
-	       "term=%llu claim_age_ms=%lld settled=%d leases_left_ms=%lld",
+	       "term=%llu claim_age_ms=%lld settled=%d leases_left_ms=%lld "
+	       "long_leases_left_ms=%lld",
 	       (unsigned long long)b->claim_fence,
 	       (long long)(b->former.ended_ms - b->former.claimed_ms),
 	       b->former.settled,
-	       (long long)(b->recover_until_ms - b->former.ended_ms));
-	links_limit_leases(b, b->recover_until_ms);
+	       (long long)(former_leases_end_ms(&b->former, false) -
+			   b->former.ended_ms),
+	       (long long)(former_leases_end_ms(&b->former, true) -
+			   b->former.ended_ms));
+	links_limit_leases(b);
 }
 
 void owner_lost(struct board *b, const char *why)
@@ -74,7 +77,8 @@
 
 	if (b->role != ROLE_RECOVERING || !b->directory_read)
 		return;
-	if (!b->former_runs_recorded && now_ms < b->recover_until_ms)
+	if (!b->former_runs_recorded &&
+	    now_ms < former_leases_end_ms(&b->former, true))
 		return;
 	b->role = ROLE_OWNER;
 	tg_log(EV_FLOW_RECOVERED, "fence=%llu workers=%u",
--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -120,7 +120,7 @@
 	if (!*watch.former_addr || watch.pinging ||
 	    now_ms - watch.ping_ms < PING_MS)
 		return;
-	if (now_ms >= b->recover_until_ms)
+	if (now_ms >= former_leases_end_ms(&b->former, true))
 		watch.former_addr[0] = '\0';
 	else
 		send_ping(b, watch.former_addr, on_notified);
@@ -213,7 +213,7 @@
 	tg_strlcpy(claim.boot, b->boot, sizeof(claim.boot));
 	claim.fence = claim.term = b->owner.fence + 1;
 	claim.runs_recorded = b->former_runs_recorded;
-	tg_owner_row_copy_silent(&claim, &b->owner);
+	tg_owner_row_copy_lists(&claim, &b->owner);
 	tg_strlcpy(watch.former_addr, watch.replaced_ms ? "" : b->owner.addr,
 		   sizeof(watch.former_addr));
 	tg_strlcpy(claim_reason, why, sizeof(claim_reason));
--- a/cmd/tgflowd/verdict.c
+++ b/cmd/tgflowd/verdict.c
@@ -46,7 +46,8 @@
 	       (long long)(l->leases_end_ms - tg_now_ms()),
 	       l->leases_of ? l->leases_of : "nobody",
 	       (long long)l->lease_until_ms, (long long)p->clock_ms);
-	flow_each_run_of(l->board->flow, l->entry.id, log_lost_run, l);
+	flow_each_run_of(l->board->flow, l->entry.id, p->only_confirmed,
+			 log_lost_run, l);
 	/* Of two verdicts without an answer in between the first one counts. */
 	if (l->runs_known || !l->lost_boot_ms) {
 		l->lost_boot_ms = l->boot_ms;
@@ -59,19 +60,34 @@
 
 void link_declare_runs_lost(struct link *l, const struct link_proof *p)
 {
+	struct flow *f = l->board->flow;
+
 	log_lost_worker(l, EV_FLOW_WORKER_LOST, p);
-	flow_worker_lost(l->board->flow, l->entry.id, tg_now_ms());
+	if (p->only_confirmed) {
+		flow_worker_lost_confirmed(f, l->entry.id, tg_now_ms());
+		l->may_have_runs = true;
+	} else {
+		flow_worker_lost(f, l->entry.id, tg_now_ms());
+	}
 }
 
 /* Between a verdict and the worker's next list it gets no starts. */
 void link_check_verdict(struct link *l, const struct tg_worker_poll_result *r)
 {
-	if (r->n_runs && r->boot_ms == l->lost_boot_ms) {
+	size_t i, n = 0;
+
+	for (i = 0; i < r->n_runs; i++) {
+		struct flow_run_ref ref =
+			ref_of_task(&r->runs[i].task, r->runs[i].run);
+
+		n += !flow_has_run(l->board->flow, &ref, l->entry.id);
+	}
+	if (n && r->boot_ms == l->lost_boot_ms) {
 		tg_log(EV_FLOW_RUNS_OUTLIVED,
 		       "worker=%s boot=%lld source=%s verdict_age_ms=%lld "
 		       "runs=%zu",
 		       l->entry.id, (long long)l->lost_boot_ms, l->lost_source,
-		       age_ms(l->lost_ms), r->n_runs);
+		       age_ms(l->lost_ms), n);
 		outlived->value++;
 	}
 	l->lost_boot_ms = 0;
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -169,6 +169,8 @@
 	/* A record that is not read yet would be lost. */
 	while (b->progress_read && has_room(b) && add_record(b))
 		;
+	if (b->role == ROLE_OWNER)
+		links_record_long_leases(b, &w.row);
 	w.complete = !b->progress_read || !flow_has_dirty(b->flow);
 	w.row.settled = former_owners_settled(&b->former, tg_now_ms());
 	w.row.runs_recorded |= b->role == ROLE_OWNER && w.complete;
@@ -258,7 +260,7 @@
 	b->owner.seq = w.row.seq;
 	b->owner.fence = w.row.fence;
 	b->owner.runs_recorded = w.row.runs_recorded;
-	tg_owner_row_copy_silent(&b->owner, &w.row);
+	tg_owner_row_copy_lists(&b->owner, &w.row);
 	b->owner_version = version;
 	w.failures = 0;
 	w.busy = false;
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -247,11 +247,30 @@
  * gets no starts until flow_worker_set_runs_known() is called again.
  */
 void flow_worker_lost(struct flow *f, const char *id, int64_t now_ms);
+/**
+ * flow_worker_lost_confirmed() - like flow_worker_lost(), but keep runs that
+ * may hold other leases than those the caller counts, see
+ * flow_start_confirmed()
+ */
+void flow_worker_lost_confirmed(struct flow *f, const char *id, int64_t now_ms);
+/** flow_worker_has_unconfirmed() - whether there are such runs */
+bool flow_worker_has_unconfirmed(const struct flow *f, const char *id);
+/**
+ * flow_each_unconfirmed() - call @fn with the worker of each such run
+ *
+ * Those that are decided on are among them, but not those that were only
+ * planned, which their record shows.  A worker may come several times.
+ */
+void flow_each_unconfirmed(const struct flow *f,
+			   void (*fn)(const char *worker, void *arg),
+			   void *arg);
 /**
  * flow_each_run_of() - call @fn for each run that a worker may have
+ * @only_confirmed: leave out those that flow_worker_lost_confirmed() keeps
  * @fn: @started_ms is the time of the start order, 0 if it is not known
  */
 void flow_each_run_of(const struct flow *f, const char *worker,
+		      bool only_confirmed,
 		      void (*fn)(const struct flow_run_ref *r,
 				 int64_t started_ms, void *arg),
 		      void *arg);
@@ -344,6 +363,22 @@
 void flow_start_answered(struct flow *f, const struct flow_run_ref *r,
 			 const char *worker, enum flow_order_result end,
 			 int64_t now_ms);
+/**
+ * flow_start_sent() - a start order is being sent
+ *
+ * A run of which none was sent ends with the known process of its worker.
+ */
+void flow_start_sent(struct flow *f, const struct flow_run_ref *r,
+		     const char *worker);
+/**
+ * flow_start_confirmed() - the start order granted the lease that it asked for
+ *
+ * Until then another process of the worker may have carried it out, on a clock
+ * of its own, which can grant a longer lease.  A list that names the run
+ * confirms it as well.
+ */
+void flow_start_confirmed(struct flow *f, const struct flow_run_ref *r,
+			  const char *worker);
 /**
  * flow_start_unanswered() - a copy of a start order got no answer
  *
@@ -362,6 +397,9 @@
 void flow_stop_answered(struct flow *f, const struct flow_run_ref *r,
 			const char *worker, enum flow_order_result end,
 			int64_t now_ms);
+/** flow_has_run() - whether a worker may have a run */
+bool flow_has_run(const struct flow *f, const struct flow_run_ref *r,
+		  const char *worker);
 /** flow_is_stopping() - whether a worker still has a run that is to be stopped
  */
 bool flow_is_stopping(const struct flow *f, const struct flow_run_ref *r,
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -31,6 +31,10 @@
 	bool start_unanswered;
 	/* The process that got the start order has ended; a later one may. */
 	bool process_ended;
+	bool start_sent; /* a copy of the start order */
+	/* Its lease is as the caller counts; see flow_start_confirmed(). */
+	bool is_confirmed;
+	struct run *unconfirmed_prev, *unconfirmed_next; /* while it is not */
 	int64_t next_stop_ms; /* earliest time of the next stop order */
 	bool victim; /* to be preempted for another job */
 	bool on_loan; /* in capacity kept for others; see kept.c */
@@ -358,6 +362,7 @@
 	struct record *dirty, *unneeded, *writing; /* lists */
 	struct step_state *reservations; /* list */
 	struct run *decided; /* list of runs that are RUN_DECIDED, in order */
+	struct run *unconfirmed; /* list */
 	int64_t decisions; /* number of the last decision to start a run */
 	int64_t planned_ms; /* when plans were last made */
 	bool offline; /* see flow_set_offline() */
@@ -505,6 +510,8 @@
 			    struct worker *w, int32_t run, int64_t now_ms);
 /** flow_run_was_ordered() - false if the run may never have been ordered */
 bool flow_run_was_ordered(const struct run *r);
+/** flow_run_set_confirmed() - whether its lease is as the caller counts */
+void flow_run_set_confirmed(struct run *r, bool confirmed);
 struct flow_run_ref flow_ref_of(const struct run *r);
 /** flow_run_mark_stopping() - let the next flow_decide() order a stop */
 void flow_run_mark_stopping(struct run *r);
--- a/lib/flow/progress.c
+++ b/lib/flow/progress.c
@@ -232,6 +232,7 @@
 	r = flow_run_add(j, ss, index, flow_get_or_add_worker(f, worker), run,
 			 0);
 	r->state = planned ? RUN_POSSIBLE : RUN_ACTIVE;
+	flow_run_set_confirmed(r, !planned);
 	/* Rows written by older versions don't tell. */
 	r->on_loan = json_is_true(json_array_get(o, 4));
 	if (planned)
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -38,9 +38,25 @@
 	if (w->runs)
 		w->runs->prev = r;
 	w->runs = r;
+	DL_APPEND2(j->flow->unconfirmed, r, unconfirmed_prev, unconfirmed_next);
 	return r;
 }
 
+void flow_run_set_confirmed(struct run *r, bool confirmed)
+{
+	struct flow *f = r->job->flow;
+
+	if (r->is_confirmed == confirmed)
+		return;
+	r->is_confirmed = confirmed;
+	if (confirmed)
+		DL_DELETE2(f->unconfirmed, r, unconfirmed_prev,
+			   unconfirmed_next);
+	else
+		DL_APPEND2(f->unconfirmed, r, unconfirmed_prev,
+			   unconfirmed_next);
+}
+
 size_t flow_count_runs(const struct worker *w)
 {
 	const struct run *r;
@@ -93,6 +109,7 @@
 	struct task *t = &r->step_state->tasks[r->index];
 
 	unlist_decided(r);
+	flow_run_set_confirmed(r, true);
 	flow_mark_dirty(r->job, r->step_state, r->index);
 	flow_shape_add(&r->worker->used, &available, -1);
 	if (r->state == RUN_STOPPING)
@@ -326,6 +343,7 @@
 {
 	flow_run_mark_stopping(r);
 	r->process_ended = r->start_unanswered = r->stop_pending = true;
+	flow_run_set_confirmed(r, false);
 	/* The next process has neither seen a stop order nor listed it. */
 	r->stop_confirmed = false;
 	r->next_stop_ms = 0;
@@ -341,6 +359,24 @@
 		r->start_unanswered = true;
 }
 
+void flow_start_sent(struct flow *f, const struct flow_run_ref *ref,
+		     const char *worker)
+{
+	struct run *r = find_run(f, ref, flow_find_worker(f, worker));
+
+	if (r)
+		r->start_sent = true;
+}
+
+void flow_start_confirmed(struct flow *f, const struct flow_run_ref *ref,
+			  const char *worker)
+{
+	struct run *r = find_run(f, ref, flow_find_worker(f, worker));
+
+	if (r && !r->process_ended)
+		flow_run_set_confirmed(r, true);
+}
+
 void flow_start_answered(struct flow *f, const struct flow_run_ref *ref,
 			 const char *worker, enum flow_order_result end,
 			 int64_t now_ms)
@@ -384,6 +420,12 @@
 	}
 }
 
+bool flow_has_run(const struct flow *f, const struct flow_run_ref *ref,
+		  const char *worker)
+{
+	return find_run(f, ref, flow_find_worker(f, worker)) != NULL;
+}
+
 bool flow_is_stopping(const struct flow *f, const struct flow_run_ref *ref,
 		      const char *worker)
 {
@@ -421,6 +463,7 @@
 			flow_run_mark_stopping(r);
 	}
 	unlist_decided(r);
+	flow_run_set_confirmed(r, true);
 	if (r->state != RUN_STOPPING)
 		r->state = RUN_ACTIVE;
 	j->begun = true;
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -1,6 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <utlist.h>
+
 #include "flow/flow_internal.h"
 
 /* Failures in a row, of different jobs, after which a worker is quarantined. */
@@ -258,6 +260,7 @@
 }
 
 void flow_each_run_of(const struct flow *f, const char *worker,
+		      bool only_confirmed,
 		      void (*fn)(const struct flow_run_ref *r,
 				 int64_t started_ms, void *arg),
 		      void *arg)
@@ -268,11 +271,39 @@
 	for (r = w ? w->runs : NULL; r; r = r->next) {
 		struct flow_run_ref ref = flow_ref_of(r);
 
-		if (r->state != RUN_DECIDED)
+		if (r->state != RUN_DECIDED &&
+		    (r->is_confirmed || !only_confirmed))
 			fn(&ref, r->added_ms, arg);
 	}
 }
 
+void flow_each_unconfirmed(const struct flow *f,
+			   void (*fn)(const char *worker, void *arg), void *arg)
+{
+	const struct run *r;
+
+	DL_FOREACH2(f->unconfirmed, r, unconfirmed_next)
+	if (r->state != RUN_POSSIBLE)
+		fn(r->worker->id, arg);
+}
+
+/* A run of which no start order has been sent runs nowhere. */
+static bool may_hold_other_lease(const struct run *r)
+{
+	return !r->is_confirmed && (r->start_sent || r->state == RUN_POSSIBLE);
+}
+
+bool flow_worker_has_unconfirmed(const struct flow *f, const char *id)
+{
+	const struct worker *w = flow_find_worker(f, id);
+	const struct run *r;
+
+	for (r = w ? w->runs : NULL; r; r = r->next)
+		if (may_hold_other_lease(r))
+			return true;
+	return false;
+}
+
 void flow_worker_update(struct flow *f, const struct flow_worker_spec *s)
 {
 	struct worker *w = flow_get_or_add_worker(f, s->id);
@@ -351,6 +382,21 @@
 	forget_process(w);
 }
 
+void flow_worker_lost_confirmed(struct flow *f, const char *id, int64_t now_ms)
+{
+	struct worker *w = flow_find_worker(f, id);
+	struct run *r, *next;
+
+	if (!w)
+		return;
+	for (r = w->runs; r; r = next) {
+		next = r->next;
+		if (!may_hold_other_lease(r))
+			end_run(f, r, now_ms);
+	}
+	forget_process(w);
+}
+
 void flow_worker_replaced(struct flow *f, struct worker *w,
 			  const struct flow_crash *crash, int64_t now_ms)
 {
--- a/lib/site/rows.c
+++ b/lib/site/rows.c
@@ -5,6 +5,8 @@
 
 /* Largest size of the owner's row without its lists. */
 #define OWNER_OTHER_BYTES 512
+/* In place of the list of long leases: any worker may hold one. */
+#define ANY_WORKER "*"
 /* Differences of two such times stay in the range of the type. */
 #define WALL_MAX_MS (1LL << 53)
 
@@ -88,37 +90,78 @@
 	return equal;
 }
 
-static bool add_to_list(char *list, const char *item, int64_t max_bytes)
+/** struct worker_list - list of workers in the owner's row, ",ITEM,ITEM," */
+struct worker_list {
+	char *text;
+	size_t size;
+	int64_t bytes_max;
+};
+
+static bool add_to_list(const struct worker_list *l, const char *item)
 {
-	size_t n = strlen(list);
+	size_t n = strlen(l->text);
 
-	if (n + strlen(item) + 3 > TG_SILENT_LIST_SIZE ||
-	    (int64_t)(n + strlen(item) + 2) > max_bytes)
+	if (n + strlen(item) + 3 > l->size ||
+	    (int64_t)(n + strlen(item) + 2) > l->bytes_max)
 		return false;
-	snprintf(list + n, TG_SILENT_LIST_SIZE - n, n ? "%s," : ",%s,", item);
+	snprintf(l->text + n, l->size - n, n ? "%s," : ",%s,", item);
 	return true;
 }
 
+/* The list of long leases gets a quarter of what the row has for lists. */
+static int64_t long_leases_bytes(int64_t row_bytes)
+{
+	int64_t bytes = (row_bytes - OWNER_OTHER_BYTES) / 4;
+
+	return bytes < TG_LONG_LEASES_SIZE ? bytes : TG_LONG_LEASES_SIZE;
+}
+
 bool tg_owner_row_add_silent(struct tg_owner_row *r, const char *worker,
 			     const struct tg_silent_worker *s,
 			     int64_t row_bytes)
 {
 	char item[TG_NAME_MAX + TG_ADDR_MAX + 32];
-	int64_t list_bytes = (row_bytes - OWNER_OTHER_BYTES) / 2;
-	bool listed = add_to_list(r->silent, worker, list_bytes);
+	int64_t list_bytes =
+		(row_bytes - OWNER_OTHER_BYTES - long_leases_bytes(row_bytes)) /
+		2;
+	struct worker_list ids = { r->silent, sizeof(r->silent), list_bytes };
+	struct worker_list at = { r->silent_at, sizeof(r->silent_at),
+				  list_bytes };
+	bool listed = add_to_list(&ids, worker);
 
 	snprintf(item, sizeof(item), "%s %s %lld", worker, s->addr,
 		 (long long)s->boot_ms);
 	if (*s->addr && s->boot_ms)
-		listed &= add_to_list(r->silent_at, item, list_bytes);
+		listed &= add_to_list(&at, item);
 	return listed;
 }
 
-void tg_owner_row_copy_silent(struct tg_owner_row *to,
-			      const struct tg_owner_row *from)
+bool tg_owner_row_has_long_lease(const struct tg_owner_row *r,
+				 const char *worker)
+{
+	char item[TG_NAME_MAX + 3];
+
+	snprintf(item, sizeof(item), ",%s,", worker);
+	return !strcmp(r->long_leases, ANY_WORKER) ||
+		strstr(r->long_leases, item);
+}
+
+void tg_owner_row_add_long_lease(struct tg_owner_row *r, const char *worker,
+				 int64_t row_bytes)
+{
+	struct worker_list l = { r->long_leases, sizeof(r->long_leases),
+				 long_leases_bytes(row_bytes) };
+
+	if (!tg_owner_row_has_long_lease(r, worker) && !add_to_list(&l, worker))
+		tg_strlcpy(r->long_leases, ANY_WORKER, sizeof(r->long_leases));
+}
+
+void tg_owner_row_copy_lists(struct tg_owner_row *to,
+			     const struct tg_owner_row *from)
 {
 	tg_strlcpy(to->silent, from->silent, sizeof(to->silent));
 	tg_strlcpy(to->silent_at, from->silent_at, sizeof(to->silent_at));
+	tg_strlcpy(to->long_leases, from->long_leases, sizeof(to->long_leases));
 }
 
 bool tg_owner_row_find_silent(const struct tg_owner_row *r, const char *worker,
@@ -144,13 +187,14 @@
 
 char *tg_owner_row_encode(const struct tg_owner_row *r)
 {
-	json_t *o = json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:s,s:s,s:b,s:b,s:b}",
-			      "holder", r->holder, "addr", r->addr, "boot",
-			      r->boot, "fence", (json_int_t)r->fence, "term",
-			      (json_int_t)r->term, "seq", (json_int_t)r->seq,
-			      "silent", r->silent, "silent_at", r->silent_at,
-			      "released", r->released, "runs_recorded",
-			      r->runs_recorded, "settled", r->settled);
+	json_t *o = json_pack(
+		"{s:s,s:s,s:s,s:I,s:I,s:I,s:s,s:s,s:s,s:b,s:b,s:b}", "holder",
+		r->holder, "addr", r->addr, "boot", r->boot, "fence",
+		(json_int_t)r->fence, "term", (json_int_t)r->term, "seq",
+		(json_int_t)r->seq, "silent", r->silent, "silent_at",
+		r->silent_at, "long_leases", r->long_leases, "released",
+		r->released, "runs_recorded", r->runs_recorded, "settled",
+		r->settled);
 	char *text = json_dumps(o, JSON_COMPACT);
 
 	json_decref(o);
@@ -161,22 +205,27 @@
 {
 	json_t *o = json_loadb(row->value, row->value_bytes, 0, NULL);
 	const char *holder, *addr, *boot, *silent, *silent_at = "";
+	const char *long_leases = ANY_WORKER;
 	json_int_t fence, term = 0, seq;
 	int released, runs_recorded = 0, settled = 0, err = -1;
 
 	memset(r, 0, sizeof(*r));
 	/* Rows written by older versions lack the optional fields. */
-	if (json_unpack(o, "{s:s,s:s,s:s,s:I,s?:I,s:I,s:s,s?:s,s:b,s?:b,s?:b}",
-			"holder", &holder, "addr", &addr, "boot", &boot,
-			"fence", &fence, "term", &term, "seq", &seq, "silent",
-			&silent, "silent_at", &silent_at, "released", &released,
-			"runs_recorded", &runs_recorded, "settled", &settled))
+	if (json_unpack(
+		    o, "{s:s,s:s,s:s,s:I,s?:I,s:I,s:s,s?:s,s?:s,s:b,s?:b,s?:b}",
+		    "holder", &holder, "addr", &addr, "boot", &boot, "fence",
+		    &fence, "term", &term, "seq", &seq, "silent", &silent,
+		    "silent_at", &silent_at, "long_leases", &long_leases,
+		    "released", &released, "runs_recorded", &runs_recorded,
+		    "settled", &settled))
 		goto out;
 	r->fence = (uint64_t)fence;
 	r->term = (uint64_t)(term ? term : fence);
 	r->seq = seq;
 	tg_strlcpy(r->silent, silent, sizeof(r->silent));
 	tg_strlcpy(r->silent_at, silent_at, sizeof(r->silent_at));
+	if (!tg_strlcpy(r->long_leases, long_leases, sizeof(r->long_leases)))
+		tg_strlcpy(r->long_leases, ANY_WORKER, sizeof(r->long_leases));
 	r->released = released;
 	r->runs_recorded = runs_recorded;
 	r->settled = settled;
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -135,6 +135,9 @@
  */
 #define TG_SILENT_LIST_SIZE 8192
 
+/** Size of the list of workers that may hold long leases in bytes. */
+#define TG_LONG_LEASES_SIZE 1024
+
 /** struct tg_silent_worker - the process of a worker that stopped answering */
 struct tg_silent_worker {
 	char addr[TG_ADDR_MAX + 1];
@@ -156,6 +159,9 @@
  * @silent_at: their addresses and boots, as ",ID ADDR BOOT,".  If the worker
  *	leaves the directory, a new owner finds out there whether it has
  *crashed.
+ * @long_leases: workers that may hold a lease of the longest duration, instead
+ *	of one that the owner asked for, as ",ID,ID,"; "*" if that may be any
+ *	worker.  Rows of older versions don't tell, and are read as "*".
  * @released: the owner has given up ownership
  * @runs_recorded: every run that may exist is in the stored progress.  Rows of
  *	owners that started runs before they recorded them don't say so.
@@ -167,6 +173,7 @@
 	uint64_t fence, term;
 	int64_t seq;
 	char silent[TG_SILENT_LIST_SIZE], silent_at[TG_SILENT_LIST_SIZE];
+	char long_leases[TG_LONG_LEASES_SIZE];
 	bool released, runs_recorded, settled;
 };
 
@@ -179,9 +186,19 @@
 bool tg_owner_row_add_silent(struct tg_owner_row *r, const char *worker,
 			     const struct tg_silent_worker *s,
 			     int64_t row_bytes);
-/** tg_owner_row_copy_silent() - replace the lists of @to by those of @from */
-void tg_owner_row_copy_silent(struct tg_owner_row *to,
-			      const struct tg_owner_row *from);
+/**
+ * tg_owner_row_add_long_lease() - add a worker to @long_leases, if it is not in
+ * it
+ * @row_bytes: largest size of the encoded row
+ */
+void tg_owner_row_add_long_lease(struct tg_owner_row *r, const char *worker,
+				 int64_t row_bytes);
+/** tg_owner_row_has_long_lease() - whether the worker may hold a long lease */
+bool tg_owner_row_has_long_lease(const struct tg_owner_row *r,
+				 const char *worker);
+/** tg_owner_row_copy_lists() - replace the lists of @to by those of @from */
+void tg_owner_row_copy_lists(struct tg_owner_row *to,
+			     const struct tg_owner_row *from);
 /** tg_owner_row_find_silent() - false if the worker is not in @silent_at */
 bool tg_owner_row_find_silent(const struct tg_owner_row *r, const char *worker,
 			      struct tg_silent_worker *out);
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -67,6 +67,13 @@
 fence ANY_LIST
 fence ANY_REFUSAL
 fence SENT_COUNTS
+restart -
+restart NO_LIST
+restart RESTARTS_ONLY
+restart UNCONFIRMED_ONLY
+restart NOT_CARRIED
+restart ANY_ANSWER
+restart ONE_BOUND
 takeover -
 takeover START_FIRST
 takeover NO_FENCE
--- a/tests/script/site-start-restart-cut.sh
+++ b/tests/script/site-start-restart-cut.sh
@@ -15,8 +15,8 @@
 	control "worker?id=w1&mode=silent"
 	submit 1 "$2" "ms=9000" "$(steps 1)" && echo
 	await "its start order" ordered "$2"
-	control "worker?id=w1&mode=restart"
 	control "worker?id=w1&mode=$1"
+	control "worker?id=w1&mode=reborn"
 	await "its run" runs_now 1
 	sleep 0.1
 	control "worker?id=w1&mode=silent"
--- a/tests/script/site-takeover-start-restart.sh
+++ b/tests/script/site-takeover-start-restart.sh
@@ -17,9 +17,9 @@
 submit "$second" 00000000000000a1 "ms=9000" "$(steps 1)" && echo
 ordered() { grep -q EV5520 "$tmp/flow-$first.out"; }
 await "its start order" ordered
-control "worker?id=w1&mode=restart"
-# It carries out the second copy, and the owner hears nothing of it.
+# The next process carries out another copy, and the owner hears nothing of it.
 control "worker?id=w1&mode=mute"
+control "worker?id=w1&mode=reborn"
 await "its run" runs_now 1
 
 control "worker?id=w1&mode=silent"
--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # A soak of the queue and flow daemons: run.sh --seed N [--steps N]
 #	[--keep DIRECTORY] [--claim JOB] [--outages] [--large] [--workers]
-#	[--heartbeat-ms N] [--instances N] [--gangs]
+#	[--heartbeat-ms N] [--instances N] [--gangs] [--recuts]
 # Three instances (or N) run on a stand-in of the platform, with three proxies
 # before the store.  Steps drawn from the seed submit and cancel jobs and inject
 # faults from outside: signals, disturbed connections, faults of store and
@@ -20,6 +20,9 @@
 # site of the users: a backlog of gangs, some of them wider than the fleet, with
 # single tasks and urgent gangs.  Tasks take longer than declared, workers leave in
 # series, some for good, and one series of faults of the owner overlaps with that.
+# --recuts plays N seconds as well: workers fall silent, restart, some with their
+# connections open, and are cut off again while their new processes may hold the
+# longest leases; the owner has a fault near most of these cuts.
 # --claim says that JOB was accepted, which shows that a lost job
 # is found.
 . "$(dirname "$0")/../site-lib.sh"
@@ -57,6 +60,12 @@
 		shift
 		continue
 		;;
+	--recuts)
+		gangs=recuts
+		heartbeat_ms=1500
+		shift
+		continue
+		;;
 	*)
 		echo "run.sh: unknown flag $1" >&2
 		exit 2
@@ -67,6 +76,7 @@
 workers=6
 if [ -n "$gangs" ]; then
 	workers=24
+	[ "$gangs" != recuts ] || workers=12
 	config=$(echo "$config" | jq -c '.tenants[0].guaranteed.gpu = 30 |
 		.routes += [.routes[0] | .name = "low" | .priority = 2 |
 			.["path-prefix"] = "/l/" | .["target-runtime-ms"] = 3000] |
@@ -127,6 +137,53 @@
 	}'
 }
 
+# What happens with --recuts, one a line as with --gangs, and AT_MS worker MODE
+# WORKER...
+draw_recuts() {
+	awk -v seed="$seed" -v end_ms=$((steps * 1000)) -v workers="$workers" \
+		-v instances="$instances" '
+	function rnd(n) { return int(rand() * n) }
+	function pick(words, n, word) {
+		n = split(words, word, " ")
+		return word[1 + rnd(n)]
+	}
+	function some(first, count, i, list) {
+		for (i = 0; i < count; i++)
+			list = list " " (first + i) % workers + 1
+		return list
+	}
+	BEGIN {
+		srand(seed + 3000000)
+		for (at = rnd(800); at < end_ms; at += 200 + rnd(900)) {
+			est = 1000 + rnd(8000)
+			print at, "single", 1 + rnd(instances), pick("n n u l"),
+				1 + rnd(4), 5000, 20000, pick("1 2 4 8"), est,
+				est, pick("gang x=0 x=0 x=0")
+		}
+		# Earlier, the first owner waits for the longest leases anyway.
+		at = 11000
+		for (k = 1; at < end_ms; k++) {
+			list = some(rnd(workers), 1 + rnd(workers / 2))
+			dark = 100 + rnd(1400)
+			born = pick("reborn reborn restart")
+			cut = at + dark + rnd(pick("200 800 2500"))
+			print at, "worker", pick("silent silent deaf holds-later"), list
+			print at + dark, "worker", born, list
+			print at + dark + rnd(30), "worker",
+				pick("ok ok ok mute-holds mute"), list
+			print cut, "worker", pick("silent silent deaf refuse"), list
+			print cut + 3000 + rnd(8000), "worker", "ok", list
+			what = pick("none kill kill kill term freeze cut")
+			owner = cut - 1200 + rnd(1800)
+			if (what != "none") {
+				print owner, what, k
+				print owner + 100 + rnd(2500), "heal", k
+			}
+			at = cut + 3000 + rnd(6000)
+		}
+	}' | sort -n
+}
+
 # What happens with --gangs, one a line: AT_MS gang|single|urgent INSTANCE QUEUE
 # TASKS CPU MEMORY_MB ACCELERATORS RUN_MS DECLARED_MS FIELDS; AT_MS leave|back
 # WORKER; AT_MS kill|term|freeze|cut K, which happens to the owner, and then
@@ -469,7 +526,7 @@
 gang_job() { # WHAT INSTANCE QUEUE TASKS CPU MEMORY ACCELERATORS RUN_MS EST_MS FIELDS
 	n_jobs=$((n_jobs + 1))
 	job=$(printf '%016x' $((seed * 1000 + n_jobs)))
-	fields=$(echo "${10:-}" | sed 's/[a-z][a-z-]*/,"&":true/g; s/,,/,/g')
+	fields=$(echo "${10:-}" | sed 's/x=0//; s/[a-z][a-z-]*/,"&":true/g; s/,,/,/g')
 	[ "$1" != never ] || echo "$job" >>"$tmp/never"
 	caller "$job" "$2" "$3" "{\"spec\":\"ms=$8 acc=$7\",\"steps\":[{
 		\"count\":$4,\"cpu\":$5,\"mem-mb\":$6,\"gpu\":$7,
@@ -516,6 +573,7 @@
 		case $what in
 		leave) leave_for_good $line </dev/null & ;;
 		back) control "worker?id=w$line&mode=back" ;;
+		worker) of_each $line ;;
 		heal) heal_owner "$line" ;;
 		kill | term | freeze | cut) owner_fault "$what" "$line" ;;
 		*) gang_job "$what" $line ;;
@@ -566,10 +624,10 @@
 	cat "$tmp"/flow-*.out "$tmp"/flow-*.log 2>/dev/null
 }
 
-# Series may end three processes under a task, after which its job fails
+# Restarts may end three processes under a task, after which its job fails
 # (EV5538).
 is_blamed() { # JOB
-	[ -n "$series" ] && flow_logs |
+	{ [ -n "$series" ] || [ "$gangs" = recuts ]; } && flow_logs |
 		grep -q "EV5538.*job=$1 .*crashes=3" &&
 		echo "$1" >>"$tmp/blamed"
 }
@@ -604,7 +662,7 @@
 : >"$tmp/cancelled"
 : >"$tmp/never"
 start_site --stores=3 --workers=$workers --row-bytes=$row_bytes \
-	--stop-ms="$stop_ms" ${gangs:+--memory-mb=524288 --rack-workers=8}
+	--stop-ms="$stop_ms" ${gangs:+--memory-mb=524288 --rack-workers=8 --clock-ms=60000}
 for n in 1 2 3; do
 	start "proxy-$n" proxyd --target="$(echo "$site_rpc" | cut -d, -f$n)"
 done
@@ -633,7 +691,7 @@
 	done
 fi
 if [ -n "$gangs" ]; then
-	draw_gangs >"$tmp/series"
+	if [ "$gangs" = recuts ]; then draw_recuts; else draw_gangs; fi >"$tmp/series"
 	play_gangs <"$tmp/series"
 	: >"$tmp/steps"
 elif [ -n "$series" ]; then
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -162,7 +162,8 @@
  * exited or drains restarts, deliver, size=N; expire: its entry is gone until
  * listed; lost: its heartbeats are; old=N: its entry is that of its process N
  * lives before until its next heartbeat; linger=N: it removes its entry and
- * exits in N ms; clock=N: its clock is N percent fast; step=N: the time of day
+ * exits in N ms; reborn: it restarts, and its connections stay open; clock=N:
+ * its clock is N percent fast; step=N: the time of day
  * is N ms ahead from its next life on; late=N: late calls are carried out after
  * N ms; pace=N: its runs go on at N percent of their speed; reset: its
  * connections are
@@ -206,6 +207,8 @@
 			worker_write_old_entry(w, atoi(mode + 4));
 		} else if (!strcmp(mode, "restart")) {
 			worker_restart(w);
+		} else if (!strcmp(mode, "reborn")) {
+			worker_reborn(w);
 		} else if (!strcmp(mode, "back")) {
 			if (w->gone || w->draining)
 				worker_restart(w);
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -171,6 +171,8 @@
 /** worker_leave() - exit after draining, with the entry removed */
 void worker_leave(struct worker *w);
 void worker_restart(struct worker *w);
+/** worker_reborn() - the same, and its connections stay open */
+void worker_reborn(struct worker *w);
 /** worker_swap() - restart two workers, each at the other's address */
 void worker_swap(struct worker *w, struct worker *o);
 /** worker_move() - restart at another address */
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -913,6 +913,16 @@
 	restart(w);
 }
 
+/* Callers see no connection end, and reach the next process by them. */
+void worker_reborn(struct worker *w)
+{
+	if (w->gone || !w->server)
+		return;
+	hold_looks(w);
+	drop_all(w);
+	restart(w);
+}
+
 void worker_swap(struct worker *w, struct worker *o)
 {
 	char addr[TG_ADDR_MAX + 1];
--- a/tests/unit/directory/test-directory.c
+++ b/tests/unit/directory/test-directory.c
@@ -73,6 +73,11 @@
 	(void)board;
 }
 
+void link_expect_former_leases(struct link *l)
+{
+	(void)l;
+}
+
 void owner_check_recovered(struct board *board)
 {
 	(void)board;
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -73,6 +73,8 @@
 TCase *record_tcase(void);
 /** takeover_tcase() - tests of test-takeover.c */
 TCase *takeover_tcase(void);
+/** unconfirmed_tcase() - tests of test-unconfirmed.c */
+TCase *unconfirmed_tcase(void);
 /** unused_tcase() - tests of test-unused.c */
 TCase *unused_tcase(void);
 /** capacity_tcase() - tests of test-capacity.c */
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -1064,6 +1064,7 @@
 	suite_add_tcase(s, takeover_tcase());
 	suite_add_tcase(s, gang_wait_tcase());
 	suite_add_tcase(s, never_fits_tcase());
+	suite_add_tcase(s, unconfirmed_tcase());
 	suite_add_tcase(s, unused_tcase());
 	suite_add_tcase(s, index_tcase());
 	suite_add_tcase(s, fleet_size_tcase());
--- a/tests/unit/flow/test-record.c
+++ b/tests/unit/flow/test-record.c
@@ -57,7 +57,7 @@
 {
 	int n = 0;
 
-	flow_each_run_of(f, worker, count_run, &n);
+	flow_each_run_of(f, worker, false, count_run, &n);
 	return n;
 }
 
--- a/tests/unit/flowd/test-flowd.c
+++ b/tests/unit/flowd/test-flowd.c
@@ -2,6 +2,7 @@
 #include "../../../cmd/tgflowd/fencetoken.h"
 #include "../../../cmd/tgflowd/formerowner.h"
 #include "../../../cmd/tgflowd/orderoutcome.h"
+#include "../../../cmd/tgflowd/workerclock.h"
 #include "../../../cmd/tgflowd/workerexit.h"
 #include "../../../cmd/tgflowd/workerprocess.h"
 #include "../../../cmd/tgflowd/ownerwrites.h"
@@ -261,16 +262,64 @@
 		.renew_max_ms = 10000,
 	};
 
-	ck_assert_int_eq(former_leases_end_ms(&f), 66000);
+	ck_assert_int_eq(former_leases_end_ms(&f, false), 66000);
 	f.ended_ms = 51000;
-	ck_assert_int_eq(former_leases_end_ms(&f), 66000);
+	ck_assert_int_eq(former_leases_end_ms(&f, false), 66000);
 	f.settled = true;
-	ck_assert_int_eq(former_leases_end_ms(&f), 57000);
+	ck_assert_int_eq(former_leases_end_ms(&f, false), 57000);
 	f.ended_ms = 0;
-	ck_assert_int_eq(former_leases_end_ms(&f), 66000);
+	ck_assert_int_eq(former_leases_end_ms(&f, false), 66000);
 	/* An answer that comes late tells no more than the claim. */
 	f.ended_ms = 65000;
-	ck_assert_int_eq(former_leases_end_ms(&f), 66000);
+	ck_assert_int_eq(former_leases_end_ms(&f, false), 66000);
+}
+END_TEST
+
+/* Guards against a new owner that takes a long lease for expired. */
+START_TEST(long_leases_of_former_owners_are_waited_for)
+{
+	struct former_owner f = {
+		.claimed_ms = 50000,
+		.lease_ms = 6000,
+		.long_lease_ms = 11000,
+		.renew_max_ms = 10000,
+	};
+
+	ck_assert_int_eq(former_leases_end_ms(&f, true), 71000);
+	f.ended_ms = 51000;
+	f.settled = true;
+	ck_assert_int_eq(former_leases_end_ms(&f, true), 62000);
+	ck_assert_int_eq(former_leases_end_ms(&f, false), 57000);
+}
+END_TEST
+
+/* Guards against leases that a process grants by a clock of its own. */
+START_TEST(clock_of_another_process_does_not_go_on)
+{
+	const struct worker_clock known = { 60000, 5000 }, none = { 0, 5000 };
+	static const struct {
+		int64_t clock_ms, at_ms;
+		bool goes_on;
+	} cases[] = {
+		{ 61000, 6000, true },
+		/* 2% slow, and an answer that was on its way for 200 ms. */
+		{ 60780, 6000, true },
+		{ 60779, 6000, false },
+		{ 40, 6000, false },
+		/* A clock ahead of it grants less. */
+		{ 90000, 6000, true },
+		{ 0, 6000, false },
+	};
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(cases); i++) {
+		const struct worker_clock told = { cases[i].clock_ms,
+						   cases[i].at_ms };
+
+		ck_assert_int_eq(worker_clock_goes_on(&known, &told, 2, 200),
+				 cases[i].goes_on);
+		ck_assert(!worker_clock_goes_on(&none, &told, 2, 200));
+	}
 }
 END_TEST
 
@@ -368,6 +417,8 @@
 	tcase_add_test(t, owner_is_kept_while_store_is_slow);
 	tcase_add_test(t, refused_connection_does_not_prove_an_end);
 	tcase_add_test(t, leases_of_all_former_owners_are_waited_for);
+	tcase_add_test(t, long_leases_of_former_owners_are_waited_for);
+	tcase_add_test(t, clock_of_another_process_does_not_go_on);
 	tcase_add_test(t, former_owners_are_settled_before_their_leases_end);
 	tcase_add_test(t, answer_of_an_earlier_term_proves_nothing);
 	tcase_add_test(t,
--- a/tests/unit/orders/test-orders.c
+++ b/tests/unit/orders/test-orders.c
@@ -34,7 +34,7 @@
 static struct link links[WORKERS];
 static struct sent sent[WORKERS * ACCELERATORS * 3];
 static int n_sent, n_answered, n_writes_wanted;
-static bool may_renew;
+static bool may_renew, other_clock;
 
 /* --- what orders.c and fence.c call --- */
 
@@ -71,6 +71,13 @@
 	return 1;
 }
 
+bool link_grants_as_counted(const struct link *l, int64_t clock_ms)
+{
+	(void)l;
+	(void)clock_ms;
+	return !other_clock;
+}
+
 bool owner_may_renew(struct board *board)
 {
 	(void)board;
@@ -139,6 +146,7 @@
 	n_sent = n_answered = n_writes_wanted = 0;
 	b.claim_fence = b.owner.fence = b.owner.term = FENCE;
 	may_renew = true;
+	other_clock = false;
 	b.base = tg_loop_new();
 	b.site.ops = &port_ops;
 	b.flow = fleet_new();
@@ -301,6 +309,41 @@
 }
 END_TEST
 
+/*
+ * Guards against a run whose lease counts as the owner's although the next
+ * process of its worker has started it.
+ */
+START_TEST(start_answered_by_another_clock_is_not_confirmed)
+{
+	const char *id;
+	int i;
+
+	fill_fleet();
+	run_loop();
+	ck_assert_int_gt(n_sent, 2);
+	id = sent[0].worker;
+	answer(0);
+	run_loop();
+	flow_worker_lost_confirmed(b.flow, id, 200);
+	ck_assert_int_eq(links[atoi(id + 1)].extra_poll_ms, 0);
+	other_clock = true;
+	while (n_answered < n_sent && !strcmp(sent[n_answered].worker, id))
+		answer(n_answered);
+	id = sent[n_answered].worker;
+	answer(n_answered);
+	ck_assert(flow_worker_has_unconfirmed(b.flow, id));
+	ck_assert_int_gt(links[atoi(id + 1)].extra_poll_ms, 0);
+	/* Neither is one that a process has answered which was replaced. */
+	other_clock = false;
+	for (i = 0; i < WORKERS; i++)
+		links[i].process++;
+	while (n_answered < n_sent)
+		answer(n_answered);
+	flow_worker_lost_confirmed(b.flow, id, 200);
+	ck_assert(flow_worker_has_unconfirmed(b.flow, id));
+}
+END_TEST
+
 START_TEST(a_term_that_ends_drops_its_orders)
 {
 	int i;
@@ -402,6 +445,7 @@
 	tcase_add_test(t, stops_go_first_and_unsent_starts_are_dropped);
 	tcase_add_test(t, nothing_is_sent_without_permission);
 	tcase_add_test(t, list_is_requested_after_a_start_without_answer);
+	tcase_add_test(t, start_answered_by_another_clock_is_not_confirmed);
 	tcase_add_test(t, a_term_that_ends_drops_its_orders);
 	tcase_add_test(t, order_carries_the_token_at_its_sending);
 	tcase_add_test(t, overtaken_order_is_repeated_in_the_same_term);
--- a/tests/unit/site/test-site.c
+++ b/tests/unit/site/test-site.c
@@ -331,7 +331,7 @@
 				  .term = UINT32_MAX,
 				  .seq = INT64_MAX };
 	struct tg_silent_worker s = { .boot_ms = INT64_MAX };
-	char worker[TG_NAME_MAX + 1], *text;
+	char worker[TG_NAME_MAX + 1], long_leases[TG_LONG_LEASES_SIZE], *text;
 	int n = 0;
 
 	memset(r.holder, 'h', TG_NAME_MAX);
@@ -343,6 +343,12 @@
 	while (tg_owner_row_add_silent(&r, worker, &s, limits[_i]));
 	while (n++ < 400)
 		tg_owner_row_add_silent(&r, worker, &s, limits[_i]);
+	while (strcmp(r.long_leases, "*") != 0) {
+		tg_strlcpy(long_leases, r.long_leases, sizeof(long_leases));
+		snprintf(worker, sizeof(worker), "%060d", n++);
+		tg_owner_row_add_long_lease(&r, worker, limits[_i]);
+	}
+	tg_strlcpy(r.long_leases, long_leases, sizeof(r.long_leases));
 	text = tg_owner_row_encode(&r);
 	ck_assert_uint_le(strlen(text), (size_t)limits[_i]);
 	free(text);
@@ -383,6 +389,40 @@
 }
 END_TEST
 
+/* Guards against a new owner that takes a long lease for expired. */
+START_TEST(long_leases_are_listed_or_any_worker_may_hold_one)
+{
+	char older[] = "{\"holder\":\"i1\",\"addr\":\"127.0.0.1:1\","
+		       "\"boot\":\"b\",\"fence\":7,\"seq\":3,"
+		       "\"silent\":\"\",\"released\":false}";
+	struct tg_owner_row r = { .fence = 9 }, got;
+	char *text, worker[16];
+	int i;
+
+	got = decode_owner_row(older);
+	ck_assert(tg_owner_row_has_long_lease(&got, "w1"));
+	for (i = 0; i < 2; i++) {
+		tg_owner_row_add_long_lease(&r, "w1", 65536);
+		tg_owner_row_add_long_lease(&r, "w22", 65536);
+	}
+	text = tg_owner_row_encode(&r);
+	got = decode_owner_row(text);
+	free(text);
+	ck_assert_str_eq(got.long_leases, ",w1,w22,");
+	ck_assert(tg_owner_row_has_long_lease(&got, "w22"));
+	ck_assert(!tg_owner_row_has_long_lease(&got, "w2"));
+	for (i = 0; i < 400; i++) {
+		snprintf(worker, sizeof(worker), "w%d", 1000 + i);
+		tg_owner_row_add_long_lease(&r, worker, 65536);
+	}
+	text = tg_owner_row_encode(&r);
+	got = decode_owner_row(text);
+	free(text);
+	ck_assert(tg_owner_row_has_long_lease(&got, "w1399"));
+	ck_assert(tg_owner_row_has_long_lease(&got, "w2"));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("site");
@@ -398,6 +438,7 @@
 	tcase_add_loop_test(t, owner_row_fits_with_many_silent_workers, 0, 4);
 	tcase_add_test(t, raised_token_leaves_the_term);
 	tcase_add_test(t, token_of_an_older_version_is_that_of_its_claim);
+	tcase_add_test(t, long_leases_are_listed_or_any_worker_may_hold_one);
 	suite_add_tcase(s, t);
 	return run_suite(s);
 }
--- a/tests/unit/writer/test-writer.c
+++ b/tests/unit/writer/test-writer.c
@@ -27,6 +27,12 @@
 	(void)r;
 }
 
+void links_record_long_leases(struct board *board, struct tg_owner_row *r)
+{
+	r->long_leases[0] = '\0';
+	tg_owner_row_add_long_lease(r, "w1", board->site.set.row_bytes);
+}
+
 void links_write_started(struct board *board)
 {
 	(void)board;
@@ -167,6 +173,25 @@
 	return v.durable;
 }
 
+/*
+ * Guards against a long lease that the next owner doesn't learn of, if this one
+ * is replaced before it knows the workers itself.
+ */
+START_TEST(long_leases_of_former_owners_stay_listed_during_recovery)
+{
+	tg_strlcpy(b.owner.long_leases, ",w7,", sizeof(b.owner.long_leases));
+	b.role = ROLE_RECOVERING;
+	b.progress_read = false;
+	writer_wake(&b);
+	event_base_dispatch(b.base);
+	ck_assert_str_eq(calls[0].row.long_leases, ",w7,");
+	answer(&calls[0], TG_STORE_OK, NULL);
+	b.role = ROLE_OWNER;
+	b.progress_read = true;
+	ck_assert_str_eq(write_run()->row.long_leases, ",w1,");
+}
+END_TEST
+
 /* Guards against starts that are ordered before the write that records them. */
 START_TEST(answer_to_a_write_of_an_earlier_term_is_ignored)
 {
@@ -239,6 +264,8 @@
 	TCase *t = tcase_create("writes");
 
 	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(
+		t, long_leases_of_former_owners_stay_listed_during_recovery);
 	tcase_add_test(t, answer_to_a_write_of_an_earlier_term_is_ignored);
 	tcase_add_test(t, row_of_an_earlier_term_is_not_that_of_the_write);
 	tcase_add_test(t, row_of_an_earlier_copy_shows_that_it_took_effect);
