flow: count calls to a process that arrive after the first answer of the next one

A call with an expiry for the process before that is on its way then may still arrive, and grants the longest lease again. The bound counts from that call's latest arrival now.

Names of the functions that compare clocks and list workers are clearer.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -221,10 +221,10 @@
 /** link_expect_no_long_lease() - remove the link from the board's list */
 void link_expect_no_long_lease(struct link *l);
 /**
- * link_grants_as_counted() - whether leases that an answer with @clock_ms
- * grants end when this owner counts with
+ * link_clock_goes_on() - whether @clock_ms, in an answer that has just arrived,
+ * is not below what the known process lets expect; see worker_clock_goes_on()
  */
-bool link_grants_as_counted(const struct link *l, int64_t clock_ms);
+bool link_clock_goes_on(const struct link *l, int64_t clock_ms);
 /** links_limit_leases() - former owners act no more */
 void links_limit_leases(struct board *b);
 /** links_record_long_leases() - list workers that may hold long leases in @r */
--- a/cmd/tgflowd/leases.c
+++ b/cmd/tgflowd/leases.c
@@ -73,7 +73,12 @@
 
 void link_expect_long_lease(struct link *l)
 {
-	l->leases_end_ms = l->clock_at_ms + long_lease_ms(l->board);
+	int64_t granted_ms = l->clock_at_ms;
+
+	/* Calls to the process before may still arrive. */
+	if (l->until_sent_ms && l->until_sent_ms + CALL_ARRIVES_MS > granted_ms)
+		granted_ms = l->until_sent_ms + CALL_ARRIVES_MS;
+	l->leases_end_ms = granted_ms + long_lease_ms(l->board);
 	l->leases_of = "longest";
 	set_long_lease(l, l->leases_end_ms);
 }
@@ -103,7 +108,7 @@
 	return lease_until_ms;
 }
 
-bool link_grants_as_counted(const struct link *l, int64_t clock_ms)
+bool link_clock_goes_on(const struct link *l, int64_t clock_ms)
 {
 	const struct worker_clock known = { l->clock_ms, l->clock_at_ms };
 	const struct worker_clock told = { clock_ms, tg_now_ms() };
@@ -112,17 +117,21 @@
 				    EXPIRY_MARGIN_MS);
 }
 
-static void add_unconfirmed(const char *worker, void *arg)
+struct listing {
+	struct tg_owner_row *row;
+	int64_t row_bytes;
+};
+
+static void list_worker(const char *worker, void *arg)
 {
-	struct board *b = ((void **)arg)[0];
-	struct tg_owner_row *r = ((void **)arg)[1];
+	const struct listing *t = arg;
 
-	tg_owner_row_add_long_lease(r, worker, b->site.set.row_bytes);
+	tg_owner_row_add_long_lease(t->row, worker, t->row_bytes);
 }
 
 void links_record_long_leases(struct board *b, struct tg_owner_row *r)
 {
-	void *arg[] = { b, r };
+	struct listing t = { r, b->site.set.row_bytes };
 	int64_t now_ms = tg_now_ms();
 	struct link *l, *tmp;
 
@@ -132,10 +141,9 @@
 		if (now_ms >= l->long_lease_until_ms)
 			link_expect_no_long_lease(l);
 		else
-			tg_owner_row_add_long_lease(r, l->entry.id,
-						    b->site.set.row_bytes);
+			list_worker(l->entry.id, &t);
 	}
-	flow_each_unconfirmed(b->flow, add_unconfirmed, arg);
+	flow_each_unconfirmed(b->flow, list_worker, &t);
 }
 
 /* When the leases of runs have expired whose start is not confirmed. */
--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -268,7 +268,7 @@
 
 	if (l->process != o->process)
 		return;
-	if (link_grants_as_counted(l, clock_ms)) {
+	if (link_clock_goes_on(l, clock_ms)) {
 		flow_start_confirmed(l->board->flow, &ref, o->worker);
 		/* A new owner waits longer for the worker while it is listed.
 		 */
--- a/tests/unit/orders/test-orders.c
+++ b/tests/unit/orders/test-orders.c
@@ -71,7 +71,7 @@
 	return 1;
 }
 
-bool link_grants_as_counted(const struct link *l, int64_t clock_ms)
+bool link_clock_goes_on(const struct link *l, int64_t clock_ms)
 {
 	(void)l;
 	(void)clock_ms;
