flow: acknowledge ends only to a process that has answered since

Each poll carried the number of the last end that is durable, whether the worker needed it or not. A worker restarted, its next process carried out a start without an answer and ended the run, and a poll with the number of the process before made it forget that end.

Change: a poll acknowledges ends only if there are new ones and the known process has answered since the last acknowledgement was sent, and no poll has failed since. So the first call that finds the next process carries none.

--- a/cmd/tgflowd/acks.c
+++ b/cmd/tgflowd/acks.c
@@ -5,8 +5,27 @@
 /*
  * Ends of runs are acknowledged to their worker once the write that holds them
  * has succeeded.  Only the few links that wait for that are looked at.
+ *
+ * A process numbers its ends from 1.  The next process of the worker would
+ * forget its own up to the number that it gets, so only a process that has
+ * answered since the last acknowledgement gets another one.
  */
 
+int64_t link_take_ack(struct link *l)
+{
+	if (!l->may_ack || l->durable_n <= l->acked_n)
+		return 0;
+	l->may_ack = false;
+	return l->durable_n;
+}
+
+void link_ack_answered(struct link *l, int64_t acked_n)
+{
+	l->may_ack = true;
+	if (acked_n > l->acked_n)
+		l->acked_n = acked_n;
+}
+
 void link_expect_ack(struct link *l)
 {
 	if (l->unacked)
--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -105,6 +105,10 @@
 	bool had_long_lease; /* the former owner's row says so */
 	int64_t until_sent_ms; /* when a call with an expiry was last sent */
 	int64_t processed_n, writing_n, durable_n;
+	/* That the worker has forgotten; and whether to tell it more, see
+	 * acks.c. */
+	int64_t acked_n;
+	bool may_ack;
 	int64_t next_poll_ms;
 	int32_t failures;
 	int32_t refusals; /* consecutive refused connections */
@@ -243,6 +247,11 @@
 		      int64_t asked_ms);
 
 /* acks.c */
+/** link_take_ack() - number of the last end that a poll is to acknowledge, or 0
+ */
+int64_t link_take_ack(struct link *l);
+/** link_ack_answered() - the known process has answered a poll with @acked_n */
+void link_ack_answered(struct link *l, int64_t acked_n);
 /** link_expect_ack() - the link has processed ends that are not durable yet */
 void link_expect_ack(struct link *l);
 /** link_expect_no_ack() - all ends of the link are durable, or void */
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -38,11 +38,12 @@
  * @process: of the link when the call began
  * @fence: token that it carries
  * @n_answers: answers of that process that had been received by then
+ * @acked_n: last end that it acknowledges, or 0
  */
 struct poll_call {
 	struct board *board;
 	uint64_t term, process, fence;
-	int64_t n_answers;
+	int64_t n_answers, acked_n;
 	char id[TG_NAME_MAX + 1], addr[TG_ADDR_MAX + 1];
 	int64_t asked_ms;
 	enum poll_kind kind;
@@ -117,7 +118,7 @@
 		   sizeof(k->addr));
 	/* Leases and the numbers of ends are those of the known process. */
 	if (kind != POLL_PROBE) {
-		h.acked_n = l->durable_n;
+		h.acked_n = k->acked_n = link_take_ack(l);
 		if (may_renew(l)) {
 			h.until_ms = link_expiry(l);
 			if (kind == POLL_LONG)
@@ -145,7 +146,8 @@
 	l->clock_ms = l->clock_at_ms = 0;
 	l->lease_until_ms = l->leases_end_ms = 0;
 	l->leases_of = NULL;
-	l->processed_n = l->writing_n = l->durable_n = 0;
+	l->processed_n = l->writing_n = l->durable_n = l->acked_n = 0;
+	l->may_ack = false;
 	link_expect_no_ack(l);
 	memset(l->in_progress, 0, sizeof(l->in_progress));
 	l->poll_again = false;
@@ -203,6 +205,7 @@
 		l->boot_ms = boot_ms;
 	tg_strlcpy(l->addr, k->addr, sizeof(l->addr));
 	l->has_answered_there = true;
+	link_ack_answered(l, k->process == l->process ? k->acked_n : 0);
 	l->n_answers++;
 	l->answered_ms = tg_now_ms();
 	if (k->asked_ms > l->asked_ms)
@@ -390,6 +393,8 @@
 		poll_succeeded(l, r, k);
 	else if (k->kind == POLL_LONG && r->end != TG_ORDER_FENCED)
 		poll_failed(l, r);
+	if (r->end != TG_ORDER_DONE && k->kind != POLL_PROBE)
+		l->may_ack = false;
 	if (r->end == TG_ORDER_OTHER_BOOT && k->kind != POLL_PROBE)
 		check_other_worker(l, k);
 	if (l->poll_again && !l->in_progress[POLL_EXTRA]) {
