--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -270,8 +270,7 @@
 		return;
 	if (link_clock_goes_on(l, clock_ms)) {
 		flow_start_confirmed(l->board->flow, &ref, o->worker);
-		/* A new owner waits longer for the worker while it is listed.
-		 */
+		/* While it is listed, a new owner waits longer for it. */
 		writer_wake(l->board);
 		return;
 	}
