sched-partial: any attempt in part shows the failure of the unsafe mode

Traced: the script reads what ran after the gang was given up (EV3021) and the cut has ended; on a busy machine the unsafe scheduler has begun the next attempt by then, on one worker again, so that two attempts are in part. The count says how fast the script was, not what the scheduler does. With the protection on it still has to be none, and without it at least one.

--- a/tests/script/sched-partial.sh
+++ b/tests/script/sched-partial.sh
@@ -15,8 +15,13 @@
 	post "$w2_http" /standin/faults '{"cut":true}' >/dev/null
 	submit s1 g 2 8 >/dev/null
 	await "the gang was given up" grep -q EV3021 "$W/s1.err"
-	echo "$text: in part $(post "$w2_http" /standin/faults '{}' >/dev/null
-		parts 2 w1)"
+	post "$w2_http" /standin/faults '{}' >/dev/null
+	# The next attempt may have begun by now, in part as well.
+	if [ "$(parts 2 w1)" -gt 0 ]; then
+		echo "$text: in part"
+	else
+		echo "$text: never in part"
+	fi
 	for n in s1 w1 w2 platform; do
 		stop_hard $n
 	done
