flow: serve the evacuation of availability zones

Workers of such a zone leave the pools; what was decided but not sent is given up, and an order without an answer is not repeated. A new owner reads the list first. Workers that are cold after the evacuation are used last.

Without bounds.evacuate-ms in the settings nothing changes.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -7,6 +7,7 @@
 #include "fencetoken.h"
 #include "formerowner.h"
 #include "http/http.h"
+#include "site/evacuations.h"
 #include "site/site.h"
 
 /**
@@ -173,6 +174,7 @@
 	int n_opening; /* links that are being opened */
 	uint64_t n_processes; /* that links have turned to */
 	struct tg_document *document;
+	struct tg_evacuations *evacuations; /* NULL if there are none */
 	struct tg_table_watch *jobs, *progress, *directory;
 	bool progress_read, directory_read;
 	struct stored_cancel *cancels; /* that wait for the progress */
@@ -183,6 +185,12 @@
 
 #define IS_OWNER(b) ((b)->role == ROLE_OWNER || (b)->role == ROLE_RECOVERING)
 
+/** starts_are_held() - whether it isn't known in which AZs nothing may start */
+static inline bool starts_are_held(const struct board *b)
+{
+	return b->evacuations && !tg_evacuations_are_current(b->evacuations);
+}
+
 /* A list is requested this long after a stop is over, for late timers. */
 #define STOP_POLL_MARGIN_MS 10
 
@@ -432,6 +440,10 @@
 /** round_start_recorded() - start the runs whose record has become durable */
 void round_start_recorded(struct board *b);
 
+/* explain.c */
+/** explain_job() - new reference; NULL if the job is not known */
+json_t *explain_job(const struct board *b, const char *job);
+
 /* usage.c */
 /** usage_report() - report the use of capacity if this is the owner */
 void usage_report(const struct board *b, int64_t now_ms);
--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -39,6 +39,10 @@
 	};
 	int i;
 
+	/* A zone that is taken back from an evacuation comes back cold. */
+	if (l->board->site.set.evacuate_ms && l->entry.warmup_left_ms)
+		s.warm_ms = l->last_heartbeat_ms + l->entry.warmup_left_ms;
+
 	for (i = 0; i < l->entry.n_labels; i++)
 		s.labels[s.n_labels++] = l->entry.labels[i];
 	flow_worker_update(l->board->flow, &s);
--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -197,6 +197,30 @@
 	round_wake(b);
 }
 
+static void apply_evacuations(void *arg)
+{
+	struct board *b = arg;
+	const char *const *azs;
+	size_t n = tg_evacuations_azs(b->evacuations, &azs);
+
+	flow_set_evacuated(b->flow, azs, n);
+	round_wake(b);
+	orders_wake();
+}
+
+static void open_evacuations(struct board *b)
+{
+	struct tg_evacuations_opts o = {
+		.site = &b->site,
+		.bound_ms = b->site.set.evacuate_ms,
+		.on_change = apply_evacuations,
+		.arg = b,
+	};
+
+	if (o.bound_ms)
+		b->evacuations = tg_evacuations_new(&o);
+}
+
 void jobs_open(struct board *b)
 {
 	static const char *parts[TG_JOB_PARTS];
@@ -227,6 +251,7 @@
 	b->progress_read = false;
 	b->flow = flow_new(&fo);
 	b->document = tg_document_new(&d);
+	open_evacuations(b);
 	b->jobs = tg_table_watch_new(&o);
 	writer_wake(b);
 }
@@ -237,6 +262,8 @@
 
 	tg_document_free(b->document);
 	b->document = NULL;
+	tg_evacuations_free(b->evacuations);
+	b->evacuations = NULL;
 	tg_table_watch_free(b->jobs);
 	tg_table_watch_free(b->progress);
 	b->jobs = b->progress = NULL;
--- a/cmd/tgflowd/metrics.c
+++ b/cmd/tgflowd/metrics.c
@@ -1,3 +1,5 @@
+#include <stdlib.h>
+
 #include "board.h"
 
 /* Gauges of the owner's state, updated every second. */
@@ -15,10 +17,36 @@
 	return !tg_daemon_draining();
 }
 
+/* GET /explain?job=ID */
+static void on_explain(struct evhttp_request *req, void *arg)
+{
+	struct board *b = arg;
+	char *job = tg_http_query_param(req, "job");
+	json_t *o;
+
+	if (!job) {
+		tg_http_reply_error(req, 400, "job", "missing");
+	} else if (!IS_OWNER(b)) {
+		tg_http_reply_error(req, 503, NULL, "not the owner; it is %s",
+				    *b->owner.holder ? b->owner.holder :
+						       "not known");
+	} else {
+		o = explain_job(b, job);
+		if (o)
+			tg_http_reply_json(req, 200, o);
+		else
+			tg_http_reply_error(req, 404, "job", "no such job");
+	}
+	free(job);
+}
+
 static int start(void *board)
 {
 	struct board *b = board;
-	static const struct tg_http_route routes[] = { { .path = NULL } };
+	static const struct tg_http_route routes[] = {
+		{ "/explain", false, EVHTTP_REQ_GET, on_explain },
+		{ .path = NULL },
+	};
 	struct tg_http_server_opts o = {
 		.base = b->base,
 		.addr = b->set.flags.metrics_addr,
--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -383,6 +383,20 @@
 	}
 }
 
+/* The worker's next list tells whether an earlier copy was carried out. */
+static void give_up_copies(const struct order *o)
+{
+	struct flow_run_ref ref = ref_of(o);
+	struct link *l = link_find(o->board, o->worker);
+
+	if (!o->tries)
+		return;
+	flow_start_answered(o->board->flow, &ref, o->worker, FLOW_ORDER_UNKNOWN,
+			    tg_now_ms());
+	if (l)
+		link_poll_at(l, tg_now_ms() + 1);
+}
+
 /* Sends what it can of a queue; false if the turn has ended. */
 static bool send_queue(struct board *b, struct order **queue, int64_t end_us)
 {
@@ -402,7 +416,11 @@
 		if (n->in_progress >= ORDERS_PER_WORKER) {
 			wait_in_lane(o, n);
 		} else if (o->start && !text) {
-			/* The run has been stopped or lost meanwhile. */
+			/*
+			 * The run has been stopped or lost meanwhile, or its
+			 * AZ was evacuated.
+			 */
+			give_up_copies(o);
 			free(o);
 			advance_lane(n);
 		} else {
@@ -425,7 +443,9 @@
 	if (!owner_may_renew(b))
 		return;
 	tg_turn_begin();
-	if (!send_queue(b, &stops, end_us) || !send_queue(b, &starts, end_us))
+	/* A read of the evacuated AZs wakes the queue as well. */
+	if (!send_queue(b, &stops, end_us) ||
+	    (!starts_are_held(b) && !send_queue(b, &starts, end_us)))
 		wake();
 	tg_turn_end("orders");
 }
--- a/cmd/tgflowd/round.c
+++ b/cmd/tgflowd/round.c
@@ -25,8 +25,10 @@
 
 void round_start_recorded(struct board *b)
 {
-	if (may_order(b) &&
-	    flow_start_recorded(b->flow, tg_now_ms(), &orders_flow_ops, b))
+	if (!may_order(b))
+		return;
+	flow_hold_starts(b->flow, starts_are_held(b));
+	if (flow_start_recorded(b->flow, tg_now_ms(), &orders_flow_ops, b))
 		writer_wake(b);
 }
 
--- a/cmd/tgflowd/rpc.c
+++ b/cmd/tgflowd/rpc.c
@@ -166,13 +166,7 @@
 
 	if (!check_is_owner(b, req) || !find_job(b, req, a->job, &v))
 		return;
-	answer(b, req, TG_RPC_OK,
-	       json_pack("{s:s,s:b,s:I,s:I,s:I,s:I}", "state",
-			 flow_state_name(v.state), "durable", v.durable,
-			 "tasks", (json_int_t)v.tasks, "done",
-			 (json_int_t)v.done, "runs", (json_int_t)v.runs,
-			 "failures", (json_int_t)v.failures),
-	       "");
+	answer(b, req, TG_RPC_OK, explain_job(b, a->job), "");
 }
 
 static void on_stored(enum tg_job_store_result end, int64_t version, void *arg)
--- a/cmd/tgflowd/usage.c
+++ b/cmd/tgflowd/usage.c
@@ -13,6 +13,7 @@
 
 static int64_t next_log_ms;
 static int queue_lines, reservation_lines, kept_wait_lines;
+static int evacuated_wait_lines;
 
 static void set_gauge(const char *name, const char *help, const char *label,
 		      const char *value, int64_t number)
@@ -76,6 +77,12 @@
 	set_gauge("tg_flow_pool_in_use_permille",
 		  "capacity held by runs, of the resource held most", "service",
 		  u->service, (int64_t)(1000 * u->share_in_use));
+	set_gauge("tg_flow_pool_evacuated_workers",
+		  "workers in evacuated availability zones", "service",
+		  u->service, u->evacuated_workers);
+	set_gauge("tg_flow_pool_evacuated_runs",
+		  "runs in evacuated availability zones", "service", u->service,
+		  u->evacuated_runs);
 	set_gauge("tg_flow_pool_on_loan",
 		  "runs in capacity that is kept for other jobs", "service",
 		  u->service, u->on_loan);
@@ -83,10 +90,12 @@
 		tg_log(EV_FLOW_POOL_USAGE,
 		       "service=%s ready=%d free=%.1f reserved=%.1f "
 		       "headroom=%.1f in_use=%.2f underused_ms=%lld "
-		       "on_loan=%d queues_not_listed=%d",
+		       "on_loan=%d evacuated=%d evacuated_runs=%d "
+		       "queues_not_listed=%d",
 		       u->service, u->ready_workers, u->free_workers,
 		       u->reserved_workers, u->headroom_workers,
 		       u->share_in_use, (long long)u->underused_ms, u->on_loan,
+		       u->evacuated_workers, u->evacuated_runs,
 		       queue_lines > QUEUE_LINES_MAX ?
 			       queue_lines - QUEUE_LINES_MAX :
 			       0);
@@ -130,6 +139,13 @@
 	       *w->keeper ? w->keeper : "headroom");
 }
 
+static void report_evacuated_wait(const char *job, const char *az, void *arg)
+{
+	(void)arg;
+	if (++evacuated_wait_lines <= KEPT_LINES_MAX)
+		tg_log(EV_FLOW_EVACUATED_WAIT, "job=%s az=%s", job, az);
+}
+
 /* A field: workers, longest time and where, such as "2.0/1500/i-1". */
 static const char *describe_count(const struct flow_unused_count *c, char *text,
 				  size_t size)
@@ -172,12 +188,14 @@
 					 sizeof(text[i]));
 	tg_log(EV_FLOW_UNUSED,
 	       "service=%s draining=%s suspect=%s gone=%s unlisted=%s quarantined=%s "
+	       "evacuated=%s "
 	       "unrecorded=%s unanswered=%s stopping=%s possible=%s away=%s "
 	       "away_runs=%d",
 	       u->service, unready[FLOW_UNREADY_DRAINING],
 	       unready[FLOW_UNREADY_SUSPECT], unready[FLOW_UNREADY_GONE],
 	       unready[FLOW_UNREADY_UNLISTED],
-	       unready[FLOW_UNREADY_QUARANTINED], held[FLOW_HELD_UNRECORDED],
+	       unready[FLOW_UNREADY_QUARANTINED],
+	       unready[FLOW_UNREADY_EVACUATED], held[FLOW_HELD_UNRECORDED],
 	       held[FLOW_HELD_UNANSWERED], held[FLOW_HELD_STOPPING],
 	       held[FLOW_HELD_POSSIBLE], held[FLOW_HELD_AWAY],
 	       u->held[FLOW_HELD_AWAY].runs);
@@ -196,8 +214,9 @@
 	flow_each_pool_usage(b->flow, now_ms, report_pool, &log);
 	if (!log)
 		return;
-	reservation_lines = kept_wait_lines = 0;
+	reservation_lines = kept_wait_lines = evacuated_wait_lines = 0;
 	flow_each_reservation(b->flow, now_ms, report_reservation, NULL);
 	flow_each_kept_wait(b->flow, now_ms, report_kept_wait, NULL);
+	flow_each_evacuated_wait(b->flow, report_evacuated_wait, NULL);
 	flow_each_unused(b->flow, now_ms, report_unused, NULL);
 }
--- a/lib/flow/bestfit.c
+++ b/lib/flow/bestfit.c
@@ -30,16 +30,6 @@
 	int64_t *costs;
 };
 
-static bool has_label(const struct worker *w, const char *label)
-{
-	int32_t i;
-
-	for (i = 0; i < w->n_labels; i++)
-		if (!strcmp(w->labels[i], label))
-			return true;
-	return false;
-}
-
 bool flow_is_eligible(const struct search *s, const struct worker *w)
 {
 	s->f->workers_checked++;
@@ -50,7 +40,7 @@
 	if (w->isolated_for && !s->reclaim_due &&
 	    (w->isolated_for != s->job || !s->step->gang))
 		return false;
-	return !*s->step->label || has_label(w, s->step->label);
+	return flow_worker_has_label(w, s->step->label);
 }
 
 bool flow_search_uses_headroom(const struct search *s)
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -282,6 +282,8 @@
 	flow_unused_update(f, now_ms);
 	flow_headroom_update(f, list, n, now_ms);
 	stop_unwanted_runs(&rd);
+	if (f->starts_held)
+		goto out;
 	if (f->offline) {
 		rd.progress_changed |=
 			flow_start_planned(f, list, n, now_ms, wall_ms);
@@ -353,6 +355,8 @@
 			dropped = again = true;
 		}
 	}
+	if (f->starts_held)
+		return dropped;
 	DL_FOREACH_SAFE2(f->decided, r, next, decided_next)
 	if (r->planned || flow_is_recorded(r))
 		start(r, now_ms, ops, arg);
--- a/lib/flow/fitindex.c
+++ b/lib/flow/fitindex.c
@@ -21,6 +21,8 @@
 #define SLOW_SPEED 0.6
 #define SLOW_WORKER_COST 60000000
 #define FAILURE_COST 20000000LL
+/* As that of a failure: other workers go before, and mixing costs less. */
+#define COLD_COST 20000000LL
 /*
  * Cost of placing a task on a worker without tasks of its class, that of 10
  * free accelerators.  It keeps urgent and ordinary tasks apart, so that whole
@@ -45,6 +47,8 @@
 
 	if (w->speed < SLOW_SPEED)
 		cost += (int64_t)((SLOW_SPEED - w->speed) * SLOW_WORKER_COST);
+	if (w->cold)
+		cost += COLD_COST;
 	return cost + w->failures_in_row * FAILURE_COST;
 }
 
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -173,6 +173,7 @@
 	bool draining; /* gets no starts */
 	/* Of a draining worker: it exits no sooner; 0 if unknown. */
 	int64_t earliest_exit_ms;
+	int64_t warm_ms; /* until then it is slow after its start */
 };
 
 /**
@@ -288,6 +289,36 @@
  */
 void flow_worker_remove(struct flow *f, const char *id, int64_t now_ms);
 
+/* --- evacuation of availability zones --- */
+
+/**
+ * flow_set_evacuated() - replace the list of evacuated AZs
+ *
+ * Nothing is started on their workers.  Their capacity is left out wherever
+ * capacity is counted, and runs whose start order has not been sent are given
+ * up; other runs go on.
+ */
+void flow_set_evacuated(struct flow *f, const char *const *azs, size_t n);
+/**
+ * flow_hold_starts() - whether nothing may be started anywhere
+ *
+ * For as long as it isn't known which AZs are evacuated.
+ */
+void flow_hold_starts(struct flow *f, bool hold);
+/**
+ * flow_find_evacuated_fit() - the AZ that a waiting job needs and can't use
+ *
+ * Return: an evacuated AZ in which a waiting step of the job would fit, if it
+ * fits on no workers elsewhere even if they were idle; NULL if there is none.
+ * Valid until the next call of flow_set_evacuated().
+ */
+const char *flow_find_evacuated_fit(const struct flow *f, const char *job);
+/** flow_each_evacuated_wait() - call @fn for each job that waits so */
+void flow_each_evacuated_wait(const struct flow *f,
+			      void (*fn)(const char *job, const char *az,
+					 void *arg),
+			      void *arg);
+
 /* --- jobs --- */
 
 struct flow_job_opts {
@@ -447,7 +478,8 @@
 /**
  * flow_starting_text() - text of the specification for a start order
  *
- * Return: NULL if the run is not waiting for its start any more.
+ * Return: NULL if the run is not waiting for its start any more, or no copy of
+ * the order may be sent, since the worker's AZ has been evacuated.
  */
 const char *flow_starting_text(const struct flow *f,
 			       const struct flow_run_ref *r,
@@ -616,6 +648,7 @@
  * @share_in_use: of the resource of which runs hold the largest share
  * @underused_ms: how long kept capacity may be lent, see kept.c; else 0
  * @on_loan: runs in capacity that is kept for others
+ * @evacuated_workers: workers in evacuated AZs, and @evacuated_runs on them
  */
 struct flow_pool_usage {
 	const char *service;
@@ -624,6 +657,7 @@
 	double share_in_use;
 	int64_t underused_ms;
 	int32_t on_loan;
+	int32_t evacuated_workers, evacuated_runs;
 };
 
 /** flow_each_pool_usage() - call @fn for each service that has workers */
@@ -640,6 +674,7 @@
 	FLOW_UNREADY_GONE, /* it is suspect and not listed any more */
 	FLOW_UNREADY_UNLISTED, /* its runs are not known */
 	FLOW_UNREADY_QUARANTINED,
+	FLOW_UNREADY_EVACUATED, /* its AZ is evacuated */
 	FLOW_UNREADY_REASONS,
 };
 
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -283,6 +283,9 @@
 	struct array run_ends; /* of struct run_end */
 	size_t candidate; /* its index in the current search */
 	bool present, runs_known, suspect, draining;
+	bool evacuated; /* its AZ is; see evacuate.c */
+	int64_t warm_ms; /* see struct flow_worker_spec */
+	bool cold; /* this round: it is before that time */
 	bool gone; /* see flow_worker_set_gone(); for reports only */
 	int64_t earliest_exit_ms; /* see struct flow_worker_spec */
 	int32_t failures_in_row;
@@ -343,6 +346,7 @@
 	double done_worker_ms, lost_worker_ms;
 	/* This round: capacity held, and lacking to the minimum share. */
 	double held_workers, share_left;
+	double evacuated_workers; /* part of what is held, in evacuated AZs */
 	bool has_ordinary_jobs; /* this round */
 	/* Of the current report; see struct flow_queue_usage. */
 	int64_t open_jobs, stalled_jobs, oldest_stalled_ms;
@@ -366,6 +370,8 @@
 	int64_t decisions; /* number of the last decision to start a run */
 	int64_t planned_ms; /* when plans were last made */
 	bool offline; /* see flow_set_offline() */
+	struct array evacuated; /* of char *: names of AZs */
+	bool starts_held; /* see flow_hold_starts() */
 	struct worker *workers;
 	int32_t n_workers_added;
 	struct pool *pools;
@@ -431,6 +437,8 @@
 /** flow_get_or_add_worker() - a worker that is added has no description yet */
 struct worker *flow_get_or_add_worker(struct flow *f, const char *id);
 bool flow_worker_ready(const struct worker *w, int64_t now_ms);
+/** flow_worker_has_label() - true for an empty label */
+bool flow_worker_has_label(const struct worker *w, const char *label);
 struct pool *flow_find_pool(const struct flow *f, const char *service);
 bool flow_shape_fits(const struct flow_shape *need,
 		     const struct flow_shape *have);
@@ -592,6 +600,11 @@
 void flow_report_reservations(struct flow *f, int64_t now_ms,
 			      const struct flow_ops *ops, void *arg);
 
+/* evacuate.c */
+/** flow_evacuate_update() - the worker's AZ was set */
+void flow_evacuate_update(struct flow *f, struct worker *w);
+void flow_evacuate_free(struct flow *f);
+
 /* plan.c */
 /** flow_plan_cancel() - drop the plan of a task, if it has one */
 void flow_plan_cancel(struct job *j, const struct step_state *ss,
--- a/lib/flow/kept.c
+++ b/lib/flow/kept.c
@@ -48,7 +48,7 @@
 static bool takes_orders(const struct worker *w)
 {
 	return w->pool && w->present && w->runs_known && !w->suspect &&
-		!w->draining;
+		!w->draining && !w->evacuated;
 }
 
 void flow_update_use(struct flow *f, int64_t now_ms)
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -328,7 +328,9 @@
 {
 	struct run *r = find_run(f, ref, flow_find_worker(f, worker));
 
-	return r && r->state == RUN_STARTING ? r->job->spec->text : NULL;
+	if (!r || r->state != RUN_STARTING || r->worker->evacuated)
+		return NULL;
+	return r->job->spec->text;
 }
 
 bool flow_run_may_outlive(const struct run *r, const struct flow_crash *crash)
--- a/lib/flow/share.c
+++ b/lib/flow/share.c
@@ -24,12 +24,16 @@
 	struct queue *q;
 
 	for (q = f->queues; q; q = q->hh.next)
-		q->held_workers = 0;
+		q->held_workers = q->evacuated_workers = 0;
 	for (w = f->workers; w; w = w->hh.next)
-		for (r = w->runs; r; r = r->next)
-			if (r->job->queue_conf)
-				r->job->queue_conf->held_workers +=
-					flow_run_share(r);
+		for (r = w->runs; r; r = r->next) {
+			q = r->job->queue_conf;
+			if (!q)
+				continue;
+			q->held_workers += flow_run_share(r);
+			if (w->evacuated)
+				q->evacuated_workers += flow_run_share(r);
+		}
 }
 
 static void count_ordinary_queues(struct flow *f, struct job *const *list,
@@ -67,7 +71,7 @@
 			q->share_left = MINIMUM_SHARE *
 					(p->n_ready - p->demand) /
 					p->n_ordinary_queues -
-				q->held_workers;
+				(q->held_workers - q->evacuated_workers);
 	}
 }
 
--- a/lib/flow/unused.c
+++ b/lib/flow/unused.c
@@ -18,6 +18,8 @@
 		return FLOW_UNREADY_SUSPECT;
 	if (!w->runs_known)
 		return FLOW_UNREADY_UNLISTED;
+	if (w->evacuated)
+		return FLOW_UNREADY_EVACUATED;
 	if (w->quarantined_until_ms > now_ms)
 		return FLOW_UNREADY_QUARANTINED;
 	return FLOW_READY;
--- a/lib/flow/usage.c
+++ b/lib/flow/usage.c
@@ -107,6 +107,10 @@
 		for (w = f->workers; w; w = w->hh.next) {
 			double free_share;
 
+			if (w->pool == p && w->present && w->evacuated) {
+				u.evacuated_workers++;
+				u.evacuated_runs += (int32_t)flow_count_runs(w);
+			}
 			if (w->pool != p || !flow_worker_ready(w, now_ms))
 				continue;
 			free_share =
@@ -122,7 +126,7 @@
 			    p->n_without_ordinary <= p->urgent_reserve)
 				u.headroom_workers += free_share;
 		}
-		if (u.ready_workers)
+		if (u.ready_workers || u.evacuated_workers)
 			fn(&u, arg);
 	}
 }
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -90,6 +90,7 @@
 		memset(&w->overdue, 0, sizeof(w->overdue));
 		w->n_overdue = 0;
 		w->isolated_for = NULL;
+		w->cold = now_ms < w->warm_ms;
 		for (r = w->runs; r; r = r->next) {
 			if (flow_is_urgent(r->job))
 				w->urgent_tasks++;
@@ -172,7 +173,17 @@
 bool flow_worker_ready(const struct worker *w, int64_t now_ms)
 {
 	return w->present && w->runs_known && !w->suspect && !w->draining &&
-		w->quarantined_until_ms <= now_ms;
+		!w->evacuated && w->quarantined_until_ms <= now_ms;
+}
+
+bool flow_worker_has_label(const struct worker *w, const char *label)
+{
+	int32_t i;
+
+	for (i = 0; i < w->n_labels; i++)
+		if (!strcmp(w->labels[i], label))
+			return true;
+	return !*label;
 }
 
 bool flow_shape_fits(const struct flow_shape *need,
@@ -322,6 +333,8 @@
 	w->gone = false;
 	w->draining = s->draining;
 	w->earliest_exit_ms = s->earliest_exit_ms;
+	w->warm_ms = s->warm_ms;
+	flow_evacuate_update(f, w);
 }
 
 void flow_worker_set_runs_known(struct flow *f, const char *id)
--- a/lib/port/port.h
+++ b/lib/port/port.h
@@ -86,13 +86,14 @@
 /**
  * struct tg_store_range - rows of a part with keys >= @from, in key order
  * @from: first key; NULL or empty for the start of the part
+ * @to: the range ends before this key; NULL or empty for the end of the part
  * @limit: maximum number of rows; 0 for as many as the store returns at once
  * @stall_ms: @timeout_ms ends when the answer begins to arrive; from then on
  *	this is the longest time without further bytes.  0 to limit the whole
  *	call by @timeout_ms.
  */
 struct tg_store_range {
-	const char *table, *part, *from;
+	const char *table, *part, *from, *to;
 	int32_t limit;
 	int64_t timeout_ms, stall_ms;
 };
@@ -121,6 +122,7 @@
  * @boot_ms: Unix time at which the worker process started, which tells it from
  *	earlier processes with the same @id; 0 if unknown
  * @remaining_ms: time until a draining worker exits; -1 if unknown
+ * @warmup_left_ms: the worker stays slow for this long after its start
  */
 struct tg_worker_entry {
 	char id[TG_NAME_MAX + 1], addr[TG_ADDR_MAX + 1];
@@ -130,7 +132,7 @@
 	char labels[TG_LABELS_MAX][TG_NAME_MAX + 1];
 	int n_labels;
 	bool draining;
-	int64_t boot_ms, remaining_ms;
+	int64_t boot_ms, remaining_ms, warmup_left_ms;
 };
 
 /** enum tg_order_end - outcome of a call to a worker */
@@ -401,6 +403,8 @@
  * @tx_bytes: largest total of the values of a transaction
  * @reclaim_ms: time within which a job within its workspace's guarantee must
  *	start; 0 for no limit
+ * @evacuate_ms: an evacuation of an availability zone is in force this long
+ *	after it was requested; 0 if the platform has no evacuations
  */
 struct tg_site_settings {
 	char instance[TG_NAME_MAX + 1], az[TG_NAME_MAX + 1];
@@ -413,6 +417,7 @@
 	int64_t grace_ms;
 	int64_t heartbeat_ms;
 	int64_t lease_max_ms, stop_ms, early_ms, status_keep_ms, reclaim_ms;
+	int64_t evacuate_ms;
 	int64_t row_bytes, tx_bytes;
 };
 
@@ -423,6 +428,8 @@
 
 /**
  * struct tg_port_ops - operations of an adapter
+ * @evacuation_prefix: keys of @document_table that begin with it name an
+ *	evacuated availability zone in their rest, whatever the row's value
  *
  * Calls to the store and to workers do not block.  Each of them calls its
  * @done exactly once, later from the event loop, also after a time-out; close()
@@ -447,6 +454,7 @@
 		     tg_store_done done, void *arg);
 
 	const char *document_table, *document_key, *directory_table;
+	const char *evacuation_prefix;
 	/* Decode the document; NULL with findings if it is invalid. */
 	struct tg_site_doc *(*decode_document)(const struct tg_row *row,
 					       struct tg_findings *f);
--- a/tests/site-lib.sh
+++ b/tests/site-lib.sh
@@ -70,6 +70,7 @@
 		bounds.status_s=$status_s
 		bounds.reclaim-ms=3400
 		bounds.early_ms=250
+		${evacuate_ms:+bounds.evacuate-ms=$evacuate_ms}
 		unknown.field=ignored
 	END
 	start "queue-$n" tgqueued --settings="$tmp/i$n.conf"
--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # A soak of the queue and flow daemons: run.sh --seed N [--steps N]
 #	[--keep DIRECTORY] [--claim JOB] [--outages] [--large] [--workers]
-#	[--heartbeat-ms N] [--instances N] [--gangs] [--recuts]
+#	[--heartbeat-ms N] [--instances N] [--gangs] [--recuts] [--evacuations]
 # Three instances (or N) run on a stand-in of the platform, with three proxies
 # before the store.  Steps drawn from the seed submit and cancel jobs and inject
 # faults from outside: signals, disturbed connections, faults of store and
@@ -23,10 +23,13 @@
 # --recuts plays N seconds as well: workers fall silent, restart, some with their
 # connections open, and are cut off again while their new processes may hold the
 # longest leases; the owner has a fault near most of these cuts.
+# --evacuations evacuates two of three zones in turn and together, beside the other
+# faults; a start in one of them that comes too late is a broken promise.
 # --claim says that JOB was accepted, which shows that a lost job
 # is found.
 . "$(dirname "$0")/../site-lib.sh"
 seed=1 steps=40 keep= claim= outages= large= series= gangs= instances=3 lease_ms=4000
+evacuations=
 while [ $# -gt 0 ]; do
 	case $1 in
 	--seed) seed=$2 ;;
@@ -40,6 +43,12 @@
 		shift
 		continue
 		;;
+	--evacuations)
+		evacuations=1
+		evacuate_ms=3000
+		shift
+		continue
+		;;
 	--large)
 		large=1
 		row_bytes=8192
@@ -365,6 +374,19 @@
 	control "worker?id=all&mode=listed"
 }
 
+# One zone is evacuated for one to four seconds, or two are.
+evacuate() { # WORKER
+	zones=$(echo "x y" | cut -d' ' -f$(($1 % 3 + 1)))
+	[ $(($1 % 3)) -lt 2 ] || zones="x y"
+	for z in $zones; do
+		control "row?table=op&key=evacuate/$z" '{}'
+	done
+	sleep $(($1 % 4 + 1))
+	for z in $zones; do
+		control "row?table=op&key=evacuate/$z&remove=1"
+	done
+}
+
 pause() { # MS
 	sleep "$(printf '%d.%03d' $(($1 / 1000)) $(($1 % 1000)))"
 }
@@ -662,7 +684,8 @@
 : >"$tmp/cancelled"
 : >"$tmp/never"
 start_site --stores=3 --workers=$workers --row-bytes=$row_bytes \
-	--stop-ms="$stop_ms" ${gangs:+--memory-mb=524288 --rack-workers=8 --clock-ms=60000}
+	--stop-ms="$stop_ms" ${evacuate_ms:+--evacuate-ms=$evacuate_ms} \
+	${gangs:+--memory-mb=524288 --rack-workers=8 --clock-ms=60000}
 for n in 1 2 3; do
 	start "proxy-$n" proxyd --target="$(echo "$site_rpc" | cut -d, -f$n)"
 done
@@ -670,6 +693,11 @@
 for n in $(seq "$instances"); do
 	site_rpc="$site_rpc$(rpc_of "proxy-$(door_of "$n")"),"
 done
+if [ -n "$evacuations" ]; then
+	for w in 1 2 3 4; do
+		control "worker?id=w$w&mode=zone=$([ $w -le 2 ] && echo x || echo y)"
+	done
+fi
 if [ -n "$series" ]; then
 	for mode in move restart move; do
 		control "worker?id=all&mode=$mode"
@@ -705,6 +733,10 @@
 		say "outage $worker"
 		outage "$worker" </dev/null &
 	fi
+	if [ -n "$evacuations" ] && [ $((n_steps % 5)) = 2 ]; then
+		say "evacuate $worker"
+		evacuate "$worker" </dev/null &
+	fi
 	say "$what $instance $worker $tasks $acc $run_ms $pause_ms $extra"
 	step "$what" "$instance" "$worker" "$tasks" "$acc" "$run_ms" \
 		"$pause_ms" "$extra"
@@ -732,6 +764,8 @@
 		check_job "$job" "$outcome"
 	done <"$tmp/callers"
 	judge | grep -v '"over_room":0,"twice":0,"after_done":0,"refused":0'
+	[ "$(seen .evacuated)" = 0 ] ||
+		echo "starts in evacuated zones: $(seen .evacuated)"
 	[ "$(seen .waited_idle)" = 0 ] || {
 		echo "waited_idle=$(seen .waited_idle)"
 		grep waited_idle "$tmp/site.err"
--- a/tests/standin/sited/judge.c
+++ b/tests/standin/sited/judge.c
@@ -87,6 +87,21 @@
 	return r->doubled;
 }
 
+int64_t judge_evacuated_ms(const struct worker *w)
+{
+	char key[KEY_BYTES];
+
+	snprintf(key, sizeof(key), "evacuate/%s", w->zone);
+	return store_put_ms("op", key);
+}
+
+static bool is_evacuated(const struct worker *w)
+{
+	int64_t ms = judge_evacuated_ms(w);
+
+	return ms && tg_now_ms() - ms > board.opts.evacuate_ms;
+}
+
 void judge_start(const struct worker *w, struct run *r)
 {
 	struct done *d = find_task(r->task);
@@ -97,6 +112,7 @@
 	d->started_ms = tg_now_ms();
 	judge_task_started(r->task);
 	board.twice += has_copy(w, r);
+	board.evacuated += !r->late && is_evacuated(w);
 	board.over_room += used(w) > worker_room(w);
 	if (used(w) > worker_room(w))
 		judge_log(w, r->task, r->run, "beyond room,");
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -35,6 +35,9 @@
 		   row_bytes),
 	TG_SETTING(opts, "heartbeat-ms", TG_SET_INT, "500", 10, 100000, false,
 		   "time between two heartbeats of a worker", heartbeat_ms),
+	TG_SETTING(opts, "evacuate-ms", TG_SET_INT, "5000", 0, 100000, false,
+		   "time until the evacuation of a zone is in force",
+		   evacuate_ms),
 	TG_SETTING(opts, "log-level", TG_SET_STRING, "warn", 0, 0, false,
 		   "debug, info, warn or error", log_level),
 	{ .flag = NULL },
@@ -61,18 +64,24 @@
 	reply_ok(req);
 }
 
-/* POST /standin/row?table=T&key=K: a row of another writer */
+/* POST /standin/row?table=T&key=K: a row of another writer; with remove=1 it is
+ * deleted */
 static void set_row(struct evhttp_request *req, void *arg)
 {
 	struct evbuffer *in = evhttp_request_get_input_buffer(req);
 	char *table = tg_http_query_param(req, "table");
 	char *key = tg_http_query_param(req, "key");
+	char *remove = tg_http_query_param(req, "remove");
 	size_t n = evbuffer_get_length(in);
 	char *text = tg_xcalloc(1, n + 1);
 
 	(void)arg;
 	evbuffer_copyout(in, text, n);
-	store_put(table ? table : "", key ? key : "", text);
+	if (remove)
+		store_delete(table ? table : "", key ? key : "");
+	else
+		store_put(table ? table : "", key ? key : "", text);
+	free(remove);
 	free(text);
 	free(table);
 	free(key);
@@ -116,10 +125,9 @@
 /* Whether a call to a worker is no fault. */
 static bool is_planned(const char *mode)
 {
-	static const char *const modes[] = {
-		"drain", "leave", "linger", "back",
-		"size",	 "clock", "step",   "late"
-	};
+	static const char *const modes[] = { "drain", "leave", "linger",
+					     "back",  "size",  "clock",
+					     "step",  "late",  "zone" };
 	size_t i;
 
 	for (i = 0; i < ARRAY_SIZE(modes); i++)
@@ -166,7 +174,7 @@
  * its clock is N percent fast; step=N: the time of day
  * is N ms ahead from its next life on; late=N: late calls are carried out after
  * N ms; pace=N: its runs go on at N percent of their speed; reset: its
- * connections are
+ * connections are; zone=Z: it is in another zone
  */
 static void set_worker(struct evhttp_request *req, void *arg)
 {
@@ -226,6 +234,9 @@
 			w->step_ms = atoi(mode + 5);
 		} else if (!strncmp(mode, "late=", 5)) {
 			w->late_ms = atoi(mode + 5);
+		} else if (!strncmp(mode, "zone=", 5)) {
+			tg_strlcpy(w->zone, mode + 5, sizeof(w->zone));
+			worker_write_entry(w);
 		} else if (!strncmp(mode, "pace=", 5)) {
 			w->pace_percent = atoi(mode + 5);
 		} else if (!strcmp(mode, "reset")) {
@@ -258,7 +269,7 @@
 		req, 200,
 		json_pack(
 			"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,"
-			"s:I,s:I,s:I,s:o}",
+			"s:I,s:I,s:I,s:I,s:o}",
 			"jobs", (json_int_t)store_count("jobs"), "progress",
 			(json_int_t)store_count("progress"), "reads",
 			(json_int_t)board.reads, "writes",
@@ -274,7 +285,8 @@
 			(json_int_t)board.lapsed, "fenced",
 			(json_int_t)board.fenced, "kept",
 			(json_int_t)board.kept, "waited_idle",
-			(json_int_t)board.waited_idle, "runs", runs));
+			(json_int_t)board.waited_idle, "evacuated",
+			(json_int_t)board.evacuated, "runs", runs));
 }
 
 static const struct tg_http_route routes[] = {
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -28,7 +28,7 @@
 	int64_t rack_workers;
 	int64_t hold_max_ms, stop_ms, clock_ms;
 	int64_t row_bytes;
-	int64_t heartbeat_ms;
+	int64_t heartbeat_ms, evacuate_ms;
 };
 
 /** struct store_door - one address of the store */
@@ -46,7 +46,7 @@
 	char id[3 * KEY_BYTES]; /* table, part and key */
 	char table[KEY_BYTES], part[KEY_BYTES], key[KEY_BYTES];
 	char *value; /* base64 */
-	int64_t ver;
+	int64_t ver, put_ms;
 	bool deleted;
 	UT_hash_handle hh;
 };
@@ -92,6 +92,7 @@
 	char id[32];
 	struct tg_http_server *server;
 	char addr[TG_ADDR_MAX + 1];
+	char zone[32];
 	/*
 	 * ok, silent: cut off from everybody, refuse: cut off, connections are
 	 * refused, deaf: cut off from callers only, fail, unhealthy.  Calls
@@ -152,6 +153,8 @@
 	int64_t fenced; /* calls with a lower token than one before */
 	int64_t kept; /* holds of the mode "holds-kept" so far */
 	int64_t waited_idle; /* waits of jobs beside free workers */
+	/* Starts in a zone later than evacuate_ms after its evacuation. */
+	int64_t evacuated;
 	/* Faults under way that others brought about, and the last one here. */
 	char faults[FAULTS_MAX][32];
 	int64_t disturbed_ms;
@@ -164,6 +167,9 @@
 void store_put(const char *table, const char *key, const char *text);
 void store_delete(const char *table, const char *key);
 int64_t store_count(const char *table);
+/** store_put_ms() - when a row without a part was last put; 0 if there is none
+ */
+int64_t store_put_ms(const char *table, const char *key);
 
 /* worker.c */
 void worker_open(struct worker *w, int n);
@@ -205,6 +211,9 @@
 /* judge.c */
 /** judge_start() - a run has begun on @w; counts what must not be */
 void judge_start(const struct worker *w, struct run *r);
+/** judge_evacuated_ms() - when the worker's zone was evacuated; 0 if it isn't
+ */
+int64_t judge_evacuated_ms(const struct worker *w);
 /** judge_process() - log that a process of a worker begins */
 void judge_process(const struct worker *w);
 /** judge_log() - tell what happened to a run that ran twice at a time */
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -270,6 +270,7 @@
 	char *table = tg_http_query_param(req, "table");
 	char *part = tg_http_query_param(req, "part");
 	char *from = tg_http_query_param(req, "from");
+	char *to = tg_http_query_param(req, "to");
 	int64_t limit = query_int(req, "limit");
 	json_t *rows = json_array(), *body;
 	bool more = false;
@@ -280,7 +281,8 @@
 	for (r = board.rows; r; r = r->hh.next) {
 		if (r->deleted || !table || strcmp(r->table, table) != 0 ||
 		    strcmp(r->part, part ? part : "") != 0 ||
-		    (from && strcmp(r->key, from) < 0))
+		    (from && strcmp(r->key, from) < 0) ||
+		    (to && strcmp(r->key, to) >= 0))
 			continue;
 		bytes += strlen(r->value) + strlen(r->id);
 		if (json_array_size(rows) ==
@@ -298,6 +300,7 @@
 	free(table);
 	free(part);
 	free(from);
+	free(to);
 }
 
 /* Decoded size of a value. */
@@ -397,6 +400,9 @@
 	free(r->value);
 	r->value = tg_xstrdup(text_of(o, "value"));
 	r->ver = board.ver;
+	/* A row that is written again says what it said before. */
+	if (r->deleted || !r->put_ms)
+		r->put_ms = tg_now_ms();
 	r->deleted = deleted;
 	judge_row(r);
 	record_change(r);
@@ -535,6 +541,16 @@
 	json_decref(o);
 }
 
+int64_t store_put_ms(const char *table, const char *key)
+{
+	char id[3 * KEY_BYTES];
+	struct row *r;
+
+	snprintf(id, sizeof(id), "%s\x01\x01%s", table, key);
+	HASH_FIND_STR(board.rows, id, r);
+	return r && !r->deleted ? r->put_ms : 0;
+}
+
 int64_t store_count(const char *table)
 {
 	const struct row *r;
--- a/tests/standin/sited/waits.c
+++ b/tests/standin/sited/waits.c
@@ -160,7 +160,8 @@
 /* Whether nothing keeps a worker from taking orders. */
 static bool takes_orders(const struct worker *w)
 {
-	return w->listed && !w->gone && !w->draining && !w->unlisted;
+	return w->listed && !w->gone && !w->draining && !w->unlisted &&
+		!judge_evacuated_ms(w);
 }
 
 static bool is_disturbed(void)
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -653,8 +653,8 @@
 		board.opts.rack_workers ? n / board.opts.rack_workers + 1 : 1;
 	json_t *o = json_pack(
 		"{s:s,s:s,s:s,s:s,s:I,s:s,s:I,s:{s:I,s:I,s:I},s:[s,o],s:I,s:I}",
-		"service", "svc", "address", life->addr, "zone", "a", "version",
-		"v1", "slots", (json_int_t)8, "state",
+		"service", "svc", "address", life->addr, "zone", w->zone,
+		"version", "v1", "slots", (json_int_t)8, "state",
 		w->draining ? "draining" : "ready", "warmup-left-ms",
 		(json_int_t)0, "capacity", "cpu", (json_int_t)WORKER_CPU,
 		"mem-mb", (json_int_t)board.opts.memory_mb, "gpu",
@@ -826,6 +826,7 @@
 {
 	snprintf(w->id, sizeof(w->id), "w%d", n);
 	tg_strlcpy(w->mode, "ok", sizeof(w->mode));
+	tg_strlcpy(w->zone, "a", sizeof(w->zone));
 	w->late_ms = LATE_MS;
 	w->pace_percent = 100;
 	w->accelerators = (int)board.opts.accelerators;
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -63,6 +63,8 @@
 TCase *crash_tcase(void);
 /** drain_tcase() - tests of test-drain.c */
 TCase *drain_tcase(void);
+/** evacuate_tcase() - tests of test-evacuate.c */
+TCase *evacuate_tcase(void);
 /** kept_tcase() - tests of test-kept.c */
 TCase *kept_tcase(void);
 /** loans_tcase() - tests of test-loans.c */
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -1057,6 +1057,7 @@
 	suite_add_tcase(s, crash_tcase());
 	suite_add_tcase(s, capacity_tcase());
 	suite_add_tcase(s, drain_tcase());
+	suite_add_tcase(s, evacuate_tcase());
 	suite_add_tcase(s, kept_tcase());
 	suite_add_tcase(s, loans_tcase());
 	suite_add_tcase(s, plan_tcase());
