flow: estimate how fast workers are, and place by it where they differ

Run times are now compared with those of other tasks of the same step; the step and the worker are estimated from the same samples. Where a tenth of the known workers is slow, urgent jobs prefer fast ones, gangs avoid slow ones, and single tasks take those and the unknown ones.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -37,6 +37,7 @@
 struct settings {
 	struct tg_site_flags flags;
 	int64_t lease_ms, keep_ms;
+	bool follow_speed;
 };
 
 enum role {
--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -228,6 +228,7 @@
 		.early_ms = b->site.set.early_ms / 2,
 		.stop_ms = stop_max_ms(b),
 		.reclaim_ms = b->site.set.reclaim_ms,
+		.follow_speed = b->set.follow_speed,
 	};
 	struct tg_table_watch_opts o = {
 		.site = &b->site,
--- a/cmd/tgflowd/main.c
+++ b/cmd/tgflowd/main.c
@@ -17,6 +17,10 @@
 		   "how long an ended job is kept beyond the time in which "
 		   "callers may ask for it, in ms",
 		   keep_ms),
+	TG_SETTING(
+		settings, "follow-speed", TG_SET_BOOL, NULL, 0, 0, false,
+		"estimate how fast workers are, and use it where they differ",
+		follow_speed),
 	{ .flag = NULL },
 };
 
--- a/lib/flow/bestfit.c
+++ b/lib/flow/bestfit.c
@@ -136,7 +136,8 @@
 			      const struct flow_shape *available)
 {
 	int64_t cost = flow_fit_cost(w, available) +
-		flow_class_cost(s->job, flow_fit_class(w));
+		flow_class_cost(s->job, flow_fit_class(w)) +
+		flow_speed_cost(s->job, s->step, w->speed_class);
 
 	if (*s->step->data_rack && strcmp(w->rack, s->step->data_rack) != 0)
 		cost += DATA_RACK_COST;
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -278,6 +278,7 @@
 	clear_reservations(&rd);
 	n = flow_sort_jobs(f, now_ms, &list);
 	flow_update_pools(f, now_ms);
+	flow_speed_update_pools(f);
 	flow_update_use(f, now_ms);
 	flow_unused_update(f, now_ms);
 	flow_headroom_update(f, list, n, now_ms);
--- a/lib/flow/fitindex.c
+++ b/lib/flow/fitindex.c
@@ -45,7 +45,7 @@
 	int64_t cost = available->accelerators * ACCELERATOR_COST +
 		available->cpu_millicores / 10 + available->memory_mb / 100;
 
-	if (w->speed < SLOW_SPEED)
+	if (w->speed < SLOW_SPEED && w->speed_class == SPEED_UNKNOWN)
 		cost += (int64_t)((SLOW_SPEED - w->speed) * SLOW_WORKER_COST);
 	if (w->cold)
 		cost += COLD_COST;
@@ -95,7 +95,8 @@
 	struct flow_shape available = free_capacity(w);
 
 	w->fit_key = flow_fit_cost(w, &available);
-	w->fit_class = flow_fit_class(w);
+	w->fit_list = (int32_t)flow_fit_class(w) * SPEED_CLASSES +
+		(int32_t)w->speed_class;
 	return (struct fit_entry){ w->fit_key, w->number, w };
 }
 
@@ -104,16 +105,16 @@
 	struct worker **ready = p->ready.items;
 	size_t i;
 
-	for (i = 0; i < FIT_CLASSES; i++)
+	for (i = 0; i < FIT_LISTS; i++)
 		p->fit[i].n = 0;
 	for (i = 0; i < p->ready.n; i++) {
 		struct fit_entry e = new_entry(ready[i]), *to;
 
-		to = flow_array_add(&p->fit[ready[i]->fit_class], sizeof(e));
+		to = flow_array_add(&p->fit[ready[i]->fit_list], sizeof(e));
 		*to = e;
 		ready[i]->fit_round = f->round;
 	}
-	for (i = 0; i < FIT_CLASSES; i++)
+	for (i = 0; i < FIT_LISTS; i++)
 		if (p->fit[i].n)
 			qsort(p->fit[i].items, p->fit[i].n,
 			      sizeof(struct fit_entry), compare_entries);
@@ -127,10 +128,10 @@
 
 	if (!w->pool || w->fit_round != f->round)
 		return;
-	a = &w->pool->fit[w->fit_class];
+	a = &w->pool->fit[w->fit_list];
 	flow_array_remove(a, lower_bound(a, &old), sizeof(old));
 	e = new_entry(w);
-	a = &w->pool->fit[w->fit_class];
+	a = &w->pool->fit[w->fit_list];
 	to = flow_array_insert(a, lower_bound(a, &e), sizeof(e));
 	*to = e;
 }
@@ -191,7 +192,7 @@
 		.key = s->need.accelerators * ACCELERATOR_COST,
 		.number = -1,
 	};
-	struct cursor cursors[FIT_CLASSES], *c;
+	struct cursor cursors[FIT_LISTS], *c;
 	struct pool *p = s->job->pool;
 	size_t n_cursors = 0, k;
 
@@ -199,15 +200,18 @@
 		return NULL;
 	if (p->fit_round != s->f->round)
 		build(s->f, p);
-	for (k = 0; k < FIT_CLASSES; k++) {
-		enum fit_class class = (enum fit_class)k;
+	for (k = 0; k < FIT_LISTS; k++) {
+		enum fit_class class = (enum fit_class)(k / SPEED_CLASSES);
+		enum speed_class speed = (enum speed_class)(k % SPEED_CLASSES);
 
-		if (!flow_headroom_permits(s, class & FIT_ORDINARY))
+		if (!p->fit[k].n ||
+		    !flow_headroom_permits(s, class & FIT_ORDINARY))
 			continue;
 		cursors[n_cursors++] = (struct cursor){
 			.a = &p->fit[k],
 			.i = lower_bound(&p->fit[k], &first),
-			.extra_cost = flow_class_cost(s->job, class),
+			.extra_cost = flow_class_cost(s->job, class) +
+				flow_speed_cost(s->job, s->step, speed),
 		};
 	}
 	while ((c = cheapest(cursors, n_cursors))) {
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -125,9 +125,11 @@
  *	Until then the run occupies capacity, listed by its worker or not.
  * @reclaim_ms: a job within its workspace's guarantee starts at most this long
  *	after it was accepted; 0 for no bound
+ * @follow_speed: estimate how fast workers are, and use it where they differ
  */
 struct flow_opts {
 	int64_t early_ms, stop_ms, reclaim_ms;
+	bool follow_speed;
 };
 
 struct flow;
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -3,6 +3,7 @@
 
 #include <uthash.h>
 
+#include "flow/estimate.h"
 #include "flow/flow.h"
 
 enum run_state {
@@ -51,6 +52,10 @@
 	/* First and latest progress listed, and when each was first seen. */
 	int32_t percent, first_percent;
 	int64_t percent_ms, first_percent_ms;
+	/* Where the next sample of its speed begins, and samples so far. */
+	int32_t speed_percent, speed_samples;
+	int64_t speed_ms;
+	bool answered_start; /* at answered_ms */
 	bool stalled; /* stopped for lack of progress */
 	struct run *prev, *next; /* list of the worker's runs */
 };
@@ -132,6 +137,9 @@
 	/* Of a gang in this round; see flow_gang_is_partial(). */
 	int64_t gang_checked_round;
 	bool gang_is_partial;
+	/* Actual to declared time on a typical worker; see speed.c. */
+	struct estimate work;
+	bool work_begun, work_known;
 	struct task *tasks;
 };
 
@@ -237,6 +245,18 @@
 	FIT_CLASSES,
 };
 
+/** enum speed_class - how fast a worker is, of those of its pool */
+enum speed_class {
+	SPEED_UNKNOWN, /* or its pool is not uneven */
+	SPEED_FAST,
+	SPEED_TYPICAL,
+	SPEED_SLOW,
+	SPEED_CLASSES,
+};
+
+/* Workers of one list of an index; see fitindex.c. */
+#define FIT_LISTS (FIT_CLASSES * SPEED_CLASSES)
+
 /**
  * struct fit_entry - place of a worker in its pool's index
  *
@@ -270,7 +290,7 @@
 	/* Its entry in the index of its pool; see fitindex.c. */
 	int64_t fit_round; /* round of the index; it is not in an older one */
 	int64_t fit_key;
-	enum fit_class fit_class;
+	int32_t fit_list;
 	/*
 	 * What a search for victims needs to know of its runs, and the
 	 * preemptible ones, the first to preempt first; see victims.c.
@@ -302,6 +322,10 @@
 	enum flow_unready unready;
 	int64_t unready_since_ms;
 	double speed; /* declared / actual run time, moving average */
+	/* Logarithm of its run times relative to a typical worker's. */
+	struct estimate slowness;
+	int64_t slowness_ms; /* time of the last sample */
+	enum speed_class speed_class; /* this round */
 	struct run *runs;
 	UT_hash_handle hh;
 };
@@ -325,7 +349,10 @@
 	double urgent_reserve; /* workers to be kept free of ordinary tasks */
 	int32_t n_ordinary_queues; /* with open jobs */
 	int64_t fit_round; /* round in which the index was built */
-	struct array fit[FIT_CLASSES]; /* of struct fit_entry */
+	struct array fit[FIT_LISTS]; /* of struct fit_entry */
+	/* This round: workers of known speed, and slow ones of them. */
+	int32_t n_known, n_slow;
+	bool uneven; /* the speeds of its workers differ much */
 	UT_hash_handle hh;
 };
 
@@ -346,6 +373,9 @@
 	double done_worker_ms, lost_worker_ms;
 	/* This round: capacity held, and lacking to the minimum share. */
 	double held_workers, share_left;
+	/* Error of its declared times, a logarithm, with its variance. */
+	struct estimate error;
+	bool has_error;
 	double evacuated_workers; /* part of what is held, in evacuated AZs */
 	bool has_ordinary_jobs; /* this round */
 	/* Of the current report; see struct flow_queue_usage. */
@@ -628,6 +658,19 @@
 /** flow_is_stalled() - whether the run has made no progress for too long */
 bool flow_is_stalled(const struct run *r, int64_t now_ms);
 
+/* speed.c */
+/** flow_speed_reset() - nothing is known of the worker's process */
+void flow_speed_reset(struct worker *w);
+/** flow_speed_listed() - learn from the progress that a worker lists */
+void flow_speed_listed(struct run *r, int32_t percent, int64_t now_ms);
+/** flow_speed_done() - learn from a run that has ended as done */
+void flow_speed_done(struct run *r, int64_t now_ms);
+/** flow_speed_update_pools() - set the speed classes, once a round */
+void flow_speed_update_pools(struct flow *f);
+/** flow_speed_cost() - cost of a worker of that class for a task */
+int64_t flow_speed_cost(const struct job *j, const struct flow_step *st,
+			enum speed_class c);
+
 /* usage.c */
 /** flow_run_share() - part of its worker that a run holds */
 double flow_run_share(const struct run *r);
--- a/lib/flow/jobs.c
+++ b/lib/flow/jobs.c
@@ -345,7 +345,7 @@
 	HASH_ITER(hh, f->pools, p, pt) {
 		HASH_DEL(f->pools, p);
 		flow_array_free(&p->ready);
-		for (i = 0; i < FIT_CLASSES; i++)
+		for (i = 0; i < FIT_LISTS; i++)
 			flow_array_free(&p->fit[i]);
 		free(p);
 	}
--- a/lib/flow/pace.c
+++ b/lib/flow/pace.c
@@ -47,6 +47,7 @@
 
 void flow_pace_update(struct run *r, int32_t percent, int64_t now_ms)
 {
+	flow_speed_listed(r, percent, now_ms);
 	if (!r->first_percent_ms) {
 		r->first_percent = r->percent = percent;
 		r->first_percent_ms = r->percent_ms = now_ms;
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -278,6 +278,8 @@
 	int32_t index = r->index, run = r->run;
 	bool stalled = r->stalled;
 
+	if (how == FLOW_RUN_DONE)
+		flow_speed_done(r, now_ms);
 	flow_usage_run_ended(f, r, how, saved, now_ms);
 	flow_run_remove(r);
 	record_end(f, j, ss, index, run, how, saved);
@@ -394,6 +396,7 @@
 			return;
 		r->state =
 			end == FLOW_ORDER_DONE ? RUN_ACTIVE : RUN_START_UNKNOWN;
+		r->answered_start = end == FLOW_ORDER_DONE;
 		r->answered_ms = now_ms;
 		return;
 	}
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -255,6 +255,7 @@
 	tg_strlcpy(w->id, id, sizeof(w->id));
 	w->number = f->n_workers_added++;
 	w->speed = 1;
+	flow_speed_reset(w);
 	HASH_ADD_STR(f->workers, id, w);
 	return w;
 }
@@ -382,6 +383,7 @@
 	w->failures_in_row = 0;
 	w->quarantined_until_ms = 0;
 	w->speed = 1;
+	flow_speed_reset(w);
 }
 
 void flow_worker_lost(struct flow *f, const char *id, int64_t now_ms)
