--- a/cmd/tgflowd/usage.c
+++ b/cmd/tgflowd/usage.c
@@ -86,6 +86,19 @@
 	set_gauge("tg_flow_pool_on_loan",
 		  "runs in capacity that is kept for other jobs", "service",
 		  u->service, u->on_loan);
+	set_gauge("tg_flow_pool_known_workers", "workers whose speed is known",
+		  "service", u->service, u->known_workers);
+	set_gauge("tg_flow_pool_fast_workers",
+		  "workers that are faster than a typical one", "service",
+		  u->service, u->fast_workers);
+	set_gauge("tg_flow_pool_slow_workers",
+		  "workers that are slower than a typical one", "service",
+		  u->service, u->slow_workers);
+	if (*log && u->known_workers)
+		tg_log(EV_FLOW_SPEEDS,
+		       "service=%s known=%d fast=%d slow=%d uneven=%d",
+		       u->service, u->known_workers, u->fast_workers,
+		       u->slow_workers, u->uneven);
 	if (*log)
 		tg_log(EV_FLOW_POOL_USAGE,
 		       "service=%s ready=%d free=%.1f reserved=%.1f "
--- a/lib/flow/bestfit.c
+++ b/lib/flow/bestfit.c
@@ -158,7 +158,9 @@
 		if (!flow_shape_fits(&s->need, &w->capacity))
 			return NO_FIT;
 		cost = flow_choose_victims(s, w, false);
-		return cost < 0 ? NO_FIT : cost;
+		return cost < 0 ?
+			NO_FIT :
+			cost + flow_speed_cost(s->job, s->step, w->speed_class);
 	}
 	available = flow_available(s, w, s->source);
 	return flow_shape_fits(&s->need, &available) ?
@@ -315,7 +317,9 @@
 		if (!w)
 			break;
 		if (s->source == CAPACITY_VICTIMS)
-			s->cost += flow_choose_victims(s, w, true);
+			s->cost += flow_choose_victims(s, w, true) +
+				flow_speed_cost(s->job, s->step,
+						w->speed_class);
 		reserve_task(s, w, 1);
 		out[n++] = w;
 		update_candidates(s, &c, n_victims, out, n);
--- a/lib/flow/fitindex.c
+++ b/lib/flow/fitindex.c
@@ -12,8 +12,6 @@
  * first needs it and follows what the round places.
  */
 
-/* Cost of one free accelerator that the task doesn't need. */
-#define ACCELERATOR_COST 1000000
 /*
  * Workers below SLOW_SPEED are avoided: what they lack of it, times
  * SLOW_WORKER_COST, is added to their cost.
@@ -42,7 +40,7 @@
 int64_t flow_fit_cost(const struct worker *w,
 		      const struct flow_shape *available)
 {
-	int64_t cost = available->accelerators * ACCELERATOR_COST +
+	int64_t cost = available->accelerators * FLOW_ACCELERATOR_COST +
 		available->cpu_millicores / 10 + available->memory_mb / 100;
 
 	if (w->speed < SLOW_SPEED && w->speed_class == SPEED_UNKNOWN)
@@ -189,7 +187,7 @@
 			       struct worker *const *out, int32_t n)
 {
 	const struct fit_entry first = {
-		.key = s->need.accelerators * ACCELERATOR_COST,
+		.key = s->need.accelerators * FLOW_ACCELERATOR_COST,
 		.number = -1,
 	};
 	struct cursor cursors[FIT_LISTS], *c;
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -651,6 +651,9 @@
  * @underused_ms: how long kept capacity may be lent, see kept.c; else 0
  * @on_loan: runs in capacity that is kept for others
  * @evacuated_workers: workers in evacuated AZs, and @evacuated_runs on them
+ * @known_workers: of these the speed is known; @fast_workers and @slow_workers
+ *	of them differ from the typical one
+ * @uneven: speeds differ so much that tasks are placed by them
  */
 struct flow_pool_usage {
 	const char *service;
@@ -660,6 +663,8 @@
 	int64_t underused_ms;
 	int32_t on_loan;
 	int32_t evacuated_workers, evacuated_runs;
+	int32_t known_workers, fast_workers, slow_workers;
+	bool uneven;
 };
 
 /** flow_each_pool_usage() - call @fn for each service that has workers */
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -350,8 +350,9 @@
 	int32_t n_ordinary_queues; /* with open jobs */
 	int64_t fit_round; /* round in which the index was built */
 	struct array fit[FIT_LISTS]; /* of struct fit_entry */
-	/* This round: workers of known speed, and slow ones of them. */
-	int32_t n_known, n_slow;
+	/* This round: workers of known speed, and fast and slow ones of them.
+	 */
+	int32_t n_known, n_fast, n_slow;
 	bool uneven; /* the speeds of its workers differ much */
 	UT_hash_handle hh;
 };
--- a/lib/flow/place.c
+++ b/lib/flow/place.c
@@ -24,25 +24,60 @@
 	return n > 0 ? n : 0;
 }
 
-static int64_t rack_fit_count(struct search *s, const struct rack *rack,
-			      bool empty)
+/* struct rack_fit - tasks that fit on the workers of a rack, by their speed */
+struct rack_fit {
+	int64_t all, by_speed[SPEED_CLASSES];
+};
+
+static struct rack_fit count_rack_fits(struct search *s,
+				       const struct rack *rack, bool empty)
 {
 	struct worker **workers = rack->workers.items;
-	int64_t n = 0;
+	struct rack_fit fit = { .all = 0 };
 	size_t i;
 
 	for (i = 0; i < rack->workers.n; i++) {
 		struct worker *w = workers[i];
 		struct flow_shape available;
+		int64_t n;
 
 		if (!(empty ? flow_is_eligible(s, w) :
 			      flow_worker_allowed(s, w)))
 			continue;
 		available =
 			empty ? w->capacity : flow_available(s, w, s->source);
-		n += fit_count(s, &available);
+		n = fit_count(s, &available);
+		fit.all += n;
+		fit.by_speed[w->speed_class] += n;
 	}
-	return n;
+	return fit;
+}
+
+/* In accelerators, of the slowest worker that @want tasks need. */
+static int64_t rack_speed_cost(const struct search *s,
+			       const struct rack_fit *fit, int32_t want)
+{
+	int64_t cost, worst = 0, left = want;
+	enum speed_class c, best;
+	bool used[SPEED_CLASSES] = { false };
+
+	while (left > 0) {
+		best = SPEED_CLASSES;
+		for (c = 0; c < SPEED_CLASSES; c++)
+			if (!used[c] &&
+			    (best == SPEED_CLASSES ||
+			     flow_speed_cost(s->job, s->step, c) <
+				     flow_speed_cost(s->job, s->step, best)))
+				best = c;
+		if (best == SPEED_CLASSES)
+			break;
+		used[best] = true;
+		left -= fit->by_speed[best];
+		cost = flow_speed_cost(s->job, s->step, best);
+		if (fit->by_speed[best] && cost > worst)
+			worst = cost;
+	}
+	return worst / FLOW_ACCELERATOR_COST;
 }
 
 /* Whether all tasks would fit in some rack if it were idle. */
@@ -51,7 +86,7 @@
 	const struct rack *rack;
 
 	for (rack = s->f->racks; rack; rack = rack->hh.next)
-		if (rack_fit_count(s, rack, true) >= want)
+		if (count_rack_fits(s, rack, true).all >= want)
 			return true;
 	return false;
 }
@@ -71,17 +106,20 @@
 	return 0;
 }
 
-/* Number of tasks that fit, or work lost; -1 if the tasks can't be placed. */
+/*
+ * Number of tasks that fit and cost of slow workers, or work lost; -1 if the
+ * tasks can't be placed.
+ */
 static int64_t rack_cost(struct search *s, const struct rack *rack,
 			 int32_t want, struct worker **out)
 {
-	int64_t n_slots =
-		rack_fit_count(s, rack, s->source == CAPACITY_VICTIMS);
+	struct rack_fit fit =
+		count_rack_fits(s, rack, s->source == CAPACITY_VICTIMS);
 
-	if (n_slots < want)
+	if (fit.all < want)
 		return -1;
 	if (s->source != CAPACITY_VICTIMS)
-		return n_slots;
+		return fit.all + rack_speed_cost(s, &fit, want);
 	if (!place_in_rack(s, rack, want, out))
 		return -1;
 	flow_undo_tasks(s, out, want);
--- a/lib/flow/place_internal.h
+++ b/lib/flow/place_internal.h
@@ -104,6 +104,9 @@
 bool flow_below_worker_limit(const struct search *s, const struct worker *w,
 			     struct worker *const *out, int32_t n);
 
+/* Cost of one free accelerator that a task doesn't need. */
+#define FLOW_ACCELERATOR_COST 1000000LL
+
 /* fitindex.c */
 /**
  * flow_index_best() - the worker with the tightest fit in free capacity
--- a/lib/flow/speed.c
+++ b/lib/flow/speed.c
@@ -1,6 +1,6 @@
 #include <math.h>
 
-#include "flow/flow_internal.h"
+#include "flow/place_internal.h"
 
 /*
  * Follows how slow each worker is, from the progress that it lists for its
@@ -191,12 +191,13 @@
 	if (!f->opts.follow_speed)
 		return;
 	for (p = f->pools; p; p = p->hh.next)
-		p->n_known = p->n_slow = 0;
+		p->n_known = p->n_fast = p->n_slow = 0;
 	for (w = f->workers; w; w = w->hh.next) {
 		w->speed_class = class_of(w);
 		if (!w->pool || w->speed_class == SPEED_UNKNOWN)
 			continue;
 		w->pool->n_known++;
+		w->pool->n_fast += w->speed_class == SPEED_FAST;
 		w->pool->n_slow += w->speed_class == SPEED_SLOW;
 	}
 	for (p = f->pools; p; p = p->hh.next)
@@ -207,32 +208,29 @@
 			w->speed_class = SPEED_UNKNOWN;
 }
 
-/* A cost of 1 is that of one free accelerator that the task doesn't need. */
-#define COST 1000000LL
-
 int64_t flow_speed_cost(const struct job *j, const struct flow_step *st,
 			enum speed_class c)
 {
 	/* What is late on a slow worker goes elsewhere, at any cost of room. */
 	static const int64_t urgent[SPEED_CLASSES] = {
-		[SPEED_UNKNOWN] = 8 * COST,
+		[SPEED_UNKNOWN] = 8 * FLOW_ACCELERATOR_COST,
 		[SPEED_FAST] = 0,
-		[SPEED_TYPICAL] = 3 * COST,
-		[SPEED_SLOW] = 60 * COST,
+		[SPEED_TYPICAL] = 3 * FLOW_ACCELERATOR_COST,
+		[SPEED_SLOW] = 60 * FLOW_ACCELERATOR_COST,
 	};
 	/* The whole gang holds its room for as long as its slowest member. */
 	static const int64_t gang[SPEED_CLASSES] = {
-		[SPEED_UNKNOWN] = 4 * COST,
-		[SPEED_FAST] = 3 * COST,
+		[SPEED_UNKNOWN] = 4 * FLOW_ACCELERATOR_COST,
+		[SPEED_FAST] = 3 * FLOW_ACCELERATOR_COST,
 		[SPEED_TYPICAL] = 0,
-		[SPEED_SLOW] = 30 * COST,
+		[SPEED_SLOW] = 30 * FLOW_ACCELERATOR_COST,
 	};
 	/* Single tasks can wait for theirs, and find out about workers. */
 	static const int64_t single[SPEED_CLASSES] = {
 		[SPEED_UNKNOWN] = 0,
-		[SPEED_FAST] = 6 * COST,
-		[SPEED_TYPICAL] = 4 * COST,
-		[SPEED_SLOW] = 1 * COST,
+		[SPEED_FAST] = 6 * FLOW_ACCELERATOR_COST,
+		[SPEED_TYPICAL] = 4 * FLOW_ACCELERATOR_COST,
+		[SPEED_SLOW] = 1 * FLOW_ACCELERATOR_COST,
 	};
 
 	if (!j->pool || !j->pool->uneven)
--- a/lib/flow/usage.c
+++ b/lib/flow/usage.c
@@ -99,6 +99,10 @@
 			.share_in_use =
 				flow_dominant_share(&p->in_use, &p->total),
 			.on_loan = p->n_on_loan,
+			.known_workers = p->n_known,
+			.fast_workers = p->n_fast,
+			.slow_workers = p->n_slow,
+			.uneven = p->uneven,
 		};
 
 		if (p->underused_since_ms)
