--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -32,6 +32,11 @@
  */
 #define ORDER_FDS_SHARE 8
 #define ORDERS_MAX 1024
+/*
+ * A worker whose speed is not known is polled this long after a start, since
+ * the long poll may last longer than the run.
+ */
+#define PROGRESS_POLL_MS 700
 
 struct order {
 	struct board *board;
@@ -272,6 +277,10 @@
 		flow_start_confirmed(l->board->flow, &ref, o->worker);
 		/* While it is listed, a new owner waits longer for it. */
 		writer_wake(l->board);
+		/* A poll that settles runs must not be put off. */
+		if (!l->extra_poll_ms &&
+		    flow_wants_progress(l->board->flow, o->worker))
+			link_poll_at(l, tg_now_ms() + PROGRESS_POLL_MS);
 		return;
 	}
 	tg_log(EV_FLOW_OTHER_CLOCK,
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -57,6 +57,8 @@
 		return r->on_loan ? "recalled" : "preempted";
 	if (r->stalled)
 		return "no progress";
+	if (r->moved)
+		return "worker is slow";
 	if (flow_must_leave_worker(r, now_ms))
 		return "worker may exit soon";
 	return NULL;
@@ -297,6 +299,7 @@
 	schedule_jobs(&rd, list, n_urgent);
 	schedule_recalling_jobs(&rd, list + n_urgent, n - n_urgent);
 	schedule_ordinary_jobs(&rd, list + n_urgent, n - n_urgent);
+	flow_move_runs(f, now_ms);
 	stop_unwanted_runs(&rd);
 	flow_plan(f, list, n, now_ms, wall_ms);
 	flow_report_reservations(f, now_ms, ops, arg);
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -195,6 +195,11 @@
  * flow_worker_update() says that it is listed again.
  */
 void flow_worker_set_gone(struct flow *f, const char *id);
+/**
+ * flow_wants_progress() - whether the progress of runs on the worker, soon
+ * after their start, would tell how fast it is
+ */
+bool flow_wants_progress(const struct flow *f, const char *id);
 /** flow_worker_silent() - the worker has just stopped answering */
 void flow_worker_silent(struct flow *f, const char *id, int64_t now_ms);
 /** flow_worker_back() - the same process of the worker answers again */
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -57,6 +57,7 @@
 	int64_t speed_ms;
 	bool answered_start; /* at answered_ms */
 	bool stalled; /* stopped for lack of progress */
+	bool moved; /* stopped to start on a faster worker */
 	struct run *prev, *next; /* list of the worker's runs */
 };
 
@@ -651,7 +652,13 @@
 bool flow_start_planned(struct flow *f, struct job *const *list, size_t n,
 			int64_t now_ms, int64_t wall_ms);
 
+/* move.c */
+/** flow_move_runs() - mark runs on slow workers that are better moved */
+void flow_move_runs(struct flow *f, int64_t now_ms);
+
 /* pace.c */
+/** flow_ms_per_percent() - pace of a run; 0 if it is not known yet */
+double flow_ms_per_percent(const struct run *r);
 /** flow_pace_update() - record the progress that a worker lists for a run */
 void flow_pace_update(struct run *r, int32_t percent, int64_t now_ms);
 /** flow_remaining_ms() - estimated time until the run ends by itself; > 0 */
@@ -668,6 +675,8 @@
 void flow_speed_done(struct run *r, int64_t now_ms);
 /** flow_speed_update_pools() - set the speed classes, once a round */
 void flow_speed_update_pools(struct flow *f);
+/** flow_speed_is_known() - whether enough is known of the worker */
+bool flow_speed_is_known(const struct worker *w);
 /** flow_speed_cost() - cost of a worker of that class for a task */
 int64_t flow_speed_cost(const struct job *j, const struct flow_step *st,
 			enum speed_class c);
--- a/lib/flow/pace.c
+++ b/lib/flow/pace.c
@@ -21,8 +21,7 @@
 	return flow_step_of(r->job, r->step_state)->declared_ms;
 }
 
-/* Returns 0 if the rate is not known yet. */
-static double ms_per_percent(const struct run *r)
+double flow_ms_per_percent(const struct run *r)
 {
 	int32_t percent = r->percent - r->first_percent;
 
@@ -33,7 +32,7 @@
 
 static void observe_speed(const struct run *r)
 {
-	double pace = ms_per_percent(r), speed;
+	double pace = flow_ms_per_percent(r), speed;
 
 	if (pace <= 0 || declared_ms(r) <= 0)
 		return;
@@ -62,7 +61,7 @@
 
 int64_t flow_remaining_ms(const struct run *r, int64_t now_ms)
 {
-	double pace = ms_per_percent(r);
+	double pace = flow_ms_per_percent(r);
 	int64_t end_ms;
 
 	if (pace > 0)
--- a/lib/flow/speed.c
+++ b/lib/flow/speed.c
@@ -169,20 +169,27 @@
 		take_sample(r, (double)(now_ms - r->answered_ms), 100, now_ms);
 }
 
-static bool is_known(const struct worker *w)
+bool flow_speed_is_known(const struct worker *w)
 {
 	return w->slowness.var < KNOWN_SD * KNOWN_SD;
 }
 
 static enum speed_class class_of(const struct worker *w)
 {
-	if (!is_known(w))
+	if (!flow_speed_is_known(w))
 		return SPEED_UNKNOWN;
 	if (w->slowness.mean > CLASS_DISTANCE)
 		return SPEED_SLOW;
 	return w->slowness.mean < -CLASS_DISTANCE ? SPEED_FAST : SPEED_TYPICAL;
 }
 
+bool flow_wants_progress(const struct flow *f, const char *id)
+{
+	const struct worker *w = flow_find_worker(f, id);
+
+	return f->opts.follow_speed && w && !flow_speed_is_known(w);
+}
+
 void flow_speed_update_pools(struct flow *f)
 {
 	struct worker *w;
