flow: keep what is known of speeds for the next owner; find out about unknown workers

Single tasks take workers of unknown speed first, classes are relative to the mean of the service, and the owner's writes carry a row of estimates a second.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -445,6 +445,19 @@
 /** explain_job() - new reference; NULL if the job is not known */
 json_t *explain_job(const struct board *b, const char *job);
 
+/* speeds.c */
+/** speeds_open() - read the speeds that a former owner has stored */
+void speeds_open(struct board *b);
+void speeds_close(void);
+/**
+ * speeds_next_row() - the row of TG_OWNER_PART that is to be written now
+ * @key: set to its key
+ *
+ * Return: its value, to be freed; NULL if none is due.
+ */
+char *speeds_next_row(struct board *b, char *key, size_t size);
+#define SPEEDS_TABLE "speeds"
+
 /* usage.c */
 /** usage_report() - report the use of capacity if this is the owner */
 void usage_report(const struct board *b, int64_t now_ms);
--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -210,8 +210,10 @@
 	for (l = b->links; l; l = l->hh.next)
 		if (!l->seen_in_scan)
 			worker_removed(b, l->entry.id);
-	if (!b->directory_read)
+	if (!b->directory_read) {
 		flow_each_undescribed_worker(b->flow, add_absent_worker, b);
+		speeds_open(b);
+	}
 	b->directory_read = true;
 	owner_check_recovered(b);
 }
@@ -235,6 +237,7 @@
 {
 	struct link *l, *tmp;
 
+	speeds_close();
 	tg_table_watch_free(b->directory);
 	b->directory = NULL;
 	HASH_ITER(hh, b->links, l, tmp)
--- a/cmd/tgflowd/usage.c
+++ b/cmd/tgflowd/usage.c
@@ -1,3 +1,5 @@
+#include <math.h>
+
 #include "board.h"
 
 /* Reports the use of capacity by queue and by pool in metrics and the log. */
@@ -6,6 +8,7 @@
 /* Limits the lines of one report, of each kind. */
 #define QUEUE_LINES_MAX 16
 #define KEPT_LINES_MAX 8
+#define SPEED_LINES_MAX 16
 /* Shorter waits beside kept capacity are not worth a line. */
 #define KEPT_WAIT_MIN_MS 500
 /* Orders and writes in progress last less. */
@@ -214,6 +217,22 @@
 	       u->held[FLOW_HELD_AWAY].runs);
 }
 
+/* The rest follows in later reports. */
+static void report_speed_changes(const struct board *b)
+{
+	struct flow_speed_change c;
+	int i;
+
+	for (i = 0; i < SPEED_LINES_MAX; i++) {
+		if (!flow_next_speed_change(b->flow, &c))
+			return;
+		tg_log(EV_FLOW_SPEED_CHANGED,
+		       "worker=%s before=%s now=%s factor=%.2f sd=%.2f",
+		       c.worker, c.before, c.now, exp(c.speed.mean),
+		       sqrt(c.speed.var));
+	}
+}
+
 void usage_report(const struct board *b, int64_t now_ms)
 {
 	bool log = now_ms >= next_log_ms;
@@ -227,6 +246,7 @@
 	flow_each_pool_usage(b->flow, now_ms, report_pool, &log);
 	if (!log)
 		return;
+	report_speed_changes(b);
 	reservation_lines = kept_wait_lines = evacuated_wait_lines = 0;
 	flow_each_reservation(b->flow, now_ms, report_reservation, NULL);
 	flow_each_kept_wait(b->flow, now_ms, report_kept_wait, NULL);
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -148,6 +148,20 @@
 		w.bytes + (size_t)set->row_bytes <= (size_t)set->tx_bytes;
 }
 
+/* It takes what room the records leave. */
+static void add_speeds(struct board *b)
+{
+	char key[FLOW_PROGRESS_KEY_LEN + 1], *text;
+
+	if (w.n + w.n_deletes > RECORDS_MAX ||
+	    w.bytes + (size_t)b->site.set.row_bytes >
+		    (size_t)b->site.set.tx_bytes)
+		return;
+	text = speeds_next_row(b, key, sizeof(key));
+	if (text)
+		add_row(SPEEDS_TABLE, key, text);
+}
+
 static void collect(struct board *b)
 {
 	free_rows();
@@ -171,6 +185,8 @@
 		;
 	if (b->role == ROLE_OWNER)
 		links_record_long_leases(b, &w.row);
+	if (b->role == ROLE_OWNER && w.records_max == RECORDS_MAX)
+		add_speeds(b);
 	w.complete = !b->progress_read || !flow_has_dirty(b->flow);
 	w.row.settled = former_owners_settled(&b->former, tg_now_ms());
 	w.row.runs_recorded |= b->role == ROLE_OWNER && w.complete;
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -195,6 +195,38 @@
  * flow_worker_update() says that it is listed again.
  */
 void flow_worker_set_gone(struct flow *f, const char *id);
+/**
+ * struct flow_speed - how slow a worker is
+ * @mean: logarithm of its run times, relative to those of a typical worker
+ * @var: variance of that estimate
+ */
+struct flow_speed {
+	double mean, var;
+};
+
+/**
+ * flow_worker_speed() - what is known of the worker
+ *
+ * Return: false if that is not enough to be used, or is not needed since the
+ * workers of its service differ little.
+ */
+bool flow_worker_speed(const struct flow *f, const char *id,
+		       struct flow_speed *out);
+/** flow_worker_set_speed() - what was known before, unless more is known now */
+void flow_worker_set_speed(struct flow *f, const char *id,
+			   const struct flow_speed *v, int64_t now_ms);
+/** struct flow_speed_change - a worker's speed class, as it was and is */
+struct flow_speed_change {
+	const char *worker, *before, *now;
+	struct flow_speed speed;
+};
+/**
+ * flow_next_speed_change() - a worker that has become faster or slower since it
+ * was returned last
+ *
+ * Return: false if there is none.
+ */
+bool flow_next_speed_change(struct flow *f, struct flow_speed_change *out);
 /**
  * flow_wants_progress() - whether the progress of runs on the worker, soon
  * after their start, would tell how fast it is
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -327,6 +327,7 @@
 	struct estimate slowness;
 	int64_t slowness_ms; /* time of the last sample */
 	enum speed_class speed_class; /* this round */
+	enum speed_class told_class; /* see flow_next_speed_change() */
 	struct run *runs;
 	UT_hash_handle hh;
 };
@@ -354,6 +355,7 @@
 	/* This round: workers of known speed, and fast and slow ones of them.
 	 */
 	int32_t n_known, n_fast, n_slow;
+	double slowness_mean; /* of the known ones */
 	bool uneven; /* the speeds of its workers differ much */
 	UT_hash_handle hh;
 };
--- a/lib/flow/move.c
+++ b/lib/flow/move.c
@@ -7,8 +7,10 @@
  * tasks run there, and for gangs that turn out to have a slow worker.
  */
 
-/* Logarithm of the factor from which on a worker's runs are looked at. */
-#define MOVE_DISTANCE 0.45
+/* Runs on workers are looked at that take this many times as long. */
+#define SLOWDOWN_MIN 1.6
+/* They may move to workers that take less than this many times as long. */
+#define SLOWDOWN_ELSEWHERE_MAX 1.2
 /* Time from a stop order to the start of the next run, on top of stop_ms. */
 #define RESTART_MS 400
 /* Work since the last checkpoint that a stop loses. */
@@ -24,7 +26,9 @@
 
 static double slowdown(const struct worker *w)
 {
-	return flow_speed_is_known(w) ? exp(w->slowness.mean) : 1;
+	return flow_speed_is_known(w) && w->pool ?
+		exp(w->slowness.mean - w->pool->slowness_mean) :
+		1;
 }
 
 /* Time until @r ends if it is stopped now and starts on a typical worker. */
@@ -79,7 +83,7 @@
 	for (i = 0; i < p->ready.n && left > 0; i++) {
 		struct flow_shape available = workers[i]->capacity;
 
-		if (slowdown(workers[i]) > 1.2 ||
+		if (slowdown(workers[i]) > SLOWDOWN_ELSEWHERE_MAX ||
 		    !flow_worker_has_label(workers[i], st->label))
 			continue;
 		flow_shape_add(&available, &workers[i]->used, -1);
@@ -112,7 +116,7 @@
 	if (!f->opts.follow_speed)
 		return;
 	for (w = f->workers; w && moves < MOVES_MAX; w = w->hh.next) {
-		if (!flow_speed_is_known(w) || w->slowness.mean < MOVE_DISTANCE)
+		if (slowdown(w) < SLOWDOWN_MIN)
 			continue;
 		for (r = w->runs; r && moves < MOVES_MAX; r = r->next) {
 			r->moved |= should_move(r, now_ms);
--- a/lib/flow/speed.c
+++ b/lib/flow/speed.c
@@ -176,11 +176,88 @@
 
 static enum speed_class class_of(const struct worker *w)
 {
-	if (!flow_speed_is_known(w))
+	double distance;
+
+	if (!w->pool || !flow_speed_is_known(w))
 		return SPEED_UNKNOWN;
-	if (w->slowness.mean > CLASS_DISTANCE)
+	distance = w->slowness.mean - w->pool->slowness_mean;
+	if (distance > CLASS_DISTANCE)
 		return SPEED_SLOW;
-	return w->slowness.mean < -CLASS_DISTANCE ? SPEED_FAST : SPEED_TYPICAL;
+	return distance < -CLASS_DISTANCE ? SPEED_FAST : SPEED_TYPICAL;
+}
+
+/*
+ * The mean of what is known drifts, as samples come from some workers more than
+ * from others.
+ */
+static void update_means(struct flow *f)
+{
+	struct worker *w;
+	struct pool *p;
+
+	for (p = f->pools; p; p = p->hh.next) {
+		p->slowness_mean = 0;
+		p->n_known = 0;
+	}
+	for (w = f->workers; w; w = w->hh.next)
+		if (w->pool && flow_speed_is_known(w)) {
+			w->pool->slowness_mean += w->slowness.mean;
+			w->pool->n_known++;
+		}
+	for (p = f->pools; p; p = p->hh.next)
+		if (p->n_known)
+			p->slowness_mean /= p->n_known;
+}
+
+bool flow_worker_speed(const struct flow *f, const char *id,
+		       struct flow_speed *out)
+{
+	const struct worker *w = flow_find_worker(f, id);
+
+	if (!w || !w->pool || !w->pool->uneven || !flow_speed_is_known(w))
+		return false;
+	*out = (struct flow_speed){ w->slowness.mean - w->pool->slowness_mean,
+				    w->slowness.var };
+	return true;
+}
+
+void flow_worker_set_speed(struct flow *f, const char *id,
+			   const struct flow_speed *v, int64_t now_ms)
+{
+	struct worker *w = flow_find_worker(f, id);
+
+	if (!w || w->slowness.var <= v->var)
+		return;
+	w->slowness = (struct estimate){ v->mean, v->var };
+	w->slowness_ms = now_ms;
+}
+
+bool flow_next_speed_change(struct flow *f, struct flow_speed_change *out)
+{
+	static const char *const names[] = {
+		[SPEED_UNKNOWN] = "unknown",
+		[SPEED_FAST] = "fast",
+		[SPEED_TYPICAL] = "typical",
+		[SPEED_SLOW] = "slow",
+	};
+	struct worker *w;
+
+	for (w = f->workers; w; w = w->hh.next) {
+		if (w->told_class == w->speed_class)
+			continue;
+		*out = (struct flow_speed_change){
+			.worker = w->id,
+			.before = names[w->told_class],
+			.now = names[w->speed_class],
+			.speed = { w->slowness.mean -
+					   (w->pool ? w->pool->slowness_mean :
+						      0),
+				   w->slowness.var },
+		};
+		w->told_class = w->speed_class;
+		return true;
+	}
+	return false;
 }
 
 bool flow_wants_progress(const struct flow *f, const char *id)
@@ -197,13 +274,13 @@
 
 	if (!f->opts.follow_speed)
 		return;
+	update_means(f);
 	for (p = f->pools; p; p = p->hh.next)
-		p->n_known = p->n_fast = p->n_slow = 0;
+		p->n_fast = p->n_slow = 0;
 	for (w = f->workers; w; w = w->hh.next) {
 		w->speed_class = class_of(w);
-		if (!w->pool || w->speed_class == SPEED_UNKNOWN)
+		if (!w->pool)
 			continue;
-		w->pool->n_known++;
 		w->pool->n_fast += w->speed_class == SPEED_FAST;
 		w->pool->n_slow += w->speed_class == SPEED_SLOW;
 	}
@@ -235,9 +312,9 @@
 	/* Single tasks can wait for theirs, and find out about workers. */
 	static const int64_t single[SPEED_CLASSES] = {
 		[SPEED_UNKNOWN] = 0,
-		[SPEED_FAST] = 6 * FLOW_ACCELERATOR_COST,
-		[SPEED_TYPICAL] = 4 * FLOW_ACCELERATOR_COST,
-		[SPEED_SLOW] = 1 * FLOW_ACCELERATOR_COST,
+		[SPEED_FAST] = 20 * FLOW_ACCELERATOR_COST,
+		[SPEED_TYPICAL] = 18 * FLOW_ACCELERATOR_COST,
+		[SPEED_SLOW] = 15 * FLOW_ACCELERATOR_COST,
 	};
 
 	if (!j->pool || !j->pool->uneven)
--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -24,7 +24,8 @@
 # connections open, and are cut off again while their new processes may hold the
 # longest leases; the owner has a fault near most of these cuts.
 # --evacuations evacuates two of three zones in turn and together, beside the other
-# faults; a start in one of them that comes too late is a broken promise.
+# faults, on workers of uneven speed; a start in one of them that comes too late is
+# a broken promise.
 # --claim says that JOB was accepted, which shows that a lost job
 # is found.
 . "$(dirname "$0")/../site-lib.sh"
@@ -696,6 +697,7 @@
 if [ -n "$evacuations" ]; then
 	for w in 1 2 3 4; do
 		control "worker?id=w$w&mode=zone=$([ $w -le 2 ] && echo x || echo y)"
+		control "worker?id=w$w&mode=pace=$((150 - 30 * w))"
 	done
 fi
 if [ -n "$series" ]; then
@@ -704,7 +706,7 @@
 	done
 fi
 for n in $(seq "$instances"); do
-	start_instance "$n" --lease-ms=$lease_ms
+	start_instance "$n" --lease-ms=$lease_ms ${evacuations:+--follow-speed}
 	http_of "queue-$n" | sed 's/.*://' >"$tmp/port.$n"
 done
 # shellcheck disable=SC2046
--- a/tests/unit/directory/test-directory.c
+++ b/tests/unit/directory/test-directory.c
@@ -78,6 +78,15 @@
 	(void)l;
 }
 
+void speeds_open(struct board *board)
+{
+	(void)board;
+}
+
+void speeds_close(void)
+{
+}
+
 void owner_check_recovered(struct board *board)
 {
 	(void)board;
--- a/tests/unit/writer/test-writer.c
+++ b/tests/unit/writer/test-writer.c
@@ -21,6 +21,14 @@
 
 /* --- what writer.c calls --- */
 
+char *speeds_next_row(struct board *board, char *key, size_t size)
+{
+	(void)board;
+	(void)key;
+	(void)size;
+	return NULL;
+}
+
 void links_record_silent(const struct board *board, struct tg_owner_row *r)
 {
 	(void)board;
