--- a/tests/site-lib.sh
+++ b/tests/site-lib.sh
@@ -57,7 +57,7 @@
 		zone=$zone
 		ip=$net.$n
 		listen.front=$net.$n:0
-		listen.ready=$net.$n:0
+		listen.ready=$net.$n:${ready_port:-0}
 		platform.address=$door
 		platform.row-bytes=$row_bytes
 		internal-ports=7000,7015
@@ -71,6 +71,8 @@
 		bounds.reclaim-ms=3400
 		bounds.early_ms=250
 		${evacuate_ms:+bounds.evacuate-ms=$evacuate_ms}
+		${max_fds:+limits.max-fds=$max_fds}
+		${memory_mb:+limits.memory-mb=$memory_mb}
 		unknown.field=ignored
 	END
 	start "queue-$n" tgqueued --settings="$tmp/i$n.conf"
@@ -79,6 +81,11 @@
 	await "document on $n" answers "$n" 410 0000000000000000
 }
 
+# ready_of N: its address for readiness checks, if ready_port is set
+ready_of() {
+	echo "$net.$1:$ready_port"
+}
+
 # restart_flow N FLAG...: its flow daemon crashes and starts again
 restart_flow() {
 	n=$1
--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -308,7 +308,8 @@
 	# A start replaces the log of the process before.
 	cat "$tmp/flow-$1.out" >>"$tmp/flow-$1.log"
 	start "flow-$1" tgflowd --settings="$tmp/i$1.conf" \
-		--metrics-addr="$net.$1:0" --lease-ms=$lease_ms
+		--metrics-addr="$net.$1:0" --lease-ms=$lease_ms \
+		${evacuations:+--follow-speed}
 	control "fault?end=flow-$1"
 }
 
