http: bound what clients can make a server hold

evhttp reads on while it waits for an answer to be read, so that requests sent ahead piled up in memory: 440 to 464 MB with 12 connections. A server now stops reading behind a request until its answer is written, and closes connections beyond limits on their number, on one address, on the bytes of requests that are not answered, and on the time for a request. Each is a setting, counted in tg_http_closed_total and told by EV1203.

--- a/cmd/tgconsoled/board.h
+++ b/cmd/tgconsoled/board.h
@@ -19,6 +19,7 @@
 #define IN_PROGRESS_MAX 64
 
 struct opts {
+	struct tg_http_limits http;
 	const char *http_addr, *rpc_addr, *platform, *instance, *az, *peers;
 	const char *operator_key_file, *log_level;
 	int64_t drain_grace_ms, drain_max_ms;
--- a/cmd/tgconsoled/main.c
+++ b/cmd/tgconsoled/main.c
@@ -13,6 +13,7 @@
 
 static const struct tg_setting settings[] = {
 	TG_MEMBER_SETTINGS(opts, true, "500", "30000"),
+	TG_HTTP_LIMITS(opts, http),
 	TG_SETTING(opts, "operator-key-file", TG_SET_STRING, NULL, 0, 0, true,
 		   "file with the key of the operators", operator_key_file),
 	TG_SETTING(opts, "wrong-keys-per-min", TG_SET_INT, "10", 1, 1000, false,
@@ -68,6 +69,7 @@
 		.body_bytes = BODY_BYTES_MAX,
 		.routes = routes,
 		.ready = is_ready,
+		.limits = b->opts.http,
 		.arg = b,
 	};
 
--- a/cmd/tgentryd/board.h
+++ b/cmd/tgentryd/board.h
@@ -48,6 +48,7 @@
 	int64_t drain_grace_ms, drain_max_ms;
 	int64_t default_deadline_ms;
 	int64_t header_bytes, body_bytes;
+	struct tg_http_limits http;
 	bool unsafe_no_claims;
 	bool unsafe_reuse_after_timeout;
 	bool unsafe_retry_all;
--- a/cmd/tgentryd/front.c
+++ b/cmd/tgentryd/front.c
@@ -271,6 +271,7 @@
 		.routes = routes,
 		.ready = is_ready,
 		.error_header_line = "Tg-Outcome: not-run\r\n",
+		.limits = b->settings.http,
 		.arg = b,
 	};
 
--- a/cmd/tgentryd/main.c
+++ b/cmd/tgentryd/main.c
@@ -6,6 +6,7 @@
 
 static const struct tg_setting settings[] = {
 	TG_MEMBER_SETTINGS(settings, false, "5000", "90000"),
+	TG_HTTP_LIMITS(settings, http),
 	TG_SETTING(settings, "probe-ms", TG_SET_INT, "2000", 10, 60000, false,
 		   "time between two probes of a worker, in ms", probe_ms),
 	TG_SETTING(settings, "default-deadline-ms", TG_SET_INT, "10000", 1,
--- a/cmd/tgflowd/metrics.c
+++ b/cmd/tgflowd/metrics.c
@@ -4,6 +4,9 @@
 
 /* Gauges of the owner's state, updated every second. */
 
+/* One in this many descriptors is for clients of the metrics address. */
+#define METRICS_FDS_SHARE 16
+
 static struct {
 	struct tg_gauge *owner, *jobs, *open_jobs, *waiting_tasks, *runs,
 		*stopping, *unsure, *workers, *ready_workers,
@@ -52,6 +55,8 @@
 		.addr = b->set.flags.metrics_addr,
 		.routes = routes,
 		.ready = is_ready,
+		.limits = tg_site_http_limits(&b->site, &b->set.flags,
+					      METRICS_FDS_SHARE),
 		.arg = b,
 	};
 
--- a/cmd/tgqueued/front.c
+++ b/cmd/tgqueued/front.c
@@ -320,6 +320,12 @@
 }
 
 #define ANY_METHOD 0xffff
+/*
+ * One in this many descriptors is for callers, and for the clients of each
+ * other address; the store, peers and the owner need few.
+ */
+#define CALLER_FDS_SHARE 4
+#define OTHER_FDS_SHARE 16
 
 static int start(void *board)
 {
@@ -338,10 +344,14 @@
 		.idle_ms = IDLE_MS,
 		.routes = all,
 		.ready = is_ready,
+		.limits = tg_site_http_limits(&b->site, &b->set.flags,
+					      CALLER_FDS_SHARE),
 		.arg = b,
 	};
 
 	b->front = tg_http_server_new(&o);
+	o.limits =
+		tg_site_http_limits(&b->site, &b->set.flags, OTHER_FDS_SHARE);
 	o.addr = b->site.set.ready_addr;
 	o.routes = ready;
 	b->ready = tg_http_server_new(&o);
--- a/cmd/tgschedd/main.c
+++ b/cmd/tgschedd/main.c
@@ -16,6 +16,7 @@
 
 static const struct tg_setting settings[] = {
 	TG_MEMBER_SETTINGS(options, true, "500", "30000"),
+	TG_HTTP_LIMITS(options, http),
 	TG_SETTING(options, "sched-renew-ms", TG_SET_INT, "1000", 50, 600000,
 		   false, "period of the scheduler's row", sched_renew_ms),
 	TG_SETTING(options, "sched-lease-ms", TG_SET_INT, "3000", 150, 1800000,
--- a/cmd/tgschedd/options.h
+++ b/cmd/tgschedd/options.h
@@ -4,8 +4,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "http/http.h"
+
 /** struct options - settings of the process, described in main.c */
 struct options {
+	struct tg_http_limits http;
 	const char *http_addr, *rpc_addr, *instance, *az, *platform, *peers;
 	const char *log_level, *pause_at;
 	int64_t sched_renew_ms, sched_lease_ms, lease_ms, renew_ms;
--- a/cmd/tgschedd/rpc.c
+++ b/cmd/tgschedd/rpc.c
@@ -277,6 +277,7 @@
 		.addr = b->opts->http_addr,
 		.routes = routes,
 		.ready = ready,
+		.limits = b->opts->http,
 		.arg = b,
 	};
 	struct tg_rpc_server_opts rpc = {
--- a/lib/flow/speed.c
+++ b/lib/flow/speed.c
@@ -39,8 +39,8 @@
 #define CLASS_DISTANCE 0.2
 #define KNOWN_SD 0.25
 /* A pool is uneven if this share of its known workers is slow. */
-#define UNEVEN_SHARE 0.1
-#define UNEVEN_KNOWN_MIN 8
+#define UNEVEN_SHARE 0.15
+#define UNEVEN_KNOWN_MIN 16
 
 void flow_speed_reset(struct worker *w)
 {
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -36,6 +36,46 @@
 
 struct tg_http_server;
 
+/**
+ * struct tg_http_limits - what clients may take of a server
+ *
+ * Beyond a limit, connections are closed; the counter tg_http_closed_total and
+ * EV1203 tell of them.  0 stands for the default of TG_HTTP_LIMITS, or of the
+ * daemon.
+ *
+ * @connections: open at a time.  For a new one, that is closed which has had no
+ *	answer for longest.
+ * @per_address: the same from one address, where the new one is closed; by
+ *	default as many as @connections
+ * @buffered_bytes: of all requests that have not been answered.  The connection
+ *	with most of them is closed.
+ * @request_ms: time for a request to arrive whole, and for an answer to be read
+ */
+struct tg_http_limits {
+	int64_t connections, per_address, buffered_bytes, request_ms;
+};
+
+/** TG_HTTP_LIMITS() - settings of a daemon for a struct tg_http_limits */
+#define TG_HTTP_LIMITS(type, field)                                            \
+	TG_SETTING(type, "http-connections", TG_SET_INT, "0", 0, 1000000,      \
+		   false, "connections of clients at a time; 0 for a default", \
+		   field.connections),                                         \
+		TG_SETTING(type, "http-connections-per-address", TG_SET_INT,   \
+			   "0", 0, 1000000, false,                             \
+			   "the same from one address; 0 for no limit of its " \
+			   "own",                                              \
+			   field.per_address),                                 \
+		TG_SETTING(type, "http-buffered-bytes", TG_SET_INT, "0", 0,    \
+			   1LL << 40, false,                                   \
+			   "bytes of requests that are not answered; 0 for a " \
+			   "default",                                          \
+			   field.buffered_bytes),                              \
+		TG_SETTING(type, "http-request-ms", TG_SET_INT, "30000", 100,  \
+			   3600000, false,                                     \
+			   "time for a request to arrive whole and for its "   \
+			   "answer to be read, in ms",                         \
+			   field.request_ms)
+
 /**
  * struct tg_http_route - handler of a path or of all paths with a prefix
  * @path: path to match
@@ -66,6 +106,7 @@
  *	always ready.  Not called while the daemon drains.
  * @error_header_line: header line with its CR LF, added to error replies that
  *evhttp sends without calling a handler (malformed requests); NULL for none
+ * @limits: see there
  * @arg: passed to the handlers and to @ready
  */
 struct tg_http_server_opts {
@@ -77,6 +118,7 @@
 	const struct tg_http_route *routes;
 	bool (*ready)(void *arg, const char **why);
 	const char *error_header_line;
+	struct tg_http_limits limits;
 	void *arg;
 };
 
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -4,11 +4,14 @@
 
 #include <event2/bufferevent.h>
 
-#include "http/http.h"
+#include "http/inbound.h"
 
 #define DEFAULT_HEADER_BYTES 16384
 #define DEFAULT_BODY_BYTES (1 << 20)
 #define DEFAULT_IDLE_MS 75000
+#define DEFAULT_CONNECTIONS 1024
+#define DEFAULT_BUFFERED_BYTES (16 << 20)
+#define DEFAULT_REQUEST_MS 30000
 #define STATUS_PREFIX_LEN 12 /* "HTTP/1.1 200" */
 
 const struct tg_event_info tg_http_events[] = {
@@ -32,6 +35,7 @@
 struct tg_http_server {
 	const char *error_header_line;
 	struct evhttp *http;
+	struct inbound_list *inbound;
 	struct event_base *base;
 	const struct tg_http_route *routes;
 	bool (*ready)(void *arg, const char **why);
@@ -66,6 +70,9 @@
 		return;
 	c->busy = false;
 	c->abort_fn = NULL;
+	inbound_request_done(c->server->inbound,
+			     evhttp_connection_get_bufferevent(c->con));
+	inbound_check(c->server->inbound);
 }
 
 static void on_connection_closed(struct evhttp_connection *con, void *arg)
@@ -79,6 +86,7 @@
 		return;
 	fn = c->abort_fn;
 	fn_arg = c->abort_arg;
+	inbound_check(c->server->inbound);
 	free_connection(c);
 	if (fn)
 		fn(fn_arg);
@@ -99,6 +107,8 @@
 	c->server = s;
 	c->busy = true;
 	c->abort_fn = NULL;
+	inbound_request_begun(s->inbound,
+			      evhttp_connection_get_bufferevent(con));
 	evhttp_connection_set_closecb(con, on_connection_closed, NULL);
 	evhttp_request_set_on_complete_cb(req, on_reply_written, NULL);
 }
@@ -161,6 +171,9 @@
 	char status_line[STATUS_PREFIX_LEN + 1] = "";
 	char labels[32];
 
+	/* Once the answer is written evhttp may free the connection. */
+	if (info->n_deleted && !evbuffer_get_length(buf))
+		inbound_check(s->inbound);
 	if (info->orig_size || info->n_added < STATUS_PREFIX_LEN)
 		return;
 	evbuffer_copyout(buf, status_line, STATUS_PREFIX_LEN);
@@ -169,7 +182,10 @@
 	snprintf(labels, sizeof(labels), "status=\"%s\"", status_line + 9);
 	tg_counter("tg_http_replies_total", "HTTP replies by status.", labels)
 		->value++;
-	if (s->error_header_line && is_evhttp_error(buf, status_line + 9))
+	if (!is_evhttp_error(buf, status_line + 9))
+		return;
+	inbound_refused(s->inbound, buf);
+	if (s->error_header_line)
 		evbuffer_add(buf, s->error_header_line,
 			     strlen(s->error_header_line));
 }
@@ -182,6 +198,7 @@
 	if (!bev)
 		return NULL;
 	evbuffer_add_cb(bufferevent_get_output(bev), on_output_change, arg);
+	inbound_add(((struct tg_http_server *)arg)->inbound, bev);
 	tg_http_count_bytes(bev);
 	return bev;
 }
@@ -266,6 +283,31 @@
 	free(path);
 }
 
+static void open_inbound(struct tg_http_server *s,
+			 const struct tg_http_server_opts *opts)
+{
+	struct inbound_opts o = {
+		.base = opts->base,
+		.limits = opts->limits,
+		.name = s->addr,
+		.header_bytes = opts->header_bytes ? opts->header_bytes :
+						     DEFAULT_HEADER_BYTES,
+		.body_bytes = opts->body_bytes ? opts->body_bytes :
+						 DEFAULT_BODY_BYTES,
+	};
+	struct tg_http_limits *l = &o.limits;
+
+	if (!l->connections)
+		l->connections = DEFAULT_CONNECTIONS;
+	if (!l->per_address)
+		l->per_address = l->connections;
+	if (!l->buffered_bytes)
+		l->buffered_bytes = DEFAULT_BUFFERED_BYTES;
+	if (!l->request_ms)
+		l->request_ms = DEFAULT_REQUEST_MS;
+	s->inbound = inbound_list_new(&o);
+}
+
 static int listen_on(struct tg_http_server *s, const char *addr)
 {
 	struct evhttp_bound_socket *sock;
@@ -294,6 +336,7 @@
 	s->ready = opts->ready;
 	s->arg = opts->arg;
 	s->error_header_line = opts->error_header_line;
+	open_inbound(s, opts);
 	s->http = evhttp_new(opts->base);
 	if (!s->http)
 		goto fail;
@@ -335,6 +378,7 @@
 		}
 	if (s->http)
 		evhttp_free(s->http);
+	inbound_list_free(s->inbound);
 	free(s);
 }
 
--- a/lib/port/port.h
+++ b/lib/port/port.h
@@ -393,6 +393,7 @@
  * @core_share: share of a core that the process may use
  * @cores: factor on @core_share; the product is the capacity in cores
  * @fds_max: file descriptors that the process may have; 0 if not stated
+ * @memory_mb: memory that the process may use; 0 if not stated
  * @grace_ms: time from SIGTERM to SIGKILL
  * @heartbeat_ms: interval at which a worker writes its directory entry
  * @lease_max_ms: longest lease that a worker accepts
@@ -413,7 +414,7 @@
 	char store_addr[TG_ADDR_MAX + 1];
 	int32_t peers_port;
 	double core_share, cores;
-	int64_t fds_max;
+	int64_t fds_max, memory_mb;
 	int64_t grace_ms;
 	int64_t heartbeat_ms;
 	int64_t lease_max_ms, stop_ms, early_ms, status_keep_ms, reclaim_ms;
--- a/lib/site/site.c
+++ b/lib/site/site.c
@@ -82,3 +82,19 @@
 		s->ops->close(s->port);
 	memset(s, 0, sizeof(*s));
 }
+
+/* Requests may take this share of the memory that the platform grants. */
+#define MEMORY_SHARE 8
+
+struct tg_http_limits tg_site_http_limits(const struct tg_site *s,
+					  const struct tg_site_flags *flags,
+					  int fds_share)
+{
+	struct tg_http_limits l = flags->http;
+
+	if (!l.connections && s->set.fds_max)
+		l.connections = s->set.fds_max / fds_share + 1;
+	if (!l.buffered_bytes && s->set.memory_mb)
+		l.buffered_bytes = (s->set.memory_mb << 20) / MEMORY_SHARE;
+	return l;
+}
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -1,6 +1,7 @@
 #ifndef TG_SITE_H
 #define TG_SITE_H
 
+#include "http/http.h"
 #include "oncrpc/oncrpc.h"
 #include "port/port.h"
 
@@ -21,8 +22,12 @@
 
 /* --- settings --- */
 
-/** struct tg_site_flags - command line flags that both daemons have */
+/**
+ * struct tg_site_flags - command line flags that both daemons have
+ * @http: limits on clients; see tg_site_http_limits()
+ */
 struct tg_site_flags {
+	struct tg_http_limits http;
 	const char *settings; /* path of the platform's settings file */
 	const char *metrics_addr;
 	const char *log_level;
@@ -37,7 +42,8 @@
 			   flags.metrics_addr),                                \
 		TG_SETTING(type, "log-level", TG_SET_STRING, "info", 0, 0,     \
 			   false, "debug, info, warn or error",                \
-			   flags.log_level)
+			   flags.log_level),                                   \
+		TG_HTTP_LIMITS(type, flags.http)
 
 /**
  * struct tg_site - a daemon's connection to the platform
@@ -72,6 +78,14 @@
 		 const struct tg_port_ops *ops,
 		 const struct tg_site_flags *flags);
 void tg_site_close(struct tg_site *s);
+/**
+ * tg_site_http_limits() - limits of one of the daemon's HTTP servers
+ * @fds_share: unless the flags say it, clients get one in this many of the
+ *	descriptors that the platform grants
+ */
+struct tg_http_limits tg_site_http_limits(const struct tg_site *s,
+					  const struct tg_site_flags *flags,
+					  int fds_share);
 
 /* --- rows --- */
 
