--- a/tests/flood-lib.sh
+++ b/tests/flood-lib.sh
@@ -7,6 +7,11 @@
 peak_kb_max=61440
 fds_max=200
 
+# AddressSanitizer keeps freed memory, 256 MB by default, so that uses after free
+# are found.  The bound is on what the process itself holds.
+ASAN_OPTIONS=${ASAN_OPTIONS:-}:quarantine_size_mb=4:thread_local_quarantine_size_kb=64
+export ASAN_OPTIONS
+
 # flood NAME PID FLAG...: prints what must hold of process PID
 flood() {
 	crowd=$1 target=$2
