http: accept no connections while many more than allowed are open

The listener accepts all connections that wait before one can be closed, so that the limit was exceeded by as many as the backlog holds.

A connection that lingers is no longer released while the list is walked, where it could be the next one.

--- a/lib/http/inbound.c
+++ b/lib/http/inbound.c
@@ -16,6 +16,10 @@
 #define LINGER_MS 2000
 #define LINGER_BYTES (16 << 20)
 #define LINGERING_MAX 32
+/* Connections beyond the limit that may be open until others are closed. */
+#define SPARE_CONNECTIONS 16
+/* evhttp frees a connection that was closed in about this time. */
+#define CLOSING_MS 5
 /* Closed connections of a server are logged at most this often. */
 #define LOG_PERIOD_MS 1000
 
@@ -61,6 +65,8 @@
 	int n, n_lingering;
 	size_t bytes; /* of all connections */
 	struct event *sweep, *soon;
+	struct evconnlistener *listener; /* or NULL */
+	bool paused; /* the listener is disabled */
 	int64_t logged_ms;
 	int64_t closed[CLOSED_REASONS]; /* since the last line of the log */
 };
@@ -202,21 +208,24 @@
 	return n;
 }
 
-static void limit_connections(struct inbound_list *list, struct inbound *added)
+static void limit_address(struct inbound_list *list, struct inbound *added)
 {
-	const struct tg_http_limits *max = &list->opts.limits;
-	struct inbound *c;
-
 	set_peer(added);
-	if (count_peer(list, added->peer) > max->per_address) {
+	if (count_peer(list, added->peer) > list->opts.limits.per_address)
 		close_connection(added, CLOSED_ADDRESS);
-		return;
-	}
-	if (list->n <= max->connections || count_open(list) <= max->connections)
-		return;
-	c = find_least_active(list);
-	if (c)
+}
+
+static void limit_connections(struct inbound_list *list)
+{
+	int64_t excess = count_open(list) - list->opts.limits.connections;
+
+	for (; excess > 0; excess--) {
+		struct inbound *c = find_least_active(list);
+
+		if (!c)
+			return;
 		close_connection(c, CLOSED_CONNECTIONS);
+	}
 }
 
 static void limit_bytes(struct inbound_list *list)
@@ -284,7 +293,8 @@
 		DL_FOREACH(list->all, o)
 			if (o->linger_until_ms)
 				break;
-		release(o);
+		/* The next look releases it. */
+		o->linger_until_ms = 1;
 	}
 	list->n--;
 	list->n_lingering++;
@@ -316,24 +326,42 @@
 		return;
 	}
 	if (!*c->peer)
-		limit_connections(c->list, c);
+		limit_address(c->list, c);
 	/* A handler may take longer than that. */
 	if (c->begun_ms && now_ms - c->begun_ms > max->request_ms &&
 	    (!c->answering || unread_bytes(c)))
 		close_connection(c, CLOSED_SLOW);
 }
 
+static bool is_crowded(const struct inbound_list *list)
+{
+	return list->n >= list->opts.limits.connections + SPARE_CONNECTIONS;
+}
+
 static void check_all(evutil_socket_t fd, short what, void *arg)
 {
+	static const struct timeval closing = { .tv_usec = CLOSING_MS * 1000 };
 	struct inbound_list *list = arg;
 	int64_t now_ms = tg_now_ms();
 	struct inbound *c, *next;
+	bool any_closing = false;
 
 	(void)fd;
 	(void)what;
 	limit_bytes(list);
-	DL_FOREACH_SAFE(list->all, c, next)
+	DL_FOREACH_SAFE(list->all, c, next) {
 		check(c, now_ms);
+	}
+	if (list->n > list->opts.limits.connections)
+		limit_connections(list);
+	DL_FOREACH(list->all, c)
+		any_closing |= c->closing;
+	if (any_closing && !event_pending(list->soon, EV_TIMEOUT, NULL))
+		event_add(list->soon, &closing);
+	if (list->paused && !is_crowded(list)) {
+		list->paused = false;
+		evconnlistener_enable(list->listener);
+	}
 	if (!list->all)
 		event_del(list->sweep);
 }
@@ -358,6 +386,12 @@
 	return list;
 }
 
+void inbound_set_listener(struct inbound_list *list,
+			  struct evconnlistener *listener)
+{
+	list->listener = listener;
+}
+
 void inbound_list_free(struct inbound_list *list)
 {
 	struct inbound *c, *next;
@@ -396,6 +430,10 @@
 	DL_APPEND(list->all, c);
 	HASH_ADD_PTR(list->by_bev, bev, c);
 	list->n++;
+	if (list->listener && is_crowded(list)) {
+		list->paused = true;
+		evconnlistener_disable(list->listener);
+	}
 	inbound_check(list);
 }
 
--- a/lib/http/inbound.h
+++ b/lib/http/inbound.h
@@ -2,6 +2,7 @@
 #define TG_HTTP_INBOUND_H
 
 #include <event2/bufferevent.h>
+#include <event2/listener.h>
 
 #include "http/http.h"
 
@@ -32,6 +33,14 @@
 };
 
 struct inbound_list *inbound_list_new(const struct inbound_opts *opts);
+/**
+ * inbound_set_listener() - the listener that accepts the connections
+ *
+ * It is disabled while there are many more of them than the limit, since it
+ * accepts all that wait before one can be closed.
+ */
+void inbound_set_listener(struct inbound_list *list,
+			  struct evconnlistener *listener);
 /** inbound_list_free() - release all connections; evhttp has freed them */
 void inbound_list_free(struct inbound_list *list);
 /** inbound_add() - a connection was accepted, its socket is not set yet */
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -319,6 +319,8 @@
 	sock = evhttp_bind_socket_with_handle(s->http, host, port);
 	if (!sock)
 		return -1;
+	inbound_set_listener(s->inbound,
+			     evhttp_bound_socket_get_listener(sock));
 	return tg_bound_addr(evhttp_bound_socket_get_fd(sock), s->addr,
 			     sizeof(s->addr));
 }
--- a/tests/unit/http-limits/test-http-limits.c
+++ b/tests/unit/http-limits/test-http-limits.c
@@ -18,7 +18,10 @@
 
 static struct event_base *base;
 static struct tg_http_server *server;
-static struct evhttp_request *held; /* not answered yet */
+/* Not answered yet: the last one, and how many there were. */
+static struct evhttp_request *held;
+static struct evhttp_request *all_held[64];
+static size_t n_held;
 static size_t body_seen;
 
 static void on_request(struct evhttp_request *req, void *arg)
@@ -31,7 +34,7 @@
 static void on_held(struct evhttp_request *req, void *arg)
 {
 	(void)arg;
-	held = req;
+	held = all_held[n_held++] = req;
 }
 
 static void serve(struct tg_http_limits limits)
@@ -56,6 +59,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	tg_log_register(tg_http_events);
 	held = NULL;
+	n_held = 0;
 	body_seen = 0;
 }
 
@@ -73,7 +77,8 @@
 	}
 }
 
-static int connect_from(const char *from)
+/* The server has not accepted it yet. */
+static int open_from(const char *from)
 {
 	struct sockaddr_in sa = { .sin_family = AF_INET };
 	char host[TG_ADDR_MAX + 1];
@@ -88,6 +93,13 @@
 	sa.sin_port = htons(port);
 	ck_assert(!connect(fd, (struct sockaddr *)&sa, sizeof(sa)));
 	fcntl(fd, F_SETFL, O_NONBLOCK);
+	return fd;
+}
+
+static int connect_from(const char *from)
+{
+	int fd = open_from(from);
+
 	turn(20);
 	return fd;
 }
@@ -160,6 +172,39 @@
 }
 END_TEST
 
+/*
+ * None of these can be closed for another one, so that no more are accepted.
+ * Once they have ended, others are.
+ */
+START_TEST(connections_are_accepted_again_after_many_at_once)
+{
+	struct tg_http_limits l = { .connections = 1 };
+	int fds[40], fd, i;
+	size_t k = 0;
+
+	serve(l);
+	for (i = 0; i < 40; i++) {
+		fds[i] = open_from("127.0.0.1");
+		send_text(fds[i], "GET /held HTTP/1.1\r\nHost: h\r\n\r\n");
+	}
+	turn(100);
+	ck_assert_uint_gt(n_held, 1);
+	ck_assert_uint_lt(n_held, 40);
+	/* Those that were not accepted come in as others are answered. */
+	for (i = 0; i < 60; i++) {
+		for (; k < n_held; k++)
+			tg_http_reply_text(all_held[k], 200, "text/plain", "ok",
+					   2);
+		turn(10);
+	}
+	for (i = 0; i < 40; i++)
+		close(fds[i]);
+	turn(100);
+	fd = connect_from("127.0.0.2");
+	ck_assert_int_eq(get(fd), 1);
+}
+END_TEST
+
 START_TEST(one_address_has_a_limit_of_its_own)
 {
 	struct tg_http_limits l = { .connections = 10, .per_address = 2 };
@@ -295,6 +340,7 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, idle_connection_makes_room_for_a_new_one);
 	tcase_add_test(t, request_in_progress_keeps_its_connection);
+	tcase_add_test(t, connections_are_accepted_again_after_many_at_once);
 	tcase_add_test(t, one_address_has_a_limit_of_its_own);
 	tcase_add_test(t, request_that_never_ends_is_given_up);
 	tcase_add_test(t, connection_outlives_the_time_of_a_request);
