--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -60,8 +60,8 @@
 		node=i$n
 		zone=a
 		ip=$net.$n
-		listen.front=$net.$n:8521
-		listen.ready=$net.$n:8523
+		listen.front=$net.$n:0
+		listen.ready=$net.$n:0
 		platform.address=$door
 		platform.row-bytes=65536
 		internal-ports=7000,7015
