tgqueued: keep names of queues and workspaces whole

Callers of a workspace or queue whose name has over 63 bytes, with a character across the 63rd, got no answer: each submission ended the queue daemon that got it with SIGSEGV, and with it the calls of others there.

Cause: a request and a job's row kept these names in 64 bytes, and tg_strlcpy() cut them without a look at the result. jansson encodes no text that isn't UTF-8, so tg_job_row_encode() returned NULL, and submit() called strlen() on it. Where the cut fell between characters, the row named another queue or workspace.

Change: both hold names on the heap, whatever their length, and a row with longer ones is decoded instead of dropped. The protocol sets no length. tg_job_row_encode() says that it may return NULL; a submission that can't be encoded is answered with 500. A count of waiting jobs names the queue in up to 65536 bytes, the size of a row, as XDR's limit of 63 refused it.

--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -5,7 +5,8 @@
 
 /* Loads jobs, their progress and the document from the store into the flow. */
 
-static void add_job(struct board *b, const struct tg_job_row *job)
+/* Takes over the specification of @job. */
+static void add_job(struct board *b, struct tg_job_row *job)
 {
 	int64_t age_ms = tg_wall_ms() - job->accepted_wall_ms;
 	struct flow_job_opts o = {
@@ -20,6 +21,7 @@
 	};
 
 	flow_add_job(b->flow, &o);
+	job->spec = NULL;
 	tg_log(EV_FLOW_JOB_ADDED,
 	       "job=%s queue=%s workspace=%s age_ms=%lld "
 	       "recovered=%d",
@@ -28,7 +30,7 @@
 	round_wake(b);
 }
 
-/* Return: 0, and the caller frees the specification; -1 if it is invalid. */
+/* Return: 0, and the caller clears @job; -1 if it is invalid. */
 static int decode_job(const struct tg_row *row, struct tg_job_row *job)
 {
 	if (!tg_job_row_decode(row->value, row->value_bytes, job) &&
@@ -36,7 +38,7 @@
 		return 0;
 	tg_log(EV_ROW_BAD, "table=%s key=%s version=%lld", TG_JOBS_TABLE,
 	       row->key, (long long)row->version);
-	flow_spec_free(job->spec);
+	tg_job_row_clear(job);
 	return -1;
 }
 
@@ -44,8 +46,10 @@
 {
 	struct tg_job_row job;
 
-	if (!flow_has_job(b->flow, row->key) && !decode_job(row, &job))
-		add_job(b, &job);
+	if (flow_has_job(b->flow, row->key) || decode_job(row, &job))
+		return;
+	add_job(b, &job);
+	tg_job_row_clear(&job);
 }
 
 /*
@@ -62,8 +66,7 @@
 	if (job.row_version > tg_table_watch_settled_version(b->jobs) &&
 	    !purge_has_deleted(job.id, job.row_version))
 		add_job(b, &job);
-	else
-		flow_spec_free(job.spec);
+	tg_job_row_clear(&job);
 }
 
 /*
--- a/cmd/tgqueued/board.h
+++ b/cmd/tgqueued/board.h
@@ -53,7 +53,7 @@
 	struct evhttp_request *http;
 	enum tg_request_kind kind;
 	char job[FLOW_JOB_ID_LEN + 1];
-	char queue[TG_NAME_MAX + 1], workspace[TG_NAME_MAX + 1];
+	char *queue, *workspace; /* names, empty for none */
 	int64_t started_ms, deadline_ms; /* must be answered by then */
 	/*
 	 * Document by which the request was decoded, and for how long it had
--- a/cmd/tgqueued/front.c
+++ b/cmd/tgqueued/front.c
@@ -53,6 +53,8 @@
 	       kind_names[r->kind], r->job, r->queue, status, why, r->attempts,
 	       (long long)(tg_now_ms() - r->started_ms),
 	       (long long)r->generation, (long long)r->not_current_ms);
+	free(r->queue);
+	free(r->workspace);
 	free(r->row);
 	free(r);
 }
@@ -168,12 +170,14 @@
 
 static char *encode_job_row(const struct request *r, struct tg_request *c)
 {
-	struct tg_job_row row = { .accepted_wall_ms = tg_wall_ms(),
-				  .spec = c->spec };
+	struct tg_job_row row = {
+		.queue = r->queue,
+		.workspace = r->workspace,
+		.accepted_wall_ms = tg_wall_ms(),
+		.spec = c->spec,
+	};
 
 	tg_strlcpy(row.id, r->job, sizeof(row.id));
-	tg_strlcpy(row.queue, r->queue, sizeof(row.queue));
-	tg_strlcpy(row.workspace, r->workspace, sizeof(row.workspace));
 	return tg_job_row_encode(&row);
 }
 
@@ -223,11 +227,8 @@
 	r->generation = d->generation;
 	r->unconfirmed = state != TG_DOCUMENT_CURRENT;
 	tg_strlcpy(r->job, c.job, sizeof(r->job));
-	if (c.queue)
-		tg_strlcpy(r->queue, c.queue->name, sizeof(r->queue));
-	if (c.workspace)
-		tg_strlcpy(r->workspace, c.workspace->name,
-			   sizeof(r->workspace));
+	tg_set_str(&r->queue, c.queue ? c.queue->name : "");
+	tg_set_str(&r->workspace, c.workspace ? c.workspace->name : "");
 	wait_ms = c.deadline_ms > 0 ? c.deadline_ms : b->set.deadline_ms;
 	r->deadline_ms = r->started_ms + wait_ms * DEADLINE_PERCENT / 100;
 	if (r->unconfirmed && !may_use_unconfirmed(&c))
@@ -289,6 +290,8 @@
 
 	r->board = arg;
 	r->http = http;
+	r->queue = tg_xstrdup("");
+	r->workspace = tg_xstrdup("");
 	r->started_ms = tg_now_ms();
 	r->kind = TG_REQUEST_INVALID;
 	begin_request(r);
--- a/cmd/tgqueued/submit.c
+++ b/cmd/tgqueued/submit.c
@@ -199,6 +199,10 @@
 	struct board *b = r->board;
 	int64_t now_ms = tg_now_ms();
 
+	if (!r->row) {
+		request_end(r, 500, "the job can't be encoded");
+		return;
+	}
 	if (strlen(r->row) > (size_t)b->site.set.row_bytes) {
 		request_end(r, 413, "the store can't hold the job");
 		return;
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -70,6 +70,12 @@
 void *tg_xrealloc(void *p, size_t size);
 char *tg_xstrdup(const char *s);
 char *tg_xasprintf(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
+/**
+ * tg_set_str() - replace a string on the heap by a copy of another one
+ * @dst: the string to free and replace, or NULL; kept if it is equal to @src
+ * @src: NULL counts as empty
+ */
+void tg_set_str(char **dst, const char *src);
 
 /* --- random numbers and hashes --- */
 
--- a/lib/base/mem.c
+++ b/lib/base/mem.c
@@ -30,6 +30,19 @@
 	return check_memory(strdup(s));
 }
 
+void tg_set_str(char **dst, const char *src)
+{
+	char *copy;
+
+	if (!src)
+		src = "";
+	if (*dst && !strcmp(*dst, src))
+		return;
+	copy = tg_xstrdup(src);
+	free(*dst);
+	*dst = copy;
+}
+
 char *tg_xasprintf(const char *fmt, ...)
 {
 	char *s = NULL;
--- a/lib/oncrpc/tgrpc.h
+++ b/lib/oncrpc/tgrpc.h
@@ -19,6 +19,7 @@
 #define TG_RPC_JSON_MAX 65536
 #define TG_RPC_DOC_MAX 262144
 #define TG_RPC_BODY_MAX 786432
+#define TG_RPC_LIST_KEY_MAX 65536
 #define TG_RPC_NOTES_MAX 256
 #define TG_RPC_LIST_MAX 65536
 #define TG_RPC_PATH_MAX 2048
@@ -82,7 +83,7 @@
 typedef struct tg_rpc_job tg_rpc_job;
 
 struct tg_rpc_list {
-	tg_rpc_name workspace;
+	char *workspace;
 	tg_rpc_name after;
 	u_int limit;
 };
--- a/lib/oncrpc/tgrpc.x
+++ b/lib/oncrpc/tgrpc.x
@@ -9,6 +9,7 @@
 const TG_RPC_JSON_MAX = 65536;
 const TG_RPC_DOC_MAX = 262144;
 const TG_RPC_BODY_MAX = 786432;
+const TG_RPC_LIST_KEY_MAX = 65536;
 const TG_RPC_NOTES_MAX = 256;
 const TG_RPC_LIST_MAX = 65536;
 const TG_RPC_PATH_MAX = 2048;
@@ -66,7 +67,8 @@
 };
 
 struct tg_rpc_list {
-	tg_rpc_name workspace;	/* empty string for all */
+	/* Empty for all.  For the flow daemons, the name of a queue. */
+	string workspace<TG_RPC_LIST_KEY_MAX>;
 	tg_rpc_name after;	/* list only names that sort after this */
 	unsigned int limit;
 };
--- a/lib/oncrpc/tgrpc_xdr.c
+++ b/lib/oncrpc/tgrpc_xdr.c
@@ -112,7 +112,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_tg_rpc_name (xdrs, &objp->workspace))
+	 if (!xdr_string (xdrs, &objp->workspace, TG_RPC_LIST_KEY_MAX))
 		 return FALSE;
 	 if (!xdr_tg_rpc_name (xdrs, &objp->after))
 		 return FALSE;
--- a/lib/site/rows.c
+++ b/lib/site/rows.c
@@ -49,21 +49,32 @@
 			&queue, "workspace", &workspace, "accepted_wall_ms",
 			&accepted, "spec", &spec, "row_version", &version))
 		goto out;
-	if (!tg_strlcpy(r->id, id, sizeof(r->id)) ||
-	    !tg_strlcpy(r->queue, queue, sizeof(r->queue)) ||
-	    !tg_strlcpy(r->workspace, workspace, sizeof(r->workspace)))
+	if (!tg_strlcpy(r->id, id, sizeof(r->id)))
 		goto out;
 	if (accepted < 0 || accepted > WALL_MAX_MS)
 		goto out;
 	r->accepted_wall_ms = accepted;
 	r->row_version = version;
 	r->spec = flow_spec_decode(spec);
-	err = r->spec ? 0 : -1;
+	if (!r->spec)
+		goto out;
+	r->queue = tg_xstrdup(queue);
+	r->workspace = tg_xstrdup(workspace);
+	err = 0;
 out:
 	json_decref(o);
 	return err;
 }
 
+void tg_job_row_clear(struct tg_job_row *r)
+{
+	free(r->queue);
+	free(r->workspace);
+	flow_spec_free(r->spec);
+	r->queue = r->workspace = NULL;
+	r->spec = NULL;
+}
+
 char *tg_job_notice_encode(const char *row, int64_t row_version)
 {
 	json_t *o = json_loads(row, 0, NULL);
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -110,25 +110,33 @@
 
 /**
  * struct tg_job_row - a job as it was submitted
+ * @queue: name of its queue in the document
+ * @workspace: name of the caller's workspace, empty for an anonymous caller
  * @row_version: in the notice of a submission, the version of the stored row.
  *	0 if that is not known, as in notices of older versions.
  */
 struct tg_job_row {
 	char id[FLOW_JOB_ID_LEN + 1];
-	char queue[TG_NAME_MAX + 1], workspace[TG_NAME_MAX + 1];
+	char *queue, *workspace;
 	int64_t accepted_wall_ms;
 	int64_t row_version;
 	struct flow_spec *spec;
 };
 
-/** tg_job_row_encode() - encode as JSON; the caller frees the text */
+/**
+ * tg_job_row_encode() - encode as JSON
+ *
+ * Return: the text, which the caller frees; NULL if a string is not UTF-8.
+ */
 char *tg_job_row_encode(const struct tg_job_row *r);
 /**
  * tg_job_row_decode() - decode the JSON of a row
  *
- * Return: 0, and the caller frees @r->spec; -1 if the text is not a valid job.
+ * Return: 0, and the caller clears @r; -1 if the text is not a valid job.
  */
 int tg_job_row_decode(const char *text, size_t n, struct tg_job_row *r);
+/** tg_job_row_clear() - free what a decoded row holds, but not @r itself */
+void tg_job_row_clear(struct tg_job_row *r);
 /**
  * tg_job_notice_encode() - the text of a row with the version of the stored row
  *
--- a/tests/unit/platform/test-odd.c
+++ b/tests/unit/platform/test-odd.c
@@ -78,7 +78,7 @@
 
 	if (!tg_job_row_decode(text, n, &job))
 		ck_assert_int_le(job.accepted_wall_ms, 1LL << 53);
-	flow_spec_free(job.spec);
+	tg_job_row_clear(&job);
 }
 
 static void decode_owner(const char *text, size_t n)
--- a/tests/unit/site/test-site.c
+++ b/tests/unit/site/test-site.c
@@ -311,12 +311,57 @@
 
 	ck_assert_int_eq(tg_job_row_decode(notice, strlen(notice), &got), 0);
 	ck_assert_int_eq(got.row_version, 42);
-	flow_spec_free(got.spec);
+	tg_job_row_clear(&got);
 	free(notice);
 	/* Older queue daemons don't tell it. */
 	ck_assert_int_eq(tg_job_row_decode(row, strlen(row), &got), 0);
 	ck_assert_int_eq(got.row_version, 0);
-	flow_spec_free(got.spec);
+	tg_job_row_clear(&got);
+}
+END_TEST
+
+/*
+ * Names of queues and workspaces were cut after 63 bytes.  A row of a name that
+ * was cut within a character could not be encoded.
+ */
+START_TEST(job_row_keeps_long_names)
+{
+	char name[200 + sizeof("\u00e9")];
+	struct flow_step step = { .tasks = 1 };
+	struct flow_spec spec = { .text = "", .n_steps = 1, .steps = &step };
+	struct tg_job_row row = { .id = "00000000000000a1", .spec = &spec };
+	struct tg_job_row got;
+	size_t n;
+	char *text;
+
+	row.queue = row.workspace = name;
+	for (n = 50; n <= 200; n++) {
+		memset(name, 'n', n);
+		strcpy(name + n, "\u00e9");
+		text = tg_job_row_encode(&row);
+		ck_assert_ptr_nonnull(text);
+		ck_assert_int_eq(tg_job_row_decode(text, strlen(text), &got),
+				 0);
+		ck_assert_str_eq(got.queue, name);
+		ck_assert_str_eq(got.workspace, name);
+		tg_job_row_clear(&got);
+		free(text);
+	}
+}
+END_TEST
+
+/* Such a text can't come from the document; it must not end the process. */
+START_TEST(job_row_of_invalid_text_is_refused)
+{
+	char name[] = "\xc3";
+	struct flow_step step = { .tasks = 1 };
+	struct flow_spec spec = { .text = "", .n_steps = 1, .steps = &step };
+	struct tg_job_row row = { .id = "00000000000000a1",
+				  .queue = name,
+				  .workspace = name,
+				  .spec = &spec };
+
+	ck_assert_ptr_null(tg_job_row_encode(&row));
 }
 END_TEST
 
@@ -435,6 +480,8 @@
 	suite_add_tcase(s, t);
 	t = tcase_create("rows");
 	tcase_add_test(t, notice_tells_the_version_of_the_row);
+	tcase_add_test(t, job_row_keeps_long_names);
+	tcase_add_test(t, job_row_of_invalid_text_is_refused);
 	tcase_add_loop_test(t, owner_row_fits_with_many_silent_workers, 0, 4);
 	tcase_add_test(t, raised_token_leaves_the_term);
 	tcase_add_test(t, token_of_an_older_version_is_that_of_its_claim);
