flow: keep names of queues and workspaces whole

Jobs of two queues whose names share their first 63 bytes were accepted and stayed queued beside idle workers. Of two such workspaces, one got the guarantee and the account of the other.

Cause: the engine looked a queue up by its whole name and kept the cut one. The next document didn't find that entry, added another one under the same key, and dropped the listed one or the other. Jobs, guarantees and accounts were cut in the same way.

Change: they keep whole names on the heap; a job takes less memory with short ones (two strings in place of 128 bytes).

--- a/lib/flow/fairness.c
+++ b/lib/flow/fairness.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "flow/flow_internal.h"
 
@@ -28,8 +29,8 @@
 	if (a)
 		return a;
 	a = tg_xcalloc(1, sizeof(*a));
-	tg_strlcpy(a->workspace, workspace, sizeof(a->workspace));
-	HASH_ADD_STR(f->accounts, workspace, a);
+	a->workspace = tg_xstrdup(workspace);
+	HASH_ADD_KEYPTR(hh, f->accounts, a->workspace, strlen(a->workspace), a);
 	return a;
 }
 
@@ -56,6 +57,13 @@
 					flow_run_share(r);
 }
 
+static void drop_account(struct flow *f, struct account *a)
+{
+	HASH_DEL(f->accounts, a);
+	free(a->workspace);
+	free(a);
+}
+
 static bool is_forgotten(const struct account *a)
 {
 	int32_t i;
@@ -90,10 +98,8 @@
 			f->fair_held[i] += a->held[i];
 			f->n_fair[i]++;
 		}
-		if (is_forgotten(a)) {
-			HASH_DEL(f->accounts, a);
-			free(a);
-		}
+		if (is_forgotten(a))
+			drop_account(f, a);
 	}
 }
 
@@ -129,10 +135,8 @@
 {
 	struct account *a, *tmp;
 
-	HASH_ITER(hh, f->accounts, a, tmp) {
-		HASH_DEL(f->accounts, a);
-		free(a);
-	}
+	HASH_ITER(hh, f->accounts, a, tmp)
+		drop_account(f, a);
 }
 
 void flow_each_account(const struct flow *f,
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -169,7 +169,7 @@
 struct job {
 	struct flow *flow;
 	char id[FLOW_JOB_ID_LEN + 1];
-	char queue[TG_NAME_MAX + 1], workspace[TG_NAME_MAX + 1];
+	char *queue, *workspace;
 	struct flow_spec *spec;
 	struct step_state *step_states; /* index: occurrence x n_steps + step */
 	int32_t n_step_states, n_step_states_done;
@@ -368,7 +368,7 @@
 };
 
 struct queue {
-	char name[TG_NAME_MAX + 1], service[TG_NAME_MAX + 1];
+	char *name, *service;
 	int32_t priority, max_attempts;
 	double stretch;
 	int64_t target_ms;
@@ -389,7 +389,7 @@
 };
 
 struct quota {
-	char workspace[TG_NAME_MAX + 1];
+	char *workspace;
 	int32_t guaranteed;
 	int64_t left; /* this round, not used by jobs ranked so far */
 	UT_hash_handle hh;
@@ -397,7 +397,7 @@
 
 /** struct account - what a workspace holds; see fairness.c */
 struct account {
-	char workspace[TG_NAME_MAX + 1];
+	char *workspace;
 	/* By priority: the average, and of this round. */
 	double held[FLOW_FAIR_LEVELS], held_now[FLOW_FAIR_LEVELS];
 	bool has_jobs[FLOW_FAIR_LEVELS]; /* open ones */
--- a/lib/flow/jobs.c
+++ b/lib/flow/jobs.c
@@ -69,9 +69,8 @@
 	j = tg_xcalloc(1, sizeof(*j));
 	j->flow = f;
 	tg_strlcpy(j->id, o->id, sizeof(j->id));
-	tg_strlcpy(j->queue, o->queue, sizeof(j->queue));
-	tg_strlcpy(j->workspace, o->workspace ? o->workspace : "",
-		   sizeof(j->workspace));
+	tg_set_str(&j->queue, o->queue);
+	tg_set_str(&j->workspace, o->workspace);
 	j->spec = o->spec;
 	j->accepted_ms = o->accepted_ms;
 	j->recovered = o->recovered;
@@ -143,6 +142,8 @@
 	}
 	free(j->step_states);
 	flow_spec_free(j->spec);
+	free(j->queue);
+	free(j->workspace);
 	free(j);
 }
 
@@ -288,10 +289,11 @@
 		e = flow_find_queue(f, q[i].name);
 		if (!e) {
 			e = tg_xcalloc(1, sizeof(*e));
-			tg_strlcpy(e->name, q[i].name, sizeof(e->name));
-			HASH_ADD_STR(f->queues, name, e);
+			e->name = tg_xstrdup(q[i].name);
+			HASH_ADD_KEYPTR(hh, f->queues, e->name, strlen(e->name),
+					e);
 		}
-		tg_strlcpy(e->service, q[i].service, sizeof(e->service));
+		tg_set_str(&e->service, q[i].service);
 		e->priority = q[i].priority;
 		e->max_attempts = q[i].max_attempts;
 		e->stretch = q[i].stretch;
@@ -302,6 +304,8 @@
 		if (e->listed)
 			continue;
 		HASH_DEL(f->queues, e);
+		free(e->name);
+		free(e->service);
 		free(e);
 	}
 	fail_exhausted_jobs(f);
@@ -314,14 +318,16 @@
 
 	HASH_ITER(hh, f->quotas, old, tmp) {
 		HASH_DEL(f->quotas, old);
+		free(old->workspace);
 		free(old);
 	}
 	for (i = 0; i < n; i++) {
 		struct quota *e = tg_xcalloc(1, sizeof(*e));
 
-		tg_strlcpy(e->workspace, q[i].workspace, sizeof(e->workspace));
+		e->workspace = tg_xstrdup(q[i].workspace);
 		e->guaranteed = q[i].guaranteed;
-		HASH_ADD_STR(f->quotas, workspace, e);
+		HASH_ADD_KEYPTR(hh, f->quotas, e->workspace,
+				strlen(e->workspace), e);
 	}
 }
 
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -69,6 +69,8 @@
 TCase *kept_tcase(void);
 /** loans_tcase() - tests of test-loans.c */
 TCase *loans_tcase(void);
+/** names_tcase() - tests of test-names.c */
+TCase *names_tcase(void);
 /** plan_tcase() - tests of test-plan.c */
 TCase *plan_tcase(void);
 /** record_tcase() - tests of test-record.c */
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -1055,6 +1055,7 @@
 	suite_add_tcase(s, t);
 	suite_add_tcase(s, load_tcase());
 	suite_add_tcase(s, crash_tcase());
+	suite_add_tcase(s, names_tcase());
 	suite_add_tcase(s, capacity_tcase());
 	suite_add_tcase(s, drain_tcase());
 	suite_add_tcase(s, evacuate_tcase());
--- /dev/null
+++ b/tests/unit/flow/test-names.c
@@ -0,0 +1,143 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+
+/*
+ * Names of queues, workspaces, services, labels and racks have any length.  The
+ * engine kept their first 63 bytes, so that two of them became one.
+ */
+
+#define PREFIX_BYTES 150
+
+static struct flow *f;
+static struct orders o;
+static char name_a[PREFIX_BYTES + 2], name_b[PREFIX_BYTES + 2];
+
+static void setup(void)
+{
+	f = fleet_new();
+	memset(name_a, 'n', PREFIX_BYTES);
+	memcpy(name_b, name_a, PREFIX_BYTES);
+	name_a[PREFIX_BYTES] = 'a';
+	name_b[PREFIX_BYTES] = 'b';
+}
+
+static void teardown(void)
+{
+	flow_free(f);
+}
+
+static void count_queue(const struct flow_queue_usage *u, void *arg)
+{
+	int64_t *starts = arg;
+
+	if (!strcmp(u->queue, name_a))
+		*starts = u->starts;
+}
+
+/*
+ * The jobs of both queues stayed queued beside idle workers, and each document
+ * added another entry under the cut name.
+ */
+START_TEST(queues_that_share_a_prefix_stay_apart)
+{
+	struct flow_queue q[] = { fleet_queue(name_a, 1),
+				  fleet_queue(name_b, 1) };
+	int64_t starts = 0;
+
+	q[1].service = "without workers";
+	flow_set_queues(f, q, 2);
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_job(f, "j1", name_a, fleet_new_spec(2, 1, false), 0);
+	fleet_add_job(f, "j2", name_b, fleet_new_spec(1, 1, false), 0);
+	ck_assert_int_eq(flow_count_waiting(f, name_a), 1);
+	ck_assert_int_eq(flow_count_waiting(f, name_b), 1);
+	fleet_decide(f, &o, 1);
+	ck_assert_int_eq(o.n_starts, 2);
+	ck_assert_str_eq(o.starts[0].job, "j1");
+	fleet_confirm_starts(f, &o, 2);
+	ck_assert_int_eq(flow_count_waiting(f, name_a), 0);
+	ck_assert_int_eq(flow_count_waiting(f, name_b), 1);
+	/* A queue that stays in the document keeps its counts. */
+	flow_set_queues(f, q, 2);
+	flow_each_queue_usage(f, 3, count_queue, &starts);
+	ck_assert_int_eq(starts, 2);
+	flow_set_queues(f, q, 1);
+	fleet_decide(f, &o, 4);
+	ck_assert_int_eq(o.n_starts, 0);
+}
+END_TEST
+
+static void add_job_of(const char *id, const char *workspace,
+		       int32_t accelerators, int64_t accepted_ms)
+{
+	struct flow_job_opts j = {
+		.id = id,
+		.queue = "urgent",
+		.workspace = workspace,
+		.spec = fleet_new_spec(1, accelerators, false),
+		.accepted_ms = accepted_ms,
+	};
+
+	ck_assert(flow_add_job(f, &j));
+}
+
+/* One workspace got the guarantee of the other. */
+START_TEST(workspaces_that_share_a_prefix_stay_apart)
+{
+	const struct flow_quota q[] = { { name_a, 0 }, { name_b, 8 } };
+
+	flow_set_quotas(f, q, 2);
+	fleet_add_worker(f, "w1", "r1", 8);
+	add_job_of("j1", name_a, 8, 0);
+	add_job_of("j2", name_b, 8, 1);
+	fleet_decide(f, &o, 2);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_str_eq(o.starts[0].job, "j2");
+}
+END_TEST
+
+struct held {
+	double a, b;
+	int n;
+};
+
+static void add_held(const struct flow_account *a, void *arg)
+{
+	struct held *h = arg;
+
+	h->n++;
+	if (!strcmp(a->workspace, name_a))
+		h->a = a->held_workers[0];
+	if (!strcmp(a->workspace, name_b))
+		h->b = a->held_workers[0];
+}
+
+/* What one had held counted against both. */
+START_TEST(accounts_that_share_a_prefix_stay_apart)
+{
+	const struct flow_account a = { .workspace = name_a,
+					.held_workers = { 3 } };
+	const struct flow_account b = { .workspace = name_b,
+					.held_workers = { 1 } };
+	struct held h = { 0 };
+
+	flow_set_account(f, &a);
+	flow_set_account(f, &b);
+	flow_each_account(f, add_held, &h);
+	ck_assert_int_eq(h.n, 2);
+	ck_assert(h.a == 3 && h.b == 1);
+}
+END_TEST
+
+TCase *names_tcase(void)
+{
+	TCase *t = tcase_create("names");
+
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, queues_that_share_a_prefix_stay_apart);
+	tcase_add_test(t, workspaces_that_share_a_prefix_stay_apart);
+	tcase_add_test(t, accounts_that_share_a_prefix_stay_apart);
+	return t;
+}
