tgflowd: keep accounts of workspaces with long names

The next owner did not read what workspaces with names of over 63 bytes had held, so that their backlog went first again after each take-over. Names with characters that JSON escapes could make the row larger than the store accepts, and the write that it is part of is refused as a whole.

Cause: the row counted 63 bytes a name and was read by the same rule.

Change: an entry counts the bytes that it takes as JSON.

--- a/cmd/tgflowd/accounts.c
+++ b/cmd/tgflowd/accounts.c
@@ -12,8 +12,8 @@
 #define PERIOD_MS 2000
 #define UNIT 100.0
 #define HELD_MAX 1000000.0
-/* Name and numbers, as JSON. */
-#define ENTRY_BYTES (TG_NAME_MAX + 16 * FLOW_FAIR_LEVELS)
+/* Of the row, besides its entries. */
+#define ROW_OTHER_BYTES 32
 
 static struct {
 	struct tg_table_watch *table;
@@ -29,17 +29,21 @@
 static void add_account(const struct flow_account *a, void *arg)
 {
 	struct row *r = arg;
-	json_t *held;
+	json_t *held = json_array(), *e;
+	size_t bytes;
 	int i;
 
-	if (r->left < ENTRY_BYTES)
-		return;
-	r->left -= ENTRY_BYTES;
-	held = json_array();
 	for (i = 0; i < FLOW_FAIR_LEVELS; i++)
 		json_array_append_new(
 			held, json_integer(lround(a->held_workers[i] * UNIT)));
-	json_array_append_new(r->list, json_pack("[s,o]", a->workspace, held));
+	e = json_pack("[s,o]", a->workspace, held);
+	/* With a comma; escaped characters take up to six bytes each. */
+	bytes = json_dumpb(e, NULL, 0, JSON_COMPACT) + 1;
+	if (e && bytes <= r->left) {
+		json_array_append(r->list, e);
+		r->left -= bytes;
+	}
+	json_decref(e);
 }
 
 char *accounts_next_row(struct board *b, char *key, size_t size)
@@ -48,6 +52,8 @@
 	char *text = NULL;
 	json_t *o;
 
+	r.left -= r.left < ROW_OTHER_BYTES ? r.left : ROW_OTHER_BYTES;
+
 	if (!b->set.fair_shares || tg_now_ms() < s.next_ms)
 		return NULL;
 	s.next_ms = tg_now_ms() + PERIOD_MS;
@@ -69,7 +75,7 @@
 	struct flow_account a = { .workspace = name };
 	size_t i;
 
-	if (!name || strlen(name) > TG_NAME_MAX || !json_is_array(held))
+	if (!name || !json_is_array(held))
 		return false;
 	json_array_foreach(held, i, v) {
 		double x = (double)json_integer_value(v) / UNIT;
--- a/tests/unit/speed/test-accounts-row.c
+++ b/tests/unit/speed/test-accounts-row.c
@@ -70,6 +70,42 @@
 }
 END_TEST
 
+static void add_account(struct flow_account *a, char *name, size_t bytes,
+			char fill)
+{
+	memset(name, fill, bytes);
+	name[bytes] = '\0';
+	a->workspace = name;
+	flow_set_account(b.flow, a);
+}
+
+/*
+ * The accounts of workspaces with names of over 63 bytes were not read, and the
+ * space that the row has was counted for such names only.  A control character
+ * takes six bytes in JSON.
+ */
+START_TEST(long_names_are_kept_while_the_row_has_space)
+{
+	struct flow_account a = { .held_workers = { 1 } };
+	char key[32], name[1001], *text;
+
+	add_account(&a, name, 200, 'a');
+	add_account(&a, name, 1000, '\n');
+	add_account(&a, name, 1000, '"');
+	add_account(&a, name, 900, 'b');
+	b.site.set.row_bytes = 3200;
+	text = accounts_next_row(&b, key, sizeof(key));
+	ck_assert_ptr_nonnull(text);
+	ck_assert_uint_le(strlen(text), 3200);
+	teardown();
+	setup();
+	read_row(text);
+	free(text);
+	/* Only the one that takes 6000 bytes is left out. */
+	ck_assert(held() == 3);
+}
+END_TEST
+
 START_TEST(odd_accounts_are_left_out)
 {
 	static const char *const texts[] = {
@@ -99,6 +135,7 @@
 
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, next_owner_reads_what_this_one_wrote);
+	tcase_add_test(t, long_names_are_kept_while_the_row_has_space);
 	tcase_add_test(t, odd_accounts_are_left_out);
 	return t;
 }
