Keep names of services, zones, racks, labels and workers whole

Labels of that length were dropped without a word, and racks were cut, so that two of them became one and a gang that is to stay within a rack was spread over both. Workers whose ids have 64 to 200 bytes, the longest keys of the store, were invalid as well.

Cause: an entry and the engine kept these names in 64 bytes.

Change: both hold them on the heap, and ids of up to TG_KEY_MAX bytes. An entry owns its strings; a link takes over those of the entry that was read. A worker of the engine takes less memory with short names than with 11 arrays of 64 bytes. The row of speeds counts the bytes of its entries.

Evidence: three more tests of test-names.c and entries_keep_long_names (test-platform) fail on, with 0 starts instead of 1 and 2 and a gang that starts on both racks.

--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -77,7 +77,7 @@
 	flow_worker_set_gone(b->flow, id);
 }
 
-static struct link *new_link(struct board *b, const struct tg_worker_entry *e)
+static struct link *new_link(struct board *b, const char *id, const char *addr)
 {
 	struct link *l = tg_xcalloc(1, sizeof(*l));
 	struct tg_silent_worker s;
@@ -86,11 +86,12 @@
 	l->process = ++b->n_processes;
 	/* An earlier link to the worker may have used a token of this term. */
 	l->fence = b->owner.fence;
-	l->entry = *e;
-	tg_strlcpy(l->addr, e->addr, sizeof(l->addr));
+	tg_strlcpy(l->entry.id, id, sizeof(l->entry.id));
+	l->entry.remaining_ms = -1;
+	tg_strlcpy(l->addr, addr, sizeof(l->addr));
 	/* What a former owner had runs on may have restarted since. */
 	if (b->role == ROLE_RECOVERING &&
-	    tg_owner_row_find_silent(&b->owner, e->id, &s)) {
+	    tg_owner_row_find_silent(&b->owner, id, &s)) {
 		/* Versions before wrote -1 if they had lost it. */
 		l->boot_ms = s.boot_ms > 0 ? s.boot_ms : 0;
 		if (*s.addr)
@@ -111,13 +112,11 @@
 static void add_absent_worker(const char *id, void *arg)
 {
 	struct board *b = arg;
-	struct tg_worker_entry e = { .remaining_ms = -1 };
 	struct link *l;
 
 	if (link_find(b, id))
 		return;
-	tg_strlcpy(e.id, id, sizeof(e.id));
-	l = new_link(b, &e);
+	l = new_link(b, id, "");
 	link_set_failed(l, true);
 	l->first_failure_ms = tg_now_ms();
 }
@@ -167,7 +166,7 @@
 	}
 	l = link_find(b, e.id);
 	if (!l)
-		l = new_link(b, &e);
+		l = new_link(b, e.id, e.addr);
 	if (!l->in_directory || l->entry.draining != e.draining)
 		tg_log(EV_FLOW_WORKER_SEEN,
 		       "worker=%s az=%s rack=%s draining=%d remaining_ms=%lld "
@@ -184,7 +183,7 @@
 	l->in_directory = true;
 	l->written_after_ms = tg_table_watch_changed_after_ms(b->directory);
 	note_earliest_exit(l, &e);
-	l->entry = e;
+	tg_worker_entry_move(&l->entry, &e);
 	l->seen_in_scan = true;
 	link_adopt_address(l);
 	link_describe_worker(l);
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -44,7 +44,7 @@
 	struct board *board;
 	uint64_t term, process, fence;
 	int64_t n_answers, acked_n;
-	char id[TG_NAME_MAX + 1], addr[TG_ADDR_MAX + 1];
+	char id[TG_KEY_MAX + 1], addr[TG_ADDR_MAX + 1];
 	int64_t asked_ms;
 	enum poll_kind kind;
 };
@@ -86,6 +86,7 @@
 	link_await_no_fence(l);
 	link_expect_no_long_lease(l);
 	HASH_DEL(l->board->links, l);
+	tg_worker_entry_clear(&l->entry);
 	free(l);
 }
 
--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -42,7 +42,7 @@
 	struct board *board;
 	uint64_t term;
 	bool start;
-	char worker[TG_NAME_MAX + 1];
+	char worker[TG_KEY_MAX + 1];
 	struct tg_task_id task;
 	int32_t run;
 	char saved[FLOW_CHECKPOINT_LEN + 1]; /* of a start */
@@ -54,7 +54,7 @@
 
 /** struct lane - orders for one worker, while there are any */
 struct lane {
-	char worker[TG_NAME_MAX + 1];
+	char worker[TG_KEY_MAX + 1];
 	int in_progress;
 	/* Until fewer are in progress. */
 	struct order *waiting_stops, *waiting_starts;
@@ -213,7 +213,7 @@
 struct stopped {
 	struct board *board;
 	uint64_t term;
-	char worker[TG_NAME_MAX + 1];
+	char worker[TG_KEY_MAX + 1];
 	struct flow_run_ref ref;
 	char job[FLOW_JOB_ID_LEN + 1];
 };
--- a/cmd/tgflowd/speeds.c
+++ b/cmd/tgflowd/speeds.c
@@ -16,8 +16,8 @@
 #define UNIT 10000.0
 #define MEAN_MAX 5.0
 #define VAR_MAX 1.0
-/* Id and three numbers, as JSON. */
-#define ENTRY_BYTES (TG_NAME_MAX + 64)
+/* Of the row, besides its entries. */
+#define ROW_OTHER_BYTES 32
 
 static struct {
 	struct tg_table_watch *table;
@@ -41,8 +41,8 @@
 
 char *speeds_next_row(struct board *b, char *key, size_t size)
 {
-	size_t left = (size_t)b->site.set.row_bytes;
-	json_t *list, *o;
+	size_t left = (size_t)b->site.set.row_bytes, bytes;
+	json_t *list, *o, *e;
 	struct link *l;
 	char *text;
 
@@ -51,19 +51,23 @@
 	s.next_ms = tg_now_ms() + PERIOD_MS;
 	s.next = (s.next + 1) % N_ROWS;
 	list = json_array();
-	for (l = b->links; l && left > 2 * ENTRY_BYTES; l = l->hh.next) {
+	left -= left < ROW_OTHER_BYTES ? left : ROW_OTHER_BYTES;
+	for (l = b->links; l; l = l->hh.next) {
 		struct flow_speed v;
 
 		if (row_of(l->entry.id) != s.next || !known_boot_ms(l) ||
 		    !flow_worker_speed(b->flow, l->entry.id, &v))
 			continue;
-		json_array_append_new(
-			list,
-			json_pack("[s,I,I,I]", l->entry.id,
-				  (json_int_t)known_boot_ms(l),
-				  (json_int_t)lround(v.mean * UNIT),
-				  (json_int_t)lround(v.var * UNIT)));
-		left -= ENTRY_BYTES;
+		e = json_pack("[s,I,I,I]", l->entry.id,
+			      (json_int_t)known_boot_ms(l),
+			      (json_int_t)lround(v.mean * UNIT),
+			      (json_int_t)lround(v.var * UNIT));
+		bytes = json_dumpb(e, NULL, 0, JSON_COMPACT) + 1;
+		if (e && bytes <= left) {
+			json_array_append(list, e);
+			left -= bytes;
+		}
+		json_decref(e);
 	}
 	if (!json_array_size(list)) {
 		json_decref(list);
--- a/cmd/tgflowd/usage.c
+++ b/cmd/tgflowd/usage.c
@@ -212,7 +212,7 @@
 
 static void report_unused(const struct flow_unused *u, void *arg)
 {
-	char text[FLOW_UNREADY_REASONS + FLOW_HELD_KINDS][TG_NAME_MAX + 48];
+	char text[FLOW_UNREADY_REASONS + FLOW_HELD_KINDS][TG_KEY_MAX + 48];
 	const char *unready[FLOW_UNREADY_REASONS], *held[FLOW_HELD_KINDS];
 	int i;
 
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -19,6 +19,8 @@
  */
 
 #define TG_NAME_MAX 63
+/* Longest table, part or key of a row in the store, in bytes. */
+#define TG_KEY_MAX 200
 #define TG_ADDR_MAX 63
 #define TG_TOKEN_LEN 32
 
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -171,7 +171,7 @@
 
 struct flow_worker_spec {
 	const char *id, *service, *az, *rack;
-	const char *labels[8];
+	const char *labels[FLOW_LABELS_MAX];
 	int32_t n_labels;
 	struct flow_shape capacity;
 	bool draining; /* gets no starts */
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -119,7 +119,8 @@
  */
 struct kept_wait {
 	int64_t round, since_ms;
-	char worker[TG_NAME_MAX + 1], keeper[FLOW_JOB_ID_LEN + 1];
+	char *worker; /* NULL before the first round */
+	char keeper[FLOW_JOB_ID_LEN + 1];
 };
 
 /** struct step_state - progress of a step in one occurrence of its job */
@@ -271,12 +272,12 @@
 };
 
 struct worker {
-	char id[TG_NAME_MAX + 1];
+	char *id;
 	int32_t number; /* workers are numbered as they are added */
 	struct pool *pool; /* NULL before flow_worker_update() */
-	char az[TG_NAME_MAX + 1], rack[TG_NAME_MAX + 1];
+	char *az, *rack; /* empty before flow_worker_update() */
 	struct rack *in_rack; /* NULL before flow_worker_update() */
-	char labels[8][TG_NAME_MAX + 1];
+	char *labels[FLOW_LABELS_MAX];
 	int32_t n_labels;
 	struct flow_shape capacity, used;
 	struct flow_shape stopping; /* part of used held by stopping runs */
@@ -335,7 +336,7 @@
 
 /** struct pool - totals over the workers of a service */
 struct pool {
-	char service[TG_NAME_MAX + 1];
+	char *service;
 	struct flow_shape largest; /* of the worker with most accelerators */
 	struct array ready; /* of struct worker *: those that may get tasks */
 	int32_t n_ready; /* number of them; of these: */
@@ -362,7 +363,7 @@
 };
 
 struct rack {
-	char name[TG_NAME_MAX + 1];
+	char *name;
 	struct array workers; /* of struct worker *, of all pools */
 	UT_hash_handle hh;
 };
--- a/lib/flow/jobs.c
+++ b/lib/flow/jobs.c
@@ -133,6 +133,7 @@
 	flow_records_free(j);
 	for (i = 0; i < j->n_step_states; i++) {
 		flow_reservation_forget(&j->step_states[i]);
+		free(j->step_states[i].kept_wait.worker);
 		for (k = 0; k < flow_step_of(j, &j->step_states[i])->tasks;
 		     k++) {
 			free(j->step_states[i].tasks[k].failures.runs);
@@ -353,11 +354,13 @@
 		flow_array_free(&p->ready);
 		for (i = 0; i < FIT_LISTS; i++)
 			flow_array_free(&p->fit[i]);
+		free(p->service);
 		free(p);
 	}
 	HASH_ITER(hh, f->racks, k, kt) {
 		HASH_DEL(f->racks, k);
 		flow_array_free(&k->workers);
+		free(k->name);
 		free(k);
 	}
 	flow_array_free(&f->victims);
--- a/lib/flow/kept.c
+++ b/lib/flow/kept.c
@@ -36,7 +36,7 @@
 	k->round = s->f->scheduling_round;
 	if (w->booking.from_ms)
 		keeper = w->booking.job;
-	tg_strlcpy(k->worker, w->id, sizeof(k->worker));
+	tg_set_str(&k->worker, w->id);
 	tg_strlcpy(k->keeper, keeper ? keeper->id : "", sizeof(k->keeper));
 }
 
--- a/lib/flow/spec.h
+++ b/lib/flow/spec.h
@@ -17,6 +17,7 @@
 #define FLOW_STEPS_MAX 64
 #define FLOW_TASKS_MAX 20000 /* of a job, over all occurrences */
 #define FLOW_TEXT_MAX 4000
+#define FLOW_LABELS_MAX 8 /* of a worker */
 
 /** struct flow_shape - demand of a task, or capacity of a worker */
 struct flow_shape {
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -39,8 +39,8 @@
 	if (p)
 		return p;
 	p = tg_xcalloc(1, sizeof(*p));
-	tg_strlcpy(p->service, service, sizeof(p->service));
-	HASH_ADD_STR(f->pools, service, p);
+	p->service = tg_xstrdup(service);
+	HASH_ADD_KEYPTR(hh, f->pools, p->service, strlen(p->service), p);
 	return p;
 }
 
@@ -136,8 +136,8 @@
 	if (r)
 		return r;
 	r = tg_xcalloc(1, sizeof(*r));
-	tg_strlcpy(r->name, name, sizeof(r->name));
-	HASH_ADD_STR(f->racks, name, r);
+	r->name = tg_xstrdup(name);
+	HASH_ADD_KEYPTR(hh, f->racks, r->name, strlen(r->name), r);
 	return r;
 }
 
@@ -252,11 +252,13 @@
 	if (w)
 		return w;
 	w = tg_xcalloc(1, sizeof(*w));
-	tg_strlcpy(w->id, id, sizeof(w->id));
+	w->id = tg_xstrdup(id);
+	w->az = tg_xstrdup("");
+	w->rack = tg_xstrdup("");
 	w->number = f->n_workers_added++;
 	w->speed = 1;
 	flow_speed_reset(w);
-	HASH_ADD_STR(f->workers, id, w);
+	HASH_ADD_KEYPTR(hh, f->workers, w->id, strlen(w->id), w);
 	return w;
 }
 
@@ -316,19 +318,24 @@
 	return false;
 }
 
+static void set_labels(struct worker *w, const struct flow_worker_spec *s)
+{
+	int32_t i;
+
+	for (i = 0; i < s->n_labels && i < FLOW_LABELS_MAX; i++)
+		tg_set_str(&w->labels[i], s->labels[i]);
+	w->n_labels = i;
+}
+
 void flow_worker_update(struct flow *f, const struct flow_worker_spec *s)
 {
 	struct worker *w = flow_get_or_add_worker(f, s->id);
-	int32_t i;
 
 	w->pool = get_or_add_pool(f, s->service);
-	tg_strlcpy(w->az, s->az, sizeof(w->az));
-	tg_strlcpy(w->rack, s->rack ? s->rack : "", sizeof(w->rack));
+	tg_set_str(&w->az, s->az);
+	tg_set_str(&w->rack, s->rack);
 	join_rack(w, get_or_add_rack(f, w->rack));
-	w->n_labels = 0;
-	for (i = 0; i < s->n_labels && i < 8; i++)
-		tg_strlcpy(w->labels[w->n_labels++], s->labels[i],
-			   sizeof(w->labels[0]));
+	set_labels(w, s);
 	w->capacity = s->capacity;
 	w->present = true;
 	w->gone = false;
@@ -458,11 +465,18 @@
 
 void flow_free_worker(struct flow *f, struct worker *w)
 {
+	int32_t i;
+
 	HASH_DEL(f->workers, w);
 	leave_rack(w);
 	flow_forget_lost_runs(w);
 	flow_array_free(&w->preemptible);
 	flow_array_free(&w->run_ends);
+	for (i = 0; i < FLOW_LABELS_MAX; i++)
+		free(w->labels[i]);
+	free(w->az);
+	free(w->rack);
+	free(w->id);
 	free(w);
 }
 
--- a/lib/port/port.c
+++ b/lib/port/port.c
@@ -47,6 +47,33 @@
 	return NULL;
 }
 
+static void forget_strings(struct tg_worker_entry *e)
+{
+	e->service = e->az = e->rack = NULL;
+	memset(e->labels, 0, sizeof(e->labels));
+	e->n_labels = 0;
+}
+
+void tg_worker_entry_clear(struct tg_worker_entry *e)
+{
+	int i;
+
+	free(e->service);
+	free(e->az);
+	free(e->rack);
+	for (i = 0; i < e->n_labels; i++)
+		free(e->labels[i]);
+	forget_strings(e);
+}
+
+void tg_worker_entry_move(struct tg_worker_entry *to,
+			  struct tg_worker_entry *from)
+{
+	tg_worker_entry_clear(to);
+	*to = *from;
+	forget_strings(from);
+}
+
 void tg_queue_clear(struct tg_queue *q)
 {
 	free(q->name);
--- a/lib/port/port.h
+++ b/lib/port/port.h
@@ -115,26 +115,33 @@
 
 /* --- workers --- */
 
-#define TG_LABELS_MAX 8
-
 /**
  * struct tg_worker_entry - a worker's entry in the directory
+ * @id: key of its row
+ * @service: as the document names it; like @az, @rack and @labels on the heap,
+ *	of any length, and NULL only in an entry that was not decoded
  * @boot_ms: Unix time at which the worker process started, which tells it from
  *	earlier processes with the same @id; 0 if unknown
  * @remaining_ms: time until a draining worker exits; -1 if unknown
  * @warmup_left_ms: the worker stays slow for this long after its start
  */
 struct tg_worker_entry {
-	char id[TG_NAME_MAX + 1], addr[TG_ADDR_MAX + 1];
-	char service[TG_NAME_MAX + 1], az[TG_NAME_MAX + 1];
-	char rack[TG_NAME_MAX + 1];
+	char id[TG_KEY_MAX + 1], addr[TG_ADDR_MAX + 1];
+	char *service, *az, *rack;
 	struct flow_shape capacity;
-	char labels[TG_LABELS_MAX][TG_NAME_MAX + 1];
+	char *labels[FLOW_LABELS_MAX];
 	int n_labels;
 	bool draining;
 	int64_t boot_ms, remaining_ms, warmup_left_ms;
 };
 
+/** tg_worker_entry_clear() - free the strings of @e, but not @e itself */
+void tg_worker_entry_clear(struct tg_worker_entry *e);
+/** tg_worker_entry_move() - replace @to by @from, whose strings it takes over
+ */
+void tg_worker_entry_move(struct tg_worker_entry *to,
+			  struct tg_worker_entry *from);
+
 /** enum tg_order_end - outcome of a call to a worker */
 enum tg_order_end {
 	TG_ORDER_DONE,
@@ -408,7 +415,7 @@
  *	after it was requested; 0 if the platform has no evacuations
  */
 struct tg_site_settings {
-	char instance[TG_NAME_MAX + 1], az[TG_NAME_MAX + 1];
+	char instance[TG_KEY_MAX + 1], az[TG_KEY_MAX + 1];
 	char ip[TG_ADDR_MAX + 1];
 	char front_addr[TG_ADDR_MAX + 1], ready_addr[TG_ADDR_MAX + 1];
 	char store_addr[TG_ADDR_MAX + 1];
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -24,6 +24,7 @@
 struct opts {
 	const char *http_addr;
 	const char *log_level;
+	const char *service, *zone, *kind, *rack_prefix, *worker_prefix;
 	int64_t stores, workers, accelerators, memory_mb;
 	int64_t rack_workers;
 	int64_t hold_max_ms, stop_ms, clock_ms;
@@ -89,10 +90,10 @@
 };
 
 struct worker {
-	char id[32];
+	char id[TG_KEY_MAX + 1];
 	struct tg_http_server *server;
 	char addr[TG_ADDR_MAX + 1];
-	char zone[32];
+	char zone[TG_KEY_MAX + 1];
 	/*
 	 * ok, silent: cut off from everybody, refuse: cut off, connections are
 	 * refused, deaf: cut off from callers only, fail, unhealthy.  Calls
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -653,13 +653,13 @@
 		board.opts.rack_workers ? n / board.opts.rack_workers + 1 : 1;
 	json_t *o = json_pack(
 		"{s:s,s:s,s:s,s:s,s:I,s:s,s:I,s:{s:I,s:I,s:I},s:[s,o],s:I,s:I}",
-		"service", "svc", "address", life->addr, "zone", w->zone,
-		"version", "v1", "slots", (json_int_t)8, "state",
+		"service", board.opts.service, "address", life->addr, "zone",
+		w->zone, "version", "v1", "slots", (json_int_t)8, "state",
 		w->draining ? "draining" : "ready", "warmup-left-ms",
 		(json_int_t)0, "capacity", "cpu", (json_int_t)WORKER_CPU,
 		"mem-mb", (json_int_t)board.opts.memory_mb, "gpu",
-		(json_int_t)w->accelerators, "labels", "kind",
-		json_sprintf("r%d", (int)rack), "born",
+		(json_int_t)w->accelerators, "labels", board.opts.kind,
+		json_sprintf("%s%d", board.opts.rack_prefix, (int)rack), "born",
 		(json_int_t)life->born_wall_ms, "seq", (json_int_t)++w->seq);
 	int64_t left_ms = w->drained_ms - tg_now_ms();
 	char *text;
@@ -824,9 +824,9 @@
 
 void worker_open(struct worker *w, int n)
 {
-	snprintf(w->id, sizeof(w->id), "w%d", n);
+	snprintf(w->id, sizeof(w->id), "%s%d", board.opts.worker_prefix, n);
 	tg_strlcpy(w->mode, "ok", sizeof(w->mode));
-	tg_strlcpy(w->zone, "a", sizeof(w->zone));
+	tg_strlcpy(w->zone, board.opts.zone, sizeof(w->zone));
 	w->late_ms = LATE_MS;
 	w->pace_percent = 100;
 	w->accelerators = (int)board.opts.accelerators;
--- a/tests/unit/directory/test-directory.c
+++ b/tests/unit/directory/test-directory.c
@@ -45,6 +45,7 @@
 void link_free(struct link *l)
 {
 	HASH_DEL(l->board->links, l);
+	tg_worker_entry_clear(&l->entry);
 	free(l);
 }
 
@@ -105,6 +106,7 @@
 {
 	(void)row;
 	*e = entry;
+	tg_set_str(&e->service, "s");
 	return 0;
 }
 
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -15,7 +15,7 @@
 #define RECLAIM_MS 3400
 
 struct start_order {
-	char job[FLOW_JOB_ID_LEN + 1], worker[TG_NAME_MAX + 1];
+	char job[FLOW_JOB_ID_LEN + 1], worker[TG_KEY_MAX + 1];
 	char saved[FLOW_CHECKPOINT_LEN + 1];
 	int32_t occurrence, step, index, run;
 };
--- a/tests/unit/flow/test-names.c
+++ b/tests/unit/flow/test-names.c
@@ -8,7 +8,7 @@
  * engine kept their first 63 bytes, so that two of them became one.
  */
 
-#define PREFIX_BYTES 150
+#define PREFIX_BYTES (TG_KEY_MAX - 1)
 
 static struct flow *f;
 static struct orders o;
@@ -131,6 +131,70 @@
 }
 END_TEST
 
+static void add_worker(const char *id, const char *service, const char *rack,
+		       const char *label)
+{
+	struct flow_worker_spec s = {
+		.id = id,
+		.service = service,
+		.az = "a",
+		.rack = rack,
+		.labels = { label, rack },
+		.n_labels = 2,
+		.capacity = { 128000, 256000, 8 },
+	};
+
+	flow_worker_update(f, &s);
+	flow_worker_set_runs_known(f, id);
+}
+
+/* Workers of one served the jobs of the other, or nobody did. */
+START_TEST(services_that_share_a_prefix_stay_apart)
+{
+	struct flow_queue q[] = { fleet_queue(name_a, 1),
+				  fleet_queue(name_b, 1) };
+
+	q[0].service = name_a;
+	q[1].service = name_b;
+	flow_set_queues(f, q, 2);
+	add_worker("w1", name_b, "r1", "kind");
+	fleet_add_job(f, "j1", name_a, fleet_new_spec(1, 1, false), 0);
+	fleet_add_job(f, "j2", name_b, fleet_new_spec(1, 1, false), 0);
+	fleet_decide(f, &o, 1);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_str_eq(o.starts[0].job, "j2");
+}
+END_TEST
+
+/* A gang that is slow over several racks was spread over both. */
+START_TEST(racks_that_share_a_prefix_stay_apart)
+{
+	struct flow_spec *s = fleet_new_spec(2, 8, true);
+
+	s->steps[0].within_rack = true;
+	add_worker("w1", "s", name_a, "kind");
+	add_worker("w2", "s", name_b, "kind");
+	add_worker("w3", "s", name_b, "kind");
+	fleet_add_job(f, "j1", "normal", s, 0);
+	fleet_decide(f, &o, 1);
+	ck_assert_int_eq(o.n_starts, 2);
+	ck_assert_str_ne(o.starts[0].worker, "w1");
+	ck_assert_str_ne(o.starts[1].worker, "w1");
+}
+END_TEST
+
+/* The engine dropped a worker that had the id of another one when cut. */
+START_TEST(workers_that_share_a_prefix_stay_apart)
+{
+	add_worker(name_a, "s", "r1", "kind");
+	add_worker(name_b, "s", "r1", "kind");
+	fleet_add_job(f, "j1", "normal", fleet_new_spec(2, 8, true), 0);
+	fleet_decide(f, &o, 1);
+	ck_assert_int_eq(o.n_starts, 2);
+	ck_assert_str_ne(o.starts[0].worker, o.starts[1].worker);
+}
+END_TEST
+
 TCase *names_tcase(void)
 {
 	TCase *t = tcase_create("names");
@@ -139,5 +203,8 @@
 	tcase_add_test(t, queues_that_share_a_prefix_stay_apart);
 	tcase_add_test(t, workspaces_that_share_a_prefix_stay_apart);
 	tcase_add_test(t, accounts_that_share_a_prefix_stay_apart);
+	tcase_add_test(t, services_that_share_a_prefix_stay_apart);
+	tcase_add_test(t, racks_that_share_a_prefix_stay_apart);
+	tcase_add_test(t, workers_that_share_a_prefix_stay_apart);
 	return t;
 }
--- a/tests/unit/platform/test-platform.c
+++ b/tests/unit/platform/test-platform.c
@@ -69,8 +69,42 @@
 	ck_assert_int_eq(e.remaining_ms, 1200);
 	ck_assert_int_eq(e.boot_ms, 17);
 	ck_assert_int_eq(e.capacity.accelerators, 8);
+	tg_worker_entry_clear(&e);
 	ck_assert_int_eq(decode("{" ENTRY ",\"state\":\"ready\"}", &e), 0);
 	ck_assert_int_eq(e.remaining_ms, -1);
+	ck_assert_str_eq(e.rack, "");
+	tg_worker_entry_clear(&e);
+}
+END_TEST
+
+/*
+ * A worker of a service whose name has over 63 bytes was taken for invalid, its
+ * labels of that length were dropped, and its rack was cut.
+ */
+START_TEST(entries_keep_long_names)
+{
+	char name[TG_KEY_MAX + 1], *text;
+	struct tg_worker_entry e;
+	struct tg_row row = { .key = name };
+
+	memset(name, 'n', TG_KEY_MAX);
+	name[TG_KEY_MAX] = '\0';
+	text = tg_xasprintf("{\"service\":\"%s\",\"zone\":\"%s\","
+			    "\"address\":\"10.0.0.1:80\"," CAPACITY
+			    ",\"state\":\"ready\","
+			    "\"labels\":[\"%skind\",\"%s\u00e9\"]}",
+			    name, name, name, name);
+	row.value = text;
+	row.value_bytes = strlen(text);
+	ck_assert_int_eq(tg_platform_ops.worker(&row, &e), 0);
+	ck_assert_str_eq(e.id, name);
+	ck_assert_str_eq(e.service, name);
+	ck_assert_str_eq(e.az, name);
+	ck_assert_int_eq(e.n_labels, 2);
+	ck_assert_uint_eq(strlen(e.labels[0]), TG_KEY_MAX + 4);
+	ck_assert_uint_eq(strlen(e.rack), TG_KEY_MAX + 2);
+	tg_worker_entry_clear(&e);
+	free(text);
 }
 END_TEST
 
@@ -291,6 +325,7 @@
 
 	tcase_add_test(t, invalid_entries_are_rejected);
 	tcase_add_test(t, entries_are_decoded);
+	tcase_add_test(t, entries_keep_long_names);
 	tcase_add_test(t, document_is_decoded);
 	tcase_add_test(t, large_document_is_decoded_in_little_memory);
 	tcase_add_test(t, document_with_a_syntax_error_is_rejected);
