Accept instances and zones with names of over 63 bytes

Programs did not start on instances in a zone with such a name ("settings: zone: too long"), and the evacuation of such a zone was ignored with EV1707, so that tasks went on starting there.

Cause: settings kept them in 64 bytes, and evacuations.c compared with the same limit.

The row's lists give way to a long name. Members of the other protocol keep their limit of 63: a peer with longer names is not one of them.

--- a/lib/member/peers.c
+++ b/lib/member/peers.c
@@ -166,6 +166,13 @@
 	member_doc_pull_if_newer(m, p->info.rpc_addr, r->generation);
 }
 
+/* Members have names of up to TG_NAME_MAX bytes, unlike flow daemons. */
+static bool is_member(const struct tg_rpc_peer *r)
+{
+	return strlen(r->instance) <= TG_NAME_MAX &&
+		strlen(r->az) <= TG_NAME_MAX;
+}
+
 static void on_ping_answered(enum tg_rpc_call_status result, const void *res,
 			     void *arg)
 {
@@ -177,7 +184,7 @@
 	if (!p)
 		return;
 	p->ping_in_flight = false;
-	if (result == TG_RPC_CALL_OK)
+	if (result == TG_RPC_CALL_OK && is_member(res))
 		update_peer(m, p, res);
 }
 
--- a/lib/oncrpc/tgrpc.h
+++ b/lib/oncrpc/tgrpc.h
@@ -14,6 +14,7 @@
 #endif
 
 #define TG_RPC_NAME_MAX 63
+#define TG_RPC_KEY_MAX 200
 #define TG_RPC_ADDR_MAX 63
 #define TG_RPC_TEXT_MAX 8192
 #define TG_RPC_JSON_MAX 65536
@@ -27,6 +28,8 @@
 
 typedef char *tg_rpc_name;
 
+typedef char *tg_rpc_key;
+
 typedef char *tg_rpc_addr;
 
 enum tg_rpc_status {
@@ -41,9 +44,9 @@
 typedef enum tg_rpc_status tg_rpc_status;
 
 struct tg_rpc_peer {
-	tg_rpc_name instance;
+	tg_rpc_key instance;
 	tg_rpc_name role;
-	tg_rpc_name az;
+	tg_rpc_key az;
 	tg_rpc_name boot;
 	u_quad_t generation;
 	u_quad_t epoch;
@@ -301,6 +304,7 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_tg_rpc_name (XDR *, tg_rpc_name*);
+extern  bool_t xdr_tg_rpc_key (XDR *, tg_rpc_key*);
 extern  bool_t xdr_tg_rpc_addr (XDR *, tg_rpc_addr*);
 extern  bool_t xdr_tg_rpc_status (XDR *, tg_rpc_status*);
 extern  bool_t xdr_tg_rpc_peer (XDR *, tg_rpc_peer*);
@@ -322,6 +326,7 @@
 
 #else /* K&R C */
 extern bool_t xdr_tg_rpc_name ();
+extern bool_t xdr_tg_rpc_key ();
 extern bool_t xdr_tg_rpc_addr ();
 extern bool_t xdr_tg_rpc_status ();
 extern bool_t xdr_tg_rpc_peer ();
--- a/lib/oncrpc/tgrpc.x
+++ b/lib/oncrpc/tgrpc.x
@@ -4,6 +4,7 @@
  */
 
 const TG_RPC_NAME_MAX = 63;
+const TG_RPC_KEY_MAX = 200;
 const TG_RPC_ADDR_MAX = 63;
 const TG_RPC_TEXT_MAX = 8192;
 const TG_RPC_JSON_MAX = 65536;
@@ -16,6 +17,7 @@
 const TG_RPC_INSTANCES_MAX = 1024;
 
 typedef string tg_rpc_name<TG_RPC_NAME_MAX>;
+typedef string tg_rpc_key<TG_RPC_KEY_MAX>;
 typedef string tg_rpc_addr<TG_RPC_ADDR_MAX>;
 
 enum tg_rpc_status {
@@ -30,9 +32,9 @@
 
 /* Identity and state of a process. */
 struct tg_rpc_peer {
-	tg_rpc_name instance;
+	tg_rpc_key instance;
 	tg_rpc_name role;	/* "entry", "sched" or "console" */
-	tg_rpc_name az;
+	tg_rpc_key az;
 	tg_rpc_name boot;	/* id of this run, new at every start */
 	unsigned hyper generation;	/* of the document in force; 0 for none */
 	unsigned hyper epoch;	/* election epoch of a scheduler; else 0 */
--- a/lib/oncrpc/tgrpc_xdr.c
+++ b/lib/oncrpc/tgrpc_xdr.c
@@ -15,6 +15,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_tg_rpc_key (XDR *xdrs, tg_rpc_key *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, TG_RPC_KEY_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_tg_rpc_addr (XDR *xdrs, tg_rpc_addr *objp)
 {
@@ -40,11 +50,11 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_tg_rpc_name (xdrs, &objp->instance))
+	 if (!xdr_tg_rpc_key (xdrs, &objp->instance))
 		 return FALSE;
 	 if (!xdr_tg_rpc_name (xdrs, &objp->role))
 		 return FALSE;
-	 if (!xdr_tg_rpc_name (xdrs, &objp->az))
+	 if (!xdr_tg_rpc_key (xdrs, &objp->az))
 		 return FALSE;
 	 if (!xdr_tg_rpc_name (xdrs, &objp->boot))
 		 return FALSE;
--- a/lib/site/evacuations.c
+++ b/lib/site/evacuations.c
@@ -98,7 +98,7 @@
 
 	if (strncmp(row->key, prefix, n) != 0)
 		return;
-	if (!*az || strlen(az) > TG_NAME_MAX)
+	if (!*az)
 		tg_log(EV_ROW_BAD, "table=%s key=%s version=%lld",
 		       e->opts.site->ops->document_table, row->key,
 		       (long long)row->version);
--- a/lib/site/rows.c
+++ b/lib/site/rows.c
@@ -3,8 +3,8 @@
 
 #include "site/site.h"
 
-/* Largest size of the owner's row without its lists. */
-#define OWNER_OTHER_BYTES 512
+/* Largest size of the owner's row without its lists and its holder. */
+#define OWNER_OTHER_BYTES 448
 /* In place of the list of long leases: any worker may hold one. */
 #define ANY_WORKER "*"
 /* Differences of two such times stay in the range of the type. */
@@ -119,10 +119,17 @@
 	return true;
 }
 
-/* The list of long leases gets a quarter of what the row has for lists. */
-static int64_t long_leases_bytes(int64_t row_bytes)
+/* What the row has for lists. */
+static int64_t lists_bytes(const struct tg_owner_row *r, int64_t row_bytes)
 {
-	int64_t bytes = (row_bytes - OWNER_OTHER_BYTES) / 4;
+	return row_bytes - OWNER_OTHER_BYTES - (int64_t)strlen(r->holder);
+}
+
+/* The list of long leases gets a quarter of that. */
+static int64_t long_leases_bytes(const struct tg_owner_row *r,
+				 int64_t row_bytes)
+{
+	int64_t bytes = lists_bytes(r, row_bytes) / 4;
 
 	return bytes < TG_LONG_LEASES_SIZE ? bytes : TG_LONG_LEASES_SIZE;
 }
@@ -131,9 +138,9 @@
 			     const struct tg_silent_worker *s,
 			     int64_t row_bytes)
 {
-	char item[TG_NAME_MAX + TG_ADDR_MAX + 32];
+	char item[TG_KEY_MAX + TG_ADDR_MAX + 32];
 	int64_t list_bytes =
-		(row_bytes - OWNER_OTHER_BYTES - long_leases_bytes(row_bytes)) /
+		(lists_bytes(r, row_bytes) - long_leases_bytes(r, row_bytes)) /
 		2;
 	struct worker_list ids = { r->silent, sizeof(r->silent), list_bytes };
 	struct worker_list at = { r->silent_at, sizeof(r->silent_at),
@@ -150,7 +157,7 @@
 bool tg_owner_row_has_long_lease(const struct tg_owner_row *r,
 				 const char *worker)
 {
-	char item[TG_NAME_MAX + 3];
+	char item[TG_KEY_MAX + 3];
 
 	snprintf(item, sizeof(item), ",%s,", worker);
 	return !strcmp(r->long_leases, ANY_WORKER) ||
@@ -161,7 +168,7 @@
 				 int64_t row_bytes)
 {
 	struct worker_list l = { r->long_leases, sizeof(r->long_leases),
-				 long_leases_bytes(row_bytes) };
+				 long_leases_bytes(r, row_bytes) };
 
 	if (!tg_owner_row_has_long_lease(r, worker) && !add_to_list(&l, worker))
 		tg_strlcpy(r->long_leases, ANY_WORKER, sizeof(r->long_leases));
@@ -178,7 +185,7 @@
 bool tg_owner_row_find_silent(const struct tg_owner_row *r, const char *worker,
 			      struct tg_silent_worker *out)
 {
-	char start[TG_NAME_MAX + 3], addr[TG_ADDR_MAX + 1];
+	char start[TG_KEY_MAX + 3], addr[TG_ADDR_MAX + 1];
 	const char *item;
 	size_t n;
 
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -190,7 +190,7 @@
  * @settled: no owner before this one can renew leases any more
  */
 struct tg_owner_row {
-	char holder[TG_NAME_MAX + 1], addr[TG_ADDR_MAX + 1];
+	char holder[TG_KEY_MAX + 1], addr[TG_ADDR_MAX + 1];
 	char boot[TG_TOKEN_LEN + 1];
 	uint64_t fence, term;
 	int64_t seq;
