Accept labels, racks and images of any length in jobs

A job that requires a label of over 63 bytes, or names a rack or an image of that length, was rejected with 400, although workers may have such names and the protocol sets no length.

Cause: a step kept them in 64 bytes.

Change: a step has them on the heap, NULL for none.

--- a/lib/flow/bestfit.c
+++ b/lib/flow/bestfit.c
@@ -139,7 +139,7 @@
 		flow_class_cost(s->job, flow_fit_class(w)) +
 		flow_speed_cost(s->job, s->step, w->speed_class);
 
-	if (*s->step->data_rack && strcmp(w->rack, s->step->data_rack) != 0)
+	if (s->step->data_rack && strcmp(w->rack, s->step->data_rack) != 0)
 		cost += DATA_RACK_COST;
 	return cost;
 }
@@ -238,7 +238,7 @@
 {
 	struct rack *r = NULL;
 
-	if (*s->step->data_rack)
+	if (s->step->data_rack)
 		HASH_FIND_STR(s->f->racks, s->step->data_rack, r);
 	return r;
 }
--- a/lib/flow/nofit.c
+++ b/lib/flow/nofit.c
@@ -78,7 +78,7 @@
 	struct no_fit *n;
 
 	/* Others may use workers that these must not use. */
-	if (*st->label || st->per_worker_max || s->last_attempt ||
+	if (st->label || st->per_worker_max || s->last_attempt ||
 	    s->f->no_fits.n >= NO_FITS_MAX)
 		return;
 	n = flow_array_add(&s->f->no_fits, sizeof(*n));
--- a/lib/flow/spec.c
+++ b/lib/flow/spec.c
@@ -147,11 +147,12 @@
 	return json_integer_value(json_object_get(o, name));
 }
 
-static void get_text(const json_t *o, const char *name, char *out, size_t size)
+/* NULL if the member is absent or empty. */
+static char *dup_text(const json_t *o, const char *name)
 {
 	const char *s = json_string_value(json_object_get(o, name));
 
-	tg_strlcpy(out, s ? s : "", size);
+	return s && *s ? tg_xstrdup(s) : NULL;
 }
 
 static void decode_step(const json_t *o, struct flow_step *st)
@@ -173,9 +174,9 @@
 	st->per_worker_max = (int32_t)get_int(o, "per_worker_max");
 	st->absent_max = (int32_t)get_int(o, "absent_max");
 	st->latency_target_ms = get_int(o, "latency_target_ms");
-	get_text(o, "label", st->label, sizeof(st->label));
-	get_text(o, "data_rack", st->data_rack, sizeof(st->data_rack));
-	get_text(o, "image", st->image, sizeof(st->image));
+	st->label = dup_text(o, "label");
+	st->data_rack = dup_text(o, "data_rack");
+	st->image = dup_text(o, "image");
 	for (i = 0; i < json_array_size(after) && i < FLOW_STEPS_MAX; i++)
 		st->after[st->n_after++] =
 			(int32_t)json_integer_value(json_array_get(after, i));
@@ -211,8 +212,15 @@
 
 void flow_spec_free(struct flow_spec *s)
 {
+	int32_t i;
+
 	if (!s)
 		return;
+	for (i = 0; i < s->n_steps; i++) {
+		free(s->steps[i].label);
+		free(s->steps[i].data_rack);
+		free(s->steps[i].image);
+	}
 	free(s->text);
 	free(s->steps);
 	free(s);
--- a/lib/flow/spec.h
+++ b/lib/flow/spec.h
@@ -31,8 +31,9 @@
  * @declared_ms: caller's estimate of the run time of one task
  * @gang: all tasks run at the same time or none does
  * @within_rack: the gang runs slower if it spans racks
- * @label: label that the worker must have; empty for any worker
- * @data_rack: rack on which the tasks run faster; empty for none
+ * @label: label that the worker must have; NULL for any worker
+ * @data_rack: rack on which the tasks run faster; NULL for none
+ * @image: what the tasks run; NULL if it is not known
  * @per_worker_max: most tasks of the step on one worker; 0 for no limit
  * @checkpoints: a stopped task can resume from its checkpoint
  * @duplicates: several copies of a task may run at the same time
@@ -49,8 +50,7 @@
 	int32_t after[FLOW_STEPS_MAX];
 	int32_t n_after;
 	bool gang, within_rack, checkpoints, duplicates, endless, filler;
-	char label[TG_NAME_MAX + 1], data_rack[TG_NAME_MAX + 1];
-	char image[TG_NAME_MAX + 1];
+	char *label, *data_rack, *image;
 	int32_t per_worker_max, absent_max;
 	int64_t latency_target_ms;
 };
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -180,10 +180,10 @@
 {
 	int32_t i;
 
-	for (i = 0; i < w->n_labels; i++)
+	for (i = 0; label && i < w->n_labels; i++)
 		if (!strcmp(w->labels[i], label))
 			return true;
-	return !*label;
+	return !label;
 }
 
 bool flow_shape_fits(const struct flow_shape *need,
--- a/tests/script/site-long-names.sh
+++ b/tests/script/site-long-names.sh
@@ -35,6 +35,20 @@
 	awk '{ print int(($1 + 1) / 2) }' | sort -u | wc -l)"
 await_state 1 00000000000000a2 completed
 
+echo "# jobs name their labels and racks"
+in_second_rack="[{\"count\":2,\"cpu\":1000,\"gpu\":4,\"est-ms\":300,
+	\"requires\":\"$(long k)\",\"data-rack\":\"$(long r)2\",
+	\"image\":\"$(long i)\"}]"
+submit 1 00000000000000a5 "ms=1000 acc=4" "$in_second_rack" && echo
+await "two runs" runs_now 2
+seen '.runs[].worker' | sed 's/.*-\([1-4]\)"$/\1/' |
+	awk '{ print "rack " int(($1 + 1) / 2) }' | sort -u
+await_state 2 00000000000000a5 completed
+submit 1 00000000000000a6 "ms=300" "[{\"count\":1,\"cpu\":1000,
+	\"requires\":\"$(long k)2\"}]" && echo
+sleep 1
+echo "no worker has the label: $(state 1 00000000000000a6)"
+
 echo "# their zone is evacuated"
 control "row?table=op&key=evacuate/$zone" '{}'
 evacuation_seen() {
--- a/tests/unit/flow/test-names.c
+++ b/tests/unit/flow/test-names.c
@@ -183,6 +183,44 @@
 }
 END_TEST
 
+/* The next owner reads the job from its row. */
+START_TEST(specification_keeps_long_names)
+{
+	struct flow_spec *s = fleet_new_spec(1, 1, false), *got;
+	json_t *row;
+
+	s->steps[0].label = tg_xstrdup(name_a);
+	s->steps[0].data_rack = tg_xstrdup(name_b);
+	s->steps[0].image = tg_xstrdup(name_a);
+	row = flow_spec_encode(s);
+	got = flow_spec_decode(row);
+	ck_assert_ptr_nonnull(got);
+	ck_assert_str_eq(got->steps[0].label, name_a);
+	ck_assert_str_eq(got->steps[0].data_rack, name_b);
+	ck_assert_str_eq(got->steps[0].image, name_a);
+	json_decref(row);
+	flow_spec_free(s);
+	flow_spec_free(got);
+}
+END_TEST
+
+/* A label was taken for another one that begins with the same 63 bytes. */
+START_TEST(labels_that_share_a_prefix_stay_apart)
+{
+	struct flow_spec *s = fleet_new_spec(1, 1, false);
+
+	s->steps[0].label = tg_xstrdup(name_b);
+	add_worker("w1", "s", "r1", name_a);
+	fleet_add_job(f, "j1", "normal", s, 0);
+	fleet_decide(f, &o, 1);
+	ck_assert_int_eq(o.n_starts, 0);
+	add_worker("w2", "s", "r1", name_b);
+	fleet_decide(f, &o, 2);
+	ck_assert_int_eq(o.n_starts, 1);
+	ck_assert_str_eq(o.starts[0].worker, "w2");
+}
+END_TEST
+
 /* The engine dropped a worker that had the id of another one when cut. */
 START_TEST(workers_that_share_a_prefix_stay_apart)
 {
@@ -205,6 +243,8 @@
 	tcase_add_test(t, accounts_that_share_a_prefix_stay_apart);
 	tcase_add_test(t, services_that_share_a_prefix_stay_apart);
 	tcase_add_test(t, racks_that_share_a_prefix_stay_apart);
+	tcase_add_test(t, labels_that_share_a_prefix_stay_apart);
+	tcase_add_test(t, specification_keeps_long_names);
 	tcase_add_test(t, workers_that_share_a_prefix_stay_apart);
 	return t;
 }
