base: cut no texts for metrics, log lines and error replies in the middle

Names of over 60 bytes or with quotes made the metrics page invalid: a label was cut before its closing quote, and series whose names share their first 320 bytes were one. An error reply that was cut within a character had no "error" member, as json_string() returns NULL and the member is dropped. Log lines could end within a character.

Cause: fixed buffers whose truncation nobody looked at, as with names.

Change: tg_metric_label() escapes a label of any length, and keys of series are on the heap. Error replies are not cut; the answer to a bad request names ten errors and counts the others. Texts that aren't UTF-8 get '?' for each byte that isn't ASCII. A line of the log is cut between characters.

--- a/cmd/tgflowd/usage.c
+++ b/cmd/tgflowd/usage.c
@@ -1,4 +1,5 @@
 #include <math.h>
+#include <stdlib.h>
 
 #include "board.h"
 
@@ -21,10 +22,10 @@
 static void set_gauge(const char *name, const char *help, const char *label,
 		      const char *value, int64_t number)
 {
-	char labels[TG_NAME_MAX + 32];
+	char *labels = tg_metric_label(label, value);
 
-	snprintf(labels, sizeof(labels), "%s=\"%s\"", label, value);
 	tg_gauge(name, help, labels)->value = number;
+	free(labels);
 }
 
 static void set_queue_gauges(const struct flow_queue_usage *u)
--- a/cmd/tgqueued/front.c
+++ b/cmd/tgqueued/front.c
@@ -8,6 +8,8 @@
 /* Idle time-out of connections; longer than any request takes. */
 #define IDLE_MS 60000
 #define RETRY_AFTER_S 1
+/* Errors of a request that its answer names; it counts the others. */
+#define FINDINGS_TOLD_MAX 10
 /*
  * After this process was held up, requests wait until the store has said
  * whether the document is current, at most for this long, looking at it at this
@@ -158,14 +160,24 @@
 /* Replies to a bad request with its errors: "place: fault; place: fault". */
 static void reply_invalid(struct request *r, const struct tg_request *c)
 {
-	char text[512] = "";
-	size_t i, n = 0;
+	char *text = tg_xstrdup(""), *longer;
+	size_t i;
 
-	for (i = 0; i < c->findings.n && n < sizeof(text); i++)
-		n += (size_t)snprintf(text + n, sizeof(text) - n, "%s%s: %s",
-				      i ? "; " : "", c->findings.items[i].place,
+	for (i = 0; i < c->findings.n && i < FINDINGS_TOLD_MAX; i++) {
+		longer = tg_xasprintf("%s%s%s: %s", text, i ? "; " : "",
+				      c->findings.items[i].place,
 				      c->findings.items[i].text);
+		free(text);
+		text = longer;
+	}
+	if (c->findings.total > i) {
+		longer = tg_xasprintf("%s; %zu more", text,
+				      c->findings.total - i);
+		free(text);
+		text = longer;
+	}
 	request_end(r, c->status, text);
+	free(text);
 }
 
 static char *encode_job_row(const struct request *r, struct tg_request *c)
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -55,6 +55,11 @@
 bool tg_name_valid(const char *s);
 /** tg_strlcpy() - copy and always terminate; false if truncated */
 bool tg_strlcpy(char *dst, const char *src, size_t size);
+/**
+ * tg_utf8_trim() - remove an incomplete character from the end of a text that
+ * was cut
+ */
+void tg_utf8_trim(char *s);
 /** tg_addr_valid() - whether @s is IPv4:PORT or [IPv6]:PORT; NULL is not */
 bool tg_addr_valid(const char *s);
 /**
@@ -260,7 +265,8 @@
  * @number: EV_... constant of a registered table
  * @fmt: printf() format "key=%s key=%d"; "" logs the text of the event only
  *
- * Control characters are replaced by '?'.
+ * Control characters are replaced by '?'.  A line that is too long is cut
+ * between characters.
  */
 void tg_log(int number, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
@@ -297,8 +303,9 @@
 /*
  * Find or create a metric series; it lives as long as the process.  @name and
  * @help are not copied.  @labels is the text between the braces
- * ("service=\"a\"") or NULL for none.  To bound memory, series beyond
- * TG_SERIES_MAX are merged into one per name with the label overflow="true".
+ * ("service=\"a\"", see tg_metric_label()) or NULL for none.  To bound memory,
+ * series beyond TG_SERIES_MAX are merged into one per name with the label
+ * overflow="true".
  */
 #define TG_SERIES_MAX 4096
 struct tg_counter *tg_counter(const char *name, const char *help,
@@ -307,6 +314,12 @@
 			  const char *labels);
 struct tg_hist *tg_histogram(const char *name, const char *help,
 			     const char *labels);
+/**
+ * tg_metric_label() - NAME="VALUE" with any text as the value
+ *
+ * Return: the text, which the caller frees.
+ */
+char *tg_metric_label(const char *name, const char *value);
 /** tg_count_bytes() - from now on add all bytes appended to @buf to @c */
 void tg_count_bytes(struct evbuffer *buf, struct tg_counter *c);
 /** tg_metrics_write() - write all series in Prometheus text format */
--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -46,7 +46,8 @@
 static const char *format_line(const log4c_layout_t *layout,
 			       const log4c_logging_event_t *e)
 {
-	static char line[MESSAGE_MAX + 128];
+	/* With the time, the program and the text of the event. */
+	static char line[MESSAGE_MAX + 512];
 	char timestamp[32] = "";
 	struct tm tm;
 	time_t t = e->evt_timestamp.tv_sec;
@@ -189,7 +190,8 @@
 	    !admit_line(number))
 		return;
 	va_start(ap, fmt);
-	vsnprintf(text, sizeof(text), fmt, ap);
+	if (vsnprintf(text, sizeof(text), fmt, ap) >= (int)sizeof(text))
+		tg_utf8_trim(text);
 	va_end(ap);
 	for (p = text; *p; p++)
 		if ((unsigned char)*p < ' ' || *p == 127)
--- a/lib/base/metrics.c
+++ b/lib/base/metrics.c
@@ -4,13 +4,14 @@
 
 #include "base/base.h"
 
-#define SERIES_KEY_MAX 320
+/* Longer keys are found by a copy on the heap. */
+#define SHORT_KEY_BYTES 320
 #define OVERFLOW_LABELS "overflow=\"true\""
 
 enum metric_kind { COUNTER, GAUGE, HISTOGRAM };
 
 struct series {
-	char key[SERIES_KEY_MAX]; /* "name{labels}" */
+	char *key; /* "name{labels}" */
 	const char *name, *help;
 	char *labels;
 	enum metric_kind kind;
@@ -26,11 +27,15 @@
 
 static struct series *find_series(const char *name, const char *labels)
 {
-	char key[SERIES_KEY_MAX];
+	char short_key[SHORT_KEY_BYTES], *key = short_key;
 	struct series *s;
 
-	snprintf(key, sizeof(key), "%s{%s}", name, labels);
+	if (snprintf(short_key, sizeof(short_key), "%s{%s}", name, labels) >=
+	    (int)sizeof(short_key))
+		key = tg_xasprintf("%s{%s}", name, labels);
 	HASH_FIND_STR(all_series, key, s);
+	if (key != short_key)
+		free(key);
 	return s;
 }
 
@@ -39,14 +44,14 @@
 {
 	struct series *s = tg_xcalloc(1, sizeof(*s));
 
-	snprintf(s->key, sizeof(s->key), "%s{%s}", name, labels);
+	s->key = tg_xasprintf("%s{%s}", name, labels);
 	s->name = name;
 	s->help = help;
 	s->labels = tg_xstrdup(labels);
 	s->kind = kind;
 	if (kind == HISTOGRAM)
 		s->u.hist = tg_xcalloc(1, sizeof(*s->u.hist));
-	HASH_ADD_STR(all_series, key, s);
+	HASH_ADD_KEYPTR(hh, all_series, s->key, strlen(s->key), s);
 	return s;
 }
 
@@ -87,6 +92,20 @@
 	return get_series(name, help, labels, HISTOGRAM)->u.hist;
 }
 
+char *tg_metric_label(const char *name, const char *value)
+{
+	char *text = tg_xcalloc(strlen(name) + 2 * strlen(value) + 4, 1);
+	char *p = text + sprintf(text, "%s=\"", name);
+
+	for (; *value; value++) {
+		if (*value == '\\' || *value == '"' || *value == '\n')
+			*p++ = '\\';
+		*p++ = *value == '\n' ? 'n' : *value;
+	}
+	*p = '"';
+	return text;
+}
+
 static void on_buffer_change(struct evbuffer *buf,
 			     const struct evbuffer_cb_info *info, void *arg)
 {
--- a/lib/base/name.c
+++ b/lib/base/name.c
@@ -32,6 +32,22 @@
 	return true;
 }
 
+/* Bytes of a character that begins with @lead. */
+static size_t utf8_bytes(unsigned char lead)
+{
+	return lead < 0xc0 ? 1 : lead < 0xe0 ? 2 : lead < 0xf0 ? 3 : 4;
+}
+
+void tg_utf8_trim(char *s)
+{
+	size_t n = strlen(s), tail = 0;
+
+	while (tail < 3 && tail < n && (s[n - 1 - tail] & 0xc0) == 0x80)
+		tail++;
+	if (tail < n && utf8_bytes((unsigned char)s[n - 1 - tail]) > tail + 1)
+		s[n - 1 - tail] = '\0';
+}
+
 static int parse_port(const char *s, uint16_t *port)
 {
 	char *end;
--- a/lib/http/message.c
+++ b/lib/http/message.c
@@ -66,21 +66,40 @@
 	free(text);
 }
 
+/* Text that a caller has sent may not be UTF-8. */
+static json_t *encode_text(const char *s)
+{
+	json_t *v = json_string(s);
+	char *ascii, *p;
+
+	if (v)
+		return v;
+	ascii = tg_xstrdup(s);
+	for (p = ascii; *p; p++)
+		if ((unsigned char)*p >= 0x80)
+			*p = '?';
+	v = json_string(ascii);
+	free(ascii);
+	return v;
+}
+
 void tg_http_reply_error(struct evhttp_request *req, int status,
 			 const char *place, const char *fmt, ...)
 {
-	char text[512];
+	char *text = NULL;
 	va_list ap;
 	json_t *body;
 
 	va_start(ap, fmt);
-	vsnprintf(text, sizeof(text), fmt, ap);
+	if (vasprintf(&text, fmt, ap) < 0)
+		text = tg_xstrdup(fmt);
 	va_end(ap);
 	body = json_object();
-	json_object_set_new(body, "error", json_string(text));
+	json_object_set_new(body, "error", encode_text(text));
 	if (place)
-		json_object_set_new(body, "place", json_string(place));
+		json_object_set_new(body, "place", encode_text(place));
 	tg_http_reply_json(req, status, body);
+	free(text);
 }
 
 json_t *tg_http_parse_json_body(struct evhttp_request *req)
@@ -110,9 +129,10 @@
 
 	for (i = 0; i < f->n; i++)
 		json_array_append_new(list,
-				      json_pack("{s:s, s:s}", "place",
-						f->items[i].place, "text",
-						f->items[i].text));
+				      json_pack("{s:o, s:o}", "place",
+						encode_text(f->items[i].place),
+						"text",
+						encode_text(f->items[i].text)));
 	return json_pack("{s:o, s:I}", "findings", list, "total",
 			 (json_int_t)f->total);
 }
--- a/tests/script/site-names-share-prefix.sh
+++ b/tests/script/site-names-share-prefix.sh
@@ -2,7 +2,7 @@
 # Names of queues and workspaces were cut after 63 bytes, so that two of them
 # became one: jobs of both queues stayed queued beside idle workers.
 . "$TG_TESTS/site-lib.sh"
-prefix=$(printf '%0150d' 0)
+prefix=$(printf '%0400d' 0)
 
 start_site --stores=2 --workers=2
 start_instance 1
@@ -21,6 +21,12 @@
 		[ "$(jq .waiting "$tmp/body")" = "$3" ]
 }
 
+series() { # JOBS OF QUEUE B
+	owner=$(owner_of 1 2)
+	[ "$(metric "flow-$owner" "tg_flow_queue_open_jobs{queue=\"${prefix}b\"}")" \
+		= "$1" ]
+}
+
 queues_stay_apart() { # LAST DIGIT OF THE JOBS
 	for n in 1 2; do
 		await "the document on $n" answers_at $n /b/ 410
@@ -34,6 +40,7 @@
 	echo "of the other queue: $(state 2 00000000000000b$1)"
 	await "no job that waits" waiting 1 a 0
 	await "jobs without workers" waiting 2 b "$1"
+	await "a series of each queue" series "$1"
 	echo "counted"
 }
 
--- a/tests/unit/base/test-base.c
+++ b/tests/unit/base/test-base.c
@@ -203,6 +203,55 @@
 }
 END_TEST
 
+/*
+ * Two series whose names share their first 320 bytes were one, and a name with
+ * a quote or a line break made the page unreadable.
+ */
+START_TEST(metric_labels_may_be_any_text)
+{
+	char name[1002];
+	struct evbuffer *page = evbuffer_new();
+	char *a, *b, *odd = tg_metric_label("k", "a\"b\\c\nd\u00e9");
+
+	memset(name, 'n', sizeof(name) - 2);
+	strncpy(name + sizeof(name) - 2, "a", 2);
+	a = tg_metric_label("k", name);
+	strncpy(name + sizeof(name) - 2, "b", 2);
+	b = tg_metric_label("k", name);
+	tg_gauge("long", "Long names.", a)->value = 1;
+	tg_gauge("long", "Long names.", b)->value = 2;
+	ck_assert_int_eq(tg_gauge("long", "Long names.", a)->value, 1);
+	ck_assert_str_eq(odd, "k=\"a\\\"b\\\\c\\nd\u00e9\"");
+	tg_metrics_write(page);
+	ck_assert_int_ge(evbuffer_search(page, a, strlen(a), NULL).pos, 0);
+	ck_assert_int_ge(evbuffer_search(page, b, strlen(b), NULL).pos, 0);
+	evbuffer_free(page);
+	free(a);
+	free(b);
+	free(odd);
+}
+END_TEST
+
+/* A text that is cut within a character can't be encoded as JSON. */
+START_TEST(cut_text_ends_with_a_whole_character)
+{
+	static const char *const texts[] = { "", "ab", "a\u00e9", "a\u20ac",
+					     "a\U0001d11e" };
+	char cut[16];
+	size_t i, n;
+
+	for (i = 0; i < ARRAY_SIZE(texts); i++)
+		for (n = 0; n <= strlen(texts[i]); n++) {
+			snprintf(cut, sizeof(cut), "%.*s", (int)n, texts[i]);
+			tg_utf8_trim(cut);
+			if (n == strlen(texts[i]) || n < 2)
+				ck_assert_uint_eq(strlen(cut), n);
+			else
+				ck_assert_str_eq(cut, "a");
+		}
+}
+END_TEST
+
 /* If a node is removed, only the keys that it owned may change owner. */
 START_TEST(rendezvous_moves_only_lost_keys)
 {
@@ -289,6 +338,8 @@
 	tcase_add_test(t, setting_without_value_is_cleared);
 	tcase_add_test(t, settings_report_all_findings);
 	tcase_add_test(t, metric_series_are_bounded);
+	tcase_add_test(t, metric_labels_may_be_any_text);
+	tcase_add_test(t, cut_text_ends_with_a_whole_character);
 	tcase_add_test(t, rendezvous_moves_only_lost_keys);
 	tcase_add_test(t, logging_is_bounded);
 	suite_add_tcase(s, t);
