platform: use no part of a checkpoint

The next start of a task whose checkpoint has over 63 bytes carried the first 63 of them, which no run has saved. Where these ended within a character, the start carried none, and by reading, the row of its progress lost the failed runs of the task as well.

Cause: a checkpoint is kept in 64 bytes, and the copies didn't look at whether it fitted.

Change: one that does not fit counts as none, so that the task resumes from an earlier one or from its beginning. The engine and the reader of rows follow the same rule.

--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -487,7 +487,8 @@
  * flow_report_run() - report a run that a worker lists
  * @saved: its last checkpoint; NULL or empty for none
  *
- * A run that is not known is added; it is stopped if it is not wanted.
+ * A run that is not known is added; it is stopped if it is not wanted.  A
+ * checkpoint of over FLOW_CHECKPOINT_LEN bytes counts as none.
  */
 enum flow_listed flow_report_run(struct flow *f, const struct flow_run_ref *r,
 				 const char *worker, int32_t percent,
--- a/lib/flow/progress.c
+++ b/lib/flow/progress.c
@@ -201,8 +201,9 @@
 
 	if (json_unpack(o, "[iso]", &t->last_run, &saved, &failed))
 		return false;
-	if (*saved)
-		tg_strlcpy(t->saved, saved, sizeof(t->saved));
+	/* A part of a checkpoint is none. */
+	if (*saved && !tg_strlcpy(t->saved, saved, sizeof(t->saved)))
+		t->saved[0] = '\0';
 	json_array_foreach(failed, i, v)
 		flow_add_run_number(&t->failures,
 				    (int32_t)json_integer_value(v));
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -181,7 +181,7 @@
 	const struct flow_step *st = flow_step_of(j, ss);
 	int32_t i;
 
-	if (!saved || !*saved)
+	if (!saved || !*saved || strlen(saved) > FLOW_CHECKPOINT_LEN)
 		return;
 	if (!st->gang) {
 		tg_strlcpy(ss->tasks[index].saved, saved,
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -279,7 +279,7 @@
 		req, 200,
 		json_pack(
 			"{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,"
-			"s:I,s:I,s:I,s:I,s:o}",
+			"s:I,s:I,s:I,s:I,s:I,s:I,s:o}",
 			"jobs", (json_int_t)store_count("jobs"), "progress",
 			(json_int_t)store_count("progress"), "reads",
 			(json_int_t)board.reads, "writes",
@@ -296,7 +296,9 @@
 			(json_int_t)board.fenced, "kept",
 			(json_int_t)board.kept, "waited_idle",
 			(json_int_t)board.waited_idle, "evacuated",
-			(json_int_t)board.evacuated, "runs", runs));
+			(json_int_t)board.evacuated, "resumed",
+			(json_int_t)board.resumed, "odd_checkpoints",
+			(json_int_t)board.odd_checkpoints, "runs", runs));
 }
 
 static const struct tg_http_route routes[] = {
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -52,8 +52,12 @@
 	UT_hash_handle hh;
 };
 
+/* Longest checkpoint of the stand-in's runs in bytes. */
+#define CHECKPOINT_MAX 255
+
 struct run {
 	char task[64];
+	char saved[CHECKPOINT_MAX + 1]; /* its checkpoint, or empty */
 	int run;
 	int accelerators;
 	int64_t run_ms, end_ms; /* by itself */
@@ -156,6 +160,8 @@
 	int64_t waited_idle; /* waits of jobs beside free workers */
 	/* Starts in a zone later than evacuate_ms after its evacuation. */
 	int64_t evacuated;
+	/* Starts with a checkpoint, and with one that no run has saved. */
+	int64_t resumed, odd_checkpoints;
 	/* Faults under way that others brought about, and the last one here. */
 	char faults[FAULTS_MAX][32];
 	int64_t disturbed_ms;
--- a/tests/standin/sited/worker.c
+++ b/tests/standin/sited/worker.c
@@ -6,7 +6,8 @@
 /*
  * A worker of the platform.  The text of a job tells what its tasks do, for
  * instance "ms=700 acc=4 fail": run time, accelerators, end.  A task with
- * "deadly" crashes the worker, which is back soon as another process.
+ * "deadly" crashes the worker, which is back soon as another process; one with
+ * "saved=N" has a checkpoint of N bytes, whose second half has two a character.
  */
 
 #define DEFAULT_RUN_MS 300
@@ -103,7 +104,7 @@
 		if (!r->stopping)
 			json_array_append_new(running,
 					      json_pack("[sisi]", r->task,
-							r->run, "",
+							r->run, r->saved,
 							percent_of(r)));
 	for (e = w->ends; e && json_array_size(ended) < ENDS_LISTED_MAX;
 	     e = e->next) {
@@ -324,6 +325,24 @@
 	return false;
 }
 
+static void set_checkpoint(struct run *r, int bytes)
+{
+	int i = bytes < CHECKPOINT_MAX ? bytes : CHECKPOINT_MAX;
+
+	memset(r->saved, 'c', (size_t)i);
+	for (; i > bytes / 2 + 1; i -= 2)
+		memcpy(r->saved + i - 2, "\u00e9", 2);
+}
+
+/* All runs of a task have the same checkpoint, so a start has that or none. */
+static void note_resumed(const struct run *r, const char *checkpoint)
+{
+	if (!checkpoint)
+		return;
+	board.resumed++;
+	board.odd_checkpoints += strcmp(checkpoint, r->saved) != 0;
+}
+
 static const char *start(struct worker *w, const json_t *body)
 {
 	const char *spec = json_string_value(json_object_get(body, "spec"));
@@ -349,6 +368,8 @@
 	r->late = w->is_late;
 	r->end_ms = r->started_ms + r->run_ms;
 	r->tells_progress = strstr(spec, "progress") != NULL;
+	set_checkpoint(r, (int)spec_value(spec, "saved=", 0));
+	note_resumed(r, json_string_value(json_object_get(body, "checkpoint")));
 	r->fails = strstr(spec, "fail") != NULL;
 	r->next = w->runs;
 	w->runs = r;
