tgflowd: take no part of a key for a key

A row of another writer whose key begins with a job's id and ends with "~cancel" cancelled that job. One in the table of progress whose key begins with that of a record deleted the record at the next take-over.

Cause: keys were cut after the length of a valid one, without a look at the result.

Change: rows with longer keys are left alone and logged as EV1707. Lists of silent workers that don't fit count as empty instead of ending within an item, which a newer release with longer lists could cause.

Evidence: site-odd-keys on: the job is "cancelled"; without that row, 4 progress rows instead of 5 after the take-over, as one of the running job's four records is gone.

--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -30,14 +30,19 @@
 	round_wake(b);
 }
 
+static void log_bad_row(const char *table, const struct tg_row *row)
+{
+	tg_log(EV_ROW_BAD, "table=%s key=%s version=%lld", table, row->key,
+	       (long long)row->version);
+}
+
 /* Return: 0, and the caller clears @job; -1 if it is invalid. */
 static int decode_job(const struct tg_row *row, struct tg_job_row *job)
 {
 	if (!tg_job_row_decode(row->value, row->value_bytes, job) &&
 	    !strcmp(job->id, row->key))
 		return 0;
-	tg_log(EV_ROW_BAD, "table=%s key=%s version=%lld", TG_JOBS_TABLE,
-	       row->key, (long long)row->version);
+	log_bad_row(TG_JOBS_TABLE, row);
 	tg_job_row_clear(job);
 	return -1;
 }
@@ -89,11 +94,18 @@
 	round_wake(b);
 }
 
-static void add_cancel(struct board *b, const char *key)
+static void add_cancel(struct board *b, const struct tg_row *row)
 {
-	struct stored_cancel *c = tg_xcalloc(1, sizeof(*c));
+	size_t n = strcspn(row->key, "~");
+	struct stored_cancel *c;
 
-	snprintf(c->job, sizeof(c->job), "%.*s", (int)strcspn(key, "~"), key);
+	/* The first bytes of a longer key may be the id of another job. */
+	if (n > FLOW_JOB_ID_LEN) {
+		log_bad_row(TG_JOBS_TABLE, row);
+		return;
+	}
+	c = tg_xcalloc(1, sizeof(*c));
+	memcpy(c->job, row->key, n);
 	c->next = b->cancels;
 	b->cancels = c;
 	apply_cancels(b);
@@ -113,7 +125,7 @@
 	if (row->deleted || purge_has_deleted(row->key, row->version))
 		return;
 	if (is_cancel_key(row->key))
-		add_cancel(b, row->key);
+		add_cancel(b, row);
 	else
 		add_stored_job(b, row);
 }
@@ -125,6 +137,11 @@
 
 	if (row->deleted)
 		return;
+	/* So may those of a longer one here, of the key of another record. */
+	if (strlen(row->key) > FLOW_PROGRESS_KEY_LEN) {
+		log_bad_row(TG_PROGRESS_TABLE, row);
+		return;
+	}
 	/* An earlier owner deleted the job but not yet its progress. */
 	if (!flow_knows_record(b->flow, row->key)) {
 		writer_delete_progress(b, row->key);
@@ -132,8 +149,7 @@
 	}
 	o = json_loadb(row->value, row->value_bytes, 0, NULL);
 	if (!o || !flow_progress_decode(b->flow, row->key, o))
-		tg_log(EV_ROW_BAD, "table=%s key=%s version=%lld",
-		       TG_PROGRESS_TABLE, row->key, (long long)row->version);
+		log_bad_row(TG_PROGRESS_TABLE, row);
 	json_decref(o);
 }
 
--- a/lib/site/rows.c
+++ b/lib/site/rows.c
@@ -240,8 +240,11 @@
 	r->fence = (uint64_t)fence;
 	r->term = (uint64_t)(term ? term : fence);
 	r->seq = seq;
-	tg_strlcpy(r->silent, silent, sizeof(r->silent));
-	tg_strlcpy(r->silent_at, silent_at, sizeof(r->silent_at));
+	/* Without a list nobody takes part of an item for a whole one. */
+	if (!tg_strlcpy(r->silent, silent, sizeof(r->silent)))
+		r->silent[0] = '\0';
+	if (!tg_strlcpy(r->silent_at, silent_at, sizeof(r->silent_at)))
+		r->silent_at[0] = '\0';
 	if (!tg_strlcpy(r->long_leases, long_leases, sizeof(r->long_leases)))
 		tg_strlcpy(r->long_leases, ANY_WORKER, sizeof(r->long_leases));
 	r->released = released;
--- a/tests/standin/sited/main.c
+++ b/tests/standin/sited/main.c
@@ -74,13 +74,16 @@
 	reply_ok(req);
 }
 
-/* POST /standin/row?table=T&key=K: a row of another writer; with remove=1 it is
- * deleted */
+/*
+ * POST /standin/row?table=T&key=K: a row of another writer, in part=P if there
+ * is one; with remove=1 it is deleted
+ */
 static void set_row(struct evhttp_request *req, void *arg)
 {
 	struct evbuffer *in = evhttp_request_get_input_buffer(req);
 	char *table = tg_http_query_param(req, "table");
 	char *key = tg_http_query_param(req, "key");
+	char *part = tg_http_query_param(req, "part");
 	char *remove = tg_http_query_param(req, "remove");
 	size_t n = evbuffer_get_length(in);
 	char *text = tg_xcalloc(1, n + 1);
@@ -90,7 +93,9 @@
 	if (remove)
 		store_delete(table ? table : "", key ? key : "");
 	else
-		store_put(table ? table : "", key ? key : "", text);
+		store_put_in(table ? table : "", part ? part : "",
+			     key ? key : "", text);
+	free(part);
 	free(remove);
 	free(text);
 	free(table);
--- a/tests/standin/sited/sited.h
+++ b/tests/standin/sited/sited.h
@@ -172,6 +172,9 @@
 /* store.c */
 void store_request(struct evhttp_request *req, void *arg);
 void store_put(const char *table, const char *key, const char *text);
+/** store_put_in() - the same, in a part other than "" */
+void store_put_in(const char *table, const char *part, const char *key,
+		  const char *text);
 void store_delete(const char *table, const char *key);
 int64_t store_count(const char *table);
 /** store_put_ms() - when a row without a part was last put; 0 if there is none
--- a/tests/standin/sited/store.c
+++ b/tests/standin/sited/store.c
@@ -514,13 +514,15 @@
 			 key);
 }
 
-void store_put(const char *table, const char *key, const char *text)
+void store_put_in(const char *table, const char *part, const char *key,
+		  const char *text)
 {
 	size_t n = strlen(text);
 	char *value = tg_xcalloc(1, BASE64_ENCODE_RAW_LENGTH(n) + 1);
 	json_t *o = plain_key(table, key);
 
 	base64_encode_raw(value, n, (const uint8_t *)text);
+	json_object_set_new(o, "part", json_string(part));
 	json_object_set_new(o, "value", json_string(value));
 	board.ver++;
 	put_row(o, false);
@@ -529,6 +531,11 @@
 	free(value);
 }
 
+void store_put(const char *table, const char *key, const char *text)
+{
+	store_put_in(table, "", key, text);
+}
+
 void store_delete(const char *table, const char *key)
 {
 	json_t *o = plain_key(table, key);
