soak: long names, and daemons that end by themselves

The soak had short names only, and started a daemon that had crashed again without a word.

--names gives queues, workspaces, services, racks, labels, workers and instances names of 128 bytes and more that begin alike, with a character across the 63rd byte. A daemon that ends although nobody has sent it a signal breaks a promise now, with all flags.

--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -2,13 +2,15 @@
 # A soak of the queue and flow daemons: run.sh --seed N [--steps N]
 #	[--keep DIRECTORY] [--claim JOB] [--outages] [--large] [--workers]
 #	[--heartbeat-ms N] [--instances N] [--gangs] [--recuts] [--evacuations]
+#	[--names]
 # Three instances (or N) run on a stand-in of the platform, with three proxies
 # before the store.  Steps drawn from the seed submit and cancel jobs and inject
 # faults from outside: signals, disturbed connections, faults of store and
 # workers.  They overlap.  Then all faults end, and what callers and workers saw
 # is checked: an accepted job ends completed, one that was refused does not
 # exist, no task runs twice or beyond room, no job has waited for 3 s beside free
-# workers while no fault was near, and no owner took runs for ended that went on.
+# workers while no fault was near, no owner took runs for ended that went on, and
+# no daemon ended by itself.
 # --outages adds outages of the store in which entries of workers
 # expire, beside the other faults.  --large submits jobs of many small tasks, on
 # a store with rows of 8 KiB, which the progress of a job doesn't fit.  --workers
@@ -26,11 +28,13 @@
 # --evacuations evacuates two of three zones in turn and together, beside the other
 # faults, on workers of uneven speed; a start in one of them that comes too late is
 # a broken promise.
+# --names gives queues, workspaces, services, racks, labels, workers and instances
+# names of over 63 bytes, alike in their first ones.
 # --claim says that JOB was accepted, which shows that a lost job
 # is found.
 . "$(dirname "$0")/../site-lib.sh"
 seed=1 steps=40 keep= claim= outages= large= series= gangs= instances=3 lease_ms=4000
-evacuations=
+evacuations= names= worker=w
 while [ $# -gt 0 ]; do
 	case $1 in
 	--seed) seed=$2 ;;
@@ -50,6 +54,11 @@
 		shift
 		continue
 		;;
+	--names)
+		names=1
+		shift
+		continue
+		;;
 	--large)
 		large=1
 		row_bytes=8192
@@ -92,6 +101,15 @@
 			.["path-prefix"] = "/l/" | .["target-runtime-ms"] = 3000] |
 		.routes[0]["target-runtime-ms"] = 1500')
 fi
+if [ -n "$names" ]; then
+	# The first 63 bytes end within a character.
+	long=$(printf 'é%.0s' $(seq 64))
+	worker=w$(printf '%0150d-' 0)
+	node_prefix=i$(printf '%0150d-' 0)
+	config=$(echo "$config" | jq -c --arg long "$long" \
+		'(.routes[], .services[], .tenants[]) |= (.name = $long + .name) |
+		.routes[].service |= $long + .')
+fi
 # A caller gives up after this many tries of 3 s.
 tries_max=4
 
@@ -346,10 +364,31 @@
 	signal CONT "$2"
 	[ "$paused" = "$2" ] && paused=
 	wait "$(pid_of "$2")" 2>/dev/null
+	check_status $? "$2"
 	forget "$(pid_of "$2")"
 	revive
 }
 
+# check_status STATUS NAME: of a process that has got SIGTERM or SIGKILL
+check_status() {
+	case $1 in
+	0 | 1 | 137 | 143) ;;
+	*) echo "$2 ended by itself with $1" >>"$tmp/ended" ;;
+	esac
+}
+
+# Of processes that were not told to end.
+check_processes() {
+	for n in $(seq "$instances"); do
+		for role in flow queue; do
+			case $(sed 's/.*) \(.\) .*/\1/' \
+				"/proc/$(pid_of "$role-$n")/stat" 2>/dev/null) in
+			Z | '') echo "$role-$n ended by itself" >>"$tmp/ended" ;;
+			esac
+		done
+	done
+}
+
 # door_of INSTANCE: its address of the store, and the proxy before it
 door_of() {
 	echo $((($1 - 1) % 3 + 1))
@@ -368,7 +407,7 @@
 outage() { # WORKER
 	control "store?mode=refuse"
 	for i in 0 1 2; do
-		control "worker?id=w$((($1 + i - 1) % workers + 1))&mode=expire"
+		control "worker?id=$worker$((($1 + i - 1) % workers + 1))&mode=expire"
 	done
 	sleep 3.5
 	control "store?mode=ok"
@@ -398,7 +437,7 @@
 	mode=$(echo "$1" | sed 's/=/%3D/')
 	shift
 	for w in "$@"; do
-		control "worker?id=w$w&mode=$mode"
+		control "worker?id=$worker$w&mode=$mode"
 	done
 }
 
@@ -518,7 +557,7 @@
 		;;
 	link) link "$2" "$(pick "$8" delay silent one-way reset ok ok)" ;;
 	worker)
-		control "worker?id=w$3&mode=$(pick "$8" silent unanswered \
+		control "worker?id=$worker$3&mode=$(pick "$8" silent unanswered \
 			mute unhealthy restart ok ok)"
 		;;
 	keys)
@@ -542,9 +581,9 @@
 
 # A worker announces that it drains, and exits 3 s later.
 leave_for_good() { # WORKER
-	control "worker?id=w$1&mode=drain%3D3000"
+	control "worker?id=$worker$1&mode=drain%3D3000"
 	pause 3050
-	control "worker?id=w$1&mode=leave"
+	control "worker?id=$worker$1&mode=leave"
 }
 
 gang_job() { # WHAT INSTANCE QUEUE TASKS CPU MEMORY ACCELERATORS RUN_MS EST_MS FIELDS
@@ -596,7 +635,7 @@
 		# shellcheck disable=SC2086
 		case $what in
 		leave) leave_for_good $line </dev/null & ;;
-		back) control "worker?id=w$line&mode=back" ;;
+		back) control "worker?id=$worker$line&mode=back" ;;
 		worker) of_each $line ;;
 		heal) heal_owner "$line" ;;
 		kill | term | freeze | cut) owner_fault "$what" "$line" ;;
@@ -683,9 +722,12 @@
 }
 
 : >"$tmp/callers"
+: >"$tmp/ended"
 : >"$tmp/cancelled"
 : >"$tmp/never"
 start_site --stores=3 --workers=$workers --row-bytes=$row_bytes \
+	${names:+"--worker-prefix=$worker" "--service=${long}svc"} \
+	${names:+"--kind=${long}kind" "--rack-prefix=${long}r"} \
 	--stop-ms="$stop_ms" ${evacuate_ms:+--evacuate-ms=$evacuate_ms} \
 	${gangs:+--memory-mb=524288 --rack-workers=8 --clock-ms=60000}
 for n in 1 2 3; do
@@ -697,8 +739,8 @@
 done
 if [ -n "$evacuations" ]; then
 	for w in 1 2 3 4; do
-		control "worker?id=w$w&mode=zone=$([ $w -le 2 ] && echo x || echo y)"
-		control "worker?id=w$w&mode=pace=$((150 - 30 * w))"
+		control "worker?id=$worker$w&mode=zone=$([ $w -le 2 ] && echo x || echo y)"
+		control "worker?id=$worker$w&mode=pace=$((150 - 30 * w))"
 	done
 fi
 if [ -n "$series" ]; then
@@ -747,6 +789,7 @@
 done <"$tmp/steps"
 [ -z "$series" ] || wait $series_pid
 rm -f "$tmp/calling"
+check_processes
 heal
 cancel_never
 i=0
@@ -774,6 +817,7 @@
 		grep waited_idle "$tmp/site.err"
 	}
 	check_verdicts
+	cat "$tmp/ended"
 	[ -z "$series$gangs" ] || grep -vE '^(000|200|410|429|503|504)$' "$tmp/answers"
 ) >"$tmp/broken" 2>&1
 echo "seed $seed: $n_jobs jobs," \
