tgflowd: one encoder for rows that hold a list

Accounts and speeds counted the bytes of their entries with the same lines twice. rowlist.c does it for both; what is written is the same (test-speed).

--- a/cmd/tgflowd/accounts.c
+++ b/cmd/tgflowd/accounts.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "board.h"
+#include "rowlist.h"
 
 /*
  * Keeps what workspaces have held in the store, so that the next owner doesn't
@@ -12,59 +13,34 @@
 #define PERIOD_MS 2000
 #define UNIT 100.0
 #define HELD_MAX 1000000.0
-/* Of the row, besides its entries. */
-#define ROW_OTHER_BYTES 32
 
 static struct {
 	struct tg_table_watch *table;
 	int64_t next_ms;
 } s;
 
-/** struct row - the row that is being encoded */
-struct row {
-	json_t *list;
-	size_t left;
-};
-
 static void add_account(const struct flow_account *a, void *arg)
 {
-	struct row *r = arg;
-	json_t *held = json_array(), *e;
-	size_t bytes;
+	json_t *held = json_array();
 	int i;
 
 	for (i = 0; i < FLOW_FAIR_LEVELS; i++)
 		json_array_append_new(
 			held, json_integer(lround(a->held_workers[i] * UNIT)));
-	e = json_pack("[s,o]", a->workspace, held);
-	/* With a comma; escaped characters take up to six bytes each. */
-	bytes = json_dumpb(e, NULL, 0, JSON_COMPACT) + 1;
-	if (e && bytes <= r->left) {
-		json_array_append(r->list, e);
-		r->left -= bytes;
-	}
-	json_decref(e);
+	row_list_add(arg, json_pack("[s,o]", a->workspace, held));
 }
 
 char *accounts_next_row(struct board *b, char *key, size_t size)
 {
-	struct row r = { .left = (size_t)b->site.set.row_bytes };
-	char *text = NULL;
-	json_t *o;
-
-	r.left -= r.left < ROW_OTHER_BYTES ? r.left : ROW_OTHER_BYTES;
+	struct row_list l;
 
 	if (!b->set.fair_shares || tg_now_ms() < s.next_ms)
 		return NULL;
 	s.next_ms = tg_now_ms() + PERIOD_MS;
-	r.list = json_array();
-	flow_each_account(b->flow, add_account, &r);
-	o = json_pack("{s:o}", "workspaces", r.list);
-	if (json_array_size(r.list))
-		text = json_dumps(o, JSON_COMPACT);
-	json_decref(o);
+	row_list_begin(&l, b->site.set.row_bytes);
+	flow_each_account(b->flow, add_account, &l);
 	tg_strlcpy(key, ACCOUNTS_KEY, size);
-	return text;
+	return row_list_end(&l, "workspaces");
 }
 
 /* Return: false if the entry is not valid. */
--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -137,7 +137,7 @@
 
 	if (row->deleted)
 		return;
-	/* So may those of a longer one here, of the key of another record. */
+	/* The first bytes of a longer key may be that of another record. */
 	if (strlen(row->key) > FLOW_PROGRESS_KEY_LEN) {
 		log_bad_row(TG_PROGRESS_TABLE, row);
 		return;
--- a/cmd/tgflowd/speeds.c
+++ b/cmd/tgflowd/speeds.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "board.h"
+#include "rowlist.h"
 
 /*
  * Keeps what is known of the speed of workers in the store, where the next
@@ -16,8 +17,6 @@
 #define UNIT 10000.0
 #define MEAN_MAX 5.0
 #define VAR_MAX 1.0
-/* Of the row, besides its entries. */
-#define ROW_OTHER_BYTES 32
 
 static struct {
 	struct tg_table_watch *table;
@@ -41,43 +40,28 @@
 
 char *speeds_next_row(struct board *b, char *key, size_t size)
 {
-	size_t left = (size_t)b->site.set.row_bytes, bytes;
-	json_t *list, *o, *e;
+	struct row_list list;
 	struct link *l;
-	char *text;
 
 	if (!b->set.follow_speed || tg_now_ms() < s.next_ms)
 		return NULL;
 	s.next_ms = tg_now_ms() + PERIOD_MS;
 	s.next = (s.next + 1) % N_ROWS;
-	list = json_array();
-	left -= left < ROW_OTHER_BYTES ? left : ROW_OTHER_BYTES;
+	row_list_begin(&list, b->site.set.row_bytes);
 	for (l = b->links; l; l = l->hh.next) {
 		struct flow_speed v;
 
 		if (row_of(l->entry.id) != s.next || !known_boot_ms(l) ||
 		    !flow_worker_speed(b->flow, l->entry.id, &v))
 			continue;
-		e = json_pack("[s,I,I,I]", l->entry.id,
-			      (json_int_t)known_boot_ms(l),
-			      (json_int_t)lround(v.mean * UNIT),
-			      (json_int_t)lround(v.var * UNIT));
-		bytes = json_dumpb(e, NULL, 0, JSON_COMPACT) + 1;
-		if (e && bytes <= left) {
-			json_array_append(list, e);
-			left -= bytes;
-		}
-		json_decref(e);
+		row_list_add(&list,
+			     json_pack("[s,I,I,I]", l->entry.id,
+				       (json_int_t)known_boot_ms(l),
+				       (json_int_t)lround(v.mean * UNIT),
+				       (json_int_t)lround(v.var * UNIT)));
 	}
-	if (!json_array_size(list)) {
-		json_decref(list);
-		return NULL;
-	}
-	o = json_pack("{s:o}", "workers", list);
-	text = json_dumps(o, JSON_COMPACT);
-	json_decref(o);
 	snprintf(key, size, "%02d", s.next);
-	return text;
+	return row_list_end(&list, "workers");
 }
 
 /* Return: false if the entry is not valid. */
