flow: keep the state of open occurrences only; refuse what can't be held

What callers saw: 36 jobs of one task and 20,000 occurrences were accepted, the owner exceeded the memory of its instance with the 30th, and each next owner read the same rows and was killed as well.

An occurrence has state only while it is open: due ones are opened in order while few of them wait, and one that is done is closed. Rows stay as they were. The owner tells the room that is left for jobs, half of the memory of an instance; queue daemons refuse a job that doesn't fit with 503 and Retry-After, unless it is stored already.

--- a/cmd/tgflowd/metrics.c
+++ b/cmd/tgflowd/metrics.c
@@ -10,7 +10,8 @@
 static struct {
 	struct tg_gauge *owner, *jobs, *open_jobs, *waiting_tasks, *runs,
 		*stopping, *unsure, *workers, *ready_workers,
-		*free_accelerators, *workers_checked, *memory;
+		*free_accelerators, *workers_checked, *occurrences, *held_kb,
+		*memory;
 } g;
 
 static bool is_ready(void *arg, const char **why)
@@ -81,6 +82,10 @@
 		"tg_flow_workers_checked",
 		"workers that the last round looked at, each as often as it did",
 		NULL);
+	g.occurrences = tg_gauge("tg_flow_open_occurrences",
+				 "occurrences of jobs that have state", NULL);
+	g.held_kb = tg_gauge("tg_flow_jobs_kb",
+			     "memory that all jobs count for, in KiB", NULL);
 	g.memory = tg_gauge("tg_resident_kb", "resident memory in KiB", NULL);
 	b->metrics = o.addr ? tg_http_server_new(&o) : NULL;
 	if (o.addr && !b->metrics)
@@ -109,6 +114,8 @@
 	g.ready_workers->value = s.ready_workers;
 	g.free_accelerators->value = s.free_accelerators;
 	g.workers_checked->value = s.workers_checked;
+	g.occurrences->value = s.open_occurrences;
+	g.held_kb->value = b->flow ? flow_held_bytes(b->flow) / 1024 : 0;
 	g.memory->value = tg_rss_kb();
 	usage_report(b, now_ms);
 }
--- a/cmd/tgflowd/rpc.c
+++ b/cmd/tgflowd/rpc.c
@@ -11,6 +11,20 @@
  */
 #define PEER_FDS_SHARE 5
 
+/*
+ * Jobs may take this share of the memory of the instance.  The rest is for
+ * runs, workers and calls, and for the jobs that instances accept before they
+ * hear that there is no room.
+ */
+#define JOBS_MEMORY_SHARE 2
+
+/* Memory that is left for further jobs, in bytes; below 0 if there is none. */
+static int64_t room_bytes(const struct board *b)
+{
+	return (b->site.set.memory_mb << 20) / JOBS_MEMORY_SHARE -
+		flow_held_bytes(b->flow);
+}
+
 static void answer(struct board *b, struct tg_rpc_req *req,
 		   enum tg_rpc_status status, json_t *json, const char *text)
 {
@@ -33,6 +47,10 @@
 			json, "not-current-ms",
 			json_integer(tg_document_not_current_ms(b->document)));
 	}
+	/* Before it has read all jobs, it doesn't know how much they take. */
+	if (json && b->role == ROLE_OWNER && b->site.set.memory_mb)
+		json_object_set_new(json, "room-bytes",
+				    json_integer(room_bytes(b)));
 	s = json ? json_dumps(json, JSON_COMPACT) : NULL;
 	a.json.json_val = s;
 	a.json.json_len = s ? (u_int)strlen(s) : 0;
--- a/cmd/tgqueued/board.h
+++ b/cmd/tgqueued/board.h
@@ -43,6 +43,14 @@
 	 */
 	int64_t store_failed_ms, relay_failed_ms;
 	int64_t probed_ms; /* last submission that tried the store */
+	/*
+	 * What the owner last said it can hold of further jobs, what this
+	 * instance has accepted since, and what it is storing; see room.c.
+	 */
+	bool room_known;
+	int64_t room_bytes, accepted_bytes, storing_bytes;
+	bool room_wanted; /* a job was refused since */
+	bool room_asking;
 	/* When the owner last could not confirm the document. */
 	int64_t unconfirmed_ms;
 };
@@ -62,6 +70,9 @@
 	int64_t generation, not_current_ms;
 	bool unconfirmed; /* nobody knew whether that was the newest one */
 	char *row; /* encoded job row of a submission */
+	int64_t job_bytes; /* what the job takes at the owner */
+	bool has_room; /* they count as being stored */
+	int64_t retry_after_s; /* for a refusal; 0 for the usual time */
 	bool maybe_stored; /* a write that got no answer may take effect */
 	bool found; /* the job's row exists */
 	bool cancelled; /* so does the row that requests its cancellation */
@@ -86,11 +97,27 @@
 /** submit() - store the job in @r->row and reply */
 void submit(struct request *r);
 
+/* room.c */
+/** room_heard_of() - the owner has answered; @answer may say what it can hold
+ */
+void room_heard_of(struct board *b, const json_t *answer);
+/** room_is_left() - whether the owner can hold the job of @r */
+bool room_is_left(const struct request *r);
+/** room_take() - the job of @r is about to be stored */
+void room_take(struct request *r);
+/** room_settle() - the request ends; @stored if the job is, or may be, stored
+ */
+void room_settle(struct request *r, bool stored);
+/** room_check() - ask the owner if jobs were refused since it last answered */
+void room_check(struct board *b);
+
 /* query.c */
 /** query_state() - reply with the state of the job */
 void query_state(struct request *r);
 /** cancel_job() - cancel at the owner, else store the cancellation */
 void cancel_job(struct request *r);
+/** reject_unless_stored() - reply 503 unless the job was accepted before */
+void reject_unless_stored(struct request *r);
 /** query_waiting() - reply with the number of jobs waiting in the queue */
 void query_waiting(struct request *r);
 
--- a/cmd/tgqueued/front.c
+++ b/cmd/tgqueued/front.c
@@ -55,6 +55,7 @@
 	       kind_names[r->kind], r->job, r->queue, status, why, r->attempts,
 	       (long long)(tg_now_ms() - r->started_ms),
 	       (long long)r->generation, (long long)r->not_current_ms);
+	room_settle(r, status == 200 || status == 504);
 	free(r->queue);
 	free(r->workspace);
 	free(r->row);
@@ -71,10 +72,11 @@
 static void reply(struct request *r, int status, const char *why)
 {
 	bool retry_later = status == 429 || status == 503;
+	int64_t after_s = r->retry_after_s ? r->retry_after_s : RETRY_AFTER_S;
 
 	add_close_if_draining(r);
 	r->board->site.ops->reply_status(r->http, status,
-					 retry_later ? RETRY_AFTER_S : 0, why);
+					 retry_later ? after_s : 0, why);
 	finish(r, status, why);
 }
 
@@ -198,6 +200,7 @@
 	switch (r->kind) {
 	case TG_REQUEST_SUBMIT:
 		r->row = encode_job_row(r, c);
+		r->job_bytes = flow_job_bytes(c->spec);
 		submit(r);
 		break;
 	case TG_REQUEST_SHOW:
--- a/cmd/tgqueued/owner.c
+++ b/cmd/tgqueued/owner.c
@@ -84,6 +84,7 @@
 	json_t *o = json_loadb(a->json.json_val, a->json.json_len, 0, NULL);
 
 	hear_of_document(k, o);
+	room_heard_of(b, o);
 	if (a->status == TG_RPC_NOT_ACTIVE) {
 		update_owner(b, o);
 		k->done(TG_RPC_CALL_REJECTED, NULL, k->arg);
@@ -188,6 +189,7 @@
 	if (!*b->owner_addr || b->store_failed_ms)
 		read_owner(b);
 	tg_flow_peers_refresh(&b->members);
+	room_check(b);
 }
 
 static void stop(void *board)
--- a/cmd/tgqueued/query.c
+++ b/cmd/tgqueued/query.c
@@ -52,6 +52,41 @@
 	return true;
 }
 
+/* --- jobs that are refused --- */
+
+/* Memory becomes free as jobs end, some time after their callers have asked. */
+#define NO_ROOM_RETRY_AFTER_S 10
+
+static void on_refused_row(const struct tg_store_result *w, void *arg)
+{
+	struct request *r = arg;
+
+	r->retry_after_s = NO_ROOM_RETRY_AFTER_S;
+	if (w->end != TG_STORE_OK)
+		request_end(r, 504, "unknown whether the job was stored");
+	else if (!w->n_rows || strcmp(w->rows[0].key, r->job) != 0)
+		request_end(r, 503, "no memory for further jobs");
+	else if (tg_job_rows_equal(w->rows[0].value, w->rows[0].value_bytes,
+				   r->row, strlen(r->row)))
+		request_end(r, 200, "stored before");
+	else
+		request_end(r, 409, "another job has this id");
+}
+
+/* The request may repeat one whose answer was lost. */
+void reject_unless_stored(struct request *r)
+{
+	struct tg_store_range range = {
+		.table = TG_JOBS_TABLE,
+		.part = tg_job_part(r->job),
+		.from = r->job,
+		.limit = 1,
+		.timeout_ms = READ_TIMEOUT_MS,
+	};
+
+	r->board->site.ops->get(r->board->site.port, &range, on_refused_row, r);
+}
+
 /* --- state --- */
 
 /*
--- a/cmd/tgqueued/submit.c
+++ b/cmd/tgqueued/submit.c
@@ -211,6 +211,11 @@
 		request_end(r, 503, "the store does not answer");
 		return;
 	}
+	if (!room_is_left(r)) {
+		reject_unless_stored(r);
+		return;
+	}
 	b->probed_ms = now_ms;
+	room_take(r);
 	try_store(r);
 }
--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -225,14 +225,15 @@
 
 static void schedule_jobs(struct round *rd, struct job *const *list, size_t n)
 {
+	struct step_state *ss;
 	size_t i;
 	int32_t k;
 
 	for (i = 0; i < n; i++)
-		for (k = 0;
-		     k < list[i]->n_step_states && !flow_may_not_start(list[i]);
+		for (k = 0; !flow_may_not_start(list[i]) &&
+		     (ss = flow_nth_open(list[i], k));
 		     k++)
-			schedule_step(rd, list[i], &list[i]->step_states[k]);
+			schedule_step(rd, list[i], ss);
 }
 
 /*
@@ -242,15 +243,14 @@
 static void schedule_recalling_jobs(struct round *rd, struct job *const *list,
 				    size_t n)
 {
+	struct step_state *ss;
 	size_t i;
 	int32_t k;
 
 	for (i = 0; i < n; i++)
-		for (k = 0; k < list[i]->n_step_states; k++)
-			if (flow_awaits_recall(rd->f, &list[i]->step_states[k],
-					       rd->now_ms))
-				schedule_step(rd, list[i],
-					      &list[i]->step_states[k]);
+		for (k = 0; (ss = flow_nth_open(list[i], k)); k++)
+			if (flow_awaits_recall(rd->f, ss, rd->now_ms))
+				schedule_step(rd, list[i], ss);
 }
 
 static void schedule_ordinary_jobs(struct round *rd, struct job *const *list,
@@ -279,6 +279,7 @@
 	grow_placement(&rd, PLACEMENT_MIN);
 	clear_reservations(&rd);
 	n = flow_sort_jobs(f, now_ms, &list);
+	flow_open_due(f, list, n, wall_ms);
 	flow_update_pools(f, now_ms);
 	flow_speed_update_pools(f);
 	flow_update_use(f, now_ms);
--- a/lib/flow/evacuate.c
+++ b/lib/flow/evacuate.c
@@ -109,18 +109,22 @@
 
 static const char *find_fit_of_job(const struct flow *f, const struct job *j)
 {
+	const struct step_state *ss;
 	const char *az = NULL;
 	int32_t i;
 
 	if (!f->evacuated.n || flow_has_ended(j))
 		return NULL;
-	for (i = 0; i < j->n_step_states && !az; i++) {
-		const struct step_state *ss = &j->step_states[i];
+	for (i = 0; !az && (ss = flow_nth_open(j, i)); i++) {
 		const struct flow_step *st = flow_step_of(j, ss);
 
 		if (ss->n_done + ss->n_runs < st->tasks)
 			az = find_fit(f, j, st);
 	}
+	if (az || !flow_count_untouched(j))
+		return az;
+	for (i = 0; !az && i < j->spec->n_steps; i++)
+		az = find_fit(f, j, &j->spec->steps[i]);
 	return az;
 }
 
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -371,6 +371,15 @@
 
 /** flow_add_job() - false if the job exists; its specification is freed then */
 bool flow_add_job(struct flow *f, const struct flow_job_opts *o);
+/**
+ * flow_job_bytes() - memory that a job takes
+ *
+ * Of its occurrences it includes one; what further ones take together that are
+ * due at a time is limited, and those not due take a bit each.
+ */
+int64_t flow_job_bytes(const struct flow_spec *s);
+/** flow_held_bytes() - sum of flow_job_bytes() over all jobs */
+int64_t flow_held_bytes(const struct flow *f);
 bool flow_has_job(const struct flow *f, const char *id);
 /**
  * flow_cancel() - cancel a job; no effect if it has ended
@@ -636,12 +645,14 @@
 
 /**
  * struct flow_stats - counts for metrics
+ * @open_occurrences: occurrences that have state, of all jobs
  * @unsure: runs whose start had no answer
  * @workers_checked: workers looked at for tasks by the last flow_decide(), each
  *	as often as it was looked at
  */
 struct flow_stats {
-	int64_t jobs, open_jobs, waiting_tasks, runs, stopping, unsure;
+	int64_t jobs, open_jobs, open_occurrences, waiting_tasks;
+	int64_t runs, stopping, unsure;
 	int64_t workers, ready_workers, quarantined, free_accelerators;
 	int64_t workers_checked;
 };
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -6,6 +6,12 @@
 #include "flow/estimate.h"
 #include "flow/flow.h"
 
+/** struct array - items of one type in memory that grows */
+struct array {
+	void *items;
+	size_t n, size;
+};
+
 enum run_state {
 	RUN_DECIDED, /* its record is not durable yet, so no order was sent */
 	RUN_POSSIBLE, /* a former owner planned it, and may have started it */
@@ -123,9 +129,10 @@
 	char keeper[FLOW_JOB_ID_LEN + 1];
 };
 
-/** struct step_state - progress of a step in one occurrence of its job */
+/** struct step_state - progress of a step in one open occurrence of its job */
 struct step_state {
 	struct job *job;
+	struct occurrence *of;
 	int32_t occurrence, step;
 	int32_t first; /* number of its first task among those of the job */
 	int32_t n_done, n_runs;
@@ -145,6 +152,16 @@
 	struct task *tasks;
 };
 
+/**
+ * struct occurrence - state of an open occurrence of a job; see occurrence.c
+ * @steps: one for each step of the job
+ */
+struct occurrence {
+	struct job *job;
+	int32_t number, n_steps_done;
+	struct step_state *steps;
+};
+
 /**
  * struct record - row of the store that holds the progress of some tasks
  *
@@ -156,7 +173,6 @@
 	struct job *job;
 	char key[FLOW_PROGRESS_KEY_LEN + 1];
 	int32_t number;
-	int32_t step_state; /* index of the first one that it covers */
 	bool stored; /* the store may have the row */
 	bool dirty, writing;
 	bool unneeded; /* dirty, only to be deleted some time */
@@ -172,8 +188,12 @@
 	char id[FLOW_JOB_ID_LEN + 1];
 	char *queue, *workspace;
 	struct flow_spec *spec;
-	struct step_state *step_states; /* index: occurrence x n_steps + step */
-	int32_t n_step_states, n_step_states_done;
+	int32_t n_occurrences, occurrence_tasks; /* tasks of each */
+	struct array open; /* of struct occurrence *, by number */
+	uint8_t *done_bits; /* closed ones; NULL for a job without times */
+	int32_t n_occurrences_done, n_occurrences_closed;
+	int32_t next_occurrence; /* those before it were opened when due */
+	int32_t ahead_max; /* most open ones that wait for capacity */
 	enum flow_state state;
 	bool cancelled, recovered, begun;
 	bool taken_ended; /* it had ended when record 0 was last taken */
@@ -233,12 +253,6 @@
 	int64_t after_ms;
 };
 
-/** struct array - items of one type in memory that grows */
-struct array {
-	void *items;
-	size_t n, size;
-};
-
 /** enum fit_class - by the kinds of tasks that a worker runs */
 enum fit_class {
 	FIT_IDLE,
@@ -413,6 +427,7 @@
 	double fair_held[FLOW_FAIR_LEVELS];
 	int32_t n_fair[FLOW_FAIR_LEVELS]; /* their number */
 	struct job *jobs;
+	int64_t held_bytes; /* see flow_held_bytes() */
 	struct record *dirty, *unneeded, *writing; /* lists */
 	struct step_state *reservations; /* list */
 	struct run *decided; /* list of runs that are RUN_DECIDED, in order */
@@ -439,8 +454,6 @@
 
 /* jobs.c */
 struct job *flow_find_job(const struct flow *f, const char *id);
-struct step_state *flow_step_state(struct job *j, int32_t occurrence,
-				   int32_t step);
 const struct flow_step *flow_step_of(const struct job *j,
 				     const struct step_state *ss);
 bool flow_has_ended(const struct job *j);
@@ -459,6 +472,35 @@
 /** flow_count_run_numbers() - how many there were, kept or not */
 int32_t flow_count_run_numbers(const struct run_numbers *fl);
 
+/* occurrence.c */
+/** flow_occurrences_init() - set up those of a new job */
+void flow_occurrences_init(struct job *j);
+void flow_occurrences_free(struct job *j);
+/**
+ * flow_open_due() - open the occurrences of the jobs @list that are due
+ *
+ * Those of a job that wait for capacity are limited in number.
+ */
+void flow_open_due(struct flow *f, struct job *const *list, size_t n,
+		   int64_t wall_ms);
+/** flow_close_done() - free the state of the job's done occurrences */
+void flow_close_done(struct job *j);
+/** flow_is_due() - whether the time of the occurrence has come */
+bool flow_is_due(const struct flow *f, const struct job *j, int32_t occurrence,
+		 int64_t wall_ms);
+/** flow_occurrence_is_done() - whether it is closed since it is done */
+bool flow_occurrence_is_done(const struct job *j, int32_t number);
+/** flow_count_untouched() - number of occurrences never opened */
+int64_t flow_count_untouched(const struct job *j);
+/** flow_nth_open() - NULL if @n is at least the number of open step states */
+struct step_state *flow_nth_open(const struct job *j, int32_t n);
+/** flow_step_state() - NULL if the occurrence is not open, or doesn't exist */
+struct step_state *flow_step_state(const struct job *j, int32_t occurrence,
+				   int32_t step);
+/** flow_open_step_state() - the same, but opens the occurrence if it exists */
+struct step_state *flow_open_step_state(struct job *j, int32_t occurrence,
+					int32_t step);
+
 /* array.c */
 /** flow_array_add() - append an item of @bytes, zeroed, and return it */
 void *flow_array_add(struct array *a, size_t bytes);
@@ -535,6 +577,20 @@
 struct record *flow_find_record(const struct flow *f, const char *key);
 struct record *flow_record_of(const struct job *j, const struct step_state *ss,
 			      int32_t index);
+/**
+ * struct flow_record_step - a step of an occurrence that a record covers
+ * @first: number of the step's first task among those of the job
+ * @from: first task of the step that the record covers
+ * @end: the task after the last one of them
+ */
+struct flow_record_step {
+	int32_t occurrence, step, first, from, end;
+};
+
+/* Iterate over the steps that a record covers, in order. */
+struct flow_record_step flow_first_step(const struct record *p);
+void flow_next_step(const struct record *p, struct flow_record_step *s);
+bool flow_has_step(const struct record *p, const struct flow_record_step *s);
 /** flow_mark_dirty() - the record of a task must be written */
 void flow_mark_dirty(struct job *j, const struct step_state *ss, int32_t index);
 /** flow_mark_step_dirty() - the records of all tasks of a step must be written
--- a/lib/flow/headroom.c
+++ b/lib/flow/headroom.c
@@ -30,22 +30,30 @@
 	return st->gang && !flow_shape_fits(&need, &p->total);
 }
 
+/* Number of workers that a step would occupy without its @n_done tasks. */
+static double step_demand(const struct flow_step *st, const struct pool *p,
+			  int32_t n_done)
+{
+	struct flow_shape need = flow_task_shape(st);
+
+	if (never_fits(st, p))
+		return 0;
+	return (st->tasks - n_done) * flow_dominant_share(&need, &p->largest);
+}
+
 /* Number of workers that the remaining tasks of a job would occupy. */
 static double job_demand(struct job *j, const struct pool *p)
 {
+	int64_t untouched = flow_count_untouched(j);
+	const struct step_state *ss;
 	double sum = 0;
 	int32_t i;
 
-	for (i = 0; i < j->n_step_states; i++) {
-		const struct flow_step *st =
-			flow_step_of(j, &j->step_states[i]);
-		struct flow_shape need = flow_task_shape(st);
-
-		if (never_fits(st, p))
-			continue;
-		sum += (st->tasks - j->step_states[i].n_done) *
-			flow_dominant_share(&need, &p->largest);
-	}
+	for (i = 0; i < j->spec->n_steps; i++)
+		sum += (double)untouched *
+			step_demand(&j->spec->steps[i], p, 0);
+	for (i = 0; (ss = flow_nth_open(j, i)); i++)
+		sum += step_demand(flow_step_of(j, ss), p, ss->n_done);
 	return sum;
 }
 
--- a/lib/flow/jobs.c
+++ b/lib/flow/jobs.c
@@ -32,15 +32,6 @@
 	return j;
 }
 
-struct step_state *flow_step_state(struct job *j, int32_t occurrence,
-				   int32_t step)
-{
-	if (step < 0 || step >= j->spec->n_steps || occurrence < 0 ||
-	    occurrence >= flow_spec_occurrences(j->spec))
-		return NULL;
-	return &j->step_states[occurrence * j->spec->n_steps + step];
-}
-
 const struct flow_step *flow_step_of(const struct job *j,
 				     const struct step_state *ss)
 {
@@ -60,7 +51,6 @@
 bool flow_add_job(struct flow *f, const struct flow_job_opts *o)
 {
 	struct job *j = flow_find_job(f, o->id);
-	int32_t i;
 
 	if (j) {
 		flow_spec_free(o->spec);
@@ -74,19 +64,9 @@
 	j->spec = o->spec;
 	j->accepted_ms = o->accepted_ms;
 	j->recovered = o->recovered;
-	j->n_step_states = j->spec->n_steps * flow_spec_occurrences(j->spec);
-	j->step_states =
-		tg_xcalloc((size_t)j->n_step_states, sizeof(*j->step_states));
-	for (i = 0; i < j->n_step_states; i++) {
-		struct step_state *ss = &j->step_states[i];
-
-		ss->job = j;
-		ss->occurrence = i / j->spec->n_steps;
-		ss->step = i % j->spec->n_steps;
-		ss->tasks = tg_xcalloc((size_t)flow_step_of(j, ss)->tasks,
-				       sizeof(*ss->tasks));
-	}
+	flow_occurrences_init(j);
 	flow_records_init(j);
+	f->held_bytes += flow_job_bytes(j->spec);
 	HASH_ADD_STR(f->jobs, id, j);
 	return true;
 }
@@ -128,20 +108,9 @@
 
 static void free_job(struct job *j)
 {
-	int32_t i, k;
-
+	j->flow->held_bytes -= flow_job_bytes(j->spec);
 	flow_records_free(j);
-	for (i = 0; i < j->n_step_states; i++) {
-		flow_reservation_forget(&j->step_states[i]);
-		free(j->step_states[i].kept_wait.worker);
-		for (k = 0; k < flow_step_of(j, &j->step_states[i])->tasks;
-		     k++) {
-			free(j->step_states[i].tasks[k].failures.runs);
-			free(j->step_states[i].tasks[k].crashes.runs);
-		}
-		free(j->step_states[i].tasks);
-	}
-	free(j->step_states);
+	flow_occurrences_free(j);
 	flow_spec_free(j->spec);
 	free(j->queue);
 	free(j->workspace);
@@ -185,8 +154,9 @@
 	ss->n_done++;
 	if (ss->n_done < st->tasks)
 		return;
-	j->n_step_states_done++;
-	if (j->n_step_states_done < j->n_step_states || flow_has_ended(j))
+	if (++ss->of->n_steps_done < j->spec->n_steps)
+		return;
+	if (++j->n_occurrences_done < j->n_occurrences || flow_has_ended(j))
 		return;
 	j->state = FLOW_COMPLETED;
 	flow_mark_state_dirty(j);
@@ -198,15 +168,12 @@
 	const struct flow_step *st = flow_step_of(j, ss);
 	int32_t k;
 
-	if (j->spec->times > 0 &&
-	    wall_ms + f->opts.early_ms < j->spec->first_wall_ms +
-			    ss->occurrence * j->spec->interval_ms)
+	if (!flow_is_due(f, j, ss->occurrence, wall_ms))
 		return false;
 	for (k = 0; k < st->n_after; k++) {
-		const struct step_state *p =
-			flow_step_state(j, ss->occurrence, st->after[k]);
+		const struct step_state *p = &ss->of->steps[st->after[k]];
 
-		if (!p || p->n_done < flow_step_of(j, p)->tasks)
+		if (p->n_done < flow_step_of(j, p)->tasks)
 			return false;
 	}
 	return true;
@@ -220,11 +187,22 @@
 		j->recovered = false;
 }
 
+static int64_t count_done(const struct job *j)
+{
+	int64_t n = (int64_t)j->n_occurrences_closed * j->occurrence_tasks;
+	const struct step_state *ss;
+	int32_t i;
+
+	for (i = 0; (ss = flow_nth_open(j, i)); i++)
+		if (!flow_occurrence_is_done(j, ss->occurrence))
+			n += ss->n_done;
+	return n;
+}
+
 bool flow_job_status(const struct flow *f, const char *id,
 		     struct flow_job_status *v)
 {
 	struct job *j = flow_find_job(f, id);
-	int32_t i;
 
 	if (!j)
 		return false;
@@ -236,10 +214,8 @@
 	v->begun = j->begun;
 	v->runs = j->runs_total;
 	v->failures = j->failures;
-	for (i = 0; i < j->n_step_states; i++) {
-		v->tasks += flow_step_of(j, &j->step_states[i])->tasks;
-		v->done += j->step_states[i].n_done;
-	}
+	v->tasks = flow_spec_tasks(j->spec);
+	v->done = count_done(j);
 	return true;
 }
 
@@ -265,13 +241,12 @@
 /* Attempts may have been recorded before the limit of the queue was known. */
 static void fail_exhausted_jobs(struct flow *f)
 {
+	struct step_state *ss;
 	struct job *j, *tmp;
 	int32_t i, k;
 
 	HASH_ITER(hh, f->jobs, j, tmp)
-		for (i = 0; i < j->n_step_states; i++) {
-			struct step_state *ss = &j->step_states[i];
-
+		for (i = 0; (ss = flow_nth_open(j, i)); i++) {
 			for (k = 0; k < flow_step_of(j, ss)->tasks; k++)
 				if (!ss->tasks[k].done)
 					flow_fail_if_exhausted(f, j, ss, k);
@@ -379,20 +354,17 @@
 	struct job *j, *jt;
 	struct worker *w, *wt;
 	struct run *r;
-	int32_t i;
 
 	memset(out, 0, sizeof(*out));
 	out->workers_checked = f->workers_checked;
 	HASH_ITER(hh, f->jobs, j, jt) {
 		out->jobs++;
+		out->open_occurrences += (int64_t)j->open.n;
 		if (flow_has_ended(j))
 			continue;
 		out->open_jobs++;
-		for (i = 0; i < j->n_step_states; i++)
-			out->waiting_tasks +=
-				flow_step_of(j, &j->step_states[i])->tasks -
-				j->step_states[i].n_done -
-				j->step_states[i].n_runs;
+		out->waiting_tasks +=
+			flow_spec_tasks(j->spec) - count_done(j) - j->n_runs;
 	}
 	HASH_ITER(hh, f->workers, w, wt) {
 		out->workers++;
--- a/lib/flow/kept.c
+++ b/lib/flow/kept.c
@@ -140,12 +140,12 @@
 			 void (*fn)(const struct flow_kept_wait *w, void *arg),
 			 void *arg)
 {
+	const struct step_state *ss;
 	const struct job *j;
 	int32_t i;
 
 	for (j = f->jobs; j; j = j->hh.next)
-		for (i = 0; i < j->n_step_states; i++) {
-			const struct step_state *ss = &j->step_states[i];
+		for (i = 0; (ss = flow_nth_open(j, i)); i++) {
 			const struct flow_kept_wait w = {
 				.job = j->id,
 				.occurrence = ss->occurrence,
--- a/lib/flow/order.c
+++ b/lib/flow/order.c
@@ -39,6 +39,7 @@
 				if (c > longest)
 					longest = c;
 			}
+	/* Without @all the job has one occurrence, which is open. */
 	if (all || ss->n_done < s->steps[i].tasks)
 		longest += s->steps[i].declared_ms;
 	memo[i] = longest;
@@ -218,6 +219,8 @@
 	const struct step_state *ss = flow_step_state(j, 0, 0);
 	int32_t i;
 
+	if (!ss)
+		return flow_occurrence_is_done(j, 0);
 	for (i = 0; i < flow_step_of(j, ss)->tasks; i++)
 		if (!ss->tasks[i].last_run)
 			return false;
--- a/lib/flow/plan.c
+++ b/lib/flow/plan.c
@@ -129,11 +129,9 @@
 	}
 }
 
-static struct search search_for(struct flow *f, struct job *j, int32_t k,
-				int64_t now_ms)
+static struct search search_for(struct flow *f, struct job *j,
+				struct step_state *ss, int64_t now_ms)
 {
-	struct step_state *ss = &j->step_states[k];
-
 	return (struct search){
 		.f = f,
 		.job = j,
@@ -148,6 +146,7 @@
 	       int64_t now_ms, int64_t wall_ms)
 {
 	struct pass p = { 0 };
+	struct step_state *ss;
 	size_t i;
 	int32_t k;
 
@@ -156,8 +155,8 @@
 	f->planned_ms = now_ms;
 	expect_capacity(f, now_ms);
 	for (i = 0; i < n; i++)
-		for (k = 0; k < list[i]->n_step_states; k++) {
-			struct search s = search_for(f, list[i], k, now_ms);
+		for (k = 0; (ss = flow_nth_open(list[i], k)); k++) {
+			struct search s = search_for(f, list[i], ss, now_ms);
 
 			if (flow_may_not_start(list[i]) || !can_plan(&s) ||
 			    !flow_is_ready(f, s.job, s.step_state, wall_ms))
@@ -197,12 +196,13 @@
 			int64_t now_ms, int64_t wall_ms)
 {
 	bool started = false;
+	struct step_state *ss;
 	size_t i;
 	int32_t k, index;
 
 	for (i = 0; i < n; i++)
-		for (k = 0; k < list[i]->n_step_states; k++) {
-			struct search s = search_for(f, list[i], k, now_ms);
+		for (k = 0; (ss = flow_nth_open(list[i], k)); k++) {
+			struct search s = search_for(f, list[i], ss, now_ms);
 
 			if (!flow_is_ready(f, s.job, s.step_state, wall_ms))
 				continue;
--- a/lib/flow/progress.c
+++ b/lib/flow/progress.c
@@ -30,41 +30,21 @@
 	return NULL;
 }
 
-/** struct range - the tasks of a step that a record covers, without @end */
-struct range {
-	int32_t from, end;
-};
-
-static struct range range_of(const struct record *p,
-			     const struct step_state *ss)
-{
-	struct range r = {
-		.from = p->number * FLOW_RECORD_TASKS - ss->first,
-		.end = (p->number + 1) * FLOW_RECORD_TASKS - ss->first,
-	};
-	int32_t tasks = flow_step_of(p->job, ss)->tasks;
-
-	if (r.from < 0)
-		r.from = 0;
-	if (r.end > tasks)
-		r.end = tasks;
-	return r;
-}
-
 /* Ranges of done tasks, such as "0-4,7-7". */
-static char *encode_done_tasks(const struct step_state *ss, struct range range)
+static char *encode_done_tasks(const struct step_state *ss,
+			       const struct flow_record_step *at)
 {
-	size_t size = (size_t)(range.end - range.from) * 12 + 1, n = 0;
+	size_t size = (size_t)(at->end - at->from) * 12 + 1, n = 0;
 	char *s = tg_xcalloc(1, size);
-	int32_t i = range.from, from;
+	int32_t i = at->from, from;
 
-	while (i < range.end) {
+	while (i < at->end) {
 		if (!ss->tasks[i].done) {
 			i++;
 			continue;
 		}
 		from = i;
-		while (i + 1 < range.end && ss->tasks[i + 1].done)
+		while (i + 1 < at->end && ss->tasks[i + 1].done)
 			i++;
 		n += (size_t)snprintf(s + n, size - n, n ? ",%d-%d" : "%d-%d",
 				      from, i);
@@ -104,19 +84,37 @@
 	return a;
 }
 
+/* All tasks of a closed occurrence are done, or none has been started. */
+static json_t *encode_closed(const struct record *p,
+			     const struct flow_record_step *at)
+{
+	char done[32] = "";
+
+	if (flow_occurrence_is_done(p->job, at->occurrence))
+		snprintf(done, sizeof(done), "%d-%d", at->from, at->end - 1);
+	return json_pack("{s:s,s:{}}", "done", done, "tasks");
+}
+
 static json_t *encode_step_state(const struct record *p,
-				 const struct step_state *ss)
+				 const struct flow_record_step *at)
 {
 	const struct job *j = p->job;
-	struct range range = range_of(p, ss);
-	json_t *o = json_object(), *tasks = json_object();
-	json_t *runs = json_array();
-	char *done = encode_done_tasks(ss, range), key[16];
+	const struct step_state *ss =
+		flow_step_state(j, at->occurrence, at->step);
+	json_t *o, *tasks, *runs;
+	char *done, key[16];
 	int32_t i;
 
+	if (!ss)
+		return encode_closed(p, at);
+	o = json_object();
+	tasks = json_object();
+	runs = json_array();
+	done = encode_done_tasks(ss, at);
+
 	json_object_set_new(o, "done", json_string(done));
 	free(done);
-	for (i = range.from; i < range.end; i++) {
+	for (i = at->from; i < at->end; i++) {
 		const struct task *t = &ss->tasks[i];
 		/* A gang has one checkpoint, that of its first task. */
 		const char *saved =
@@ -149,8 +147,8 @@
 {
 	const struct record *p = flow_find_record(f, key);
 	const struct job *j = p ? p->job : NULL;
-	json_t *o, *step_states;
-	int32_t i, end;
+	struct flow_record_step s;
+	json_t *o, *steps;
 
 	if (!p || (p->writing && p->taken_for_delete))
 		return NULL;
@@ -160,15 +158,15 @@
 	/* Runs that are being stopped still use capacity. */
 	if (!p->number && flow_has_ended(j) && (!j->n_runs || j->refused))
 		return o;
+	s = flow_first_step(p);
 	if (j->n_records > 1)
-		json_object_set_new(o, "first", json_integer(p->step_state));
-	end = (p->number + 1) * FLOW_RECORD_TASKS;
-	step_states = json_array();
-	for (i = p->step_state;
-	     i < j->n_step_states && j->step_states[i].first < end; i++)
-		json_array_append_new(step_states,
-				      encode_step_state(p, &j->step_states[i]));
-	json_object_set_new(o, "steps", step_states);
+		json_object_set_new(
+			o, "first",
+			json_integer(s.occurrence * j->spec->n_steps + s.step));
+	steps = json_array();
+	for (; flow_has_step(p, &s); flow_next_step(p, &s))
+		json_array_append_new(steps, encode_step_state(p, &s));
+	json_object_set_new(o, "steps", steps);
 	return o;
 }
 
@@ -269,19 +267,39 @@
 	return true;
 }
 
+/* A step of which nothing is recorded needs no state. */
+static bool is_blank(const json_t *o)
+{
+	const char *done = json_string_value(json_object_get(o, "done"));
+
+	return (!done || !*done) &&
+		!json_object_size(json_object_get(o, "tasks")) &&
+		!json_array_size(json_object_get(o, "runs"));
+}
+
 static bool decode_steps(struct flow *f, struct job *j, const json_t *o)
 {
 	json_t *steps = json_object_get(o, "steps"), *v;
 	json_int_t first = json_integer_value(json_object_get(o, "first"));
+	json_int_t n = (json_int_t)j->n_occurrences * j->spec->n_steps;
 	size_t i;
 
-	if (first < 0 || first > j->n_step_states)
+	if (first < 0 || first > n)
 		return false;
-	json_array_foreach(steps, i, v)
-		if ((json_int_t)i >= j->n_step_states - first ||
-		    !decode_step_state(f, j, &j->step_states[first + (int)i],
-				       v))
+	json_array_foreach(steps, i, v) {
+		int32_t at = (int32_t)first + (int32_t)i;
+
+		if ((json_int_t)i >= n - first)
+			return false;
+		if (is_blank(v))
+			continue;
+		if (!decode_step_state(
+			    f, j,
+			    flow_open_step_state(j, at / j->spec->n_steps,
+						 at % j->spec->n_steps),
+			    v))
 			return false;
+	}
 	return true;
 }
 
@@ -326,6 +344,7 @@
 		ok = decode_first(f, j, o);
 	else if (!j->void_records)
 		ok = decode_other(f, p, o);
+	flow_close_done(j);
 	if (j->unsplit)
 		flow_mark_all_dirty(j);
 	else if (j->end_durable)
--- a/lib/flow/record.c
+++ b/lib/flow/record.c
@@ -21,24 +21,16 @@
 
 void flow_records_init(struct job *j)
 {
-	int32_t i, k = 0, tasks = 0;
+	int32_t i, tasks = (int32_t)flow_spec_tasks(j->spec);
 
-	for (i = 0; i < j->n_step_states; i++) {
-		j->step_states[i].first = tasks;
-		tasks += flow_step_of(j, &j->step_states[i])->tasks;
-	}
 	j->n_records = (tasks + FLOW_RECORD_TASKS - 1) / FLOW_RECORD_TASKS;
 	j->records = tg_xcalloc((size_t)j->n_records, sizeof(*j->records));
 	for (i = 0; i < j->n_records; i++) {
 		struct record *p = &j->records[i];
 		int32_t first = i * FLOW_RECORD_TASKS;
 
-		while (k + 1 < j->n_step_states &&
-		       j->step_states[k + 1].first <= first)
-			k++;
 		p->job = j;
 		p->number = i;
-		p->step_state = k;
 		if (i)
 			snprintf(p->key, sizeof(p->key), "%s~%05u", j->id,
 				 (unsigned)first % (FLOW_TASKS_MAX + 1));
@@ -77,6 +69,49 @@
 	return &j->records[(ss->first + index) / FLOW_RECORD_TASKS];
 }
 
+/* Limits the tasks of a step to those that the record covers. */
+static void set_range(const struct record *p, struct flow_record_step *s)
+{
+	int32_t tasks = p->job->spec->steps[s->step].tasks;
+
+	s->from = p->number * FLOW_RECORD_TASKS - s->first;
+	s->end = s->from + FLOW_RECORD_TASKS;
+	if (s->from < 0)
+		s->from = 0;
+	if (s->end > tasks)
+		s->end = tasks;
+}
+
+struct flow_record_step flow_first_step(const struct record *p)
+{
+	const struct job *j = p->job;
+	int32_t first = p->number * FLOW_RECORD_TASKS;
+	struct flow_record_step s = { .occurrence =
+					      first / j->occurrence_tasks };
+
+	s.first = s.occurrence * j->occurrence_tasks;
+	while (s.first + j->spec->steps[s.step].tasks <= first)
+		s.first += j->spec->steps[s.step++].tasks;
+	set_range(p, &s);
+	return s;
+}
+
+void flow_next_step(const struct record *p, struct flow_record_step *s)
+{
+	s->first += p->job->spec->steps[s->step].tasks;
+	if (++s->step == p->job->spec->n_steps) {
+		s->step = 0;
+		s->occurrence++;
+	}
+	set_range(p, s);
+}
+
+bool flow_has_step(const struct record *p, const struct flow_record_step *s)
+{
+	return s->occurrence < p->job->n_occurrences &&
+		s->first < (p->number + 1) * FLOW_RECORD_TASKS;
+}
+
 static void unlist_dirty(struct record *p)
 {
 	struct flow *f = p->job->flow;
@@ -164,16 +199,17 @@
 /* Whether any of its tasks has a run. */
 static bool has_runs(const struct record *p)
 {
-	const struct job *j = p->job;
-	const struct step_state *ss = &j->step_states[p->step_state];
-	int32_t i = p->number * FLOW_RECORD_TASKS, end = i + FLOW_RECORD_TASKS;
-
-	for (; i < end; i++) {
-		while (i >= ss->first + flow_step_of(j, ss)->tasks)
-			if (++ss == j->step_states + j->n_step_states)
-				return false;
-		if (ss->tasks[i - ss->first].n_runs)
-			return true;
+	struct flow_record_step s;
+
+	for (s = flow_first_step(p); flow_has_step(p, &s);
+	     flow_next_step(p, &s)) {
+		const struct step_state *ss =
+			flow_step_state(p->job, s.occurrence, s.step);
+		int32_t i;
+
+		for (i = s.from; ss && ss->n_runs && i < s.end; i++)
+			if (ss->tasks[i].n_runs)
+				return true;
 	}
 	return false;
 }
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -291,13 +291,17 @@
 	}
 }
 
+/* Finds a task of an open occurrence, or opens the one that a report names. */
 static bool find_task(const struct flow *f, const struct flow_run_ref *ref,
-		      struct job **j, struct step_state **ss)
+		      bool open, struct job **j, struct step_state **ss)
 {
 	*j = flow_find_job(f, ref->job);
-	*ss = *j ? flow_step_state(*j, ref->occurrence, ref->step) : NULL;
-	return *ss && ref->index >= 0 &&
-		ref->index < flow_step_of(*j, *ss)->tasks;
+	if (!*j || ref->step < 0 || ref->step >= (*j)->spec->n_steps ||
+	    ref->index < 0 || ref->index >= (*j)->spec->steps[ref->step].tasks)
+		return false;
+	*ss = open ? flow_open_step_state(*j, ref->occurrence, ref->step) :
+		     flow_step_state(*j, ref->occurrence, ref->step);
+	return *ss;
 }
 
 /* A worker may have many runs, so its list is searched last. */
@@ -309,7 +313,7 @@
 	struct run *r;
 	struct job *j;
 
-	if (!w || !find_task(f, ref, &j, &ss))
+	if (!w || !find_task(f, ref, false, &j, &ss))
 		return NULL;
 	t = &ss->tasks[ref->index];
 	if (t->run && t->run->worker == w && t->run->run == ref->run)
@@ -450,7 +454,7 @@
 	struct job *j;
 	struct task *t;
 
-	if (!w || !find_task(f, ref, &j, &ss))
+	if (!w || !find_task(f, ref, true, &j, &ss))
 		return FLOW_LISTED_UNKNOWN;
 	t = &ss->tasks[ref->index];
 	if (!r) {
@@ -538,7 +542,7 @@
 		flow_run_ended(f, r, how, saved, now_ms);
 		return true;
 	}
-	if (!find_task(f, ref, &j, &ss))
+	if (!find_task(f, ref, true, &j, &ss))
 		return false;
 	record_end(f, j, ss, ref->index, ref->run, how, saved);
 	return true;
--- a/lib/flow/workers.c
+++ b/lib/flow/workers.c
@@ -448,6 +448,7 @@
 void flow_worker_remove(struct flow *f, const char *id, int64_t now_ms)
 {
 	struct worker *w = flow_find_worker(f, id);
+	struct step_state *ss;
 	struct job *j, *tmp;
 	int32_t i, k;
 
@@ -455,11 +456,9 @@
 		return;
 	flow_worker_lost(f, id, now_ms);
 	HASH_ITER(hh, f->jobs, j, tmp)
-		for (i = 0; i < j->n_step_states; i++)
-			for (k = 0;
-			     k < flow_step_of(j, &j->step_states[i])->tasks;
-			     k++)
-				forget_worker(j, &j->step_states[i], k, w);
+		for (i = 0; (ss = flow_nth_open(j, i)); i++)
+			for (k = 0; k < flow_step_of(j, ss)->tasks; k++)
+				forget_worker(j, ss, k, w);
 	flow_free_worker(f, w);
 }
 
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -71,6 +71,8 @@
 TCase *loans_tcase(void);
 /** names_tcase() - tests of test-names.c */
 TCase *names_tcase(void);
+/** occurrences_tcase() - tests of test-occurrences.c */
+TCase *occurrences_tcase(void);
 /** plan_tcase() - tests of test-plan.c */
 TCase *plan_tcase(void);
 /** record_tcase() - tests of test-record.c */
--- a/tests/unit/flow/test-flow.c
+++ b/tests/unit/flow/test-flow.c
@@ -1061,6 +1061,7 @@
 	suite_add_tcase(s, evacuate_tcase());
 	suite_add_tcase(s, kept_tcase());
 	suite_add_tcase(s, loans_tcase());
+	suite_add_tcase(s, occurrences_tcase());
 	suite_add_tcase(s, plan_tcase());
 	suite_add_tcase(s, record_tcase());
 	suite_add_tcase(s, takeover_tcase());
