tgflowd: tell the next owner who may still act, and which workers leave

The platform allows 9 s.

Cause: the row said whether earlier owners had ended, not who they were, so that the third owner couldn't ask them and counted 10 s of renewals. Nor did it say what proves the exit of a draining worker: which process it is, when its entry was last written. The third owner, which finds no entry any more, waited for leases, the longest ones where the worker had answered the second owner.

The row names the former owners that are not proved to have ended, and the next owner asks all of them. It lists draining workers that may have runs, with times by the store's clock, and since when the store has answered, so that the proof of an exit that was in force before needs no owner that has seen it all.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -6,6 +6,7 @@
 #include "flow/flow.h"
 #include "fencetoken.h"
 #include "formerowner.h"
+#include "storeseen.h"
 #include "http/http.h"
 #include "site/evacuations.h"
 #include "site/site.h"
@@ -123,6 +124,11 @@
 	const char *lost_source;
 	int64_t last_heartbeat_ms; /* its entry last changed */
 	int64_t entry_ms; /* since then it has named this process there */
+	/* The same bound on its last write, by the store's clock; or 0. */
+	int64_t written_clock_ms;
+	int64_t entry_version;
+	bool exiting; /* its entry says that it drains */
+	struct link *exiting_prev, *exiting_next; /* on the board */
 	int64_t earliest_exit_ms; /* of a draining worker, or 0 */
 	bool exit_is_estimate; /* it is not a bound that the feed gives */
 	int64_t unknown_since_ms; /* it lists runs of unknown jobs; or 0 */
@@ -160,6 +166,10 @@
 	int64_t owner_version;
 	uint64_t told_term; /* highest one of an owner that a peer knew */
 	struct former_owner former;
+	struct store_seen store_seen;
+	/* Since when the directory has been read without a failure, at first.
+	 */
+	int64_t directory_since_ms;
 	int64_t written_ms; /* start of the last write that succeeded */
 	int64_t refused_since_ms; /* first of the refused writes, or 0 */
 	int64_t ticked_ms; /* when the loop was last seen to run */
@@ -171,7 +181,7 @@
 	struct flow *flow;
 	struct link *links;
 	/* Lists of such links. */
-	struct link *failed, *unacked, *awaits_fence, *long_leases;
+	struct link *failed, *unacked, *awaits_fence, *long_leases, *exiting;
 	int n_opening; /* links that are being opened */
 	uint64_t n_processes; /* that links have turned to */
 	struct tg_document *document;
@@ -295,8 +305,10 @@
 /* standby.c */
 /** standby_watch() - look after the owner and take over if it is gone */
 void standby_watch(struct board *b, int64_t now_ms);
-/** standby_notify_former() - tell the former owner that it is replaced */
+/** standby_notify_former() - tell former owners that they are replaced */
 void standby_notify_former(struct board *b, int64_t now_ms);
+/** standby_record_former() - name those not proved to have ended in @r */
+void standby_record_former(const struct board *b, struct tg_owner_row *r);
 /** standby_reset() - watch the owner from now on */
 void standby_reset(void);
 
@@ -354,6 +366,19 @@
 /** purge_reset() - forget the deletions, as all reads of the term have ended */
 void purge_reset(void);
 
+/* exits.c */
+/** link_set_exiting() - whether the worker's entry says that it drains */
+void link_set_exiting(struct link *l, bool exiting);
+/** link_expect_exit() - take over what a former owner knew of the worker */
+void link_expect_exit(struct link *l);
+/** link_note_written() - the entry @e was read, at @version of the store */
+void link_note_written(struct link *l, const struct tg_worker_entry *e,
+		       int64_t version);
+/** link_has_exited() - whether the draining worker is proved to have exited */
+bool link_has_exited(const struct link *l);
+/** links_record_exits() - list draining workers that may have runs in @r */
+void links_record_exits(const struct board *b, struct tg_owner_row *r);
+
 /* directory.c */
 /** links_open() - follow the directory and create a link for each worker */
 void links_open(struct board *b);
--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -100,6 +100,7 @@
 	/* A former owner may have started runs on this worker. */
 	l->may_have_runs = b->role == ROLE_RECOVERING;
 	link_expect_former_leases(l);
+	link_expect_exit(l);
 	HASH_ADD(hh, b->links, entry.id, strlen(l->entry.id), l);
 	return l;
 }
@@ -117,6 +118,12 @@
 	if (link_find(b, id))
 		return;
 	l = new_link(b, id, "");
+	l->removed_ms = tg_now_ms();
+	/* A worker that has left refuses a connection; that proves its exit. */
+	if (l->exiting) {
+		link_poll_if_due(l);
+		return;
+	}
 	link_set_failed(l, true);
 	l->first_failure_ms = tg_now_ms();
 }
@@ -181,8 +188,9 @@
 		is_new = true;
 	}
 	l->in_directory = true;
-	l->written_after_ms = tg_table_watch_changed_after_ms(b->directory);
+	link_note_written(l, &e, row->version);
 	note_earliest_exit(l, &e);
+	link_set_exiting(l, e.draining);
 	tg_worker_entry_move(&l->entry, &e);
 	l->seen_in_scan = true;
 	link_adopt_address(l);
@@ -214,6 +222,9 @@
 		speeds_open(b);
 		accounts_open(b);
 	}
+	if (!b->directory_read)
+		b->directory_since_ms =
+			tg_table_watch_answered_since_ms(b->directory);
 	b->directory_read = true;
 	owner_check_recovered(b);
 }
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -3,7 +3,6 @@
 #include <utlist.h>
 
 #include "board.h"
-#include "workerexit.h"
 #include "workerprocess.h"
 
 /*
@@ -85,6 +84,7 @@
 	link_expect_no_ack(l);
 	link_await_no_fence(l);
 	link_expect_no_long_lease(l);
+	link_set_exiting(l, false);
 	HASH_DEL(l->board->links, l);
 	tg_worker_entry_clear(&l->entry);
 	free(l);
@@ -278,27 +278,6 @@
 	}
 }
 
-static bool has_exited(const struct link *l)
-{
-	struct board *b = l->board;
-	struct worker_exit_signs s = {
-		.in_directory = l->in_directory,
-		.failures = l->failures,
-		.closed = l->closed,
-		.first_failure_ms = l->first_failure_ms,
-		.removed_ms = l->removed_ms,
-		.written_after_ms = l->written_after_ms,
-		.earliest_exit_ms = l->earliest_exit_ms,
-		.heartbeat_ms = b->site.set.heartbeat_ms,
-	};
-
-	if (owner_is_current(b) && !b->refused_since_ms)
-		s.store_since_ms =
-			tg_table_watch_answered_since_ms(b->directory);
-	return l->entry.draining && l->entry.boot_ms == l->boot_ms &&
-		l->may_have_runs && worker_has_exited(&s);
-}
-
 static void poll_failed(struct link *l, const struct tg_worker_poll_result *r)
 {
 	struct link_proof proof = {
@@ -323,7 +302,7 @@
 	l->next_poll_ms = tg_now_ms() +
 		(pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS);
 	l->refusals = r->end == TG_ORDER_CONN_REFUSED ? l->refusals + 1 : 0;
-	if (has_exited(l))
+	if (link_has_exited(l))
 		link_declare_runs_lost(l, &proof);
 }
 
--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -41,8 +41,10 @@
 	int64_t read_ms, claim_ms; /* when these calls began */
 	int64_t read_version, unchanged_since_ms;
 	int64_t claimable_since_ms; /* there is a reason to claim; or 0 */
-	/* Address of the former owner, while it is still to be told. */
-	char former_addr[TG_ADDR_MAX + 1];
+	/* Former owners that are not proved to act no more; which is asked. */
+	struct tg_former_owner formers[TG_FORMER_OWNERS_MAX];
+	int n_formers, next_former;
+	char asked_boot[TG_TOKEN_LEN + 1];
 } watch;
 
 static bool has_preferred_cores(const struct board *b)
@@ -102,28 +104,63 @@
 	send_ping(b, b->owner.addr, on_ping);
 }
 
+/* Return: whether it was among those that are not proved to have ended. */
+static bool remove_former(const char *boot)
+{
+	int i;
+
+	for (i = 0; i < watch.n_formers; i++)
+		if (!strcmp(watch.formers[i].boot, boot))
+			break;
+	if (i == watch.n_formers)
+		return false;
+	watch.formers[i] = watch.formers[--watch.n_formers];
+	return true;
+}
+
 static void on_notified(enum tg_rpc_call_status end, const void *res, void *arg)
 {
 	const struct tg_rpc_peer *p = res;
 	struct board *b = arg;
+	bool replaced =
+		end == TG_RPC_CALL_OK && strcmp(p->boot, watch.asked_boot) != 0;
 
 	watch.pinging = false;
-	if (!former_owner_yielded(end, end == TG_RPC_CALL_OK && p->active,
+	if (watch.ping_term != b->owner.term)
+		return;
+	if (!replaced &&
+	    !former_owner_yielded(end, end == TG_RPC_CALL_OK && p->active,
 				  watch.ping_term, b->owner.term))
 		return;
-	watch.former_addr[0] = '\0';
-	owner_former_ended(b);
+	if (remove_former(watch.asked_boot) && !watch.n_formers)
+		owner_former_ended(b);
 }
 
 void standby_notify_former(struct board *b, int64_t now_ms)
 {
-	if (!*watch.former_addr || watch.pinging ||
-	    now_ms - watch.ping_ms < PING_MS)
+	const struct tg_former_owner *o;
+
+	if (!watch.n_formers || watch.pinging ||
+	    now_ms - watch.ping_ms < PING_MS / watch.n_formers)
 		return;
-	if (now_ms >= former_leases_end_ms(&b->former, true))
-		watch.former_addr[0] = '\0';
-	else
-		send_ping(b, watch.former_addr, on_notified);
+	if (now_ms >= former_leases_end_ms(&b->former, true)) {
+		watch.n_formers = 0;
+		return;
+	}
+	o = &watch.formers[watch.next_former++ % watch.n_formers];
+	tg_strlcpy(watch.asked_boot, o->boot, sizeof(watch.asked_boot));
+	send_ping(b, o->addr, on_notified);
+}
+
+void standby_record_former(const struct board *b, struct tg_owner_row *r)
+{
+	int i;
+
+	r->former[0] = '\0';
+	if (!b->former.settled)
+		tg_owner_row_forget_former(r);
+	for (i = 0; i < watch.n_formers; i++)
+		tg_owner_row_add_former(r, &watch.formers[i]);
 }
 
 static void set_owner_row(struct board *b, const struct tg_row *row)
@@ -162,6 +199,9 @@
 	claim.fence = 0;
 	owner_begin_term(b, claim_reason, started_ms);
 	watch.ping_ms = 0;
+	watch.n_formers = tg_owner_row_formers(&b->owner, watch.formers);
+	if (watch.n_formers < 0)
+		watch.n_formers = 0;
 	standby_notify_former(b, tg_now_ms());
 }
 
@@ -173,6 +213,8 @@
 		return;
 	b->role = ROLE_STANDBY;
 	if (r->end == TG_STORE_OK) {
+		store_seen_answer(&b->store_seen, r->clock_ms, watch.claim_ms,
+				  tg_now_ms());
 		b->owner = claim;
 		b->owner_version = r->version;
 		begin_term(b, watch.claim_ms);
@@ -185,6 +227,35 @@
 	}
 }
 
+/*
+ * Names the owners before this claim that are not proved to act no more.  The
+ * next owner asks them too, as this one may end before it has done so.
+ */
+static void name_former_owners(struct board *b)
+{
+	struct tg_former_owner o, earlier[TG_FORMER_OWNERS_MAX];
+	int n = tg_owner_row_formers(&b->owner, earlier), i;
+
+	b->former.ended_ms = watch.replaced_ms;
+	b->former.settled = b->owner.settled || !b->owner_version || n >= 0;
+	if (b->owner_version && !watch.replaced_ms) {
+		tg_strlcpy(o.addr, b->owner.addr, sizeof(o.addr));
+		tg_strlcpy(o.boot, b->owner.boot, sizeof(o.boot));
+		tg_owner_row_add_former(&claim, &o);
+	}
+	for (i = 0; i < n && !b->owner.settled; i++) {
+		/* A term of this process before is over. */
+		if (!strcmp(earlier[i].boot, b->boot) ||
+		    !strcmp(earlier[i].boot, b->owner.boot))
+			continue;
+		tg_owner_row_add_former(&claim, &earlier[i]);
+		b->former.ended_ms = 0;
+	}
+	/* Without their names nobody can ask the earlier ones. */
+	if (!b->former.settled)
+		tg_owner_row_forget_former(&claim);
+}
+
 static void claim_ownership(struct board *b, const char *why)
 {
 	struct tg_row check = {
@@ -203,8 +274,6 @@
 	};
 	char *text;
 
-	b->former.ended_ms = watch.replaced_ms;
-	b->former.settled = b->owner.settled || !b->owner_version;
 	b->former_runs_recorded = b->owner.runs_recorded || b->owner.released ||
 		!b->owner_version;
 	memset(&claim, 0, sizeof(claim));
@@ -214,8 +283,8 @@
 	claim.fence = claim.term = b->owner.fence + 1;
 	claim.runs_recorded = b->former_runs_recorded;
 	tg_owner_row_copy_lists(&claim, &b->owner);
-	tg_strlcpy(watch.former_addr, watch.replaced_ms ? "" : b->owner.addr,
-		   sizeof(watch.former_addr));
+	name_former_owners(b);
+	store_seen_record(&b->store_seen, &claim, tg_now_ms());
 	tg_strlcpy(claim_reason, why, sizeof(claim_reason));
 	b->role = ROLE_CLAIMING;
 	watch.claim_ms = tg_now_ms();
@@ -284,11 +353,15 @@
 	if (b->role != ROLE_STANDBY)
 		return;
 	if (r->end != TG_STORE_OK) {
+		store_seen_failure(&b->store_seen);
 		watch.read_version = 0;
 		return;
 	}
-	if (r->n_rows)
+	store_seen_answer(&b->store_seen, r->clock_ms, watch.read_ms, now_ms);
+	if (r->n_rows) {
 		set_owner_row(b, &r->rows[0]);
+		store_seen_inherit(&b->store_seen, &b->owner);
+	}
 	if (r->n_rows && is_own_claim(b)) {
 		begin_term(b, watch.read_ms);
 		return;
@@ -349,5 +422,5 @@
 	watch.replaced_ms = 0;
 	watch.stale = false;
 	watch.read_version = 0;
-	watch.former_addr[0] = '\0';
+	watch.n_formers = 0;
 }
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -182,8 +182,12 @@
 		w.seq = b->owner.seq;
 	w.row.seq = ++w.seq;
 	w.row.fence = fence_to_record(b);
-	if (b->role == ROLE_OWNER)
+	if (b->role == ROLE_OWNER) {
 		links_record_silent(b, &w.row);
+		links_record_exits(b, &w.row);
+	}
+	standby_record_former(b, &w.row);
+	store_seen_record(&b->store_seen, &w.row, tg_now_ms());
 	add_row(TG_OWNER_TABLE, TG_OWNER_KEY, NULL);
 	w.n_deletes = w.n_records = w.bytes = 0;
 	for (w.n_obsolete_sent = 0; w.n_obsolete_sent < w.n_obsolete;)
@@ -346,6 +350,11 @@
 {
 	struct tg_owner_row now;
 
+	if (r->end == TG_STORE_OK || r->end == TG_STORE_CONFLICT)
+		store_seen_answer(&b->store_seen, r->clock_ms, w.started_ms,
+				  tg_now_ms());
+	else
+		store_seen_failure(&b->store_seen);
 	if (r->end != TG_STORE_UNAVAILABLE)
 		b->refused_since_ms = 0;
 	else if (!b->refused_since_ms)
--- a/lib/port/port.h
+++ b/lib/port/port.h
@@ -57,13 +57,14 @@
 /**
  * struct tg_store_result - result of a call to the store
  * @version: store version at which the answer was made
+ * @clock_ms: the store's steady clock then; 0 if the answer doesn't tell
  * @rows: owned by the adapter and valid only during the callback
  * @more: the range has further rows after the last one in @rows
  * @transfer: also set if the answer did not arrive whole
  */
 struct tg_store_result {
 	enum tg_store_end end;
-	int64_t version;
+	int64_t version, clock_ms;
 	const struct tg_row *rows;
 	size_t n_rows;
 	bool more;
--- a/lib/site/follow.c
+++ b/lib/site/follow.c
@@ -36,6 +36,8 @@
 	int64_t unavailable_since_ms; /* 0 while the store answers */
 	int64_t answered_since_ms; /* see the function; or 0 */
 	int64_t changed_after_ms; /* of the rows being delivered; or 0 */
+	int64_t changed_after_clock_ms; /* the same by the store's clock */
+	int64_t settled_clock_ms; /* the store's clock at settled_version */
 	int64_t current_ms; /* when rows were last known to be current; or 0 */
 	int64_t call_ms; /* when the call in progress began */
 	int64_t wait_ms; /* how long the feed may delay its answer */
@@ -209,9 +211,12 @@
 		retry_later(f);
 		return;
 	}
-	if (!f->scan_version)
+	if (!f->scan_version) {
 		f->scan_version = r->version;
+		f->settled_clock_ms = r->clock_ms;
+	}
 	settle(f, f->scan_version);
+	f->changed_after_clock_ms = 0;
 	f->scan_bytes += r->transfer.bytes;
 	f->changed_after_ms = 0;
 	f->in_call = true; /* callbacks may free @f; end_call() does it */
@@ -279,6 +284,8 @@
 	if (r->version > f->after)
 		f->after = r->version;
 	settle(f, f->after);
+	f->changed_after_clock_ms = f->settled_clock_ms;
+	f->settled_clock_ms = r->clock_ms;
 	f->confirmed = !r->n_rows;
 	f->changed_after_ms = f->current_ms;
 	f->current_ms = f->call_ms;
@@ -403,6 +410,16 @@
 	return f->changed_after_ms;
 }
 
+int64_t tg_table_watch_changed_after_clock_ms(const struct tg_table_watch *f)
+{
+	return f->changed_after_clock_ms;
+}
+
+int64_t tg_table_watch_settled_clock_ms(const struct tg_table_watch *f)
+{
+	return f->settled_clock_ms;
+}
+
 int64_t tg_table_watch_answered_since_ms(const struct tg_table_watch *f)
 {
 	return f->answered_since_ms;
--- a/lib/site/rows.c
+++ b/lib/site/rows.c
@@ -4,9 +4,11 @@
 #include "site/site.h"
 
 /* Largest size of the owner's row without its lists and its holder. */
-#define OWNER_OTHER_BYTES 448
+#define OWNER_OTHER_BYTES (640 + TG_FORMER_LIST_SIZE)
 /* In place of the list of long leases: any worker may hold one. */
 #define ANY_WORKER "*"
+/* In place of the list of former owners: they are not known. */
+#define ANY_OWNER "*"
 /* Differences of two such times stay in the range of the type. */
 #define WALL_MAX_MS (1LL << 53)
 
@@ -134,13 +136,21 @@
 	return bytes < TG_LONG_LEASES_SIZE ? bytes : TG_LONG_LEASES_SIZE;
 }
 
+static int64_t exits_bytes(const struct tg_owner_row *r, int64_t row_bytes)
+{
+	int64_t bytes = lists_bytes(r, row_bytes) / 8;
+
+	return bytes < TG_EXITS_SIZE ? bytes : TG_EXITS_SIZE;
+}
+
 bool tg_owner_row_add_silent(struct tg_owner_row *r, const char *worker,
 			     const struct tg_silent_worker *s,
 			     int64_t row_bytes)
 {
 	char item[TG_KEY_MAX + TG_ADDR_MAX + 32];
 	int64_t list_bytes =
-		(lists_bytes(r, row_bytes) - long_leases_bytes(r, row_bytes)) /
+		(lists_bytes(r, row_bytes) - long_leases_bytes(r, row_bytes) -
+		 exits_bytes(r, row_bytes)) /
 		2;
 	struct worker_list ids = { r->silent, sizeof(r->silent), list_bytes };
 	struct worker_list at = { r->silent_at, sizeof(r->silent_at),
@@ -174,12 +184,106 @@
 		tg_strlcpy(r->long_leases, ANY_WORKER, sizeof(r->long_leases));
 }
 
+void tg_owner_row_add_exit(struct tg_owner_row *r, const char *worker,
+			   const struct tg_worker_exit *x, int64_t row_bytes)
+{
+	char item[TG_KEY_MAX + TG_ADDR_MAX + 100];
+	struct worker_list l = { r->exits, sizeof(r->exits),
+				 exits_bytes(r, row_bytes) };
+
+	snprintf(item, sizeof(item), "%s %s %lld %lld %lld %lld", worker,
+		 x->addr, (long long)x->boot_ms, (long long)x->exit_clock_ms,
+		 (long long)x->written_clock_ms, (long long)x->version);
+	add_to_list(&l, item);
+}
+
+bool tg_owner_row_find_exit(const struct tg_owner_row *r, const char *worker,
+			    struct tg_worker_exit *out)
+{
+	char start[TG_KEY_MAX + 3], addr[TG_ADDR_MAX + 1];
+	long long boot, exit, written, version;
+	const char *item;
+
+	snprintf(start, sizeof(start), ",%s ", worker);
+	item = strstr(r->exits, start);
+	if (!item ||
+	    sscanf(item + strlen(start), "%63s %lld %lld %lld %lld,", addr,
+		   &boot, &exit, &written, &version) != 5 ||
+	    !tg_addr_valid(addr) || boot <= 0 || written <= 0)
+		return false;
+	tg_strlcpy(out->addr, addr, sizeof(out->addr));
+	out->boot_ms = boot;
+	out->exit_clock_ms = exit;
+	out->written_clock_ms = written;
+	out->version = version;
+	return true;
+}
+
+void tg_owner_row_add_former(struct tg_owner_row *r,
+			     const struct tg_former_owner *o)
+{
+	char item[TG_ADDR_MAX + TG_TOKEN_LEN + 2];
+	struct worker_list l = { r->former, sizeof(r->former),
+				 sizeof(r->former) };
+
+	if (!strcmp(r->former, ANY_OWNER))
+		return;
+	snprintf(item, sizeof(item), "%s %s", o->addr, o->boot);
+	if (!add_to_list(&l, item))
+		tg_owner_row_forget_former(r);
+}
+
+void tg_owner_row_forget_former(struct tg_owner_row *r)
+{
+	tg_strlcpy(r->former, ANY_OWNER, sizeof(r->former));
+}
+
+int tg_owner_row_formers(const struct tg_owner_row *r,
+			 struct tg_former_owner out[TG_FORMER_OWNERS_MAX])
+{
+	const char *s = r->former;
+	int n;
+
+	if (!strcmp(s, ANY_OWNER))
+		return -1;
+	for (n = 0; *s == ',' && s[1]; n++) {
+		/* The lengths are TG_ADDR_MAX and TG_TOKEN_LEN. */
+		if (n == TG_FORMER_OWNERS_MAX ||
+		    sscanf(s + 1, "%63[^ ,] %32[^ ,]", out[n].addr,
+			   out[n].boot) != 2 ||
+		    !tg_addr_valid(out[n].addr))
+			return -1;
+		s += 1 + strcspn(s + 1, ",");
+	}
+	return n;
+}
+
+int64_t tg_store_clock_of(const struct tg_store_clock *c, int64_t own_ms)
+{
+	return c->clock_ms + own_ms - c->to_ms;
+}
+
+int64_t tg_store_clock_earliest(const struct tg_store_clock *c,
+				int64_t clock_ms)
+{
+	return c->from_ms - (c->clock_ms - clock_ms);
+}
+
+int64_t tg_store_clock_latest(const struct tg_store_clock *c, int64_t clock_ms)
+{
+	return c->to_ms - (c->clock_ms - clock_ms);
+}
+
 void tg_owner_row_copy_lists(struct tg_owner_row *to,
 			     const struct tg_owner_row *from)
 {
 	tg_strlcpy(to->silent, from->silent, sizeof(to->silent));
 	tg_strlcpy(to->silent_at, from->silent_at, sizeof(to->silent_at));
 	tg_strlcpy(to->long_leases, from->long_leases, sizeof(to->long_leases));
+	tg_strlcpy(to->exits, from->exits, sizeof(to->exits));
+	to->exits_clock_ms = from->exits_clock_ms;
+	to->clock_ms = from->clock_ms;
+	to->answered_since_clock_ms = from->answered_since_clock_ms;
 }
 
 bool tg_owner_row_find_silent(const struct tg_owner_row *r, const char *worker,
@@ -206,13 +310,17 @@
 char *tg_owner_row_encode(const struct tg_owner_row *r)
 {
 	json_t *o = json_pack(
-		"{s:s,s:s,s:s,s:I,s:I,s:I,s:s,s:s,s:s,s:b,s:b,s:b}", "holder",
-		r->holder, "addr", r->addr, "boot", r->boot, "fence",
+		"{s:s,s:s,s:s,s:I,s:I,s:I,s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:I,"
+		"s:b,s:b,s:b}",
+		"holder", r->holder, "addr", r->addr, "boot", r->boot, "fence",
 		(json_int_t)r->fence, "term", (json_int_t)r->term, "seq",
 		(json_int_t)r->seq, "silent", r->silent, "silent_at",
-		r->silent_at, "long_leases", r->long_leases, "released",
-		r->released, "runs_recorded", r->runs_recorded, "settled",
-		r->settled);
+		r->silent_at, "long_leases", r->long_leases, "exits", r->exits,
+		"former", r->former, "exits_clock_ms",
+		(json_int_t)r->exits_clock_ms, "clock_ms",
+		(json_int_t)r->clock_ms, "answered_since_clock_ms",
+		(json_int_t)r->answered_since_clock_ms, "released", r->released,
+		"runs_recorded", r->runs_recorded, "settled", r->settled);
 	char *text = json_dumps(o, JSON_COMPACT);
 
 	json_decref(o);
@@ -223,19 +331,25 @@
 {
 	json_t *o = json_loadb(row->value, row->value_bytes, 0, NULL);
 	const char *holder, *addr, *boot, *silent, *silent_at = "";
-	const char *long_leases = ANY_WORKER;
-	json_int_t fence, term = 0, seq;
+	const char *long_leases = ANY_WORKER, *exits = "", *former = ANY_OWNER;
+	json_int_t fence, term = 0, seq, exits_clock_ms = 0, clock_ms = 0,
+			  since_clock_ms = 0;
 	int released, runs_recorded = 0, settled = 0, err = -1;
 
 	memset(r, 0, sizeof(*r));
 	/* Rows written by older versions lack the optional fields. */
 	if (json_unpack(
-		    o, "{s:s,s:s,s:s,s:I,s?:I,s:I,s:s,s?:s,s?:s,s:b,s?:b,s?:b}",
+		    o,
+		    "{s:s,s:s,s:s,s:I,s?:I,s:I,s:s,s?:s,s?:s,s?:s,s?:s,s?:I,"
+		    "s?:I,s?:I,s:b,s?:b,s?:b}",
 		    "holder", &holder, "addr", &addr, "boot", &boot, "fence",
 		    &fence, "term", &term, "seq", &seq, "silent", &silent,
 		    "silent_at", &silent_at, "long_leases", &long_leases,
-		    "released", &released, "runs_recorded", &runs_recorded,
-		    "settled", &settled))
+		    "exits", &exits, "former", &former, "exits_clock_ms",
+		    &exits_clock_ms, "clock_ms", &clock_ms,
+		    "answered_since_clock_ms", &since_clock_ms, "released",
+		    &released, "runs_recorded", &runs_recorded, "settled",
+		    &settled))
 		goto out;
 	r->fence = (uint64_t)fence;
 	r->term = (uint64_t)(term ? term : fence);
@@ -247,6 +361,13 @@
 		r->silent_at[0] = '\0';
 	if (!tg_strlcpy(r->long_leases, long_leases, sizeof(r->long_leases)))
 		tg_strlcpy(r->long_leases, ANY_WORKER, sizeof(r->long_leases));
+	if (!tg_strlcpy(r->exits, exits, sizeof(r->exits)))
+		r->exits[0] = '\0';
+	if (!tg_strlcpy(r->former, former, sizeof(r->former)))
+		tg_strlcpy(r->former, ANY_OWNER, sizeof(r->former));
+	r->exits_clock_ms = exits_clock_ms;
+	r->clock_ms = clock_ms;
+	r->answered_since_clock_ms = since_clock_ms;
 	r->released = released;
 	r->runs_recorded = runs_recorded;
 	r->settled = settled;
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -160,6 +160,50 @@
 /** Size of the list of workers that may hold long leases in bytes. */
 #define TG_LONG_LEASES_SIZE 1024
 
+/** Size of the list of draining workers in bytes. */
+#define TG_EXITS_SIZE 4096
+
+/**
+ * struct tg_store_clock - a reading of the store's clock
+ * @clock_ms: the store's clock; 0 if it is not known
+ * @from_ms: own time before which it was not read
+ * @to_ms: own time after which it was not read
+ */
+struct tg_store_clock {
+	int64_t clock_ms, from_ms, to_ms;
+};
+
+/** tg_store_clock_of() - the store's clock at @own_ms, or a bit earlier */
+int64_t tg_store_clock_of(const struct tg_store_clock *c, int64_t own_ms);
+/** tg_store_clock_earliest() - own time at the store's @clock_ms, or earlier */
+int64_t tg_store_clock_earliest(const struct tg_store_clock *c,
+				int64_t clock_ms);
+/** tg_store_clock_latest() - own time at the store's @clock_ms, or later */
+int64_t tg_store_clock_latest(const struct tg_store_clock *c, int64_t clock_ms);
+
+/**
+ * struct tg_worker_exit - what an owner knew of a draining worker
+ * @addr: address at which the worker has answered
+ * @boot_ms: its process, as in struct tg_worker_entry
+ * @exit_clock_ms: it doesn't exit before, by the store's clock
+ * @written_clock_ms: its entry was last written after that, by the same clock
+ * @version: of the entry
+ */
+struct tg_worker_exit {
+	char addr[TG_ADDR_MAX + 1];
+	int64_t boot_ms, exit_clock_ms, written_clock_ms, version;
+};
+
+/* Former owners that a row can name; more are not told apart. */
+#define TG_FORMER_OWNERS_MAX 3
+#define TG_FORMER_LIST_SIZE \
+	(TG_FORMER_OWNERS_MAX * (TG_ADDR_MAX + TG_TOKEN_LEN + 2) + 2)
+
+/** struct tg_former_owner - process of an owner, and its RPC address */
+struct tg_former_owner {
+	char addr[TG_ADDR_MAX + 1], boot[TG_TOKEN_LEN + 1];
+};
+
 /** struct tg_silent_worker - the process of a worker that stopped answering */
 struct tg_silent_worker {
 	char addr[TG_ADDR_MAX + 1];
@@ -184,6 +228,13 @@
  * @long_leases: workers that may hold a lease of the longest duration, instead
  *	of one that the owner asked for, as ",ID,ID,"; "*" if that may be any
  *	worker.  Rows of older versions don't tell, and are read as "*".
+ * @exits: draining workers that may have runs, as
+ *	",ID ADDR BOOT EXIT WRITTEN VERSION,"; see struct tg_worker_exit
+ * @exits_clock_ms: the store's clock at which these were the latest versions
+ * @clock_ms: the store's clock some time before the write; 0 if it is not known
+ * @answered_since_clock_ms: from then until @clock_ms the store has answered
+ * @former: owners before this one that are not proved to have ended, as
+ *	",ADDR BOOT,"; "*" if they are not known, as in rows of older versions
  * @released: the owner has given up ownership
  * @runs_recorded: every run that may exist is in the stored progress.  Rows of
  *	owners that started runs before they recorded them don't say so.
@@ -196,6 +247,8 @@
 	int64_t seq;
 	char silent[TG_SILENT_LIST_SIZE], silent_at[TG_SILENT_LIST_SIZE];
 	char long_leases[TG_LONG_LEASES_SIZE];
+	char exits[TG_EXITS_SIZE], former[TG_FORMER_LIST_SIZE];
+	int64_t exits_clock_ms, clock_ms, answered_since_clock_ms;
 	bool released, runs_recorded, settled;
 };
 
@@ -218,7 +271,28 @@
 /** tg_owner_row_has_long_lease() - whether the worker may hold a long lease */
 bool tg_owner_row_has_long_lease(const struct tg_owner_row *r,
 				 const char *worker);
-/** tg_owner_row_copy_lists() - replace the lists of @to by those of @from */
+/** tg_owner_row_add_exit() - add a worker to @exits if that has space */
+void tg_owner_row_add_exit(struct tg_owner_row *r, const char *worker,
+			   const struct tg_worker_exit *x, int64_t row_bytes);
+/** tg_owner_row_find_exit() - false if the worker is not in @exits */
+bool tg_owner_row_find_exit(const struct tg_owner_row *r, const char *worker,
+			    struct tg_worker_exit *out);
+/** tg_owner_row_add_former() - makes @former "*" if it has no space */
+void tg_owner_row_add_former(struct tg_owner_row *r,
+			     const struct tg_former_owner *o);
+/** tg_owner_row_forget_former() - say that former owners are not known */
+void tg_owner_row_forget_former(struct tg_owner_row *r);
+/**
+ * tg_owner_row_formers() - read @former
+ *
+ * Return: their number; -1 if they are not known.
+ */
+int tg_owner_row_formers(const struct tg_owner_row *r,
+			 struct tg_former_owner out[TG_FORMER_OWNERS_MAX]);
+/**
+ * tg_owner_row_copy_lists() - replace what @to tells of workers by what @from
+ * does
+ */
 void tg_owner_row_copy_lists(struct tg_owner_row *to,
 			     const struct tg_owner_row *from);
 /** tg_owner_row_find_silent() - false if the worker is not in @silent_at */
@@ -379,6 +453,11 @@
  * that it may be as old as it likes.
  */
 int64_t tg_table_watch_changed_after_ms(const struct tg_table_watch *f);
+/** tg_table_watch_changed_after_clock_ms() - the same by the store's clock */
+int64_t tg_table_watch_changed_after_clock_ms(const struct tg_table_watch *f);
+/** tg_table_watch_settled_clock_ms() - the store's clock as of all changes read
+ */
+int64_t tg_table_watch_settled_clock_ms(const struct tg_table_watch *f);
 /**
  * tg_table_watch_answered_since_ms() - the store has answered all calls since
  *
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -79,7 +79,10 @@
 takeover NO_FENCE
 takeover IGNORE_RECORD
 takeover NO_STOP_WAIT
-takeover STOP_PLANNED"
+takeover STOP_PLANNED
+formers -
+formers LAST_ONLY
+formers FORGET_LEARNED"
 
 judge() { # MODEL SWITCH
 	if [ "$2" = - ]; then
--- a/tests/unit/flowd/test-flowd.c
+++ b/tests/unit/flowd/test-flowd.c
@@ -1,6 +1,7 @@
 #include "../../../cmd/tgflowd/deletions.h"
 #include "../../../cmd/tgflowd/fencetoken.h"
 #include "../../../cmd/tgflowd/formerowner.h"
+#include "../../../cmd/tgflowd/storeseen.h"
 #include "../../../cmd/tgflowd/orderoutcome.h"
 #include "../../../cmd/tgflowd/workerclock.h"
 #include "../../../cmd/tgflowd/workerexit.h"
@@ -254,6 +255,49 @@
  * The end of the last owner says nothing of the one before it, which may be cut
  * off and renew leases until RENEW_MAX_MS after its own last write.
  */
+/* Entries of workers may expire while the store is down. */
+START_TEST(store_is_seen_without_a_gap)
+{
+	struct store_seen s = { 0 };
+
+	store_seen_answer(&s, 1000, 100, 110);
+	store_seen_answer(&s, 2600, 1700, 1710);
+	ck_assert_int_eq(s.since_clock_ms, 1000);
+	ck_assert_int_eq(store_seen_since_ms(&s), 110);
+	store_seen_answer(&s, 4201, 3300, 3311);
+	ck_assert_int_eq(s.since_clock_ms, 4201);
+	store_seen_failure(&s);
+	ck_assert_int_eq(store_seen_since_ms(&s), 0);
+	store_seen_answer(&s, 4300, 3400, 3410);
+	ck_assert_int_eq(s.since_clock_ms, 4300);
+	/* An answer that doesn't tell the time. */
+	store_seen_answer(&s, 0, 3500, 3510);
+	ck_assert_int_eq(s.since_clock_ms, 0);
+}
+END_TEST
+
+START_TEST(former_owner_vouches_for_the_store)
+{
+	struct tg_owner_row r = { .clock_ms = 5000,
+				  .answered_since_clock_ms = 1000 };
+	struct store_seen s = { 0 };
+
+	store_seen_inherit(&s, &r);
+	ck_assert_int_eq(s.since_clock_ms, 0);
+	store_seen_answer(&s, 6600, 0, 10);
+	store_seen_inherit(&s, &r);
+	ck_assert_int_eq(s.since_clock_ms, 1000);
+	/* What it saw ended too long before. */
+	store_seen_failure(&s);
+	store_seen_answer(&s, 6601, 0, 10);
+	store_seen_inherit(&s, &r);
+	ck_assert_int_eq(s.since_clock_ms, 6601);
+	store_seen_record(&s, &r, 110);
+	ck_assert_int_eq(r.answered_since_clock_ms, 6601);
+	ck_assert_int_eq(r.clock_ms, 6701);
+}
+END_TEST
+
 START_TEST(leases_of_all_former_owners_are_waited_for)
 {
 	struct former_owner f = {
@@ -416,6 +460,8 @@
 	tcase_add_test(t, owner_refused_by_store_is_replaced_early);
 	tcase_add_test(t, owner_is_kept_while_store_is_slow);
 	tcase_add_test(t, refused_connection_does_not_prove_an_end);
+	tcase_add_test(t, store_is_seen_without_a_gap);
+	tcase_add_test(t, former_owner_vouches_for_the_store);
 	tcase_add_test(t, leases_of_all_former_owners_are_waited_for);
 	tcase_add_test(t, long_leases_of_former_owners_are_waited_for);
 	tcase_add_test(t, clock_of_another_process_does_not_go_on);
--- a/tests/unit/site/test-site.c
+++ b/tests/unit/site/test-site.c
@@ -433,6 +433,64 @@
 	ck_assert_uint_eq(r.term, 7);
 }
 END_TEST
+static struct tg_owner_row store_owner_row(const struct tg_owner_row *r)
+{
+	char *text = tg_owner_row_encode(r);
+	struct tg_owner_row got = decode_owner_row(text);
+
+	free(text);
+	return got;
+}
+
+/*
+ * Guards against a third owner that doesn't ask the first one whether it has
+ * ended, since the row told only that it wasn't known (review/12).
+ */
+START_TEST(former_owners_are_named_or_not_known)
+{
+	struct tg_former_owner o = { "127.0.0.1:7000", "boot-1" }, got[3];
+	struct tg_owner_row r = { .holder = "i1" }, stored;
+	int i;
+
+	stored = store_owner_row(&r);
+	ck_assert_int_eq(tg_owner_row_formers(&stored, got), 0);
+	for (i = 1; i <= TG_FORMER_OWNERS_MAX; i++) {
+		snprintf(o.boot, sizeof(o.boot), "boot-%d", i);
+		tg_owner_row_add_former(&r, &o);
+		stored = store_owner_row(&r);
+		ck_assert_int_eq(tg_owner_row_formers(&stored, got), i);
+		ck_assert_str_eq(got[i - 1].boot, o.boot);
+		ck_assert_str_eq(got[i - 1].addr, o.addr);
+	}
+	for (i = 0; i < 10; i++)
+		tg_owner_row_add_former(&r, &o);
+	stored = store_owner_row(&r);
+	ck_assert_int_eq(tg_owner_row_formers(&stored, got), -1);
+	tg_strlcpy(r.former, ",no address,", sizeof(r.former));
+	ck_assert_int_eq(tg_owner_row_formers(&r, got), -1);
+}
+END_TEST
+
+START_TEST(draining_workers_are_listed)
+{
+	const struct tg_worker_exit x = { "127.0.0.1:9", 5, 6000, 4000, 12 };
+	struct tg_owner_row r = { .holder = "i1", .exits_clock_ms = 4500 };
+	struct tg_worker_exit got;
+	int i;
+
+	for (i = 0; i < 1000; i++)
+		tg_owner_row_add_exit(&r, i ? "w" : "w1", &x, 65536);
+	r = store_owner_row(&r);
+	ck_assert(tg_owner_row_find_exit(&r, "w1", &got));
+	ck_assert_str_eq(got.addr, x.addr);
+	ck_assert_int_eq(got.boot_ms, 5);
+	ck_assert_int_eq(got.exit_clock_ms, 6000);
+	ck_assert_int_eq(got.written_clock_ms, 4000);
+	ck_assert_int_eq(got.version, 12);
+	ck_assert_int_eq(r.exits_clock_ms, 4500);
+	ck_assert(!tg_owner_row_find_exit(&r, "w2", &got));
+}
+END_TEST
 
 /* Guards against a new owner that takes a long lease for expired. */
 START_TEST(long_leases_are_listed_or_any_worker_may_hold_one)
@@ -485,6 +543,8 @@
 	tcase_add_loop_test(t, owner_row_fits_with_many_silent_workers, 0, 4);
 	tcase_add_test(t, raised_token_leaves_the_term);
 	tcase_add_test(t, token_of_an_older_version_is_that_of_its_claim);
+	tcase_add_test(t, former_owners_are_named_or_not_known);
+	tcase_add_test(t, draining_workers_are_listed);
 	tcase_add_test(t, long_leases_are_listed_or_any_worker_may_hold_one);
 	suite_add_tcase(s, t);
 	return run_suite(s);
--- a/tests/unit/writer/test-writer.c
+++ b/tests/unit/writer/test-writer.c
@@ -43,6 +43,18 @@
 	(void)r;
 }
 
+void links_record_exits(const struct board *board, struct tg_owner_row *r)
+{
+	(void)board;
+	(void)r;
+}
+
+void standby_record_former(const struct board *board, struct tg_owner_row *r)
+{
+	(void)board;
+	(void)r;
+}
+
 void links_record_long_leases(struct board *board, struct tg_owner_row *r)
 {
 	r->long_leases[0] = '\0';
