flow: a job has begun when a worker has begun a run of it

Cause: flow_run_add() set begun when a run was decided on, or read from a record, and nothing took it back. Refusals, dropped runs, plans and stops before the answer all went through it.

It is set by what shows that a worker has begun a run: an answer to the start, a list that names the run or its end, or progress that was recorded. Records say it for the next owner, and instances that answer from the store show a job as queued whose record says that none has begun and names no run.

--- a/cmd/tgqueued/query.c
+++ b/cmd/tgqueued/query.c
@@ -89,6 +89,23 @@
 
 /* --- state --- */
 
+/*
+ * Whether a worker may have begun a run of the job, by the first row of its
+ * progress: a recorded run may have begun, and older versions record no more.
+ */
+static bool may_have_begun(const json_t *progress)
+{
+	const json_t *steps = json_object_get(progress, "steps"), *v;
+	size_t i;
+
+	if (!json_is_false(json_object_get(progress, "begun")))
+		return true;
+	json_array_foreach(steps, i, v)
+		if (json_array_size(json_object_get(v, "runs")))
+			return true;
+	return false;
+}
+
 /*
  * A job that had ended when its cancellation was stored is not cancelled.
  *
@@ -104,7 +121,7 @@
 		o = json_loadb(w->rows[0].value, w->rows[0].value_bytes, 0,
 			       NULL);
 		state = json_integer_value(json_object_get(o, "state"));
-		if (state == FLOW_QUEUED)
+		if (state == FLOW_QUEUED && may_have_begun(o))
 			state = FLOW_RUNNING;
 		json_decref(o);
 	}
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -399,7 +399,8 @@
  * struct flow_job_status - status of a job
  * @durable: the state has been written; the end of a job must not be shown to
  *	callers before
- * @begun: a run has been ordered or reported
+ * @begun: a worker has begun a run: it has answered the start so, or listed
+ *	the run or its end
  * @tasks: number of tasks
  * @done: number of tasks that are done
  * @runs: number of runs so far
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -195,7 +195,8 @@
 	int32_t next_occurrence; /* those before it were opened when due */
 	int32_t ahead_max; /* most open ones that wait for capacity */
 	enum flow_state state;
-	bool cancelled, recovered, begun;
+	bool cancelled, recovered;
+	bool begun; /* a worker has begun a run of it */
 	bool taken_ended; /* it had ended when record 0 was last taken */
 	bool end_durable; /* a record 0 that shows its end is durable */
 	/* Record 0 in the store has all tasks, as older versions wrote it. */
--- a/lib/flow/progress.c
+++ b/lib/flow/progress.c
@@ -158,6 +158,10 @@
 	/* Runs that are being stopped still use capacity. */
 	if (!p->number && flow_has_ended(j) && (!j->n_runs || j->refused))
 		return o;
+	/* Rows of older versions don't tell whether a worker has begun a run.
+	 */
+	if (!p->number || j->begun)
+		json_object_set_new(o, "begun", json_boolean(j->begun));
 	s = flow_first_step(p);
 	if (j->n_records > 1)
 		json_object_set_new(
@@ -214,13 +218,17 @@
 	return true;
 }
 
-/* The run is active until its worker's list or an expired lease ends it. */
+/*
+ * The run is active until its worker's list or an expired lease ends it.  Only
+ * the list tells whether it has begun: its start may not have been ordered, or
+ * may have been refused.
+ */
 static bool add_recorded_run(struct flow *f, struct job *j,
 			     struct step_state *ss, json_t *o)
 {
 	int index, run;
 	const char *worker;
-	bool begun = j->begun, planned = json_is_true(json_array_get(o, 3));
+	bool planned = json_is_true(json_array_get(o, 3));
 	struct run *r;
 
 	if (json_unpack(o, "[iis]", &index, &run, &worker) || index < 0 ||
@@ -234,8 +242,6 @@
 	flow_run_set_confirmed(r, !planned);
 	/* Rows written by older versions don't tell. */
 	r->on_loan = json_is_true(json_array_get(o, 4));
-	if (planned)
-		j->begun = begun;
 	return true;
 }
 
@@ -340,6 +346,7 @@
 	if (!p || !json_is_object(o))
 		return false;
 	flow_record_stored(p, true);
+	j->begun |= json_is_true(json_object_get(o, "begun"));
 	if (!p->number)
 		ok = decode_first(f, j, o);
 	else if (!j->void_records)
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -31,7 +31,6 @@
 	ss->n_runs++;
 	j->n_runs++;
 	j->runs_total++;
-	j->begun = true;
 	flow_shape_add(&w->used, &available, 1);
 	ss->gang_checked_round = w->run_ends_round = 0;
 	r->next = w->runs;
@@ -391,7 +390,11 @@
 {
 	struct worker *w = flow_find_worker(f, worker);
 	struct run *r = find_run(f, ref, w);
+	struct job *j = flow_find_job(f, ref->job);
 
+	/* Also if the run has been given up in the meantime. */
+	if (j && end == FLOW_ORDER_DONE)
+		j->begun = true;
 	if (!r)
 		return;
 	r->start_unanswered |= end == FLOW_ORDER_UNKNOWN;
@@ -539,11 +542,13 @@
 	struct job *j;
 
 	if (r) {
+		r->job->begun = true;
 		flow_run_ended(f, r, how, saved, now_ms);
 		return true;
 	}
 	if (!find_task(f, ref, true, &j, &ss))
 		return false;
+	j->begun = true;
 	record_end(f, j, ss, ref->index, ref->run, how, saved);
 	return true;
 }
--- a/tests/unit/flow/fleet.h
+++ b/tests/unit/flow/fleet.h
@@ -83,6 +83,8 @@
 TCase *unconfirmed_tcase(void);
 /** unused_tcase() - tests of test-unused.c */
 TCase *unused_tcase(void);
+/** begun_tcase() - tests of test-begun.c */
+TCase *begun_tcase(void);
 /** capacity_tcase() - tests of test-capacity.c */
 TCase *capacity_tcase(void);
 /** index_tcase() - tests of test-index.c on a fleet of their own */
