tgflowd: count a row that can't name all former owners as one that names none

A row has space for three former owners. One that had more was written without any by the same owner later, and the next one would have counted leases from the proof for the last owner alone.

The evidence that the store has answered comes from former owners only for the time before the first read of the directory in the term, so that a slow write doesn't take back what that reads have shown.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -127,7 +127,7 @@
 	/* The same bound on its last write, by the store's clock; or 0. */
 	int64_t written_clock_ms;
 	int64_t entry_version;
-	bool exiting; /* its entry says that it drains */
+	bool exiting; /* its entry says that it drains; see exits.c */
 	struct link *exiting_prev, *exiting_next; /* on the board */
 	int64_t earliest_exit_ms; /* of a draining worker, or 0 */
 	bool exit_is_estimate; /* it is not a bound that the feed gives */
@@ -167,9 +167,7 @@
 	uint64_t told_term; /* highest one of an owner that a peer knew */
 	struct former_owner former;
 	struct store_seen store_seen;
-	/* Since when the directory has been read without a failure, at first.
-	 */
-	int64_t directory_since_ms;
+	int64_t directory_since_ms; /* when it was first read in the term */
 	int64_t written_ms; /* start of the last write that succeeded */
 	int64_t refused_since_ms; /* first of the refused writes, or 0 */
 	int64_t ticked_ms; /* when the loop was last seen to run */
--- a/cmd/tgflowd/exits.c
+++ b/cmd/tgflowd/exits.c
@@ -82,12 +82,12 @@
 		.heartbeat_ms = b->site.set.heartbeat_ms,
 	};
 	int64_t since_ms = tg_table_watch_answered_since_ms(b->directory);
+	int64_t seen_ms = store_seen_since_ms(&b->store_seen);
 
-	/* Former owners vouch for the time before the first read of this one.
-	 */
-	if (since_ms && since_ms == b->directory_since_ms &&
-	    b->store_seen.since_clock_ms)
-		since_ms = store_seen_since_ms(&b->store_seen);
+	/* Before the first read in this term, former owners vouch for it. */
+	if (since_ms && since_ms == b->directory_since_ms && seen_ms &&
+	    seen_ms < since_ms)
+		since_ms = seen_ms;
 	if (owner_is_current(b) && !b->refused_since_ms)
 		s.store_since_ms = since_ms;
 	return l->entry.draining && l->entry.boot_ms == l->boot_ms &&
--- a/cmd/tgflowd/ownerwrites.c
+++ b/cmd/tgflowd/ownerwrites.c
@@ -1,7 +1,5 @@
 #include "ownerwrites.h"
 
-/* Longer than a write to a slow store takes. */
-#define STALE_MS 1600
 /*
  * A store that refuses a write answers at once, so several attempts fit into
  * this time.  It may refuse this instance while it serves the neighbours.
@@ -13,5 +11,5 @@
 	if (s->refused_since_ms &&
 	    s->now_ms - s->refused_since_ms >= REFUSED_MS)
 		return false;
-	return s->now_ms - s->written_ms < STALE_MS;
+	return s->now_ms - s->written_ms < OWNER_STALE_MS;
 }
--- a/cmd/tgflowd/ownerwrites.h
+++ b/cmd/tgflowd/ownerwrites.h
@@ -4,6 +4,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Longer than a write to a slow store takes. */
+#define OWNER_STALE_MS 1600
+
 /**
  * struct owner_writes - recent results of the owner's writes to the store
  * @written_ms: start of the last write that succeeded
--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -222,6 +222,7 @@
 		set_owner_row(b, &r->rows[0]);
 		watch.read_version = 0;
 	} else {
+		store_seen_failure(&b->store_seen);
 		/* The row shows whether the claim succeeded. */
 		read_row(b);
 	}
@@ -251,7 +252,9 @@
 		tg_owner_row_add_former(&claim, &earlier[i]);
 		b->former.ended_ms = 0;
 	}
-	/* Without their names nobody can ask the earlier ones. */
+	/* Without all their names nobody can ask the earlier ones. */
+	if (tg_owner_row_formers(&claim, earlier) < 0)
+		b->former.settled = false;
 	if (!b->former.settled)
 		tg_owner_row_forget_former(&claim);
 }
--- a/cmd/tgflowd/storeseen.c
+++ b/cmd/tgflowd/storeseen.c
@@ -1,8 +1,9 @@
 #include "storeseen.h"
 
-/* An owner counts as being in touch with the store for as long after a write.
- */
-#define GAP_MAX_MS 1600
+#include "ownerwrites.h"
+
+/* An owner is taken for one that reaches the store this long after a write. */
+#define GAP_MAX_MS OWNER_STALE_MS
 
 void store_seen_answer(struct store_seen *s, int64_t clock_ms,
 		       int64_t called_ms, int64_t now_ms)
