flow: a start that was refused is none for guarantees and counts either

What callers saw, by a test: a guaranteed gang whose first start had been refused waited for ever, as it could neither span racks nor move tasks of others near the bound of its guarantee.

A run number that had been decided on counted as a start of the first step; runs and starts were counted at the decision.

All go by the sign that a worker has begun a run.

--- a/lib/flow/decide.c
+++ b/lib/flow/decide.c
@@ -164,7 +164,6 @@
 	r->on_loan = on_loan;
 	if (flow_run_is_isolated(r, rd->now_ms))
 		w->isolated_for = j;
-	j->queue_conf->starts++;
 	rd->progress_changed = true;
 }
 
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -403,7 +403,7 @@
  *	the run or its end
  * @tasks: number of tasks
  * @done: number of tasks that are done
- * @runs: number of runs so far
+ * @runs: number of runs that workers have begun, of which this process knows
  * @failures: number of failed runs so far
  */
 struct flow_job_status {
@@ -670,7 +670,7 @@
  *	times are not counted
  * @oldest_stalled_ms: age of the oldest of them; 0 if there is none
  * @held_workers: capacity that the queue's runs held at the last flow_decide()
- * @starts: runs started
+ * @starts: runs that workers have begun
  * @preempted: runs preempted for jobs that go before
  * @done_worker_ms: time of the runs that ended done or left a checkpoint
  * @lost_worker_ms: time of the other runs, whose work has to be done again
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -41,6 +41,7 @@
 	bool start_sent; /* a copy of the start order */
 	/* Its lease is as the caller counts; see flow_start_confirmed(). */
 	bool is_confirmed;
+	bool begun; /* its worker has begun it; see runs.c */
 	struct run *unconfirmed_prev, *unconfirmed_next; /* while it is not */
 	int64_t next_stop_ms; /* earliest time of the next stop order */
 	bool victim; /* to be preempted for another job */
@@ -82,6 +83,7 @@
 
 struct task {
 	bool done;
+	bool begun; /* a worker has begun a run of it */
 	struct run_numbers failures; /* a gang's are kept by its first task */
 	/*
 	 * Runs whose workers' crashes are blamed on the task, and the greatest
@@ -209,7 +211,7 @@
 	int32_t n_dirty, n_writing, n_stored;
 	int64_t accepted_ms;
 	int64_t ended_ms; /* when its end was found durable; 0 before */
-	int64_t n_runs, runs_total, failures;
+	int64_t n_runs, runs_begun, failures;
 	struct queue *queue_conf; /* set each round */
 	struct pool *pool; /* set each round; NULL without workers */
 	int32_t rank; /* lower goes first; set each round */
@@ -784,7 +786,7 @@
 bool flow_is_urgent(const struct job *j);
 /** flow_may_preempt() - whether the job may preempt runs of a greater rank */
 bool flow_may_preempt(const struct job *j);
-/** flow_first_step_started() - whether all tasks of step 0 have been started */
+/** flow_first_step_started() - whether all tasks of step 0 have begun */
 bool flow_first_step_started(struct job *j);
 /**
  * flow_reclaim_due() - whether a guaranteed job is about to miss its bound
--- a/lib/flow/jobs.c
+++ b/lib/flow/jobs.c
@@ -212,7 +212,7 @@
 		v->state = FLOW_RUNNING;
 	v->durable = flow_has_ended(j) ? j->end_durable : flow_is_durable(j);
 	v->begun = j->begun;
-	v->runs = j->runs_total;
+	v->runs = j->runs_begun;
 	v->failures = j->failures;
 	v->tasks = flow_spec_tasks(j->spec);
 	v->done = count_done(j);
--- a/lib/flow/order.c
+++ b/lib/flow/order.c
@@ -222,7 +222,7 @@
 	if (!ss)
 		return flow_occurrence_is_done(j, 0);
 	for (i = 0; i < flow_step_of(j, ss)->tasks; i++)
-		if (!ss->tasks[i].last_run)
+		if (!ss->tasks[i].done && !ss->tasks[i].begun)
 			return false;
 	return true;
 }
--- a/lib/flow/progress.c
+++ b/lib/flow/progress.c
@@ -158,8 +158,7 @@
 	/* Runs that are being stopped still use capacity. */
 	if (!p->number && flow_has_ended(j) && (!j->n_runs || j->refused))
 		return o;
-	/* Rows of older versions don't tell whether a worker has begun a run.
-	 */
+	/* Rows of older versions don't have it. */
 	if (!p->number || j->begun)
 		json_object_set_new(o, "begun", json_boolean(j->begun));
 	s = flow_first_step(p);
@@ -215,6 +214,7 @@
 				    (int32_t)json_integer_value(v));
 	t->crash_age_ms = json_integer_value(json_array_get(o, 4));
 	t->failures.n_older = (int32_t)json_integer_value(json_array_get(o, 5));
+	t->begun = true;
 	return true;
 }
 
--- a/lib/flow/runs.c
+++ b/lib/flow/runs.c
@@ -30,7 +30,6 @@
 		t->last_run = run;
 	ss->n_runs++;
 	j->n_runs++;
-	j->runs_total++;
 	flow_shape_add(&w->used, &available, 1);
 	ss->gang_checked_round = w->run_ends_round = 0;
 	r->next = w->runs;
@@ -290,6 +289,28 @@
 	}
 }
 
+/*
+ * A decision, a record and an order show only that a run is wanted.  That it
+ * has begun shows in the answer to its start, or in a list of its worker.
+ */
+static void note_begun(struct job *j, struct step_state *ss, int32_t index)
+{
+	j->begun = ss->tasks[index].begun = true;
+}
+
+static void run_begun(struct run *r)
+{
+	struct queue *q = flow_find_queue(r->job->flow, r->job->queue);
+
+	if (r->begun)
+		return;
+	r->begun = true;
+	r->job->runs_begun++;
+	if (q)
+		q->starts++;
+	note_begun(r->job, r->step_state, r->index);
+}
+
 /* Finds a task of an open occurrence, or opens the one that a report names. */
 static bool find_task(const struct flow *f, const struct flow_run_ref *ref,
 		      bool open, struct job **j, struct step_state **ss)
@@ -390,13 +411,16 @@
 {
 	struct worker *w = flow_find_worker(f, worker);
 	struct run *r = find_run(f, ref, w);
-	struct job *j = flow_find_job(f, ref->job);
+	struct step_state *ss;
+	struct job *j;
 
 	/* Also if the run has been given up in the meantime. */
-	if (j && end == FLOW_ORDER_DONE)
-		j->begun = true;
+	if (!r && end == FLOW_ORDER_DONE && find_task(f, ref, false, &j, &ss))
+		note_begun(j, ss, ref->index);
 	if (!r)
 		return;
+	if (end == FLOW_ORDER_DONE)
+		run_begun(r);
 	r->start_unanswered |= end == FLOW_ORDER_UNKNOWN;
 	if (end == FLOW_ORDER_DONE || end == FLOW_ORDER_UNKNOWN) {
 		if (r->state != RUN_STARTING)
@@ -478,7 +502,7 @@
 	flow_run_set_confirmed(r, true);
 	if (r->state != RUN_STOPPING)
 		r->state = RUN_ACTIVE;
-	j->begun = true;
+	run_begun(r);
 	r->listed_ms = now_ms;
 	flow_pace_update(r, percent, now_ms);
 	flow_store_checkpoint(j, ss, ref->index, saved);
@@ -542,13 +566,13 @@
 	struct job *j;
 
 	if (r) {
-		r->job->begun = true;
+		run_begun(r);
 		flow_run_ended(f, r, how, saved, now_ms);
 		return true;
 	}
 	if (!find_task(f, ref, true, &j, &ss))
 		return false;
-	j->begun = true;
+	note_begun(j, ss, ref->index);
 	record_end(f, j, ss, ref->index, ref->run, how, saved);
 	return true;
 }
--- a/tests/unit/flow/test-begun.c
+++ b/tests/unit/flow/test-begun.c
@@ -71,6 +71,61 @@
 }
 END_TEST
 
+/*
+ * A guaranteed gang may span racks as long as its first step has not started.
+ * A refused start counted as one, so that the gang was kept to one rack.
+ */
+START_TEST(guarantee_counts_after_a_refused_start)
+{
+	struct flow_spec *s = fleet_new_spec(2, 8, true);
+	struct flow_quota q = { "w", 64 };
+	int i;
+
+	flow_free(f);
+	f = fleet_new();
+	flow_set_quotas(f, &q, 1);
+	fleet_add_worker(f, "w1", "r1", 8);
+	fleet_add_worker(f, "w2", "r2", 8);
+	/* With these the pool is in use, so that nothing starts on loan. */
+	fleet_add_worker(f, "w6", "r3", 8);
+	fleet_add_worker(f, "w7", "r3", 8);
+	fleet_add_job(f, "j1", "urgent", fleet_new_spec(4, 8, false), 0);
+	fleet_decide(f, &o, 1);
+	fleet_confirm_starts(f, &o, 2);
+	fleet_add_worker(f, "w3", "r1", 8);
+	fleet_add_worker(f, "w4", "r1", 8);
+	s->steps[0].within_rack = true;
+	fleet_add_job(f, "j2", "urgent", s, 10);
+	fleet_decide(f, &o, 11);
+	ck_assert_int_eq(o.n_starts, 2);
+	for (i = 0; i < 2; i++) {
+		struct flow_run_ref r = fleet_run_ref(&o.starts[i]);
+
+		flow_start_answered(f, &r, o.starts[i].worker,
+				    FLOW_ORDER_NOT_DONE, 12);
+	}
+	flow_worker_remove(f, "w4", 13);
+	fleet_add_worker(f, "w5", "r2", 8);
+	fleet_decide(f, &o, 14);
+	ck_assert_int_eq(o.n_starts, 0);
+	fleet_decide(f, &o, 10 + RECLAIM_MS - STOP_MS);
+	ck_assert_int_eq(o.n_starts, 2);
+}
+END_TEST
+
+START_TEST(refused_starts_are_no_runs)
+{
+	struct flow_job_status v;
+
+	start(1);
+	answer(FLOW_ORDER_NOT_DONE, 2);
+	start(100);
+	answer(FLOW_ORDER_DONE, 101);
+	ck_assert(flow_job_status(f, "j1", &v));
+	ck_assert_int_eq(v.runs, 1);
+}
+END_TEST
+
 START_TEST(job_begins_when_its_start_is_answered)
 {
 	start(1);
@@ -155,6 +210,8 @@
 
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, job_whose_start_is_refused_waits);
+	tcase_add_test(t, guarantee_counts_after_a_refused_start);
+	tcase_add_test(t, refused_starts_are_no_runs);
 	tcase_add_test(t, job_begins_when_its_start_is_answered);
 	tcase_add_test(t,
 		       job_whose_start_has_no_answer_begins_when_it_is_listed);
