--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -29,10 +29,10 @@
 	f->renew_max_ms = RENEW_AFTER_WRITE_MAX_MS;
 	tg_log(EV_FLOW_CLAIMED,
 	       "fence=%llu why=%s version=%lld recorded=%d settled=%d "
-	       "former_ended=%d long_leases=%s",
+	       "former_ended=%d former=%s long_leases=%s",
 	       (unsigned long long)b->claim_fence, why,
 	       (long long)b->owner_version, b->former_runs_recorded, f->settled,
-	       f->ended_ms != 0, b->owner.long_leases);
+	       f->ended_ms != 0, b->owner.former, b->owner.long_leases);
 	jobs_open(b);
 }
 
--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -41,10 +41,10 @@
 	int64_t read_ms, claim_ms; /* when these calls began */
 	int64_t read_version, unchanged_since_ms;
 	int64_t claimable_since_ms; /* there is a reason to claim; or 0 */
-	/* Former owners that are not proved to act no more; which is asked. */
+	/* Former owners that are not proved to act no more, asked in turn. */
 	struct tg_former_owner formers[TG_FORMER_OWNERS_MAX];
 	int n_formers, next_former;
-	char asked_boot[TG_TOKEN_LEN + 1];
+	char asked_boot[TG_TOKEN_LEN + 1]; /* of the one asked last */
 } watch;
 
 static bool has_preferred_cores(const struct board *b)
@@ -245,7 +245,7 @@
 		tg_owner_row_add_former(&claim, &o);
 	}
 	for (i = 0; i < n && !b->owner.settled; i++) {
-		/* A term of this process before is over. */
+		/* A former term of this process is over, too. */
 		if (!strcmp(earlier[i].boot, b->boot) ||
 		    !strcmp(earlier[i].boot, b->owner.boot))
 			continue;
@@ -285,7 +285,7 @@
 	tg_strlcpy(claim.boot, b->boot, sizeof(claim.boot));
 	claim.fence = claim.term = b->owner.fence + 1;
 	claim.runs_recorded = b->former_runs_recorded;
-	tg_owner_row_copy_lists(&claim, &b->owner);
+	tg_owner_row_copy_workers(&claim, &b->owner);
 	name_former_owners(b);
 	store_seen_record(&b->store_seen, &claim, tg_now_ms());
 	tg_strlcpy(claim_reason, why, sizeof(claim_reason));
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -288,7 +288,7 @@
 	b->owner.seq = w.row.seq;
 	b->owner.fence = w.row.fence;
 	b->owner.runs_recorded = w.row.runs_recorded;
-	tg_owner_row_copy_lists(&b->owner, &w.row);
+	tg_owner_row_copy_workers(&b->owner, &w.row);
 	b->owner_version = version;
 	w.failures = 0;
 	w.busy = false;
--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -493,7 +493,7 @@
 		 int64_t wall_ms);
 /** flow_occurrence_is_done() - whether it is closed since it is done */
 bool flow_occurrence_is_done(const struct job *j, int32_t number);
-/** flow_count_untouched() - number of occurrences never opened */
+/** flow_count_untouched() - number of occurrences neither open nor done */
 int64_t flow_count_untouched(const struct job *j);
 /** flow_nth_open() - NULL if @n is at least the number of open step states */
 struct step_state *flow_nth_open(const struct job *j, int32_t n);
--- a/lib/flow/occurrence.c
+++ b/lib/flow/occurrence.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "flow/flow_internal.h"
 
@@ -14,9 +15,12 @@
  *   which a bit remains, or has never been started.
  */
 
-/* State of occurrences that are due and wait for capacity: of all jobs. */
+/*
+ * State of occurrences that are due and wait for capacity, of all jobs: half of
+ * the 32 MB that a daemon may take at the size of the target.
+ */
 #define AHEAD_BYTES (16 << 20)
-/* The most of it that one job takes. */
+/* The most of it that one job takes, so that few jobs don't take all of it. */
 #define AHEAD_BYTES_PER_JOB (128 << 10)
 
 static int64_t occurrence_bytes(const struct flow_spec *s)
--- a/lib/flow/order.c
+++ b/lib/flow/order.c
@@ -39,7 +39,7 @@
 				if (c > longest)
 					longest = c;
 			}
-	/* Without @all the job has one occurrence, which is open. */
+	/* Without @all the job has no times, and its occurrence is open. */
 	if (all || ss->n_done < s->steps[i].tasks)
 		longest += s->steps[i].declared_ms;
 	memo[i] = longest;
--- a/lib/site/rows.c
+++ b/lib/site/rows.c
@@ -274,8 +274,8 @@
 	return c->to_ms - (c->clock_ms - clock_ms);
 }
 
-void tg_owner_row_copy_lists(struct tg_owner_row *to,
-			     const struct tg_owner_row *from)
+void tg_owner_row_copy_workers(struct tg_owner_row *to,
+			       const struct tg_owner_row *from)
 {
 	tg_strlcpy(to->silent, from->silent, sizeof(to->silent));
 	tg_strlcpy(to->silent_at, from->silent_at, sizeof(to->silent_at));
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -290,11 +290,11 @@
 int tg_owner_row_formers(const struct tg_owner_row *r,
 			 struct tg_former_owner out[TG_FORMER_OWNERS_MAX]);
 /**
- * tg_owner_row_copy_lists() - replace what @to tells of workers by what @from
+ * tg_owner_row_copy_workers() - replace what @to tells of workers by what @from
  * does
  */
-void tg_owner_row_copy_lists(struct tg_owner_row *to,
-			     const struct tg_owner_row *from);
+void tg_owner_row_copy_workers(struct tg_owner_row *to,
+			       const struct tg_owner_row *from);
 /** tg_owner_row_find_silent() - false if the worker is not in @silent_at */
 bool tg_owner_row_find_silent(const struct tg_owner_row *r, const char *worker,
 			      struct tg_silent_worker *out);
--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -12,8 +12,9 @@
 # workers while no fault was near, no owner took runs for ended that went on, and
 # no daemon ended by itself.
 # --outages adds outages of the store in which entries of workers
-# expire, beside the other faults.  --large submits jobs of many small tasks, on
-# a store with rows of 8 KiB, which the progress of a job doesn't fit.  --workers
+# expire, beside the other faults.  --large submits jobs of many small tasks, or
+# of as many occurrences that are all due, on a store with rows of 8 KiB, which
+# the progress of a job doesn't fit.  --workers
 # adds series of faults of workers: they drain, are cut off, with entries that
 # expire about the time at which that is noticed, leave calls unanswered and carry
 # them out late, exit, and restart at the same and at other addresses, their clocks
@@ -530,8 +531,13 @@
 		if [ -n "$large" ]; then
 			set -- "$1" "$2" "$3" $(($4 * $5 * 20)) 0 "$6" "$7" "$8"
 		fi
+		times=
+		if [ -n "$large" ] && [ $(($8 % 3)) = 0 ]; then
+			times="\"times\":$4,\"first-ms\":1,"
+			set -- "$1" "$2" "$3" 1 0 "$6" "$7" "$8"
+		fi
 		caller "$job" "$2" "$(pick "$8" n u)" \
-			"{\"spec\":\"ms=$6 acc=$5\",\"steps\":[{\"count\":$4,
+			"{\"spec\":\"ms=$6 acc=$5\",$times\"steps\":[{\"count\":$4,
 			 \"cpu\":$((1 + $5 * 1000)),\"gpu\":$5,\"est-ms\":$6}]}" \
 			</dev/null &
 		;;
