Log why a job is refused for lack of memory; say what former owners are

- room_is_left() also noted that a refusal had happened, and no line told what it was decided on: the job's size, the room that the owner told, how old that is, and what the instance has accepted since. room_note_refusal() does both, with EV5605. site-occurrences looks for the line.
- former_owner.settled was described as that of one earlier owner.
Since rows name former owners it means that all of them are known, and ended_ms that all have ended.
The field is called known; the key in the log stays.

sh tests/run.sh site-occurrences site-waiting-refused test-flowd test-leases: 4 passed; make lint and the checks of format, events and names pass.

--- a/cmd/tgflowd/formerowner.h
+++ b/cmd/tgflowd/formerowner.h
@@ -30,10 +30,10 @@
 			  uint64_t told, uint64_t own);
 
 /**
- * struct former_owner - what is known of the owners before this one
+ * struct former_owner - the owners before this one that may renew leases
  * @claimed_ms: when this daemon claimed the ownership
- * @ended_ms: the last one was proved to have ended, or to act no more; or 0
- * @settled: owners before the last one could renew no leases any more
+ * @ended_ms: all of them were proved to have ended, or to act no more; or 0
+ * @known: no other one than those that were asked can renew leases
  * @lease_ms: longest duration of a lease that an owner asks for, by this
  *	daemon's clock
  * @long_lease_ms: the same of any lease, after the call that grants it
@@ -41,7 +41,7 @@
  */
 struct former_owner {
 	int64_t claimed_ms, ended_ms;
-	bool settled;
+	bool known;
 	int64_t lease_ms, long_lease_ms, renew_max_ms;
 };
 
--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -31,7 +31,7 @@
 	       "fence=%llu why=%s version=%lld recorded=%d settled=%d "
 	       "former_ended=%d former=%s long_leases=%s",
 	       (unsigned long long)b->claim_fence, why,
-	       (long long)b->owner_version, b->former_runs_recorded, f->settled,
+	       (long long)b->owner_version, b->former_runs_recorded, f->known,
 	       f->ended_ms != 0, b->owner.former, b->owner.long_leases);
 	jobs_open(b);
 }
@@ -46,7 +46,7 @@
 	       "long_leases_left_ms=%lld",
 	       (unsigned long long)b->claim_fence,
 	       (long long)(b->former.ended_ms - b->former.claimed_ms),
-	       b->former.settled,
+	       b->former.known,
 	       (long long)(former_leases_end_ms(&b->former, false) -
 			   b->former.ended_ms),
 	       (long long)(former_leases_end_ms(&b->former, true) -
--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -157,7 +157,7 @@
 	int i;
 
 	r->former[0] = '\0';
-	if (!b->former.settled)
+	if (!b->former.known)
 		tg_owner_row_forget_former(r);
 	for (i = 0; i < watch.n_formers; i++)
 		tg_owner_row_add_former(r, &watch.formers[i]);
@@ -238,7 +238,7 @@
 	int n = tg_owner_row_formers(&b->owner, earlier), i;
 
 	b->former.ended_ms = watch.replaced_ms;
-	b->former.settled = b->owner.settled || !b->owner_version || n >= 0;
+	b->former.known = b->owner.settled || !b->owner_version || n >= 0;
 	if (b->owner_version && !watch.replaced_ms) {
 		tg_strlcpy(o.addr, b->owner.addr, sizeof(o.addr));
 		tg_strlcpy(o.boot, b->owner.boot, sizeof(o.boot));
@@ -254,8 +254,8 @@
 	}
 	/* Without all their names nobody can ask the earlier ones. */
 	if (tg_owner_row_formers(&claim, earlier) < 0)
-		b->former.settled = false;
-	if (!b->former.settled)
+		b->former.known = false;
+	if (!b->former.known)
 		tg_owner_row_forget_former(&claim);
 }
 
--- a/cmd/tgqueued/board.h
+++ b/cmd/tgqueued/board.h
@@ -49,6 +49,7 @@
 	 */
 	bool room_known;
 	int64_t room_bytes, accepted_bytes, storing_bytes;
+	int64_t room_heard_ms; /* when it said so */
 	bool room_wanted; /* a job was refused since */
 	bool room_asking;
 	/* When the owner last could not confirm the document. */
@@ -103,6 +104,8 @@
 void room_heard_of(struct board *b, const json_t *answer);
 /** room_is_left() - whether the owner can hold the job of @r */
 bool room_is_left(const struct request *r);
+/** room_note_refusal() - the job of @r is refused for lack of room */
+void room_note_refusal(const struct request *r);
 /** room_take() - the job of @r is about to be stored */
 void room_take(struct request *r);
 /** room_settle() - the request ends; @stored if the job is, or may be, stored
--- a/cmd/tgqueued/room.c
+++ b/cmd/tgqueued/room.c
@@ -21,6 +21,7 @@
 	if (!json_is_integer(room))
 		return;
 	b->room_known = true;
+	b->room_heard_ms = tg_now_ms();
 	b->room_bytes = json_integer_value(room);
 	b->accepted_bytes = 0;
 	b->room_wanted = false;
@@ -29,15 +30,27 @@
 /* The first job after an answer may take more than the part of an instance. */
 bool room_is_left(const struct request *r)
 {
-	struct board *b = r->board;
+	const struct board *b = r->board;
 	int64_t parts = b->members.n > JOB_PART ? b->members.n : JOB_PART;
 	int64_t taken = b->accepted_bytes + b->storing_bytes;
-	bool fits = !b->room_known ||
+
+	return !b->room_known ||
 		taken + r->job_bytes <= b->room_bytes / parts ||
 		(!taken && r->job_bytes <= b->room_bytes / JOB_PART);
+}
+
+void room_note_refusal(const struct request *r)
+{
+	struct board *b = r->board;
 
-	b->room_wanted |= !fits;
-	return fits;
+	b->room_wanted = true;
+	tg_log(EV_QUEUE_NO_ROOM,
+	       "job=%s job_bytes=%lld room_bytes=%lld heard_age_ms=%lld "
+	       "accepted_bytes=%lld storing_bytes=%lld instances=%d",
+	       r->job, (long long)r->job_bytes, (long long)b->room_bytes,
+	       (long long)(tg_now_ms() - b->room_heard_ms),
+	       (long long)b->accepted_bytes, (long long)b->storing_bytes,
+	       (int)b->members.n);
 }
 
 void room_take(struct request *r)
--- a/cmd/tgqueued/submit.c
+++ b/cmd/tgqueued/submit.c
@@ -212,6 +212,7 @@
 		return;
 	}
 	if (!room_is_left(r)) {
+		room_note_refusal(r);
 		reject_unless_stored(r);
 		return;
 	}
--- a/tests/script/site-occurrences.sh
+++ b/tests/script/site-occurrences.sh
@@ -74,6 +74,9 @@
 	503)
 		echo "$s $(jq -c . "$tmp/body") $(tr -d '\r' <"$tmp/head" |
 			grep -i '^retry-after')"
+		cat "$tmp"/queue-*.out |
+			grep -q "EV5605.*job=00000000000004$k job_bytes=[1-9]" ||
+			echo "no line tells why"
 		break
 		;;
 	*) echo "00000000000004$k: $s" ;;
--- a/tests/script/site-waiting-refused.sh
+++ b/tests/script/site-waiting-refused.sh
@@ -28,7 +28,6 @@
 	done
 }
 
-
 echo "# one task each, and a gang"
 for k in 1 2 3; do
 	submit 1 00000000000000b$k "ms=100000" "$(steps 1)" && echo
--- a/tests/unit/flowd/test-flowd.c
+++ b/tests/unit/flowd/test-flowd.c
@@ -309,7 +309,7 @@
 	ck_assert_int_eq(former_leases_end_ms(&f, false), 66000);
 	f.ended_ms = 51000;
 	ck_assert_int_eq(former_leases_end_ms(&f, false), 66000);
-	f.settled = true;
+	f.known = true;
 	ck_assert_int_eq(former_leases_end_ms(&f, false), 57000);
 	f.ended_ms = 0;
 	ck_assert_int_eq(former_leases_end_ms(&f, false), 66000);
@@ -331,7 +331,7 @@
 
 	ck_assert_int_eq(former_leases_end_ms(&f, true), 71000);
 	f.ended_ms = 51000;
-	f.settled = true;
+	f.known = true;
 	ck_assert_int_eq(former_leases_end_ms(&f, true), 62000);
 	ck_assert_int_eq(former_leases_end_ms(&f, false), 57000);
 }
@@ -385,7 +385,7 @@
 	/* The one before the last may renew longer. */
 	f.ended_ms = 51000;
 	ck_assert(!former_owners_settled(&f, 51000));
-	f.settled = true;
+	f.known = true;
 	ck_assert(!former_owners_settled(&f, 50999));
 	ck_assert(former_owners_settled(&f, 51000));
 }
--- a/tests/unit/leases/test-leases.c
+++ b/tests/unit/leases/test-leases.c
@@ -46,7 +46,7 @@
 	b.former = (struct former_owner){
 		.claimed_ms = tg_now_ms(),
 		.ended_ms = tg_now_ms(),
-		.settled = true,
+		.known = true,
 		.lease_ms = 6322,
 		.long_lease_ms = 11404,
 		.renew_max_ms = 10000,
