Log which run on a silent worker a task waits for, and why

EV5555 names the runs that are waited for, for how long at most and by which rule; two gauges count them; EV5536 tells what ended the wait. No decision is changed.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -307,6 +307,8 @@
 void standby_notify_former(struct board *b, int64_t now_ms);
 /** standby_record_former() - name those not proved to have ended in @r */
 void standby_record_former(const struct board *b, struct tg_owner_row *r);
+/** standby_count_former() - former owners not proved to have ended */
+int standby_count_former(void);
 /** standby_reset() - watch the owner from now on */
 void standby_reset(void);
 
@@ -489,6 +491,13 @@
 char *accounts_next_row(struct board *b, char *key, size_t size);
 #define ACCOUNTS_TABLE "accounts"
 
+/* awaited.c */
+/**
+ * awaited_report() - report runs on workers that don't answer
+ * @log: in the log as well, not only in metrics
+ */
+void awaited_report(const struct board *b, int64_t now_ms, bool log);
+
 /* usage.c */
 /** usage_report() - report the use of capacity if this is the owner */
 void usage_report(const struct board *b, int64_t now_ms);
--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -163,6 +163,11 @@
 		tg_owner_row_add_former(r, &watch.formers[i]);
 }
 
+int standby_count_former(void)
+{
+	return watch.n_formers;
+}
+
 static void set_owner_row(struct board *b, const struct tg_row *row)
 {
 	struct tg_owner_row o;
--- a/cmd/tgflowd/usage.c
+++ b/cmd/tgflowd/usage.c
@@ -270,6 +270,7 @@
 	flow_each_queue_usage(b->flow, now_ms, report_queue, &log);
 	flow_each_pool_usage(b->flow, now_ms, report_pool, &log);
 	flow_each_account(b->flow, report_account, &log);
+	awaited_report(b, now_ms, log);
 	if (!log)
 		return;
 	report_speed_changes(b);
--- a/cmd/tgflowd/verdict.c
+++ b/cmd/tgflowd/verdict.c
@@ -8,16 +8,27 @@
 
 static struct tg_counter *outlived;
 
+/** struct lost_runs - a verdict on the runs of a worker */
+struct lost_runs {
+	const struct link *link;
+	const char *source; /* of the proof */
+};
+
 static void log_lost_run(const struct flow_run_ref *r, int64_t started_ms,
 			 void *arg)
 {
-	const struct link *l = arg;
-	int64_t until_ms = l->failed ? l->first_failure_ms : tg_now_ms();
+	const struct lost_runs *x = arg;
+	const struct link *l = x->link;
+	int64_t now_ms = tg_now_ms();
+	int64_t until_ms = l->failed ? l->first_failure_ms : now_ms;
 
 	tg_log(EV_FLOW_RUN_LOST,
-	       "job=%s task=%d.%d.%d run=%d worker=%s age_ms=%lld", r->job,
-	       r->occurrence, r->step, r->index, r->run, l->entry.id,
-	       started_ms ? (long long)(until_ms - started_ms) : -1LL);
+	       "job=%s task=%d.%d.%d run=%d worker=%s age_ms=%lld source=%s "
+	       "leases_of=%s silent_ms=%lld",
+	       r->job, r->occurrence, r->step, r->index, r->run, l->entry.id,
+	       started_ms ? (long long)(until_ms - started_ms) : -1LL,
+	       x->source, l->leases_of ? l->leases_of : "nobody",
+	       (long long)(now_ms - until_ms));
 }
 
 /* How long ago it was; -1 if never. */
@@ -29,6 +40,8 @@
 static void log_lost_worker(struct link *l, int event,
 			    const struct link_proof *p)
 {
+	struct lost_runs x = { .link = l, .source = p->source };
+
 	tg_log(event,
 	       "worker=%s why=%s source=%s boot=%lld other_boot=%lld "
 	       "addr=%s entry_boot=%lld silent_ms=%lld asked_age_ms=%lld "
@@ -47,7 +60,7 @@
 	       l->leases_of ? l->leases_of : "nobody",
 	       (long long)l->lease_until_ms, (long long)p->clock_ms);
 	flow_each_run_of(l->board->flow, l->entry.id, p->only_confirmed,
-			 log_lost_run, l);
+			 log_lost_run, &x);
 	/* Of two verdicts without an answer in between the first one counts. */
 	if (l->runs_known || !l->lost_boot_ms) {
 		l->lost_boot_ms = l->boot_ms;
