tgflowd: hand on until when silent workers may hold leases

An owner knows when the leases on a worker that has fallen silent have expired, but its row told only who is silent. So each new owner counted anew from the end of all former ones, 6.3 s or the longest lease, and waits for owners that replaced each other within that time added up.

Each owner now stores these bounds by the store's clock, in its chain of writes, and the next one counts the earlier one of the stored bound and its own. From the write that takes a bound until another one has removed it, the owner sends that worker no call with an expiry. That makes the bound hold for all owners before, whether they have ended or not, so it needs none of the proofs that the count from their end needs. Rows that an owner of an older version may not have kept to are void.

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -6,6 +6,7 @@
 #include "flow/flow.h"
 #include "fencetoken.h"
 #include "formerowner.h"
+#include "leasebounds.h"
 #include "storeseen.h"
 #include "http/http.h"
 #include "site/evacuations.h"
@@ -246,6 +247,8 @@
  * is not below what the known process lets expect; see worker_clock_goes_on()
  */
 bool link_clock_goes_on(const struct link *l, int64_t clock_ms);
+/** link_leases_end_ms() - when all leases on the worker have expired */
+int64_t link_leases_end_ms(const struct link *l);
 /** links_limit_leases() - former owners act no more */
 void links_limit_leases(struct board *b);
 /** links_record_long_leases() - list workers that may hold long leases in @r */
@@ -386,6 +389,11 @@
 
 /** link_is_described() - whether the directory has an entry of the process */
 bool link_is_described(const struct link *l);
+/**
+ * link_update_suspect() - tell the flow engine whether the worker may get no
+ * starts: it doesn't answer, is not described, or its leases are bounded
+ */
+void link_update_suspect(struct link *l);
 /**
  * link_describe_worker() - give the flow engine what the entry says
  *
--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -56,12 +56,19 @@
 	return l->in_directory && names_process(l);
 }
 
+void link_update_suspect(struct link *l)
+{
+	bool suspect = l->failed || !link_is_described(l) ||
+		lease_bound_holds(l->entry.id);
+
+	flow_worker_set_suspect(l->board->flow, l->entry.id, suspect);
+}
+
 void link_describe_worker(struct link *l)
 {
 	if (link_is_described(l))
 		update_flow_worker(l);
-	flow_worker_set_suspect(l->board->flow, l->entry.id,
-				l->failed || !link_is_described(l));
+	link_update_suspect(l);
 	round_wake(l->board);
 }
 
--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -153,13 +153,20 @@
 	json_decref(o);
 }
 
+/* The first links are made with the bounds that former owners have stored. */
+static void open_links_if_ready(struct board *b)
+{
+	if (b->progress_read && lease_bounds_are_read())
+		links_open(b);
+}
+
 static void on_progress_read(void *arg)
 {
 	struct board *b = arg;
 
 	b->progress_read = true;
 	apply_cancels(b);
-	links_open(b);
+	open_links_if_ready(b);
 }
 
 static void on_jobs_read(void *arg)
@@ -178,8 +185,10 @@
 	};
 
 	/* After a gap in the feed jobs are read again, but progress is not. */
-	if (!b->progress)
-		b->progress = tg_table_watch_new(&o);
+	if (b->progress)
+		return;
+	b->progress = tg_table_watch_new(&o);
+	lease_bounds_open(b, open_links_if_ready);
 }
 
 /* Peers take an owner for dead that decodes a document for 0.6 s. */
--- a/cmd/tgflowd/leases.c
+++ b/cmd/tgflowd/leases.c
@@ -22,10 +22,16 @@
 /* The wait that a new link has for leases of former owners. */
 static void limit_former_leases(struct link *l)
 {
+	int64_t stored_ms = lease_bound_former_ms(l->board, l->entry.id);
+
 	l->leases_end_ms =
 		former_leases_end_ms(&l->board->former, l->had_long_lease);
 	l->leases_of =
 		l->had_long_lease ? "former owner, long" : "former owner";
+	if (stored_ms && stored_ms < l->leases_end_ms) {
+		l->leases_end_ms = stored_ms;
+		l->leases_of = "stored bound";
+	}
 }
 
 static void set_long_lease(struct link *l, int64_t until_ms)
@@ -68,6 +74,8 @@
 		limit_former_leases(l);
 		if (l->had_long_lease)
 			set_long_lease(l, l->leases_end_ms);
+		if (l->failed)
+			lease_bound_changed(l);
 	}
 }
 
@@ -150,10 +158,23 @@
 static int64_t unconfirmed_end_ms(const struct link *l)
 {
 	const struct board *b = l->board;
+	int64_t end_ms, stored_ms;
+
+	if (l->until_sent_ms || l->clock_at_ms)
+		return l->until_sent_ms + CALL_ARRIVES_MS + long_lease_ms(b);
+	end_ms = former_leases_end_ms(&b->former, true);
+	stored_ms = lease_bound_former_ms(b, l->entry.id);
+	return stored_ms && stored_ms < end_ms ? stored_ms : end_ms;
+}
+
+int64_t link_leases_end_ms(const struct link *l)
+{
+	int64_t end_ms = unconfirmed_end_ms(l);
 
-	if (!l->until_sent_ms && !l->clock_at_ms)
-		return former_leases_end_ms(&b->former, true);
-	return l->until_sent_ms + CALL_ARRIVES_MS + long_lease_ms(b);
+	if (end_ms > l->leases_end_ms &&
+	    flow_worker_has_unconfirmed(l->board->flow, l->entry.id))
+		return end_ms;
+	return l->leases_end_ms;
 }
 
 void link_check_expiry(struct link *l, int64_t now_ms)
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -67,6 +67,7 @@
 		DL_APPEND2(b->failed, l, failed_prev, failed_next);
 	else
 		DL_DELETE2(b->failed, l, failed_prev, failed_next);
+	lease_bound_changed(l);
 }
 
 static void end_opening(struct link *l)
@@ -92,7 +93,8 @@
 
 static bool may_renew(struct link *l)
 {
-	return l->runs_known && !l->failed && owner_may_renew(l->board);
+	return l->runs_known && !l->failed && !lease_bound_holds(l->entry.id) &&
+		owner_may_renew(l->board);
 }
 
 static void on_polled(const struct tg_worker_poll_result *r, void *arg);
@@ -251,10 +253,13 @@
 			flow_worker_back(b->flow, l->entry.id);
 	}
 	link_set_failed(l, false);
+	/* A former owner has stored it, and the link has never failed. */
+	if (lease_bound_holds(l->entry.id))
+		lease_bound_changed(l);
 	l->failures = l->refusals = 0;
 	if (is_new)
 		link_describe_worker(l);
-	flow_worker_set_suspect(b->flow, l->entry.id, !link_is_described(l));
+	link_update_suspect(l);
 	if (!l->runs_known) {
 		link_check_verdict(l, r);
 		link_expect_long_lease(l);
@@ -298,7 +303,7 @@
 		       (int)r->end,
 		       (long long)(l->leases_end_ms - tg_now_ms()));
 	link_set_failed(l, true);
-	flow_worker_set_suspect(l->board->flow, l->entry.id, true);
+	link_update_suspect(l);
 	l->next_poll_ms = tg_now_ms() +
 		(pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS);
 	l->refusals = r->end == TG_ORDER_CONN_REFUSED ? l->refusals + 1 : 0;
--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -348,7 +348,7 @@
 	on_order(TG_ORDER_NOT_SENT, 0, arg);
 }
 
-/* For a worker that is known from recorded runs only. */
+/* For a worker that is known from recorded runs only, or that was silent. */
 static void fail_later(struct order *o)
 {
 	struct timeval soon = { .tv_usec = NOT_SENT_DELAY_MS * 1000 };
@@ -373,7 +373,8 @@
 	o->tries++;
 	o->sent_ms = tg_now_ms();
 	tg_hist_add(wait_ms, (uint64_t)(o->sent_ms - o->queued_ms));
-	if (!l) {
+	/* Its expiry would be beyond the stored bound. */
+	if (!l || (o->start && lease_bound_holds(o->worker))) {
 		fail_later(o);
 		return;
 	}
--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -65,6 +65,7 @@
 	writer_reset(b);
 	orders_reset();
 	jobs_close(b);
+	lease_bounds_close();
 	links_close(b);
 	flow_free(b->flow);
 	b->flow = NULL;
@@ -81,8 +82,9 @@
 	    now_ms < former_leases_end_ms(&b->former, true))
 		return;
 	b->role = ROLE_OWNER;
-	tg_log(EV_FLOW_RECOVERED, "fence=%llu workers=%u",
-	       (unsigned long long)b->claim_fence, HASH_COUNT(b->links));
+	tg_log(EV_FLOW_RECOVERED, "fence=%llu workers=%u lease_bounds=%d",
+	       (unsigned long long)b->claim_fence, HASH_COUNT(b->links),
+	       lease_bounds_count());
 	flow_end_recovery(b->flow);
 	round_wake(b);
 }
--- a/cmd/tgflowd/rowlist.c
+++ b/cmd/tgflowd/rowlist.c
@@ -9,16 +9,18 @@
 	l->left = row_bytes > OTHER_BYTES ? (size_t)row_bytes - OTHER_BYTES : 0;
 }
 
-void row_list_add(struct row_list *l, json_t *entry)
+bool row_list_add(struct row_list *l, json_t *entry)
 {
 	/* With a comma.  Escaped characters take up to six bytes each. */
 	size_t bytes = json_dumpb(entry, NULL, 0, JSON_COMPACT) + 1;
+	bool fits = entry && bytes <= l->left;
 
-	if (entry && bytes <= l->left) {
+	if (fits) {
 		json_array_append(l->entries, entry);
 		l->left -= bytes;
 	}
 	json_decref(entry);
+	return fits;
 }
 
 char *row_list_end(struct row_list *l, const char *name)
--- a/cmd/tgflowd/rowlist.h
+++ b/cmd/tgflowd/rowlist.h
@@ -2,6 +2,7 @@
 #define TGFLOWD_ROWLIST_H
 
 #include <jansson.h>
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -16,8 +17,12 @@
 
 /** row_list_begin() - @row_bytes is the largest size of the row */
 void row_list_begin(struct row_list *l, int64_t row_bytes);
-/** row_list_add() - take over @entry, and leave it out if it doesn't fit */
-void row_list_add(struct row_list *l, json_t *entry);
+/**
+ * row_list_add() - take over @entry, and leave it out if it doesn't fit
+ *
+ * Return: whether it is in the list.
+ */
+bool row_list_add(struct row_list *l, json_t *entry);
 /**
  * row_list_end() - end the list
  *
--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -290,6 +290,7 @@
 	tg_strlcpy(claim.boot, b->boot, sizeof(claim.boot));
 	claim.fence = claim.term = b->owner.fence + 1;
 	claim.runs_recorded = b->former_runs_recorded;
+	claim.lease_bounds = b->owner.lease_bounds;
 	tg_owner_row_copy_workers(&claim, &b->owner);
 	name_former_owners(b);
 	store_seen_record(&b->store_seen, &claim, tg_now_ms());
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -23,13 +23,15 @@
 #define BATCH_DELAY_MS 4
 /* A transaction holds 100 entries, of which a few are for the owner's row. */
 #define RECORDS_MAX 90
+/* The owner's row, records and other rows, and bounds of leases. */
+#define ROWS_MAX (RECORDS_MAX + 1 + LEASE_BOUND_ROWS_PER_WRITE)
 
 static struct {
 	struct event *timer;
 	bool busy; /* a write is in progress or will be repeated */
 	struct tg_owner_row row; /* as the write leaves it */
 	int64_t seq; /* of the last write collected */
-	struct tg_row rows[RECORDS_MAX + 1];
+	struct tg_row rows[ROWS_MAX];
 	size_t n;
 	/*
 	 * Progress rows of unknown jobs to delete; the write in progress has
@@ -170,6 +172,29 @@
 	add_other_row(b, ACCOUNTS_TABLE, accounts_next_row);
 }
 
+/*
+ * They have room of their own, since a worker that answers again waits for the
+ * write that removes its bound.
+ */
+static void add_lease_bounds(struct board *b)
+{
+	char key[LEASE_BOUND_KEY_LEN + 1], *text;
+	int n;
+
+	for (n = 0; n < LEASE_BOUND_ROWS_PER_WRITE; n++) {
+		if (w.bytes + (size_t)b->site.set.row_bytes >
+		    (size_t)b->site.set.tx_bytes)
+			break;
+		text = lease_bounds_next_row(b, key, sizeof(key));
+		if (!text)
+			break;
+		add_row(TG_LEASE_BOUNDS_TABLE, key, text);
+	}
+	lease_bounds_record(&w.row);
+	if (lease_bounds_wait())
+		b->write_wanted = true;
+}
+
 static void collect(struct board *b)
 {
 	free_rows();
@@ -199,6 +224,7 @@
 		links_record_long_leases(b, &w.row);
 	if (b->role == ROLE_OWNER && w.records_max == RECORDS_MAX)
 		add_other_rows(b);
+	add_lease_bounds(b);
 	w.complete = !b->progress_read || !flow_has_dirty(b->flow);
 	w.row.settled = former_owners_settled(&b->former, tg_now_ms());
 	w.row.runs_recorded |= b->role == ROLE_OWNER && w.complete;
@@ -240,7 +266,7 @@
  */
 static void finish_rows(struct board *b)
 {
-	bool was_durable[RECORDS_MAX + 1] = { false };
+	bool was_durable[ROWS_MAX] = { false };
 	struct flow_job_status v;
 	size_t i;
 
@@ -288,6 +314,7 @@
 	b->owner.seq = w.row.seq;
 	b->owner.fence = w.row.fence;
 	b->owner.runs_recorded = w.row.runs_recorded;
+	b->owner.lease_bounds = w.row.lease_bounds;
 	tg_owner_row_copy_workers(&b->owner, &w.row);
 	b->owner_version = version;
 	w.failures = 0;
@@ -298,6 +325,7 @@
 	owner_written(b, w.started_ms);
 	finish_rows(b);
 	links_fence_recorded(b);
+	lease_bounds_written(b);
 	round_start_recorded(b);
 	forget_deletes();
 	free_rows();
@@ -329,6 +357,7 @@
 	tg_log(EV_FLOW_WRITE_REFUSED, "records=%zu deletes=%zu bytes=%zu", n,
 	       w.n_deletes, w.bytes);
 	flow_mark_unwritten(b->flow);
+	lease_bounds_not_written(b);
 	w.busy = false;
 	if (w.n_obsolete_sent) {
 		forget_deletes();
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -98,6 +98,7 @@
 #define TG_JOBS_TABLE "jobs"
 #define TG_PROGRESS_TABLE "progress"
 #define TG_OWNER_TABLE "owner"
+#define TG_LEASE_BOUNDS_TABLE "lease-bounds"
 #define TG_OWNER_PART "owner"
 #define TG_OWNER_KEY "main"
 /** Suffix of the key of the row that requests the cancellation of a job. */
@@ -175,6 +176,8 @@
 
 /** tg_store_clock_of() - the store's clock at @own_ms, or a bit earlier */
 int64_t tg_store_clock_of(const struct tg_store_clock *c, int64_t own_ms);
+/** tg_store_clock_by() - the store's clock at @own_ms, or a bit later */
+int64_t tg_store_clock_by(const struct tg_store_clock *c, int64_t own_ms);
 /** tg_store_clock_earliest() - own time at the store's @clock_ms, or earlier */
 int64_t tg_store_clock_earliest(const struct tg_store_clock *c,
 				int64_t clock_ms);
@@ -239,6 +242,8 @@
  * @runs_recorded: every run that may exist is in the stored progress.  Rows of
  *	owners that started runs before they recorded them don't say so.
  * @settled: no owner before this one can renew leases any more
+ * @lease_bounds: this owner and all before it respect TG_LEASE_BOUNDS_TABLE.
+ *	Rows of older versions don't say so, and make that table void.
  */
 struct tg_owner_row {
 	char holder[TG_KEY_MAX + 1], addr[TG_ADDR_MAX + 1];
@@ -249,7 +254,7 @@
 	char long_leases[TG_LONG_LEASES_SIZE];
 	char exits[TG_EXITS_SIZE], former[TG_FORMER_LIST_SIZE];
 	int64_t exits_clock_ms, clock_ms, answered_since_clock_ms;
-	bool released, runs_recorded, settled;
+	bool released, runs_recorded, settled, lease_bounds;
 };
 
 /**
--- a/tests/unit/directory/test-directory.c
+++ b/tests/unit/directory/test-directory.c
@@ -84,6 +84,12 @@
 	(void)l;
 }
 
+bool lease_bound_holds(const char *worker)
+{
+	(void)worker;
+	return false;
+}
+
 void link_poll_if_due(struct link *l)
 {
 	(void)l;
--- a/tests/unit/leases/test-leases.c
+++ b/tests/unit/leases/test-leases.c
@@ -14,7 +14,8 @@
 static struct board b;
 static struct link l;
 static struct orders o;
-static int n_verdicts;
+static int n_verdicts, n_bounds_changed;
+static int64_t stored_bound_ms;
 static bool only_confirmed;
 
 /* --- what leases.c calls --- */
@@ -31,6 +32,19 @@
 	(void)link;
 }
 
+int64_t lease_bound_former_ms(const struct board *board, const char *worker)
+{
+	(void)board;
+	(void)worker;
+	return stored_bound_ms;
+}
+
+void lease_bound_changed(const struct link *link)
+{
+	(void)link;
+	n_bounds_changed++;
+}
+
 /* --- tests --- */
 
 /* The worker w1, which a new owner has not reached yet. */
@@ -38,7 +52,8 @@
 {
 	memset(&b, 0, sizeof(b));
 	memset(&l, 0, sizeof(l));
-	n_verdicts = 0;
+	n_verdicts = n_bounds_changed = 0;
+	stored_bound_ms = 0;
 	b.role = ROLE_RECOVERING;
 	b.set.lease_ms = LEASE_MS;
 	b.site.set.lease_max_ms = LEASE_MAX_MS;
--- a/tests/unit/orders/test-orders.c
+++ b/tests/unit/orders/test-orders.c
@@ -34,7 +34,7 @@
 static struct link links[WORKERS];
 static struct sent sent[WORKERS * ACCELERATORS * 3];
 static int n_sent, n_answered, n_writes_wanted;
-static bool may_renew, other_clock;
+static bool may_renew, other_clock, bound_holds;
 
 /* --- what orders.c and fence.c call --- */
 
@@ -65,6 +65,12 @@
 	n_writes_wanted++;
 }
 
+bool lease_bound_holds(const char *worker)
+{
+	(void)worker;
+	return bound_holds;
+}
+
 int64_t link_expiry(struct link *l)
 {
 	(void)l;
--- a/tests/unit/writer/test-writer.c
+++ b/tests/unit/writer/test-writer.c
@@ -37,6 +37,34 @@
 	return NULL;
 }
 
+char *lease_bounds_next_row(struct board *board, char *key, size_t size)
+{
+	(void)board;
+	(void)key;
+	(void)size;
+	return NULL;
+}
+
+bool lease_bounds_wait(void)
+{
+	return false;
+}
+
+void lease_bounds_record(struct tg_owner_row *r)
+{
+	(void)r;
+}
+
+void lease_bounds_written(struct board *board)
+{
+	(void)board;
+}
+
+void lease_bounds_not_written(struct board *board)
+{
+	(void)board;
+}
+
 void links_record_silent(const struct board *board, struct tg_owner_row *r)
 {
 	(void)board;
