tgflowd: ask the former owner until when workers may hold leases

An owner that the store refuses knows when the leases on silent workers end, but can't store it. After an outage of the store of 4 s a task on a worker that fell silent at its beginning starts again 10.8 s after that; the former owner knew of 6.3 s.

site-takeover-after-outage fails before (10.8 s, 1 of 1) and passes (1 of 1).

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -6,6 +6,7 @@
 #include "flow/flow.h"
 #include "fencetoken.h"
 #include "formerowner.h"
+#include "handover.h"
 #include "leasebounds.h"
 #include "storeseen.h"
 #include "http/http.h"
@@ -107,6 +108,7 @@
 	int64_t long_lease_until_ms; /* or 0, then it is not in the list */
 	struct link *long_lease_prev, *long_lease_next; /* on the board */
 	bool had_long_lease; /* the former owner's row says so */
+	int64_t told_end_ms; /* the former owner has told this end; or 0 */
 	int64_t until_sent_ms; /* when a call with an expiry was last sent */
 	int64_t processed_n, writing_n, durable_n;
 	/* That the worker has forgotten; and whether to tell it more, see
@@ -249,6 +251,13 @@
 bool link_clock_goes_on(const struct link *l, int64_t clock_ms);
 /** link_leases_end_ms() - when all leases on the worker have expired */
 int64_t link_leases_end_ms(const struct link *l);
+/**
+ * link_limit_leases() - the former owner tells when all leases have expired
+ *
+ * Return: whether that is sooner than was known; false if the worker has
+ * answered this owner.
+ */
+bool link_limit_leases(struct link *l, int64_t end_ms);
 /** links_limit_leases() - former owners act no more */
 void links_limit_leases(struct board *b);
 /** links_record_long_leases() - list workers that may hold long leases in @r */
--- a/cmd/tgflowd/leases.c
+++ b/cmd/tgflowd/leases.c
@@ -19,18 +19,29 @@
  * The owner's row lists these workers, since a new owner knows neither.
  */
 
+/* What a former owner knew, which it has stored or told; 0 for nothing. */
+static int64_t known_end_ms(const struct link *l)
+{
+	int64_t end_ms = lease_bound_former_ms(l->board, l->entry.id);
+
+	if (l->told_end_ms && (!end_ms || l->told_end_ms < end_ms))
+		end_ms = l->told_end_ms;
+	return end_ms;
+}
+
 /* The wait that a new link has for leases of former owners. */
 static void limit_former_leases(struct link *l)
 {
-	int64_t stored_ms = lease_bound_former_ms(l->board, l->entry.id);
+	int64_t end_ms = known_end_ms(l);
 
 	l->leases_end_ms =
 		former_leases_end_ms(&l->board->former, l->had_long_lease);
 	l->leases_of =
 		l->had_long_lease ? "former owner, long" : "former owner";
-	if (stored_ms && stored_ms < l->leases_end_ms) {
-		l->leases_end_ms = stored_ms;
-		l->leases_of = "stored bound";
+	if (end_ms && end_ms < l->leases_end_ms) {
+		l->leases_end_ms = end_ms;
+		l->leases_of = end_ms == l->told_end_ms ? "told bound" :
+							  "stored bound";
 	}
 }
 
@@ -63,20 +74,34 @@
 		set_long_lease(l, l->leases_end_ms);
 }
 
+/* A former owner's end, or what it tells, has become known. */
+static void renew_limit(struct link *l)
+{
+	/* A worker that has answered has leases of this owner. */
+	if (l->clock_at_ms || !l->may_have_runs)
+		return;
+	limit_former_leases(l);
+	if (l->had_long_lease)
+		set_long_lease(l, l->leases_end_ms);
+	if (l->failed)
+		lease_bound_changed(l);
+}
+
 void links_limit_leases(struct board *b)
 {
 	struct link *l;
 
-	/* A worker that has answered has leases of this owner. */
-	for (l = b->links; l; l = l->hh.next) {
-		if (l->clock_at_ms || !l->may_have_runs)
-			continue;
-		limit_former_leases(l);
-		if (l->had_long_lease)
-			set_long_lease(l, l->leases_end_ms);
-		if (l->failed)
-			lease_bound_changed(l);
-	}
+	for (l = b->links; l; l = l->hh.next)
+		renew_limit(l);
+}
+
+bool link_limit_leases(struct link *l, int64_t end_ms)
+{
+	int64_t before_ms = l->leases_end_ms;
+
+	l->told_end_ms = end_ms;
+	renew_limit(l);
+	return l->leases_end_ms < before_ms;
 }
 
 void link_expect_long_lease(struct link *l)
@@ -158,13 +183,13 @@
 static int64_t unconfirmed_end_ms(const struct link *l)
 {
 	const struct board *b = l->board;
-	int64_t end_ms, stored_ms;
+	int64_t end_ms, known_ms;
 
 	if (l->until_sent_ms || l->clock_at_ms)
 		return l->until_sent_ms + CALL_ARRIVES_MS + long_lease_ms(b);
 	end_ms = former_leases_end_ms(&b->former, true);
-	stored_ms = lease_bound_former_ms(b, l->entry.id);
-	return stored_ms && stored_ms < end_ms ? stored_ms : end_ms;
+	known_ms = known_end_ms(l);
+	return known_ms && known_ms < end_ms ? known_ms : end_ms;
 }
 
 int64_t link_leases_end_ms(const struct link *l)
--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -60,6 +60,7 @@
 		return;
 	tg_log(EV_FLOW_LOST, "fence=%llu why=%s",
 	       (unsigned long long)b->claim_fence, why);
+	handover_keep(b);
 	b->term++;
 	b->role = ROLE_STANDBY;
 	writer_reset(b);
@@ -162,6 +163,8 @@
 		standby_watch(b, now_ms);
 	else if (IS_OWNER(b))
 		standby_notify_former(b, now_ms);
+	if (IS_OWNER(b))
+		handover_ask(b, now_ms);
 	owner_check_recovered(b);
 }
 
--- a/cmd/tgflowd/rpc.c
+++ b/cmd/tgflowd/rpc.c
@@ -219,6 +219,7 @@
 	[TG_RPC_JOB_LIST] = count_waiting,
 	[TG_RPC_JOB_EXPLAIN] = explain,
 	[TG_RPC_JOB_STORE] = store_job,
+	[TG_RPC_WORKER_LIST] = handover_list,
 };
 
 static int start(void *board)
--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -132,6 +132,8 @@
 	    !former_owner_yielded(end, end == TG_RPC_CALL_OK && p->active,
 				  watch.ping_term, b->owner.term))
 		return;
+	if (!replaced)
+		handover_former_yielded(watch.asked_boot);
 	if (remove_former(watch.asked_boot) && !watch.n_formers)
 		owner_former_ended(b);
 }
@@ -244,10 +246,12 @@
 
 	b->former.ended_ms = watch.replaced_ms;
 	b->former.known = b->owner.settled || !b->owner_version || n >= 0;
+	handover_expect(NULL, 0);
 	if (b->owner_version && !watch.replaced_ms) {
 		tg_strlcpy(o.addr, b->owner.addr, sizeof(o.addr));
 		tg_strlcpy(o.boot, b->owner.boot, sizeof(o.boot));
 		tg_owner_row_add_former(&claim, &o);
+		handover_expect(&o, b->owner.term);
 	}
 	for (i = 0; i < n && !b->owner.settled; i++) {
 		/* A former term of this process is over, too. */
