tgflowd: count former owners' renewals from their last write, not from the claim

Where the machine of a former owner is gone for good, tasks on workers that left with it wait until it can renew nothing any more, 10 s, and for a lease after that. An owner renews until 10 s after its last write, and the new owner has read the row of that write before it claimed it: 0.3 to 1.1 s before, and up to 2 s more on an instance with few processors. The wait was counted from the claim.

former_owner_renews_for_a_time_from_its_last_write fails before.

--- a/cmd/tgflowd/formerowner.c
+++ b/cmd/tgflowd/formerowner.c
@@ -27,6 +27,9 @@
 	/* No write of an earlier owner succeeds after the claim. */
 	int64_t end_ms = f->claimed_ms + f->renew_max_ms;
 
+	/* This daemon has read the last one before it claimed. */
+	if (f->written_by_ms && f->written_by_ms < f->claimed_ms)
+		end_ms = f->written_by_ms + f->renew_max_ms;
 	if (f->known && f->ended_ms && f->ended_ms < end_ms)
 		end_ms = f->ended_ms;
 	return end_ms;
--- a/cmd/tgflowd/formerowner.h
+++ b/cmd/tgflowd/formerowner.h
@@ -32,6 +32,7 @@
 /**
  * struct former_owner - the owners before this one that may renew leases
  * @claimed_ms: when this daemon claimed the ownership
+ * @written_by_ms: no earlier owner has written later; 0 if that is not known
  * @ended_ms: all of them were proved to have ended, or to act no more; or 0
  * @known: no other one than those that were asked can renew leases
  * @lease_ms: longest duration of a lease that an owner asks for, by this
@@ -40,7 +41,7 @@
  * @renew_max_ms: an owner renews leases this long after its last write
  */
 struct former_owner {
-	int64_t claimed_ms, ended_ms;
+	int64_t claimed_ms, written_by_ms, ended_ms;
 	bool known;
 	int64_t lease_ms, long_lease_ms, renew_max_ms;
 };
--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -245,6 +245,9 @@
 	int n = tg_owner_row_formers(&b->owner, earlier), i;
 
 	b->former.ended_ms = watch.replaced_ms;
+	b->former.written_by_ms = watch.read_version == b->owner_version ?
+		watch.unchanged_since_ms :
+		0;
 	b->former.known = b->owner.settled || !b->owner_version || n >= 0;
 	handover_expect(NULL, 0);
 	if (b->owner_version && !watch.replaced_ms) {
--- a/tests/unit/flowd/test-flowd.c
+++ b/tests/unit/flowd/test-flowd.c
@@ -320,6 +320,23 @@
 END_TEST
 
 /* Guards against a new owner that takes a long lease for expired. */
+/* Guards against a wait that counts from the claim: the last write was before.
+ */
+START_TEST(former_owner_renews_for_a_time_from_its_last_write)
+{
+	struct former_owner f = {
+		.claimed_ms = 50000,
+		.written_by_ms = 47000,
+		.lease_ms = 6000,
+		.renew_max_ms = 10000,
+	};
+
+	ck_assert_int_eq(former_leases_end_ms(&f, false), 63000);
+	f.written_by_ms = 0;
+	ck_assert_int_eq(former_leases_end_ms(&f, false), 66000);
+}
+END_TEST
+
 START_TEST(long_leases_of_former_owners_are_waited_for)
 {
 	struct former_owner f = {
@@ -463,6 +480,7 @@
 	tcase_add_test(t, store_is_seen_without_a_gap);
 	tcase_add_test(t, former_owner_vouches_for_the_store);
 	tcase_add_test(t, leases_of_all_former_owners_are_waited_for);
+	tcase_add_test(t, former_owner_renews_for_a_time_from_its_last_write);
 	tcase_add_test(t, long_leases_of_former_owners_are_waited_for);
 	tcase_add_test(t, clock_of_another_process_does_not_go_on);
 	tcase_add_test(t, former_owners_are_settled_before_their_leases_end);
