tgflowd: give starts to a worker as soon as its stored bound is removed

A worker that answers again got no starts for up to 2 s or a heartbeat interval: a stored bound makes it suspect, and when its removal is durable, only the answer to the next long poll ended that.

--- a/cmd/tgflowd/leasebounds.c
+++ b/cmd/tgflowd/leasebounds.c
@@ -357,6 +357,8 @@
 		free_bound(r, e);
 		if (!l)
 			continue;
+		link_update_suspect(l);
+		round_wake(b);
 		l->next_poll_ms = 0;
 		link_poll_if_due(l);
 	}
--- a/tests/unit/leasebounds/test-leasebounds.c
+++ b/tests/unit/leasebounds/test-leasebounds.c
@@ -40,6 +40,16 @@
 	return link->leases_end_ms;
 }
 
+void link_update_suspect(struct link *link)
+{
+	(void)link;
+}
+
+void round_wake(struct board *board)
+{
+	(void)board;
+}
+
 void link_poll_if_due(struct link *link)
 {
 	(void)link;
