tgflowd: a bound of leases holds for one process, and after a write that is given up

- A write that is repeated, since its first copy got no answer, and then refused counted as one without effect: its bounds were dropped and the workers renewed.
The first copy may have taken effect.
Its bounds count as stored now until another write has replaced them.
- If another process of the worker answers and falls silent before the next write, the earlier bound was kept, though the new process may hold leases of the longest duration.
A bound is computed anew then.

bound_of_a_process_is_not_kept_for_the_next_one, by the reviewer, fails before (8,000 where the link knows 20,000); write_that_is_given_up_may_have_stored_its_bounds guards the first one, which spec/bounds.pml shows as REFUSED_FREES.

--- a/cmd/tgflowd/leasebounds.c
+++ b/cmd/tgflowd/leasebounds.c
@@ -25,13 +25,14 @@
 /**
  * struct lease_bound - latest expiry of the leases on a worker
  * @clock_ms: the bound, by the store's clock
- * @stored: the store has it
+ * @stored: the store has it, or may have
  * @in_write: the write in progress has it
+ * @other_process: it was taken for the process before the one that is known
  */
 struct lease_bound {
 	char worker[TG_KEY_MAX + 1];
 	int64_t clock_ms;
-	bool stored, in_write;
+	bool stored, in_write, other_process;
 	UT_hash_handle hh;
 };
 
@@ -109,6 +110,17 @@
 		writer_wake(l->board);
 }
 
+void lease_bound_process_ended(const struct link *l)
+{
+	struct lease_bound *e = find(l->entry.id);
+
+	if (!e)
+		return;
+	e->other_process = true;
+	s.rows[row_of(l->entry.id)].changed = true;
+	writer_wake(l->board);
+}
+
 /* --- reading --- */
 
 /* Return: false if the entry is not valid. */
@@ -246,10 +258,11 @@
 		const struct link *l = link_find(b, e->worker);
 		int64_t clock_ms = l ? known_clock_ms(l) : 0;
 
-		if (!stays(b, l))
+		if (!stays(b, l) || (e->other_process && !clock_ms))
 			continue;
-		if (clock_ms && clock_ms < e->clock_ms)
+		if (clock_ms && (e->other_process || clock_ms < e->clock_ms))
 			e->clock_ms = clock_ms;
+		e->other_process = false;
 		e->in_write = row_list_add(
 			list,
 			json_pack("[s,I]", e->worker, (json_int_t)e->clock_ms));
@@ -333,7 +346,11 @@
 		r->lease_bounds = !s.n_obsolete;
 }
 
-/* Ends the write of a row: its bounds are @stored, or as they were before. */
+/*
+ * Ends the write of a row.  If it is given up, the store may have its bounds
+ * all the same: an earlier copy of it may have taken effect, or may do so
+ * later.
+ */
 static void end_write(struct board *b, struct bound_row *r, bool stored)
 {
 	struct lease_bound *e, *tmp;
@@ -348,8 +365,7 @@
 	HASH_ITER(hh, r->bounds, e, tmp) {
 		struct link *l;
 
-		if (stored)
-			e->stored = e->in_write;
+		e->stored = e->in_write || (e->stored && !stored);
 		e->in_write = false;
 		if (e->stored)
 			continue;
--- a/cmd/tgflowd/leasebounds.h
+++ b/cmd/tgflowd/leasebounds.h
@@ -35,8 +35,8 @@
 int64_t lease_bound_former_ms(const struct board *b, const char *worker);
 
 /**
- * lease_bound_holds() - whether the store has, or may soon have, a bound of the
- * worker's leases
+ * lease_bound_holds() - whether the store may have a bound of the worker's
+ * leases, now or once the write in progress has taken effect
  *
  * A new owner would believe it, so no call may extend them beyond it.
  */
@@ -45,6 +45,13 @@
 /** lease_bound_changed() - the link's worker answers, or does not any more */
 void lease_bound_changed(const struct link *l);
 
+/**
+ * lease_bound_process_ended() - the link turns to another process of its worker
+ *
+ * That may hold leases beyond the bound of the process before.
+ */
+void lease_bound_process_ended(const struct link *l);
+
 /**
  * lease_bounds_next_row() - the next row that has changed, for a write
  * @key: set to its key, of up to LEASE_BOUND_KEY_LEN bytes
@@ -58,7 +65,11 @@
 void lease_bounds_record(struct tg_owner_row *r);
 /** lease_bounds_written() - the rows taken for the write are durable */
 void lease_bounds_written(struct board *b);
-/** lease_bounds_not_written() - the write is given up, and has no effect */
+/**
+ * lease_bounds_not_written() - the write is given up
+ *
+ * A copy of it may have taken effect, so its bounds still count as stored.
+ */
 void lease_bounds_not_written(struct board *b);
 
 #endif
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -155,6 +155,7 @@
 	memset(l->in_progress, 0, sizeof(l->in_progress));
 	l->poll_again = false;
 	l->extra_poll_ms = 0;
+	lease_bound_process_ended(l);
 	link_raise_fence(l);
 }
 
--- a/tests/unit/leasebounds/test-leasebounds.c
+++ b/tests/unit/leasebounds/test-leasebounds.c
@@ -230,6 +230,43 @@
 }
 END_TEST
 
+/*
+ * Guards against the bound of a process that is kept for the next one, which
+ * may have carried out calls to the first one with leases of the longest
+ * duration.
+ */
+START_TEST(bound_of_a_process_is_not_kept_for_the_next_one)
+{
+	fall_silent(8000);
+	write_rows();
+	lease_bounds_written(&b);
+	/* The next process answers, and falls silent before the next write. */
+	lease_bound_process_ended(&l);
+	answer();
+	fall_silent(20000);
+	write_rows();
+	lease_bounds_written(&b);
+	take_over(b.owner);
+	ck_assert(!lease_bound_former_ms(&b, "w1") ||
+		  lease_bound_former_ms(&b, "w1") >= 20000);
+}
+END_TEST
+
+/* Guards against a renewal beyond a bound that an earlier copy has stored. */
+START_TEST(write_that_is_given_up_may_have_stored_its_bounds)
+{
+	fall_silent(8000);
+	write_rows();
+	answer();
+	lease_bounds_not_written(&b);
+	ck_assert(lease_bound_holds("w1"));
+	ck_assert_int_eq(n_polls, 0);
+	write_rows();
+	lease_bounds_written(&b);
+	ck_assert(!lease_bound_holds("w1"));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("leasebounds");
@@ -242,6 +279,8 @@
 	tcase_add_test(t,
 		       bound_is_carried_on_while_the_worker_has_not_answered);
 	tcase_add_test(t, rows_are_void_after_an_owner_of_an_older_version);
+	tcase_add_test(t, bound_of_a_process_is_not_kept_for_the_next_one);
+	tcase_add_test(t, write_that_is_given_up_may_have_stored_its_bounds);
 	suite_add_tcase(s, t);
 	return run_suite(s);
 }
