spec: model the bounds of leases that owners store

Several owners in series, a worker that restarts or is cut off, a late call that the next process carries out, writes without an answer, former owners that go on, and an owner of an older version in between.

REFUSED_FREES is what lease_bounds_not_written() does at present: a write with a bound takes effect without an answer, and its copy is refused for good. The owner then renews, and the next owner believes the stored bound. The rule as modelled keeps to the bound until a later write has removed it.

--- a/spec/run.sh
+++ b/spec/run.sh
@@ -82,7 +82,15 @@
 takeover STOP_PLANNED
 formers -
 formers LAST_ONLY
-formers FORGET_LEARNED"
+formers FORGET_LEARNED
+bounds -
+bounds RENEW_STORED
+bounds START_STORED
+bounds REMOVE_UNCONFIRMED
+bounds TAKE_LATE
+bounds REFUSED_FREES
+bounds OWN_ONLY
+bounds OLD_VERSION"
 
 judge() { # MODEL SWITCH
 	if [ "$2" = - ]; then
