tgflowd: store bounds of leases after a second failed poll, and never at the cost of other writes

- A single poll that failed as an outage of the store began held back the worker's renewals for the whole outage, as the write that takes its bound was repeated.
A bound is taken after the second failed poll.
- A start that is held back for a bound counted as a failure of the worker, three of which quarantine it.
- If the store refused a row of bounds for good, the owner's records were narrowed away first, and the same write was repeated without end.
Narrowed writes leave these rows out, and one without records is narrowed as well.
After a narrowing, rows that take what room the records leave were never written again in that term, since 1 doubled does not reach 90.
- Bounds of workers that no longer exist passed from owner to owner.

--- a/cmd/tgflowd/leasebounds.c
+++ b/cmd/tgflowd/leasebounds.c
@@ -22,6 +22,8 @@
  * covered by the bound, which counts what that one may still renew.
  */
 
+#define FAILURES_MIN 2
+
 /**
  * struct lease_bound - latest expiry of the leases on a worker
  * @clock_ms: the bound, by the store's clock
@@ -98,11 +100,22 @@
 	return find(worker) != NULL;
 }
 
+/*
+ * Whether a bound is worth a write.  A single poll may fail for other reasons,
+ * and the worker gets no renewal before a write has removed its bound.  One
+ * that has left the directory is not polled.
+ */
+static bool is_silent(const struct link *l)
+{
+	return l->failed && l->may_have_runs &&
+		(l->failures >= FAILURES_MIN || !l->in_directory);
+}
+
 void lease_bound_changed(const struct link *l)
 {
 	bool holds = lease_bound_holds(l->entry.id);
 
-	if (!holds && (!l->failed || !l->may_have_runs))
+	if (!holds && !is_silent(l))
 		return;
 	s.rows[row_of(l->entry.id)].changed = true;
 	/* It waits for its next renewal. */
@@ -110,6 +123,17 @@
 		writer_wake(l->board);
 }
 
+void lease_bounds_drop_unknown(struct board *b)
+{
+	struct lease_bound *e, *tmp;
+	int i;
+
+	for (i = 0; i < LEASE_BOUND_ROWS; i++)
+		HASH_ITER(hh, s.rows[i].bounds, e, tmp)
+			if (!link_find(b, e->worker))
+				s.rows[i].changed = true;
+}
+
 void lease_bound_process_ended(const struct link *l)
 {
 	struct lease_bound *e = find(l->entry.id);
@@ -277,7 +301,7 @@
 	{
 		int64_t clock_ms = known_clock_ms(l);
 
-		if (!clock_ms || row_of(l->entry.id) != row ||
+		if (!clock_ms || !is_silent(l) || row_of(l->entry.id) != row ||
 		    lease_bound_holds(l->entry.id))
 			continue;
 		if (row_list_add(list,
--- a/cmd/tgflowd/leasebounds.h
+++ b/cmd/tgflowd/leasebounds.h
@@ -42,9 +42,12 @@
  */
 bool lease_bound_holds(const char *worker);
 
-/** lease_bound_changed() - the link's worker answers, or does not any more */
+/** lease_bound_changed() - the link's worker answers, or has failed again */
 void lease_bound_changed(const struct link *l);
 
+/** lease_bounds_drop_unknown() - the next writes drop those without a link */
+void lease_bounds_drop_unknown(struct board *b);
+
 /**
  * lease_bound_process_ended() - the link turns to another process of its worker
  *
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -304,6 +304,7 @@
 		       (int)r->end,
 		       (long long)(l->leases_end_ms - tg_now_ms()));
 	link_set_failed(l, true);
+	lease_bound_changed(l);
 	link_update_suspect(l);
 	l->next_poll_ms = tg_now_ms() +
 		(pause_ms < RETRY_MAX_MS ? pause_ms : RETRY_MAX_MS);
--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -47,6 +47,7 @@
 	int32_t run;
 	char saved[FLOW_CHECKPOINT_LEN + 1]; /* of a start */
 	int tries;
+	bool withheld; /* the last copy was not sent, for a stored bound */
 	uint64_t process, fence; /* of the link when it was last sent */
 	int64_t queued_ms, sent_ms;
 	struct order *prev, *next; /* in a queue or in a lane */
@@ -293,6 +294,15 @@
 	link_poll_at(l, tg_now_ms() + 1);
 }
 
+static enum flow_order_result start_result(const struct order *o,
+					   enum tg_order_end end)
+{
+	enum flow_order_result r = order_outcome(end, true, o->tries);
+
+	return o->withheld && r == FLOW_ORDER_NOT_DONE ? FLOW_ORDER_WITHHELD :
+							 r;
+}
+
 static void on_order(enum tg_order_end end, int64_t clock_ms, void *arg)
 {
 	struct order *o = arg;
@@ -323,8 +333,7 @@
 		check_lease(o, l, clock_ms);
 	if (o->start)
 		flow_start_answered(b->flow, &ref, o->worker,
-				    order_outcome(end, true, o->tries),
-				    tg_now_ms());
+				    start_result(o, end), tg_now_ms());
 	else
 		flow_stop_answered(
 			b->flow, &ref, o->worker,
@@ -348,7 +357,8 @@
 	on_order(TG_ORDER_NOT_SENT, 0, arg);
 }
 
-/* For a worker that is known from recorded runs only, or that was silent. */
+/* For a worker that is known from recorded runs only, or whose bound is not
+ * removed yet. */
 static void fail_later(struct order *o)
 {
 	struct timeval soon = { .tv_usec = NOT_SENT_DELAY_MS * 1000 };
@@ -374,7 +384,8 @@
 	o->sent_ms = tg_now_ms();
 	tg_hist_add(wait_ms, (uint64_t)(o->sent_ms - o->queued_ms));
 	/* Its expiry would be beyond the stored bound. */
-	if (!l || (o->start && lease_bound_holds(o->worker))) {
+	o->withheld = o->start && lease_bound_holds(o->worker);
+	if (!l || o->withheld) {
 		fail_later(o);
 		return;
 	}
--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -86,6 +86,7 @@
 	tg_log(EV_FLOW_RECOVERED, "fence=%llu workers=%u lease_bounds=%d",
 	       (unsigned long long)b->claim_fence, HASH_COUNT(b->links),
 	       lease_bounds_count());
+	lease_bounds_drop_unknown(b);
 	flow_end_recovery(b->flow);
 	round_wake(b);
 }
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -222,9 +222,10 @@
 		;
 	if (b->role == ROLE_OWNER)
 		links_record_long_leases(b, &w.row);
-	if (b->role == ROLE_OWNER && w.records_max == RECORDS_MAX)
+	if (b->role == ROLE_OWNER && w.records_max >= RECORDS_MAX)
 		add_other_rows(b);
-	add_lease_bounds(b);
+	if (w.records_max >= RECORDS_MAX)
+		add_lease_bounds(b);
 	w.complete = !b->progress_read || !flow_has_dirty(b->flow);
 	w.row.settled = former_owners_settled(&b->former, tg_now_ms());
 	w.row.runs_recorded |= b->role == ROLE_OWNER && w.complete;
@@ -352,7 +353,7 @@
 	char key[FLOW_PROGRESS_KEY_LEN + 1];
 	size_t n = w.n_records, bytes = w.n > 1 ? w.rows[1].value_bytes : 0;
 
-	if (!n && !w.n_obsolete_sent)
+	if (!n && !w.n_obsolete_sent && w.n == 1)
 		return false;
 	tg_log(EV_FLOW_WRITE_REFUSED, "records=%zu deletes=%zu bytes=%zu", n,
 	       w.n_deletes, w.bytes);
@@ -363,7 +364,7 @@
 		forget_deletes();
 	} else if (n > 1) {
 		w.records_max = n / 2;
-	} else if (!w.accepted_without_records) {
+	} else if (!n || !w.accepted_without_records) {
 		w.records_max = 0;
 	} else {
 		tg_strlcpy(key, w.last_record, sizeof(key));
--- a/lib/flow/flow.h
+++ b/lib/flow/flow.h
@@ -433,6 +433,7 @@
 	FLOW_ORDER_NOT_DONE, /* not carried out, and never will be */
 	FLOW_ORDER_UNKNOWN, /* may have been, or may yet be carried out */
 	FLOW_ORDER_INVALID, /* the worker refuses the order as invalid */
+	FLOW_ORDER_WITHHELD, /* not sent, which says nothing of the worker */
 };
 
 /**
--- a/tests/unit/leasebounds/test-leasebounds.c
+++ b/tests/unit/leasebounds/test-leasebounds.c
@@ -127,6 +127,7 @@
 {
 	l.leases_end_ms = leases_end_ms;
 	l.failed = true;
+	l.failures = 2;
 	DL_APPEND2(b.failed, &l, failed_prev, failed_next);
 	lease_bound_changed(&l);
 }
