tgflowd: an owner that releases the site has stopped renewing

After a planned stop whose process doesn't come back soon, nothing proved that the owner renews no more: tasks of workers that fall silent around it waited until 10 s after its last write and for a lease. The owner stops renewing when it decides to release the site, before the row says so, and the row tells that it does (renewals_ended), as owners of older versions go on until the write is durable. An owner that finds a former term of its own process in the row counts that as ended too; it asked itself before, and answered that it is active.

--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -120,7 +120,7 @@
 
 bool owner_may_renew(struct board *b)
 {
-	return !owner_was_held_up(b) && IS_OWNER(b) &&
+	return !owner_was_held_up(b) && IS_OWNER(b) && !b->owner.released &&
 		tg_now_ms() - b->written_ms < RENEW_AFTER_WRITE_MAX_MS;
 }
 
--- a/cmd/tgflowd/standby.c
+++ b/cmd/tgflowd/standby.c
@@ -244,13 +244,23 @@
 	struct tg_former_owner o, earlier[TG_FORMER_OWNERS_MAX];
 	int n = tg_owner_row_formers(&b->owner, earlier), i;
 
-	b->former.ended_ms = watch.replaced_ms;
+	/*
+	 * An owner whose row says that it has released the site has stopped
+	 * renewing before it wrote that.  Those of older versions went on.
+	 */
+	bool ended = watch.replaced_ms ||
+		(b->owner.released && b->owner.renewals_ended) ||
+		!strcmp(b->owner.boot, b->boot);
+
+	b->former.ended_ms = watch.replaced_ms ? watch.replaced_ms :
+		ended			       ? tg_now_ms() :
+						 0;
 	b->former.written_by_ms = watch.read_version == b->owner_version ?
 		watch.unchanged_since_ms :
 		0;
 	b->former.known = b->owner.settled || !b->owner_version || n >= 0;
 	handover_expect(NULL, 0);
-	if (b->owner_version && !watch.replaced_ms) {
+	if (b->owner_version && !ended) {
 		tg_strlcpy(o.addr, b->owner.addr, sizeof(o.addr));
 		tg_strlcpy(o.boot, b->owner.boot, sizeof(o.boot));
 		tg_owner_row_add_former(&claim, &o);
--- a/cmd/tgflowd/writer.c
+++ b/cmd/tgflowd/writer.c
@@ -227,6 +227,8 @@
 	if (w.records_max >= RECORDS_MAX)
 		add_lease_bounds(b);
 	w.complete = !b->progress_read || !flow_has_dirty(b->flow);
+	/* owner_may_renew() has refused since the row is to say so. */
+	w.row.renewals_ended = w.row.released;
 	w.row.settled = former_owners_settled(&b->former, tg_now_ms());
 	w.row.runs_recorded |= b->role == ROLE_OWNER && w.complete;
 	set_value(&w.rows[0], tg_owner_row_encode(&w.row));
--- a/lib/site/rows.c
+++ b/lib/site/rows.c
@@ -316,7 +316,7 @@
 {
 	json_t *o = json_pack(
 		"{s:s,s:s,s:s,s:I,s:I,s:I,s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:I,"
-		"s:b,s:b,s:b,s:b}",
+		"s:b,s:b,s:b,s:b,s:b}",
 		"holder", r->holder, "addr", r->addr, "boot", r->boot, "fence",
 		(json_int_t)r->fence, "term", (json_int_t)r->term, "seq",
 		(json_int_t)r->seq, "silent", r->silent, "silent_at",
@@ -326,7 +326,8 @@
 		(json_int_t)r->clock_ms, "answered_since_clock_ms",
 		(json_int_t)r->answered_since_clock_ms, "released", r->released,
 		"runs_recorded", r->runs_recorded, "settled", r->settled,
-		"lease_bounds", r->lease_bounds);
+		"lease_bounds", r->lease_bounds, "renewals_ended",
+		r->renewals_ended);
 	char *text = json_dumps(o, JSON_COMPACT);
 
 	json_decref(o);
@@ -341,14 +342,14 @@
 	json_int_t fence, term = 0, seq, exits_clock_ms = 0, clock_ms = 0,
 			  since_clock_ms = 0;
 	int released, runs_recorded = 0, settled = 0, lease_bounds = 0;
-	int err = -1;
+	int renewals_ended = 0, err = -1;
 
 	memset(r, 0, sizeof(*r));
 	/* Rows written by older versions lack the optional fields. */
 	if (json_unpack(
 		    o,
 		    "{s:s,s:s,s:s,s:I,s?:I,s:I,s:s,s?:s,s?:s,s?:s,s?:s,s?:I,"
-		    "s?:I,s?:I,s:b,s?:b,s?:b,s?:b}",
+		    "s?:I,s?:I,s:b,s?:b,s?:b,s?:b,s?:b}",
 		    "holder", &holder, "addr", &addr, "boot", &boot, "fence",
 		    &fence, "term", &term, "seq", &seq, "silent", &silent,
 		    "silent_at", &silent_at, "long_leases", &long_leases,
@@ -356,7 +357,8 @@
 		    &exits_clock_ms, "clock_ms", &clock_ms,
 		    "answered_since_clock_ms", &since_clock_ms, "released",
 		    &released, "runs_recorded", &runs_recorded, "settled",
-		    &settled, "lease_bounds", &lease_bounds))
+		    &settled, "lease_bounds", &lease_bounds, "renewals_ended",
+		    &renewals_ended))
 		goto out;
 	r->fence = (uint64_t)fence;
 	r->term = (uint64_t)(term ? term : fence);
@@ -379,6 +381,7 @@
 	r->runs_recorded = runs_recorded;
 	r->settled = settled;
 	r->lease_bounds = lease_bounds;
+	r->renewals_ended = renewals_ended;
 	if (tg_strlcpy(r->holder, holder, sizeof(r->holder)) &&
 	    tg_strlcpy(r->addr, addr, sizeof(r->addr)) &&
 	    tg_strlcpy(r->boot, boot, sizeof(r->boot)))
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -239,6 +239,8 @@
  * @former: owners before this one that are not proved to have ended, as
  *	",ADDR BOOT,"; "*" if they are not known, as in rows of older versions
  * @released: the owner has given up ownership
+ * @renewals_ended: it has stopped renewing leases before that write; rows of
+ *	older versions don't say so
  * @runs_recorded: every run that may exist is in the stored progress.  Rows of
  *	owners that started runs before they recorded them don't say so.
  * @settled: no owner before this one can renew leases any more
@@ -254,7 +256,7 @@
 	char long_leases[TG_LONG_LEASES_SIZE];
 	char exits[TG_EXITS_SIZE], former[TG_FORMER_LIST_SIZE];
 	int64_t exits_clock_ms, clock_ms, answered_since_clock_ms;
-	bool released, runs_recorded, settled, lease_bounds;
+	bool released, renewals_ended, runs_recorded, settled, lease_bounds;
 };
 
 /**
