tgflowd: tell by when long leases on unlisted workers have ended

After a take-over all workers of a large site answer for the first time within a second. The list of those that may hold long leases has 1 KB, about 78 ids, so it became "*" for hold-max-ms, and after a second take-over in that time every silent worker was waited for as if it had the longest lease.

If the list overflows, the row now has a time by the store's clock by which the long leases on all unlisted workers have ended, rounded to the later side. The new owner counts the later one of that time and the leases as asked for, but never more than before, and hands the time on until the worker answers. The latest ends are listed, in half of the list, after all workers whose end may still move: those with an unconfirmed run, those that have not answered under the present token, and listed ones that have not answered at all. If these alone don't fit, or the store's clock isn't known, the row says "*" as before. Older versions read "*" whenever there is a time.

test-leases and test-site fail if the time is not counted, not carried by the claim, not written or rounded to the earlier side, if the moving ends aren't listed first, and if older versions would read the short list. restart.pml: no violation with all rules, and one for each of its switches, two of them new (UNCONFIRMED_TIMED, NOT_CARRIED_TIME).

--- a/cmd/tgflowd/board.h
+++ b/cmd/tgflowd/board.h
@@ -106,6 +106,7 @@
 	 * worker may hold a longer lease than owners ask for; see leases.c.
 	 */
 	int64_t long_lease_until_ms; /* or 0, then it is not in the list */
+	bool long_lease_grows; /* that time is not known for good */
 	struct link *long_lease_prev, *long_lease_next; /* on the board */
 	bool had_long_lease; /* the former owner's row says so */
 	int64_t told_end_ms; /* the former owner has told this end; or 0 */
@@ -181,7 +182,7 @@
 	/* set only on the owner */
 	struct flow *flow;
 	struct link *links;
-	/* Lists of such links. */
+	/* Lists of such links; long leases in the order of their ends. */
 	struct link *failed, *unacked, *awaits_fence, *long_leases, *exiting;
 	int n_opening; /* links that are being opened */
 	uint64_t n_processes; /* that links have turned to */
--- a/cmd/tgflowd/formerowner.c
+++ b/cmd/tgflowd/formerowner.c
@@ -37,7 +37,15 @@
 
 int64_t former_leases_end_ms(const struct former_owner *f, bool is_long)
 {
-	return renewals_end_ms(f) + (is_long ? f->long_lease_ms : f->lease_ms);
+	int64_t long_end_ms = renewals_end_ms(f) + f->long_lease_ms;
+	int64_t end_ms = renewals_end_ms(f) + f->lease_ms;
+
+	if (is_long)
+		return long_end_ms;
+	if (f->other_leases_ms <= end_ms)
+		return end_ms;
+	return f->other_leases_ms < long_end_ms ? f->other_leases_ms :
+						  long_end_ms;
 }
 
 bool former_owners_settled(const struct former_owner *f, int64_t now_ms)
--- a/cmd/tgflowd/formerowner.h
+++ b/cmd/tgflowd/formerowner.h
@@ -38,12 +38,14 @@
  * @lease_ms: longest duration of a lease that an owner asks for, by this
  *	daemon's clock
  * @long_lease_ms: the same of any lease, after the call that grants it
+ * @other_leases_ms: longer leases than owners ask for have ended by then, on
+ *	workers that may hold them but are not listed; or 0
  * @renew_max_ms: an owner renews leases this long after its last write
  */
 struct former_owner {
 	int64_t claimed_ms, written_by_ms, ended_ms;
 	bool known;
-	int64_t lease_ms, long_lease_ms, renew_max_ms;
+	int64_t lease_ms, long_lease_ms, other_leases_ms, renew_max_ms;
 };
 
 /**
--- a/cmd/tgflowd/leases.c
+++ b/cmd/tgflowd/leases.c
@@ -16,7 +16,10 @@
  * - if it has a run whose start order is not confirmed, as the process that
  *   carried it out is not known; until that long after the last call.
  *
- * The owner's row lists these workers, since a new owner knows neither.
+ * The owner's row lists these workers, since a new owner knows neither.  After
+ * a take-over all workers of a large site are among them, more than a row can
+ * list.  So the row has a time as well, by which the long leases on the workers
+ * that it doesn't list have ended.
  */
 
 /* What a former owner knew, which it has stored or told; 0 for nothing. */
@@ -38,6 +41,9 @@
 		former_leases_end_ms(&l->board->former, l->had_long_lease);
 	l->leases_of =
 		l->had_long_lease ? "former owner, long" : "former owner";
+	if (!l->had_long_lease &&
+	    l->leases_end_ms == l->board->former.other_leases_ms)
+		l->leases_of = "former owner, not listed";
 	if (end_ms && end_ms < l->leases_end_ms) {
 		l->leases_end_ms = end_ms;
 		l->leases_of = end_ms == l->told_end_ms ? "told bound" :
@@ -45,21 +51,44 @@
 	}
 }
 
-static void set_long_lease(struct link *l, int64_t until_ms)
+void link_expect_no_long_lease(struct link *l)
+{
+	if (!l->long_lease_until_ms)
+		return;
+	l->long_lease_until_ms = 0;
+	DL_DELETE2(l->board->long_leases, l, long_lease_prev, long_lease_next);
+}
+
+static void set_long_lease(struct link *l, int64_t until_ms, bool grows)
 {
 	struct board *b = l->board;
+	struct link *last;
 
-	if (!l->long_lease_until_ms)
-		DL_APPEND2(b->long_leases, l, long_lease_prev, long_lease_next);
+	link_expect_no_long_lease(l);
 	l->long_lease_until_ms = until_ms;
+	l->long_lease_grows = grows;
+	if (!b->long_leases ||
+	    b->long_leases->long_lease_until_ms >= until_ms) {
+		DL_PREPEND2(b->long_leases, l, long_lease_prev,
+			    long_lease_next);
+		return;
+	}
+	/* Most leases end after those that are in the list already. */
+	last = b->long_leases->long_lease_prev;
+	while (last->long_lease_until_ms > until_ms)
+		last = last->long_lease_prev;
+	DL_APPEND_ELEM2(b->long_leases, last, l, long_lease_prev,
+			long_lease_next);
 }
 
-void link_expect_no_long_lease(struct link *l)
+/* For the row of this owner, until the worker has answered. */
+static void set_former_long_lease(struct link *l)
 {
-	if (!l->long_lease_until_ms)
-		return;
-	l->long_lease_until_ms = 0;
-	DL_DELETE2(l->board->long_leases, l, long_lease_prev, long_lease_next);
+	if (l->had_long_lease)
+		set_long_lease(l, l->leases_end_ms, true);
+	else if (!l->long_lease_until_ms &&
+		 l->board->former.other_leases_ms > tg_now_ms())
+		set_long_lease(l, l->board->former.other_leases_ms, false);
 }
 
 void link_expect_former_leases(struct link *l)
@@ -70,8 +99,7 @@
 		return;
 	l->had_long_lease = tg_owner_row_has_long_lease(&b->owner, l->entry.id);
 	limit_former_leases(l);
-	if (l->had_long_lease)
-		set_long_lease(l, l->leases_end_ms);
+	set_former_long_lease(l);
 }
 
 /* A former owner's end, or what it tells, has become known. */
@@ -81,8 +109,7 @@
 	if (l->clock_at_ms || !l->may_have_runs)
 		return;
 	limit_former_leases(l);
-	if (l->had_long_lease)
-		set_long_lease(l, l->leases_end_ms);
+	set_former_long_lease(l);
 	if (l->failed)
 		lease_bound_changed(l);
 }
@@ -113,7 +140,7 @@
 		granted_ms = l->until_sent_ms + CALL_ARRIVES_MS;
 	l->leases_end_ms = granted_ms + long_lease_ms(l->board);
 	l->leases_of = "longest";
-	set_long_lease(l, l->leases_end_ms);
+	set_long_lease(l, l->leases_end_ms, true);
 }
 
 int64_t link_expiry(struct link *l)
@@ -162,21 +189,55 @@
 	tg_owner_row_add_long_lease(t->row, worker, t->row_bytes);
 }
 
+/* Those for which the row can't tell a time. */
+static void list_untimed(struct board *b, struct listing *t)
+{
+	const struct link *l;
+
+	DL_FOREACH2(b->long_leases, l, long_lease_next)
+	if (l->long_lease_grows && !l->runs_known)
+		list_worker(l->entry.id, t);
+	flow_each_unconfirmed(b->flow, list_worker, t);
+}
+
+/* The latest ends first, so that the time for the others is the earliest. */
+static void list_timed(const struct board *b, const struct listing *t)
+{
+	const struct tg_store_clock *c = &b->store_seen.last;
+	const struct link *l = b->long_leases;
+
+	if (!l)
+		return;
+	do {
+		l = l->long_lease_prev;
+		tg_owner_row_add_timed_lease(
+			t->row, l->entry.id,
+			tg_store_clock_by(c, l->long_lease_until_ms),
+			t->row_bytes);
+	} while (l != b->long_leases && !t->row->other_leases_clock_ms);
+}
+
 void links_record_long_leases(struct board *b, struct tg_owner_row *r)
 {
 	struct listing t = { r, b->site.set.row_bytes };
+	char untimed[TG_LONG_LEASES_SIZE];
 	int64_t now_ms = tg_now_ms();
-	struct link *l, *tmp;
+	const struct link *l;
 
 	r->long_leases[0] = '\0';
-	DL_FOREACH_SAFE2(b->long_leases, l, tmp, long_lease_next)
-	{
-		if (now_ms >= l->long_lease_until_ms)
-			link_expect_no_long_lease(l);
-		else
-			list_worker(l->entry.id, &t);
-	}
-	flow_each_unconfirmed(b->flow, list_worker, &t);
+	r->other_leases_clock_ms = 0;
+	while (b->long_leases && now_ms >= b->long_leases->long_lease_until_ms)
+		link_expect_no_long_lease(b->long_leases);
+	list_untimed(b, &t);
+	if (tg_owner_row_any_long_lease(r))
+		return;
+	tg_strlcpy(untimed, r->long_leases, sizeof(untimed));
+	DL_FOREACH2(b->long_leases, l, long_lease_next)
+	list_worker(l->entry.id, &t);
+	if (!tg_owner_row_any_long_lease(r) || !b->store_seen.last.clock_ms)
+		return;
+	tg_strlcpy(r->long_leases, untimed, sizeof(r->long_leases));
+	list_timed(b, &t);
 }
 
 /* When the leases of runs have expired whose start is not confirmed. */
--- a/cmd/tgflowd/owner.c
+++ b/cmd/tgflowd/owner.c
@@ -11,6 +11,19 @@
 /* The loop runs several times in this time, however busy it is. */
 #define HELD_UP_MS 500
 
+/* Without a reading of the store's clock, the row's time tells nothing. */
+static int64_t other_leases_ms(struct board *b)
+{
+	const struct tg_store_clock *c = &b->store_seen.last;
+
+	if (!b->owner.other_leases_clock_ms)
+		return 0;
+	if (c->clock_ms)
+		return tg_store_clock_latest(c, b->owner.other_leases_clock_ms);
+	tg_owner_row_forget_long_leases(&b->owner);
+	return 0;
+}
+
 void owner_begin_term(struct board *b, const char *why, int64_t started_ms)
 {
 	struct former_owner *f = &b->former;
@@ -27,12 +40,17 @@
 		EXPIRY_MARGIN_MS;
 	f->long_lease_ms = long_lease_ms(b) + CALL_ARRIVES_MS;
 	f->renew_max_ms = RENEW_AFTER_WRITE_MAX_MS;
+	f->other_leases_ms = other_leases_ms(b);
 	tg_log(EV_FLOW_CLAIMED,
 	       "fence=%llu why=%s version=%lld recorded=%d settled=%d "
-	       "former_ended=%d former=%s long_leases=%s",
+	       "former_ended=%d former=%s long_leases=%s "
+	       "other_leases_left_ms=%lld",
 	       (unsigned long long)b->claim_fence, why,
 	       (long long)b->owner_version, b->former_runs_recorded, f->known,
-	       f->ended_ms != 0, b->owner.former, b->owner.long_leases);
+	       f->ended_ms != 0, b->owner.former, b->owner.long_leases,
+	       (long long)(f->other_leases_ms ?
+				   f->other_leases_ms - f->claimed_ms :
+				   0));
 	jobs_open(b);
 }
 
--- a/lib/site/rows.c
+++ b/lib/site/rows.c
@@ -4,7 +4,7 @@
 #include "site/site.h"
 
 /* Largest size of the owner's row without its lists and its holder. */
-#define OWNER_OTHER_BYTES (640 + TG_FORMER_LIST_SIZE)
+#define OWNER_OTHER_BYTES (736 + TG_FORMER_LIST_SIZE)
 /* In place of the list of long leases: any worker may hold one. */
 #define ANY_WORKER "*"
 /* In place of the list of former owners: they are not known. */
@@ -164,24 +164,49 @@
 	return listed;
 }
 
+bool tg_owner_row_any_long_lease(const struct tg_owner_row *r)
+{
+	return !strcmp(r->long_leases, ANY_WORKER);
+}
+
 bool tg_owner_row_has_long_lease(const struct tg_owner_row *r,
 				 const char *worker)
 {
 	char item[TG_KEY_MAX + 3];
 
 	snprintf(item, sizeof(item), ",%s,", worker);
-	return !strcmp(r->long_leases, ANY_WORKER) ||
-		strstr(r->long_leases, item);
+	return tg_owner_row_any_long_lease(r) || strstr(r->long_leases, item);
+}
+
+static bool add_long_lease(struct tg_owner_row *r, const char *worker,
+			   int64_t list_bytes)
+{
+	struct worker_list l = { r->long_leases, sizeof(r->long_leases),
+				 list_bytes };
+
+	return tg_owner_row_has_long_lease(r, worker) ||
+		add_to_list(&l, worker);
 }
 
 void tg_owner_row_add_long_lease(struct tg_owner_row *r, const char *worker,
 				 int64_t row_bytes)
 {
-	struct worker_list l = { r->long_leases, sizeof(r->long_leases),
-				 long_leases_bytes(r, row_bytes) };
+	if (!add_long_lease(r, worker, long_leases_bytes(r, row_bytes)))
+		tg_owner_row_forget_long_leases(r);
+}
 
-	if (!tg_owner_row_has_long_lease(r, worker) && !add_to_list(&l, worker))
-		tg_strlcpy(r->long_leases, ANY_WORKER, sizeof(r->long_leases));
+void tg_owner_row_add_timed_lease(struct tg_owner_row *r, const char *worker,
+				  int64_t end_clock_ms, int64_t row_bytes)
+{
+	if (!add_long_lease(r, worker, long_leases_bytes(r, row_bytes) / 2) &&
+	    end_clock_ms > r->other_leases_clock_ms)
+		r->other_leases_clock_ms = end_clock_ms;
+}
+
+void tg_owner_row_forget_long_leases(struct tg_owner_row *r)
+{
+	tg_strlcpy(r->long_leases, ANY_WORKER, sizeof(r->long_leases));
+	r->other_leases_clock_ms = 0;
 }
 
 void tg_owner_row_add_exit(struct tg_owner_row *r, const char *worker,
@@ -285,6 +310,7 @@
 	tg_strlcpy(to->silent, from->silent, sizeof(to->silent));
 	tg_strlcpy(to->silent_at, from->silent_at, sizeof(to->silent_at));
 	tg_strlcpy(to->long_leases, from->long_leases, sizeof(to->long_leases));
+	to->other_leases_clock_ms = from->other_leases_clock_ms;
 	tg_strlcpy(to->exits, from->exits, sizeof(to->exits));
 	to->exits_clock_ms = from->exits_clock_ms;
 	to->clock_ms = from->clock_ms;
@@ -320,16 +346,24 @@
 		"holder", r->holder, "addr", r->addr, "boot", r->boot, "fence",
 		(json_int_t)r->fence, "term", (json_int_t)r->term, "seq",
 		(json_int_t)r->seq, "silent", r->silent, "silent_at",
-		r->silent_at, "long_leases", r->long_leases, "exits", r->exits,
-		"former", r->former, "exits_clock_ms",
+		r->silent_at, "long_leases",
+		r->other_leases_clock_ms ? ANY_WORKER : r->long_leases, "exits",
+		r->exits, "former", r->former, "exits_clock_ms",
 		(json_int_t)r->exits_clock_ms, "clock_ms",
 		(json_int_t)r->clock_ms, "answered_since_clock_ms",
 		(json_int_t)r->answered_since_clock_ms, "released", r->released,
 		"runs_recorded", r->runs_recorded, "settled", r->settled,
 		"lease_bounds", r->lease_bounds, "renewals_ended",
 		r->renewals_ended);
-	char *text = json_dumps(o, JSON_COMPACT);
+	char *text;
 
+	if (r->other_leases_clock_ms) {
+		json_object_set_new(o, "long_leases_named",
+				    json_string(r->long_leases));
+		json_object_set_new(o, "other_leases_clock_ms",
+				    json_integer(r->other_leases_clock_ms));
+	}
+	text = json_dumps(o, JSON_COMPACT);
 	json_decref(o);
 	return text;
 }
@@ -339,8 +373,9 @@
 	json_t *o = json_loadb(row->value, row->value_bytes, 0, NULL);
 	const char *holder, *addr, *boot, *silent, *silent_at = "";
 	const char *long_leases = ANY_WORKER, *exits = "", *former = ANY_OWNER;
+	const char *named = NULL;
 	json_int_t fence, term = 0, seq, exits_clock_ms = 0, clock_ms = 0,
-			  since_clock_ms = 0;
+			  since_clock_ms = 0, other_clock_ms = 0;
 	int released, runs_recorded = 0, settled = 0, lease_bounds = 0;
 	int renewals_ended = 0, err = -1;
 
@@ -349,7 +384,7 @@
 	if (json_unpack(
 		    o,
 		    "{s:s,s:s,s:s,s:I,s?:I,s:I,s:s,s?:s,s?:s,s?:s,s?:s,s?:I,"
-		    "s?:I,s?:I,s:b,s?:b,s?:b,s?:b,s?:b}",
+		    "s?:I,s?:I,s:b,s?:b,s?:b,s?:b,s?:b,s?:s,s?:I}",
 		    "holder", &holder, "addr", &addr, "boot", &boot, "fence",
 		    &fence, "term", &term, "seq", &seq, "silent", &silent,
 		    "silent_at", &silent_at, "long_leases", &long_leases,
@@ -358,7 +393,8 @@
 		    "answered_since_clock_ms", &since_clock_ms, "released",
 		    &released, "runs_recorded", &runs_recorded, "settled",
 		    &settled, "lease_bounds", &lease_bounds, "renewals_ended",
-		    &renewals_ended))
+		    &renewals_ended, "long_leases_named", &named,
+		    "other_leases_clock_ms", &other_clock_ms))
 		goto out;
 	r->fence = (uint64_t)fence;
 	r->term = (uint64_t)(term ? term : fence);
@@ -368,8 +404,12 @@
 		r->silent[0] = '\0';
 	if (!tg_strlcpy(r->silent_at, silent_at, sizeof(r->silent_at)))
 		r->silent_at[0] = '\0';
+	if (named && other_clock_ms > 0) {
+		long_leases = named;
+		r->other_leases_clock_ms = other_clock_ms;
+	}
 	if (!tg_strlcpy(r->long_leases, long_leases, sizeof(r->long_leases)))
-		tg_strlcpy(r->long_leases, ANY_WORKER, sizeof(r->long_leases));
+		tg_owner_row_forget_long_leases(r);
 	if (!tg_strlcpy(r->exits, exits, sizeof(r->exits)))
 		r->exits[0] = '\0';
 	if (!tg_strlcpy(r->former, former, sizeof(r->former)))
--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -231,6 +231,9 @@
  * @long_leases: workers that may hold a lease of the longest duration, instead
  *	of one that the owner asked for, as ",ID,ID,"; "*" if that may be any
  *	worker.  Rows of older versions don't tell, and are read as "*".
+ * @other_leases_clock_ms: such leases on workers that are not in the list have
+ *	ended by then, by the store's clock; 0 if there are none.  Older
+ *	versions read "*" in place of the list if this is not 0.
  * @exits: draining workers that may have runs, as
  *	",ID ADDR BOOT EXIT WRITTEN VERSION,"; see struct tg_worker_exit
  * @exits_clock_ms: the store's clock at which these were the latest versions
@@ -255,6 +258,7 @@
 	char silent[TG_SILENT_LIST_SIZE], silent_at[TG_SILENT_LIST_SIZE];
 	char long_leases[TG_LONG_LEASES_SIZE];
 	char exits[TG_EXITS_SIZE], former[TG_FORMER_LIST_SIZE];
+	int64_t other_leases_clock_ms;
 	int64_t exits_clock_ms, clock_ms, answered_since_clock_ms;
 	bool released, renewals_ended, runs_recorded, settled, lease_bounds;
 };
@@ -275,6 +279,21 @@
  */
 void tg_owner_row_add_long_lease(struct tg_owner_row *r, const char *worker,
 				 int64_t row_bytes);
+/**
+ * tg_owner_row_add_timed_lease() - add a worker to @long_leases, or raise
+ * @other_leases_clock_ms if half of the list's space is taken
+ *
+ * The other half is for the next owner, which can tell no time for a listed
+ * worker until that answers.
+ *
+ * @end_clock_ms: its long leases have ended by then, by the store's clock
+ */
+void tg_owner_row_add_timed_lease(struct tg_owner_row *r, const char *worker,
+				  int64_t end_clock_ms, int64_t row_bytes);
+/** tg_owner_row_forget_long_leases() - say that any worker may hold one */
+void tg_owner_row_forget_long_leases(struct tg_owner_row *r);
+/** tg_owner_row_any_long_lease() - whether any worker may hold one */
+bool tg_owner_row_any_long_lease(const struct tg_owner_row *r);
 /** tg_owner_row_has_long_lease() - whether the worker may hold a long lease */
 bool tg_owner_row_has_long_lease(const struct tg_owner_row *r,
 				 const char *worker);
--- a/spec/restart.pml
+++ b/spec/restart.pml
@@ -17,6 +17,8 @@
  * -DUNCONFIRMED_ONLY: it lists none for a process that was new.
  * -DNOT_CARRIED: a new owner does not list what it was told.
  * -DANY_ANSWER: any answer confirms a start, whatever its clock.
+ * -DUNCONFIRMED_TIMED: a start that is not confirmed may count with a time.
+ * -DNOT_CARRIED_TIME: a new owner does not hand on the time for others.
  * -DONE_BOUND: leases of unconfirmed starts count as asked for.
  */
 
@@ -35,8 +37,9 @@
 /* bounds: leases as asked for, of other processes, long ones to be listed */
 byte counted, other, listed;
 
-/* the store: the run, and the owner's row */
+/* the store: the run, and the owner's row: the list or the time for others */
 bool row_run, row_long;
+byte row_time;
 
 inline at_least(v, n)
 {
@@ -90,7 +93,15 @@
 #ifdef UNCONFIRMED_ONLY
 	row_long = recorded && !confirmed
 #else
-	row_long = listed || (recorded && !confirmed)
+	/* If the list is too long, the time covers all but unconfirmed starts. */
+	if
+	:: row_long = listed || (recorded && !confirmed); row_time = 0
+#ifdef UNCONFIRMED_TIMED
+	:: row_long = false; row_time = listed
+#else
+	:: row_long = recorded && !confirmed; row_time = listed
+#endif
+	fi
 #endif
 #endif
 #endif
@@ -124,6 +135,10 @@
 		if
 		:: listed -> listed--
 		:: else
+		fi;
+		if
+		:: row_time -> row_time--
+		:: else
 		fi }
 	od
 }
@@ -170,13 +185,19 @@
 		ordered = false;
 		recorded = row_run;
 		confirmed = !row_long;
-		counted = (row_long -> LONGEST : ASKED);
+		counted = (row_long -> LONGEST :
+			(row_time > ASKED -> row_time : ASKED));
 		other = LONGEST;
 #ifdef NOT_CARRIED
 		listed = 0;
 		row_long = false
 #else
-		listed = (row_long -> LONGEST : 0)
+#ifdef NOT_CARRIED_TIME
+		listed = (row_long -> LONGEST : 0);
+		row_time = 0
+#else
+		listed = (row_long -> LONGEST : row_time)
+#endif
 #endif
 	}
 	od
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -73,6 +73,8 @@
 restart UNCONFIRMED_ONLY
 restart NOT_CARRIED
 restart ANY_ANSWER
+restart UNCONFIRMED_TIMED
+restart NOT_CARRIED_TIME
 restart ONE_BOUND
 takeover -
 takeover START_FIRST
--- a/tests/unit/leases/test-leases.c
+++ b/tests/unit/leases/test-leases.c
@@ -215,6 +215,55 @@
 }
 END_TEST
 
+/* Guards against the longest wait for all workers of a large site. */
+START_TEST(workers_that_do_not_fit_have_a_time)
+{
+	static struct link many[300];
+	static struct tg_owner_row r;
+	int64_t now_ms = tg_now_ms();
+	int i;
+
+	memset(many, 0, sizeof(many));
+	b.store_seen.last = (struct tg_store_clock){ 500, now_ms - 7, now_ms };
+	for (i = 0; i < 300; i++) {
+		snprintf(many[i].entry.id, sizeof(many[i].entry.id), "m%d", i);
+		many[i].board = &b;
+		many[i].runs_known = i > 0;
+		many[i].clock_at_ms = now_ms - 1000 + (i * 7) % 300;
+		link_expect_long_lease(&many[i]);
+	}
+	links_record_long_leases(&b, &r);
+	ck_assert(!tg_owner_row_any_long_lease(&r));
+	/* The first one may get a later time, the others have the latest. */
+	ck_assert(tg_owner_row_has_long_lease(&r, "m0"));
+	ck_assert(tg_owner_row_has_long_lease(&r, "m257"));
+	for (i = 0; i < 300; i++)
+		ck_assert(tg_owner_row_has_long_lease(&r, many[i].entry.id) ||
+			  many[i].long_lease_until_ms + 7 <=
+				  r.other_leases_clock_ms - 500 + now_ms);
+	for (i = 0; i < 300; i++)
+		many[i].runs_known = false;
+	links_record_long_leases(&b, &r);
+	ck_assert(tg_owner_row_any_long_lease(&r));
+}
+END_TEST
+
+/* Guards against a third owner that takes a long lease for expired. */
+START_TEST(time_for_workers_not_listed_is_waited_for_and_handed_on)
+{
+	int64_t end_ms = b.former.ended_ms + b.former.lease_ms + 2000;
+
+	b.former.other_leases_ms = end_ms;
+	link_expect_former_leases(&l);
+	ck_assert_int_eq(l.leases_end_ms, end_ms);
+	ck_assert_str_eq(listed(), ",w1,");
+	b.former.other_leases_ms += 10000;
+	links_limit_leases(&b);
+	ck_assert_int_eq(l.leases_end_ms,
+			 b.former.ended_ms + b.former.long_lease_ms);
+}
+END_TEST
+
 START_TEST(clock_is_compared_with_the_last_list)
 {
 	answer(60000);
@@ -239,6 +288,9 @@
 	tcase_add_test(t, worker_is_listed_after_its_first_answer);
 	tcase_add_test(t, calls_to_the_process_before_may_still_arrive);
 	tcase_add_test(t, unconfirmed_start_outlasts_the_other_leases);
+	tcase_add_test(t, workers_that_do_not_fit_have_a_time);
+	tcase_add_test(t,
+		       time_for_workers_not_listed_is_waited_for_and_handed_on);
 	tcase_add_test(t, clock_is_compared_with_the_last_list);
 	suite_add_tcase(s, t);
 	return run_suite(s);
--- a/tests/unit/site/test-site.c
+++ b/tests/unit/site/test-site.c
@@ -526,6 +526,23 @@
 }
 END_TEST
 
+/* Guards against an older version that takes a long lease for ended. */
+START_TEST(older_versions_read_a_time_for_others_as_any_worker)
+{
+	struct tg_owner_row r = { .long_leases = ",w1,",
+				  .other_leases_clock_ms = 5 };
+	struct tg_owner_row got = { .fence = 9 };
+	char *text = tg_owner_row_encode(&r);
+
+	ck_assert_ptr_nonnull(strstr(text, "\"long_leases\":\"*\""));
+	free(text);
+	tg_owner_row_copy_workers(&got, &r);
+	got = store_owner_row(&got);
+	ck_assert_int_eq(got.other_leases_clock_ms, 5);
+	ck_assert_str_eq(got.long_leases, ",w1,");
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("site");
@@ -546,6 +563,7 @@
 	tcase_add_test(t, former_owners_are_named_or_not_known);
 	tcase_add_test(t, draining_workers_are_listed);
 	tcase_add_test(t, long_leases_are_listed_or_any_worker_may_hold_one);
+	tcase_add_test(t, older_versions_read_a_time_for_others_as_any_worker);
 	suite_add_tcase(s, t);
 	return run_suite(s);
 }
