site: name up to 25 former owners in the owner's row

The row named three former owners that were not proved to have ended. A fourth within 10 s made the list "*", so that the next owner could prove nothing and waited for 10 s.

A former owner may renew for 10 s after its last write, and a series of kills replaces one in 0.4 s at most, so 25 names are enough. They take up to 2.4 KB, which the other lists of a row of 8 KB lose: they share 5.0 KB instead of 7.2. A row of less than 3.2 KB could not hold them all.

test-site fails with three (i == 4) and passes, and fills a row of 4 KB and more with all names beside the other lists.

--- a/lib/site/site.h
+++ b/lib/site/site.h
@@ -197,8 +197,12 @@
 	int64_t boot_ms, exit_clock_ms, written_clock_ms, version;
 };
 
-/* Former owners that a row can name; more are not told apart. */
-#define TG_FORMER_OWNERS_MAX 3
+/*
+ * Former owners that a row can name; more are not told apart.  A former owner
+ * may renew for 10 s, and a series of kills replaces one in 0.4 s at most: a
+ * ping is refused, the row stays unchanged for 300 ms, and a claim is written.
+ */
+#define TG_FORMER_OWNERS_MAX 25
 #define TG_FORMER_LIST_SIZE \
 	(TG_FORMER_OWNERS_MAX * (TG_ADDR_MAX + TG_TOKEN_LEN + 2) + 2)
 
--- a/tests/unit/site/test-site.c
+++ b/tests/unit/site/test-site.c
@@ -374,14 +374,21 @@
 	static const int64_t limits[] = { 1024, 4096, 16384, 65536 };
 	struct tg_owner_row r = { .fence = UINT32_MAX,
 				  .term = UINT32_MAX,
-				  .seq = INT64_MAX };
+				  .seq = INT64_MAX,
+				  .other_leases_clock_ms = INT64_MAX };
 	struct tg_silent_worker s = { .boot_ms = INT64_MAX };
+	struct tg_former_owner o = { .addr = "" };
 	char worker[TG_NAME_MAX + 1], long_leases[TG_LONG_LEASES_SIZE], *text;
-	int n = 0;
+	int n = 0, i;
 
 	memset(r.holder, 'h', TG_KEY_MAX);
 	memset(r.addr, 'a', TG_ADDR_MAX);
 	memset(r.boot, 'b', TG_TOKEN_LEN);
+	memset(o.addr, 'a', TG_ADDR_MAX);
+	memset(o.boot, 'b', TG_TOKEN_LEN);
+	/* A row of 1 KB has no room for all their names. */
+	for (i = 0; limits[_i] > 1024 && i < TG_FORMER_OWNERS_MAX; i++)
+		tg_owner_row_add_former(&r, &o);
 	memset(s.addr, '1', TG_ADDR_MAX);
 	do
 		snprintf(worker, sizeof(worker), "%060d", n++);
@@ -448,7 +455,8 @@
  */
 START_TEST(former_owners_are_named_or_not_known)
 {
-	struct tg_former_owner o = { "127.0.0.1:7000", "boot-1" }, got[3];
+	struct tg_former_owner o = { "127.0.0.1:7000", "boot-1" };
+	struct tg_former_owner got[TG_FORMER_OWNERS_MAX];
 	struct tg_owner_row r = { .holder = "i1" }, stored;
 	int i;
 
@@ -462,6 +470,8 @@
 		ck_assert_str_eq(got[i - 1].boot, o.boot);
 		ck_assert_str_eq(got[i - 1].addr, o.addr);
 	}
+	/* Owners that are killed every 0.4 s while the first may renew. */
+	ck_assert_int_gt(i, 10000 / 400);
 	for (i = 0; i < 10; i++)
 		tg_owner_row_add_former(&r, &o);
 	stored = store_owner_row(&r);
