tgqueued: answer requests that still wait when the process must exit

Its deadline doesn't know of the stop: a request retries until 85 % of the caller's time, and the process exits 0.3 s before the platform would kill it. With one instance stopping and the next owner stopping as well there is no owner for a second.

0.6 s before the end of the grace period all requests in progress are now answered with 504, and later ones with 503 at once. That leaves 0.3 s for the answers to be written, and nothing that they wait for can keep the process from an orderly exit. 504 since a submission or cancellation may have taken effect.

--- a/cmd/tgqueued/board.h
+++ b/cmd/tgqueued/board.h
@@ -30,6 +30,9 @@
 	struct tg_document *document;
 	struct tg_rpc_client *peers;
 	struct tg_http_server *front, *ready, *metrics;
+	struct request *requests; /* those that are not answered */
+	int64_t draining_since_ms; /* 0: not draining */
+	int64_t answer_all_ms; /* how long requests may wait from then on */
 
 	/* address of the owner; empty if unknown */
 	char owner_addr[TG_ADDR_MAX + 1];
@@ -59,7 +62,8 @@
 /** struct request - a caller's request in progress */
 struct request {
 	struct board *board;
-	struct evhttp_request *http;
+	struct evhttp_request *http; /* NULL: answered by answer_all() */
+	struct request *prev, *next;
 	enum tg_request_kind kind;
 	char job[FLOW_JOB_ID_LEN + 1];
 	char *queue, *workspace; /* names, empty for none */
--- a/cmd/tgqueued/front.c
+++ b/cmd/tgqueued/front.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "board.h"
 
@@ -46,8 +47,9 @@
 	tg_hist_add(h, (uint64_t)(tg_now_ms() - r->started_ms) * 1000);
 }
 
-static void finish(struct request *r, int status, const char *why)
+static void record_answer(struct request *r, int status, const char *why)
 {
+	DL_DELETE(r->board->requests, r);
 	record_metrics(r, status);
 	tg_log(EV_QUEUE_ANSWERED,
 	       "kind=%s job=%s queue=%s status=%d why=%s attempts=%d "
@@ -55,13 +57,32 @@
 	       kind_names[r->kind], r->job, r->queue, status, why, r->attempts,
 	       (long long)(tg_now_ms() - r->started_ms),
 	       (long long)r->generation, (long long)r->not_current_ms);
-	room_settle(r, status == 200 || status == 504);
+}
+
+static void free_request(struct request *r)
+{
 	free(r->queue);
 	free(r->workspace);
 	free(r->row);
 	free(r);
 }
 
+static void finish(struct request *r, int status, const char *why)
+{
+	record_answer(r, status, why);
+	room_settle(r, status == 200 || status == 504);
+	free_request(r);
+}
+
+/* What a request was waiting for has ended after answer_all(). */
+static bool free_if_answered(struct request *r)
+{
+	if (r->http)
+		return false;
+	free_request(r);
+	return true;
+}
+
 static void add_close_if_draining(struct request *r)
 {
 	if (tg_daemon_draining())
@@ -74,6 +95,8 @@
 	bool retry_later = status == 429 || status == 503;
 	int64_t after_s = r->retry_after_s ? r->retry_after_s : RETRY_AFTER_S;
 
+	if (free_if_answered(r))
+		return;
 	add_close_if_draining(r);
 	r->board->site.ops->reply_status(r->http, status,
 					 retry_later ? after_s : 0, why);
@@ -111,6 +134,8 @@
 
 void request_end_state(struct request *r, const char *state)
 {
+	if (free_if_answered(r))
+		return;
 	if (was_outdated(r, false)) {
 		request_end_outdated(r);
 		return;
@@ -122,6 +147,8 @@
 
 void request_end_count(struct request *r, int64_t waiting)
 {
+	if (free_if_answered(r))
+		return;
 	add_close_if_draining(r);
 	r->board->site.ops->reply_count(r->http, waiting);
 	finish(r, 200, "counted");
@@ -143,7 +170,8 @@
 
 	(void)fd;
 	(void)what;
-	l->fn(l->request);
+	if (!free_if_answered(l->request))
+		l->fn(l->request);
 	free(l);
 }
 
@@ -262,6 +290,8 @@
 
 	(void)end;
 	(void)a;
+	if (free_if_answered(r))
+		return;
 	if (state == TG_DOCUMENT_CHECKING || state == TG_DOCUMENT_UNCONFIRMED)
 		b->unconfirmed_ms = tg_now_ms();
 	if (state == TG_DOCUMENT_OUTDATED)
@@ -299,6 +329,14 @@
 		handle_request(r, state);
 }
 
+static const char about_to_exit[] = "this instance stops";
+
+static bool is_about_to_exit(const struct board *b)
+{
+	return b->draining_since_ms &&
+		tg_now_ms() - b->draining_since_ms >= b->answer_all_ms;
+}
+
 static void on_request(struct evhttp_request *http, void *arg)
 {
 	struct request *r = tg_xcalloc(1, sizeof(*r));
@@ -309,7 +347,11 @@
 	r->workspace = tg_xstrdup("");
 	r->started_ms = tg_now_ms();
 	r->kind = TG_REQUEST_INVALID;
-	begin_request(r);
+	DL_APPEND(r->board->requests, r);
+	if (is_about_to_exit(r->board))
+		request_end(r, 503, about_to_exit);
+	else
+		begin_request(r);
 }
 
 static bool is_ready(void *arg, const char **why)
@@ -381,11 +423,27 @@
 	return 0;
 }
 
+/* What they wait for may take longer than the process has. */
+static void answer_all(struct board *b)
+{
+	struct request *r, *next;
+
+	DL_FOREACH_SAFE(b->requests, r, next) {
+		add_close_if_draining(r);
+		b->site.ops->reply_status(r->http, 504, 0, about_to_exit);
+		r->http = NULL;
+		record_answer(r, 504, about_to_exit);
+	}
+}
+
 static bool drain(void *board, int64_t now_ms)
 {
 	struct board *b = board;
 
-	(void)now_ms;
+	if (!b->draining_since_ms)
+		b->draining_since_ms = now_ms;
+	if (is_about_to_exit(b))
+		answer_all(b);
 	return tg_http_server_in_progress(b->front) == 0;
 }
 
--- a/cmd/tgqueued/main.c
+++ b/cmd/tgqueued/main.c
@@ -7,6 +7,8 @@
  */
 #define STOP_MARGIN_MS 900
 #define KILL_MARGIN_MS 300
+/* Requests that wait for the store or an owner are answered before that. */
+#define ANSWER_MARGIN_MS 600
 /* Leaves time within 3 s for the others, which wait for the change. */
 #define DOCUMENT_DIRECT_MS 700
 
@@ -67,6 +69,7 @@
 	daemon.base = b.base;
 	daemon.drain_grace_ms = b.site.set.grace_ms - STOP_MARGIN_MS;
 	daemon.drain_max_ms = b.site.set.grace_ms - KILL_MARGIN_MS;
+	b.answer_all_ms = b.site.set.grace_ms - ANSWER_MARGIN_MS;
 	status = tg_daemon_run(&daemon);
 	tg_document_free(b.document);
 	tg_site_close(&b.site);
--- a/tests/script/site-jobs.sh
+++ b/tests/script/site-jobs.sh
@@ -71,5 +71,11 @@
 front 1 /n/00000000000000b1 && echo
 
 judge
-stop queue-1
+echo "# a request that waits for an owner while its instance stops"
 stop flow-1
+stop flow-2
+later count . -H 'Host: h' -H "X-Api-Key: $key" \
+	-H 'Tarragonfield-Deadline-Ms: 20000' "http://$(http_of queue-1)/n/"
+sleep 0.3
+stop queue-1
+join count
