base: look for new requests before a drained daemon exits

Callers' connections were reset, without an answer 0.2 to 0.4 s after a request was sent, by an instance that was held up (a loaded machine, a pause) at the end of its drain and exited with status 0.

The drain timer is due as soon as the process goes on. In the same turn of the loop connections are accepted, but their requests are read only in the next one, so that nothing counts as in progress, and the process exits.

A tick that is more than one period late is now followed by another one before the process exits; two late ticks in a row don't delay it further.

--- a/lib/base/daemon.c
+++ b/lib/base/daemon.c
@@ -21,7 +21,8 @@
 	struct started_controller *started;
 	size_t n_started;
 	struct event *term, *interrupt, *drain;
-	int64_t drain_start_ms;
+	int64_t drain_start_ms, drain_tick_ms;
+	bool drain_tick_late;
 	int status;
 };
 
@@ -80,6 +81,20 @@
 	return done;
 }
 
+/*
+ * While the loop was held up, connections and requests may have arrived that it
+ * has not seen yet.  They are handled before the next tick.
+ */
+static bool was_held_up(struct run_state *run, int64_t now_ms)
+{
+	bool late = now_ms - run->drain_tick_ms > 2 * DRAIN_PERIOD_MS;
+	bool first = late && !run->drain_tick_late;
+
+	run->drain_tick_ms = now_ms;
+	run->drain_tick_late = late;
+	return first;
+}
+
 static void on_drain_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct run_state *run = arg;
@@ -89,6 +104,8 @@
 
 	(void)fd;
 	(void)what;
+	if (was_held_up(run, now_ms))
+		return;
 	if (done && waited_ms >= run->opts->drain_grace_ms) {
 		tg_log(EV_DRAINED, "after_ms=%lld", (long long)waited_ms);
 		event_base_loopbreak(run->opts->base);
@@ -108,7 +125,7 @@
 	if (draining)
 		return;
 	draining = true;
-	run->drain_start_ms = tg_now_ms();
+	run->drain_start_ms = run->drain_tick_ms = tg_now_ms();
 	tg_log(EV_DRAINING, "signal=%d", (int)signal_number);
 	event_add(run->drain, &tv);
 }
--- a/tests/script/site-jobs.sh
+++ b/tests/script/site-jobs.sh
@@ -71,6 +71,14 @@
 front 1 /n/00000000000000b1 && echo
 
 judge
+echo "# a request that arrives while its instance is held up as it stops"
+kill -TERM "$queue_2_pid"
+sleep 1
+kill -STOP "$queue_2_pid"
+later held . -H 'Host: h' -H "X-Api-Key: $key" "http://$(http_of queue-2)/n/"
+sleep 2
+kill -CONT "$queue_2_pid"
+join held
 echo "# a request that waits for an owner while its instance stops"
 stop flow-1
 stop flow-2
