tgflowd: keep the progress of jobs whose rows can't be read

A completed job was shown as queued, and would run again: a new owner that can't decode a job's row, such as one of a newer version, doesn't know the job and deleted its progress as that of a job that an earlier owner had deleted.

All else that a new owner's reads rest on holds: the store's answers are linearizable, all parts of the jobs are read after the claim, which ends writes of progress by earlier owners, and a scan that is interrupted goes on where it was.

Progress is now deleted only if the job has no row.

--- a/cmd/tgflowd/jobs.c
+++ b/cmd/tgflowd/jobs.c
@@ -1,10 +1,49 @@
 #include <stdlib.h>
 #include <string.h>
+#include <uthash.h>
 
 #include "board.h"
 
 /* Loads jobs, their progress and the document from the store into the flow. */
 
+/* A job whose row can't be read, such as one of a newer version. */
+struct unreadable_job {
+	char id[FLOW_JOB_ID_LEN + 1];
+	UT_hash_handle hh;
+};
+
+static struct unreadable_job *unreadable_jobs;
+
+static struct unreadable_job *find_unreadable(const char *key)
+{
+	struct unreadable_job *u;
+
+	/* The key of a progress record may have a suffix. */
+	HASH_FIND(hh, unreadable_jobs, key, strcspn(key, "~"), u);
+	return u;
+}
+
+static void add_unreadable(const char *id)
+{
+	struct unreadable_job *u;
+
+	if (strlen(id) > FLOW_JOB_ID_LEN || find_unreadable(id))
+		return;
+	u = tg_xcalloc(1, sizeof(*u));
+	tg_strlcpy(u->id, id, sizeof(u->id));
+	HASH_ADD_STR(unreadable_jobs, id, u);
+}
+
+static void forget_unreadable(void)
+{
+	struct unreadable_job *u, *tmp;
+
+	HASH_ITER(hh, unreadable_jobs, u, tmp) {
+		HASH_DEL(unreadable_jobs, u);
+		free(u);
+	}
+}
+
 /* Takes over the specification of @job. */
 static void add_job(struct board *b, struct tg_job_row *job)
 {
@@ -51,8 +90,12 @@
 {
 	struct tg_job_row job;
 
-	if (flow_has_job(b->flow, row->key) || decode_job(row, &job))
+	if (flow_has_job(b->flow, row->key))
 		return;
+	if (decode_job(row, &job)) {
+		add_unreadable(row->key);
+		return;
+	}
 	add_job(b, &job);
 	tg_job_row_clear(&job);
 }
@@ -142,9 +185,10 @@
 		log_bad_row(TG_PROGRESS_TABLE, row);
 		return;
 	}
-	/* An earlier owner deleted the job but not yet its progress. */
 	if (!flow_knows_record(b->flow, row->key)) {
-		writer_delete_progress(b, row->key);
+		/* An earlier owner deleted the job but not yet its progress. */
+		if (!find_unreadable(row->key))
+			writer_delete_progress(b, row->key);
 		return;
 	}
 	o = json_loadb(row->value, row->value_bytes, 0, NULL);
@@ -301,5 +345,6 @@
 		b->cancels = c->next;
 		free(c);
 	}
+	forget_unreadable();
 	purge_reset();
 }
--- a/tests/script/site-odd-entries.sh
+++ b/tests/script/site-odd-entries.sh
@@ -54,6 +54,16 @@
 echo "job: $(submit "$other" 00000000000000c1 "ms=300" "$(steps 40)")"
 await_state "$other" 00000000000000c1 completed
 seen '{starts, lapsed}'
+
+echo "# what is known of a job outlives a row of it that can't be read"
+for part in 0 1 2 3; do
+	control "row?table=jobs&part=$part&key=00000000000000c1" '{}'
+done
+restart_flow "$other"
+await "an owner" owner_of "$other"
+echo "job: $(submit "$other" 00000000000000c2 "ms=300" "$(steps 1)")"
+await_state "$other" 00000000000000c2 completed
+state "$other" 00000000000000c1
 judge
 grep -hc "EV1000" "$tmp/queue-1.out" "$tmp/queue-2.out" "$tmp/flow-$other.out" |
 	sort -u
