flow: count workers that don't answer as capacity that isn't in use

Loans of kept capacity begin when less than 55% of a service is in use. The owner left out workers that don't answer, whereas the platform counts them as free.

Workers that are listed, neither draining nor evacuated, now count whether they answer or not. What they run counts until it is known to have ended.

workers_that_do_not_answer_count_as_not_in_use fails before.

--- a/lib/flow/flow_internal.h
+++ b/lib/flow/flow_internal.h
@@ -326,7 +326,7 @@
 	bool evacuated; /* its AZ is; see evacuate.c */
 	int64_t warm_ms; /* see struct flow_worker_spec */
 	bool cold; /* this round: it is before that time */
-	bool gone; /* see flow_worker_set_gone(); for reports only */
+	bool gone; /* see flow_worker_set_gone() */
 	int64_t earliest_exit_ms; /* see struct flow_worker_spec */
 	int32_t failures_in_row;
 	int64_t failed_ms; /* time of the last failure */
@@ -360,7 +360,7 @@
 	int32_t n_failing; /* failed a task recently */
 	int32_t n_without_ordinary; /* run no ordinary tasks */
 	int32_t n_urgent_busy; /* run urgent tasks only */
-	/* Of the workers that take orders, and the part that runs hold. */
+	/* Of the workers that count (see kept.c), and what runs hold. */
 	struct flow_shape total, in_use;
 	int64_t underused_since_ms; /* see kept.c; 0 if it isn't underused */
 	int32_t n_on_loan; /* runs on loan */
--- a/lib/flow/kept.c
+++ b/lib/flow/kept.c
@@ -45,10 +45,15 @@
 	ss->kept_wait.since_ms = now_ms;
 }
 
-static bool takes_orders(const struct worker *w)
+/*
+ * Workers that don't answer count, as the platform can't tell that the owner
+ * doesn't reach them.  With 30% of the workers cut off, jobs waited beside
+ * kept capacity while the platform saw less than half in use.
+ */
+static bool counts_as_capacity(const struct worker *w)
 {
-	return w->pool && w->present && w->runs_known && !w->suspect &&
-		!w->draining && !w->evacuated;
+	return w->pool && w->present && !w->gone && !w->draining &&
+		!w->evacuated;
 }
 
 void flow_update_use(struct flow *f, int64_t now_ms)
@@ -61,7 +66,7 @@
 		memset(&p->in_use, 0, sizeof(p->in_use));
 	}
 	for (w = f->workers; w; w = w->hh.next) {
-		if (!takes_orders(w))
+		if (!counts_as_capacity(w))
 			continue;
 		flow_shape_add(&w->pool->total, &w->capacity, 1);
 		flow_shape_add(&w->pool->in_use, &w->used, 1);
--- a/tests/unit/flow/test-kept.c
+++ b/tests/unit/flow/test-kept.c
@@ -160,6 +160,22 @@
 }
 END_TEST
 
+/* The platform counts workers that the owner can't reach as free. */
+START_TEST(workers_that_do_not_answer_count_as_not_in_use)
+{
+	struct load_job *single;
+
+	flow_worker_set_suspect(l->f, "w6", true);
+	flow_worker_set_suspect(l->f, "w7", true);
+	load_add(l, "normal", 0, 4, ACCELERATORS, 10000);
+	load_advance(l, 100);
+	load_add(l, "normal", 100, 6, ACCELERATORS, 5000)->gang = true;
+	single = load_add(l, "low", 200, 1, 1, 20000);
+	load_advance(l, 2500);
+	ck_assert_int_ge(single->start_ms, 1700);
+}
+END_TEST
+
 /* Otherwise a gang would wait behind each task that came after it. */
 START_TEST(gang_recalls_what_is_on_loan)
 {
@@ -319,6 +335,7 @@
 	tcase_add_test(t,
 		       reservation_is_reported_when_it_begins_is_late_and_ends);
 	tcase_add_test(t, task_borrows_kept_capacity_of_an_underused_service);
+	tcase_add_test(t, workers_that_do_not_answer_count_as_not_in_use);
 	tcase_add_test(t, gang_recalls_what_is_on_loan);
 	tcase_add_test(t, loans_end_when_the_service_is_in_use);
 	tcase_add_test(t, headroom_of_a_service_in_use_is_not_lent);
