--- a/cmd/tgflowd/directory.c
+++ b/cmd/tgflowd/directory.c
@@ -59,7 +59,7 @@
 void link_update_suspect(struct link *l)
 {
 	bool suspect = l->failed || !link_is_described(l) ||
-		lease_bound_holds(l->entry.id);
+		lease_is_bounded(l->entry.id);
 
 	flow_worker_set_suspect(l->board->flow, l->entry.id, suspect);
 }
--- a/cmd/tgflowd/handover.c
+++ b/cmd/tgflowd/handover.c
@@ -21,8 +21,8 @@
 #define ASK_AGAIN_MS 300
 #define ASK_TRIES 5
 /*
- * A lease that was renewed in this time lasts nearly as long as the new owner
- * counts anyway.
+ * The new owner counts a whole lease from its proof that this one has ended.
+ * One that was renewed in this time lasts nearly as long, and is left out.
  */
 #define RENEWED_MS 500
 
@@ -33,7 +33,7 @@
 	json_t *leases; /* [[WORKER, time left at ended_ms], ...] */
 } kept;
 
-/* The owner that this one has replaced. */
+/* The owner that this one has replaced, as far as it can be asked. */
 static struct {
 	struct tg_former_owner owner;
 	uint64_t term;
--- a/cmd/tgflowd/leasebounds.c
+++ b/cmd/tgflowd/leasebounds.c
@@ -19,7 +19,9 @@
  * removed it, the owner sends the worker no call with an expiry.  So the bound
  * holds for all owners that the worker has had, whether they have ended or not:
  * each of them that has stored a bound doesn't renew, and each before it is
- * covered by the bound, which counts what that one may still renew.
+ * covered by the bound, which counts what that one may still renew.  It says
+ * nothing of another process of the worker, which may have carried out calls
+ * that were meant for the one before.
  */
 
 #define FAILURES_MIN 2
@@ -43,7 +45,7 @@
 	struct lease_bound *bounds;
 	bool changed; /* it differs from what is stored */
 	bool in_write;
-	bool obsolete; /* stored, and not maintained by all owners since */
+	bool obsolete; /* stored before an owner that didn't keep to it */
 };
 
 static struct {
@@ -95,7 +97,7 @@
 	return tg_store_clock_latest(&b->store_seen.last, e->clock_ms);
 }
 
-bool lease_bound_holds(const char *worker)
+bool lease_is_bounded(const char *worker)
 {
 	return find(worker) != NULL;
 }
@@ -113,13 +115,13 @@
 
 void lease_bound_changed(const struct link *l)
 {
-	bool holds = lease_bound_holds(l->entry.id);
+	bool is_bounded = lease_is_bounded(l->entry.id);
 
-	if (!holds && !is_silent(l))
+	if (!is_bounded && !is_silent(l))
 		return;
 	s.rows[row_of(l->entry.id)].changed = true;
 	/* It waits for its next renewal. */
-	if (holds && !l->failed)
+	if (is_bounded && !l->failed)
 		writer_wake(l->board);
 }
 
@@ -267,7 +269,7 @@
  * A bound is kept while nothing has come from the worker, also after its runs
  * have been declared lost: tasks that the store still records there need it.
  */
-static bool stays(const struct board *b, const struct link *l)
+static bool is_still_needed(const struct board *b, const struct link *l)
 {
 	if (!l)
 		return !b->directory_read;
@@ -282,7 +284,7 @@
 		const struct link *l = link_find(b, e->worker);
 		int64_t clock_ms = l ? known_clock_ms(l) : 0;
 
-		if (!stays(b, l) || (e->other_process && !clock_ms))
+		if (!is_still_needed(b, l) || (e->other_process && !clock_ms))
 			continue;
 		if (clock_ms && (e->other_process || clock_ms < e->clock_ms))
 			e->clock_ms = clock_ms;
@@ -302,7 +304,7 @@
 		int64_t clock_ms = known_clock_ms(l);
 
 		if (!clock_ms || !is_silent(l) || row_of(l->entry.id) != row ||
-		    lease_bound_holds(l->entry.id))
+		    lease_is_bounded(l->entry.id))
 			continue;
 		if (row_list_add(list,
 				 json_pack("[s,I]", l->entry.id,
--- a/cmd/tgflowd/leasebounds.h
+++ b/cmd/tgflowd/leasebounds.h
@@ -35,12 +35,12 @@
 int64_t lease_bound_former_ms(const struct board *b, const char *worker);
 
 /**
- * lease_bound_holds() - whether the store may have a bound of the worker's
+ * lease_is_bounded() - whether the store may have a bound of the worker's
  * leases, now or once the write in progress has taken effect
  *
  * A new owner would believe it, so no call may extend them beyond it.
  */
-bool lease_bound_holds(const char *worker);
+bool lease_is_bounded(const char *worker);
 
 /** lease_bound_changed() - the link's worker answers, or has failed again */
 void lease_bound_changed(const struct link *l);
--- a/cmd/tgflowd/links.c
+++ b/cmd/tgflowd/links.c
@@ -93,7 +93,7 @@
 
 static bool may_renew(struct link *l)
 {
-	return l->runs_known && !l->failed && !lease_bound_holds(l->entry.id) &&
+	return l->runs_known && !l->failed && !lease_is_bounded(l->entry.id) &&
 		owner_may_renew(l->board);
 }
 
@@ -255,7 +255,7 @@
 	}
 	link_set_failed(l, false);
 	/* A former owner has stored it, and the link has never failed. */
-	if (lease_bound_holds(l->entry.id))
+	if (lease_is_bounded(l->entry.id))
 		lease_bound_changed(l);
 	l->failures = l->refusals = 0;
 	if (is_new)
--- a/cmd/tgflowd/orders.c
+++ b/cmd/tgflowd/orders.c
@@ -384,7 +384,7 @@
 	o->sent_ms = tg_now_ms();
 	tg_hist_add(wait_ms, (uint64_t)(o->sent_ms - o->queued_ms));
 	/* Its expiry would be beyond the stored bound. */
-	o->withheld = o->start && lease_bound_holds(o->worker);
+	o->withheld = o->start && lease_is_bounded(o->worker);
 	if (!l || o->withheld) {
 		fail_later(o);
 		return;
--- a/lib/oncrpc/tgrpc.x
+++ b/lib/oncrpc/tgrpc.x
@@ -173,6 +173,10 @@
 		tg_rpc_answer TG_RPC_JOB_EXPLAIN(tg_rpc_job) = 8;
 		tg_rpc_response TG_RPC_REQUEST_FORWARD(tg_rpc_request) = 9;
 		void TG_RPC_WORKER_NOTES(tg_rpc_worker_notes) = 10;
+		/*
+		 * Workers with their state.  A flow daemon tells what its last
+		 * term as the owner has left: {"leases":[[ID,LEFT_MS],...]}.
+		 */
 		tg_rpc_answer TG_RPC_WORKER_LIST(tg_rpc_list) = 11;
 		tg_rpc_answer TG_RPC_GUARANTEE_LIST(tg_rpc_list) = 12;
 		tg_rpc_instances TG_RPC_INSTANCE_LIST(tg_rpc_instance_page)
--- a/tests/unit/directory/test-directory.c
+++ b/tests/unit/directory/test-directory.c
@@ -84,7 +84,7 @@
 	(void)l;
 }
 
-bool lease_bound_holds(const char *worker)
+bool lease_is_bounded(const char *worker)
 {
 	(void)worker;
 	return false;
--- a/tests/unit/leasebounds/test-leasebounds.c
+++ b/tests/unit/leasebounds/test-leasebounds.c
@@ -164,7 +164,7 @@
 	ms = lease_bound_former_ms(&b, "w1");
 	ck_assert_int_ge(ms, 8000);
 	ck_assert_int_le(ms, 8000 + 2 * CALL_MS);
-	ck_assert(lease_bound_holds("w1"));
+	ck_assert(lease_is_bounded("w1"));
 	ck_assert_int_eq(lease_bound_former_ms(&b, "w2"), 0);
 }
 END_TEST
@@ -173,19 +173,19 @@
 {
 	fall_silent(8000);
 	write_rows();
-	ck_assert(lease_bound_holds("w1"));
+	ck_assert(lease_is_bounded("w1"));
 	answer();
 	ck_assert(b.write_wanted);
 	lease_bounds_written(&b);
-	ck_assert(lease_bound_holds("w1"));
+	ck_assert(lease_is_bounded("w1"));
 	write_rows();
 	lease_bounds_not_written(&b);
-	ck_assert(lease_bound_holds("w1"));
+	ck_assert(lease_is_bounded("w1"));
 	ck_assert(lease_bounds_wait());
 	write_rows();
 	ck_assert_int_eq(n_polls, 0);
 	lease_bounds_written(&b);
-	ck_assert(!lease_bound_holds("w1"));
+	ck_assert(!lease_is_bounded("w1"));
 	ck_assert_int_eq(n_polls, 1);
 	take_over(b.owner);
 	ck_assert_int_eq(lease_bound_former_ms(&b, "w1"), 0);
@@ -220,7 +220,7 @@
 	b.owner.lease_bounds = false;
 	take_over(b.owner);
 	ck_assert_int_eq(lease_bound_former_ms(&b, "w1"), 0);
-	ck_assert(!lease_bound_holds("w1"));
+	ck_assert(!lease_is_bounded("w1"));
 	write_rows();
 	ck_assert(!b.owner.lease_bounds);
 	lease_bounds_written(&b);
@@ -260,11 +260,11 @@
 	write_rows();
 	answer();
 	lease_bounds_not_written(&b);
-	ck_assert(lease_bound_holds("w1"));
+	ck_assert(lease_is_bounded("w1"));
 	ck_assert_int_eq(n_polls, 0);
 	write_rows();
 	lease_bounds_written(&b);
-	ck_assert(!lease_bound_holds("w1"));
+	ck_assert(!lease_is_bounded("w1"));
 }
 END_TEST
 
--- a/tests/unit/orders/test-orders.c
+++ b/tests/unit/orders/test-orders.c
@@ -65,7 +65,7 @@
 	n_writes_wanted++;
 }
 
-bool lease_bound_holds(const char *worker)
+bool lease_is_bounded(const char *worker)
 {
 	(void)worker;
 	return bound_holds;
