--- a/tests/unit/leasebounds/test-leasebounds.c
+++ b/tests/unit/leasebounds/test-leasebounds.c
@@ -71,7 +71,7 @@
 
 static void read_rows(void)
 {
-	char key[LEASE_BOUND_KEY_LEN + 1];
+	char key[16];
 	int i;
 
 	for (i = 0; i < LEASE_BOUND_ROWS; i++) {
